Read the test report behave writes to its own file

Cause: behave pairs -o with formatters in order, so the JSON report went to the screen. Change: JSON formatter first. Ruled out: an empty report from a crashed run.

--- a/tests/run.py
+++ b/tests/run.py
@@ -32,7 +32,7 @@
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "report.json"
         command = [sys.executable, "-m", "behave", "--no-capture", "--no-color"]
-        command += ["-f", "progress", "-f", "json", "-o", str(report)]
+        command += ["-f", "json", "-o", str(report), "-f", "progress"]
         status = subprocess.call([*command, *(arguments or ["tests"])], cwd=ROOT)
         features = json.loads(report.read_text()) if report.exists() else []
     return status, judge(features)
