--- /dev/null
+++ b/src/redwingbank/messages.py
@@ -0,0 +1,129 @@
+"""Typed messages between daemons; `ports.peers` writes them in the form of messages.capnp."""
+
+from __future__ import annotations
+
+from enum import IntEnum
+from typing import NamedTuple
+
+LIMITS_POOL = "@limits"
+
+
+class MemberState(IntEnum):
+    """What a daemon thinks of another; a higher state wins at the same incarnation."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+class Member(NamedTuple):
+    """A daemon as others know it; `address` is the IP:port of its control socket."""
+
+    host: str
+    data_centre: str
+    address: str
+    incarnation: int
+    state: MemberState
+    revision: int
+
+
+class Notice(NamedTuple):
+    """News that every host must have within seconds, spread with heartbeats.
+
+    `kind` and `subject` name it (a quarantined fingerprint, a draining server); of two
+    notices of one kind, subject and origin the higher `number` wins. `ttl_s` is the time
+    left to keep it.
+    """
+
+    kind: str
+    subject: str
+    origin: str
+    number: int
+    value: float
+    ttl_s: float
+
+
+class Heartbeat(NamedTuple):
+    """The sender first, then a few other members, and news."""
+
+    reply: bool
+    revision: int
+    members: tuple[Member, ...]
+    notices: tuple[Notice, ...] = ()
+
+
+class ClassDemand(NamedTuple):
+    """A class's requests waiting on one host; `slack_s` is negative where a target is missed."""
+
+    tier: int
+    class_name: str
+    waiting: int
+    oldest_s: float
+    slack_s: float
+
+
+class OrganisationUse(NamedTuple):
+    """An organisation's use on one host, or the share of its limits a host may use."""
+
+    organisation: str
+    running: int
+    waiting: int
+    tokens: int
+
+
+class Demand(NamedTuple):
+    """A host to the allocator of a pool.
+
+    `running` and `holding` (free slots held) count by backend server. A demand for
+    `LIMITS_POOL` carries `organisations` alone.
+    """
+
+    pool: str
+    number: int
+    classes: tuple[ClassDemand, ...] = ()
+    running: dict[str, int] = {}  # noqa: RUF012
+    holding: dict[str, int] = {}  # noqa: RUF012
+    organisations: tuple[OrganisationUse, ...] = ()
+
+
+class Allocation(NamedTuple):
+    """The allocator of a pool to a host.
+
+    `slots` is the most requests the host may have in flight at each backend server until
+    `ttl_s` after receipt. `floor` is the lowest tier (largest number) that may start.
+    """
+
+    pool: str
+    number: int
+    answers: int
+    ttl_s: float
+    floor: int
+    slots: dict[str, int] = {}  # noqa: RUF012
+    limits: tuple[OrganisationUse, ...] = ()
+
+
+Message = Heartbeat | Demand | Allocation
+
+
+class Received(NamedTuple):
+    """A message with its authenticated sender and the address to answer to."""
+
+    sender: str
+    address: str
+    message: Message
+
+
+__all__ = [
+    "LIMITS_POOL",
+    "Allocation",
+    "ClassDemand",
+    "Demand",
+    "Heartbeat",
+    "Member",
+    "MemberState",
+    "Message",
+    "Notice",
+    "OrganisationUse",
+    "Received",
+]
