--- a/src/redwingbank/model.py
+++ b/src/redwingbank/model.py
@@ -54,6 +54,7 @@
     REFUSED = "refused"
     CRASHED = "crashed"
     GARBAGE = "garbage"
+    CLOSED_EARLY = "closed early"
     TIMED_OUT = "timed out"
 
 
--- /dev/null
+++ b/src/redwingbank/ports/caller.py
@@ -0,0 +1,200 @@
+"""The daemon's HTTP front: callers' requests, checked, routed and always answered."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from typing import TYPE_CHECKING, NamedTuple
+
+from redwingbank.codes import Code
+from redwingbank.model import Request
+from redwingbank.ports.admission import Directory
+from redwingbank.ports.chat import fingerprint_of, parse_chat, request_of
+from redwingbank.ports.completion import Targets
+from redwingbank.ports.http import (
+    Head,
+    Refusal,
+    head_of,
+    header_bytes,
+    read_body,
+    send_json,
+    send_refusal,
+)
+from redwingbank.ports.service import ServiceCall
+
+if TYPE_CHECKING:
+    from redwingbank.metrics import Metrics
+    from redwingbank.ports.admission import Admitted
+    from redwingbank.ports.completion import Completions
+    from redwingbank.ports.http import Receive, Scope, Send
+    from redwingbank.ports.operator import Operators
+    from redwingbank.ports.service import Services
+    from redwingbank.rules.table import Table
+    from redwingbank.settings import Settings
+
+MILLISECONDS = 1000.0
+CHAT_PATH = "/v1/chat/completions"
+MODELS_PATH = "/v1/models"
+SERVICES_PREFIX = "/services/"
+NOT_READY_RETRY_S = 2.0
+
+
+class Exchange(NamedTuple):
+    """One request with the two ends of its connection."""
+
+    head: Head
+    request_id: str
+    receive: Receive
+    send: Send
+
+
+class CallerFront:
+    """The ASGI application of a daemon.
+
+    It holds what the table in force says of callers; `table_in_force` is told each new table.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        completions: Completions,
+        services: Services,
+        operators: Operators,
+        metrics: Metrics,
+    ) -> None:
+        self._settings = settings
+        self._completions = completions
+        self._services = services
+        self._operators = operators
+        self._metrics = metrics
+        self._directory: Directory | None = None
+        self._leaving = False
+
+    def table_in_force(self, table: Table) -> None:
+        """Use a newer table for the requests that come from now on."""
+        self._directory = Directory(table)
+
+    def leave(self) -> None:
+        """Take no new requests; those begun run on."""
+        self._leaving = True
+
+    async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
+        """Answer one ASGI connection."""
+        if scope["type"] != "http":
+            return
+        head = head_of(scope)
+        exchange = Exchange(head, uuid.uuid4().hex, receive, send)
+        if header_bytes(scope) > self._settings.header_limit_bytes:
+            await self._refuse(exchange, Refusal(Code.HEADERS_TOO_LARGE))
+        elif await self._operators.answered(head, receive, send):
+            return
+        else:
+            await self._route(exchange)
+
+    async def _refuse(self, exchange: Exchange, refusal: Refusal) -> None:
+        self._metrics.count("answers_total", code=str(int(refusal.code)))
+        await send_refusal(exchange.send, refusal, exchange.request_id)
+
+    async def _route(self, exchange: Exchange) -> None:
+        refusal = await self._routed(exchange)
+        if refusal:
+            await self._refuse(exchange, refusal)
+
+    async def _routed(self, exchange: Exchange) -> Refusal | None:
+        """Serve a request, or return why not."""
+        path = exchange.head.path
+        directory = self._directory
+        if directory is None:
+            return Refusal(Code.NOT_READY, retry_after_s=NOT_READY_RETRY_S)
+        if self._leaving:
+            return Refusal(Code.SHUTTING_DOWN)
+        admitted = directory.admit(exchange.head)
+        if path == CHAT_PATH:
+            return await self._chat(exchange, directory, admitted)
+        if path == MODELS_PATH:
+            return await self._models(exchange, directory, admitted)
+        if path.startswith(SERVICES_PREFIX):
+            return await self._service(exchange, directory, admitted)
+        return Refusal(Code.UNKNOWN_PATH, path)
+
+    async def _chat(
+        self, exchange: Exchange, directory: Directory, admitted: Admitted | Refusal
+    ) -> Refusal | None:
+        if exchange.head.method != "POST":
+            return Refusal(Code.WRONG_METHOD)
+        body = await self._body(exchange)
+        if isinstance(body, Refusal):
+            return body
+        if isinstance(admitted, Refusal):
+            return admitted
+        chat = parse_chat(body)
+        if isinstance(chat, Refusal):
+            return chat
+        pool = directory.table.pools_by_name.get(chat.model)
+        if pool is None or pool.kind != "engine":
+            return Refusal(Code.UNKNOWN_MODEL, chat.model)
+        request = request_of(chat, admitted, exchange.request_id, time.monotonic())
+        row = admitted.service_class
+        targets = Targets(row.first_token_ms / MILLISECONDS, row.token_ms / MILLISECONDS)
+        await self._completions.serve(chat, request, targets, exchange.receive, exchange.send)
+        return None
+
+    async def _models(
+        self, exchange: Exchange, directory: Directory, admitted: Admitted | Refusal
+    ) -> Refusal | None:
+        if exchange.head.method != "GET":
+            return Refusal(Code.WRONG_METHOD)
+        if isinstance(admitted, Refusal):
+            return admitted
+        models = [
+            {"id": row.name, "object": "model", "created": 0, "owned_by": "redwingbank"}
+            for row in directory.table.pools_by_name.values()
+            if row.kind == "engine"
+        ]
+        await send_json(exchange.send, 200, {"object": "list", "data": models})
+        return None
+
+    async def _service(
+        self, exchange: Exchange, directory: Directory, admitted: Admitted | Refusal
+    ) -> Refusal | None:
+        body = await self._body(exchange)
+        if isinstance(body, Refusal):
+            return body
+        if isinstance(admitted, Refusal):
+            return admitted
+        name, _, path = exchange.head.path.removeprefix(SERVICES_PREFIX).partition("/")
+        pool = directory.table.pools_by_name.get(name)
+        if pool is None or pool.kind != "service":
+            return Refusal(Code.UNKNOWN_PATH, exchange.head.path)
+        call = ServiceCall(exchange.head, path, body)
+        request = _service_request(call, admitted, name, exchange.request_id)
+        await self._services.serve(call, request, exchange.send)
+        return None
+
+    async def _body(self, exchange: Exchange) -> bytes | Refusal:
+        try:
+            body = await read_body(exchange.receive, self._settings.body_limit_bytes)
+        except ConnectionError:
+            return Refusal(Code.CALLER_GONE)
+        return Refusal(Code.BODY_TOO_LARGE) if body is None else body
+
+
+def _service_request(call: ServiceCall, admitted: Admitted, pool: str, request_id: str) -> Request:
+    row = admitted.service_class
+    now_s = time.monotonic()
+    return Request(
+        request_id=request_id,
+        organisation=admitted.organisation.name,
+        class_name=row.name,
+        tier=row.tier,
+        pool=pool,
+        arrived_s=now_s,
+        deadline_s=now_s + row.first_token_ms / MILLISECONDS,
+        give_up_s=now_s + row.give_up_s,
+        prompt_tokens=1,
+        fingerprint=fingerprint_of(admitted.organisation.name, call.digest().encode()),
+        repeatable=call.repeatable,
+    )
+
+
+__all__ = ["CallerFront"]
--- /dev/null
+++ b/src/redwingbank/ports/completion.py
@@ -0,0 +1,325 @@
+"""Serves chat completions: waits for a grant, relays the stream, resumes it after a crash."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+import anyio
+
+from redwingbank.codes import MEANING_BY_CODE, Code, Ran
+from redwingbank.model import Outcome
+from redwingbank.ports.engine import OK_STATUS, REFUSING_STATUSES, AttemptError
+from redwingbank.ports.http import (
+    JSON_TYPE,
+    STREAM_TYPE,
+    Refusal,
+    error_event,
+    send_refusal,
+    send_whole,
+)
+from redwingbank.rules.frames import Frames, GarbageError, assemble
+from redwingbank.rules.lifecycle import State, Step
+from redwingbank.tasks.ticket import Ended, Grant, Left, Refused, Submit, Ticket
+
+if TYPE_CHECKING:
+    from redwingbank.events import EventLog
+    from redwingbank.metrics import Metrics
+    from redwingbank.model import Request
+    from redwingbank.ports.chat import Chat
+    from redwingbank.ports.engine import EngineClient, Opened
+    from redwingbank.ports.http import Receive, Send
+
+MILLISECONDS = 1000.0
+SERVER_ERROR_STATUS = 500
+LONGEST_ERROR_BYTES = 64 * 1024
+
+
+class Targets(NamedTuple):
+    """A class's latency targets in seconds."""
+
+    first_token_s: float
+    token_s: float
+
+
+class Rejection(NamedTuple):
+    """An engine's answer to a request that it finds wrong, passed on as it is."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class Sink(Protocol):
+    """Takes an answer's whole frames and gives them to the caller."""
+
+    started: bool
+
+    async def frames(self, data: bytes) -> None:
+        """Take whole frames."""
+
+    async def end(self) -> None:
+        """Close the answer as complete."""
+
+    async def break_off(self, refusal: Refusal) -> None:
+        """Close the answer as not complete."""
+
+
+class StreamSink:
+    """Gives frames to the caller as they come."""
+
+    def __init__(self, send: Send, request_id: str) -> None:
+        self.started = False
+        self._send = send
+        self._request_id = request_id
+
+    async def frames(self, data: bytes) -> None:
+        """Send whole frames, the answer's head before the first."""
+        if not self.started:
+            self.started = True
+            headers = [
+                (b"content-type", STREAM_TYPE),
+                (b"cache-control", b"no-cache"),
+                (b"x-request-id", self._request_id.encode()),
+            ]
+            await self._send(
+                {"type": "http.response.start", "status": OK_STATUS, "headers": headers}
+            )
+        await self._send({"type": "http.response.body", "body": data, "more_body": True})
+
+    async def end(self) -> None:
+        """End the body; the engine's end mark went before."""
+        await self._send({"type": "http.response.body", "body": b""})
+
+    async def break_off(self, refusal: Refusal) -> None:
+        """End a begun stream with an error event and no end mark, else refuse whole."""
+        if not self.started:
+            await send_refusal(self._send, refusal, self._request_id)
+            return
+        event = error_event(refusal, self._request_id)
+        await self._send({"type": "http.response.body", "body": event})
+
+
+class WholeSink:
+    """Keeps the frames and gives one whole completion at the end."""
+
+    def __init__(self, send: Send, request_id: str) -> None:
+        self.started = False
+        self._send = send
+        self._request_id = request_id
+        self._frames: list[bytes] = []
+
+    async def frames(self, data: bytes) -> None:
+        """Keep whole frames."""
+        self._frames.append(data)
+
+    async def end(self) -> None:
+        """Send the completion the frames amount to."""
+        body = assemble(b"".join(self._frames))
+        headers = [(b"x-request-id", self._request_id.encode())]
+        data = json.dumps(body, separators=(",", ":")).encode()
+        await send_whole(self._send, OK_STATUS, data, JSON_TYPE, headers)
+
+    async def break_off(self, refusal: Refusal) -> None:
+        """Refuse whole; nothing was sent yet."""
+        await send_refusal(self._send, refusal, self._request_id)
+
+
+class Inbox(Protocol):
+    """Takes messages for the dispatch task."""
+
+    def send_nowait(self, item: Submit | Ended | Left) -> None:
+        """Take one message."""
+
+
+class Progress:
+    """What one completion has got so far, over all its attempts."""
+
+    def __init__(self, ticket: Ticket, send: Send, sink: Sink, targets: Targets) -> None:
+        self.ticket = ticket
+        self.send = send
+        self.sink = sink
+        self.targets = targets
+        self.frames = Frames()
+        self.first_token_s = 0.0
+        self.over = False
+        self.rejection: Rejection | None = None
+
+    @property
+    def request(self) -> Request:
+        """The request as the rules know it."""
+        return self.ticket.request
+
+
+class Completions:
+    """Serves chat completions over the dispatch task's grants."""
+
+    def __init__(
+        self, inbox: Inbox, engines: EngineClient, metrics: Metrics, events: EventLog
+    ) -> None:
+        self._inbox = inbox
+        self._engines = engines
+        self._metrics = metrics
+        self._events = events
+
+    async def serve(
+        self, chat: Chat, request: Request, targets: Targets, receive: Receive, send: Send
+    ) -> None:
+        """Serve one completion to its end, or till its caller goes."""
+        ticket = Ticket(request)
+        ticket.life.advance(Step.CHECK)
+        sink_type = StreamSink if chat.stream else WholeSink
+        sink = sink_type(send, request.request_id)
+        progress = Progress(ticket, send, sink, targets)
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._watch, receive, group.cancel_scope)
+            try:
+                await self._decisions(chat, progress)
+            finally:
+                if not progress.over:
+                    await self._leave(progress)
+            group.cancel_scope.cancel()
+
+    async def _watch(self, receive: Receive, scope: anyio.CancelScope) -> None:
+        while (await receive())["type"] != "http.disconnect":
+            pass
+        scope.cancel()
+
+    async def _leave(self, progress: Progress) -> None:
+        ticket = progress.ticket
+        self._inbox.send_nowait(Left(ticket, progress.frames.tokens))
+        self._metrics.count("answers_total", code=str(int(Code.CALLER_GONE)))
+        self._events.record("caller-gone", request=progress.request.request_id)
+        if ticket.life.state in {State.SENT, State.STREAMING}:
+            with anyio.CancelScope(shield=True):
+                await self._engines.cancel(ticket.address, progress.request.request_id)
+
+    async def _decisions(self, chat: Chat, progress: Progress) -> None:
+        ticket = progress.ticket
+        ticket.life.advance(Step.QUEUE)
+        self._inbox.send_nowait(Submit(ticket))
+        async for decision in ticket.decisions:
+            if isinstance(decision, Refused):
+                await self._refuse(decision, progress)
+                return
+            ended = await self._attempt(chat, progress, decision)
+            self._inbox.send_nowait(ended)
+            if ended.outcome is Outcome.DONE:
+                await self._finish(progress)
+                return
+
+    async def _refuse(self, refused: Refused, progress: Progress) -> None:
+        life = progress.ticket.life
+        code = life.truthful(refused.code)
+        life.advance(Step.REFUSE if life.ran is Ran.NO else Step.FAIL)
+        ran = Ran.NO if life.ran is Ran.NO else life.ran
+        progress.over = True
+        self._count(progress, code)
+        self._events.record(
+            "request-refused", request=life.request_id, code=int(code), ran=ran.value
+        )
+        refusal = Refusal(code, refused.detail, refused.retry_after_s, ran)
+        await progress.sink.break_off(refusal)
+
+    async def _finish(self, progress: Progress) -> None:
+        progress.over = True
+        if progress.rejection:
+            await self._pass_on(progress.rejection, progress)
+            return
+        self._count(progress, Code.OK)
+        self._observe(progress)
+        await progress.sink.end()
+
+    async def _pass_on(self, rejection: Rejection, progress: Progress) -> None:
+        self._metrics.count("rejected_by_engine_total", pool=progress.request.pool)
+        headers = [(b"x-request-id", progress.request.request_id.encode())]
+        kind = rejection.content_type.encode("latin-1")
+        await send_whole(progress.send, rejection.status, rejection.body, kind, headers)
+
+    async def _attempt(self, chat: Chat, progress: Progress, grant: Grant) -> Ended:
+        life = progress.ticket.life
+        life.advance(Step.SEND)
+        started_s = time.monotonic()
+        outcome = Outcome.DONE
+        begun = False
+        try:
+            async with self._engines.chat(
+                grant.address,
+                life.request_id,
+                progress.request.tier,
+                progress.frames.tokens,
+                chat.body,
+            ) as opened:
+                outcome = await self._answer(opened, progress)
+                begun = outcome is not Outcome.REFUSED
+        except AttemptError as error:
+            outcome = error.outcome
+            begun = life.state is State.STREAMING
+        if outcome is Outcome.REFUSED:
+            life.advance(Step.NOT_TAKEN)
+        if outcome is Outcome.DONE:
+            life.advance(Step.FINISH)
+        progress.frames.restart()
+        first_token_s = max(0.0, progress.first_token_s - started_s)
+        return Ended(progress.ticket, outcome, begun, progress.frames.tokens, first_token_s)
+
+    async def _answer(self, opened: Opened, progress: Progress) -> Outcome:
+        if opened.status in REFUSING_STATUSES:
+            return Outcome.REFUSED
+        progress.ticket.life.advance(Step.ANSWER)
+        if opened.status != OK_STATUS:
+            return await self._rejected(opened, progress)
+        try:
+            async for chunk in opened.chunks:
+                await self._relay(chunk, progress)
+        except GarbageError:
+            return Outcome.GARBAGE
+        return Outcome.DONE if progress.frames.finished else Outcome.CLOSED_EARLY
+
+    async def _rejected(self, opened: Opened, progress: Progress) -> Outcome:
+        """Keep the engine's own word on a request that it finds wrong."""
+        if opened.status >= SERVER_ERROR_STATUS:
+            return Outcome.CRASHED
+        body = b""
+        async for chunk in opened.chunks:
+            body += chunk
+            if len(body) > LONGEST_ERROR_BYTES:
+                return Outcome.GARBAGE
+        progress.rejection = Rejection(opened.status, opened.content_type, body)
+        return Outcome.DONE
+
+    async def _relay(self, chunk: bytes, progress: Progress) -> None:
+        whole = progress.frames.feed(chunk)
+        if not whole:
+            return
+        if progress.first_token_s == 0.0 and progress.frames.tokens:
+            progress.first_token_s = time.monotonic()
+        await progress.sink.frames(whole)
+
+    def _count(self, progress: Progress, code: Code) -> None:
+        request = progress.request
+        self._metrics.count("answers_total", code=str(int(code)))
+        self._metrics.count("tokens_total", progress.frames.tokens, pool=request.pool)
+        met = code is Code.OK and self._met(progress)
+        name = "attained_total" if met else "missed_total"
+        if code is Code.OK or MEANING_BY_CODE[code].status >= SERVER_ERROR_STATUS:
+            self._metrics.count(name, service_class=request.class_name)
+
+    def _met(self, progress: Progress) -> bool:
+        first_s = progress.first_token_s - progress.request.arrived_s
+        rest = max(1, progress.frames.tokens - 1)
+        gap_s = (time.monotonic() - progress.first_token_s) / rest
+        return first_s <= progress.targets.first_token_s and gap_s <= progress.targets.token_s
+
+    def _observe(self, progress: Progress) -> None:
+        request = progress.request
+        now_s = time.monotonic()
+        first_s = progress.first_token_s - request.arrived_s
+        self._metrics.observe("first_token_seconds", first_s, service_class=request.class_name)
+        self._metrics.observe(
+            "answer_seconds", now_s - request.arrived_s, service_class=request.class_name
+        )
+
+
+__all__ = ["Completions", "Inbox", "Targets"]
--- /dev/null
+++ b/src/redwingbank/ports/engine.py
@@ -0,0 +1,226 @@
+"""Client of a model engine: streams, cancels, load reports, cache events, KV and orders."""
+
+from __future__ import annotations
+
+import json
+import ssl
+import time
+from contextlib import asynccontextmanager
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import httpcore
+
+from redwingbank.model import CacheEvent, LoadReport, Outcome
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from redwingbank.settings import Settings
+
+MILLISECONDS = 1000.0
+CONNECT_TIMEOUT_S = 1.0
+SHORT_CALL_TIMEOUT_S = 1.0
+MOST_CONNECTIONS = 1024
+KEEPALIVE_S = 30.0
+REFUSING_STATUSES = {429, 503}
+OK_STATUS = 200
+CONFLICT_STATUS = 409
+
+
+class Opened(NamedTuple):
+    """An engine's answer has begun; `chunks` yields bytes until its end."""
+
+    status: int
+    content_type: str
+    chunks: AsyncIterator[bytes]
+
+
+class AttemptError(Exception):
+    """An attempt broke off; `outcome` tells how."""
+
+    def __init__(self, outcome: Outcome) -> None:
+        super().__init__(outcome.value)
+        self.outcome = outcome
+
+
+OUTCOME_BY_ERROR: dict[type[Exception], Outcome] = {
+    httpcore.ConnectError: Outcome.REFUSED,
+    httpcore.ConnectTimeout: Outcome.REFUSED,
+    httpcore.PoolTimeout: Outcome.REFUSED,
+    httpcore.ReadTimeout: Outcome.TIMED_OUT,
+    httpcore.WriteTimeout: Outcome.TIMED_OUT,
+    httpcore.LocalProtocolError: Outcome.GARBAGE,
+}
+
+_FAULTS = (httpcore.NetworkError, httpcore.TimeoutException, httpcore.ProtocolError, ssl.SSLError)
+
+
+def outcome_of(error: Exception) -> Outcome:
+    """Tell how an attempt ended from the transport's error."""
+    return OUTCOME_BY_ERROR.get(type(error), Outcome.CRASHED)
+
+
+class BackendClient:
+    """Connections to backend servers, one pool a server."""
+
+    def __init__(self, settings: Settings) -> None:
+        self._timeout = {
+            "connect": CONNECT_TIMEOUT_S,
+            "pool": CONNECT_TIMEOUT_S,
+            "read": settings.first_byte_timeout_s,
+            "write": settings.idle_timeout_s,
+        }
+        self._pool_by_address: dict[str, httpcore.AsyncConnectionPool] = {}
+
+    def pool(self, address: str) -> httpcore.AsyncConnectionPool:
+        """Return the server's connection pool, made at first use."""
+        pool = self._pool_by_address.get(address)
+        if pool is None:
+            pool = httpcore.AsyncConnectionPool(
+                max_connections=MOST_CONNECTIONS, keepalive_expiry=KEEPALIVE_S
+            )
+            self._pool_by_address[address] = pool
+        return pool
+
+    async def close(self) -> None:
+        """Close every connection."""
+        pools = list(self._pool_by_address.values())
+        self._pool_by_address.clear()
+        for pool in pools:
+            await pool.aclose()
+
+    @asynccontextmanager
+    async def open(
+        self, address: str, method: str, path: str, headers: dict[str, str], body: bytes
+    ) -> AsyncIterator[Opened]:
+        """Send a request and read its answer as it comes.
+
+        :raises AttemptError: where no whole answer comes
+        """
+        request = self.pool(address).stream(
+            method,
+            f"http://{address}{path}",
+            headers={"Host": address, **headers},
+            content=body,
+            extensions={"timeout": self._timeout},
+        )
+        try:
+            async with request as response:
+                kind = dict(response.headers).get(b"content-type", b"")
+                yield Opened(response.status, kind.decode("latin-1"), response.aiter_stream())
+        except _FAULTS as error:
+            raise AttemptError(outcome_of(error)) from error
+
+    async def call(
+        self, address: str, method: str, path: str, body: bytes = b""
+    ) -> tuple[int, bytes] | None:
+        """Make a short call; nothing where it fails."""
+        timeout = dict.fromkeys(("connect", "read", "write", "pool"), SHORT_CALL_TIMEOUT_S)
+        try:
+            response = await self.pool(address).request(
+                method,
+                f"http://{address}{path}",
+                headers={"Host": address, "Content-Type": "application/json"},
+                content=body,
+                extensions={"timeout": timeout},
+            )
+        except _FAULTS:
+            return None
+        return response.status, response.content
+
+
+class EngineClient:
+    """The engine's protocol over backend connections; see docs/ENGINE-PROTOCOL.md."""
+
+    def __init__(self, backend: BackendClient) -> None:
+        self._backend = backend
+
+    @asynccontextmanager
+    async def chat(
+        self, address: str, request_id: str, priority: int, resume_from: int, body: bytes
+    ) -> AsyncIterator[Opened]:
+        """Start or resume a stream; `resume_from` tokens were delivered already.
+
+        :raises AttemptError: where no whole answer comes
+        """
+        headers = {
+            "Content-Type": "application/json",
+            "X-Request-Id": request_id,
+            "X-Priority": str(priority),
+        }
+        if resume_from:
+            headers["X-Resume-From"] = str(resume_from)
+        path = "/v1/chat/completions"
+        async with self._backend.open(address, "POST", path, headers, body) as opened:
+            yield opened
+
+    async def cancel(self, address: str, request_id: str) -> None:
+        """Tell the engine to stop a request."""
+        await self._backend.call(address, "POST", f"/cancel/{request_id}")
+
+    async def load(self, address: str) -> LoadReport | None:
+        """Read the engine's load; nothing where it reports none or can't be reached."""
+        document = await self._document(address, "GET", "/load")
+        if document is None:
+            return None
+        try:
+            return LoadReport(
+                at_s=time.monotonic() - float(document.get("age_ms", 0)) / MILLISECONDS,
+                slots=int(document["slots"]),
+                running=int(document["running"]),
+                waiting=int(document["waiting"]),
+                draining=bool(document.get("draining", False)),
+                cached_tokens_free=int(document.get("cached_tokens_free", 0)),
+            )
+        except (KeyError, TypeError, ValueError):
+            return None
+
+    async def cache_events(self, address: str, after: int) -> tuple[CacheEvent, ...]:
+        """Read cache events numbered over `after`; none where there is no answer."""
+        document = await self._document(address, "GET", f"/cache-events?after={after}")
+        try:
+            return tuple(
+                CacheEvent(int(item["number"]), tuple(item["stored"]), tuple(item["evicted"]))
+                for item in (document or {}).get("events", ())
+            )
+        except (KeyError, TypeError, ValueError):
+            return ()
+
+    async def order(self, address: str, fencing: int, order: str, argument: str) -> bool | None:
+        """Give an order; false where the engine refused its fencing number, none unheard."""
+        body = {"fencing": fencing, "order": order, "argument": argument}
+        data = json.dumps(body).encode()
+        answer = await self._backend.call(address, "POST", "/orders", data)
+        if answer is None or answer[0] not in {OK_STATUS, CONFLICT_STATUS}:
+            return None
+        return answer[0] == OK_STATUS
+
+    async def export_block(self, address: str, block: int) -> bytes | None:
+        """Read a prefix block's KV cache."""
+        answer = await self._backend.call(address, "GET", f"/kv/{block}")
+        return answer[1] if answer and answer[0] == OK_STATUS else None
+
+    async def import_block(self, address: str, block: int, data: bytes) -> bool:
+        """Give an engine a prefix block's KV cache."""
+        answer = await self._backend.call(address, "PUT", f"/kv/{block}", data)
+        return bool(answer and answer[0] == OK_STATUS)
+
+    async def _document(self, address: str, method: str, path: str) -> dict[str, Any] | None:
+        answer = await self._backend.call(address, method, path)
+        if answer is None or answer[0] != OK_STATUS:
+            return None
+        try:
+            document = json.loads(answer[1])
+        except ValueError:
+            return None
+        return document if isinstance(document, dict) else None
+
+
+__all__ = [
+    "OK_STATUS",
+    "REFUSING_STATUSES",
+    "AttemptError",
+    "BackendClient",
+    "EngineClient",
+    "Opened",
+]
--- /dev/null
+++ b/src/redwingbank/ports/http.py
@@ -0,0 +1,163 @@
+"""What every HTTP answer of the daemon shares: headers, bodies and the error shape."""
+
+from __future__ import annotations
+
+import json
+import math
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from redwingbank.codes import MEANING_BY_CODE, Code, Ran
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, MutableMapping
+
+    Message = MutableMapping[str, Any]
+    Scope = MutableMapping[str, Any]
+    Receive = Callable[[], Awaitable[Message]]
+    Send = Callable[[Message], Awaitable[None]]
+
+JSON_TYPE = b"application/json"
+STREAM_TYPE = b"text/event-stream"
+LEAST_RETRY_AFTER_S = 1
+
+ERROR_TYPE_BY_STATUS = {
+    400: "invalid_request_error",
+    401: "authentication_error",
+    404: "not_found_error",
+    429: "rate_limit_error",
+}
+
+
+class Refusal(NamedTuple):
+    """A request's final answer where it is not served whole.
+
+    `retry_after_s` is the time to return, 0 where asking again does not help.
+    """
+
+    code: Code
+    detail: str = ""
+    retry_after_s: float = 0.0
+    ran: Ran | None = None
+
+
+class Head(NamedTuple):
+    """A request's line and headers; header names are lower case."""
+
+    method: str
+    path: str
+    query: str
+    headers_by_name: dict[str, str]
+    peer: str
+
+    @property
+    def bearer(self) -> str:
+        """The key of an `Authorization: Bearer KEY` header, or nothing."""
+        kind, _, key = self.headers_by_name.get("authorization", "").partition(" ")
+        return key.strip() if kind.lower() == "bearer" else ""
+
+
+def head_of(scope: Scope) -> Head:
+    """Read an ASGI scope."""
+    headers = {name.decode("latin-1"): value.decode("latin-1") for name, value in scope["headers"]}
+    client = scope.get("client") or ("", 0)
+    return Head(
+        scope["method"],
+        scope["path"],
+        scope.get("query_string", b"").decode("latin-1"),
+        headers,
+        client[0],
+    )
+
+
+def header_bytes(scope: Scope) -> int:
+    """Count the bytes of a request's headers."""
+    return sum(len(name) + len(value) for name, value in scope["headers"])
+
+
+async def read_body(receive: Receive, limit_bytes: int) -> bytes | None:
+    """Read a body whole; nothing where it is over the limit.
+
+    :raises ConnectionError: where the caller goes before its end
+    """
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise ConnectionError
+        parts.append(message.get("body", b""))
+        size += len(parts[-1])
+        if size > limit_bytes:
+            return None
+        if not message.get("more_body", False):
+            return b"".join(parts)
+
+
+def error_body(refusal: Refusal, request_id: str) -> dict[str, Any]:
+    """Build the OpenAI protocol's error object with our code, `ran` and time to return."""
+    meaning = MEANING_BY_CODE[refusal.code]
+    detail = f"{meaning.meaning}: {refusal.detail}" if refusal.detail else meaning.meaning
+    error: dict[str, Any] = {
+        "message": detail,
+        "type": ERROR_TYPE_BY_STATUS.get(meaning.status, "server_error"),
+        "param": None,
+        "code": str(int(refusal.code)),
+        "ran": (refusal.ran or meaning.ran).value,
+        "request_id": request_id,
+    }
+    if meaning.retry:
+        error["retry_after"] = retry_after(refusal)
+    return {"error": error}
+
+
+def retry_after(refusal: Refusal) -> int:
+    """Round a time to return up to whole seconds, as the header has it."""
+    return max(LEAST_RETRY_AFTER_S, math.ceil(refusal.retry_after_s))
+
+
+async def send_refusal(send: Send, refusal: Refusal, request_id: str) -> None:
+    """Give a refusal as a whole answer, at once."""
+    meaning = MEANING_BY_CODE[refusal.code]
+    headers = [(b"x-request-id", request_id.encode())]
+    if meaning.retry:
+        headers.append((b"retry-after", str(retry_after(refusal)).encode()))
+    await send_json(send, meaning.status, error_body(refusal, request_id), headers)
+
+
+async def send_json(
+    send: Send, status: int, body: Any, headers: list[tuple[bytes, bytes]] | None = None
+) -> None:
+    """Give a JSON answer."""
+    data = json.dumps(body, separators=(",", ":")).encode()
+    await send_whole(send, status, data, JSON_TYPE, headers or [])
+
+
+async def send_whole(
+    send: Send, status: int, data: bytes, kind: bytes, headers: list[tuple[bytes, bytes]]
+) -> None:
+    """Give an answer whose body is at hand."""
+    length = (b"content-length", str(len(data)).encode())
+    start = [(b"content-type", kind), length, *headers]
+    await send({"type": "http.response.start", "status": status, "headers": start})
+    await send({"type": "http.response.body", "body": data})
+
+
+def error_event(refusal: Refusal, request_id: str) -> bytes:
+    """Write the event that ends a stream which could not be finished."""
+    body = json.dumps(error_body(refusal, request_id), separators=(",", ":"))
+    return b"data: " + body.encode() + b"\n\n"
+
+
+__all__ = [
+    "JSON_TYPE",
+    "STREAM_TYPE",
+    "Head",
+    "Refusal",
+    "error_event",
+    "head_of",
+    "header_bytes",
+    "read_body",
+    "send_json",
+    "send_refusal",
+    "send_whole",
+]
--- /dev/null
+++ b/src/redwingbank/ports/service.py
@@ -0,0 +1,200 @@
+"""Serves calls of plain services; a call that may run once at most is recorded first."""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import json
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
+
+from redwingbank.codes import Code, Ran
+from redwingbank.model import Outcome
+from redwingbank.ports.engine import REFUSING_STATUSES, AttemptError
+from redwingbank.ports.http import Refusal, send_refusal, send_whole
+from redwingbank.rules.lifecycle import State, Step
+from redwingbank.tasks.records import Refuse, Replay, Run
+from redwingbank.tasks.ticket import Ended, Grant, Left, Refused, Submit, Ticket
+
+if TYPE_CHECKING:
+    from redwingbank.events import EventLog
+    from redwingbank.metrics import Metrics
+    from redwingbank.model import Request
+    from redwingbank.ports.completion import Inbox
+    from redwingbank.ports.engine import BackendClient
+    from redwingbank.ports.http import Head, Send
+    from redwingbank.tasks.records import Recorder
+
+IDEMPOTENCY_HEADER = "idempotency-key"
+LONGEST_KEY = 255
+REPEATABLE_METHODS = {"GET", "HEAD", "OPTIONS"}
+LONGEST_ANSWER_BYTES = 16 * 1024 * 1024
+PASSED_HEADERS = ("content-type", "accept", IDEMPOTENCY_HEADER)
+
+
+class ServiceCall(NamedTuple):
+    """A call of a plain service: `path` is what follows the pool's name."""
+
+    head: Head
+    path: str
+    body: bytes
+
+    @property
+    def key(self) -> str:
+        """The caller's idempotency key, empty where it gave none."""
+        return self.head.headers_by_name.get(IDEMPOTENCY_HEADER, "")
+
+    @property
+    def repeatable(self) -> bool:
+        """Whether the method itself says that a call may be repeated."""
+        return self.head.method in REPEATABLE_METHODS
+
+    def digest(self) -> str:
+        """Name the call: equal calls have equal digests."""
+        parts = (self.head.method, self.path, self.head.query)
+        return hashlib.sha256(json.dumps(parts).encode() + self.body).hexdigest()
+
+
+class ServiceAnswer(NamedTuple):
+    """A service's whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+    def text(self) -> str:
+        """Write the answer for the idempotency record."""
+        body = base64.b64encode(self.body).decode()
+        return json.dumps({"status": self.status, "type": self.content_type, "body": body})
+
+    @staticmethod
+    def of(text: str) -> ServiceAnswer:
+        """Read an answer from an idempotency record."""
+        document = json.loads(text)
+        body = base64.b64decode(document["body"])
+        return ServiceAnswer(document["status"], document["type"], body)
+
+
+class Services:
+    """Serves calls of plain services over the dispatch task's grants."""
+
+    def __init__(
+        self,
+        inbox: Inbox,
+        backend: BackendClient,
+        recorder: Recorder,
+        metrics: Metrics,
+        events: EventLog,
+    ) -> None:
+        self._inbox = inbox
+        self._backend = backend
+        self._recorder = recorder
+        self._metrics = metrics
+        self._events = events
+
+    async def serve(self, call: ServiceCall, request: Request, send: Send) -> None:
+        """Serve one call; a caller that goes does not stop one that may run once at most."""
+        with anyio.CancelScope(shield=not call.repeatable):
+            answer = await self._answer(call, request)
+        await self._give(answer, request, send)
+
+    async def _give(self, answer: ServiceAnswer | Refusal, request: Request, send: Send) -> None:
+        code = answer.code if isinstance(answer, Refusal) else Code.OK
+        self._metrics.count("answers_total", code=str(int(code)))
+        if isinstance(answer, Refusal):
+            self._events.record(
+                "request-refused", request=request.request_id, code=int(answer.code)
+            )
+            await send_refusal(send, answer, request.request_id)
+            return
+        headers = [(b"x-request-id", request.request_id.encode())]
+        kind = answer.content_type.encode("latin-1")
+        await send_whole(send, answer.status, answer.body, kind, headers)
+
+    async def _answer(self, call: ServiceCall, request: Request) -> ServiceAnswer | Refusal:
+        if call.repeatable or not call.key:
+            return await self._run(call, request, Ticket(request))
+        if len(call.key) > LONGEST_KEY:
+            return Refusal(Code.BAD_FIELD, f"Idempotency-Key: {LONGEST_KEY} characters at most")
+        begun = await self._recorder.begin(request.organisation, call.key, call.digest())
+        if isinstance(begun, Refuse):
+            return Refusal(begun.code, retry_after_s=begun.retry_after_s, ran=begun.ran)
+        if isinstance(begun, Replay):
+            self._events.record("answer-replayed", request=request.request_id)
+            return ServiceAnswer.of(begun.outcome)
+        return await self._recorded(call, request, begun)
+
+    async def _recorded(
+        self, call: ServiceCall, request: Request, record: Run
+    ) -> ServiceAnswer | Refusal:
+        ticket = Ticket(request)
+        self._events.record("call-recorded", request=request.request_id)
+        answer = await self._run(call, request, ticket)
+        if isinstance(answer, ServiceAnswer):
+            await self._recorder.finish(record, answer.text())
+        elif ticket.life.ran is Ran.NO:
+            await self._recorder.release(record)
+        else:
+            await self._recorder.give_up(record)
+        return answer
+
+    async def _run(
+        self, call: ServiceCall, request: Request, ticket: Ticket
+    ) -> ServiceAnswer | Refusal:
+        ticket.life.advance(Step.CHECK)
+        ticket.life.advance(Step.QUEUE)
+        self._inbox.send_nowait(Submit(ticket))
+        try:
+            return await self._decisions(call, ticket)
+        except anyio.get_cancelled_exc_class():
+            self._inbox.send_nowait(Left(ticket))
+            raise
+
+    async def _decisions(self, call: ServiceCall, ticket: Ticket) -> ServiceAnswer | Refusal:
+        life = ticket.life
+        async for decision in ticket.decisions:
+            if isinstance(decision, Refused):
+                code = life.truthful(decision.code)
+                life.advance(Step.REFUSE if life.ran is Ran.NO else Step.FAIL)
+                return Refusal(code, decision.detail, decision.retry_after_s, life.ran)
+            answer = await self._attempt(call, ticket, decision)
+            if isinstance(answer, ServiceAnswer):
+                life.advance(Step.FINISH)
+                self._inbox.send_nowait(Ended(ticket, Outcome.DONE, begun=True))
+                return answer
+            self._inbox.send_nowait(Ended(ticket, answer, life.state is State.STREAMING))
+        return Refusal(Code.INTERNAL, ran=life.ran)
+
+    async def _attempt(
+        self, call: ServiceCall, ticket: Ticket, grant: Grant
+    ) -> ServiceAnswer | Outcome:
+        life = ticket.life
+        life.advance(Step.SEND)
+        headers = {
+            name: call.head.headers_by_name[name]
+            for name in PASSED_HEADERS
+            if name in call.head.headers_by_name
+        }
+        headers["x-request-id"] = life.request_id
+        path = f"/{call.path}?{call.head.query}" if call.head.query else f"/{call.path}"
+        try:
+            async with self._backend.open(
+                grant.address, call.head.method, path, headers, call.body
+            ) as opened:
+                life.advance(Step.ANSWER)
+                body = b""
+                async for chunk in opened.chunks:
+                    body += chunk
+                    if len(body) > LONGEST_ANSWER_BYTES:
+                        return Outcome.GARBAGE
+                if opened.status in REFUSING_STATUSES and call.repeatable:
+                    return Outcome.GARBAGE
+                return ServiceAnswer(opened.status, opened.content_type, body)
+        except AttemptError as error:
+            if error.outcome is Outcome.REFUSED:
+                life.advance(Step.NOT_TAKEN)
+            return error.outcome
+
+
+__all__ = ["ServiceAnswer", "ServiceCall", "Services"]
--- /dev/null
+++ b/src/redwingbank/rules/lifecycle.py
@@ -0,0 +1,121 @@
+"""A request's life: which step may follow which, and what may be said of `ran`."""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+from redwingbank.codes import MEANING_BY_CODE, Code, Ran
+
+
+class State(StrEnum):
+    """Where a request is in its life."""
+
+    RECEIVED = "received"
+    CHECKED = "checked"
+    RECORDED = "recorded"
+    QUEUED = "queued"
+    GRANTED = "granted"
+    SENT = "sent"
+    STREAMING = "streaming"
+    DONE = "done"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class Step(StrEnum):
+    """What happens to a request."""
+
+    CHECK = "check"
+    RECORD = "record"
+    QUEUE = "queue"
+    GRANT = "grant"
+    SEND = "send"
+    NOT_TAKEN = "not taken"
+    ANSWER = "answer"
+    RETRY = "retry"
+    FINISH = "finish"
+    REFUSE = "refuse"
+    FAIL = "fail"
+
+
+NEXT_BY_STATE_AND_STEP: dict[tuple[State, Step], State] = {
+    (State.RECEIVED, Step.CHECK): State.CHECKED,
+    (State.RECEIVED, Step.REFUSE): State.REFUSED,
+    (State.CHECKED, Step.RECORD): State.RECORDED,
+    (State.CHECKED, Step.QUEUE): State.QUEUED,
+    (State.CHECKED, Step.REFUSE): State.REFUSED,
+    (State.RECORDED, Step.QUEUE): State.QUEUED,
+    (State.RECORDED, Step.REFUSE): State.REFUSED,
+    (State.QUEUED, Step.GRANT): State.GRANTED,
+    (State.QUEUED, Step.REFUSE): State.REFUSED,
+    (State.QUEUED, Step.FAIL): State.FAILED,
+    (State.GRANTED, Step.SEND): State.SENT,
+    (State.GRANTED, Step.REFUSE): State.REFUSED,
+    (State.GRANTED, Step.FAIL): State.FAILED,
+    (State.SENT, Step.NOT_TAKEN): State.GRANTED,
+    (State.SENT, Step.ANSWER): State.STREAMING,
+    (State.SENT, Step.RETRY): State.QUEUED,
+    (State.SENT, Step.FAIL): State.FAILED,
+    (State.GRANTED, Step.RETRY): State.QUEUED,
+    (State.STREAMING, Step.RETRY): State.QUEUED,
+    (State.STREAMING, Step.FINISH): State.DONE,
+    (State.STREAMING, Step.FAIL): State.FAILED,
+}
+
+RAN_BY_STATE: dict[State, Ran] = {State.SENT: Ran.MAYBE, State.STREAMING: Ran.YES}
+
+_ORDER = (Ran.NO, Ran.MAYBE, Ran.YES)
+
+
+class LifecycleError(Exception):
+    """A step that may not follow; a fault of the router's own code."""
+
+
+class Life:
+    """The life of one request over all its attempts.
+
+    `ran` only rises, except that an attempt known not to have been taken (no connection,
+    or a refusal by a server that refuses before it runs) gives back what it added.
+
+    >>> life = Life("a1")
+    >>> for step in (Step.CHECK, Step.QUEUE, Step.GRANT, Step.SEND): life.advance(step)
+    >>> life.ran
+    <Ran.MAYBE: 'maybe'>
+    """
+
+    def __init__(self, request_id: str) -> None:
+        self.request_id = request_id
+        self.state = State.RECEIVED
+        self.ran = Ran.NO
+        self.attempt = 0
+        self._ran_before_send = Ran.NO
+
+    def advance(self, step: Step) -> None:
+        """Take one step.
+
+        :raises LifecycleError: where the step may not follow
+        """
+        state = NEXT_BY_STATE_AND_STEP.get((self.state, step))
+        if state is None:
+            message = f"{self.request_id}: {step} may not follow {self.state}"
+            raise LifecycleError(message)
+        if step is Step.SEND:
+            self.attempt += 1
+            self._ran_before_send = self.ran
+        if step is Step.NOT_TAKEN:
+            self.ran = self._ran_before_send
+        self.ran = max(self.ran, RAN_BY_STATE.get(state, self.ran), key=_ORDER.index)
+        self.state = state
+
+    def current(self, attempt: int) -> bool:
+        """Tell whether something that arrives for an attempt still matters."""
+        return attempt == self.attempt and self.state in {State.SENT, State.STREAMING}
+
+    def truthful(self, code: Code) -> Code:
+        """Replace a code that promises `ran=no` where the request may have run."""
+        if self.ran is not Ran.NO and MEANING_BY_CODE[code].ran is Ran.NO:
+            return Code.BACKEND_FAILED
+        return code
+
+
+__all__ = ["NEXT_BY_STATE_AND_STEP", "Life", "LifecycleError", "State", "Step"]
--- a/src/redwingbank/settings.py
+++ b/src/redwingbank/settings.py
@@ -12,6 +12,7 @@
     from pathlib import Path
 
 KIBIBYTE = 1024
+POLICIES = ("full", "local", "first-come", "random")
 HIGHEST_PORT = 65_535
 LOWEST_SECRET_BYTES = 16
 
@@ -41,6 +42,8 @@
 
     Times end in `_s` (seconds) or `_ms` (milliseconds), sizes in `_bytes`.
     `peer_keys` are tried in order to open a message; the first seals what is sent.
+    `policy` other than `full` is a baseline for experiments, `faults_allowed` lets operators
+    cut the host's links in tests of failures.
     """
 
     host: str
@@ -67,6 +70,12 @@
     platform_timeout_s: float = 2.0
     drain_s: float = 5.0
     retry_ratio: float = 0.1
+    operator_key: bytes = b""
+    policy: str = "full"
+    faults_allowed: bool = False
+
+    def __repr__(self) -> str:
+        return f"Settings(host={self.host}, data_centre={self.data_centre})"
 
 
 class Field(NamedTuple):
@@ -124,6 +133,25 @@
     return keys
 
 
+def _secret(value: Any) -> bytes:
+    secret = _text(value).encode()
+    if len(secret) < LOWEST_SECRET_BYTES:
+        raise ValueError("secret")
+    return secret
+
+
+def _policy(value: Any) -> str:
+    if value not in POLICIES:
+        raise ValueError(value)
+    return str(value)
+
+
+def _flag(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise ValueError(value)  # noqa: TRY004
+    return value
+
+
 ADDRESS = "an IP number and a port, such as 10.0.0.1:8080"
 SECONDS = "a number of seconds over 0"
 COUNT = "a whole number over 0"
@@ -158,6 +186,9 @@
     Field("backends.first_byte_timeout_s", "first_byte_timeout_s", _positive, SECONDS),
     Field("backends.idle_timeout_s", "idle_timeout_s", _positive, SECONDS),
     Field("shutdown.drain_s", "drain_s", _positive, SECONDS),
+    Field("operator.key", "operator_key", _secret, "a secret of 16 bytes or more"),
+    Field("experiment.policy", "policy", _policy, "one of " + ", ".join(POLICIES)),
+    Field("experiment.faults", "faults_allowed", _flag, "true or false"),
     Field("log.events", "events", _text, "a path of the event records"),
 )
 
--- /dev/null
+++ b/src/redwingbank/tasks/ticket.py
@@ -0,0 +1,80 @@
+"""What a caller's task and the dispatch task say to each other about one request."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
+
+from redwingbank.rules.lifecycle import Life
+
+if TYPE_CHECKING:
+    from redwingbank.codes import Code
+    from redwingbank.model import Outcome, Request
+
+
+class Grant(NamedTuple):
+    """The request may be sent to this backend server now."""
+
+    server: str
+    address: str
+    kind: str
+
+
+class Refused(NamedTuple):
+    """The request's final answer; `retry_after_s` is the time to return."""
+
+    code: Code
+    retry_after_s: float = 0.0
+    detail: str = ""
+
+
+class Ticket:
+    """One request's place with the dispatch task, for all its attempts.
+
+    The caller's task reads `decisions`; the dispatch task writes them with `decide`.
+    """
+
+    def __init__(self, request: Request) -> None:
+        self.request = request
+        self.life = Life(request.request_id)
+        self.avoid: frozenset[str] = frozenset()
+        self.server = ""
+        self.address = ""
+        self.sent_s = 0.0
+        self._decide, self.decisions = anyio.create_memory_object_stream[Grant | Refused](math.inf)
+
+    def decide(self, decision: Grant | Refused) -> None:
+        """Tell the caller's task; a caller that has gone hears nothing."""
+        self._decide.send_nowait(decision)
+
+
+class Submit(NamedTuple):
+    """A new request wants a backend server."""
+
+    ticket: Ticket
+
+
+class Ended(NamedTuple):
+    """An attempt at a backend server is over.
+
+    `begun` tells whether a byte of the answer came, `tokens` how many were delivered in all,
+    `first_token_s` how long the server took to the first, 0 where none came.
+    """
+
+    ticket: Ticket
+    outcome: Outcome
+    begun: bool = False
+    tokens: int = 0
+    first_token_s: float = 0.0
+
+
+class Left(NamedTuple):
+    """The caller has gone; the request is over wherever it is."""
+
+    ticket: Ticket
+    tokens: int = 0
+
+
+__all__ = ["Ended", "Grant", "Left", "Refused", "Submit", "Ticket"]
