--- /dev/null
+++ b/src/redwingbank/rules/blocks.py
@@ -0,0 +1,56 @@
+"""Hashes of a prompt's leading blocks, the same on routers and engines."""
+
+from __future__ import annotations
+
+import hashlib
+from typing import TYPE_CHECKING, Any
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+BLOCK_WORDS = 64
+HASH_BYTES = 8
+
+
+def prompt_text(messages: Sequence[Any]) -> str:
+    """Join an OpenAI message list to one text; parts other than text are left out.
+
+    >>> prompt_text([{"role": "user", "content": "Is the quay free?"}])
+    'user: Is the quay free?'
+    """
+    return "\n".join(_line(message) for message in messages if isinstance(message, dict))
+
+
+def _line(message: dict[str, Any]) -> str:
+    content = message.get("content")
+    if isinstance(content, list):
+        parts = [part.get("text", "") for part in content if isinstance(part, dict)]
+        content = " ".join(part for part in parts if isinstance(part, str))
+    return f"{message.get('role', '')}: {content or ''}"
+
+
+def count_words(text: str) -> int:
+    """Count the words of a text, which stand for its tokens."""
+    return len(text.split())
+
+
+def block_hashes(text: str) -> tuple[int, ...]:
+    """Hash each whole block of `BLOCK_WORDS` words chained to the blocks before it.
+
+    Two texts share the first n hashes exactly where they share the first n blocks. The
+    rest of a text below one block has no hash.
+
+    >>> len(block_hashes("word " * 130))
+    2
+    """
+    words = text.split()
+    hashes: list[int] = []
+    previous = b""
+    for end in range(BLOCK_WORDS, len(words) + 1, BLOCK_WORDS):
+        block = " ".join(words[end - BLOCK_WORDS : end]).encode()
+        previous = hashlib.blake2b(previous + block, digest_size=HASH_BYTES).digest()
+        hashes.append(int.from_bytes(previous, "big"))
+    return tuple(hashes)
+
+
+__all__ = ["BLOCK_WORDS", "block_hashes", "count_words", "prompt_text"]
