--- a/src/redwingbank_standins/service.py
+++ b/src/redwingbank_standins/service.py
@@ -42,8 +42,8 @@
         self.exits = False
         self.crashed = False
         self._running = 0
-        self._runs_by_key: Counter[str] = Counter()
-        self._runs_by_body: Counter[str] = Counter()
+        self.runs_by_key: Counter[str] = Counter()
+        self.runs_by_body: Counter[str] = Counter()
         self._handlers = {
             ("GET", "/load"): self._load,
             ("GET", "/runs"): self._runs,
@@ -88,11 +88,11 @@
 
     def _effect(self, key: str, body: bytes) -> int:
         digest = hashlib.blake2b(body, digest_size=16).hexdigest()
-        self._runs_by_body[digest] += 1
+        self.runs_by_body[digest] += 1
         if not key:
-            return self._runs_by_body[digest]
-        self._runs_by_key[key] += 1
-        return self._runs_by_key[key]
+            return self.runs_by_body[digest]
+        self.runs_by_key[key] += 1
+        return self.runs_by_key[key]
 
     async def _answer(self, exchange: Exchange, body: bytes, ran: int) -> None:
         if self.faults.crash_after:
@@ -112,7 +112,7 @@
         return await exchange.json(200, {**load, **rest})
 
     async def _runs(self, exchange: Exchange) -> None:
-        runs = {"by_key": self._runs_by_key, "by_body": self._runs_by_body}
+        runs = {"by_key": self.runs_by_key, "by_body": self.runs_by_body}
         await exchange.json(200, {**runs, "name": self.settings.name})
 
     async def _set_faults(self, exchange: Exchange) -> None:
