--- /dev/null
+++ b/src/redwingbank/rules/fleet.py
@@ -0,0 +1,330 @@
+"""Load, speed and health of backend servers, and the choice among them."""
+
+from __future__ import annotations
+
+from collections import deque
+from enum import StrEnum
+from typing import TYPE_CHECKING, NamedTuple
+
+from redwingbank.model import Outcome
+from redwingbank.rules.affinity import Affinity
+from redwingbank.rules.breaker import Breaker, BreakerState
+from redwingbank.rules.speed import PoolSpeed, ServerSpeed
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping
+    from random import Random
+
+    from redwingbank.model import CacheEvent, LoadReport, Request
+    from redwingbank.rules.table import BackendServerRow
+
+STALE_REPORT_S = 10.0
+AFFINITY_BOUND = 0.25
+CHOICES = 2
+DRAINING = "draining"
+
+
+class ServerState(StrEnum):
+    """What a backend server may be given."""
+
+    SERVING = "serving"
+    DRAINING = "draining"
+    EJECTED = "ejected"
+    HALF_OPEN = "half-open"
+
+
+STATE_BY_BREAKER = {
+    BreakerState.CLOSED: ServerState.SERVING,
+    BreakerState.OPEN: ServerState.EJECTED,
+    BreakerState.HALF_OPEN: ServerState.HALF_OPEN,
+}
+
+
+class _Sent(NamedTuple):
+    """A request in flight from this host."""
+
+    request: Request
+    sent_s: float
+
+
+class _Server:
+    """What this host knows of one backend server."""
+
+    def __init__(self, row: BackendServerRow, random: Random) -> None:
+        self.row = row
+        self.breaker = Breaker(random)
+        self.speed = ServerSpeed()
+        self.report: LoadReport | None = None
+        self.drain_until_s = float("-inf")
+        self.sent_by_id: dict[str, _Sent] = {}
+        self._changes: deque[tuple[float, int]] = deque()
+
+    def change(self, at_s: float, difference: int) -> None:
+        """Note a send (+1) or a finish (-1) that the next reports may not count yet."""
+        self._changes.append((at_s, difference))
+        self._trim(at_s)
+
+    def take(self, report: LoadReport) -> bool:
+        """Take a report unless a newer one is known; tell whether it was taken."""
+        if self.report is not None and report.at_s < self.report.at_s:
+            return False
+        self.report = report
+        self._trim(report.at_s)
+        return True
+
+    def load(self, now_s: float) -> int:
+        """Requests thought to be running or waiting there, never less than this host's own."""
+        own = len(self.sent_by_id)
+        report = self.report
+        if report is None or now_s - report.at_s > STALE_REPORT_S:
+            return own
+        since = sum(difference for at_s, difference in self._changes if at_s > report.at_s)
+        return max(own, report.running + report.waiting + since)
+
+    def slots(self) -> int:
+        """Requests it can run at a time: the last report's word, else the row's."""
+        return self.row.slots if self.report is None else self.report.slots
+
+    def draining(self, now_s: float) -> bool:
+        """Tell whether the row, the last report or a notice says that it is draining."""
+        reported = self.report is not None and self.report.draining
+        return reported or self.row.state == DRAINING or now_s < self.drain_until_s
+
+    def _trim(self, now_s: float) -> None:
+        """Drop changes that no report in use can lack."""
+        counted_s = self.report.at_s if self.report else now_s - STALE_REPORT_S
+        horizon_s = max(counted_s, now_s - STALE_REPORT_S)
+        while self._changes and self._changes[0][0] <= horizon_s:
+            self._changes.popleft()
+
+
+class Fleet:
+    """The backend servers as one host sees them.
+
+    Load is the last report plus own sends since its time less own finishes since; with no
+    fresh report it is this host's own requests in flight. A crash ejects a server at once and
+    it returns through one trial. A slow server counts as that much more loaded.
+
+    `choose` draws two servers at random and takes the one with less load for its slots and
+    speed. A server that holds more of the prompt's prefix goes first as long as that costs
+    no more than `affinity_bound` of extra relative load (1.0 is a server full of requests).
+    Times are seconds on the host's monotonic clock.
+    """
+
+    def __init__(
+        self,
+        random: Random,
+        affinity: Affinity | None = None,
+        affinity_bound: float = AFFINITY_BOUND,
+    ) -> None:
+        self.affinity = affinity if affinity is not None else Affinity()
+        self._random = random
+        self._affinity_bound = affinity_bound
+        self._server_by_name: dict[str, _Server] = {}
+        self._names_by_pool: dict[str, tuple[str, ...]] = {}
+        self._speed_by_pool: dict[str, PoolSpeed] = {}
+
+    def rebase(self, rows: Iterable[BackendServerRow]) -> None:
+        """Take over the rows of a table; what is known of servers that stay is kept."""
+        known = self._server_by_name
+        self._server_by_name = {}
+        names_by_pool: dict[str, list[str]] = {}
+        for row in sorted(rows):
+            server = known.get(row.name)
+            if server is None or server.row.address != row.address:
+                server = _Server(row, self._random)
+            server.row = row
+            self._server_by_name[row.name] = server
+            names_by_pool.setdefault(row.pool, []).append(row.name)
+        for name in known.keys() - self._server_by_name.keys():
+            self.affinity.forget(name)
+        self._names_by_pool = {pool: tuple(names) for pool, names in names_by_pool.items()}
+        self._speed_by_pool = {
+            pool: self._speed_by_pool.get(pool, PoolSpeed()) for pool in names_by_pool
+        }
+
+    def report(self, server: str, report: LoadReport, now_s: float) -> None:
+        """Take a server's own account of its load; one older than the last is ignored."""
+        known = self._server_by_name.get(server)
+        if known is not None and known.take(report):
+            known.breaker.heard(min(report.at_s, now_s))
+
+    def unreachable(self, server: str, now_s: float) -> None:
+        """Note that a connection failed with nothing sent, for a report or for a request."""
+        known = self._server_by_name.get(server)
+        if known is not None:
+            known.breaker.failed("", now_s, now_s)
+
+    def drain(self, server: str, until_s: float) -> None:
+        """Give a server nothing new until a time, as a notice or an operator says."""
+        known = self._server_by_name.get(server)
+        if known is not None:
+            known.drain_until_s = until_s
+
+    def sent(self, server: str, request: Request, now_s: float) -> None:
+        """Note a send."""
+        known = self._server_by_name.get(server)
+        if known is None:
+            return
+        known.breaker.sent(request.request_id, now_s)
+        known.sent_by_id[request.request_id] = _Sent(request, now_s)
+        known.change(now_s, 1)
+        self.affinity.sent(server, request.blocks, now_s)
+
+    def first_token(self, server: str, request: Request, seconds: float, now_s: float) -> None:
+        """Note the time from a send to its first token, or a service's first byte."""
+        known = self._server_by_name.get(server)
+        if known is None or request.request_id not in known.sent_by_id:
+            return
+        known.speed.first_token(request.prompt_tokens, seconds, now_s)
+        sent = known.sent_by_id[request.request_id]
+        known.breaker.succeeded(request.request_id, sent.sent_s, now_s)
+
+    def finished(
+        self,
+        server: str,
+        request: Request,
+        outcome: Outcome,
+        now_s: float,
+        token_s: float | None = None,
+    ) -> None:
+        """Note the end of a send; `token_s` is its mean time between tokens, where known."""
+        known = self._server_by_name.get(server)
+        sent = known.sent_by_id.pop(request.request_id, None) if known else None
+        if known is None or sent is None:
+            return
+        known.change(now_s, -1)
+        known.speed.finished(token_s, now_s)
+        _JUDGE_BY_OUTCOME[outcome](known.breaker, sent, now_s)
+        if outcome is Outcome.CRASHED:
+            self.affinity.forget(server)
+
+    def cache_event(self, server: str, event: CacheEvent) -> None:
+        """Take a cache event of a server."""
+        if server in self._server_by_name:
+            self.affinity.event(server, event)
+
+    def state(self, server: str, now_s: float) -> ServerState:
+        """Tell what a server may be given; one that is not in the table is ejected."""
+        known = self._server_by_name.get(server)
+        if known is None:
+            return ServerState.EJECTED
+        if known.draining(now_s):
+            return ServerState.DRAINING
+        return STATE_BY_BREAKER[known.breaker.state(now_s)]
+
+    def load(self, server: str, now_s: float) -> int:
+        """Requests thought to be running or waiting at a server."""
+        known = self._server_by_name.get(server)
+        return known.load(now_s) if known else 0
+
+    def draining(self, now_s: float) -> tuple[str, ...]:
+        """Servers known to be draining, by name."""
+        known = self._server_by_name
+        return tuple(name for name, server in known.items() if server.draining(now_s))
+
+    def capacity(self, pool: str, now_s: float) -> dict[str, int]:
+        """Slots of each server that may be given work: one for a trial, none is left out."""
+        slots_by_server = {
+            name: self._usable_slots(name, now_s) for name in self._names_by_pool.get(pool, ())
+        }
+        return {name: slots for name, slots in slots_by_server.items() if slots > 0}
+
+    def choose(
+        self,
+        request: Request,
+        candidates: Mapping[str, int],
+        now_s: float,
+        avoid: frozenset[str] = frozenset(),
+        *,
+        quiet: bool = False,
+    ) -> str | None:
+        """Choose a server for a request out of `candidates`, by their free slots.
+
+        Servers in `avoid` are taken only where the pool has no other usable server at all.
+        `quiet` takes the server with the least load, so that a request that may crash it
+        harms the fewest.
+        """
+        usable = [name for name, free in sorted(candidates.items()) if free > 0]
+        usable = [name for name in usable if self._admits(name, request, now_s)]
+        wanted = [name for name in usable if name not in avoid]
+        if not wanted and self.capacity(request.pool, now_s).keys() - avoid:
+            return None
+        names = wanted or usable
+        if not names:
+            return None
+        if quiet:
+            return min(names, key=lambda name: (self.load(name, now_s), name))
+        return self._least_cost(request, names, now_s)
+
+    def _least_cost(self, request: Request, names: list[str], now_s: float) -> str:
+        """Take the better of two random servers, or the holder of the prefix within the bound."""
+        drawn = self._random.sample(names, min(CHOICES, len(names)))
+        cost_by_name = {name: self._cost(name, now_s) for name in drawn}
+        best = min(drawn, key=lambda name: cost_by_name[name])
+        held_by_name = self._held(request, names)
+        if not held_by_name:
+            return best
+        holder = min(held_by_name, key=lambda name: (-held_by_name[name], self._cost(name, now_s)))
+        gained = held_by_name[holder] - held_by_name.get(best, 0)
+        allowed = self._affinity_bound * gained / len(request.blocks)
+        extra = self._cost(holder, now_s) - cost_by_name[best]
+        return holder if gained > 0 and extra <= allowed else best
+
+    def _held(self, request: Request, names: list[str]) -> dict[str, int]:
+        if not request.blocks:
+            return {}
+        held_by_name = {name: self.affinity.held(name, request.blocks) for name in names}
+        return {name: held for name, held in held_by_name.items() if held}
+
+    def _cost(self, name: str, now_s: float) -> float:
+        """Load with one more request, relative to slots and speed; 1.0 is full."""
+        server = self._server_by_name[name]
+        pool = self._speed_by_pool[server.row.pool]
+        relative = (server.load(now_s) + 1) / max(1, server.slots())
+        return relative * pool.slowness(server.speed, self._speeds(server.row.pool), now_s)
+
+    def _speeds(self, pool: str) -> Callable[[], list[ServerSpeed]]:
+        return lambda: [self._server_by_name[name].speed for name in self._names_by_pool[pool]]
+
+    def _admits(self, name: str, request: Request, now_s: float) -> bool:
+        """Tell whether a request may be sent there; a trial is no place for a single send."""
+        state = self.state(name, now_s)
+        if state is ServerState.HALF_OPEN:
+            return request.repeatable and self._server_by_name[name].breaker.admits(now_s)
+        return state is ServerState.SERVING
+
+    def _usable_slots(self, name: str, now_s: float) -> int:
+        state = self.state(name, now_s)
+        server = self._server_by_name[name]
+        if state is ServerState.HALF_OPEN:
+            return int(server.breaker.admits(now_s))
+        return server.slots() if state is ServerState.SERVING else 0
+
+
+def _succeeded(breaker: Breaker, sent: _Sent, now_s: float) -> None:
+    breaker.succeeded(sent.request.request_id, sent.sent_s, now_s)
+
+
+def _undecided(breaker: Breaker, sent: _Sent, now_s: float) -> None:
+    breaker.undecided(sent.request.request_id)
+
+
+def _failed(breaker: Breaker, sent: _Sent, now_s: float) -> None:
+    breaker.failed(sent.request.request_id, sent.sent_s, now_s)
+
+
+def _crashed(breaker: Breaker, sent: _Sent, now_s: float) -> None:
+    breaker.crashed(sent.request.request_id, sent.sent_s, now_s)
+
+
+_JUDGE_BY_OUTCOME: dict[Outcome, Callable[[Breaker, _Sent, float], None]] = {
+    Outcome.DONE: _succeeded,
+    Outcome.CANCELLED: _undecided,
+    Outcome.REFUSED: _undecided,
+    Outcome.CRASHED: _crashed,
+    Outcome.GARBAGE: _failed,
+    Outcome.TIMED_OUT: _failed,
+}
+
+__all__ = ["Fleet", "ServerState"]
