Tell trials of suspects to other hosts, and count waiting requests as slowness

A suspect tried on one host must not be tried on another meanwhile, and a server that froze answers nothing to measure: its oldest waiting request is the measure.

--- a/src/redwingbank/rules/fleet.py
+++ b/src/redwingbank/rules/fleet.py
@@ -168,6 +168,7 @@
             return
         known.breaker.sent(request.request_id, now_s)
         known.sent_by_id[request.request_id] = _Sent(request, now_s)
+        known.speed.sent(request.request_id, request.prompt_tokens, now_s)
         known.change(now_s, 1)
         self.affinity.sent(server, request.blocks, now_s)
 
@@ -176,7 +177,7 @@
         known = self._server_by_name.get(server)
         if known is None or request.request_id not in known.sent_by_id:
             return
-        known.speed.first_token(request.prompt_tokens, seconds, now_s)
+        known.speed.first_token(request.request_id, request.prompt_tokens, seconds, now_s)
         sent = known.sent_by_id[request.request_id]
         known.breaker.succeeded(request.request_id, sent.sent_s, now_s)
 
@@ -194,7 +195,7 @@
         if known is None or sent is None:
             return
         known.change(now_s, -1)
-        known.speed.finished(token_s, now_s)
+        known.speed.finished(request.request_id, token_s, now_s)
         _JUDGE_BY_OUTCOME[outcome](known.breaker, sent, now_s)
         if outcome is Outcome.CRASHED:
             self.affinity.forget(server)
--- a/src/redwingbank/rules/quarantine.py
+++ b/src/redwingbank/rules/quarantine.py
@@ -2,28 +2,43 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict
+from collections import OrderedDict, deque
 from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.messages import Notice
 from redwingbank.model import Outcome
+from redwingbank.rules.suspicion import (
+    CLEARED_TTL_S,
+    CRASHES_TO_QUARANTINE,
+    NEVER_S,
+    SUSPECT_TTL_S,
+    Crash,
+    Suspicion,
+)
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from redwingbank.model import Request
 
 DEFAULT_TTL_S = 600.0
-SUSPECT_TTL_S = 120.0
-CLEARED_TTL_S = 30.0
-SAME_CRASH_S = 5.0
 TRIAL_WAIT_S = 5.0
-CRASHES_TO_QUARANTINE = 2
-MOST_CASES = 10_000
-SUBJECT_SEPARATOR = "@"
+RENEW_S = 2.0
+OUTLIVE_S = 3.0
+MOST_FINGERPRINTS = 10_000
+MOST_EXPLAINED = 1000
+CRASH = 0.0
+TRIAL = 1.0
+SEPARATOR = "@"
 
 
 class Kind(StrEnum):
-    """Kinds of notices about fingerprints."""
+    """Kinds of notices about fingerprints.
+
+    A suspect's subject is `fingerprint@server`, its value `CRASH` or `TRIAL`; the others'
+    subject is the fingerprint.
+    """
 
     SUSPECT = "suspect"
     CLEARED = "cleared"
@@ -36,13 +51,18 @@
 
 
 class Suspect(NamedTuple):
-    """It may run once more: alone among suspects, at a server out of `avoid`."""
+    """It may run once more, as this host's only suspect at a server.
 
-    avoid: frozenset[str]
+    `crashed` are the servers it was in flight at, better avoided; `busy` are those where
+    another suspect is being tried, which must not be shared.
+    """
+
+    crashed: frozenset[str]
+    busy: frozenset[str]
 
 
 class Quarantined(NamedTuple):
-    """It may not run for now: `proven`, or tried elsewhere at the moment."""
+    """It may not run now: `proven` poison, or else being tried at the moment."""
 
     retry_after_s: float
     proven: bool
@@ -60,72 +80,28 @@
     seconds_left: float
 
 
-class _Running(NamedTuple):
-    """A request in flight at a server."""
+class _Run(NamedTuple):
+    """A request in flight at a server; `blamed` once its server crashed under it."""
 
     fingerprint: str
     started_s: float
-
-
-class _Crash(NamedTuple):
-    """A crash a fingerprint was in flight at; `origin` is the host that saw it."""
-
-    server: str
-    at_s: float
-    origin: str
-
-    def same(self, other: _Crash) -> bool:
-        """Tell whether two hosts saw one crash."""
-        return self.server == other.server and abs(self.at_s - other.at_s) < SAME_CRASH_S
-
-
-class _Case:
-    """Crashes held against a fingerprint, and until when it is in quarantine."""
-
-    def __init__(self) -> None:
-        self.crashes: list[_Crash] = []
-        self.quarantined_until_s = float("-inf")
-        self.cleared_s = float("-inf")
-        self.tried_until_s = float("-inf")
-
-    def add(self, crash: _Crash) -> bool:
-        """Hold a crash against it, once however many hosts saw it; tell whether it is new."""
-        if crash.at_s <= self.cleared_s:
-            return False
-        if any(crash.same(known) for known in self.crashes):
-            return False
-        self.crashes.append(crash)
-        return True
-
-    def clear(self, at_s: float) -> None:
-        """Drop what was held against it up to a time."""
-        self.cleared_s = max(self.cleared_s, at_s)
-        self.crashes = [crash for crash in self.crashes if crash.at_s > at_s]
-
-    def expire(self, now_s: float) -> None:
-        """Drop crashes that are too old to count."""
-        self.crashes = [crash for crash in self.crashes if now_s - crash.at_s < SUSPECT_TTL_S]
-
-    def idle(self, now_s: float) -> bool:
-        """Tell whether nothing would be lost by forgetting it."""
-        kept = now_s < self.quarantined_until_s or now_s < self.cleared_s + CLEARED_TTL_S
-        return not self.crashes and not kept
+    blamed: bool = False
 
 
 class Quarantine:
     """Fingerprints that crash backend servers, counted over hosts and resends.
 
-    What is in flight at a server when it crashes becomes suspect. A suspect runs once more,
-    alone among suspects. If it finishes it is cleared; if its server crashes as well it is
-    in quarantine for `ttl_s`, and whatever else shared its crashes is cleared. While a suspect
-    is tried, no other host runs it. Notices carry all that to the other hosts; their time left
-    dates them, so that they may come late and in any order.
+    What is in flight at a server when it crashes becomes suspect. The host that saw the crash
+    may run a suspect once more, alone among suspects; other hosts wait meanwhile. If the run
+    ends whole the suspect is cleared. If its server crashes too it is in quarantine for
+    `ttl_s`, and what shared only crashes that it explains is cleared. Where several suspects
+    were at the second crash, one that had outlived `OUTLIVE_S` there is not the cause.
 
-    Times are seconds on the host's monotonic clock. Memory is bounded: the oldest cases go
-    first.
+    Every change answers notices for the other hosts. A notice's time left dates its cause, so
+    notices may come late, twice and in any order. Times are seconds on the host's monotonic
+    clock. Memory is bounded: the oldest fingerprints go first.
 
-    >>> quarantine = Quarantine("entry-1")
-    >>> quarantine.verdict("a1b2", now_s=0.0)
+    >>> Quarantine("entry-1").verdict("a1b2", now_s=0.0)
     Free()
     """
 
@@ -134,72 +110,89 @@
         host: str,
         ttl_s: float = DEFAULT_TTL_S,
         first_number: int = 0,
-        limit: int = MOST_CASES,
+        limit: int = MOST_FINGERPRINTS,
     ) -> None:
         self._host = host
         self._ttl_s = ttl_s
         self._number = first_number
         self._limit = limit
-        self._running_by_server: dict[str, dict[str, _Running]] = {}
-        self._case_by_fingerprint: OrderedDict[str, _Case] = OrderedDict()
+        self._run_by_id_by_server: dict[str, dict[str, _Run]] = {}
+        self._suspicion_by_fingerprint: OrderedDict[str, Suspicion] = OrderedDict()
+        self._explained: deque[Crash] = deque(maxlen=MOST_EXPLAINED)
+        self._tried_until_s_by_server: dict[str, float] = {}
+        self._renewed_s = NEVER_S
 
     def started(self, server: str, request: Request, now_s: float) -> list[Notice]:
-        """Note a send; for a suspect the notices tell other hosts that it is being tried."""
-        running = self._running_by_server.setdefault(server, {})
-        running[request.request_id] = _Running(request.fingerprint, now_s)
-        case = self._case_by_fingerprint.get(request.fingerprint)
-        if case is None or not case.crashes:
-            return []
-        return [self._suspect(request.fingerprint, crash, now_s) for crash in case.crashes]
+        """Note a send; of a suspect, other hosts are told that it is being tried."""
+        run = _Run(request.fingerprint, now_s)
+        self._run_by_id_by_server.setdefault(server, {})[request.request_id] = run
+        suspicion = self._suspicion_by_fingerprint.get(request.fingerprint)
+        return [self._trial(run, server)] if suspicion and suspicion.crashes else []
 
     def finished(
         self, server: str, request: Request, outcome: Outcome, now_s: float
     ) -> list[Notice]:
-        """Note the end of a send: a whole answer clears, a crash counts as `crashed` does."""
-        notices = self.crashed(server, now_s) if outcome is Outcome.CRASHED else []
-        self._running_by_server.get(server, {}).pop(request.request_id, None)
-        if not self._running_by_server.get(server):
-            self._running_by_server.pop(server, None)
-        case = self._case_by_fingerprint.get(request.fingerprint)
-        if outcome is Outcome.DONE and case is not None and case.crashes:
-            case.clear(now_s)
+        """Note the end of a send: a whole answer clears it, a crash counts as `crashed` does."""
+        runs = self._run_by_id_by_server.get(server, {})
+        run = runs.get(request.request_id)
+        if run is None:
+            return []
+        crashed = outcome is Outcome.CRASHED and not run.blamed
+        notices = self.crashed(server, now_s) if crashed else []
+        del runs[request.request_id]
+        if not runs:
+            del self._run_by_id_by_server[server]
+        suspicion = self._suspicion_by_fingerprint.get(request.fingerprint)
+        if outcome is Outcome.DONE and suspicion and suspicion.crashes:
+            suspicion.clear(now_s)
             notices.append(self._notice(Kind.CLEARED, request.fingerprint, CLEARED_TTL_S))
         return notices
 
     def crashed(self, server: str, now_s: float) -> list[Notice]:
-        """Hold a server's crash against what was in flight there; one crash counts once."""
-        crash = _Crash(server, now_s, self._host)
-        running = self._running_by_server.get(server, {}).values()
-        fingerprints = sorted({entry.fingerprint for entry in running if entry.fingerprint})
-        notices: list[Notice] = []
-        for fingerprint in fingerprints:
-            if self._case(fingerprint).add(crash):
-                notices.append(self._suspect(fingerprint, crash, now_s))
-        for fingerprint in fingerprints:
-            notices += self._judge(fingerprint, now_s)
-        return notices
+        """Hold a server's crash against what is in flight there; each run is blamed once."""
+        runs = self._run_by_id_by_server.get(server, {})
+        fresh = [run for run in runs.values() if run.fingerprint and not run.blamed]
+        for request_id, run in runs.items():
+            runs[request_id] = run._replace(blamed=True)
+        crash = Crash(server, now_s, self._host)
+        fingerprints = sorted({run.fingerprint for run in fresh})
+        blamed = [name for name in fingerprints if self._blame(name, crash)]
+        guilty = self._guilty(fresh, blamed, now_s)
+        notices = [notice for name in guilty for notice in self._quarantine(name, now_s)]
+        held = [name for name in blamed if self._suspicion_by_fingerprint[name].crashes]
+        return [self._suspect(name, crash, now_s) for name in held] + notices
 
     def verdict(self, fingerprint: str, now_s: float) -> Verdict:
         """Tell whether a request with this fingerprint may run."""
-        case = self._case_by_fingerprint.get(fingerprint)
-        if case is None:
+        suspicion = self._suspicion_by_fingerprint.get(fingerprint)
+        if suspicion is None:
             return Free()
-        case.expire(now_s)
-        if now_s < case.quarantined_until_s:
-            return Quarantined(case.quarantined_until_s - now_s, proven=True)
-        if not case.crashes:
-            return Free()
-        wait_s = self._wait_s(fingerprint, case, now_s)
+        if suspicion.guilty(now_s):
+            return Quarantined(suspicion.until_s(now_s) - now_s, proven=True)
+        wait_s = self._wait_s(fingerprint, suspicion, now_s)
         if wait_s > 0:
             return Quarantined(wait_s, proven=False)
-        crashed = {crash.server for crash in case.crashes}
-        return Suspect(frozenset(crashed | self._servers_with_suspects()))
+        if not suspicion.crashes:
+            return Free()
+        crashed = frozenset(crash.server for crash in suspicion.crashes)
+        return Suspect(crashed, self._busy(now_s))
+
+    def renewals(self, now_s: float) -> list[Notice]:
+        """Tell other hosts, every `RENEW_S`, of suspects that are still being tried."""
+        if now_s - self._renewed_s < RENEW_S:
+            return []
+        self._renewed_s = now_s
+        return [
+            self._trial(run, server)
+            for server, runs in self._run_by_id_by_server.items()
+            for run in runs.values()
+            if not run.blamed and self._is_suspect(run.fingerprint)
+        ]
 
     def learn(self, notice: Notice, now_s: float) -> None:
         """Take a notice of another host; kinds that are not about fingerprints are ignored."""
-        if notice.origin == self._host or notice.kind not in set(Kind):
-            return
-        _LEARN_BY_KIND[Kind(notice.kind)](self, notice, now_s)
+        if notice.origin != self._host and notice.kind in _LEARN_BY_KIND:
+            _LEARN_BY_KIND[Kind(notice.kind)](self, notice, now_s)
 
     def release(self, fingerprint: str, now_s: float) -> list[Notice]:
         """Let a fingerprint run again, as an operator orders; tells the other hosts."""
@@ -207,112 +200,140 @@
         return [self._notice(Kind.RELEASED, fingerprint, self._ttl_s)]
 
     def listing(self, now_s: float) -> list[Case]:
-        """Cases in force, by fingerprint."""
-        rows = [
-            _row(fingerprint, case, now_s)
-            for fingerprint, case in sorted(self._case_by_fingerprint.items())
+        """What is held against fingerprints now, by fingerprint."""
+        return [
+            _case(fingerprint, suspicion, now_s)
+            for fingerprint, suspicion in sorted(self._suspicion_by_fingerprint.items())
+            if suspicion.until_s(now_s) > now_s
         ]
-        return [row for row in rows if row.seconds_left > 0]
 
-    def _wait_s(self, fingerprint: str, case: _Case, now_s: float) -> float:
-        """Seconds until this host may try a suspect: while it is tried, none may."""
-        if any(fingerprint in self._fingerprints_at(name) for name in self._running_by_server):
-            return TRIAL_WAIT_S
-        if all(crash.origin == self._host for crash in case.crashes):
-            return 0.0
-        return case.tried_until_s - now_s
+    def _blame(self, fingerprint: str, crash: Crash) -> bool:
+        """Hold a crash against a fingerprint unless a known culprit explains it."""
+        if any(crash.same(known) for known in self._explained):
+            return False
+        return self._suspicion(fingerprint).add(crash)
+
+    def _guilty(self, runs: list[_Run], blamed: list[str], now_s: float) -> list[str]:
+        """Pick those with crashes enough for quarantine; the ones just tried, where any was."""
+        enough = [name for name in blamed if self._suspicion(name).guilty(now_s)]
+        young = {run.fingerprint for run in runs if now_s - run.started_s < OUTLIVE_S}
+        return [name for name in enough if name in young] or enough
+
+    def _quarantine(self, fingerprint: str, now_s: float) -> list[Notice]:
+        suspicion = self._suspicion(fingerprint)
+        if now_s < suspicion.quarantined_until_s:
+            return []
+        suspicion.quarantined_until_s = now_s + self._ttl_s
+        cleared = self._acquit(suspicion, now_s)
+        told = [self._notice(Kind.CLEARED, name, CLEARED_TTL_S) for name in cleared]
+        return [self._notice(Kind.QUARANTINED, fingerprint, self._ttl_s), *told]
+
+    def _acquit(self, culprit: Suspicion, now_s: float) -> list[str]:
+        """Drop crashes that a culprit explains from all others; name those thereby cleared."""
+        if len(culprit.crashes) < CRASHES_TO_QUARANTINE:
+            return []
+        self._explained.extend(culprit.crashes)
+        return [
+            fingerprint
+            for fingerprint, suspicion in self._suspicion_by_fingerprint.items()
+            if suspicion is not culprit
+            and now_s >= suspicion.quarantined_until_s
+            and suspicion.drop(culprit.crashes)
+        ]
 
-    def _fingerprints_at(self, server: str) -> set[str]:
-        running = self._running_by_server.get(server, {}).values()
-        return {entry.fingerprint for entry in running}
+    def _wait_s(self, fingerprint: str, suspicion: Suspicion, now_s: float) -> float:
+        """Seconds until this host may run it: while a suspect is tried, no other run begins."""
+        here = any(
+            run.fingerprint == fingerprint and not run.blamed
+            for runs in self._run_by_id_by_server.values()
+            for run in runs.values()
+        )
+        if suspicion.crashes and here:
+            return TRIAL_WAIT_S
+        return suspicion.tried_until_s - now_s
 
-    def _servers_with_suspects(self) -> set[str]:
-        return {
+    def _busy(self, now_s: float) -> frozenset[str]:
+        """Servers where a suspect is being tried and has not outlived its trial."""
+        tried = {
+            name for name, until_s in self._tried_until_s_by_server.items() if now_s < until_s
+        }
+        here = {
             server
-            for server in self._running_by_server
-            if any(
-                fingerprint in self._case_by_fingerprint
-                and self._case_by_fingerprint[fingerprint].crashes
-                for fingerprint in self._fingerprints_at(server)
-            )
+            for server, runs in self._run_by_id_by_server.items()
+            for run in runs.values()
+            if self._is_suspect(run.fingerprint) and now_s - run.started_s < OUTLIVE_S
         }
+        return frozenset(tried | here)
 
-    def _case(self, fingerprint: str) -> _Case:
-        case = self._case_by_fingerprint.setdefault(fingerprint, _Case())
-        self._case_by_fingerprint.move_to_end(fingerprint)
-        while len(self._case_by_fingerprint) > self._limit:
-            self._case_by_fingerprint.popitem(last=False)
-        return case
-
-    def _judge(self, fingerprint: str, now_s: float) -> list[Notice]:
-        """Put a fingerprint with enough crashes in quarantine and clear who shared them."""
-        case = self._case(fingerprint)
-        case.expire(now_s)
-        if len(case.crashes) < CRASHES_TO_QUARANTINE:
-            return []
-        case.quarantined_until_s = now_s + self._ttl_s
-        notices = [self._notice(Kind.QUARANTINED, fingerprint, self._ttl_s)]
-        return notices + self._acquit(case, now_s)
-
-    def _acquit(self, guilty: _Case, now_s: float) -> list[Notice]:
-        """Clear those whose every crash is explained by a guilty one's."""
-        notices = []
-        for fingerprint, case in self._case_by_fingerprint.items():
-            if case is guilty or now_s < case.quarantined_until_s or not case.crashes:
-                continue
-            if all(any(crash.same(known) for known in guilty.crashes) for crash in case.crashes):
-                if len(case.crashes) < CRASHES_TO_QUARANTINE:
-                    case.clear(now_s)
-                    notices.append(self._notice(Kind.CLEARED, fingerprint, CLEARED_TTL_S))
-        return notices
+    def _is_suspect(self, fingerprint: str) -> bool:
+        suspicion = self._suspicion_by_fingerprint.get(fingerprint)
+        return suspicion is not None and bool(suspicion.crashes)
+
+    def _suspicion(self, fingerprint: str) -> Suspicion:
+        suspicion = self._suspicion_by_fingerprint.setdefault(fingerprint, Suspicion())
+        self._suspicion_by_fingerprint.move_to_end(fingerprint)
+        while len(self._suspicion_by_fingerprint) > self._limit:
+            self._suspicion_by_fingerprint.popitem(last=False)
+        return suspicion
 
     def _release(self, fingerprint: str, at_s: float) -> None:
-        case = self._case(fingerprint)
-        case.quarantined_until_s = float("-inf")
-        case.clear(at_s)
+        suspicion = self._suspicion(fingerprint)
+        suspicion.quarantined_until_s = NEVER_S
+        suspicion.tried_until_s = NEVER_S
+        suspicion.clear(at_s)
 
-    def _notice(self, kind: Kind, subject: str, ttl_s: float) -> Notice:
+    def _notice(self, kind: Kind, subject: str, ttl_s: float, value: float = CRASH) -> Notice:
         self._number += 1
-        return Notice(kind.value, subject, self._host, self._number, 0.0, ttl_s)
+        return Notice(kind.value, subject, self._host, self._number, value, ttl_s)
 
-    def _suspect(self, fingerprint: str, crash: _Crash, now_s: float) -> Notice:
-        subject = f"{fingerprint}{SUBJECT_SEPARATOR}{crash.server}"
+    def _suspect(self, fingerprint: str, crash: Crash, now_s: float) -> Notice:
+        subject = f"{fingerprint}{SEPARATOR}{crash.server}"
         return self._notice(Kind.SUSPECT, subject, SUSPECT_TTL_S - (now_s - crash.at_s))
 
+    def _trial(self, run: _Run, server: str) -> Notice:
+        subject = f"{run.fingerprint}{SEPARATOR}{server}"
+        return self._notice(Kind.SUSPECT, subject, TRIAL_WAIT_S, TRIAL)
+
     def _learn_suspect(self, notice: Notice, now_s: float) -> None:
-        fingerprint, _, server = notice.subject.partition(SUBJECT_SEPARATOR)
-        at_s = now_s - (SUSPECT_TTL_S - notice.ttl_s)
-        case = self._case(fingerprint)
-        case.add(_Crash(server, at_s, notice.origin))
-        if case.crashes:
-            case.tried_until_s = max(case.tried_until_s, now_s + TRIAL_WAIT_S)
-        self._judge(fingerprint, now_s)
+        fingerprint, _, server = notice.subject.partition(SEPARATOR)
+        suspicion = self._suspicion(fingerprint)
+        if notice.value == TRIAL:
+            until_s = now_s + notice.ttl_s
+            suspicion.tried_until_s = max(suspicion.tried_until_s, until_s)
+            self._tried_until_s_by_server[server] = until_s - TRIAL_WAIT_S + OUTLIVE_S
+            return
+        crash = Crash(server, now_s - (SUSPECT_TTL_S - notice.ttl_s), notice.origin)
+        origins = {known.origin for known in suspicion.crashes if known.same(crash)}
+        if self._blame(fingerprint, crash) or notice.origin < min(origins, default=""):
+            suspicion.tried_until_s = max(suspicion.tried_until_s, crash.at_s + TRIAL_WAIT_S)
+        if now_s < suspicion.quarantined_until_s:
+            self._acquit(suspicion, now_s)
 
     def _learn_cleared(self, notice: Notice, now_s: float) -> None:
-        self._case(notice.subject).clear(now_s - (CLEARED_TTL_S - notice.ttl_s))
+        suspicion = self._suspicion(notice.subject)
+        suspicion.clear(now_s - (CLEARED_TTL_S - notice.ttl_s))
+        if not suspicion.crashes:
+            suspicion.tried_until_s = NEVER_S
 
     def _learn_quarantined(self, notice: Notice, now_s: float) -> None:
-        case = self._case(notice.subject)
+        suspicion = self._suspicion(notice.subject)
         made_s = now_s - (self._ttl_s - notice.ttl_s)
-        if made_s > case.cleared_s:
-            case.quarantined_until_s = max(case.quarantined_until_s, now_s + notice.ttl_s)
-            self._acquit(case, now_s)
+        if made_s > suspicion.cleared_s:
+            until_s = now_s + notice.ttl_s
+            suspicion.quarantined_until_s = max(suspicion.quarantined_until_s, until_s)
+            self._acquit(suspicion, now_s)
 
     def _learn_released(self, notice: Notice, now_s: float) -> None:
         self._release(notice.subject, now_s - (self._ttl_s - notice.ttl_s))
 
 
-def _row(fingerprint: str, case: _Case, now_s: float) -> Case:
-    proven = now_s < case.quarantined_until_s
-    left_s = case.quarantined_until_s - now_s
-    if not proven:
-        left_s = max((SUSPECT_TTL_S - now_s + crash.at_s for crash in case.crashes), default=0.0)
-    state = Kind.QUARANTINED if proven else Kind.SUSPECT
-    servers = tuple(sorted({crash.server for crash in case.crashes}))
-    return Case(fingerprint, state.value, servers, left_s)
+def _case(fingerprint: str, suspicion: Suspicion, now_s: float) -> Case:
+    state = Kind.QUARANTINED if suspicion.guilty(now_s) else Kind.SUSPECT
+    servers = tuple(sorted({crash.server for crash in suspicion.crashes}))
+    return Case(fingerprint, state.value, servers, suspicion.until_s(now_s) - now_s)
 
 
-_LEARN_BY_KIND = {
+_LEARN_BY_KIND: dict[str, Callable[[Quarantine, Notice, float], None]] = {
     Kind.SUSPECT: Quarantine._learn_suspect,
     Kind.CLEARED: Quarantine._learn_cleared,
     Kind.QUARANTINED: Quarantine._learn_quarantined,
--- a/src/redwingbank/rules/speed.py
+++ b/src/redwingbank/rules/speed.py
@@ -28,25 +28,47 @@
         return _Mean(self.value + SAMPLE_WEIGHT * (sample - self.value), now_s)
 
 
+class _Pending(NamedTuple):
+    """A request that has no first token yet."""
+
+    prompt_tokens: int
+    sent_s: float
+
+
 class ServerSpeed:
     """First-token time for the prompt's length, and time between tokens, of one server."""
 
     def __init__(self) -> None:
         self.first: _Mean | None = None
         self.token: _Mean | None = None
+        self._pending_by_id: dict[str, _Pending] = {}
+
+    def sent(self, request_id: str, prompt_tokens: int, now_s: float) -> None:
+        """Note a send: until its first token it shows how slow the server is at least."""
+        self._pending_by_id[request_id] = _Pending(prompt_tokens, now_s)
 
     def first_token(
         self, request_id: str, prompt_tokens: int, seconds: float, now_s: float
     ) -> None:
         """Take a first-token time in seconds; long prompts are allowed more."""
+        self._pending_by_id.pop(request_id, None)
         sample = seconds / (TOKENS_BEFORE_FIRST + prompt_tokens)
         self.first = self.first.plus(sample, now_s) if self.first else _Mean(sample, now_s)
 
-    def finished(self, token_s: float | None, now_s: float) -> None:
+    def finished(self, request_id: str, token_s: float | None, now_s: float) -> None:
         """Take a finished answer's mean time between tokens, where known."""
-        if token_s is None:
-            return
-        self.token = self.token.plus(token_s, now_s) if self.token else _Mean(token_s, now_s)
+        self._pending_by_id.pop(request_id, None)
+        if token_s is not None:
+            self.token = self.token.plus(token_s, now_s) if self.token else _Mean(token_s, now_s)
+
+    def oldest_pending(self, now_s: float) -> _Mean | None:
+        """First-token time that the longest waiting request has at least."""
+        pending = next(iter(self._pending_by_id.values()), None)
+        if pending is None:
+            return None
+        return _Mean(
+            (now_s - pending.sent_s) / (TOKENS_BEFORE_FIRST + pending.prompt_tokens), now_s
+        )
 
 
 class PoolSpeed:
@@ -68,7 +90,8 @@
             self._take(servers(), now_s)
         first = _ratio(server.first, self._first, now_s)
         token = _ratio(server.token, self._token, now_s)
-        return max(first, token)
+        pending = _ratio(server.oldest_pending(now_s), self._first, now_s)
+        return max(first, token, pending)
 
     def _take(self, servers: list[ServerSpeed], now_s: float) -> None:
         self._taken_s = now_s
--- /dev/null
+++ b/src/redwingbank/rules/suspicion.py
@@ -0,0 +1,77 @@
+"""What is held against one request fingerprint: the crashes it was in flight at."""
+
+from __future__ import annotations
+
+from typing import NamedTuple
+
+SUSPECT_TTL_S = 120.0
+CLEARED_TTL_S = 30.0
+SAME_CRASH_S = 5.0
+CRASHES_TO_QUARANTINE = 2
+NEVER_S = float("-inf")
+
+
+class Crash(NamedTuple):
+    """A backend server's crash; `origin` is the host that saw it."""
+
+    server: str
+    at_s: float
+    origin: str
+
+    def same(self, other: Crash) -> bool:
+        """Tell whether two hosts saw one crash; their clocks agree but for the notice's way."""
+        return self.server == other.server and abs(self.at_s - other.at_s) < SAME_CRASH_S
+
+
+class Suspicion:
+    """Crashes held against a fingerprint, its quarantine and whoever is trying it."""
+
+    def __init__(self) -> None:
+        self.crashes: list[Crash] = []
+        self.quarantined_until_s = NEVER_S
+        self.cleared_s = NEVER_S
+        self.tried_until_s = NEVER_S
+
+    def add(self, crash: Crash) -> bool:
+        """Hold a crash against it, once however many hosts saw it; tell whether it is new."""
+        if crash.at_s <= self.cleared_s or any(crash.same(known) for known in self.crashes):
+            return False
+        self.crashes.append(crash)
+        return True
+
+    def drop(self, explained: list[Crash]) -> bool:
+        """Drop crashes that another fingerprint explains; tell whether that cleared it."""
+        kept = [crash for crash in self.crashes if not any(crash.same(one) for one in explained)]
+        cleared = bool(self.crashes) and not kept
+        self.crashes = kept
+        return cleared
+
+    def clear(self, at_s: float) -> None:
+        """Drop what was held against it up to a time; news of that, if late, is ignored."""
+        self.cleared_s = max(self.cleared_s, at_s)
+        self.crashes = [crash for crash in self.crashes if crash.at_s > at_s]
+
+    def expire(self, now_s: float) -> None:
+        """Drop crashes that are too old to count."""
+        self.crashes = [crash for crash in self.crashes if now_s - crash.at_s < SUSPECT_TTL_S]
+
+    def until_s(self, now_s: float) -> float:
+        """Time until which something is held against it; in the past where nothing is."""
+        self.expire(now_s)
+        crashes_s = max((crash.at_s + SUSPECT_TTL_S for crash in self.crashes), default=NEVER_S)
+        return max(crashes_s, self.quarantined_until_s)
+
+    def guilty(self, now_s: float) -> bool:
+        """Tell whether it is in quarantine, or has the crashes for it."""
+        self.expire(now_s)
+        return now_s < self.quarantined_until_s or len(self.crashes) >= CRASHES_TO_QUARANTINE
+
+
+__all__ = [
+    "CLEARED_TTL_S",
+    "CRASHES_TO_QUARANTINE",
+    "NEVER_S",
+    "SUSPECT_TTL_S",
+    "Crash",
+    "Suspicion",
+]
