--- a/src/redwingbank/messages.py
+++ b/src/redwingbank/messages.py
@@ -54,13 +54,19 @@
 
 
 class ClassDemand(NamedTuple):
-    """A class's requests waiting on one host; `slack_s` is negative where a target is missed."""
+    """A class's requests waiting on one host; `slack_s` is negative where a target is missed.
+
+    `running` counts the class's requests in flight, `organisations` the distinct organisations
+    that wait.
+    """
 
     tier: int
     class_name: str
     waiting: int
     oldest_s: float
     slack_s: float
+    running: int = 0
+    organisations: int = 0
 
 
 class OrganisationUse(NamedTuple):
@@ -75,8 +81,9 @@
 class Demand(NamedTuple):
     """A host to the allocator of a pool.
 
-    `running` and `holding` (free slots held) count by backend server. A demand for
-    `LIMITS_POOL` carries `organisations` alone.
+    `running` and `holding` (free slots held) count by backend server; the host keeps within
+    their sum until it applies a newer allocation. `applied` is the number of the last
+    allocation it applied. A demand for `LIMITS_POOL` carries `organisations` alone.
     """
 
     pool: str
@@ -85,13 +92,16 @@
     running: dict[str, int] = {}  # noqa: RUF012
     holding: dict[str, int] = {}  # noqa: RUF012
     organisations: tuple[OrganisationUse, ...] = ()
+    applied: int = 0
 
 
 class Allocation(NamedTuple):
     """The allocator of a pool to a host.
 
     `slots` is the most requests the host may have in flight at each backend server until
-    `ttl_s` after receipt. `floor` is the lowest tier (largest number) that may start.
+    `ttl_s` after it sent the demand numbered `answers`. `floor` is the lowest tier (largest
+    number) that may start. `turns` is the most requests of a class that may be in flight when
+    one starts above tier order, for the class's reserved minimum.
     """
 
     pool: str
@@ -101,6 +111,7 @@
     floor: int
     slots: dict[str, int] = {}  # noqa: RUF012
     limits: tuple[OrganisationUse, ...] = ()
+    turns: dict[str, int] = {}  # noqa: RUF012
 
 
 Message = Heartbeat | Demand | Allocation
--- a/src/redwingbank/ports/messages.capnp
+++ b/src/redwingbank/ports/messages.capnp
@@ -45,6 +45,8 @@
   waiting @2 :UInt32;
   oldestMs @3 :UInt32;
   slackMs @4 :Int32;        # least time left to a target, negative when missed
+  running @5 :UInt32;       # in flight from this host
+  organisations @6 :UInt16; # distinct organisations that wait
 }
 
 struct ServerCount {
@@ -60,6 +62,7 @@
   holding @4 :List(ServerCount);  # free slots held
   returned @5 :List(ServerCount);
   organisations @6 :List(OrganisationUse);
+  applied @7 :UInt64;       # number of the last allocation applied
 }
 
 struct OrganisationUse {
@@ -77,6 +80,7 @@
   floor @4 :UInt8;          # lowest tier (largest number) that may take a slot that frees
   slots @5 :List(ServerCount);   # most requests in flight the host may have at each server
   limits @6 :List(OrganisationUse);  # share of organisation limits this host may use
+  turns @7 :List(ServerCount);   # class name; most in flight when one starts above tier order
 }
 
 struct Pull {               # over TCP: asks a peer for values by name
--- /dev/null
+++ b/src/redwingbank/rules/allocator.py
@@ -0,0 +1,355 @@
+"""Allocation of a pool's slots among hosts, by the demands that they tell."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+from redwingbank.messages import Allocation
+from redwingbank.rules.grants import HostAccount
+from redwingbank.rules.minimum import ClassLoad, MinimumAccounts
+from redwingbank.rules.shares import Want, max_min
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from redwingbank.messages import Demand
+    from redwingbank.rules.table import Table
+
+NO_FLOOR = 255
+RENEWALS_PER_TTL = 3
+RESEND_S = 0.25
+SPARE_TOLERANCE = 2
+
+
+class Allocator:
+    """Divides the slots of one pool among the hosts that ask.
+
+    Free slots go first to classes owed a turn for their minimum, then to the highest tier
+    waiting anywhere, shared among hosts by the organisations that wait there; what is left is
+    spread evenly, so that a new arrival starts without a round trip. Where a tier's share of
+    the whole pool is not met by free slots, hosts with more than their share are cut: what runs
+    there stays, and its slots come back as it ends.
+
+    What hosts may be using never exceeds a backend server's slots by the doing of one
+    allocator. A new allocator grants nothing beyond what hosts hold until every host that it
+    expects has spoken, or one TTL has passed.
+
+    Example: `Allocator("chat", ttl_s=2.0)`, `set_capacity({"e1": 8}, 0.0)`,
+    `observe("h1", demand, 0.0)`, then `allocate(0.0)["h1"].slots` may be `{"e1": 8}`.
+    """
+
+    def __init__(self, pool: str, ttl_s: float, first_number: int = 0) -> None:
+        self._pool = pool
+        self._ttl_s = ttl_s
+        self._number = first_number
+        self._capacity: dict[str, int] = {}
+        self._accounts_by_host: dict[str, HostAccount] = {}
+        self._minimum = MinimumAccounts()
+        self._expected: frozenset[str] | None = None
+        self._began_s: float | None = None
+        self._loads: dict[str, ClassLoad] = {}
+
+    @property
+    def number(self) -> int:
+        """Number of the last allocation made."""
+        return self._number
+
+    def rebase(self, table: Table) -> None:
+        """Bring the minimum shares of a new table into force."""
+        rows = table.classes_by_name.values()
+        self._minimum.rebase({row.name: row.minimum for row in rows})
+
+    def observe(self, host: str, demand: Demand, now_s: float) -> None:
+        """Take a host's demand; older ones than already seen are ignored."""
+        self._begin(now_s)
+        account = self._accounts_by_host.get(host)
+        if account is None:
+            self._accounts_by_host[host] = HostAccount(demand, now_s, self._ttl_s)
+            return
+        account.observe(demand, now_s)
+
+    def set_capacity(self, slots_by_server: dict[str, int], now_s: float) -> None:
+        """Set how many requests each backend server may run."""
+        self._begin(now_s)
+        self._capacity = dict(slots_by_server)
+
+    def expect(self, hosts: Iterable[str]) -> None:
+        """Name the hosts that are alive: until all have spoken, a new allocator only confirms."""
+        self._expected = frozenset(hosts)
+
+    def forget(self, host: str) -> None:
+        """Drop a host that is dead, with all that it had."""
+        self._accounts_by_host.pop(host, None)
+
+    def allocate(self, now_s: float) -> dict[str, Allocation]:
+        """Divide the slots; return the allocations that have to be sent now."""
+        self._begin(now_s)
+        for account in self._accounts_by_host.values():
+            account.lapse(now_s)
+        self._settle_minimum(now_s)
+        self._assign_turns()
+        if self._informed(now_s):
+            self._fit_capacity()
+            self._move_to_share()
+            self._grant_waiting()
+            self._spread_spare(now_s)
+        floor = self._floor()
+        hosts = [host for host in sorted(self._accounts_by_host) if self._due(host, floor, now_s)]
+        return {host: self._allocation(host, floor, now_s) for host in hosts}
+
+    def granted(self, now_s: float) -> dict[str, int]:
+        """Count, by backend server, the most slots that hosts may be using now."""
+        total: dict[str, int] = {}
+        for account in self._accounts_by_host.values():
+            account.lapse(now_s)
+            for server, slots in account.in_use().items():
+                total[server] = total.get(server, 0) + slots
+        return total
+
+    def _begin(self, now_s: float) -> None:
+        if self._began_s is None:
+            self._began_s = now_s
+
+    def _informed(self, now_s: float) -> bool:
+        began_s = now_s if self._began_s is None else self._began_s
+        if now_s - began_s >= self._ttl_s:
+            return True
+        return self._expected is not None and self._expected <= set(self._accounts_by_host)
+
+    def _slots(self) -> int:
+        return sum(self._capacity.values())
+
+    def _free(self) -> dict[str, int]:
+        free = dict(self._capacity)
+        for account in self._accounts_by_host.values():
+            for server, slots in account.in_use().items():
+                if server in free:
+                    free[server] -= slots
+        return free
+
+    def _settle_minimum(self, now_s: float) -> None:
+        loads: dict[str, ClassLoad] = {}
+        for account in self._accounts_by_host.values():
+            for item in account.demand.classes:
+                load = loads.get(item.class_name, ClassLoad(0, 0))
+                loads[item.class_name] = ClassLoad(
+                    load.waiting + item.waiting, load.running + item.running
+                )
+        self._minimum.advance(loads, self._slots(), now_s)
+        self._loads = loads
+
+    def _assign_turns(self) -> None:
+        waiting = [
+            (-item.oldest_s, host, item)
+            for host, account in self._accounts_by_host.items()
+            for item in account.demand.classes
+            if item.waiting
+        ]
+        left = {
+            name: self._minimum.entitled(name, self._slots()) - load.running
+            for name, load in self._loads.items()
+        }
+        before = {host: account.turns for host, account in self._accounts_by_host.items()}
+        for account in self._accounts_by_host.values():
+            account.turns = {}
+        kept_first = sorted(
+            waiting,
+            key=lambda entry: (
+                before[entry[1]].get(entry[2].class_name, 0) <= entry[2].running,
+                entry[0],
+                entry[1],
+            ),
+        )
+        for _, host, item in kept_first:
+            count = min(item.waiting, max(0, left[item.class_name]))
+            if count:
+                left[item.class_name] -= count
+                self._accounts_by_host[host].turns[item.class_name] = item.running + count
+
+    def _turns_open(self, account: HostAccount) -> int:
+        running = {item.class_name: item.running for item in account.demand.classes}
+        return sum(most - running.get(name, 0) for name, most in account.turns.items())
+
+    def _fit_capacity(self) -> None:
+        for server in {name for a in self._accounts_by_host.values() for name in a.level}:
+            accounts = [a for a in self._accounts_by_host.values() if a.level.get(server)]
+            over = sum(a.level[server] for a in accounts) - self._capacity.get(server, 0)
+            for _ in range(max(0, over)):
+                most = max(accounts, key=lambda account: account.level[server])
+                most.level[server] -= 1
+                most.dirty = True
+
+    def _tiers(self) -> list[int]:
+        accounts = self._accounts_by_host.values()
+        return sorted({item.tier for account in accounts for item in account.demand.classes})
+
+    def _targets(self) -> dict[str, int]:
+        """Give each host's fair share of the pool: turns first, then tier by tier."""
+        left = self._slots()
+        targets = {
+            host: self._turns_open(account) for host, account in self._accounts_by_host.items()
+        }
+        left -= sum(targets.values())
+        for tier in self._tiers():
+            wants = [
+                want
+                for host, account in self._accounts_by_host.items()
+                if (want := self._want(host, account, tier)).most > 0
+            ]
+            for host, count in max_min(wants, max(0, left)).items():
+                targets[host] += count
+                left -= count
+        return targets
+
+    def _want(self, host: str, account: HostAccount, tier: int) -> Want:
+        items = [item for item in account.demand.classes if item.tier == tier]
+        most = sum(item.waiting + item.running for item in items)
+        weight = max(1, sum(item.organisations for item in items))
+        return Want(host, most, weight, account.total)
+
+    def _move_to_share(self) -> None:
+        """Cut hosts above their share by what hosts below theirs can't get from free slots."""
+        targets = self._targets()
+        accounts = self._accounts_by_host
+        lacking = {
+            host: targets[host] - account.total
+            for host, account in accounts.items()
+            if targets[host] > account.total and self._unmet(account)
+        }
+        cut = sum(lacking.values()) - sum(max(0, count) for count in self._free().values())
+        cut -= sum(
+            max(0, sum(account.in_use().values()) - account.total) for account in accounts.values()
+        )
+        excess = [
+            (targets[host] - account.total, host)
+            for host, account in accounts.items()
+            if account.total > targets[host]
+        ]
+        heapq.heapify(excess)
+        while cut > 0 and excess:
+            over, host = heapq.heappop(excess)
+            self._cut_one(accounts[host])
+            cut -= 1
+            if over + 1 < 0:
+                heapq.heappush(excess, (over + 1, host))
+
+    def _cut_one(self, account: HostAccount) -> None:
+        running = account.demand.running
+        server = max(
+            (name for name, slots in account.level.items() if slots > 0),
+            key=lambda name: (account.level[name] - running.get(name, 0), name),
+        )
+        account.level[server] -= 1
+        account.dirty = True
+
+    def _unmet(self, account: HostAccount, tier: int = NO_FLOOR) -> int:
+        """Count requests waiting up to a tier beyond the idle slots the host has."""
+        idle = max(0, account.total - account.running)
+        waiting = sum(item.waiting for item in account.demand.classes if item.tier <= tier)
+        return max(0, waiting + self._turns_open(account) - idle)
+
+    def _grant_waiting(self) -> None:
+        free = _FreeSlots(self._free(), self._capacity)
+        for account in self._accounts_by_host.values():
+            idle = max(0, account.total - account.running)
+            for _ in range(max(0, self._turns_open(account) - idle)):
+                free.give(account)
+        for tier in self._tiers():
+            wants = [
+                Want(host, unmet, self._want(host, account, tier).weight, account.total)
+                for host, account in self._accounts_by_host.items()
+                if account.waiting(tier) and (unmet := self._unmet(account, tier))
+            ]
+            for host, count in max_min(wants, free.total).items():
+                for _ in range(count):
+                    free.give(self._accounts_by_host[host])
+
+    def _spare(self, account: HostAccount) -> int:
+        waiting = sum(item.waiting for item in account.demand.classes)
+        return account.total - account.running - waiting
+
+    def _spread_spare(self, now_s: float) -> None:
+        """Spread what no one waits for evenly over hosts, a few slots at a time."""
+        free = _FreeSlots(self._free(), self._capacity)
+        hosts = [
+            (self._spare(account), host)
+            for host, account in self._accounts_by_host.items()
+            if not account.silent(now_s)
+        ]
+        if not hosts or any(self._unmet(a) for a in self._accounts_by_host.values()):
+            return
+        heapq.heapify(hosts)
+        while free.total and hosts:
+            spare, host = heapq.heappop(hosts)
+            free.give(self._accounts_by_host[host])
+            heapq.heappush(hosts, (spare + 1, host))
+        least, most = min(hosts), max(hosts)
+        if most[0] - least[0] >= SPARE_TOLERANCE and most[0] > 0:
+            self._cut_one(self._accounts_by_host[most[1]])
+
+    def _floor(self) -> int:
+        """Give the highest tier that waits anywhere without a slot to start in."""
+        for tier in self._tiers():
+            if any(
+                account.waiting(tier) and self._unmet(account, tier)
+                for account in self._accounts_by_host.values()
+            ):
+                return tier
+        return NO_FLOOR
+
+    def _due(self, host: str, floor: int, now_s: float) -> bool:
+        account = self._accounts_by_host[host]
+        if account.silent(now_s):
+            return False
+        if account.dirty or account.floor != floor or account.turns != account.turns_sent:
+            return True
+        age_s = now_s - account.sent_s
+        if account.unapplied and age_s >= RESEND_S:
+            return True
+        return age_s >= self._ttl_s / RENEWALS_PER_TTL
+
+    def _allocation(self, host: str, floor: int, now_s: float) -> Allocation:
+        self._number += 1
+        account = self._accounts_by_host[host]
+        account.floor = floor
+        account.turns_sent = dict(account.turns)
+        slots = account.grant(self._number, now_s)
+        return Allocation(
+            self._pool,
+            self._number,
+            account.demand.number,
+            self._ttl_s,
+            floor,
+            slots,
+            turns=dict(account.turns),
+        )
+
+
+class _FreeSlots:
+    """Free slots by server, given out from the server with the largest part free."""
+
+    def __init__(self, free: dict[str, int], capacity: dict[str, int]) -> None:
+        self._heap = [
+            (-count / max(1, capacity[server]), server, count)
+            for server, count in free.items()
+            if count > 0
+        ]
+        self._capacity = capacity
+        self.total = sum(count for _, _, count in self._heap)
+        heapq.heapify(self._heap)
+
+    def give(self, account: HostAccount) -> None:
+        """Raise a host's level by one slot, if any is free."""
+        if not self._heap:
+            return
+        _, server, count = heapq.heappop(self._heap)
+        self.total -= 1
+        account.level[server] = account.level.get(server, 0) + 1
+        account.dirty = True
+        if count > 1:
+            part = -(count - 1) / max(1, self._capacity[server])
+            heapq.heappush(self._heap, (part, server, count - 1))
+
+
+__all__ = ["NO_FLOOR", "Allocator"]
--- /dev/null
+++ b/src/redwingbank/rules/limits.py
@@ -0,0 +1,218 @@
+"""Limits of organisations over all hosts, and of classes on one host."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from redwingbank.codes import Code
+from redwingbank.messages import OrganisationUse
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from redwingbank.model import Request
+    from redwingbank.rules.table import OrganisationRow, Table
+
+BUCKETS = 12
+BUCKET_S = 5.0
+WINDOW_S = BUCKETS * BUCKET_S
+REFUSAL_MEMORY_S = 10.0
+
+
+class TokenWindow:
+    """Tokens served in the last minute, in buckets of five seconds."""
+
+    def __init__(self) -> None:
+        self._buckets = [0] * BUCKETS
+        self._at = 0
+
+    def add(self, tokens: int, now_s: float) -> None:
+        """Count tokens served now."""
+        self._turn(now_s)
+        self._buckets[self._at % BUCKETS] += tokens
+
+    def total(self, now_s: float) -> int:
+        """Tokens served in the window that ends now."""
+        self._turn(now_s)
+        return sum(self._buckets)
+
+    def free_after_s(self, excess: int, now_s: float) -> float:
+        """Time until `excess` tokens have left the window."""
+        self._turn(now_s)
+        for age in range(BUCKETS):
+            excess -= self._buckets[(self._at + 1 + age) % BUCKETS]
+            if excess < 0:
+                return (self._at + 1 + age + 1) * BUCKET_S - now_s
+        return WINDOW_S
+
+    def _turn(self, now_s: float) -> None:
+        at = int(now_s // BUCKET_S)
+        for passed in range(min(BUCKETS, max(0, at - self._at))):
+            self._buckets[(at - passed) % BUCKETS] = 0
+        self._at = max(self._at, at)
+
+
+class Usage:
+    """One organisation's requests and tokens on this host."""
+
+    def __init__(self) -> None:
+        self.admitted = 0
+        self.running = 0
+        self.refused = 0
+        self.refused_s = float("-inf")
+        self.window = TokenWindow()
+
+    def refuse(self, now_s: float) -> None:
+        """Note demand that the share did not allow."""
+        if now_s - self.refused_s > REFUSAL_MEMORY_S:
+            self.refused = 0
+        self.refused += 1
+        self.refused_s = now_s
+
+    def wanted(self, now_s: float) -> int:
+        """Requests refused of late."""
+        return self.refused if now_s - self.refused_s <= REFUSAL_MEMORY_S else 0
+
+    def idle(self, now_s: float) -> bool:
+        """Tell whether nothing of it is worth keeping."""
+        return not (self.admitted or self.wanted(now_s) or self.window.total(now_s))
+
+
+class Share(NamedTuple):
+    """The part of an organisation's limits this host may use, until `expires_s`."""
+
+    concurrency: int
+    tokens: int
+    expires_s: float
+
+
+class Limits:
+    """What each organisation and class may have on this host.
+
+    An organisation's concurrency counts requests from `admit` to `finish`, waiting or running.
+    Its tokens are those served in the last minute: requests are refused while they are over,
+    and one request may overrun. The owner of the limits gives this host a share of both;
+    without one in force the host uses the limit divided by the number of hosts, 1 at least.
+    A class's limit counts requests on this host alone.
+    """
+
+    def __init__(self, table: Table, host_count: int) -> None:
+        self._table = table
+        self._host_count = max(1, host_count)
+        self._usage_by_organisation: dict[str, Usage] = {}
+        self._admitted_by_class: dict[str, int] = {}
+        self._shares_by_organisation: dict[str, Share] = {}
+        self._admitted_by_id: dict[str, Request] = {}
+        self._running_ids: set[str] = set()
+
+    def rebase(self, table: Table, host_count: int) -> None:
+        """Bring a new table, or a new number of hosts, into force."""
+        self._table = table
+        self._host_count = max(1, host_count)
+
+    def admit(self, request: Request, now_s: float) -> Code | None:
+        """Admit a request and count it, or give the code of the limit it is over."""
+        code = self._verdict(request, now_s)
+        if code is None:
+            self._admitted_by_id[request.request_id] = request
+            self._usage(request.organisation).admitted += 1
+            admitted = self._admitted_by_class.get(request.class_name, 0)
+            self._admitted_by_class[request.class_name] = admitted + 1
+        elif code != Code.CLASS_LIMIT:
+            self._usage(request.organisation).refuse(now_s)
+        return code
+
+    def start(self, request_id: str) -> None:
+        """Note that an admitted request runs."""
+        request = self._admitted_by_id.get(request_id)
+        if request is not None and request_id not in self._running_ids:
+            self._running_ids.add(request_id)
+            self._usage(request.organisation).running += 1
+
+    def served(self, organisation: str, tokens: int, now_s: float) -> None:
+        """Count tokens served to an organisation."""
+        row = self._table.organisations_by_name.get(organisation)
+        if row is not None and row.tokens_per_minute:
+            self._usage(organisation).window.add(tokens, now_s)
+
+    def finish(self, request_id: str) -> None:
+        """Note the end of an admitted request, run or not; a second call does nothing."""
+        request = self._admitted_by_id.pop(request_id, None)
+        if request is None:
+            return
+        usage = self._usage(request.organisation)
+        usage.admitted -= 1
+        if request_id in self._running_ids:
+            self._running_ids.discard(request_id)
+            usage.running -= 1
+        left = self._admitted_by_class.get(request.class_name, 0) - 1
+        self._admitted_by_class[request.class_name] = max(0, left)
+
+    def apply(self, shares: Iterable[OrganisationUse], ttl_s: float, now_s: float) -> None:
+        """Bring shares of limits into force until `ttl_s` from now."""
+        for share in shares:
+            self._shares_by_organisation[share.organisation] = Share(
+                share.running, share.tokens, now_s + ttl_s
+            )
+
+    def use(self, now_s: float) -> tuple[OrganisationUse, ...]:
+        """Sum up the limited organisations in use here; `waiting` were refused of late."""
+        self._forget_idle(now_s)
+        return tuple(
+            OrganisationUse(name, usage.admitted, usage.wanted(now_s), usage.window.total(now_s))
+            for name, usage in sorted(self._usage_by_organisation.items())
+            if self._limited(name)
+        )
+
+    def retry_after_s(self, request: Request, code: Code, now_s: float) -> float:
+        """Estimate when a refused request may come back."""
+        row = self._table.organisations_by_name.get(request.organisation)
+        if code != Code.ORGANISATION_TOKENS or row is None:
+            return 1.0
+        window = self._usage(request.organisation).window
+        excess = window.total(now_s) - self._share(row, now_s).tokens
+        return max(1.0, window.free_after_s(excess, now_s))
+
+    def _verdict(self, request: Request, now_s: float) -> Code | None:
+        class_row = self._table.classes_by_name.get(request.class_name)
+        admitted = self._admitted_by_class.get(request.class_name, 0)
+        if class_row is not None and 0 < class_row.limit <= admitted:
+            return Code.CLASS_LIMIT
+        row = self._table.organisations_by_name.get(request.organisation)
+        if row is None or not self._limited(row.name):
+            return None
+        share = self._share(row, now_s)
+        usage = self._usage(row.name)
+        if row.concurrency and usage.admitted >= share.concurrency:
+            return Code.ORGANISATION_CONCURRENCY
+        if row.tokens_per_minute and usage.window.total(now_s) >= share.tokens:
+            return Code.ORGANISATION_TOKENS
+        return None
+
+    def _share(self, row: OrganisationRow, now_s: float) -> Share:
+        share = self._shares_by_organisation.get(row.name)
+        if share is not None and share.expires_s > now_s:
+            return share
+        return Share(
+            max(1, row.concurrency // self._host_count),
+            max(1, row.tokens_per_minute // self._host_count),
+            now_s,
+        )
+
+    def _limited(self, organisation: str) -> bool:
+        row = self._table.organisations_by_name.get(organisation)
+        return row is not None and bool(row.concurrency or row.tokens_per_minute)
+
+    def _usage(self, organisation: str) -> Usage:
+        return self._usage_by_organisation.setdefault(organisation, Usage())
+
+    def _forget_idle(self, now_s: float) -> None:
+        usages = self._usage_by_organisation
+        for name in [name for name, usage in usages.items() if usage.idle(now_s)]:
+            del usages[name]
+        shares = self._shares_by_organisation
+        for name in [name for name, share in shares.items() if share.expires_s <= now_s]:
+            del shares[name]
+
+
+__all__ = ["Limits", "TokenWindow"]
