--- a/src/redwingbank/messages.py
+++ b/src/redwingbank/messages.py
@@ -106,6 +106,19 @@
 Message = Heartbeat | Demand | Allocation
 
 
+class Pull(NamedTuple):
+    """Asks a peer for values by name, over TCP."""
+
+    names: tuple[str, ...]
+
+
+class Pulled(NamedTuple):
+    """A peer's answer: its revision in force and those of the values that it has."""
+
+    revision: int
+    values_by_name: dict[str, bytes]
+
+
 class Received(NamedTuple):
     """A message with its authenticated sender and the address to answer to."""
 
@@ -125,5 +138,7 @@
     "Message",
     "Notice",
     "OrganisationUse",
+    "Pull",
+    "Pulled",
     "Received",
 ]
--- /dev/null
+++ b/src/redwingbank/ports/peers.py
@@ -0,0 +1,180 @@
+"""Messages between daemons: sealed Cap'n Proto envelopes over UDP."""
+
+from __future__ import annotations
+
+import time
+from collections import Counter
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
+from anyio import TASK_STATUS_IGNORED
+from anyio.abc import SocketAttribute
+
+from redwingbank.messages import Heartbeat, Message, Pull, Pulled, Received
+from redwingbank.ports.budget import ByteBudget
+from redwingbank.ports.codec import Envelope, decode, encode, kind_of
+from redwingbank.ports.faults import Faults
+from redwingbank.ports.seal import KeyRing, ReplayWindows
+
+if TYPE_CHECKING:
+    from anyio.abc import Listener, SocketStream, TaskGroup, TaskStatus, UDPSocket
+    from anyio.streams.memory import MemoryObjectSendStream
+
+    from redwingbank.settings import Settings
+
+HIGHEST_DATAGRAM_BYTES = 60_000
+UDP_HEADER_BYTES = 28
+BIND_ATTEMPTS = 16
+
+
+class PeerCounters(NamedTuple):
+    """Messages and bytes by kind (bytes with UDP and IP headers), and drops by reason."""
+
+    messages_out: Counter[str]
+    bytes_out: Counter[str]
+    messages_in: Counter[str]
+    bytes_in: Counter[str]
+    dropped: Counter[str]
+
+
+class Peers:
+    """The owner of the control socket.
+
+    :param settings: gives the control address, keys and byte budget
+    :param host: our host's name, the sender of every message
+    :param incarnation: our process's start in microseconds since 1970
+
+    `run` serves until cancelled. Reasons in `counters.dropped`: `stranger` (no key of
+    ours sealed it for us), `garbage`, `replay`, `cut` and `lost` (faults), `overflow`
+    (the inbox is full), `shed` (over the byte budget), `oversize`, `unreachable`.
+    """
+
+    def __init__(self, settings: Settings, host: str, incarnation: int) -> None:
+        self.settings = settings
+        self.host = host
+        self.incarnation = incarnation
+        self.address = str(settings.control)
+        self.ring = KeyRing(settings.peer_keys)
+        self.faults = Faults()
+        self.budget = ByteBudget(settings.control_bytes_per_s)
+        self.counters = PeerCounters(Counter(), Counter(), Counter(), Counter(), Counter())
+        self.listener: Listener[SocketStream] | None = None
+        self._socket: UDPSocket | None = None
+        self._group: TaskGroup | None = None
+        self._windows = ReplayWindows()
+        self._sequence = 0
+
+    async def bind(self) -> None:
+        """Open the UDP socket and, at the same port number, the listener of pulls.
+
+        With port 0 in the settings a port free for both is chosen; `address` tells it.
+
+        :raises OSError: where the settings' port is taken
+        """
+        host, port = self.settings.control
+        for attempt in range(BIND_ATTEMPTS):
+            udp = await anyio.create_udp_socket(local_host=host, local_port=port)
+            bound: int = udp.extra(SocketAttribute.local_port)
+            try:
+                listeners = await anyio.create_tcp_listener(local_host=host, local_port=bound)
+            except OSError:
+                await udp.aclose()
+                if port or attempt == BIND_ATTEMPTS - 1:
+                    raise
+                continue
+            self._socket = udp
+            self.listener = listeners.listeners[0]
+            self.address = str(self.settings.control._replace(port=bound))
+            return
+
+    async def run(
+        self,
+        inbox: MemoryObjectSendStream[Received],
+        *,
+        task_status: TaskStatus[None] = TASK_STATUS_IGNORED,
+    ) -> None:
+        """Take messages into `inbox` (its buffer bounds what waits) until cancelled."""
+        if self._socket is None:
+            await self.bind()
+        assert self._socket is not None
+        async with self._socket, anyio.create_task_group() as group:
+            self._group = group
+            task_status.started()
+            async for data, (host, port) in self._socket:
+                self._take(data, f"{host}:{port}", inbox)
+
+    def envelope(self, message: Message | Pull | Pulled) -> bytes:
+        """Pack a message with our name and its next sequence number."""
+        self._sequence += 1
+        return encode(Envelope(self.host, self.incarnation, self._sequence, message))
+
+    async def send(self, address: str, message: Message) -> bool:
+        """Send a message; tells whether it left, which does not mean that it arrives."""
+        kind = kind_of(message)
+        data = self.ring.seal(self.envelope(message), address.encode())
+        size = len(data) + UDP_HEADER_BYTES
+        if len(data) > HIGHEST_DATAGRAM_BYTES:
+            return self._drop("oversize")
+        may_shed = isinstance(message, Heartbeat)
+        if not self.budget.allows(size, time.monotonic(), may_shed=may_shed):
+            return self._drop("shed")
+        self.counters.messages_out[kind] += 1
+        self.counters.bytes_out[kind] += size
+        if self.faults.loses(address):
+            return self._drop("lost")
+        delay_s = self.faults.delay_s()
+        if delay_s and self._group:
+            self._group.start_soon(self._send_late, data, address, delay_s)
+            return True
+        return await self._write(data, address)
+
+    async def _send_late(self, data: bytes, address: str, delay_s: float) -> None:
+        await anyio.sleep(delay_s)
+        await self._write(data, address)
+
+    async def _write(self, data: bytes, address: str) -> bool:
+        host, _, port = address.rpartition(":")
+        if self._socket is None:
+            return self._drop("unreachable")
+        try:
+            await self._socket.sendto(data, host, int(port))
+        except (OSError, ValueError, anyio.ClosedResourceError, anyio.BrokenResourceError):
+            return self._drop("unreachable")
+        return True
+
+    def _drop(self, reason: str) -> bool:
+        self.counters.dropped[reason] += 1
+        return False
+
+    def _take(self, data: bytes, address: str, inbox: MemoryObjectSendStream[Received]) -> None:
+        envelope = self._opened(data, address)
+        if envelope is None or isinstance(envelope.message, Pull | Pulled):
+            self.counters.bytes_in["dropped"] += len(data) + UDP_HEADER_BYTES
+            return
+        kind = kind_of(envelope.message)
+        self.counters.messages_in[kind] += 1
+        self.counters.bytes_in[kind] += len(data) + UDP_HEADER_BYTES
+        try:
+            inbox.send_nowait(Received(envelope.sender, address, envelope.message))
+        except (anyio.WouldBlock, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            self._drop("overflow")
+
+    def _opened(self, data: bytes, address: str) -> Envelope | None:
+        payload = self.ring.open(data, self.address.encode())
+        if payload is None:
+            self._drop("stranger")
+            return None
+        envelope = decode(payload)
+        if envelope is None or envelope.sender == self.host:
+            self._drop("garbage")
+            return None
+        if self.faults.cuts(address, envelope.sender):
+            self._drop("cut")
+            return None
+        if not self._windows.fresh(envelope.sender, envelope.incarnation, envelope.sequence):
+            self._drop("replay")
+            return None
+        return envelope
+
+
+__all__ = ["PeerCounters", "Peers"]
--- /dev/null
+++ b/src/redwingbank/rules/rendezvous.py
@@ -0,0 +1,32 @@
+"""Rendezvous hashing: every host ranks the same names in the same order for a key."""
+
+from __future__ import annotations
+
+from hashlib import blake2b
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+WEIGHT_BYTES = 8
+SEPARATOR = b"\0"
+
+
+def weight(key: str, name: str) -> int:
+    """A name's weight for a key; equal on every host and after every restart."""
+    text = key.encode() + SEPARATOR + name.encode()
+    return int.from_bytes(blake2b(text, digest_size=WEIGHT_BYTES).digest(), "big")
+
+
+def ranked(key: str, names: Iterable[str]) -> tuple[str, ...]:
+    """Names from the highest weight to the lowest.
+
+    Where a name goes, only what it ranked first for moves, and it moves to its next name.
+
+    >>> ranked("pool/memo-models", ["entry-1", "entry-2"])[0] in ("entry-1", "entry-2")
+    True
+    """
+    return tuple(sorted(names, key=lambda name: (weight(key, name), name), reverse=True))
+
+
+__all__ = ["ranked", "weight"]
