--- a/src/redwingbank/ports/engine.py
+++ b/src/redwingbank/ports/engine.py
@@ -6,6 +6,7 @@
 import ssl
 import time
 from contextlib import asynccontextmanager
+from enum import StrEnum
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import httpcore
@@ -35,6 +36,13 @@
     chunks: AsyncIterator[bytes]
 
 
+class Silence(StrEnum):
+    """Why a backend server gave no load report."""
+
+    NO_REPORT = "no report"
+    UNREACHABLE = "unreachable"
+
+
 class AttemptError(Exception):
     """An attempt broke off; `outcome` tells how."""
 
@@ -158,12 +166,13 @@
         """Tell the engine to stop a request."""
         await self._backend.call(address, "POST", f"/cancel/{request_id}")
 
-    async def load(self, address: str) -> LoadReport | None:
-        """Read the engine's load; nothing where it reports none or can't be reached."""
-        document = await self._document(address, "GET", "/load")
-        if document is None:
-            return None
+    async def load(self, address: str) -> LoadReport | Silence:
+        """Read a backend server's load; plain services that report do it alike."""
+        answer = await self._backend.call(address, "GET", "/load")
+        if answer is None:
+            return Silence.UNREACHABLE
         try:
+            document = json.loads(answer[1])
             return LoadReport(
                 at_s=time.monotonic() - float(document.get("age_ms", 0)) / MILLISECONDS,
                 slots=int(document["slots"]),
@@ -172,8 +181,8 @@
                 draining=bool(document.get("draining", False)),
                 cached_tokens_free=int(document.get("cached_tokens_free", 0)),
             )
-        except (KeyError, TypeError, ValueError):
-            return None
+        except (AttributeError, KeyError, TypeError, ValueError):
+            return Silence.NO_REPORT
 
     async def cache_events(self, address: str, after: int) -> tuple[CacheEvent, ...]:
         """Read cache events numbered over `after`; none where there is no answer."""
@@ -223,4 +232,5 @@
     "BackendClient",
     "EngineClient",
     "Opened",
+    "Silence",
 ]
--- a/src/redwingbank/rules/fleet.py
+++ b/src/redwingbank/rules/fleet.py
@@ -325,6 +325,7 @@
     Outcome.REFUSED: _undecided,
     Outcome.CRASHED: _crashed,
     Outcome.GARBAGE: _failed,
+    Outcome.CLOSED_EARLY: _failed,
     Outcome.TIMED_OUT: _failed,
 }
 
--- /dev/null
+++ b/src/redwingbank/tasks/dispatch.py
@@ -0,0 +1,430 @@
+"""Owner of a host's queue, slots, limits and view of backend servers: decides who runs where."""
+
+from __future__ import annotations
+
+import math
+import time
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
+
+from redwingbank.codes import Code, Ran
+from redwingbank.messages import Allocation, Notice, Received
+from redwingbank.model import LoadReport, Outcome
+from redwingbank.rules import retry
+from redwingbank.rules.estimate import LengthEstimator, WaitEstimator
+from redwingbank.rules.fleet import Fleet
+from redwingbank.rules.limits import Limits
+from redwingbank.rules.policy import policy_of
+from redwingbank.rules.quarantine import Quarantine, Quarantined, Suspect
+from redwingbank.rules.roster import MemberView
+from redwingbank.rules.table import Table
+from redwingbank.tasks.slots import Slots
+from redwingbank.tasks.ticket import Ended, Grant, Left, Refused, Submit, Ticket
+
+if TYPE_CHECKING:
+    from random import Random
+    from typing import Any
+
+    from redwingbank.events import EventLog
+    from redwingbank.metrics import Metrics
+    from redwingbank.model import CacheEvent, Request
+    from redwingbank.settings import Settings
+    from redwingbank.tasks.slots import ToHost
+
+TICK_S = 0.05
+SHORTEST_RETRY_S = 1.0
+MILLISECONDS = 1000.0
+DRAIN_NOTICE = "draining"
+DRAIN_NOTICE_S = 10.0
+OPERATOR_DRAIN_S = 3600.0
+
+
+class Reported(NamedTuple):
+    """A backend server's load report and its cache events came in."""
+
+    server: str
+    report: LoadReport | None
+    cache_events: tuple[CacheEvent, ...] = ()
+
+
+class Unreachable(NamedTuple):
+    """A backend server could not be reached for its report."""
+
+    server: str
+
+
+class DrainServer(NamedTuple):
+    """An operator takes a backend server out of service on every host."""
+
+    server: str
+
+
+class Release(NamedTuple):
+    """An operator releases a quarantined fingerprint on every host."""
+
+    fingerprint: str
+
+
+class Dispatch:
+    """Decides which request runs next and at which backend server.
+
+    Messages come in by `inbox`; grants and refusals go out on each request's ticket, demands
+    to allocators and notices to other hosts by `outbox`. Nothing else touches its state.
+    """
+
+    def __init__(
+        self, settings: Settings, metrics: Metrics, events: EventLog, random: Random, number: int
+    ) -> None:
+        self._settings = settings
+        self._metrics = metrics
+        self._events = events
+        self._policy = policy_of(settings.policy, random)
+        self._table: Table | None = None
+        self._queue = self._policy.queue(Table(0, {}, {}, {}, {}), settings.queue_limit)
+        self._limits = Limits(Table(0, {}, {}, {}, {}), 1)
+        self._lengths = LengthEstimator()
+        self._waits = WaitEstimator()
+        self._budget = retry.RetryBudget(settings.retry_ratio)
+        self._fleet = Fleet(random)
+        self._quarantine = Quarantine(settings.host, first_number=number)
+        self._notice_number = number
+        self._ticket_by_id: dict[str, Ticket] = {}
+        self._touched: set[str] = set()
+        self.inbox, self._messages = anyio.create_memory_object_stream[object](math.inf)
+        self.outbox, self.outgoing = anyio.create_memory_object_stream["ToHost | Notice"](math.inf)
+        self._slots = Slots(settings, self._policy, self._fleet, self._send, number)
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._tick_forever)
+            async for message in self._messages:
+                self._take(message)
+
+    def _take(self, message: object) -> None:
+        """Handle a message and all that wait behind it, then grant what can run."""
+        self.handle(message)
+        while True:
+            try:
+                self.handle(self._messages.receive_nowait())
+            except anyio.WouldBlock:
+                break
+        self._pump_touched()
+
+    async def _tick_forever(self) -> None:
+        while True:
+            await anyio.sleep(TICK_S)
+            self._tick(time.monotonic())
+
+    def _tick(self, now_s: float) -> None:
+        for request in self._queue.expired(now_s):
+            self._waits.gone(request.request_id)
+            self._refuse(request.request_id, Code.WAIT_EXPIRED, self._retry_after_s(request))
+        self._announce(self._quarantine.renewals(now_s))
+        if self._table is not None:
+            self._touched.update(self._table.pools_by_name)
+        self._pump_touched()
+        self._slots.tick(self._queue, self._limits, now_s)
+
+    def _send(self, message: ToHost | Notice) -> None:
+        self.outbox.send_nowait(message)
+
+    def _announce(self, notices: list[Notice]) -> None:
+        for notice in notices:
+            self._events.record("notice", kind=notice.kind, subject=notice.subject)
+            self._send(notice)
+
+    @singledispatchmethod
+    def handle(self, message: object) -> None:
+        """Take one message in."""
+        raise TypeError(type(message))
+
+    @handle.register(Table)
+    def _on_table(self, table: Table) -> None:
+        self._table = table
+        self._queue.rebase(table)
+        self._fleet.rebase(table.backend_servers_by_name.values())
+        self._slots.rebase(table)
+        self._limits.rebase(table, self._slots.host_count)
+        self._touched.update(table.pools_by_name)
+
+    @handle.register(MemberView)
+    def _on_members(self, view: MemberView) -> None:
+        self._slots.members(view)
+        if self._table is not None:
+            self._limits.rebase(self._table, self._slots.host_count)
+
+    @handle.register(Received)
+    def _on_received(self, received: Received) -> None:
+        message = received.message
+        if not isinstance(message, Allocation):
+            return
+        self._slots.apply(received.sender, message, self._limits, time.monotonic())
+        self._touched.add(message.pool)
+
+    @handle.register(Notice)
+    def _on_notice(self, notice: Notice) -> None:
+        now_s = time.monotonic()
+        if notice.kind == DRAIN_NOTICE:
+            self._fleet.drain(notice.subject, now_s + notice.ttl_s)
+            return
+        self._quarantine.learn(notice, now_s)
+
+    @handle.register(Reported)
+    def _on_reported(self, reported: Reported) -> None:
+        now_s = time.monotonic()
+        drained = reported.server in self._fleet.draining(now_s)
+        if reported.report is not None:
+            self._fleet.report(reported.server, reported.report, now_s)
+        for event in reported.cache_events:
+            self._fleet.cache_event(reported.server, event)
+        if not drained and reported.server in self._fleet.draining(now_s):
+            self._tell_draining(reported.server, DRAIN_NOTICE_S)
+        self._slots.capacity_changed(now_s)
+
+    @handle.register(Unreachable)
+    def _on_unreachable(self, unreachable: Unreachable) -> None:
+        self._fleet.unreachable(unreachable.server, time.monotonic())
+        self._slots.capacity_changed(time.monotonic())
+
+    @handle.register(DrainServer)
+    def _on_drain(self, drain: DrainServer) -> None:
+        self._fleet.drain(drain.server, time.monotonic() + OPERATOR_DRAIN_S)
+        self._tell_draining(drain.server, OPERATOR_DRAIN_S)
+
+    @handle.register(Release)
+    def _on_release(self, release: Release) -> None:
+        self._events.record("quarantine-released", fingerprint=release.fingerprint)
+        self._announce(self._quarantine.release(release.fingerprint, time.monotonic()))
+
+    @handle.register(Submit)
+    def _on_submit(self, submit: Submit) -> None:
+        ticket = submit.ticket
+        request = ticket.request
+        now_s = time.monotonic()
+        self._ticket_by_id[request.request_id] = ticket
+        code = self._limits.admit(request, now_s)
+        if code is not None:
+            retry_s = self._limits.retry_after_s(request, code, now_s)
+            self._refuse(request.request_id, code, retry_s)
+            return
+        if self._quarantined(ticket, now_s) or self._hopeless(request, now_s):
+            return
+        self._budget.sent(request.pool, now_s)
+        self._enqueue(request, now_s)
+
+    @handle.register(Ended)
+    def _on_ended(self, ended: Ended) -> None:
+        ticket = ended.ticket
+        now_s = time.monotonic()
+        server = self._finish_attempt(ticket, ended.outcome, ended.tokens, now_s, ended)
+        if ended.outcome is Outcome.DONE:
+            self._done(ticket.request, ended.tokens, now_s)
+            return
+        self._metrics.count("attempts_failed_total", outcome=ended.outcome.value)
+        self._events.record(
+            "attempt-failed",
+            request=ticket.request.request_id,
+            server=server,
+            outcome=ended.outcome.value,
+            delivered=ended.tokens,
+        )
+        self._again(ended, server, now_s)
+
+    @handle.register(Left)
+    def _on_left(self, left: Left) -> None:
+        ticket = left.ticket
+        now_s = time.monotonic()
+        self._finish_attempt(ticket, Outcome.CANCELLED, left.tokens, now_s)
+        self._queue.remove(ticket.request.request_id)
+        self._waits.gone(ticket.request.request_id)
+        self._limits.served(ticket.request.organisation, left.tokens, now_s)
+        self._forget(ticket.request.request_id)
+
+    def _finish_attempt(
+        self,
+        ticket: Ticket,
+        outcome: Outcome,
+        tokens: int,
+        now_s: float,
+        ended: Ended | None = None,
+    ) -> str:
+        """Give back the slot of an attempt; return the server it ran at."""
+        server, ticket.server = ticket.server, ""
+        if not server:
+            return server
+        request = ticket.request
+        self._slots.finish(request.pool, server)
+        token_s = None
+        if ended is not None and ended.first_token_s:
+            self._fleet.first_token(server, request, ended.first_token_s, now_s)
+            spent_s = now_s - ticket.sent_s - ended.first_token_s
+            token_s = spent_s / (tokens - 1) if tokens > 1 else None
+        self._fleet.finished(server, request, outcome, now_s, token_s)
+        self._announce(self._quarantine.finished(server, request, outcome, now_s))
+        self._queue.finish(request.request_id, now_s, tokens)
+        self._touched.add(request.pool)
+        return server
+
+    def _done(self, request: Request, tokens: int, now_s: float) -> None:
+        self._limits.served(request.organisation, tokens + request.prompt_tokens, now_s)
+        if tokens:
+            self._lengths.observe(request.class_name, request.organisation, tokens)
+        self._events.record("request-done", request=request.request_id, tokens=tokens)
+        self._forget(request.request_id)
+
+    def _again(self, ended: Ended, server: str, now_s: float) -> None:
+        ticket = ended.ticket
+        if ended.outcome is Outcome.REFUSED:
+            self._fleet.unreachable(server, now_s)
+        if self._quarantined(ticket, now_s):
+            return
+        ticket.tried = (*ticket.tried, server)
+        verdict = retry.verdict(
+            ticket.request,
+            ended.outcome,
+            first_byte_sent=ticket.life.ran is not Ran.NO,
+            answer_begun=ticket.life.ran is Ran.YES,
+            tried=ticket.tried,
+            budget=self._budget,
+            now_s=now_s,
+            resumable=self._kind(ticket.request.pool) == "engine",
+        )
+        if isinstance(verdict, retry.GiveUp):
+            self._refuse(ticket.request.request_id, verdict.code, SHORTEST_RETRY_S)
+            return
+        ticket.avoid = verdict.avoid
+        ticket.request = ticket.request._replace(attempt=ticket.request.attempt + 1)
+        ticket.requeue()
+        self._metrics.count("retries_total", pool=ticket.request.pool)
+        self._enqueue(ticket.request, now_s)
+
+    def _kind(self, pool: str) -> str:
+        row = self._table.pools_by_name.get(pool) if self._table else None
+        return row.kind if row else ""
+
+    def _enqueue(self, request: Request, now_s: float) -> None:
+        for shed in self._queue.push(request, now_s):
+            self._waits.gone(shed.request.request_id)
+            self._refuse(shed.request.request_id, shed.code, shed.retry_after_s)
+        self._touched.add(request.pool)
+
+    def _quarantined(self, ticket: Ticket, now_s: float) -> bool:
+        verdict = self._quarantine.verdict(ticket.request.fingerprint, now_s)
+        if not isinstance(verdict, Quarantined):
+            return False
+        ran = ticket.life.ran is not Ran.NO
+        code = Code.QUARANTINED_AFTER_RUN if ran else Code.QUARANTINED
+        if not verdict.proven:
+            code = Code.SUSPECTED_AFTER_RUN if ran else Code.SUSPECTED
+        self._refuse(ticket.request.request_id, code, verdict.retry_after_s)
+        return True
+
+    def _hopeless(self, request: Request, now_s: float) -> bool:
+        """Refuse a request at once whose give-up time will surely pass in the queue."""
+        rate = self._queue.starts_per_s(now_s)
+        verdict = self._waits.verdict(request, self._queue.ahead(request), rate, now_s)
+        if verdict.refuse:
+            self._refuse(request.request_id, Code.TARGET_UNREACHABLE, verdict.retry_after_s)
+        return verdict.refuse
+
+    def _retry_after_s(self, request: Request) -> float:
+        rate = self._queue.starts_per_s(time.monotonic())
+        return self._queue.ahead(request) / rate if rate > 0 else SHORTEST_RETRY_S
+
+    def _refuse(self, request_id: str, code: Code, retry_after_s: float) -> None:
+        ticket = self._ticket_by_id.get(request_id)
+        if ticket is not None:
+            ticket.decide(Refused(code, retry_after_s))
+        self._forget(request_id)
+
+    def _forget(self, request_id: str) -> None:
+        self._ticket_by_id.pop(request_id, None)
+        self._limits.finish(request_id)
+
+    def _tell_draining(self, server: str, ttl_s: float) -> None:
+        self._notice_number += 1
+        notice = Notice(
+            DRAIN_NOTICE, server, self._settings.host, self._notice_number, 1.0, ttl_s
+        )
+        self._announce([notice])
+
+    def _pump_touched(self) -> None:
+        now_s = time.monotonic()
+        touched = sorted(self._touched)
+        self._touched.clear()
+        for pool in touched:
+            while self._grant_next(pool, now_s):
+                pass
+            self._slots.ask(pool, self._queue.demand(pool, now_s), now_s)
+
+    def _grant_next(self, pool: str, now_s: float) -> bool:
+        """Start the pool's next request if a slot is free for it."""
+        holdings = self._slots.holdings(pool)
+        free = holdings.free(now_s)
+        if not free:
+            return False
+        request = self._queue.best(pool, now_s, holdings.floor(now_s), holdings.turns(now_s))
+        if request is None:
+            return False
+        ticket = self._ticket_by_id[request.request_id]
+        verdict = self._quarantine.verdict(request.fingerprint, now_s)
+        if isinstance(verdict, Quarantined):
+            self._queue.remove(request.request_id)
+            return self._quarantined(ticket, now_s)
+        quiet = isinstance(verdict, Suspect)
+        avoid = ticket.avoid | (verdict.crashed | verdict.busy if quiet else frozenset())
+        server = self._fleet.choose(request, free, now_s, avoid, quiet=quiet)
+        if server is None:
+            return False
+        self._grant(ticket, server, now_s)
+        return True
+
+    def _grant(self, ticket: Ticket, server: str, now_s: float) -> None:
+        request = ticket.request
+        assert self._table is not None
+        self._queue.pop(request.request_id, now_s)
+        self._slots.take(request.pool, server)
+        self._limits.start(request.request_id)
+        self._waits.started(request, now_s)
+        self._fleet.sent(server, request, now_s)
+        self._announce(self._quarantine.started(server, request, now_s))
+        waited_s = now_s - request.arrived_s
+        self._metrics.observe("queue_seconds", waited_s, service_class=request.class_name)
+        self._events.record(
+            "request-granted",
+            request=request.request_id,
+            server=server,
+            service_class=request.class_name,
+            organisation=request.organisation,
+            tier=request.tier,
+            attempt=request.attempt,
+            waited_ms=round(waited_s * MILLISECONDS, 1),
+        )
+        address = self._table.backend_servers_by_name[server].address
+        ticket.grant(Grant(server, address, self._kind(request.pool)), now_s)
+
+    def status(self) -> dict[str, Any]:
+        """Tell the state of queue, servers, slots and quarantine as plain data."""
+        now_s = time.monotonic()
+        servers = self._table.backend_servers_by_name if self._table else {}
+        return {
+            "waiting": self._queue.waiting_by_class,
+            "in_flight": len(self._ticket_by_id) - len(self._queue),
+            "servers": {
+                name: {
+                    "pool": row.pool,
+                    "state": self._fleet.state(name, now_s).value,
+                    "load": self._fleet.load(name, now_s),
+                }
+                for name, row in servers.items()
+            },
+            "slots": self._slots.status(now_s),
+            "quarantine": [case._asdict() for case in self._quarantine.listing(now_s)],
+            "estimates": self._waits.calibration._asdict(),
+        }
+
+
+__all__ = ["Dispatch", "DrainServer", "Release", "Reported", "Unreachable"]
