Check the table whole, store it in pages and publish it by conditional writes

Cause: the table needs one form in the platform that changes little for a one-row edit. Change: parse_table tells every fault at once; rows are hashed into content-addressed pages; publish merges by cell, reads an unknown outcome back, and prunes by version.

--- /dev/null
+++ b/src/redwingbank/ports/table_store.py
@@ -0,0 +1,279 @@
+"""Loads the table from the platform and publishes changes to it.
+
+A table is accepted when the conditional write of its head is known to have taken effect. An
+outcome that is not known is read back: the head's nonce, or the history's, tells whose it was.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
+
+from redwingbank.errors import RedwingbankError, TableErrors
+from redwingbank.ports.platform import Absent, Conflict, Stored, Unknown
+from redwingbank.ports.table_pruning import COLLECT_EVERY, collect, unused
+from redwingbank.rules import pages
+from redwingbank.rules.merge import merge
+from redwingbank.rules.table import parse_table, sheets_of
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from redwingbank.ports.platform import Platform
+    from redwingbank.rules.table import Sheets, Table
+
+ATTEMPTS = 8
+TRIES = 4
+PAUSE_S = 0.05
+READS_AT_ONCE = 8
+
+
+class Loaded(NamedTuple):
+    """A table as stored; `version` and `value` are the head object's."""
+
+    head: pages.Head
+    version: int
+    value: bytes
+    pages_by_name: dict[str, bytes]
+    sheets: dict[str, dict[str, dict[str, str]]]
+
+    def table(self) -> Table:
+        """Build the table."""
+        return parse_table(self.sheets, self.head.revision)
+
+
+class Accepted(NamedTuple):
+    """The change is in the platform as this revision."""
+
+    revision: int
+
+
+class Rejected(NamedTuple):
+    """The change did not take effect; each fault or conflict is told."""
+
+    faults: tuple[RedwingbankError, ...]
+
+
+NO_TABLE = Loaded(pages.Head(0, pages.EMPTY_ROOT, "", "", 0.0), 0, b"", {}, {})
+
+
+async def load_table(
+    platform: Platform, have: Mapping[str, bytes] | None = None
+) -> Loaded | Absent | Unknown:
+    """Read the head and those of its pages that are not in `have`."""
+    for _ in range(TRIES):
+        stored = await platform.read(pages.HEAD)
+        if not isinstance(stored, Stored):
+            return stored
+        loaded = await load_pages(platform, stored, have or {})
+        if not isinstance(loaded, Absent):
+            return loaded
+    return Unknown(pages.HEAD, "a page is missing")
+
+
+async def load_pages(
+    platform: Platform, stored: Stored, have: Mapping[str, bytes]
+) -> Loaded | Absent | Unknown:
+    """Read a head's pages; `Absent` where one is gone, since a later head replaced this one."""
+    try:
+        head = pages.decode_head(stored.value)
+    except pages.PageError as error:
+        return Unknown(stored.key, str(error))
+    names = head.root.names()
+    values = {name: have[name] for name in names if name in have}
+    faults: list[Absent | Unknown] = []
+    limiter = anyio.CapacityLimiter(READS_AT_ONCE)
+
+    async def read(name: str) -> None:
+        async with limiter:
+            if faults:
+                return
+            answer = await platform.read(name)
+        if isinstance(answer, Stored):
+            values[name] = answer.value
+        else:
+            faults.append(answer)
+
+    async with anyio.create_task_group() as tasks:
+        for name in pages.missing(head.root, values):
+            tasks.start_soon(read, name)
+    if faults:
+        return faults[0]
+    try:
+        sheets = pages.unpack(head.root, values)
+    except pages.PageError as error:
+        return Unknown(stored.key, str(error))
+    return Loaded(head, stored.version, stored.value, values, sheets)
+
+
+async def publish(
+    platform: Platform, base: Loaded | Absent, mine: Sheets, author: str, nonce: str
+) -> Accepted | Rejected | Unknown:
+    """Write the whole sheets `mine`, which were made from `base`, as the next revision.
+
+    What others changed since `base` is merged by cell. `nonce` must be new for each call.
+    """
+    first = NO_TABLE if isinstance(base, Absent) else base
+    try:
+        wanted = sheets_of(parse_table(mine, 0))
+    except TableErrors as errors:
+        return Rejected(_faults(errors))
+    current = first
+    for _ in range(ATTEMPTS):
+        merged = merge(first.sheets, wanted, current.sheets)
+        if merged.conflicts:
+            return Rejected(merged.conflicts)
+        try:
+            parse_table(merged.sheets, 0)
+        except TableErrors as errors:
+            return Rejected(_faults(errors))
+        outcome = await _write(platform, current, merged.sheets, author, nonce)
+        if not isinstance(outcome, Conflict):
+            return outcome
+        newer = await _newer(platform, current)
+        if isinstance(newer, Unknown):
+            return newer
+        current = newer
+    return Unknown(pages.HEAD, "others keep changing the table")
+
+
+async def _newer(platform: Platform, current: Loaded) -> Loaded | Unknown:
+    """Load a table newer than `current`, past stale answers."""
+    for number in range(TRIES):
+        await anyio.sleep(PAUSE_S * number)
+        loaded = await load_table(platform, current.pages_by_name)
+        if isinstance(loaded, Loaded) and loaded.version > current.version:
+            return loaded
+    return Unknown(pages.HEAD, "the newer table can't be read")
+
+
+def _faults(errors: TableErrors) -> tuple[RedwingbankError, ...]:
+    return tuple(fault for fault in errors.exceptions if isinstance(fault, RedwingbankError))
+
+
+async def _write(
+    platform: Platform, current: Loaded, sheets: Sheets, author: str, nonce: str
+) -> Accepted | Conflict | Unknown:
+    packed = pages.pack(sheets, current.head.root)
+    head = pages.Head(current.head.revision + 1, packed.root, nonce, author, time.time())
+    for name in pages.missing(packed.root, current.pages_by_name):
+        stored = await _put_page(platform, name, packed.values_by_name[name])
+        if isinstance(stored, Unknown):
+            return stored
+    if current.head.revision:
+        kept = await _keep(platform, current)
+        if isinstance(kept, Unknown):
+            return kept
+    old = await unused(platform, head) if head.revision % COLLECT_EVERY == 0 else ()
+    outcome = await _put_head(platform, current, head)
+    if isinstance(outcome, Accepted):
+        await collect(platform, old)
+    return outcome
+
+
+async def _put_page(platform: Platform, name: str, value: bytes) -> Stored | Unknown:
+    """Write a page, also where it is there: a new version keeps another's pruning off it."""
+    answer: Stored | Conflict | Unknown = Unknown(name, "not written")
+    for _ in range(TRIES):
+        answer = await platform.create(name, value)
+        if isinstance(answer, Conflict):
+            answer = await platform.update(name, value, answer.version)
+        if isinstance(answer, Stored):
+            return answer
+    return Unknown(name, "not written")
+
+
+async def _keep(platform: Platform, current: Loaded) -> Stored | Conflict | Unknown:
+    """Write the head about to be replaced into the history; equal bytes may be there already."""
+    answer: Stored | Conflict | Unknown = Unknown(pages.HISTORY, "not written")
+    for _ in range(TRIES):
+        name = pages.history_name(current.head.revision)
+        answer = await platform.create(name, current.value)
+        if not isinstance(answer, Unknown):
+            return answer
+    return answer
+
+
+async def _put_head(
+    platform: Platform, current: Loaded, head: pages.Head
+) -> Accepted | Conflict | Unknown:
+    value = pages.encode_head(head)
+    doubtful = False
+    answer: Stored | Conflict | Unknown = Unknown(pages.HEAD, "not written")
+    for _ in range(TRIES):
+        if current.version:
+            answer = await platform.update(pages.HEAD, value, current.version)
+        else:
+            answer = await platform.create(pages.HEAD, value)
+        if isinstance(answer, Stored):
+            return Accepted(head.revision)
+        if isinstance(answer, Conflict) and not doubtful:
+            return answer
+        doubtful = True
+        settled = await _read_back(platform, current, head)
+        if settled is not None:
+            return settled
+    return Unknown(pages.HEAD, f"revision {head.revision} with nonce {head.nonce}")
+
+
+async def _read_back(
+    platform: Platform, current: Loaded, head: pages.Head
+) -> Accepted | Conflict | None:
+    """Tell whose the revision became; None where that is not known yet.
+
+    While the head is the one that was replaced, the write may still be under way; the same
+    write may then be made again, since only one of the two can meet the condition.
+    """
+    stored = await platform.read(pages.HEAD)
+    if not isinstance(stored, Stored) or stored.version <= current.version:
+        return None
+    present = pages.decode_head(stored.value)
+    if present.revision > head.revision:
+        kept = await platform.read(pages.history_name(head.revision))
+        if not isinstance(kept, Stored):
+            return None
+        present = pages.decode_head(kept.value)
+    if present.nonce == head.nonce:
+        return Accepted(head.revision)
+    return Conflict(pages.HEAD, stored.version)
+
+
+async def load_history(platform: Platform) -> tuple[pages.Head, ...] | Unknown:
+    """Read the heads that are kept, the newest first, the one in force included."""
+    names = await platform.keys(pages.HISTORY)
+    if isinstance(names, Unknown):
+        return names
+    heads: dict[int, pages.Head] = {}
+    for name in (*names, pages.HEAD):
+        stored = await platform.read(name)
+        if isinstance(stored, Unknown):
+            return stored
+        if isinstance(stored, Stored):
+            head = pages.decode_head(stored.value)
+            heads[head.revision] = head
+    return tuple(heads[revision] for revision in sorted(heads, reverse=True))
+
+
+async def load_revision(platform: Platform, revision: int) -> Loaded | Absent | Unknown:
+    """Read a revision that is kept, or the one in force."""
+    for name in (pages.history_name(revision), pages.HEAD):
+        stored = await platform.read(name)
+        if isinstance(stored, Unknown):
+            return stored
+        if isinstance(stored, Stored) and pages.decode_head(stored.value).revision == revision:
+            return await load_pages(platform, stored, {})
+    return Absent(pages.history_name(revision))
+
+
+__all__ = [
+    "Accepted",
+    "Loaded",
+    "Rejected",
+    "load_history",
+    "load_pages",
+    "load_revision",
+    "load_table",
+    "publish",
+]
--- /dev/null
+++ b/src/redwingbank/rules/pages.py
@@ -0,0 +1,212 @@
+"""How a table is stored: rows hashed into pages named by their content, and a head naming them.
+
+A page is immutable and named by its digest, so a change of one row writes one small page and the
+head. A host that follows the head asks only for the pages it does not have.
+"""
+
+from __future__ import annotations
+
+import base64
+import hashlib
+import json
+import zlib
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from collections.abc import Container, Mapping
+
+    from redwingbank.rules.table import Sheets
+
+HEAD = "table/head"
+PAGES = "table/page/"
+HISTORY = "table/history/"
+ROWS_PER_PAGE = 40
+DIGEST_BYTES = 16
+LARGEST_PAGE_BYTES = 16 * 1024 * 1024
+RESIZE_FACTOR = 4
+
+
+class PageError(Exception):
+    """A stored value is not what its name or its form says."""
+
+
+class Root(NamedTuple):
+    """The digests of a table's pages, by page number."""
+
+    digests: tuple[bytes, ...]
+
+    def names(self) -> tuple[str, ...]:
+        """Keys of the pages, without repeats, in order."""
+        return tuple(dict.fromkeys(page_name(digest) for digest in self.digests))
+
+
+class Head(NamedTuple):
+    """What `table/head` holds: the revision, its pages, and who wrote it.
+
+    `nonce` tells the writer that the head in force is its own; `at_s` is wall time.
+    """
+
+    revision: int
+    root: Root
+    nonce: str
+    author: str
+    at_s: float
+
+
+class Packed(NamedTuple):
+    """A table's pages: the root, and each page's value by its key."""
+
+    root: Root
+    values_by_name: dict[str, bytes]
+
+
+EMPTY_ROOT = Root(())
+
+
+def page_name(digest: bytes) -> str:
+    """Key of the page with this digest."""
+    return PAGES + digest.hex()
+
+
+def history_name(revision: int) -> str:
+    """Key of the head that a later one replaced; keys sort by revision."""
+    return f"{HISTORY}{revision:012d}"
+
+
+def page_count(rows: int, present: int = 0) -> int:
+    """Choose a power of two; the present count stays while it is within a factor of four.
+
+    >>> page_count(5_100)
+    128
+    """
+    wanted = 1 << max(0, (rows - 1) // ROWS_PER_PAGE).bit_length()
+    if present and present / RESIZE_FACTOR <= wanted <= present * RESIZE_FACTOR:
+        return present
+    return wanted
+
+
+def pack(sheets: Sheets, present: Root = EMPTY_ROOT) -> Packed:
+    """Put the rows into pages; `present` is the root in force, whose page count is kept."""
+    rows = [
+        (sheet, row, dict(cells))
+        for sheet, by_row in sheets.items()
+        for row, cells in by_row.items()
+    ]
+    pages: list[list[tuple[str, str, dict[str, str]]]] = [
+        [] for _ in range(page_count(len(rows), len(present.digests)))
+    ]
+    for row in rows:
+        pages[_page_of(row[0], row[1], len(pages))].append(row)
+    contents = [_content(page) for page in pages]
+    digests = tuple(_digest(content) for content in contents)
+    values = {
+        page_name(digest): zlib.compress(content)
+        for digest, content in zip(digests, contents, strict=True)
+    }
+    return Packed(Root(digests), values)
+
+
+def unpack(
+    root: Root, values_by_name: Mapping[str, bytes]
+) -> dict[str, dict[str, dict[str, str]]]:
+    """Read the pages back to sheets.
+
+    :raises PageError: where a page is missing or its content is not what its name says
+    """
+    sheets: dict[str, dict[str, dict[str, str]]] = {}
+    for digest in dict.fromkeys(root.digests):
+        for sheet, row, cells in json.loads(_checked(digest, values_by_name)):
+            sheets.setdefault(sheet, {})[row] = cells
+    return sheets
+
+
+def missing(root: Root, have: Container[str]) -> tuple[str, ...]:
+    """Keys of the root's pages that are not in `have`."""
+    return tuple(name for name in root.names() if name not in have)
+
+
+def encode_head(head: Head) -> bytes:
+    """Write a head in its stored form."""
+    document = {
+        "revision": head.revision,
+        "pages": base64.b64encode(b"".join(head.root.digests)).decode(),
+        "nonce": head.nonce,
+        "author": head.author,
+        "at_s": head.at_s,
+    }
+    return json.dumps(document, sort_keys=True).encode()
+
+
+def decode_head(value: bytes) -> Head:
+    """Read a head.
+
+    :raises PageError: where the value is not a head
+    """
+    try:
+        document = json.loads(value)
+        digests = base64.b64decode(document["pages"], validate=True)
+        if len(digests) % DIGEST_BYTES:
+            raise PageError("the head's digests are cut")
+        return Head(
+            int(document["revision"]),
+            Root(_split(digests)),
+            str(document["nonce"]),
+            str(document["author"]),
+            float(document["at_s"]),
+        )
+    except (ValueError, KeyError, TypeError) as error:
+        raise PageError("not a head") from error
+
+
+def _split(digests: bytes) -> tuple[bytes, ...]:
+    starts = range(0, len(digests), DIGEST_BYTES)
+    return tuple(digests[start : start + DIGEST_BYTES] for start in starts)
+
+
+def _page_of(sheet: str, row: str, count: int) -> int:
+    return int.from_bytes(_digest(f"{sheet}\0{row}".encode()), "big") % count
+
+
+def _content(rows: list[tuple[str, str, dict[str, str]]]) -> bytes:
+    return json.dumps(sorted(rows, key=_place), sort_keys=True, separators=(",", ":")).encode()
+
+
+def _place(row: tuple[str, str, dict[str, str]]) -> tuple[str, str]:
+    return row[:2]
+
+
+def _digest(content: bytes) -> bytes:
+    return hashlib.sha256(content).digest()[:DIGEST_BYTES]
+
+
+def _checked(digest: bytes, values_by_name: Mapping[str, bytes]) -> bytes:
+    name = page_name(digest)
+    if name not in values_by_name:
+        raise PageError(f"{name} is missing")
+    try:
+        content = zlib.decompressobj().decompress(values_by_name[name], LARGEST_PAGE_BYTES)
+    except zlib.error as error:
+        raise PageError(f"{name} is unreadable") from error
+    if _digest(content) != digest:
+        raise PageError(f"{name} has another content")
+    return content
+
+
+__all__ = [
+    "EMPTY_ROOT",
+    "HEAD",
+    "HISTORY",
+    "PAGES",
+    "Head",
+    "Packed",
+    "PageError",
+    "Root",
+    "decode_head",
+    "encode_head",
+    "history_name",
+    "missing",
+    "pack",
+    "page_count",
+    "page_name",
+    "unpack",
+]
--- /dev/null
+++ b/tests/steps/rules_table.py
@@ -0,0 +1,77 @@
+"""Steps of rules/table.feature."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from redwingbank.errors import TableErrors
+from redwingbank.rules.table import parse_table, sheets_of
+from table_samples import key_hash, sample_sheets, with_cell
+
+
+@given("the table's sample sheets")
+def table_sheets(context):
+    context.sheets = sample_sheets()
+
+
+@when('the table\'s cell {where} is "{value}"')
+def table_cell(context, where, value):
+    context.sheets = with_cell(context.sheets, where, value)
+
+
+@when("the table's organisations 0 and 1 have one key")
+def one_key(context):
+    where = "organisations/organisation-1/key_hash"
+    context.sheets = with_cell(context.sheets, where, key_hash("0"))
+
+
+def faults_of(sheets):
+    try:
+        parse_table(sheets, 1)
+    except TableErrors as errors:
+        return list(errors.exceptions)
+    return []
+
+
+def places(faults):
+    return [f"{fault.sheet}/{fault.row}/{fault.column}" for fault in faults]
+
+
+@then("the table's only fault is {place}")
+def only_fault(context, place):
+    assert places(faults_of(context.sheets)) == [place], faults_of(context.sheets)
+
+
+@then("the table's faults are")
+def all_faults_are(context):
+    wanted = [row["fault"] for row in context.table]
+    assert sorted(places(faults_of(context.sheets))) == sorted(wanted)
+
+
+@then("the table's faults show no key")
+def faults_hide_key(context):
+    assert key_hash("0") not in "".join(map(str, faults_of(context.sheets)))
+
+
+@then('the table has tier {tier:d} for class "{name}"')
+def has_tier(context, tier, name):
+    context.parsed = parse_table(context.sheets, 7)
+    assert context.parsed.revision == 7
+    assert context.parsed.classes_by_name[name].tier == tier
+
+
+@then("the table's defaults are filled in")
+def defaults(context):
+    row = context.parsed.backend_servers_by_name["runner-0"]
+    assert (row.state, row.fencing) == ("serving", "ignored")
+    assert sheets_of(context.parsed)["classes"]["memo"]["weight"] == "1"
+
+
+@then("the table read back from its sheets is the same")
+def read_back(context):
+    assert parse_table(sheets_of(context.parsed), 7) == context.parsed
+
+
+@then('the table\'s servers of pool "{pool}" are {count:d}')
+def servers_of(context, pool, count):
+    assert len(context.parsed.servers_of(pool)) == count
