--- a/src/redwingbank/codes.py
+++ b/src/redwingbank/codes.py
@@ -36,9 +36,10 @@
     WAIT_EXPIRED = 1212
     NO_BACKEND_SERVER = 1220
     NOT_READY = 1221
-    SHUTTING_DOWN = 1222
     QUARANTINED = 1230
     QUARANTINED_AFTER_RUN = 1231
+    SUSPECTED = 1232
+    SUSPECTED_AFTER_RUN = 1233
     PLATFORM_UNAVAILABLE = 1300
     STILL_RUNNING = 1301
     OUTCOME_UNKNOWN = 1302
@@ -103,15 +104,18 @@
         503, Ran.NO, "no backend server can take it", "come back", retry=True
     ),
     Code.NOT_READY: _row(503, Ran.NO, "the host has no table yet", "come back", retry=True),
-    Code.SHUTTING_DOWN: _row(
-        503, Ran.NO, "the host is in graceful shutdown", "ask again", retry=True
-    ),
     Code.QUARANTINED: _row(
         422, Ran.NO, "requests like this one crashed backend servers", "ask an operator"
     ),
     Code.QUARANTINED_AFTER_RUN: _row(
         422, Ran.MAYBE, "this request was running when its servers crashed", "ask an operator"
     ),
+    Code.SUSPECTED: _row(
+        503, Ran.NO, "a request like this one is being tried alone", "come back", retry=True
+    ),
+    Code.SUSPECTED_AFTER_RUN: _row(
+        503, Ran.MAYBE, "its server crashed; one like it is being tried", "come back", retry=True
+    ),
     Code.PLATFORM_UNAVAILABLE: _row(
         503, Ran.NO, "the call could not be recorded, so it was not run", "come back", retry=True
     ),
--- a/src/redwingbank/ports/caller.py
+++ b/src/redwingbank/ports/caller.py
@@ -68,16 +68,11 @@
         self._operators = operators
         self._metrics = metrics
         self._directory: Directory | None = None
-        self._leaving = False
 
     def table_in_force(self, table: Table) -> None:
         """Use a newer table for the requests that come from now on."""
         self._directory = Directory(table)
 
-    def leave(self) -> None:
-        """Take no new requests; those begun run on."""
-        self._leaving = True
-
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one ASGI connection."""
         if scope["type"] != "http":
@@ -106,8 +101,6 @@
         directory = self._directory
         if directory is None:
             return Refusal(Code.NOT_READY, retry_after_s=NOT_READY_RETRY_S)
-        if self._leaving:
-            return Refusal(Code.SHUTTING_DOWN)
         admitted = directory.admit(exchange.head)
         if path == CHAT_PATH:
             return await self._chat(exchange, directory, admitted)
--- a/src/redwingbank/ports/engine.py
+++ b/src/redwingbank/ports/engine.py
@@ -108,7 +108,7 @@
         request = self.pool(address).stream(
             method,
             f"http://{address}{path}",
-            headers={"Host": address, **headers},
+            headers=[("Host", address), *headers.items()],
             content=body,
             extensions={"timeout": self._timeout},
         )
--- a/src/redwingbank/ports/service.py
+++ b/src/redwingbank/ports/service.py
@@ -5,6 +5,7 @@
 import base64
 import hashlib
 import json
+import time
 from typing import TYPE_CHECKING, NamedTuple
 
 import anyio
@@ -102,6 +103,9 @@
     async def _give(self, answer: ServiceAnswer | Refusal, request: Request, send: Send) -> None:
         code = answer.code if isinstance(answer, Refusal) else Code.OK
         self._metrics.count("answers_total", code=str(int(code)))
+        met = code is Code.OK and time.monotonic() <= request.deadline_s
+        name = "attained_total" if met else "missed_total"
+        self._metrics.count(name, service_class=request.class_name)
         if isinstance(answer, Refusal):
             self._events.record(
                 "request-refused", request=request.request_id, code=int(answer.code)
--- a/src/redwingbank/rules/frames.py
+++ b/src/redwingbank/rules/frames.py
@@ -16,14 +16,14 @@
 
 
 class Frames:
-    """Cuts an engine's byte stream into whole frames.
+    r"""Cuts an engine's byte stream into whole frames.
 
     `tokens` counts the frames that carry text, over all attempts fed so far; `finished`
     is set by the engine's own end mark only.
 
     >>> frames = Frames()
-    >>> frames.feed(b'data: {"choices":[{"delta":{"content":"a"}}]}\\n\\ndata: {"ch')
-    b'data: {"choices":[{"delta":{"content":"a"}}]}\\n\\n'
+    >>> frames.feed(b'data: {"choices":[{"delta":{"content":"a"}}]}\n\ndata: {"ch')
+    b'data: {"choices":[{"delta":{"content":"a"}}]}\n\n'
     >>> frames.tokens
     1
     """
--- /dev/null
+++ b/src/redwingbank/rules/policy.py
@@ -0,0 +1,96 @@
+"""Policies of scheduling: the product's own, and the baselines it is measured against."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from redwingbank.rules.holdings import Holdings
+from redwingbank.rules.queue import LOWEST_TIER, Queue
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+    from random import Random
+
+    from redwingbank.model import Request
+    from redwingbank.rules.fleet import Fleet
+    from redwingbank.rules.table import Table
+
+
+class LocalHoldings(Holdings):
+    """Slots as this host alone sees them: reported capacity less load; no allocator is asked."""
+
+    def __init__(self, pool: str, host_count: int, fleet: Fleet) -> None:
+        super().__init__(pool, host_count)
+        self._name = pool
+        self._fleet = fleet
+
+    def free(self, now_s: float) -> dict[str, int]:
+        """Count the slots that the last reports leave free."""
+        capacity = self._fleet.capacity(self._name, now_s)
+        left = {name: slots - self._fleet.load(name, now_s) for name, slots in capacity.items()}
+        return {name: slots for name, slots in left.items() if slots > 0}
+
+
+class FirstComeQueue(Queue):
+    """Serves in order of arrival, whatever the tier."""
+
+    def best(
+        self,
+        pool: str,
+        now_s: float,
+        floor: int = LOWEST_TIER,
+        turns: Mapping[str, int] | None = None,
+    ) -> Request | None:
+        """Choose the request that has waited longest."""
+        waiting = [item for item in self._waiting_by_id.values() if item.pool == pool]
+        return min(waiting, key=lambda item: item.arrived_s, default=None)
+
+
+class RandomQueue(Queue):
+    """Serves in random order."""
+
+    def __init__(self, table: Table, limit: int, random: Random) -> None:
+        super().__init__(table, limit)
+        self._random = random
+
+    def best(
+        self,
+        pool: str,
+        now_s: float,
+        floor: int = LOWEST_TIER,
+        turns: Mapping[str, int] | None = None,
+    ) -> Request | None:
+        """Choose any request."""
+        waiting = [item for item in self._waiting_by_id.values() if item.pool == pool]
+        return self._random.choice(waiting) if waiting else None
+
+
+class Policy(NamedTuple):
+    """How a host queues and which slots it may use; `allocates` is whether allocators rule."""
+
+    allocates: bool
+    queue: Callable[[Table, int], Queue]
+    holdings: Callable[[str, int, Fleet], Holdings]
+
+
+def _allocated(pool: str, host_count: int, fleet: Fleet) -> Holdings:
+    return Holdings(pool, host_count)
+
+
+def policy_of(name: str, random: Random) -> Policy:
+    """Return a policy by its name in the settings.
+
+    :raises KeyError: where there is none of that name
+    """
+    policies = {
+        "full": Policy(True, Queue, _allocated),
+        "local": Policy(False, Queue, LocalHoldings),
+        "first-come": Policy(False, FirstComeQueue, LocalHoldings),
+        "random": Policy(
+            False, lambda table, limit: RandomQueue(table, limit, random), LocalHoldings
+        ),
+    }
+    return policies[name]
+
+
+__all__ = ["Policy", "policy_of"]
--- /dev/null
+++ b/src/redwingbank/run.py
@@ -0,0 +1,81 @@
+"""The daemon's program: settings, signals and exit codes."""
+
+from __future__ import annotations
+
+import signal
+import sys
+from pathlib import Path  # noqa: TC003 - cyclopts reads it when the program runs
+from typing import TYPE_CHECKING
+
+import anyio
+import cyclopts
+
+from redwingbank.daemon import Daemon
+from redwingbank.errors import EXIT_FAULT, EXIT_USAGE, SettingErrors
+from redwingbank.settings import read_settings
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskStatus
+
+    from redwingbank.settings import Settings
+
+app = cyclopts.App(name="redwingbank", help="Route language-model traffic with service levels.")
+
+
+@app.command
+def run(*, config: Path) -> int:
+    """Serve until SIGTERM or SIGINT, then drain.
+
+    Example: redwingbank run --config /etc/redwingbank.toml
+
+    Exit codes: 0 drained, 1 could not serve, 2 wrong settings.
+
+    :param config: the settings file, in TOML
+    """
+    settings = _settings(config)
+    if settings is None:
+        return EXIT_USAGE
+    status = 0
+    try:
+        anyio.run(_serve, settings)
+    except* OSError as errors:
+        for error in errors.exceptions:
+            print(f"redwingbank: can't serve: {error}", file=sys.stderr)
+        status = EXIT_FAULT
+    return status
+
+
+def _settings(config: Path) -> Settings | None:
+    try:
+        return read_settings(config)
+    except SettingErrors as errors:
+        for error in errors.exceptions:
+            print(f"redwingbank: {error}", file=sys.stderr)
+        return None
+
+
+async def _serve(settings: Settings) -> None:
+    daemon = Daemon(settings)
+    async with anyio.create_task_group() as group:
+        await group.start(_drain_on_signal, daemon)
+        async with anyio.create_task_group() as serving:
+            await serving.start(daemon.run)
+            print(f"listening {daemon.caller} control {daemon.peers.address}", flush=True)
+        group.cancel_scope.cancel()
+
+
+async def _drain_on_signal(
+    daemon: Daemon, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
+) -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        task_status.started()
+        async for _ in signals:
+            daemon.drain()
+
+
+def main() -> None:
+    """Enter the program."""
+    sys.exit(app())
+
+
+__all__ = ["app", "main"]
--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -31,6 +31,7 @@
     from redwingbank.metrics import Metrics
     from redwingbank.model import CacheEvent, Request
     from redwingbank.settings import Settings
+    from redwingbank.tasks.allocate import Capacity
     from redwingbank.tasks.slots import ToHost
 
 TICK_S = 0.05
@@ -93,7 +94,7 @@
         self._ticket_by_id: dict[str, Ticket] = {}
         self._touched: set[str] = set()
         self.inbox, self._messages = anyio.create_memory_object_stream[object](math.inf)
-        self.outbox, self.outgoing = anyio.create_memory_object_stream["ToHost | Notice"](math.inf)
+        self.outbox, self.outgoing = anyio.create_memory_object_stream[object](math.inf)
         self._slots = Slots(settings, self._policy, self._fleet, self._send, number)
 
     async def run(self) -> None:
@@ -128,7 +129,7 @@
         self._pump_touched()
         self._slots.tick(self._queue, self._limits, now_s)
 
-    def _send(self, message: ToHost | Notice) -> None:
+    def _send(self, message: ToHost | Capacity | Notice) -> None:
         self.outbox.send_nowait(message)
 
     def _announce(self, notices: list[Notice]) -> None:
@@ -212,7 +213,7 @@
             return
         if self._quarantined(ticket, now_s) or self._hopeless(request, now_s):
             return
-        self._budget.sent(request.pool, now_s)
+        self._budget.first_send(request.pool, now_s)
         self._enqueue(request, now_s)
 
     @handle.register(Ended)
@@ -346,9 +347,7 @@
 
     def _tell_draining(self, server: str, ttl_s: float) -> None:
         self._notice_number += 1
-        notice = Notice(
-            DRAIN_NOTICE, server, self._settings.host, self._notice_number, 1.0, ttl_s
-        )
+        notice = Notice(DRAIN_NOTICE, server, self._settings.host, self._notice_number, 1.0, ttl_s)
         self._announce([notice])
 
     def _pump_touched(self) -> None:
@@ -375,7 +374,8 @@
             self._queue.remove(request.request_id)
             return self._quarantined(ticket, now_s)
         quiet = isinstance(verdict, Suspect)
-        avoid = ticket.avoid | (verdict.crashed | verdict.busy if quiet else frozenset())
+        crashed = verdict.crashed | verdict.busy if isinstance(verdict, Suspect) else frozenset()
+        avoid = ticket.avoid | crashed
         server = self._fleet.choose(request, free, now_s, avoid, quiet=quiet)
         if server is None:
             return False
--- /dev/null
+++ b/src/redwingbank/tasks/loads.py
@@ -0,0 +1,92 @@
+"""Reads backend servers' load reports and cache events."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
+
+from redwingbank.ports.engine import Silence
+from redwingbank.tasks.dispatch import Reported, Unreachable
+
+if TYPE_CHECKING:
+    from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+    from redwingbank.ports.engine import EngineClient
+    from redwingbank.settings import Settings
+
+SELDOM = 4
+
+
+class Watched(NamedTuple):
+    """A backend server to read; `often` where this host allocates its pool's slots."""
+
+    server: str
+    address: str
+    engine: bool
+    often: bool
+
+
+class Plan(NamedTuple):
+    """Every backend server to read from now on."""
+
+    watched: tuple[Watched, ...]
+
+
+class LoadReader:
+    """Reads each server's load at the settings' interval, or every fourth time if not `often`.
+
+    The host that allocates a pool needs fresh loads; the others learn most from allocations.
+    """
+
+    def __init__(
+        self, settings: Settings, engines: EngineClient, outbox: MemoryObjectSendStream[object]
+    ) -> None:
+        self._settings = settings
+        self._engines = engines
+        self._outbox = outbox
+        self._plan = Plan(())
+        self._last_event_by_server: dict[str, int] = {}
+        self._busy: set[str] = set()
+
+    async def run(self, plans: MemoryObjectReceiveStream[Plan]) -> None:
+        """Read until cancelled."""
+        async with anyio.create_task_group() as group:
+            round_number = 0
+            while True:
+                self._take(plans)
+                for watched in self._plan.watched:
+                    due = watched.often or round_number % SELDOM == 0
+                    if due and watched.server not in self._busy:
+                        self._busy.add(watched.server)
+                        group.start_soon(self._read, watched)
+                round_number += 1
+                await anyio.sleep(self._settings.load_interval_s)
+
+    def _take(self, plans: MemoryObjectReceiveStream[Plan]) -> None:
+        while True:
+            try:
+                self._plan = plans.receive_nowait()
+            except (anyio.WouldBlock, anyio.EndOfStream):
+                return
+
+    async def _read(self, watched: Watched) -> None:
+        try:
+            await self._report(watched)
+        finally:
+            self._busy.discard(watched.server)
+
+    async def _report(self, watched: Watched) -> None:
+        report = await self._engines.load(watched.address)
+        if report is Silence.UNREACHABLE:
+            self._outbox.send_nowait(Unreachable(watched.server))
+            return
+        after = self._last_event_by_server.get(watched.server, 0)
+        events = await self._engines.cache_events(watched.address, after) if watched.engine else ()
+        if events:
+            self._last_event_by_server[watched.server] = events[-1].number
+        known = None if isinstance(report, Silence) else report
+        self._outbox.send_nowait(Reported(watched.server, known, events))
+
+
+__all__ = ["LoadReader", "Plan", "Watched"]
--- a/src/redwingbank/tasks/slots.py
+++ b/src/redwingbank/tasks/slots.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.messages import LIMITS_POOL, Allocation, Demand
+from redwingbank.tasks.allocate import Capacity
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -19,7 +20,6 @@
     from redwingbank.rules.roster import MemberView
     from redwingbank.rules.table import Table
     from redwingbank.settings import Settings
-    from redwingbank.tasks.allocate import Capacity
 
 LIMITS_INTERVAL_S = 0.5
 
@@ -31,13 +31,6 @@
     demand: Demand
 
 
-class PoolCapacity(NamedTuple):
-    """What this host knows of a pool's slots, for the allocator it may serve."""
-
-    pool: str
-    slots_by_server: dict[str, int]
-
-
 class Slots:
     """Holds what this host may send where, and asks allocators for more.
 
@@ -50,7 +43,7 @@
         settings: Settings,
         policy: Policy,
         fleet: Fleet,
-        send: Callable[[ToHost | PoolCapacity], None],
+        send: Callable[[ToHost | Capacity], None],
         number: int,
     ) -> None:
         self._settings = settings
@@ -117,7 +110,7 @@
             if capacity != self._capacity_by_pool.get(pool):
                 self._capacity_by_pool[pool] = capacity
                 self.holdings(pool).set_fallback(capacity, self.host_count, self._rank())
-                self._send(PoolCapacity(pool, capacity))
+                self._send(Capacity(pool, capacity))
 
     def ask(self, pool: str, classes: tuple[ClassDemand, ...], now_s: float) -> None:
         """Send a demand to the pool's allocator where one is due."""
@@ -161,4 +154,4 @@
         return hosts.index(own) if own in hosts else 0
 
 
-__all__ = ["PoolCapacity", "Slots", "ToHost"]
+__all__ = ["Slots", "ToHost"]
--- a/src/redwingbank/tasks/ticket.py
+++ b/src/redwingbank/tasks/ticket.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from redwingbank.rules.lifecycle import Life
+from redwingbank.rules.lifecycle import Life, Step
 
 if TYPE_CHECKING:
     from redwingbank.codes import Code
@@ -42,6 +42,7 @@
         self.avoid: frozenset[str] = frozenset()
         self.server = ""
         self.address = ""
+        self.tried: tuple[str, ...] = ()
         self.sent_s = 0.0
         self._decide, self.decisions = anyio.create_memory_object_stream[Grant | Refused](math.inf)
 
@@ -49,6 +50,18 @@
         """Tell the caller's task; a caller that has gone hears nothing."""
         self._decide.send_nowait(decision)
 
+    def grant(self, grant: Grant, now_s: float) -> None:
+        """Give the request its slot at a backend server."""
+        self.life.advance(Step.GRANT)
+        self.server = grant.server
+        self.address = grant.address
+        self.sent_s = now_s
+        self.decide(grant)
+
+    def requeue(self) -> None:
+        """Put the request back to wait for another attempt."""
+        self.life.advance(Step.RETRY)
+
 
 class Submit(NamedTuple):
     """A new request wants a backend server."""
--- a/src/redwingbank_standins/listener.py
+++ b/src/redwingbank_standins/listener.py
@@ -91,7 +91,7 @@
         loop="asyncio",
         access_log=False,
         proxy_headers=False,
-        log_level="error",
+        log_level="critical",
         timeout_graceful_shutdown=SHUTDOWN_TIMEOUT_S,
     )
     server = _Server(config)
