--- a/src/redwingbank/rules/holdings.py
+++ b/src/redwingbank/rules/holdings.py
@@ -205,8 +205,10 @@
 
     def _hand_back(self, classes: tuple[ClassDemand, ...], now_s: float) -> None:
         surplus = self._surplus(classes, now_s)
+        if surplus <= 0:
+            return
         for server, slots in sorted(self.free(now_s).items()):
-            back = min(slots, max(0, surplus))
+            back = min(slots, surplus)
             self._level[server] -= back
             surplus -= back
 
--- a/src/redwingbank/rules/queue.py
+++ b/src/redwingbank/rules/queue.py
@@ -56,6 +56,11 @@
     def __len__(self) -> int:
         return len(self._waiting_by_id)
 
+    @property
+    def waiting(self) -> tuple[Request, ...]:
+        """The requests waiting, in no order."""
+        return tuple(self._waiting_by_id.values())
+
     @property
     def waiting_by_class(self) -> dict[str, int]:
         """Number of requests waiting by class, over all pools."""
--- /dev/null
+++ b/src/redwingbank_bench/rulebench.py
@@ -0,0 +1,252 @@
+"""Compare ways to divide engines among hosts, on the rules alone: `main()` prints the figures.
+
+Discrete events on one clock that is passed in: no sockets, no processes, no waiting. Each
+scenario gives all arms the same arrivals, links and engines, by seed.
+"""
+
+from __future__ import annotations
+
+import json
+import sys
+from functools import partial
+from random import Random
+from typing import NamedTuple
+
+from redwingbank.model import Request
+from redwingbank.rules.table import ClassRow, OrganisationRow, PoolRow, Table
+from redwingbank_bench.rulearms import ARMS
+from redwingbank_bench.rulefleet import POOL, Job, Link, World
+
+ENGINES = [
+    ("engine-0", 8, 1.0),
+    ("engine-1", 8, 1.0),
+    ("engine-2", 8, 1.0),
+    ("engine-3", 6, 0.9),
+    ("engine-4", 4, 0.7),
+    ("engine-5", 4, 0.5),
+]
+HOSTS = 7
+WARM_S = 20.0
+BURST_S = 60.0
+AFTER_S = 40.0
+END_S = WARM_S + BURST_S + AFTER_S
+SEEDS = (1, 2, 3)
+BIG = "big"
+
+
+class Kind(NamedTuple):
+    """A class of the load: lengths in tokens, rate a second outside a burst."""
+
+    row: ClassRow
+    prompt_tokens: int
+    answer_tokens: float
+    per_s: float
+
+
+KINDS = {
+    "officer": Kind(ClassRow("officer", 1, 1000, 54, 1.0, 0.0, 0, 30.0), 200, 60, 5.0),
+    "crew": Kind(ClassRow("crew", 2, 2000, 54, 1.0, 0.05, 0, 60.0), 200, 60, 5.0),
+    "memo": Kind(ClassRow("memo", 3, 10_000, 54, 1.0, 0.1, 0, 120.0), 4000, 400, 1.0),
+}
+
+
+class Scenario(NamedTuple):
+    """A burst of one class by one organisation, of so many times the engines' capacity."""
+
+    class_name: str
+    times: float
+    link: Link = Link()
+    at_one_host: bool = False
+
+
+SCENARIOS = {
+    "low-2x": Scenario("memo", 2.0),
+    "low-4x": Scenario("memo", 4.0),
+    "middle-4x": Scenario("crew", 4.0),
+    "top-4x": Scenario("officer", 4.0),
+    "low-4x-one-host": Scenario("memo", 4.0, at_one_host=True),
+    "low-4x-lossy": Scenario("memo", 4.0, Link(0.0035, 0.01, 0.1)),
+}
+
+
+def make_table() -> Table:
+    """Build the classes and ten organisations of the load."""
+    names = [BIG, *(f"organisation-{index}" for index in range(9))]
+    return Table(
+        1,
+        {name: kind.row for name, kind in KINDS.items()},
+        {name: OrganisationRow(name, "", "officer", 1.0, 0, 0) for name in names},
+        {POOL: PoolRow(POOL, "engine")},
+        {},
+    )
+
+
+def capacity_per_s(kind: Kind) -> float:
+    """Requests of a kind that all engines together finish a second."""
+    service_s = kind.prompt_tokens / 5000.0 + kind.answer_tokens * 0.02
+    return sum(slots * speed for _, slots, speed in ENGINES) / service_s
+
+
+class Arrival(NamedTuple):
+    """A request at a host."""
+
+    host: str
+    job: Job
+
+
+def arrivals(scenario: Scenario, seed: int) -> list[Arrival]:
+    """Draw the load of a scenario: the same for every arm."""
+    random = Random(seed)
+    names = [name for name in make_table().organisations_by_name if name != BIG]
+    drawn: list[Arrival] = []
+    for class_name, kind in KINDS.items():
+        at_s = random.expovariate(kind.per_s)
+        while at_s < END_S:
+            drawn.append(_arrival(class_name, random.choice(names), at_s, random, False))
+            at_s += random.expovariate(kind.per_s)
+    rate = scenario.times * capacity_per_s(KINDS[scenario.class_name])
+    at_s = WARM_S + random.expovariate(rate)
+    while at_s < WARM_S + BURST_S:
+        drawn.append(_arrival(scenario.class_name, BIG, at_s, random, scenario.at_one_host))
+        at_s += random.expovariate(rate)
+    return sorted(drawn, key=lambda arrival: arrival.job.request.arrived_s)
+
+
+def _arrival(
+    class_name: str, organisation: str, at_s: float, random: Random, at_one_host: bool
+) -> Arrival:
+    kind = KINDS[class_name]
+    target_s = kind.row.first_token_ms / 1000
+    request = Request(
+        f"{random.getrandbits(64):016x}",
+        organisation,
+        class_name,
+        kind.row.tier,
+        POOL,
+        at_s,
+        at_s + target_s,
+        at_s + kind.row.give_up_s,
+        kind.prompt_tokens,
+    )
+    tokens = max(1, round(random.expovariate(1 / kind.answer_tokens)))
+    host = 0 if at_one_host else random.randrange(HOSTS)
+    return Arrival(f"host-{host:02}", Job(request, tokens, target_s))
+
+
+class Figures(NamedTuple):
+    """What one run of an arm gave.
+
+    `attained` is the part of a class's requests that had their first token within the target
+    (those of the bursting organisation left out), `longest_s` the longest wait for a start.
+    `used` is the part of the engines' slot time used during the burst. Bytes and messages are
+    a second, for the busiest host.
+    """
+
+    attained: dict[str, float]
+    longest_s: dict[str, float]
+    used: float
+    bytes_per_s: float
+    messages_per_s: float
+    overfilled: int
+
+
+def run(arm_name: str, scenario: Scenario, seed: int) -> Figures:
+    """Run one arm on one scenario."""
+    world = World(make_table(), ENGINES, HOSTS, scenario.link, Random(seed + 1000))
+    starts_by_id: dict[str, tuple[float, float]] = {}
+
+    def on_start(job: Job, first_token_s: float) -> None:
+        starts_by_id[job.request.request_id] = (world.clock.now_s, first_token_s)
+
+    for engine in world.engines_by_name.values():
+        engine.on_start = on_start
+    arm = ARMS[arm_name](world)
+    load = arrivals(scenario, seed)
+    for host, job in load:
+        world.clock.after(job.request.arrived_s, partial(arm.arrive, host, job))
+    busy_s = _busy_at(world, WARM_S)
+    busy_s = _busy_at(world, WARM_S + BURST_S) - busy_s
+    world.clock.run(END_S)
+    return _figures(load, starts_by_id, busy_s, world)
+
+
+def _busy_at(world: World, at_s: float) -> float:
+    world.clock.run(at_s)
+    return sum(engine.busy_until(at_s) for engine in world.engines_by_name.values())
+
+
+def _figures(
+    load: list[Arrival],
+    starts_by_id: dict[str, tuple[float, float]],
+    busy_s: float,
+    world: World,
+) -> Figures:
+    attained: dict[str, list[bool]] = {name: [] for name in KINDS}
+    longest_s = dict.fromkeys(KINDS, 0.0)
+    for _, job in load:
+        request = job.request
+        start_s, first_token_s = starts_by_id.get(request.request_id, (END_S, END_S + 1e9))
+        waited_s = min(start_s, request.give_up_s) - request.arrived_s
+        longest_s[request.class_name] = max(longest_s[request.class_name], waited_s)
+        if request.organisation != BIG:
+            attained[request.class_name].append(first_token_s <= request.deadline_s)
+    slots = sum(world.capacity.values())
+    return Figures(
+        {name: sum(hits) / max(1, len(hits)) for name, hits in attained.items()},
+        longest_s,
+        busy_s / (slots * BURST_S),
+        max(world.traffic.bytes_by_host.values(), default=0) / END_S,
+        max(world.traffic.messages_by_host.values(), default=0) / END_S,
+        sum(max(0, e.most_running - e.slots) for e in world.engines_by_name.values()),
+    )
+
+
+def _mean(values: list[float]) -> float:
+    return sum(values) / len(values)
+
+
+def _spread(values: list[float]) -> str:
+    return f"{_mean(values):.3f} ({min(values):.3f}-{max(values):.3f})"
+
+
+def report(name: str, arm_name: str, runs: list[Figures]) -> dict[str, object]:
+    """Print an arm's row and return its figures, means over the seeds."""
+    attained = {kind: [figures.attained[kind] for figures in runs] for kind in KINDS}
+    longest_s = {kind: max(figures.longest_s[kind] for figures in runs) for kind in KINDS}
+    used = [figures.used for figures in runs]
+    bytes_per_s = [figures.bytes_per_s for figures in runs]
+    print(
+        f"{name:16} {arm_name:11}",
+        " ".join(f"{kind} {_spread(values)}" for kind, values in attained.items()),
+        f"used {_spread(used)}",
+        "longest " + "/".join(f"{value:.1f}" for value in longest_s.values()),
+        f"{_mean(bytes_per_s):.0f} B/s {_mean([f.messages_per_s for f in runs]):.1f} msg/s",
+        f"over {max(figures.overfilled for figures in runs)}",
+    )
+    return {
+        "attained": {kind: round(_mean(values), 4) for kind, values in attained.items()},
+        "longest_s": {kind: round(value, 2) for kind, value in longest_s.items()},
+        "used": round(_mean(used), 4),
+        "bytes_per_s": round(_mean(bytes_per_s)),
+        "messages_per_s": round(_mean([f.messages_per_s for f in runs]), 1),
+        "overfilled": max(figures.overfilled for figures in runs),
+    }
+
+
+def main(arguments: list[str] | None = None) -> int:
+    """Run the scenarios named, or all; a table, and one JSON object as the last line."""
+    names = arguments if arguments is not None else sys.argv[1:]
+    results: dict[str, dict[str, object]] = {}
+    for name in names or list(SCENARIOS):
+        results[name] = {}
+        for arm_name in ARMS:
+            runs = [run(arm_name, SCENARIOS[name], seed) for seed in SEEDS]
+            results[name][arm_name] = report(name, arm_name, runs)
+    print(json.dumps({"rulebench": results, "seeds": SEEDS}))
+    return 0
+
+
+__all__ = ["main", "run"]
+
+if __name__ == "__main__":
+    sys.exit(main())
