--- a/src/redwingbank/rules/blocks.py
+++ b/src/redwingbank/rules/blocks.py
@@ -13,20 +13,21 @@
 
 
 def prompt_text(messages: Sequence[Any]) -> str:
-    """Join an OpenAI message list to one text; parts other than text are left out.
+    """Join the contents of an OpenAI message list; parts other than text are left out.
 
     >>> prompt_text([{"role": "user", "content": "Is the quay free?"}])
-    'user: Is the quay free?'
+    'Is the quay free?'
     """
-    return "\n".join(_line(message) for message in messages if isinstance(message, dict))
+    return "\n".join(_content(message) for message in messages if isinstance(message, dict))
 
 
-def _line(message: dict[str, Any]) -> str:
+def _content(message: dict[str, Any]) -> str:
     content = message.get("content")
-    if isinstance(content, list):
-        parts = [part.get("text", "") for part in content if isinstance(part, dict)]
-        content = " ".join(part for part in parts if isinstance(part, str))
-    return f"{message.get('role', '')}: {content or ''}"
+    if isinstance(content, str):
+        return content
+    parts = content if isinstance(content, list) else []
+    texts = (part.get("text") for part in parts if isinstance(part, dict))
+    return "\n".join(text for text in texts if isinstance(text, str))
 
 
 def count_words(text: str) -> int:
--- a/tests/standins/engine.feature
+++ b/tests/standins/engine.feature
@@ -90,6 +90,13 @@
       | id         |
       | connection |
 
+  Scenario: a request sent again takes the place of the one still there
+    Given the stand-in engine with 1 slots
+    When the stand-in engine runs a long request "first" of priority 1
+    And the stand-in engine gets request "first" again
+    Then the stand-in engine's answer is whole and holds tokens 0 to 3
+    And the stand-in engine's counter "cancelled" reads 1
+
   Scenario Outline: an order with an old fencing number
     Given the stand-in engine with 1 slots and "<fencing>" fencing
     When the stand-in engine gets the order "drain" with fencing number 5
