Divide pools into cells of at most 64 backend servers, each with its own allocator

Change: rendezvous cells; a host sends to two cells of a pool. A pool of 64 or fewer is one cell, as before. Platform stand-in: a watch ends when its caller goes (it logged a trace at every stop).

--- /dev/null
+++ b/src/redwingbank/rules/cells.py
@@ -0,0 +1,58 @@
+"""Cells: the parts of a pool that are allocated apart, each small enough for one host."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING
+
+from redwingbank.rules.rendezvous import ranked
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from redwingbank.messages import ClassDemand
+
+MOST_SERVERS = 64
+CELLS_PER_HOST = 2
+
+
+def cells_of(pool: str, servers: Iterable[str]) -> dict[str, tuple[str, ...]]:
+    """Divide a pool's backend servers into cells, by the cells' names.
+
+    A server stays in its cell as others come and go, and moves rarely as the number of cells
+    changes. A pool of at most `MOST_SERVERS` is one cell.
+
+    >>> cells_of("desk-model", ["e1", "e2"])
+    {'desk-model/0': ('e1', 'e2')}
+    """
+    names = sorted(servers)
+    count = max(1, math.ceil(len(names) / MOST_SERVERS))
+    cells = [f"{pool}/{number}" for number in range(count)]
+    members: dict[str, list[str]] = {cell: [] for cell in cells}
+    for name in names:
+        members[ranked(name, cells)[0]].append(name)
+    return {cell: tuple(held) for cell, held in members.items()}
+
+
+def cells_for(host: str, cells: Iterable[str]) -> tuple[str, ...]:
+    """Choose the cells that a host sends to: a few, whatever the size of the pool."""
+    return ranked(host, cells)[:CELLS_PER_HOST]
+
+
+def part_of(classes: tuple[ClassDemand, ...], index: int, count: int) -> tuple[ClassDemand, ...]:
+    """Give one cell's part of a host's demand, which is told to `count` cells in all."""
+    if count == 1:
+        return classes
+    return tuple(
+        item._replace(
+            waiting=_part(item.waiting, index, count), running=_part(item.running, index, count)
+        )
+        for item in classes
+    )
+
+
+def _part(whole: int, index: int, count: int) -> int:
+    return whole // count + (index < whole % count)
+
+
+__all__ = ["CELLS_PER_HOST", "MOST_SERVERS", "cells_for", "cells_of", "part_of"]
--- a/src/redwingbank/rules/policy.py
+++ b/src/redwingbank/rules/policy.py
@@ -19,15 +19,20 @@
 class LocalHoldings(Holdings):
     """Slots as this host alone sees them: reported capacity less load; no allocator is asked."""
 
-    def __init__(self, pool: str, host_count: int, fleet: Fleet) -> None:
-        super().__init__(pool, host_count)
-        self._name = pool
+    def __init__(self, cell: str, host_count: int, fleet: Fleet, servers: tuple[str, ...]) -> None:
+        super().__init__(cell, host_count)
+        self._pool_name = cell.rpartition("/")[0]
+        self._servers = frozenset(servers)
         self._fleet = fleet
 
     def free(self, now_s: float) -> dict[str, int]:
         """Count the slots that the last reports leave free."""
-        capacity = self._fleet.capacity(self._name, now_s)
-        left = {name: slots - self._fleet.load(name, now_s) for name, slots in capacity.items()}
+        capacity = self._fleet.capacity(self._pool_name, now_s)
+        left = {
+            name: slots - self._fleet.load(name, now_s)
+            for name, slots in capacity.items()
+            if name in self._servers
+        }
         return {name: slots for name, slots in left.items() if slots > 0}
 
 
@@ -70,11 +75,11 @@
 
     allocates: bool
     queue: Callable[[Table, int], Queue]
-    holdings: Callable[[str, int, Fleet], Holdings]
+    holdings: Callable[[str, int, Fleet, tuple[str, ...]], Holdings]
 
 
-def _allocated(pool: str, host_count: int, fleet: Fleet) -> Holdings:
-    return Holdings(pool, host_count)
+def _allocated(cell: str, host_count: int, fleet: Fleet, servers: tuple[str, ...]) -> Holdings:
+    return Holdings(cell, host_count)
 
 
 def policy_of(name: str, random: Random) -> Policy:
--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -4,6 +4,7 @@
 
 import math
 import time
+from collections import deque
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -127,7 +128,7 @@
         if self._table is not None:
             self._touched.update(self._table.pools_by_name)
         self._pump_touched()
-        self._slots.tick(self._queue, self._limits, now_s)
+        self._slots.tick(self._limits, now_s)
 
     def _send(self, message: ToHost | Capacity | Notice) -> None:
         self.outbox.send_nowait(message)
@@ -163,7 +164,7 @@
         if not isinstance(message, Allocation):
             return
         self._slots.apply(received.sender, message, self._limits, time.monotonic())
-        self._touched.add(message.pool)
+        self._touched.add(message.pool.rpartition("/")[0])
 
     @handle.register(Notice)
     def _on_notice(self, notice: Notice) -> None:
@@ -257,7 +258,7 @@
         if not server:
             return server
         request = ticket.request
-        self._slots.finish(request.pool, server)
+        self._slots.holdings(ticket.cell).finish(server)
         token_s = None
         if ended is not None and ended.first_token_s:
             self._fleet.first_token(server, request, ended.first_token_s, now_s)
@@ -355,13 +356,20 @@
         touched = sorted(self._touched)
         self._touched.clear()
         for pool in touched:
-            while self._grant_next(pool, now_s):
-                pass
+            self._pump(pool, now_s)
             self._slots.ask(pool, self._queue.demand(pool, now_s), now_s)
 
-    def _grant_next(self, pool: str, now_s: float) -> bool:
-        """Start the pool's next request if a slot is free for it."""
-        holdings = self._slots.holdings(pool)
+    def _pump(self, pool: str, now_s: float) -> None:
+        """Start what can be started, the cells of the pool in turn."""
+        cells = deque(self._slots.cells(pool))
+        while cells:
+            cell = cells.popleft()
+            if self._grant_next(pool, cell, now_s):
+                cells.append(cell)
+
+    def _grant_next(self, pool: str, cell: str, now_s: float) -> bool:
+        """Start the pool's next request if a slot of the cell is free for it."""
+        holdings = self._slots.holdings(cell)
         free = holdings.free(now_s)
         if not free:
             return False
@@ -375,18 +383,18 @@
             return self._quarantined(ticket, now_s)
         quiet = isinstance(verdict, Suspect)
         crashed = verdict.crashed | verdict.busy if isinstance(verdict, Suspect) else frozenset()
-        avoid = ticket.avoid | crashed
-        server = self._fleet.choose(request, free, now_s, avoid, quiet=quiet)
+        server = self._fleet.choose(request, free, now_s, ticket.avoid | crashed, quiet=quiet)
         if server is None:
             return False
-        self._grant(ticket, server, now_s)
+        self._grant(ticket, cell, server, now_s)
         return True
 
-    def _grant(self, ticket: Ticket, server: str, now_s: float) -> None:
+    def _grant(self, ticket: Ticket, cell: str, server: str, now_s: float) -> None:
         request = ticket.request
         assert self._table is not None
         self._queue.pop(request.request_id, now_s)
-        self._slots.take(request.pool, server)
+        ticket.cell = cell
+        self._slots.holdings(cell).take(server)
         self._limits.start(request.request_id)
         self._waits.started(request, now_s)
         self._fleet.sent(server, request, now_s)
--- a/src/redwingbank/tasks/slots.py
+++ b/src/redwingbank/tasks/slots.py
@@ -1,10 +1,11 @@
-"""A host's slots by pool: demands to the pools' allocators, allocations in force."""
+"""A host's slots by cell: demands to the cells' allocators, allocations in force."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.messages import LIMITS_POOL, Allocation, Demand
+from redwingbank.rules.cells import cells_for, cells_of, part_of
 from redwingbank.tasks.allocate import Capacity
 
 if TYPE_CHECKING:
@@ -34,8 +35,9 @@
 class Slots:
     """Holds what this host may send where, and asks allocators for more.
 
-    `send` takes demands on their way to the host that allocates a pool, and capacities on
-    their way to this host's own allocators.
+    Every pool is divided into cells, each with an allocator of its own; this host sends to a
+    few of them. `send` takes demands on their way to the host that allocates a cell, and
+    capacities on their way to this host's own allocators.
     """
 
     def __init__(
@@ -53,40 +55,67 @@
         self._number = number
         self._view: MemberView | None = None
         self._table: Table | None = None
-        self._holdings_by_pool: dict[str, Holdings] = {}
-        self._capacity_by_pool: dict[str, dict[str, int]] = {}
+        self._servers_by_cell: dict[str, tuple[str, ...]] = {}
+        self._cells_by_pool: dict[str, tuple[str, ...]] = {}
+        self._holdings_by_cell: dict[str, Holdings] = {}
+        self._capacity_by_cell: dict[str, dict[str, int]] = {}
         self._limits_told_s = float("-inf")
 
     @property
     def host_count(self) -> int:
         """Hosts alive, this one included."""
-        return len(self._view.alive) if self._view else 1
+        return max(1, len(self._view.alive)) if self._view else 1
 
-    def holdings(self, pool: str) -> Holdings:
-        """Return the pool's holdings, made at first use."""
-        holdings = self._holdings_by_pool.get(pool)
+    def cells(self, pool: str) -> tuple[str, ...]:
+        """Name the cells of a pool that this host sends to."""
+        return self._cells_by_pool.get(pool, ())
+
+    def holdings(self, cell: str) -> Holdings:
+        """Return the cell's holdings, made at first use."""
+        holdings = self._holdings_by_cell.get(cell)
         if holdings is None:
-            holdings = self._policy.holdings(pool, self.host_count, self._fleet)
+            servers = self._servers_by_cell.get(cell, ())
+            holdings = self._policy.holdings(cell, self.host_count, self._fleet, servers)
             if self._table is not None:
                 holdings.rebase(self._table)
-            self._holdings_by_pool[pool] = holdings
+            self._holdings_by_cell[cell] = holdings
         return holdings
 
     def rebase(self, table: Table) -> None:
         """Bring a new table into force."""
         self._table = table
-        for holdings in self._holdings_by_pool.values():
+        self._servers_by_cell.clear()
+        for pool in table.pools_by_name:
+            cells = cells_of(pool, [row.name for row in table.servers_of(pool)])
+            self._servers_by_cell.update(cells)
+            self._cells_by_pool[pool] = cells_for(self._settings.host, cells)
+        for holdings in self._holdings_by_cell.values():
             holdings.rebase(table)
-        self._capacity_by_pool.clear()
+        self._capacity_by_cell.clear()
 
     def members(self, view: MemberView) -> None:
         """Take a new view of who is alive."""
         self._view = view
-        self._capacity_by_pool.clear()
+        self._capacity_by_cell.clear()
+
+    def owner(self, cell: str) -> str:
+        """Name the host that allocates a cell."""
+        return self._view.owner(cell).host if self._view else self._settings.host
 
-    def owner(self, pool: str) -> str:
-        """Name the host that allocates a pool."""
-        return self._view.owner(pool).host if self._view else self._settings.host
+    def owned_servers(self) -> frozenset[str]:
+        """Name the backend servers whose slots this host allocates."""
+        own = self._settings.host
+        return frozenset(
+            server
+            for cell, servers in self._servers_by_cell.items()
+            if self.owner(cell) == own
+            for server in servers
+        )
+
+    def used_servers(self) -> frozenset[str]:
+        """Name the backend servers of the cells that this host sends to."""
+        cells = (cell for cells in self._cells_by_pool.values() for cell in cells)
+        return frozenset(name for cell in cells for name in self._servers_by_cell[cell])
 
     def apply(self, sender: str, allocation: Allocation, limits: Limits, now_s: float) -> None:
         """Bring an allocation, or shares of limits, into force."""
@@ -95,36 +124,38 @@
         else:
             self.holdings(allocation.pool).apply(allocation, now_s, sender)
 
-    def take(self, pool: str, server: str) -> None:
-        """Note a request sent."""
-        self.holdings(pool).take(server)
-
-    def finish(self, pool: str, server: str) -> None:
-        """Note the end of a request sent."""
-        self.holdings(pool).finish(server)
-
     def capacity_changed(self, now_s: float) -> None:
         """Tell this host's allocators, and the static shares, of changed capacities."""
-        for pool in self._table.pools_by_name if self._table else ():
-            capacity = self._fleet.capacity(pool, now_s)
-            if capacity != self._capacity_by_pool.get(pool):
-                self._capacity_by_pool[pool] = capacity
-                self.holdings(pool).set_fallback(capacity, self.host_count, self._rank())
-                self._send(Capacity(pool, capacity))
+        by_server = {
+            server: slots
+            for pool in (self._table.pools_by_name if self._table else ())
+            for server, slots in self._fleet.capacity(pool, now_s).items()
+        }
+        for cell, servers in self._servers_by_cell.items():
+            capacity = {name: by_server[name] for name in servers if name in by_server}
+            if capacity != self._capacity_by_cell.get(cell):
+                self._capacity_by_cell[cell] = capacity
+                self.holdings(cell).set_fallback(capacity, self.host_count, self._rank())
+                self._send(Capacity(cell, capacity))
 
     def ask(self, pool: str, classes: tuple[ClassDemand, ...], now_s: float) -> None:
-        """Send a demand to the pool's allocator where one is due."""
+        """Send demands to the allocators of a pool's cells where they are due."""
         if not self._policy.allocates:
             return
-        owner = self.owner(pool)
-        holdings = self.holdings(pool)
+        cells = self.cells(pool)
+        for index, cell in enumerate(cells):
+            self._ask_cell(cell, part_of(classes, index, len(cells)), now_s)
+
+    def _ask_cell(self, cell: str, classes: tuple[ClassDemand, ...], now_s: float) -> None:
+        owner = self.owner(cell)
+        holdings = self.holdings(cell)
         if not holdings.due(classes, now_s, self._settings.demand_interval_s, owner):
             return
         self._number += 1
         demand = holdings.demand(classes, self._number, now_s, owner)
         self._send(ToHost(owner, demand))
 
-    def tick(self, queue: Queue, limits: Limits, now_s: float) -> None:
+    def tick(self, limits: Limits, now_s: float) -> None:
         """Tell changed capacities, and the use of limited organisations."""
         self.capacity_changed(now_s)
         if now_s - self._limits_told_s < LIMITS_INTERVAL_S or not self._policy.allocates:
@@ -137,19 +168,22 @@
             self._send(ToHost(self.owner(LIMITS_POOL), demand))
 
     def status(self, now_s: float) -> dict[str, Any]:
-        """Tell, by pool, its allocator, the free slots and what runs."""
+        """Tell, by cell, its allocator, the free slots and what runs."""
+        cells = [cell for cells in self._cells_by_pool.values() for cell in cells]
+        return {cell: self._cell_status(cell, now_s) for cell in cells}
+
+    def _cell_status(self, cell: str, now_s: float) -> dict[str, Any]:
+        holdings = self.holdings(cell)
         return {
-            pool: {
-                "allocator": self.owner(pool),
-                "free": holdings.free(now_s),
-                "running": holdings.running(),
-                "floor": holdings.floor(now_s),
-            }
-            for pool, holdings in self._holdings_by_pool.items()
+            "allocator": self.owner(cell),
+            "in_force": holdings.in_force(now_s),
+            "free": holdings.free(now_s),
+            "running": holdings.running(),
+            "floor": holdings.floor(now_s),
         }
 
     def _rank(self) -> int:
-        hosts = sorted(member.host for member in self._view.alive) if self._view else []
+        hosts = [member.host for member in self._view.alive] if self._view else []
         own = self._settings.host
         return hosts.index(own) if own in hosts else 0
 
--- a/src/redwingbank/tasks/ticket.py
+++ b/src/redwingbank/tasks/ticket.py
@@ -42,6 +42,7 @@
         self.avoid: frozenset[str] = frozenset()
         self.server = ""
         self.address = ""
+        self.cell = ""
         self.tried: tuple[str, ...] = ()
         self.sent_s = 0.0
         self._decide, self.decisions = anyio.create_memory_object_stream[Grant | Refused](math.inf)
--- a/src/redwingbank_standins/platform.py
+++ b/src/redwingbank_standins/platform.py
@@ -31,6 +31,7 @@
 
 Send = Callable[[dict[str, Any]], Awaitable[None]]
 Receive = Callable[[], Awaitable[dict[str, Any]]]
+Handler = Callable[["PlatformApp", "Call"], Awaitable["Answer"]]
 
 
 class Call(NamedTuple):
@@ -116,7 +117,21 @@
         if not self._in_rate(kind):
             self.calls["refused"] += 1
             return Answer(429)
-        return await KINDS[kind](self, call)
+        return await self._while_connected(KINDS[kind], call, receive)
+
+    async def _while_connected(self, handler: Handler, call: Call, receive: Receive) -> Answer:
+        """Answer, or stop waiting when the caller goes."""
+        answers: list[Answer] = []
+
+        async def answer() -> None:
+            answers.append(await handler(self, call))
+            tasks.cancel_scope.cancel()
+
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(answer)
+            await receive()
+            tasks.cancel_scope.cancel()
+        return answers[0] if answers else CUT
 
     def _in_rate(self, kind: str) -> bool:
         if kind in READS:
@@ -206,7 +221,7 @@
     return Answer(404)
 
 
-KINDS: dict[str, Callable[[PlatformApp, Call], Awaitable[Answer]]] = {
+KINDS: dict[str, Handler] = {
     "read": PlatformApp.read,
     "list": PlatformApp.list,
     "watch": PlatformApp.watch,
