--- a/src/redwingbank/tasks/slots.py
+++ b/src/redwingbank/tasks/slots.py
@@ -17,7 +17,6 @@
     from redwingbank.rules.holdings import Holdings
     from redwingbank.rules.limits import Limits
     from redwingbank.rules.policy import Policy
-    from redwingbank.rules.queue import Queue
     from redwingbank.rules.roster import MemberView
     from redwingbank.rules.table import Table
     from redwingbank.settings import Settings
--- /dev/null
+++ b/tests/steps/rules_lifecycle.py
@@ -0,0 +1,104 @@
+"""Steps of rules/lifecycle.feature."""
+
+from __future__ import annotations
+
+from behave import given, then
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from redwingbank.codes import MEANING_BY_CODE, Code, Ran
+from redwingbank.rules.lifecycle import NEXT_BY_STATE_AND_STEP, Life, LifecycleError, Step
+
+CHECKED = settings(max_examples=150, stateful_step_count=30, deadline=None, derandomize=True)
+
+
+@given('a life that took the steps "{steps}"')
+def life_with_steps(context, steps):
+    context.life = Life("a1")
+    for name in steps.split(", "):
+        context.life.advance(Step(name))
+
+
+@then('the life\'s ran is "{ran}"')
+def life_ran(context, ran):
+    assert context.life.ran == ran, context.life.ran
+
+
+@then('the life\'s state is "{state}"')
+def life_state(context, state):
+    assert context.life.state == state, context.life.state
+
+
+@then('the life refuses the step "{step}"')
+def life_refuses(context, step):
+    try:
+        context.life.advance(Step(step))
+    except LifecycleError:
+        return
+    raise AssertionError(f"{step} was taken")
+
+
+@then('the life answers "{asked}" with "{given_code}"')
+def life_answers(context, asked, given_code):
+    assert context.life.truthful(Code[asked]).name == given_code
+
+
+@then("the life's attempt 1 is not current and attempt 2 is")
+def life_attempts(context):
+    assert not context.life.current(1)
+    assert context.life.current(2)
+
+
+class ForgetfulLife(Life):
+    """A variant whose refusals set ran back to no, whatever earlier attempts did."""
+
+    def advance(self, step):
+        super().advance(step)
+        if step is Step.NOT_TAKEN:
+            self.ran = Ran.NO
+
+
+def machine(life_type):
+    """Drive a life by any steps that may follow, beside a plain account of what servers saw."""
+
+    class Machine(RuleBasedStateMachine):
+        def __init__(self):
+            super().__init__()
+            self.life = life_type("a1")
+            self.seen = False
+            self.unsure = False
+
+        @rule(choice=st.integers(0, len(Step) - 1))
+        def step(self, choice):
+            steps = [item for state, item in NEXT_BY_STATE_AND_STEP if state is self.life.state]
+            if not steps:
+                return
+            step = steps[choice % len(steps)]
+            self.life.advance(step)
+            self.unsure = step is Step.SEND or (self.unsure and step is not Step.NOT_TAKEN)
+            left_open = step in {Step.RETRY, Step.FAIL} and self.unsure
+            self.seen = self.seen or step is Step.ANSWER or left_open
+
+        @invariant()
+        def truthful(self):
+            if self.seen or self.unsure:
+                assert self.life.ran is not Ran.NO
+                code = self.life.truthful(Code.SHED)
+                assert MEANING_BY_CODE[code].ran is not Ran.NO
+
+    return Machine
+
+
+@then("a life checked over random steps never claims less than a server saw")
+def life_checked(context):
+    run_state_machine_as_test(machine(Life), settings=CHECKED)
+
+
+@then("a life whose refusals forget earlier attempts is caught by the same check")
+def life_caught(context):
+    try:
+        run_state_machine_as_test(machine(ForgetfulLife), settings=CHECKED)
+    except AssertionError:
+        return
+    raise RuntimeError("the variant without its mechanism passed")
