--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -346,9 +346,7 @@
 
     def _tell_draining(self, server: str, ttl_s: float) -> None:
         self._notice_number += 1
-        notice = Notice(
-            DRAIN_NOTICE, server, self._settings.host, self._notice_number, 1.0, ttl_s
-        )
+        notice = Notice(DRAIN_NOTICE, server, self._settings.host, self._notice_number, 1.0, ttl_s)
         self._announce([notice])
 
     def _pump_touched(self) -> None:
--- a/src/redwingbank_standins/engine.py
+++ b/src/redwingbank_standins/engine.py
@@ -9,13 +9,13 @@
 import json
 import os
 import time
-from collections import Counter, OrderedDict
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import anyio
 from cyclopts import App
 
 from redwingbank.rules.blocks import BLOCK_WORDS, block_hashes, count_words, prompt_text
+from redwingbank_standins.accounts import Accounts
 from redwingbank_standins.answers import DEFAULT_MAX_TOKENS, expected_answer, find_tag
 from redwingbank_standins.faults import EngineFaults, FaultError
 from redwingbank_standins.frames import Frames
@@ -29,10 +29,8 @@
 
     from redwingbank_standins.serving import Receive, Scope, Send
 
-RUNS_KEPT = 200_000
 CRASH_STATUS = 70
 TOKEN_SLOWDOWN_PER_RUNNING = 0.01
-UNREPORTED = -1.0
 
 
 class EngineSettings(NamedTuple):
@@ -52,6 +50,7 @@
     poison_marker: str = ""
     report_lag_ms: float = 0.0
     load_s: float = 0.5
+    journal: str = ""
 
 
 class Job(NamedTuple):
@@ -65,13 +64,6 @@
     scope: anyio.CancelScope
 
 
-class Run(NamedTuple):
-    """How often a request was started here, and when last (monotonic seconds)."""
-
-    times: int
-    started_s: float
-
-
 class Engine:
     """The ASGI application of one engine."""
 
@@ -83,13 +75,12 @@
         self.connections: Connections | None = None
         self.exits = False
         self.crashed = False
-        self.counters: Counter[str] = Counter()
+        self.accounts = Accounts(settings.journal)
         self.slots = Slots(settings.slots)
         self.cache = PrefixCache(settings.cache_blocks)
         self.orders = Orders(settings.fencing, settings.model, settings.load_s)
         self._history = History()
         self._jobs: dict[str, Job] = {}
-        self._runs: OrderedDict[str, Run] = OrderedDict()
         self._handlers: dict[tuple[str, str], Callable[[Exchange], Awaitable[None]]] = {
             ("POST", "chat"): self._chat,
             ("POST", "cancel"): self._cancel,
@@ -119,6 +110,7 @@
 
     def crash(self) -> None:
         """Stop as a crashed process does: at once, without an answer to anybody."""
+        self.accounts.crashed()
         if self.exits:
             os._exit(CRASH_STATUS)
         self.crashed = True
@@ -170,7 +162,7 @@
         if not isinstance(body, dict) or not isinstance(body.get("messages"), list):
             return None, "messages: expected a list"
         body.setdefault("model", self.settings.model)
-        number = self.counters["received"] = self.counters["received"] + 1
+        number = self.accounts.counters["received"] = self.accounts.counters["received"] + 1
         request_id = exchange.header("x-request-id", f"{self.settings.name}-{number}")
         priority = int(exchange.header("x-priority", "0"))
         resume_from = int(exchange.header("x-resume-from", "0"))
@@ -194,10 +186,16 @@
 
     async def _run(self, exchange: Exchange, job: Job) -> None:
         text = prompt_text(job.body["messages"])
-        self._note_run(job)
+        self.accounts.started(job.request_id, job.tag, draining=self.orders.draining)
         if self.faults.crash_marker and self.faults.crash_marker in text:
             return self.crash()
-        await self._prefill(text, job.resume_from)
+        await self._prefill(text, job)
+        try:
+            await self._produce(exchange, job, text)
+        finally:
+            self.accounts.ended(job.request_id)
+
+    async def _produce(self, exchange: Exchange, job: Job, text: str) -> None:
         limit = int(job.body.get("max_tokens") or DEFAULT_MAX_TOKENS)
         tokens = expected_answer(job.body["model"], job.body["messages"], limit)
         frames = Frames(job.request_id, job.body, count_words(text), len(tokens), limit)
@@ -207,13 +205,12 @@
         await answer(exchange, job, tokens, frames)
         return None
 
-    async def _prefill(self, text: str, resumed: int) -> None:
+    async def _prefill(self, text: str, job: Job) -> None:
         blocks = block_hashes(text)
-        words = count_words(text)
         cached = self.cache.touch(blocks) * BLOCK_WORDS
-        self.counters["prompt_tokens"] += words - cached + resumed
-        self.counters["prompt_tokens_cached"] += cached
-        seconds = (words - cached + resumed) / self.settings.prefill_rate
+        read = count_words(text) - cached + job.resume_from
+        self.accounts.read(job.request_id, job.tag, read, cached)
+        seconds = read / self.settings.prefill_rate
         await anyio.sleep(seconds * self.faults.slow)
         self.cache.store(blocks, time.monotonic())
 
@@ -223,7 +220,7 @@
             due_s += self._token_s()
             await anyio.sleep(max(0.0, due_s - time.monotonic()))
             await self.faults.thaw()
-            self.counters["output_tokens"] += 1
+            self.accounts.given(job.request_id, job.tag, at + 1 - job.resume_from)
             yield tokens[at]
             if 0 < self.faults.crash_after_tokens <= at + 1:
                 self.crash()
@@ -245,7 +242,7 @@
                 return self._cut(exchange)
         await exchange.part(frames.end())
         await exchange.part(frames.done, more=False)
-        self.counters["finished"] += 1
+        self.accounts.counters["finished"] += 1
         return None
 
     async def _whole(
@@ -256,22 +253,12 @@
         if closes:
             return self._cut(exchange)
         await exchange.json(200, frames.whole("".join(given)))
-        self.counters["finished"] += 1
+        self.accounts.counters["finished"] += 1
         return None
 
-    def _note_run(self, job: Job) -> None:
-        self.counters["started"] += 1
-        if self.orders.draining:
-            self.counters["started_draining"] += 1
-        for name in {job.request_id, f"tag:{job.tag}"} - {"tag:"}:
-            count = self._runs[name].times if name in self._runs else 0
-            self._runs[name] = Run(count + 1, time.monotonic())
-        while len(self._runs) > RUNS_KEPT:
-            self._runs.popitem(last=False)
-
     async def _end_cancelled(self, exchange: Exchange, job: Job) -> None:
         if job.scope.cancelled_caught:
-            self.counters["cancelled"] += 1
+            self.accounts.counters["cancelled"] += 1
             self._cut(exchange)
 
     async def _cancel(self, exchange: Exchange) -> None:
@@ -305,11 +292,8 @@
         return await exchange.json(200, {"events": events})
 
     async def _counters(self, exchange: Exchange) -> None:
-        names = ("started", "finished", "cancelled", "prompt_tokens", "prompt_tokens_cached")
-        counts = dict.fromkeys((*names, "output_tokens", "started_draining"), 0) | self.counters
-        wanted = exchange.query("runs", 1)
-        runs = {name: run._asdict() for name, run in self._runs.items()} if wanted else {}
-        await exchange.json(200, {**counts, "name": self.settings.name, "runs": runs})
+        counts = self.accounts.document(with_runs=bool(exchange.query("runs", 1)))
+        await exchange.json(200, {**counts, "name": self.settings.name})
 
     async def _models(self, exchange: Exchange) -> None:
         data = [{"id": model, "object": "model"} for model in sorted(self.orders.models)]
@@ -337,7 +321,7 @@
         if not block.isdigit() or body != kv_bytes(int(block)):
             return await exchange.json(422, {"error": {"message": "not the block's bytes"}})
         self.cache.store([int(block)], time.monotonic())
-        self.counters["kv_imported"] += 1
+        self.accounts.counters["kv_imported"] += 1
         return await exchange.json(200, {"imported": int(block)})
 
     async def _set_faults(self, exchange: Exchange) -> None:
@@ -373,21 +357,22 @@
     fencing: str = "checked",
     poison_marker: str = "",
     report_lag_ms: float = 0.0,
+    journal: str = "",
 ) -> None:
     """Serve until ended; a crash ends the process."""
-    engine = Engine(
-        EngineSettings(
-            name,
-            model,
-            slots,
-            prefill_rate,
-            token_ms,
-            cache_blocks,
-            fencing,
-            poison_marker,
-            report_lag_ms,
-        )
+    settings = EngineSettings(
+        name=name,
+        model=model,
+        slots=slots,
+        prefill_rate=prefill_rate,
+        token_ms=token_ms,
+        cache_blocks=cache_blocks,
+        fencing=fencing,
+        poison_marker=poison_marker,
+        report_lag_ms=report_lag_ms,
+        journal=journal,
     )
+    engine = Engine(settings)
     engine.exits = True
     await serve_alone(engine, port)
 
--- a/src/redwingbank_standins/service.py
+++ b/src/redwingbank_standins/service.py
@@ -16,6 +16,7 @@
 from cyclopts import App
 
 from redwingbank_standins.faults import FaultError, ServiceFaults
+from redwingbank_standins.journal import Journal
 from redwingbank_standins.serving import Connections, Exchange, serve_alone
 
 if TYPE_CHECKING:
@@ -30,6 +31,7 @@
     name: str = "service"
     slots: int = 16
     call_ms: float = 5.0
+    journal: str = ""
 
 
 class Service:
@@ -41,6 +43,7 @@
         self.connections: Connections | None = None
         self.exits = False
         self.crashed = False
+        self.journal = Journal(settings.journal)
         self._running = 0
         self.runs_by_key: Counter[str] = Counter()
         self.runs_by_body: Counter[str] = Counter()
@@ -89,6 +92,7 @@
     def _effect(self, key: str, body: bytes) -> int:
         digest = hashlib.blake2b(body, digest_size=16).hexdigest()
         self.runs_by_body[digest] += 1
+        self.journal.note("effect", key=key, body=body.decode("utf-8", "replace"))
         if not key:
             return self.runs_by_body[digest]
         self.runs_by_key[key] += 1
@@ -145,10 +149,15 @@
 
 @app.default
 async def run(
-    *, port: int = 0, name: str = "service", slots: int = 16, call_ms: float = 5.0
+    *,
+    port: int = 0,
+    name: str = "service",
+    slots: int = 16,
+    call_ms: float = 5.0,
+    journal: str = "",
 ) -> None:
     """Serve until ended; a crash ends the process."""
-    service = Service(ServiceSettings(name, slots, call_ms))
+    service = Service(ServiceSettings(name, slots, call_ms, journal))
     service.exits = True
     await serve_alone(service, port)
 
