--- a/src/redwingbank/rules/breaker.py
+++ b/src/redwingbank/rules/breaker.py
@@ -40,6 +40,7 @@
         self._ejected_s: float | None = None
         self._retry_s = 0.0
         self._closed_s: float | None = None
+        self._counts_from_s = float("-inf")
         self._heard = False
         self._reports = False
         self._trial: str | None = None
@@ -83,7 +84,7 @@
             self._failures = 0
             self._settle(now_s)
         elif request_id == self._trial and sent_s >= self._ejected_s:
-            self._close(now_s)
+            self._close(sent_s, now_s)
 
     def undecided(self, request_id: str) -> None:
         """Note an end that tells nothing, such as a cancelled request: a trial is due again."""
@@ -96,7 +97,7 @@
             if request_id == self._trial and sent_s >= self._ejected_s:
                 self._eject(now_s)
             return
-        if self._closed_s is not None and sent_s < self._closed_s:
+        if sent_s < self._counts_from_s:
             return
         self._failures += 1
         if self._failures >= FAILURES_TO_EJECT:
@@ -104,19 +105,22 @@
 
     def crashed(self, request_id: str, sent_s: float, now_s: float) -> None:
         """Note a crash seen by a request: ejects at once."""
-        if self._ejected_s is not None and request_id != self._trial:
-            return
-        if self._closed_s is not None and sent_s < self._closed_s and self._ejected_s is None:
-            return
-        self._eject(now_s)
+        counts = (
+            request_id == self._trial
+            if self._ejected_s is not None
+            else sent_s >= self._counts_from_s
+        )
+        if counts:
+            self._eject(now_s)
 
     def _settle(self, now_s: float) -> None:
         if self._closed_s is not None and now_s - self._closed_s > STEADY_FACTOR * self._backoff_s:
             self._backoff_s = 0.0
 
-    def _close(self, now_s: float) -> None:
+    def _close(self, sent_s: float, now_s: float) -> None:
         self._ejected_s = None
         self._closed_s = now_s
+        self._counts_from_s = sent_s
         self._failures = 0
         self._trial = None
 
--- a/src/redwingbank/rules/retry.py
+++ b/src/redwingbank/rules/retry.py
@@ -16,6 +16,7 @@
 DEFAULT_RATIO = 0.1
 DEFAULT_FLOOR = 10.0
 MOST_ATTEMPTS = 3
+DECAY_REST = 0.01
 
 
 class _Window:
@@ -57,7 +58,8 @@
     def take(self, pool: str, now_s: float) -> bool:
         """Spend one retry, or answer false where the budget is spent."""
         window = self._window(pool, now_s)
-        if window.retries + 1 > self._ratio * window.sends + self._floor:
+        earned = self._ratio * window.sends + self._floor
+        if window.retries + 1 > earned + DECAY_REST:
             return False
         window.retries += 1
         return True
--- /dev/null
+++ b/tests/rules/affinity.feature
@@ -0,0 +1,36 @@
+Feature: affinity knows which server holds a prompt's leading blocks
+
+  Scenario Outline: sends and events, late and with gaps
+    Given an affinity that remembers 100 blocks
+    When the affinity lives through "<life>"
+    Then the affinity holds <held> leading blocks of "1 2 3 4" at "a"
+
+    Examples: an event reads: event number stored evicted
+      | life                                               | held |
+      | forget a                                           | 0    |
+      | sent a 1,2,3,4                                     | 4    |
+      | sent a 1,2                                         | 2    |
+      | sent b 1,2,3,4                                     | 0    |
+      | sent a 2,3,4                                       | 0    |
+      | event a 1 1,2,3 -                                  | 3    |
+      | sent a 1,2,3,4; event a 1 - 3                      | 2    |
+      | event a 5 1,2 -; event a 4 3 -                     | 2    |
+      | sent a 1,2,3,4; event a 5 - -; event a 4 - 2       | 1    |
+      | event a 900 1,2,3 -; event a 1 1 -                 | 1    |
+      | event a 1 1,2,3,4 -; event a 2 - -                 | 4    |
+      | event a 1 1,2,3,4 -; event a 9 - -                 | 0    |
+      | event a 1 1,2,3,4 -; event a 9 - -; sent a 1,2     | 2    |
+      | sent a 1,2,3,4; forget a                           | 0    |
+
+  Scenario Outline: lost events age what is known of that server alone
+    Given an affinity <kind>
+    When the affinity misses half of the events of an engine that evicts
+    Then the affinity is wrong about <wrong> in 100 prompts
+
+    Examples:
+      | kind                            | wrong       |
+      | that remembers 2000 blocks      | at most 20  |
+      | without ageing                  | at least 40 |
+
+  Scenario: memory is bounded and the least recently used goes first
+    Then the affinity never remembers more than its capacity
--- /dev/null
+++ b/tests/rules/fleet.feature
@@ -0,0 +1,109 @@
+Feature: the fleet knows load and health though reports lag, and chooses well
+
+  Background:
+    Given the fleet of servers "a b c" with 20 slots each
+
+  Scenario Outline: load is the last report, corrected by own sends and finishes since
+    When the fleet lives through "<life>"
+    Then the fleet's load of "a" at <at> s is <load>
+
+    Examples: reports lag, are overtaken, go stale or never come
+      | life                                                            | at | load |
+      |                                                                 | 1  | 0    |
+      | 1 sent a r1; 2 sent a r2                                        | 3  | 2    |
+      | 1 report a 1 5; 2 sent a r1                                     | 3  | 6    |
+      | 1 sent a r1; 4 report a 3 5                                     | 5  | 5    |
+      | 2 sent a r1; 4 report a 1 5                                     | 5  | 6    |
+      | 1 sent a r1; 4 report a 2 5; 5 done a r1                        | 6  | 4    |
+      | 1 sent a r1; 2 done a r1; 4 report a 3 5                        | 5  | 5    |
+      | 1 sent a r1; 3 done a r1; 4 report a 2 5                        | 5  | 4    |
+      | 4 report a 3 5; 5 report a 2 9                                  | 6  | 5    |
+      | 1 report a 1 9; 2 sent a r1                                     | 12 | 1    |
+      | 1 report a 1 9; 12 sent a r1; 13 done a r1                      | 14 | 0    |
+
+  Scenario: load is exact however reports lag, while one host sends
+    Then the fleet's load equals the truth over random lives of sends, ends and late reports
+
+  Scenario Outline: state follows the row, reports, notices and outcomes
+    When the fleet lives through "<life>"
+    Then the fleet's state of "a" at <at> s is "<state>"
+
+    Examples: draining is never overruled, a crash ejects at once, failures after three
+      | life                                                            | at   | state     |
+      |                                                                 | 1    | serving   |
+      | 1 report a 1 5 draining                                         | 2    | draining  |
+      | 1 report a 1 5 draining; 2 report a 2 5                         | 3    | serving   |
+      | 1 report a 1 5 draining                                         | 99   | draining  |
+      | 1 drain a 30                                                    | 29   | draining  |
+      | 1 drain a 30                                                    | 31   | serving   |
+      | 1 row a draining                                                | 2    | draining  |
+      | 1 sent a r1; 2 crashed a r1                                     | 2    | ejected   |
+      | 1 sent a r1; 2 crashed a r1                                     | 3.3  | half-open |
+      | 1 sent a r1; 2 crashed a r1; 2 report a 2 0 draining            | 3.3  | draining  |
+      | 1 report a 1 0; 1 sent a r1; 2 crashed a r1                     | 3.3  | ejected   |
+      | 1 report a 1 0; 1 sent a r1; 2 crashed a r1; 3 report a 3 0     | 3.3  | half-open |
+      | 1 report a 1 0; 1 sent a r1; 2 crashed a r1; 3 report a 1.5 0   | 3.3  | ejected   |
+      | 1 report a 1 0; 1 sent a r1; 2 crashed a r1                     | 62.1 | half-open |
+      | 1 sent a r1; 2 timed-out a r1                                   | 2    | serving   |
+      | 1 sent a r1; 2 refused a r1; 3 sent a r2; 3 refused a r2; 4 sent a r3; 4 refused a r3 | 5 | serving |
+      | 1 unreachable a; 2 unreachable a                                | 2    | serving   |
+      | 1 unreachable a; 2 unreachable a; 3 unreachable a               | 3    | ejected   |
+      | 1 sent a r1; 2 unreachable a; 2 unreachable a; 3 done a r1; 4 unreachable a | 4 | serving |
+      | 1 sent a r1; 2 crashed a r1; 4 sent a t; 5 done a t             | 5    | serving   |
+      | 1 sent a r1; 2 crashed a r1; 4 sent a t; 5 first a t            | 5    | serving   |
+      | 1 sent a r1; 2 crashed a r1; 4 sent a t; 5 crashed a t          | 6.9  | ejected   |
+      | 1 sent a r1; 2 crashed a r1; 4 sent a t; 5 timed-out a t        | 6.9  | ejected   |
+      | 1 sent a r1; 2 crashed a r1; 4 sent a t; 5 cancelled a t        | 6    | half-open |
+      | 1 sent a r1; 1 sent a r2; 2 crashed a r1; 2.9 crashed a r2      | 3.3  | half-open |
+      | 1 sent a r1; 1 sent a r2; 2 crashed a r1; 4 done a r2           | 4    | half-open |
+      | 1 sent a r1; 1 sent a r2; 2 crashed a r1; 4 sent a t; 5 done a t; 6 crashed a r2 | 6 | serving |
+      | 1 gone a                                                        | 2    | ejected   |
+
+  Scenario Outline: capacity counts what may be used
+    When the fleet lives through "<life>"
+    Then the fleet's capacity at <at> s is "<capacity>"
+
+    Examples:
+      | life                                            | at  | capacity      |
+      |                                                 | 1   | a=20 b=20 c=20 |
+      | 1 report a 1 0 draining; 1 drain b 9            | 2   | c=20          |
+      | 1 sent a r1; 2 crashed a r1                     | 2   | b=20 c=20     |
+      | 1 sent a r1; 2 crashed a r1                     | 4   | a=1 b=20 c=20 |
+      | 1 sent a r1; 2 crashed a r1; 4 sent a t         | 4   | b=20 c=20     |
+      | 1 report a 1 0 slots=7                          | 2   | a=7 b=20 c=20 |
+
+  Scenario Outline: avoided servers are taken only when the pool has no other
+    When the fleet lives through "<life>"
+    Then the fleet chooses "<chosen>" of "<candidates>" avoiding "<avoid>" for a <kind> request
+
+    Examples:
+      | life                        | candidates | avoid | kind       | chosen |
+      |                             | a b        | a     | repeatable | b      |
+      |                             | a          | a     | repeatable | none   |
+      |                             | a          | a b c | repeatable | a      |
+      | 1 drain b 99; 1 drain c 99  | a b        | a     | repeatable | a      |
+      | 1 drain b 99                | b          |       | repeatable | none   |
+      | 1 sent a r1; 2 crashed a r1 | a          |       | repeatable | a      |
+      | 1 sent a r1; 2 crashed a r1 | a          |       | single     | none   |
+      | 1 report b 1 9; 1 report c 1 4 | b c     |       | quiet      | c      |
+
+  Scenario Outline: <promise>
+    When the fleet <fleet> lives through the trial "<trial>"
+    Then the fleet's figure is <bound>
+
+    Examples: each promise, and the same trial without its mechanism
+      | promise                                      | fleet                  | trial         | bound      |
+      | a lagging report draws no herd               | as it is               | lag           | at most 12 |
+      | without own sends a herd comes               | without own sends      | lag           | at least 20 |
+      | a slow server gets few                       | as it is               | slow          | at most 8  |
+      | without speed it gets its share              | without speed          | slow          | at least 15 |
+      | a frozen server gets few                     | as it is               | frozen        | at most 8  |
+      | without speed a frozen one goes on           | without speed          | frozen        | at least 15 |
+      | a flapping server is tried ever more seldom  | as it is               | flap          | at most 12 |
+      | without growing back-off it is tried often   | without growth         | flap          | at least 40 |
+      | one trial at a time while half-open          | as it is               | half-open     | at most 1  |
+      | without the breaker all go to the crashed    | without a breaker      | half-open     | at least 3 |
+      | affinity costs no more than its bound        | as it is               | one prefix    | at most 27 |
+      | without the bound one server gets all        | without a bound        | one prefix    | at least 60 |
+      | affinity finds the holder                    | as it is               | many prefixes | at most 25 |
+      | without affinity prompts are read again      | without affinity       | many prefixes | at least 50 |
--- /dev/null
+++ b/tests/steps/rules_affinity.py
@@ -0,0 +1,106 @@
+"""Steps of rules/affinity.feature."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from random import Random
+
+from behave import given, then, when
+from hypothesis import given as hypothesis_given
+from hypothesis import settings, strategies
+
+from redwingbank.model import CacheEvent
+from redwingbank.rules.affinity import Affinity
+
+ENGINE_BLOCKS = 100
+PROMPT_BLOCKS = 10
+
+
+class WithoutAgeing(Affinity):
+    def _advance(self, cache, event):
+        cache.last_number = event.number
+
+
+@given("an affinity that remembers {capacity:d} blocks")
+def remembering(context, capacity):
+    context.affinity = Affinity(capacity)
+
+
+@given("an affinity without ageing")
+def without_ageing(context):
+    context.affinity = WithoutAgeing(2000)
+
+
+def blocks_of(text):
+    return tuple(int(block) for block in text.split(",") if block != "-")
+
+
+@when('the affinity lives through "{life}"')
+def lives(context, life):
+    for now_s, entry in enumerate(life.split(";")):
+        verb, server, *rest = entry.split()
+        if verb == "sent":
+            context.affinity.sent(server, blocks_of(rest[0]), now_s)
+        elif verb == "forget":
+            context.affinity.forget(server)
+        else:
+            event = CacheEvent(int(rest[0]), blocks_of(rest[1]), blocks_of(rest[2]))
+            context.affinity.event(server, event)
+
+
+@then('the affinity holds {held:d} leading blocks of "{blocks}" at "{server}"')
+def holds(context, held, blocks, server):
+    told = context.affinity.held(server, tuple(int(block) for block in blocks.split()))
+    assert told == held, told
+
+
+@when("the affinity misses half of the events of an engine that evicts")
+def misses_events(context):
+    """An engine keeps its last blocks; other hosts send to it as well."""
+    engine, random = OrderedDict(), Random(5)
+    context.affinity.sent("other", tuple(range(50)), 0.0)
+    context.wrong = 0
+    for number in range(1, 401):
+        kind = random.randrange(60)
+        prompt = tuple(range(kind * PROMPT_BLOCKS, (kind + 1) * PROMPT_BLOCKS))
+        held = context.affinity.held("a", prompt)
+        context.wrong += number > 300 and held > sum(block in engine for block in prompt)
+        stored = tuple(block for block in prompt if block not in engine)
+        for block in prompt:
+            engine[block] = True
+            engine.move_to_end(block)
+        excess = max(0, len(engine) - ENGINE_BLOCKS)
+        evicted = tuple(engine.popitem(last=False)[0] for _ in range(excess))
+        if random.random() < 0.5:
+            context.affinity.event("a", CacheEvent(number, stored, evicted))
+    assert context.affinity.held("other", tuple(range(50))) == 50
+
+
+@then("the affinity is wrong about at most {wrong:d} in 100 prompts")
+def at_most(context, wrong):
+    assert context.wrong <= wrong, context.wrong
+
+
+@then("the affinity is wrong about at least {wrong:d} in 100 prompts")
+def at_least(context, wrong):
+    assert context.wrong >= wrong, context.wrong
+
+
+@then("the affinity never remembers more than its capacity")
+def bounded(context):
+    blocks = strategies.lists(strategies.integers(0, 40), max_size=12, unique=True)
+    step = strategies.tuples(strategies.sampled_from("abc"), blocks, blocks)
+
+    @settings(derandomize=True, database=None, max_examples=100, deadline=None)
+    @hypothesis_given(strategies.lists(step, max_size=40))
+    def check(steps):
+        affinity = Affinity(capacity=20)
+        for number, (server, sent, evicted) in enumerate(steps):
+            affinity.sent(server, sent, float(number))
+            affinity.event(server, CacheEvent(2 * number, tuple(sent[:2]), tuple(evicted)))
+            kept = affinity._cache_by_server.values()
+            assert len(affinity) == sum(len(cache.used_s_by_block) for cache in kept) <= 20
+            if set(sent).isdisjoint(evicted):
+                assert affinity.held(server, sent) == len(sent)
+
+    check()
--- /dev/null
+++ b/tests/steps/rules_fleet.py
@@ -0,0 +1,287 @@
+"""Steps of rules/fleet.feature."""
+
+from __future__ import annotations
+
+from random import Random
+
+from behave import given, then, when
+from hypothesis import given as hypothesis_given
+from hypothesis import settings, strategies
+
+from redwingbank.model import LoadReport, Outcome, Request
+from redwingbank.rules import breaker
+from redwingbank.rules.fleet import Fleet
+from redwingbank.rules.table import BackendServerRow
+
+POOL = "desk-model"
+
+
+def request(name="r", blocks=(), *, repeatable=True, prompt_tokens=100):
+    return Request(
+        name, "o", "quick", 1, POOL, 0.0, 9.0, 99.0, prompt_tokens, "", blocks, repeatable
+    )
+
+
+def row(name, slots=20, state="serving"):
+    return BackendServerRow(name, POOL, "clyde", f"127.0.0.1:{ord(name[0])}", slots, state, "")
+
+
+class WithoutOwnSends(Fleet):
+    def load(self, server, now_s):
+        report = self._server_by_name[server].report
+        return report.running + report.waiting if report else 0
+
+    def _cost(self, name, now_s):
+        return self.load(name, now_s)
+
+
+class WithoutSpeed(Fleet):
+    def _cost(self, name, now_s):
+        return self.load(name, now_s) / self._server_by_name[name].slots()
+
+
+class WithoutBreaker(Fleet):
+    def finished(self, server, request, outcome, now_s, token_s=None):
+        super().finished(server, request, Outcome.CANCELLED, now_s, token_s)
+
+
+class WithoutGrowth(Fleet):
+    def finished(self, server, request, outcome, now_s, token_s=None):
+        self._server_by_name[server].breaker._backoff_s = 0.0
+        super().finished(server, request, outcome, now_s, token_s)
+
+
+class WithoutAffinity(Fleet):
+    def _held(self, request, names):
+        return {}
+
+
+FLEET_BY_NAME = {
+    "as it is": lambda: Fleet(Random(7)),
+    "without own sends": lambda: WithoutOwnSends(Random(7)),
+    "without speed": lambda: WithoutSpeed(Random(7)),
+    "without growth": lambda: WithoutGrowth(Random(7)),
+    "without a breaker": lambda: WithoutBreaker(Random(7)),
+    "without a bound": lambda: Fleet(Random(7), affinity_bound=1000.0),
+    "without affinity": lambda: WithoutAffinity(Random(7)),
+}
+
+
+@given('the fleet of servers "{names}" with {slots:d} slots each')
+def fleet_of(context, names, slots):
+    context.rows = {name: row(name, slots) for name in names.split()}
+    context.fleet = Fleet(Random(7))
+    context.fleet.rebase(context.rows.values())
+
+
+def live(context, at_s, verb, server, *rest):
+    fleet = context.fleet
+    if verb == "report":
+        numbers = {"slots": 20} | {
+            key: int(value) for key, _, value in (word.partition("=") for word in rest) if value
+        }
+        report = LoadReport(
+            float(rest[0]), numbers["slots"], int(rest[1]), 0, draining="draining" in rest
+        )
+        fleet.report(server, report, at_s)
+    elif verb in {"row", "gone"}:
+        rows = dict(context.rows)
+        rows.pop(server)
+        fleet.rebase([*rows.values(), *([row(server, state=rest[0])] if rest else [])])
+    elif verb == "drain":
+        fleet.drain(server, float(rest[0]))
+    elif verb == "unreachable":
+        fleet.unreachable(server, at_s)
+    elif verb == "sent":
+        fleet.sent(server, request(rest[0]), at_s)
+    elif verb == "first":
+        fleet.first_token(server, request(rest[0]), 0.1, at_s)
+    else:
+        fleet.finished(server, request(rest[0]), Outcome(verb.replace("-", " ")), at_s)
+
+
+@when('the fleet lives through "{life}"')
+def lives(context, life):
+    for entry in life.split(";"):
+        at_s, *words = entry.split()
+        live(context, float(at_s), *words)
+
+
+@when('the fleet lives through ""')
+def lives_quietly(context):
+    assert context.fleet.capacity(POOL, 0.0)
+
+
+@then('the fleet\'s load of "{server}" at {at:g} s is {load:d}')
+def load_is(context, server, at, load):
+    assert context.fleet.load(server, at) == load, context.fleet.load(server, at)
+
+
+@then('the fleet\'s state of "{server}" at {at:g} s is "{state}"')
+def state_is(context, server, at, state):
+    assert context.fleet.state(server, at) == state, context.fleet.state(server, at)
+
+
+@then('the fleet\'s capacity at {at:g} s is "{capacity}"')
+def capacity_is(context, at, capacity):
+    told = context.fleet.capacity(POOL, at)
+    assert " ".join(f"{name}={slots}" for name, slots in sorted(told.items())) == capacity, told
+
+
+@then('the fleet chooses "{chosen}" of "{candidates}" avoiding "{avoid}" for a {kind} request')
+def chooses(context, chosen, candidates, avoid, kind):
+    free = dict.fromkeys(candidates.split(), 5)
+    asked = request(repeatable=kind != "single")
+    told = context.fleet.choose(asked, free, 4.0, frozenset(avoid.split()), quiet=kind == "quiet")
+    assert (told or "none") == chosen, told
+
+
+@then('the fleet chooses "{chosen}" of "{candidates}" avoiding "" for a {kind} request')
+def chooses_freely(context, chosen, candidates, kind):
+    chooses(context, chosen, candidates, "", kind)
+
+
+@then("the fleet's load equals the truth over random lives of sends, ends and late reports")
+def load_is_exact(context):
+    lags = strategies.floats(0, 5)
+    step = strategies.tuples(strategies.sampled_from(["send", "end", "report"]), lags)
+
+    @settings(derandomize=True, database=None, max_examples=200, deadline=None)
+    @hypothesis_given(strategies.lists(step, max_size=60), strategies.integers(0, 9))
+    def check(steps, others):
+        fleet = Fleet(Random(1))
+        fleet.rebase([row("a")])
+        fleet.report("a", LoadReport(0.0, 20, others, 0), 0.0)
+        times, ids = [(0.0, others)], []
+        for index, (verb, lag_s) in enumerate(steps):
+            now_s = 0.1 + index / 10
+            if verb == "send":
+                ids.append(f"r{index}")
+                fleet.sent("a", request(ids[-1]), now_s)
+            elif verb == "end" and ids:
+                fleet.finished("a", request(ids.pop(0)), Outcome.DONE, now_s)
+            elif verb == "report":
+                at_s = max(0.0, now_s - lag_s)
+                truth = [load for since_s, load in times if since_s <= at_s][-1]
+                fleet.report("a", LoadReport(at_s, 20, truth, 0), now_s)
+            times.append((now_s, others + len(ids)))
+            assert fleet.load("a", now_s) == others + len(ids)
+
+    check()
+
+
+def everywhere(fleet):
+    return dict.fromkeys(fleet.capacity(POOL, 0.0), 1000)
+
+
+def choose_and_send(fleet, asked, now_s):
+    server = fleet.choose(asked, everywhere(fleet), now_s)
+    fleet.sent(server, asked, now_s)
+    return server
+
+
+def lag(fleet):
+    """Most of 30 sends that one server gets while the reports are old."""
+    for name, running in (("a", 0), ("b", 3), ("c", 3)):
+        fleet.report(name, LoadReport(0.0, 20, running, 0), 0.0)
+    chosen = [choose_and_send(fleet, request(f"r{n}"), n / 100) for n in range(1, 31)]
+    return max(chosen.count(name) for name in "abc")
+
+
+def slow(fleet):
+    """How many of 60 go to a server that is ten times slower."""
+    chosen = []
+    for number in range(60):
+        asked = request(f"r{number}")
+        server = choose_and_send(fleet, asked, number / 10)
+        took_s = 0.9 if server == "c" else 0.09
+        fleet.first_token(server, asked, took_s, number / 10 + 0.05)
+        fleet.finished(server, asked, Outcome.DONE, number / 10 + 0.05)
+        chosen.append(server)
+    return chosen.count("c")
+
+
+def frozen(fleet):
+    """How many of 60 go to a server that stops answering, while others hang at peers too."""
+    chosen = []
+    for number in range(60):
+        asked = request(f"r{number}")
+        server = choose_and_send(fleet, asked, number / 10)
+        if server != "c":
+            fleet.first_token(server, asked, 0.09, number / 10 + 0.09)
+        chosen.append(server)
+    return chosen.count("c")
+
+
+def flap(fleet):
+    """How often in 300 s a server that crashes on each trial, or just after it, is given one."""
+    trials = 0
+    for tick in range(3000):
+        now_s = tick / 10
+        asked = request(f"r{tick}")
+        if fleet.choose(asked, {"c": 1}, now_s) == "c":
+            trials += 1
+            fleet.sent("c", asked, now_s)
+            if trials % 2:
+                fleet.first_token("c", asked, 0.1, now_s + 0.01)
+            fleet.finished("c", asked, Outcome.CRASHED, now_s + 0.02)
+    return trials
+
+
+def half_open(fleet):
+    """How many of 20 go to a server that crashed and is due for its trial."""
+    fleet.sent("c", request("r"), 0.0)
+    fleet.finished("c", request("r"), Outcome.CRASHED, 0.1)
+    after_s = 0.1 + 2 * breaker.FIRST_BACKOFF_S
+    free = {"a": 20, "b": 20, "c": 20}
+    chosen = []
+    for number in range(20):
+        chosen.append(fleet.choose(request(f"r{number}"), free, after_s))
+        fleet.sent(chosen[-1], request(f"r{number}"), after_s)
+    return chosen.count("c")
+
+
+def one_prefix(fleet):
+    """Most that one server gets of 60 equal prompts, none of which ends."""
+    chosen = [choose_and_send(fleet, request(f"r{n}", tuple(range(10))), n) for n in range(60)]
+    return max(chosen.count(name) for name in "abc")
+
+
+def many_prefixes(fleet):
+    """How many of 300 prompts of 20 kinds go to a server that never had one of the kind."""
+    read, chooser = set(), Random(3)
+    for number in range(300):
+        kind = chooser.randrange(20)
+        asked = request(f"r{number}", tuple(range(kind * 10, kind * 10 + 10)))
+        server = choose_and_send(fleet, asked, number)
+        read.add((server, kind))
+        fleet.finished(server, asked, Outcome.DONE, number + 0.5)
+    return len(read)
+
+
+TRIAL_BY_NAME = {
+    "lag": lag,
+    "slow": slow,
+    "frozen": frozen,
+    "flap": flap,
+    "half-open": half_open,
+    "one prefix": one_prefix,
+    "many prefixes": many_prefixes,
+}
+
+
+@when('the fleet {fleet} lives through the trial "{trial}"')
+def lives_through(context, fleet, trial):
+    tried = FLEET_BY_NAME[fleet]()
+    tried.rebase(context.rows.values())
+    context.figure = TRIAL_BY_NAME[trial](tried)
+
+
+@then("the fleet's figure is at most {bound:d}")
+def at_most(context, bound):
+    assert context.figure <= bound, context.figure
+
+
+@then("the fleet's figure is at least {bound:d}")
+def at_least(context, bound):
+    assert context.figure >= bound, context.figure
