--- a/src/redwingbank/rules/retry.py
+++ b/src/redwingbank/rules/retry.py
@@ -51,7 +51,7 @@
         self._floor = floor
         self._window_by_pool: dict[str, _Window] = {}
 
-    def first_send(self, pool: str, now_s: float) -> None:
+    def sent(self, pool: str, now_s: float) -> None:
         """Earn: note the first attempt of a request."""
         self._window(pool, now_s).sends += 1
 
