--- /dev/null
+++ b/tests/steps/rules_quarantine.py
@@ -0,0 +1,196 @@
+"""Steps of rules/quarantine.feature."""
+
+from __future__ import annotations
+
+from itertools import count
+
+from behave import given, then, when
+
+from redwingbank.model import Outcome, Request
+from redwingbank.rules.quarantine import Free, Quarantine, Quarantined, Suspect
+
+OUTCOME_BY_VERB = {"done": Outcome.DONE, "cancelled": Outcome.CANCELLED, "cut": Outcome.CRASHED}
+
+
+class WithoutSuspicion(Quarantine):
+    def verdict(self, fingerprint, now_s):
+        return Free()
+
+
+class WithoutAcquittal(Quarantine):
+    def _acquit(self, culprit, now_s):
+        return []
+
+    def _guilty(self, runs, blamed, now_s):
+        return [name for name in blamed if self._suspicion(name).guilty(now_s)]
+
+
+def request(request_id, fingerprint):
+    return Request(request_id, "o", "quick", 1, "p", 0.0, 9.0, 99.0, 100, fingerprint)
+
+
+class World:
+    """Quarantines of several hosts and the notices between them."""
+
+    def __init__(self, hosts, kind=Quarantine, *, told=True):
+        self.by_host = {host: kind(host) for host in hosts}
+        self.told = told
+        self.held = None
+        self.in_flight = {}
+
+    def tell(self, notices, now_s):
+        if self.held is not None:
+            self.held += [(notice, now_s) for notice in notices]
+            return
+        for notice in notices if self.told else []:
+            for quarantine in self.by_host.values():
+                quarantine.learn(notice, now_s)
+
+    def deliver(self, order, now_s):
+        held, self.held = self.held, None
+        orders = {"deliver": held, "reversed": held[::-1], "twice": held + held}
+        for notice, told_s in orders[order]:
+            left_s = notice.ttl_s - (now_s - told_s)
+            self.tell([notice._replace(ttl_s=left_s)] if left_s > 0 else [], now_s)
+
+    def start(self, host, server, fingerprint, now_s):
+        entry = request(f"{host}-{fingerprint}-{now_s}", fingerprint)
+        self.in_flight[host, server, fingerprint] = entry
+        self.tell(self.by_host[host].started(server, entry, now_s), now_s)
+
+    def end(self, key, outcome, now_s):
+        entry = self.in_flight.pop(key)
+        self.tell(self.by_host[key[0]].finished(key[1], entry, outcome, now_s), now_s)
+
+    def crash(self, server, now_s):
+        for key in [key for key in self.in_flight if key[1] == server]:
+            self.end(key, Outcome.CRASHED, now_s)
+
+    def verdict(self, host, fingerprint, now_s):
+        return self.by_host[host].verdict(fingerprint, now_s)
+
+
+@given('the quarantines of hosts "{hosts}"')
+def quarantines_of(context, hosts):
+    context.world = World(hosts.split())
+
+
+@when('the quarantines live through "{life}"')
+def live(context, life):
+    world = context.world
+    for entry in life.split(";"):
+        at, verb, *rest = entry.split()
+        now_s = float(at)
+        if verb == "start":
+            world.start(*rest, now_s)
+        elif verb == "crash":
+            world.crash(rest[0], now_s)
+        elif verb == "hold":
+            world.held = []
+        elif verb == "renew":
+            world.tell(world.by_host[rest[0]].renewals(now_s), now_s)
+        elif verb == "release":
+            world.tell(world.by_host[rest[0]].release(rest[1], now_s), now_s)
+        elif verb in OUTCOME_BY_VERB:
+            world.end(tuple(rest), OUTCOME_BY_VERB[verb], now_s)
+        else:
+            world.deliver(verb, now_s)
+
+
+def name_of(verdict):
+    if isinstance(verdict, Quarantined):
+        return "quarantined" if verdict.proven else "held"
+    return type(verdict).__name__.lower()
+
+
+@then('the quarantines\' verdicts at {at:g} s are "{verdicts}"')
+def verdicts_are(context, at, verdicts):
+    for entry in verdicts.split():
+        subject, _, expected = entry.partition("=")
+        host, _, fingerprint = subject.partition(":")
+        told = context.world.verdict(host, fingerprint, at)
+        assert name_of(told) == expected, (entry, told)
+
+
+class Resends:
+    """A caller resends a poison to one host after another, whatever it is told.
+
+    Three innocents, sent by the next host, share a server with it where that is allowed. A
+    second poison follows and meets the same innocents.
+    """
+
+    def __init__(self, world):
+        self.world = world
+        self.servers = count()
+        self.refused = 0
+        self.now_s = 0.0
+
+    def run(self, host, fingerprint, innocents):
+        """Run a poison until its server crashes; suspects share no server with each other."""
+        server = f"s{next(self.servers)}"
+        hosts = list(self.world.by_host)
+        neighbour = hosts[(hosts.index(host) + 1) % len(hosts)]
+        alone = isinstance(self.world.verdict(host, fingerprint, self.now_s), Suspect)
+        for name in innocents:
+            told = self.world.verdict(neighbour, name, self.now_s)
+            self.refused += isinstance(told, Quarantined) and told.proven
+            tried = isinstance(told, Suspect) and not alone and server not in told.busy
+            if isinstance(told, Free) or tried:
+                self.world.start(neighbour, server, name, self.now_s)
+        self.world.start(host, server, fingerprint, self.now_s)
+        self.now_s += 0.05
+        self.world.crash(server, self.now_s)
+
+    def send(self, host, fingerprint, innocents):
+        """Try twice at most, as a host does; tell how many servers that cost."""
+        lost = 0
+        while lost < 2 and not isinstance(
+            self.world.verdict(host, fingerprint, self.now_s), Quarantined
+        ):
+            self.run(host, fingerprint, innocents)
+            lost += 1
+        self.now_s += 0.2
+        return lost
+
+    def lost(self, fingerprint, innocents):
+        """Servers lost to a fingerprint over 30 resends."""
+        hosts = list(self.world.by_host)
+        return sum(
+            self.send(hosts[number % len(hosts)], fingerprint, innocents) for number in range(30)
+        )
+
+
+@when("the quarantines {variant} meet a caller that resends poison to {hosts:d} hosts in turn")
+def meet_resends(context, variant, hosts):
+    kinds = {"without suspicion": WithoutSuspicion, "without acquittal": WithoutAcquittal}
+    names = [f"host-{number}" for number in range(hosts)]
+    world = World(names, kinds.get(variant, Quarantine), told=variant != "without notices")
+    resends = Resends(world)
+    context.lost = max(resends.lost(poison, ["i", "j", "k"]) for poison in ("p", "q"))
+    for host in names:
+        for name in "ijk":
+            told = world.verdict(host, name, resends.now_s)
+            resends.refused += isinstance(told, Quarantined) and told.proven
+    context.refused = resends.refused
+
+
+def within(value, bound):
+    return value <= int(bound.split()[-1]) if "most" in bound else value >= int(bound.split()[-1])
+
+
+@then("the quarantines' servers lost are {lost} and innocents refused are {refused}")
+def lost_are(context, lost, refused):
+    assert within(context.lost, lost), context.lost
+    assert within(context.refused, refused), context.refused
+
+
+@then("the quarantine of 100 fingerprints at most keeps the newest of 1000")
+def bounded(context):
+    quarantine = Quarantine("a", limit=100)
+    for number in range(1000):
+        entry = request(f"r{number}", f"f{number:04}")
+        quarantine.started(f"s{number}", entry, float(number) / 100)
+        quarantine.finished(f"s{number}", entry, Outcome.CRASHED, float(number) / 100)
+    listing = quarantine.listing(10.0)
+    assert [row.fingerprint for row in listing] == [f"f{n:04}" for n in range(900, 1000)]
+    assert all(row.state == "suspect" and row.servers for row in listing)
