--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -4,6 +4,7 @@
 
 import math
 import time
+from collections import deque
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -31,6 +32,7 @@
     from redwingbank.metrics import Metrics
     from redwingbank.model import CacheEvent, Request
     from redwingbank.settings import Settings
+    from redwingbank.tasks.allocate import Capacity
     from redwingbank.tasks.slots import ToHost
 
 TICK_S = 0.05
@@ -93,7 +95,7 @@
         self._ticket_by_id: dict[str, Ticket] = {}
         self._touched: set[str] = set()
         self.inbox, self._messages = anyio.create_memory_object_stream[object](math.inf)
-        self.outbox, self.outgoing = anyio.create_memory_object_stream["ToHost | Notice"](math.inf)
+        self.outbox, self.outgoing = anyio.create_memory_object_stream[object](math.inf)
         self._slots = Slots(settings, self._policy, self._fleet, self._send, number)
 
     async def run(self) -> None:
@@ -126,9 +128,9 @@
         if self._table is not None:
             self._touched.update(self._table.pools_by_name)
         self._pump_touched()
-        self._slots.tick(self._queue, self._limits, now_s)
+        self._slots.tick(self._limits, now_s)
 
-    def _send(self, message: ToHost | Notice) -> None:
+    def _send(self, message: ToHost | Capacity | Notice) -> None:
         self.outbox.send_nowait(message)
 
     def _announce(self, notices: list[Notice]) -> None:
@@ -162,7 +164,7 @@
         if not isinstance(message, Allocation):
             return
         self._slots.apply(received.sender, message, self._limits, time.monotonic())
-        self._touched.add(message.pool)
+        self._touched.add(message.pool.rpartition("/")[0])
 
     @handle.register(Notice)
     def _on_notice(self, notice: Notice) -> None:
@@ -212,7 +214,7 @@
             return
         if self._quarantined(ticket, now_s) or self._hopeless(request, now_s):
             return
-        self._budget.sent(request.pool, now_s)
+        self._budget.first_send(request.pool, now_s)
         self._enqueue(request, now_s)
 
     @handle.register(Ended)
@@ -256,7 +258,7 @@
         if not server:
             return server
         request = ticket.request
-        self._slots.finish(request.pool, server)
+        self._slots.holdings(ticket.cell).finish(server)
         token_s = None
         if ended is not None and ended.first_token_s:
             self._fleet.first_token(server, request, ended.first_token_s, now_s)
@@ -346,9 +348,7 @@
 
     def _tell_draining(self, server: str, ttl_s: float) -> None:
         self._notice_number += 1
-        notice = Notice(
-            DRAIN_NOTICE, server, self._settings.host, self._notice_number, 1.0, ttl_s
-        )
+        notice = Notice(DRAIN_NOTICE, server, self._settings.host, self._notice_number, 1.0, ttl_s)
         self._announce([notice])
 
     def _pump_touched(self) -> None:
@@ -356,13 +356,20 @@
         touched = sorted(self._touched)
         self._touched.clear()
         for pool in touched:
-            while self._grant_next(pool, now_s):
-                pass
+            self._pump(pool, now_s)
             self._slots.ask(pool, self._queue.demand(pool, now_s), now_s)
 
-    def _grant_next(self, pool: str, now_s: float) -> bool:
-        """Start the pool's next request if a slot is free for it."""
-        holdings = self._slots.holdings(pool)
+    def _pump(self, pool: str, now_s: float) -> None:
+        """Start what can be started, the cells of the pool in turn."""
+        cells = deque(self._slots.cells(pool))
+        while cells:
+            cell = cells.popleft()
+            if self._grant_next(pool, cell, now_s):
+                cells.append(cell)
+
+    def _grant_next(self, pool: str, cell: str, now_s: float) -> bool:
+        """Start the pool's next request if a slot of the cell is free for it."""
+        holdings = self._slots.holdings(cell)
         free = holdings.free(now_s)
         if not free:
             return False
@@ -375,18 +382,19 @@
             self._queue.remove(request.request_id)
             return self._quarantined(ticket, now_s)
         quiet = isinstance(verdict, Suspect)
-        avoid = ticket.avoid | (verdict.crashed | verdict.busy if quiet else frozenset())
-        server = self._fleet.choose(request, free, now_s, avoid, quiet=quiet)
+        crashed = verdict.crashed | verdict.busy if isinstance(verdict, Suspect) else frozenset()
+        server = self._fleet.choose(request, free, now_s, ticket.avoid | crashed, quiet=quiet)
         if server is None:
             return False
-        self._grant(ticket, server, now_s)
+        self._grant(ticket, cell, server, now_s)
         return True
 
-    def _grant(self, ticket: Ticket, server: str, now_s: float) -> None:
+    def _grant(self, ticket: Ticket, cell: str, server: str, now_s: float) -> None:
         request = ticket.request
         assert self._table is not None
         self._queue.pop(request.request_id, now_s)
-        self._slots.take(request.pool, server)
+        ticket.cell = cell
+        self._slots.holdings(cell).take(server)
         self._limits.start(request.request_id)
         self._waits.started(request, now_s)
         self._fleet.sent(server, request, now_s)
