Count slots given in the same pass as in use

Free slots were counted from what hosts said and what was sent; a level raised but not yet sent was left out, so waiting and spare were given the same slot in one pass. Ruled out: reordered demands (ignored by number), crossing grants (kept until applied).

--- a/src/redwingbank/rules/grants.py
+++ b/src/redwingbank/rules/grants.py
@@ -57,8 +57,8 @@
     def in_use(self) -> dict[str, int]:
         """Count, by server, the most slots that the host may be using."""
         most = self._claimed()
-        for sent in self._unapplied:
-            for server, slots in sent.slots.items():
+        for slots_by_server in [self.level, *(sent.slots for sent in self._unapplied)]:
+            for server, slots in slots_by_server.items():
                 most[server] = max(most.get(server, 0), slots)
         return most
 
--- a/src/redwingbank_bench/rulebench.py
+++ b/src/redwingbank_bench/rulebench.py
@@ -234,12 +234,13 @@
 
 
 def main(arguments: list[str] | None = None) -> int:
-    """Run the scenarios named, or all; a table, and one JSON object as the last line."""
+    """Run the scenarios and arms named, or all; a table, and one JSON object as the last line."""
     names = arguments if arguments is not None else sys.argv[1:]
     results: dict[str, dict[str, object]] = {}
-    for name in names or list(SCENARIOS):
+    arm_names = [name for name in names if name in ARMS] or list(ARMS)
+    for name in [name for name in names if name in SCENARIOS] or list(SCENARIOS):
         results[name] = {}
-        for arm_name in ARMS:
+        for arm_name in arm_names:
             runs = [run(arm_name, SCENARIOS[name], seed) for seed in SEEDS]
             results[name][arm_name] = report(name, arm_name, runs)
     print(json.dumps({"rulebench": results, "seeds": SEEDS}))
