--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -214,7 +214,7 @@
             return
         if self._quarantined(ticket, now_s) or self._hopeless(request, now_s):
             return
-        self._budget.first_send(request.pool, now_s)
+        self._budget.sent(request.pool, now_s)
         self._enqueue(request, now_s)
 
     @handle.register(Ended)
