--- /dev/null
+++ b/tests/embedded.py
@@ -0,0 +1,175 @@
+"""A small deployment in this process, for features that need a whole daemon."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+import socket
+from typing import Any, NamedTuple
+
+import anyio
+import httpcore
+from anyio.from_thread import start_blocking_portal
+
+from redwingbank.daemon import Daemon
+from redwingbank_standins.engine import EngineSettings, build_engine
+from redwingbank_standins.listener import listening
+from redwingbank_standins.platform import build_platform
+from redwingbank_standins.quickstart import (
+    KEY,
+    MODEL,
+    SERVICE,
+    host_settings,
+    publish_table,
+    sample_sheets,
+    until_ready,
+)
+from redwingbank_standins.service import ServiceSettings, build_service
+
+WAIT_S = 20.0
+
+
+class Answer(NamedTuple):
+    """What a caller got: `complete` is whether the transport ended the answer as whole."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+    complete: bool = True
+
+    @property
+    def error(self) -> dict[str, Any]:
+        return json.loads(self.body)["error"]
+
+
+class Embedded:
+    """Platform, engines, a service and daemons on one event loop in a thread."""
+
+    def __init__(self, daemons: int = 1, engines: int = 2, **settings: Any) -> None:
+        self._portal_scope = start_blocking_portal()
+        self.portal = self._portal_scope.__enter__()
+        self._done = anyio.Event
+        self.engines = {
+            f"engine-{number}": build_engine(EngineSettings(name=f"engine-{number}", model=MODEL))
+            for number in range(1, engines + 1)
+        }
+        self.service = build_service(ServiceSettings(name="service-1"))
+        self.platform = build_platform()
+        self.daemons: list[Daemon] = []
+        self._settings = settings
+        self._count = daemons
+        self._stop: anyio.Event
+        self._future, started = self.portal.start_task(self._run)
+        assert started is None
+
+    async def _run(self, *, task_status: Any) -> None:
+        async with contextlib.AsyncExitStack() as stack:
+            platform = await stack.enter_async_context(listening(self.platform))
+            apps = {**self.engines, "service-1": self.service}
+            self.addresses = {
+                name: await stack.enter_async_context(listening(app)) for name, app in apps.items()
+            }
+            await publish_table(platform, sample_sheets(self.addresses))
+            async with anyio.create_task_group() as group:
+                for number in range(1, self._count + 1):
+                    settings = host_settings(number, platform)._replace(**self._settings)
+                    daemon = Daemon(settings)
+                    self.daemons.append(daemon)
+                    await group.start(daemon.run)
+                await until_ready(self.daemons)
+                self._stop = anyio.Event()
+                task_status.started()
+                await self._stop.wait()
+                group.cancel_scope.cancel()
+
+    def close(self) -> None:
+        self.portal.call(self._stop.set)
+        self._future.result(WAIT_S)
+        self._portal_scope.__exit__(None, None, None)
+
+    def request(
+        self,
+        method: str,
+        path: str,
+        body: bytes = b"",
+        headers: dict[str, str] | None = None,
+        daemon: int = 0,
+    ) -> Answer:
+        """Make one request and read its answer as far as it goes."""
+        return self.portal.call(self._request, method, path, body, headers or {}, daemon)
+
+    async def _request(
+        self, method: str, path: str, body: bytes, headers: dict[str, str], daemon: int
+    ) -> Answer:
+        sent = {"Authorization": f"Bearer {KEY}", "Content-Type": "application/json", **headers}
+        url = f"http://{self.daemons[daemon].caller}{path}"
+        got = b""
+        with anyio.fail_after(WAIT_S):
+            async with (
+                httpcore.AsyncConnectionPool() as pool,
+                pool.stream(method, url, headers=list(sent.items()), content=body) as response,
+            ):
+                kept = {name.decode(): value.decode() for name, value in response.headers}
+                try:
+                    async for chunk in response.aiter_stream():
+                        got += chunk
+                except httpcore.RemoteProtocolError:
+                    return Answer(response.status, kept, got, complete=False)
+        return Answer(response.status, kept, got)
+
+    def chat(self, text: str, stream: bool = True, **more: Any) -> Answer:
+        """Ask for a completion."""
+        body = {"model": MODEL, "stream": stream, "messages": [{"role": "user", "content": text}]}
+        headers = more.pop("headers", None)
+        daemon = more.pop("daemon", 0)
+        data = json.dumps(body | more).encode()
+        return self.request("POST", "/v1/chat/completions", data, headers, daemon)
+
+    def set_faults(self, name: str, **faults: Any) -> None:
+        """Set a backend server's fault switches."""
+        self.portal.call(self._set_faults, name, faults)
+
+    async def _set_faults(self, name: str, faults: dict[str, Any]) -> None:
+        async with httpcore.AsyncConnectionPool() as pool:
+            response = await pool.request(
+                "POST",
+                f"http://{self.addresses[name]}/faults",
+                content=json.dumps(faults).encode(),
+            )
+        assert response.status == 200, response
+
+    def counters(self, name: str) -> dict[str, Any]:
+        """Read a stand-in's counters."""
+        return json.loads(self.portal.call(self._get, name, "/counters"))
+
+    async def _get(self, name: str, path: str) -> bytes:
+        async with httpcore.AsyncConnectionPool() as pool:
+            return (await pool.request("GET", f"http://{self.addresses[name]}{path}")).content
+
+    def until(self, condition: Any) -> None:
+        """Wait for a condition."""
+        self.portal.call(self._until, condition)
+
+    async def _until(self, condition: Any) -> None:
+        with anyio.fail_after(WAIT_S):
+            while not condition():
+                await anyio.sleep(0.02)
+
+    def raw(self, data: bytes, then_close: bool) -> bytes:
+        """Write bytes to the first daemon's socket; read its answer, or close at once."""
+        caller = self.daemons[0].caller
+        with socket.create_connection(caller, timeout=WAIT_S) as connection:
+            connection.sendall(data)
+            if then_close:
+                return b""
+            return connection.recv(65_536)
+
+
+def text_of(answer: Answer) -> str:
+    """Read a streamed answer's text."""
+    frames = [part[6:] for part in answer.body.split(b"\n\n") if part.startswith(b"data: {")]
+    choices = [json.loads(frame).get("choices") or [] for frame in frames]
+    return "".join(choice[0]["delta"].get("content", "") for choice in choices if choice)
+
+
+__all__ = ["KEY", "MODEL", "SERVICE", "Answer", "Embedded", "text_of"]
