Tell the fleet first tokens as they come, and set aside requests that no free server suits

Cause, read in the code: the dispatcher told first tokens only at the end of a stream, so every long stream looked like a server that had not answered yet; and where the best request of a pool was a suspect without a server of its own, choose answered none and the whole pool waited behind it. Change: the caller's task sends Began; a request that no free server suits, or whose equal is being tried, is parked for a tick. A suspect being tried is no longer refused on the host that tries it. Not yet run under load.

--- a/src/redwingbank/ports/completion.py
+++ b/src/redwingbank/ports/completion.py
@@ -21,7 +21,7 @@
 )
 from redwingbank.rules.frames import Frames, GarbageError, assemble
 from redwingbank.rules.lifecycle import State, Step
-from redwingbank.tasks.ticket import Ended, Grant, Left, Refused, Submit, Ticket
+from redwingbank.tasks.ticket import Began, Ended, Grant, Left, Refused, Submit, Ticket
 
 if TYPE_CHECKING:
     from redwingbank.events import EventLog
@@ -129,7 +129,7 @@
 class Inbox(Protocol):
     """Takes messages for the dispatch task."""
 
-    def send_nowait(self, item: Submit | Ended | Left) -> None:
+    def send_nowait(self, item: Submit | Began | Ended | Left) -> None:
         """Take one message."""
 
 
@@ -143,6 +143,8 @@
         self.targets = targets
         self.frames = Frames()
         self.first_token_s = 0.0
+        self.attempt_s = 0.0
+        self.attempt_begun = False
         self.over = False
         self.rejection: Rejection | None = None
 
@@ -241,6 +243,7 @@
         life = progress.ticket.life
         life.advance(Step.SEND)
         started_s = time.monotonic()
+        progress.attempt_s, progress.attempt_begun = started_s, False
         outcome = Outcome.DONE
         begun = False
         try:
@@ -290,9 +293,14 @@
         return Outcome.DONE
 
     async def _relay(self, chunk: bytes, progress: Progress) -> None:
+        delivered = progress.frames.tokens
         whole = progress.frames.feed(chunk)
         if not whole:
             return
+        if not progress.attempt_begun and progress.frames.tokens > delivered:
+            progress.attempt_begun = True
+            waited_s = time.monotonic() - progress.attempt_s
+            self._inbox.send_nowait(Began(progress.ticket, waited_s))
         if progress.first_token_s == 0.0 and progress.frames.tokens:
             progress.first_token_s = time.monotonic()
         await progress.sink.frames(whole)
--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -18,11 +18,11 @@
 from redwingbank.rules.fleet import Fleet
 from redwingbank.rules.limits import Limits
 from redwingbank.rules.policy import policy_of
-from redwingbank.rules.quarantine import Quarantine, Quarantined, Suspect
+from redwingbank.rules.quarantine import Free, Quarantine, Quarantined, Suspect
 from redwingbank.rules.roster import MemberView
 from redwingbank.rules.table import Table
 from redwingbank.tasks.slots import Slots
-from redwingbank.tasks.ticket import Ended, Grant, Left, Refused, Submit, Ticket
+from redwingbank.tasks.ticket import Began, Ended, Grant, Left, Refused, Submit, Ticket
 
 if TYPE_CHECKING:
     from random import Random
@@ -93,6 +93,7 @@
         self._quarantine = Quarantine(settings.host, first_number=number)
         self._notice_number = number
         self._ticket_by_id: dict[str, Ticket] = {}
+        self._parked: list[Request] = []
         self._touched: set[str] = set()
         self.inbox, self._messages = anyio.create_memory_object_stream[object](math.inf)
         self.outbox, self.outgoing = anyio.create_memory_object_stream[object](math.inf)
@@ -121,6 +122,7 @@
             self._tick(time.monotonic())
 
     def _tick(self, now_s: float) -> None:
+        self._unpark(now_s)
         for request in self._queue.expired(now_s):
             self._waits.gone(request.request_id)
             self._refuse(request.request_id, Code.WAIT_EXPIRED, self._retry_after_s(request))
@@ -214,9 +216,16 @@
             return
         if self._quarantined(ticket, now_s) or self._hopeless(request, now_s):
             return
-        self._budget.first_send(request.pool, now_s)
+        self._budget.sent(request.pool, now_s)
         self._enqueue(request, now_s)
 
+    @handle.register(Began)
+    def _on_began(self, began: Began) -> None:
+        ticket = began.ticket
+        if ticket.server:
+            now_s = time.monotonic()
+            self._fleet.first_token(ticket.server, ticket.request, began.first_token_s, now_s)
+
     @handle.register(Ended)
     def _on_ended(self, ended: Ended) -> None:
         ticket = ended.ticket
@@ -261,7 +270,6 @@
         self._slots.holdings(ticket.cell).finish(server)
         token_s = None
         if ended is not None and ended.first_token_s:
-            self._fleet.first_token(server, request, ended.first_token_s, now_s)
             spent_s = now_s - ticket.sent_s - ended.first_token_s
             token_s = spent_s / (tokens - 1) if tokens > 1 else None
         self._fleet.finished(server, request, outcome, now_s, token_s)
@@ -315,12 +323,10 @@
 
     def _quarantined(self, ticket: Ticket, now_s: float) -> bool:
         verdict = self._quarantine.verdict(ticket.request.fingerprint, now_s)
-        if not isinstance(verdict, Quarantined):
+        if not isinstance(verdict, Quarantined) or not verdict.proven:
             return False
         ran = ticket.life.ran is not Ran.NO
         code = Code.QUARANTINED_AFTER_RUN if ran else Code.QUARANTINED
-        if not verdict.proven:
-            code = Code.SUSPECTED_AFTER_RUN if ran else Code.SUSPECTED
         self._refuse(ticket.request.request_id, code, verdict.retry_after_s)
         return True
 
@@ -380,15 +386,36 @@
         verdict = self._quarantine.verdict(request.fingerprint, now_s)
         if isinstance(verdict, Quarantined):
             self._queue.remove(request.request_id)
-            return self._quarantined(ticket, now_s)
-        quiet = isinstance(verdict, Suspect)
-        crashed = verdict.crashed | verdict.busy if isinstance(verdict, Suspect) else frozenset()
-        server = self._fleet.choose(request, free, now_s, ticket.avoid | crashed, quiet=quiet)
+            return self._quarantined(ticket, now_s) or self._park(request)
+        server = self._choose(ticket, verdict, free, now_s)
         if server is None:
-            return False
+            held_back = isinstance(verdict, Suspect) or bool(ticket.avoid)
+            return held_back and self._park(request)
         self._grant(ticket, cell, server, now_s)
         return True
 
+    def _choose(
+        self, ticket: Ticket, verdict: Free | Suspect, free: dict[str, int], now_s: float
+    ) -> str | None:
+        """Choose a server; a suspect shares none with another and harms the fewest."""
+        if isinstance(verdict, Free):
+            return self._fleet.choose(ticket.request, free, now_s, ticket.avoid)
+        alone = {server: slots for server, slots in free.items() if server not in verdict.busy}
+        avoid = ticket.avoid | verdict.crashed
+        return self._fleet.choose(ticket.request, alone, now_s, avoid, quiet=True)
+
+    def _park(self, request: Request) -> bool:
+        """Set aside till the next tick a request that no free server suits; others may start."""
+        self._queue.remove(request.request_id)
+        self._parked.append(request)
+        return True
+
+    def _unpark(self, now_s: float) -> None:
+        parked, self._parked = self._parked, []
+        for request in parked:
+            if request.request_id in self._ticket_by_id:
+                self._enqueue(request, now_s)
+
     def _grant(self, ticket: Ticket, cell: str, server: str, now_s: float) -> None:
         request = ticket.request
         assert self._table is not None
--- a/src/redwingbank/tasks/ticket.py
+++ b/src/redwingbank/tasks/ticket.py
@@ -70,6 +70,13 @@
     ticket: Ticket
 
 
+class Began(NamedTuple):
+    """The first token of an attempt came, `first_token_s` after its send."""
+
+    ticket: Ticket
+    first_token_s: float
+
+
 class Ended(NamedTuple):
     """An attempt at a backend server is over.
 
@@ -91,4 +98,4 @@
     tokens: int = 0
 
 
-__all__ = ["Ended", "Grant", "Left", "Refused", "Submit", "Ticket"]
+__all__ = ["Began", "Ended", "Grant", "Left", "Refused", "Submit", "Ticket"]
