Acknowledge an allocation at once only where it cut something

Cause: a host with all slots busy answered every allocation with a demand, and the allocator that with another allocation (109 demands and 94 allocations a second over 7 hosts).

--- a/src/redwingbank/rules/holdings.py
+++ b/src/redwingbank/rules/holdings.py
@@ -24,7 +24,6 @@
     at_s: float
     waiting_by_tier: dict[int, int]
     idle: int
-    applied: int
 
 
 class Holdings:
@@ -52,6 +51,7 @@
         self._applied_by_allocator: dict[str, int] = {}
         self._demand_times: dict[int, float] = {}
         self._told: Told | None = None
+        self._was_cut = False
         self._minimum = MinimumAccounts()
         self._classes: tuple[ClassDemand, ...] = ()
 
@@ -75,7 +75,9 @@
         if len(self._applied_by_allocator) >= DEMANDS_KEPT:
             self._applied_by_allocator.clear()
         self._applied_by_allocator[allocator] = allocation.number
-        self._level = dict(allocation.slots)
+        slots = allocation.slots
+        self._was_cut |= any(slots.get(name, 0) < had for name, had in self._level.items())
+        self._level = dict(slots)
         self._floor = allocation.floor
         self._turns = dict(allocation.turns)
         self._ttl_s = allocation.ttl_s
@@ -133,23 +135,24 @@
         `number` must rise from one demand to the next, over restarts too.
         """
         self._classes = classes
+        self._was_cut = False
         self._hand_back(classes, now_s)
         free = self.free(now_s)
         applied = self._applied_by_allocator.get(allocator, 0)
-        self._told = Told(now_s, waiting_by_tier(classes), sum(free.values()), applied)
+        self._told = Told(now_s, waiting_by_tier(classes), sum(free.values()))
         self._demand_times[number] = now_s
         while len(self._demand_times) > DEMANDS_KEPT:
             self._demand_times.pop(next(iter(self._demand_times)))
         return Demand(self._pool, number, classes, self.running(), free, applied=applied)
 
-    def urgent(self, classes: tuple[ClassDemand, ...], now_s: float, allocator: str = "") -> bool:
+    def urgent(self, classes: tuple[ClassDemand, ...], now_s: float) -> bool:
         """Tell whether a demand should go out at once; at most every `URGENT_GAP_S`."""
         told = self._told
         if told is None:
             return bool(classes)
         if now_s - told.at_s < URGENT_GAP_S:
             return False
-        if self._applied_by_allocator.get(allocator, 0) != told.applied and self._cut():
+        if self._was_cut:
             return True
         idle = sum(self.free(now_s).values())
         if self._surplus(classes, now_s) > 0:
@@ -161,10 +164,9 @@
         classes: tuple[ClassDemand, ...],
         now_s: float,
         interval_s: float,
-        allocator: str = "",
     ) -> bool:
         """Tell whether a demand should go out: urgent, changed, or to keep the lease."""
-        if self.urgent(classes, now_s, allocator):
+        if self.urgent(classes, now_s):
             return True
         told = self._told
         if told is None:
@@ -183,10 +185,6 @@
         idle = sum(self.free(now_s).values())
         return (idle == 0) != (told.idle == 0)
 
-    def _cut(self) -> bool:
-        level = self._level
-        return any(level.get(server, 0) <= count for server, count in self._running.items())
-
     def _newly_unmet(self, classes: tuple[ClassDemand, ...], idle: int, told: Told) -> bool:
         waiting = waiting_by_tier(classes)
         if not waiting or idle > 0:
--- a/src/redwingbank_bench/rulearms.py
+++ b/src/redwingbank_bench/rulearms.py
@@ -158,7 +158,7 @@
             holdings.take(server)
             self._launch(host, request.request_id, server, partial(self._end, host, server))
         classes = queue.demand(POOL, now_s)
-        if holdings.due(classes, now_s, DEMAND_INTERVAL_S, self.allocator_host):
+        if holdings.due(classes, now_s, DEMAND_INTERVAL_S):
             self.number += 1
             demand = holdings.demand(classes, self.number, now_s, self.allocator_host)
             self.world.send(host, self.allocator_host, demand, lambda: self._observe(host, demand))
