--- a/src/redwingbank/rules/allocator.py
+++ b/src/redwingbank/rules/allocator.py
@@ -20,6 +20,8 @@
 RENEWALS_PER_TTL = 3
 RESEND_S = 0.25
 SPARE_TOLERANCE = 2
+SHARE_TOLERANCE = 1
+MOVE_INTERVAL_S = 0.5
 
 
 class Allocator:
@@ -49,6 +51,7 @@
         self._expected: frozenset[str] | None = None
         self._began_s: float | None = None
         self._loads: dict[str, ClassLoad] = {}
+        self._moved_s = float("-inf")
 
     @property
     def number(self) -> int:
@@ -91,7 +94,7 @@
         self._assign_turns()
         if self._informed(now_s):
             self._fit_capacity()
-            self._move_to_share()
+            self._move_to_share(now_s)
             self._grant_waiting()
             self._spread_spare(now_s)
         floor = self._floor()
@@ -208,14 +211,21 @@
         weight = max(1, sum(item.organisations for item in items))
         return Want(host, most, weight, account.total)
 
-    def _move_to_share(self) -> None:
-        """Cut hosts above their share by what hosts below theirs can't get from free slots."""
+    def _move_to_share(self, now_s: float) -> None:
+        """Cut hosts above their share by what hosts below theirs can't get from free slots.
+
+        Differences of a slot are let be, and no more often than `MOVE_INTERVAL_S`: what waits
+        in a high tier is helped at once by the floor, this is for fairness between hosts.
+        """
+        if now_s - self._moved_s < MOVE_INTERVAL_S:
+            return
+        self._moved_s = now_s
         targets = self._targets()
         accounts = self._accounts_by_host
         lacking = {
             host: targets[host] - account.total
             for host, account in accounts.items()
-            if targets[host] > account.total and self._unmet(account)
+            if targets[host] > account.total + self._tolerance(account) and self._unmet(account)
         }
         cut = sum(lacking.values()) - sum(max(0, count) for count in self._free().values())
         cut -= sum(
@@ -234,6 +244,9 @@
             if over + 1 < 0:
                 heapq.heappush(excess, (over + 1, host))
 
+    def _tolerance(self, account: HostAccount) -> int:
+        return SHARE_TOLERANCE if account.total else 0
+
     def _cut_one(self, account: HostAccount) -> None:
         running = account.demand.running
         server = max(
