--- a/src/redwingbank/tasks/slots.py
+++ b/src/redwingbank/tasks/slots.py
@@ -148,7 +148,7 @@
     def _ask_cell(self, cell: str, classes: tuple[ClassDemand, ...], now_s: float) -> None:
         owner = self.owner(cell)
         holdings = self.holdings(cell)
-        if not holdings.due(classes, now_s, self._settings.demand_interval_s, owner):
+        if not holdings.due(classes, now_s, self._settings.demand_interval_s):
             return
         self._number += 1
         demand = holdings.demand(classes, self._number, now_s, owner)
--- a/tests/embedded.py
+++ b/tests/embedded.py
@@ -12,6 +12,7 @@
 from anyio.from_thread import start_blocking_portal
 
 from redwingbank.daemon import Daemon
+from redwingbank.settings import Address
 from redwingbank_standins.engine import EngineSettings, build_engine
 from redwingbank_standins.listener import listening
 from redwingbank_standins.platform import build_platform
@@ -25,6 +26,7 @@
     until_ready,
 )
 from redwingbank_standins.service import ServiceSettings, build_service
+from redwingbank_standins.serving import embedded
 
 WAIT_S = 20.0
 
@@ -48,7 +50,6 @@
     def __init__(self, daemons: int = 1, engines: int = 2, **settings: Any) -> None:
         self._portal_scope = start_blocking_portal()
         self.portal = self._portal_scope.__enter__()
-        self._done = anyio.Event
         self.engines = {
             f"engine-{number}": build_engine(EngineSettings(name=f"engine-{number}", model=MODEL))
             for number in range(1, engines + 1)
@@ -67,7 +68,8 @@
             platform = await stack.enter_async_context(listening(self.platform))
             apps = {**self.engines, "service-1": self.service}
             self.addresses = {
-                name: await stack.enter_async_context(listening(app)) for name, app in apps.items()
+                name: Address("127.0.0.1", await stack.enter_async_context(embedded(app)))
+                for name, app in apps.items()
             }
             await publish_table(platform, sample_sheets(self.addresses))
             async with anyio.create_task_group() as group:
@@ -152,7 +154,7 @@
 
     async def _until(self, condition: Any) -> None:
         with anyio.fail_after(WAIT_S):
-            while not condition():
+            while not condition():  # noqa: ASYNC110
                 await anyio.sleep(0.02)
 
     def raw(self, data: bytes, then_close: bool) -> bytes:
