Add the load and experiment tool with a checker apart from the router

Ruled out: httpcore's connection pool in the load generator: its upkeep walks all connections for each idle one at each request; a trial at 100 requests/s sent 2.7 s late with it and 0.2 s late (under cProfile) without.

--- /dev/null
+++ b/src/redwingbank_bench/checker.py
@@ -0,0 +1,185 @@
+"""Checks the router's promises from callers' records and backend servers' journals alone."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from redwingbank.codes import Code, Ran
+from redwingbank_bench.sheets import MODEL
+from redwingbank_standins.answers import expected_answer
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping, Sequence
+
+    from redwingbank_bench.load import Record
+
+REFUSED_FOR_LOAD = {int(Code.SHED), int(Code.TARGET_UNREACHABLE), int(Code.WAIT_EXPIRED)}
+INVERSION_SLACK = 2
+
+
+class Violations(NamedTuple):
+    """How often each promise was broken; all are 0 in a right run.
+
+    `wrong_answer`: a whole answer that is not the request's own.
+    `wrong_part`: a stream that broke off, whose tokens are not the beginning of the answer.
+    `ran_though_not_run`: answered `ran=no`, yet a backend server had started it.
+    `ran_twice`: a call with an idempotency key that had its effect more than once.
+    `unanswered`: the connection ended with neither a whole answer nor an error.
+    `shed_for_lower`: refused for load while lower tiers started beyond their minimum.
+    """
+
+    wrong_answer: int
+    wrong_part: int
+    ran_though_not_run: int
+    ran_twice: int
+    unanswered: int
+    shed_for_lower: int
+
+    @property
+    def total(self) -> int:
+        """All of them."""
+        return sum(self)
+
+
+class Waste(NamedTuple):
+    """Work of engines in tokens, and the part of it that no whole right answer needed."""
+
+    prompt: int
+    prompt_wasted: int
+    output: int
+    output_wasted: int
+
+    @property
+    def share(self) -> float:
+        """The part of all tokens read and made that was wasted."""
+        return (self.prompt_wasted + self.output_wasted) / max(1, self.prompt + self.output)
+
+
+def expected(record: Record) -> tuple[str, ...]:
+    """Recompute the whole right answer of a completion."""
+    arrival = record.arrival
+    return tuple(expected_answer(MODEL, arrival.messages, arrival.class_.max_tokens))
+
+
+def right(record: Record) -> bool:
+    """Whether a caller got the whole answer to its own request."""
+    return record.whole and (bool(record.arrival.key) or record.tokens == expected(record))
+
+
+def check(
+    records: Sequence[Record], journals: Mapping[str, Sequence[Mapping[str, Any]]]
+) -> Violations:
+    """Count broken promises."""
+    chats = [record for record in records if not record.arrival.key]
+    calls = [record for record in records if record.arrival.key]
+    starts = [
+        event for events in journals.values() for event in events if event["event"] == "start"
+    ]
+    starts_by_tag: dict[str, list[float]] = defaultdict(list)
+    for event in starts:
+        starts_by_tag[event["tag"]].append(event["at_s"])
+    sent = Counter(record.arrival.tag for record in records)
+    effects = Counter(
+        event["key"]
+        for events in journals.values()
+        for event in events
+        if event["event"] == "effect"
+    )
+    not_run = [record for record in records if record.ran == Ran.NO.value]
+    lied = sum(_ran(record, starts_by_tag, effects, sent) for record in not_run)
+    return Violations(
+        wrong_answer=sum(record.whole and not right(record) for record in chats),
+        wrong_part=sum(not record.whole and not _begins(record) for record in chats),
+        ran_though_not_run=lied,
+        ran_twice=sum(effects[key] > 1 for key in {record.arrival.key for record in calls}),
+        unanswered=sum(not record.whole and not record.code for record in records),
+        shed_for_lower=sum(_shed_for_lower(chats, starts)),
+    )
+
+
+def _ran(
+    record: Record,
+    starts_by_tag: Mapping[str, Sequence[float]],
+    effects: Mapping[str, int],
+    sent: Mapping[str, int],
+) -> bool:
+    """Tell whether a backend server ran a request said not to have run.
+
+    Of a tag sent several times, only what started between its sending and its answer counts.
+    """
+    arrival = record.arrival
+    times = starts_by_tag.get(arrival.tag, ())
+    if arrival.key:
+        return effects.get(arrival.key, 0) > 0
+    if sent[arrival.tag] == 1:
+        return bool(times)
+    return any(record.sent_s <= at_s <= record.ended_s for at_s in times)
+
+
+def _begins(record: Record) -> bool:
+    return not record.tokens or record.tokens == expected(record)[: len(record.tokens)]
+
+
+def _shed_for_lower(
+    records: Sequence[Record], starts: Iterable[Mapping[str, Any]]
+) -> Iterable[bool]:
+    """Tell for each refusal for load whether lower tiers took slots it could have had.
+
+    Between its arrival and its refusal lower tiers may start no more than the sum of all
+    classes' minimum shares, and a few for what was granted before it came.
+    """
+    class_by_tag = {record.arrival.tag: record.arrival.class_ for record in records}
+    minimum = sum({row.name: row.minimum for row in class_by_tag.values()}.values())
+    times = sorted(
+        (event["at_s"], class_by_tag[event["tag"]].tier)
+        for event in starts
+        if event["tag"] in class_by_tag
+    )
+    for record in records:
+        if record.code not in REFUSED_FOR_LOAD:
+            continue
+        tiers = [tier for at_s, tier in times if record.sent_s <= at_s <= record.ended_s]
+        lower = sum(tier > record.arrival.class_.tier for tier in tiers)
+        yield lower > minimum * len(tiers) + INVERSION_SLACK
+
+
+def wrong_refusals(records: Sequence[Record]) -> int:
+    """Count early refusals whose class still got a first token in time when asked for later.
+
+    A request refused as unreachable was refused wrongly where one of its class, sent after it,
+    had its first token before the refused one's give-up time.
+    """
+    served: dict[str, list[tuple[float, float]]] = defaultdict(list)
+    for record in records:
+        if record.whole and record.first_s:
+            served[record.arrival.class_.name].append((record.sent_s, record.first_s))
+    return sum(
+        any(
+            sent_s > record.sent_s and first_s < record.sent_s + record.arrival.class_.give_up_s
+            for sent_s, first_s in served[record.arrival.class_.name]
+        )
+        for record in records
+        if record.code == int(Code.TARGET_UNREACHABLE)
+    )
+
+
+def waste(records: Sequence[Record], journals: Mapping[str, Sequence[Mapping[str, Any]]]) -> Waste:
+    """Compare what engines read and made with what whole right answers needed."""
+    reads: dict[str, list[int]] = defaultdict(list)
+    output: Counter[str] = Counter()
+    for events in journals.values():
+        for event in events:
+            if event["event"] == "read":
+                reads[event["tag"]].append(event["read"])
+            elif event["event"] == "output":
+                output[event["tag"]] += event["tokens"]
+    good = {record.arrival.tag: record for record in records if right(record)}
+    needed_prompt = sum(min(reads[tag]) for tag in good if reads[tag])
+    needed_output = sum(min(len(record.tokens), output[tag]) for tag, record in good.items())
+    prompt = sum(sum(values) for values in reads.values())
+    made = sum(output.values())
+    return Waste(prompt, prompt - needed_prompt, made, made - needed_output)
+
+
+__all__ = ["Violations", "Waste", "check", "expected", "right", "waste", "wrong_refusals"]
--- /dev/null
+++ b/src/redwingbank_bench/control.py
@@ -0,0 +1,135 @@
+"""Cost of control a node at 3, 7, 14 and 28 daemons: the slopes of the capacity page."""
+
+from __future__ import annotations
+
+import random
+import re
+import statistics
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import anyio
+
+from redwingbank_bench.load import Arrival, Load, poisson, prompt
+from redwingbank_bench.report import print_table, spread
+from redwingbank_bench.rig import EngineSpec, Plan, running
+from redwingbank_bench.sheets import Organisation, TrafficClass
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from redwingbank_bench.options import Options
+    from redwingbank_bench.processes import Usage
+    from redwingbank_bench.rig import Rig
+
+COUNTS = (3, 7, 14, 28)
+RATE_PER_S = 40.0
+SETTLE_S = 4.0
+MEBIBYTE = 1024 * 1024
+AIM_CORE = 0.01
+AIM_BYTES_PER_S = 2048
+AIM_MEBIBYTES = 128
+
+CLASS = TrafficClass("question", 1, 1000, 80, 10, max_tokens=20)
+ORGANISATION = Organisation("strathmore")
+COUNTED = re.compile(r"^redwingbank_(peer|control|platform)\w*_total(\{[^}]*\})? (\S+)$", re.M)
+
+
+class Sample(NamedTuple):
+    """What one daemon had used and counted at one time."""
+
+    usage: Usage
+    counts: dict[str, float]
+
+
+class Rates(NamedTuple):
+    """A daemon's use between two samples; `counts` are rates a second."""
+
+    cores: float
+    rss_mebibytes: float
+    counts: dict[str, float]
+
+
+async def _sample(rig: Rig) -> dict[str, Sample]:
+    samples = {}
+    for name, child in rig.daemons_by_name.items():
+        text = (await rig.read(name, "/metrics")).decode()
+        counts = {
+            found.group(0).rpartition(" ")[0].removeprefix("redwingbank_"): float(found.group(3))
+            for found in COUNTED.finditer(text)
+        }
+        samples[name] = Sample(child.usage(), counts)
+    return samples
+
+
+def _rates(before: Mapping[str, Sample], after: Mapping[str, Sample]) -> list[Rates]:
+    rates = []
+    for name, last in after.items():
+        first = before[name]
+        passed_s = last.usage.at_s - first.usage.at_s
+        counts = {
+            key: (value - first.counts.get(key, 0.0)) / passed_s
+            for key, value in last.counts.items()
+        }
+        cores = (last.usage.cpu_s - first.usage.cpu_s) / passed_s
+        rates.append(Rates(cores, last.usage.rss_bytes / MEBIBYTE, counts))
+    return rates
+
+
+def _summary(rates: Sequence[Rates]) -> dict[str, float]:
+    names = sorted({name for rate in rates for name in rate.counts})
+    cores = [rate.cores for rate in rates]
+    figures = {
+        "cores_mean": statistics.mean(cores),
+        "cores_max": max(cores),
+        "rss_mebibytes_max": max(rate.rss_mebibytes for rate in rates),
+    }
+    for name in names:
+        values = [rate.counts.get(name, 0.0) for rate in rates]
+        figures[f"{name}/s mean"] = statistics.mean(values)
+        figures[f"{name}/s max"] = max(values)
+    return figures
+
+
+def _arrivals(seed: int, seconds: float, targets: Sequence[str]) -> list[Arrival]:
+    source = random.Random(seed)  # noqa: S311
+    arrivals = []
+    for number, at_s in enumerate(poisson(source, RATE_PER_S, 0.0, seconds)):
+        tag = f"question-{number}"
+        text = prompt(source, tag, CLASS.prompt_words)
+        target = source.choice(targets)
+        arrivals.append(Arrival(at_s, tag, CLASS, ORGANISATION, text, target))
+    return arrivals
+
+
+async def _once(count: int, seed: int, seconds: float) -> dict[str, dict[str, float]]:
+    engines = tuple(EngineSpec(f"engine-{at}", slots=8) for at in range(6))
+    async with running(Plan(count, engines, (CLASS,), (ORGANISATION,))) as rig:
+        await anyio.sleep(SETTLE_S)
+        first = await _sample(rig)
+        await anyio.sleep(seconds / 2)
+        idle = await _sample(rig)
+        await Load().run(_arrivals(seed, seconds / 2, rig.daemon_addresses))
+        loaded = await _sample(rig)
+    return {"idle": _summary(_rates(first, idle)), "loaded": _summary(_rates(idle, loaded))}
+
+
+async def measure(options: Options) -> dict[str, Any]:
+    """Run and print; gives the figures at each count with their spread over the runs."""
+    figures: dict[str, Any] = {}
+    for count in COUNTS:
+        runs = [
+            await _once(count, options.seed + at, options.seconds) for at in range(options.runs)
+        ]
+        for phase in ("idle", "loaded"):
+            names = sorted({name for run in runs for name in run[phase]})
+            summary = {name: spread([run[phase].get(name, 0.0) for run in runs]) for name in names}
+            figures[f"{phase}_{count}"] = summary
+            rows = [[name, *values.values()] for name, values in summary.items()]
+            print_table(
+                f"{count} daemons, {phase}: a node", ["figure", "median", "least", "largest"], rows
+            )
+    aim = {"core": AIM_CORE, "bytes_per_s": AIM_BYTES_PER_S, "mebibytes": AIM_MEBIBYTES}
+    return {**figures, "rate_per_s": RATE_PER_S, "aim": aim}
+
+
+__all__ = ["measure"]
--- /dev/null
+++ b/src/redwingbank_bench/load.py
@@ -0,0 +1,244 @@
+"""Open-loop load: arrivals planned ahead by seed, sent on time whatever the answers do."""
+
+from __future__ import annotations
+
+import json
+import time
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import anyio
+import httpcore
+
+from redwingbank_bench.sheets import MODEL, SERVICE
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Sequence
+
+    from redwingbank_bench.sheets import Organisation, TrafficClass
+
+MILLISECONDS = 1000.0
+TIMEOUT_S = 90.0
+CHAT_PATH = "/v1/chat/completions"
+WORDS = ("quay", "tide", "bunker", "memo", "file", "press", "olive", "oven", "note", "berth")
+
+
+class Arrival(NamedTuple):
+    """A request to be sent `at_s` after the start; `target` is an address.
+
+    `key` is the idempotency key of a service's call, empty for a completion.
+    """
+
+    at_s: float
+    tag: str
+    class_: TrafficClass
+    organisation: Organisation
+    text: str
+    target: str
+    key: str = ""
+
+    @property
+    def messages(self) -> list[dict[str, str]]:
+        """The OpenAI message list."""
+        return [{"role": "user", "content": self.text}]
+
+
+class Record(NamedTuple):
+    """What became of a request, as its caller saw it; times are monotonic seconds.
+
+    `first_s` is 0 where no token came. `ran` is the router's claim, `whole` the end mark.
+    `status` is 0 where the connection failed before an answer.
+    """
+
+    arrival: Arrival
+    sent_s: float
+    first_s: float
+    ended_s: float
+    gaps_s: tuple[float, ...]
+    tokens: tuple[str, ...]
+    status: int
+    whole: bool
+    code: int
+    ran: str
+    retry_after_s: float
+
+    @property
+    def first_token_ms(self) -> float:
+        """Time from sending to the first token."""
+        return (self.first_s - self.sent_s) * MILLISECONDS
+
+    @property
+    def mean_gap_ms(self) -> float:
+        """Mean time between tokens."""
+        return sum(self.gaps_s) / len(self.gaps_s) * MILLISECONDS if self.gaps_s else 0.0
+
+    @property
+    def attained(self) -> bool:
+        """Whether a whole answer met both targets of its class."""
+        row = self.arrival.class_
+        in_time = self.first_token_ms <= row.first_token_ms and self.mean_gap_ms <= row.token_ms
+        return self.whole and in_time
+
+
+def prompt(random: random.Random, tag: str, words: int, pack: str = "") -> str:
+    """Write a prompt of about so many words; prompts of one `pack` share their beginning."""
+    shared = " ".join(f"{pack}-{number}" for number in range(words)) if pack else ""
+    own = "" if pack else " ".join(random.choice(WORDS) for _ in range(words))
+    return f"{shared}{own} tag={tag}"
+
+
+def poisson(random: random.Random, rate_per_s: float, start_s: float, end_s: float) -> list[float]:
+    """Plan arrival times of a Poisson process."""
+    times = []
+    at_s = start_s
+    while rate_per_s > 0:
+        at_s += random.expovariate(rate_per_s)
+        if at_s >= end_s:
+            break
+        times.append(at_s)
+    return times
+
+
+class _Reader:
+    """Takes an answer's bytes with their times."""
+
+    def __init__(self) -> None:
+        self.chunks: list[tuple[float, bytes]] = []
+
+    def times(self) -> list[float]:
+        """The arrival time of each frame that ended."""
+        return [
+            at_s for at_s, chunk in self.chunks for _ in range(chunk.count(b'"delta": {"content"'))
+        ] or [
+            at_s for at_s, chunk in self.chunks for _ in range(chunk.count(b'"delta":{"content"'))
+        ]
+
+    def body(self) -> bytes:
+        """All bytes."""
+        return b"".join(chunk for _, chunk in self.chunks)
+
+
+def _request(arrival: Arrival) -> tuple[str, dict[bytes | str, bytes | str], bytes]:
+    headers: dict[bytes | str, bytes | str] = {
+        "Authorization": f"Bearer {arrival.organisation.key}",
+        "X-Service-Class": arrival.class_.name,
+        "Content-Type": "application/json",
+    }
+    if arrival.key:
+        headers["Idempotency-Key"] = arrival.key
+        body = {"tag": arrival.tag}
+        path = f"/services/{SERVICE}/orders"
+        return f"http://{arrival.target}{path}", headers, json.dumps(body).encode()
+    chat = {
+        "model": MODEL,
+        "messages": arrival.messages,
+        "max_tokens": arrival.class_.max_tokens,
+        "stream": True,
+    }
+    return f"http://{arrival.target}{CHAT_PATH}", headers, json.dumps(chat).encode()
+
+
+class Load:
+    """Sends planned requests and keeps the records."""
+
+    def __init__(self) -> None:
+        self.records: list[Record] = []
+        self.started_s = 0.0
+        self.late_s: list[float] = []
+        self._idle_by_target: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
+
+    async def run(self, arrivals: Sequence[Arrival]) -> list[Record]:
+        """Send each at its time, wait for every end, and give the records."""
+        self.started_s = time.monotonic()
+        async with anyio.create_task_group() as group:
+            for arrival in sorted(arrivals, key=lambda item: item.at_s):
+                due_s = self.started_s + arrival.at_s
+                await anyio.sleep(max(0.0, due_s - time.monotonic()))
+                self.late_s.append(time.monotonic() - due_s)
+                group.start_soon(self._send, arrival)
+        for idle in self._idle_by_target.values():
+            for connection in idle:
+                await connection.aclose()
+        return self.records
+
+    def _connection(self, target: str) -> httpcore.AsyncHTTPConnection:
+        """Take an idle connection or a new one; a pool's upkeep grows with its square."""
+        idle = self._idle_by_target.setdefault(target, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_idle() and not connection.has_expired():
+                return connection
+        host, _, port = target.rpartition(":")
+        origin = httpcore.Origin(b"http", host.encode(), int(port))
+        return httpcore.AsyncHTTPConnection(origin, network_backend=httpcore.AnyIOBackend())
+
+    async def _send(self, arrival: Arrival) -> None:
+        url, headers, content = _request(arrival)
+        headers = {"Host": arrival.target, "Content-Length": str(len(content)), **headers}
+        reader = _Reader()
+        status = 0
+        sent_s = time.monotonic()
+        timeout = dict.fromkeys(("connect", "read", "write", "pool"), TIMEOUT_S)
+        request = httpcore.Request(
+            "POST", url, headers=headers, content=content, extensions={"timeout": timeout}
+        )
+        connection = self._connection(arrival.target)
+        try:
+            answer = await connection.handle_async_request(request)
+            status = answer.status
+            async for chunk in answer.aiter_stream():
+                reader.chunks.append((time.monotonic(), chunk))
+            await answer.aclose()
+            self._idle_by_target[arrival.target].append(connection)
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
+            await connection.aclose()
+        self.records.append(_record(arrival, sent_s, status, reader))
+
+
+def _record(arrival: Arrival, sent_s: float, status: int, reader: _Reader) -> Record:
+    body = reader.body()
+    tokens, error, whole = _parse(body, status, service=bool(arrival.key))
+    times = reader.times()
+    return Record(
+        arrival=arrival,
+        sent_s=sent_s,
+        first_s=times[0] if times else 0.0,
+        ended_s=time.monotonic(),
+        gaps_s=tuple(after - before for before, after in zip(times, times[1:], strict=False)),
+        tokens=tokens,
+        status=status,
+        whole=whole,
+        code=int(error.get("code") or 0),
+        ran=str(error.get("ran", "")),
+        retry_after_s=float(error.get("retry_after", 0)),
+    )
+
+
+def _parse(
+    body: bytes, status: int, *, service: bool
+) -> tuple[tuple[str, ...], dict[str, Any], bool]:
+    if service or status != 200:
+        error = _error(body)
+        return (), error, status == 200 and not error and b'"ran"' in body
+    frames = [part[6:] for part in body.split(b"\n\n") if part.startswith(b"data: ")]
+    tokens, error = [], {}
+    for frame in frames:
+        if frame == b"[DONE]":
+            continue
+        document = json.loads(frame)
+        error = document.get("error", error)
+        deltas = [choice.get("delta", {}) for choice in document.get("choices", [])]
+        tokens += [delta["content"] for delta in deltas if delta.get("content")]
+    return tuple(tokens), error, bool(frames) and frames[-1] == b"[DONE]"
+
+
+def _error(body: bytes) -> dict[str, Any]:
+    try:
+        document = json.loads(body)
+    except ValueError:
+        return {}
+    error = document.get("error", {}) if isinstance(document, dict) else {}
+    return error if isinstance(error, dict) else {}
+
+
+__all__ = ["Arrival", "Load", "Record", "poisson", "prompt"]
--- /dev/null
+++ b/src/redwingbank_bench/overload.py
@@ -0,0 +1,230 @@
+"""Bursts of one class and organisation over capacity, under four policies with equal load.
+
+Seven daemons stand before six unequal engines. The burst is on tier 3 with two tiers above
+it and one below, which has a minimum share and would starve without one.
+"""
+
+from __future__ import annotations
+
+import random
+from collections import defaultdict
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from redwingbank_bench.checker import check, right, waste, wrong_refusals
+from redwingbank_bench.load import Arrival, Load, poisson, prompt
+from redwingbank_bench.report import print_table, quantile, spread
+from redwingbank_bench.rig import EngineSpec, Plan, running
+from redwingbank_bench.sheets import Organisation, TrafficClass
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping, Sequence
+
+    from redwingbank_bench.load import Record
+    from redwingbank_bench.options import Options
+
+POLICIES = ("full", "first-come", "random", "local")
+DAEMONS = 7
+SLOTS = (4, 4, 6, 8, 8, 10)
+TOKEN_MS = (20.0, 30.0, 20.0, 25.0, 20.0, 30.0)
+AIM_TOP_TIER = 0.99
+AIM_GOODPUT = 0.95
+RAMP_S = 1.0
+
+QUESTION = TrafficClass("question", 1, 1000, 80, 10, max_tokens=60, prompt_words=40)
+NOMINATION = TrafficClass("nomination", 2, 2000, 80, 15, max_tokens=120, prompt_words=120)
+MEMO = TrafficClass("memo", 3, 6000, 100, 10, 0.05, max_tokens=200, prompt_words=400)
+ARCHIVE = TrafficClass("archive", 4, 15_000, 150, 25, 0.05, max_tokens=200, prompt_words=200)
+CLASSES = (QUESTION, NOMINATION, MEMO, ARCHIVE)
+BURSTING = Organisation("haddad")
+OTHERS = tuple(Organisation(f"agent-{number}") for number in range(4))
+
+
+class Burst(NamedTuple):
+    """A burst of the bursting organisation's memos, as parts of the run's length."""
+
+    starts: float
+    ends: float
+    rate_per_s: float
+
+
+class Stream(NamedTuple):
+    """Steady requests of a class by all but the bursting organisation."""
+
+    class_: TrafficClass
+    rate_per_s: float
+
+
+STEADY = (
+    Stream(QUESTION, 7.5),
+    Stream(NOMINATION, 8.0),
+    Stream(MEMO, 5.5),
+    Stream(ARCHIVE, 1.8),
+)
+CAPACITY_PER_S = 36.0
+BURSTS = (Burst(0.2, 0.4, 2 * CAPACITY_PER_S), Burst(0.55, 0.75, 4 * CAPACITY_PER_S))
+
+
+def build_plan(policy: str) -> Plan:
+    """Build the deployment of one arm."""
+    engines = tuple(
+        EngineSpec(f"engine-{at}", slots=slots, token_ms=token_ms)
+        for at, (slots, token_ms) in enumerate(zip(SLOTS, TOKEN_MS, strict=True))
+    )
+    settings = {"experiment": {"policy": policy}}
+    return Plan(DAEMONS, engines, CLASSES, (BURSTING, *OTHERS), settings=settings)
+
+
+def build_arrivals(seed: int, seconds: float, targets: Sequence[str]) -> list[Arrival]:
+    """Plan the load; equal seeds give equal loads but for the daemons' ports."""
+    source = random.Random(seed)  # noqa: S311
+    due = [
+        (at_s, stream.class_, source.choice(OTHERS))
+        for stream in STEADY
+        for at_s in poisson(source, stream.rate_per_s, 0.0, seconds)
+    ]
+    due += [
+        (at_s, MEMO, BURSTING)
+        for burst in BURSTS
+        for at_s in poisson(source, burst.rate_per_s, burst.starts * seconds, burst.ends * seconds)
+    ]
+    arrivals = []
+    for number, (at_s, row, organisation) in enumerate(due):
+        tag = f"{row.name}-{number}"
+        text = prompt(source, tag, row.prompt_words)
+        arrivals.append(Arrival(at_s, tag, row, organisation, text, source.choice(targets)))
+    return arrivals
+
+
+def attainment(records: Sequence[Record]) -> float:
+    """Give the part of requests that attained both targets of their class."""
+    return sum(record.attained and right(record) for record in records) / max(1, len(records))
+
+
+def useful_share(
+    records: Sequence[Record],
+    journals: Mapping[str, Sequence[Mapping[str, Any]]],
+    windows: Sequence[tuple[float, float]],
+) -> float:
+    """Give the part of all slots' time in the windows that whole right answers used."""
+    started_by_tag = {
+        event["tag"]: event["at_s"]
+        for events in journals.values()
+        for event in events
+        if event["event"] == "start"
+    }
+    used_s = 0.0
+    for record in records:
+        start_s = started_by_tag.get(record.arrival.tag)
+        if start_s is None or not right(record):
+            continue
+        for from_s, until_s in windows:
+            used_s += max(0.0, min(record.ended_s, until_s) - max(start_s, from_s))
+    return used_s / (sum(SLOTS) * sum(until_s - from_s for from_s, until_s in windows))
+
+
+def _by_class(records: Sequence[Record]) -> dict[str, list[Record]]:
+    groups: dict[str, list[Record]] = defaultdict(list)
+    for record in records:
+        burst = record.arrival.organisation == BURSTING
+        groups[record.arrival.class_.name + (" (burst)" if burst else "")].append(record)
+    return dict(sorted(groups.items(), key=lambda item: (item[1][0].arrival.class_.tier, item[0])))
+
+
+def _wait_s(record: Record) -> float:
+    return (record.first_s or record.ended_s) - record.sent_s
+
+
+def _class_figures(records: Sequence[Record]) -> dict[str, float]:
+    firsts = [record.first_token_ms for record in records if record.first_s]
+    return {
+        "requests": float(len(records)),
+        "attained": attainment(records),
+        "whole": sum(right(record) for record in records) / len(records),
+        "refused": sum(record.ran == "no" for record in records) / len(records),
+        "first_p50_ms": quantile(firsts, 0.5),
+        "first_p99_ms": quantile(firsts, 0.99),
+        "longest_wait_s": max(_wait_s(record) for record in records),
+    }
+
+
+async def _arm(policy: str, seed: int, seconds: float) -> dict[str, Any]:
+    async with running(build_plan(policy)) as rig:
+        load = Load()
+        records = await load.run(build_arrivals(seed, seconds, rig.daemon_addresses))
+        journals = rig.journals()
+    windows = [
+        (
+            load.started_s + burst.starts * seconds + RAMP_S,
+            load.started_s + burst.ends * seconds,
+        )
+        for burst in BURSTS
+    ]
+    wasted = waste(records, journals)
+    good = sum(len(record.tokens) for record in records if record.attained and right(record))
+    return {
+        "classes": {name: _class_figures(group) for name, group in _by_class(records).items()},
+        "goodput": useful_share(records, journals, windows),
+        "attained_tokens_per_s": good / seconds,
+        "waste_prompt": wasted.prompt_wasted / max(1, wasted.prompt),
+        "waste_output": wasted.output_wasted / max(1, wasted.output),
+        "wrong_refusals": wrong_refusals(records),
+        "violations": check(records, journals)._asdict(),
+        "sent_late_p99_ms": quantile(load.late_s, 0.99) * 1000,
+    }
+
+
+def _print(run: int, arms: Mapping[str, Mapping[str, Any]]) -> None:
+    heads = ["policy", "class", *next(iter(arms.values()))["classes"]["question"]]
+    rows = [
+        [policy, name, *figures.values()]
+        for policy, arm in arms.items()
+        for name, figures in arm["classes"].items()
+    ]
+    print_table(f"run {run}: by class", heads, rows)
+    names = [name for name in next(iter(arms.values())) if name not in ("classes", "violations")]
+    rows = [
+        [policy, *(arm[name] for name in names), sum(arm["violations"].values())]
+        for policy, arm in arms.items()
+    ]
+    print_table(f"run {run}: whole", ["policy", *names, "violations"], rows)
+    for policy, arm in arms.items():
+        if sum(arm["violations"].values()):
+            print(f"{policy}: violations {arm['violations']}")
+
+
+def _summary(arms: Sequence[Mapping[str, Any]]) -> dict[str, Any]:
+    names = arms[0]["classes"]
+    plain = [name for name in arms[0] if name not in ("classes", "violations")]
+    return {
+        **{name: spread([float(arm[name]) for arm in arms]) for name in plain},
+        "violations": {
+            name: sum(arm["violations"][name] for arm in arms) for name in arms[0]["violations"]
+        },
+        "classes": {
+            name: {
+                figure: spread([arm["classes"][name][figure] for arm in arms])
+                for figure in ("attained", "refused", "first_p99_ms", "longest_wait_s")
+            }
+            for name in names
+        },
+    }
+
+
+async def measure(options: Options) -> dict[str, Any]:
+    """Run the arms interleaved and print; gives each arm's figures with their spread."""
+    runs = []
+    for number in range(options.runs):
+        arms = {
+            policy: await _arm(policy, options.seed + number, options.seconds)
+            for policy in POLICIES
+        }
+        _print(number, arms)
+        runs.append(arms)
+    figures = {policy: _summary([run[policy] for run in runs]) for policy in POLICIES}
+    top = figures["full"]["classes"]["question"]["attained"]["median"]
+    goodput = figures["full"]["goodput"]["median"]
+    met = top >= AIM_TOP_TIER and goodput >= AIM_GOODPUT
+    return {**figures, "aim": {"top": AIM_TOP_TIER, "goodput": AIM_GOODPUT, "met": met}}
+
+
+__all__ = ["build_arrivals", "build_plan", "measure"]
--- /dev/null
+++ b/src/redwingbank_bench/processes.py
@@ -0,0 +1,113 @@
+"""Child processes of an experiment: started with an address, ended by their own id."""
+
+from __future__ import annotations
+
+import os
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+END_TIMEOUT_S = 8.0
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+KIBIBYTE = 1024
+
+
+class ChildError(RuntimeError):
+    """A child process that did not start."""
+
+
+class Usage(NamedTuple):
+    """A process's processor time in seconds and resident memory in bytes, at one time."""
+
+    at_s: float
+    cpu_s: float
+    rss_bytes: int
+
+
+class Child:
+    """One process; its output goes to a file beside its settings."""
+
+    def __init__(self, name: str, arguments: Sequence[str], folder: Path) -> None:
+        self.name = name
+        self.log = folder / f"{name}.log"
+        self._arguments = [sys.executable, "-m", *arguments]
+        self._process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Start the process, anew where it has ended."""
+        with self.log.open("ab") as log:
+            self._process = subprocess.Popen(  # noqa: S603
+                self._arguments, stdout=log, stderr=subprocess.STDOUT
+            )
+
+    @property
+    def process_id(self) -> int:
+        """The id of the process."""
+        if self._process is None:
+            raise ChildError(self.name)
+        return self._process.pid
+
+    @property
+    def alive(self) -> bool:
+        """Whether it runs."""
+        return self._process is not None and self._process.poll() is None
+
+    async def address(self, timeout_s: float = 15.0) -> str:
+        """Wait for its line `listening IP:port`, and give the address."""
+        with anyio.move_on_after(timeout_s):
+            while self.alive:
+                lines = self.log.read_text().splitlines()
+                found = [line for line in lines if line.startswith("listening ")]
+                if found:
+                    return found[-1].removeprefix("listening ")
+                await anyio.sleep(0.02)
+        raise ChildError(f"{self.name} did not start: {self.log.read_text()[-2000:]}")
+
+    def ask_to_end(self) -> None:
+        """Ask it to end, where it runs."""
+        if self._process is not None and self.alive:
+            self._process.terminate()
+
+    def end(self) -> None:
+        """End it for certain."""
+        if self._process is None:
+            return
+        self.ask_to_end()
+        try:
+            self._process.wait(END_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            self._process.kill()
+            self._process.wait()
+
+    def usage(self) -> Usage:
+        """Read what it has used so far."""
+        root = Path(f"/proc/{self.process_id}")
+        ticks = root.joinpath("stat").read_text().rpartition(")")[2].split()[11:13]
+        status = root.joinpath("status").read_text().splitlines()
+        rss = next(int(line.split()[1]) for line in status if line.startswith("VmRSS:"))
+        cpu_s = sum(map(int, ticks)) / CLOCK_TICKS_PER_S
+        return Usage(time.monotonic(), cpu_s, rss * KIBIBYTE)
+
+
+def free_port() -> int:
+    """Find a port that is free for TCP and UDP now."""
+    while True:
+        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+            tcp.bind(("127.0.0.1", 0))
+            port = int(tcp.getsockname()[1])
+            try:
+                udp.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return port
+
+
+__all__ = ["Child", "ChildError", "Usage", "free_port"]
--- /dev/null
+++ b/src/redwingbank_bench/readers.py
@@ -0,0 +1,68 @@
+"""A load process of `relay`: holds streams open and counts their tokens."""
+
+from __future__ import annotations
+
+import json
+import time
+
+import anyio
+import httpcore
+from cyclopts import App
+
+from redwingbank_bench.sheets import MODEL
+
+MARK = b"\n\n"
+WARM_UP = 0.4
+COOL_DOWN = 0.2
+
+app = App(name="redwingbank_bench.readers")
+
+
+class Readers:
+    """Streams read at once; tokens are counted in the middle of the time only."""
+
+    def __init__(self, address: str, key: str, seconds: float) -> None:
+        self._url = f"http://{address}/v1/chat/completions"
+        self._headers: dict[bytes | str, bytes | str] = {"Authorization": f"Bearer {key}"}
+        start_s = time.monotonic()
+        self._from_s = start_s + seconds * WARM_UP
+        self._until_s = start_s + seconds * (1 - COOL_DOWN)
+        self._end_s = start_s + seconds
+        self.tokens = 0
+        self.broken = 0
+
+    async def run(self, streams: int) -> float:
+        """Read until the time is over; gives tokens a second."""
+        async with httpcore.AsyncConnectionPool(max_connections=streams) as pool:
+            with anyio.move_on_at(anyio.current_time() + self._end_s - time.monotonic()):
+                async with anyio.create_task_group() as group:
+                    for number in range(streams):
+                        group.start_soon(self._read, pool, number)
+        return self.tokens / (self._until_s - self._from_s)
+
+    async def _read(self, pool: httpcore.AsyncConnectionPool, number: int) -> None:
+        text = f"length=100000 stream {number} of {self._end_s}"
+        body = {"model": MODEL, "stream": True, "max_tokens": 100_000}
+        content = json.dumps({**body, "messages": [{"role": "user", "content": text}]})
+        try:
+            async with pool.stream(
+                "POST", self._url, headers=self._headers, content=content.encode()
+            ) as answer:
+                async for chunk in answer.aiter_stream():
+                    if self._from_s <= time.monotonic() < self._until_s:
+                        self.tokens += chunk.count(MARK)
+        except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
+            pass
+        self.broken += 1
+
+
+@app.default
+def main(address: str, key: str, *, streams: int = 100, seconds: float = 10.0) -> None:
+    """Hold streams open, then print one JSON object."""
+    readers = Readers(address, key, seconds)
+    rate = anyio.run(readers.run, streams)
+    print(json.dumps({"tokens_per_s": rate, "broken": readers.broken}))
+
+
+if __name__ == "__main__":
+    app()
