--- a/src/redwingbank/tasks/ticket.py
+++ b/src/redwingbank/tasks/ticket.py
@@ -42,6 +42,7 @@
         self.avoid: frozenset[str] = frozenset()
         self.server = ""
         self.address = ""
+        self.cell = ""
         self.tried: tuple[str, ...] = ()
         self.sent_s = 0.0
         self._decide, self.decisions = anyio.create_memory_object_stream[Grant | Refused](math.inf)
@@ -69,6 +70,13 @@
     ticket: Ticket
 
 
+class Began(NamedTuple):
+    """The first token of an attempt came, `first_token_s` after its send."""
+
+    ticket: Ticket
+    first_token_s: float
+
+
 class Ended(NamedTuple):
     """An attempt at a backend server is over.
 
@@ -90,4 +98,4 @@
     tokens: int = 0
 
 
-__all__ = ["Ended", "Grant", "Left", "Refused", "Submit", "Ticket"]
+__all__ = ["Began", "Ended", "Grant", "Left", "Refused", "Submit", "Ticket"]
