Let an organisation that comes anew start before one that bursts

Cause: a newcomer was put level with the bursting organisation after its last start, and could be two starts behind by deadline; on one host of seven a start of a long class takes seconds.

--- a/src/redwingbank/rules/line.py
+++ b/src/redwingbank/rules/line.py
@@ -13,7 +13,7 @@
 PROMPT_TOKEN_COST = 0.1
 DEFAULT_ANSWER_TOKENS = 200.0
 MEAN_SHARE = 0.05
-LEAD_STARTS = 2.0
+LEAD_STARTS = 0.5
 SMALLEST_WEIGHT = 0.001
 
 
@@ -45,8 +45,9 @@
 
     Start-time fair queueing with a lead: each organisation is charged by weight for what it
     was served; those within `lead` of the least served may start, the earliest deadline first.
-    So deadlines rule until an organisation takes more than its share. When the line empties
-    the account is closed.
+    So deadlines rule until an organisation takes more than its share. One that comes anew
+    begins level with the last that started, before that was charged. When the line empties the
+    account is closed.
     """
 
     def __init__(self, class_name: str, tier: int, table: Table) -> None:
@@ -56,6 +57,7 @@
         self.weight = max(SMALLEST_WEIGHT, row.weight if row else 1.0)
         self.served = 0.0
         self._organisations = table.organisations_by_name
+        self._clock = 0.0
         self._mean_cost = DEFAULT_ANSWER_TOKENS
         self._mean_tokens = DEFAULT_ANSWER_TOKENS
         self._flows: dict[str, Flow] = {}
@@ -106,6 +108,7 @@
         """Take a request out and charge for it; return the charge."""
         flow = self._take(request)
         charge = cost_of(request, self._mean_tokens)
+        self._clock = max(self._clock, flow.served)
         self._mean_cost += MEAN_SHARE * (charge - self._mean_cost)
         self._charge(flow, charge)
         self.served += charge / self.weight
@@ -143,15 +146,14 @@
         return min(len(self), fair)
 
     def _flow(self, organisation: str) -> Flow:
-        least = float(self._served[0][0]) if self._served else 0.0
         flow = self._flows.get(organisation)
         if flow is None:
             row = self._organisations.get(organisation)
             weight = max(SMALLEST_WEIGHT, row.weight if row else 1.0)
-            flow = Flow(organisation, weight, least)
+            flow = Flow(organisation, weight, self._clock)
             self._flows[organisation] = flow
         if not flow.waiting:
-            flow.served = max(flow.served, least)
+            flow.served = max(flow.served, self._clock)
         return flow
 
     def _take(self, request: Request) -> Flow:
@@ -183,6 +185,7 @@
     def _close_when_empty(self) -> None:
         if not self._requests_by_id:
             self._flows.clear()
+            self._clock = 0.0
 
 
 __all__ = ["Line", "cost_of"]
