--- a/src/redwingbank/rules/holdings.py
+++ b/src/redwingbank/rules/holdings.py
@@ -15,6 +15,8 @@
 DEMANDS_KEPT = 64
 URGENT_GAP_S = 0.02
 DEMANDS_PER_TTL = 4
+FIRST_REPEAT_S = 0.06
+UNMET_GROWTH = 2
 CHANGE_TOLD = 0.25
 
 
@@ -24,6 +26,8 @@
     at_s: float
     waiting_by_tier: dict[int, int]
     idle: int
+    number: int
+    repeat_s: float
 
 
 class Holdings:
@@ -52,6 +56,7 @@
         self._demand_times: dict[int, float] = {}
         self._told: Told | None = None
         self._was_cut = False
+        self._answered = -1
         self._minimum = MinimumAccounts()
         self._classes: tuple[ClassDemand, ...] = ()
 
@@ -75,6 +80,7 @@
         if len(self._applied_by_allocator) >= DEMANDS_KEPT:
             self._applied_by_allocator.clear()
         self._applied_by_allocator[allocator] = allocation.number
+        self._answered = max(self._answered, allocation.answers)
         slots = allocation.slots
         self._was_cut |= any(slots.get(name, 0) < had for name, had in self._level.items())
         self._level = dict(slots)
@@ -139,7 +145,9 @@
         self._hand_back(classes, now_s)
         free = self.free(now_s)
         applied = self._applied_by_allocator.get(allocator, 0)
-        self._told = Told(now_s, waiting_by_tier(classes), sum(free.values()))
+        self._told = Told(
+            now_s, waiting_by_tier(classes), sum(free.values()), number, self._repeat_s(classes)
+        )
         self._demand_times[number] = now_s
         while len(self._demand_times) > DEMANDS_KEPT:
             self._demand_times.pop(next(iter(self._demand_times)))
@@ -152,12 +160,11 @@
             return bool(classes)
         if now_s - told.at_s < URGENT_GAP_S:
             return False
-        if self._was_cut:
+        if self._was_cut or self._surplus(classes, now_s) > 0:
             return True
-        idle = sum(self.free(now_s).values())
-        if self._surplus(classes, now_s) > 0:
-            return True
-        return self._newly_unmet(classes, idle, told)
+        if not self._without_slot(classes, now_s):
+            return False
+        return self._more_unmet(classes, told) or self._unanswered(told, now_s)
 
     def due(
         self,
@@ -185,11 +192,25 @@
         idle = sum(self.free(now_s).values())
         return (idle == 0) != (told.idle == 0)
 
-    def _newly_unmet(self, classes: tuple[ClassDemand, ...], idle: int, told: Told) -> bool:
+    def _without_slot(self, classes: tuple[ClassDemand, ...], now_s: float) -> bool:
+        return bool(waiting_by_tier(classes)) and not self.free(now_s)
+
+    def _more_unmet(self, classes: tuple[ClassDemand, ...], told: Told) -> bool:
         waiting = waiting_by_tier(classes)
-        if not waiting or idle > 0:
+        if not waiting:
             return False
-        return not told.waiting_by_tier.get(min(waiting), 0)
+        highest = min(waiting)
+        return waiting[highest] >= max(1, UNMET_GROWTH * told.waiting_by_tier.get(highest, 0))
+
+    def _unanswered(self, told: Told, now_s: float) -> bool:
+        """Tell whether the last demand may be lost: it is sent again, less often each time."""
+        return self._answered < told.number and now_s - told.at_s >= told.repeat_s
+
+    def _repeat_s(self, classes: tuple[ClassDemand, ...]) -> float:
+        told = self._told
+        if told is None or self._answered >= told.number or self._more_unmet(classes, told):
+            return FIRST_REPEAT_S
+        return UNMET_GROWTH * told.repeat_s
 
     def _surplus(self, classes: tuple[ClassDemand, ...], now_s: float) -> int:
         """Count idle slots this host has no use for while others wait."""
