--- a/src/redwingbank/rules/fleet.py
+++ b/src/redwingbank/rules/fleet.py
@@ -19,7 +19,7 @@
     from redwingbank.rules.table import BackendServerRow
 
 STALE_REPORT_S = 10.0
-AFFINITY_BOUND = 0.25
+AFFINITY_BOUND = 1.0
 CHOICES = 2
 DRAINING = "draining"
 
--- /dev/null
+++ b/src/redwingbank_bench/choicebench.py
@@ -0,0 +1,330 @@
+"""Compare ways to choose a backend server, on the rules alone: `main()` prints the figures.
+
+Seven hosts choose for themselves among six unequal engines; discrete events on one clock that
+is passed in. Each scenario gives all arms the same arrivals and engines, by seed.
+"""
+
+from __future__ import annotations
+
+import heapq
+import json
+import sys
+from collections import OrderedDict, deque
+from functools import partial
+from itertools import count
+from random import Random
+from statistics import quantiles
+from typing import TYPE_CHECKING, NamedTuple
+
+from redwingbank.model import CacheEvent, LoadReport, Outcome, Request
+from redwingbank.rules.fleet import AFFINITY_BOUND, Fleet
+from redwingbank.rules.table import BackendServerRow
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+POOL = "desk-model"
+HOSTS = 7
+ENGINES = {
+    "engine-0": (8, 1.0),
+    "engine-1": (8, 1.0),
+    "engine-2": (8, 1.0),
+    "engine-3": (6, 0.9),
+    "engine-4": (4, 0.7),
+    "engine-5": (4, 0.5),
+}
+SEEDS = (1, 2, 3)
+RUN_S = 120.0
+EVENT_LAG_S = 1.0
+EVENTS_LOST = 0.2
+REPORT_EVERY_S = 0.5
+KINDS = 60
+BLOCKS = 16
+OWN_BLOCKS = 4
+BLOCK_TOKENS = 128
+CACHE_BLOCKS = 320
+READ_TOKENS_PER_S = 5000.0
+TOKEN_S = 0.025
+MEAN_TOKENS = 60.0
+SLOWED = "engine-1"
+SLOW_FROM_S = 40.0
+SLOW_FACTOR = 0.15
+PER_CENT = 100.0
+
+
+class Scenario(NamedTuple):
+    """How late reports are (none: absent), whether one slows, the load, whether caches tell."""
+
+    lag_s: float | None
+    slowed: bool = False
+    per_s: float = 11.0
+    events: bool = True
+
+
+SCENARIOS = {
+    "fresh": Scenario(0.1),
+    "lagging": Scenario(3.0),
+    "absent": Scenario(None),
+    "slow": Scenario(1.0, slowed=True),
+    "busy": Scenario(1.0, per_s=15.0),
+    "no cache events": Scenario(1.0, events=False),
+}
+
+
+class RandomChoice(Fleet):
+    """Any server."""
+
+    def _least_cost(self, request: Request, names: list[str], now_s: float) -> str:
+        return self._random.choice(names)
+
+
+class LeastReported(Fleet):
+    """The server whose last report shows the least load for its slots."""
+
+    def _least_cost(self, request: Request, names: list[str], now_s: float) -> str:
+        return min(names, key=lambda name: (self._reported(name), self._random.random()))
+
+    def _reported(self, name: str) -> float:
+        report = self._server_by_name[name].report
+        return (report.running + report.waiting) / report.slots if report else 0.0
+
+
+class WithoutAffinity(Fleet):
+    """Ours without regard to prefixes."""
+
+    def _held(self, request: Request, names: list[str]) -> dict[str, int]:
+        return {}
+
+
+class WithoutSpeed(Fleet):
+    """Ours without regard to speed."""
+
+    def _cost(self, name: str, now_s: float) -> float:
+        return (self.load(name, now_s) + 1) / max(1, self._server_by_name[name].slots())
+
+
+ARMS: dict[str, Callable[[Random], Fleet]] = {
+    "random": RandomChoice,
+    "least reported": LeastReported,
+    "no affinity": WithoutAffinity,
+    "no speed": WithoutSpeed,
+    "bound 0": lambda random: Fleet(random, affinity_bound=0.0),
+    "bound 0.25": lambda random: Fleet(random, affinity_bound=0.25),
+    "bound 0.5": lambda random: Fleet(random, affinity_bound=0.5),
+    f"ours ({AFFINITY_BOUND})": Fleet,
+    "bound 2": lambda random: Fleet(random, affinity_bound=2.0),
+    "no bound": lambda random: Fleet(random, affinity_bound=1000.0),
+}
+
+
+class Job(NamedTuple):
+    """A request, the host it came to and the length of its answer."""
+
+    request: Request
+    host: int
+    tokens: int
+
+
+class Figures(NamedTuple):
+    """First-token times in milliseconds; prompt tokens read again in per cent of all prompts."""
+
+    p50_ms: float
+    p99_ms: float
+    reread: float
+    slowed_share: float
+
+
+class Engine:
+    """A backend server of the model: slots, a queue and a prefix cache of limited room."""
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.slots, self.speed = ENGINES[name]
+        self.running = 0
+        self.waiting: deque[Job] = deque()
+        self.cached: OrderedDict[int, bool] = OrderedDict()
+        self.event_number = 0
+
+    def read(self, request: Request) -> tuple[int, CacheEvent]:
+        """Read a prompt; return how many of its tokens were not cached, and the event."""
+        held = 0
+        while held < len(request.blocks) and request.blocks[held] in self.cached:
+            held += 1
+        stored = tuple(block for block in request.blocks if block not in self.cached)
+        for block in request.blocks:
+            self.cached[block] = True
+            self.cached.move_to_end(block)
+        excess = max(0, len(self.cached) - CACHE_BLOCKS)
+        evicted = tuple(self.cached.popitem(last=False)[0] for _ in range(excess))
+        self.event_number += 1
+        event = CacheEvent(self.event_number, stored, evicted)
+        return request.prompt_tokens - held * BLOCK_TOKENS, event
+
+
+class World:
+    """One run of a scenario with one arm."""
+
+    def __init__(self, arm: str, scenario: Scenario, seed: int) -> None:
+        self.scenario = scenario
+        self.now_s = 0.0
+        self.engines = {name: Engine(name) for name in ENGINES}
+        rows = [
+            BackendServerRow(name, POOL, "clyde", name, slots, "serving", "")
+            for name, (slots, _) in ENGINES.items()
+        ]
+        self.fleets = [ARMS[arm](Random(seed * HOSTS + host)) for host in range(HOSTS)]
+        for fleet in self.fleets:
+            fleet.rebase(rows)
+        self.first_s: list[float] = []
+        self.read_tokens = 0
+        self.chosen_slowed = 0
+        self._lossy = Random(seed)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = count()
+
+    def at(self, at_s: float, act: Callable[[], None]) -> None:
+        """Have something happen at a time."""
+        heapq.heappush(self._events, (at_s, next(self._numbers), act))
+
+    def run(self) -> None:
+        """Run until nothing more happens."""
+        while self._events:
+            self.now_s, _, act = heapq.heappop(self._events)
+            act()
+
+    def arrive(self, job: Job) -> None:
+        """Let the job's host choose and send."""
+        fleet = self.fleets[job.host]
+        free: Mapping[str, int] = dict.fromkeys(ENGINES, 1)
+        server = fleet.choose(job.request, free, self.now_s)
+        assert server is not None
+        fleet.sent(server, job.request, self.now_s)
+        self.chosen_slowed += server == SLOWED and self.now_s > SLOW_FROM_S
+        engine = self.engines[server]
+        engine.waiting.append(job)
+        self._start(engine)
+
+    def report(self) -> None:
+        """Have every engine report its load now; hosts hear it late."""
+        if self.scenario.lag_s is None:
+            return
+        for engine in self.engines.values():
+            waiting = len(engine.waiting)
+            report = LoadReport(self.now_s, engine.slots, engine.running, waiting)
+            self.at(self.now_s + self.scenario.lag_s, partial(self._hear, engine, report))
+
+    def _hear(self, engine: Engine, report: LoadReport) -> None:
+        for fleet in self.fleets:
+            fleet.report(engine.name, report, self.now_s)
+
+    def _tell(self, engine: Engine, event: CacheEvent) -> None:
+        for fleet in self.fleets:
+            fleet.cache_event(engine.name, event)
+
+    def _speed(self, engine: Engine) -> float:
+        slowed = self.scenario.slowed and engine.name == SLOWED and self.now_s > SLOW_FROM_S
+        return engine.speed * (SLOW_FACTOR if slowed else 1.0)
+
+    def _start(self, engine: Engine) -> None:
+        while engine.waiting and engine.running < engine.slots:
+            job = engine.waiting.popleft()
+            engine.running += 1
+            unread, event = engine.read(job.request)
+            if self.scenario.events and self._lossy.random() > EVENTS_LOST:
+                self.at(self.now_s + EVENT_LAG_S, partial(self._tell, engine, event))
+            self.read_tokens += unread
+            speed = self._speed(engine)
+            first_s = self.now_s + unread / (READ_TOKENS_PER_S * speed)
+            self.at(first_s, partial(self._first, engine, job))
+            end_s = first_s + job.tokens * TOKEN_S / speed
+            self.at(end_s, partial(self._end, engine, job, speed))
+
+    def _first(self, engine: Engine, job: Job) -> None:
+        waited_s = self.now_s - job.request.arrived_s
+        self.first_s.append(waited_s)
+        self.fleets[job.host].first_token(engine.name, job.request, waited_s, self.now_s)
+
+    def _end(self, engine: Engine, job: Job, speed: float) -> None:
+        engine.running -= 1
+        fleet = self.fleets[job.host]
+        fleet.finished(engine.name, job.request, Outcome.DONE, self.now_s, TOKEN_S / speed)
+        self._start(engine)
+
+
+def jobs(seed: int, per_s: float) -> list[Job]:
+    """Draw the arrivals: prompts of some kinds, a few of them common, each with an own end."""
+    random = Random(seed)
+    weights = [1 / (rank + 1) for rank in range(KINDS)]
+    drawn: list[Job] = []
+    now_s = 0.0
+    while True:
+        now_s += random.expovariate(per_s)
+        if now_s > RUN_S:
+            return drawn
+        number = len(drawn)
+        kind = random.choices(range(KINDS), weights)[0]
+        common = range(kind * BLOCKS, (kind + 1) * BLOCKS)
+        own = range((KINDS + number) * BLOCKS, (KINDS + number) * BLOCKS + OWN_BLOCKS)
+        blocks = (*common, *own)
+        request = Request(
+            f"r{number}",
+            "carrick",
+            "crew",
+            1,
+            POOL,
+            now_s,
+            now_s,
+            now_s + RUN_S,
+            len(blocks) * BLOCK_TOKENS,
+            blocks=blocks,
+        )
+        drawn.append(
+            Job(request, random.randrange(HOSTS), 1 + int(random.expovariate(1 / MEAN_TOKENS)))
+        )
+
+
+def measure(arm: str, scenario: Scenario, seed: int) -> Figures:
+    """Run one arm once."""
+    world = World(arm, scenario, seed)
+    drawn = jobs(seed, scenario.per_s)
+    for job in drawn:
+        world.at(job.request.arrived_s, partial(world.arrive, job))
+    for number in range(int(RUN_S / REPORT_EVERY_S)):
+        world.at(number * REPORT_EVERY_S, world.report)
+    world.run()
+    asked = sum(job.request.prompt_tokens for job in drawn)
+    least = _least_read(drawn)
+    cuts = quantiles(world.first_s, n=100)
+    after = sum(job.request.arrived_s > SLOW_FROM_S for job in drawn)
+    return Figures(
+        p50_ms=cuts[49] * 1000,
+        p99_ms=cuts[98] * 1000,
+        reread=PER_CENT * (world.read_tokens - least) / asked,
+        slowed_share=PER_CENT * world.chosen_slowed / after,
+    )
+
+
+def _least_read(drawn: list[Job]) -> int:
+    """Prompt tokens that must be read: each block once."""
+    return BLOCK_TOKENS * len({block for job in drawn for block in job.request.blocks})
+
+
+def main() -> int:
+    """Print a table of means over the seeds, with the range, and a last line of JSON."""
+    figures: dict[str, dict[str, list[list[float]]]] = {}
+    for name, scenario in SCENARIOS.items():
+        print(f"\n{name}: {scenario}")
+        head = ("p50 ms", "p99 ms", "read again %", f"to {SLOWED} %")
+        print(f"{'arm':16}" + "".join(f"{title:>24}" for title in head))
+        for arm in ARMS:
+            runs = [measure(arm, scenario, seed) for seed in SEEDS]
+            columns = [[round(value, 1) for value in column] for column in zip(*runs, strict=True)]
+            figures.setdefault(name, {})[arm] = columns
+            cells = [f"{sum(c) / len(c):.1f} ({min(c):.1f}-{max(c):.1f})" for c in columns]
+            print(f"{arm:16}" + "".join(f"{cell:>24}" for cell in cells))
+    print(json.dumps({"seeds": SEEDS, "figures": figures}))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/steps/rules_fleet.py
+++ b/tests/steps/rules_fleet.py
@@ -58,6 +58,7 @@
 
 FLEET_BY_NAME = {
     "as it is": lambda: Fleet(Random(7)),
+    "with a bound of 0.25": lambda: Fleet(Random(7), affinity_bound=0.25),
     "without own sends": lambda: WithoutOwnSends(Random(7)),
     "without speed": lambda: WithoutSpeed(Random(7)),
     "without growth": lambda: WithoutGrowth(Random(7)),
