Record changes of servers' states, and what each choice rested on

The time line needs the causes next to the effects: a crash or drain, then the requests that moved. Notices carry origin and number in their records, so that two hosts' records can be paired.

--- a/src/redwingbank/rules/fleet.py
+++ b/src/redwingbank/rules/fleet.py
@@ -40,6 +40,23 @@
 }
 
 
+class StateChange(NamedTuple):
+    """A server's state changed, from `was` to `state`."""
+
+    server: str
+    was: ServerState
+    state: ServerState
+
+
+class View(NamedTuple):
+    """What a choice rested on: load and slots, times slower than the pool, blocks held."""
+
+    load: int
+    slots: int
+    slowness: float
+    held_blocks: int
+
+
 class _Sent(NamedTuple):
     """A request in flight from this host."""
 
@@ -123,6 +140,8 @@
         self._server_by_name: dict[str, _Server] = {}
         self._names_by_pool: dict[str, tuple[str, ...]] = {}
         self._speed_by_pool: dict[str, PoolSpeed] = {}
+        self._told_by_name: dict[str, ServerState] = {}
+        self._touched: set[str] = set()
 
     def rebase(self, rows: Iterable[BackendServerRow]) -> None:
         """Take over the rows of a table; what is known of servers that stay is kept."""
@@ -138,6 +157,8 @@
             names_by_pool.setdefault(row.pool, []).append(row.name)
         for name in known.keys() - self._server_by_name.keys():
             self.affinity.forget(name)
+            self._told_by_name.pop(name, None)
+        self._touched.update(self._server_by_name)
         self._names_by_pool = {pool: tuple(names) for pool, names in names_by_pool.items()}
         self._speed_by_pool = {
             pool: self._speed_by_pool.get(pool, PoolSpeed()) for pool in names_by_pool
@@ -148,18 +169,21 @@
         known = self._server_by_name.get(server)
         if known is not None and known.take(report):
             known.breaker.heard(min(report.at_s, now_s))
+            self._touched.add(server)
 
     def unreachable(self, server: str, now_s: float) -> None:
         """Note that a connection failed with nothing sent, for a report or for a request."""
         known = self._server_by_name.get(server)
         if known is not None:
             known.breaker.failed("", now_s, now_s)
+            self._touched.add(server)
 
     def drain(self, server: str, until_s: float) -> None:
         """Give a server nothing new until a time, as a notice or an operator says."""
         known = self._server_by_name.get(server)
         if known is not None:
             known.drain_until_s = until_s
+            self._touched.add(server)
 
     def sent(self, server: str, request: Request, now_s: float) -> None:
         """Note a send."""
@@ -197,6 +221,7 @@
         known.change(now_s, -1)
         known.speed.finished(request.request_id, token_s, now_s)
         _JUDGE_BY_OUTCOME[outcome](known.breaker, sent, now_s)
+        self._touched.add(server)
         if outcome is Outcome.CRASHED:
             self.affinity.forget(server)
 
@@ -214,6 +239,29 @@
             return ServerState.DRAINING
         return STATE_BY_BREAKER[known.breaker.state(now_s)]
 
+    def changes(self, now_s: float) -> list[StateChange]:
+        """Servers whose state is another than when last asked; new ones count as serving."""
+        told = self._told_by_name
+        looked_at = (self._touched | told.keys()) & self._server_by_name.keys()
+        self._touched = set()
+        changes = []
+        for name in sorted(looked_at):
+            state = self.state(name, now_s)
+            was = told.pop(name, ServerState.SERVING)
+            if state is not ServerState.SERVING:
+                told[name] = state
+            if state is not was:
+                changes.append(StateChange(name, was, state))
+        return changes
+
+    def view(self, server: str, request: Request, now_s: float) -> View:
+        """Tell what is known of a server for a request."""
+        known = self._server_by_name[server]
+        pool = self._speed_by_pool[known.row.pool]
+        slowness = pool.slowness(known.speed, self._speeds(known.row.pool), now_s)
+        held = self.affinity.held(server, request.blocks)
+        return View(known.load(now_s), known.slots(), round(slowness, 2), held)
+
     def load(self, server: str, now_s: float) -> int:
         """Requests thought to be running or waiting at a server."""
         known = self._server_by_name.get(server)
@@ -329,4 +377,4 @@
     Outcome.TIMED_OUT: _failed,
 }
 
-__all__ = ["Fleet", "ServerState"]
+__all__ = ["Fleet", "ServerState", "StateChange", "View"]
--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -127,6 +127,8 @@
             self._waits.gone(request.request_id)
             self._refuse(request.request_id, Code.WAIT_EXPIRED, self._retry_after_s(request))
         self._announce(self._quarantine.renewals(now_s))
+        for change in self._fleet.changes(now_s):
+            self._events.record("server-state", **change._asdict())
         if self._table is not None:
             self._touched.update(self._table.pools_by_name)
         self._pump_touched()
@@ -137,9 +139,18 @@
 
     def _announce(self, notices: list[Notice]) -> None:
         for notice in notices:
-            self._events.record("notice", kind=notice.kind, subject=notice.subject)
+            self._record_notice("notice", notice)
             self._send(notice)
 
+    def _record_notice(self, event: str, notice: Notice) -> None:
+        self._events.record(
+            event,
+            kind=notice.kind,
+            subject=notice.subject,
+            origin=notice.origin,
+            notice=notice.number,
+        )
+
     @singledispatchmethod
     def handle(self, message: object) -> None:
         """Take one message in."""
@@ -171,6 +182,7 @@
     @handle.register(Notice)
     def _on_notice(self, notice: Notice) -> None:
         now_s = time.monotonic()
+        self._record_notice("notice-learned", notice)
         if notice.kind == DRAIN_NOTICE:
             self._fleet.drain(notice.subject, now_s + notice.ttl_s)
             return
@@ -424,6 +436,7 @@
         self._slots.holdings(cell).take(server)
         self._limits.start(request.request_id)
         self._waits.started(request, now_s)
+        view = self._fleet.view(server, request, now_s)
         self._fleet.sent(server, request, now_s)
         self._announce(self._quarantine.started(server, request, now_s))
         waited_s = now_s - request.arrived_s
@@ -437,6 +450,9 @@
             tier=request.tier,
             attempt=request.attempt,
             waited_ms=round(waited_s * MILLISECONDS, 1),
+            avoided=sorted(ticket.avoid),
+            blocks=len(request.blocks),
+            **view._asdict(),
         )
         address = self._table.backend_servers_by_name[server].address
         ticket.grant(Grant(server, address, self._kind(request.pool)), now_s)
--- a/tests/rules/fleet.feature
+++ b/tests/rules/fleet.feature
@@ -59,6 +59,15 @@
       | 1 sent a r1; 1 sent a r2; 2 crashed a r1; 4 sent a t; 5 done a t; 6 crashed a r2 | 6 | serving |
       | 1 gone a                                                        | 2    | ejected   |
 
+  Scenario: each change of state is told once
+    When the fleet lives through "1 sent a r1; 2 crashed a r1; 2 drain b 9"
+    Then the fleet tells the changes
+      | at  | changes                                       |
+      | 2   | a serving ejected, b serving draining         |
+      | 2.5 |                                               |
+      | 4   | a ejected half-open                           |
+      | 9   | b draining serving                            |
+
   Scenario Outline: capacity counts what may be used
     When the fleet lives through "<life>"
     Then the fleet's capacity at <at> s is "<capacity>"
--- a/tests/steps/rules_fleet.py
+++ b/tests/steps/rules_fleet.py
@@ -123,6 +123,13 @@
     assert context.fleet.state(server, at) == state, context.fleet.state(server, at)
 
 
+@then("the fleet tells the changes")
+def tells_changes(context):
+    for expected in context.table:
+        changes = context.fleet.changes(float(expected["at"]))
+        assert ", ".join(" ".join(change) for change in changes) == expected["changes"], changes
+
+
 @then('the fleet\'s capacity at {at:g} s is "{capacity}"')
 def capacity_is(context, at, capacity):
     told = context.fleet.capacity(POOL, at)
