Keep backend connections in a stack of our own over httpcore's connections

Cause: cProfile at 60 requests/s: httpcore's pool walks every connection at each request and each close (228,137 is_idle calls for 2,796 assignments, 2.96 s of 11.9 s). Ruled out: slots (256 free for one daemon).

--- a/src/redwingbank/ports/engine.py
+++ b/src/redwingbank/ports/engine.py
@@ -9,6 +9,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+import anyio
 import httpcore
 
 from redwingbank.model import CacheEvent, LoadReport, Outcome
@@ -21,13 +22,16 @@
 MILLISECONDS = 1000.0
 CONNECT_TIMEOUT_S = 1.0
 SHORT_CALL_TIMEOUT_S = 1.0
-MOST_CONNECTIONS = 1024
+MOST_IDLE = 1024
 KEEPALIVE_S = 30.0
 REFUSING_STATUSES = {429, 503}
 OK_STATUS = 200
 CONFLICT_STATUS = 409
 
 
+_SHORT_TIMEOUT = dict.fromkeys(("connect", "read", "write", "pool"), SHORT_CALL_TIMEOUT_S)
+
+
 class Opened(NamedTuple):
     """An engine's answer has begun; `chunks` yields bytes until its end."""
 
@@ -69,7 +73,7 @@
 
 
 class BackendClient:
-    """Connections to backend servers, one pool a server."""
+    """Connections to backend servers, kept for reuse by server."""
 
     def __init__(self, settings: Settings) -> None:
         self._timeout = {
@@ -78,24 +82,59 @@
             "read": settings.first_byte_timeout_s,
             "write": settings.idle_timeout_s,
         }
-        self._pool_by_address: dict[str, httpcore.AsyncConnectionPool] = {}
-
-    def pool(self, address: str) -> httpcore.AsyncConnectionPool:
-        """Return the server's connection pool, made at first use."""
-        pool = self._pool_by_address.get(address)
-        if pool is None:
-            pool = httpcore.AsyncConnectionPool(
-                max_connections=MOST_CONNECTIONS, keepalive_expiry=KEEPALIVE_S
-            )
-            self._pool_by_address[address] = pool
-        return pool
+        self._idle_by_address: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
 
     async def close(self) -> None:
-        """Close every connection."""
-        pools = list(self._pool_by_address.values())
-        self._pool_by_address.clear()
-        for pool in pools:
-            await pool.aclose()
+        """Close every idle connection."""
+        idle = [item for kept in self._idle_by_address.values() for item in kept]
+        self._idle_by_address.clear()
+        for connection in idle:
+            await connection.aclose()
+
+    def idle(self, address: str) -> tuple[httpcore.AsyncHTTPConnection, ...]:
+        """Connections to a server that wait for reuse."""
+        return tuple(self._idle_by_address.get(address, ()))
+
+    async def _connection(self, address: str) -> httpcore.AsyncHTTPConnection:
+        """Take the connection idle for the least time, or a new one."""
+        idle = self._idle_by_address.get(address, [])
+        while idle:
+            connection = idle.pop()
+            if connection.is_available() and not connection.has_expired():
+                return connection
+            await connection.aclose()
+        host, _, port = address.rpartition(":")
+        origin = httpcore.Origin(b"http", host.encode(), int(port))
+        return httpcore.AsyncHTTPConnection(origin, keepalive_expiry=KEEPALIVE_S)
+
+    async def _keep(self, address: str, connection: httpcore.AsyncHTTPConnection) -> None:
+        """Keep a connection whose answer ended whole; close any other."""
+        idle = self._idle_by_address.setdefault(address, [])
+        if connection.is_idle() and len(idle) < MOST_IDLE:
+            idle.append(connection)
+            return
+        with anyio.CancelScope(shield=True):
+            await connection.aclose()
+
+    @asynccontextmanager
+    async def _answer(
+        self, address: str, request: httpcore.Request
+    ) -> AsyncIterator[httpcore.Response]:
+        """Send a request and give its answer, whose body is still to be read.
+
+        :raises AttemptError: where no whole answer comes
+        """
+        connection = await self._connection(address)
+        try:
+            response = await connection.handle_async_request(request)
+            try:
+                yield response
+            finally:
+                await response.aclose()
+        except _FAULTS as error:
+            raise AttemptError(outcome_of(error)) from error
+        finally:
+            await self._keep(address, connection)
 
     @asynccontextmanager
     async def open(
@@ -105,36 +144,37 @@
 
         :raises AttemptError: where no whole answer comes
         """
-        request = self.pool(address).stream(
+        request = httpcore.Request(
             method,
             f"http://{address}{path}",
-            headers=[("Host", address), *headers.items()],
+            headers=_headers(address, headers, body),
             content=body,
             extensions={"timeout": self._timeout},
         )
-        try:
-            async with request as response:
-                kind = dict(response.headers).get(b"content-type", b"")
-                yield Opened(response.status, kind.decode("latin-1"), response.aiter_stream())
-        except _FAULTS as error:
-            raise AttemptError(outcome_of(error)) from error
+        async with self._answer(address, request) as response:
+            kind = dict(response.headers).get(b"content-type", b"")
+            yield Opened(response.status, kind.decode("latin-1"), response.aiter_stream())
 
     async def call(
         self, address: str, method: str, path: str, body: bytes = b""
     ) -> tuple[int, bytes] | None:
         """Make a short call; nothing where it fails."""
-        timeout = dict.fromkeys(("connect", "read", "write", "pool"), SHORT_CALL_TIMEOUT_S)
+        request = httpcore.Request(
+            method,
+            f"http://{address}{path}",
+            headers=_headers(address, {"Content-Type": "application/json"}, body),
+            content=body,
+            extensions={"timeout": _SHORT_TIMEOUT},
+        )
         try:
-            response = await self.pool(address).request(
-                method,
-                f"http://{address}{path}",
-                headers={"Host": address, "Content-Type": "application/json"},
-                content=body,
-                extensions={"timeout": timeout},
-            )
-        except _FAULTS:
+            async with self._answer(address, request) as response:
+                return response.status, await response.aread()
+        except AttemptError:
             return None
-        return response.status, response.content
+
+
+def _headers(address: str, headers: dict[str, str], body: bytes) -> list[tuple[str, str]]:
+    return [("Host", address), *headers.items(), ("Content-Length", str(len(body)))]
 
 
 class EngineClient:
