--- /dev/null
+++ b/src/redwingbank/ctl/explain.py
@@ -0,0 +1,177 @@
+"""`redwingctl explain`: each decision of one request's life, and why it was taken."""
+
+from __future__ import annotations
+
+import json
+import sys
+from pathlib import Path  # noqa: TC003 - cyclopts reads it when the program runs
+from typing import TYPE_CHECKING, NamedTuple
+
+from redwingbank.codes import MEANING_BY_CODE, Code
+from redwingbank.ctl.moments import Moment, TimeLine, merge
+from redwingbank.ctl.timeline import AsJson, read_or_tell
+from redwingbank.errors import EXIT_FAULT, EXIT_USAGE
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from redwingbank.ctl.records import Record
+
+OK = 0
+AROUND_S = 5.0
+AROUND = frozenset({"server-state", "notice", "notice-learned", "server-drain"})
+
+
+class Decision(NamedTuple):
+    """One step of a request's life, or what went on around it (`around`)."""
+
+    at_s: float
+    host: str
+    event: str
+    why: str
+    around: bool
+
+
+def explain(request: str, files: list[Path], /, *, as_json: AsJson = False) -> int:
+    """Tell each decision of one request's life, and why.
+
+    What happened to its backend servers meanwhile is told beside it, in brackets.
+
+    Example: redwingctl explain 73ad41cf /var/log/redwingbank/*.jsonl
+
+    Exit codes: 0 told, 1 no such request or more than one, 2 a file can't be read.
+
+    :param request: the request's id, as in the answer's x-request-id header, or its start
+    :param files: event records, one file or more
+    :param as_json: write JSON instead of text
+    """
+    read = read_or_tell(files)
+    if read is None:
+        return EXIT_USAGE
+    line = merge(read.records)
+    found = sorted(_ids(line, request))
+    if len(found) != 1:
+        print(f"redwingctl: {_wrong(request, found)}", file=sys.stderr)
+        return EXIT_FAULT
+    decisions = decisions_of(found[0], line)
+    rows = [decision._asdict() for decision in decisions]
+    document = {"request": found[0], "decisions": rows}
+    print(json.dumps(document) if as_json else as_text(found[0], decisions))
+    return OK
+
+
+def _ids(line: TimeLine, start: str) -> set[str]:
+    ids = {moment.record.field("request") for moment in line.moments}
+    return {name for name in ids if name and name.startswith(start)}
+
+
+def _wrong(request: str, found: list[str]) -> str:
+    if not found:
+        return f"no record of request {request}; add the files of the other hosts"
+    return f"{len(found)} requests begin with {request}; give more of the id"
+
+
+def decisions_of(request: str, line: TimeLine) -> list[Decision]:
+    """A request's own records in order, and those about its servers from 5 s before to its end."""
+    own = [moment for moment in line.moments if moment.record.field("request") == request]
+    servers = {moment.record.field("server") for moment in own} - {""}
+    begins_s, ends_s = own[0].at_s - AROUND_S, own[-1].at_s
+    return [
+        _decision(moment, own[0].at_s, around=moment.record.field("request") != request)
+        for moment in line.moments
+        if moment.record.field("request") == request
+        or (begins_s <= moment.at_s <= ends_s and _concerns(moment.record, servers))
+    ]
+
+
+def _concerns(record: Record, servers: set[str]) -> bool:
+    if record.event not in AROUND:
+        return False
+    subject = record.field("subject")
+    return bool({record.field("server"), subject, subject.rpartition("@")[2]} & servers)
+
+
+def _decision(moment: Moment, begins_s: float, *, around: bool) -> Decision:
+    record = moment.record
+    why = _WHY_BY_EVENT.get(record.event, _plain)(record)
+    return Decision(round(moment.at_s - begins_s, 4), record.host, record.event, why, around)
+
+
+def as_text(request: str, decisions: list[Decision]) -> str:
+    """Write a line a decision; times are seconds after the request's first record."""
+    rows = [f"request {request}"]
+    for one in decisions:
+        text = f"[{one.why}]" if one.around else one.why
+        rows.append(f"{one.at_s:+10.4f} s  {one.host:12} {text}")
+    return "\n".join(rows)
+
+
+def _plain(record: Record) -> str:
+    fields = {name: value for name, value in record.fields.items() if name != "request"}
+    return " ".join([record.event, *(f"{name}={value}" for name, value in fields.items())])
+
+
+def _granted(record: Record) -> str:
+    field = record.field
+    words = [
+        f"given a slot at {field('server')}, attempt {field('attempt')}, after"
+        f" {field('waited_ms')} ms waiting as {field('service_class')} (tier {field('tier')})"
+        f" of {field('organisation')}"
+    ]
+    if field("slots"):
+        words.append(
+            f"chosen at load {field('load')} of {field('slots')} slots, {field('slowness')} times"
+            f" the pool's time, {field('held_blocks')} of {field('blocks')} prefix blocks held"
+        )
+    if record.fields.get("avoided"):
+        words.append(f"not at {', '.join(record.fields['avoided'])}, which failed it")
+    return "; ".join(words)
+
+
+def _failed(record: Record) -> str:
+    field = record.field
+    return (
+        f"attempt at {field('server')} ended: {field('outcome')},"
+        f" {field('delivered') or 0} tokens delivered"
+    )
+
+
+def _refused(record: Record) -> str:
+    try:
+        code = Code(int(record.field("code")))
+    except ValueError:
+        return _plain(record)
+    meaning = MEANING_BY_CODE[code]
+    told = f"refused with {int(code)} {code.name}: {meaning.meaning}"
+    return f"{told}; ran={record.field('ran')}; the caller should: {meaning.advice}"
+
+
+def _done(record: Record) -> str:
+    return f"answered whole, {record.field('tokens')} tokens"
+
+
+def _gone(record: Record) -> str:
+    return "the caller closed the connection; the backend server was told to stop"
+
+
+def _state(record: Record) -> str:
+    return f"{record.field('server')} went from {record.field('was')} to {record.field('state')}"
+
+
+def _notice(record: Record) -> str:
+    verb = "told others" if record.event == "notice" else f"heard from {record.field('origin')}"
+    return f"{verb}: {record.field('subject')} {record.field('kind')}"
+
+
+_WHY_BY_EVENT: dict[str, Callable[[Record], str]] = {
+    "request-granted": _granted,
+    "attempt-failed": _failed,
+    "request-refused": _refused,
+    "request-done": _done,
+    "caller-gone": _gone,
+    "server-state": _state,
+    "notice": _notice,
+    "notice-learned": _notice,
+}
+
+__all__ = ["Decision", "as_text", "decisions_of", "explain"]
