--- a/src/redwingbank/ctl/hosts.py
+++ b/src/redwingbank/ctl/hosts.py
@@ -108,7 +108,7 @@
     content = json.dumps(body).encode() if body is not None else None
     timeouts = dict.fromkeys(("connect", "read", "write", "pool"), TIMEOUT_S)
     try:
-        with httpcore.ConnectionPool(ssl_context=_trust(access.authority)) as pool:
+        with httpcore.ConnectionPool(ssl_context=_trust(url, access.authority)) as pool:
             response = pool.request(
                 method,
                 url + path,
@@ -123,7 +123,9 @@
     return _read(address, response.status, response.content)
 
 
-def _trust(authority: Path | None) -> ssl.SSLContext:
+def _trust(url: str, authority: Path | None) -> ssl.SSLContext | None:
+    if not url.startswith("https:"):
+        return None
     return ssl.create_default_context(cafile=str(authority) if authority else None)
 
 
--- a/src/redwingbank/ctl/skew.py
+++ b/src/redwingbank/ctl/skew.py
@@ -77,7 +77,8 @@
 
     An effect comes after its cause, so a clock is ahead by no more than their difference.
     Such bounds add up along chains of hosts. Between two bounds the middle is taken; with one
-    bound, or none, no skew where that is allowed and else the bound.
+    bound, or none, no skew where that is allowed and else the bound. Where clocks stepped no skew
+    fits all, and none is assumed.
     """
     names = sorted(set(hosts))
     reference = names[0] if names else ""
@@ -89,8 +90,11 @@
     behind_s = {(effect, cause): apart_s for (cause, effect), apart_s in ahead_s.items()}
     most_s = _shortest(reference, names, ahead_s)
     least_s = _shortest(reference, names, behind_s)
+    consistent = all(-least_s[name] <= most_s[name] for name in names)
+    if not consistent:
+        unknown = {name: Skew(name, 0.0, -math.inf, math.inf) for name in names}
+        return Skews(reference, unknown, consistent)
     by_host = {name: _skew(name, -least_s[name], most_s[name]) for name in names}
-    consistent = all(skew.least_s <= skew.most_s for skew in by_host.values())
     return Skews(reference, by_host, consistent)
 
 
--- /dev/null
+++ b/tests/steps/ctl_hosts.py
@@ -0,0 +1,117 @@
+"""Steps of ctl/hosts.feature: small daemons' endpoints at the interface."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+import threading
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+import cyclopts
+from behave import given, then, when
+
+from redwingbank.ctl.drain import drain
+from redwingbank.ctl.release import release
+from redwingbank.ctl.status import status
+
+
+class Daemon(BaseHTTPRequestHandler):
+    """Answers as the operators' endpoints do."""
+
+    protocol_version = "HTTP/1.1"
+
+    def do_GET(self):
+        kind = self.server.kind
+        if kind == "garbled":
+            self.answer(200, b"<html>")
+        elif kind == "locked" and self.headers["authorization"] is None:
+            self.answer(403, b'{"error":"the operators\' key is needed"}')
+        else:
+            self.answer(200, json.dumps(self.server.document).encode())
+
+    def do_POST(self):
+        order = json.loads(self.rfile.read(int(self.headers["content-length"])))
+        held = [case["fingerprint"] for case in self.server.document["quarantine"]]
+        found = {
+            "/operator/drain": order.get("server") in {None, "engine-1"},
+            "/operator/release": order.get("fingerprint") in held,
+        }[self.path]
+        self.answer(200 if found else 404, json.dumps({"found": found}).encode())
+
+    def answer(self, code, body):
+        self.send_response(code)
+        self.send_header("content-length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def log_message(self, *arguments):
+        pass
+
+
+def serve(context, kind, document):
+    """Serve a daemon's endpoints on a free port until the scenario ends."""
+    server = ThreadingHTTPServer(("127.0.0.1", 0), Daemon)
+    server.kind, server.document = kind, document
+    thread = threading.Thread(target=server.serve_forever, args=(0.01,))
+    thread.start()
+
+    def stop():
+        server.shutdown()
+        thread.join()
+        server.server_close()
+
+    context.add_cleanup(stop)
+    return f"--host 127.0.0.1:{server.server_port}"
+
+
+def document_of(row):
+    case = row["case"].split()
+    cases = [{"fingerprint": case[0], "state": case[1], "servers": ["engine-1"]}] if case else []
+    return {
+        "host": row["host"],
+        "data_centre": row["data_centre"],
+        "ready": row["ready"] == "yes",
+        "revision": int(row["revision"]),
+        "attainment": {"crew": {"attained": int(row["attained"]), "missed": int(row["missed"])}},
+        "waiting": {"crew": 1},
+        "in_flight": 2,
+        "servers": {"engine-1": {"pool": "desk-model", "state": row["engine-1"], "load": 2}},
+        "quarantine": [one | {"seconds_left": float(case[2])} for one in cases],
+    }
+
+
+@given("the hosts' daemons")
+def daemons(context):
+    documents = [document_of(row) for row in context.table]
+    context.hosts = {
+        "hosts": " ".join(serve(context, "open", document) for document in documents),
+        "locked": serve(context, "locked", documents[0]),
+        "garbled": serve(context, "garbled", {}),
+    }
+
+
+@when('the hosts\' operator runs "{text}"')
+def operator_runs(context, text):
+    app = cyclopts.App(name="redwingctl", result_action="return_value")
+    for command in (status, drain, release):
+        app.command(command)
+    out, err = io.StringIO(), io.StringIO()
+    with contextlib.redirect_stdout(out), contextlib.redirect_stderr(err):
+        context.code = app(text.format(**context.hosts).split(), exit_on_error=False)
+    context.out, context.printed = out.getvalue(), out.getvalue() + err.getvalue()
+
+
+@then("the hosts' exit code is {code:d} and the output has")
+def output_has(context, code):
+    assert context.code == code, (context.code, context.printed)
+    for row in context.table:
+        assert row["words"] in context.printed, context.printed
+
+
+@then('the hosts\' JSON has "converged" false, "in_flight" 6 and 3 hosts')
+def json_has(context):
+    document = json.loads(context.out)
+    assert document["converged"] is False
+    assert document["in_flight"] == 6
+    assert document["hosts"] == ["entry-1", "entry-2", "entry-3"]
