Prove the table's store under faults and two operators

Change: cells set by name count as changed (merge's asked); history lists kept revisions only. Variants without conditional writes, read-back, knowledge or a page's new version break within the runs.

--- a/src/redwingbank/ports/table_store.py
+++ b/src/redwingbank/ports/table_store.py
@@ -13,15 +13,16 @@
 
 from redwingbank.errors import RedwingbankError, TableErrors
 from redwingbank.ports.platform import Absent, Conflict, Stored, Unknown
-from redwingbank.ports.table_pruning import COLLECT_EVERY, collect, unused
+from redwingbank.ports.table_pruning import COLLECT_EVERY, KEPT_REVISIONS, collect, unused
 from redwingbank.rules import pages
 from redwingbank.rules.merge import merge
 from redwingbank.rules.table import parse_table, sheets_of
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
     from redwingbank.ports.platform import Platform
+    from redwingbank.rules.merge import CellName
     from redwingbank.rules.table import Sheets, Table
 
 ATTEMPTS = 8
@@ -109,11 +110,17 @@
 
 
 async def publish(
-    platform: Platform, base: Loaded | Absent, mine: Sheets, author: str, nonce: str
+    platform: Platform,
+    base: Loaded | Absent,
+    mine: Sheets,
+    author: str,
+    nonce: str,
+    asked: Iterable[CellName] = (),
 ) -> Accepted | Rejected | Unknown:
     """Write the whole sheets `mine`, which were made from `base`, as the next revision.
 
-    What others changed since `base` is merged by cell. `nonce` must be new for each call.
+    What others changed since `base` is merged by cell; the cells in `asked` were set by name.
+    `nonce` must be new for each call.
     """
     first = NO_TABLE if isinstance(base, Absent) else base
     try:
@@ -122,7 +129,7 @@
         return Rejected(_faults(errors))
     current = first
     for _ in range(ATTEMPTS):
-        merged = merge(first.sheets, wanted, current.sheets)
+        merged = merge(first.sheets, wanted, current.sheets, asked)
         if merged.conflicts:
             return Rejected(merged.conflicts)
         try:
@@ -253,7 +260,8 @@
         if isinstance(stored, Stored):
             head = pages.decode_head(stored.value)
             heads[head.revision] = head
-    return tuple(heads[revision] for revision in sorted(heads, reverse=True))
+    newest = sorted(heads, reverse=True)[:KEPT_REVISIONS]
+    return tuple(heads[revision] for revision in newest if revision > newest[0] - KEPT_REVISIONS)
 
 
 async def load_revision(platform: Platform, revision: int) -> Loaded | Absent | Unknown:
--- a/src/redwingbank/rules/merge.py
+++ b/src/redwingbank/rules/merge.py
@@ -7,7 +7,7 @@
 from redwingbank.errors import TableConflictError
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Iterable, Mapping
 
     from redwingbank.rules.table import Sheets
 
@@ -71,16 +71,19 @@
     return tuple(change for change in changes if change.old != change.new)
 
 
-def merge(base: Sheets, mine: Sheets, theirs: Sheets) -> Merged:
+def merge(base: Sheets, mine: Sheets, theirs: Sheets, asked: Iterable[CellName] = ()) -> Merged:
     """Apply to `theirs` what `mine` changed since `base`.
 
     Cells that only one side changed are taken from that side. A cell that both changed, to
     different values, is a conflict; so is a row that one side removed and the other changed.
+    A cell in `asked` was set by name: it counts as changed also where `base`, which may be old,
+    shows the value already.
     """
     before, ours, others = cells_of(base), cells_of(mine), cells_of(theirs)
     cells = dict(others)
     conflicts = []
-    for change in diff(base, mine):
+    named = (Change(cell, before.get(cell), ours.get(cell)) for cell in asked)
+    for change in sorted({*diff(base, mine), *named}, key=_place):
         other = others.get(change.cell)
         if other not in (before.get(change.cell), change.new):
             conflicts.append(_conflict(change, other))
@@ -91,6 +94,10 @@
     return Merged(_sheets(cells), tuple(conflicts))
 
 
+def _place(change: Change) -> CellName:
+    return change.cell
+
+
 def _conflict(change: Change, other: str | None) -> TableConflictError:
     cell = change.cell
     return TableConflictError(
--- /dev/null
+++ b/tests/steps/ports_table_store.py
@@ -0,0 +1,363 @@
+"""Steps of ports/table_store.feature."""
+
+from __future__ import annotations
+
+import itertools
+
+import anyio
+from behave import given, then, when
+
+from memory_platform import MemoryPlatform, Shared, interleave, random_faults
+from redwingbank.ports import table_pruning, table_store
+from redwingbank.ports.platform import Conflict, Stored, Unknown
+from redwingbank.rules import pages
+from redwingbank.rules.merge import CellName, cells_of
+from table_samples import sample_sheets, with_cell
+
+MEGABYTE = 1_000_000
+OPERATORS = 3
+table_store.PAUSE_S = 0.0
+
+
+def name_of(answer):
+    return type(answer).__name__
+
+
+def asked_cells(where, value):
+    return () if value == "-" else (CellName(*where.split("/")),)
+
+
+async def change(platform, where, value, nonce, base=None, asked=asked_cells):
+    """Load, change one cell and publish, as an operator's command does."""
+    base = base or await table_store.load_table(platform)
+    if not isinstance(base, table_store.Loaded):
+        return base
+    mine = with_cell(base.sheets, where, value)
+    cells = asked(where, value)
+    return await table_store.publish(platform, base, mine, "operator", nonce, cells)
+
+
+async def first_table(organisations=3):
+    platform = MemoryPlatform()
+    absent = await table_store.load_table(platform)
+    made = await table_store.publish(platform, absent, sample_sheets(organisations), "a", "first")
+    assert made == table_store.Accepted(1)
+    return platform
+
+
+def holds_value(platform, where, value):
+    sheet, row, _ = where.split("/")
+    if value == "-":
+        loaded = anyio.run(table_store.load_table, MemoryPlatform(platform.shared))
+        return row not in loaded.sheets[sheet]
+    return stored_cell(platform, where)[0] == value
+
+
+def stored_cell(platform, where):
+    async def body():
+        loaded = await table_store.load_table(MemoryPlatform(platform.shared))
+        sheet, row, column = where.split("/")
+        return loaded.sheets[sheet].get(row, {}).get(column), loaded.head.revision
+
+    return anyio.run(body)
+
+
+@given("a table store")
+@given("a table store of {organisations:d} organisations")
+def a_table_store(context, organisations=3):
+    context.store = anyio.run(first_table, organisations)
+    context.set = []
+    context.answers = []
+
+
+@when('the table store\'s {prefix} meets "{fault}" {times:d} times')
+def meets(context, prefix, fault, times):
+    left = itertools.repeat(fault, times)
+
+    def plan(kind, key):
+        return next(left, None) if kind == "write" and key.startswith(prefix) else None
+
+    context.store.fault = plan
+
+
+@when('the table store\'s operator sets {where} to "{value}"')
+def operator_sets(context, where, value):
+    context.store.shared.calls.clear()
+    context.answers = [anyio.run(change, context.store, where, value, "nonce-1")]
+    context.set = [(where, value)]
+
+
+@when('the table store\'s operators set {mine} to "{one}" and {theirs} to "{two}"')
+def operators_set(context, mine, one, theirs, two):
+    async def body():
+        base = await table_store.load_table(context.store)
+        first = await change(context.store, mine, one, "nonce-1", base)
+        return [first, await change(context.store, theirs, two, "nonce-2", base)]
+
+    context.answers = anyio.run(body)
+    context.set = [(mine, one), (theirs, two)]
+
+
+@then("the table store's answer is {answer}")
+@then("the table store's answers are {answer}")
+def answers_are(context, answer):
+    assert ", ".join(map(name_of, context.answers)) == answer, context.answers
+
+
+@then("the table store told the truth")
+def answers_are_true(context):
+    """An accepted change is there, a rejected one is not; late writes land before we look."""
+    context.store.shared.apply_late()
+    for (where, value), answer in zip(context.set, context.answers, strict=True):
+        held = holds_value(context.store, where, value)
+        if isinstance(answer, table_store.Accepted):
+            assert held, (where, answer)
+        if isinstance(answer, table_store.Rejected):
+            assert not held, (where, answer)
+
+
+@then('the table store holds "{value}" in {where} at revision {revision:d}')
+def holds(context, value, where, revision):
+    assert stored_cell(context.store, where) == (value, revision)
+
+
+@then("the table store's history is {revisions}")
+def history_is(context, revisions):
+    heads = anyio.run(table_store.load_history, context.store)
+    assert ", ".join(str(head.revision) for head in heads) == revisions
+
+
+@then("the table store still gives revision {revision:d}")
+def gives_revision(context, revision):
+    loaded = anyio.run(table_store.load_revision, context.store, revision)
+    assert loaded.head.revision == revision
+    assert loaded.table().classes_by_name["memo"].tier == 3
+
+
+@when("the table store sees {count:d} changes")
+def sees_changes(context, count):
+    async def body():
+        for number in range(count):
+            where = f"organisations/organisation-{number % 3}/concurrency"
+            answer = await change(context.store, where, str(number), f"nonce-{number}")
+            assert isinstance(answer, table_store.Accepted)
+
+    anyio.run(body)
+
+
+@then("the table store keeps {count:d} revisions, each whole")
+def keeps(context, count):
+    async def body():
+        heads = await table_store.load_history(context.store)
+        assert len(heads) == count, len(heads)
+        for head in heads:
+            loaded = await table_store.load_revision(context.store, head.revision)
+            assert loaded.head == head
+        return {name for head in heads for name in head.root.names()}
+
+    context.needed = anyio.run(body)
+
+
+@then("the table store holds few pages that none of them names")
+def no_garbage(context):
+    present = set(context.store.shared.objects.keys(pages.PAGES))
+    assert len(present - context.needed) <= table_pruning.COLLECT_EVERY
+    assert context.needed <= present
+
+
+@when('the table store shows an old "{value}" in {where} and the operator sets it so')
+def set_on_stale(context, value, where):
+    async def body():
+        await change(context.store, where, value, "old")
+        base = await table_store.load_table(context.store)
+        await change(context.store, where, "6", "new")
+        return [await change(context.store, where, value, "mine", base, context.asked)]
+
+    context.asked = getattr(context, "asked", asked_cells)
+    context.answers = anyio.run(body)
+    context.set = [(where, value)]
+
+
+@given("a table store that merges what differs only")
+def merges_differences(context):
+    a_table_store(context)
+    context.asked = lambda where, value: ()
+
+
+@then("the table store accepts without the change")
+def accepted_falsely(context):
+    assert name_of(context.answers[0]) == "Accepted"
+    assert not holds_value(context.store, *context.set[0])
+
+
+class Unconditional(MemoryPlatform):
+    """The variant without conditional writes: the last writer wins."""
+
+    async def _write(self, kind, key, value, version):
+        entry = self.shared.objects.get(key)
+        seen = entry.version if entry.value is not None else None
+        answer = await super()._write(kind, key, value, seen)
+        return (
+            await self._write(kind, key, value, None) if isinstance(answer, Conflict) else answer
+        )
+
+
+class Trusting(MemoryPlatform):
+    """The variant that tells a write as done without knowing it."""
+
+    async def _write(self, kind, key, value, version):
+        answer = await super()._write(kind, key, value, version)
+        return Stored(key, version or 0, value) if isinstance(answer, Unknown) else answer
+
+
+class Forgetful(MemoryPlatform):
+    """The variant that takes an unknown outcome for a write that was refused."""
+
+    async def _write(self, kind, key, value, version):
+        answer = await super()._write(kind, key, value, version)
+        unknown = isinstance(answer, Unknown) and key == pages.HEAD
+        return Conflict(key, 0) if unknown else answer
+
+
+class Untouching(MemoryPlatform):
+    """The variant that leaves a page that is there already at its version."""
+
+    async def update(self, key, value, version):
+        if key.startswith(pages.PAGES):
+            return Stored(key, version, value)
+        return await super().update(key, value, version)
+
+
+VARIANTS = {
+    "conditional writes": Unconditional,
+    "knowing before telling": Trusting,
+    "reading back": Forgetful,
+    "a page's new version": Untouching,
+}
+
+
+async def run_once(seed, share, kind=MemoryPlatform):
+    """Interleave operators that each change a cell of their own, some back and forth."""
+    shared = Shared()
+    absent = await table_store.load_table(MemoryPlatform(shared))
+    await table_store.publish(MemoryPlatform(shared), absent, sample_sheets(), "a", "first")
+    told = {}
+
+    def operator(number):
+        platform = kind(shared, random_faults(seed * 31 + number, share), turns=True)
+
+        async def work():
+            for turn, value in enumerate(("1", "2", "1", "2")):
+                where = f"organisations/organisation-{number}/weight"
+                nonce = f"{number}-{turn}"
+                told[nonce] = (where, value, await change(platform, where, value, nonce))
+
+        return work
+
+    operators = {number: operator(number) for number in range(OPERATORS)}
+    await interleave(shared, operators, seed)
+    await check_promises(shared, told)
+
+
+async def check_promises(shared, told):
+    """Raise where an answer was not true or a kept revision is not whole."""
+    platform = MemoryPlatform(shared)
+    heads = await table_store.load_history(platform)
+    oldest = heads[-1].revision
+    assert [head.revision for head in heads] == list(range(heads[0].revision, oldest - 1, -1))
+    assert table_store.COLLECT_EVERY == 1 or oldest == 1
+    nonces = {head.nonce: head for head in heads}
+    assert len(nonces) == len(heads), "one change was written twice"
+    for nonce, (where, value, answer) in told.items():
+        if isinstance(answer, table_store.Accepted) and answer.revision >= oldest:
+            assert nonces[nonce].revision == answer.revision, (nonce, answer)
+            loaded = await table_store.load_revision(platform, answer.revision)
+            sheet, row, column = where.split("/")
+            assert loaded.sheets[sheet][row][column] == value
+        if isinstance(answer, table_store.Rejected):
+            assert nonce not in nonces, (nonce, answer)
+    for number in range(OPERATORS):
+        await check_last(platform, told, nonces, number)
+
+
+async def check_last(platform, told, nonces, number):
+    """The cell in force is the operator's last change that is in the history."""
+    mine = [told[f"{number}-{turn}"] for turn in range(4) if f"{number}-{turn}" in nonces]
+    if mine:
+        loaded = await table_store.load_table(platform)
+        where, value, _ = mine[-1]
+        assert cells_of(loaded.sheets)[tuple(where.split("/"))] == value
+
+
+def first_broken(seed, runs, share, kind=MemoryPlatform):
+    """Give the first seed whose run broke a promise."""
+    for number in range(seed, seed + runs):
+        try:
+            anyio.run(run_once, number, share, kind)
+        except (AssertionError, KeyError, AttributeError):
+            return number
+    return None
+
+
+@given("a table store that prunes at every change")
+def prunes_always(context):
+    context.add_cleanup(set_pruning, table_store.COLLECT_EVERY, table_pruning.KEPT_REVISIONS)
+    set_pruning(1, 2)
+
+
+def set_pruning(every, kept):
+    table_store.COLLECT_EVERY = every
+    table_pruning.KEPT_REVISIONS = table_store.KEPT_REVISIONS = kept
+
+
+@then(
+    "the table store keeps every promise in {runs:d} interleaved runs from seed {seed:d} "
+    "with faults in {share:f} of the calls"
+)
+def keeps_promises(context, runs, seed, share):
+    assert first_broken(seed, runs, share) is None, first_broken(seed, runs, share)
+
+
+@then(
+    "the table store without {mechanism} breaks a promise within {runs:d} interleaved runs "
+    "from seed {seed:d}"
+)
+def breaks_promise(context, mechanism, runs, seed):
+    assert first_broken(seed, runs, 0.15, VARIANTS[mechanism]) is not None
+
+
+@then("the table store's values are under a megabyte and the change took {most:d} writes at most")
+def sizes(context, most):
+    assert context.store.shared.largest < MEGABYTE
+    assert context.store.shared.calls["write"] <= most, context.store.shared.calls
+
+
+async def prune_while_wanted(kind):
+    """One operator prunes; another, between its listing and its deleting, wants an old page."""
+    shared = Shared()
+    platform = kind(shared)
+    await table_store.publish(
+        platform, await table_store.load_table(platform), sample_sheets(), "a", "first"
+    )
+    wanted = with_cell(sample_sheets(), "organisations/organisation-0/weight", "5")
+    base = await table_store.load_table(platform)
+    packed = pages.pack(table_store.sheets_of(table_store.parse_table(wanted, 0)), base.head.root)
+    (name,) = pages.missing(packed.root, base.pages_by_name)
+    await platform.create(pages.history_name(1), base.value)
+    await platform.create(name, packed.values_by_name[name])
+    old = await table_pruning.unused(platform, base.head._replace(revision=2))
+    assert [item.key for item in old] == [name]
+    answer = await table_store.publish(platform, base, wanted, "b", "second")
+    assert isinstance(answer, table_store.Accepted)
+    await table_pruning.collect(platform, old)
+    return await table_store.load_table(platform)
+
+
+@then("the table store keeps a page that another operator writes anew while it is pruned")
+def keeps_page(context):
+    assert name_of(anyio.run(prune_while_wanted, MemoryPlatform)) == "Loaded"
+
+
+@then("the table store without a page's new version loses it")
+def loses_page(context):
+    assert name_of(anyio.run(prune_while_wanted, Untouching)) == "Unknown"
