--- a/src/redwingbank/ports/codec.py
+++ b/src/redwingbank/ports/codec.py
@@ -98,7 +98,7 @@
         row.dataCentre = member.data_centre
         row.address = member.address
         row.incarnation = member.incarnation
-        row.state = member.state
+        row.state = int(member.state)
         row.revision = member.revision
     for row, notice in zip(
         body.init("notices", len(message.notices)), message.notices, strict=True
--- a/src/redwingbank/rules/notices.py
+++ b/src/redwingbank/rules/notices.py
@@ -57,12 +57,6 @@
             self._kept_by_key[key] = kept._replace(sends_left=kept.sends_left - 1)
         return tuple(_aged(kept, now_s) for _, kept in waiting[:count])
 
-    def resend(self, hosts: int) -> None:
-        """Pass everything on again, for hosts that have just come or come back."""
-        for key, kept in self._kept_by_key.items():
-            sends_left = max(kept.sends_left, sends_for(hosts))
-            self._kept_by_key[key] = kept._replace(sends_left=sends_left)
-
     def all(self, now_s: float, kind: str = "") -> tuple[Notice, ...]:
         """Every notice in force, or those of one kind."""
         self._expire(now_s)
