--- a/src/redwingbank/rules/membership.py
+++ b/src/redwingbank/rules/membership.py
@@ -7,7 +7,7 @@
 
 from redwingbank.messages import Heartbeat, Member, MemberState, Notice
 from redwingbank.rules.notices import Notices
-from redwingbank.rules.directory import Change, Directory, MemberView
+from redwingbank.rules.roster import Change, MemberView, Roster
 from redwingbank.rules.turns import Turns
 
 if TYPE_CHECKING:
@@ -81,7 +81,7 @@
         random: Random | None = None,
     ) -> None:
         self.own = Member(host, data_centre, address, incarnation, MemberState.ALIVE, 0)
-        self.directory = Directory()
+        self.roster = Roster()
         self.notices = Notices()
         self._settings = settings
         self._random = random or Random(f"{host}/{incarnation}")
@@ -102,10 +102,10 @@
 
     def view(self) -> MemberView:
         """The members at this moment."""
-        if self._view is None or self._viewed != self.directory.version:
-            others = (record.member for record in self.directory.by_host.values())
+        if self._view is None or self._viewed != self.roster.version:
+            others = (record.member for record in self.roster.by_host.values())
             self._view = MemberView(self.own, others)
-            self._viewed = self.directory.version
+            self._viewed = self.roster.version
         return self._view
 
     def alive(self, now_s: float) -> tuple[Member, ...]:
@@ -124,7 +124,7 @@
 
     def take_changes(self) -> list[Change]:
         """Hand over the changes since the last call."""
-        return self.directory.take_changes()
+        return self.roster.take_changes()
 
     def take_notices(self) -> list[Notice]:
         """Hand over the notices that came from others since the last call."""
@@ -144,7 +144,7 @@
         self._periods += 1
         sent = self._chase(now_s)
         self._expire(now_s)
-        target = self._turns.next(self.directory.in_state(*PROBED))
+        target = self._turns.next(self.roster.in_state(*PROBED))
         if target:
             self._probe_by_host.setdefault(target.host, _Probe(now_s, helped=False))
             sent.append(self._to(target, now_s))
@@ -182,7 +182,7 @@
 
     def announce(self, notice: Notice, now_s: float) -> list[Outgoing]:
         """Spread a notice of our own."""
-        if not self.notices.learn(notice, len(self.directory.by_host) + 1, now_s):
+        if not self.notices.learn(notice, len(self.roster.by_host) + 1, now_s):
             return []
         return self._push(PUSHES, now_s)
 
@@ -198,7 +198,7 @@
 
         A host that has just started asks the seeds, which most others have met.
         """
-        alive = self.directory.in_state(MemberState.ALIVE)
+        alive = self.roster.in_state(MemberState.ALIVE)
         if not alive:
             return None
         if self._synced_s is not None and now_s - self._synced_s < self._sync_interval_s(now_s):
@@ -217,7 +217,7 @@
 
     def snapshot(self, now_s: float) -> Heartbeat:
         """A whole copy of the members and notices."""
-        members = tuple(record.member for record in self.directory.by_host.values())
+        members = tuple(record.member for record in self.roster.by_host.values())
         notices = self.notices.all(now_s)
         return Heartbeat(True, self.own.revision, (self.own, *members), notices)
 
@@ -241,9 +241,9 @@
             if member.host == self.own.host:
                 refuted |= self._refute(member)
                 continue
-            known = self.directory.by_host.get(member.host)
+            known = self.roster.by_host.get(member.host)
             absent = known is None or known.member.state is MemberState.DEAD
-            if self.directory.merge(member, now_s, news=news) and absent:
+            if self.roster.merge(member, now_s, news=news) and absent:
                 self._surprises += 1
         return refuted
 
@@ -263,7 +263,7 @@
         if gap_s <= STALL_PERIODS * self._settings.heartbeat_s:
             return
         self._probe_by_host.clear()
-        self.directory.postpone(gap_s)
+        self.roster.postpone(gap_s)
 
     def _chase(self, now_s: float) -> list[Outgoing]:
         """Ask helpers about members that did not answer, then suspect them."""
@@ -271,7 +271,7 @@
         for host, probe in list(self._probe_by_host.items()):
             if now_s - probe.sent_s < self._settings.heartbeat_s:
                 continue
-            record = self.directory.by_host.get(host)
+            record = self.roster.by_host.get(host)
             if record is None or probe.helped:
                 del self._probe_by_host[host]
                 self._suspect(host, now_s)
@@ -287,33 +287,33 @@
         return [self._to(helper, now_s, notices=(ask,)) for helper in helpers]
 
     def _suspect(self, host: str, now_s: float) -> None:
-        record = self.directory.by_host.get(host)
+        record = self.roster.by_host.get(host)
         state = STATE_AFTER_SILENCE.get(record.member.state) if record else None
         if state is not None:
-            self.directory.set_state(host, state, now_s)
+            self.roster.set_state(host, state, now_s)
 
     def _expire(self, now_s: float) -> None:
         """Take the suspected for dead, and forget the dead, when their time has passed."""
-        for member, since_s in self.directory.records_in(MemberState.SUSPECT):
+        for member, since_s in self.roster.records_in(MemberState.SUSPECT):
             if now_s - since_s >= self._settings.suspect_s:
                 self._askers_by_host.pop(member.host, None)
-                self.directory.set_state(member.host, MemberState.DEAD, now_s)
-        for member, since_s in self.directory.records_in(MemberState.DEAD):
+                self.roster.set_state(member.host, MemberState.DEAD, now_s)
+        for member, since_s in self.roster.records_in(MemberState.DEAD):
             if now_s - since_s >= FORGET_S:
-                self.directory.forget(member.host)
+                self.roster.forget(member.host)
 
     def _recontact(self, count: int, now_s: float) -> list[Outgoing]:
         """Try addresses that may be hosts, and the dead, which may be back."""
-        present = {member.address for member in self.directory.in_state(*PROBED)}
+        present = {member.address for member in self.roster.in_state(*PROBED)}
         present.add(self.own.address)
-        dead = [member.address for member in self.directory.in_state(MemberState.DEAD)]
+        dead = [member.address for member in self.roster.in_state(MemberState.DEAD)]
         absent = [item for item in (*self._candidates, *dead) if item not in present]
         chosen = self._random.sample(absent, min(count, len(absent)))
         return [Outgoing(address, self._heartbeat("", now_s)) for address in chosen]
 
     def _some(self, count: int, but: str) -> list[Member]:
         """Random members that answer."""
-        useful = [item for item in self.directory.in_state(*USEFUL) if item.host != but]
+        useful = [item for item in self.roster.in_state(*USEFUL) if item.host != but]
         return self._turns.some(useful, count)
 
     def _push(self, count: int, now_s: float, but: str = "") -> list[Outgoing]:
@@ -327,7 +327,7 @@
         return [
             self._to(record.member, now_s, reply=True, notices=(word,))
             for asker, asked_s in askers.items()
-            if asked_s > limit_s and (record := self.directory.by_host.get(asker))
+            if asked_s > limit_s and (record := self.roster.by_host.get(asker))
         ]
 
     def _take_notices(self, heartbeat: Heartbeat, first: Member, now_s: float) -> list[Outgoing]:
@@ -343,14 +343,14 @@
         return sent
 
     def _help(self, host: str, asker: Member, now_s: float) -> list[Outgoing]:
-        record = self.directory.by_host.get(host)
+        record = self.roster.by_host.get(host)
         if record is None:
             return []
         self._askers_by_host.setdefault(host, {})[asker.host] = now_s
         return [self._to(record.member, now_s)]
 
     def _learn_notices(self, notices: Iterable[Notice], now_s: float) -> bool:
-        hosts = len(self.directory.by_host) + 1
+        hosts = len(self.roster.by_host) + 1
         news = [notice for notice in notices if self.notices.learn(notice, hosts, now_s)]
         self._new_notices.extend(news)
         return bool(news)
@@ -370,13 +370,13 @@
         self, host: str, now_s: float, *, reply: bool = False, notices: tuple[Notice, ...] = ()
     ) -> Heartbeat:
         """Build a heartbeat; its receiver is told what it must refute."""
-        record = self.directory.by_host.get(host)
+        record = self.roster.by_host.get(host)
         members = [self.own]
         if record and record.member.state is not MemberState.ALIVE:
             members.append(record.member)
-        members += self.directory.news(NEWS_MEMBERS, but=host)
+        members += self.roster.news(NEWS_MEMBERS, but=host)
         skipped = {host, *(member.host for member in members)}
-        members += self.directory.turn(max(CALM_MEMBERS + 1 - len(members), 0), skipped)
+        members += self.roster.turn(max(CALM_MEMBERS + 1 - len(members), 0), skipped)
         notices += self.notices.next(NOTICES_PER_HEARTBEAT, now_s)
         return Heartbeat(reply, self.own.revision, tuple(members), notices)
 
--- a/src/redwingbank/rules/roster.py
+++ b/src/redwingbank/rules/roster.py
@@ -23,11 +23,10 @@
 
 
 class Record(NamedTuple):
-    """A host's entry: since when it has its state, and how often yet to pass it on."""
+    """A host's entry and since when it has its state."""
 
     member: Member
     since_s: float
-    sends_left: int
 
 
 class MemberView:
@@ -76,29 +75,34 @@
 
     Word of a higher incarnation wins; at the same incarnation the higher state does.
     A host never heard of is not taken in as dead. What changes is news, to be passed on
-    a number of times that grows with the logarithm of the host count.
+    a number of times that grows with the logarithm of the host count, and less often
+    where others turn out to have it already. `version` rises with each change.
     """
 
     def __init__(self) -> None:
         self.by_host: dict[str, Record] = {}
+        self.version = 0
+        self._hosts_by_state: dict[MemberState, dict[str, None]] = {
+            state: {} for state in MemberState
+        }
+        self._sends_left_by_host: dict[str, int] = {}
         self._changes: list[Change] = []
         self._cycle: list[str] = []
 
-    def merge(self, member: Member, now_s: float) -> bool:
+    def merge(self, member: Member, now_s: float, *, news: bool = True) -> bool:
         """Take in word about a host; tells whether it changed what we know."""
         record = self.by_host.get(member.host)
         if record is None:
             if member.state is MemberState.DEAD:
                 return False
-            self._put(member, None, now_s)
+            self._put(member, None, now_s, news=news)
             return True
         old = record.member
         if (member.incarnation, member.state) > (old.incarnation, old.state):
-            self._put(member, old.state, now_s)
+            self._put(member, old.state, now_s, news=news)
             return True
-        if member.incarnation == old.incarnation and member.revision > old.revision:
-            revised = old._replace(revision=member.revision)
-            self.by_host[member.host] = record._replace(member=revised)
+        if (member.incarnation, member.state) == (old.incarnation, old.state):
+            self._agree(member, record)
         return False
 
     def set_state(self, host: str, state: MemberState, now_s: float) -> None:
@@ -108,7 +112,10 @@
 
     def forget(self, host: str) -> None:
         """Drop a host's entry."""
-        del self.by_host[host]
+        record = self.by_host.pop(host)
+        del self._hosts_by_state[record.member.state][host]
+        self._sends_left_by_host.pop(host, None)
+        self.version += 1
 
     def postpone(self, gap_s: float) -> None:
         """Move the times of all entries on by a gap in which we did not run."""
@@ -117,21 +124,21 @@
 
     def in_state(self, *states: MemberState) -> list[Member]:
         """Members in any of these states."""
-        records = self.by_host.values()
-        return [record.member for record in records if record.member.state in states]
+        return [
+            self.by_host[host].member for state in states for host in self._hosts_by_state[state]
+        ]
+
+    def records_in(self, state: MemberState) -> list[Record]:
+        """Entries of the members in a state."""
+        return [self.by_host[host] for host in self._hosts_by_state[state]]
 
     def news(self, count: int, but: str) -> list[Member]:
-        """Choose what to pass on next, the newest first, but nothing about one host."""
-        waiting = [
-            record
-            for host, record in self.by_host.items()
-            if record.sends_left > 0 and host != but
-        ]
-        waiting.sort(key=lambda record: -record.sends_left)
-        for record in waiting[:count]:
-            left = record.sends_left - 1
-            self.by_host[record.member.host] = record._replace(sends_left=left)
-        return [record.member for record in waiting[:count]]
+        """Choose what to pass on next, what was sent least often first, but nothing about one."""
+        left = self._sends_left_by_host
+        waiting = sorted((host for host in left if host != but), key=lambda host: -left[host])
+        for host in waiting[:count]:
+            self._spend(host)
+        return [self.by_host[host].member for host in waiting[:count]]
 
     def turn(self, count: int, but: Iterable[str]) -> list[Member]:
         """Choose members in turn, so that each is told of now and then."""
@@ -155,10 +162,32 @@
         changes, self._changes = self._changes, []
         return changes
 
-    def _put(self, member: Member, before: MemberState | None, now_s: float) -> None:
-        sends_left = sends_for(len(self.by_host) + 1)
-        self.by_host[member.host] = Record(member, now_s, sends_left)
+    def _agree(self, member: Member, record: Record) -> None:
+        """Note that another host has the same word about a host."""
+        self._spend(member.host)
+        if member.revision > record.member.revision:
+            revised = record.member._replace(revision=member.revision)
+            self.by_host[member.host] = record._replace(member=revised)
+            self.version += 1
+
+    def _spend(self, host: str) -> None:
+        left = self._sends_left_by_host.pop(host, 0) - 1
+        if left > 0:
+            self._sends_left_by_host[host] = left
+
+    def _put(
+        self, member: Member, before: MemberState | None, now_s: float, *, news: bool = True
+    ) -> None:
+        host = member.host
+        if before is not None:
+            del self._hosts_by_state[before][host]
+        self._hosts_by_state[member.state][host] = None
+        self.by_host[host] = Record(member, now_s)
+        self._sends_left_by_host.pop(host, None)
+        if news:
+            self._sends_left_by_host[host] = sends_for(len(self.by_host))
         self._changes.append(Change(member, before))
+        self.version += 1
 
 
 __all__ = ["Change", "MemberView", "Record", "Roster"]
