--- a/src/redwingbank/ports/codec.py
+++ b/src/redwingbank/ports/codec.py
@@ -124,9 +124,12 @@
         row.waiting = demand.waiting
         row.oldestMs = _milliseconds(demand.oldest_s)
         row.slackMs = _signed_milliseconds(demand.slack_s)
+        row.running = demand.running
+        row.organisations = min(demand.organisations, HIGHEST_UINT16)
     _write_counts(body, "running", message.running)
     _write_counts(body, "holding", message.holding)
     _write_uses(body, "organisations", message.organisations)
+    body.applied = message.applied
 
 
 @write.register
@@ -139,6 +142,7 @@
     body.floor = message.floor
     _write_counts(body, "slots", message.slots)
     _write_uses(body, "limits", message.limits)
+    _write_counts(body, "turns", message.turns)
 
 
 @write.register
@@ -183,6 +187,8 @@
             row.waiting,
             row.oldestMs / MILLISECONDS,
             row.slackMs / MILLISECONDS,
+            row.running,
+            row.organisations,
         )
         for row in body.classes
     )
@@ -193,6 +199,7 @@
         _read_counts(body.running),
         _read_counts(body.holding),
         _read_uses(body.organisations),
+        body.applied,
     )
 
 
@@ -205,6 +212,7 @@
         body.floor,
         _read_counts(body.slots),
         _read_uses(body.limits),
+        _read_counts(body.turns),
     )
 
 
--- a/src/redwingbank/ports/peers.py
+++ b/src/redwingbank/ports/peers.py
@@ -109,8 +109,14 @@
         return encode(Envelope(self.host, self.incarnation, self._sequence, message))
 
     async def send(self, address: str, message: Message) -> bool:
-        """Send a message; tells whether it left, which does not mean that it arrives."""
+        """Send a message; tells whether it left, which does not mean that it arrives.
+
+        A heartbeat that gives us a higher incarnation, to outlive false word about us, raises
+        the incarnation of all that we send.
+        """
         kind = kind_of(message)
+        if isinstance(message, Heartbeat) and message.members:
+            self.incarnation = max(self.incarnation, message.members[0].incarnation)
         data = self.ring.seal(self.envelope(message), address.encode())
         size = len(data) + UDP_HEADER_BYTES
         if len(data) > HIGHEST_DATAGRAM_BYTES:
--- a/src/redwingbank/ports/pulls.py
+++ b/src/redwingbank/ports/pulls.py
@@ -7,7 +7,7 @@
 import anyio
 from anyio.streams.buffered import BufferedByteReceiveStream
 
-from redwingbank.messages import Pull, Pulled
+from redwingbank.messages import Heartbeat, Pull, Pulled
 from redwingbank.ports.codec import Envelope, decode
 from redwingbank.ports.seal import nonce_of
 
@@ -26,6 +26,7 @@
 PULL_TIMEOUT_S = 2.0
 SERVE_TIMEOUT_S = 5.0
 SERVED_AT_ONCE = 16
+MEMBERS = "@members"
 REQUEST = b"pull "
 ANSWER = b"pulled "
 
@@ -60,12 +61,19 @@
 
     A request is tied to the address it is sent to and an answer to its request, so that
     neither can be replayed. `lookup(names)` gives the revision in force and the values
-    it has of these names; an answer stops at `ANSWER_VALUES_BYTES`, so ask again for the rest.
+    it has of these names, `digest()` all members and notices. An answer stops at
+    `ANSWER_VALUES_BYTES`, so ask again for the rest.
     """
 
-    def __init__(self, peers: Peers, lookup: Callable[[tuple[str, ...]], Pulled]) -> None:
+    def __init__(
+        self,
+        peers: Peers,
+        lookup: Callable[[tuple[str, ...]], Pulled],
+        digest: Callable[[], Heartbeat],
+    ) -> None:
         self._peers = peers
         self._lookup = lookup
+        self._digest = digest
         self._places = anyio.Semaphore(SERVED_AT_ONCE)
 
     async def run(self) -> None:
@@ -90,6 +98,15 @@
         self._peers.counters.dropped["pull failed"] += 1
         return None
 
+    async def digest(self, address: str) -> Heartbeat | None:
+        """Ask one daemon for all members and notices that it knows."""
+        pulled = await self.pull(address, (MEMBERS,))
+        value = pulled.values_by_name.get(MEMBERS) if pulled else None
+        envelope = decode(value) if value else None
+        if envelope and isinstance(envelope.message, Heartbeat):
+            return envelope.message
+        return None
+
     async def _ask(self, address: str, names: tuple[str, ...]) -> Pulled | None:
         host, _, port = address.rpartition(":")
         peers = self._peers
@@ -129,11 +146,17 @@
         if peers.faults.cuts(envelope.sender):
             peers.counters.dropped["cut"] += 1
             return
-        pulled = _bounded(self._lookup(envelope.message.names))
+        pulled = self._values(envelope.message.names)
         answer = peers.ring.seal(peers.envelope(pulled), ANSWER + nonce_of(request))
         await _write_frame(stream, answer)
         self._count("out", "pulled", len(answer))
 
+    def _values(self, names: tuple[str, ...]) -> Pulled:
+        if names != (MEMBERS,):
+            return _bounded(self._lookup(names))
+        digest = self._digest()
+        return Pulled(digest.revision, {MEMBERS: self._peers.envelope(digest)})
+
     def _opened(self, data: bytes, context: bytes) -> Envelope | None:
         payload = self._peers.ring.open(data, context)
         if payload is None:
--- a/src/redwingbank/rules/roster.py
+++ b/src/redwingbank/rules/roster.py
@@ -52,6 +52,11 @@
         """Every member known, by host name."""
         return {member.host: member for member in self.members}
 
+    @cached_property
+    def highest_revision(self) -> int:
+        """The highest revision of the table that any member was said to have."""
+        return max(member.revision for member in self.members)
+
     def owner(self, key: str) -> Member:
         """The member that serves a key; ourselves where nobody is alive."""
         owner = self._owner_by_key.get(key)
--- /dev/null
+++ b/src/redwingbank/tasks/fetch.py
@@ -0,0 +1,149 @@
+"""Fetches a table's head and pages from members that have it, or from the platform."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from redwingbank.messages import Member, MemberState, Pulled
+from redwingbank.ports.platform import Stored
+from redwingbank.rules.pages import HEAD, PAGES, PageError, Root, decode_head, missing, unpack
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Mapping
+    from random import Random
+
+    from redwingbank.ports.platform import Platform
+    from redwingbank.rules.roster import MemberView
+
+MEMBERS_TRIED = 4
+NAMES_PER_PULL = 256
+
+
+class Offer(NamedTuple):
+    """A head seen at the platform, or at a member's address where `source` tells one."""
+
+    revision: int
+    head: bytes
+    source: str
+
+
+class Goal(NamedTuple):
+    """What to fetch: at least `revision`, or else `best`; `pages_by_name` we have."""
+
+    revision: int
+    best: Offer
+    view: MemberView
+    pages_by_name: Mapping[str, bytes]
+
+
+class Fetched(NamedTuple):
+    """The highest head that was found, and those of its pages that could be had."""
+
+    offer: Offer
+    pages_by_name: dict[str, bytes]
+
+
+def revision_of(head: bytes) -> int:
+    """The revision that a head names, 0 where it is not a head."""
+    try:
+        return decode_head(head).revision
+    except PageError:
+        return 0
+
+
+def is_page(name: str, value: bytes) -> bool:
+    """Whether a value is the page that its name says."""
+    try:
+        digest = bytes.fromhex(name.removeprefix(PAGES))
+        unpack(Root((digest,)), {name: value})
+    except (PageError, ValueError):
+        return False
+    return True
+
+
+class Fetcher:
+    """Tries several members in random order, those of our data centre first."""
+
+    def __init__(
+        self,
+        platform: Platform,
+        pull: Callable[[str, tuple[str, ...]], Awaitable[Pulled | None]],
+        random: Random,
+    ) -> None:
+        self._platform = platform
+        self._pull = pull
+        self._random = random
+
+    async def fetch(self, goal: Goal) -> Fetched:
+        """Find the newest head, then its pages, from where the head was found first."""
+        offer = goal.best
+        if goal.revision > offer.revision:
+            offer = await self._find_head(goal)
+        try:
+            root = decode_head(offer.head).root
+        except PageError:
+            return Fetched(offer, {})
+        pages = {
+            name: goal.pages_by_name[name] for name in root.names() if name in goal.pages_by_name
+        }
+        for source in self._sources(goal, offer):
+            wanted = missing(root, pages)
+            if not wanted:
+                break
+            pages.update(await self._pages_from(source, wanted))
+        return Fetched(offer, pages)
+
+    async def _find_head(self, goal: Goal) -> Offer:
+        best = goal.best
+        for member in self._having(goal.view, goal.revision):
+            pulled = await self._pull(member.address, (HEAD,))
+            head = pulled.values_by_name.get(HEAD, b"") if pulled else b""
+            offer = Offer(revision_of(head), head, member.address)
+            best = max(best, offer, key=lambda item: item.revision)
+            if best.revision >= goal.revision:
+                return best
+        stored = await self._platform.read(HEAD)
+        if isinstance(stored, Stored):
+            offer = Offer(revision_of(stored.value), stored.value, "")
+            best = max(best, offer, key=lambda item: item.revision)
+        return best
+
+    def _having(self, view: MemberView, revision: int) -> list[Member]:
+        """Members said to have a revision or a higher one, a few."""
+        having = [
+            member
+            for member in view.members[1:]
+            if member.revision >= revision and member.state is not MemberState.DEAD
+        ]
+        self._random.shuffle(having)
+        having.sort(key=lambda member: member.data_centre != view.own.data_centre)
+        return having[:MEMBERS_TRIED]
+
+    def _sources(self, goal: Goal, offer: Offer) -> list[str]:
+        """Addresses to try for pages, the offer's first; an empty one is the platform."""
+        having = [member.address for member in self._having(goal.view, offer.revision)]
+        return list(dict.fromkeys((offer.source, *having, "")))
+
+    async def _pages_from(self, source: str, names: tuple[str, ...]) -> dict[str, bytes]:
+        if not source:
+            return await self._read_pages(names)
+        pages: dict[str, bytes] = {}
+        for start in range(0, len(names), NAMES_PER_PULL):
+            pulled = await self._pull(source, names[start : start + NAMES_PER_PULL])
+            if pulled is None:
+                break
+            pages.update(pulled.values_by_name)
+        return {
+            name: value for name, value in pages.items() if name in names and is_page(name, value)
+        }
+
+    async def _read_pages(self, names: tuple[str, ...]) -> dict[str, bytes]:
+        pages: dict[str, bytes] = {}
+        for name in names:
+            stored = await self._platform.read(name)
+            if isinstance(stored, Stored) and is_page(name, stored.value):
+                pages[name] = stored.value
+        return pages
+
+
+__all__ = ["Fetched", "Fetcher", "Goal", "Offer", "is_page", "revision_of"]
--- /dev/null
+++ b/src/redwingbank/tasks/tables.py
@@ -0,0 +1,272 @@
+"""The owner of the table in force: takes newer ones from the platform or from other daemons.
+
+Two relays a data centre watch the platform. The other hosts learn a newer revision from
+heartbeats and pull the head, and the pages that they lack, from the members that have it.
+Whatever the source, only a higher revision comes into force, and only whole.
+"""
+
+from __future__ import annotations
+
+import math
+from random import Random
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
+
+from redwingbank.errors import TableErrors
+from redwingbank.messages import Pulled
+from redwingbank.ports.platform import Stored
+from redwingbank.rules.pages import HEAD, PageError, decode_head, unpack
+from redwingbank.rules.table import Table, parse_table
+from redwingbank.tasks.fetch import Fetched, Fetcher, Goal, Offer, revision_of
+from redwingbank.tasks.members import InForce, Listed, MembersChanged, RevisionSeen
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from anyio.abc import TaskGroup
+    from anyio.streams.memory import MemoryObjectSendStream
+
+    from redwingbank.events import EventLog
+    from redwingbank.ports.platform import Platform
+    from redwingbank.rules.roster import MemberView
+    from redwingbank.settings import Settings
+
+RELAYS = 2
+WATCH_S = 30.0
+POLL_S = 60.0
+GATHER_S = 1.0
+RETRY_S = 0.3
+HIGHEST_RETRY_S = 5.0
+HIGHEST_FAILURES = 10
+
+
+class TableInForce(NamedTuple):
+    """A newer table is in force on this host."""
+
+    table: Table
+
+
+class Copy(NamedTuple):
+    """The table in force as stored: its head and its pages by name."""
+
+    revision: int
+    head: bytes
+    pages_by_name: dict[str, bytes]
+
+
+class _Asked(NamedTuple):
+    """The platform was asked for the head at the start."""
+
+
+class _Gathered(NamedTuple):
+    """The time to hear from others at the start has passed."""
+
+
+class _Retry(NamedTuple):
+    """The pause after a failed fetch is over."""
+
+
+TablesInput = (
+    MembersChanged | RevisionSeen | Listed | Offer | Fetched | _Asked | _Gathered | _Retry
+)
+
+
+class Tables:
+    """Keeps a host's table the newest there is.
+
+    `inbox` takes the messages of `Members`; `outbox` gets a `TableInForce` for each newer
+    table, and `tell` an `InForce`, which makes `Members` tell a few others at once.
+
+    At the start nothing comes into force until `GATHER_S` has passed, unless there is
+    nobody but the platform to ask: neither a stale read nor a lagging member must put a
+    table in force that is older than what this data centre had.
+
+    :param pull: pulls values by name from an address
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        view: MemberView,
+        platform: Platform,
+        events: EventLog,
+        pull: Callable[[str, tuple[str, ...]], Awaitable[Pulled | None]],
+        tell: Callable[[InForce], None],
+        random: Random | None = None,
+    ) -> None:
+        self.inbox, self._receive = anyio.create_memory_object_stream[TablesInput](math.inf)
+        self._settings = settings
+        self._view = view
+        self._platform = platform
+        self._events = events
+        self._tell = tell
+        self._random = random or Random()
+        self._fetcher = Fetcher(platform, pull, self._random)
+        self._copy = Copy(0, b"", {})
+        self._best = Offer(0, b"", "")
+        self._seen = 0
+        self._fetching = False
+        self._failures = 0
+        self._others: int | None = None
+        self._asked = False
+        self._gathered = False
+        self._watching: anyio.CancelScope | None = None
+
+    @property
+    def revision(self) -> int:
+        """The revision in force, 0 for none."""
+        return self._copy.revision
+
+    def lookup(self, names: tuple[str, ...]) -> Pulled:
+        """What this host has of these values, for a member that pulls them."""
+        copy = self._copy
+        values = {HEAD: copy.head, **copy.pages_by_name} if copy.revision else {}
+        return Pulled(copy.revision, {name: values[name] for name in names if name in values})
+
+    async def run(self, outbox: MemoryObjectSendStream[TableInForce]) -> None:
+        """Serve until cancelled."""
+        async with anyio.create_task_group() as group:
+            group.start_soon(self._after, GATHER_S, _Gathered())
+            group.start_soon(self._poll)
+            self._take_role(group)
+            async for message in self._receive:
+                self._take(message, group, outbox)
+                self._seek(group)
+
+    def _take(
+        self,
+        message: TablesInput,
+        group: TaskGroup,
+        outbox: MemoryObjectSendStream[TableInForce],
+    ) -> None:
+        match message:
+            case MembersChanged(view, _):
+                self._view = view
+                self._take_role(group)
+            case RevisionSeen(revision, view):
+                self._view = view
+                self._see(revision)
+            case Offer():
+                self._take_offer(message)
+            case Fetched():
+                self._take_fetched(message, group, outbox)
+            case _:
+                self._take_sign(message)
+
+    def _take_sign(self, sign: Listed | _Asked | _Gathered | _Retry) -> None:
+        match sign:
+            case Listed(others):
+                self._others = others
+            case _Asked():
+                self._asked = True
+            case _Gathered():
+                self._gathered = True
+            case _Retry():
+                self._fetching = False
+
+    def _see(self, revision: int) -> None:
+        if revision > self._seen:
+            self._seen = revision
+            self._failures = 0
+
+    def _take_offer(self, offer: Offer) -> None:
+        if offer.revision > max(self.revision, self._best.revision):
+            self._best = offer
+        self._see(offer.revision)
+
+    def _may_start(self) -> bool:
+        """Whether enough was heard to put a table in force; always so after the first."""
+        alone = self._others == 0 and len(self._view.members) == 1
+        return self.revision > 0 or self._gathered or (alone and self._asked)
+
+    def _seek(self, group: TaskGroup) -> None:
+        """Fetch what is newer than the table in force, one fetch at a time."""
+        if self._fetching or self._seen <= self.revision or not self._may_start():
+            return
+        self._fetching = True
+        goal = Goal(self._seen, self._best, self._view, self._copy.pages_by_name)
+        group.start_soon(self._fetch, goal)
+
+    async def _fetch(self, goal: Goal) -> None:
+        self.inbox.send_nowait(await self._fetcher.fetch(goal))
+
+    def _take_fetched(
+        self,
+        fetched: Fetched,
+        group: TaskGroup,
+        outbox: MemoryObjectSendStream[TableInForce],
+    ) -> None:
+        table = self._read(fetched) if fetched.offer.revision > self.revision else None
+        if table is None:
+            self._failures = min(self._failures + 1, HIGHEST_FAILURES)
+            pause_s = min(RETRY_S * 2 ** (self._failures - 1), HIGHEST_RETRY_S)
+            group.start_soon(self._after, pause_s * (0.5 + self._random.random()), _Retry())
+            return
+        self._fetching = False
+        self._failures = 0
+        offer = fetched.offer
+        self._copy = Copy(table.revision, offer.head, fetched.pages_by_name)
+        self._events.record(
+            "table-in-force", revision=table.revision, source=offer.source or "platform"
+        )
+        outbox.send_nowait(TableInForce(table))
+        self._tell(InForce(table.revision))
+
+    def _read(self, fetched: Fetched) -> Table | None:
+        """Build the table of what was fetched, or None where it is not whole."""
+        try:
+            head = decode_head(fetched.offer.head)
+            return parse_table(unpack(head.root, fetched.pages_by_name), head.revision)
+        except PageError:
+            return None
+        except TableErrors as errors:
+            self._events.record(
+                "table-refused", revision=fetched.offer.revision, faults=len(errors.exceptions)
+            )
+            return None
+
+    # the platform as a source
+
+    def _take_role(self, group: TaskGroup) -> None:
+        """Watch the platform where we are a relay of our data centre, else not."""
+        relays = self._view.relays(self._settings.data_centre, RELAYS)
+        relay = self._view.own.host in {member.host for member in relays}
+        if relay and self._watching is None:
+            self._watching = anyio.CancelScope()
+            group.start_soon(self._watch, self._watching)
+            self._events.record("relay-started")
+        elif not relay and self._watching is not None:
+            self._watching.cancel()
+            self._watching = None
+            self._events.record("relay-ended")
+
+    async def _watch(self, scope: anyio.CancelScope) -> None:
+        version = 0
+        with scope:
+            while True:
+                stored = await self._platform.watch(HEAD, version, WATCH_S)
+                if isinstance(stored, Stored) and stored.version > version:
+                    version = stored.version
+                    self._offer(stored)
+                else:
+                    await anyio.sleep(RETRY_S * (0.5 + self._random.random()))
+
+    async def _poll(self) -> None:
+        """Read the head at the start and now and then, whatever the relays do."""
+        while True:
+            stored = await self._platform.read(HEAD)
+            if isinstance(stored, Stored):
+                self._offer(stored)
+            self.inbox.send_nowait(_Asked())
+            await anyio.sleep(POLL_S * (0.5 + self._random.random()))
+
+    def _offer(self, stored: Stored) -> None:
+        self.inbox.send_nowait(Offer(revision_of(stored.value), stored.value, ""))
+
+    async def _after(self, seconds: float, message: TablesInput) -> None:
+        await anyio.sleep(seconds)
+        self.inbox.send_nowait(message)
+
+
+__all__ = ["Copy", "TableInForce", "Tables", "TablesInput"]
