--- a/src/redwingbank_bench/overload.py
+++ b/src/redwingbank_bench/overload.py
@@ -106,22 +106,23 @@
     windows: Sequence[tuple[float, float]],
 ) -> float:
     """Give the part of all slots' time in the windows that whole right answers used."""
-    started_by_tag = {
-        event["tag"]: event["at_s"]
-        for events in journals.values()
-        for event in events
-        if event["event"] == "start"
-    }
+    good = {record.arrival.tag for record in records if right(record)}
     used_s = 0.0
-    for record in records:
-        start_s = started_by_tag.get(record.arrival.tag)
-        if start_s is None or not right(record):
-            continue
-        for from_s, until_s in windows:
-            used_s += max(0.0, min(record.ended_s, until_s) - max(start_s, from_s))
+    for events in journals.values():
+        started_by_tag: dict[str, float] = {}
+        for event in events:
+            if event["event"] == "start":
+                started_by_tag[event["tag"]] = event["at_s"]
+            elif event["event"] == "output" and event["tag"] in good:
+                start_s = started_by_tag[event["tag"]]
+                used_s += sum(_overlap_s(start_s, event["at_s"], window) for window in windows)
     return used_s / (sum(SLOTS) * sum(until_s - from_s for from_s, until_s in windows))
 
 
+def _overlap_s(start_s: float, end_s: float, window: tuple[float, float]) -> float:
+    return max(0.0, min(end_s, window[1]) - max(start_s, window[0]))
+
+
 def _by_class(records: Sequence[Record]) -> dict[str, list[Record]]:
     groups: dict[str, list[Record]] = defaultdict(list)
     for record in records:
