--- a/src/redwingbank/ctl/explain.py
+++ b/src/redwingbank/ctl/explain.py
@@ -114,9 +114,9 @@
 def _granted(record: Record) -> str:
     field = record.field
     words = [
-        f"given a slot at {field('server')}, attempt {field('attempt')}, after"
-        f" {field('waited_ms')} ms waiting as {field('service_class')} (tier {field('tier')})"
-        f" of {field('organisation')}"
+        f"given a slot at {field('server')}, attempt {field('attempt')}, {field('waited_ms')} ms"
+        f" after it came, as {field('service_class')} (tier {field('tier')}) of"
+        f" {field('organisation')}"
     ]
     if field("slots"):
         words.append(
--- a/src/redwingbank/rules/fleet.py
+++ b/src/redwingbank/rules/fleet.py
@@ -242,10 +242,10 @@
     def changes(self, now_s: float) -> list[StateChange]:
         """Servers whose state is another than when last asked; new ones count as serving."""
         told = self._told_by_name
-        looked_at = (self._touched | told.keys()) & self._server_by_name.keys()
+        looked_at = self._touched.union(told)
         self._touched = set()
         changes = []
-        for name in sorted(looked_at):
+        for name in sorted(name for name in looked_at if name in self._server_by_name):
             state = self.state(name, now_s)
             was = told.pop(name, ServerState.SERVING)
             if state is not ServerState.SERVING:
--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -127,8 +127,6 @@
             self._waits.gone(request.request_id)
             self._refuse(request.request_id, Code.WAIT_EXPIRED, self._retry_after_s(request))
         self._announce(self._quarantine.renewals(now_s))
-        for change in self._fleet.changes(now_s):
-            self._events.record("server-state", **change._asdict())
         if self._table is not None:
             self._touched.update(self._table.pools_by_name)
         self._pump_touched()
@@ -371,6 +369,8 @@
 
     def _pump_touched(self) -> None:
         now_s = time.monotonic()
+        for change in self._fleet.changes(now_s):
+            self._events.record("server-state", **change._asdict())
         touched = sorted(self._touched)
         self._touched.clear()
         for pool in touched:
--- /dev/null
+++ b/tests/steps/tasks_containment.py
@@ -0,0 +1,134 @@
+"""Steps of tasks/containment.feature: one daemon and embedded engines."""
+
+from __future__ import annotations
+
+import contextlib
+import json
+
+import anyio
+import httpcore
+from behave import given, then, when
+
+from redwingbank.daemon import Daemon
+from redwingbank.rules.quarantine import Free, Quarantine
+from redwingbank.settings import Address
+from redwingbank_standins import quickstart
+from redwingbank_standins.engine import EngineSettings, build_engine
+from redwingbank_standins.listener import listening
+from redwingbank_standins.platform import build_platform
+
+END = b"[DONE]\n\n"
+
+
+class WithoutQuarantine(Quarantine):
+    def verdict(self, fingerprint, now_s):
+        return Free()
+
+
+class Trial:
+    """Engines, a daemon and what its callers were answered."""
+
+    def __init__(self, variant, engines, marker):
+        self.variant = variant
+        self.engines = [
+            build_engine(EngineSettings(name=f"engine-{number}", model=quickstart.MODEL))
+            for number in range(engines)
+        ]
+        for engine in self.engines:
+            engine.faults.crash_marker = marker
+        self.contents = []
+        self.codes = []
+
+    @contextlib.asynccontextmanager
+    async def daemon(self):
+        async with contextlib.AsyncExitStack() as stack:
+            platform = await stack.enter_async_context(listening(build_platform()))
+            addresses = {"service-1": Address("127.0.0.1", 9)}
+            for engine in self.engines:
+                address = await stack.enter_async_context(listening(engine))
+                addresses[engine.settings.name] = address
+            await quickstart.publish_table(platform, quickstart.sample_sheets(addresses))
+            daemon = Daemon(quickstart.host_settings(1, platform))
+            if self.variant == "without quarantine":
+                daemon.dispatch._quarantine = WithoutQuarantine("entry-1")
+            group = await stack.enter_async_context(anyio.create_task_group())
+            await group.start(daemon.run)
+            await quickstart.until_ready([daemon])
+            yield daemon
+            daemon.drain()
+
+    async def ask(self, caller, text):
+        """Stream one answer; return its bytes, what came of them where it broke off."""
+        content = b""
+        headers = {"Authorization": f"Bearer {quickstart.KEY}", "X-Service-Class": "memo"}
+        body = json.dumps(quickstart._chat(text, True)).encode()
+        url = f"http://{caller}/v1/chat/completions"
+        with contextlib.suppress(httpcore.RemoteProtocolError):
+            async with (
+                httpcore.AsyncConnectionPool() as client,
+                client.stream("POST", url, headers=list(headers.items()), content=body) as answer,
+            ):
+                async for chunk in answer.aiter_stream():
+                    content += chunk
+        return content
+
+    async def innocent(self, caller, number):
+        self.contents.append(await self.ask(caller, f"What is owed on file {number}?"))
+
+    async def poison(self, caller, text, times):
+        for _ in range(times):
+            document = json.loads(await self.ask(caller, text))
+            self.codes.append(int(document["error"]["code"]))
+
+    async def run(self, count, poison="", times=0):
+        async with self.daemon() as daemon, anyio.create_task_group() as callers:
+            for number in range(count):
+                callers.start_soon(self.innocent, daemon.caller, number)
+            if poison:
+                callers.start_soon(self.poison, daemon.caller, poison, times)
+
+
+@given('a containment daemon {variant} before {engines:d} engines that "{marker}" crashes')
+def daemon_before(context, variant, engines, marker):
+    context.trial = Trial(variant, engines, marker)
+
+
+@when(
+    "the containment's callers stream {count:d} answers"
+    ' while one sends "{poison}" {times:d} times'
+)
+def callers_with_poison(context, count, poison, times):
+    anyio.run(context.trial.run, count, poison, times)
+
+
+@when(
+    "the containment's callers stream {count:d} answers"
+    " while an engine crashes after {tokens:d} tokens"
+)
+def callers_with_crash(context, count, tokens):
+    context.trial.engines[0].faults.crash_after_tokens = tokens
+    anyio.run(context.trial.run, count)
+
+
+@then("the containment's engines lost are {bound} {number:d}")
+def engines_lost(context, bound, number):
+    lost = sum(engine.crashed for engine in context.trial.engines)
+    assert lost <= number if bound == "at most" else lost >= number, lost
+
+
+@then("the containment's answers are whole")
+def answers_whole(context):
+    broken = [content[-200:] for content in context.trial.contents if not content.endswith(END)]
+    assert not broken, broken
+    assert len(context.trial.contents) == 16
+
+
+@then("the containment's answers are whole, and the poison is told {codes}")
+def poison_told(context, codes):
+    answers_whole(context)
+    assert context.trial.codes == [int(code) for code in codes.split()], context.trial.codes
+
+
+@then("the containment's answers are any")
+def answers_any(context):
+    assert len(context.trial.contents) == 16
