--- a/src/redwingbank/daemon.py
+++ b/src/redwingbank/daemon.py
@@ -12,35 +12,37 @@
 import uvicorn
 
 from redwingbank.events import EventLog
-from redwingbank.messages import Allocation, Demand, Notice, Received
+from redwingbank.links import Inboxes, Links
+from redwingbank.messages import Notice
 from redwingbank.metrics import Metrics
 from redwingbank.ports.caller import CallerFront
 from redwingbank.ports.completion import Completions
 from redwingbank.ports.engine import BackendClient, EngineClient
+from redwingbank.ports.faults import FaultPlan
 from redwingbank.ports.operator import Operators
-from redwingbank.ports.peers import Peers
-from redwingbank.ports.platform import Stored
 from redwingbank.ports.platform_http import HttpPlatform
 from redwingbank.ports.service import Services
-from redwingbank.ports.table_store import Loaded, load_table
+from redwingbank.rules.cells import duties_of
+from redwingbank.rules.roster import MemberView
 from redwingbank.settings import Address
 from redwingbank.tasks.allocate import AllocateInput, AllocateTask, Capacity, Hosts, Outgoing
 from redwingbank.tasks.dispatch import Dispatch, DrainServer, Release
 from redwingbank.tasks.loads import LoadReader, Plan, Watched
 from redwingbank.tasks.records import Recorder
 from redwingbank.tasks.slots import ToHost
+from redwingbank.tasks.tables import TableInForce
 
 if TYPE_CHECKING:
     import socket
     from collections.abc import Iterator
 
     from anyio.abc import TaskStatus
+    from anyio.streams.memory import MemoryObjectReceiveStream
 
     from redwingbank.rules.table import Table
     from redwingbank.settings import Settings
 
 MICROSECONDS = 1_000_000
-PEER_BUFFER = 4096
 BACKLOG = 2048
 KEEPALIVE_S = 75
 
@@ -74,7 +76,6 @@
         self.incarnation = int(time.time() * MICROSECONDS)
         self.events = EventLog(settings.host, settings.data_centre, settings.events)
         self.metrics = Metrics()
-        self.peers = Peers(settings, settings.host, self.incarnation)
         self.platform = HttpPlatform(settings)
         self._backend = BackendClient(settings)
         self._engines = EngineClient(self._backend)
@@ -85,6 +86,16 @@
         self._to_allocate, self._allocate_inbox = anyio.create_memory_object_stream[AllocateInput](
             math.inf
         )
+        self._news, self._news_inbox = anyio.create_memory_object_stream[
+            TableInForce | MemberView
+        ](math.inf)
+        self.links = Links(
+            settings,
+            self.incarnation,
+            self.platform,
+            self.events,
+            Inboxes(self.dispatch.inbox, self._to_allocate, self._news),
+        )
         self._plans, self._plan_inbox = anyio.create_memory_object_stream[Plan](math.inf)
         self._recorder = Recorder(self.platform, settings, self.events)
         self._table: Table | None = None
@@ -108,20 +119,16 @@
 
     async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
         """Serve until drained."""
-        await self.peers.bind()
         async with anyio.create_task_group() as group:
             loads = LoadReader(self.settings, self._engines, self.dispatch.inbox)
             outbox, outgoing = anyio.create_memory_object_stream[Outgoing](math.inf)
-            received, inbox = anyio.create_memory_object_stream[Received](PEER_BUFFER)
+            await group.start(self.links.run)
             group.start_soon(self._allocate.run, self._allocate_inbox, outbox)
             group.start_soon(self._send_allocations, outgoing)
             group.start_soon(self.dispatch.run)
             group.start_soon(self._send_demands)
             group.start_soon(loads.run, self._plan_inbox)
-            await group.start(self.peers.run, received)
-            group.start_soon(self._sort, inbox)
-            self._to_allocate.send_nowait(Hosts(frozenset({self.settings.host})))
-            group.start_soon(self._watch_table)
+            group.start_soon(self._hear_news)
             server = _Server(self._listener_settings())
             group.start_soon(self._listen, server)
             await server.ready.wait()
@@ -157,6 +164,8 @@
 
     def set_faults(self, document: dict[str, Any]) -> None:
         """Cut or spoil the host's own links, for tests of failures."""
+        plan = FaultPlan(**{**document, "cut": frozenset(document.get("cut", ()))})
+        self.links.peers.faults.set(plan)
 
     def status(self) -> dict[str, Any]:
         """Tell the host's state as plain data."""
@@ -167,9 +176,21 @@
             "ready": self.ready,
             "revision": self._table.revision if self._table else 0,
             "attainment": self._attainment(),
+            "members": self._members_status(),
             **self.dispatch.status(),
         }
 
+    def _members_status(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "host": member.host,
+                "data_centre": member.data_centre,
+                "state": member.state.name.lower(),
+                "revision": member.revision,
+            }
+            for member in self.links.view.members
+        ]
+
     def _attainment(self) -> dict[str, dict[str, int]]:
         by_class: dict[str, dict[str, int]] = {}
         for key, value in self.metrics.counts.items():
@@ -204,6 +225,7 @@
 
     async def _leave(self, server: _Server) -> None:
         """Listen on till the balancer has seen it, then end what is in flight."""
+        self.links.leave()
         await anyio.sleep(self.settings.drain_s)
         server.should_exit = True
         await self._served.wait()
@@ -213,56 +235,49 @@
         async for message in self.dispatch.outgoing:
             if isinstance(message, Capacity):
                 self._to_allocate.send_nowait(message)
+            elif isinstance(message, Notice):
+                self.links.announce(message)
             elif isinstance(message, ToHost):
-                await self._send_demand(message)
-
-    async def _send_demand(self, message: ToHost) -> None:
-        own = Received(self.settings.host, "", message.demand)
-        self._to_allocate.send_nowait(own)
+                await self.links.send(message.host, message.demand)
 
-    async def _send_allocations(self, outgoing: Any) -> None:
+    async def _send_allocations(self, outgoing: MemoryObjectReceiveStream[Outgoing]) -> None:
         async for item in outgoing:
-            if item.host == self.settings.host:
-                own = Received(item.host, "", item.allocation)
-                self.dispatch.inbox.send_nowait(own)
+            await self.links.send(item.host, item.allocation)
+
+    async def _hear_news(self) -> None:
+        async for news in self._news_inbox:
+            if isinstance(news, TableInForce):
+                self._put_in_force(news.table)
             else:
-                await self.peers.send(item.address, item.allocation)
-
-    async def _sort(self, inbox: Any) -> None:
-        async for received in inbox:
-            if isinstance(received.message, Demand):
-                self._to_allocate.send_nowait(received)
-            elif isinstance(received.message, Allocation | Notice):
-                self.dispatch.inbox.send_nowait(received)
-
-    async def _watch_table(self) -> None:
-        version = 0
-        while True:
-            loaded = await load_table(self.platform)
-            if isinstance(loaded, Loaded):
-                self._put_in_force(loaded.table())
-                version = loaded.version
-            answer = await self.platform.watch("table/head", version, 5.0)
-            if not isinstance(answer, Stored):
-                await anyio.sleep(0.2)
+                self._take_members(news)
+
+    def _take_members(self, view: MemberView) -> None:
+        self.dispatch.inbox.send_nowait(view)
+        self._to_allocate.send_nowait(Hosts(frozenset(member.host for member in view.alive)))
+        self._plan()
 
     def _put_in_force(self, table: Table) -> None:
-        if self._table is not None and table.revision <= self._table.revision:
-            return
         self._table = table
         self._front.table_in_force(table)
         self.dispatch.inbox.send_nowait(table)
         self._to_allocate.send_nowait(table)
-        self._plan(table)
-        self.events.record("table-in-force", revision=table.revision)
+        self._plan()
         self.table_in_force.set()
 
-    def _plan(self, table: Table) -> None:
+    def _plan(self) -> None:
+        """Choose the backend servers whose loads this host reads, and how often."""
+        table = self._table
+        if table is None:
+            return
+        duties = duties_of(self.settings.host, table, self.links.view)
         watched = tuple(
             Watched(
-                row.name, row.address, table.pools_by_name[row.pool].kind == "engine", often=True
+                name,
+                table.backend_servers_by_name[name].address,
+                table.pools_by_name[table.backend_servers_by_name[name].pool].kind == "engine",
+                often=name in duties.owned or self.settings.policy != "full",
             )
-            for row in table.backend_servers_by_name.values()
+            for name in sorted(duties.owned | duties.used)
         )
         self._plans.send_nowait(Plan(watched))
 
--- /dev/null
+++ b/src/redwingbank/links.py
@@ -0,0 +1,155 @@
+"""A host's links to other hosts and to the platform's table, wired together."""
+
+from __future__ import annotations
+
+import math
+from typing import TYPE_CHECKING, NamedTuple
+
+import anyio
+
+from redwingbank.messages import Allocation, Demand, Notice, Received
+from redwingbank.ports.peers import Peers
+from redwingbank.ports.pulls import Pulls
+from redwingbank.rules.membership import Membership
+from redwingbank.tasks.members import Leave, Members, MembersChanged, RevisionSeen
+from redwingbank.tasks.tables import TableInForce, Tables
+
+if TYPE_CHECKING:
+    from anyio.abc import TaskStatus
+    from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
+
+    from redwingbank.events import EventLog
+    from redwingbank.messages import Message
+    from redwingbank.ports.platform import Platform
+    from redwingbank.rules.roster import MemberView
+    from redwingbank.settings import Settings
+    from redwingbank.tasks.allocate import AllocateInput
+    from redwingbank.tasks.members import MembersOutput
+
+PEER_BUFFER = 4096
+
+
+class Inboxes(NamedTuple):
+    """Where messages go: the dispatch task, the allocate task and the daemon itself."""
+
+    dispatch: MemoryObjectSendStream[object]
+    allocate: MemoryObjectSendStream[AllocateInput]
+    daemon: MemoryObjectSendStream[TableInForce | MemberView]
+
+
+class Links:
+    """Runs the control socket, membership and the table in force, and sorts what comes in.
+
+    A message to this host itself goes to its inbox without the network.
+    """
+
+    def __init__(
+        self,
+        settings: Settings,
+        incarnation: int,
+        platform: Platform,
+        events: EventLog,
+        inboxes: Inboxes,
+    ) -> None:
+        self.peers = Peers(settings, settings.host, incarnation)
+        self._settings = settings
+        self._incarnation = incarnation
+        self._platform = platform
+        self._events = events
+        self._inboxes = inboxes
+        self._members: Members | None = None
+
+    @property
+    def view(self) -> MemberView:
+        """The members at this moment."""
+        assert self._members is not None
+        return self._members.view
+
+    async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
+        """Serve until cancelled."""
+        await self.peers.bind()
+        self._members, tables, pulls = self._build()
+        received, arrivals = anyio.create_memory_object_stream[Received](PEER_BUFFER)
+        news, told = anyio.create_memory_object_stream["MembersOutput"](math.inf)
+        in_force, changes = anyio.create_memory_object_stream[TableInForce](math.inf)
+        self._inboxes.daemon.send_nowait(self._members.view)
+        try:
+            async with anyio.create_task_group() as group:
+                await group.start(self.peers.run, received)
+                group.start_soon(pulls.run)
+                group.start_soon(self._members.run, news)
+                group.start_soon(tables.run, in_force)
+                group.start_soon(self._sort, arrivals)
+                group.start_soon(self._hear, told, tables)
+                group.start_soon(self._pass_on, changes)
+                task_status.started()
+        finally:
+            if self.peers.listener:
+                with anyio.CancelScope(shield=True):
+                    await self.peers.listener.aclose()
+
+    def _build(self) -> tuple[Members, Tables, Pulls]:
+        settings = self._settings
+        membership = Membership(
+            settings.host, settings.data_centre, self.peers.address, self._incarnation, settings
+        )
+        pulls = Pulls(self.peers, lambda names: tables.lookup(names), lambda: members.digest())
+        members = Members(
+            settings, membership, self._platform, self._events, self.peers.send, pulls.digest
+        )
+        tables = Tables(
+            settings,
+            members.view,
+            self._platform,
+            self._events,
+            pulls.pull,
+            members.inbox.send_nowait,
+        )
+        return members, tables, pulls
+
+    async def send(self, host: str, message: Message) -> None:
+        """Send a message to a host by name; one that is not a member hears nothing."""
+        if host == self._settings.host:
+            self._sort_one(Received(host, "", message))
+            return
+        member = self.view.by_host.get(host)
+        if member is not None:
+            await self.peers.send(member.address, message)
+
+    def announce(self, notice: Notice) -> None:
+        """Spread news of this host to all others."""
+        assert self._members is not None
+        self._members.inbox.send_nowait(notice)
+
+    def leave(self) -> None:
+        """Tell the others that this host is leaving."""
+        assert self._members is not None
+        self._members.inbox.send_nowait(Leave())
+
+    async def _sort(self, arrivals: MemoryObjectReceiveStream[Received]) -> None:
+        async for received in arrivals:
+            assert self._members is not None
+            self._members.inbox.send_nowait(received)
+            self._sort_one(received)
+
+    def _sort_one(self, received: Received) -> None:
+        if isinstance(received.message, Demand):
+            self._inboxes.allocate.send_nowait(received)
+        elif isinstance(received.message, Allocation):
+            self._inboxes.dispatch.send_nowait(received)
+
+    async def _hear(self, told: MemoryObjectReceiveStream[MembersOutput], tables: Tables) -> None:
+        async for message in told:
+            if isinstance(message, Notice):
+                self._inboxes.dispatch.send_nowait(message)
+                continue
+            if isinstance(message, MembersChanged | RevisionSeen):
+                self._inboxes.daemon.send_nowait(message.view)
+            tables.inbox.send_nowait(message)
+
+    async def _pass_on(self, changes: MemoryObjectReceiveStream[TableInForce]) -> None:
+        async for change in changes:
+            self._inboxes.daemon.send_nowait(change)
+
+
+__all__ = ["Inboxes", "Links"]
--- a/src/redwingbank/rules/cells.py
+++ b/src/redwingbank/rules/cells.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.rules.rendezvous import ranked
 
@@ -11,6 +11,8 @@
     from collections.abc import Iterable
 
     from redwingbank.messages import ClassDemand
+    from redwingbank.rules.roster import MemberView
+    from redwingbank.rules.table import Table
 
 MOST_SERVERS = 64
 CELLS_PER_HOST = 2
@@ -39,6 +41,26 @@
     return ranked(host, cells)[:CELLS_PER_HOST]
 
 
+class Duties(NamedTuple):
+    """Backend servers of the cells that a host allocates, and of those that it sends to."""
+
+    owned: frozenset[str]
+    used: frozenset[str]
+
+
+def duties_of(host: str, table: Table, view: MemberView) -> Duties:
+    """Tell which backend servers concern a host."""
+    owned: set[str] = set()
+    used: set[str] = set()
+    for pool in table.pools_by_name:
+        cells = cells_of(pool, [row.name for row in table.servers_of(pool)])
+        for cell in cells:
+            owned.update(cells[cell] if view.owner(cell).host == host else ())
+        for cell in cells_for(host, cells):
+            used.update(cells[cell])
+    return Duties(frozenset(owned), frozenset(used))
+
+
 def part_of(classes: tuple[ClassDemand, ...], index: int, count: int) -> tuple[ClassDemand, ...]:
     """Give one cell's part of a host's demand, which is told to `count` cells in all."""
     if count == 1:
@@ -55,4 +77,4 @@
     return whole // count + (index < whole % count)
 
 
-__all__ = ["CELLS_PER_HOST", "MOST_SERVERS", "cells_for", "cells_of", "part_of"]
+__all__ = ["CELLS_PER_HOST", "MOST_SERVERS", "cells_for", "cells_of", "duties_of", "part_of"]
--- a/src/redwingbank/run.py
+++ b/src/redwingbank/run.py
@@ -60,7 +60,7 @@
         await group.start(_drain_on_signal, daemon)
         async with anyio.create_task_group() as serving:
             await serving.start(daemon.run)
-            print(f"listening {daemon.caller} control {daemon.peers.address}", flush=True)
+            print(f"listening {daemon.caller} control {daemon.links.peers.address}", flush=True)
         group.cancel_scope.cancel()
 
 
--- a/src/redwingbank/tasks/slots.py
+++ b/src/redwingbank/tasks/slots.py
@@ -101,21 +101,6 @@
         """Name the host that allocates a cell."""
         return self._view.owner(cell).host if self._view else self._settings.host
 
-    def owned_servers(self) -> frozenset[str]:
-        """Name the backend servers whose slots this host allocates."""
-        own = self._settings.host
-        return frozenset(
-            server
-            for cell, servers in self._servers_by_cell.items()
-            if self.owner(cell) == own
-            for server in servers
-        )
-
-    def used_servers(self) -> frozenset[str]:
-        """Name the backend servers of the cells that this host sends to."""
-        cells = (cell for cells in self._cells_by_pool.values() for cell in cells)
-        return frozenset(name for cell in cells for name in self._servers_by_cell[cell])
-
     def apply(self, sender: str, allocation: Allocation, limits: Limits, now_s: float) -> None:
         """Bring an allocation, or shares of limits, into force."""
         if allocation.pool == LIMITS_POOL:
--- a/src/redwingbank_standins/quickstart.py
+++ b/src/redwingbank_standins/quickstart.py
@@ -17,7 +17,7 @@
 from redwingbank.ports.platform import Absent
 from redwingbank.ports.platform_http import HttpPlatform
 from redwingbank.ports.table_store import Accepted, publish
-from redwingbank.settings import Address, PeerKey, Settings
+from redwingbank.settings import Address, PeerKey, Settings, parse_address
 from redwingbank_standins.engine import EngineSettings, build_engine
 from redwingbank_standins.listener import listening
 from redwingbank_standins.platform import build_platform
@@ -26,6 +26,8 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from anyio.abc import TaskGroup
+
 LOOPBACK = "127.0.0.1"
 MODEL = "memo-models"
 SERVICE = "branch-app"
@@ -146,6 +148,14 @@
         raise RuntimeError(outcome)
 
 
+async def start_host(group: TaskGroup, number: int, platform: Address, *seeds: Daemon) -> Daemon:
+    """Start one daemon; the daemons among `seeds` are where it looks for others."""
+    addresses = tuple(parse_address(seed.links.peers.address) for seed in seeds)
+    daemon = Daemon(host_settings(number, platform)._replace(seeds=addresses))
+    await group.start(daemon.run)
+    return daemon
+
+
 async def until_ready(daemons: list[Daemon]) -> None:
     """Wait until each daemon has the table and slots to give.
 
@@ -218,10 +228,9 @@
 async def _try(stay: bool) -> bool:
     async with listening(build_platform()) as platform, backends() as addresses:
         await publish_table(platform, sample_sheets(addresses))
-        daemons = [Daemon(host_settings(number, platform)) for number in (1, 2)]
         async with anyio.create_task_group() as group:
-            for daemon in daemons:
-                await group.start(daemon.run)
+            first = await start_host(group, 1, platform)
+            daemons = [first, await start_host(group, 2, platform, first)]
             await until_ready(daemons)
             whole = await _samples(daemons)
             print_attainment(daemons)
--- a/tests/embedded.py
+++ b/tests/embedded.py
@@ -12,7 +12,7 @@
 from anyio.from_thread import start_blocking_portal
 
 from redwingbank.daemon import Daemon
-from redwingbank.settings import Address
+from redwingbank.settings import Address, parse_address
 from redwingbank_standins.engine import EngineSettings, build_engine
 from redwingbank_standins.listener import listening
 from redwingbank_standins.platform import build_platform
@@ -74,7 +74,9 @@
             await publish_table(platform, sample_sheets(self.addresses))
             async with anyio.create_task_group() as group:
                 for number in range(1, self._count + 1):
-                    settings = host_settings(number, platform)._replace(**self._settings)
+                    seeds = tuple(parse_address(item.links.peers.address) for item in self.daemons)
+                    settings = host_settings(number, platform)
+                    settings = settings._replace(seeds=seeds, **self._settings)
                     daemon = Daemon(settings)
                     self.daemons.append(daemon)
                     await group.start(daemon.run)
--- a/tests/run.py
+++ b/tests/run.py
@@ -48,9 +48,20 @@
                 continue
             outcome = verdict.passed if scenario.get("status") == "passed" else verdict.failed
             outcome.append(f"{path}:{scenario['name']}")
+            if outcome is verdict.failed:
+                show_failure(scenario)
     return verdict
 
 
+def show_failure(scenario: dict) -> None:
+    """Print the message of the step that failed."""
+    for step in scenario.get("steps", []):
+        message = step.get("result", {}).get("error_message")
+        if message:
+            lines = message if isinstance(message, list) else [message]
+            print(f"{scenario['name']}: {step['name']}", *lines, sep="\n    ")
+
+
 def main() -> int:
     """Print failures, known ones apart, then the count."""
     status, verdict = run_features(sys.argv[1:])
