Let several tasks send at the control socket at once

Cause: anyio's UDP socket lets one task write at a time; a second one got BusyResourceError, which ended the daemon's task group. Seen by the jitter case of tests/ports/peers.feature (1 of 28 failed). Ruled out: replay windows (the error came before anything was sent). Change: sends take turns by a lock.

--- a/src/redwingbank/ports/peers.py
+++ b/src/redwingbank/ports/peers.py
@@ -62,6 +62,7 @@
         self._socket: UDPSocket | None = None
         self._group: TaskGroup | None = None
         self._windows = ReplayWindows()
+        self._writing = anyio.Lock()
         self._sequence = 0
 
     async def bind(self) -> None:
@@ -143,7 +144,8 @@
         if self._socket is None:
             return self._drop("unreachable")
         try:
-            await self._socket.sendto(data, host, int(port))
+            async with self._writing:
+                await self._socket.sendto(data, host, int(port))
         except (OSError, ValueError, anyio.ClosedResourceError, anyio.BrokenResourceError):
             return self._drop("unreachable")
         return True
--- a/tests/peer_hosts.py
+++ b/tests/peer_hosts.py
@@ -12,7 +12,7 @@
 from redwingbank.messages import Heartbeat
 from redwingbank.ports.faults import FaultPlan
 from redwingbank.ports.peers import Peers
-from redwingbank.ports.platform import Absent, Conflict, ListedHost, Stored, Unknown
+from redwingbank.ports.platform import Absent, Conflict, Stored, Unknown
 from redwingbank.ports.pulls import Pulls
 from redwingbank.ports.table_store import load_table, publish
 from redwingbank.rules.membership import Membership
@@ -253,7 +253,7 @@
 
         async def body():
             with anyio.move_on_after(wait_s):
-                while not condition():
+                while not condition():  # noqa: ASYNC110
                     await anyio.sleep(0.02)
                 return True
             return False
