--- /dev/null
+++ b/src/redwingbank/ctl/check.py
@@ -0,0 +1,34 @@
+"""`redwingctl check`: check a settings file, or a table's CSV files, without a platform."""
+
+from __future__ import annotations
+
+import json
+from pathlib import Path  # noqa: TC003 - cyclopts reads it when the program runs
+
+from redwingbank.ctl.tables import AsJson, read_folder
+from redwingbank.rules.table import parse_table
+from redwingbank.settings import read_settings
+
+SETTINGS_SUFFIX = ".toml"
+SHEET_SUFFIX = ".csv"
+
+
+def check(path: Path, /, *, as_json: AsJson = False) -> int:
+    """Check a settings file, or a table in CSV files, and tell every fault.
+
+    A CSV file is checked with the other sheets of its folder, since sheets name each other.
+
+    Example: redwingctl check /etc/redwingbank.toml
+
+    :param path: a TOML file, a CSV file or a folder of CSV files
+    :param as_json: write JSON
+    """
+    if path.suffix == SETTINGS_SUFFIX:
+        read_settings(path)
+    else:
+        parse_table(read_folder(path.parent if path.suffix == SHEET_SUFFIX else path), 0)
+    print(json.dumps({"path": str(path), "faults": 0}) if as_json else f"{path}: no faults")
+    return 0
+
+
+__all__ = ["check"]
--- a/src/redwingbank/ports/platform_http.py
+++ b/src/redwingbank/ports/platform_http.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import json
-from typing import TYPE_CHECKING, Any, TypeVar
+from typing import TYPE_CHECKING, Any, Protocol, TypeVar
 from urllib.parse import quote
 
 import httpcore
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
 
-    from redwingbank.settings import Settings
+    from redwingbank.settings import Address
 
 CONNECTIONS = 32
 WATCH_MARGIN_S = 2.0
@@ -21,6 +21,18 @@
 UNREADABLE = (ValueError, KeyError, TypeError)
 
 
+class Access(Protocol):
+    """Where the platform is and how long an answer may take; the daemon's settings are one."""
+
+    @property
+    def platform(self) -> Address:
+        """The platform's address."""
+
+    @property
+    def platform_timeout_s(self) -> float:
+        """The longest wait for an answer."""
+
+
 class HttpPlatform:
     """Asks the platform; nothing is asked twice and no call raises.
 
@@ -32,7 +44,7 @@
     Stored(key='table/head', version=1, value=b'{}')
     """
 
-    def __init__(self, settings: Settings) -> None:
+    def __init__(self, settings: Access) -> None:
         self._base = f"http://{settings.platform}"
         self._timeout_s = settings.platform_timeout_s
         self._pool = httpcore.AsyncConnectionPool(
@@ -182,4 +194,4 @@
     )
 
 
-__all__ = ["HttpPlatform"]
+__all__ = ["Access", "HttpPlatform"]
