--- a/src/redwingbank/ctl/app.py
+++ b/src/redwingbank/ctl/app.py
@@ -9,7 +9,12 @@
 from cyclopts.exceptions import CycloptsError
 
 from redwingbank.ctl.check import check
+from redwingbank.ctl.drain import drain
+from redwingbank.ctl.explain import explain
+from redwingbank.ctl.release import release
+from redwingbank.ctl.status import status
 from redwingbank.ctl.table import table
+from redwingbank.ctl.timeline import timeline
 from redwingbank.errors import EXIT_FAULT, EXIT_USAGE, RedwingbankError
 
 if TYPE_CHECKING:
@@ -22,7 +27,7 @@
 """
 
 # one entry a command that is a function of its own module
-COMMANDS: tuple[Callable[..., int], ...] = (check,)
+COMMANDS: tuple[Callable[..., int], ...] = (check, status, timeline, explain, drain, release)
 
 app = cyclopts.App(name="redwingctl", help=HELP, result_action="return_value")
 app.command(table)
--- a/src/redwingbank/ctl/drain.py
+++ b/src/redwingbank/ctl/drain.py
@@ -3,11 +3,10 @@
 from __future__ import annotations
 
 import json
-import sys
 
-from redwingbank.ctl.hosts import Authority, Hosts, KeyFile, ask_or_tell, exit_code
-from redwingbank.ctl.timeline import AsJson  # noqa: TC001 - cyclopts reads it
-from redwingbank.errors import EXIT_USAGE
+from redwingbank.ctl.hosts import Authority, Hosts, KeyFile, ask_and_tell, exit_code
+from redwingbank.ctl.tables import AsJson  # noqa: TC001 - cyclopts reads it
+from redwingbank.errors import SettingError
 
 
 def drain(
@@ -35,12 +34,9 @@
     :param as_json: write JSON instead of text
     """
     if not server and not host:
-        print("redwingctl: name the hosts to drain with --host", file=sys.stderr)
-        return EXIT_USAGE
+        raise SettingError("redwingctl", "--host", "the hosts to drain, each by its IP:port")
     order = {"server": server} if server else {}
-    answers = ask_or_tell(host, key_file, ca, ("POST", "/operator/drain"), order)
-    if isinstance(answers, int):
-        return answers
+    answers = ask_and_tell(host, key_file, ca, ("POST", "/operator/drain"), order)
     rows = [{"host": answer.address, "draining": answer.found} for answer in answers]
     if as_json:
         print(json.dumps({"server": server, "hosts": rows}))
--- a/src/redwingbank/ctl/explain.py
+++ b/src/redwingbank/ctl/explain.py
@@ -9,8 +9,9 @@
 
 from redwingbank.codes import MEANING_BY_CODE, Code
 from redwingbank.ctl.moments import Moment, TimeLine, merge
-from redwingbank.ctl.timeline import AsJson, read_or_tell
-from redwingbank.errors import EXIT_FAULT, EXIT_USAGE
+from redwingbank.ctl.records import read_files
+from redwingbank.ctl.tables import AsJson  # noqa: TC001 - cyclopts reads it
+from redwingbank.errors import EXIT_FAULT
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -45,10 +46,7 @@
     :param files: event records, one file or more
     :param as_json: write JSON instead of text
     """
-    read = read_or_tell(files)
-    if read is None:
-        return EXIT_USAGE
-    line = merge(read.records)
+    line = merge(read_files(files).records)
     found = sorted(_ids(line, request))
     if len(found) != 1:
         print(f"redwingctl: {_wrong(request, found)}", file=sys.stderr)
--- a/src/redwingbank/ctl/hosts.py
+++ b/src/redwingbank/ctl/hosts.py
@@ -13,7 +13,7 @@
 import httpcore
 from cyclopts import Parameter
 
-from redwingbank.errors import EXIT_FAULT, EXIT_UNREACHABLE, EXIT_USAGE
+from redwingbank.errors import EXIT_FAULT, EXIT_UNREACHABLE, SettingError
 
 HOSTS_VARIABLE = "REDWINGCTL_HOSTS"
 KEY_VARIABLE = "REDWINGCTL_KEY"
@@ -51,11 +51,23 @@
 def access_of(hosts: list[str] | None, key_file: Path | None, ca: Path | None) -> Access:
     """Take addresses and key from the arguments, else from the environment.
 
-    :raises OSError: where the key file can't be read
+    :raises SettingError: where no host is named or the key file can't be read
     """
     given = hosts or os.environ.get(HOSTS_VARIABLE, "").replace(",", " ").split()
-    key = key_file.read_text().strip() if key_file else os.environ.get(KEY_VARIABLE, "")
-    return Access(tuple(given), key, ca)
+    if not given:
+        expected = f"a daemon's IP:port; else set {HOSTS_VARIABLE}"
+        raise SettingError("redwingctl", "--host", expected)
+    return Access(tuple(given), _key(key_file), ca)
+
+
+def _key(file: Path | None) -> str:
+    if file is None:
+        return os.environ.get(KEY_VARIABLE, "")
+    try:
+        return file.read_text().strip()
+    except OSError as error:
+        expected = f"a readable file ({error.strerror})"
+        raise SettingError(str(file), "--key-file", expected) from error
 
 
 def ask(
@@ -68,23 +80,18 @@
         )
 
 
-def ask_or_tell(
+def ask_and_tell(
     hosts: list[str] | None,
     key_file: Path | None,
     ca: Path | None,
     order: tuple[str, str],
     body: dict[str, Any] | None = None,
-) -> list[Answer] | int:
-    """Ask with what the command line gave; wrong usage is told in a line, with its exit code."""
-    try:
-        access = access_of(hosts, key_file, ca)
-    except OSError as error:
-        print(f"redwingctl: {error.filename}: {error.strerror}; check the path", file=sys.stderr)
-        return EXIT_USAGE
-    if not access.addresses:
-        print(f"redwingctl: no host named; give --host or {HOSTS_VARIABLE}", file=sys.stderr)
-        return EXIT_USAGE
-    answers = ask(access, *order, body)
+) -> list[Answer]:
+    """Ask with what the command line gave, and tell each fault in a line.
+
+    :raises SettingError: where no host is named or the key file can't be read
+    """
+    answers = ask(access_of(hosts, key_file, ca), *order, body)
     for answer in answers:
         if answer.fault:
             print(f"redwingctl: {answer.address}: {answer.fault}", file=sys.stderr)
@@ -146,6 +153,6 @@
     "Hosts",
     "KeyFile",
     "ask",
-    "ask_or_tell",
+    "ask_and_tell",
     "exit_code",
 ]
--- a/src/redwingbank/ctl/records.py
+++ b/src/redwingbank/ctl/records.py
@@ -5,6 +5,8 @@
 import json
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from redwingbank.errors import SettingError
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
     from pathlib import Path
@@ -73,20 +75,28 @@
 def read_files(paths: Iterable[Path]) -> Read:
     """Read files in turn; records that stand in two of them count once.
 
-    :raises OSError: where a file can't be read
+    :raises SettingError: where a file can't be read
     """
     record_by_key: dict[tuple[str, int, float], Record] = {}
     unreadable = 0
     for path in paths:
         highest = max((record.process for record in record_by_key.values()), default=0)
-        with path.open(encoding="utf-8", errors="replace") as lines:
-            read = read_lines(lines, highest)
+        read = _read_file(path, highest)
         unreadable += read.unreadable
         for record in read.records:
             record_by_key.setdefault((record.host, record.number, record.wall_s), record)
     return Read(list(record_by_key.values()), unreadable)
 
 
+def _read_file(path: Path, first_process: int) -> Read:
+    try:
+        with path.open(encoding="utf-8", errors="replace") as lines:
+            return read_lines(lines, first_process)
+    except OSError as error:
+        expected = f"a readable file of event records ({error.strerror})"
+        raise SettingError(str(path), "(file)", expected) from error
+
+
 def _document(line: str) -> dict[str, Any] | None:
     try:
         document = json.loads(line)
--- a/src/redwingbank/ctl/release.py
+++ b/src/redwingbank/ctl/release.py
@@ -4,8 +4,8 @@
 
 import json
 
-from redwingbank.ctl.hosts import Authority, Hosts, KeyFile, ask_or_tell, exit_code
-from redwingbank.ctl.timeline import AsJson  # noqa: TC001 - cyclopts reads it
+from redwingbank.ctl.hosts import Authority, Hosts, KeyFile, ask_and_tell, exit_code
+from redwingbank.ctl.tables import AsJson  # noqa: TC001 - cyclopts reads it
 from redwingbank.errors import EXIT_UNREACHABLE
 
 
@@ -31,9 +31,7 @@
     :param as_json: write JSON instead of text
     """
     order = {"fingerprint": fingerprint}
-    answers = ask_or_tell(host, key_file, ca, ("POST", "/operator/release"), order)
-    if isinstance(answers, int):
-        return answers
+    answers = ask_and_tell(host, key_file, ca, ("POST", "/operator/release"), order)
     released = [answer.address for answer in answers if answer.found]
     if as_json:
         print(json.dumps({"fingerprint": fingerprint, "released_by": released}))
--- a/src/redwingbank/ctl/status.py
+++ b/src/redwingbank/ctl/status.py
@@ -5,9 +5,9 @@
 import json
 from typing import Any
 
-from redwingbank.ctl.hosts import Authority, Hosts, KeyFile, ask_or_tell, exit_code
+from redwingbank.ctl.hosts import Authority, Hosts, KeyFile, ask_and_tell, exit_code
 from redwingbank.ctl.overview import Overview, overview
-from redwingbank.ctl.timeline import AsJson  # noqa: TC001 - cyclopts reads it
+from redwingbank.ctl.tables import AsJson  # noqa: TC001 - cyclopts reads it
 
 
 def status(
@@ -29,9 +29,7 @@
     :param ca: a PEM file of the authority to trust, for https:// hosts
     :param as_json: write JSON instead of text
     """
-    answers = ask_or_tell(host, key_file, ca, ("GET", "/status"))
-    if isinstance(answers, int):
-        return answers
+    answers = ask_and_tell(host, key_file, ca, ("GET", "/status"))
     found = overview(answer.document for answer in answers if answer.found)
     silent = [answer.address for answer in answers if not answer.found]
     print(json.dumps(as_data(found, silent)) if as_json else as_text(found, silent))
--- a/src/redwingbank/ctl/timeline.py
+++ b/src/redwingbank/ctl/timeline.py
@@ -5,22 +5,19 @@
 import json
 import sys
 from pathlib import Path  # noqa: TC003 - cyclopts reads it when the program runs
-from typing import TYPE_CHECKING, Annotated, Any
-
-from cyclopts import Parameter
+from typing import TYPE_CHECKING, Any
 
 from redwingbank.ctl.moments import Filter, Moment, TimeLine, merge
 from redwingbank.ctl.picture import draw
 from redwingbank.ctl.records import Read, read_files
-from redwingbank.errors import EXIT_FAULT, EXIT_USAGE
+from redwingbank.ctl.tables import AsJson  # noqa: TC001 - cyclopts reads it
+from redwingbank.errors import EXIT_FAULT
 
 if TYPE_CHECKING:
     from redwingbank.ctl.skew import Skew
 
 OK = 0
 
-AsJson = Annotated[bool, Parameter(name="--json")]
-
 
 def timeline(
     files: list[Path],
@@ -47,9 +44,7 @@
     :param as_json: write JSON instead of text
     :param svg: write a picture to this file as well
     """
-    read = read_or_tell(files)
-    if read is None:
-        return EXIT_USAGE
+    read = read_files(files)
     line = merge(read.records)
     wanted = Filter(request, server, host)
     shown = [moment for moment in line.moments if wanted.shows(moment.record)]
@@ -61,15 +56,6 @@
     return OK if shown else EXIT_FAULT
 
 
-def read_or_tell(files: list[Path]) -> Read | None:
-    """Read the files; where one can't be read say so in a line and return none."""
-    try:
-        return read_files(files)
-    except OSError as error:
-        print(f"redwingctl: {error.filename}: {error.strerror}; check the path", file=sys.stderr)
-        return None
-
-
 def as_text(shown: list[Moment], line: TimeLine, read: Read) -> str:
     """Write skews first, then a line a moment; an effect names its cause's host."""
     rows = [f"# {skew.text()}" for skew in line.skews.by_host.values()]
@@ -118,4 +104,4 @@
     }
 
 
-__all__ = ["AsJson", "as_data", "as_text", "read_or_tell", "timeline"]
+__all__ = ["as_data", "as_text", "timeline"]
