--- a/src/redwingbank/ctl/drain.py
+++ b/src/redwingbank/ctl/drain.py
@@ -34,7 +34,7 @@
     :param as_json: write JSON instead of text
     """
     if not server and not host:
-        raise SettingError("redwingctl", "--host", "the hosts to drain, each by its IP:port")
+        raise SettingError("command line", "--host", "the hosts to drain, each by its IP:port")
     order = {"server": server} if server else {}
     answers = ask_and_tell(host, key_file, ca, ("POST", "/operator/drain"), order)
     rows = [{"host": answer.address, "draining": answer.found} for answer in answers]
--- a/src/redwingbank/ctl/explain.py
+++ b/src/redwingbank/ctl/explain.py
@@ -4,12 +4,12 @@
 
 import json
 import sys
-from pathlib import Path  # noqa: TC003 - cyclopts reads it when the program runs
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.codes import MEANING_BY_CODE, Code
+from redwingbank.ctl.hosts import Authority, KeyFile  # noqa: TC001 - cyclopts reads it
 from redwingbank.ctl.moments import Moment, TimeLine, merge
-from redwingbank.ctl.records import read_files
+from redwingbank.ctl.sources import Daemons, Files, read_sources
 from redwingbank.ctl.tables import AsJson  # noqa: TC001 - cyclopts reads it
 from redwingbank.errors import EXIT_FAULT
 
@@ -33,20 +33,32 @@
     around: bool
 
 
-def explain(request: str, files: list[Path], /, *, as_json: AsJson = False) -> int:
+def explain(
+    request: str,
+    files: Files = None,
+    /,
+    *,
+    daemons: Daemons = None,
+    as_json: AsJson = False,
+    key_file: KeyFile = None,
+    ca: Authority = None,
+) -> int:
     """Tell each decision of one request's life, and why.
 
     What happened to its backend servers meanwhile is told beside it, in brackets.
 
-    Example: redwingctl explain 73ad41cf /var/log/redwingbank/*.jsonl
+    Example: redwingctl explain 73ad41cf --from 10.0.0.1:8080
 
     Exit codes: 0 told, 1 no such request or more than one, 2 a file can't be read.
 
     :param request: the request's id, as in the answer's x-request-id header, or its start
-    :param files: event records, one file or more
+    :param files: event records, any number of files
+    :param daemons: a running daemon's IP:port, for its recent records; may be given again
     :param as_json: write JSON instead of text
+    :param key_file: the operators' key; else REDWINGCTL_KEY
+    :param ca: a PEM file of the authority to trust, for https:// daemons
     """
-    line = merge(read_files(files).records)
+    line = merge(read_sources(files, daemons, key_file, ca).records)
     found = sorted(_ids(line, request))
     if len(found) != 1:
         print(f"redwingctl: {_wrong(request, found)}", file=sys.stderr)
@@ -65,7 +77,7 @@
 
 def _wrong(request: str, found: list[str]) -> str:
     if not found:
-        return f"no record of request {request}; add the files of the other hosts"
+        return f"no record of request {request}; add the other hosts"
     return f"{len(found)} requests begin with {request}; give more of the id"
 
 
--- a/src/redwingbank/ctl/hosts.py
+++ b/src/redwingbank/ctl/hosts.py
@@ -56,7 +56,7 @@
     given = hosts or os.environ.get(HOSTS_VARIABLE, "").replace(",", " ").split()
     if not given:
         expected = f"a daemon's IP:port; else set {HOSTS_VARIABLE}"
-        raise SettingError("redwingctl", "--host", expected)
+        raise SettingError("command line", "--host", expected)
     return Access(tuple(given), _key(key_file), ca)
 
 
--- a/src/redwingbank/ctl/records.py
+++ b/src/redwingbank/ctl/records.py
@@ -1,15 +1,12 @@
-"""Event records of many processes, read from their files."""
+"""Event records of many processes, read from their lines."""
 
 from __future__ import annotations
 
 import json
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from redwingbank.errors import SettingError
-
 if TYPE_CHECKING:
     from collections.abc import Iterable
-    from pathlib import Path
 
 OWN_FIELDS = frozenset({"host", "data_centre", "number", "wall_s", "monotonic_s", "event"})
 ELIOT_FIELDS = frozenset({"task_uuid", "task_level", "timestamp", "message_type"})
@@ -40,7 +37,7 @@
 
 
 class Read(NamedTuple):
-    """The records of some files, and how many lines were none."""
+    """The records of some lines, and how many lines were none."""
 
     records: list[Record]
     unreadable: int
@@ -72,31 +69,20 @@
     return Read(records, unreadable)
 
 
-def read_files(paths: Iterable[Path]) -> Read:
-    """Read files in turn; records that stand in two of them count once.
-
-    :raises SettingError: where a file can't be read
-    """
+def together(texts: Iterable[Iterable[str]]) -> Read:
+    """Read several processes' lines; a record that stands in two of them counts once."""
     record_by_key: dict[tuple[str, int, float], Record] = {}
     unreadable = 0
-    for path in paths:
-        highest = max((record.process for record in record_by_key.values()), default=0)
-        read = _read_file(path, highest)
+    highest = 0
+    for lines in texts:
+        read = read_lines(lines, highest)
         unreadable += read.unreadable
         for record in read.records:
+            highest = max(highest, record.process)
             record_by_key.setdefault((record.host, record.number, record.wall_s), record)
     return Read(list(record_by_key.values()), unreadable)
 
 
-def _read_file(path: Path, first_process: int) -> Read:
-    try:
-        with path.open(encoding="utf-8", errors="replace") as lines:
-            return read_lines(lines, first_process)
-    except OSError as error:
-        expected = f"a readable file of event records ({error.strerror})"
-        raise SettingError(str(path), "(file)", expected) from error
-
-
 def _document(line: str) -> dict[str, Any] | None:
     try:
         document = json.loads(line)
@@ -119,4 +105,4 @@
     )
 
 
-__all__ = ["Read", "Record", "read_files", "read_lines"]
+__all__ = ["Read", "Record", "read_lines", "together"]
--- a/src/redwingbank/ctl/timeline.py
+++ b/src/redwingbank/ctl/timeline.py
@@ -7,44 +7,52 @@
 from pathlib import Path  # noqa: TC003 - cyclopts reads it when the program runs
 from typing import TYPE_CHECKING, Any
 
+from redwingbank.ctl.hosts import Authority, KeyFile  # noqa: TC001 - cyclopts reads it
 from redwingbank.ctl.moments import Filter, Moment, TimeLine, merge
 from redwingbank.ctl.picture import draw
-from redwingbank.ctl.records import Read, read_files
+from redwingbank.ctl.sources import Daemons, Files, read_sources
 from redwingbank.ctl.tables import AsJson  # noqa: TC001 - cyclopts reads it
 from redwingbank.errors import EXIT_FAULT
 
 if TYPE_CHECKING:
+    from redwingbank.ctl.records import Read
     from redwingbank.ctl.skew import Skew
 
 OK = 0
 
 
 def timeline(
-    files: list[Path],
+    files: Files = None,
     /,
     *,
+    daemons: Daemons = None,
     request: str = "",
     server: str = "",
     host: str = "",
     as_json: AsJson = False,
     svg: Path | None = None,
+    key_file: KeyFile = None,
+    ca: Authority = None,
 ) -> int:
     """Merge event records of all processes onto one line of time.
 
     Clock skew between hosts is estimated from events seen by both, and told with its bounds.
 
-    Example: redwingctl timeline /var/log/redwingbank/*.jsonl --server engine-2
+    Example: redwingctl timeline --from 10.0.0.1:8080 --from 10.0.1.1:8080 --server engine-2
 
     Exit codes: 0 shown, 1 no record matches, 2 a file can't be read.
 
-    :param files: event records, one file or more
+    :param files: event records, any number of files
+    :param daemons: a running daemon's IP:port, for its recent records; may be given again
     :param request: show one request, by the start of its id
     :param server: show one backend server
     :param host: show one host
     :param as_json: write JSON instead of text
     :param svg: write a picture to this file as well
+    :param key_file: the operators' key; else REDWINGCTL_KEY
+    :param ca: a PEM file of the authority to trust, for https:// daemons
     """
-    read = read_files(files)
+    read = read_sources(files, daemons, key_file, ca)
     line = merge(read.records)
     wanted = Filter(request, server, host)
     shown = [moment for moment in line.moments if wanted.shows(moment.record)]
--- a/tests/ctl/timeline.feature
+++ b/tests/ctl/timeline.feature
@@ -47,6 +47,7 @@
       | --host entry-2     | 0    | 1     |
       | --request nothing  | 1    | 0     |
       | missing.jsonl      | 2    | 0     |
+      | --from 127.0.0.1:1 | 0    | 8     |
 
   Scenario: text, JSON and picture tell the same
     Given the timeline's files of a crash
@@ -66,5 +67,5 @@
       | abc     | 0    | attempt at engine-2 ended: crashed, 4 tokens delivered | [engine-2 went from serving to ejected]     |
       | abc     | 0    | not at engine-2, which failed it                       | answered whole, 9 tokens                    |
       | def     | 0    | 1210 SHED: the queue is over what can be served        | ran=no; the caller should: come back        |
-      | nobody  | 1    | no record of request nobody                            | add the files of the other hosts            |
-      |         | 1    | no record of request                                   | add the files of the other hosts            |
+      | nobody  | 1    | no record of request nobody                            | add the other hosts                         |
+      |         | 1    | no record of request                                   | add the other hosts                         |
--- a/tests/steps/ctl_timeline.py
+++ b/tests/steps/ctl_timeline.py
@@ -14,7 +14,7 @@
 
 from redwingbank.ctl import app
 from redwingbank.ctl.moments import merge
-from redwingbank.ctl.records import read_files, read_lines
+from redwingbank.ctl.records import read_lines, together
 
 BOOT_S = 5.0
 
@@ -58,10 +58,7 @@
 
 @when("the timeline is merged")
 def merged(context):
-    with tempfile.TemporaryDirectory() as folder:
-        path = Path(folder) / "events.jsonl"
-        path.write_text("\n".join(context.lines))
-        context.line = merge(read_files([path, path]).records)
+    context.line = merge(together([context.lines, context.lines]).records)
     assert read_lines(context.lines).unreadable == context.texts.count("broken")
 
 
