Order a tier by deadline over hosts while deadlines can be met

Ruled out: lost messages (answers came), minimum turns (none were owed). Change: an allocation says the most slack with which its floor's tier may start; free slots go to the least slack first. A missed deadline sets no limit.

--- a/src/redwingbank/messages.py
+++ b/src/redwingbank/messages.py
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 LIMITS_POOL = "@limits"
+NO_SLACK_LIMIT_S = 1_000_000.0
 
 
 class MemberState(IntEnum):
@@ -101,7 +102,8 @@
     `slots` is the most requests the host may have in flight at each backend server until
     `ttl_s` after it sent the demand numbered `answers`. `floor` is the lowest tier (largest
     number) that may start. `turns` is the most requests of a class that may be in flight when
-    one starts above tier order, for the class's reserved minimum.
+    one starts above tier order, for the class's reserved minimum. The floor's tier may
+    start only on hosts whose earliest deadline in it is up to `slack_s` off.
     """
 
     pool: str
@@ -112,6 +114,7 @@
     slots: dict[str, int] = {}  # noqa: RUF012
     limits: tuple[OrganisationUse, ...] = ()
     turns: dict[str, int] = {}  # noqa: RUF012
+    slack_s: float = NO_SLACK_LIMIT_S
 
 
 Message = Heartbeat | Demand | Allocation
@@ -127,6 +130,7 @@
 
 __all__ = [
     "LIMITS_POOL",
+    "NO_SLACK_LIMIT_S",
     "Allocation",
     "ClassDemand",
     "Demand",
--- a/src/redwingbank/ports/messages.capnp
+++ b/src/redwingbank/ports/messages.capnp
@@ -81,6 +81,7 @@
   slots @5 :List(ServerCount);   # most requests in flight the host may have at each server
   limits @6 :List(OrganisationUse);  # share of organisation limits this host may use
   turns @7 :List(ServerCount);   # class name; most in flight when one starts above tier order
+  slackMs @8 :Int32 = 1000000000;  # most slack that may start in the floor's tier
 }
 
 struct Pull {               # over TCP: asks a peer for values by name
--- a/src/redwingbank/rules/allocator.py
+++ b/src/redwingbank/rules/allocator.py
@@ -5,8 +5,8 @@
 import heapq
 from typing import TYPE_CHECKING
 
-from redwingbank.messages import Allocation
-from redwingbank.rules.grants import HostAccount
+from redwingbank.messages import NO_SLACK_LIMIT_S, Allocation
+from redwingbank.rules.grants import NO_FLOOR, Gate, HostAccount
 from redwingbank.rules.minimum import ClassLoad, MinimumAccounts
 from redwingbank.rules.shares import Want, max_min
 
@@ -16,12 +16,12 @@
     from redwingbank.messages import Demand
     from redwingbank.rules.table import Table
 
-NO_FLOOR = 255
 RENEWALS_PER_TTL = 3
 RESEND_S = 0.25
 SPARE_TOLERANCE = 2
 SHARE_TOLERANCE = 1
 MOVE_INTERVAL_S = 0.5
+SLACK_MARGIN_S = 0.25
 
 
 class Allocator:
@@ -95,11 +95,11 @@
         if self._informed(now_s):
             self._fit_capacity()
             self._move_to_share(now_s)
-            self._grant_waiting()
+            self._grant_waiting(now_s)
             self._spread_spare(now_s)
-        floor = self._floor()
-        hosts = [host for host in sorted(self._accounts_by_host) if self._due(host, floor, now_s)]
-        return {host: self._allocation(host, floor, now_s) for host in hosts}
+        gate = self._gate(now_s)
+        hosts = [host for host in sorted(self._accounts_by_host) if self._due(host, gate, now_s)]
+        return {host: self._allocation(host, gate, now_s) for host in hosts}
 
     def granted(self, now_s: float) -> dict[str, int]:
         """Count, by backend server, the most slots that hosts may be using now."""
@@ -209,7 +209,7 @@
         items = [item for item in account.demand.classes if item.tier == tier]
         most = sum(item.waiting + item.running for item in items)
         weight = max(1, sum(item.organisations for item in items))
-        return Want(host, most, weight, account.total)
+        return Want(host, most, weight, -account.total)
 
     def _move_to_share(self, now_s: float) -> None:
         """Cut hosts above their share by what hosts below theirs can't get from free slots.
@@ -262,7 +262,7 @@
         waiting = sum(item.waiting for item in account.demand.classes if item.tier <= tier)
         return max(0, waiting + self._turns_open(account) - idle)
 
-    def _grant_waiting(self) -> None:
+    def _grant_waiting(self, now_s: float) -> None:
         free = _FreeSlots(self._free(), self._capacity)
         for account in self._accounts_by_host.values():
             idle = max(0, account.total - account.running)
@@ -270,7 +270,12 @@
                 free.give(account)
         for tier in self._tiers():
             wants = [
-                Want(host, unmet, self._want(host, account, tier).weight, account.total)
+                Want(
+                    host,
+                    unmet,
+                    self._want(host, account, tier).weight,
+                    _order(account, tier, now_s),
+                )
                 for host, account in self._accounts_by_host.items()
                 if account.waiting(tier) and (unmet := self._unmet(account, tier))
             ]
@@ -301,31 +306,37 @@
         if most[0] - least[0] >= SPARE_TOLERANCE and most[0] > 0:
             self._cut_one(self._accounts_by_host[most[1]])
 
-    def _floor(self) -> int:
-        """Give the highest tier that waits anywhere without a slot to start in."""
+    def _gate(self, now_s: float) -> Gate:
+        """Give the highest tier that waits anywhere without a slot to start in.
+
+        Its most urgent request that can still meet its deadline sets the slack of those that
+        may start before it on other hosts. Missed deadlines set none: a burst's old requests
+        must not hold up other organisations' new ones.
+        """
+        accounts = self._accounts_by_host.values()
         for tier in self._tiers():
-            if any(
-                account.waiting(tier) and self._unmet(account, tier)
-                for account in self._accounts_by_host.values()
-            ):
-                return tier
-        return NO_FLOOR
-
-    def _due(self, host: str, floor: int, now_s: float) -> bool:
+            unmet = [a for a in accounts if a.waiting(tier) and self._unmet(a, tier)]
+            if unmet:
+                slacks = [account.slack_s(tier, now_s) for account in unmet]
+                least_s = min((slack_s for slack_s in slacks if slack_s >= 0), default=None)
+                return Gate(tier, None if least_s is None else now_s + least_s + SLACK_MARGIN_S)
+        return Gate(NO_FLOOR, None)
+
+    def _due(self, host: str, gate: Gate, now_s: float) -> bool:
         account = self._accounts_by_host[host]
         if account.silent(now_s):
             return False
-        if account.dirty or account.floor != floor or account.turns != account.turns_sent:
+        if account.dirty or gate.differs(account.gate) or account.turns != account.turns_sent:
             return True
         age_s = now_s - account.sent_s
         if account.unapplied and age_s >= RESEND_S:
             return True
         return age_s >= self._ttl_s / RENEWALS_PER_TTL
 
-    def _allocation(self, host: str, floor: int, now_s: float) -> Allocation:
+    def _allocation(self, host: str, gate: Gate, now_s: float) -> Allocation:
         self._number += 1
         account = self._accounts_by_host[host]
-        account.floor = floor
+        account.gate = gate
         account.turns_sent = dict(account.turns)
         slots = account.grant(self._number, now_s)
         return Allocation(
@@ -333,12 +344,19 @@
             self._number,
             account.demand.number,
             self._ttl_s,
-            floor,
+            gate.floor,
             slots,
             turns=dict(account.turns),
+            slack_s=NO_SLACK_LIMIT_S if gate.deadline_s is None else gate.deadline_s - now_s,
         )
 
 
+def _order(account: HostAccount, tier: int, now_s: float) -> float:
+    """Put the least slack first, missed deadlines after those that can be met."""
+    slack_s = account.slack_s(tier, now_s)
+    return slack_s if slack_s >= 0 else float("inf")
+
+
 class _FreeSlots:
     """Free slots by server, given out from the server with the largest part free."""
 
--- a/src/redwingbank/rules/grants.py
+++ b/src/redwingbank/rules/grants.py
@@ -8,6 +8,25 @@
     from redwingbank.messages import Demand
 
 
+NO_FLOOR = 255
+DEADLINE_CHANGE_S = 0.25
+
+
+class Gate(NamedTuple):
+    """What may start on any host: tiers up to `floor`, in its tier deadlines to `deadline_s`."""
+
+    floor: int
+    deadline_s: float | None
+
+    def differs(self, other: Gate) -> bool:
+        """Tell whether a host that knows the other gate should be told this one."""
+        if self.floor != other.floor:
+            return True
+        if self.deadline_s is None or other.deadline_s is None:
+            return self.deadline_s is not other.deadline_s
+        return abs(self.deadline_s - other.deadline_s) > DEADLINE_CHANGE_S
+
+
 class Sent(NamedTuple):
     """An allocation sent that the host has not yet said it applied."""
 
@@ -30,7 +49,7 @@
         self.level: dict[str, int] = {}
         self.turns: dict[str, int] = {}
         self.turns_sent: dict[str, int] = {}
-        self.floor = 0
+        self.gate = Gate(0, None)
         self.sent_s = float("-inf")
         self.sent_number = 0
         self.dirty = True
@@ -90,6 +109,12 @@
         """Requests waiting in a tier as last told."""
         return sum(item.waiting for item in self.demand.classes if item.tier == tier)
 
+    def slack_s(self, tier: int, now_s: float) -> float:
+        """Least slack of what waits in a tier: what was told, less the time since."""
+        items = [item for item in self.demand.classes if item.tier == tier and item.waiting]
+        told_s = min(item.slack_s for item in items)
+        return told_s - (now_s - self.heard_s)
+
     def _accept(self, demand: Demand, now_s: float) -> None:
         self.demand = demand
         self.heard_s = now_s
@@ -104,4 +129,4 @@
         return claimed
 
 
-__all__ = ["HostAccount", "Sent"]
+__all__ = ["NO_FLOOR", "Gate", "HostAccount", "Sent"]
--- a/src/redwingbank/rules/holdings.py
+++ b/src/redwingbank/rules/holdings.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from redwingbank.messages import Demand
-from redwingbank.rules.allocator import NO_FLOOR
+from redwingbank.messages import NO_SLACK_LIMIT_S, Demand
+from redwingbank.rules.grants import NO_FLOOR
 from redwingbank.rules.minimum import ClassLoad, MinimumAccounts
 
 if TYPE_CHECKING:
@@ -49,6 +49,8 @@
         self._running: dict[str, int] = {}
         self._fallback: dict[str, int] = {}
         self._floor = NO_FLOOR
+        self._slack_s = NO_SLACK_LIMIT_S
+        self._applied_s = 0.0
         self._turns: dict[str, int] = {}
         self._expires_s = float("-inf")
         self._ttl_s = 0.0
@@ -85,6 +87,8 @@
         self._was_cut |= any(slots.get(name, 0) < had for name, had in self._level.items())
         self._level = dict(slots)
         self._floor = allocation.floor
+        self._slack_s = allocation.slack_s
+        self._applied_s = now_s
         self._turns = dict(allocation.turns)
         self._ttl_s = allocation.ttl_s
         self._expires_s = sent_s + allocation.ttl_s
@@ -104,6 +108,12 @@
         """Give the lowest tier that may start now."""
         return self._floor if self.in_force(now_s) else NO_FLOOR
 
+    def slack_s(self, now_s: float) -> float:
+        """Give the most slack with which a request of the floor's tier may start now."""
+        if not self.in_force(now_s) or self._slack_s >= NO_SLACK_LIMIT_S:
+            return NO_SLACK_LIMIT_S
+        return self._slack_s - (now_s - self._applied_s)
+
     def turns(self, now_s: float) -> dict[str, int]:
         """Give, by class, the most in flight when one may start above tier order."""
         if self.in_force(now_s):
@@ -217,7 +227,12 @@
         floor = self.floor(now_s)
         if floor == NO_FLOOR or not self.in_force(now_s):
             return 0
-        usable = sum(item.waiting for item in classes if item.tier <= floor)
+        slack_s = self.slack_s(now_s)
+        usable = sum(
+            item.waiting
+            for item in classes
+            if item.tier < floor or (item.tier == floor and item.slack_s <= slack_s)
+        )
         running = {item.class_name: item.running for item in classes}
         turns = sum(max(0, most - running.get(name, 0)) for name, most in self._turns.items())
         return sum(self.free(now_s).values()) - usable - turns
--- a/src/redwingbank/rules/limit_shares.py
+++ b/src/redwingbank/rules/limit_shares.py
@@ -97,7 +97,7 @@
 
 def divide(limit: int, used: Mapping[str, int], wanted: Mapping[str, int]) -> dict[str, int]:
     """Divide a limit fairly by want, what is over evenly, less what others use beyond theirs."""
-    share = max_min([Want(host, wanted[host], 1.0, used[host]) for host in used], limit)
+    share = max_min([Want(host, wanted[host], 1.0, -used[host]) for host in used], limit)
     rest = limit - sum(share.values())
     for index, host in enumerate(sorted(share)):
         share[host] += rest // len(share) + (1 if index < rest % len(share) else 0)
--- a/src/redwingbank/rules/queue.py
+++ b/src/redwingbank/rules/queue.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.codes import Code
-from redwingbank.messages import ClassDemand
+from redwingbank.messages import NO_SLACK_LIMIT_S, ClassDemand
 from redwingbank.rules.line import Line, cost_of
 
 if TYPE_CHECKING:
@@ -94,10 +94,12 @@
         now_s: float,
         floor: int = LOWEST_TIER,
         turns: Mapping[str, int] | None = None,
+        slack_s: float = NO_SLACK_LIMIT_S,
     ) -> Request | None:
         """Choose what starts next in a pool, or nothing; it stays until `pop`.
 
-        Tiers below `floor` start only when their class is owed a turn.
+        Tiers below `floor`, and its tier while the earliest deadline here is more than
+        `slack_s` off, start only when their class is owed a turn.
         """
         lines = [line for line in self._lines_by_pool.get(pool, {}).values() if line]
         if not lines:
@@ -108,7 +110,11 @@
         tier = min(line.tier for line in lines)
         if tier > floor:
             return None
-        return self._best_of_tier([line for line in lines if line.tier == tier])
+        peers = [line for line in lines if line.tier == tier]
+        earliest_s = min(line.earliest_s for line in peers)
+        if tier == floor and earliest_s - now_s > slack_s:
+            return None
+        return self._best_of_tier(peers)
 
     def pop(self, request_id: str, now_s: float) -> Request | None:
         """Start a request: it leaves the queue and its organisation is charged for it."""
--- a/src/redwingbank/rules/shares.py
+++ b/src/redwingbank/rules/shares.py
@@ -10,12 +10,12 @@
 
 
 class Want(NamedTuple):
-    """What one asks for: `most` slots, by `weight`; `has` breaks ties for who has more."""
+    """What one asks for: `most` slots, by `weight`; of equals the lower `order` goes first."""
 
     name: str
     most: int
     weight: float
-    has: int = 0
+    order: float = 0.0
 
 
 def max_min(wants: Iterable[Want], slots: int) -> dict[str, int]:
@@ -25,15 +25,15 @@
     """
     by_name = {want.name: want for want in wants}
     given = dict.fromkeys(by_name, 0)
-    heap = [(0.0, -want.has, want.name) for want in by_name.values() if want.most > 0]
+    heap = [(0.0, want.order, want.name) for want in by_name.values() if want.most > 0]
     heapq.heapify(heap)
     while slots > 0 and heap:
-        _, has, name = heapq.heappop(heap)
+        _, order, name = heapq.heappop(heap)
         want = by_name[name]
         given[name] += 1
         slots -= 1
         if given[name] < want.most:
-            heapq.heappush(heap, (given[name] / want.weight, has, name))
+            heapq.heappush(heap, (given[name] / want.weight, order, name))
     return given
 
 
--- a/src/redwingbank_bench/rulearms.py
+++ b/src/redwingbank_bench/rulearms.py
@@ -151,7 +151,13 @@
         now_s = self.world.clock.now_s
         holdings, queue = self.holdings_by_host[host], self.queues_by_host[host]
         while free := holdings.free(now_s):
-            request = queue.best(POOL, now_s, holdings.floor(now_s), holdings.turns(now_s))
+            request = queue.best(
+                POOL,
+                now_s,
+                holdings.floor(now_s),
+                holdings.turns(now_s),
+                holdings.slack_s(now_s),
+            )
             if request is None:
                 break
             server = max(sorted(free), key=lambda name: free[name])
--- a/src/redwingbank_bench/rulefleet.py
+++ b/src/redwingbank_bench/rulefleet.py
@@ -163,6 +163,7 @@
             floor=allocation.floor,
             slots=_counts(allocation.slots),
             turns=_counts(allocation.turns),
+            slackMs=int(allocation.slack_s * 1000),
         )
 
 
