--- /dev/null
+++ b/tests/steps/rules_queue.py
@@ -0,0 +1,261 @@
+"""Steps of rules/queue.feature."""
+
+from __future__ import annotations
+
+from unittest import mock
+
+from behave import given, then, when
+from hypothesis import given as given_values
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from decisions_support import POOL, make_request, make_table, parse_counts, parse_request
+from redwingbank.codes import Code
+from redwingbank.rules import queue as queue_module
+from redwingbank.rules.line import Line
+from redwingbank.rules.queue import Queue
+
+EXACT = settings(derandomize=True, deadline=None, max_examples=100, database=None)
+
+
+class DeadlineOnlyLine(Line):
+    """A line without shares of organisations."""
+
+    lead = float("inf")
+
+
+class NewestQueue(Queue):
+    """A queue that sheds whatever came last."""
+
+    def _victim(self):
+        return max(self._waiting_by_id.values(), key=lambda r: (r.arrived_s, r.request_id))
+
+
+QUEUES = {"the": Queue, "newest": NewestQueue}
+LINES = {"the": Line, "deadline-only": DeadlineOnlyLine}
+
+
+def fill(context, requests, limit=1000):
+    context.queue = Queue(make_table(), limit)
+    context.shed = [shed for item in requests for shed in context.queue.push(item, item.arrived_s)]
+
+
+def drain(queue, most=10**6, **gates):
+    started = []
+    while len(started) < most and (best := queue.best(POOL, 0.0, **gates)):
+        started.append(queue.pop(best.request_id, 0.0))
+    return started
+
+
+@given('the queue holds "{requests}" with limit {limit:d}')
+def holds_limited(context, requests, limit):
+    fill(context, [parse_request(text) for text in requests.split(",")], limit)
+
+
+@given('the queue holds "{requests}"')
+def holds(context, requests):
+    fill(context, [parse_request(text) for text in requests.split(",")])
+
+
+@then('the queue starts "{order}" with floor {floor:d}, slack {slack:g} and turns "{turns}"')
+@then('the queue starts "{order}" with floor {floor:d}, slack {slack:g} and turns ""')
+@then('the queue starts "" with floor {floor:d}, slack {slack:g} and turns ""')
+def starts_gated(context, floor, slack, order="", turns=""):
+    gates = {"floor": floor, "turns": parse_counts(turns), "slack_s": slack}
+    assert [item.request_id for item in drain(context.queue, **gates)] == order.split()
+
+
+@then('the queue starts "{order}"')
+def starts(context, order):
+    assert [item.request_id for item in drain(context.queue)] == order.split()
+
+
+@when('the queue starts one with turns "{turns}"')
+def start_one(context, turns):
+    drain(context.queue, 1, turns=parse_counts(turns))
+
+
+@when('the queue is told that "{request_id}" finished')
+def finished(context, request_id):
+    context.queue.finish(request_id, 1.0, 10)
+    running = {item.class_name: item.running for item in context.queue.demand(POOL, 1.0)}
+    assert running == {"gold": 1, "iron": 1}, running
+
+
+@then("the queue counts {gold:d} gold and {iron:d} iron waiting")
+def counts(context, gold, iron):
+    waiting = context.queue.waiting_by_class
+    assert (waiting["gold"], waiting["iron"]) == (gold, iron)
+    assert len(context.queue) == gold + iron
+
+
+@then('the queue has shed "{shed}" with a time to return')
+def has_shed(context, shed):
+    assert [item.request.request_id for item in context.shed] == shed.split()
+    assert all(item.code == Code.SHED and item.retry_after_s >= 1.0 for item in context.shed)
+
+
+@when('the queue is told that "{request_id}" was removed')
+def removed(context, request_id):
+    assert context.queue.remove(request_id).request_id == request_id
+    assert context.queue.remove(request_id) is None
+
+
+@then('the queue expires "{request_id}" at {now_s:g} seconds')
+def expires(context, request_id, now_s):
+    assert [item.request_id for item in context.queue.expired(now_s)] == [request_id]
+
+
+@when("the queue gets a table where iron has tier 1 and gold tier 3")
+def rebase(context):
+    context.queue.rebase(make_table(iron={"tier": 1}, gold={"tier": 3}))
+
+
+@given("the queue with {variant} line holds 300 requests of big, then 5 each of a and b")
+def burst(context, variant):
+    requests = [make_request(f"big{i}", organisation="big", arrived_s=0.0) for i in range(300)]
+    requests += [
+        make_request(f"{name}{i}", organisation=name, arrived_s=0.5)
+        for i in range(5)
+        for name in "ab"
+    ]
+    with mock.patch.object(queue_module, "Line", LINES[variant]):
+        fill(context, requests)
+        context.started = drain(context.queue)
+
+
+@then("the queue starts those of a and b among its first {among:d}: {verdict}")
+def among(context, among, verdict):
+    first = {item.organisation for item in context.started[:among]}
+    small = sum(item.organisation != "big" for item in context.started[:among])
+    assert (small == 10) == (verdict == "yes"), (small, first)
+
+
+@given("the queue holds 100 requests each of heavy and a in silver and of a in tin")
+def weighted(context):
+    kinds = [("silver", "heavy"), ("silver", "a"), ("tin", "a")]
+    fill(context, [make_request(f"{k}{i}", *k) for i in range(100) for k in kinds])
+
+
+@then("the queue's first 60 starts are of silver 3 times as often as of tin")
+def class_shares(context):
+    context.started = drain(context.queue, 60)
+    silver = sum(item.class_name == "silver" for item in context.started)
+    assert abs(silver - 45) <= 2, silver
+
+
+@then("the queue's first 40 starts of silver are of heavy 4 times as often as of a")
+def organisation_shares(context):
+    silver = [item for item in context.started if item.class_name == "silver"][:40]
+    heavy = sum(item.organisation == "heavy" for item in silver)
+    assert abs(heavy - 32) <= 2, heavy
+
+
+@given(
+    "the queue holds 100 requests each of a and b in gold, where a's answers are 3 times as long"
+)
+def uneven(context):
+    fill(context, [make_request(f"{o}{i}", "gold", o) for i in range(100) for o in "ab"])
+
+
+@then("the queue gives a and b about as many tokens")
+def even_tokens(context):
+    tokens = {"a": 0, "b": 0}
+    for _ in range(80):
+        (item,) = drain(context.queue, 1)
+        served = 300 if item.organisation == "a" else 100
+        tokens[item.organisation] += served
+        context.queue.finish(item.request_id, 0.0, served)
+    assert abs(tokens["a"] - tokens["b"]) <= 600, tokens
+
+
+LOADS = st.lists(st.sampled_from(["gold", "silver", "iron"]), min_size=8, max_size=40)
+
+
+@then("the queue with {variant} shedding keeps the order of tiers over random loads: {verdict}")
+def shedding(context, variant, verdict):
+    broken = []
+
+    @EXACT
+    @given_values(LOADS)
+    def run(names):
+        queue = QUEUES[variant](make_table(), 6)
+        for index, name in enumerate(names):
+            for shed in queue.push(make_request(str(index), name, arrived_s=index), index):
+                lower = any(item.tier > shed.request.tier for item in queue.waiting)
+                broken.extend([shed] if lower else [])
+            assert len(queue) <= 6
+
+    run()
+    assert bool(broken) == (verdict == "no")
+
+
+STEPS = st.lists(
+    st.tuples(
+        st.sampled_from(["push", "push", "push", "pop", "remove", "expire", "finish", "rebase"]),
+        st.sampled_from(["gold", "silver", "tin", "iron"]),
+        st.sampled_from(["a", "b", "big", "heavy"]),
+        st.integers(0, 30),
+    ),
+    max_size=60,
+)
+
+
+class Pair:
+    """A queue beside a plain list of what it should hold."""
+
+    def __init__(self):
+        self.queue, self.plain, self.running = Queue(make_table(), 1000), {}, []
+
+    def push(self, index, name, organisation, number):
+        request = make_request(str(index), name, organisation, float(number))
+        self.plain[request.request_id] = request
+        assert not self.queue.push(request, float(index))
+
+    def pop(self, index, *_):
+        best = self.queue.best(POOL, float(index))
+        assert (best is None) == (not self.plain)
+        if best:
+            assert best.tier == min(item.tier for item in self.plain.values())
+            self.running.append(self.queue.pop(best.request_id, float(index)))
+            del self.plain[best.request_id]
+
+    def remove(self, index, name, organisation, number):
+        assert self.queue.remove(str(number)) == self.plain.pop(str(number), None)
+
+    def expire(self, index, name, organisation, number):
+        gone = {key for key, item in self.plain.items() if item.give_up_s <= number}
+        assert {item.request_id for item in self.queue.expired(float(number))} == gone
+        self.plain = {key: item for key, item in self.plain.items() if key not in gone}
+
+    def finish(self, index, name, organisation, number):
+        if self.running:
+            self.queue.finish(self.running.pop().request_id, float(index), number)
+
+    def rebase(self, *_):
+        self.queue.rebase(make_table())
+
+    def check(self):
+        assert {item.request_id for item in self.queue.waiting} == set(self.plain)
+        told = {item.class_name: item for item in self.queue.demand(POOL, 0.0)}
+        for name in {item.class_name for item in [*self.plain.values(), *self.running]}:
+            mine = [item for item in self.plain.values() if item.class_name == name]
+            assert told[name].waiting == len(mine)
+            assert told[name].running == sum(item.class_name == name for item in self.running)
+            assert told[name].organisations == len({item.organisation for item in mine})
+            if mine:
+                assert told[name].oldest_s == -min(item.arrived_s for item in mine)
+                assert told[name].slack_s == min(item.deadline_s for item in mine)
+
+
+@then("the queue agrees with a plain list over random steps")
+def agrees(context):
+    @EXACT
+    @given_values(STEPS)
+    def run(steps):
+        pair = Pair()
+        for index, (step, *values) in enumerate(steps):
+            getattr(pair, step)(index, *values)
+            pair.check()
+
+    run()
