--- a/src/redwingbank_bench/rulearms.py
+++ b/src/redwingbank_bench/rulearms.py
@@ -120,16 +120,20 @@
 class AllocationArm(QueueArm):
     """Ours: one allocator, chosen among the hosts, gives slots that lapse."""
 
-    def __init__(self, world: World, minimum: bool = True) -> None:
+    allocator_type = Allocator
+    holdings_type = Holdings
+
+    def __init__(self, world: World) -> None:
         self.allocator_host = world.hosts[0]
         self.allocator: Allocator | None = None
+        self.rival: Allocator | None = None
+        self.split: dict[str, str] = {}
         self.number = 0
         self.paused = False
         self.tick_planned = False
-        self.minimum = minimum
         self.holdings_by_host: dict[str, Holdings] = {}
         for rank, host in enumerate(world.hosts):
-            holdings = Holdings(POOL, len(world.hosts))
+            holdings = self.holdings_type(POOL, len(world.hosts))
             holdings.set_fallback(world.capacity, len(world.hosts), rank)
             holdings.rebase(world.table)
             self.holdings_by_host[host] = holdings
@@ -140,11 +144,19 @@
     def start_allocator(self, host: str) -> None:
         """Put a new allocator, which knows nothing, on a host."""
         self.allocator_host = host
-        self.allocator = Allocator(POOL, TTL_S, self.number)
-        self.allocator.set_capacity(self.world.capacity, self.world.clock.now_s)
-        self.allocator.expect(self.world.hosts)
-        if self.minimum:
-            self.allocator.rebase(self.world.table)
+        self.allocator = self.new_allocator()
+
+    def new_allocator(self) -> Allocator:
+        """Make an allocator that knows the engines and the table, but no host's demand."""
+        allocator = self.allocator_type(POOL, TTL_S, self.number)
+        allocator.set_capacity(self.world.capacity, self.world.clock.now_s)
+        allocator.expect(self.world.hosts)
+        allocator.rebase(self.world.table)
+        return allocator
+
+    def owner_of(self, host: str) -> str:
+        """Name the host that a host takes for the owner; they differ while `split` says so."""
+        return self.split.get(host, self.allocator_host)
 
     def work(self, host: str) -> None:
         """Start by tier on the slots held, then tell the allocator if it is due."""
@@ -166,17 +178,24 @@
         classes = queue.demand(POOL, now_s)
         if holdings.due(classes, now_s, DEMAND_INTERVAL_S):
             self.number += 1
-            demand = holdings.demand(classes, self.number, now_s, self.allocator_host)
-            self.world.send(host, self.allocator_host, demand, lambda: self._observe(host, demand))
+            owner = self.owner_of(host)
+            demand = holdings.demand(classes, self.number, now_s, owner)
+            self.world.send(host, owner, demand, partial(self._observe, owner, host, demand))
 
     def _end(self, host: str, server: str) -> None:
         self.holdings_by_host[host].finish(server)
         self.work(host)
 
-    def _observe(self, host: str, demand: Demand) -> None:
-        if self.allocator is None or self.paused:
+    def _allocators(self) -> dict[str, Allocator]:
+        served = {self.allocator_host: self.allocator}
+        served |= dict.fromkeys(self.split.values(), self.rival)
+        return {host: allocator for host, allocator in served.items() if allocator is not None}
+
+    def _observe(self, owner: str, host: str, demand: Demand) -> None:
+        allocator = self._allocators().get(owner)
+        if allocator is None or self.paused:
             return
-        self.allocator.observe(host, demand, self.world.clock.now_s)
+        allocator.observe(host, demand, self.world.clock.now_s)
         if not self.tick_planned:
             self.tick_planned = True
             self.world.clock.after(TICK_GAP_S, self._tick)
@@ -187,19 +206,15 @@
 
     def _tick(self) -> None:
         self.tick_planned = False
-        if self.allocator is None or self.paused:
+        if self.paused:
             return
-        for host, allocation in self.allocator.allocate(self.world.clock.now_s).items():
-            self.world.send(
-                self.allocator_host,
-                host,
-                allocation,
-                partial(self._apply, host, allocation),
-            )
+        for owner, allocator in self._allocators().items():
+            for host, allocation in allocator.allocate(self.world.clock.now_s).items():
+                deliver = partial(self._apply, owner, host, allocation)
+                self.world.send(owner, host, allocation, deliver)
 
-    def _apply(self, host: str, allocation: Allocation) -> None:
-        now_s = self.world.clock.now_s
-        self.holdings_by_host[host].apply(allocation, now_s, self.allocator_host)
+    def _apply(self, owner: str, host: str, allocation: Allocation) -> None:
+        self.holdings_by_host[host].apply(allocation, self.world.clock.now_s, owner)
         self.work(host)
 
 
--- /dev/null
+++ b/tests/steps/rules_allocation.py
@@ -0,0 +1,388 @@
+"""Steps of rules/allocation.feature: hosts, engines and links in memory, on a clock passed in."""
+
+from __future__ import annotations
+
+from functools import partial
+from random import Random
+from unittest import mock
+
+from behave import given, then, when
+from hypothesis import given as given_values
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from decisions_support import POOL, make_request, make_table, waiting
+from redwingbank.messages import NO_SLACK_LIMIT_S
+from redwingbank.rules.allocator import Allocator
+from redwingbank.rules.grants import NO_FLOOR, HostAccount
+from redwingbank.rules.holdings import Holdings
+from redwingbank_bench.rulearms import TTL_S, AllocationArm
+from redwingbank_bench.rulefleet import Job, Link, World
+
+EXACT = settings(derandomize=True, deadline=None, max_examples=200, database=None)
+SEED = 7
+MEAN_TOKENS = 100
+SERVICE_S = (100 / 5000) + MEAN_TOKENS * 0.02
+
+
+class KeepingAllocator(Allocator):
+    """Never cuts a host."""
+
+    def _move_to_share(self, now_s):
+        pass
+
+    def _cut_one(self, account):
+        pass
+
+
+class KeepingHoldings(Holdings):
+    """Hands nothing back."""
+
+    def _surplus(self, classes, now_s):
+        return 0
+
+
+class OpenHoldings(KeepingHoldings):
+    """Knows no floor."""
+
+    def floor(self, now_s):
+        return NO_FLOOR
+
+    def slack_s(self, now_s):
+        return NO_SLACK_LIMIT_S
+
+
+class ReturnlessArm(AllocationArm):
+    allocator_type = KeepingAllocator
+    holdings_type = KeepingHoldings
+
+
+class FloorlessArm(AllocationArm):
+    holdings_type = OpenHoldings
+
+
+class SharelessArm(AllocationArm):
+    allocator_type = KeepingAllocator
+
+
+ARMS = {
+    "as built": AllocationArm,
+    "without return": ReturnlessArm,
+    "without floor": FloorlessArm,
+    "without minimum": AllocationArm,
+    "without shares": SharelessArm,
+}
+
+
+class Fleet:
+    """A world with one arm, and what started when."""
+
+    def __init__(self, hosts, engines, slots, variant):
+        table = make_table(iron={"minimum": 0.0 if variant == "without minimum" else 0.1})
+        names = [(f"e{index}", slots, 1.0) for index in range(engines)]
+        self.world = World(table, names, hosts, Link(loss=0.01), Random(SEED))
+        self.random = Random(SEED)
+        self.starts = []
+        self.use = []
+        self.work = 0
+        self.hosts_by_id = {}
+        for engine in self.world.engines_by_name.values():
+            engine.on_start = self._started
+        self.arm = ARMS[variant](self.world)
+        self._sample()
+
+    @property
+    def slots(self):
+        return sum(self.world.capacity.values())
+
+    def request(self, class_name, organisation, at_s, host):
+        self.work += 1
+        request = make_request(f"{self.work:05}", class_name, organisation, at_s)
+        request = request._replace(give_up_s=at_s + 600)
+        tokens = max(1, round(self.random.expovariate(1 / MEAN_TOKENS)))
+        self.hosts_by_id[request.request_id] = host
+        job = Job(request, tokens, 1.0)
+        self.world.clock.after(at_s, partial(self.arm.arrive, f"host-{host:02}", job))
+
+    def begun(self, class_name, since_s, until_s):
+        return [
+            at_s
+            for at_s, request in self.starts
+            if request.class_name == class_name and since_s <= at_s <= until_s
+        ]
+
+    def _started(self, job, first_token_s):
+        self.starts.append((self.world.clock.now_s, job.request))
+
+    def _sample(self):
+        engines = self.world.engines_by_name.values()
+        total = sum(engine.running + len(engine.backlog) for engine in engines)
+        over = max((e.running + len(e.backlog)) / e.slots for e in engines)
+        self.use.append((self.world.clock.now_s, total, over))
+        self.world.clock.after(0.05, self._sample)
+
+
+@given("a fleet of {hosts:d} hosts and {engines:d} engines of {slots:d} slots, {variant}")
+def fleet(context, hosts, engines, slots, variant):
+    context.fleet = Fleet(hosts, engines, slots, variant)
+
+
+@when('the fleet gets {count:d} {name} requests at {at_s:g} s on hosts "{hosts}"')
+def gets(context, count, name, at_s, hosts):
+    places = [int(host) for host in hosts.split()]
+    for index in range(count):
+        context.fleet.request(name, "big", at_s, places[index % len(places)])
+
+
+@when('the fleet gets {count:d} {name} requests of a at {at_s:g} s on hosts "{hosts}"')
+def gets_of_a(context, count, name, at_s, hosts):
+    places = [int(host) for host in hosts.split()]
+    for index in range(count):
+        context.fleet.request(name, "a", at_s, places[index % len(places)])
+
+
+@when("the fleet gets gold requests for {times:d} times its capacity from 0 s to {end_s:g} s")
+def overload(context, times, end_s):
+    rate = times * context.fleet.slots / SERVICE_S
+    for index in range(int(rate * end_s)):
+        context.fleet.request("gold", "a", index / rate, context.fleet.random.randrange(7))
+
+
+@when("the fleet gets an iron request each second from 0 s to {end_s:d} s")
+def trickle(context, end_s):
+    for second in range(end_s):
+        context.fleet.request("iron", "b", float(second), second % 7)
+
+
+@then("the fleet has every slot in use at {at_s:g} s: {verdict}")
+def all_used(context, at_s, verdict):
+    context.fleet.world.clock.run(at_s)
+    used = context.fleet.use[-1][1]
+    assert (used == context.fleet.slots) == (verdict == "yes"), used
+
+
+@then("the fleet starts no iron between {at_s:g} s and the last gold start: {verdict}")
+def no_iron(context, at_s, verdict):
+    fleet = context.fleet
+    fleet.world.clock.run(30.0)
+    gold = fleet.begun("gold", 0.0, 30.0)
+    assert len(gold) == 6, gold
+    iron = fleet.begun("iron", at_s, max(gold))
+    assert (not iron) == (verdict == "yes"), (iron, gold)
+
+
+@then("the fleet gives iron 5% to 15% of its slots from {since_s:g} s to {until_s:g} s: {verdict}")
+def iron_share(context, since_s, until_s, verdict):
+    fleet = context.fleet
+    fleet.world.clock.run(until_s)
+    part = len(fleet.begun("iron", since_s, until_s)) * SERVICE_S
+    part /= fleet.slots * (until_s - since_s)
+    assert (0.05 <= part <= 0.15) == (verdict == "yes"), part
+
+
+@then(
+    "the fleet starts an iron request at least each {gap_s:g} s "
+    "from 0 s to {until_s:g} s: {verdict}"
+)
+def iron_gaps(context, gap_s, until_s, verdict):
+    times = [0.0, *context.fleet.begun("iron", 0.0, until_s), until_s]
+    longest_s = max(later - earlier for earlier, later in zip(times, times[1:], strict=False))
+    assert (longest_s <= gap_s) == (verdict == "yes"), longest_s
+
+
+@then("the fleet starts those of a within {limit_s:g} s: {verdict}")
+def of_a(context, limit_s, verdict):
+    fleet = context.fleet
+    fleet.world.clock.run(5.0 + limit_s)
+    of_a = [at_s for at_s, request in fleet.starts if request.organisation == "a"]
+    assert (len(of_a) == 8) == (verdict == "yes"), of_a
+
+
+def lose(fleet):
+    fleet.world.link = Link(loss=0.3)
+
+
+def delay(fleet):
+    fleet.world.link = Link(delay_s=0.5, jitter_s=0.1)
+
+
+def heal(fleet):
+    fleet.world.link = Link(loss=0.01)
+    fleet.world.cut.clear()
+    fleet.arm.paused = False
+
+
+def pause(fleet):
+    fleet.arm.paused = True
+
+
+def stop(fleet):
+    fleet.arm.allocator = None
+
+
+def restart(fleet):
+    fleet.arm.start_allocator(fleet.arm.allocator_host)
+
+
+def second(fleet):
+    """Half the hosts take another host's allocator to be theirs."""
+    fleet.arm.split = dict.fromkeys(fleet.world.hosts[3:], "host-06")
+    fleet.arm.rival = fleet.arm.new_allocator()
+
+
+def cut(fleet):
+    fleet.world.cut.add("host-03")
+
+
+def rejoin(fleet):
+    fleet.arm.split = {}
+
+
+FAULTS = {
+    "links that lose 30 of 100": (lose, heal),
+    "links that delay by 0.5 s": (delay, heal),
+    "no allocator": (stop, restart),
+    "a paused allocator": (pause, heal),
+    "two allocators": (second, rejoin),
+    "a host cut off": (cut, heal),
+    "a restarted allocator": (restart, heal),
+}
+
+
+@given("the fleet has {fault} from {since_s:g} s to {until_s:g} s")
+def has_fault(context, fault, since_s, until_s):
+    begin, end = FAULTS[fault]
+    context.fleet.world.clock.after(since_s, partial(begin, context.fleet))
+    context.fleet.world.clock.after(until_s, partial(end, context.fleet))
+
+
+@then("the fleet has at most {times:g} times its slots in use up to {until_s:g} s")
+def at_most(context, times, until_s):
+    context.fleet.world.clock.run(until_s)
+    worst = max(context.fleet.use, key=lambda sample: sample[2])
+    most = max(total for _, total, _ in context.fleet.use)
+    assert most <= times * context.fleet.slots, (most, worst)
+
+
+@then("the fleet starts work on every host from {since_s:g} s to {until_s:g} s")
+def every_host(context, since_s, until_s):
+    fleet = context.fleet
+    begun = {
+        fleet.hosts_by_id[request.request_id]
+        for at_s, request in fleet.starts
+        if since_s <= at_s <= until_s
+    }
+    assert begun == set(range(7)), begun
+
+
+@then("the fleet has exactly its slots in use at {at_s:g} s")
+def exactly(context, at_s):
+    late = [total for now_s, total, _ in context.fleet.use if at_s - 5 <= now_s <= at_s]
+    assert max(late) <= context.fleet.slots, max(late)
+    assert sum(late) / len(late) >= 0.95 * context.fleet.slots, sum(late) / len(late)
+
+
+class ForgetfulAccount(HostAccount):
+    """Counts only what a host last said."""
+
+    def in_use(self):
+        return self._claimed()
+
+
+ACCOUNTS = {"as built": HostAccount, "that forget what is due": ForgetfulAccount}
+MOVES = st.lists(
+    st.tuples(
+        st.sampled_from(["demand", "hear", "lose", "tick", "take", "take", "finish", "want"]),
+        st.integers(0, 2),
+        st.integers(0, 5),
+    ),
+    min_size=20,
+    max_size=120,
+)
+
+
+class Table3:
+    """Three hosts, two servers and every message in flight, delivered in any order or never."""
+
+    capacity = {"e1": 3, "e2": 2}
+
+    def __init__(self):
+        self.now_s = 0.0
+        self.number = 0
+        self.allocator = Allocator(POOL, TTL_S)
+        self.allocator.set_capacity(self.capacity, 0.0)
+        self.allocator.expect("012")
+        self.holdings = [Holdings(POOL, 3) for _ in range(3)]
+        self.wants = [1, 1, 1]
+        self.heard_s = [0.0, 0.0, 0.0]
+        self.messages = []
+        for host in range(3):
+            self.demand(host, 0)
+            self.hear(host, 0)
+
+    def demand(self, host, _):
+        self.number += 1
+        classes = (waiting("gold", self.wants[host]),) if self.wants[host] else ()
+        demand = self.holdings[host].demand(classes, self.number, self.now_s)
+        self.messages.append((self.now_s, host, demand))
+
+    def hear(self, host, index):
+        if not self.messages:
+            return
+        sent_s, receiver, message = self.messages.pop(index % len(self.messages))
+        if hasattr(message, "classes"):
+            self.allocator.observe(str(receiver), message, self.now_s)
+            self.heard_s[receiver] = max(self.heard_s[receiver], sent_s)
+        else:
+            self.holdings[receiver].apply(message, self.now_s)
+
+    def lose(self, host, index):
+        if self.messages:
+            self.messages.pop(index % len(self.messages))
+
+    def tick(self, *_):
+        for host, allocation in self.allocator.allocate(self.now_s).items():
+            self.messages.append((self.now_s, int(host), allocation))
+
+    def take(self, host, index):
+        free = sorted(self.holdings[host].free(self.now_s))
+        if free:
+            self.holdings[host].take(free[index % len(free)])
+
+    def finish(self, host, index):
+        running = sorted(self.holdings[host].running())
+        if running:
+            self.holdings[host].finish(running[index % len(running)])
+
+    def want(self, host, count):
+        self.wants[host] = count
+
+    def within_slots(self):
+        if any(self.now_s - heard_s > TTL_S for heard_s in self.heard_s):
+            return True
+        total = dict.fromkeys(self.capacity, 0)
+        for holdings in self.holdings:
+            for counts in (holdings.free(self.now_s), holdings.running()):
+                for server, count in counts.items():
+                    total[server] += count
+        return all(total[server] <= slots for server, slots in self.capacity.items())
+
+
+@then(
+    "a fleet of 3 hosts with accounts {variant} keeps within slots over random messages: {verdict}"
+)
+def random_messages(context, variant, verdict):
+    broken = []
+
+    @EXACT
+    @given_values(MOVES)
+    def run(moves):
+        fleet = Table3()
+        for move, host, index in moves:
+            fleet.now_s += 0.02
+            getattr(fleet, move)(host, index)
+            broken.extend([] if fleet.within_slots() else [moves])
+
+    with mock.patch("redwingbank.rules.allocator.HostAccount", ACCOUNTS[variant]):
+        run()
+    assert bool(broken) == (verdict == "no"), broken[:1]
