--- a/src/redwingbank_bench/readers.py
+++ b/src/redwingbank_bench/readers.py
@@ -24,7 +24,7 @@
     def __init__(self, address: str, key: str, seconds: float) -> None:
         self._url = f"http://{address}/v1/chat/completions"
         self._headers: dict[bytes | str, bytes | str] = {"Authorization": f"Bearer {key}"}
-        start_s = time.monotonic()
+        self._start_s = start_s = time.monotonic()
         self._from_s = start_s + seconds * WARM_UP
         self._until_s = start_s + seconds * (1 - COOL_DOWN)
         self._end_s = start_s + seconds
@@ -38,8 +38,13 @@
                 async with anyio.create_task_group() as group:
                     for number in range(streams):
                         group.start_soon(self._read, pool, number)
+                        await anyio.sleep(self._spacing_s(streams))
         return self.tokens / (self._until_s - self._from_s)
 
+    def _spacing_s(self, streams: int) -> float:
+        """Spread the opening of streams over the first half of the warm-up."""
+        return (self._from_s - self._start_s) / 2 / streams
+
     async def _read(self, pool: httpcore.AsyncConnectionPool, number: int) -> None:
         text = f"length=100000 stream {number} of {self._end_s}"
         body = {"model": MODEL, "stream": True, "max_tokens": 100_000}
@@ -53,7 +58,7 @@
                         self.tokens += chunk.count(MARK)
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
             pass
-        self.broken += 1
+        self.broken += 1  # only cancellation ends a reader that did not break
 
 
 @app.default
