Let suspects of one crash take turns, so that no two meet at a server

Cause, seen in a trial on 3 daemons and 5 engines: after a crash each host retried its suspects at once at the least loaded engine, which was the same for all; the poison's second crash took an innocent of another host with it, and both were put in quarantine, since nothing tells them apart (1 of 20 answers broken). Ruled out: choosing at random, which only makes it rarer. Change: a suspect waits 0.25 s until all have heard, then 0.1 s for each suspect of the crash before it; a trial counts as outlived after 2 s, not 3.

--- a/src/redwingbank/rules/quarantine.py
+++ b/src/redwingbank/rules/quarantine.py
@@ -25,7 +25,9 @@
 DEFAULT_TTL_S = 600.0
 TRIAL_WAIT_S = 5.0
 RENEW_S = 2.0
-OUTLIVE_S = 3.0
+OUTLIVE_S = 2.0
+SPREAD_S = 0.25
+TURN_S = 0.1
 MOST_FINGERPRINTS = 10_000
 MOST_EXPLAINED = 1000
 CRASH = 0.0
@@ -92,9 +94,12 @@
     """Fingerprints that crash backend servers, counted over hosts and resends.
 
     What is in flight at a server when it crashes becomes suspect. The host that saw the crash
-    may run a suspect once more, alone among suspects; other hosts wait meanwhile. If the run
-    ends whole the suspect is cleared. If its server crashes too it is in quarantine for
-    `ttl_s`, and what shared only crashes that it explains is cleared. Where several suspects
+    may run a suspect once more, alone among suspects; other hosts wait meanwhile. Should two
+    suspects meet at a server, nobody could lay its next crash to one of them: so the suspects of
+    a crash take turns, by fingerprint, once every host has heard of them.
+
+    If the run ends whole the suspect is cleared. If its server crashes too it is in quarantine
+    for `ttl_s`, and what shared only crashes that it explains is cleared. Where several suspects
     were at the second crash, one that had outlived `OUTLIVE_S` there is not the cause.
 
     Every change answers notices for the other hosts. A notice's time left dates its cause, so
@@ -178,10 +183,11 @@
         return Suspect(crashed, self._busy(now_s))
 
     def renewals(self, now_s: float) -> list[Notice]:
-        """Tell other hosts, every `RENEW_S`, of suspects that are still being tried."""
+        """Tell other hosts, every `RENEW_S`, of suspects still tried; forget what is past."""
         if now_s - self._renewed_s < RENEW_S:
             return []
         self._renewed_s = now_s
+        self._forget_idle(now_s)
         return [
             self._trial(run, server)
             for server, runs in self._run_by_id_by_server.items()
@@ -250,7 +256,17 @@
         )
         if suspicion.crashes and here:
             return TRIAL_WAIT_S
-        return suspicion.tried_until_s - now_s
+        turn_s = self._turn_s(fingerprint, suspicion) if suspicion.crashes else NEVER_S
+        return max(suspicion.tried_until_s, turn_s) - now_s
+
+    def _turn_s(self, fingerprint: str, suspicion: Suspicion) -> float:
+        """Time of a suspect's turn among those that shared its last crash."""
+        crash = suspicion.crashes[-1]
+        turn = sum(
+            other < fingerprint and any(crash.same(one) for one in held.crashes)
+            for other, held in self._suspicion_by_fingerprint.items()
+        )
+        return crash.at_s + SPREAD_S + TURN_S * turn
 
     def _busy(self, now_s: float) -> frozenset[str]:
         """Servers where a suspect is being tried and has not outlived its trial."""
@@ -276,6 +292,11 @@
             self._suspicion_by_fingerprint.popitem(last=False)
         return suspicion
 
+    def _forget_idle(self, now_s: float) -> None:
+        known = self._suspicion_by_fingerprint
+        for name in [name for name, suspicion in known.items() if suspicion.idle(now_s)]:
+            del known[name]
+
     def _release(self, fingerprint: str, at_s: float) -> None:
         suspicion = self._suspicion(fingerprint)
         suspicion.quarantined_until_s = NEVER_S
--- a/src/redwingbank/rules/suspicion.py
+++ b/src/redwingbank/rules/suspicion.py
@@ -61,6 +61,11 @@
         crashes_s = max((crash.at_s + SUSPECT_TTL_S for crash in self.crashes), default=NEVER_S)
         return max(crashes_s, self.quarantined_until_s)
 
+    def idle(self, now_s: float) -> bool:
+        """Tell whether nothing is held against it and no late news of it can matter."""
+        cleared_long_ago = now_s > self.cleared_s + SUSPECT_TTL_S
+        return cleared_long_ago and max(self.until_s(now_s), self.tried_until_s) < now_s
+
     def guilty(self, now_s: float) -> bool:
         """Tell whether it is in quarantine, or has the crashes for it."""
         self.expire(now_s)
