Spread notices of one moment together, count shed ones as unsent, and blame nobody for a dead server

Causes, read off the merged time line: - heartbeats shed over the byte budget used up the notices' sends: quarantined was never heard by others. Now a shed message's notices count as not sent, and those of one moment share messages. - a host that had not seen an engine crash sent to it still; the broken connection counted as one more crash, made its requests culprits and cleared the poison. Now a crash told by another host ejects, and a run begun just after a server's crash is not blamed. - a culprit's crashes cleared others that had crashes enough themselves. Now they keep them. - turns of 0.1 s were shorter than notices take (67 ms and a 50 ms tick): now 0.25 s. Ruled out: loss of datagrams.

--- a/src/redwingbank/rules/fleet.py
+++ b/src/redwingbank/rules/fleet.py
@@ -178,6 +178,13 @@
             known.breaker.failed("", now_s, now_s)
             self._touched.add(server)
 
+    def crashed_elsewhere(self, server: str, now_s: float) -> None:
+        """Eject a server that another host saw crash; one with requests of ours tells itself."""
+        known = self._server_by_name.get(server)
+        if known is not None and not known.sent_by_id:
+            known.breaker.crashed("", now_s, now_s)
+            self._touched.add(server)
+
     def drain(self, server: str, until_s: float) -> None:
         """Give a server nothing new until a time, as a notice or an operator says."""
         known = self._server_by_name.get(server)
--- a/src/redwingbank/rules/membership.py
+++ b/src/redwingbank/rules/membership.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -182,9 +183,16 @@
 
     def announce(self, notice: Notice, now_s: float) -> list[Outgoing]:
         """Spread a notice of our own."""
-        if not self.notices.learn(notice, len(self.roster.by_host) + 1, now_s):
-            return []
-        return self._push(PUSHES, now_s)
+        return self.announce_all((notice,), now_s)
+
+    def announce_all(self, notices: Iterable[Notice], now_s: float) -> list[Outgoing]:
+        """Spread notices of our own, those of one moment in as few messages as hold them."""
+        hosts = len(self.roster.by_host) + 1
+        news = sum(self.notices.learn(notice, hosts, now_s) for notice in notices)
+        sent: list[Outgoing] = []
+        for _ in range(math.ceil(news / NOTICES_PER_HEARTBEAT)):
+            sent.extend(self._push(PUSHES, now_s))
+        return sent
 
     def leave(self, now_s: float) -> list[Outgoing]:
         """Tell a few members that we are leaving; call again to tell more."""
--- a/src/redwingbank/rules/notices.py
+++ b/src/redwingbank/rules/notices.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from redwingbank.messages import Notice
 
 SENDS_PER_LOG_HOST = 3
@@ -57,6 +59,14 @@
             self._kept_by_key[key] = kept._replace(sends_left=kept.sends_left - 1)
         return tuple(_aged(kept, now_s) for _, kept in waiting[:count])
 
+    def unsent(self, notices: Iterable[Notice]) -> None:
+        """Count a passing on as not done, where its message never left."""
+        for notice in notices:
+            key = (notice.kind, notice.subject, notice.origin)
+            kept = self._kept_by_key.get(key)
+            if kept and kept.notice.number == notice.number:
+                self._kept_by_key[key] = kept._replace(sends_left=kept.sends_left + 1)
+
     def all(self, now_s: float, kind: str = "") -> tuple[Notice, ...]:
         """Every notice in force, or those of one kind."""
         self._expire(now_s)
--- a/src/redwingbank/rules/quarantine.py
+++ b/src/redwingbank/rules/quarantine.py
@@ -12,6 +12,7 @@
     CLEARED_TTL_S,
     CRASHES_TO_QUARANTINE,
     NEVER_S,
+    SAME_CRASH_S,
     SUSPECT_TTL_S,
     Crash,
     Suspicion,
@@ -27,7 +28,7 @@
 RENEW_S = 2.0
 OUTLIVE_S = 2.0
 SPREAD_S = 0.25
-TURN_S = 0.1
+TURN_S = 0.25
 MOST_FINGERPRINTS = 10_000
 MOST_EXPLAINED = 1000
 CRASH = 0.0
@@ -125,6 +126,7 @@
         self._suspicion_by_fingerprint: OrderedDict[str, Suspicion] = OrderedDict()
         self._explained: deque[Crash] = deque(maxlen=MOST_EXPLAINED)
         self._tried_until_s_by_server: dict[str, float] = {}
+        self._crash_s_by_server: dict[str, float] = {}
         self._renewed_s = NEVER_S
 
     def started(self, server: str, request: Request, now_s: float) -> list[Notice]:
@@ -154,16 +156,30 @@
         return notices
 
     def crashed(self, server: str, now_s: float) -> list[Notice]:
-        """Hold a server's crash against what is in flight there; each run is blamed once."""
+        """Hold a server's crash against what is in flight there; each run is blamed once.
+
+        What was sent to a server that had crashed already, a moment ago, is not blamed: that
+        server had not come back.
+        """
         runs = self._run_by_id_by_server.get(server, {})
-        fresh = [run for run in runs.values() if run.fingerprint and not run.blamed]
+        down_s = self._crash_s_by_server.get(server, NEVER_S)
+        still_down = now_s - down_s < SAME_CRASH_S
+        fresh = [
+            run
+            for run in runs.values()
+            if run.fingerprint and not run.blamed and not (still_down and run.started_s > down_s)
+        ]
         for request_id, run in runs.items():
             runs[request_id] = run._replace(blamed=True)
         crash = Crash(server, now_s, self._host)
+        if not still_down:
+            self._crash_s_by_server[server] = now_s
         fingerprints = sorted({run.fingerprint for run in fresh})
         blamed = [name for name in fingerprints if self._blame(name, crash)]
-        guilty = self._guilty(fresh, blamed, now_s)
-        notices = [notice for name in guilty for notice in self._quarantine(name, now_s)]
+        enough = [name for name in blamed if self._suspicion(name).guilty(now_s)]
+        guilty = self._just_tried(fresh, enough, now_s) or enough
+        outlived = frozenset(enough) - frozenset(guilty)
+        notices = [note for name in guilty for note in self._quarantine(name, outlived, now_s)]
         held = [name for name in blamed if self._suspicion_by_fingerprint[name].crashes]
         return [self._suspect(name, crash, now_s) for name in held] + notices
 
@@ -200,6 +216,13 @@
         if notice.origin != self._host and notice.kind in _LEARN_BY_KIND:
             _LEARN_BY_KIND[Kind(notice.kind)](self, notice, now_s)
 
+    def crash_told(self, notice: Notice) -> str:
+        """Name the server that a notice says has crashed just now, if it says so."""
+        just_now = notice.ttl_s > SUSPECT_TTL_S - SAME_CRASH_S
+        if notice.kind != Kind.SUSPECT or notice.value != CRASH or not just_now:
+            return ""
+        return notice.subject.rpartition(SEPARATOR)[2]
+
     def release(self, fingerprint: str, now_s: float) -> list[Notice]:
         """Let a fingerprint run again, as an operator orders; tells the other hosts."""
         self._release(fingerprint, now_s)
@@ -219,33 +242,35 @@
             return False
         return self._suspicion(fingerprint).add(crash)
 
-    def _guilty(self, runs: list[_Run], blamed: list[str], now_s: float) -> list[str]:
-        """Pick those with crashes enough for quarantine; the ones just tried, where any was."""
-        enough = [name for name in blamed if self._suspicion(name).guilty(now_s)]
+    def _just_tried(self, runs: list[_Run], names: list[str], now_s: float) -> list[str]:
+        """Pick those that had not outlived their trial."""
         young = {run.fingerprint for run in runs if now_s - run.started_s < OUTLIVE_S}
-        return [name for name in enough if name in young] or enough
+        return [name for name in names if name in young]
 
-    def _quarantine(self, fingerprint: str, now_s: float) -> list[Notice]:
+    def _quarantine(
+        self, fingerprint: str, outlived: frozenset[str], now_s: float
+    ) -> list[Notice]:
         suspicion = self._suspicion(fingerprint)
         if now_s < suspicion.quarantined_until_s:
             return []
         suspicion.quarantined_until_s = now_s + self._ttl_s
-        cleared = self._acquit(suspicion, now_s)
-        told = [self._notice(Kind.CLEARED, name, CLEARED_TTL_S) for name in cleared]
-        return [self._notice(Kind.QUARANTINED, fingerprint, self._ttl_s), *told]
+        self._acquit(suspicion, now_s, outlived)
+        return [self._notice(Kind.QUARANTINED, fingerprint, self._ttl_s)]
 
-    def _acquit(self, culprit: Suspicion, now_s: float) -> list[str]:
-        """Drop crashes that a culprit explains from all others; name those thereby cleared."""
+    def _acquit(
+        self, culprit: Suspicion, now_s: float, outlived: frozenset[str] = frozenset()
+    ) -> None:
+        """Drop crashes that a culprit explains from all others; each host does so by itself.
+
+        One with crashes enough for quarantine keeps them, unless it outlived its trial.
+        """
         if len(culprit.crashes) < CRASHES_TO_QUARANTINE:
-            return []
+            return
         self._explained.extend(culprit.crashes)
-        return [
-            fingerprint
-            for fingerprint, suspicion in self._suspicion_by_fingerprint.items()
-            if suspicion is not culprit
-            and now_s >= suspicion.quarantined_until_s
-            and suspicion.drop(culprit.crashes)
-        ]
+        for fingerprint, suspicion in self._suspicion_by_fingerprint.items():
+            kept = suspicion.guilty(now_s) and fingerprint not in outlived
+            if suspicion is not culprit and not kept:
+                suspicion.drop(culprit.crashes)
 
     def _wait_s(self, fingerprint: str, suspicion: Suspicion, now_s: float) -> float:
         """Seconds until this host may run it: while a suspect is tried, no other run begins."""
@@ -324,6 +349,8 @@
             self._tried_until_s_by_server[server] = until_s - TRIAL_WAIT_S + OUTLIVE_S
             return
         crash = Crash(server, now_s - (SUSPECT_TTL_S - notice.ttl_s), notice.origin)
+        if crash.at_s - self._crash_s_by_server.get(server, NEVER_S) > SAME_CRASH_S:
+            self._crash_s_by_server[server] = crash.at_s
         origins = {known.origin for known in suspicion.crashes if known.same(crash)}
         if self._blame(fingerprint, crash) or notice.origin < min(origins, default=""):
             suspicion.tried_until_s = max(suspicion.tried_until_s, crash.at_s + TRIAL_WAIT_S)
--- a/src/redwingbank/rules/suspicion.py
+++ b/src/redwingbank/rules/suspicion.py
@@ -39,12 +39,12 @@
         self.crashes.append(crash)
         return True
 
-    def drop(self, explained: list[Crash]) -> bool:
-        """Drop crashes that another fingerprint explains; tell whether that cleared it."""
+    def drop(self, explained: list[Crash]) -> None:
+        """Drop crashes that another fingerprint explains."""
         kept = [crash for crash in self.crashes if not any(crash.same(one) for one in explained)]
-        cleared = bool(self.crashes) and not kept
+        if self.crashes and not kept:
+            self.tried_until_s = NEVER_S
         self.crashes = kept
-        return cleared
 
     def clear(self, at_s: float) -> None:
         """Drop what was held against it up to a time; news of that, if late, is ignored."""
@@ -76,6 +76,7 @@
     "CLEARED_TTL_S",
     "CRASHES_TO_QUARANTINE",
     "NEVER_S",
+    "SAME_CRASH_S",
     "SUSPECT_TTL_S",
     "Crash",
     "Suspicion",
--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -185,6 +185,10 @@
             self._fleet.drain(notice.subject, now_s + notice.ttl_s)
             return
         self._quarantine.learn(notice, now_s)
+        crashed = self._quarantine.crash_told(notice)
+        if crashed:
+            self._fleet.crashed_elsewhere(crashed, now_s)
+            self._slots.capacity_changed(now_s)
 
     @handle.register(Reported)
     def _on_reported(self, reported: Reported) -> None:
--- a/src/redwingbank/tasks/members.py
+++ b/src/redwingbank/tasks/members.py
@@ -4,6 +4,7 @@
 
 import math
 import time
+from contextlib import suppress
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -129,12 +130,26 @@
                 with anyio.move_on_after(max(tick_s - self._now(), 0)):
                     message = await self._receive.receive()
                 if message is not None:
-                    await self._take(message, outbox)
+                    await self._take_all(message, outbox)
                 if self._now() >= tick_s:
                     tick_s = max(tick_s + self._settings.heartbeat_s, self._now())
                     await self._tick(group)
                 self._publish(outbox)
 
+    async def _take_all(
+        self, message: MembersInput, outbox: MemoryObjectSendStream[MembersOutput]
+    ) -> None:
+        """Take a message and all that wait behind it; our own notices are spread together."""
+        messages = [message]
+        with suppress(anyio.WouldBlock):
+            while True:
+                messages.append(self._receive.receive_nowait())
+        for one in messages:
+            if not isinstance(one, Notice):
+                await self._take(one, outbox)
+        notices = [one for one in messages if isinstance(one, Notice)]
+        await self._send_all(self._membership.announce_all(notices, self._now()))
+
     async def _take(
         self, message: MembersInput, outbox: MemoryObjectSendStream[MembersOutput]
     ) -> None:
@@ -147,8 +162,6 @@
             case Leave():
                 self._leave_ticks = LEAVE_PERIODS
                 await self._send_all(self._membership.leave(now_s))
-            case Notice():
-                await self._send_all(self._membership.announce(message, now_s))
             case _Copied(copy):
                 self._copying = False
                 if copy:
@@ -199,7 +212,8 @@
 
     async def _send_all(self, outgoing: list[Outgoing]) -> None:
         for address, heartbeat in outgoing:
-            await self._send(address, heartbeat)
+            if not await self._send(address, heartbeat):
+                self._membership.notices.unsent(heartbeat.notices)
 
     def _publish(self, outbox: MemoryObjectSendStream[MembersOutput]) -> None:
         membership = self._membership
--- a/tests/rules/fleet.feature
+++ b/tests/rules/fleet.feature
@@ -57,6 +57,8 @@
       | 1 sent a r1; 1 sent a r2; 2 crashed a r1; 2.9 crashed a r2      | 3.3  | half-open |
       | 1 sent a r1; 1 sent a r2; 2 crashed a r1; 4 done a r2           | 4    | half-open |
       | 1 sent a r1; 1 sent a r2; 2 crashed a r1; 4 sent a t; 5 done a t; 6 crashed a r2 | 6 | serving |
+      | 1 elsewhere a                                                   | 1    | ejected   |
+      | 1 sent a r1; 2 elsewhere a                                      | 2    | serving   |
       | 1 gone a                                                        | 2    | ejected   |
 
   Scenario: each change of state is told once
--- a/tests/steps/rules_fleet.py
+++ b/tests/steps/rules_fleet.py
@@ -91,6 +91,8 @@
         fleet.rebase([*rows.values(), *([row(server, state=rest[0])] if rest else [])])
     elif verb == "drain":
         fleet.drain(server, float(rest[0]))
+    elif verb == "elsewhere":
+        fleet.crashed_elsewhere(server, at_s)
     elif verb == "unreachable":
         fleet.unreachable(server, at_s)
     elif verb == "sent":
