--- a/src/redwingbank/ports/codec.py
+++ b/src/redwingbank/ports/codec.py
@@ -143,6 +143,7 @@
     _write_counts(body, "slots", message.slots)
     _write_uses(body, "limits", message.limits)
     _write_counts(body, "turns", message.turns)
+    body.slackMs = _signed_milliseconds(message.slack_s)
 
 
 @write.register
@@ -213,6 +214,7 @@
         _read_counts(body.slots),
         _read_uses(body.limits),
         _read_counts(body.turns),
+        body.slackMs / MILLISECONDS,
     )
 
 
--- a/src/redwingbank/rules/policy.py
+++ b/src/redwingbank/rules/policy.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.rules.holdings import Holdings
@@ -45,6 +46,7 @@
         now_s: float,
         floor: int = LOWEST_TIER,
         turns: Mapping[str, int] | None = None,
+        slack_s: float = math.inf,
     ) -> Request | None:
         """Choose the request that has waited longest."""
         waiting = [item for item in self._waiting_by_id.values() if item.pool == pool]
@@ -64,6 +66,7 @@
         now_s: float,
         floor: int = LOWEST_TIER,
         turns: Mapping[str, int] | None = None,
+        slack_s: float = math.inf,
     ) -> Request | None:
         """Choose any request."""
         waiting = [item for item in self._waiting_by_id.values() if item.pool == pool]
--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -391,7 +391,13 @@
         free = holdings.free(now_s)
         if not free:
             return False
-        request = self._queue.best(pool, now_s, holdings.floor(now_s), holdings.turns(now_s))
+        request = self._queue.best(
+            pool,
+            now_s,
+            holdings.floor(now_s),
+            holdings.turns(now_s),
+            holdings.slack_s(now_s),
+        )
         if request is None:
             return False
         ticket = self._ticket_by_id[request.request_id]
