--- a/src/redwingbank/ctl/timeline.py
+++ b/src/redwingbank/ctl/timeline.py
@@ -5,51 +5,54 @@
 import json
 import sys
 from pathlib import Path  # noqa: TC003 - cyclopts reads it when the program runs
-from typing import TYPE_CHECKING, Annotated, Any
-
-from cyclopts import Parameter
+from typing import TYPE_CHECKING, Any
 
+from redwingbank.ctl.hosts import Authority, KeyFile  # noqa: TC001 - cyclopts reads it
 from redwingbank.ctl.moments import Filter, Moment, TimeLine, merge
 from redwingbank.ctl.picture import draw
-from redwingbank.ctl.records import Read, read_files
-from redwingbank.errors import EXIT_FAULT, EXIT_USAGE
+from redwingbank.ctl.sources import Daemons, Files, read_sources
+from redwingbank.ctl.tables import AsJson  # noqa: TC001 - cyclopts reads it
+from redwingbank.errors import EXIT_FAULT
 
 if TYPE_CHECKING:
+    from redwingbank.ctl.records import Read
     from redwingbank.ctl.skew import Skew
 
 OK = 0
 
-AsJson = Annotated[bool, Parameter(name="--json")]
-
 
 def timeline(
-    files: list[Path],
+    files: Files = None,
     /,
     *,
+    daemons: Daemons = None,
     request: str = "",
     server: str = "",
     host: str = "",
     as_json: AsJson = False,
     svg: Path | None = None,
+    key_file: KeyFile = None,
+    ca: Authority = None,
 ) -> int:
     """Merge event records of all processes onto one line of time.
 
     Clock skew between hosts is estimated from events seen by both, and told with its bounds.
 
-    Example: redwingctl timeline /var/log/redwingbank/*.jsonl --server engine-2
+    Example: redwingctl timeline --from 10.0.0.1:8080 --from 10.0.1.1:8080 --server engine-2
 
     Exit codes: 0 shown, 1 no record matches, 2 a file can't be read.
 
-    :param files: event records, one file or more
+    :param files: event records, any number of files
+    :param daemons: a running daemon's IP:port, for its recent records; may be given again
     :param request: show one request, by the start of its id
     :param server: show one backend server
     :param host: show one host
     :param as_json: write JSON instead of text
     :param svg: write a picture to this file as well
+    :param key_file: the operators' key; else REDWINGCTL_KEY
+    :param ca: a PEM file of the authority to trust, for https:// daemons
     """
-    read = read_or_tell(files)
-    if read is None:
-        return EXIT_USAGE
+    read = read_sources(files, daemons, key_file, ca)
     line = merge(read.records)
     wanted = Filter(request, server, host)
     shown = [moment for moment in line.moments if wanted.shows(moment.record)]
@@ -61,15 +64,6 @@
     return OK if shown else EXIT_FAULT
 
 
-def read_or_tell(files: list[Path]) -> Read | None:
-    """Read the files; where one can't be read say so in a line and return none."""
-    try:
-        return read_files(files)
-    except OSError as error:
-        print(f"redwingctl: {error.filename}: {error.strerror}; check the path", file=sys.stderr)
-        return None
-
-
 def as_text(shown: list[Moment], line: TimeLine, read: Read) -> str:
     """Write skews first, then a line a moment; an effect names its cause's host."""
     rows = [f"# {skew.text()}" for skew in line.skews.by_host.values()]
@@ -118,4 +112,4 @@
     }
 
 
-__all__ = ["AsJson", "as_data", "as_text", "read_or_tell", "timeline"]
+__all__ = ["as_data", "as_text", "timeline"]
