Record calls that may run once at most in a state table of their own

Cause: the interim recorder lost outcomes on an unanswered write, deleted what did not run (a create that lands late then blocks the key) and kept records for ever. Hypothesis (derandomized, 200 examples of 40 steps): no fault, both variants caught.

--- /dev/null
+++ b/src/redwingbank/tasks/expiry.py
@@ -0,0 +1,63 @@
+"""Removal of expired idempotency records, a small part of them at a time."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from redwingbank.ports.platform import Stored, Unknown
+from redwingbank.rules.idempotency import SHARDS, RecordError, decode_record, shard_name
+from redwingbank.rules.rendezvous import weight
+
+if TYPE_CHECKING:
+    from redwingbank.ports.platform import Platform
+
+READS_PER_TICK = 16
+TICKS_PER_SHARD = 4
+
+
+class Expiry:
+    """Looks through one shard after another; a host starts at a place of its own.
+
+    With `hosts` daemons at work each looks once in so many ticks, so that the whole costs the
+    platform the same however many there are.
+    """
+
+    def __init__(self, platform: Platform, host: str) -> None:
+        self.hosts = 1
+        self._platform = platform
+        self._shard = weight("expiry", host) % SHARDS
+        self._ticks = 0
+        self._from = ""
+
+    async def tick(self, wall_s: float) -> int:
+        """Remove what has expired among the next few records; gives how many went."""
+        self._ticks += 1
+        if self._ticks % (TICKS_PER_SHARD * self.hosts):
+            return 0
+        names = await self._platform.keys(shard_name(self._shard))
+        if isinstance(names, Unknown):
+            return 0
+        rest = [name for name in names if name > self._from]
+        part = rest[:READS_PER_TICK]
+        removed = 0
+        for name in part:
+            removed += await self._remove(name, wall_s)
+        self._from = part[-1] if len(rest) > READS_PER_TICK else ""
+        if not self._from:
+            self._shard = (self._shard + 1) % SHARDS
+        return removed
+
+    async def _remove(self, name: str, wall_s: float) -> bool:
+        stored = await self._platform.read(name)
+        if not isinstance(stored, Stored):
+            return False
+        try:
+            expired = decode_record(stored.value).expired(wall_s)
+        except RecordError:
+            return False
+        if expired:
+            await self._platform.delete(name, stored.version)
+        return expired
+
+
+__all__ = ["Expiry"]
--- /dev/null
+++ b/tests/steps/rules_idempotency.py
@@ -0,0 +1,234 @@
+"""Steps of rules/idempotency.feature."""
+
+from __future__ import annotations
+
+from behave import then
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from redwingbank.rules.idempotency import (
+    NEXT,
+    Event,
+    Record,
+    RecordError,
+    State,
+    Verdict,
+    decode_record,
+    encode_record,
+    record_name,
+)
+
+HOSTS = st.integers(0, 1)
+FATES = st.sampled_from(("done", "done", "answer lost", "lost", "late"))
+MACHINE = settings(
+    derandomize=True,
+    max_examples=200,
+    stateful_step_count=40,
+    deadline=None,
+    database=None,
+    report_multiple_bugs=False,
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+
+
+def record(state):
+    outcome = "booked" if state == "done" else None
+    return Record(State(state), "nonce", "same", 1000.0, outcome)
+
+
+@then("the idempotency record that is {state} and is told {event} becomes {after}")
+def becomes(context, state, event, after):
+    try:
+        result = record(state).after(Event(event), "booked").state.value
+    except RecordError:
+        result = "refused"
+    assert result == after
+
+
+@then("the idempotency record that is {state} gives the {body} body after {age:d} s: {verdict}")
+def gives(context, state, body, age, verdict):
+    assert record(state).verdict(body, 1000.0 + age) == verdict
+
+
+@then("the idempotency record is read back and nothing else is taken for one")
+def read_back(context):
+    for state in State:
+        assert decode_record(encode_record(record(state))) == record(state)
+    for value in (b"", b"{}", b"[]", b'{"state": "odd"}', b"\xff"):
+        try:
+            decode_record(value)
+        except RecordError:
+            continue
+        raise AssertionError(value)
+
+
+@then('the idempotency record\'s name hides "{organisation}" and "{key}"')
+def name_hides(context, organisation, key):
+    name = record_name(organisation, key)
+    assert organisation not in name
+    assert key not in name
+    assert record_name("a", "bc") != record_name("ab", "c")
+
+
+class Calls(RuleBasedStateMachine):
+    """Hosts that begin, run and end the same call against one stored record.
+
+    A host acts on what it last read, which may be old; its writes may be lost, or late.
+    """
+
+    takeable = frozenset({Verdict.TAKE})
+    conditional = True
+
+    def __init__(self):
+        super().__init__()
+        self.version = 0
+        self.stored = None
+        self.seen = {}
+        self.held = {}
+        self.doubted = {}
+        self.late = []
+        self.sent = set()
+        self.released = set()
+        self.ran = 0
+        self.nonces = 0
+
+    def write(self, value, version):
+        """Write where the version is as expected; tells whether it took effect."""
+        if self.conditional and version != self.version:
+            return False
+        self.version += 1
+        self.stored = value
+        return True
+
+    @rule(host=HOSTS, fate=FATES, fresh=st.booleans())
+    def begin(self, host, fate, fresh):
+        if fresh:
+            self.seen[host] = (self.stored, self.version)
+        found, version = self.seen.get(host, (None, 0))
+        self.nonces += 1
+        nonce = str(self.nonces)
+        if found is None:
+            mine, expected = Record(State.RECORDED, nonce, "same", 0.0), 0
+        elif found.verdict("same", 0.0) in self.takeable:
+            mine, expected = found._replace(state=State.RECORDED, nonce=nonce), version
+        else:
+            return
+        self.settle(host, mine, expected, fate)
+
+    def settle(self, host, mine, expected, fate):
+        """Carry a write out, or lose it; only one known to have taken effect is built on."""
+        if fate == "late":
+            self.late.append((mine, expected))
+        elif fate != "lost" and self.write(mine, expected) and fate == "done":
+            self.held[host] = (mine, self.version)
+            return
+        self.doubted[host] = mine
+
+    @precondition(lambda self: self.doubted)
+    @rule(host=HOSTS)
+    def read_back(self, host):
+        """Find an own write whose answer was lost, by its nonce."""
+        mine = self.doubted.get(host)
+        if mine and self.stored and self.stored.nonce == mine.nonce:
+            self.held[host] = (self.stored, self.version)
+
+    @precondition(lambda self: self.held)
+    @rule(host=HOSTS)
+    def send(self, host):
+        """Send the call's first byte, once an attempt, while the attempt is recorded."""
+        held = self.held.get(host)
+        if (
+            held
+            and held[0].state is State.RECORDED
+            and held[0].nonce not in (self.sent | self.released)
+        ):
+            self.sent.add(held[0].nonce)
+            self.ran += 1
+
+    @precondition(lambda self: self.held)
+    @rule(
+        host=HOSTS,
+        event=st.sampled_from((Event.FINISH, Event.LOSE, Event.RELEASE)),
+        fate=FATES,
+    )
+    def end(self, host, event, fate):
+        """End the call truthfully: released only where its first byte was never sent."""
+        held = self.held.get(host)
+        if not held or (held[0].state, event) not in NEXT:
+            return
+        sent = held[0].nonce in self.sent
+        if sent == (event is Event.RELEASE):
+            return
+        if event is Event.RELEASE:
+            del self.held[host]
+            self.released.add(held[0].nonce)
+        self.settle(host, held[0].after(event, "booked"), held[1], fate)
+
+    @precondition(lambda self: self.held or self.doubted)
+    @rule(host=HOSTS)
+    def kill(self, host):
+        self.seen.pop(host, None)
+        self.held.pop(host, None)
+        self.doubted.pop(host, None)
+
+    @precondition(lambda self: self.late)
+    @rule()
+    def late_write(self):
+        self.write(*self.late.pop(0))
+
+    @invariant()
+    def ran_at_most_once(self):
+        assert self.ran <= 1
+
+    @invariant()
+    def done_means_ran(self):
+        if self.stored and self.stored.state is State.DONE:
+            assert self.ran == 1
+
+    @invariant()
+    def void_means_not_run(self):
+        if self.stored and self.stored.state is State.VOID:
+            assert self.ran == 0
+
+
+class Taking(Calls):
+    """The variant that takes a record whose call seems to have run for too long."""
+
+    takeable = frozenset({Verdict.TAKE, Verdict.STILL_RUNNING})
+
+
+class Unconditional(Calls):
+    """The variant whose writes have no condition."""
+
+    conditional = False
+
+
+def fails(machine):
+    try:
+        run_state_machine_as_test(machine, settings=MACHINE)
+    except AssertionError:
+        return True
+    return False
+
+
+@then("the idempotency machine finds no fault")
+def no_fault(context):
+    run_state_machine_as_test(Calls, settings=MACHINE)
+
+
+@then("the idempotency machine finds a fault where a running record may be taken")
+def fault_taking(context):
+    assert fails(Taking)
+
+
+@then("the idempotency machine finds a fault where writes have no condition")
+def fault_unconditional(context):
+    assert fails(Unconditional)
