--- a/src/redwingbank/ports/service.py
+++ b/src/redwingbank/ports/service.py
@@ -118,7 +118,7 @@
 
     async def _answer(self, call: ServiceCall, request: Request) -> ServiceAnswer | Refusal:
         if call.repeatable or not call.key:
-            return await self._run(call, request, Ticket(request))
+            return await self._run(call, Ticket(request), None)
         if len(call.key) > LONGEST_KEY:
             return Refusal(Code.BAD_FIELD, f"Idempotency-Key: {LONGEST_KEY} characters at most")
         begun = await self._recorder.begin(request.organisation, call.key, call.digest())
@@ -134,7 +134,7 @@
     ) -> ServiceAnswer | Refusal:
         ticket = Ticket(request)
         self._events.record("call-recorded", request=request.request_id)
-        answer = await self._run(call, request, ticket)
+        answer = await self._run(call, ticket, record)
         if isinstance(answer, ServiceAnswer):
             await self._recorder.finish(record, answer.text())
         elif ticket.life.ran is Ran.NO:
@@ -144,24 +144,29 @@
         return answer
 
     async def _run(
-        self, call: ServiceCall, request: Request, ticket: Ticket
+        self, call: ServiceCall, ticket: Ticket, record: Run | None
     ) -> ServiceAnswer | Refusal:
         ticket.life.advance(Step.CHECK)
         ticket.life.advance(Step.QUEUE)
         self._inbox.send_nowait(Submit(ticket))
         try:
-            return await self._decisions(call, ticket)
+            return await self._decisions(call, ticket, record)
         except anyio.get_cancelled_exc_class():
             self._inbox.send_nowait(Left(ticket))
             raise
 
-    async def _decisions(self, call: ServiceCall, ticket: Ticket) -> ServiceAnswer | Refusal:
+    async def _decisions(
+        self, call: ServiceCall, ticket: Ticket, record: Run | None
+    ) -> ServiceAnswer | Refusal:
         life = ticket.life
         async for decision in ticket.decisions:
             if isinstance(decision, Refused):
                 code = life.truthful(decision.code)
                 life.advance(Step.REFUSE if life.ran is Ran.NO else Step.FAIL)
                 return Refusal(code, decision.detail, decision.retry_after_s, life.ran)
+            if record is not None and not self._recorder.may_send(record):
+                self._inbox.send_nowait(Left(ticket))
+                return Refusal(Code.NOT_RECORDED, ran=life.ran)
             answer = await self._attempt(call, ticket, decision)
             if isinstance(answer, ServiceAnswer):
                 life.advance(Step.FINISH)
