Keep a pool within its slots when hosts are silent, split between two allocators or lapse

Expected but silent hosts now have their static share set aside, and only speaking hosts are divided among. - a host whose allocation lapsed by loss took its whole static share while others held it: 25 of 24 in use at 30% loss. For one TTL it now takes only what it had of it, or one slot.

--- a/src/redwingbank/rules/allocator.py
+++ b/src/redwingbank/rules/allocator.py
@@ -8,7 +8,7 @@
 from redwingbank.messages import NO_SLACK_LIMIT_S, Allocation
 from redwingbank.rules.grants import NO_FLOOR, Gate, HostAccount
 from redwingbank.rules.minimum import ClassLoad, MinimumAccounts
-from redwingbank.rules.shares import Want, max_min
+from redwingbank.rules.shares import Want, fallback_share, max_min
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -34,8 +34,10 @@
     there stays, and its slots come back as it ends.
 
     What hosts may be using never exceeds a backend server's slots by the doing of one
-    allocator. A new allocator grants nothing beyond what hosts hold until every host that it
-    expects has spoken, or one TTL has passed.
+    allocator. A new allocator, or one that was paused for a TTL, grants nothing beyond what
+    hosts hold until every host that it expects has spoken, or one TTL has passed. A host that
+    is expected but silent is on its static share, or has another allocator: that share is set
+    aside for it, so two allocators with their own hosts don't both give out the whole pool.
 
     Example: `Allocator("chat", ttl_s=2.0)`, `set_capacity({"e1": 8}, 0.0)`,
     `observe("h1", demand, 0.0)`, then `allocate(0.0)["h1"].slots` may be `{"e1": 8}`.
@@ -47,9 +49,12 @@
         self._number = first_number
         self._capacity: dict[str, int] = {}
         self._accounts_by_host: dict[str, HostAccount] = {}
+        self._speaking_by_host: dict[str, HostAccount] = {}
         self._minimum = MinimumAccounts()
         self._expected: frozenset[str] | None = None
         self._began_s: float | None = None
+        self._active_s: float | None = None
+        self._aside: dict[str, int] = {}
         self._loads: dict[str, ClassLoad] = {}
         self._moved_s = float("-inf")
 
@@ -78,7 +83,7 @@
         self._capacity = dict(slots_by_server)
 
     def expect(self, hosts: Iterable[str]) -> None:
-        """Name the hosts that are alive: until all have spoken, a new allocator only confirms."""
+        """Name the hosts that are alive; each sends demands for the pool, with work or not."""
         self._expected = frozenset(hosts)
 
     def forget(self, host: str) -> None:
@@ -90,15 +95,17 @@
         self._begin(now_s)
         for account in self._accounts_by_host.values():
             account.lapse(now_s)
+        self._speaking_by_host = self._speaking(now_s)
+        self._aside = self._set_aside(now_s)
         self._settle_minimum(now_s)
         self._assign_turns()
         if self._informed(now_s):
             self._fit_capacity()
             self._move_to_share(now_s)
             self._grant_waiting(now_s)
-            self._spread_spare(now_s)
+            self._spread_spare()
         gate = self._gate(now_s)
-        hosts = [host for host in sorted(self._accounts_by_host) if self._due(host, gate, now_s)]
+        hosts = [host for host in sorted(self._speaking_by_host) if self._due(host, gate, now_s)]
         return {host: self._allocation(host, gate, now_s) for host in hosts}
 
     def granted(self, now_s: float) -> dict[str, int]:
@@ -111,8 +118,12 @@
         return total
 
     def _begin(self, now_s: float) -> None:
-        if self._began_s is None:
+        paused = self._active_s is not None and now_s - self._active_s > self._ttl_s
+        if paused:
+            self._accounts_by_host.clear()
+        if paused or self._began_s is None:
             self._began_s = now_s
+        self._active_s = now_s
 
     def _informed(self, now_s: float) -> bool:
         began_s = now_s if self._began_s is None else self._began_s
@@ -121,19 +132,44 @@
         return self._expected is not None and self._expected <= set(self._accounts_by_host)
 
     def _slots(self) -> int:
-        return sum(self._capacity.values())
+        """Count the slots there are to divide."""
+        return max(0, sum(self._capacity.values()) - sum(self._aside.values()))
 
     def _free(self) -> dict[str, int]:
         free = dict(self._capacity)
-        for account in self._accounts_by_host.values():
-            for server, slots in account.in_use().items():
+        used = [account.in_use() for account in self._speaking_by_host.values()]
+        for slots_by_server in [self._aside, *used]:
+            for server, slots in slots_by_server.items():
                 if server in free:
                     free[server] -= slots
         return free
 
+    def _set_aside(self, now_s: float) -> dict[str, int]:
+        """Sum up what silent hosts may use: what ran there as last told, or the static share."""
+        aside: dict[str, int] = {}
+        expected = sorted(self._expected or ())
+        speaking = self._speaking(now_s)
+        for host in set(expected) | set(self._accounts_by_host):
+            if host in speaking:
+                continue
+            account = self._accounts_by_host.get(host)
+            used = {} if account is None else account.in_use()
+            share: dict[str, int] = {}
+            if host in expected:
+                rank = expected.index(host)
+                share = fallback_share(self._capacity, len(expected), rank)
+            for server in (set(used) | set(share)) & set(self._capacity):
+                most = max(used.get(server, 0), share.get(server, 0))
+                aside[server] = aside.get(server, 0) + most
+        return aside
+
+    def _speaking(self, now_s: float) -> dict[str, HostAccount]:
+        accounts = self._accounts_by_host.items()
+        return {host: account for host, account in accounts if not account.silent(now_s)}
+
     def _settle_minimum(self, now_s: float) -> None:
         loads: dict[str, ClassLoad] = {}
-        for account in self._accounts_by_host.values():
+        for account in self._speaking_by_host.values():
             for item in account.demand.classes:
                 load = loads.get(item.class_name, ClassLoad(0, 0))
                 loads[item.class_name] = ClassLoad(
@@ -145,7 +181,7 @@
     def _assign_turns(self) -> None:
         waiting = [
             (-item.oldest_s, host, item)
-            for host, account in self._accounts_by_host.items()
+            for host, account in self._speaking_by_host.items()
             for item in account.demand.classes
             if item.waiting
         ]
@@ -153,8 +189,8 @@
             name: self._minimum.entitled(name, self._slots()) - load.running
             for name, load in self._loads.items()
         }
-        before = {host: account.turns for host, account in self._accounts_by_host.items()}
-        for account in self._accounts_by_host.values():
+        before = {host: account.turns for host, account in self._speaking_by_host.items()}
+        for account in self._speaking_by_host.values():
             account.turns = {}
         kept_first = sorted(
             waiting,
@@ -168,36 +204,37 @@
             count = min(item.waiting, max(0, left[item.class_name]))
             if count:
                 left[item.class_name] -= count
-                self._accounts_by_host[host].turns[item.class_name] = item.running + count
+                self._speaking_by_host[host].turns[item.class_name] = item.running + count
 
     def _turns_open(self, account: HostAccount) -> int:
         running = {item.class_name: item.running for item in account.demand.classes}
         return sum(most - running.get(name, 0) for name, most in account.turns.items())
 
     def _fit_capacity(self) -> None:
-        for server in {name for a in self._accounts_by_host.values() for name in a.level}:
-            accounts = [a for a in self._accounts_by_host.values() if a.level.get(server)]
-            over = sum(a.level[server] for a in accounts) - self._capacity.get(server, 0)
+        for server in {name for a in self._speaking_by_host.values() for name in a.level}:
+            accounts = [a for a in self._speaking_by_host.values() if a.level.get(server)]
+            room = self._capacity.get(server, 0) - self._aside.get(server, 0)
+            over = sum(account.level[server] for account in accounts) - max(0, room)
             for _ in range(max(0, over)):
                 most = max(accounts, key=lambda account: account.level[server])
                 most.level[server] -= 1
                 most.dirty = True
 
     def _tiers(self) -> list[int]:
-        accounts = self._accounts_by_host.values()
+        accounts = self._speaking_by_host.values()
         return sorted({item.tier for account in accounts for item in account.demand.classes})
 
     def _targets(self) -> dict[str, int]:
         """Give each host's fair share of the pool: turns first, then tier by tier."""
         left = self._slots()
         targets = {
-            host: self._turns_open(account) for host, account in self._accounts_by_host.items()
+            host: self._turns_open(account) for host, account in self._speaking_by_host.items()
         }
         left -= sum(targets.values())
         for tier in self._tiers():
             wants = [
                 want
-                for host, account in self._accounts_by_host.items()
+                for host, account in self._speaking_by_host.items()
                 if (want := self._want(host, account, tier)).most > 0
             ]
             for host, count in max_min(wants, max(0, left)).items():
@@ -221,7 +258,7 @@
             return
         self._moved_s = now_s
         targets = self._targets()
-        accounts = self._accounts_by_host
+        accounts = self._speaking_by_host
         lacking = {
             host: targets[host] - account.total
             for host, account in accounts.items()
@@ -264,7 +301,7 @@
 
     def _grant_waiting(self, now_s: float) -> None:
         free = _FreeSlots(self._free(), self._capacity)
-        for account in self._accounts_by_host.values():
+        for account in self._speaking_by_host.values():
             idle = max(0, account.total - account.running)
             for _ in range(max(0, self._turns_open(account) - idle)):
                 free.give(account)
@@ -276,35 +313,31 @@
                     self._want(host, account, tier).weight,
                     _order(account, tier, now_s),
                 )
-                for host, account in self._accounts_by_host.items()
+                for host, account in self._speaking_by_host.items()
                 if account.waiting(tier) and (unmet := self._unmet(account, tier))
             ]
             for host, count in max_min(wants, free.total).items():
                 for _ in range(count):
-                    free.give(self._accounts_by_host[host])
+                    free.give(self._speaking_by_host[host])
 
     def _spare(self, account: HostAccount) -> int:
         waiting = sum(item.waiting for item in account.demand.classes)
         return account.total - account.running - waiting
 
-    def _spread_spare(self, now_s: float) -> None:
+    def _spread_spare(self) -> None:
         """Spread what no one waits for evenly over hosts, a few slots at a time."""
         free = _FreeSlots(self._free(), self._capacity)
-        hosts = [
-            (self._spare(account), host)
-            for host, account in self._accounts_by_host.items()
-            if not account.silent(now_s)
-        ]
-        if not hosts or any(self._unmet(a) for a in self._accounts_by_host.values()):
+        hosts = [(self._spare(account), host) for host, account in self._speaking_by_host.items()]
+        if not hosts or any(self._unmet(a) for a in self._speaking_by_host.values()):
             return
         heapq.heapify(hosts)
         while free.total and hosts:
             spare, host = heapq.heappop(hosts)
-            free.give(self._accounts_by_host[host])
+            free.give(self._speaking_by_host[host])
             heapq.heappush(hosts, (spare + 1, host))
         least, most = min(hosts), max(hosts)
         if most[0] - least[0] >= SPARE_TOLERANCE and most[0] > 0:
-            self._cut_one(self._accounts_by_host[most[1]])
+            self._cut_one(self._speaking_by_host[most[1]])
 
     def _gate(self, now_s: float) -> Gate:
         """Give the highest tier that waits anywhere without a slot to start in.
@@ -313,7 +346,7 @@
         may start before it on other hosts. Missed deadlines set none: a burst's old requests
         must not hold up other organisations' new ones.
         """
-        accounts = self._accounts_by_host.values()
+        accounts = self._speaking_by_host.values()
         for tier in self._tiers():
             unmet = [a for a in accounts if a.waiting(tier) and self._unmet(a, tier)]
             if unmet:
@@ -323,9 +356,7 @@
         return Gate(NO_FLOOR, None)
 
     def _due(self, host: str, gate: Gate, now_s: float) -> bool:
-        account = self._accounts_by_host[host]
-        if account.silent(now_s):
-            return False
+        account = self._speaking_by_host[host]
         if account.dirty or gate.differs(account.gate) or account.turns != account.turns_sent:
             return True
         age_s = now_s - account.sent_s
@@ -335,7 +366,7 @@
 
     def _allocation(self, host: str, gate: Gate, now_s: float) -> Allocation:
         self._number += 1
-        account = self._accounts_by_host[host]
+        account = self._speaking_by_host[host]
         account.gate = gate
         account.turns_sent = dict(account.turns)
         slots = account.grant(self._number, now_s)
--- a/src/redwingbank/rules/grants.py
+++ b/src/redwingbank/rules/grants.py
@@ -10,6 +10,7 @@
 
 NO_FLOOR = 255
 DEADLINE_CHANGE_S = 0.25
+RUNNING_TTLS = 2
 
 
 class Gate(NamedTuple):
@@ -63,11 +64,17 @@
             self._accept(demand, now_s)
 
     def lapse(self, now_s: float) -> None:
-        """Drop grants that have lapsed unapplied, and the holding of a host long silent."""
+        """Drop grants that have lapsed unapplied, and what a silent host held.
+
+        What ran there counts for `RUNNING_TTLS` in all; by then most of it has ended.
+        """
         self._unapplied = [sent for sent in self._unapplied if sent.expires_s > now_s]
-        if self.silent(now_s):
-            self.demand = self.demand._replace(holding={}, classes=())
-            self.level = {} if self._unapplied else dict(self.demand.running)
+        if not self.silent(now_s):
+            return
+        self.demand = self.demand._replace(holding={}, classes=())
+        if now_s - self.heard_s > RUNNING_TTLS * self._ttl_s:
+            self.demand = self.demand._replace(running={})
+        self.level = {} if self._unapplied else dict(self.demand.running)
 
     def silent(self, now_s: float) -> bool:
         """Tell whether the host has not been heard for a TTL."""
--- a/src/redwingbank/rules/holdings.py
+++ b/src/redwingbank/rules/holdings.py
@@ -7,6 +7,7 @@
 from redwingbank.messages import NO_SLACK_LIMIT_S, Demand
 from redwingbank.rules.grants import NO_FLOOR
 from redwingbank.rules.minimum import ClassLoad, MinimumAccounts
+from redwingbank.rules.shares import fallback_share
 
 if TYPE_CHECKING:
     from redwingbank.messages import Allocation, ClassDemand
@@ -36,7 +37,9 @@
     An allocation counts from the sending of the demand that it answers: it lapses `ttl_s`
     after that, however late it came, so that the allocator knows when it has lapsed without
     a common clock. With no allocation in force the host has a static share of the pool, set by
-    `set_fallback`, which is never nothing. What is in flight runs on in any case.
+    `set_fallback`, which is never nothing; for one TTL after a lapse only what it had of that,
+    or one slot, since other hosts may still hold the rest. What is in flight runs on in any
+    case.
 
     When a higher tier waits elsewhere (`floor`), a demand hands back the idle slots that this
     host has no use for.
@@ -68,7 +71,10 @@
         self._minimum.rebase({row.name: row.minimum for row in rows})
 
     def set_fallback(self, slots_by_server: dict[str, int], hosts: int, rank: int) -> None:
-        """Set the share to use without an allocator: every `hosts`-th slot from `rank` on."""
+        """Set the share to use without an allocator.
+
+        `rank` is this host's place among the names of the hosts alive, in order.
+        """
         self._host_count = max(1, hosts)
         self._fallback = fallback_share(slots_by_server, self._host_count, rank)
 
@@ -100,10 +106,21 @@
 
     def free(self, now_s: float) -> dict[str, int]:
         """Count the requests that may start at each backend server now."""
-        level = self._level if self.in_force(now_s) else self._fallback
+        level = self._most(now_s)
         left = {server: slots - self._running.get(server, 0) for server, slots in level.items()}
         return {server: slots for server, slots in left.items() if slots > 0}
 
+    def _most(self, now_s: float) -> dict[str, int]:
+        if self.in_force(now_s):
+            return self._level
+        if now_s >= self._expires_s + self._ttl_s:
+            return self._fallback
+        both = set(self._level) & set(self._fallback)
+        least = {name: min(self._level[name], self._fallback[name]) for name in sorted(both)}
+        if any(least.values()):
+            return least
+        return dict.fromkeys(sorted(self._fallback)[:1], 1)
+
     def floor(self, now_s: float) -> int:
         """Give the lowest tier that may start now."""
         return self._floor if self.in_force(now_s) else NO_FLOOR
@@ -256,21 +273,4 @@
     return waiting
 
 
-def fallback_share(slots_by_server: dict[str, int], hosts: int, rank: int) -> dict[str, int]:
-    """Give one host's static share: slots dealt out in turn, one slot at least.
-
-    Example: `fallback_share({"a": 2, "b": 2}, hosts=2, rank=0)` is `{"a": 1, "b": 1}`.
-    """
-    deepest = max(slots_by_server.values(), default=0)
-    servers = sorted(slots_by_server)
-    dealt = [name for depth in range(deepest) for name in servers if depth < slots_by_server[name]]
-    if not dealt:
-        return {}
-    mine = dealt[rank % hosts :: hosts] or [dealt[rank % len(dealt)]]
-    share: dict[str, int] = {}
-    for server in mine:
-        share[server] = share.get(server, 0) + 1
-    return share
-
-
-__all__ = ["Holdings", "fallback_share", "waiting_by_tier"]
+__all__ = ["Holdings", "waiting_by_tier"]
--- a/src/redwingbank/rules/shares.py
+++ b/src/redwingbank/rules/shares.py
@@ -37,4 +37,21 @@
     return given
 
 
-__all__ = ["Want", "max_min"]
+def fallback_share(slots_by_server: dict[str, int], hosts: int, rank: int) -> dict[str, int]:
+    """Give one host's static share: slots dealt out in turn, one slot at least.
+
+    Example: `fallback_share({"a": 2, "b": 2}, hosts=2, rank=0)` is `{"a": 1, "b": 1}`.
+    """
+    deepest = max(slots_by_server.values(), default=0)
+    servers = sorted(slots_by_server)
+    dealt = [name for depth in range(deepest) for name in servers if depth < slots_by_server[name]]
+    if not dealt:
+        return {}
+    mine = dealt[rank % hosts :: hosts] or [dealt[rank % len(dealt)]]
+    share: dict[str, int] = {}
+    for server in mine:
+        share[server] = share.get(server, 0) + 1
+    return share
+
+
+__all__ = ["Want", "fallback_share", "max_min"]
