--- /dev/null
+++ b/tests/rules/limits.feature
@@ -0,0 +1,65 @@
+Feature: limits of organisations and classes
+
+  Scenario Outline: the limits admit up to the share and refuse with the right code
+    Given limits of concurrency <concurrency>, <tokens> tokens a minute and class limit <limit> on <hosts> hosts
+    Then the limits answer "<codes>" to 4 requests
+
+    Examples:
+      | concurrency | tokens | limit | hosts | codes                                                       |
+      | 0           | 0      | 0     | 1     | OK OK OK OK                                                 |
+      | 2           | 0      | 0     | 1     | OK OK ORGANISATION_CONCURRENCY ORGANISATION_CONCURRENCY     |
+      | 4           | 0      | 0     | 2     | OK OK ORGANISATION_CONCURRENCY ORGANISATION_CONCURRENCY     |
+      | 1           | 0      | 0     | 7     | OK ORGANISATION_CONCURRENCY ORGANISATION_CONCURRENCY ORGANISATION_CONCURRENCY |
+      | 0           | 0      | 3     | 1     | OK OK OK CLASS_LIMIT                                        |
+
+  Scenario: the limits count a request once, from admission to its end
+    Given limits of concurrency 1, 0 tokens a minute and class limit 0 on 1 hosts
+    Then the limits answer "OK ORGANISATION_CONCURRENCY" to 2 requests
+    When the limits are told twice that the first request ended
+    Then the limits answer "OK ORGANISATION_CONCURRENCY" to 2 requests
+
+  Scenario Outline: the limits refuse while the tokens of the last minute are over the share
+    Given limits of concurrency 0, 600 tokens a minute and class limit 0 on <hosts> hosts
+    When the limits are told of <served> tokens at 10 s
+    Then the limits answer "<code>" at <now_s> s
+
+    Examples:
+      | hosts | served | now_s | code                |
+      | 1     | 599    | 11    | OK                  |
+      | 1     | 600    | 11    | ORGANISATION_TOKENS |
+      | 2     | 300    | 11    | ORGANISATION_TOKENS |
+      | 1     | 600    | 66    | ORGANISATION_TOKENS |
+      | 1     | 600    | 76    | OK                  |
+
+  Scenario Outline: the limits use a share while it is in force
+    Given limits of concurrency 7, 0 tokens a minute and class limit 0 on 7 hosts
+    When the limits get a share of <share> until 2 s
+    Then the limits admit <count> at <now_s> s
+
+    Examples:
+      | share | now_s | count |
+      | 3     | 1     | 3     |
+      | 0     | 1     | 0     |
+      | 3     | 2.5   | 1     |
+
+  Scenario Outline: the limits are divided over hosts without being exceeded
+    Given limit shares of a limit of <limit>
+    When the limit shares hear of use "<used>" and refusals "<refused>"
+    Then the limit shares are "<shares>"
+
+    Examples:
+      | limit | used        | refused | shares       |
+      | 7     | a=0 b=0     |         | a=4 b=3      |
+      | 7     | a=5 b=0     |         | a=6 b=1      |
+      | 6     | a=6 b=0     | b=4     | a=3 b=0      |
+      | 6     | a=4 b=2     | b=9     | a=3 b=2      |
+      | 6     | a=1 b=1     | a=9     | a=5 b=1      |
+
+  Scenario: the limit shares never sum to more than the limit
+    Then the limit shares keep within the limit over random uses
+
+  Scenario: the limit shares forget hosts that are silent or dead
+    Given limit shares of a limit of 6
+    When the limit shares hear of use "a=1 b=1" and refusals ""
+    And the limit shares hear at 3 s of a alone
+    Then the limit shares are "a=6"
--- /dev/null
+++ b/tests/steps/rules_estimate.py
@@ -0,0 +1,81 @@
+"""Steps of rules/estimate.feature."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from decisions_support import make_request
+from redwingbank.rules.estimate import LengthEstimator, WaitEstimator
+
+
+@given("the estimate has seen 200 answers of 100 tokens by big and {count:d} of 1000 by a")
+def seen(context, count):
+    context.lengths = LengthEstimator()
+    for _ in range(200):
+        context.lengths.observe("gold", "big", 100)
+    for _ in range(count):
+        context.lengths.observe("gold", "a", 1000)
+
+
+@then("the estimate of half of a's answers is {least:d} to {most:d} tokens")
+def half(context, least, most):
+    assert least <= context.lengths.quantile("gold", "a", 0.5) <= most
+
+
+@then("the estimate of half of big's answers that reached 400 tokens is over 400 tokens")
+def reached(context):
+    assert context.lengths.quantile("gold", "big", 0.5) < 150
+    assert context.lengths.quantile("gold", "big", 0.5, at_least=400) > 400
+
+
+@given("the estimate has seen an answer of each of {count:d} organisations")
+def many(context, count):
+    context.lengths = LengthEstimator()
+    for index in range(count):
+        context.lengths.observe("gold", str(index), 100)
+
+
+@then("the estimate keeps {count:d} of them")
+def kept(context, count):
+    assert len(context.lengths) == count
+
+
+@given("the estimate has scored {count:d} waits that were {factor:g} times as long as estimated")
+def scored(context, count, factor):
+    context.waits = WaitEstimator()
+    for index in range(count):
+        at_s = float(index)
+        request = make_request(str(index), arrived_s=at_s)
+        verdict = context.waits.verdict(request, 10, 10.0, at_s)
+        assert not verdict.refuse
+        context.waits.started(request, at_s + verdict.wait_s * factor)
+    assert context.waits.calibration.scored == count
+
+
+@then(
+    "the estimate of {ahead:d} ahead at {rate:d} a second "
+    "and {left_s:g} s to give up refuses: {verdict}"
+)
+def refuses(context, ahead, rate, left_s, verdict):
+    request = make_request("x", arrived_s=900.0, give_up_s=900.0 + left_s)
+    answer = context.waits.verdict(request, ahead, rate, 900.0)
+    assert answer.refuse == (verdict == "yes"), context.waits.calibration
+    assert answer.wait_s == ahead / rate
+    assert 1.0 <= answer.retry_after_s <= 60.0
+
+
+@when("the estimate refuses a request at {now_s:g} s that gives up at {give_up_s:g} s")
+def refuse(context, now_s, give_up_s):
+    request = make_request("refused", arrived_s=now_s, give_up_s=give_up_s)
+    assert context.waits.verdict(request, 1000, 10.0, now_s).refuse
+
+
+@when("a request that came at {arrived_s:g} s starts at {start_s:g} s by the estimate's count")
+def later(context, arrived_s, start_s):
+    context.waits.started(make_request("later", arrived_s=arrived_s), start_s)
+
+
+@then("the estimate counts {wrong:d} wrong of 1 refused")
+def wrong(context, wrong):
+    calibration = context.waits.calibration
+    assert (calibration.wrong, calibration.refused) == (wrong, 1)
--- /dev/null
+++ b/tests/steps/rules_limits.py
@@ -0,0 +1,128 @@
+"""Steps of rules/limits.feature."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from hypothesis import given as given_values
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from decisions_support import make_request, make_table, parse_counts
+from redwingbank.codes import Code
+from redwingbank.messages import OrganisationUse
+from redwingbank.rules.limit_shares import LimitShares, divide
+from redwingbank.rules.limits import Limits
+
+EXACT = settings(derandomize=True, deadline=None, max_examples=200, database=None)
+
+
+def limited(concurrency, tokens, limit=0):
+    table = make_table(gold={"limit": limit})
+    row = table.organisations_by_name["a"]._replace(
+        concurrency=concurrency, tokens_per_minute=tokens
+    )
+    return table._replace(organisations_by_name={**table.organisations_by_name, "a": row})
+
+
+def ask(context, now_s=0.0):
+    context.asked += 1
+    code = context.limits.admit(make_request(str(context.asked)), now_s)
+    if code is None:
+        context.limits.start(str(context.asked))
+    return "OK" if code is None else code.name
+
+
+@given(
+    "limits of concurrency {concurrency:d}, {tokens:d} tokens a minute "
+    "and class limit {limit:d} on {hosts:d} hosts"
+)
+def limits(context, concurrency, tokens, limit, hosts):
+    context.limits = Limits(limited(concurrency, tokens, limit), hosts)
+    context.asked = 0
+
+
+@then('the limits answer "{codes}" to {count:d} requests')
+def answers(context, codes, count):
+    assert [ask(context) for _ in range(count)] == codes.split()
+
+
+@when("the limits are told twice that the first request ended")
+def ended(context):
+    context.limits.finish("1")
+    context.limits.finish("1")
+
+
+@when("the limits are told of {tokens:d} tokens at {now_s:g} s")
+def served(context, tokens, now_s):
+    context.limits.served("a", tokens, now_s)
+    (use,) = context.limits.use(now_s)
+    assert use.tokens == tokens
+
+
+@then('the limits answer "{code}" at {now_s:g} s')
+def answers_at(context, code, now_s):
+    assert ask(context, now_s) == code
+    if code != "OK":
+        back_s = context.limits.retry_after_s(make_request("x"), Code[code], now_s)
+        assert ask(context, now_s + back_s) == "OK"
+
+
+@when("the limits get a share of {share:d} until 2 s")
+def get_share(context, share):
+    context.limits.apply([OrganisationUse("a", share, 0, 0)], 2.0, 0.0)
+
+
+@then("the limits admit {count:d} at {now_s:g} s")
+def admit(context, count, now_s):
+    assert [ask(context, now_s) for _ in range(10)].count("OK") == count
+    (use,) = context.limits.use(now_s)
+    assert (use.running, use.waiting) == (count, 10 - count)
+
+
+@given("limit shares of a limit of {limit:d}")
+def shares(context, limit):
+    context.shares = LimitShares(2.0)
+    context.shares.rebase(limited(limit, 0))
+    context.now_s = 0.0
+
+
+@when('the limit shares hear of use "{used}" and refusals "{refused}"')
+@when('the limit shares hear of use "{used}" and refusals ""')
+def hear(context, used, refused=""):
+    refusals = parse_counts(refused)
+    for host, count in parse_counts(used).items():
+        use = OrganisationUse("a", count, refusals.get(host, 0), 0)
+        context.shares.observe(host, 1, (use,), 0.0)
+        context.shares.observe(host, 0, (), 0.0)
+
+
+@when("the limit shares hear at {now_s:g} s of a alone")
+def hear_later(context, now_s):
+    context.now_s = now_s
+    context.shares.observe("a", 2, (OrganisationUse("a", 1, 0, 0),), now_s)
+
+
+@then('the limit shares are "{expected}"')
+def shares_are(context, expected):
+    by_host = context.shares.shares(context.now_s)
+    assert {host: items[0].running for host, items in by_host.items()} == parse_counts(expected)
+
+
+@then("the limit shares keep within the limit over random uses")
+def within(context):
+    uses = st.dictionaries(
+        st.sampled_from("abcdefg"), st.tuples(st.integers(0, 30), st.integers(0, 30)), min_size=1
+    )
+
+    @EXACT
+    @given_values(st.integers(1, 40), uses)
+    def run(limit, use):
+        used = {host: count for host, (count, _) in use.items()}
+        wanted = {host: count + more for host, (count, more) in use.items()}
+        share = divide(limit, used, wanted)
+        assert sum(share.values()) <= limit
+        assert all(count >= 0 for count in share.values())
+        grown = {host: max(share[host], used[host]) for host in used}
+        assert sum(grown.values()) <= max(limit, sum(used.values()))
+
+    run()
