Send no recorded call late, and run the recorder's background task

Cause: a host that froze between a record and its send could send after the record expired. Change: a recorded call carries the time its first byte may be sent by; the daemon runs the recorder's task and tells it how many hosts share the platform's rate. Before (ports/service.py without the check): the calls after 301 s and 90000 s were sent once; after: not sent, told BACKEND_REFUSED ran=no, and the resend may run.

--- a/src/redwingbank/daemon.py
+++ b/src/redwingbank/daemon.py
@@ -129,6 +129,7 @@
             group.start_soon(self._send_demands)
             group.start_soon(loads.run, self._plan_inbox)
             group.start_soon(self._hear_news)
+            group.start_soon(self._recorder.run)
             server = _Server(self._listener_settings())
             group.start_soon(self._listen, server)
             await server.ready.wait()
@@ -254,6 +255,7 @@
     def _take_members(self, view: MemberView) -> None:
         self.dispatch.inbox.send_nowait(view)
         self._to_allocate.send_nowait(Hosts(frozenset(member.host for member in view.alive)))
+        self._recorder.share_rate(len(view.alive))
         self._plan()
 
     def _put_in_force(self, table: Table) -> None:
--- a/src/redwingbank/ports/service.py
+++ b/src/redwingbank/ports/service.py
@@ -5,6 +5,7 @@
 import base64
 import hashlib
 import json
+import math
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -35,11 +36,15 @@
 
 
 class ServiceCall(NamedTuple):
-    """A call of a plain service: `path` is what follows the pool's name."""
+    """A call of a plain service: `path` is what follows the pool's name.
+
+    Its first byte may be sent until `send_by_s`; a host that froze may find that time past.
+    """
 
     head: Head
     path: str
     body: bytes
+    send_by_s: float = math.inf
 
     @property
     def key(self) -> str:
@@ -134,7 +139,8 @@
     ) -> ServiceAnswer | Refusal:
         ticket = Ticket(request)
         self._events.record("call-recorded", request=request.request_id)
-        answer = await self._run(call, request, ticket)
+        limited = call._replace(send_by_s=record.send_by_s)
+        answer = await self._run(limited, request, ticket)
         if isinstance(answer, ServiceAnswer):
             await self._recorder.finish(record, answer.text())
         elif ticket.life.ran is Ran.NO:
@@ -174,6 +180,8 @@
         self, call: ServiceCall, ticket: Ticket, grant: Grant
     ) -> ServiceAnswer | Outcome:
         life = ticket.life
+        if time.monotonic() >= call.send_by_s:
+            return Outcome.REFUSED
         life.advance(Step.SEND)
         headers = {
             name: call.head.headers_by_name[name]
--- a/src/redwingbank/tasks/records.py
+++ b/src/redwingbank/tasks/records.py
@@ -46,7 +46,7 @@
 
 
 class Run(NamedTuple):
-    """The call is recorded as ours: send it, once, while `Recorder.may_send` says so."""
+    """The call is recorded as ours: send it, once, and its first byte before `send_by_s`."""
 
     key: str
     version: int
@@ -122,10 +122,6 @@
             return Run(name, begun.version, mine, time.monotonic() + SEND_LIMIT_S)
         return begun
 
-    def may_send(self, run: Run) -> bool:
-        """Whether the call's first byte may still be sent: not by a host that froze meanwhile."""
-        return time.monotonic() < run.send_by_s
-
     async def _record(self, name: str, mine: Record) -> Stored | Replay | Refuse:
         """Create the record, or judge by the one that is there.
 
