Give engines their orders under a lease with fencing numbers

Cause: nothing loaded a model, an adapter or a role that the table wants. Change: a lease in the platform, waited for by version on the host's own clock and looked at right before each order; orders go by levels, loads keep the weight store's rate; two table columns. Found by the lease's machine: a release that is answered was taken for a renewal (written() with a released record); mended, and tested plainly. Figures: derandomized, 150 examples of 40 steps: no two hosts at once; a taker that does not wait, a term counted from its answer and a holder that does not look at the clock are each caught.

--- a/src/redwingbank/daemon.py
+++ b/src/redwingbank/daemon.py
@@ -18,6 +18,7 @@
 from redwingbank.ports.caller import CallerFront
 from redwingbank.ports.completion import Completions
 from redwingbank.ports.engine import BackendClient, EngineClient
+from redwingbank.ports.engine_orders import EngineOrders
 from redwingbank.ports.faults import FaultPlan
 from redwingbank.ports.operator import Operators
 from redwingbank.ports.platform_http import HttpPlatform
@@ -28,6 +29,7 @@
 from redwingbank.tasks.allocate import AllocateInput, AllocateTask, Capacity, Hosts, Outgoing
 from redwingbank.tasks.dispatch import Dispatch, DrainServer, Release
 from redwingbank.tasks.loads import LoadReader, Plan, Watched
+from redwingbank.tasks.orders import OrdersTask
 from redwingbank.tasks.records import Recorder
 from redwingbank.tasks.slots import ToHost
 from redwingbank.tasks.tables import TableInForce
@@ -98,6 +100,10 @@
         )
         self._plans, self._plan_inbox = anyio.create_memory_object_stream[Plan](math.inf)
         self._recorder = Recorder(self.platform, settings, self.events)
+        engine_orders = EngineOrders(self._backend, self._engines)
+        self._orders = OrdersTask(
+            settings, self.incarnation, self.platform, engine_orders, self.events
+        )
         self._table: Table | None = None
         self._draining = anyio.Event()
         self._served = anyio.Event()
@@ -130,6 +136,7 @@
             group.start_soon(loads.run, self._plan_inbox)
             group.start_soon(self._hear_news)
             group.start_soon(self._recorder.run)
+            group.start_soon(self._orders.run)
             server = _Server(self._listener_settings())
             group.start_soon(self._listen, server)
             await server.ready.wait()
@@ -256,10 +263,12 @@
         self.dispatch.inbox.send_nowait(view)
         self._to_allocate.send_nowait(Hosts(frozenset(member.host for member in view.alive)))
         self._recorder.share_rate(len(view.alive))
+        self._orders.take(view)
         self._plan()
 
     def _put_in_force(self, table: Table) -> None:
         self._table = table
+        self._orders.take(table)
         self._front.table_in_force(table)
         self.dispatch.inbox.send_nowait(table)
         self._to_allocate.send_nowait(table)
--- /dev/null
+++ b/src/redwingbank/ports/engine_orders.py
@@ -0,0 +1,52 @@
+"""Orders to engines, and what an engine has; see docs/ENGINE-PROTOCOL.md."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING, Any
+
+from redwingbank.ports.engine import OK_STATUS
+from redwingbank.rules.orders import Held, OrderKind
+
+if TYPE_CHECKING:
+    from redwingbank.ports.engine import BackendClient, EngineClient
+    from redwingbank.rules.orders import Order
+
+
+class EngineOrders:
+    """Gives orders and reads back what became of them."""
+
+    def __init__(self, backend: BackendClient, engines: EngineClient) -> None:
+        self._backend = backend
+        self._engines = engines
+
+    async def give(self, order: Order, fencing: int) -> bool | None:
+        """Give an order; false where its fencing number was refused, none where unheard."""
+        return await self._engines.order(order.address, fencing, order.kind, order.argument)
+
+    async def held(self, address: str) -> Held | None:
+        """Read the models and adapters an engine has loaded, and its role."""
+        models = await self._read(address, "/v1/models")
+        orders = await self._read(address, "/orders")
+        if models is None:
+            return None
+        try:
+            names = frozenset(str(item["id"]) for item in models["data"])
+            given = (orders or {}).get("orders", ())
+            roles = [item["argument"] for item in given if item["order"] == OrderKind.CHANGE_ROLE]
+        except (KeyError, TypeError):
+            return None
+        return Held(names, str(roles[-1]) if roles else "")
+
+    async def _read(self, address: str, path: str) -> dict[str, Any] | None:
+        answer = await self._backend.call(address, "GET", path)
+        if answer is None or answer[0] != OK_STATUS:
+            return None
+        try:
+            document = json.loads(answer[1])
+        except ValueError:
+            return None
+        return document if isinstance(document, dict) else None
+
+
+__all__ = ["EngineOrders"]
--- a/src/redwingbank/rules/table.py
+++ b/src/redwingbank/rules/table.py
@@ -74,6 +74,8 @@
     """A backend server; `state` is `serving` or `draining`, `slots` its capacity till it reports.
 
     `fencing` is `checked` where the server refuses an order with an old fencing number.
+    `adapters` an engine shall have loaded, names between spaces; `role` it shall have, empty
+    for whatever it has.
     """
 
     name: str
@@ -83,6 +85,8 @@
     slots: int
     state: str
     fencing: str
+    adapters: str = ""
+    role: str = ""
 
 
 class Table(NamedTuple):
@@ -175,6 +179,18 @@
     return cell
 
 
+def _words(cell: str) -> str:
+    if len(cell) > LONGEST_NAME or not cell.isprintable():
+        raise ValueError(cell)
+    return " ".join(sorted(set(cell.split())))
+
+
+def _word(cell: str) -> str:
+    if " " in _words(cell):
+        raise ValueError(cell)
+    return cell
+
+
 def _one_of(*words: str) -> Callable[[str], str]:
     def parse(cell: str) -> str:
         if cell not in words:
@@ -222,6 +238,8 @@
             Column("slots", _positive_count, POSITIVE_COUNT),
             Column("state", _one_of("serving", "draining"), "serving or draining", "serving"),
             Column("fencing", _one_of("checked", "ignored"), "checked or ignored", "ignored"),
+            Column("adapters", _words, "names between spaces, or nothing", ""),
+            Column("role", _word, "a name without spaces, or nothing", ""),
         ),
     ),
 }
--- a/src/redwingbank/settings.py
+++ b/src/redwingbank/settings.py
@@ -70,6 +70,7 @@
     platform_timeout_s: float = 2.0
     drain_s: float = 5.0
     retry_ratio: float = 0.1
+    weight_loads_per_minute: int = 6
     operator_key: bytes = b""
     policy: str = "full"
     faults_allowed: bool = False
@@ -183,6 +184,7 @@
     Field("limits.queue", "queue_limit", _count, COUNT),
     Field("limits.retry_ratio", "retry_ratio", _positive, "a number over 0"),
     Field("backends.load_interval_s", "load_interval_s", _positive, SECONDS),
+    Field("backends.weight_loads_per_minute", "weight_loads_per_minute", _count, COUNT),
     Field("backends.first_byte_timeout_s", "first_byte_timeout_s", _positive, SECONDS),
     Field("backends.idle_timeout_s", "idle_timeout_s", _positive, SECONDS),
     Field("shutdown.drain_s", "drain_s", _positive, SECONDS),
--- a/tests/rules/table.feature
+++ b/tests/rules/table.feature
@@ -39,6 +39,7 @@
       | backend_servers/runner-1/slots          | 0            | backend_servers/runner-1/slots             |
       | backend_servers/runner-1/state          | gone         | backend_servers/runner-1/state             |
       | backend_servers/runner-1/fencing        | maybe        | backend_servers/runner-1/fencing           |
+      | backend_servers/runner-1/role           | two words    | backend_servers/runner-1/role              |
 
   Scenario: faults of several sheets are told together
     Given the table's sample sheets
--- /dev/null
+++ b/tests/steps/rules_lease.py
@@ -0,0 +1,288 @@
+"""Steps of rules/lease.feature."""
+
+from __future__ import annotations
+
+from behave import given, then
+from hypothesis import HealthCheck, Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from redwingbank.rules.lease import (
+    Lease,
+    LeaseError,
+    LeaseRecord,
+    decode_lease,
+    encode_lease,
+)
+
+TERM_S = 10.0
+OTHER = LeaseRecord("entry-2", 7, "n", TERM_S)
+MACHINE = settings(
+    derandomize=True,
+    max_examples=150,
+    stateful_step_count=40,
+    deadline=None,
+    database=None,
+    report_multiple_bugs=False,
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+
+
+@given("a lease of 10 s that another host renewed last at 0 s")
+def other_holds(context):
+    context.lease = Lease("orders/desk-model", "entry-1", TERM_S)
+    context.lease.observe(OTHER, 3, 0.0)
+
+
+def may_take(lease, at_s):
+    return lease.claim("mine", at_s) is not None
+
+
+def renewed(lease, at_s):
+    lease.observe(OTHER._replace(nonce="n2"), 4, 6.0)
+    return may_take(lease, at_s)
+
+
+def released(lease, at_s):
+    lease.observe(OTHER._replace(released=True), 4, 6.0)
+    return may_take(lease, at_s)
+
+
+def take(lease, at_s=12.0):
+    claim = lease.claim("mine", at_s)
+    lease.written(claim.record, claim.version + 1, at_s)
+    return claim.record.number
+
+
+def gives_orders(lease, at_s):
+    take(lease)
+    return lease.fencing(at_s) is not None
+
+
+def gives_after_release(lease, at_s):
+    take(lease)
+    claim = lease.release("bye")
+    assert claim.record.released
+    assert lease.fencing(at_s) is None
+    lease.written(claim.record, claim.version + 1, at_s)
+    return lease.fencing(at_s) is not None
+
+
+DEEDS = {
+    "of another may be taken": may_take,
+    "of another renewed at 6 s may be taken": renewed,
+    "of another released at 6 s may be taken": released,
+    "taken at 12 s, sent at 12 s, gives orders": gives_orders,
+    "released by ourselves gives orders": gives_after_release,
+}
+
+
+@then("a lease {deed} at {at:g} s: {result}")
+def lease_deed(context, deed, at, result):
+    assert DEEDS[deed](context.lease, at) == (result == "yes")
+
+
+@then("a lease taken at 12 s has number 8, renewed at 15 s 8, taken again at 99 s 9")
+def numbers(context):
+    assert [take(context.lease, at_s) for at_s in (12.0, 15.0, 99.0)] == [8, 8, 9]
+
+
+@then("a lease seen again at an older version or not at all still waits from 0 s")
+def stale_reads(context):
+    context.lease.observe(OTHER._replace(released=True), 2, 5.0)
+    context.lease.observe(None, 0, 5.0)
+    context.lease.observe(OTHER, 3, 5.0)
+    assert not may_take(context.lease, 11.9)
+    assert may_take(context.lease, 12.0)
+
+
+@then("a lease is read back and nothing else is taken for one")
+def read_back(context):
+    assert decode_lease(encode_lease(OTHER)) == OTHER
+    for value in (b"", b"{}", b"[]", b'{"holder": 1}'):
+        try:
+            decode_lease(value)
+        except LeaseError:
+            continue
+        raise AssertionError(value)
+
+
+HOSTS = ("entry-1", "entry-2")
+HOST = st.sampled_from(HOSTS)
+
+
+class Holders(RuleBasedStateMachine):
+    """Two hosts, one fast and one slow clock, one stored lease.
+
+    A write is sent at one moment, lands at a later one or never, and its answer comes later
+    still or never; between all of these any time may pass.
+    """
+
+    lease_type = Lease
+    from_answer = False
+
+    def __init__(self):
+        super().__init__()
+        self.true_s = 0.0
+        self.rates = {"entry-1": 1.04, "entry-2": 0.96}
+        self.leases = {host: self.lease_type("orders", host, TERM_S) for host in HOSTS}
+        self.stored = None
+        self.version = 0
+        self.under_way = {}
+        self.answers = {}
+        self.nonces = 0
+
+    def now_s(self, host):
+        return self.true_s * self.rates[host]
+
+    @rule(seconds=st.sampled_from((1.0, 7.5, 13.0)))
+    def time_passes(self, seconds):
+        self.true_s += seconds
+
+    @rule(host=HOST)
+    def look(self, host):
+        if host not in self.under_way and host not in self.answers:
+            self.leases[host].observe(self.stored, self.version, self.now_s(host))
+
+    @rule(host=HOST)
+    def send(self, host):
+        if host in self.under_way or host in self.answers:
+            return
+        self.nonces += 1
+        claim = self.leases[host].claim(str(self.nonces), self.now_s(host))
+        if claim:
+            self.under_way[host] = (claim, self.now_s(host))
+
+    @rule(host=HOST)
+    def write(self, host):
+        """Look, send, land and hear of it with no time between."""
+        self.look(host)
+        self.send(host)
+        self.land(host, True)
+        self.answer(host)
+
+    @precondition(lambda self: self.under_way)
+    @rule(host=HOST, answered=st.sampled_from((True, True, True, False)))
+    def land(self, host, answered):
+        if host not in self.under_way:
+            return
+        claim, sent_s = self.under_way.pop(host)
+        landed = claim.version == self.version
+        if landed:
+            self.stored, self.version = claim.record, self.version + 1
+        if answered:
+            self.answers[host] = (claim, sent_s, self.version if landed else 0)
+
+    @precondition(lambda self: self.answers)
+    @rule(host=HOST)
+    def answer(self, host):
+        if host not in self.answers:
+            return
+        claim, sent_s, version = self.answers.pop(host)
+        if version:
+            counted_s = self.now_s(host) if self.from_answer else sent_s
+            self.leases[host].written(claim.record, version, counted_s)
+        else:
+            self.leases[host].lost()
+
+    @precondition(lambda self: self.under_way)
+    @rule(host=HOST)
+    def lose(self, host):
+        self.under_way.pop(host, None)
+
+    @rule(host=HOST)
+    def release(self, host):
+        if host in self.under_way or host in self.answers:
+            return
+        self.nonces += 1
+        claim = self.leases[host].release(str(self.nonces))
+        if claim:
+            self.under_way[host] = (claim, self.now_s(host))
+
+    @invariant()
+    def one_at_a_time(self):
+        numbers = [self.leases[host].fencing(self.now_s(host)) for host in HOSTS]
+        assert None in numbers, numbers
+
+
+class Impatient(Lease):
+    """The variant that takes a lease without waiting for its term."""
+
+    def _free_at_s(self, held):
+        return self._seen_s
+
+
+class Timeless(Lease):
+    """The variant that holds until it hears otherwise."""
+
+    def fencing(self, now_s):
+        return super().fencing(min(now_s, self._until_s - self.margin_s - 0.1))
+
+
+class HoldersImpatient(Holders):
+    lease_type = Impatient
+
+
+class HoldersFromAnswer(Holders):
+    from_answer = True
+
+
+class HoldersTimeless(Holders):
+    lease_type = Timeless
+
+
+def fails(machine):
+    try:
+        run_state_machine_as_test(machine, settings=MACHINE)
+    except AssertionError:
+        return True
+    return False
+
+
+@then("a lease machine finds no two hosts that may give orders at once")
+def no_two(context):
+    run_state_machine_as_test(Holders, settings=MACHINE)
+
+
+@then("a lease machine finds two where a taker does not wait for the term")
+def two_impatient(context):
+    assert fails(HoldersImpatient)
+
+
+def late_answer(machine):
+    """Another host takes the lease while the answer to the first one's write is on its way."""
+    machine.send("entry-1")
+    machine.land("entry-1", True)
+    machine.look("entry-2")
+    machine.time_passes(13.0)
+    machine.send("entry-2")
+    machine.land("entry-2", True)
+    machine.answer("entry-2")
+    machine.answer("entry-1")
+    machine.one_at_a_time()
+
+
+@then("a lease whose answer came late is not held")
+def late_not_held(context):
+    late_answer(Holders())
+
+
+@then("a lease whose term counts from the answer is held twice then")
+def late_held_twice(context):
+    try:
+        late_answer(HoldersFromAnswer())
+    except AssertionError:
+        return
+    raise AssertionError("nobody else held it")
+
+
+@then("a lease machine finds two where a holder does not look at the clock")
+def two_timeless(context):
+    assert fails(HoldersTimeless)
