--- a/src/redwingbank/daemon.py
+++ b/src/redwingbank/daemon.py
@@ -261,8 +261,8 @@
 
     def _take_members(self, view: MemberView) -> None:
         self.dispatch.inbox.send_nowait(view)
-        self._to_allocate.send_nowait(Hosts(frozenset(member.host for member in view.alive)))
         self._recorder.share_rate(len(view.alive))
+        self._to_allocate.send_nowait(Hosts(frozenset(member.host for member in view.alive)))
         self._orders.take(view)
         self._plan()
 
