--- a/src/redwingbank/rules/membership.py
+++ b/src/redwingbank/rules/membership.py
@@ -15,12 +15,12 @@
 
     from redwingbank.settings import Settings
 
-CALM_MEMBERS = 2
+CALM_MEMBERS = 1
 NEWS_MEMBERS = 6
 NOTICES_PER_HEARTBEAT = 3
 PUSHES = 3
 FORWARDS = 2
-HELPERS = 3
+HELPERS = 2
 JOINS = 3
 RECONTACT_PERIODS = 4
 STALL_PERIODS = 4
@@ -141,6 +141,7 @@
     def tick(self, now_s: float) -> list[Outgoing]:
         """Do what a period asks for."""
         self._notice_stall(now_s)
+        self._started_s = now_s if self._started_s is None else self._started_s
         self._periods += 1
         sent = self._chase(now_s)
         self._expire(now_s)
@@ -259,7 +260,6 @@
         """Blame nobody for the time in which we ourselves did not run."""
         gap_s = 0.0 if self._ticked_s is None else now_s - self._ticked_s
         self._ticked_s = now_s
-        self._started_s = now_s if self._started_s is None else self._started_s
         if gap_s <= STALL_PERIODS * self._settings.heartbeat_s:
             return
         self._probe_by_host.clear()
@@ -284,7 +284,7 @@
     def _ask_helpers(self, member: Member, now_s: float) -> list[Outgoing]:
         ask = Notice(PROBE, member.host, self.own.host, member.incarnation, 0, 0)
         helpers = self._some(HELPERS, but=member.host)
-        return [self._to(helper, now_s, notices=(ask,)) for helper in helpers]
+        return [self._to(helper, now_s, reply=True, notices=(ask,)) for helper in helpers]
 
     def _suspect(self, host: str, now_s: float) -> None:
         record = self.roster.by_host.get(host)
@@ -294,6 +294,7 @@
 
     def _expire(self, now_s: float) -> None:
         """Take the suspected for dead, and forget the dead, when their time has passed."""
+        self._notice_stall(now_s)
         for member, since_s in self.roster.records_in(MemberState.SUSPECT):
             if now_s - since_s >= self._settings.suspect_s:
                 self._askers_by_host.pop(member.host, None)
--- a/src/redwingbank/rules/notices.py
+++ b/src/redwingbank/rules/notices.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from redwingbank.messages import Notice
 
-SENDS_PER_LOG_HOST = 3
+SENDS_PER_LOG_HOST = 2
 HIGHEST_TTL_S = 86_400.0
 HIGHEST_KEPT = 4096
 
@@ -29,8 +29,8 @@
 class Notices:
     """The notices a host has; the highest number of a kind, subject and origin wins.
 
-    Each is passed on a number of times that grows with the logarithm of the host count,
-    and kept until its time to live has passed.
+    Each is passed on a number of times that grows with the logarithm of the host count, less
+    often where others turn out to have it already, and kept until its time to live has passed.
     """
 
     def __init__(self) -> None:
@@ -40,6 +40,8 @@
         """Take a notice in; tells whether it is news."""
         key = (notice.kind, notice.subject, notice.origin)
         kept = self._kept_by_key.get(key)
+        if kept and kept.notice.number == notice.number:
+            self._kept_by_key[key] = kept._replace(sends_left=kept.sends_left - 1)
         if notice.ttl_s <= 0 or (kept and kept.notice.number >= notice.number):
             return False
         if kept is None and len(self._kept_by_key) >= HIGHEST_KEPT:
--- a/tests/member_fleet.py
+++ b/tests/member_fleet.py
@@ -7,6 +7,7 @@
 from random import Random
 from typing import NamedTuple
 
+from redwingbank.messages import Heartbeat
 from redwingbank.ports.codec import Envelope, encode
 from redwingbank.ports.peers import UDP_HEADER_BYTES
 from redwingbank.ports.seal import HEADER_BYTES, TAG_BYTES
@@ -48,9 +49,10 @@
 class Fleet:
     """Hosts `entry-1`... over `data_centres` in turn; `frozen` and `down` hold host names."""
 
-    def __init__(self, count, data_centres, seed=1, seeds=3, kind=Membership):
+    def __init__(self, count, data_centres, seed=1, seeds=3, kind=Membership, pull_s=None):
         self.random = Random(seed)
         self.kind = kind
+        self.pull_s = pull_s
         self.loss = 0.0
         self.cuts = set()
         self.frozen = set()
@@ -69,11 +71,11 @@
             self.settings_by_host[f"entry-{index}"] = settings_of(index, data_centre, seeds)
             self.start(f"entry-{index}")
 
-    def start(self, host):
-        """Start a host's process, or start it again."""
+    def start(self, host, clock_s=0.0):
+        """Start a host's process, or start it again, with its wall clock off by `clock_s`."""
         settings = self.settings_by_host[host]
         address = str(settings.control)
-        incarnation = START_MICROSECONDS + round(self.now_s * 1_000_000)
+        incarnation = START_MICROSECONDS + round((self.now_s + clock_s) * 1_000_000)
         self.down.discard(host)
         self.host_by_address[address] = host
         self.member_by_host[host] = self.kind(
@@ -99,10 +101,35 @@
                 self._tick(host)
         return bool(until and until())
 
+    def wake(self, host):
+        """End a host's freeze; its timer runs before it reads what has arrived."""
+        self.frozen.discard(host)
+        self._tick(host)
+
     def send(self, host, outgoing):
         for address, heartbeat in outgoing:
             self._send(host, address, heartbeat)
 
+    def meet(self):
+        """Let every host know every other, as after a long run."""
+        for host, member in self.member_by_host.items():
+            members = tuple(
+                other.own for name, other in self.member_by_host.items() if name != host
+            )
+            member.synced(Heartbeat(True, 0, members), self.now_s)
+            member.take_changes()
+
+    def changes(self):
+        """What each host has found since the last call: (finder, member)."""
+        return [
+            (host, change.member)
+            for host, member in self.member_by_host.items()
+            for change in member.take_changes()
+        ]
+
+    def cut_between(self, some, others):
+        self.cuts |= {frozenset((one, two)) for one in some for two in others}
+
     def up(self):
         """Memberships of the hosts that run."""
         gone = self.down | self.frozen
@@ -143,6 +170,15 @@
         at_s = self.now_s + LATENCY_S * (1 + self.random.random())
         heapq.heappush(self._arrivals, Arrival(at_s, self._order, sender, address, heartbeat))
 
+    def _follow(self, host, member):
+        """Take a newer table after the time that a pull of it takes."""
+        if self.pull_s is None or member.view().highest_revision <= member.own.revision:
+            return
+        self._order += 1
+        at_s = self.now_s + self.pull_s
+        arrival = Arrival(at_s, self._order, host, member.own.address, None)
+        heapq.heappush(self._arrivals, arrival)
+
     def _deliver(self):
         now_s = self.now_s
         while self._arrivals and self._arrivals[0].at_s <= now_s:
@@ -152,5 +188,10 @@
                 continue
             self.now_s = arrival.at_s
             member = self.member_by_host[receiver]
+            if arrival.heartbeat is None:
+                revision = member.view().highest_revision
+                self.send(receiver, member.set_revision(revision, arrival.at_s))
+                continue
             self.send(receiver, member.receive(arrival.sender, arrival.heartbeat, arrival.at_s))
+            self._follow(receiver, member)
         self.now_s = now_s
--- /dev/null
+++ b/tests/steps/ports_pulls.py
@@ -0,0 +1,233 @@
+"""Steps of ports/pulls.feature."""
+
+from __future__ import annotations
+
+import anyio
+from behave import given, then, when
+from hypothesis import given as any_of
+from hypothesis import settings as effort
+from hypothesis import strategies as st
+
+from peer_hosts import KEYS, LOOPBACK
+from redwingbank import messages
+from redwingbank.messages import Heartbeat, Member, MemberState, Pulled
+from redwingbank.ports import pulls as pulls_module
+from redwingbank.ports.codec import Envelope, decode, encode
+from redwingbank.ports.faults import FaultPlan
+from redwingbank.ports.peers import Peers
+from redwingbank.ports.pulls import ANSWER, ANSWER_VALUES_BYTES, Pulls
+from redwingbank.ports.seal import nonce_of
+from redwingbank.settings import PeerKey, Settings
+
+OTHER_KEYS = (PeerKey(1, b"a secret of other peers"),)
+VALUES = {"page-1": b"text", "page-2": b"more"}
+BIG = {"page-1": b"text", "big": bytes(ANSWER_VALUES_BYTES)}
+BEAT = Heartbeat(True, 7, (Member("far", "amman-a", "127.0.0.1:1", 5, MemberState.ALIVE, 7),), ())
+EXAMPLES = 60
+
+texts = st.text(max_size=12)
+uint8 = st.integers(0, 2**8 - 1)
+uint16 = st.integers(0, 2**16 - 1)
+uint32 = st.integers(0, 2**32 - 1)
+uint64 = st.integers(0, 2**64 - 1)
+seconds = st.integers(0, 2**32 - 1).map(lambda number: number / 1000)
+signed_seconds = st.integers(-(2**31) + 1, 2**31 - 1).map(lambda number: number / 1000)
+counts = st.dictionaries(texts, uint16, max_size=4)
+uses = st.lists(
+    st.builds(messages.OrganisationUse, texts, uint32, uint32, uint64), max_size=3
+).map(tuple)
+members = st.builds(Member, texts, texts, texts, uint64, st.sampled_from(MemberState), uint64)
+notices = st.builds(
+    messages.Notice, texts, texts, texts, uint64, st.floats(allow_nan=False), seconds
+)
+classes = st.builds(
+    messages.ClassDemand, uint8, texts, uint32, seconds, signed_seconds, uint32, uint16
+)
+STRATEGY_BY_KIND = {
+    "heartbeat": st.builds(
+        Heartbeat,
+        st.booleans(),
+        uint64,
+        st.lists(members, max_size=4).map(tuple),
+        st.lists(notices, max_size=3).map(tuple),
+    ),
+    "demand": st.builds(
+        messages.Demand,
+        texts,
+        uint64,
+        st.lists(classes, max_size=3).map(tuple),
+        counts,
+        counts,
+        uses,
+        uint64,
+    ),
+    "allocation": st.builds(
+        messages.Allocation, texts, uint64, uint64, seconds, uint8, counts, uses, counts
+    ),
+    "pull": st.builds(messages.Pull, st.lists(texts, max_size=4).map(tuple)),
+    "pulled": st.builds(Pulled, uint64, st.dictionaries(texts, st.binary(max_size=40))),
+}
+
+
+def peers_of(name, keys=KEYS):
+    settings = Settings(name, "amman-a", LOOPBACK, LOOPBACK, LOOPBACK, keys)
+    return Peers(settings, name, 1_000_000)
+
+
+def server_of(peers, values):
+    def lookup(names):
+        return Pulled(7, {name: values[name] for name in names if name in values})
+
+    return Pulls(peers, lookup, lambda: BEAT)
+
+
+class Repeats(Pulls):
+    """Answers each pull with the answer to another request."""
+
+    async def _answer(self, stream):
+        await pulls_module._read_frame(stream, pulls_module.HIGHEST_REQUEST_BYTES)
+        old = self._peers.envelope(Pulled(7, VALUES))
+        context = ANSWER + nonce_of(bytes(40))
+        await pulls_module._write_frame(stream, self._peers.ring.seal(old, context))
+
+
+async def hang(stream):
+    await anyio.sleep_forever()
+
+
+async def garbage(stream):
+    async with stream:
+        await stream.receive()
+        await stream.send(b"\0\0\0\x05hello")
+
+
+async def huge(stream):
+    async with stream:
+        await stream.receive()
+        await stream.send(b"\xff\xff\xff\xff")
+
+
+STREAM_HANDLERS = {"that hangs": hang, "that sends garbage": garbage, "that says 4 GB": huge}
+
+
+@given("a pull server {server}")
+def pull_server(context, server):
+    context.server = server
+
+
+async def start_server(context, group):
+    """Start the far end; gives its peers and address."""
+    far = peers_of("far", OTHER_KEYS if context.server == "of other keys" else KEYS)
+    await far.bind()
+    if context.server == "that is gone":
+        await far.listener.aclose()
+    elif context.server in STREAM_HANDLERS:
+        group.start_soon(far.listener.serve, STREAM_HANDLERS[context.server])
+    elif context.server == "that repeats an old answer":
+        group.start_soon(Repeats(far, lambda names: Pulled(7, VALUES), lambda: BEAT).run)
+    else:
+        values = BIG if context.server == "of big pages" else VALUES
+        group.start_soon(server_of(far, values).run)
+    return far
+
+
+@when("the pull asks for {names} with the link cut at {end} end")
+def asks_cut(context, names, end):
+    ask(context, names, end)
+
+
+@when("the pull asks for {names} as is")
+def asks(context, names):
+    ask(context, names, "")
+
+
+def ask(context, names, cut):
+    async def body():
+        near = peers_of("near")
+        async with anyio.create_task_group() as group:
+            far = await start_server(context, group)
+            if cut:
+                end, other = (near, far.address) if cut == "our" else (far, "near")
+                end.faults.set(FaultPlan(cut=frozenset({other})))
+            pulls = server_of(near, {})
+            if names == "members":
+                context.answer = await pulls.digest(far.address)
+            else:
+                context.answer = await pulls.pull(far.address, tuple(names.split(",")))
+            group.cancel_scope.cancel()
+        await far._socket.aclose()
+
+    anyio.run(body)
+
+
+@then("the pull gives {answer}")
+def gives(context, answer):
+    expected = {
+        "nothing": None,
+        "the members": BEAT,
+        "page-1": Pulled(7, {"page-1": b"text"}),
+    }
+    assert context.answer == expected[answer], context.answer
+
+
+@when("the pull server gets {count:d} connections that say nothing")
+def silent(context, count):
+    async def body():
+        near = peers_of("near")
+        async with anyio.create_task_group() as group:
+            far = await start_server(context, group)
+            host, port = far.address.split(":")
+            streams = [await anyio.connect_tcp(host, int(port)) for _ in range(count)]
+            refused = 0
+            for stream in streams[pulls_module.SERVED_AT_ONCE :]:
+                try:
+                    await stream.receive()
+                except (anyio.EndOfStream, anyio.BrokenResourceError):
+                    refused += 1
+            context.refused = refused
+            for stream in streams:
+                await stream.aclose()
+            pulls = server_of(near, {})
+            context.answer = None
+            with anyio.fail_after(10):
+                while context.answer is None:
+                    context.answer = await pulls.pull(far.address, ("page-1",))
+            group.cancel_scope.cancel()
+        await far._socket.aclose()
+
+    anyio.run(body)
+
+
+@then("the pull server still answers once they are gone")
+def still_answers(context):
+    assert context.refused == 40 - pulls_module.SERVED_AT_ONCE, context.refused
+    gives(context, "page-1")
+
+
+@given("the envelope codec")
+def codec(context):
+    pass
+
+
+@then("the envelope codec reads back any {message}")
+def reads_back(context, message):
+    @effort(max_examples=EXAMPLES, derandomize=True, database=None, deadline=None)
+    @any_of(st.builds(Envelope, texts, uint64, uint64, STRATEGY_BY_KIND[message]))
+    def check(envelope):
+        assert decode(encode(envelope)) == envelope
+
+    check()
+
+
+@then("the envelope codec gives nothing for any other bytes, and never fails")
+def other_bytes(context):
+    whole = encode(Envelope("far", 1, 2, BEAT))
+
+    @effort(max_examples=4 * EXAMPLES, derandomize=True, database=None, deadline=None)
+    @any_of(st.binary(max_size=200), st.integers(0, len(whole) - 1))
+    def check(noise, cut):
+        for data in (noise, whole[:cut], whole[:cut] + noise):
+            envelope = decode(data)
+            assert envelope is None or isinstance(envelope, Envelope)
+
+    check()
