Read the table's head on every host now and then, and prove the spread of tables

Ruled out: pulls and pushes, which spread it at once when the relay had it. Weighed: blind relays telling the others, which costs a notice a host in every outage. Change: reads every 1.5 s of 7 hosts, 9.75 s of 390, 40 a second in all.

--- a/src/redwingbank/tasks/tables.py
+++ b/src/redwingbank/tasks/tables.py
@@ -2,6 +2,7 @@
 
 Two relays a data centre watch the platform. The other hosts learn a newer revision from
 heartbeats and pull the head, and the pages that they lack, from the members that have it.
+Each host also reads the platform's head now and then, in case it is not the relays that can.
 Whatever the source, only a higher revision comes into force, and only whole.
 """
 
@@ -34,7 +35,8 @@
 
 RELAYS = 2
 WATCH_S = 30.0
-POLL_S = 60.0
+LOWEST_POLL_S = 1.5
+POLLS_PER_S = 40.0
 GATHER_S = 1.0
 RETRY_S = 0.3
 HIGHEST_RETRY_S = 5.0
@@ -253,13 +255,18 @@
                     await anyio.sleep(RETRY_S * (0.5 + self._random.random()))
 
     async def _poll(self) -> None:
-        """Read the head at the start and now and then, whatever the relays do."""
+        """Read the head now and then: the relays may be the ones the platform does not answer.
+
+        The more hosts there are, the less often each reads, so that all of them together
+        read it `POLLS_PER_S` times a second or less.
+        """
         while True:
             stored = await self._platform.read(HEAD)
             if isinstance(stored, Stored):
                 self._offer(stored)
             self.inbox.send_nowait(_Asked())
-            await anyio.sleep(POLL_S * (0.5 + self._random.random()))
+            interval_s = max(LOWEST_POLL_S, len(self._view.alive) / POLLS_PER_S)
+            await anyio.sleep(interval_s * (0.75 + 0.5 * self._random.random()))
 
     def _offer(self, stored: Stored) -> None:
         self.inbox.send_nowait(Offer(revision_of(stored.value), stored.value, ""))
--- a/tests/peer_hosts.py
+++ b/tests/peer_hosts.py
@@ -9,7 +9,6 @@
 from anyio.from_thread import start_blocking_portal
 
 from redwingbank.events import EventLog
-from redwingbank.messages import Heartbeat
 from redwingbank.ports.faults import FaultPlan
 from redwingbank.ports.peers import Peers
 from redwingbank.ports.platform import Absent, Conflict, Stored, Unknown
@@ -17,7 +16,7 @@
 from redwingbank.ports.table_store import load_table, publish
 from redwingbank.rules.membership import Membership
 from redwingbank.settings import Address, PeerKey, Settings
-from redwingbank.tasks.members import Members, MembersChanged, RevisionSeen
+from redwingbank.tasks.members import Members
 from redwingbank.tasks.tables import Tables
 from table_samples import sample_sheets
 
@@ -89,7 +88,8 @@
 class PeerHost:
     """One host's control side, wired as the daemon does it."""
 
-    def __init__(self, name, data_centre, platform, seeds=(), **settings):
+    def __init__(self, name, data_centre, platform, seeds=(), tables_kind=Tables, **settings):
+        self.tables_kind = tables_kind
         self.settings = Settings(
             host=name,
             data_centre=data_centre,
@@ -123,7 +123,7 @@
                 self.settings,
             )
             self.pulls = Pulls(
-                self.peers, lambda names: self.tables.lookup(names), lambda: self.members.digest()
+                self.peers, lambda names: self.lookup(names), lambda: self.members.digest()
             )
             self.members = Members(
                 self.settings,
@@ -133,7 +133,7 @@
                 self.peers.send,
                 self.pulls.digest,
             )
-            self.tables = Tables(
+            self.tables = self.tables_kind(
                 self.settings,
                 self.members.view,
                 self.platform,
@@ -157,6 +157,9 @@
             with anyio.CancelScope(shield=True):
                 await self.peers.listener.aclose()
 
+    def lookup(self, names):
+        return self.tables.lookup(names)
+
     async def _forward(self, source, target):
         async for message in source:
             target.send_nowait(message)
@@ -198,9 +201,7 @@
 
     def start(self, name, number=0, **settings):
         """Start a host; its seeds are the hosts that run now."""
-        seeds = tuple(
-            Address(*_split(host.address)) for host in self.by_name.values() if host.scope
-        )
+        seeds = tuple(Address(*_split(host.address)) for host in self.by_name.values())
         data_centre = settings.pop("data_centre", DATA_CENTRES[number % len(DATA_CENTRES)])
         settings.setdefault("seeds", seeds)
 
@@ -213,9 +214,9 @@
         self.by_name[name] = self.portal.call(begin)
         return self.by_name[name]
 
-    def start_many(self, count):
+    def start_many(self, count, **settings):
         for number in range(1, count + 1):
-            self.start(f"entry-{number}", number)
+            self.start(f"entry-{number}", number, **settings)
 
     def stop(self, name):
         host = self.by_name.pop(name)
@@ -260,6 +261,11 @@
 
         return self.portal.call(body)
 
+    def in_force(self, revision, *names):
+        """Wait until a revision is in force on all these hosts, or on all there are."""
+        hosts = [self.by_name[name] for name in names] or list(self.by_name.values())
+        return self.until(lambda: all(host.tables.revision == revision for host in hosts))
+
     def alive_at(self, name):
         return {member.host for member in self.by_name[name].members.view.alive}
 
@@ -267,6 +273,3 @@
 def _split(address):
     host, _, port = address.rpartition(":")
     return host, int(port)
-
-
-__all__ = ["Heartbeat", "MembersChanged", "PeerHost", "PeerHosts", "RevisionSeen"]
--- /dev/null
+++ b/tests/steps/tasks_tables.py
@@ -0,0 +1,257 @@
+"""Steps of tasks/tables.feature."""
+
+from __future__ import annotations
+
+import functools
+
+from behave import given, then, when
+
+from peer_hosts import DATA_CENTRES, FakePlatform, PeerHosts
+from redwingbank.messages import Pulled
+from redwingbank.rules.pages import HEAD
+from redwingbank.settings import PeerKey
+from redwingbank.tasks.tables import RELAYS, Tables
+
+SHORT_WAIT_S = 3.0
+OTHER_KEYS = (PeerKey(1, b"a secret of other peers"),)
+
+
+class WithoutPulls(Tables):
+    def __init__(self, settings, view, platform, events, pull, tell):
+        async def no_pull(address, names):
+            return None
+
+        super().__init__(settings, view, platform, events, no_pull, tell)
+
+
+class WithoutPolls(Tables):
+    async def _poll(self):
+        pass
+
+
+class WithoutGathering(Tables):
+    def _may_start(self):
+        return True
+
+
+class WithoutOrder(Tables):
+    """Takes whatever head came last."""
+
+    def _take_offer(self, offer):
+        self._copy = self._copy._replace(revision=0)
+        self._best = offer
+        self._seen = offer.revision
+
+
+KIND_BY_VARIANT = {
+    "as is": Tables,
+    "without pulls": WithoutPulls,
+    "without polls": WithoutPolls,
+    "without gathering": WithoutGathering,
+    "without the order of revisions": WithoutOrder,
+}
+
+
+@given("the tables of {count:d} hosts, {variant}")
+def tables_of(context, count, variant):
+    context.hosts = hosts = PeerHosts(context)
+    context.revision = hosts.publish(3)
+    context.variant = {"tables_kind": KIND_BY_VARIANT[variant]}
+    hosts.start_many(count, **context.variant)
+    assert hosts.in_force(context.revision)
+    assert hosts.until(lambda: all(len(hosts.alive_at(name)) == count for name in hosts.by_name))
+
+
+def change(context, count=1):
+    for _ in range(count):
+        context.revision = context.hosts.publish(3 + context.revision)
+
+
+def faulty(context, **plan):
+    for number, name in enumerate(context.hosts.by_name):
+        context.hosts.set_faults(name, seed=number, **plan)
+    change(context)
+
+
+def cut(context):
+    context.hosts.cut("entry-1", "entry-2")
+    change(context)
+
+
+def platform_fails(context):
+    hosts = context.hosts
+    change(context)
+    assert hosts.until(
+        lambda: any(host.tables.revision == context.revision for host in hosts.by_name.values())
+    )
+    hosts.platform.down = True
+
+
+def one_reaches(context):
+    """All but one, which is no relay, lose the platform."""
+    hosts = context.hosts
+    relays = hosts.by_name["entry-1"].members.view.relays(DATA_CENTRES[1], RELAYS)
+    assert "entry-1" not in {relay.host for relay in relays}
+    broken = FakePlatform.__new__(FakePlatform)
+    broken.__dict__ = {**hosts.platform.__dict__, "down": True}
+    for name in list(hosts.by_name)[1:]:
+        stopped = hosts.stop(name)
+        hosts.start(
+            name,
+            data_centre=stopped.settings.data_centre,
+            platform=broken,
+            **context.variant,
+        )
+    change(context)
+
+
+def relays_gone(context):
+    hosts = context.hosts
+    view = hosts.by_name["entry-1"].members.view
+    for relay in view.relays(DATA_CENTRES[1], RELAYS)[:1]:
+        hosts.stop(relay.host)
+    change(context)
+
+
+def spoiled(context):
+    """A host serves each page with another content, under its right name."""
+    host = context.hosts.by_name["entry-1"]
+
+    def lookup(names):
+        pulled = host.tables.lookup(names)
+        spoiled_by_name = {
+            name: value if name == HEAD else value[:-1]
+            for name, value in pulled.values_by_name.items()
+        }
+        return Pulled(pulled.revision, spoiled_by_name)
+
+    host.lookup = lookup
+    change(context)
+
+
+def stale_reads(context):
+    """After the change some reads and watches answer the head before it."""
+    hosts = context.hosts
+    old = hosts.platform.objects[HEAD]
+    change(context)
+    assert hosts.in_force(context.revision)
+    hosts.platform.stale = {HEAD: old}
+    for host in hosts.by_name.values():
+        hosts.portal.call(functools.partial(read_again, host))
+
+
+async def read_again(host):
+    host.tables._offer(await host.platform.read(HEAD))
+
+
+FAULTS = {
+    "all is well": change,
+    "a tenth of the messages is lost": functools.partial(faulty, loss=0.1),
+    "messages are late and out of order": functools.partial(faulty, jitter_s=0.1),
+    "a link is cut": cut,
+    "the platform fails right after the change": platform_fails,
+    "one host alone reaches the platform": one_reaches,
+    "the relays of a data centre are gone": relays_gone,
+    "a member serves spoiled pages": spoiled,
+    "the platform gives stale reads": stale_reads,
+    "three changes follow each other": functools.partial(change, count=3),
+}
+
+
+@when("the tables change while {fault}")
+def change_while(context, fault):
+    FAULTS[fault](context)
+
+
+@when("the tables change twice")
+def change_twice(context):
+    context.first_head = context.hosts.platform.objects[HEAD]
+    change(context, 2)
+    assert context.hosts.in_force(context.revision)
+
+
+def only_rose(context):
+    return all(
+        host.revisions == sorted(set(host.revisions)) for host in context.hosts.by_name.values()
+    )
+
+
+@then("the tables are in force on all")
+def in_force(context):
+    assert context.hosts.in_force(context.revision)
+    assert only_rose(context)
+
+
+@then("the tables are not in force on all")
+def not_in_force(context):
+    hosts = context.hosts
+    at_last = hosts.until(
+        lambda: all(host.tables.revision == context.revision for host in hosts.by_name.values()),
+        SHORT_WAIT_S,
+    )
+    assert not at_last
+
+
+@then("the tables are reverted")
+def reverted(context):
+    assert context.hosts.until(lambda: not only_rose(context))
+
+
+@when("a host of the tables starts, {variant}, {fault}")
+def host_starts(context, variant, fault):
+    hosts = context.hosts
+    platform = hosts.platform
+    settings = {}
+    if fault == "with the platform down":
+        platform.down = True
+    elif fault == "with the platform down and nobody to ask":
+        platform.down = True
+        settings["seeds"] = ()
+    elif fault == "with the platform giving stale reads":
+        platform.stale = {HEAD: context.first_head}
+    elif fault == "with a seed that has another key":
+        stranger = hosts.start("stranger", peer_keys=OTHER_KEYS)
+        settings["seeds"] = (stranger.settings.control._replace(port=int(port_of(stranger))),)
+        hosts.by_name.pop("stranger")
+    context.host = hosts.start("entry-9", tables_kind=KIND_BY_VARIANT[variant], **settings)
+
+
+def port_of(host):
+    return host.address.rpartition(":")[2]
+
+
+@then("the tables of that host were {revisions}")
+def host_revisions(context, revisions):
+    host = context.host
+    if revisions == "none":
+        assert context.hosts.until(lambda: host.tables._gathered)
+        assert not host.revisions
+        return
+    expected = [int(text) for text in revisions.split(",")]
+    assert context.hosts.until(lambda: host.revisions and host.revisions[-1] == expected[-1])
+    assert host.revisions == expected, host.revisions
+
+
+@when("the hosts of the tables restart one by one with the platform down")
+def restart_all(context):
+    hosts = context.hosts
+    hosts.platform.down = True
+    for name in list(hosts.by_name):
+        stopped = hosts.stop(name)
+        hosts.start(name, data_centre=stopped.settings.data_centre)
+        assert hosts.in_force(context.revision, name)
+
+
+@then("the tables keep {count:d} watches a data centre waiting")
+def watches(context, count):
+    platform = context.hosts.platform
+    assert context.hosts.until(lambda: platform.watching == count * len(DATA_CENTRES))
+
+
+@then("the tables keep {count:d} watches a data centre waiting after a watcher is gone")
+def watches_after(context, count):
+    hosts = context.hosts
+    relay = hosts.by_name["entry-1"].members.view.relays(DATA_CENTRES[1], count)[0]
+    hosts.stop(relay.host)
+    assert hosts.until(lambda: relay.host not in hosts.alive_at(next(iter(hosts.by_name))))
+    watches(context, count)
