--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -137,9 +137,18 @@
 
     def _announce(self, notices: list[Notice]) -> None:
         for notice in notices:
-            self._events.record("notice", kind=notice.kind, subject=notice.subject)
+            self._record_notice("notice", notice)
             self._send(notice)
 
+    def _record_notice(self, event: str, notice: Notice) -> None:
+        self._events.record(
+            event,
+            kind=notice.kind,
+            subject=notice.subject,
+            origin=notice.origin,
+            notice=notice.number,
+        )
+
     @singledispatchmethod
     def handle(self, message: object) -> None:
         """Take one message in."""
@@ -171,6 +180,7 @@
     @handle.register(Notice)
     def _on_notice(self, notice: Notice) -> None:
         now_s = time.monotonic()
+        self._record_notice("notice-learned", notice)
         if notice.kind == DRAIN_NOTICE:
             self._fleet.drain(notice.subject, now_s + notice.ttl_s)
             return
@@ -359,6 +369,8 @@
 
     def _pump_touched(self) -> None:
         now_s = time.monotonic()
+        for change in self._fleet.changes(now_s):
+            self._events.record("server-state", **change._asdict())
         touched = sorted(self._touched)
         self._touched.clear()
         for pool in touched:
@@ -379,7 +391,13 @@
         free = holdings.free(now_s)
         if not free:
             return False
-        request = self._queue.best(pool, now_s, holdings.floor(now_s), holdings.turns(now_s))
+        request = self._queue.best(
+            pool,
+            now_s,
+            holdings.floor(now_s),
+            holdings.turns(now_s),
+            holdings.slack_s(now_s),
+        )
         if request is None:
             return False
         ticket = self._ticket_by_id[request.request_id]
@@ -424,6 +442,7 @@
         self._slots.holdings(cell).take(server)
         self._limits.start(request.request_id)
         self._waits.started(request, now_s)
+        view = self._fleet.view(server, request, now_s)
         self._fleet.sent(server, request, now_s)
         self._announce(self._quarantine.started(server, request, now_s))
         waited_s = now_s - request.arrived_s
@@ -437,6 +456,9 @@
             tier=request.tier,
             attempt=request.attempt,
             waited_ms=round(waited_s * MILLISECONDS, 1),
+            avoided=sorted(ticket.avoid),
+            blocks=len(request.blocks),
+            **view._asdict(),
         )
         address = self._table.backend_servers_by_name[server].address
         ticket.grant(Grant(server, address, self._kind(request.pool)), now_s)
