--- a/src/redwingbank/ports/peers.py
+++ b/src/redwingbank/ports/peers.py
@@ -88,6 +88,13 @@
             self.address = str(self.settings.control._replace(port=bound))
             return
 
+    async def close(self) -> None:
+        """Close the sockets."""
+        if self._socket:
+            await self._socket.aclose()
+        if self.listener:
+            await self.listener.aclose()
+
     async def run(
         self,
         inbox: MemoryObjectSendStream[Received],
