--- a/tests/peer_hosts.py
+++ b/tests/peer_hosts.py
@@ -88,7 +88,17 @@
 class PeerHost:
     """One host's control side, wired as the daemon does it."""
 
-    def __init__(self, name, data_centre, platform, seeds=(), tables_kind=Tables, **settings):
+    def __init__(
+        self,
+        name,
+        data_centre,
+        platform,
+        seeds=(),
+        tables_kind=Tables,
+        peers_kind=Peers,
+        clock_s=0.0,
+        **settings,
+    ):
         self.tables_kind = tables_kind
         self.settings = Settings(
             host=name,
@@ -103,10 +113,11 @@
         self.platform = platform
         self.revisions = []
         self.events = EventLog(name, data_centre)
-        incarnation = time.time_ns() // 1000
-        self.peers = Peers(self.settings, name, incarnation)
+        incarnation = time.time_ns() // 1000 + round(clock_s * 1_000_000)
+        self.peers = peers_kind(self.settings, name, incarnation)
         self._incarnation = incarnation
         self.scope = anyio.CancelScope()
+        self.closed = anyio.Event()
 
     @property
     def address(self):
@@ -153,9 +164,9 @@
                 group.start_soon(self._tell_tables, told)
                 group.start_soon(self._note, tables)
                 task_status.started()
-        if self.peers.listener:
-            with anyio.CancelScope(shield=True):
-                await self.peers.listener.aclose()
+        with anyio.CancelScope(shield=True):
+            await self.peers.close()
+        self.closed.set()
 
     def lookup(self, names):
         return self.tables.lookup(names)
@@ -220,7 +231,12 @@
 
     def stop(self, name):
         host = self.by_name.pop(name)
-        self.portal.call(host.scope.cancel)
+
+        async def body():
+            host.scope.cancel()
+            await host.closed.wait()
+
+        self.portal.call(body)
         return host
 
     def publish(self, organisations=3):
--- /dev/null
+++ b/tests/steps/tasks_members.py
@@ -0,0 +1,226 @@
+"""Steps of tasks/members.feature."""
+
+from __future__ import annotations
+
+import anyio
+from behave import given, then, when
+
+from peer_hosts import PeerHosts
+from redwingbank.messages import Demand, Heartbeat, MemberState, Notice
+from redwingbank.ports.peers import Peers
+from redwingbank.ports.platform import ListedHost
+from redwingbank.settings import Address, PeerKey
+from redwingbank.tasks.members import Leave
+
+VICTIM = "entry-3"
+HOUR_S = 3600.0
+SHORT_WAIT_S = 3.0
+OTHER_KEYS = (PeerKey(1, b"a secret of other peers"),)
+NOTICE = Notice("quarantine", "f" * 32, "entry-1", 1, 2.0, 600.0)
+
+
+class Unraised(Peers):
+    """Keeps the incarnation of its start, whatever its heartbeats say."""
+
+    async def send(self, address, message):
+        incarnation = self.incarnation
+        if isinstance(message, Heartbeat):
+            own = message.members[0]._replace(incarnation=incarnation)
+            message = message._replace(members=(own, *message.members[1:]))
+        return await super().send(address, message)
+
+
+@given("the members on {count:d} hosts")
+def members_on(context, count):
+    context.hosts = PeerHosts(context)
+    context.hosts.publish()
+    context.hosts.start_many(count)
+    assert all_alive(context)
+
+
+def all_alive(context, but=(), **wait):
+    hosts = context.hosts
+    expected = set(hosts.by_name) - set(but)
+    return hosts.until(lambda: all(hosts.alive_at(name) == expected for name in expected), **wait)
+
+
+def nothing(context):
+    pass
+
+
+def stops(context):
+    context.hosts.stop(VICTIM)
+
+
+def leaves(context):
+    hosts = context.hosts
+    hosts.portal.call(hosts.by_name[VICTIM].members.inbox.send_nowait, Leave())
+    context.gone = (VICTIM,)
+
+
+def restarts(context):
+    context.hosts.stop(VICTIM)
+    context.hosts.start(VICTIM)
+
+
+def clock_back(context, **how):
+    hosts = context.hosts
+    port = int(hosts.by_name[VICTIM].address.rpartition(":")[2])
+    hosts.stop(VICTIM)
+    assert all_alive(context)
+    hosts.start(VICTIM, clock_s=-HOUR_S, control=Address("127.0.0.1", port), **how)
+
+
+def unraised(context):
+    clock_back(context, peers_kind=Unraised)
+
+
+def list_hosts(context, *others):
+    hosts = context.hosts
+    hosts.platform.listed = [
+        ListedHost(name, "amman-a", host.address, leaving=False)
+        for name, host in hosts.by_name.items()
+    ]
+    hosts.platform.listed += [
+        ListedHost(f"gone-{number}", "amman-a", f"127.0.0.1:{number}", leaving=False)
+        for number in others
+    ]
+
+
+def newcomer_by_list(context):
+    list_hosts(context)
+    context.hosts.start("entry-9", seeds=())
+
+
+def newcomer_stale_list(context):
+    list_hosts(context, 1, 2, 3, 4, 5, 6)
+    context.hosts.start("entry-9", seeds=())
+
+
+def newcomer_platform_down(context):
+    context.hosts.platform.down = True
+    context.hosts.start("entry-9")
+
+
+def stranger(context):
+    hosts = context.hosts
+    hosts.start("stranger", peer_keys=OTHER_KEYS)
+    far = hosts.by_name.pop("stranger")
+    counted = [host.peers.counters.dropped for host in hosts.by_name.values()]
+    assert hosts.until(lambda: any(dropped["stranger"] for dropped in counted))
+    assert len(far.members.view.members) == 1
+
+
+def halves(context):
+    hosts = context.hosts
+    names = list(hosts.by_name)
+    some, others = names[:2], names[2:]
+    for one in some:
+        for two in others:
+            hosts.cut(one, two)
+    assert hosts.until(
+        lambda: (
+            all(hosts.alive_at(name) == set(some) for name in some)
+            and all(hosts.alive_at(name) == set(others) for name in others)
+        )
+    )
+    hosts.heal()
+
+
+EVENTS = {
+    "nothing": nothing,
+    "a host that stops": stops,
+    "a host that says that it leaves": leaves,
+    "a host restarted at another port": restarts,
+    "a host restarted with its clock an hour back": clock_back,
+    "a newcomer that knows only the platform's list": newcomer_by_list,
+    "a newcomer whose list names hosts long gone": newcomer_stale_list,
+    "the platform down from the start of a newcomer": newcomer_platform_down,
+    "a stranger with another key": stranger,
+    "a host with its clock back and its messages unchanged": unraised,
+    "halves cut off until they gave each other up": halves,
+}
+
+
+@when("the members meet {event}")
+def meet(context, event):
+    context.gone = ()
+    EVENTS[event](context)
+
+
+@then("the members are all alive")
+@then("the members are all but it")
+def verdict(context):
+    assert all_alive(context, context.gone)
+
+
+@then("the members are never all alive")
+def never(context):
+    assert not all_alive(context, wait_s=SHORT_WAIT_S)
+
+
+@when("the members are told a notice on one host")
+def told(context):
+    hosts = context.hosts
+    hosts.portal.call(hosts.by_name["entry-1"].members.inbox.send_nowait, NOTICE)
+
+
+def has_notice(host):
+    return any(notice.subject == NOTICE.subject for notice in host.members.digest().notices)
+
+
+@then("the members have the notice on every host")
+def notice_on_all(context):
+    hosts = context.hosts
+    assert hosts.until(lambda: all(has_notice(host) for host in hosts.by_name.values()))
+    others = [host for name, host in hosts.by_name.items() if name != "entry-1"]
+    assert hosts.until(lambda: all(notices_told(host) == 1 for host in others))
+
+
+def notices_told(host):
+    return sum(isinstance(message, Notice) for message in host.told)
+
+
+@then("the members have the notice on a host that starts later")
+def notice_later(context):
+    newcomer = context.hosts.start("entry-9")
+    assert context.hosts.until(lambda: notices_told(newcomer) == 1)
+
+
+@when("the members of two hosts lose their heartbeats but not their demands")
+def demands_only(context):
+    hosts = context.hosts
+    one, two = hosts.by_name["entry-1"], hosts.by_name[VICTIM]
+    context.pair = (one, two)
+
+    async def send(host, address, message, original):
+        far = {one.address, two.address} - {host.address}
+        if isinstance(message, Heartbeat) and address in far:
+            return False
+        return await original(address, message)
+
+    for host in context.pair:
+        original = host.members._send
+        host.members._send = lambda address, message, host=host, original=original: send(
+            host, address, message, original
+        )
+
+    async def demand():
+        for number in range(60):
+            await one.peers.send(two.address, Demand("memo-models", number))
+            await two.peers.send(one.address, Demand("memo-models", number))
+            await anyio.sleep(0.03)
+
+    hosts.portal.call(demand)
+
+
+@then("the members of these two do not blame each other")
+def no_blame(context):
+    for host in context.pair:
+        states = [
+            change.member.state
+            for message in host.told
+            if hasattr(message, "changes")
+            for change in message.changes
+        ]
+        assert not {MemberState.SUSPECT, MemberState.DEAD} & set(states), states
