--- a/src/redwingbank_bench/load.py
+++ b/src/redwingbank_bench/load.py
@@ -61,6 +61,7 @@
     code: int
     ran: str
     retry_after_s: float
+    request_id: str
 
     @property
     def first_token_ms(self) -> float:
@@ -176,7 +177,7 @@
         url, headers, content = _request(arrival)
         headers = {"Host": arrival.target, "Content-Length": str(len(content)), **headers}
         reader = _Reader()
-        status = 0
+        status, request_id = 0, ""
         sent_s = time.monotonic()
         timeout = dict.fromkeys(("connect", "read", "write", "pool"), TIMEOUT_S)
         request = httpcore.Request(
@@ -186,16 +187,19 @@
         try:
             answer = await connection.handle_async_request(request)
             status = answer.status
+            request_id = dict(answer.headers).get(b"x-request-id", b"").decode("latin-1")
             async for chunk in answer.aiter_stream():
                 reader.chunks.append((time.monotonic(), chunk))
             await answer.aclose()
             self._idle_by_target[arrival.target].append(connection)
         except (httpcore.NetworkError, httpcore.ProtocolError, httpcore.TimeoutException):
             await connection.aclose()
-        self.records.append(_record(arrival, sent_s, status, reader))
+        self.records.append(_record(arrival, sent_s, status, request_id, reader))
 
 
-def _record(arrival: Arrival, sent_s: float, status: int, reader: _Reader) -> Record:
+def _record(
+    arrival: Arrival, sent_s: float, status: int, request_id: str, reader: _Reader
+) -> Record:
     body = reader.body()
     tokens, error, whole = _parse(body, status, service=bool(arrival.key))
     times = reader.times()
@@ -211,6 +215,7 @@
         code=int(error.get("code") or 0),
         ran=str(error.get("ran", "")),
         retry_after_s=float(error.get("retry_after", 0)),
+        request_id=request_id or str(error.get("request_id", "")),
     )
 
 
