Keep the turns of a crash's suspects apart, and never shed news

Now turns count all that shared the crash, cleared or not, and a heartbeat that passes a notice on is not shed: its bytes count against heartbeats without news.

--- a/src/redwingbank/ports/peers.py
+++ b/src/redwingbank/ports/peers.py
@@ -129,7 +129,7 @@
         size = len(data) + UDP_HEADER_BYTES
         if len(data) > HIGHEST_DATAGRAM_BYTES:
             return self._drop("oversize")
-        may_shed = isinstance(message, Heartbeat)
+        may_shed = isinstance(message, Heartbeat) and not _carries_news(message)
         if not self.budget.allows(size, time.monotonic(), may_shed=may_shed):
             return self._drop("shed")
         self.counters.messages_out[kind] += 1
@@ -192,4 +192,9 @@
         return envelope
 
 
+def _carries_news(heartbeat: Heartbeat) -> bool:
+    """Tell whether a heartbeat passes a notice on; questions after a member do not last."""
+    return any(notice.ttl_s > 0 for notice in heartbeat.notices)
+
+
 __all__ = ["PeerCounters", "Peers"]
--- a/src/redwingbank/rules/quarantine.py
+++ b/src/redwingbank/rules/quarantine.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 from collections import OrderedDict, deque
-from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.messages import Notice
@@ -14,8 +13,11 @@
     NEVER_S,
     SAME_CRASH_S,
     SUSPECT_TTL_S,
+    Case,
     Crash,
+    Kind,
     Suspicion,
+    case_of,
 )
 
 if TYPE_CHECKING:
@@ -36,19 +38,6 @@
 SEPARATOR = "@"
 
 
-class Kind(StrEnum):
-    """Kinds of notices about fingerprints.
-
-    A suspect's subject is `fingerprint@server`, its value `CRASH` or `TRIAL`; the others'
-    subject is the fingerprint.
-    """
-
-    SUSPECT = "suspect"
-    CLEARED = "cleared"
-    QUARANTINED = "quarantined"
-    RELEASED = "released"
-
-
 class Free(NamedTuple):
     """Nothing is held against the fingerprint."""
 
@@ -74,15 +63,6 @@
 Verdict = Free | Suspect | Quarantined
 
 
-class Case(NamedTuple):
-    """What is held against a fingerprint, for operators; `servers` crashed under it."""
-
-    fingerprint: str
-    state: str
-    servers: tuple[str, ...]
-    seconds_left: float
-
-
 class _Run(NamedTuple):
     """A request in flight at a server; `blamed` once its server crashed under it."""
 
@@ -91,6 +71,13 @@
     blamed: bool = False
 
 
+class _Shared(NamedTuple):
+    """The fingerprints that were in flight at a crash, also those cleared since."""
+
+    crash: Crash
+    names: set[str]
+
+
 class Quarantine:
     """Fingerprints that crash backend servers, counted over hosts and resends.
 
@@ -127,6 +114,7 @@
         self._explained: deque[Crash] = deque(maxlen=MOST_EXPLAINED)
         self._tried_until_s_by_server: dict[str, float] = {}
         self._crash_s_by_server: dict[str, float] = {}
+        self._shared_by_server: dict[str, _Shared] = {}
         self._renewed_s = NEVER_S
 
     def started(self, server: str, request: Request, now_s: float) -> list[Notice]:
@@ -231,7 +219,7 @@
     def listing(self, now_s: float) -> list[Case]:
         """What is held against fingerprints now, by fingerprint."""
         return [
-            _case(fingerprint, suspicion, now_s)
+            case_of(fingerprint, suspicion, now_s)
             for fingerprint, suspicion in sorted(self._suspicion_by_fingerprint.items())
             if suspicion.until_s(now_s) > now_s
         ]
@@ -240,6 +228,10 @@
         """Hold a crash against a fingerprint unless a known culprit explains it."""
         if any(crash.same(known) for known in self._explained):
             return False
+        shared = self._shared_by_server.get(crash.server)
+        if shared is None or not shared.crash.same(crash):
+            shared = self._shared_by_server[crash.server] = _Shared(crash, set())
+        shared.names.add(fingerprint)
         return self._suspicion(fingerprint).add(crash)
 
     def _just_tried(self, runs: list[_Run], names: list[str], now_s: float) -> list[str]:
@@ -287,10 +279,7 @@
     def _turn_s(self, fingerprint: str, suspicion: Suspicion) -> float:
         """Time of a suspect's turn among those that shared its last crash."""
         crash = suspicion.crashes[-1]
-        turn = sum(
-            other < fingerprint and any(crash.same(one) for one in held.crashes)
-            for other, held in self._suspicion_by_fingerprint.items()
-        )
+        turn = sum(other < fingerprint for other in self._shared_by_server[crash.server].names)
         return crash.at_s + SPREAD_S + TURN_S * turn
 
     def _busy(self, now_s: float) -> frozenset[str]:
@@ -375,12 +364,6 @@
         self._release(notice.subject, now_s - (self._ttl_s - notice.ttl_s))
 
 
-def _case(fingerprint: str, suspicion: Suspicion, now_s: float) -> Case:
-    state = Kind.QUARANTINED if suspicion.guilty(now_s) else Kind.SUSPECT
-    servers = tuple(sorted({crash.server for crash in suspicion.crashes}))
-    return Case(fingerprint, state.value, servers, suspicion.until_s(now_s) - now_s)
-
-
 _LEARN_BY_KIND: dict[str, Callable[[Quarantine, Notice, float], None]] = {
     Kind.SUSPECT: Quarantine._learn_suspect,
     Kind.CLEARED: Quarantine._learn_cleared,
--- a/src/redwingbank/rules/suspicion.py
+++ b/src/redwingbank/rules/suspicion.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import NamedTuple
 
 SUSPECT_TTL_S = 120.0
@@ -11,6 +12,28 @@
 NEVER_S = float("-inf")
 
 
+class Kind(StrEnum):
+    """Kinds of notices about fingerprints.
+
+    A suspect's subject is `fingerprint@server`, its value `CRASH` or `TRIAL`; the others'
+    subject is the fingerprint.
+    """
+
+    SUSPECT = "suspect"
+    CLEARED = "cleared"
+    QUARANTINED = "quarantined"
+    RELEASED = "released"
+
+
+class Case(NamedTuple):
+    """What is held against a fingerprint, for operators; `servers` crashed under it."""
+
+    fingerprint: str
+    state: str
+    servers: tuple[str, ...]
+    seconds_left: float
+
+
 class Crash(NamedTuple):
     """A backend server's crash; `origin` is the host that saw it."""
 
@@ -72,12 +95,22 @@
         return now_s < self.quarantined_until_s or len(self.crashes) >= CRASHES_TO_QUARANTINE
 
 
+def case_of(fingerprint: str, suspicion: Suspicion, now_s: float) -> Case:
+    """Describe what is held against a fingerprint."""
+    state = Kind.QUARANTINED if suspicion.guilty(now_s) else Kind.SUSPECT
+    servers = tuple(sorted({crash.server for crash in suspicion.crashes}))
+    return Case(fingerprint, state.value, servers, suspicion.until_s(now_s) - now_s)
+
+
 __all__ = [
     "CLEARED_TTL_S",
     "CRASHES_TO_QUARANTINE",
     "NEVER_S",
     "SAME_CRASH_S",
     "SUSPECT_TTL_S",
+    "Case",
     "Crash",
+    "Kind",
     "Suspicion",
+    "case_of",
 ]
