--- a/src/redwingbank_bench/choicebench.py
+++ b/src/redwingbank_bench/choicebench.py
@@ -9,6 +9,7 @@
 import heapq
 import json
 import sys
+import time
 from collections import OrderedDict, deque
 from functools import partial
 from itertools import count
@@ -50,6 +51,9 @@
 SLOW_FROM_S = 40.0
 SLOW_FACTOR = 0.15
 PER_CENT = 100.0
+COSTED = (6, 64)
+COSTED_PER_S = 130.0
+MICROSECONDS = 1_000_000
 
 
 class Scenario(NamedTuple):
@@ -309,6 +313,27 @@
     return BLOCK_TOKENS * len({block for job in drawn for block in job.request.blocks})
 
 
+def cost_us(servers: int, seed: int) -> float:
+    """Processor time in microseconds that all rules of `Fleet` take for one request."""
+    random = Random(seed)
+    fleet = Fleet(random)
+    names = [f"engine-{number}" for number in range(servers)]
+    fleet.rebase(BackendServerRow(name, POOL, "clyde", name, 8, "serving", "") for name in names)
+    free = dict.fromkeys(names, 4)
+    drawn = jobs(seed, COSTED_PER_S)
+    began_s = time.process_time()
+    for job in drawn:
+        now_s = job.request.arrived_s
+        server = fleet.choose(job.request, free, now_s)
+        assert server is not None
+        fleet.view(server, job.request, now_s)
+        fleet.sent(server, job.request, now_s)
+        fleet.first_token(server, job.request, TOKEN_S, now_s)
+        fleet.finished(server, job.request, Outcome.DONE, now_s, TOKEN_S)
+        fleet.changes(now_s)
+    return (time.process_time() - began_s) / len(drawn) * MICROSECONDS
+
+
 def main() -> int:
     """Print a table of means over the seeds, with the range, and a last line of JSON."""
     figures: dict[str, dict[str, list[list[float]]]] = {}
@@ -322,7 +347,10 @@
             figures.setdefault(name, {})[arm] = columns
             cells = [f"{sum(c) / len(c):.1f} ({min(c):.1f}-{max(c):.1f})" for c in columns]
             print(f"{arm:16}" + "".join(f"{cell:>24}" for cell in cells))
-    print(json.dumps({"seeds": SEEDS, "figures": figures}))
+    costs = {servers: [round(cost_us(servers, seed)) for seed in SEEDS] for servers in COSTED}
+    for servers, values in costs.items():
+        print(f"\n{servers} servers: {values} us of processor time a request")
+    print(json.dumps({"seeds": SEEDS, "figures": figures, "cost_us": costs}))
     return 0
 
 
