Show the control socket's counters among the metrics, and read them in the control experiment

Cause: bytes and messages of control could not be measured: Peers counted them but no page showed them. Change: ports/peer_metrics.py, one call in Daemon.status; control sums them by direction and by kind.

--- a/src/redwingbank/daemon.py
+++ b/src/redwingbank/daemon.py
@@ -21,6 +21,7 @@
 from redwingbank.ports.engine_orders import EngineOrders
 from redwingbank.ports.faults import FaultPlan
 from redwingbank.ports.operator import Operators
+from redwingbank.ports.peer_metrics import export
 from redwingbank.ports.platform_http import HttpPlatform
 from redwingbank.ports.service import Services
 from redwingbank.rules.cells import duties_of
@@ -177,6 +178,7 @@
 
     def status(self) -> dict[str, Any]:
         """Tell the host's state as plain data."""
+        export(self.links.peers.counters, self.metrics)
         return {
             "host": self.settings.host,
             "data_centre": self.settings.data_centre,
--- /dev/null
+++ b/src/redwingbank/ports/peer_metrics.py
@@ -0,0 +1,25 @@
+"""Shows what the control socket has counted among the host's metrics."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from redwingbank.metrics import series
+
+if TYPE_CHECKING:
+    from collections import Counter
+
+    from redwingbank.metrics import Metrics
+    from redwingbank.ports.peers import PeerCounters
+
+
+def export(counters: PeerCounters, metrics: Metrics) -> None:
+    """Copy messages and bytes by kind, and drops by reason, to `peer_..._total` counters."""
+    by_name: dict[str, Counter[str]] = counters._asdict()
+    for name, counts in by_name.items():
+        label = "reason" if name == "dropped" else "kind"
+        for key, value in counts.items():
+            metrics.counts[series(f"peer_{name}_total", **{label: key})] = value
+
+
+__all__ = ["export"]
--- a/src/redwingbank_bench/control.py
+++ b/src/redwingbank_bench/control.py
@@ -76,13 +76,16 @@
 
 
 def _summary(rates: Sequence[Rates]) -> dict[str, float]:
-    names = sorted({name for rate in rates for name in rate.counts})
+    names = sorted({name for rate in rates for name, value in rate.counts.items() if value})
     cores = [rate.cores for rate in rates]
     figures = {
         "cores_mean": statistics.mean(cores),
         "cores_max": max(cores),
         "rss_mebibytes_max": max(rate.rss_mebibytes for rate in rates),
     }
+    for kind in ("bytes_out", "messages_out", "bytes_in", "messages_in"):
+        figures[f"{kind}/s mean"] = statistics.mean(_total(rate, kind) for rate in rates)
+        figures[f"{kind}/s max"] = max(_total(rate, kind) for rate in rates)
     for name in names:
         values = [rate.counts.get(name, 0.0) for rate in rates]
         figures[f"{name}/s mean"] = statistics.mean(values)
@@ -90,6 +93,10 @@
     return figures
 
 
+def _total(rates: Rates, kind: str) -> float:
+    return sum(value for name, value in rates.counts.items() if name.startswith(f"peer_{kind}_"))
+
+
 def _arrivals(seed: int, seconds: float, targets: Sequence[str]) -> list[Arrival]:
     source = random.Random(seed)  # noqa: S311
     arrivals = []
