--- a/src/redwingbank_bench/processes.py
+++ b/src/redwingbank_bench/processes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import os
+import secrets
 import socket
 import subprocess
 import sys
@@ -18,6 +19,8 @@
 END_TIMEOUT_S = 8.0
 CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
 KIBIBYTE = 1024
+LOWEST_PORT = 12_000
+HIGHEST_PORT = 32_000
 
 
 class ChildError(RuntimeError):
@@ -98,16 +101,28 @@
 
 
 def free_port() -> int:
-    """Find a port that is free for TCP and UDP now."""
+    """Find a port that is free for TCP and UDP and was not given out before.
+
+    Ports are taken below those that outgoing connections use, which could take one
+    before its process listens.
+    """
     while True:
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind(("127.0.0.1", 0))
-            port = int(tcp.getsockname()[1])
-            try:
-                udp.bind(("127.0.0.1", port))
-            except OSError:
-                continue
+        port = LOWEST_PORT + secrets.randbelow(HIGHEST_PORT - LOWEST_PORT)
+        if port not in _given_ports and _is_free(port):
+            _given_ports.add(port)
             return port
 
 
+def _is_free(port: int) -> bool:
+    with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
+        try:
+            tcp.bind(("127.0.0.1", port))
+            udp.bind(("127.0.0.1", port))
+        except OSError:
+            return False
+    return True
+
+
+_given_ports: set[int] = set()
+
 __all__ = ["Child", "ChildError", "Usage", "free_port"]
