Serve all stand-ins through one listener

Cause: serving.py and listener.py each configured uvicorn and cut connections. Change: serving.py uses listener.py, which gets cut_all.

--- a/src/redwingbank_bench/overload.py
+++ b/src/redwingbank_bench/overload.py
@@ -105,7 +105,7 @@
     journals: Mapping[str, Sequence[Mapping[str, Any]]],
     windows: Sequence[tuple[float, float]],
 ) -> float:
-    """Give the part of all slots' time in the windows that whole right answers used."""
+    """Give the part of all slots' time in the windows that the records' right answers used."""
     good = {record.arrival.tag for record in records if right(record)}
     used_s = 0.0
     for events in journals.values():
@@ -165,6 +165,9 @@
     return {
         "classes": {name: _class_figures(group) for name, group in _by_class(records).items()},
         "goodput": useful_share(records, journals, windows),
+        "goodput_in_time": useful_share(
+            [record for record in records if record.attained], journals, windows
+        ),
         "attained_tokens_per_s": good / seconds,
         "waste_prompt": wasted.prompt_wasted / max(1, wasted.prompt),
         "waste_output": wasted.output_wasted / max(1, wasted.output),
--- a/src/redwingbank_standins/engine.py
+++ b/src/redwingbank_standins/engine.py
@@ -19,9 +19,10 @@
 from redwingbank_standins.answers import DEFAULT_MAX_TOKENS, Answer, answer_of, find_tag
 from redwingbank_standins.faults import EngineFaults, FaultError
 from redwingbank_standins.frames import Frames
+from redwingbank_standins.listener import Transports
 from redwingbank_standins.orders import Orders
 from redwingbank_standins.prefix_cache import PrefixCache, kv_bytes
-from redwingbank_standins.serving import Connections, Exchange, serve_alone
+from redwingbank_standins.serving import Exchange, serve_alone
 from redwingbank_standins.slots import History, Load, Slots
 
 if TYPE_CHECKING:
@@ -72,7 +73,7 @@
         self.faults = EngineFaults(
             crash_marker=settings.poison_marker, report_lag_ms=settings.report_lag_ms
         )
-        self.connections: Connections | None = None
+        self.transports = Transports()
         self.exits = False
         self.crashed = False
         self.accounts = Accounts(settings.journal)
@@ -116,8 +117,7 @@
         self.crashed = True
         for job in list(self._jobs.values()):
             job.scope.cancel()
-        if self.connections:
-            self.connections.abort()
+        self.transports.cut_all()
 
     def restart(self) -> None:
         """Come back from a crash with nothing kept but the counters."""
@@ -128,8 +128,7 @@
 
     def _cut(self, exchange: Exchange) -> None:
         exchange.complete = True
-        if self.connections:
-            self.connections.abort(exchange.scope.get("client"))
+        self.transports.cut(exchange.scope["client"])
 
     # requests
 
--- a/src/redwingbank_standins/listener.py
+++ b/src/redwingbank_standins/listener.py
@@ -63,6 +63,11 @@
         if transport is not None:
             transport.abort()
 
+    def cut_all(self) -> None:
+        """Close every connection at once."""
+        for transport in list(self.by_client.values()):
+            transport.abort()
+
 
 def bind(host: str, port: int) -> socket.socket:
     """Bind a listening socket; port 0 takes a free one."""
--- a/src/redwingbank_standins/service.py
+++ b/src/redwingbank_standins/service.py
@@ -17,7 +17,8 @@
 
 from redwingbank_standins.faults import FaultError, ServiceFaults
 from redwingbank_standins.journal import Journal
-from redwingbank_standins.serving import Connections, Exchange, serve_alone
+from redwingbank_standins.listener import Transports
+from redwingbank_standins.serving import Exchange, serve_alone
 
 if TYPE_CHECKING:
     from redwingbank_standins.serving import Receive, Scope, Send
@@ -40,7 +41,7 @@
     def __init__(self, settings: ServiceSettings) -> None:
         self.settings = settings
         self.faults = ServiceFaults()
-        self.connections: Connections | None = None
+        self.transports = Transports()
         self.exits = False
         self.crashed = False
         self.journal = Journal(settings.journal)
@@ -68,12 +69,10 @@
         if self.exits:
             os._exit(CRASH_STATUS)
         self.crashed = True
-        if self.connections:
-            self.connections.abort()
+        self.transports.cut_all()
 
     def _cut(self, exchange: Exchange) -> None:
-        if self.connections:
-            self.connections.abort(exchange.scope.get("client"))
+        self.transports.cut(exchange.scope["client"])
 
     async def _call(self, exchange: Exchange) -> None:
         body = await exchange.body()
--- a/src/redwingbank_standins/serving.py
+++ b/src/redwingbank_standins/serving.py
@@ -4,47 +4,31 @@
 
 import contextlib
 import json
-import socket
-import sys
 from typing import TYPE_CHECKING, Any, Protocol
 
 import anyio
-import uvicorn
+
+from redwingbank_standins.listener import listening
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator, Awaitable, Callable, Iterator, MutableMapping
+    from collections.abc import AsyncIterator, Awaitable, Callable, MutableMapping
+
+    from redwingbank_standins.listener import Transports
 
     Receive = Callable[[], Awaitable[MutableMapping[str, Any]]]
     Send = Callable[[MutableMapping[str, Any]], Awaitable[None]]
     Scope = MutableMapping[str, Any]
 
-START_POLL_S = 0.01
-BACKLOG = 1024
-
 
 class StandIn(Protocol):
     """An ASGI application that may cut its own connections."""
 
-    connections: Connections | None
+    transports: Transports
 
     async def __call__(self, scope: Scope, receive: Receive, send: Send) -> None:
         """Answer one request."""
 
 
-class Connections:
-    """The open connections of one server, to be cut without an answer."""
-
-    def __init__(self, server: uvicorn.Server) -> None:
-        self._server = server
-
-    def abort(self, client: Any = None) -> None:
-        """Cut the connection of one client address, or all of them."""
-        for protocol in list(self._server.server_state.connections):
-            transport = getattr(protocol, "transport", None)
-            if transport is not None and client in (None, getattr(protocol, "client", None)):
-                transport.abort()
-
-
 class Exchange:
     """One request being answered; `complete` once the answer is given or cut off."""
 
@@ -115,72 +99,21 @@
             pass
 
 
-class _Server(uvicorn.Server):
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        """Leave signals to the process that embeds this server."""
-        yield
-
-
-def _configure(app: StandIn) -> uvicorn.Config:
-    return uvicorn.Config(
-        app,
-        http="httptools",
-        loop="asyncio",
-        lifespan="off",
-        access_log=False,
-        log_level="critical",
-        timeout_graceful_shutdown=1,
-        proxy_headers=False,
-    )
-
-
-def bind(port: int, host: str = "127.0.0.1") -> socket.socket:
-    """Bind a TCP socket; port 0 takes a free one."""
-    bound = socket.socket()
-    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    bound.bind((host, port))
-    bound.listen(BACKLOG)
-    return bound
-
-
 @contextlib.asynccontextmanager
 async def embedded(app: StandIn, port: int = 0) -> AsyncIterator[int]:
     """Serve a stand-in in this event loop while the block runs; gives its port."""
-    bound = bind(port)
-    server = _Server(_configure(app))
-    app.connections = Connections(server)
-    async with anyio.create_task_group() as group:
-        group.start_soon(server.serve, [bound])
-        await _started(server)
+    async with listening(app, port=port, transports=app.transports) as address:
         try:
-            yield bound.getsockname()[1]
+            yield address.port
         finally:
-            server.should_exit = True
-            app.connections.abort()
-
-
-async def _started(server: uvicorn.Server) -> None:
-    while not server.started:  # noqa: ASYNC110
-        await anyio.sleep(START_POLL_S)
-
-
-async def _announce(server: uvicorn.Server, bound: socket.socket) -> None:
-    await _started(server)
-    host, port = bound.getsockname()
-    print(f"listening {host}:{port}", flush=True)  # noqa: T201
+            app.transports.cut_all()
 
 
 async def serve_alone(app: StandIn, port: int) -> None:
     """Serve a stand-in as this process's only task; prints `listening IP:port` when ready."""
-    bound = bind(port)
-    server = uvicorn.Server(_configure(app))
-    app.connections = Connections(server)
-    async with anyio.create_task_group() as group:
-        group.start_soon(_announce, server, bound)
-        await server.serve([bound])
-        group.cancel_scope.cancel()
-    sys.stdout.flush()
+    async with listening(app, port=port, transports=app.transports) as address:
+        print(f"listening {address}", flush=True)
+        await anyio.sleep_forever()
 
 
-__all__ = ["Connections", "Exchange", "StandIn", "bind", "embedded", "serve_alone"]
+__all__ = ["Exchange", "StandIn", "embedded", "serve_alone"]
