--- a/src/redwingbank_bench/failures.py
+++ b/src/redwingbank_bench/failures.py
@@ -32,7 +32,7 @@
 POISON_SENDS = 6
 POISON_INTERVAL_S = 1.0
 RATES_PER_S = (("question", 6.0), ("pack", 3.0), ("order", 4.0))
-PACKS = 5
+PACKS = 30
 
 QUESTION = TrafficClass("question", 1, 1000, 80, 10, max_tokens=60, prompt_words=40)
 PACK = TrafficClass("pack", 2, 4000, 80, 20, max_tokens=150, prompt_words=2000)
