Count a host's demand once, and the free slots once a pass

Change: sums by tier when a demand comes, one count of free slots for all steps, none where nothing is free. Free slots are a module of their own.

--- a/src/redwingbank/rules/allocator.py
+++ b/src/redwingbank/rules/allocator.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from redwingbank.messages import NO_SLACK_LIMIT_S, Allocation
+from redwingbank.rules.freeslots import FreeSlots
 from redwingbank.rules.grants import NO_FLOOR, Gate, HostAccount
 from redwingbank.rules.minimum import ClassLoad, MinimumAccounts
 from redwingbank.rules.shares import Want, fallback_share, max_min
@@ -56,6 +57,7 @@
         self._began_s: float | None = None
         self._active_s: float | None = None
         self._aside: dict[str, int] = {}
+        self._tiers: list[int] = []
         self._loads: dict[str, ClassLoad] = {}
         self._moved_s = float("-inf")
 
@@ -98,13 +100,16 @@
             account.lapse(now_s)
         self._speaking_by_host = self._speaking(now_s)
         self._aside = self._set_aside(now_s)
+        accounts = self._speaking_by_host.values()
+        self._tiers = sorted({item.tier for a in accounts for item in a.demand.classes})
         self._settle_minimum(now_s)
         self._assign_turns()
         if self._informed(now_s):
             self._fit_capacity()
-            self._move_to_share(now_s)
-            self._grant_waiting(now_s)
-            self._spread_spare()
+            free = self._free()
+            self._move_to_share(free, now_s)
+            self._grant_waiting(free, now_s)
+            self._spread_spare(free)
         gate = self._gate(now_s)
         hosts = [host for host in sorted(self._speaking_by_host) if self._due(host, gate, now_s)]
         return {host: self._allocation(host, gate, now_s) for host in hosts}
@@ -136,14 +141,14 @@
         """Count the slots there are to divide."""
         return max(0, sum(self._capacity.values()) - sum(self._aside.values()))
 
-    def _free(self) -> dict[str, int]:
+    def _free(self) -> FreeSlots:
         free = dict(self._capacity)
         used = [account.in_use() for account in self._speaking_by_host.values()]
         for slots_by_server in [self._aside, *used]:
             for server, slots in slots_by_server.items():
                 if server in free:
                     free[server] -= slots
-        return free
+        return FreeSlots(free, self._capacity)
 
     def _set_aside(self, now_s: float) -> dict[str, int]:
         """Sum up what silent hosts may use: what ran there as last told, or the static share."""
@@ -207,49 +212,35 @@
                 left[item.class_name] -= count
                 self._speaking_by_host[host].turns[item.class_name] = item.running + count
 
-    def _turns_open(self, account: HostAccount) -> int:
-        running = {item.class_name: item.running for item in account.demand.classes}
-        return sum(most - running.get(name, 0) for name, most in account.turns.items())
-
     def _fit_capacity(self) -> None:
-        for server in {name for a in self._speaking_by_host.values() for name in a.level}:
-            accounts = [a for a in self._speaking_by_host.values() if a.level.get(server)]
-            room = self._capacity.get(server, 0) - self._aside.get(server, 0)
-            over = sum(account.level[server] for account in accounts) - max(0, room)
-            for _ in range(max(0, over)):
-                most = max(accounts, key=lambda account: account.level[server])
-                most.level[server] -= 1
-                most.dirty = True
-
-    def _tiers(self) -> list[int]:
-        accounts = self._speaking_by_host.values()
-        return sorted({item.tier for account in accounts for item in account.demand.classes})
+        """Cut what servers with fewer slots than before can't run."""
+        level: dict[str, int] = {}
+        for account in self._speaking_by_host.values():
+            for server, slots in account.level.items():
+                level[server] = level.get(server, 0) + slots
+        for server, slots in level.items():
+            room = max(0, self._capacity.get(server, 0) - self._aside.get(server, 0))
+            for _ in range(slots - room):
+                accounts = self._speaking_by_host.values()
+                max(accounts, key=lambda account: account.level.get(server, 0)).cut_slot(server)
 
     def _targets(self) -> dict[str, int]:
         """Give each host's fair share of the pool: turns first, then tier by tier."""
-        left = self._slots()
-        targets = {
-            host: self._turns_open(account) for host, account in self._speaking_by_host.items()
-        }
-        left -= sum(targets.values())
-        for tier in self._tiers():
+        accounts = self._speaking_by_host
+        targets = {host: account.turns_open() for host, account in accounts.items()}
+        left = self._slots() - sum(targets.values())
+        for tier in self._tiers:
             wants = [
-                want
-                for host, account in self._speaking_by_host.items()
-                if (want := self._want(host, account, tier)).most > 0
+                Want(host, most, account.weight(tier), -account.total)
+                for host, account in accounts.items()
+                if (most := account.wanted(tier))
             ]
             for host, count in max_min(wants, max(0, left)).items():
                 targets[host] += count
                 left -= count
         return targets
 
-    def _want(self, host: str, account: HostAccount, tier: int) -> Want:
-        items = [item for item in account.demand.classes if item.tier == tier]
-        most = sum(item.waiting + item.running for item in items)
-        weight = max(1, sum(item.organisations for item in items))
-        return Want(host, most, weight, -account.total)
-
-    def _move_to_share(self, now_s: float) -> None:
+    def _move_to_share(self, free: FreeSlots, now_s: float) -> None:
         """Cut hosts above their share by what hosts below theirs can't get from free slots.
 
         Differences of a slot are let be, and no more often than `MOVE_INTERVAL_S`: what waits
@@ -260,15 +251,13 @@
         self._moved_s = now_s
         targets = self._targets()
         accounts = self._speaking_by_host
-        lacking = {
-            host: targets[host] - account.total
+        lacking = [
+            targets[host] - account.total
             for host, account in accounts.items()
-            if targets[host] > account.total + self._tolerance(account) and self._unmet(account)
-        }
-        cut = sum(lacking.values()) - sum(max(0, count) for count in self._free().values())
-        cut -= sum(
-            max(0, sum(account.in_use().values()) - account.total) for account in accounts.values()
-        )
+            if targets[host] > account.total + _tolerance(account) and account.unmet()
+        ]
+        coming = [sum(account.in_use().values()) - account.total for account in accounts.values()]
+        cut = sum(lacking) - free.total - sum(coming)
         excess = [
             (targets[host] - account.total, host)
             for host, account in accounts.items()
@@ -277,70 +266,44 @@
         heapq.heapify(excess)
         while cut > 0 and excess:
             over, host = heapq.heappop(excess)
-            self._cut_one(accounts[host])
+            accounts[host].cut_slot()
             cut -= 1
             if over + 1 < 0:
                 heapq.heappush(excess, (over + 1, host))
 
-    def _tolerance(self, account: HostAccount) -> int:
-        return SHARE_TOLERANCE if account.total else 0
-
-    def _cut_one(self, account: HostAccount) -> None:
-        running = account.demand.running
-        server = max(
-            (name for name, slots in account.level.items() if slots > 0),
-            key=lambda name: (account.level[name] - running.get(name, 0), name),
-        )
-        account.level[server] -= 1
-        account.dirty = True
-
-    def _unmet(self, account: HostAccount, tier: int = NO_FLOOR) -> int:
-        """Count requests waiting up to a tier beyond the idle slots the host has."""
-        idle = max(0, account.total - account.running)
-        waiting = sum(item.waiting for item in account.demand.classes if item.tier <= tier)
-        return max(0, waiting + self._turns_open(account) - idle)
-
-    def _grant_waiting(self, now_s: float) -> None:
-        free = _FreeSlots(self._free(), self._capacity)
-        for account in self._speaking_by_host.values():
+    def _grant_waiting(self, free: FreeSlots, now_s: float) -> None:
+        """Give free slots to turns, then to the highest tier that waits without one."""
+        accounts = self._speaking_by_host
+        for account in accounts.values():
             idle = max(0, account.total - account.running)
-            for _ in range(max(0, self._turns_open(account) - idle)):
+            for _ in range(account.turns_open() - idle):
                 free.give(account)
-        for tier in self._tiers():
+        for tier in self._tiers:
+            if not free.total:
+                return
             wants = [
-                want
-                for host, account in self._speaking_by_host.items()
-                if (want := self._unmet_want(host, account, tier, now_s)).most > 0
+                Want(host, unmet, account.weight(tier), _order(account, tier, now_s))
+                for host, account in accounts.items()
+                if account.waiting(tier) and (unmet := account.unmet(tier))
             ]
             for host, count in max_min(wants, free.total).items():
                 for _ in range(count):
-                    free.give(self._speaking_by_host[host])
-
-    def _unmet_want(self, host: str, account: HostAccount, tier: int, now_s: float) -> Want:
-        if not account.waiting(tier):
-            return Want(host, 0, 1.0)
-        weight = self._want(host, account, tier).weight
-        unmet = self._unmet(account, tier)
-        return Want(host, unmet, weight, _order(account, tier, weight, now_s))
-
-    def _spare(self, account: HostAccount) -> int:
-        waiting = sum(item.waiting for item in account.demand.classes)
-        return account.total - account.running - waiting
-
-    def _spread_spare(self) -> None:
-        """Spread what no one waits for evenly over hosts, a few slots at a time."""
-        free = _FreeSlots(self._free(), self._capacity)
-        hosts = [(self._spare(account), host) for host, account in self._speaking_by_host.items()]
-        if not hosts or any(self._unmet(a) for a in self._speaking_by_host.values()):
+                    free.give(accounts[host])
+
+    def _spread_spare(self, free: FreeSlots) -> None:
+        """Spread what no one waits for evenly over hosts; even out a slot at a time."""
+        accounts = self._speaking_by_host
+        if not accounts or any(account.unmet() for account in accounts.values()):
             return
+        hosts = [(account.spare(), host) for host, account in accounts.items()]
         heapq.heapify(hosts)
-        while free.total and hosts:
+        while free.total:
             spare, host = heapq.heappop(hosts)
-            free.give(self._speaking_by_host[host])
+            free.give(accounts[host])
             heapq.heappush(hosts, (spare + 1, host))
         least, most = min(hosts), max(hosts)
         if most[0] - least[0] >= SPARE_TOLERANCE and most[0] > 0:
-            self._cut_one(self._speaking_by_host[most[1]])
+            accounts[most[1]].cut_slot()
 
     def _gate(self, now_s: float) -> Gate:
         """Give the highest tier that waits anywhere without a slot to start in.
@@ -350,8 +313,8 @@
         must not hold up other organisations' new ones.
         """
         accounts = self._speaking_by_host.values()
-        for tier in self._tiers():
-            unmet = [a for a in accounts if a.waiting(tier) and self._unmet(a, tier)]
+        for tier in self._tiers:
+            unmet = [a for a in accounts if a.waiting(tier) and a.unmet(tier)]
             if unmet:
                 slacks = [account.slack_s(tier, now_s) for account in unmet]
                 least_s = min((slack_s for slack_s in slacks if slack_s >= 0), default=None)
@@ -389,36 +352,16 @@
         )
 
 
-def _order(account: HostAccount, tier: int, weight: float, now_s: float) -> float:
-    """Put the least slack first; where deadlines are missed, after those, the least served."""
-    slack_s = account.slack_s(tier, now_s)
-    return slack_s if slack_s >= 0 else LATE_ORDER_S + account.total / weight
+def _tolerance(account: HostAccount) -> int:
+    return SHARE_TOLERANCE if account.total else 0
 
 
-class _FreeSlots:
-    """Free slots by server, given out from the server with the largest part free."""
-
-    def __init__(self, free: dict[str, int], capacity: dict[str, int]) -> None:
-        self._heap = [
-            (-count / max(1, capacity[server]), server, count)
-            for server, count in free.items()
-            if count > 0
-        ]
-        self._capacity = capacity
-        self.total = sum(count for _, _, count in self._heap)
-        heapq.heapify(self._heap)
-
-    def give(self, account: HostAccount) -> None:
-        """Raise a host's level by one slot, if any is free."""
-        if not self._heap:
-            return
-        _, server, count = heapq.heappop(self._heap)
-        self.total -= 1
-        account.level[server] = account.level.get(server, 0) + 1
-        account.dirty = True
-        if count > 1:
-            part = -(count - 1) / max(1, self._capacity[server])
-            heapq.heappush(self._heap, (part, server, count - 1))
+def _order(account: HostAccount, tier: int, now_s: float) -> float:
+    """Put the least slack first; where deadlines are missed, after those, the least served."""
+    slack_s = account.slack_s(tier, now_s)
+    if slack_s >= 0:
+        return slack_s
+    return LATE_ORDER_S + account.total / account.weight(tier)
 
 
 __all__ = ["NO_FLOOR", "Allocator"]
--- /dev/null
+++ b/src/redwingbank/rules/freeslots.py
@@ -0,0 +1,37 @@
+"""Free slots of a pool, by backend server."""
+
+from __future__ import annotations
+
+import heapq
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from redwingbank.rules.grants import HostAccount
+
+
+class FreeSlots:
+    """Free slots by server, given out from the server with the largest part free."""
+
+    def __init__(self, free: dict[str, int], capacity: dict[str, int]) -> None:
+        self._heap = [
+            (-count / max(1, capacity[server]), server, count)
+            for server, count in free.items()
+            if count > 0
+        ]
+        self._capacity = capacity
+        self.total = sum(count for _, _, count in self._heap)
+        heapq.heapify(self._heap)
+
+    def give(self, account: HostAccount) -> None:
+        """Raise a host's level by one slot, if any is free."""
+        if not self._heap:
+            return
+        _, server, count = heapq.heappop(self._heap)
+        self.total -= 1
+        account.add_slot(server)
+        if count > 1:
+            part = -(count - 1) / max(1, self._capacity[server])
+            heapq.heappush(self._heap, (part, server, count - 1))
+
+
+__all__ = ["FreeSlots"]
--- a/src/redwingbank/rules/grants.py
+++ b/src/redwingbank/rules/grants.py
@@ -47,9 +47,9 @@
     """
 
     def __init__(self, demand: Demand, now_s: float, ttl_s: float) -> None:
-        self.demand = demand
         self.heard_s = now_s
         self.level: dict[str, int] = {}
+        self.total = 0
         self.turns: dict[str, int] = {}
         self.turns_sent: dict[str, int] = {}
         self.gate = Gate(NO_FLOOR, None)
@@ -74,10 +74,10 @@
         self._unapplied = [sent for sent in self._unapplied if sent.expires_s > now_s]
         if not self.silent(now_s):
             return
-        self.demand = self.demand._replace(holding={}, classes=())
+        self._take(self.demand._replace(holding={}, classes=()))
         if now_s - self.heard_s > RUNNING_TTLS * self._ttl_s:
-            self.demand = self.demand._replace(running={})
-        self.level = {} if self._unapplied else dict(self.demand.running)
+            self._take(self.demand._replace(running={}))
+        self._set_level({} if self._unapplied else self.demand.running)
 
     def silent(self, now_s: float) -> bool:
         """Tell whether the host has not been heard for a TTL."""
@@ -111,32 +111,83 @@
         """Tell whether the last allocation is not yet known to be applied."""
         return self.sent_number > self.demand.applied
 
-    @property
-    def total(self) -> int:
-        """Slots the host is meant to have."""
-        return sum(self.level.values())
-
-    @property
-    def running(self) -> int:
-        """Requests in flight as last told."""
-        return sum(self.demand.running.values())
-
     def waiting(self, tier: int) -> int:
         """Requests waiting in a tier as last told."""
-        return sum(item.waiting for item in self.demand.classes if item.tier == tier)
+        return self._waiting_by_tier.get(tier, 0)
+
+    def wanted(self, tier: int) -> int:
+        """Requests of a tier, waiting or running, as last told."""
+        return self._wanted_by_tier.get(tier, 0)
+
+    def weight(self, tier: int) -> int:
+        """Organisations that wait in a tier, one at least."""
+        return max(1, self._organisations_by_tier.get(tier, 0))
+
+    def turns_open(self) -> int:
+        """Turns given that are not used yet."""
+        if not self.turns:
+            return 0
+        running = {item.class_name: item.running for item in self.demand.classes}
+        return sum(most - running.get(name, 0) for name, most in self.turns.items())
+
+    def unmet(self, tier: int = NO_FLOOR) -> int:
+        """Count requests waiting up to a tier beyond the idle slots the host has."""
+        idle = max(0, self.total - self.running)
+        waiting = sum(count for at, count in self._waiting_by_tier.items() if at <= tier)
+        return max(0, waiting + self.turns_open() - idle)
+
+    def spare(self) -> int:
+        """Count slots beyond all that runs and waits; negative where more waits."""
+        return self.total - self.running - sum(self._waiting_by_tier.values())
+
+    def add_slot(self, server: str) -> None:
+        """Raise the level by a slot."""
+        self.level[server] = self.level.get(server, 0) + 1
+        self.total += 1
+        self.dirty = True
+
+    def cut_slot(self, server: str | None = None) -> None:
+        """Lower the level by a slot, an idle one if there is one."""
+        running = self.demand.running
+        if server is None:
+            server = max(
+                (name for name, slots in self.level.items() if slots > 0),
+                key=lambda name: (self.level[name] - running.get(name, 0), name),
+            )
+        self.level[server] -= 1
+        self.total -= 1
+        self.dirty = True
 
     def slack_s(self, tier: int, now_s: float) -> float:
         """Least slack of what waits in a tier: what was told, less the time since."""
-        items = [item for item in self.demand.classes if item.tier == tier and item.waiting]
-        told_s = min(item.slack_s for item in items)
-        return told_s - (now_s - self.heard_s)
+        return self._slack_by_tier[tier] - (now_s - self.heard_s)
 
     def _accept(self, demand: Demand, now_s: float) -> None:
-        self.demand = demand
+        self._take(demand)
         self.heard_s = now_s
         self._unapplied = [sent for sent in self._unapplied if sent.number > demand.applied]
         if not self._unapplied:
-            self.level = self._claimed()
+            self._set_level(self._claimed())
+
+    def _set_level(self, slots_by_server: dict[str, int]) -> None:
+        self.level = dict(slots_by_server)
+        self.total = sum(self.level.values())
+
+    def _take(self, demand: Demand) -> None:
+        """Keep a demand and its sums by tier."""
+        self.demand = demand
+        self.running = sum(demand.running.values())
+        self._waiting_by_tier: dict[int, int] = {}
+        self._wanted_by_tier: dict[int, int] = {}
+        self._organisations_by_tier: dict[int, int] = {}
+        self._slack_by_tier: dict[int, float] = {}
+        for item in demand.classes:
+            _add(self._wanted_by_tier, item.tier, item.waiting + item.running)
+            if item.waiting:
+                _add(self._waiting_by_tier, item.tier, item.waiting)
+                _add(self._organisations_by_tier, item.tier, item.organisations)
+                least_s = min(item.slack_s, self._slack_by_tier.get(item.tier, item.slack_s))
+                self._slack_by_tier[item.tier] = least_s
 
     def _claimed(self) -> dict[str, int]:
         claimed = dict(self.demand.running)
@@ -145,4 +196,8 @@
         return claimed
 
 
+def _add(counts: dict[int, int], tier: int, count: int) -> None:
+    counts[tier] = counts.get(tier, 0) + count
+
+
 __all__ = ["NO_FLOOR", "Gate", "HostAccount", "Sent"]
--- a/tests/steps/rules_allocation.py
+++ b/tests/steps/rules_allocation.py
@@ -28,10 +28,7 @@
 class KeepingAllocator(Allocator):
     """Never cuts a host."""
 
-    def _move_to_share(self, now_s):
-        pass
-
-    def _cut_one(self, account):
+    def _move_to_share(self, free, now_s):
         pass
 
 
