--- /dev/null
+++ b/src/redwingbank/daemon.py
@@ -0,0 +1,301 @@
+"""One host's daemon: builds its tasks from settings and wires their messages."""
+
+from __future__ import annotations
+
+import contextlib
+import math
+import random
+import time
+from typing import TYPE_CHECKING, Any
+
+import anyio
+import uvicorn
+
+from redwingbank.events import EventLog
+from redwingbank.links import Inboxes, Links
+from redwingbank.messages import Notice
+from redwingbank.metrics import Metrics
+from redwingbank.ports.caller import CallerFront
+from redwingbank.ports.completion import Completions
+from redwingbank.ports.engine import BackendClient, EngineClient
+from redwingbank.ports.engine_orders import EngineOrders
+from redwingbank.ports.faults import FaultPlan
+from redwingbank.ports.operator import Operators
+from redwingbank.ports.platform_http import HttpPlatform
+from redwingbank.ports.service import Services
+from redwingbank.rules.cells import duties_of
+from redwingbank.rules.roster import MemberView
+from redwingbank.settings import Address
+from redwingbank.tasks.allocate import AllocateInput, AllocateTask, Capacity, Hosts, Outgoing
+from redwingbank.tasks.dispatch import Dispatch, DrainServer, Release
+from redwingbank.tasks.loads import LoadReader, Plan, Watched
+from redwingbank.tasks.orders import OrdersTask
+from redwingbank.tasks.records import Recorder
+from redwingbank.tasks.slots import ToHost
+from redwingbank.tasks.tables import TableInForce
+
+if TYPE_CHECKING:
+    import socket
+    from collections.abc import Iterator
+
+    from anyio.abc import TaskStatus
+    from anyio.streams.memory import MemoryObjectReceiveStream
+
+    from redwingbank.rules.table import Table
+    from redwingbank.settings import Settings
+
+MICROSECONDS = 1_000_000
+BACKLOG = 2048
+KEEPALIVE_S = 75
+
+
+class _Server(uvicorn.Server):
+    """Leaves signals to the program, and tells when it listens."""
+
+    def __init__(self, config: uvicorn.Config) -> None:
+        super().__init__(config)
+        self.ready = anyio.Event()
+
+    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
+        await super().startup(sockets)
+        self.ready.set()
+
+    @contextlib.contextmanager
+    def capture_signals(self) -> Iterator[None]:
+        yield
+
+
+class Daemon:
+    """A host's router.
+
+    `run` serves until `drain` has let every request in flight end; `caller` and `control` are
+    the addresses it listens at, known once it runs.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        self.settings = settings
+        self.caller = settings.caller
+        self.incarnation = int(time.time() * MICROSECONDS)
+        self.events = EventLog(settings.host, settings.data_centre, settings.events)
+        self.metrics = Metrics()
+        self.platform = HttpPlatform(settings)
+        self._backend = BackendClient(settings)
+        self._engines = EngineClient(self._backend)
+        self.dispatch = Dispatch(
+            settings, self.metrics, self.events, random.Random(), self.incarnation
+        )
+        self._allocate = AllocateTask(settings, self.incarnation, time.monotonic)
+        self._to_allocate, self._allocate_inbox = anyio.create_memory_object_stream[AllocateInput](
+            math.inf
+        )
+        self._news, self._news_inbox = anyio.create_memory_object_stream[
+            TableInForce | MemberView
+        ](math.inf)
+        self.links = Links(
+            settings,
+            self.incarnation,
+            self.platform,
+            self.events,
+            Inboxes(self.dispatch.inbox, self._to_allocate, self._news),
+        )
+        self._plans, self._plan_inbox = anyio.create_memory_object_stream[Plan](math.inf)
+        self._recorder = Recorder(self.platform, settings, self.events)
+        engine_orders = EngineOrders(self._backend, self._engines)
+        self._orders = OrdersTask(
+            settings, self.incarnation, self.platform, engine_orders, self.events
+        )
+        self._table: Table | None = None
+        self._draining = anyio.Event()
+        self._served = anyio.Event()
+        self.table_in_force = anyio.Event()
+        self._front = CallerFront(
+            settings,
+            Completions(self.dispatch.inbox, self._engines, self.metrics, self.events),
+            Services(
+                self.dispatch.inbox, self._backend, self._recorder, self.metrics, self.events
+            ),
+            Operators(settings, self, self.metrics, self.events),
+            self.metrics,
+        )
+
+    @property
+    def ready(self) -> bool:
+        """Whether the balancer may send callers here."""
+        return self._table is not None and not self._draining.is_set()
+
+    async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
+        """Serve until drained."""
+        async with anyio.create_task_group() as group:
+            loads = LoadReader(self.settings, self._engines, self.dispatch.inbox)
+            outbox, outgoing = anyio.create_memory_object_stream[Outgoing](math.inf)
+            await group.start(self.links.run)
+            group.start_soon(self._allocate.run, self._allocate_inbox, outbox)
+            group.start_soon(self._send_allocations, outgoing)
+            group.start_soon(self.dispatch.run)
+            group.start_soon(self._send_demands)
+            group.start_soon(loads.run, self._plan_inbox)
+            group.start_soon(self._hear_news)
+            group.start_soon(self._recorder.run)
+            group.start_soon(self._orders.run)
+            server = _Server(self._listener_settings())
+            group.start_soon(self._listen, server)
+            await server.ready.wait()
+            self.caller = _address_of(server, self.caller)
+            self.events.record("started", incarnation=self.incarnation)
+            task_status.started()
+            await self._draining.wait()
+            await self._leave(server)
+            group.cancel_scope.cancel()
+        await self._backend.close()
+        await self.platform.close()
+
+    def drain(self) -> None:
+        """Begin this host's graceful shutdown: not ready, then no listener, then the end."""
+        if not self._draining.is_set():
+            self.events.record("drain-started")
+            self._draining.set()
+
+    def drain_server(self, server: str) -> bool:
+        """Send no new work to a backend server; false where there is none of that name."""
+        known = self._table is not None and server in self._table.backend_servers_by_name
+        if known:
+            self.events.record("server-drain", server=server)
+            self.dispatch.inbox.send_nowait(DrainServer(server))
+        return known
+
+    def release(self, fingerprint: str) -> bool:
+        """Release a quarantined fingerprint everywhere; false where it is unknown."""
+        held = {case["fingerprint"] for case in self.dispatch.status()["quarantine"]}
+        if fingerprint in held:
+            self.dispatch.inbox.send_nowait(Release(fingerprint))
+        return fingerprint in held
+
+    def set_faults(self, document: dict[str, Any]) -> None:
+        """Cut or spoil the host's own links, for tests of failures."""
+        plan = FaultPlan(**{**document, "cut": frozenset(document.get("cut", ()))})
+        self.links.peers.faults.set(plan)
+
+    def status(self) -> dict[str, Any]:
+        """Tell the host's state as plain data."""
+        return {
+            "host": self.settings.host,
+            "data_centre": self.settings.data_centre,
+            "incarnation": self.incarnation,
+            "ready": self.ready,
+            "revision": self._table.revision if self._table else 0,
+            "attainment": self._attainment(),
+            "members": self._members_status(),
+            **self.dispatch.status(),
+        }
+
+    def _members_status(self) -> list[dict[str, Any]]:
+        return [
+            {
+                "host": member.host,
+                "data_centre": member.data_centre,
+                "state": member.state.name.lower(),
+                "revision": member.revision,
+            }
+            for member in self.links.view.members
+        ]
+
+    def _attainment(self) -> dict[str, dict[str, int]]:
+        by_class: dict[str, dict[str, int]] = {}
+        for key, value in self.metrics.counts.items():
+            for name in ("attained", "missed"):
+                if key.name == f"redwingbank_{name}_total":
+                    row = by_class.setdefault(key.labels[0][1], {"attained": 0, "missed": 0})
+                    row[name] = value
+        return by_class
+
+    def _listener_settings(self) -> uvicorn.Config:
+        return uvicorn.Config(
+            self._front,
+            host=self.settings.caller.host,
+            port=self.settings.caller.port,
+            http="httptools",
+            ws="none",
+            lifespan="off",
+            loop="asyncio",
+            access_log=False,
+            proxy_headers=False,
+            server_header=False,
+            log_level="error",
+            backlog=BACKLOG,
+            timeout_keep_alive=KEEPALIVE_S,
+            ssl_certfile=self.settings.certificate or None,
+            ssl_keyfile=self.settings.private_key or None,
+        )
+
+    async def _listen(self, server: _Server) -> None:
+        await server.serve()
+        self._served.set()
+
+    async def _leave(self, server: _Server) -> None:
+        """Listen on till the balancer has seen it, then end what is in flight."""
+        self.links.leave()
+        await anyio.sleep(self.settings.drain_s)
+        server.should_exit = True
+        await self._served.wait()
+        self.events.record("drained")
+
+    async def _send_demands(self) -> None:
+        async for message in self.dispatch.outgoing:
+            if isinstance(message, Capacity):
+                self._to_allocate.send_nowait(message)
+            elif isinstance(message, Notice):
+                self.links.announce(message)
+            elif isinstance(message, ToHost):
+                await self.links.send(message.host, message.demand)
+
+    async def _send_allocations(self, outgoing: MemoryObjectReceiveStream[Outgoing]) -> None:
+        async for item in outgoing:
+            await self.links.send(item.host, item.allocation)
+
+    async def _hear_news(self) -> None:
+        async for news in self._news_inbox:
+            if isinstance(news, TableInForce):
+                self._put_in_force(news.table)
+            else:
+                self._take_members(news)
+
+    def _take_members(self, view: MemberView) -> None:
+        self.dispatch.inbox.send_nowait(view)
+        self._recorder.share_rate(len(view.alive))
+        self._to_allocate.send_nowait(Hosts(frozenset(member.host for member in view.alive)))
+        self._orders.take(view)
+        self._plan()
+
+    def _put_in_force(self, table: Table) -> None:
+        self._table = table
+        self._orders.take(table)
+        self._front.table_in_force(table)
+        self.dispatch.inbox.send_nowait(table)
+        self._to_allocate.send_nowait(table)
+        self._plan()
+        self.table_in_force.set()
+
+    def _plan(self) -> None:
+        """Choose the backend servers whose loads this host reads, and how often."""
+        table = self._table
+        if table is None:
+            return
+        duties = duties_of(self.settings.host, table, self.links.view)
+        watched = tuple(
+            Watched(
+                name,
+                table.backend_servers_by_name[name].address,
+                table.pools_by_name[table.backend_servers_by_name[name].pool].kind == "engine",
+                often=name in duties.owned or self.settings.policy != "full",
+            )
+            for name in sorted(duties.owned | duties.used)
+        )
+        self._plans.send_nowait(Plan(watched))
+
+
+def _address_of(server: uvicorn.Server, asked: Address) -> Address:
+    sockets = [item for listener in server.servers for item in listener.sockets]
+    return Address(*sockets[0].getsockname()[:2]) if sockets else asked
+
+
+__all__ = ["Daemon"]
--- /dev/null
+++ b/tests/steps/system_path.py
@@ -0,0 +1,76 @@
+"""Steps of system/path.feature."""
+
+from __future__ import annotations
+
+import json
+
+import anyio
+from behave import given, then
+
+from system_rig import WAIT_S, System
+
+
+@given(
+    "a system of {daemons:d} daemons, {engines:d} engines and {services:d} service, as processes"
+)
+def system_started(context, daemons, engines, services):
+    context.system = System(daemons, engines, services)
+    context.add_cleanup(context.system.close)
+
+
+@then("the system answers a request of each class through each daemon, whole and right")
+def system_answers(context):
+    system = context.system
+
+    async def ask():
+        async with anyio.create_task_group() as group:
+            for daemon in system.daemons:
+                for stream in (True, False):
+                    for name in ("question", "memo"):
+                        text = f"{daemon} {name} {stream} length=15"
+                        group.start_soon(system.answer, daemon, text, name, stream)
+
+    system.call(ask)
+
+
+@then(
+    "the system runs each call of the service once, also when it is sent again to another daemon"
+)
+def system_once(context):
+    system = context.system
+    for key in ("order-1", "order-2"):
+        responses = [system.call(system.book, daemon, key) for daemon in system.daemons]
+        assert {response.status for response in responses} == {200}, responses
+        bodies = {response.content for response in responses}
+        assert len(bodies) == 1, bodies
+        assert json.loads(bodies.pop())["ran"] == 1
+
+
+@then("the system's daemons all have the table's revision {revision:d} in force")
+def system_revision(context, revision):
+    for name in context.system.daemons:
+        assert context.system.call(context.system.status, name)["revision"] == revision
+
+
+@then("the system ends with no request cut when its daemons are asked to stop under way")
+def system_stops(context):
+    system = context.system
+    children = system.rig.daemons_by_name
+
+    async def stop_under_way():
+        async with anyio.create_task_group() as group:
+            for daemon in children:
+                group.start_soon(system.answer, daemon, f"last of {daemon} length=60", "memo")
+            await system.until(lambda: in_flight_everywhere(system))
+            for child in children.values():
+                child.ask_to_end()
+        with anyio.fail_after(WAIT_S):
+            while any(child.alive for child in children.values()):  # noqa: ASYNC110
+                await anyio.sleep(0.05)
+
+    system.call(stop_under_way)
+
+
+async def in_flight_everywhere(system):
+    counts = [(await system.status(name)).get("in_flight", 0) for name in system.daemons]
+    return all(counts)
