Score wait estimates by class and pool, and tell a pool's own rate of starts

Cause: one bias over all classes: waits of a low tier, underestimated by the starts of higher ones, would have a high tier refused early (read in dispatch; shown by the new scenario, which refuses with the scores of all classes in one).

--- a/src/redwingbank/rules/estimate.py
+++ b/src/redwingbank/rules/estimate.py
@@ -131,19 +131,39 @@
     wait_s: float
 
 
+class Score:
+    """Bias and spread of the estimates for a class in a pool, recent ones weighing more."""
+
+    def __init__(self) -> None:
+        self.scored = 0
+        self.bias = 0.0
+        self.variance = 1.0
+
+    def add(self, error: float) -> None:
+        """Take in one error: log(waited / estimated)."""
+        self.scored += 1
+        share = max(SCORE_SHARE, 1.0 / self.scored)
+        self.variance += share * ((error - self.bias) ** 2 - self.variance)
+        self.bias += share * (error - self.bias)
+
+    def least(self) -> float:
+        """Give the factor that waits surely are of their estimate, 0 while too few are known."""
+        if self.scored < FEWEST_SCORES:
+            return 0.0
+        return math.exp(self.bias - CAUTION_DEVIATIONS * math.sqrt(self.variance))
+
+
 class WaitEstimator:
     """Decides on early refusal by estimating the wait in the queue.
 
     The estimate is the number ahead by the rate of starts. Each admitted request's estimate is
-    scored when it starts, which gives the bias and spread of the estimates; a request is
-    refused only where its give-up time will pass even if the wait is shorter than estimated by
-    the bias and two deviations. Until enough are scored nothing is refused.
+    scored when it starts, which gives the bias and spread of the estimates for its class and
+    pool; a request is refused only where its give-up time will pass even if the wait is shorter
+    than estimated by the bias and two deviations. Until enough are scored nothing is refused.
     """
 
     def __init__(self) -> None:
-        self._bias = 0.0
-        self._variance = 1.0
-        self._scored = 0
+        self._scores: dict[tuple[str, str], Score] = {}
         self._refused = 0
         self._wrong = 0
         self._pending_by_id: OrderedDict[str, Pending] = OrderedDict()
@@ -152,9 +172,12 @@
 
     @property
     def calibration(self) -> Calibration:
-        """How true the estimates were up to now."""
-        deviation = math.sqrt(self._variance)
-        return Calibration(self._scored, self._bias, deviation, self._refused, self._wrong)
+        """How true the estimates were up to now, over all classes by the number scored."""
+        scores = self._scores.values()
+        scored = sum(score.scored for score in scores)
+        bias = sum(score.bias * score.scored for score in scores) / max(1, scored)
+        variance = sum(score.variance * score.scored for score in scores) / max(1, scored)
+        return Calibration(scored, bias, math.sqrt(variance), self._refused, self._wrong)
 
     def verdict(self, request: Request, ahead: int, rate_per_s: float, now_s: float) -> Verdict:
         """Estimate the wait of a new request with `ahead` before it; refuse or keep it."""
@@ -162,8 +185,7 @@
             return Verdict(False, 0.0, SHORTEST_RETRY_S)
         wait_s = ahead / rate_per_s
         left_s = request.give_up_s - now_s
-        surely_s = wait_s * math.exp(self._bias - CAUTION_DEVIATIONS * math.sqrt(self._variance))
-        refuse = self._scored >= FEWEST_SCORES and surely_s > left_s
+        refuse = wait_s * self._score_of(request).least() > left_s
         if refuse:
             self._remember(request)
         elif wait_s >= SMALLEST_WAIT_S:
@@ -175,7 +197,8 @@
         """Score the estimate of a request that starts, and earlier refusals by it."""
         pending = self._pending_by_id.pop(request.request_id, None)
         if pending is not None:
-            self._score(pending, now_s)
+            waited_s = max(SMALLEST_WAIT_S, now_s - pending.arrived_s)
+            self._score_of(request).add(math.log(waited_s / pending.wait_s))
         self._judge_refusals(request, now_s)
 
     def gone(self, request_id: str) -> None:
@@ -187,13 +210,8 @@
         if len(self._pending_by_id) > MOST_PENDING:
             self._pending_by_id.popitem(last=False)
 
-    def _score(self, pending: Pending, now_s: float) -> None:
-        waited_s = max(SMALLEST_WAIT_S, now_s - pending.arrived_s)
-        error = math.log(waited_s / pending.wait_s)
-        self._scored += 1
-        share = max(SCORE_SHARE, 1.0 / self._scored)
-        self._variance += share * ((error - self._bias) ** 2 - self._variance)
-        self._bias += share * (error - self._bias)
+    def _score_of(self, request: Request) -> Score:
+        return self._scores.setdefault((request.pool, request.class_name), Score())
 
     def _remember(self, request: Request) -> None:
         self._refused += 1
--- a/src/redwingbank/rules/queue.py
+++ b/src/redwingbank/rules/queue.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import heapq
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.codes import Code
@@ -50,8 +51,7 @@
         self._running_by_id: dict[str, tuple[Request, float]] = {}
         self._running_by_line: dict[tuple[str, str], int] = {}
         self._give_up: list[tuple[float, str]] = []
-        self._starts = 0.0
-        self._starts_at_s = 0.0
+        self._starts_by_pool: dict[str, Starts] = {}
 
     def __len__(self) -> int:
         return len(self._waiting_by_id)
@@ -125,8 +125,7 @@
         charged = line.start(request)
         self._running_by_id[request_id] = (request, charged)
         self._count_running(request, 1)
-        self._decay_starts(now_s)
-        self._starts += 1.0
+        self._starts_by_pool.setdefault(request.pool, Starts()).add(now_s)
         return request
 
     def finish(self, request_id: str, now_s: float, tokens: int | None = None) -> None:
@@ -228,15 +227,11 @@
             line.tier, line.class_name, len(line), oldest_s, slack_s, running, line.organisations
         )
 
-    def _decay_starts(self, now_s: float) -> None:
-        passed_s = max(0.0, now_s - self._starts_at_s)
-        self._starts *= max(0.0, 1.0 - passed_s / RATE_WINDOW_S)
-        self._starts_at_s = now_s
-
-    def starts_per_s(self, now_s: float) -> float:
-        """Requests started a second of late."""
-        self._decay_starts(now_s)
-        return self._starts / RATE_WINDOW_S
+    def starts_per_s(self, now_s: float, pool: str = "") -> float:
+        """Requests of a pool, or of all, started a second of late."""
+        pools = [pool] if pool else list(self._starts_by_pool)
+        starts = [self._starts_by_pool[name] for name in pools if name in self._starts_by_pool]
+        return sum(item.per_s(now_s) for item in starts)
 
     def _retry_after_s(self, now_s: float) -> float:
         rate = self.starts_per_s(now_s)
@@ -244,4 +239,27 @@
         return min(LONGEST_RETRY_S, max(SHORTEST_RETRY_S, wait_s))
 
 
+class Starts:
+    """Rate of starts, weighing the last seconds."""
+
+    def __init__(self) -> None:
+        self._count = 0.0
+        self._at_s = 0.0
+
+    def add(self, now_s: float) -> None:
+        """Count a start."""
+        self._decay(now_s)
+        self._count += 1.0
+
+    def per_s(self, now_s: float) -> float:
+        """Starts a second."""
+        self._decay(now_s)
+        return self._count / RATE_WINDOW_S
+
+    def _decay(self, now_s: float) -> None:
+        passed_s = max(0.0, now_s - self._at_s)
+        self._count *= math.exp(-passed_s / RATE_WINDOW_S)
+        self._at_s = now_s
+
+
 __all__ = ["LOWEST_TIER", "Queue", "Shed"]
--- a/tests/rules/estimate.feature
+++ b/tests/rules/estimate.feature
@@ -31,6 +31,11 @@
       | 0.5    | 600   | yes     |
       | 2      | 150   | yes     |
 
+  Scenario: the estimate learns each class by itself
+    Given the estimate has scored 200 waits that were 20 times as long as estimated
+    Then the estimate of 100 ahead at 10 a second and 20 s to give up refuses: yes
+    And the estimate of 100 ahead of another class refuses nothing
+
   Scenario: the estimate refuses nothing before it has been scored
     Given the estimate has scored 0 waits that were 1 times as long as estimated
     Then the estimate of 10000 ahead at 10 a second and 20 s to give up refuses: no
--- a/tests/rules/queue.feature
+++ b/tests/rules/queue.feature
@@ -52,6 +52,9 @@
     Then the queue expires "x" at 31 seconds
     And the queue expires "y" at 36 seconds
 
+  Scenario: the queue tells how often it starts requests
+    Then the queue that starts 5 a second for 60 s tells of 5 a second, and 60 s later of 0
+
   Scenario: the queue takes a new table's tiers into force for what waits
     Given the queue holds "x:gold:a:0, y:iron:a:0"
     When the queue gets a table where iron has tier 1 and gold tier 3
--- a/tests/steps/rules_estimate.py
+++ b/tests/steps/rules_estimate.py
@@ -64,6 +64,12 @@
     assert 1.0 <= answer.retry_after_s <= 60.0
 
 
+@then("the estimate of 100 ahead of another class refuses nothing")
+def other_class(context):
+    request = make_request("y", "silver", arrived_s=900.0, give_up_s=920.0)
+    assert not context.waits.verdict(request, 100, 10.0, 900.0).refuse
+
+
 @when("the estimate refuses a request at {now_s:g} s that gives up at {give_up_s:g} s")
 def refuse(context, now_s, give_up_s):
     request = make_request("refused", arrived_s=now_s, give_up_s=give_up_s)
--- a/tests/steps/rules_queue.py
+++ b/tests/steps/rules_queue.py
@@ -106,6 +106,18 @@
     assert [item.request_id for item in context.queue.expired(now_s)] == [request_id]
 
 
+@then("the queue that starts 5 a second for 60 s tells of 5 a second, and 60 s later of 0")
+def rate(context):
+    queue = Queue(make_table(), 1000)
+    for index in range(300):
+        queue.push(make_request(str(index)), index / 5)
+        queue.pop(str(index), index / 5)
+    assert abs(queue.starts_per_s(60.0) - 5) < 0.5
+    assert abs(queue.starts_per_s(60.0, POOL) - 5) < 0.5
+    assert queue.starts_per_s(60.0, "other") == 0
+    assert queue.starts_per_s(120.0) < 0.05
+
+
 @when("the queue gets a table where iron has tier 1 and gold tier 3")
 def rebase(context):
     context.queue.rebase(make_table(iron={"tier": 1}, gold={"tier": 3}))
