--- a/tests/rules/estimate.feature
+++ b/tests/rules/estimate.feature
@@ -51,3 +51,13 @@
       | 1001      | 1010    | 1     |
       | 1001      | 1021    | 0     |
       | 999       | 1010    | 0     |
+
+  Scenario Outline: the estimate refuses few wrongly though waits vary
+    Given the estimate <variant> has scored 400 waits that vary about what was estimated
+    When the estimate is asked about 200 requests that would wait about as long as they can
+    Then the estimate has refused under 5 in 100 of those that would have been served: <verdict>
+
+    Examples:
+      | variant         | verdict |
+      | as built        | yes     |
+      | without caution | no      |
--- a/tests/rules/limits.feature
+++ b/tests/rules/limits.feature
@@ -63,3 +63,16 @@
     When the limit shares hear of use "a=1 b=1" and refusals ""
     And the limit shares hear at 3 s of a alone
     Then the limit shares are "a=6"
+
+  Scenario Outline: the limits hold over 7 hosts, and move to where the organisation asks
+    Given limits of concurrency 14 on 7 hosts with <variant>
+    When the limits of every host are asked 20 times in each of 5 rounds
+    Then the limits have admitted at most 14 in all: <verdict>
+    When the limits of 6 hosts fall free and the first is asked 20 times in each of 5 rounds
+    Then the limits of the first hold <least>
+
+    Examples:
+      | variant        | verdict | least |
+      | shares         | yes     | 14    |
+      | whole limits   | no      | 14    |
+      | static limits  | yes     | 2     |
--- a/tests/steps/rules_estimate.py
+++ b/tests/steps/rules_estimate.py
@@ -2,10 +2,15 @@
 
 from __future__ import annotations
 
+import math
+from random import Random
+from unittest import mock
+
 from behave import given, then, when
 
 from decisions_support import make_request
-from redwingbank.rules.estimate import LengthEstimator, WaitEstimator
+from redwingbank.rules import estimate
+from redwingbank.rules.estimate import LengthEstimator, Score, WaitEstimator
 
 
 @given("the estimate has seen 200 answers of 100 tokens by big and {count:d} of 1000 by a")
@@ -85,3 +90,40 @@
 def wrong(context, wrong):
     calibration = context.waits.calibration
     assert (calibration.wrong, calibration.refused) == (wrong, 1)
+
+
+class Rash(Score):
+    """Trusts the mean."""
+
+    def least(self):
+        return math.exp(self.bias)
+
+
+@given("the estimate {variant} has scored 400 waits that vary about what was estimated")
+def varied(context, variant):
+    context.random = Random(3)
+    with mock.patch.object(estimate, "Score", Rash if variant == "without caution" else Score):
+        context.waits = WaitEstimator()
+        for index in range(400):
+            request = make_request(str(index), arrived_s=float(index))
+            wait_s = context.waits.verdict(request, 10, 10.0, float(index)).wait_s
+            wait_s *= math.exp(context.random.gauss(0.0, 0.5))
+            context.waits.started(request, index + wait_s)
+
+
+@when("the estimate is asked about 200 requests that would wait about as long as they can")
+def borderline(context):
+    context.served = context.refused = 0
+    for index in range(200):
+        request = make_request(f"x{index}", arrived_s=1000.0, give_up_s=1020.0)
+        verdict = context.waits.verdict(request, 220, 10.0, 1000.0)
+        really_s = verdict.wait_s * math.exp(context.random.gauss(0.0, 0.5))
+        if really_s < 20.0:
+            context.served += 1
+            context.refused += verdict.refuse
+
+
+@then("the estimate has refused under 5 in 100 of those that would have been served: {verdict}")
+def few_wrong(context, verdict):
+    assert context.served > 50
+    assert (context.refused < 0.05 * context.served) == (verdict == "yes"), context.refused
--- a/tests/steps/rules_limits.py
+++ b/tests/steps/rules_limits.py
@@ -126,3 +126,59 @@
         assert sum(grown.values()) <= max(limit, sum(used.values()))
 
     run()
+
+
+@given("limits of concurrency 14 on 7 hosts with {variant}")
+def many_limits(context, variant):
+    table = limited(14, 0)
+    context.hosts = {
+        f"h{index}": Limits(table, 1 if variant == "whole limits" else 7) for index in range(7)
+    }
+    context.owner = LimitShares(2.0) if variant == "shares" else None
+    if context.owner:
+        context.owner.rebase(table)
+    context.admitted = {host: [] for host in context.hosts}
+    context.round = 0
+
+
+def play_round(context, askers):
+    context.round += 1
+    now_s = float(context.round)
+    for host in askers:
+        for index in range(20):
+            request = make_request(f"{host}-{context.round}-{index}")
+            if context.hosts[host].admit(request, now_s) is None:
+                context.admitted[host].append(request.request_id)
+    if context.owner:
+        for host, limits in context.hosts.items():
+            context.owner.observe(host, context.round, limits.use(now_s), now_s)
+        for host, shares in context.owner.shares(now_s).items():
+            context.hosts[host].apply(shares, 2.0, now_s)
+
+
+@when("the limits of every host are asked 20 times in each of 5 rounds")
+def ask_all(context):
+    for _ in range(5):
+        play_round(context, context.hosts)
+
+
+@then("the limits have admitted at most 14 in all: {verdict}")
+def admitted_in_all(context, verdict):
+    total = sum(len(items) for items in context.admitted.values())
+    assert (total <= 14) == (verdict == "yes"), total
+
+
+@when("the limits of 6 hosts fall free and the first is asked 20 times in each of 5 rounds")
+def fall_free(context):
+    first, *others = context.hosts
+    for host in others:
+        while context.admitted[host]:
+            context.hosts[host].finish(context.admitted[host].pop())
+    for _ in range(5):
+        play_round(context, [first])
+
+
+@then("the limits of the first hold {least:d}")
+def first_admitted(context, least):
+    count = len(context.admitted["h0"])
+    assert count == least, count
