--- /dev/null
+++ b/tests/steps/ports_table_revision.py
@@ -0,0 +1,231 @@
+"""Steps of ports/table_revision.feature."""
+
+from __future__ import annotations
+
+import asyncio
+
+import anyio
+from behave import then
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import (
+    RuleBasedStateMachine,
+    invariant,
+    precondition,
+    rule,
+    run_state_machine_as_test,
+)
+
+from memory_platform import MemoryPlatform, Shared
+from redwingbank.ports import table_store
+from redwingbank.ports.platform import Stored, Unknown
+from redwingbank.rules import pages
+from redwingbank.rules.merge import CellName, cells_of, diff, merge
+from table_samples import sample_sheets, with_cell
+
+table_store.PAUSE_S = 0.0
+SETTLE = 6
+OPERATORS = st.integers(0, 1)
+FAULTS = st.sampled_from((None, None, None, "stale", "lost answer", "lost before", "late", "down"))
+CELLS = ("organisations/organisation-0/weight", "organisations/organisation-1/weight")
+MACHINE = settings(
+    derandomize=True,
+    max_examples=120,
+    stateful_step_count=50,
+    deadline=None,
+    database=None,
+    report_multiple_bugs=False,
+    phases=[Phase.generate],
+    suppress_health_check=list(HealthCheck),
+)
+PROPERTY = settings(derandomize=True, max_examples=300, deadline=None, database=None)
+
+
+class Stepped(MemoryPlatform):
+    """A client whose calls each wait until the machine lets them go on, with a fault or none."""
+
+    def __init__(self, shared):
+        super().__init__(shared)
+        self.turn = None
+        self.next_fault = None
+
+    async def _start(self, kind, key):
+        self.turn = anyio.Event()
+        await self.turn.wait()
+        self.turn = None
+        fault = self.next_fault
+        reads = kind in ("read", "list")
+        return fault if reads == (fault in ("stale", "down")) else None
+
+
+class Revisions(RuleBasedStateMachine):
+    """Two operators change cells of one table with the real code, one call at a time."""
+
+    platform_type = Stepped
+
+    def __init__(self):
+        super().__init__()
+        self.runner = asyncio.Runner()
+        self.shared = Shared()
+        self.runner.run(self.publish_first())
+        self.platforms = {}
+        self.tasks = {}
+        self.told = {}
+        self.highest = (1, self.shared.objects.get(pages.HEAD).version)
+        self.count = 0
+
+    async def publish_first(self):
+        platform = MemoryPlatform(self.shared)
+        absent = await table_store.load_table(platform)
+        await table_store.publish(platform, absent, sample_sheets(), "a", "first")
+
+    async def settle(self):
+        for _ in range(SETTLE):
+            await asyncio.sleep(0)
+
+    @rule(operator=OPERATORS, cell=st.sampled_from(CELLS), value=st.sampled_from("123"))
+    def start(self, operator, cell, value):
+        if operator in self.tasks:
+            return
+        self.count += 1
+        platform = self.platform_type(self.shared)
+        self.platforms[operator] = platform
+        work = self.change(platform, cell, value, f"nonce-{self.count}")
+        self.tasks[operator] = self.runner.get_loop().create_task(work)
+        self.runner.run(self.settle())
+
+    async def change(self, platform, where, value, nonce):
+        base = await table_store.load_table(platform)
+        if isinstance(base, table_store.Loaded):
+            mine = with_cell(base.sheets, where, value)
+            asked = (CellName(*where.split("/")),)
+            answer = await table_store.publish(platform, base, mine, "o", nonce, asked)
+            self.told[nonce] = (where, value, answer)
+
+    @precondition(lambda self: self.tasks)
+    @rule(operator=OPERATORS, faults=st.lists(FAULTS, min_size=1, max_size=6))
+    def go_on(self, operator, faults):
+        """Let the operator's next few calls be answered."""
+        if operator not in self.tasks:
+            return
+        for fault in faults:
+            platform = self.platforms[operator]
+            if platform.turn is not None:
+                platform.next_fault = fault
+                platform.turn.set()
+                self.runner.run(self.settle())
+        if self.tasks[operator].done():
+            self.tasks.pop(operator).result()
+
+    @precondition(lambda self: self.tasks)
+    @rule(operator=OPERATORS)
+    def kill(self, operator):
+        if operator in self.tasks:
+            self.tasks.pop(operator).cancel()
+            self.runner.run(self.settle())
+
+    @precondition(lambda self: self.shared.late)
+    @rule()
+    def late_write(self):
+        self.shared.objects.write(*self.shared.late.pop(0))
+
+    @invariant()
+    def only_rises(self):
+        entry = self.shared.objects.get(pages.HEAD)
+        found = (pages.decode_head(entry.value).revision, entry.version)
+        assert found == self.highest or (
+            found[0] == self.highest[0] + 1 and found[1] > self.highest[1]
+        )
+        self.highest = found
+
+    def teardown(self):
+        for task in self.tasks.values():
+            task.cancel()
+        self.runner.run(self.settle())
+        try:
+            self.runner.run(self.told_is_true())
+        finally:
+            self.runner.close()
+
+    async def told_is_true(self):
+        platform = MemoryPlatform(self.shared)
+        heads = {head.nonce: head for head in await table_store.load_history(platform)}
+        for nonce, (where, value, answer) in self.told.items():
+            if isinstance(answer, table_store.Accepted):
+                assert heads[nonce].revision == answer.revision
+                loaded = await table_store.load_revision(platform, answer.revision)
+                assert cells_of(loaded.sheets)[CellName(*where.split("/"))] == value
+            elif isinstance(answer, table_store.Rejected):
+                assert nonce not in heads
+
+
+class SteppedBlind(Stepped):
+    """The variant whose writes have no condition."""
+
+    async def _write(self, kind, key, value, version):
+        entry = self.shared.objects.get(key)
+        seen = entry.version if entry.value is not None else None
+        return await super()._write(kind, key, value, seen)
+
+
+class SteppedTrusting(Stepped):
+    """The variant that takes a lost answer for a write that is done."""
+
+    async def _write(self, kind, key, value, version):
+        answer = await super()._write(kind, key, value, version)
+        return Stored(key, 0, value) if isinstance(answer, Unknown) else answer
+
+
+class RevisionsBlind(Revisions):
+    platform_type = SteppedBlind
+
+
+class RevisionsTrusting(Revisions):
+    platform_type = SteppedTrusting
+
+
+def fails(machine):
+    try:
+        run_state_machine_as_test(machine, settings=MACHINE)
+    except (AssertionError, KeyError, AttributeError):
+        return True
+    return False
+
+
+@then("the revision machine finds no fault")
+def no_fault(context):
+    run_state_machine_as_test(Revisions, settings=MACHINE)
+
+
+@then("the revision machine finds a fault where a write has no condition")
+def fault_blind(context):
+    assert fails(RevisionsBlind)
+
+
+@then("the revision machine finds a fault where a lost answer is taken for done")
+def fault_trusting(context):
+    assert fails(RevisionsTrusting)
+
+
+ROWS = st.dictionaries(
+    st.sampled_from("rs"), st.fixed_dictionaries({"x": st.sampled_from("12")}), max_size=2
+)
+SHEETS = st.fixed_dictionaries({"pools": ROWS})
+
+
+@then("the revision merge keeps what one side changed and tells what both changed")
+def merge_property(context):
+    @PROPERTY
+    @given(SHEETS, SHEETS, SHEETS)
+    def check(base, mine, theirs):
+        ours = {change.cell: change.new for change in diff(base, mine)}
+        others = {change.cell: change.new for change in diff(base, theirs)}
+        both = {cell for cell in ours.keys() & others.keys() if ours[cell] != others[cell]}
+        merged = merge(base, mine, theirs)
+        assert len(merged.conflicts) == len(both)
+        if not both:
+            cells = {**cells_of(base), **others, **ours}
+            wanted = {cell: value for cell, value in cells.items() if value is not None}
+            assert cells_of(merged.sheets) == wanted
+
+    check()
