--- a/src/redwingbank/rules/pages.py
+++ b/src/redwingbank/rules/pages.py
@@ -12,6 +12,8 @@
 import zlib
 from typing import TYPE_CHECKING, NamedTuple
 
+from redwingbank.errors import RedwingbankError
+
 if TYPE_CHECKING:
     from collections.abc import Container, Mapping
 
@@ -26,7 +28,7 @@
 RESIZE_FACTOR = 4
 
 
-class PageError(Exception):
+class PageError(RedwingbankError):
     """A stored value is not what its name or its form says."""
 
 
--- a/tests/ctl/table.feature
+++ b/tests/ctl/table.feature
@@ -93,3 +93,11 @@
       | {"lost_answers": 9} | 4    | it is not known whether  |
       | {"lost_answers": 1} | 0    |                          |
       | {"lost_before": 1}  | 0    |                          |
+
+  Scenario: what is on the platform is no table
+    Given redwingctl, a platform stand-in and a folder of sheets
+    When redwingctl's platform holds "not a head" as table/head
+    And redwingctl runs "table history"
+    Then redwingctl's exit code is 1 and it tells "not a head"
+    When redwingctl runs "table set classes memo tier=2"
+    Then redwingctl's exit code is 4 and it tells "not a head"
--- a/tests/steps/ctl_table.py
+++ b/tests/steps/ctl_table.py
@@ -96,3 +96,8 @@
 @then("redwingctl nowhere showed a whole key's hash")
 def hash_hidden(context):
     assert not WHOLE_HASH.search("".join(context.shown))
+
+
+@when('redwingctl\'s platform holds "{text}" as {key}')
+def platform_holds(context, text, key):
+    context.bench.app.objects.write(key, text.encode(), None)
