Send and read only what changed of a table

Ruled out: pulls of pages (523 bytes). Change: a member answers with the digests that differ, and the next table is built from the changed pages; both fall back to the whole.

--- a/src/redwingbank/rules/table.py
+++ b/src/redwingbank/rules/table.py
@@ -251,6 +251,21 @@
     return table
 
 
+def parse_rows(sheets: Sheets) -> dict[str, dict[str, Any]]:
+    """Read rows of some sheets, each on its own: by sheet, then by name.
+
+    :raises TableErrors: with every fault of all rows
+    """
+    faults: list[TableError] = []
+    rows = {
+        name: dict(_rows(name, sheet, sheets.get(name, {}), faults))
+        for name, sheet in SHEETS.items()
+    }
+    if faults:
+        raise TableErrors(f"{len(faults)} faults in the rows", faults)
+    return rows
+
+
 def _rows(
     name: str, sheet: Sheet, rows: Mapping[str, Mapping[str, str]], faults: list[TableError]
 ) -> Iterator[tuple[str, Any]]:
@@ -365,6 +380,7 @@
     "Sheet",
     "Sheets",
     "Table",
+    "parse_rows",
     "parse_table",
     "sheets_of",
 ]
--- /dev/null
+++ b/src/redwingbank/rules/table_change.py
@@ -0,0 +1,142 @@
+"""From one table to the next by what changed: short to send, and quick to read.
+
+A whole head names every page, and a whole table is read row by row; both grow with the
+table. What is here grows with the change.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+from typing import TYPE_CHECKING, Any
+
+from redwingbank.rules.pages import (
+    DIGEST_BYTES,
+    Head,
+    PageError,
+    Root,
+    page_name,
+    unpack,
+)
+from redwingbank.rules.table import SHEETS, Table, parse_rows, parse_table
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+CHANGE = "table/change/"
+HIGHEST_CHANGED_SHARE = 0.25
+
+
+def change_name(revision: int) -> str:
+    """Name, among daemons, of the change from a revision to the one in force."""
+    return f"{CHANGE}{revision}"
+
+
+def encode_change(old: Head, new: Head) -> bytes | None:
+    """Write what differs between two heads; None where the page count does."""
+    if len(old.root.digests) != len(new.root.digests):
+        return None
+    digest_by_number = {
+        str(number): base64.b64encode(digest).decode()
+        for number, digest in enumerate(new.root.digests)
+        if digest != old.root.digests[number]
+    }
+    document = {
+        "from": old.revision,
+        "revision": new.revision,
+        "pages": digest_by_number,
+        "nonce": new.nonce,
+        "author": new.author,
+        "at_s": new.at_s,
+    }
+    return json.dumps(document, sort_keys=True, separators=(",", ":")).encode()
+
+
+def apply_change(old: Head, value: bytes) -> Head:
+    """Build the newer head.
+
+    :raises PageError: where the value is no change of this head
+    """
+    try:
+        document = json.loads(value)
+        if document["from"] != old.revision:
+            raise PageError("a change of another head")
+        digests = list(old.root.digests)
+        for number, text in document["pages"].items():
+            digests[int(number)] = _digest(text)
+        return Head(
+            int(document["revision"]),
+            Root(tuple(digests)),
+            str(document["nonce"]),
+            str(document["author"]),
+            float(document["at_s"]),
+        )
+    except (ValueError, KeyError, TypeError, IndexError, AttributeError) as error:
+        raise PageError("not a change of a head") from error
+
+
+def _digest(text: str) -> bytes:
+    digest = base64.b64decode(text, validate=True)
+    if len(digest) != DIGEST_BYTES:
+        raise PageError("a digest is cut")
+    return digest
+
+
+def read_table(head: Head, pages_by_name: Mapping[str, bytes]) -> Table:
+    """Read a whole table.
+
+    :raises PageError: where a page is missing or spoiled
+    :raises TableErrors: where the table is not one that this version accepts
+    """
+    return parse_table(unpack(head.root, pages_by_name), head.revision)
+
+
+def read_change(
+    table: Table,
+    old_pages_by_name: Mapping[str, bytes],
+    head: Head,
+    pages_by_name: Mapping[str, bytes],
+) -> Table:
+    """Read a table by its changed pages, from the one before; whole where much has changed.
+
+    Checks between rows were made when the table was accepted and are not made again here.
+
+    :raises PageError: where a page is missing or spoiled
+    :raises TableErrors: where a row is not one that this version accepts
+    """
+    names = head.root.names()
+    gone = [name for name in old_pages_by_name if name not in set(names)]
+    come = [name for name in names if name not in old_pages_by_name]
+    if len(come) > len(names) * HIGHEST_CHANGED_SHARE:
+        return read_table(head, pages_by_name)
+    removed = unpack(_root(gone), old_pages_by_name)
+    added = parse_rows(unpack(_root(come), pages_by_name))
+    sheets: tuple[Any, ...] = table[1:]
+    rows = [
+        _changed(rows_by_name, removed.get(sheet, {}), added[sheet])
+        for sheet, rows_by_name in zip(SHEETS, sheets, strict=True)
+    ]
+    return Table(head.revision, *rows)
+
+
+def _root(names: list[str]) -> Root:
+    digests = tuple(bytes.fromhex(name.rpartition("/")[2]) for name in names)
+    assert [page_name(digest) for digest in digests] == names
+    return Root(digests)
+
+
+def _changed(
+    rows_by_name: Mapping[str, Any], removed: Mapping[str, Any], added: Mapping[str, Any]
+) -> dict[str, Any]:
+    kept = {name: row for name, row in rows_by_name.items() if name not in removed}
+    return {**kept, **added}
+
+
+__all__ = [
+    "CHANGE",
+    "apply_change",
+    "change_name",
+    "encode_change",
+    "read_change",
+    "read_table",
+]
--- a/src/redwingbank/tasks/fetch.py
+++ b/src/redwingbank/tasks/fetch.py
@@ -6,7 +6,18 @@
 
 from redwingbank.messages import Member, MemberState, Pulled
 from redwingbank.ports.platform import Stored
-from redwingbank.rules.pages import HEAD, PAGES, PageError, Root, decode_head, missing, unpack
+from redwingbank.rules.pages import (
+    HEAD,
+    PAGES,
+    Head,
+    PageError,
+    Root,
+    decode_head,
+    encode_head,
+    missing,
+    unpack,
+)
+from redwingbank.rules.table_change import apply_change, change_name
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Mapping
@@ -28,11 +39,12 @@
 
 
 class Goal(NamedTuple):
-    """What to fetch: at least `revision`, or else `best`; `pages_by_name` we have."""
+    """What to fetch: at least `revision`, or else `best`; `head` and `pages_by_name` we have."""
 
     revision: int
     best: Offer
     view: MemberView
+    head: Head | None
     pages_by_name: Mapping[str, bytes]
 
 
@@ -61,6 +73,13 @@
     return True
 
 
+def _changed_head(old: Head, change: bytes) -> bytes:
+    try:
+        return encode_head(apply_change(old, change))
+    except PageError:
+        return b""
+
+
 class Fetcher:
     """Tries several members in random order, those of our data centre first."""
 
@@ -96,8 +115,7 @@
     async def _find_head(self, goal: Goal) -> Offer:
         best = goal.best
         for member in self._having(goal.view, goal.revision):
-            pulled = await self._pull(member.address, (HEAD,))
-            head = pulled.values_by_name.get(HEAD, b"") if pulled else b""
+            head = await self._head_from(member.address, goal.head)
             offer = Offer(revision_of(head), head, member.address)
             best = max(best, offer, key=lambda item: item.revision)
             if best.revision >= goal.revision:
@@ -108,6 +126,18 @@
             best = max(best, offer, key=lambda item: item.revision)
         return best
 
+    async def _head_from(self, address: str, old: Head | None) -> bytes:
+        """Ask a member for what changed since our head, or for the whole head."""
+        if old is not None:
+            name = change_name(old.revision)
+            pulled = await self._pull(address, (name,))
+            if pulled is None:
+                return b""
+            if name in pulled.values_by_name:
+                return _changed_head(old, pulled.values_by_name[name])
+        pulled = await self._pull(address, (HEAD,))
+        return pulled.values_by_name.get(HEAD, b"") if pulled else b""
+
     def _having(self, view: MemberView, revision: int) -> list[Member]:
         """Members said to have a revision or a higher one, a few."""
         having = [
--- a/src/redwingbank/tasks/tables.py
+++ b/src/redwingbank/tasks/tables.py
@@ -17,8 +17,14 @@
 from redwingbank.errors import TableErrors
 from redwingbank.messages import Pulled
 from redwingbank.ports.platform import Stored
-from redwingbank.rules.pages import HEAD, PageError, decode_head, unpack
-from redwingbank.rules.table import Table, parse_table
+from redwingbank.rules.pages import HEAD, Head, PageError, decode_head, encode_head
+from redwingbank.rules.table_change import (
+    CHANGE,
+    change_name,
+    encode_change,
+    read_change,
+    read_table,
+)
 from redwingbank.tasks.fetch import Fetched, Fetcher, Goal, Offer, revision_of
 from redwingbank.tasks.members import InForce, Listed, MembersChanged, RevisionSeen
 
@@ -31,9 +37,11 @@
     from redwingbank.events import EventLog
     from redwingbank.ports.platform import Platform
     from redwingbank.rules.roster import MemberView
+    from redwingbank.rules.table import Table
     from redwingbank.settings import Settings
 
 RELAYS = 2
+EARLIER_HEADS = 16
 WATCH_S = 30.0
 LOWEST_POLL_S = 1.5
 POLLS_PER_S = 40.0
@@ -50,11 +58,12 @@
 
 
 class Copy(NamedTuple):
-    """The table in force as stored: its head and its pages by name."""
+    """The table in force as stored, and the heads before it, the newest first."""
 
-    revision: int
-    head: bytes
+    table: Table
+    head: Head
     pages_by_name: dict[str, bytes]
+    earlier: tuple[Head, ...] = ()
 
 
 class _Asked(NamedTuple):
@@ -105,7 +114,7 @@
         self._tell = tell
         self._random = random or Random()
         self._fetcher = Fetcher(platform, pull, self._random)
-        self._copy = Copy(0, b"", {})
+        self._copy: Copy | None = None
         self._best = Offer(0, b"", "")
         self._seen = 0
         self._fetching = False
@@ -118,13 +127,22 @@
     @property
     def revision(self) -> int:
         """The revision in force, 0 for none."""
-        return self._copy.revision
+        return self._copy.head.revision if self._copy else 0
 
     def lookup(self, names: tuple[str, ...]) -> Pulled:
         """What this host has of these values, for a member that pulls them."""
-        copy = self._copy
-        values = {HEAD: copy.head, **copy.pages_by_name} if copy.revision else {}
-        return Pulled(copy.revision, {name: values[name] for name in names if name in values})
+        if self._copy is None:
+            return Pulled(0, {})
+        values = {name: self._value(self._copy, name) for name in names}
+        return Pulled(self.revision, {name: value for name, value in values.items() if value})
+
+    def _value(self, copy: Copy, name: str) -> bytes | None:
+        if name == HEAD:
+            return encode_head(copy.head)
+        if not name.startswith(CHANGE):
+            return copy.pages_by_name.get(name)
+        old = next((head for head in copy.earlier if change_name(head.revision) == name), None)
+        return encode_change(old, copy.head) if old else None
 
     async def run(self, outbox: MemoryObjectSendStream[TableInForce]) -> None:
         """Serve until cancelled."""
@@ -187,7 +205,9 @@
         if self._fetching or self._seen <= self.revision or not self._may_start():
             return
         self._fetching = True
-        goal = Goal(self._seen, self._best, self._view, self._copy.pages_by_name)
+        head = self._copy.head if self._copy else None
+        pages = self._copy.pages_by_name if self._copy else {}
+        goal = Goal(self._seen, self._best, self._view, head, pages)
         group.start_soon(self._fetch, goal)
 
     async def _fetch(self, goal: Goal) -> None:
@@ -199,27 +219,29 @@
         group: TaskGroup,
         outbox: MemoryObjectSendStream[TableInForce],
     ) -> None:
-        table = self._read(fetched) if fetched.offer.revision > self.revision else None
-        if table is None:
+        copy = self._read(fetched) if fetched.offer.revision > self.revision else None
+        if copy is None:
             self._failures = min(self._failures + 1, HIGHEST_FAILURES)
             pause_s = min(RETRY_S * 2 ** (self._failures - 1), HIGHEST_RETRY_S)
             group.start_soon(self._after, pause_s * (0.5 + self._random.random()), _Retry())
             return
         self._fetching = False
         self._failures = 0
-        offer = fetched.offer
-        self._copy = Copy(table.revision, offer.head, fetched.pages_by_name)
-        self._events.record(
-            "table-in-force", revision=table.revision, source=offer.source or "platform"
-        )
-        outbox.send_nowait(TableInForce(table))
-        self._tell(InForce(table.revision))
-
-    def _read(self, fetched: Fetched) -> Table | None:
+        self._copy = copy
+        source = fetched.offer.source or "platform"
+        self._events.record("table-in-force", revision=self.revision, source=source)
+        outbox.send_nowait(TableInForce(copy.table))
+        self._tell(InForce(self.revision))
+
+    def _read(self, fetched: Fetched) -> Copy | None:
         """Build the table of what was fetched, or None where it is not whole."""
+        old, pages = self._copy, fetched.pages_by_name
         try:
             head = decode_head(fetched.offer.head)
-            return parse_table(unpack(head.root, fetched.pages_by_name), head.revision)
+            if old is None:
+                return Copy(read_table(head, pages), head, pages)
+            table = read_change(old.table, old.pages_by_name, head, pages)
+            return Copy(table, head, pages, (old.head, *old.earlier[: EARLIER_HEADS - 1]))
         except PageError:
             return None
         except TableErrors as errors:
--- a/src/redwingbank_bench/heartbeats.py
+++ b/src/redwingbank_bench/heartbeats.py
@@ -18,8 +18,8 @@
 from redwingbank.ports.peers import UDP_HEADER_BYTES
 from redwingbank.ports.seal import KeyRing
 from redwingbank.rules.membership import Membership
-from redwingbank.rules.pages import Head, encode_head, missing, pack, unpack
-from redwingbank.rules.table import parse_table
+from redwingbank.rules.pages import Head, encode_head, missing, pack
+from redwingbank.rules.table_change import encode_change, read_change, read_table
 from redwingbank.settings import Address, PeerKey, Settings
 from redwingbank_bench.report import print_figures, print_table
 
@@ -58,8 +58,9 @@
     head_bytes: int
     page_bytes: int
     pages: int
-    unpack_ms: float
-    parse_ms: float
+    change_bytes: int
+    whole_ms: float
+    change_ms: float
 
 
 def _member(number: int) -> Member:
@@ -140,19 +141,22 @@
     old = pack(large_sheets(50))
     new = pack(large_sheets(60), old.root)
     names = missing(new.root, old.values_by_name)
-    head = encode_head(Head(2, new.root, "0" * 32, "operator", 0.0))
+    old_head = Head(1, old.root, "0" * 32, "operator", 1.7e9)
+    head = Head(2, new.root, "0" * 32, "operator", 1.7e9)
     began_s = time.process_time()
-    sheets = unpack(new.root, new.values_by_name)
-    unpacked_s = time.process_time()
-    table = parse_table(sheets, 2)
-    parsed_s = time.process_time()
+    table = read_table(old_head, old.values_by_name)
+    whole_s = time.process_time()
+    changed = read_change(table, old.values_by_name, head, new.values_by_name)
+    changed_s = time.process_time()
+    assert changed == read_table(head, new.values_by_name)
     return TableCost(
         len(table.organisations_by_name) + len(table.backend_servers_by_name),
-        len(head),
+        len(encode_head(head)),
         sum(len(new.values_by_name[name]) for name in names),
         len(old.root.digests),
-        round((unpacked_s - began_s) * 1000, 1),
-        round((parsed_s - unpacked_s) * 1000, 1),
+        len(encode_change(old_head, head) or b""),
+        round((whole_s - began_s) * 1000, 1),
+        round((changed_s - whole_s) * 1000, 1),
     )
 
 
--- a/src/redwingbank_bench/spread.py
+++ b/src/redwingbank_bench/spread.py
@@ -22,8 +22,9 @@
 from redwingbank.ports.peers import Peers
 from redwingbank.ports.pulls import Pulls
 from redwingbank.rules.membership import PUSHES
-from redwingbank.rules.pages import HEAD, Head, decode_head, encode_head, missing, pack
+from redwingbank.rules.pages import Head, missing, pack
 from redwingbank.rules.rendezvous import ranked
+from redwingbank.rules.table_change import apply_change, change_name, encode_change
 from redwingbank.settings import Address, PeerKey, Settings
 from redwingbank.tasks.fetch import is_page
 from redwingbank.tasks.tables import RELAYS
@@ -51,10 +52,15 @@
 class Stored(NamedTuple):
     """A table as stored, and how many pulls it came through."""
 
-    revision: int
-    head: bytes
+    head: Head
     pages_by_name: dict[str, bytes]
     hops: int
+    change: bytes = b""
+
+    @property
+    def revision(self) -> int:
+        """The table's revision."""
+        return self.head.revision
 
 
 class Figures(NamedTuple):
@@ -90,12 +96,17 @@
     return {"organisations": rows}
 
 
-def stored(changed: bool) -> Stored:
-    """Pack one of the two tables."""
-    packed = pack(sheets(changed))
-    revision = 2 if changed else 1
-    head = encode_head(Head(revision, packed.root, f"nonce-{revision}", "operator", 0.0))
-    return Stored(revision, head, packed.values_by_name, 0)
+def stored() -> tuple[Stored, Stored]:
+    """Pack the table and the changed one."""
+    old = pack(sheets(changed=False))
+    new = pack(sheets(changed=True), old.root)
+    old_head = Head(1, old.root, "0" * 32, "operator", 0.0)
+    new_head = Head(2, new.root, "1" * 32, "operator", 0.0)
+    change = encode_change(old_head, new_head) or b""
+    return (
+        Stored(old_head, old.values_by_name, 0),
+        Stored(new_head, new.values_by_name, 0, change),
+    )
 
 
 class SpreadHost:
@@ -119,7 +130,7 @@
 
     def lookup(self, names: tuple[str, ...]) -> Pulled:
         """Answer a pull; the hops are told in place of a page."""
-        values = {HEAD: self.table.head, **self.table.pages_by_name}
+        values = {change_name(1): self.table.change, **self.table.pages_by_name}
         self.served += 1
         found = {name: values[name] for name in names if name in values}
         return Pulled(self.table.revision, {**found, "hops": bytes([self.table.hops])})
@@ -166,11 +177,13 @@
 
     async def _pulled(self, address: str) -> Stored | None:
         self.pulled += 1
-        answer = await self.pulls.pull(address, (HEAD,))
-        if answer is None or HEAD not in answer.values_by_name:
+        name = change_name(self.table.revision)
+        answer = await self.pulls.pull(address, (name,))
+        change = answer.values_by_name.get(name, b"") if answer else b""
+        if answer is None or not change:
             return None
-        head = answer.values_by_name[HEAD]
-        names = missing(decode_head(head).root, self.table.pages_by_name)
+        head = apply_change(self.table.head, change)
+        names = missing(head.root, self.table.pages_by_name)
         pages = await self.pulls.pull(address, names)
         if pages is None:
             return None
@@ -179,7 +192,7 @@
             return None
         values = {**self.table.pages_by_name, **got}
         hops = answer.values_by_name["hops"][0] + 1
-        return Stored(answer.revision, head, values, hops)
+        return Stored(head, values, hops, change)
 
     async def _compare(self) -> None:
         others = sorted(set(self.address_by_host) - {self.name})
@@ -287,7 +300,7 @@
 
 async def compare(seed: int) -> list[Figures]:
     """Spread once each way, with all hosts well and with some dead."""
-    old, new = stored(changed=False), stored(changed=True)
+    old, new = stored()
     return [await spread_once(way, dead, seed, old, new) for dead in DEAD for way in WAYS]
 
 
--- a/tests/steps/ports_pulls.py
+++ b/tests/steps/ports_pulls.py
@@ -62,7 +62,16 @@
         uint64,
     ),
     "allocation": st.builds(
-        messages.Allocation, texts, uint64, uint64, seconds, uint8, counts, uses, counts
+        messages.Allocation,
+        texts,
+        uint64,
+        uint64,
+        seconds,
+        uint8,
+        counts,
+        uses,
+        counts,
+        signed_seconds,
     ),
     "pull": st.builds(messages.Pull, st.lists(texts, max_size=4).map(tuple)),
     "pulled": st.builds(Pulled, uint64, st.dictionaries(texts, st.binary(max_size=40))),
--- /dev/null
+++ b/tests/steps/rules_notices.py
@@ -0,0 +1,75 @@
+"""Steps of rules/notices.feature."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from redwingbank.messages import Notice
+from redwingbank.rules.notices import Notices
+
+HOSTS = 7
+START_S = 100.0
+HELD = Notice("quarantine", "f" * 32, "entry-1", 5, 1.0, 10.0)
+LIKE = {
+    "same": HELD,
+    "other subject": HELD._replace(subject="e" * 32),
+    "other origin": HELD._replace(origin="entry-2"),
+}
+
+
+@given("the notices hold number 5 of a kind, subject and origin for 10 s")
+def hold(context):
+    context.notices = Notices()
+    assert context.notices.learn(HELD, HOSTS, START_S)
+
+
+@when(
+    "the notices get number {number:d} of the {same} with {ttl_s:g} s to live after {passed_s:g} s"
+)
+def get(context, number, same, ttl_s, passed_s):
+    now_s = START_S + passed_s
+    context.notices.all(now_s)
+    notice = LIKE[same]._replace(number=number, ttl_s=ttl_s)
+    context.verdict = "news" if context.notices.learn(notice, HOSTS, now_s) else "known"
+
+
+@then("the notices take it as {verdict}")
+def take(context, verdict):
+    assert context.verdict == verdict
+
+
+def sends(notices):
+    return sum(bool(notices.next(3, START_S)) for _ in range(100))
+
+
+@then("the notices pass it on {count:d} times among 7 hosts")
+def pass_on(context, count):
+    assert sends(context.notices) == count
+
+
+@then("the notices pass it on less often where others have it already")
+def less_often(context):
+    notices = Notices()
+    notices.learn(HELD, HOSTS, START_S)
+    for _ in range(4):
+        notices.learn(HELD, HOSTS, START_S)
+    assert sends(notices) == 2
+
+
+@when("the notices get {count:d} more that live longer")
+def more(context, count):
+    for number in range(count):
+        notice = Notice("quarantine", f"{number:032x}", "entry-1", 1, 1.0, 20.0 + number)
+        assert context.notices.learn(notice, HOSTS, START_S)
+
+
+@then("the notices keep the ones that live longest, {count:d} at the most")
+def keep(context, count):
+    kept = context.notices.all(START_S)
+    assert len(kept) == count
+    assert min(notice.ttl_s for notice in kept) == 20.0 + 5000 - count
+
+
+@then("the notices give it {ttl_s:g} s to live after {passed_s:g} s")
+def give(context, ttl_s, passed_s):
+    assert context.notices.next(1, START_S + passed_s)[0].ttl_s == ttl_s
--- a/tests/steps/tasks_tables.py
+++ b/tests/steps/tasks_tables.py
@@ -38,7 +38,7 @@
     """Takes whatever head came last."""
 
     def _take_offer(self, offer):
-        self._copy = self._copy._replace(revision=0)
+        self._copy = None
         self._best = offer
         self._seen = offer.revision
 
