--- a/src/redwingbank/rules/grants.py
+++ b/src/redwingbank/rules/grants.py
@@ -10,6 +10,7 @@
 
 NO_FLOOR = 255
 DEADLINE_CHANGE_S = 0.25
+RUNNING_TTLS = 2
 
 
 class Gate(NamedTuple):
@@ -18,13 +19,15 @@
     floor: int
     deadline_s: float | None
 
-    def differs(self, other: Gate) -> bool:
-        """Tell whether a host that knows the other gate should be told this one."""
+    def stricter(self, other: Gate) -> bool:
+        """Tell whether this lets start less than the other, by enough to tell a host of it."""
         if self.floor != other.floor:
+            return self.floor < other.floor
+        if self.deadline_s is None:
+            return False
+        if other.deadline_s is None:
             return True
-        if self.deadline_s is None or other.deadline_s is None:
-            return self.deadline_s is not other.deadline_s
-        return abs(self.deadline_s - other.deadline_s) > DEADLINE_CHANGE_S
+        return self.deadline_s < other.deadline_s - DEADLINE_CHANGE_S
 
 
 class Sent(NamedTuple):
@@ -49,7 +52,7 @@
         self.level: dict[str, int] = {}
         self.turns: dict[str, int] = {}
         self.turns_sent: dict[str, int] = {}
-        self.gate = Gate(0, None)
+        self.gate = Gate(NO_FLOOR, None)
         self.sent_s = float("-inf")
         self.sent_number = 0
         self.dirty = True
@@ -63,11 +66,17 @@
             self._accept(demand, now_s)
 
     def lapse(self, now_s: float) -> None:
-        """Drop grants that have lapsed unapplied, and the holding of a host long silent."""
+        """Drop grants that have lapsed unapplied, and what a silent host held.
+
+        What ran there counts for `RUNNING_TTLS` in all; by then most of it has ended.
+        """
         self._unapplied = [sent for sent in self._unapplied if sent.expires_s > now_s]
-        if self.silent(now_s):
-            self.demand = self.demand._replace(holding={}, classes=())
-            self.level = {} if self._unapplied else dict(self.demand.running)
+        if not self.silent(now_s):
+            return
+        self.demand = self.demand._replace(holding={}, classes=())
+        if now_s - self.heard_s > RUNNING_TTLS * self._ttl_s:
+            self.demand = self.demand._replace(running={})
+        self.level = {} if self._unapplied else dict(self.demand.running)
 
     def silent(self, now_s: float) -> bool:
         """Tell whether the host has not been heard for a TTL."""
