Pass notices on often enough to miss no host

Cause: tests/tasks/members.feature failed once under load (98 passed, 1 failed): a notice missed a host. Hosts spent their 6 sends on each other, since hearing a notice counted as a send: of 500 tries among 5 hosts 19 missed one (tests/rules/notices.feature against the code before: 10 passed, 2 failed). Ruled out: expiry and lost messages (none in that test). Change: 10 sends and 2 more for each doubling, whatever others have. Figures: 0 of 500 tries miss a host; python tests/run.py tests/rules/notices.feature: 12 passed.

--- a/src/redwingbank/rules/notices.py
+++ b/src/redwingbank/rules/notices.py
@@ -8,6 +8,7 @@
 if TYPE_CHECKING:
     from redwingbank.messages import Notice
 
+LEAST_SENDS = 10
 SENDS_PER_LOG_HOST = 2
 HIGHEST_TTL_S = 86_400.0
 HIGHEST_KEPT = 4096
@@ -22,15 +23,19 @@
 
 
 def sends_for(hosts: int) -> int:
-    """How often a host passes news on, so that it reaches every host with few sends."""
-    return SENDS_PER_LOG_HOST * math.ceil(math.log2(hosts + 1))
+    """How often a host passes news on.
+
+    Where every host sends it `n` times to random others, one host misses it with a chance of
+    about `exp(-n)`; the logarithm makes up for the number of hosts, the rest is the margin.
+    """
+    return LEAST_SENDS + SENDS_PER_LOG_HOST * math.ceil(math.log2(hosts + 1))
 
 
 class Notices:
     """The notices a host has; the highest number of a kind, subject and origin wins.
 
-    Each is passed on a number of times that grows with the logarithm of the host count, less
-    often where others turn out to have it already, and kept until its time to live has passed.
+    Each is passed on a number of times that grows with the logarithm of the host count, and
+    kept until its time to live has passed.
     """
 
     def __init__(self) -> None:
@@ -40,8 +45,6 @@
         """Take a notice in; tells whether it is news."""
         key = (notice.kind, notice.subject, notice.origin)
         kept = self._kept_by_key.get(key)
-        if kept and kept.notice.number == notice.number:
-            self._kept_by_key[key] = kept._replace(sends_left=kept.sends_left - 1)
         if notice.ttl_s <= 0 or (kept and kept.notice.number >= notice.number):
             return False
         if kept is None and len(self._kept_by_key) >= HIGHEST_KEPT:
--- a/tests/rules/notices.feature
+++ b/tests/rules/notices.feature
@@ -17,8 +17,17 @@
 
   Scenario: a notice is passed on so many times and no more
     Given the notices hold number 5 of a kind, subject and origin for 10 s
-    Then the notices pass it on 6 times among 7 hosts
-    And the notices pass it on less often where others have it already
+    Then the notices pass it on 16 times among 7 hosts
+    And the notices pass it on as often where others have it already
+
+  Scenario Outline: a notice misses no host
+    Given the notices hold number 5 of a kind, subject and origin for 10 s
+    Then the notices reach all of <hosts> hosts in each of <tries> tries
+
+    Examples:
+      | hosts | tries |
+      | 5     | 500   |
+      | 60    | 20    |
 
   Scenario: notices do not grow without bound
     Given the notices hold number 5 of a kind, subject and origin for 10 s
--- a/tests/steps/rules_notices.py
+++ b/tests/steps/rules_notices.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+from random import Random
+
 from behave import given, then, when
 
 from redwingbank.messages import Notice
-from redwingbank.rules.notices import Notices
+from redwingbank.rules.notices import Notices, sends_for
 
 HOSTS = 7
 START_S = 100.0
@@ -47,13 +49,35 @@
     assert sends(context.notices) == count
 
 
-@then("the notices pass it on less often where others have it already")
-def less_often(context):
+@then("the notices pass it on as often where others have it already")
+def as_often(context):
     notices = Notices()
     notices.learn(HELD, HOSTS, START_S)
     for _ in range(4):
         notices.learn(HELD, HOSTS, START_S)
-    assert sends(notices) == 2
+    assert sends(notices) == sends_for(HOSTS)
+
+
+@then("the notices reach all of {count:d} hosts in each of {times:d} tries")
+def reach_all(context, count, times):
+    """Every host passes it on to random others until nobody has sends left."""
+    missed = [seed for seed in range(times) if not reaches_all(Random(seed), count)]
+    assert not missed, missed
+
+
+def reaches_all(random, count):
+    notices_by_host = [Notices() for _ in range(count)]
+    notices_by_host[0].learn(HELD, count, START_S)
+    while senders := [item for item in notices_by_host if has_sends(item)]:
+        for notices in senders:
+            other = random.choice([item for item in notices_by_host if item is not notices])
+            for notice in notices.next(3, START_S):
+                other.learn(notice, count, START_S)
+    return all(notices.all(START_S) for notices in notices_by_host)
+
+
+def has_sends(notices):
+    return any(kept.sends_left > 0 for kept in notices._kept_by_key.values())
 
 
 @when("the notices get {count:d} more that live longer")
