--- a/tests/member_fleet.py
+++ b/tests/member_fleet.py
@@ -8,6 +8,7 @@
 from typing import NamedTuple
 
 from redwingbank.messages import Heartbeat
+from redwingbank.ports.budget import ByteBudget
 from redwingbank.ports.codec import Envelope, encode
 from redwingbank.ports.peers import UDP_HEADER_BYTES
 from redwingbank.ports.seal import HEADER_BYTES, TAG_BYTES
@@ -53,6 +54,8 @@
         self.random = Random(seed)
         self.kind = kind
         self.pull_s = pull_s
+        self.budget_by_host = {}
+        self.shed = 0
         self.loss = 0.0
         self.cuts = set()
         self.frozen = set()
@@ -127,6 +130,14 @@
             for change in member.take_changes()
         ]
 
+    def starve(self, others_share):
+        """Give each host its byte budget, and other messages that take a share of it."""
+        for host, settings in self.settings_by_host.items():
+            self.budget_by_host[host] = ByteBudget(settings.control_bytes_per_s)
+        self.others_bytes = round(
+            others_share * settings.control_bytes_per_s * settings.heartbeat_s
+        )
+
     def cut_between(self, some, others):
         self.cuts |= {frozenset((one, two)) for one in some for two in others}
 
@@ -144,6 +155,9 @@
 
     def _tick(self, host):
         member = self.member_by_host[host]
+        if host in self.budget_by_host:
+            budget = self.budget_by_host[host]
+            budget.allows(self.others_bytes, self.now_s, may_shed=False)
         self.send(host, member.tick(self.now_s))
         source = member.sync_due(self.now_s)
         if source and self._passes(host, source.host):
@@ -157,11 +171,18 @@
 
     def _count(self, host, sender, heartbeat):
         packed = encode(Envelope(sender, START_MICROSECONDS, 10**6, heartbeat))
-        self.bytes_by_host[host] += len(packed) + OVERHEAD_BYTES
+        size = len(packed) + OVERHEAD_BYTES
+        budget = self.budget_by_host.get(host)
+        if budget and not budget.allows(size, self.now_s, may_shed=True):
+            self.shed += 1
+            return False
+        self.bytes_by_host[host] += size
         self.messages_by_host[host] += 1
+        return True
 
     def _send(self, sender, address, heartbeat):
-        self._count(sender, sender, heartbeat)
+        if not self._count(sender, sender, heartbeat):
+            return
         receiver = self.host_by_address.get(address)
         cut = frozenset((sender, receiver)) in self.cuts
         if receiver is None or cut or self.random.random() < self.loss:
--- a/tests/rules/membership.feature
+++ b/tests/rules/membership.feature
@@ -23,8 +23,12 @@
       | as is   | a list that names hosts long gone           | agrees, none blamed  |
       | as is   | late word of a restarted host's old process | agrees on the new one, none went back |
 
+      | as is   | other messages that take half the byte budget | agrees, none dead    |
+      | as is   | other messages that take five times the byte budget | agrees, none dead |
+
     Examples: how it fails without the mechanism
       | variant              | fault                                          | verdict         |
+      | without reserved bytes | other messages that take five times the byte budget | blames |
       | without helpers      | one link cut                                   | blames          |
       | without refutation   | two hosts that disagree about a third          | does not agree  |
       | without recontact    | halves cut off from each other for two minutes | does not agree  |
--- a/tests/steps/rules_membership.py
+++ b/tests/steps/rules_membership.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
+from contextlib import contextmanager, nullcontext
+from functools import partial
+
 from behave import given, then, when
 
 from member_fleet import Fleet
 from redwingbank.messages import Heartbeat, MemberState, Notice
+from redwingbank.ports import budget
 from redwingbank.rules.membership import Membership, Outgoing
 from redwingbank.rules.roster import Roster
 
@@ -48,6 +52,14 @@
         return []
 
 
+@contextmanager
+def no_reserve():
+    """Heartbeats have no part of the byte budget to themselves."""
+    share, budget.HEARTBEAT_SHARE = budget.HEARTBEAT_SHARE, 0.0
+    yield
+    budget.HEARTBEAT_SHARE = share
+
+
 class LastWord(Roster):
     """Believes whatever came last about a host."""
 
@@ -67,6 +79,7 @@
 
 KIND_BY_VARIANT = {
     "as is": Membership,
+    "without reserved bytes": Membership,
     "without helpers": WithoutHelpers,
     "without refutation": WithoutRefutation,
     "without recontact": WithoutRecontact,
@@ -79,7 +92,9 @@
 @given("the membership of {count:d} hosts, {variant}")
 def membership_of(context, count, variant):
     centres = SMALL if count <= HOSTS_IN_SMALL else LARGE
-    context.fleet = fleet = Fleet(count, centres, kind=KIND_BY_VARIANT[variant], pull_s=PULL_S)
+    kind = KIND_BY_VARIANT[variant]
+    context.around = no_reserve if variant == "without reserved bytes" else nullcontext
+    context.fleet = fleet = Fleet(count, centres, kind=kind, pull_s=PULL_S)
     context.everyone = set(fleet.member_by_host)
     context.expected = context.everyone
     if count <= HOSTS_IN_SMALL:
@@ -191,7 +206,15 @@
     fleet.run(SETTLE_S)
 
 
+def starved(fleet, share):
+    """Other messages take a share of the budget; those over their part leave the reserve alone."""
+    fleet.starve(share)
+    fleet.run(FAULT_S)
+
+
 FAULTS = {
+    "other messages that take half the byte budget": partial(starved, share=0.5),
+    "other messages that take five times the byte budget": partial(starved, share=5.0),
     "no fault": no_fault,
     "a twentieth of all messages lost": loss,
     "one link cut": link_cut,
@@ -212,7 +235,8 @@
 
 @when("the membership meets {fault}")
 def meets(context, fault):
-    FAULTS[fault](context.fleet)
+    with context.around():
+        FAULTS[fault](context.fleet)
 
 
 def agrees(context):
