Share what the model checks have in common

Cause: three step files held the same settings and the same search for a variant's fault. Change: tests/machines.py holds them; examples and steps as before, no case left out.

--- a/tests/steps/ports_table_revision.py
+++ b/tests/steps/ports_table_revision.py
@@ -6,16 +6,16 @@
 
 import anyio
 from behave import then
-from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import given, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 
+from machines import finds_fault, run_machine
 from memory_platform import MemoryPlatform, Shared
 from redwingbank.ports import table_store
 from redwingbank.ports.platform import Stored, Unknown
@@ -28,16 +28,7 @@
 OPERATORS = st.integers(0, 1)
 FAULTS = st.sampled_from((None, None, None, "stale", "lost answer", "lost before", "late", "down"))
 CELLS = ("organisations/organisation-0/weight", "organisations/organisation-1/weight")
-MACHINE = settings(
-    derandomize=True,
-    max_examples=120,
-    stateful_step_count=50,
-    deadline=None,
-    database=None,
-    report_multiple_bugs=False,
-    phases=[Phase.generate],
-    suppress_health_check=list(HealthCheck),
-)
+EXAMPLES, STEPS = 120, 50
 PROPERTY = settings(derandomize=True, max_examples=300, deadline=None, database=None)
 
 
@@ -184,27 +175,19 @@
     platform_type = SteppedTrusting
 
 
-def fails(machine):
-    try:
-        run_state_machine_as_test(machine, settings=MACHINE)
-    except (AssertionError, KeyError, AttributeError):
-        return True
-    return False
-
-
 @then("the revision machine finds no fault")
 def no_fault(context):
-    run_state_machine_as_test(Revisions, settings=MACHINE)
+    run_machine(Revisions, EXAMPLES, STEPS)
 
 
 @then("the revision machine finds a fault where a write has no condition")
 def fault_blind(context):
-    assert fails(RevisionsBlind)
+    assert finds_fault(RevisionsBlind, EXAMPLES, STEPS)
 
 
 @then("the revision machine finds a fault where a lost answer is taken for done")
 def fault_trusting(context):
-    assert fails(RevisionsTrusting)
+    assert finds_fault(RevisionsTrusting, EXAMPLES, STEPS)
 
 
 ROWS = st.dictionaries(
--- a/tests/steps/rules_idempotency.py
+++ b/tests/steps/rules_idempotency.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 from behave import then
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 
+from machines import finds_fault, run_machine
 from redwingbank.rules.idempotency import (
     NEXT,
     Event,
@@ -27,16 +26,7 @@
 
 HOSTS = st.integers(0, 1)
 FATES = st.sampled_from(("done", "done", "answer lost", "lost", "late"))
-MACHINE = settings(
-    derandomize=True,
-    max_examples=200,
-    stateful_step_count=40,
-    deadline=None,
-    database=None,
-    report_multiple_bugs=False,
-    phases=[Phase.generate],
-    suppress_health_check=list(HealthCheck),
-)
+EXAMPLES, STEPS = 200, 40
 
 
 def record(state):
@@ -211,24 +201,16 @@
     conditional = False
 
 
-def fails(machine):
-    try:
-        run_state_machine_as_test(machine, settings=MACHINE)
-    except AssertionError:
-        return True
-    return False
-
-
 @then("the idempotency machine finds no fault")
 def no_fault(context):
-    run_state_machine_as_test(Calls, settings=MACHINE)
+    run_machine(Calls, EXAMPLES, STEPS)
 
 
 @then("the idempotency machine finds a fault where a running record may be taken")
 def fault_taking(context):
-    assert fails(Taking)
+    assert finds_fault(Taking, EXAMPLES, STEPS)
 
 
 @then("the idempotency machine finds a fault where writes have no condition")
 def fault_unconditional(context):
-    assert fails(Unconditional)
+    assert finds_fault(Unconditional, EXAMPLES, STEPS)
--- a/tests/steps/rules_lease.py
+++ b/tests/steps/rules_lease.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 from behave import given, then
-from hypothesis import HealthCheck, Phase, settings
 from hypothesis import strategies as st
 from hypothesis.stateful import (
     RuleBasedStateMachine,
     invariant,
     precondition,
     rule,
-    run_state_machine_as_test,
 )
 
+from machines import finds_fault, run_machine
 from redwingbank.rules.lease import (
     Lease,
     LeaseError,
@@ -23,16 +22,7 @@
 
 TERM_S = 10.0
 OTHER = LeaseRecord("entry-2", 7, "n", TERM_S)
-MACHINE = settings(
-    derandomize=True,
-    max_examples=150,
-    stateful_step_count=40,
-    deadline=None,
-    database=None,
-    report_multiple_bugs=False,
-    phases=[Phase.generate],
-    suppress_health_check=list(HealthCheck),
-)
+EXAMPLES, STEPS = 150, 40
 
 
 @given("a lease of 10 s that another host renewed last at 0 s")
@@ -238,22 +228,14 @@
     lease_type = Timeless
 
 
-def fails(machine):
-    try:
-        run_state_machine_as_test(machine, settings=MACHINE)
-    except AssertionError:
-        return True
-    return False
-
-
 @then("a lease machine finds no two hosts that may give orders at once")
 def no_two(context):
-    run_state_machine_as_test(Holders, settings=MACHINE)
+    run_machine(Holders, EXAMPLES, STEPS)
 
 
 @then("a lease machine finds two where a taker does not wait for the term")
 def two_impatient(context):
-    assert fails(HoldersImpatient)
+    assert finds_fault(HoldersImpatient, EXAMPLES, STEPS)
 
 
 def late_answer(machine):
@@ -285,4 +267,4 @@
 
 @then("a lease machine finds two where a holder does not look at the clock")
 def two_timeless(context):
-    assert fails(HoldersTimeless)
+    assert finds_fault(HoldersTimeless, EXAMPLES, STEPS)
