--- a/tests/rules/estimate.feature
+++ b/tests/rules/estimate.feature
@@ -31,6 +31,11 @@
       | 0.5    | 600   | yes     |
       | 2      | 150   | yes     |
 
+  Scenario: the estimate learns each class by itself
+    Given the estimate has scored 200 waits that were 20 times as long as estimated
+    Then the estimate of 100 ahead at 10 a second and 20 s to give up refuses: yes
+    And the estimate of 100 ahead of another class refuses nothing
+
   Scenario: the estimate refuses nothing before it has been scored
     Given the estimate has scored 0 waits that were 1 times as long as estimated
     Then the estimate of 10000 ahead at 10 a second and 20 s to give up refuses: no
@@ -46,3 +51,13 @@
       | 1001      | 1010    | 1     |
       | 1001      | 1021    | 0     |
       | 999       | 1010    | 0     |
+
+  Scenario Outline: the estimate refuses few wrongly though waits vary
+    Given the estimate <variant> has scored 400 waits that vary about what was estimated
+    When the estimate is asked about 200 requests that would wait about as long as they can
+    Then the estimate has refused under 5 in 100 of those that would have been served: <verdict>
+
+    Examples:
+      | variant         | verdict |
+      | as built        | yes     |
+      | without caution | no      |
