--- a/tests/steps/rules_notices_shed.py
+++ b/tests/steps/rules_notices_shed.py
@@ -6,94 +6,47 @@
 
 from behave import given, then, when
 
-from redwingbank.messages import Notice
-from redwingbank.rules.notices import Notices, sends_for
+from redwingbank.messages import Heartbeat, Member, MemberState, Notice
+from redwingbank.rules.membership import Membership
+from redwingbank.rules.notices import Notices
+from redwingbank_standins.quickstart import host_settings
 
-HOSTS = 7
-START_S = 100.0
-HELD = Notice("quarantine", "f" * 32, "entry-1", 5, 1.0, 10.0)
-LIKE = {
-    "same": HELD,
-    "other subject": HELD._replace(subject="e" * 32),
-    "other origin": HELD._replace(origin="entry-2"),
-}
 
+class WithoutUnsent(Notices):
+    def unsent(self, notices):
+        pass
 
-@given("the notices hold number 5 of a kind, subject and origin for 10 s")
-def hold(context):
-    context.notices = Notices()
-    assert context.notices.learn(HELD, HOSTS, START_S)
 
+def notice(number):
+    return Notice("suspect", f"f{number}@s1", "entry-1", number, 0.0, 60.0)
 
-@when(
-    "the notices get number {number:d} of the {same} with {ttl_s:g} s to live after {passed_s:g} s"
-)
-def get(context, number, same, ttl_s, passed_s):
-    now_s = START_S + passed_s
-    context.notices.all(now_s)
-    notice = LIKE[same]._replace(number=number, ttl_s=ttl_s)
-    context.verdict = "news" if context.notices.learn(notice, HOSTS, now_s) else "known"
 
+@given("the shed notices {variant} of a host among 3")
+def notices_of(context, variant):
+    context.notices = WithoutUnsent() if variant == "without unsent" else Notices()
+    assert context.notices.learn(notice(1), 3, 0.0)
 
-@then("the notices take it as {verdict}")
-def take(context, verdict):
-    assert context.verdict == verdict
 
+@when("the shed notices' next {count:d} messages are shed")
+def are_shed(context, count):
+    for _ in range(count):
+        context.notices.unsent(context.notices.next(3, 1.0))
 
-def sends(notices):
-    return sum(bool(notices.next(3, START_S)) for _ in range(100))
 
+@then("the shed notices' next message carries {carried:d} notices")
+def carries(context, carried):
+    assert len(context.notices.next(3, 1.0)) == carried
 
-@then("the notices pass it on {count:d} times among 7 hosts")
-def pass_on(context, count):
-    assert sends(context.notices) == count
 
-
-@then("the notices pass it on as often where others have it already")
-def as_often(context):
-    notices = Notices()
-    notices.learn(HELD, HOSTS, START_S)
-    for _ in range(4):
-        notices.learn(HELD, HOSTS, START_S)
-    assert sends(notices) == sends_for(HOSTS)
-
-
-@then("the notices reach all of {count:d} hosts in each of {times:d} tries")
-def reach_all(context, count, times):
-    """Every host passes it on to random others until nobody has sends left."""
-    missed = [seed for seed in range(times) if not reaches_all(Random(seed), count)]
-    assert not missed, missed
-
-
-def reaches_all(random, count):
-    notices_by_host = [Notices() for _ in range(count)]
-    notices_by_host[0].learn(HELD, count, START_S)
-    while senders := [item for item in notices_by_host if has_sends(item)]:
-        for notices in senders:
-            other = random.choice([item for item in notices_by_host if item is not notices])
-            for notice in notices.next(3, START_S):
-                other.learn(notice, count, START_S)
-    return all(notices.all(START_S) for notices in notices_by_host)
-
-
-def has_sends(notices):
-    return any(kept.sends_left > 0 for kept in notices._kept_by_key.values())
-
-
-@when("the notices get {count:d} more that live longer")
-def more(context, count):
-    for number in range(count):
-        notice = Notice("quarantine", f"{number:032x}", "entry-1", 1, 1.0, 20.0 + number)
-        assert context.notices.learn(notice, HOSTS, START_S)
-
-
-@then("the notices keep the ones that live longest, {count:d} at the most")
-def keep(context, count):
-    kept = context.notices.all(START_S)
-    assert len(kept) == count
-    assert min(notice.ttl_s for notice in kept) == 20.0 + 5000 - count
-
-
-@then("the notices give it {ttl_s:g} s to live after {passed_s:g} s")
-def give(context, ttl_s, passed_s):
-    assert context.notices.next(1, START_S + passed_s)[0].ttl_s == ttl_s
+@then("the shed notices of one moment, 5 of them, are spread in 2 messages to each of 2 members")
+def spread_together(context):
+    settings = host_settings(1, None)
+    membership = Membership("entry-1", "c", "127.0.0.1:1", 1, settings, Random(1))
+    for number in (2, 3):
+        other = Member(f"entry-{number}", "c", f"127.0.0.1:{number}", 1, MemberState.ALIVE, 1)
+        membership.receive(other.host, Heartbeat(False, 1, (other,)), 0.0)
+    sent = membership.announce_all([notice(number) for number in range(5)], 1.0)
+    assert sorted(one.address for one in sent) == ["127.0.0.1:2"] * 2 + ["127.0.0.1:3"] * 2
+    for address in ("127.0.0.1:2", "127.0.0.1:3"):
+        told = [one for out in sent if out.address == address for one in out.heartbeat.notices]
+        assert 3 <= len({one.number for one in told}) <= 5, told
