--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -346,14 +346,14 @@
 
     def _hopeless(self, request: Request, now_s: float) -> bool:
         """Refuse a request at once whose give-up time will surely pass in the queue."""
-        rate = self._queue.starts_per_s(now_s)
+        rate = self._queue.starts_per_s(now_s, request.pool)
         verdict = self._waits.verdict(request, self._queue.ahead(request), rate, now_s)
         if verdict.refuse:
             self._refuse(request.request_id, Code.TARGET_UNREACHABLE, verdict.retry_after_s)
         return verdict.refuse
 
     def _retry_after_s(self, request: Request) -> float:
-        rate = self._queue.starts_per_s(time.monotonic())
+        rate = self._queue.starts_per_s(time.monotonic(), request.pool)
         return self._queue.ahead(request) / rate if rate > 0 else SHORTEST_RETRY_S
 
     def _refuse(self, request_id: str, code: Code, retry_after_s: float) -> None:
