--- a/tests/run.py
+++ b/tests/run.py
@@ -17,7 +17,8 @@
     ["tests/rules"],
     ["tests/ports", "tests/standins"],
     ["tests/tasks", "tests/ctl", "tests/codes.feature", "tests/settings.feature"],
-    ["tests/system"],
+    ["tests/system/once.feature"],
+    ["tests/system/failures.feature", "tests/system/path.feature"],
 ]
 
 
