Send the stand-ins' small writes at once

Cause: first tokens came in two modes, 29 and 52 ms, the slow one more often at higher rates, while the queue took 0.5 ms (p50 of the daemon's own events): the stand-ins' listener was made with protocol 0, for which asyncio does not set TCP_NODELAY, so the first token waited for the delayed acknowledgement of the answer's head on reused connections. Ruled out: the queue, slots, processor time (0.5 core).

--- a/src/redwingbank_standins/listener.py
+++ b/src/redwingbank_standins/listener.py
@@ -71,7 +71,7 @@
 
 def bind(host: str, port: int) -> socket.socket:
     """Bind a listening socket; port 0 takes a free one."""
-    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM, socket.IPPROTO_TCP)
     listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
     listener.bind((host, port))
     listener.listen(BACKLOG)
