--- a/src/redwingbank/run.py
+++ b/src/redwingbank/run.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import gc
 import signal
 import sys
 from pathlib import Path  # noqa: TC003 - cyclopts reads it when the program runs
@@ -57,9 +56,6 @@
 
 async def _serve(settings: Settings) -> None:
     daemon = Daemon(settings)
-    gc.collect()
-    gc.freeze()
-    gc.set_threshold(20_000, 20, 100)
     async with anyio.create_task_group() as group:
         await group.start(_drain_on_signal, daemon)
         async with anyio.create_task_group() as serving:
