--- a/src/redwingbank/codes.py
+++ b/src/redwingbank/codes.py
@@ -38,8 +38,6 @@
     NOT_READY = 1221
     QUARANTINED = 1230
     QUARANTINED_AFTER_RUN = 1231
-    SUSPECTED = 1232
-    SUSPECTED_AFTER_RUN = 1233
     PLATFORM_UNAVAILABLE = 1300
     STILL_RUNNING = 1301
     OUTCOME_UNKNOWN = 1302
@@ -110,12 +108,6 @@
     Code.QUARANTINED_AFTER_RUN: _row(
         422, Ran.MAYBE, "this request was running when its servers crashed", "ask an operator"
     ),
-    Code.SUSPECTED: _row(
-        503, Ran.NO, "a request like this one is being tried alone", "come back", retry=True
-    ),
-    Code.SUSPECTED_AFTER_RUN: _row(
-        503, Ran.MAYBE, "its server crashed; one like it is being tried", "come back", retry=True
-    ),
     Code.PLATFORM_UNAVAILABLE: _row(
         503, Ran.NO, "the call could not be recorded, so it was not run", "come back", retry=True
     ),
--- a/src/redwingbank/daemon.py
+++ b/src/redwingbank/daemon.py
@@ -28,10 +28,11 @@
 from redwingbank.rules.roster import MemberView
 from redwingbank.settings import Address
 from redwingbank.tasks.allocate import AllocateInput, AllocateTask, Capacity, Hosts, Outgoing
-from redwingbank.tasks.dispatch import Dispatch, DrainServer, Release
+from redwingbank.tasks.dispatch import Dispatch
 from redwingbank.tasks.loads import LoadReader, Plan, Watched
 from redwingbank.tasks.orders import OrdersTask
 from redwingbank.tasks.records import Recorder
+from redwingbank.tasks.reports import DrainServer, Release
 from redwingbank.tasks.slots import ToHost
 from redwingbank.tasks.tables import TableInForce
 
--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -6,13 +6,13 @@
 import time
 from collections import deque
 from functools import singledispatchmethod
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
 import anyio
 
 from redwingbank.codes import Code, Ran
 from redwingbank.messages import Allocation, Notice, Received
-from redwingbank.model import LoadReport, Outcome
+from redwingbank.model import Outcome
 from redwingbank.rules import retry
 from redwingbank.rules.estimate import LengthEstimator, WaitEstimator
 from redwingbank.rules.fleet import Fleet
@@ -21,6 +21,8 @@
 from redwingbank.rules.quarantine import Free, Quarantine, Quarantined, Suspect
 from redwingbank.rules.roster import MemberView
 from redwingbank.rules.table import Table
+from redwingbank.tasks.news import DRAIN_NOTICE, News
+from redwingbank.tasks.reports import DrainServer, Release, Reported, Unreachable
 from redwingbank.tasks.slots import Slots
 from redwingbank.tasks.ticket import Began, Ended, Grant, Left, Refused, Submit, Ticket
 
@@ -30,7 +32,7 @@
 
     from redwingbank.events import EventLog
     from redwingbank.metrics import Metrics
-    from redwingbank.model import CacheEvent, Request
+    from redwingbank.model import Request
     from redwingbank.settings import Settings
     from redwingbank.tasks.allocate import Capacity
     from redwingbank.tasks.slots import ToHost
@@ -38,35 +40,9 @@
 TICK_S = 0.05
 SHORTEST_RETRY_S = 1.0
 MILLISECONDS = 1000.0
-DRAIN_NOTICE = "draining"
 DRAIN_NOTICE_S = 10.0
 OPERATOR_DRAIN_S = 3600.0
-
-
-class Reported(NamedTuple):
-    """A backend server's load report and its cache events came in."""
-
-    server: str
-    report: LoadReport | None
-    cache_events: tuple[CacheEvent, ...] = ()
-
-
-class Unreachable(NamedTuple):
-    """A backend server could not be reached for its report."""
-
-    server: str
-
-
-class DrainServer(NamedTuple):
-    """An operator takes a backend server out of service on every host."""
-
-    server: str
-
-
-class Release(NamedTuple):
-    """An operator releases a quarantined fingerprint on every host."""
-
-    fingerprint: str
+NO_TABLE = Table(0, {}, {}, {}, {})
 
 
 class Dispatch:
@@ -84,14 +60,14 @@
         self._events = events
         self._policy = policy_of(settings.policy, random)
         self._table: Table | None = None
-        self._queue = self._policy.queue(Table(0, {}, {}, {}, {}), settings.queue_limit)
-        self._limits = Limits(Table(0, {}, {}, {}, {}), 1)
+        self._queue = self._policy.queue(NO_TABLE, settings.queue_limit)
+        self._limits = Limits(NO_TABLE, 1)
         self._lengths = LengthEstimator()
         self._waits = WaitEstimator()
         self._budget = retry.RetryBudget(settings.retry_ratio)
         self._fleet = Fleet(random)
         self._quarantine = Quarantine(settings.host, first_number=number)
-        self._notice_number = number
+        self._news = News(settings.host, events, self._send, number)
         self._ticket_by_id: dict[str, Ticket] = {}
         self._parked: list[Request] = []
         self._touched: set[str] = set()
@@ -126,7 +102,7 @@
         for request in self._queue.expired(now_s):
             self._waits.gone(request.request_id)
             self._refuse(request.request_id, Code.WAIT_EXPIRED, self._retry_after_s(request))
-        self._announce(self._quarantine.renewals(now_s))
+        self._news.announce(self._quarantine.renewals(now_s))
         if self._table is not None:
             self._touched.update(self._table.pools_by_name)
         self._pump_touched()
@@ -135,20 +111,6 @@
     def _send(self, message: ToHost | Capacity | Notice) -> None:
         self.outbox.send_nowait(message)
 
-    def _announce(self, notices: list[Notice]) -> None:
-        for notice in notices:
-            self._record_notice("notice", notice)
-            self._send(notice)
-
-    def _record_notice(self, event: str, notice: Notice) -> None:
-        self._events.record(
-            event,
-            kind=notice.kind,
-            subject=notice.subject,
-            origin=notice.origin,
-            notice=notice.number,
-        )
-
     @singledispatchmethod
     def handle(self, message: object) -> None:
         """Take one message in."""
@@ -180,7 +142,7 @@
     @handle.register(Notice)
     def _on_notice(self, notice: Notice) -> None:
         now_s = time.monotonic()
-        self._record_notice("notice-learned", notice)
+        self._news.learned(notice)
         if notice.kind == DRAIN_NOTICE:
             self._fleet.drain(notice.subject, now_s + notice.ttl_s)
             return
@@ -199,7 +161,7 @@
         for event in reported.cache_events:
             self._fleet.cache_event(reported.server, event)
         if not drained and reported.server in self._fleet.draining(now_s):
-            self._tell_draining(reported.server, DRAIN_NOTICE_S)
+            self._news.announce_draining(reported.server, DRAIN_NOTICE_S)
         self._slots.capacity_changed(now_s)
 
     @handle.register(Unreachable)
@@ -210,12 +172,12 @@
     @handle.register(DrainServer)
     def _on_drain(self, drain: DrainServer) -> None:
         self._fleet.drain(drain.server, time.monotonic() + OPERATOR_DRAIN_S)
-        self._tell_draining(drain.server, OPERATOR_DRAIN_S)
+        self._news.announce_draining(drain.server, OPERATOR_DRAIN_S)
 
     @handle.register(Release)
     def _on_release(self, release: Release) -> None:
         self._events.record("quarantine-released", fingerprint=release.fingerprint)
-        self._announce(self._quarantine.release(release.fingerprint, time.monotonic()))
+        self._news.announce(self._quarantine.release(release.fingerprint, time.monotonic()))
 
     @handle.register(Submit)
     def _on_submit(self, submit: Submit) -> None:
@@ -287,7 +249,7 @@
             spent_s = now_s - ticket.sent_s - ended.first_token_s
             token_s = spent_s / (tokens - 1) if tokens > 1 else None
         self._fleet.finished(server, request, outcome, now_s, token_s)
-        self._announce(self._quarantine.finished(server, request, outcome, now_s))
+        self._news.announce(self._quarantine.finished(server, request, outcome, now_s))
         self._queue.finish(request.request_id, now_s, tokens)
         self._touched.add(request.pool)
         return server
@@ -366,11 +328,6 @@
         self._ticket_by_id.pop(request_id, None)
         self._limits.finish(request_id)
 
-    def _tell_draining(self, server: str, ttl_s: float) -> None:
-        self._notice_number += 1
-        notice = Notice(DRAIN_NOTICE, server, self._settings.host, self._notice_number, 1.0, ttl_s)
-        self._announce([notice])
-
     def _pump_touched(self) -> None:
         now_s = time.monotonic()
         for change in self._fleet.changes(now_s):
@@ -448,7 +405,7 @@
         self._waits.started(request, now_s)
         view = self._fleet.view(server, request, now_s)
         self._fleet.sent(server, request, now_s)
-        self._announce(self._quarantine.started(server, request, now_s))
+        self._news.announce(self._quarantine.started(server, request, now_s))
         waited_s = now_s - request.arrived_s
         self._metrics.observe("queue_seconds", waited_s, service_class=request.class_name)
         self._events.record(
@@ -488,4 +445,4 @@
         }
 
 
-__all__ = ["Dispatch", "DrainServer", "Release", "Reported", "Unreachable"]
+__all__ = ["Dispatch"]
--- a/src/redwingbank/tasks/loads.py
+++ b/src/redwingbank/tasks/loads.py
@@ -7,7 +7,7 @@
 import anyio
 
 from redwingbank.ports.engine import Silence
-from redwingbank.tasks.dispatch import Reported, Unreachable
+from redwingbank.tasks.reports import Reported, Unreachable
 
 if TYPE_CHECKING:
     from anyio.streams.memory import MemoryObjectReceiveStream, MemoryObjectSendStream
