Let one piece of code serve where the same stood twice

Change: the embedded uvicorn server, the text of a prompt, the reading of an engine's pages, the baselines' queues; KV export and import of the engine client go, since nothing used them (the retry path resumes; it does not move KV cache yet).

--- a/src/redwingbank/daemon.py
+++ b/src/redwingbank/daemon.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import contextlib
 import math
 import random
 import time
@@ -17,6 +16,7 @@
 from redwingbank.metrics import Metrics
 from redwingbank.ports.caller import CallerFront
 from redwingbank.ports.completion import Completions
+from redwingbank.ports.embedded import EmbeddedServer
 from redwingbank.ports.engine import BackendClient, EngineClient
 from redwingbank.ports.engine_orders import EngineOrders
 from redwingbank.ports.faults import FaultPlan
@@ -37,9 +37,6 @@
 from redwingbank.tasks.tables import TableInForce
 
 if TYPE_CHECKING:
-    import socket
-    from collections.abc import Iterator
-
     from anyio.abc import TaskStatus
     from anyio.streams.memory import MemoryObjectReceiveStream
 
@@ -51,22 +48,6 @@
 KEEPALIVE_S = 75
 
 
-class _Server(uvicorn.Server):
-    """Leaves signals to the program, and tells when it listens."""
-
-    def __init__(self, config: uvicorn.Config) -> None:
-        super().__init__(config)
-        self.ready = anyio.Event()
-
-    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
-        await super().startup(sockets)
-        self.ready.set()
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        yield
-
-
 class Daemon:
     """A host's router.
 
@@ -102,7 +83,7 @@
         )
         self._plans, self._plan_inbox = anyio.create_memory_object_stream[Plan](math.inf)
         self._recorder = Recorder(self.platform, settings, self.events)
-        engine_orders = EngineOrders(self._backend, self._engines)
+        engine_orders = EngineOrders(self._engines)
         self._orders = OrdersTask(
             settings, self.incarnation, self.platform, engine_orders, self.events
         )
@@ -139,7 +120,7 @@
             group.start_soon(self._hear_news)
             group.start_soon(self._recorder.run)
             group.start_soon(self._orders.run)
-            server = _Server(self._listener_settings())
+            server = EmbeddedServer(self._listener_settings())
             group.start_soon(self._listen, server)
             await server.ready.wait()
             self.caller = _address_of(server, self.caller)
@@ -230,11 +211,11 @@
             ssl_keyfile=self.settings.private_key or None,
         )
 
-    async def _listen(self, server: _Server) -> None:
+    async def _listen(self, server: EmbeddedServer) -> None:
         await server.serve()
         self._served.set()
 
-    async def _leave(self, server: _Server) -> None:
+    async def _leave(self, server: EmbeddedServer) -> None:
         """Listen on till the balancer has seen it, then end what is in flight."""
         self.links.leave()
         await anyio.sleep(self.settings.drain_s)
--- a/src/redwingbank/ports/chat.py
+++ b/src/redwingbank/ports/chat.py
@@ -9,7 +9,7 @@
 from redwingbank.codes import Code
 from redwingbank.model import Request
 from redwingbank.ports.http import Refusal
-from redwingbank.rules.blocks import block_hashes
+from redwingbank.rules.blocks import block_hashes, prompt_text
 
 if TYPE_CHECKING:
     from redwingbank.ports.admission import Admitted
@@ -39,7 +39,7 @@
     fault = _fault(document)
     if fault:
         return Refusal(Code.BAD_FIELD, fault)
-    text = "\n".join(_text(message) for message in document["messages"])
+    text = prompt_text(document["messages"])
     stream = document.get("stream") is True
     body = data if stream else _streamed(document)
     return Chat(document["model"], stream, body, text)
@@ -63,15 +63,6 @@
     return all(isinstance(item, dict) and isinstance(item.get("role"), str) for item in messages)
 
 
-def _text(message: dict[str, Any]) -> str:
-    content = message.get("content")
-    if isinstance(content, str):
-        return content
-    parts = content if isinstance(content, list) else []
-    texts = (part.get("text") for part in parts if isinstance(part, dict))
-    return "\n".join(text for text in texts if isinstance(text, str))
-
-
 def _streamed(document: dict[str, Any]) -> bytes:
     """Ask the engine for a stream, so that a whole answer can be resumed too."""
     options = {"stream": True, "stream_options": {"include_usage": True}}
--- a/src/redwingbank/ports/engine.py
+++ b/src/redwingbank/ports/engine.py
@@ -1,4 +1,4 @@
-"""Client of a model engine: streams, cancels, load reports, cache events, KV and orders."""
+"""Client of a model engine: streams, cancels, load reports, cache events and orders."""
 
 from __future__ import annotations
 
@@ -226,7 +226,7 @@
 
     async def cache_events(self, address: str, after: int) -> tuple[CacheEvent, ...]:
         """Read cache events numbered over `after`; none where there is no answer."""
-        document = await self._document(address, "GET", f"/cache-events?after={after}")
+        document = await self.document(address, f"/cache-events?after={after}")
         try:
             return tuple(
                 CacheEvent(int(item["number"]), tuple(item["stored"]), tuple(item["evicted"]))
@@ -244,18 +244,9 @@
             return None
         return answer[0] == OK_STATUS
 
-    async def export_block(self, address: str, block: int) -> bytes | None:
-        """Read a prefix block's KV cache."""
-        answer = await self._backend.call(address, "GET", f"/kv/{block}")
-        return answer[1] if answer and answer[0] == OK_STATUS else None
-
-    async def import_block(self, address: str, block: int, data: bytes) -> bool:
-        """Give an engine a prefix block's KV cache."""
-        answer = await self._backend.call(address, "PUT", f"/kv/{block}", data)
-        return bool(answer and answer[0] == OK_STATUS)
-
-    async def _document(self, address: str, method: str, path: str) -> dict[str, Any] | None:
-        answer = await self._backend.call(address, method, path)
+    async def document(self, address: str, path: str) -> dict[str, Any] | None:
+        """Read a page of the engine that is a JSON object; nothing where it is not."""
+        answer = await self._backend.call(address, "GET", path)
         if answer is None or answer[0] != OK_STATUS:
             return None
         try:
--- a/src/redwingbank/ports/engine_orders.py
+++ b/src/redwingbank/ports/engine_orders.py
@@ -2,22 +2,19 @@
 
 from __future__ import annotations
 
-import json
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING
 
-from redwingbank.ports.engine import OK_STATUS
 from redwingbank.rules.orders import Held, OrderKind
 
 if TYPE_CHECKING:
-    from redwingbank.ports.engine import BackendClient, EngineClient
+    from redwingbank.ports.engine import EngineClient
     from redwingbank.rules.orders import Order
 
 
 class EngineOrders:
     """Gives orders and reads back what became of them."""
 
-    def __init__(self, backend: BackendClient, engines: EngineClient) -> None:
-        self._backend = backend
+    def __init__(self, engines: EngineClient) -> None:
         self._engines = engines
 
     async def give(self, order: Order, fencing: int) -> bool | None:
@@ -26,8 +23,8 @@
 
     async def held(self, address: str) -> Held | None:
         """Read the models and adapters an engine has loaded, and its role."""
-        models = await self._read(address, "/v1/models")
-        orders = await self._read(address, "/orders")
+        models = await self._engines.document(address, "/v1/models")
+        orders = await self._engines.document(address, "/orders")
         if models is None:
             return None
         try:
@@ -38,15 +35,5 @@
             return None
         return Held(names, str(roles[-1]) if roles else "")
 
-    async def _read(self, address: str, path: str) -> dict[str, Any] | None:
-        answer = await self._backend.call(address, "GET", path)
-        if answer is None or answer[0] != OK_STATUS:
-            return None
-        try:
-            document = json.loads(answer[1])
-        except ValueError:
-            return None
-        return document if isinstance(document, dict) else None
-
 
 __all__ = ["EngineOrders"]
--- a/src/redwingbank/rules/policy.py
+++ b/src/redwingbank/rules/policy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.rules.holdings import Holdings
@@ -16,6 +17,8 @@
     from redwingbank.rules.fleet import Fleet
     from redwingbank.rules.table import Table
 
+    Pick = Callable[[list[Request]], Request]
+
 
 class LocalHoldings(Holdings):
     """Slots as this host alone sees them: reported capacity less load; no allocator is asked."""
@@ -37,28 +40,12 @@
         return {name: slots for name, slots in left.items() if slots > 0}
 
 
-class FirstComeQueue(Queue):
-    """Serves in order of arrival, whatever the tier."""
-
-    def best(
-        self,
-        pool: str,
-        now_s: float,
-        floor: int = LOWEST_TIER,
-        turns: Mapping[str, int] | None = None,
-        slack_s: float = math.inf,
-    ) -> Request | None:
-        """Choose the request that has waited longest."""
-        waiting = [item for item in self._waiting_by_id.values() if item.pool == pool]
-        return min(waiting, key=lambda item: item.arrived_s, default=None)
-
-
-class RandomQueue(Queue):
-    """Serves in random order."""
+class TierlessQueue(Queue):
+    """Serves whatever the tier: `pick` chooses among the requests that wait for a pool."""
 
-    def __init__(self, table: Table, limit: int, random: Random) -> None:
+    def __init__(self, table: Table, limit: int, pick: Pick) -> None:
         super().__init__(table, limit)
-        self._random = random
+        self._pick = pick
 
     def best(
         self,
@@ -68,9 +55,13 @@
         turns: Mapping[str, int] | None = None,
         slack_s: float = math.inf,
     ) -> Request | None:
-        """Choose any request."""
-        waiting = [item for item in self._waiting_by_id.values() if item.pool == pool]
-        return self._random.choice(waiting) if waiting else None
+        """Choose by `pick` alone."""
+        waiting = [item for item in self.waiting if item.pool == pool]
+        return self._pick(waiting) if waiting else None
+
+
+def _longest_waiting(requests: list[Request]) -> Request:
+    return min(requests, key=lambda item: item.arrived_s)
 
 
 class Policy(NamedTuple):
@@ -93,10 +84,8 @@
     policies = {
         "full": Policy(True, Queue, _allocated),
         "local": Policy(False, Queue, LocalHoldings),
-        "first-come": Policy(False, FirstComeQueue, LocalHoldings),
-        "random": Policy(
-            False, lambda table, limit: RandomQueue(table, limit, random), LocalHoldings
-        ),
+        "first-come": Policy(False, partial(TierlessQueue, pick=_longest_waiting), LocalHoldings),
+        "random": Policy(False, partial(TierlessQueue, pick=random.choice), LocalHoldings),
     }
     return policies[name]
 
--- a/src/redwingbank_standins/listener.py
+++ b/src/redwingbank_standins/listener.py
@@ -10,32 +10,17 @@
 import uvicorn
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from redwingbank.ports.embedded import EmbeddedServer
 from redwingbank.settings import Address
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import AsyncIterator, Iterator
+    from collections.abc import AsyncIterator
 
 BACKLOG = 1024
 SHUTDOWN_TIMEOUT_S = 1
 
 
-class _Server(uvicorn.Server):
-    """Leaves signals to the process that embeds it, and tells when it is ready."""
-
-    def __init__(self, config: uvicorn.Config) -> None:
-        super().__init__(config)
-        self.ready = anyio.Event()
-
-    async def startup(self, sockets: list[socket.socket] | None = None) -> None:
-        await super().startup(sockets)
-        self.ready.set()
-
-    @contextlib.contextmanager
-    def capture_signals(self) -> Iterator[None]:
-        yield
-
-
 class Transports:
     """The open connections by the caller's address, so that a fault can cut one."""
 
@@ -99,7 +84,7 @@
         log_level="critical",
         timeout_graceful_shutdown=SHUTDOWN_TIMEOUT_S,
     )
-    server = _Server(config)
+    server = EmbeddedServer(config)
     with contextlib.closing(bind(host, port)) as listener:
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(server.serve, [listener])
