--- a/src/redwingbank_standins/quickstart.py
+++ b/src/redwingbank_standins/quickstart.py
@@ -236,7 +236,7 @@
             print_attainment(daemons)
             print_time_line(daemons)
             if stay:
-                await _stay(daemons)
+                await _stay(daemons, platform)
             for daemon in daemons:
                 daemon.drain()
     return whole
@@ -251,12 +251,14 @@
     return whole
 
 
-async def _stay(daemons: list[Daemon]) -> None:
+async def _stay(daemons: list[Daemon], platform: Address) -> None:
+    hosts = ",".join(str(daemon.caller) for daemon in daemons)
     body = json.dumps(_chat("How long is the grace period?", True))
     print(
         f"\nserving until interrupted; try:\ncurl -N http://{daemons[0].caller}"
         f"/v1/chat/completions -H 'Authorization: Bearer {KEY}' "
-        f"-H 'Content-Type: application/json' -d '{body}'",
+        f"-H 'Content-Type: application/json' -d '{body}'"
+        f"\nor operate it:\nexport REDWINGCTL_PLATFORM={platform} REDWINGCTL_HOSTS={hosts}",
         flush=True,
     )
     await anyio.sleep_forever()
