Derive the capacity page from measured slopes

Change: a script writes the page's table, a feature holds the page to it. What does not fit is said first: bytes of demands and allocations (3.0 KB/s a node, 17.7 KB/s at a node that allocates, against 2 KB/s), the idle daemon's 4% of a core against 1%.

--- /dev/null
+++ b/tests/steps/bench_capacity.py
@@ -0,0 +1,51 @@
+"""Steps of bench/capacity.feature."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+from behave import then, when
+
+from redwingbank_bench.capacity import Size, derive, read_slopes, table_text
+
+DOCS = Path(__file__).resolve().parents[2] / "docs"
+
+
+def slopes_of(context):
+    if "slopes" not in context:
+        context.slopes = read_slopes(DOCS / "measurements" / "slopes.toml")
+    return context.slopes
+
+
+def scale(context, name, factor):
+    slope = slopes_of(context)[name]
+    context.slopes[name] = slope._replace(
+        value=slope.value * factor, least=slope.least * factor, largest=slope.largest * factor
+    )
+
+
+@when('the capacity slope "{name}" is doubled')
+def capacity_doubled(context, name):
+    scale(context, name, 2)
+
+
+@when('the capacity slope "{name}" is {factor:d} times as large')
+def capacity_scaled(context, name, factor):
+    scale(context, name, factor)
+
+
+@then("the capacity page holds the derived table")
+def capacity_holds(context):
+    assert table_text(derive(Size(), slopes_of(context))) in (DOCS / "CAPACITY.md").read_text()
+
+
+@then("the capacity page does not hold the derived table")
+def capacity_differs(context):
+    text = table_text(derive(Size(), slopes_of(context)))
+    assert text not in (DOCS / "CAPACITY.md").read_text()
+
+
+@then('the capacity row "{figure}" does not fit')
+def capacity_row(context, figure):
+    rows = {row.figure: row for row in derive(Size(), slopes_of(context))}
+    assert "**no**" in rows[figure].text(), rows[figure].text()
