--- a/src/redwingbank/rules/line.py
+++ b/src/redwingbank/rules/line.py
@@ -35,6 +35,12 @@
         """Order flows by the deadline of their first request."""
         return (*self.waiting[0], self.organisation)
 
+    def next(self, now_s: float) -> str:
+        """Name the request with the earliest deadline not yet missed, else the earliest."""
+        at = self.waiting.bisect_left((now_s,))
+        chosen = self.waiting[at] if at < len(self.waiting) else self.waiting[0]
+        return str(chosen[2])
+
     def load(self) -> tuple[float, str]:
         """Order flows by how much waits for their weight."""
         return len(self.waiting) / self.weight, self.organisation
@@ -124,13 +130,18 @@
         if flow is not None:
             self._charge(flow, cost - charged)
 
-    def best(self) -> Request:
-        """Choose the earliest deadline among organisations not ahead of their share."""
+    def best(self, now_s: float) -> Request:
+        """Choose by deadline among organisations not ahead of their share.
+
+        Of the organisation chosen, the earliest deadline that can still be met goes first:
+        where not all can be served in time, those already late make way, and are served
+        in their order when nothing else of the organisation waits.
+        """
         least = self._served[0][0]
-        for _, _, request_id, organisation in self._heads:
+        for _, _, _, organisation in self._heads:
             flow = self._flows[organisation]
             if flow.served <= least + self.lead / flow.weight:
-                return self._requests_by_id[request_id]
+                return self._requests_by_id[flow.next(now_s)]
         raise AssertionError("the least served organisation is never ahead")
 
     def victim(self) -> Request:
--- a/src/redwingbank/rules/queue.py
+++ b/src/redwingbank/rules/queue.py
@@ -106,7 +106,7 @@
             return None
         owed = [line for line in lines if self._owed(line, pool, turns)]
         if owed:
-            return min(owed, key=lambda line: line.oldest_s).best()
+            return min(owed, key=lambda line: line.oldest_s).best(now_s)
         tier = min(line.tier for line in lines)
         if tier > floor:
             return None
@@ -114,7 +114,7 @@
         earliest_s = min(line.earliest_s for line in peers)
         if tier == floor and earliest_s - now_s > slack_s:
             return None
-        return self._best_of_tier(peers)
+        return self._best_of_tier(peers, now_s)
 
     def pop(self, request_id: str, now_s: float) -> Request | None:
         """Start a request: it leaves the queue and its organisation is charged for it."""
@@ -202,10 +202,10 @@
         most = (turns or {}).get(line.class_name, 0)
         return self._running_by_line.get((pool, line.class_name), 0) < most
 
-    def _best_of_tier(self, lines: list[Line]) -> Request:
+    def _best_of_tier(self, lines: list[Line], now_s: float) -> Request:
         least = min(line.served for line in lines)
         eligible = [line for line in lines if line.served <= least + line.lead / line.weight]
-        return min((line.best() for line in eligible), key=lambda request: request.deadline_s)
+        return min((line.best(now_s) for line in eligible), key=lambda request: request.deadline_s)
 
     def _victim(self) -> Request:
         lines = [line for line in self._lines() if line]
