--- a/src/redwingbank/settings.py
+++ b/src/redwingbank/settings.py
@@ -15,6 +15,7 @@
 POLICIES = ("full", "local", "first-come", "random")
 HIGHEST_PORT = 65_535
 LOWEST_SECRET_BYTES = 16
+HIGHEST_KEY_NUMBER = 255
 
 
 class Address(NamedTuple):
@@ -131,6 +132,8 @@
     keys = tuple(PeerKey(_count(item["number"]), _text(item["secret"]).encode()) for item in value)
     if any(len(key.secret) < LOWEST_SECRET_BYTES for key in keys):
         raise ValueError("keys")
+    if any(key.number > HIGHEST_KEY_NUMBER for key in keys):
+        raise ValueError("keys")
     return keys
 
 
@@ -170,7 +173,7 @@
         "peers.keys",
         "peer_keys",
         _keys,
-        "a list of {number = 1, secret = ...}, each secret of 16 bytes or more",
+        "a list of {number = 1 to 255, secret = ...}, each secret of 16 bytes or more",
         required=True,
     ),
     Field("peers.seeds", "seeds", _addresses, "a list of IP:port"),
--- a/tests/settings.feature
+++ b/tests/settings.feature
@@ -30,6 +30,16 @@
       | shutdown.drain_s   | true                       | shutdown.drain_s        |
       | backends.load_interval_s | -1                   | backends.load_interval_s |
 
+  Scenario: a key number that a message's header can't carry is a fault
+    Given the settings file
+      """
+      host = {name = "entry-1", data_centre = "amman-a"}
+      listen = {caller = "127.0.0.1:8080", control = "127.0.0.1:7080"}
+      platform = {address = "127.0.0.1:9000"}
+      peers = {keys = [{number = 256, secret = "0123456789abcdef"}]}
+      """
+    Then a fault names "peers.keys"
+
   Scenario: all faults are told at once
     Given the settings file
       """
