Prove that no key, prompt or answer shows in events, metrics or status

The first form looked for the word 'wrong', which is also a field of the estimates; the wrong key is now a word of its own.

--- a/tests/ports/caller.feature
+++ b/tests/ports/caller.feature
@@ -61,3 +61,8 @@
 
   Scenario: models are listed
     Then the caller finds the model listed
+
+  Scenario: neither a key nor a prompt nor an answer shows in what the daemon tells of itself
+    When the caller asks for 12 tokens, streamed
+    And the caller sends "a wrong key"
+    Then the caller's key, prompt and answer show in no event, metric or status
--- a/tests/steps/ports_caller.py
+++ b/tests/steps/ports_caller.py
@@ -29,13 +29,13 @@
     "a service as a model": ("POST", CHAT, body(model=SERVICE), {}),
     "an unknown class": ("POST", CHAT, body(), {"X-Service-Class": "royal"}),
     "an unknown organisation": ("POST", CHAT, body(), {"OpenAI-Organization": "nobody"}),
-    "a wrong key": ("POST", CHAT, body(), {"Authorization": "Bearer wrong"}),
+    "a wrong key": ("POST", CHAT, body(), {"Authorization": "Bearer wr0ng-key-7"}),
     "no key": ("POST", CHAT, body(), {"Authorization": ""}),
     "another's key": (
         "POST",
         CHAT,
         body(),
-        {"Authorization": "Bearer wrong", "OpenAI-Organization": "haddad"},
+        {"Authorization": "Bearer wr0ng-key-7", "OpenAI-Organization": "haddad"},
     ),
     "an unknown path": ("POST", "/v2/nothing", body(), {}),
     "a wrong method": ("GET", CHAT, b"", {}),
@@ -169,3 +169,15 @@
 def caller_models(context):
     answer = context.small.request("GET", "/v1/models")
     assert [row["id"] for row in json.loads(answer.body)["data"]] == [MODEL]
+
+
+@then("the caller's key, prompt and answer show in no event, metric or status")
+def caller_secrets(context):
+    small = context.small
+    told = b"".join(
+        small.request("GET", path).body for path in ("/events", "/metrics", "/status")
+    ).decode()
+    assert "request-done" in told
+    messages = [{"role": "user", "content": context.question}]
+    for hidden in (KEY, "wr0ng-key-7", context.question, *expected_answer(MODEL, messages)):
+        assert hidden.strip() not in told, hidden
