Go on with a stream whose engine fails after its class's give-up time

Cause, read in the code and shown by a feature that failed first: a resumed request waits in the queue like a new one, so with its give-up time past the next tick answered it WAIT_EXPIRED (told as 1400) although its caller was reading; a late deadline also put it last in its line. Ruled out: the retry verdict (it let it go on). Change: a resumed request gets a deadline 0.25 s off and 30 s before it is given up. Feature: 60 tokens, engine fails after 40, give-up 0.3 s: before no whole answer, after whole and right.

--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -42,6 +42,8 @@
 MILLISECONDS = 1000.0
 DRAIN_NOTICE_S = 10.0
 OPERATOR_DRAIN_S = 3600.0
+RESUME_DEADLINE_S = 0.25
+RESUME_GIVE_UP_S = 30.0
 NO_TABLE = Table(0, {}, {}, {}, {})
 
 
@@ -282,7 +284,7 @@
             self._refuse(ticket.request.request_id, verdict.code, SHORTEST_RETRY_S)
             return
         ticket.avoid = verdict.avoid
-        ticket.request = ticket.request._replace(attempt=ticket.request.attempt + 1)
+        ticket.request = _next_attempt(ticket.request, now_s, resumed=verdict.resume)
         ticket.requeue()
         self._metrics.count("retries_total", pool=ticket.request.pool)
         self._enqueue(ticket.request, now_s)
@@ -445,4 +447,13 @@
         }
 
 
+def _next_attempt(request: Request, now_s: float, *, resumed: bool) -> Request:
+    """Number a request's next attempt; one whose caller reads on goes first and isn't given up."""
+    request = request._replace(attempt=request.attempt + 1)
+    if not resumed:
+        return request
+    give_up_s = max(request.give_up_s, now_s + RESUME_GIVE_UP_S)
+    return request._replace(deadline_s=now_s + RESUME_DEADLINE_S, give_up_s=give_up_s)
+
+
 __all__ = ["Dispatch"]
--- a/tests/embedded.py
+++ b/tests/embedded.py
@@ -47,7 +47,10 @@
 class Embedded:
     """Platform, engines, a service and daemons on one event loop in a thread."""
 
-    def __init__(self, daemons: int = 1, engines: int = 2, **settings: Any) -> None:
+    def __init__(
+        self, daemons: int = 1, engines: int = 2, give_up_s: str = "", **settings: Any
+    ) -> None:
+        self._give_up_s = give_up_s
         self._portal_scope = start_blocking_portal()
         self.portal = self._portal_scope.__enter__()
         self.engines = {
@@ -71,7 +74,10 @@
                 name: Address("127.0.0.1", await stack.enter_async_context(embedded(app)))
                 for name, app in apps.items()
             }
-            await publish_table(platform, sample_sheets(self.addresses))
+            sheets = sample_sheets(self.addresses)
+            if self._give_up_s:
+                sheets["classes"]["question"]["give_up_s"] = self._give_up_s
+            await publish_table(platform, sheets)
             async with anyio.create_task_group() as group:
                 for number in range(1, self._count + 1):
                     seeds = tuple(parse_address(item.links.peers.address) for item in self.daemons)
--- a/tests/ports/caller.feature
+++ b/tests/ports/caller.feature
@@ -66,3 +66,9 @@
     When the caller asks for 12 tokens, streamed
     And the caller sends "a wrong key"
     Then the caller's key, prompt and answer show in no event, metric or status
+
+  Scenario: a stream whose engine fails after the class's give-up time goes on all the same
+    Given a caller of a deployment of its own that gives up after 0.3 s
+    When one of the caller's engines closes early after 40 tokens
+    And the caller asks for 60 tokens, streamed
+    Then the caller gets the one right answer, whole
--- a/tests/steps/ports_caller.py
+++ b/tests/steps/ports_caller.py
@@ -181,3 +181,14 @@
     messages = [{"role": "user", "content": context.question}]
     for hidden in (KEY, "wr0ng-key-7", context.question, *expected_answer(MODEL, messages)):
         assert hidden.strip() not in told, hidden
+
+
+@given("a caller of a deployment of its own that gives up after {seconds} s")
+def caller_hasty_deployment(context, seconds):
+    context.small = Embedded(give_up_s=seconds)
+    context.add_cleanup(context.small.close)
+
+
+@when("one of the caller's engines closes early after {tokens:d} tokens")
+def caller_late_fault(context, tokens):
+    context.small.set_faults("engine-1", close_early=1, close_after_tokens=tokens)
