Answer a fault of the router's own with its number

Cause, read in the code: an exception in a caller's task left uvicorn's plain 500 without code and ran; a whole answer whose frames can't be read raised after it was counted as served. Change: 1500 where nothing was sent, else the connection is cut; 1401 for such an answer.

--- a/src/redwingbank/ports/caller.py
+++ b/src/redwingbank/ports/caller.py
@@ -26,7 +26,7 @@
     from redwingbank.metrics import Metrics
     from redwingbank.ports.admission import Admitted
     from redwingbank.ports.completion import Completions
-    from redwingbank.ports.http import Receive, Scope, Send
+    from redwingbank.ports.http import Message, Receive, Scope, Send
     from redwingbank.ports.operator import Operators
     from redwingbank.ports.service import Services
     from redwingbank.rules.table import Table
@@ -48,6 +48,19 @@
     send: Send
 
 
+class _Answer:
+    """Knows whether an answer's head was sent."""
+
+    def __init__(self, send: Send) -> None:
+        self.begun = False
+        self._send = send
+
+    async def send(self, message: Message) -> None:
+        """Send a part of the answer."""
+        self.begun = True
+        await self._send(message)
+
+
 class CallerFront:
     """The ASGI application of a daemon.
 
@@ -91,7 +104,19 @@
         await send_refusal(exchange.send, refusal, exchange.request_id)
 
     async def _route(self, exchange: Exchange) -> None:
-        refusal = await self._routed(exchange)
+        """Answer an exchange, a fault of our own included.
+
+        :raises Exception: a fault after the answer's head was sent, so that the server cuts it
+        """
+        answer = _Answer(exchange.send)
+        exchange = exchange._replace(send=answer.send)
+        try:
+            refusal = await self._routed(exchange)
+        except Exception as error:
+            self._metrics.count("internal_faults_total", kind=type(error).__name__)
+            if answer.begun:
+                raise
+            refusal = Refusal(Code.INTERNAL)
         if refusal:
             await self._refuse(exchange, refusal)
 
--- a/src/redwingbank/ports/completion.py
+++ b/src/redwingbank/ports/completion.py
@@ -229,9 +229,14 @@
         if progress.rejection:
             await self._pass_on(progress.rejection, progress)
             return
+        try:
+            await progress.sink.end()
+        except GarbageError:
+            self._count(progress, Code.BACKEND_GARBAGE)
+            await progress.sink.break_off(Refusal(Code.BACKEND_GARBAGE, ran=Ran.YES))
+            return
         self._count(progress, Code.OK)
         self._observe(progress)
-        await progress.sink.end()
 
     async def _pass_on(self, rejection: Rejection, progress: Progress) -> None:
         self._metrics.count("rejected_by_engine_total", pool=progress.request.pool)
--- a/tests/ports/caller.feature
+++ b/tests/ports/caller.feature
@@ -72,3 +72,9 @@
     When one of the caller's engines closes early after 40 tokens
     And the caller asks for 60 tokens, streamed
     Then the caller gets the one right answer, whole
+
+  Scenario: a fault of the router's own is answered with its number too
+    Given a caller of a deployment of its own
+    When the caller's daemon has a fault of its own
+    And the caller sends "an unknown model"
+    Then the caller is refused with 500, code 1500 and ran "maybe"
--- a/tests/steps/ports_caller.py
+++ b/tests/steps/ports_caller.py
@@ -192,3 +192,8 @@
 @when("one of the caller's engines closes early after {tokens:d} tokens")
 def caller_late_fault(context, tokens):
     context.small.set_faults("engine-1", close_early=1, close_after_tokens=tokens)
+
+
+@when("the caller's daemon has a fault of its own")
+def caller_broken_daemon(context):
+    context.small.daemons[0]._front._directory = object()
