--- a/src/redwingbank/ports/engine.py
+++ b/src/redwingbank/ports/engine.py
@@ -1,4 +1,4 @@
-"""Client of a model engine: streams, cancels, load reports, cache events and orders."""
+"""Client of a model engine: streams, cancels, load reports, cache events, KV and orders."""
 
 from __future__ import annotations
 
@@ -244,6 +244,16 @@
             return None
         return answer[0] == OK_STATUS
 
+    async def export_block(self, address: str, block: int) -> bytes | None:
+        """Read a prefix block's KV cache; nothing where the engine does not hold it."""
+        answer = await self._backend.call(address, "GET", f"/kv/{block}")
+        return answer[1] if answer and answer[0] == OK_STATUS else None
+
+    async def import_block(self, address: str, block: int, data: bytes) -> bool:
+        """Give an engine a prefix block's KV cache; false where it does not take it."""
+        answer = await self._backend.call(address, "PUT", f"/kv/{block}", data)
+        return answer is not None and answer[0] == OK_STATUS
+
     async def document(self, address: str, path: str) -> dict[str, Any] | None:
         """Read a page of the engine that is a JSON object; nothing where it is not."""
         answer = await self._backend.call(address, "GET", path)
--- a/tests/steps/ports_engine.py
+++ b/tests/steps/ports_engine.py
@@ -8,6 +8,7 @@
 from behave import given, then, when
 
 from redwingbank.ports.engine import BackendClient, EngineClient
+from redwingbank.rules.blocks import block_hashes
 from redwingbank.settings import Address
 from redwingbank_standins.engine import EngineSettings, build_engine
 from redwingbank_standins.quickstart import host_settings
@@ -41,3 +42,33 @@
 @then("the engine client's transport finds the event loop's library without a search")
 def engine_client_library(context):
     assert importlib.util.find_spec("sniffio") is not None
+
+
+@when("the engine client moves {what} to another engine")
+def engine_client_moves(context, what):
+    held, missing = block_hashes("word " * 128)
+    block = missing if what == "a block it does not hold" else held
+    context.block = block
+    context.engine.cache.store([held], 0.0)
+    context.other = build_engine(EngineSettings(name="engine-2", model="m"))
+
+    async def move():
+        async with embedded(context.engine) as one, embedded(context.other) as two:
+            client = BackendClient(host_settings(1, Address("127.0.0.1", 1)))
+            engines = EngineClient(client)
+            data = await engines.export_block(f"127.0.0.1:{one}", block)
+            if data is not None:
+                data = b"spoiled" if what == "spoiled bytes" else data
+                taken = await engines.import_block(f"127.0.0.1:{two}", block, data)
+                context.told = "taken" if taken else "not taken"
+            else:
+                context.told = "nothing"
+            await client.close()
+
+    anyio.run(move)
+
+
+@then("the engine client is told {told}, and the other engine holds it: {held}")
+def engine_client_told(context, told, held):
+    assert context.told == told, context.told
+    assert (context.block in context.other.cache) == (held == "yes")
