--- a/tests/settings.feature
+++ b/tests/settings.feature
@@ -55,3 +55,11 @@
       | listen.control   |
       | platform.address |
       | peers.keys       |
+
+  Scenario: the daemon tells every fault in a line of its own and ends with exit code 2
+    Given the settings file
+      """
+      host = {name = ""}
+      limits = {queue = 0}
+      """
+    Then the daemon started with the settings file ends with exit code 2 and 7 lines
--- a/tests/steps/settings.py
+++ b/tests/steps/settings.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import subprocess
+import sys
 import tempfile
 from pathlib import Path
 
@@ -14,6 +16,7 @@
 @given("the settings file")
 def settings_file(context):
     context.faults = []
+    context.file_text = context.text
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "redwingbank.toml"
         path.write_text(context.text)
@@ -44,3 +47,15 @@
 def all_faults(context):
     named = [row["key"] for row in context.table]
     assert sorted(fault.key for fault in context.faults) == sorted(named), context.faults
+
+
+@then("the daemon started with the settings file ends with exit code {code:d} and {lines:d} lines")
+def daemon_exit(context, code, lines):
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "redwingbank.toml"
+        path.write_text(context.file_text)
+        command = [sys.executable, "-m", "redwingbank", "run", "--config", str(path)]
+        ended = subprocess.run(command, capture_output=True, text=True, timeout=60)
+    assert ended.returncode == code, ended
+    assert ended.stderr.count("\n") == lines, ended.stderr
+    assert all(line.startswith("redwingbank: ") for line in ended.stderr.splitlines())
