Divide pools into cells once for a set of servers, and drop what nothing uses

Dead: a constant in operator.py, one in completion.py, ByteBudget.overdrawn_bytes. Behaviour as it was.

--- a/src/redwingbank/daemon.py
+++ b/src/redwingbank/daemon.py
@@ -24,7 +24,7 @@
 from redwingbank.ports.peer_metrics import export
 from redwingbank.ports.platform_http import HttpPlatform
 from redwingbank.ports.service import Services
-from redwingbank.rules.cells import duties_of
+from redwingbank.rules.cells import cells_by_pool, duties_of
 from redwingbank.rules.roster import MemberView
 from redwingbank.settings import Address
 from redwingbank.tasks.allocate import AllocateInput, AllocateTask, Capacity, Hosts, Outgoing
@@ -88,6 +88,7 @@
             settings, self.incarnation, self.platform, engine_orders, self.events
         )
         self._table: Table | None = None
+        self._cells_by_pool: dict[str, dict[str, tuple[str, ...]]] = {}
         self._draining = anyio.Event()
         self._served = anyio.Event()
         self.table_in_force = anyio.Event()
@@ -252,6 +253,7 @@
 
     def _put_in_force(self, table: Table) -> None:
         self._table = table
+        self._cells_by_pool = cells_by_pool(table)
         self._orders.take(table)
         self._front.table_in_force(table)
         self.dispatch.inbox.send_nowait(table)
@@ -264,7 +266,7 @@
         table = self._table
         if table is None:
             return
-        duties = duties_of(self.settings.host, table, self.links.view)
+        duties = duties_of(self.settings.host, self._cells_by_pool, self.links.view)
         watched = tuple(
             Watched(
                 name,
--- a/src/redwingbank/ports/budget.py
+++ b/src/redwingbank/ports/budget.py
@@ -46,9 +46,5 @@
                 return True
         return False
 
-    def overdrawn_bytes(self) -> float:
-        """How far messages that are never shed are over their part of the budget."""
-        return max(-self._shared.level, 0.0)
-
 
 __all__ = ["ByteBudget"]
--- a/src/redwingbank/ports/completion.py
+++ b/src/redwingbank/ports/completion.py
@@ -31,7 +31,6 @@
     from redwingbank.ports.engine import EngineClient, Opened
     from redwingbank.ports.http import Receive, Send
 
-MILLISECONDS = 1000.0
 SERVER_ERROR_STATUS = 500
 LONGEST_ERROR_BYTES = 64 * 1024
 
--- a/src/redwingbank/ports/operator.py
+++ b/src/redwingbank/ports/operator.py
@@ -21,7 +21,6 @@
     Handler = Callable[[Head, Receive, Send], Awaitable[None]]
 
 OK = 200
-BAD_REQUEST = 400
 FORBIDDEN = 403
 NOT_FOUND = 404
 UNAVAILABLE = 503
--- a/src/redwingbank/rules/cells.py
+++ b/src/redwingbank/rules/cells.py
@@ -3,12 +3,13 @@
 from __future__ import annotations
 
 import math
+from functools import lru_cache
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.rules.rendezvous import ranked
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
     from redwingbank.messages import ClassDemand
     from redwingbank.rules.roster import MemberView
@@ -16,6 +17,7 @@
 
 MOST_SERVERS = 64
 CELLS_PER_HOST = 2
+MOST_DIVISIONS = 32
 
 
 def cells_of(pool: str, servers: Iterable[str]) -> dict[str, tuple[str, ...]]:
@@ -27,7 +29,12 @@
     >>> cells_of("desk-model", ["e1", "e2"])
     {'desk-model/0': ('e1', 'e2')}
     """
-    names = sorted(servers)
+    return dict(_divide(pool, tuple(sorted(servers))))
+
+
+@lru_cache(maxsize=MOST_DIVISIONS)
+def _divide(pool: str, names: tuple[str, ...]) -> dict[str, tuple[str, ...]]:
+    """Divide sorted names; kept, since most table changes leave a pool's servers as they are."""
     count = max(1, math.ceil(len(names) / MOST_SERVERS))
     cells = [f"{pool}/{number}" for number in range(count)]
     members: dict[str, list[str]] = {cell: [] for cell in cells}
@@ -41,6 +48,14 @@
     return ranked(host, cells)[:CELLS_PER_HOST]
 
 
+def cells_by_pool(table: Table) -> dict[str, dict[str, tuple[str, ...]]]:
+    """Divide every pool of a table into its cells."""
+    return {
+        pool: cells_of(pool, [row.name for row in table.servers_of(pool)])
+        for pool in table.pools_by_name
+    }
+
+
 class Duties(NamedTuple):
     """Backend servers of the cells that a host allocates, and of those that it sends to."""
 
@@ -48,12 +63,13 @@
     used: frozenset[str]
 
 
-def duties_of(host: str, table: Table, view: MemberView) -> Duties:
-    """Tell which backend servers concern a host."""
+def duties_of(
+    host: str, cells_of_pool: Mapping[str, Mapping[str, tuple[str, ...]]], view: MemberView
+) -> Duties:
+    """Tell which backend servers concern a host, by the cells of each pool."""
     owned: set[str] = set()
     used: set[str] = set()
-    for pool in table.pools_by_name:
-        cells = cells_of(pool, [row.name for row in table.servers_of(pool)])
+    for cells in cells_of_pool.values():
         for cell in cells:
             owned.update(cells[cell] if view.owner(cell).host == host else ())
         for cell in cells_for(host, cells):
@@ -77,4 +93,12 @@
     return whole // count + (index < whole % count)
 
 
-__all__ = ["CELLS_PER_HOST", "MOST_SERVERS", "cells_for", "cells_of", "duties_of", "part_of"]
+__all__ = [
+    "CELLS_PER_HOST",
+    "MOST_SERVERS",
+    "cells_by_pool",
+    "cells_for",
+    "cells_of",
+    "duties_of",
+    "part_of",
+]
--- a/src/redwingbank/tasks/slots.py
+++ b/src/redwingbank/tasks/slots.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.messages import LIMITS_POOL, Allocation, Demand
-from redwingbank.rules.cells import cells_for, cells_of, part_of
+from redwingbank.rules.cells import cells_by_pool, cells_for, part_of
 from redwingbank.tasks.allocate import Capacity
 
 if TYPE_CHECKING:
@@ -84,8 +84,7 @@
         """Bring a new table into force."""
         self._table = table
         self._servers_by_cell.clear()
-        for pool in table.pools_by_name:
-            cells = cells_of(pool, [row.name for row in table.servers_of(pool)])
+        for pool, cells in cells_by_pool(table).items():
             self._servers_by_cell.update(cells)
             self._cells_by_pool[pool] = cells_for(self._settings.host, cells)
         for holdings in self._holdings_by_cell.values():
