--- a/src/redwingbank/codes.py
+++ b/src/redwingbank/codes.py
@@ -28,6 +28,8 @@
     WRONG_KEY = 1107
     UNKNOWN_PATH = 1108
     WRONG_METHOD = 1109
+    MALFORMED = 1110
+    TOO_SLOW = 1111
     ORGANISATION_CONCURRENCY = 1200
     ORGANISATION_TOKENS = 1201
     CLASS_LIMIT = 1202
@@ -84,6 +86,8 @@
     Code.WRONG_KEY: _row(401, Ran.NO, "the key is not the organisation's", "check the key"),
     Code.UNKNOWN_PATH: _row(404, Ran.NO, "nothing is routed at this path", "check the path"),
     Code.WRONG_METHOD: _row(405, Ran.NO, "the path has no such method", "check the method"),
+    Code.MALFORMED: _row(400, Ran.NO, "the request breaks the protocol", "mend the request"),
+    Code.TOO_SLOW: _row(408, Ran.NO, "the request did not come whole in time", "send it again"),
     Code.ORGANISATION_CONCURRENCY: _row(
         429, Ran.NO, "the organisation's concurrency limit is reached", "come back", retry=True
     ),
--- /dev/null
+++ b/src/redwingbank/front/store.py
@@ -0,0 +1,196 @@
+"""The one client of the platform's store: single calls, and following a kind of objects."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+import anyio
+
+from redwingbank.front.clock import now_s
+from redwingbank.front.outbound import ConnectionPool
+from redwingbank.platform.objects import (
+    STATUS_HISTORY_GONE,
+    MalformedError,
+    decode_changes,
+    decode_page,
+    list_path,
+    watch_path,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from random import Random
+
+    from redwingbank.front.outbound import Loss
+    from redwingbank.front.wire import AnswerHead
+    from redwingbank.platform.objects import Change, StoredObject
+    from redwingbank.settings import Address
+
+# watches end often, so that a silent connection shows well within the table's 2 s bound
+WATCH_S = 1.0
+# a slow store answers in some 200 ms; beyond this it counts as out of reach
+CALL_TIMEOUT_S = 0.6
+LIST_TIMEOUT_S = 1.0
+# pause after a failed call; hosts spread theirs, since all see the same outage
+PAUSE_S = 0.15
+PAUSE_SPREAD_S = 0.15
+KEEP_IDLE_S = 5.0
+STATUS_OK = 200
+
+
+class StoreError(Exception):
+    """A call that gave no usable answer; whether it took effect is not known."""
+
+
+class HistoryGoneError(Exception):
+    """The store no longer holds the changes a watch asked for."""
+
+
+class _Call:
+    """Gathers the answer to one call."""
+
+    def __init__(self) -> None:
+        self.done: asyncio.Future[tuple[int, bytes]] = asyncio.get_running_loop().create_future()
+        self._status = 0
+        self._body = bytearray()
+
+    def headed(self, head: AnswerHead) -> None:
+        """Take the status."""
+        self._status = head.status
+
+    def fed(self, data: bytes) -> None:
+        """Gather the body."""
+        self._body += data
+
+    def ended(self) -> None:
+        """Give the whole answer."""
+        if not self.done.done():
+            self.done.set_result((self._status, bytes(self._body)))
+
+    def lost(self, loss: Loss, detail: str) -> None:
+        """Give the failure."""
+        if not self.done.done():
+            self.done.set_exception(StoreError(f"{loss}: {detail}"))
+
+
+class StoreClient:
+    """Calls the store over kept connections."""
+
+    def __init__(self, address: Address) -> None:
+        self.calls = 0
+        self._pool = ConnectionPool(address, KEEP_IDLE_S)
+
+    def move(self, address: Address) -> None:
+        """Use another address from the next call on."""
+        if address != self._pool.address:
+            self._pool.close()
+            self._pool = ConnectionPool(address, KEEP_IDLE_S)
+
+    async def get(self, path: str, timeout_s: float) -> bytes:
+        """Read a path.
+
+        :raises StoreError: where no answer came in time, or another than success
+        :raises HistoryGoneError: where the changes asked for are no longer kept
+        """
+        self.calls += 1
+        call = _Call()
+        connection = None
+        try:
+            with anyio.fail_after(timeout_s):
+                connection = self._pool.take() or await self._pool.connect()
+                connection.send(_request(path, self._pool.address), call)
+                status, body = await call.done
+        except (TimeoutError, OSError) as error:
+            raise StoreError(str(error) or "timeout") from error
+        finally:
+            if connection and not call.done.done():
+                connection.abandon()
+        if status == STATUS_HISTORY_GONE:
+            raise HistoryGoneError(path)
+        if status != STATUS_OK:
+            raise StoreError(f"status {status}")
+        return body
+
+
+class Listing(NamedTuple):
+    """All objects of a kind; `asked_s` is when the first page was asked for."""
+
+    objects: tuple[StoredObject, ...]
+    revision: int
+    asked_s: float
+
+
+class Follower(Protocol):
+    """Takes the objects of a kind as they change."""
+
+    def listed(self, listing: Listing) -> None:
+        """Take the whole kind."""
+
+    def changed(self, changes: Sequence[Change], asked_s: float) -> None:
+        """Take changes, none where the watch ended without one."""
+
+    def lost(self, reason: str) -> None:
+        """Take note that the store is out of reach."""
+
+    def regained(self) -> None:
+        """Take note that the store answers again."""
+
+
+async def follow(client: StoreClient, kind: str, follower: Follower, random: Random) -> None:
+    """Keep a follower up to date with a kind, for ever.
+
+    After a failure the watch goes on from the last revision; the kind is listed anew where the
+    store no longer holds the changes since, or where an answer could not be read.
+    """
+    revision: int | None = None
+    lost = False
+    while True:
+        try:
+            if revision is None:
+                listing = await _list(client, kind)
+                lost = _back(follower, lost)
+                follower.listed(listing)
+                revision = listing.revision
+            else:
+                asked_s = now_s()
+                body = await client.get(
+                    watch_path(kind, revision, WATCH_S), WATCH_S + CALL_TIMEOUT_S
+                )
+                changes = decode_changes(body)
+                lost = _back(follower, lost)
+                follower.changed(changes.changes, asked_s)
+                revision = changes.revision
+        except HistoryGoneError:
+            revision = None
+        except (StoreError, MalformedError) as error:
+            revision = None if isinstance(error, MalformedError) else revision
+            if not lost:
+                follower.lost(str(error))
+            lost = True
+            await anyio.sleep(PAUSE_S + PAUSE_SPREAD_S * random.random())
+
+
+def _back(follower: Follower, lost: bool) -> bool:
+    if lost:
+        follower.regained()
+    return False
+
+
+async def _list(client: StoreClient, kind: str) -> Listing:
+    asked_s = now_s()
+    objects: list[StoredObject] = []
+    after = ""
+    while True:
+        page = decode_page(await client.get(list_path(kind, after), LIST_TIMEOUT_S))
+        objects += page.objects
+        if not page.more or not page.objects:
+            return Listing(tuple(objects), page.revision, asked_s)
+        after = page.objects[-1].name
+
+
+def _request(path: str, address: Address) -> bytes:
+    return f"GET {path} HTTP/1.1\r\nHost: {address}\r\n\r\n".encode()
+
+
+__all__ = ["Follower", "HistoryGoneError", "Listing", "StoreClient", "StoreError", "follow"]
--- /dev/null
+++ b/src/redwingbank/platform/directory.py
@@ -0,0 +1,156 @@
+"""What the operator and the backend servers write to the store, decoded."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from redwingbank.front.values import (
+    Kind,
+    Limits,
+    Organisation,
+    Pool,
+    Route,
+    RouteTable,
+    ServerEntry,
+    Share,
+)
+from redwingbank.platform.objects import MalformedError
+from redwingbank.settings import parse_address
+
+MILLISECONDS = 1000.0
+# the platform names a call that may run once at most by what it is not
+KIND_BY_NAME = {
+    "idempotent": Kind.IDEMPOTENT,
+    "nonidempotent": Kind.SINGLE,
+    "stream": Kind.STREAM,
+}
+DRAINING_BY_STATE = {"ready": False, "draining": True}
+
+
+def decode_table(content: Any) -> RouteTable:
+    """Read the operator's table.
+
+    :raises MalformedError: where it can't be served
+    """
+    try:
+        return RouteTable(
+            revision=int(content["version"]),
+            routes_by_host=_routes_by_host(content["routes"]),
+            pools_by_name={pool.name: pool for pool in map(_pool, content["services"])},
+            organisations_by_key=_organisations_by_key(content.get("tenants")),
+            limits=_limits(content.get("limits") or {}),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise MalformedError(f"table: {type(error).__name__} {error}") from error
+
+
+def decode_server(name: str, content: Any) -> ServerEntry:
+    """Read a backend server's entry.
+
+    :raises MalformedError: where it names no server that can be used
+    """
+    try:
+        return ServerEntry(
+            name=name,
+            pool=_name(content["service"]),
+            address=parse_address(_name(content["addr"])),
+            data_centre=str(content.get("zone", "")),
+            slots=_count(content["slots"]),
+            draining=DRAINING_BY_STATE[content["state"]],
+            started_ms=_whole(content.get("born", 0)),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise MalformedError(f"server: {type(error).__name__} {error}") from error
+
+
+def _routes_by_host(rows: Any) -> dict[str, tuple[Route, ...]]:
+    by_host: dict[str, list[Route]] = {}
+    for route in map(_route, rows):
+        by_host.setdefault(route.host, []).append(route)
+    return {
+        host: tuple(sorted(routes, key=lambda route: -len(route.prefix)))
+        for host, routes in by_host.items()
+    }
+
+
+def _route(row: Any) -> Route:
+    return Route(
+        name=row["name"],
+        host=row["host"].lower(),
+        prefix=row["pathPrefix"],
+        kind=KIND_BY_NAME[row["routeKind"]],
+        resumable=bool(row.get("resumable", False)),
+        shares=_shares(row),
+        attempts=max(1, int(row.get("attempts", 1))),
+        tier=int(row.get("priority", 0)),
+        timeout_s=row["timeoutMs"] / MILLISECONDS,
+        # the platform's "slo" is the latency target alone
+        target_s=row.get("sloMs", row["timeoutMs"]) / MILLISECONDS,
+        pause_target_s=row.get("gapSloMs", 0) / MILLISECONDS,
+        public=bool(row.get("public", False)),
+        # "sticky" marks the routes whose requests carry a prompt
+        has_prompt=bool(row.get("sticky", False)),
+    )
+
+
+def _shares(row: Any) -> tuple[Share, ...]:
+    split = row.get("split")
+    if not split:
+        return (Share(row["service"], 1.0),)
+    return tuple(Share(one["service"], float(one["weight"])) for one in split)
+
+
+def _pool(row: Any) -> Pool:
+    engine = row.get("engine") or {}
+    return Pool(
+        name=row["name"],
+        connections=int(row.get("maxConns", 0)),
+        slots=int(engine.get("slots", 0)),
+        cache_tokens=int(engine.get("kvCapacity", 0)),
+    )
+
+
+def _organisations_by_key(rows: Any) -> dict[str, Organisation] | None:
+    if rows is None:
+        return None
+    by_key: dict[str, Organisation] = {}
+    for row in rows:
+        tier = row.get("priority")
+        organisation = Organisation(row["name"], None if tier is None else int(tier))
+        by_key.update(dict.fromkeys(row["apiKeys"], organisation))
+    return by_key
+
+
+def _limits(row: Any) -> Limits:
+    default = Limits()
+    return Limits(
+        header_bytes=int(row.get("maxHeaderBytes", default.header_bytes)),
+        body_bytes=int(row.get("maxBodyBytes", default.body_bytes)),
+        header_timeout_s=_seconds(row, "headerTimeoutMs", default.header_timeout_s),
+        idle_timeout_s=_seconds(row, "idleTimeoutMs", default.idle_timeout_s),
+    )
+
+
+def _seconds(row: Any, key: str, default: float) -> float:
+    return row[key] / MILLISECONDS if key in row else default
+
+
+def _name(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError(value)
+    return value
+
+
+def _whole(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise ValueError(value)
+    return value
+
+
+def _count(value: Any) -> int:
+    if _whole(value) <= 0:
+        raise ValueError(value)
+    return int(value)
+
+
+__all__ = ["decode_server", "decode_table"]
--- /dev/null
+++ b/src/redwingbank/platform/settings.py
@@ -0,0 +1,145 @@
+"""The platform's settings file of a process, checked whole."""
+
+from __future__ import annotations
+
+import json
+import os
+from pathlib import Path
+from typing import TYPE_CHECKING, Any
+
+from redwingbank.errors import SettingError, SettingErrors
+from redwingbank.front.values import Bounds, HostSettings
+from redwingbank.settings import Address, parse_address
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+PATH_VARIABLE = "REDWINGBANK_NODE_FILE"
+MILLISECONDS = 1000.0
+# the last port of the range that the platform leaves free serves the metrics
+METRICS_PORT_INDEX = -1
+
+ADDRESS = "an IP number and a port"
+NUMBER = "a number of 0 or more"
+
+
+def settings_path() -> Path:
+    """Where the platform put this process's settings.
+
+    :raises SettingErrors: where the environment does not say
+    """
+    name = os.environ.get(PATH_VARIABLE, "")
+    if not name:
+        fault = SettingError(PATH_VARIABLE, "(environment)", "the path of the settings file")
+        raise SettingErrors("no settings", [fault])
+    return Path(name)
+
+
+def read_host_settings(path: Path) -> HostSettings:
+    """Read and check the file; keys that are not known are ignored.
+
+    :raises SettingErrors: with every fault of the file
+    """
+    try:
+        document = json.loads(path.read_text())
+    except (OSError, ValueError) as error:
+        fault = SettingError(str(path), "(whole file)", f"a readable JSON file ({error})")
+        raise SettingErrors(f"{path}: unreadable", [fault]) from error
+    return decode_host_settings(document, str(path))
+
+
+def decode_host_settings(document: Any, file: str) -> HostSettings:
+    """Check a whole document and build the settings.
+
+    :raises SettingErrors: with every fault of the document
+    """
+    reader = _Reader(document, file)
+    ports = reader.read("portRange", _ports, "two port numbers")
+    host = reader.read("ip", _text, "an IP number")
+    settings = HostSettings(
+        name=reader.read("nodeName", _text, "a name"),
+        data_centre=reader.read("zone", _text, "a name"),
+        caller=reader.read("listen.front", parse_address, ADDRESS),
+        readiness=reader.read("listen.ready", parse_address, ADDRESS),
+        metrics=Address(host or "", ports[METRICS_PORT_INDEX] if ports else 0),
+        store=reader.read("platform.addr", parse_address, ADDRESS),
+        heartbeat_s=reader.read("beatMs", _milliseconds, NUMBER),
+        bounds=_bounds(reader),
+        peer_ports=ports,
+    )
+    if reader.faults:
+        raise SettingErrors(f"{file}: {len(reader.faults)} wrong settings", reader.faults)
+    return settings
+
+
+def _bounds(reader: _Reader) -> Bounds:
+    default = Bounds()
+    fields: tuple[tuple[str, str, Callable[[Any], Any]], ...] = (
+        ("revokeMs", "revoke_s", _milliseconds),
+        ("strictRevoke", "strict_revoke", bool),
+        ("drainMs", "drain_s", _milliseconds),
+        ("graceS", "grace_s", _number),
+        ("configMs", "table_s", _milliseconds),
+        ("contactMs", "contact_s", _milliseconds),
+        ("budgetRatio", "repeat_ratio", _number),
+        ("budgetWindowS", "repeat_window_s", _number),
+        ("budgetExtra", "repeat_extra", _number),
+    )
+    values = {
+        name: reader.read(f"bounds.{key}", parse, NUMBER, getattr(default, name))
+        for key, name, parse in fields
+    }
+    return Bounds(**values)
+
+
+class _Reader:
+    """Reads keys of a document by path and gathers what is wrong."""
+
+    def __init__(self, document: Any, file: str) -> None:
+        self.faults: list[SettingError] = []
+        self._document = document
+        self._file = file
+
+    def read(
+        self, key: str, parse: Callable[[Any], Any], expected: str, default: Any = None
+    ) -> Any:
+        """Read one key; a missing one is a fault unless it has a default."""
+        value = _at(self._document, key)
+        if value is None and default is not None:
+            return default
+        try:
+            return parse(value)
+        except (ValueError, TypeError):
+            self.faults.append(SettingError(self._file, key, expected))
+            return default
+
+
+def _at(document: Any, key: str) -> Any:
+    for word in key.split("."):
+        document = document.get(word) if isinstance(document, dict) else None
+    return document
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError(value)
+    return value
+
+
+def _number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        raise ValueError(value)
+    return float(value)
+
+
+def _milliseconds(value: Any) -> float:
+    return _number(value) / MILLISECONDS
+
+
+def _ports(value: Any) -> tuple[int, int]:
+    if not isinstance(value, list) or len(value) != 2:  # noqa: PLR2004 - first and last
+        raise ValueError(value)
+    return int(value[0]), int(value[1])
+
+
+__all__ = ["decode_host_settings", "read_host_settings", "settings_path"]
--- a/src/redwingbank/rules/retry.py
+++ b/src/redwingbank/rules/retry.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from redwingbank.codes import Code, Ran
 from redwingbank.model import Outcome
@@ -35,6 +35,13 @@
         self._at_s = max(self._at_s, now_s)
 
 
+class Budget(Protocol):
+    """Counts the retries of each pool."""
+
+    def take(self, pool: str, now_s: float) -> bool:
+        """Spend one retry, or answer false where none is left."""
+
+
 class RetryBudget:
     """Bounds the retries of each pool to a share of its first sends, so that none storm.
 
@@ -125,15 +132,17 @@
     first_byte_sent: bool,
     answer_begun: bool,
     tried: Sequence[str],
-    budget: RetryBudget,
+    budget: Budget,
     now_s: float,
     resumable: bool = True,
+    attempts: int = MOST_ATTEMPTS,
 ) -> Verdict:
     """Judge a failed attempt.
 
     `first_byte_sent` and `answer_begun` are of all attempts so far: whether any byte went to
     any backend server, whether any byte of the answer went to the caller. `tried` names the
-    servers in order of the attempts. `resumable` is true of engines, which go on at an offset.
+    servers in order of the attempts, of which there may be `attempts`. `resumable` is true of
+    engines, which go on at an offset.
 
     A call that may run once at most is tried again only while none of its bytes was sent. A
     request whose answer has not begun is tried again until its give-up time; one that has
@@ -142,7 +151,7 @@
     ran = _ran(first_byte_sent, answer_begun)
     rule = _RULE[outcome, ran]
     allowed = rule.again and _may_repeat(request, ran, resumable) and _in_time(request, ran, now_s)
-    if allowed and len(tried) < MOST_ATTEMPTS and budget.take(request.pool, now_s):
+    if allowed and len(tried) < attempts and budget.take(request.pool, now_s):
         return Again(frozenset(tried), answer_begun)
     return GiveUp(rule.code)
 
@@ -163,4 +172,4 @@
     return ran is Ran.YES or now_s < request.give_up_s
 
 
-__all__ = ["Again", "GiveUp", "RetryBudget", "Verdict", "verdict"]
+__all__ = ["Again", "Budget", "GiveUp", "RetryBudget", "Verdict", "verdict"]
