Weigh shared prompt parts read again at their price

Ruled out: eviction (310,000 tokens of parts over 6 engines of 238,000). Change: tokens that another server holds cost 0.15 of a request for each 1,000. Adds the features of choice, digests and cache.

--- a/src/redwingbank/front/choice.py
+++ b/src/redwingbank/front/choice.py
@@ -16,6 +16,8 @@
 
 # costs, in requests that miss their target
 COST_A_SECOND_OF_READING = 0.5
+# the sites price 1,000 shared tokens read twice at 0.33 to 0.43 of worth, a request at some 2.5
+COST_A_TOKEN_READ_AGAIN = 0.15 / 1000
 COST_A_SECOND_OF_WAITING = 0.5
 COST_A_STREAM_BESIDE = 0.01
 COST_OF_FULL_SLOTS = 0.5
@@ -78,8 +80,9 @@
         sound.sort(key=lambda one: one.entry.name)
         for backend in sound:
             backend.load.cache.capacity = pool.cache_tokens
+        held = max(backend.load.cache.held(wish.facts.parts) for backend in sound)
         return min(
-            (self._judge(one, place, wish, now_s) for place, one in enumerate(sound)),
+            (self._judge(one, place, held, wish, now_s) for place, one in enumerate(sound)),
             key=lambda choice: choice.cost,
         )
 
@@ -94,9 +97,12 @@
         )
         return Choice(best, len(best.load), 0, 0.0, 0.0, 0.0)
 
-    def _judge(self, backend: Backend, place: int, wish: Wish, now_s: float) -> Choice:
+    def _judge(
+        self, backend: Backend, place: int, held_somewhere: int, wish: Wish, now_s: float
+    ) -> Choice:
         load, facts = backend.load, wish.facts
-        unread = max(0, facts.prompt_tokens - load.cache.held(facts.parts))
+        held = load.cache.held(facts.parts)
+        unread = max(0, facts.prompt_tokens - held)
         backlog = load.backlog(now_s)
         first_s = (backlog + unread) / load.speed + STEP_S
         streams = load.streams()
@@ -107,6 +113,7 @@
             + victims
             + _exposure(load, wish, now_s)
             + COST_A_SECOND_OF_READING * unread / load.speed
+            + COST_A_TOKEN_READ_AGAIN * (held_somewhere - held)
             + COST_A_SECOND_OF_WAITING * first_s
             + COST_A_STREAM_BESIDE * len(streams) * min(1.0, unread / CHUNK_TOKENS)
             + COST_OF_FULL_SLOTS * occupied**2
--- /dev/null
+++ b/tests/front/choice.feature
@@ -0,0 +1,59 @@
+Feature: a request goes where it is answered in time and disturbs least
+
+  Scenario: a prompt goes to the server that holds its shared parts
+    Given the choice of 3 engines
+    When a memo with the shared part "file" was read by engine 2
+    Then the choice for a memo with the shared part "file" is engine 2
+
+  Scenario: a long read stays away from running streams
+    Given the choice of 3 engines
+    When 10 short streams run at engine 1
+    And 10 short streams run at engine 3
+    Then the choice for a memo with the shared part "new" is engine 2
+
+  Scenario: a short stream stays away from long reads
+    Given the choice of 2 engines
+    When 3 memos of 20000 tokens were sent to engine 1 just now
+    Then the choice for a short stream is engine 2
+
+  Scenario: a request does not wait behind a backlog that costs its target
+    Given the choice of 2 engines
+    When a memo with the shared part "file" was read by engine 1
+    And 3 memos of 20000 tokens were sent to engine 1 just now
+    Then the choice for a memo with the shared part "file" is engine 2
+
+  Scenario: a server that shows itself slow is avoided
+    Given the choice of 2 engines
+    When engine 1 has read 20 prompts at a tenth of the usual speed
+    Then the choice for a memo with the shared part "new" is engine 2
+
+  Scenario: plain calls go to the least loaded server, the nearest among equals
+    Given the choice of 3 plain servers
+    Then the choice for a plain call is the server in its data centre
+    When 2 plain calls run at the server in its data centre
+    Then the choice for a plain call is another server
+
+  Scenario: requests of other hosts count
+    Given two hosts that tell each other of their requests
+    When the other host sends a memo of 20000 tokens to engine 1
+    Then this host knows of 20000 tokens waiting at engine 1
+    When the other host's memo has begun and ended
+    Then this host knows of nothing at engine 1
+
+  Scenario: the requests of a host that falls silent are forgotten
+    Given two hosts that tell each other of their requests
+    When the other host sends a memo of 20000 tokens to engine 1
+    And the other host is silent for 4 s
+    Then this host knows of nothing at engine 1
+
+  Scenario: a host that starts anew has no requests of before
+    Given two hosts that tell each other of their requests
+    When the other host sends a memo of 20000 tokens to engine 1
+    And the other host starts anew and says so
+    Then this host knows of nothing at engine 1
+
+  Scenario: held parts are bounded by the engine's memory
+    Given a prompt cache of 1000 tokens
+    When parts "a b c" of 300 tokens are read there
+    Then the prompt cache holds parts "b c" only
+    And a prompt that begins with "a" finds nothing held
--- /dev/null
+++ b/tests/steps/front_choice.py
@@ -0,0 +1,215 @@
+"""Steps of front/choice.feature."""
+
+from __future__ import annotations
+
+from random import Random
+
+from behave import given, then, when
+
+from redwingbank.front.backends import Backends
+from redwingbank.front.choice import Chooser, Wish, flight_of
+from redwingbank.front.clock import now_s
+from redwingbank.front.digest import Digest, Sent, encode_digest
+from redwingbank.front.load import Flight, PromptCache
+from redwingbank.front.peers import Peers
+from redwingbank.front.values import CallFacts, Kind, Part, Pool, Route, ServerEntry, Share
+from redwingbank.settings import Address
+
+NOW_S = 100.0
+POOL = Pool("desk-model", 100, 64, 300_000)
+OTHER_ADDRESS = ("10.0.0.2", 7200)
+
+
+class Silent:
+    """A log that keeps nothing."""
+
+    def detail(self, event, **fields):
+        pass
+
+    def last(self, event, **fields):
+        pass
+
+
+def route(name, target_s, pause_s, *, prompt=True):
+    kind = Kind.STREAM if prompt else Kind.SINGLE
+    shares = (Share(POOL.name, 1.0),)
+    return Route(name, "h", "/x/", kind, True, shares, 2, 1, 6.0, target_s, pause_s, False, prompt)
+
+
+def facts(tokens, answer_tokens, parts):
+    return CallFacts("r", "h", "k", 6.0, tokens, answer_tokens, parts, "", b"")
+
+
+def memo(part, tokens=9000):
+    own = Part("own", tokens - 6000)
+    return wish(route("memo", 0.6, 0.3), facts(tokens, 52, (Part(part, 6000), own)))
+
+
+def short_stream():
+    return wish(route("query", 0.3, 0.2), facts(800, 300, (Part("q", 200), Part("own", 600))))
+
+
+def plain():
+    return wish(route("book", 0.3, 0.0, prompt=False), facts(0, 0, ()))
+
+
+def wish(of_route, of_facts):
+    return Wish(of_facts, of_route, 1, of_route.target_s, "zone-2")
+
+
+def engines(context, count):
+    context.backends = Backends(Random(1))
+    context.chooser = Chooser(context.backends, Random(1))
+    context.entries = [
+        ServerEntry(
+            f"i-{number}", POOL.name, Address("10.0.0.9", number), f"zone-{number}", 64, 0, 0
+        )
+        for number in range(1, count + 1)
+    ]
+    for entry in context.entries:
+        context.backends.of(entry).load.cache.capacity = POOL.cache_tokens
+    context.number = 0
+
+
+@given("the choice of {count:d} engines")
+@given("the choice of {count:d} plain servers")
+def choice_of(context, count):
+    engines(context, count)
+
+
+def choose(context, of):
+    return context.chooser.choose(context.entries, POOL, of, (), NOW_S)
+
+
+def send(context, number, of, *, ago_s=0.0, begun=False):
+    """Send a request to one engine, whatever the choice would be."""
+    choice = context.chooser.choose([context.entries[number - 1]], POOL, of, (), NOW_S - ago_s)
+    load = choice.backend.load
+    context.number += 1
+    key = ("", context.number)
+    load.sent(key, flight_of(choice, of, NOW_S - ago_s))
+    load.cache.read(of.facts.parts[:-1])
+    if begun:
+        load.begun(key, NOW_S - ago_s + choice.first_s)
+    return load, key
+
+
+@when('a memo with the shared part "{part}" was read by engine {number:d}')
+def memo_read(context, part, number):
+    load, key = send(context, number, memo(part), ago_s=10.0, begun=True)
+    load.ended(key)
+
+
+@when("{count:d} short streams run at engine {number:d}")
+def streams_run(context, count, number):
+    for _ in range(count):
+        send(context, number, short_stream(), ago_s=1.0, begun=True)
+
+
+@when("{count:d} memos of {tokens:d} tokens were sent to engine {number:d} just now")
+def memos_sent(context, count, tokens, number):
+    for index in range(count):
+        send(context, number, memo(f"other-{index}", tokens))
+
+
+@when("engine {number:d} has read {count:d} prompts at a tenth of the usual speed")
+def slow(context, number, count):
+    for index in range(count):
+        load, key = send(context, number, memo(f"slow-{index}"), ago_s=30.0 - index)
+        usual_s = 9000 / 40_000
+        load.begun(key, NOW_S - 30.0 + index + 10 * usual_s)
+        load.ended(key)
+
+
+@then('the choice for a memo with the shared part "{part}" is engine {number:d}')
+def memo_goes(context, part, number):
+    assert choose(context, memo(part)).backend.entry.name == f"i-{number}"
+
+
+@then("the choice for a short stream is engine {number:d}")
+def stream_goes(context, number):
+    assert choose(context, short_stream()).backend.entry.name == f"i-{number}"
+
+
+@then("the choice for a plain call is the server in its data centre")
+def plain_near(context):
+    assert choose(context, plain()).backend.entry.data_centre == "zone-2"
+
+
+@when("{count:d} plain calls run at the server in its data centre")
+def plain_runs(context, count):
+    for _ in range(count):
+        send(context, 2, plain())
+
+
+@then("the choice for a plain call is another server")
+def plain_elsewhere(context):
+    assert choose(context, plain()).backend.entry.data_centre != "zone-2"
+
+
+@given("two hosts that tell each other of their requests")
+def two_hosts(context):
+    engines(context, 1)
+    context.here = Peers("host-1", 1, context.backends, Silent())
+    context.other = Peers("host-2", 5, Backends(Random(1)), Silent())
+
+
+def hear(context, digest):
+    context.here.datagram_received(encode_digest(digest), OTHER_ADDRESS)
+
+
+@when("the other host sends a memo of {tokens:d} tokens to engine {number:d}")
+def other_sends(context, tokens, number):
+    flight = Flight(now_s(), tokens, 0.0, 52, 0.3, 1)
+    sent = Sent(7, f"i-{number}", flight, (Part("file", 6000),))
+    hear(context, Digest("host-2", 5, (sent,)))
+
+
+@then("this host knows of {tokens:d} tokens waiting at engine {number:d}")
+def tokens_known(context, tokens, number):
+    load = context.backends.backends_by_name[f"i-{number}"].load
+    assert 0.9 * tokens < load.backlog(now_s()) <= tokens
+    assert load.cache.held((Part("file", 6000),)) == 6000
+
+
+@when("the other host's memo has begun and ended")
+def begun_and_ended(context):
+    hear(context, Digest("host-2", 5, (), (7,)))
+    hear(context, Digest("host-2", 5, (), (), (7,)))
+
+
+@when("the other host is silent for {seconds:d} s")
+def silent(context, seconds):
+    context.here.expire(now_s() + seconds)
+
+
+@when("the other host starts anew and says so")
+def anew(context):
+    hear(context, Digest("host-2", 6))
+
+
+@then("this host knows of nothing at engine {number:d}")
+def nothing_known(context, number):
+    assert len(context.backends.backends_by_name[f"i-{number}"].load) == 0
+
+
+@given("a prompt cache of {tokens:d} tokens")
+def prompt_cache(context, tokens):
+    context.cache = PromptCache()
+    context.cache.capacity = tokens
+
+
+@when('parts "{names}" of {tokens:d} tokens are read there')
+def parts_read(context, names, tokens):
+    context.cache.read([Part(name, tokens) for name in names.split()])
+
+
+@then('the prompt cache holds parts "{names}" only')
+def cache_holds(context, names):
+    held = [name for name in "abc" if context.cache.held([Part(name, 300)])]
+    assert held == names.split()
+
+
+@then('a prompt that begins with "{name}" finds nothing held')
+def finds_nothing(context, name):
+    assert context.cache.held([Part(name, 300), Part("c", 300)]) == 0
