Let relays confirm the table for the other hosts, whose watches wait long

Ruled out: longer watches alone (the age of the table would pass what keys allow). Change: one relay for each 32 hosts watches at 0.5 s; the others ask it twice a second, and its answer confirms their table as of the question, less the relay's age; their own watches wait 25 s for events. Without a relay's word for 1.5 s a host asks the store itself.

--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -1,12 +1,31 @@
 @0xb6d1c07e52a94f13;
-# what hosts tell each other of the requests they send, batched
+# what hosts tell each other: the requests they send, and how fresh their table is
 
-struct Digest {
+struct Message {
   host @0 :Text;
   incarnation @1 :UInt64;   # rises with each start of the host's process
-  sent @2 :List(Sent);
-  begun @3 :List(UInt32);   # numbers of requests whose first event has come
-  ended @4 :List(UInt32);   # numbers of requests that are over
+  union {
+    digest @2 :Digest;
+    question @3 :Question;
+    answer @4 :Answer;
+  }
+}
+
+struct Digest {
+  sent @0 :List(Sent);
+  begun @1 :List(UInt32);   # numbers of requests whose first event has come
+  ended @2 :List(UInt32);   # numbers of requests that are over
+}
+
+struct Question {           # how fresh are you?
+  askedS @0 :Float64;       # on the asker's own clock; comes back with the answer
+}
+
+struct Answer {
+  askedS @0 :Float64;
+  ageMs @1 :UInt32;         # since the call was sent that confirmed the table last
+  tableRevision @2 :UInt64;
+  serverRevision @3 :UInt64; # the store's revision of the newest server entry known
 }
 
 struct Sent {
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -1,22 +1,28 @@
-"""Messages between hosts about the requests they have sent, by Cap'n Proto."""
+"""Messages between hosts, by Cap'n Proto: requests sent, and the freshness of the table."""
 
 from __future__ import annotations
 
+from functools import singledispatch
 from pathlib import Path
-from typing import NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import capnp
 
 from redwingbank.front.load import Flight
 from redwingbank.front.values import Part
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 capnp.remove_import_hook()
 SCHEMA = capnp.load(str(Path(__file__).with_name("digest.capnp")))
 MILLISECONDS = 1000.0
+HIGHEST_TIER = 255
+HIGHEST_AGE_MS = 2**32 - 1
 
 
-class DigestError(Exception):
-    """Bytes that are no digest."""
+class MessageError(Exception):
+    """Bytes that are no message between hosts."""
 
 
 class Sent(NamedTuple):
@@ -31,59 +37,139 @@
 class Digest(NamedTuple):
     """What happened at a host since its last digest."""
 
-    host: str
-    incarnation: int
     sent: tuple[Sent, ...] = ()
     begun: tuple[int, ...] = ()
     ended: tuple[int, ...] = ()
 
 
-def encode_digest(digest: Digest) -> bytes:
-    """Write a digest."""
-    message = SCHEMA.Digest.new_message(host=digest.host, incarnation=digest.incarnation)
-    message.begun = list(digest.begun)
-    message.ended = list(digest.ended)
-    rows = message.init("sent", len(digest.sent))
-    for row, one in zip(rows, digest.sent, strict=True):
+class Question(NamedTuple):
+    """How fresh are you? `asked_s` is the asker's own time."""
+
+    asked_s: float
+
+
+class Answer(NamedTuple):
+    """The answer to a question: the table was confirmed `age_s` before it was given."""
+
+    asked_s: float
+    age_s: float
+    table_revision: int
+    server_revision: int
+
+
+Content = Digest | Question | Answer
+
+
+class Message(NamedTuple):
+    """Something that a host tells another; `incarnation` rises with each start."""
+
+    host: str
+    incarnation: int
+    content: Content
+
+
+def encode_message(message: Message) -> bytes:
+    """Write a message."""
+    draft = SCHEMA.Message.new_message(host=message.host, incarnation=message.incarnation)
+    _fill(message.content, draft)
+    return bytes(draft.to_bytes_packed())
+
+
+def decode_message(data: bytes, now_s: float) -> Message:
+    """Read a message; requests that it tells of count as sent now.
+
+    :raises MessageError: where the bytes are none
+    """
+    try:
+        draft = SCHEMA.Message.from_bytes_packed(data)
+        read = _READER_BY_KIND[draft.which()]
+        return Message(draft.host, draft.incarnation, read(draft, now_s))
+    except (capnp.KjException, ValueError, KeyError) as error:
+        raise MessageError(str(error)) from error
+
+
+@singledispatch
+def _fill(content: Any, draft: Any) -> None:
+    raise TypeError(type(content))
+
+
+@_fill.register
+def _fill_digest(content: Digest, draft: Any) -> None:
+    digest = draft.init("digest")
+    digest.begun = list(content.begun)
+    digest.ended = list(content.ended)
+    rows = digest.init("sent", len(content.sent))
+    for row, one in zip(rows, content.sent, strict=True):
+        flight = one.flight
         row.number, row.server = one.number, one.server
-        row.unread, row.ahead = one.flight.unread, int(one.flight.ahead)
-        row.answerTokens, row.tier = one.flight.answer_tokens, min(one.flight.tier, 255)
-        row.pauseMs = int(one.flight.pause_target_s * MILLISECONDS)
+        row.unread, row.ahead = flight.unread, int(flight.ahead)
+        row.answerTokens, row.tier = flight.answer_tokens, min(flight.tier, HIGHEST_TIER)
+        row.pauseMs = int(flight.pause_target_s * MILLISECONDS)
         parts = row.init("parts", len(one.parts))
         for cell, part in zip(parts, one.parts, strict=True):
             cell.name, cell.tokens = part.name, part.tokens
-    return bytes(message.to_bytes_packed())
 
 
-def decode_digest(data: bytes, now_s: float) -> Digest:
-    """Read a digest; its requests count as sent now.
+@_fill.register
+def _fill_question(content: Question, draft: Any) -> None:
+    draft.init("question").askedS = content.asked_s
 
-    :raises DigestError: where the bytes are none
-    """
-    try:
-        message = SCHEMA.Digest.from_bytes_packed(data)
-        return Digest(
-            host=message.host,
-            incarnation=message.incarnation,
-            sent=tuple(_sent(row, now_s) for row in message.sent),
-            begun=tuple(message.begun),
-            ended=tuple(message.ended),
-        )
-    except (capnp.KjException, ValueError) as error:
-        raise DigestError(str(error)) from error
-
-
-def _sent(row: object, now_s: float) -> Sent:
+
+@_fill.register
+def _fill_answer(content: Answer, draft: Any) -> None:
+    answer = draft.init("answer")
+    answer.askedS = content.asked_s
+    answer.ageMs = int(min(content.age_s * MILLISECONDS, HIGHEST_AGE_MS))
+    answer.tableRevision = content.table_revision
+    answer.serverRevision = content.server_revision
+
+
+def _read_digest(draft: Any, now_s: float) -> Digest:
+    digest = draft.digest
+    return Digest(
+        sent=tuple(_read_sent(row, now_s) for row in digest.sent),
+        begun=tuple(digest.begun),
+        ended=tuple(digest.ended),
+    )
+
+
+def _read_sent(row: Any, now_s: float) -> Sent:
     flight = Flight(
         sent_s=now_s,
-        unread=row.unread,  # type: ignore[attr-defined]
-        ahead=float(row.ahead),  # type: ignore[attr-defined]
-        answer_tokens=row.answerTokens,  # type: ignore[attr-defined]
-        pause_target_s=row.pauseMs / MILLISECONDS,  # type: ignore[attr-defined]
-        tier=row.tier,  # type: ignore[attr-defined]
+        unread=row.unread,
+        ahead=float(row.ahead),
+        answer_tokens=row.answerTokens,
+        pause_target_s=row.pauseMs / MILLISECONDS,
+        tier=row.tier,
     )
-    parts = tuple(Part(cell.name, cell.tokens) for cell in row.parts)  # type: ignore[attr-defined]
-    return Sent(row.number, row.server, flight, parts)  # type: ignore[attr-defined]
+    parts = tuple(Part(cell.name, cell.tokens) for cell in row.parts)
+    return Sent(row.number, row.server, flight, parts)
+
+
+def _read_question(draft: Any, now_s: float) -> Question:
+    return Question(draft.question.askedS)
+
+
+def _read_answer(draft: Any, now_s: float) -> Answer:
+    answer = draft.answer
+    age_s = answer.ageMs / MILLISECONDS
+    return Answer(answer.askedS, age_s, answer.tableRevision, answer.serverRevision)
+
 
+_READER_BY_KIND: dict[str, Callable[[Any, float], Content]] = {
+    "digest": _read_digest,
+    "question": _read_question,
+    "answer": _read_answer,
+}
 
-__all__ = ["Digest", "DigestError", "Sent", "decode_digest", "encode_digest"]
+__all__ = [
+    "Answer",
+    "Content",
+    "Digest",
+    "Message",
+    "MessageError",
+    "Question",
+    "Sent",
+    "decode_message",
+    "encode_message",
+]
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -266,7 +266,7 @@
             ahead_tokens=round(choice.backlog),
             expected_ms=round(choice.first_s * 1000),
             victims=round(choice.victims, 2),
-            hosts_heard=self._router.peers.alive(now),
+            hosts_heard=len(self._router.peers.alive(now)),
             left_ms=round((request.give_up_s - now) * 1000),
             revision=admitted.revision,
             table_age_ms=round(self._router.tables.age_s(now) * 1000),
--- a/src/redwingbank/front/followers.py
+++ b/src/redwingbank/front/followers.py
@@ -71,6 +71,7 @@
 
     def listed(self, listing: Listing) -> None:
         """Take the whole list; entries that can't be read name no server."""
+        self._newest(listing.objects)
         entries = [entry for entry in map(self._read, listing.objects) if entry]
         for entry in entries:
             self._router.backends.of(entry)
@@ -79,6 +80,7 @@
     def changed(self, changes: Sequence[Change], asked_s: float) -> None:
         """Take what was written and removed."""
         servers = self._router.servers
+        self._newest(change.stored for change in changes)
         for change in changes:
             entry = None if change.deleted else self._read(change.stored)
             if entry is None:
@@ -109,6 +111,11 @@
         """Drop lapsed entries that the platform has not restored."""
         self._departed(self._router.servers.expire(now_s()))
 
+    def _newest(self, objects: Iterable[StoredObject]) -> None:
+        freshness = self._router.freshness
+        revisions = [stored.revision for stored in objects]
+        freshness.server_revision = max([freshness.server_revision, *revisions])
+
     def _read(self, stored: StoredObject) -> ServerEntry | None:
         try:
             return decode_server(stored.name, stored.content)
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -1,19 +1,30 @@
-"""The other hosts: what they have sent, heard in digests over UDP."""
+"""The other hosts: what they have sent, and how fresh their tables are, heard over UDP."""
 
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, NamedTuple, cast
+from functools import singledispatchmethod
+from typing import TYPE_CHECKING, Any, NamedTuple, cast
 
 from redwingbank.front.clock import now_s
-from redwingbank.front.digest import Digest, DigestError, Sent, decode_digest, encode_digest
+from redwingbank.front.digest import (
+    Answer,
+    Digest,
+    Message,
+    MessageError,
+    Question,
+    Sent,
+    decode_message,
+    encode_message,
+)
 from redwingbank.settings import Address
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from redwingbank.decisions import DecisionLog
     from redwingbank.front.backends import Backends
+    from redwingbank.front.digest import Content
     from redwingbank.front.load import Flight
     from redwingbank.front.values import Part
 
@@ -43,10 +54,15 @@
 
 
 class Peers(asyncio.DatagramProtocol):
-    """Tells the other hosts of this one's requests, and takes note of theirs."""
+    """Tells the other hosts of this one's requests, and takes note of theirs.
+
+    `answer_question` gives the freshness of this host's table, `take_answer` another's.
+    """
 
     def __init__(self, host: str, incarnation: int, backends: Backends, log: DecisionLog) -> None:
         self.peers_by_host: dict[str, Peer] = {}
+        self.answer_question: Callable[[Question], Answer] | None = None
+        self.take_answer: Callable[[Answer], None] | None = None
         self._host = host
         self._incarnation = incarnation
         self._backends = backends
@@ -63,15 +79,15 @@
         self._transport = cast("asyncio.DatagramTransport", transport)
 
     def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
-        """Take a digest; bytes that are none are told in the log and dropped."""
+        """Take a message; bytes that are none are told in the log and dropped."""
         now = now_s()
         try:
-            digest = decode_digest(data, now)
-        except DigestError as error:
-            self._log.detail("digest-unreadable", sender=addr[0], reason=str(error))
+            message = decode_message(data, now)
+        except MessageError as error:
+            self._log.detail("message-unreadable", sender=addr[0], reason=str(error))
             return
-        if digest.host != self._host:
-            self._hear(digest, Address(*addr[:2]), now)
+        if message.host != self._host and self._hear(message, Address(*addr[:2]), now):
+            self._take(message.content, message.host, now)
 
     def know(self, addresses_by_host: dict[str, Address]) -> None:
         """Take the hosts that the store names."""
@@ -79,9 +95,9 @@
             if host != self._host and host not in self.peers_by_host:
                 self.peers_by_host[host] = Peer(address, 0, float("-inf"))
 
-    def alive(self, now: float) -> int:
-        """How many other hosts were heard lately."""
-        return sum(now - peer.heard_s < SILENT_S for peer in self.peers_by_host.values())
+    def alive(self, now: float) -> list[str]:
+        """The other hosts that were heard lately."""
+        return [host for host, peer in self.peers_by_host.items() if now - peer.heard_s < SILENT_S]
 
     def sent(self, server: str, flight: Flight, parts: tuple[Part, ...]) -> int:
         """Tell of a request; answers its number."""
@@ -103,27 +119,17 @@
         self._due = False
         told = self._told
         quiet = not (told.sent or told.begun or told.ended)
-        if self._transport is None or (quiet and now - self._told_s < HEARTBEAT_S):
+        if quiet and now - self._told_s < HEARTBEAT_S:
             return
         self._told, self._told_s = _Told([], [], []), now
-        data = encode_digest(
-            Digest(
-                self._host,
-                self._incarnation,
-                tuple(told.sent),
-                tuple(told.begun),
-                tuple(told.ended),
-            )
-        )
-        for peer in self.peers_by_host.values():
-            self._transport.sendto(data, peer.address)
+        digest = Digest(tuple(told.sent), tuple(told.begun), tuple(told.ended))
+        self._send(digest, [peer.address for peer in self.peers_by_host.values()])
 
-    def _note(self) -> _Told:
-        """What is told within `BATCH_S`."""
-        if not self._due:
-            self._due = True
-            asyncio.get_running_loop().call_later(BATCH_S, self.tell)
-        return self._told
+    def ask(self, host: str) -> None:
+        """Ask a host how fresh its table is."""
+        peer = self.peers_by_host.get(host)
+        if peer:
+            self._send(Question(now_s()), [peer.address])
 
     def expire(self, now: float) -> None:
         """Forget the requests of hosts that have fallen silent."""
@@ -133,36 +139,64 @@
                 self._backends.host_gone(host)
                 self._log.last("host-silent", peer=host, since_s=round(now - peer.heard_s, 1))
 
-    def _hear(self, digest: Digest, address: Address, now: float) -> None:
-        before = self.peers_by_host.get(digest.host)
-        if before and digest.incarnation < before.incarnation:
+    def _send(self, content: Content, addresses: Iterable[Address]) -> None:
+        if self._transport is None:
             return
-        if before is None or digest.incarnation > before.incarnation:
-            self._backends.host_gone(digest.host)
-            self._server_by_number[digest.host] = {}
-            self._log.last("host-heard", peer=digest.host, address=str(address))
-        self.peers_by_host[digest.host] = Peer(address, digest.incarnation, now)
-        self._take(digest.host, digest, now)
-
-    def _take(self, host: str, digest: Digest, now: float) -> None:
+        data = encode_message(Message(self._host, self._incarnation, content))
+        for address in addresses:
+            self._transport.sendto(data, address)
+
+    def _note(self) -> _Told:
+        """What is told within `BATCH_S`."""
+        if not self._due:
+            self._due = True
+            asyncio.get_running_loop().call_later(BATCH_S, self.tell)
+        return self._told
+
+    def _hear(self, message: Message, address: Address, now: float) -> bool:
+        """Note a host's sign of life; one of an earlier start is none."""
+        before = self.peers_by_host.get(message.host)
+        if before and message.incarnation < before.incarnation:
+            return False
+        if before is None or message.incarnation > before.incarnation:
+            self._backends.host_gone(message.host)
+            self._server_by_number[message.host] = {}
+            self._log.last("host-heard", peer=message.host, address=str(address))
+        self.peers_by_host[message.host] = Peer(address, message.incarnation, now)
+        return True
+
+    @singledispatchmethod
+    def _take(self, content: Any, host: str, now: float) -> None:
+        raise TypeError(type(content))
+
+    @_take.register
+    def _take_digest(self, content: Digest, host: str, now: float) -> None:
         servers = self._server_by_number.setdefault(host, {})
-        for one in digest.sent:
-            backend = self._backends.backends_by_name.get(one.server)
+        by_name = self._backends.backends_by_name
+        for one in content.sent:
+            backend = by_name.get(one.server)
             if backend:
                 servers[one.number] = one.server
                 backend.load.sent((host, one.number), one.flight)
                 backend.load.cache.read(one.parts)
-        for number in digest.begun:
-            backend = self._backends.backends_by_name.get(servers.get(number, ""))
+        for number in content.begun:
+            backend = by_name.get(servers.get(number, ""))
             if backend:
                 backend.load.begun((host, number), now)
-        self._end(host, digest.ended, servers)
-
-    def _end(self, host: str, numbers: Iterable[int], servers: dict[int, str]) -> None:
-        for number in numbers:
-            backend = self._backends.backends_by_name.get(servers.pop(number, ""))
+        for number in content.ended:
+            backend = by_name.get(servers.pop(number, ""))
             if backend:
                 backend.load.ended((host, number))
 
+    @_take.register
+    def _take_question(self, content: Question, host: str, now: float) -> None:
+        if self.answer_question:
+            self._send(self.answer_question(content), [self.peers_by_host[host].address])
+
+    @_take.register
+    def _take_answer(self, content: Answer, host: str, now: float) -> None:
+        if self.take_answer:
+            self.take_answer(content)
+
 
 __all__ = ["OWN", "Peer", "Peers"]
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -15,11 +15,12 @@
 from redwingbank.errors import EXIT_FAULT, EXIT_USAGE, SettingErrors
 from redwingbank.front.clock import now_s
 from redwingbank.front.followers import ServerFollower, TableFollower
+from redwingbank.front.freshness import ASK_S
 from redwingbank.front.hosts import find_hosts
 from redwingbank.front.inbound import InboundConnection
 from redwingbank.front.probe import ProbeConnection, Told
 from redwingbank.front.router import Router
-from redwingbank.front.store import StoreClient, follow
+from redwingbank.front.store import Follow, StoreClient
 from redwingbank.platform.headers import READINESS_TARGET
 from redwingbank.platform.objects import KIND_SERVERS, KIND_TABLE
 from redwingbank.platform.settings import read_host_settings, settings_path
@@ -60,9 +61,8 @@
         router.log.last("started", caller=str(settings.caller), store=str(settings.store))
         async with anyio.create_task_group() as group:
             group.start_soon(self._signals)
-            table = TableFollower(router)
-            group.start_soon(follow, self._store, KIND_TABLE, table, router.random)
-            group.start_soon(follow, self._store, KIND_SERVERS, self._servers, router.random)
+            for follow in self._follows():
+                group.start_soon(follow.run)
             host, peers = settings.name, router.peers
             address = Address(settings.caller.host, settings.peer_ports[0])
             group.start_soon(find_hosts, self._store, host, address, peers, router.log)
@@ -71,6 +71,17 @@
         router.log.last("stopped", unanswered=len(router.exchanges))
         router.log.flush()
 
+    def _follows(self) -> tuple[Follow, ...]:
+        """The watches of the table and of the servers."""
+        wait_s, random = self.router.freshness.wait_s, self.router.random
+        table = TableFollower(self.router)
+        follows = (
+            Follow(self._store, KIND_TABLE, table, wait_s, random),
+            Follow(self._store, KIND_SERVERS, self._servers, wait_s, random),
+        )
+        self.router.freshness.steer(*follows)
+        return follows
+
     async def _listen(self) -> None:
         loop = asyncio.get_running_loop()
         settings = self._settings
@@ -95,7 +106,7 @@
     async def _look_after(self) -> None:
         """Keep house until it is time to end."""
         router, leaving = self.router, self.router.leaving
-        next_check_s = now_s() + SETTINGS_CHECK_S
+        next_check_s = next_ask_s = now_s() + SETTINGS_CHECK_S
         while not leaving.over(now_s(), busy=bool(router.exchanges)) or not leaving.begun:
             await anyio.sleep(HOUSEKEEPING_S)
             now = now_s()
@@ -108,6 +119,9 @@
             router.peers.expire(now)
             router.peers.tell()
             router.log.flush()
+            if now >= next_ask_s:
+                next_ask_s = now + ASK_S
+                router.freshness.check()
             if now >= next_check_s:
                 next_check_s = now + SETTINGS_CHECK_S
                 if _changed_at(self._path) != self._read_at:
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -13,6 +13,7 @@
 from redwingbank.front.choice import Chooser
 from redwingbank.front.clock import now_s
 from redwingbank.front.directory import ServerBelief, TableBelief
+from redwingbank.front.freshness import Freshness
 from redwingbank.front.leaving import Leaving
 from redwingbank.front.peers import Peers
 from redwingbank.front.values import Limits, Pool
@@ -45,6 +46,7 @@
         self.servers = ServerBelief()
         self.backends = Backends(random)
         self.peers = Peers(settings.name, time.time_ns(), self.backends, self.log)
+        self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
         self.chooser = Chooser(self.backends, random)
         self.allowance = Allowance(settings.bounds)
         self.admission = Admission(self.tables)
@@ -63,7 +65,7 @@
         gauge("table_revision", self.tables.table.revision if self.tables.table else 0)
         gauge("table_age_seconds", min(self.tables.age_s(now), LONGEST_AGE_S))
         gauge("connections", len(self.connections))
-        gauge("hosts_heard", self.peers.alive(now))
+        gauge("hosts_heard", len(self.peers.alive(now)))
         gauge("requests_in_flight", len(self.exchanges))
         for name, backend in self.backends.backends_by_name.items():
             gauge("server_in_flight", len(backend.load), server=name)
--- a/src/redwingbank/front/store.py
+++ b/src/redwingbank/front/store.py
@@ -19,7 +19,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Callable, Sequence
     from random import Random
 
     from redwingbank.front.outbound import Loss
@@ -27,14 +27,12 @@
     from redwingbank.platform.objects import Change, StoredObject
     from redwingbank.settings import Address
 
-# watches end often, so that a silent connection shows well within the table's 2 s bound
-WATCH_S = 1.0
 # a slow store answers in some 200 ms; beyond this it counts as out of reach
 CALL_TIMEOUT_S = 0.6
 LIST_TIMEOUT_S = 1.0
 # pause after a failed call; hosts spread theirs, since all see the same outage
-PAUSE_S = 0.15
-PAUSE_SPREAD_S = 0.15
+PAUSE_S = 0.25
+PAUSE_SPREAD_S = 0.25
 KEEP_IDLE_S = 5.0
 STATUS_OK = 200
 
@@ -146,44 +144,76 @@
         """Take note that the store answers again."""
 
 
-async def follow(client: StoreClient, kind: str, follower: Follower, random: Random) -> None:
-    """Keep a follower up to date with a kind, for ever.
+class Follow:
+    """Keeps a follower up to date with a kind of objects.
 
     After a failure the watch goes on from the last revision; the kind is listed anew where the
-    store no longer holds the changes since, or where an answer could not be read.
+    store no longer holds the changes since, or where an answer could not be read. `wait_s` says
+    how long the next watch may wait.
     """
-    revision: int | None = None
-    lost = False
-    while True:
-        try:
-            if revision is None:
-                listing = await _list(client, kind)
-                lost = _back(follower, lost)
-                follower.listed(listing)
-                revision = listing.revision
-            else:
-                asked_s = now_s()
-                body = await client.get(
-                    watch_path(kind, revision, WATCH_S), WATCH_S + CALL_TIMEOUT_S
-                )
-                changes = decode_changes(body)
-                lost = _back(follower, lost)
-                follower.changed(changes.changes, asked_s)
-                revision = changes.revision
-        except HistoryGoneError:
-            revision = None
-        except (StoreError, MalformedError) as error:
-            revision = None if isinstance(error, MalformedError) else revision
-            if not lost:
-                follower.lost(str(error))
-            lost = True
-            await anyio.sleep(PAUSE_S + PAUSE_SPREAD_S * random.random())
-
-
-def _back(follower: Follower, lost: bool) -> bool:
-    if lost:
-        follower.regained()
-    return False
+
+    def __init__(
+        self,
+        client: StoreClient,
+        kind: str,
+        follower: Follower,
+        wait_s: Callable[[], float],
+        random: Random,
+    ) -> None:
+        self._client = client
+        self._kind = kind
+        self._follower = follower
+        self._wait_s = wait_s
+        self._random = random
+        self._revision: int | None = None
+        self._lost = False
+        self._waiting = anyio.CancelScope()
+
+    def interrupt(self, *, anew: bool) -> None:
+        """End a watch that waits: the next begins at once, or the kind is listed `anew`."""
+        if anew:
+            self._revision = None
+        self._waiting.cancel()
+
+    async def run(self) -> None:
+        """Follow, for ever."""
+        while True:
+            try:
+                await self._step()
+            except HistoryGoneError:
+                self._revision = None
+            except (StoreError, MalformedError) as error:
+                if isinstance(error, MalformedError):
+                    self._revision = None
+                if not self._lost:
+                    self._follower.lost(str(error))
+                self._lost = True
+                await anyio.sleep(PAUSE_S + PAUSE_SPREAD_S * self._random.random())
+
+    async def _step(self) -> None:
+        if self._revision is None:
+            listing = await _list(self._client, self._kind)
+            self._back()
+            self._follower.listed(listing)
+            self._revision = listing.revision
+            return
+        revision, wait_s, asked_s = self._revision, self._wait_s(), now_s()
+        path = watch_path(self._kind, revision, wait_s)
+        body = None
+        with anyio.CancelScope() as self._waiting:
+            body = await self._client.get(path, wait_s + CALL_TIMEOUT_S)
+        if body is None:
+            return
+        changes = decode_changes(body)
+        self._back()
+        self._follower.changed(changes.changes, asked_s)
+        if self._revision is not None:
+            self._revision = changes.revision
+
+    def _back(self) -> None:
+        if self._lost:
+            self._lost = False
+            self._follower.regained()
 
 
 async def _list(client: StoreClient, kind: str) -> Listing:
@@ -212,5 +242,4 @@
     "Listing",
     "StoreClient",
     "StoreError",
-    "follow",
 ]
--- a/tests/front_rig.py
+++ b/tests/front_rig.py
@@ -115,6 +115,45 @@
         return bool(self.raw) and len(self.body) == int(self.headers.get("content-length", -1))
 
 
+class Gate:
+    """Passes connections on to an address, until it is cut."""
+
+    def __init__(self, target):
+        self._target = target
+        self._writers = []
+        self._cut = False
+        self._server = None
+
+    async def start(self):
+        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
+        return Address(*self._server.sockets[0].getsockname()[:2])
+
+    async def _serve(self, reader, writer):
+        if self._cut:
+            writer.transport.abort()
+            return
+        far_reader, far_writer = await asyncio.open_connection(*self._target)
+        self._writers += [writer, far_writer]
+        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
+            await asyncio.gather(_pass(reader, far_writer), _pass(far_reader, writer))
+
+    def cut(self):
+        """Reset what is open, and all that is opened later."""
+        self._cut = True
+        for writer in self._writers:
+            writer.transport.abort()
+
+    def stop(self):
+        self.cut()
+        self._server.close()
+
+
+async def _pass(reader, writer):
+    while data := await reader.read(65536):
+        writer.write(data)
+    writer.close()
+
+
 class Rig:
     """The front and its neighbours."""
 
@@ -124,6 +163,7 @@
         self.bounds = bounds
         self.front = None
         self._task = None
+        self._others = []
         self._folder = tempfile.TemporaryDirectory()
         self.path = Path(self._folder.name) / "boot.json"
         self.addresses = {}
@@ -145,7 +185,18 @@
         self.lines += [json.loads(line) for line in data.splitlines()]
         return len(data)
 
+    async def stop_first(self):
+        """End the first front's process, as far as one can in the same loop."""
+        self._task.cancel()
+        with contextlib.suppress(asyncio.CancelledError, Exception):
+            await self._task
+
     async def stop(self):
+        for gate, task in self._others:
+            gate.stop()
+            task.cancel()
+            with contextlib.suppress(asyncio.CancelledError, Exception):
+                await task
         if self._task:
             self.front.router.log.flush()
             self._task.cancel()
@@ -164,13 +215,29 @@
     async def connect(self):
         return await asyncio.open_connection(*self.front.router.settings.caller)
 
-    async def ask(self, kind, *, request_id="r-1", key=KEY, deadline_ms=1500, **headers):
-        return await self.exchange(
-            request(kind, request_id=request_id, key=key, deadline_ms=deadline_ms, **headers)
-        )
-
-    async def exchange(self, data):
-        reader, writer = await self.connect()
+    async def add_host(self, name):
+        """Start another front on the same store, behind a gate of its own."""
+        gate = Gate(self.front.router.settings.store)
+        ports = await free_ports(3)
+        document = {**boot(await gate.start(), ports, **self.bounds), "nodeName": name}
+        path = self.path.with_name(f"{name}.json")
+        path.write_text(json.dumps(document))
+        front = Front(path, read_host_settings(path))
+        front.router.log._write = self._log
+        task = asyncio.create_task(front.run())
+        self._others += [(gate, task)]
+        await self.until(front.router.ready)
+        return front, gate
+
+    async def ask(
+        self, kind, *, request_id="r-1", key=KEY, deadline_ms=1500, front=None, **headers
+    ):
+        data = request(kind, request_id=request_id, key=key, deadline_ms=deadline_ms, **headers)
+        return await self.exchange(data, front)
+
+    async def exchange(self, data, front=None):
+        address = (front or self.front).router.settings.caller
+        reader, writer = await asyncio.open_connection(*address)
         writer.write(data)
         try:
             async with asyncio.timeout(PATIENCE_S):
--- a/tests/steps/front_choice.py
+++ b/tests/steps/front_choice.py
@@ -9,7 +9,7 @@
 from redwingbank.front.backends import Backends
 from redwingbank.front.choice import Chooser, Wish, flight_of
 from redwingbank.front.clock import now_s
-from redwingbank.front.digest import Digest, Sent, encode_digest
+from redwingbank.front.digest import Digest, Message, Sent, encode_message
 from redwingbank.front.load import Flight, PromptCache
 from redwingbank.front.peers import Peers
 from redwingbank.front.values import CallFacts, Kind, Part, Pool, Route, ServerEntry, Share
@@ -154,15 +154,16 @@
     context.other = Peers("host-2", 5, Backends(Random(1)), Silent())
 
 
-def hear(context, digest):
-    context.here.datagram_received(encode_digest(digest), OTHER_ADDRESS)
+def hear(context, digest, incarnation=5):
+    message = Message("host-2", incarnation, digest)
+    context.here.datagram_received(encode_message(message), OTHER_ADDRESS)
 
 
 @when("the other host sends a memo of {tokens:d} tokens to engine {number:d}")
 def other_sends(context, tokens, number):
     flight = Flight(now_s(), tokens, 0.0, 52, 0.3, 1)
     sent = Sent(7, f"i-{number}", flight, (Part("file", 6000),))
-    hear(context, Digest("host-2", 5, (sent,)))
+    hear(context, Digest((sent,)))
 
 
 @then("this host knows of {tokens:d} tokens waiting at engine {number:d}")
@@ -174,8 +175,8 @@
 
 @when("the other host's memo has begun and ended")
 def begun_and_ended(context):
-    hear(context, Digest("host-2", 5, (), (7,)))
-    hear(context, Digest("host-2", 5, (), (), (7,)))
+    hear(context, Digest((), (7,)))
+    hear(context, Digest((), (), (7,)))
 
 
 @when("the other host is silent for {seconds:d} s")
@@ -185,7 +186,7 @@
 
 @when("the other host starts anew and says so")
 def anew(context):
-    hear(context, Digest("host-2", 6))
+    hear(context, Digest(), 6)
 
 
 @then("this host knows of nothing at engine {number:d}")
