Let a server rest after answers lost in a row, not one; try one where all rest; name the table in every refusal

Ruled out: the list (servers=2 in the refusals), draining. Change: only a server that can't be reached rests at once; where every server rests one is tried. Refusals before admission now name the table's revision, and the metrics are served at the deploy file's port.

--- a/src/redwingbank/front/choice.py
+++ b/src/redwingbank/front/choice.py
@@ -81,7 +81,8 @@
     ) -> Choice | None:
         """Choose a server of the pool out of those not to be avoided, if there is one."""
         known = [self._backends.of(entry) for entry in entries if entry.name not in avoid]
-        sound = [backend for backend in known if backend.breaker.admits(now_s)]
+        # where all rest, one is tried rather than the request refused
+        sound = [backend for backend in known if backend.breaker.admits(now_s)] or known
         if not sound:
             return None
         if not wish.route.has_prompt:
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -21,6 +21,7 @@
 if TYPE_CHECKING:
     from redwingbank.front.admission import Admitted
     from redwingbank.front.attempt import Answer
+    from redwingbank.front.backends import Backend
     from redwingbank.front.router import Router
     from redwingbank.front.wire import AnswerHead, RequestHead
     from redwingbank.platform.headers import AnswerFacts
@@ -174,7 +175,7 @@
         """Try again where that is allowed, or tell the caller."""
         self._leave(attempt)
         now = now_s()
-        self._judge_backend(attempt, failure, now)
+        judge_backend(attempt.backend, failure, self._life.request_id, self._sent_s, now)
         self._router.log.detail(
             "attempt-failed",
             request=self._life.request_id,
@@ -312,16 +313,6 @@
         left = self._router.allowance.left(self._admitted.pool, now_s()) > 0
         return in_time and left and route.repeatable and tries < route.attempts
 
-    def _judge_backend(self, attempt: Attempt, failure: Failure, now: float) -> None:
-        breaker = attempt.backend.breaker
-        request_id = self._life.request_id
-        if failure.outcome is Outcome.REFUSED:
-            breaker.undecided(request_id)
-        elif failure.outcome is Outcome.CRASHED:
-            breaker.crashed(request_id, self._sent_s, now)
-        else:
-            breaker.failed(request_id, self._sent_s, now)
-
     def _leave(self, attempt: Attempt) -> None:
         attempt.backend.load.ended((OWN, self._number))
         self._router.peers.ended(self._number)
@@ -358,8 +349,7 @@
         )
 
     def _tell(self, code: Code) -> None:
-        now = now_s()
-        admitted = self._admitted
+        now, admitted, table = now_s(), self._admitted, self._router.tables.table
         self._router.count("refused_total", self._class_name(), code=str(int(code)))
         self._router.log.last(
             "request-refused",
@@ -372,7 +362,7 @@
             pool=admitted.pool if admitted else "",
             servers=len(self._router.servers.usable(admitted.pool)) if admitted else 0,
             tried=self._tried,
-            revision=admitted.revision if admitted else None,
+            revision=table.revision if table else None,
             table_age_ms=_milliseconds(self._router.tables.age_s(now)),
         )
 
@@ -444,6 +434,21 @@
         return round((now_s() - self._arrived_s) * 1000)
 
 
+def judge_backend(
+    backend: Backend, failure: Failure, request_id: str, sent_s: float, now: float
+) -> None:
+    """Hold a failure against a server: one that can't be reached rests at once.
+
+    A single lost answer says little, since a server that has crashed can't be reached next.
+    """
+    if failure.outcome is Outcome.REFUSED:
+        backend.breaker.undecided(request_id)
+    elif failure.outcome is Outcome.CRASHED and not failure.sent:
+        backend.breaker.crashed(request_id, sent_s, now)
+    else:
+        backend.breaker.failed(request_id, sent_s, now)
+
+
 def _milliseconds(seconds: float) -> int | None:
     return round(seconds * 1000) if seconds != float("inf") else None
 
@@ -456,4 +461,4 @@
     return Failure(Outcome.CLOSED_EARLY, True, f"status {status}")
 
 
-__all__ = ["Caller", "Exchange"]
+__all__ = ["Caller", "Exchange", "judge_backend"]
--- a/src/redwingbank/front/hosts.py
+++ b/src/redwingbank/front/hosts.py
@@ -50,7 +50,7 @@
     try:
         await step(client, *rest)
     except (StoreError, MalformedError) as error:
-        log.last("hosts-unknown", step=step.__name__.strip("_"), reason=str(error))
+        log.detail("hosts-unknown", step=step.__name__.strip("_"), reason=str(error))
         return False
     return True
 
--- a/src/redwingbank/platform/settings.py
+++ b/src/redwingbank/platform/settings.py
@@ -15,8 +15,10 @@
     from collections.abc import Callable
 
 PATH_VARIABLE = "REDWINGBANK_NODE_FILE"
+# the deploy file names the port that the platform reads metrics at
+METRICS_PORT_VARIABLE = "REDWINGBANK_METRICS_PORT"
 MILLISECONDS = 1000.0
-# the last port of the range that the platform leaves free serves the metrics
+# without one, the last port of the range that the platform leaves free serves them
 METRICS_PORT_INDEX = -1
 
 ADDRESS = "an IP number and a port"
@@ -56,12 +58,15 @@
     reader = _Reader(document, file)
     ports = reader.read("portRange", _ports, "two port numbers")
     host = reader.read("ip", _text, "an IP number")
+    metrics_port = os.environ.get(METRICS_PORT_VARIABLE) or (
+        ports[METRICS_PORT_INDEX] if ports else 0
+    )
     settings = HostSettings(
         name=reader.read("nodeName", _text, "a name"),
         data_centre=reader.read("zone", _text, "a name"),
         caller=reader.read("listen.front", parse_address, ADDRESS),
         readiness=reader.read("listen.ready", parse_address, ADDRESS),
-        metrics=Address(host or "", ports[METRICS_PORT_INDEX] if ports else 0),
+        metrics=Address(host or "", int(metrics_port)),
         store=reader.read("platform.addr", parse_address, ADDRESS),
         heartbeat_s=reader.read("beatMs", _milliseconds, NUMBER),
         bounds=_bounds(reader),
--- a/tests/front/choice.feature
+++ b/tests/front/choice.feature
@@ -80,3 +80,19 @@
     Given the choice of 1 engines
     When 6 memos of 39000 tokens were sent to engine 1 just now
     Then a short stream of a higher tier is not refused
+
+  Scenario: one lost answer does not take a server out
+    Given the choice of 2 plain servers
+    When 1 answers in a row were lost at server 2
+    Then server 2 is still chosen from
+
+  Scenario: a server that loses answers in a row rests
+    Given the choice of 2 plain servers
+    When 3 answers in a row were lost at server 2
+    Then server 2 is not chosen from
+
+  Scenario: where every server rests, one is tried rather than the request refused
+    Given the choice of 2 plain servers
+    When 3 answers in a row were lost at server 1
+    And 3 answers in a row were lost at server 2
+    Then a server is chosen all the same
--- a/tests/steps/front_choice.py
+++ b/tests/steps/front_choice.py
@@ -7,13 +7,16 @@
 from behave import given, then, when
 
 from redwingbank.codes import Code
+from redwingbank.front.attempt import Failure
 from redwingbank.front.backends import Backends
 from redwingbank.front.choice import Chooser, Wish, flight_of, refused
 from redwingbank.front.clock import now_s
 from redwingbank.front.digest import Begun, Digest, Message, Sent, encode_message
+from redwingbank.front.exchange import judge_backend
 from redwingbank.front.load import Flight, PromptCache
 from redwingbank.front.peers import Peers
 from redwingbank.front.values import CallFacts, Kind, Part, Pool, Route, ServerEntry, Share
+from redwingbank.model import Outcome
 from redwingbank.settings import Address
 
 NOW_S = 100.0
@@ -265,3 +268,30 @@
 def memos_run(context, count, tokens, number):
     for index in range(count):
         send(context, number, memo(f"running-{index}", tokens), ago_s=4.0, begun=True)
+
+
+@when("{count:d} answers in a row were lost at server {number:d}")
+def answers_lost(context, count, number):
+    backend = context.backends.of(context.entries[number - 1])
+    for index in range(count):
+        backend.breaker.sent(f"r-{index}", NOW_S)
+        judge_backend(backend, Failure(Outcome.CRASHED, True, "reset"), f"r-{index}", NOW_S, NOW_S)
+
+
+def chosen_from(context):
+    return {choose(context, plain()).backend.entry.name for _ in range(50)}
+
+
+@then("server {number:d} is still chosen from")
+def still_chosen(context, number):
+    assert f"i-{number}" in chosen_from(context)
+
+
+@then("server {number:d} is not chosen from")
+def not_chosen(context, number):
+    assert f"i-{number}" not in chosen_from(context)
+
+
+@then("a server is chosen all the same")
+def chosen_anyway(context):
+    assert chosen_from(context)
