--- a/src/redwingbank/codes.py
+++ b/src/redwingbank/codes.py
@@ -38,6 +38,8 @@
     WAIT_EXPIRED = 1212
     NO_BACKEND_SERVER = 1220
     NOT_READY = 1221
+    TABLE_UNCONFIRMED = 1222
+    LEAVING = 1223
     QUARANTINED = 1230
     QUARANTINED_AFTER_RUN = 1231
     PLATFORM_UNAVAILABLE = 1300
@@ -106,6 +108,12 @@
         503, Ran.NO, "no backend server can take it", "come back", retry=True
     ),
     Code.NOT_READY: _row(503, Ran.NO, "the host has no table yet", "come back", retry=True),
+    Code.TABLE_UNCONFIRMED: _row(
+        503, Ran.NO, "the host can't confirm that its table is in force", "come back", retry=True
+    ),
+    Code.LEAVING: _row(
+        503, Ran.NO, "the host is leaving and would cut it off", "come back", retry=True
+    ),
     Code.QUARANTINED: _row(
         422, Ran.NO, "requests like this one crashed backend servers", "ask an operator"
     ),
--- a/src/redwingbank/ctl/explain.py
+++ b/src/redwingbank/ctl/explain.py
@@ -128,7 +128,9 @@
         f" after it came, as {field('service_class')} (tier {field('tier')}) of"
         f" {field('organisation')}"
     ]
-    if field("slots"):
+    if field("expected_ms"):
+        words += _expected(record)
+    elif field("slots"):
         words.append(
             f"chosen at load {field('load')} of {field('slots')} slots, {field('slowness')} times"
             f" the pool's time, {field('held_blocks')} of {field('blocks')} prefix blocks held"
@@ -138,8 +140,24 @@
     return "; ".join(words)
 
 
+def _expected(record: Record) -> list[str]:
+    field = record.field
+    return [
+        f"chosen at {field('load')} requests of {field('slots')} slots: {field('unread_tokens')}"
+        f" prompt tokens to read behind {field('ahead_tokens')}, first event expected in"
+        f" {field('expected_ms')} ms, {field('victims')} streams delayed",
+        f"table {field('revision')}, confirmed {field('table_age_ms')} ms before",
+    ]
+
+
 def _failed(record: Record) -> str:
     field = record.field
+    if field("detail"):
+        sent = "sent" if record.fields.get("sent") else "not sent or not run"
+        return (
+            f"attempt at {field('server')} ended: {field('outcome')} ({field('detail')}), {sent},"
+            f" {field('after_ms')} ms after it came"
+        )
     return (
         f"attempt at {field('server')} ended: {field('outcome')},"
         f" {field('delivered') or 0} tokens delivered"
@@ -153,15 +171,28 @@
         return _plain(record)
     meaning = MEANING_BY_CODE[code]
     told = f"refused with {int(code)} {code.name}: {meaning.meaning}"
-    return f"{told}; ran={record.field('ran')}; the caller should: {meaning.advice}"
+    told = f"{told}; ran={record.field('ran')}; the caller should: {meaning.advice}"
+    if record.field("table_age_ms"):
+        told += (
+            f"; by table {record.field('revision')}, confirmed {record.field('table_age_ms')} ms"
+            f" before, with {record.field('servers')} servers listed"
+        )
+    return f"{told}; its answer had begun and broke off" if record.fields.get("begun") else told
 
 
 def _done(record: Record) -> str:
+    if record.field("status"):
+        return (
+            f"answered {record.field('status')} whole after {record.field('took_ms')} ms and"
+            f" {record.field('attempts')} attempts"
+        )
     return f"answered whole, {record.field('tokens')} tokens"
 
 
 def _gone(record: Record) -> str:
-    return "the caller closed the connection; the backend server was told to stop"
+    told = "the caller closed the connection; the backend server was told to stop"
+    after_ms = record.field("after_ms")
+    return f"{told}; {after_ms} ms after it came, ran={record.field('ran')}" if after_ms else told
 
 
 def _state(record: Record) -> str:
--- a/src/redwingbank/front/admission.py
+++ b/src/redwingbank/front/admission.py
@@ -47,7 +47,7 @@
         organisation = None
         if table.organisations_by_key is not None and not route.public:
             if not self._tables.keys_hold(now_s):
-                return Code.NOT_READY
+                return Code.TABLE_UNCONFIRMED
             organisation = table.organisations_by_key.get(facts.key)
             if organisation is None:
                 return self._denied(Code.WRONG_KEY, now_s)
@@ -68,7 +68,7 @@
 
     def _denied(self, code: Code, now_s: float) -> Code:
         """A denial needs a table that is in force; a newer one could allow the request."""
-        return code if self._tables.denials_hold(now_s) else Code.NOT_READY
+        return code if self._tables.denials_hold(now_s) else Code.TABLE_UNCONFIRMED
 
 
 def pool_of(route: Route, request_id: str) -> str:
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -93,7 +93,7 @@
         self._admitted = admitted
         wait_s = self._wait_s(admitted)
         if not self._router.leaving.admits(now_s(), wait_s):
-            self._refuse(Code.NOT_READY)
+            self._refuse(Code.LEAVING)
             return
         self._request = self._describe(admitted, wait_s)
         self._life.advance(Step.CHECK)
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -28,7 +28,7 @@
 
 # a caller is asked back after about the time that a host needs to learn what it lacks
 RETRY_AFTER_S = 0.3
-RETRY_AFTER_S_BY_CODE = {Code.NOT_READY: 0.2}
+RETRY_AFTER_S_BY_CODE = dict.fromkeys((Code.NOT_READY, Code.TABLE_UNCONFIRMED, Code.LEAVING), 0.2)
 # stands for a table that was never confirmed
 LONGEST_AGE_S = 86_400.0
 LIMITS_UNTIL_KNOWN = Limits()
