--- a/src/redwingbank/decisions.py
+++ b/src/redwingbank/decisions.py
@@ -18,6 +18,8 @@
 BURST_LINES = 600.0
 # lines wait in memory while the reader is slow; beyond this they are counted and dropped
 BACKLOG_BYTES = 64 * 1024
+# PIPE_BUF of Linux: a write up to this size is not mixed with those of other processes
+PIPE_BYTES = 4096
 STDOUT = 1
 
 
@@ -56,11 +58,16 @@
             shed, self.shed_by_event = self.shed_by_event, Counter()
             self._append("log-shed", {"left_out": dict(shed)})
         while self._backlog:
-            written = self._write(bytes(self._backlog))
+            written = self._write(self._next_lines())
             if written <= 0:
                 return
             del self._backlog[:written]
 
+    def _next_lines(self) -> bytes:
+        """Whole lines up to what a pipe takes in one piece, so that none is cut by another's."""
+        end = self._backlog.rfind(b"\n", 0, PIPE_BYTES) + 1
+        return bytes(self._backlog[: end or self._backlog.find(b"\n") + 1])
+
     def _append(self, event: str, fields: dict[str, Any]) -> None:
         if len(self._backlog) > BACKLOG_BYTES:
             self.shed_by_event[event] += 1
--- /dev/null
+++ b/tests/steps/front_explained.py
@@ -0,0 +1,111 @@
+"""Steps of front/explained.feature."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from pathlib import Path
+
+from behave import given, then, when
+
+from front_rig import KEY, Rig, play
+from redwingbank.ctl.explain import as_text, decisions_of
+from redwingbank.ctl.moments import merge
+from redwingbank.ctl.records import read_lines
+from redwingbank.decisions import BACKLOG_BYTES, DecisionLog
+
+PAGE = Path(__file__).resolve().parents[2] / "docs" / "OPERATIONS.md"
+
+
+@when("the lines of request {request} on the operations page are explained")
+def explained(context, request):
+    lines = [line for line in PAGE.read_text().splitlines() if line.startswith('{"host"')]
+    line = merge(read_lines(lines).records)
+    context.told = as_text(request, decisions_of(request, line))
+
+
+@then('the explanation says "{words}"')
+def says(context, words):
+    assert words in context.told, context.told
+
+
+@when("a single request is lost by its server")
+def lost(context):
+    context.rig = Rig(modes=["lost"])
+
+    async def story(rig):
+        answer = await rig.ask("single", request_id="r-lost")
+        reader, writer = await asyncio.open_connection(*rig.front.router.settings.metrics)
+        writer.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        context.metrics = (await reader.read()).decode()
+        writer.close()
+        return answer
+
+    context.answer = play(context.rig, story)
+
+
+@then("its last line has the code, ran, the servers tried and the age of the table")
+def last_line(context):
+    (line,) = [line for line in context.rig.lines if line["event"] == "request-refused"]
+    assert line["request"] == "r-lost"
+    assert (line["code"], line["ran"], line["tried"]) == (1400, "maybe", ["i-1"])
+    assert line["revision"] == 1
+    assert 0 <= line["table_age_ms"] < 2000
+
+
+@then("no line holds the key or the body")
+def nothing_secret(context):
+    text = json.dumps(context.rig.lines)
+    assert KEY not in text
+    assert '"body"' not in text
+
+
+@then("the metrics count it by class and code")
+def counted(context):
+    wanted = 'redwingbank_refused_total{code="1400",service_class="book"} 1'
+    assert wanted in context.metrics, context.metrics
+    assert "redwingbank_table_revision 1" in context.metrics
+
+
+@given("a decision log whose reader takes {what}")
+def decision_log(context, what):
+    context.written = []
+
+    def write(data):
+        if what == "nothing":
+            return 0
+        context.written += data.splitlines()
+        return len(data)
+
+    context.log = DecisionLog("edge-1", "a", write)
+
+
+@when("{details:d} lines of detail and {lasts:d} last lines are written at once")
+def lines_written(context, details, lasts):
+    for number in range(details):
+        context.log.detail("request-done", request=f"d-{number}")
+        if number < lasts:
+            context.log.last("request-refused", request=f"l-{number}", code=1400)
+        context.log.flush()
+    for number in range(details, lasts):
+        context.log.last("request-refused", request=f"l-{number}", code=1400)
+    context.log.flush()
+
+
+@then("all {lasts:d} last lines are there and the lines left out are counted")
+def lasts_there(context, lasts):
+    records = [json.loads(line) for line in context.written]
+    kept = [one for one in records if one["event"] == "request-refused"]
+    done = [one for one in records if one["event"] == "request-done"]
+    left_out = sum(
+        one["left_out"]["request-done"] for one in records if one["event"] == "log-shed"
+    )
+    assert len(kept) == lasts
+    assert len(done) + left_out == 2000, (len(done), left_out)
+    assert left_out > 1000
+
+
+@then("what waits is bounded and the rest is counted")
+def bounded(context):
+    assert len(context.log._backlog) < BACKLOG_BYTES + 1000
+    assert context.log.shed_by_event["request-refused"] > 3000
