Divide the extra repeats by the hosts there are; keep what is told of a request apart from its course

Ruled out: the ratio's part, which follows each host's own requests. Settings that nothing read are gone.

--- a/src/redwingbank/front/allowance.py
+++ b/src/redwingbank/front/allowance.py
@@ -6,10 +6,13 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from redwingbank.front.values import Bounds
 
-# hosts are not counted here: the extra of the fleet covers a fleet of some tens at this part
-EXTRA_PART = 1 / 27
+# the fleet's extra is divided by the hosts known, and by so many at least: a host that has just
+# started knows of few others
+LEAST_HOSTS = 27
 
 
 class _Window:
@@ -29,14 +32,17 @@
 class Allowance:
     """Repeats of each pool within a sliding window.
 
+    `hosts` gives how many hosts there are, this one included.
+
     >>> from redwingbank.front.values import Bounds
-    >>> allowance = Allowance(Bounds(repeat_ratio=0.2, repeat_extra=27.0))
+    >>> allowance = Allowance(Bounds(repeat_ratio=0.2, repeat_extra=27.0), lambda: 7)
     >>> allowance.take("desk-model", 0.0), allowance.take("desk-model", 0.0)
     (True, False)
     """
 
-    def __init__(self, bounds: Bounds) -> None:
+    def __init__(self, bounds: Bounds, hosts: Callable[[], int]) -> None:
         self._bounds = bounds
+        self._hosts = hosts
         self._window_by_pool: dict[str, _Window] = {}
 
     def requested(self, pool: str, now_s: float) -> None:
@@ -47,7 +53,7 @@
         """How many repeats may be made now."""
         window = self._window(pool, now_s)
         earned = self._bounds.repeat_ratio * len(window.firsts)
-        extra = self._bounds.repeat_extra * EXTRA_PART
+        extra = self._bounds.repeat_extra / max(LEAST_HOSTS, self._hosts())
         return int(earned + extra) - len(window.repeats)
 
     def take(self, pool: str, now_s: float) -> bool:
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -6,7 +6,8 @@
 from typing import TYPE_CHECKING, Protocol
 
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
-from redwingbank.front.attempt import FIRST_SERVER_ERROR, Attempt, Failure
+from redwingbank.front.account import Account
+from redwingbank.front.attempt import FIRST_SERVER_ERROR, STATUS_OK, Attempt, Failure
 from redwingbank.front.choice import Wish, flight_of, refused
 from redwingbank.front.clock import now_s
 from redwingbank.front.events import EventCutter, EventError
@@ -64,6 +65,7 @@
         self._body = body
         self._arrived_s = arrived_s
         self._admitted: Admitted | None = None
+        self._account = Account(router, arrived_s)
         self._request: Request | None = None
         self._attempt: Attempt | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -90,7 +92,7 @@
         if isinstance(admitted, Code):
             self._refuse(admitted)
             return
-        self._admitted = admitted
+        self._admitted = self._account.admitted = admitted
         wait_s = self._wait_s(admitted)
         if not self._router.leaving.admits(now_s(), wait_s):
             self._refuse(Code.LEAVING)
@@ -108,13 +110,7 @@
         """Stop at once: the caller has closed its connection."""
         if self._over:
             return
-        self._router.count("callers_gone", self._class_name())
-        self._router.log.detail(
-            "caller-gone",
-            request=self._life.request_id,
-            after_ms=self._age_ms(),
-            ran=self._life.ran,
-        )
+        self._account.gone(self._life)
         self._close()
 
     def pause(self) -> None:
@@ -137,7 +133,7 @@
         if self._begun:
             return
         self._begun = True
-        self._router.observe("first_byte_seconds", now_s() - self._arrived_s, self._class_name())
+        self._account.first_byte()
         self._caller.begin(head.status, head.reason, facts.passed_on)
 
     def attempt_fed(self, attempt: Attempt, data: bytes) -> None:
@@ -169,22 +165,15 @@
             self._leave(attempt)
             self._life.advance(Step.FINISH)
             self._caller.end()
-            self._done(200)
+            self._account.done(self._life, STATUS_OK)
+            self._close()
 
     def attempt_failed(self, attempt: Attempt, failure: Failure) -> None:
         """Try again where that is allowed, or tell the caller."""
         self._leave(attempt)
         now = now_s()
         judge_backend(attempt.backend, failure, self._life.request_id, self._sent_s, now)
-        self._router.log.detail(
-            "attempt-failed",
-            request=self._life.request_id,
-            server=attempt.backend.entry.name,
-            outcome=failure.outcome,
-            detail=failure.detail,
-            sent=failure.sent,
-            after_ms=self._age_ms(),
-        )
+        self._account.failed(self._life, attempt.backend.entry.name, failure)
         if not failure.sent:
             self._life.advance(Step.NOT_TAKEN)
             self._refusals += 1
@@ -256,28 +245,7 @@
             resume_after=self._cutter.last_id if self._cutter else "",
             rank=flight.rank if admitted.route.has_prompt else None,
         )
-        self._router.log.detail(
-            "request-granted",
-            request=request.request_id,
-            server=backend.entry.name,
-            attempt=self._life.attempt,
-            waited_ms=self._age_ms(),
-            service_class=request.class_name,
-            tier=request.tier,
-            rank=flight.rank,
-            organisation=request.organisation,
-            load=len(backend.load),
-            slots=backend.entry.slots,
-            cost=round(choice.cost, 3),
-            unread_tokens=choice.unread,
-            ahead_tokens=round(choice.backlog),
-            expected_ms=round(choice.first_s * 1000),
-            victims=round(choice.victims, 2),
-            hosts_heard=len(self._router.peers.alive(now)),
-            left_ms=round((request.give_up_s - now) * 1000),
-            revision=admitted.revision,
-            table_age_ms=round(self._router.tables.age_s(now) * 1000),
-        )
+        self._account.granted(self._life, request, admitted, choice)
         self._attempt = Attempt(self, backend, request.request_id)
         self._attempt.start(
             encode_call(self._head.method, self._head.target, admitted.facts, self._body, envelope)
@@ -300,9 +268,10 @@
             # a stream that went on elsewhere was answered by a failure: it can't end whole
             self._caller.break_off()
         else:
-            self._router.observe("first_byte_seconds", now - self._arrived_s, self._class_name())
+            self._account.first_byte()
             self._caller.answer(status, answer.head.reason, answer.facts.passed_on, answer.body)
-        self._done(status)
+        self._account.done(self._life, status)
+        self._close()
 
     def _may_ask_again(self, status: int) -> bool:
         assert self._request is not None
@@ -331,12 +300,12 @@
         if not self._begun:
             self._refuse(code)
             return
-        self._tell(code)
+        self._account.refused(self._life, code, self._tried, begun=True)
         self._caller.break_off()
         self._close()
 
     def _refuse(self, code: Code) -> None:
-        self._tell(code)
+        self._account.refused(self._life, code, self._tried, begun=False)
         meaning = MEANING_BY_CODE[code]
         retry_after_s = None
         if meaning.retry:
@@ -348,37 +317,6 @@
             meaning.status, b"", headers, error_body(code, self._life.ran, retry_after_s)
         )
 
-    def _tell(self, code: Code) -> None:
-        now, admitted, table = now_s(), self._admitted, self._router.tables.table
-        self._router.count("refused_total", self._class_name(), code=str(int(code)))
-        self._router.log.last(
-            "request-refused",
-            request=self._life.request_id,
-            code=int(code),
-            ran=self._life.ran,
-            begun=self._begun,
-            after_ms=self._age_ms(),
-            service_class=self._class_name(),
-            pool=admitted.pool if admitted else "",
-            servers=len(self._router.servers.usable(admitted.pool)) if admitted else 0,
-            tried=self._tried,
-            revision=table.revision if table else None,
-            table_age_ms=_milliseconds(self._router.tables.age_s(now)),
-        )
-
-    def _done(self, status: int) -> None:
-        took_s = now_s() - self._arrived_s
-        self._router.observe("answer_seconds", took_s, self._class_name())
-        self._router.count("answered_total", self._class_name(), status=str(status))
-        self._router.log.detail(
-            "request-done",
-            request=self._life.request_id,
-            status=status,
-            attempts=self._life.attempt,
-            took_ms=self._age_ms(),
-        )
-        self._close()
-
     def _close(self) -> None:
         self._over = True
         if self._timer:
@@ -427,12 +365,6 @@
             repeatable=route.repeatable,
         )
 
-    def _class_name(self) -> str:
-        return self._admitted.route.name if self._admitted else ""
-
-    def _age_ms(self) -> int:
-        return round((now_s() - self._arrived_s) * 1000)
-
 
 def judge_backend(
     backend: Backend, failure: Failure, request_id: str, sent_s: float, now: float
@@ -449,10 +381,6 @@
         backend.breaker.failed(request_id, sent_s, now)
 
 
-def _milliseconds(seconds: float) -> int | None:
-    return round(seconds * 1000) if seconds != float("inf") else None
-
-
 def _garbage(detail: str) -> Failure:
     return Failure(Outcome.GARBAGE, True, detail)
 
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -48,7 +48,7 @@
         self.peers = Peers(settings.name, time.time_ns(), self.backends, self.log)
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
         self.chooser = Chooser(self.backends, random)
-        self.allowance = Allowance(settings.bounds)
+        self.allowance = Allowance(settings.bounds, lambda: 1 + len(self.peers.peers_by_host))
         self.admission = Admission(self.tables)
         self.leaving = Leaving(settings.bounds.grace_s)
         self.connections: set[InboundConnection] = set()
--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -161,10 +161,8 @@
 
     revoke_s: float = 5.0
     strict_revoke: bool = True
-    drain_s: float = 2.0
     grace_s: float = 8.0
     table_s: float = 2.0
-    contact_s: float = 3.0
     repeat_ratio: float = 0.2
     repeat_window_s: float = 10.0
     repeat_extra: float = 54.0
@@ -183,7 +181,6 @@
     readiness: Address
     metrics: Address
     store: Address
-    heartbeat_s: float
     bounds: Bounds
     peer_ports: tuple[int, int]
 
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -14,7 +14,6 @@
 Header = tuple[bytes, bytes]
 
 READINESS_TARGET = b"/api/readyz"
-REPORT_TARGET = "/api/report"
 KEY_SCHEME = "Token "
 MILLISECONDS = 1000.0
 
@@ -217,7 +216,6 @@
 
 __all__ = [
     "READINESS_TARGET",
-    "REPORT_TARGET",
     "AnswerFacts",
     "Envelope",
     "ServerLoad",
--- a/src/redwingbank/platform/settings.py
+++ b/src/redwingbank/platform/settings.py
@@ -68,7 +68,6 @@
         readiness=reader.read("listen.ready", parse_address, ADDRESS),
         metrics=Address(host or "", int(metrics_port)),
         store=reader.read("platform.addr", parse_address, ADDRESS),
-        heartbeat_s=reader.read("beatMs", _milliseconds, NUMBER),
         bounds=_bounds(reader),
         peer_ports=ports,
     )
@@ -82,10 +81,8 @@
     fields: tuple[tuple[str, str, Callable[[Any], Any]], ...] = (
         ("revokeMs", "revoke_s", _milliseconds),
         ("strictRevoke", "strict_revoke", bool),
-        ("drainMs", "drain_s", _milliseconds),
         ("graceS", "grace_s", _number),
         ("configMs", "table_s", _milliseconds),
-        ("contactMs", "contact_s", _milliseconds),
         ("budgetRatio", "repeat_ratio", _number),
         ("budgetWindowS", "repeat_window_s", _number),
         ("budgetExtra", "repeat_extra", _number),
--- /dev/null
+++ b/tests/steps/front_allowance.py
@@ -0,0 +1,39 @@
+"""Steps of front/allowance.feature."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from redwingbank.front.allowance import Allowance
+from redwingbank.front.values import Bounds
+
+NOW_S = 100.0
+
+
+@given("{hosts:d} hosts with a fleet's extra of {extra:d} repeats and a ratio of {ratio:g}")
+def fleet(context, hosts, extra, ratio):
+    context.bounds = Bounds(repeat_ratio=ratio, repeat_extra=extra)
+    context.allowances = [Allowance(context.bounds, lambda: hosts) for _ in range(hosts)]
+
+
+@when("each host has {requests:d} requests and repeats as often as it may")
+def spend(context, requests):
+    context.requests, context.repeats = requests * len(context.allowances), 0
+    for allowance in context.allowances:
+        for _ in range(requests):
+            allowance.requested("pool", NOW_S)
+        while allowance.take("pool", NOW_S):
+            context.repeats += 1
+
+
+@then("all hosts together made no more than the fleet's bound")
+def within_bound(context):
+    bounds = context.bounds
+    assert context.repeats <= bounds.repeat_ratio * context.requests + bounds.repeat_extra
+
+
+@then("a host may repeat again after the window")
+def earned_again(context):
+    (allowance,) = context.allowances
+    assert not allowance.take("pool", NOW_S + 9.9)
+    assert allowance.take("pool", NOW_S + 10.1)
--- a/tests/steps/platform_formats.py
+++ b/tests/steps/platform_formats.py
@@ -37,7 +37,7 @@
     assert settings.caller == Address("127.0.0.1", 1)
     assert settings.readiness == Address("127.0.0.1", 2)
     assert settings.metrics == Address("127.0.0.1", 3)
-    assert settings.heartbeat_s == 1.2
+    assert settings.bounds.table_s == 2.0
     assert settings.bounds.revoke_s == 5.0
     assert settings.bounds.grace_s == 8.0
 
