--- a/src/redwingbank_bench/soak.py
+++ b/src/redwingbank_bench/soak.py
@@ -27,6 +27,7 @@
 HOSTS = 3
 SERVERS = 4
 CALLERS = 12
+ANY_PORT = Address(LOOPBACK, 0)
 HOST_NAME = "desk.example"
 ORGANISATION = "bakery"
 REVOKE_S = 5.0
@@ -106,16 +107,16 @@
         )
 
     async def _start(self) -> None:
-        store = await self._store.start(Address(LOOPBACK, 0))
+        store = await self._store.start(ANY_PORT)
         await self._write_table()
         for server in self._servers:
-            proxy = Proxy(await server.start(Address(LOOPBACK, 0)))
+            proxy = Proxy(await server.start(ANY_PORT))
             self._server_proxies.append(proxy)
-            await self._store.put("servers", server.name, _entry(await proxy.start()))
+            await self._store.put("servers", server.name, _entry(await proxy.start(ANY_PORT)))
         for number in range(HOSTS):
             proxy = Proxy(store)
             self._store_proxies.append(proxy)
-            self._add_front(number, await proxy.start())
+            self._add_front(number, await proxy.start(ANY_PORT))
         await asyncio.gather(*(self._served(number, FIRST_READY_S) for number in range(HOSTS)))
 
     def _add_front(self, number: int, store: Address) -> None:
--- a/src/redwingbank_bench/soakproxy.py
+++ b/src/redwingbank_bench/soakproxy.py
@@ -4,15 +4,15 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
 from typing import TYPE_CHECKING
 
-from redwingbank.settings import Address
+from redwingbank_standins.listening import Listening, reset
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from redwingbank.settings import Address
+
 LOOPBACK = "127.0.0.1"
 CHUNK_BYTES = 65_536
 DELAY_S = 0.25
@@ -21,7 +21,7 @@
 MODES = ("pass", "delay", "reset", "silent", "one-way")
 
 
-class Proxy:
+class Proxy(Listening):
     """Passes connections on to an address as `mode` says.
 
     `silent` passes nothing in either direction, `one-way` only what callers send; both hold what
@@ -29,45 +29,33 @@
     """
 
     def __init__(self, target: Address) -> None:
+        super().__init__()
         self.mode = "pass"
         self._target = target
-        self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
-    async def start(self) -> Address:
-        """Listen on a free port."""
-        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
-        return self.address
-
-    @property
-    def address(self) -> Address:
-        """Where it listens."""
-        assert self._server is not None
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return Address(host, port)
-
     def harm(self, mode: str) -> None:
         """Change the mode; `reset` also resets what is open."""
         self.mode = mode
         if mode == "reset":
             for writer in list(self._writers):
-                _reset(writer)
+                reset(writer)
 
     def stop(self) -> None:
         """Close everything."""
-        if self._server:
-            self._server.close()
+        super().stop()
         for writer in list(self._writers):
             writer.transport.abort()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Pass one connection on."""
         if self.mode == "reset":
-            _reset(writer)
+            reset(writer)
             return
         try:
             far_reader, far_writer = await asyncio.open_connection(*self._target)
         except OSError:
-            _reset(writer)
+            reset(writer)
             return
         self._writers |= {writer, far_writer}
         try:
@@ -98,11 +86,4 @@
             writer.close()
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
-    sock = writer.get_extra_info("socket")
-    with contextlib.suppress(OSError):
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
 __all__ = ["LOOPBACK", "MODES", "Proxy"]
--- a/src/redwingbank_standins/objectstore.py
+++ b/src/redwingbank_standins/objectstore.py
@@ -4,23 +4,23 @@
 
 import asyncio
 import json
-from typing import TYPE_CHECKING, Any
+from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
-if TYPE_CHECKING:
-    from redwingbank.settings import Address
+from redwingbank_standins.listening import Listening, reset
 
 PAGE_OBJECTS = 50
 MILLISECONDS = 1000
 
 
-class ObjectStore:
+class ObjectStore(Listening):
     """Serves lists and watches of objects; `fault` is empty, `busy`, `reset` or `silent`.
 
     `oldest` is the revision behind which watches may still begin.
     """
 
     def __init__(self) -> None:
+        super().__init__()
         self.revision = 1
         self.oldest = 0
         self.fault = ""
@@ -28,18 +28,6 @@
         self._objects_by_kind: dict[str, dict[str, dict[str, Any]]] = {}
         self._history: list[tuple[int, str, dict[str, Any]]] = []
         self._changed = asyncio.Condition()
-        self._server: asyncio.Server | None = None
-
-    async def start(self, address: Address) -> Address:
-        """Listen; a port of 0 takes a free one."""
-        self._server = await asyncio.start_server(self._serve, *address)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return type(address)(host, port)
-
-    def stop(self) -> None:
-        """Close the listener."""
-        if self._server:
-            self._server.close()
 
     async def put(self, kind: str, name: str, content: Any) -> None:
         """Write an object."""
@@ -67,7 +55,8 @@
             self._history.append((self.revision, kind, {"object": stored, "deleted": deleted}))
             self._changed.notify_all()
 
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer calls one after the other."""
         try:
             while line := await reader.readline():
                 length = 0
@@ -88,7 +77,7 @@
     ) -> bool:
         self.calls.append(target)
         if self.fault == "reset":
-            writer.transport.abort()
+            reset(writer)
             return False
         if self.fault == "silent":
             await asyncio.sleep(60)
--- a/src/redwingbank_standins/runner.py
+++ b/src/redwingbank_standins/runner.py
@@ -3,16 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
+from redwingbank_standins.listening import Listening, reset
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from redwingbank.settings import Address
-
     _Serve = Callable[
         ["Runner", "Run", asyncio.StreamWriter, asyncio.StreamReader], Awaitable[bool]
     ]
@@ -33,7 +31,7 @@
     at_s: float
 
 
-class Runner:
+class Runner(Listening):
     """Serves requests as `mode` says; `runs` holds those that it began to run.
 
     Modes of whole answers: ok, error, shed, lost, garbage, unsigned, foreign, extra, cut, unsized,
@@ -42,26 +40,16 @@
     """
 
     def __init__(self, name: str, mode: str = "ok") -> None:
+        super().__init__()
         self.name = name
         self.mode = mode
         self.pause_s = 0.0
         self.arrivals: list[Run] = []
         self.runs: list[Run] = []
         self.cancelled = 0
-        self._server: asyncio.Server | None = None
-
-    async def start(self, address: Address) -> Address:
-        """Listen; a port of 0 takes a free one."""
-        self._server = await asyncio.start_server(self._serve, *address)
-        host, port = self._server.sockets[0].getsockname()[:2]
-        return type(address)(host, port)
 
-    def stop(self) -> None:
-        """Close the listener."""
-        if self._server:
-            self._server.close()
-
-    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        """Answer requests one after the other."""
         try:
             while run := await _read(reader):
                 self.arrivals.append(run)
@@ -108,7 +96,7 @@
         await writer.drain()
         if parts.reset:
             await asyncio.sleep(0.05)
-            _reset(writer)
+            reset(writer)
         return parts.stays
 
     async def _stream(
@@ -125,7 +113,7 @@
                 writer.write(_chunk(event[:8]))
                 await writer.drain()
                 await asyncio.sleep(0.05)
-                _reset(writer)
+                reset(writer)
                 return False
             writer.write(_chunk(event))
             if await _left(reader, max(self.pause_s, 0.01)):
@@ -186,13 +174,6 @@
     return Run(request_id, target, headers, body, time.monotonic())
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
-    """Close so that the other end sees a reset, not an end of stream."""
-    sock = writer.get_extra_info("socket")
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
-    writer.transport.abort()
-
-
 async def _left(reader: asyncio.StreamReader, within_s: float) -> bool:
     """Tell whether the other end closes within a time."""
     if not within_s:
--- a/tests/front_rig.py
+++ b/tests/front_rig.py
@@ -11,6 +11,7 @@
 from redwingbank.front.program import Front
 from redwingbank.platform.settings import read_host_settings
 from redwingbank.settings import Address
+from redwingbank_bench.soakproxy import Proxy
 from redwingbank_standins.objectstore import ObjectStore
 from redwingbank_standins.runner import Runner
 
@@ -115,45 +116,6 @@
         return bool(self.raw) and len(self.body) == int(self.headers.get("content-length", -1))
 
 
-class Gate:
-    """Passes connections on to an address, until it is cut."""
-
-    def __init__(self, target):
-        self._target = target
-        self._writers = []
-        self._cut = False
-        self._server = None
-
-    async def start(self):
-        self._server = await asyncio.start_server(self._serve, LOOPBACK, 0)
-        return Address(*self._server.sockets[0].getsockname()[:2])
-
-    async def _serve(self, reader, writer):
-        if self._cut:
-            writer.transport.abort()
-            return
-        far_reader, far_writer = await asyncio.open_connection(*self._target)
-        self._writers += [writer, far_writer]
-        with contextlib.suppress(ConnectionError, asyncio.CancelledError):
-            await asyncio.gather(_pass(reader, far_writer), _pass(far_reader, writer))
-
-    def cut(self):
-        """Reset what is open, and all that is opened later."""
-        self._cut = True
-        for writer in self._writers:
-            writer.transport.abort()
-
-    def stop(self):
-        self.cut()
-        self._server.close()
-
-
-async def _pass(reader, writer):
-    while data := await reader.read(65536):
-        writer.write(data)
-    writer.close()
-
-
 class Rig:
     """The front and its neighbours."""
 
@@ -217,9 +179,12 @@
 
     async def add_host(self, name):
         """Start another front on the same store, behind a gate of its own."""
-        gate = Gate(self.front.router.settings.store)
+        gate = Proxy(self.front.router.settings.store)
         ports = await free_ports(3)
-        document = {**boot(await gate.start(), ports, **self.bounds), "nodeName": name}
+        document = {
+            **boot(await gate.start(Address(LOOPBACK, 0)), ports, **self.bounds),
+            "nodeName": name,
+        }
         path = self.path.with_name(f"{name}.json")
         path.write_text(json.dumps(document))
         front = Front(path, read_host_settings(path))
--- a/tests/steps/front_freshness.py
+++ b/tests/steps/front_freshness.py
@@ -114,7 +114,7 @@
         second, gate = await rig.add_host("edge-2")
         peers = second.router.peers
         await rig.until(lambda: peers.alive(now_s()))
-        gate.cut()
+        gate.harm("reset")
         await asyncio.sleep(time)
         context.served = await rig.ask("single", front=second)
         await rig.stop_first()
