Count backlog and held parts once a server, and let soak and rig read answers by one function

Found on reading the whole change: the choice asked each server's backlog and held parts twice a request; the peer address was put together in two places; lapsed entries kept a time that nothing read; whether a host that is not leaving may end was asked outside Leaving; the soak and the front's rig each parsed raw answers. Behaviour and assertions stay.

--- a/src/redwingbank/front/choice.py
+++ b/src/redwingbank/front/choice.py
@@ -48,6 +48,13 @@
     victims: float
 
 
+class Held(NamedTuple):
+    """Tokens of a prompt that need no reading: at a server, and where most are held."""
+
+    here: int
+    most: int
+
+
 class Wish(NamedTuple):
     """What a request needs of a server, and the time left to its target and its patience."""
 
@@ -90,9 +97,13 @@
         sound.sort(key=lambda one: one.entry.name)
         for backend in sound:
             backend.load.cache.capacity = pool.cache_tokens
-        held = max(backend.load.cache.held(wish.facts.parts) for backend in sound)
+        held = [backend.load.cache.held(wish.facts.parts) for backend in sound]
+        most = max(held)
         return min(
-            (self._judge(one, place, held, wish, now_s) for place, one in enumerate(sound)),
+            (
+                self._judge(one, place, Held(tokens, most), wish, now_s)
+                for place, (one, tokens) in enumerate(zip(sound, held, strict=True))
+            ),
             key=lambda choice: choice.cost,
         )
 
@@ -107,12 +118,9 @@
         )
         return Choice(best, len(best.load), 0, 0, 0.0, 0.0, 0.0)
 
-    def _judge(
-        self, backend: Backend, place: int, held_somewhere: int, wish: Wish, now_s: float
-    ) -> Choice:
-        load, facts = backend.load, wish.facts
-        held = load.cache.held(facts.parts)
-        unread = max(0, facts.prompt_tokens - held)
+    def _judge(self, backend: Backend, place: int, held: Held, wish: Wish, now_s: float) -> Choice:
+        load = backend.load
+        unread = max(0, wish.facts.prompt_tokens - held.here)
         rank = min(wish.tier, LAST_RANK)
         backlog = load.backlog(now_s)
         first_s = (load.backlog(now_s, rank) + unread) / load.speed + STEP_S
@@ -122,9 +130,9 @@
         cost = (
             chance(first_s, wish.target_left_s)
             + victims
-            + _exposure(load, wish, now_s)
+            + _exposure(load, wish, backlog, now_s)
             + COST_A_SECOND_OF_READING * unread / load.speed
-            + COST_A_TOKEN_READ_AGAIN * (held_somewhere - held)
+            + COST_A_TOKEN_READ_AGAIN * (held.most - held.here)
             + COST_A_SECOND_OF_WAITING * (backlog + unread) / load.speed
             + COST_A_STREAM_BESIDE * len(streams) * min(1.0, unread / CHUNK_TOKENS)
             + COST_OF_FULL_SLOTS * occupied**2
@@ -170,12 +178,12 @@
     )
 
 
-def _exposure(load: ServerLoad, wish: Wish, now_s: float) -> float:
+def _exposure(load: ServerLoad, wish: Wish, backlog: float, now_s: float) -> float:
     """The chance that reads at the server make this stream pause: a short one hardly suffers."""
     if not wish.streams or wish.facts.answer_tokens <= STRIDE:
         return 0.0
     target_s = wish.route.pause_target_s
-    now_pausing = chance(pause_s(load.backlog(now_s), load.speed), target_s)
+    now_pausing = chance(pause_s(backlog, load.speed), target_s)
     return min(1.0, now_pausing + load.strain(target_s, now_s))
 
 
--- a/src/redwingbank/front/directory.py
+++ b/src/redwingbank/front/directory.py
@@ -66,7 +66,7 @@
 
     def __init__(self) -> None:
         self.entries_by_name: dict[str, ServerEntry] = {}
-        self._missing_since_s_by_name: dict[str, float] = {}
+        self._missing: set[str] = set()
         self._lost = False
         self._returned_s = float("-inf")
 
@@ -91,7 +91,7 @@
         """Take an entry that was written."""
         before = self.entries_by_name.get(entry.name)
         self.entries_by_name[entry.name] = entry
-        self._missing_since_s_by_name.pop(entry.name, None)
+        self._missing.discard(entry.name)
         departures = [
             self._drop(name, "address taken over")
             for name, other in list(self.entries_by_name.items())
@@ -107,7 +107,7 @@
         if entry is None:
             return []
         if not entry.draining and self._may_return(now_s):
-            self._missing_since_s_by_name.setdefault(name, now_s)
+            self._missing.add(name)
             return []
         return [self._drop(name, "removed")]
 
@@ -115,7 +115,7 @@
         """Drop lapsed entries that were not restored in time."""
         if self._may_return(now_s):
             return []
-        return [self._drop(name, "lapsed") for name in list(self._missing_since_s_by_name)]
+        return [self._drop(name, "lapsed") for name in list(self._missing)]
 
     def usable(self, pool: str) -> list[ServerEntry]:
         """The servers of a pool that take new work."""
@@ -129,7 +129,7 @@
         return self._lost or now_s < self._returned_s + LAPSE_RETURN_S
 
     def _drop(self, name: str, reason: str) -> Departure:
-        self._missing_since_s_by_name.pop(name, None)
+        self._missing.discard(name)
         return Departure(self.entries_by_name.pop(name), reason)
 
 
--- a/src/redwingbank/front/leaving.py
+++ b/src/redwingbank/front/leaving.py
@@ -46,6 +46,8 @@
     def over(self, now_s: float, *, busy: bool) -> bool:
         """Tell whether the process may end."""
         since_s = self._since(now_s)
+        if not self.begun:
+            return False
         return since_s >= self._grace_s - CLOSING_S or (since_s >= ADMIT_S and not busy)
 
     def _since(self, now_s: float) -> float:
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -24,7 +24,6 @@
 from redwingbank.platform.headers import READINESS_TARGET
 from redwingbank.platform.objects import KIND_SERVERS, KIND_TABLE
 from redwingbank.platform.settings import read_host_settings, settings_path
-from redwingbank.settings import Address
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -64,8 +63,7 @@
             for follow in self._follows():
                 group.start_soon(follow.run)
             host, peers = settings.name, router.peers
-            address = Address(settings.caller.host, settings.peer_ports[0])
-            group.start_soon(find_hosts, self._store, host, address, peers, router.log)
+            group.start_soon(find_hosts, self._store, host, settings.peer, peers, router.log)
             await self._look_after()
             group.cancel_scope.cancel()
         router.log.last("stopped", unanswered=len(router.exchanges))
@@ -92,8 +90,7 @@
         ):
             server = await loop.create_server(protocol, *address, backlog=BACKLOG)
             self._listeners.append(server)
-        peer_address = (settings.caller.host, settings.peer_ports[0])
-        await loop.create_datagram_endpoint(lambda: self.router.peers, peer_address)
+        await loop.create_datagram_endpoint(lambda: self.router.peers, settings.peer)
 
     async def _signals(self) -> None:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
@@ -107,7 +104,7 @@
         """Keep house until it is time to end."""
         router, leaving = self.router, self.router.leaving
         next_check_s = next_ask_s = now_s() + SETTINGS_CHECK_S
-        while not leaving.over(now_s(), busy=bool(router.exchanges)) or not leaving.begun:
+        while not leaving.over(now_s(), busy=bool(router.exchanges)):
             await anyio.sleep(HOUSEKEEPING_S)
             now = now_s()
             for connection in list(router.connections):
--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -168,8 +168,8 @@
 class HostSettings(NamedTuple):
     """Everything that a front is told when it starts.
 
-    `readiness` answers the balancer, `metrics` is where counters are served; `peer_ports` are
-    free for messages between hosts.
+    `readiness` answers the balancer, `metrics` is where counters are served; `peer` is
+    where messages of other hosts come in.
     """
 
     name: str
@@ -179,7 +179,7 @@
     metrics: Address
     store: Address
     bounds: Bounds
-    peer_ports: tuple[int, int]
+    peer: Address
 
 
 __all__ = [
--- a/src/redwingbank/platform/settings.py
+++ b/src/redwingbank/platform/settings.py
@@ -20,6 +20,8 @@
 MILLISECONDS = 1000.0
 # without one, the last port of the range that the platform leaves free serves them
 METRICS_PORT_INDEX = -1
+# the first is for messages between hosts
+PEER_PORT_INDEX = 0
 
 ADDRESS = "an IP number and a port"
 NUMBER = "a number of 0 or more"
@@ -69,7 +71,7 @@
         metrics=Address(host or "", int(metrics_port)),
         store=reader.read("platform.addr", parse_address, ADDRESS),
         bounds=_bounds(reader),
-        peer_ports=ports,
+        peer=Address(host or "", ports[PEER_PORT_INDEX] if ports else 0),
     )
     if reader.faults:
         raise SettingErrors(f"{file}: {len(reader.faults)} wrong settings", reader.faults)
--- a/src/redwingbank_bench/soak.py
+++ b/src/redwingbank_bench/soak.py
@@ -17,8 +17,16 @@
 from redwingbank.settings import Address
 from redwingbank_bench.processes import Child, free_port
 from redwingbank_bench.soakchecks import Asked, Seen, violations
+from redwingbank_bench.soakdocuments import (
+    DEADLINE_MS,
+    HOST_NAME,
+    ORGANISATION,
+    entry_document,
+    table_document,
+)
 from redwingbank_bench.soakproxy import LOOPBACK, MODES, Proxy
 from redwingbank_standins.objectstore import ObjectStore
+from redwingbank_standins.raw import read_raw
 from redwingbank_standins.runner import Runner
 
 if TYPE_CHECKING:
@@ -28,11 +36,8 @@
 SERVERS = 4
 CALLERS = 12
 ANY_PORT = Address(LOOPBACK, 0)
-HOST_NAME = "desk.example"
-ORGANISATION = "bakery"
 REVOKE_S = 5.0
 GRACE_S = 4.0
-DEADLINE_MS = 2500
 FIRST_READY_S = 15.0
 # a host is back in service within the 12 s of the users' bound for recovery
 RECOVERY_S = 12.0
@@ -44,12 +49,6 @@
 PAUSE_BETWEEN_REQUESTS_S = 0.03
 WHOLE_MODES = ("ok", "error", "shed", "lost", "garbage", "foreign", "extra", "cut", "unsized")
 PATH_BY_CLASS = {"book": "/book/x", "read": "/read/x", "fixed": "/fixed/x", "memo": "/memo/x"}
-ROUTES = (
-    ("book", "nonidempotent", False, 1),
-    ("read", "idempotent", False, 2),
-    ("fixed", "stream", False, 1),
-    ("memo", "stream", True, 2),
-)
 
 
 class Result(NamedTuple):
@@ -112,7 +111,9 @@
         for server in self._servers:
             proxy = Proxy(await server.start(ANY_PORT))
             self._server_proxies.append(proxy)
-            await self._store.put("servers", server.name, _entry(await proxy.start(ANY_PORT)))
+            await self._store.put(
+                "servers", server.name, entry_document(await proxy.start(ANY_PORT))
+            )
         for number in range(HOSTS):
             proxy = Proxy(store)
             self._store_proxies.append(proxy)
@@ -177,9 +178,9 @@
     async def _drain_server(self) -> None:
         index = self._random.randrange(1, SERVERS)
         name, address = self._servers[index].name, self._server_proxies[index].address
-        await self._store.put("servers", name, _entry(address, "draining"))
+        await self._store.put("servers", name, entry_document(address, "draining"))
         await self._while()
-        await self._store.put("servers", name, _entry(address))
+        await self._store.put("servers", name, entry_document(address))
 
     async def _pause_front(self) -> None:
         front = self._random.choice(self._fronts)
@@ -268,14 +269,21 @@
                         raw += data
                 finally:
                     writer.close()
-        asked = _asked(self._asked_by_id[request_id], raw)
+        answer = read_raw(raw)
+        asked = self._asked_by_id[request_id]._replace(
+            status=answer.status,
+            whole=answer.whole,
+            stamp=answer.headers.get("server-stamp", ""),
+            echo=answer.headers.get("request-id", ""),
+            body=answer.body,
+        )
         self._asked_by_id[request_id] = asked
         return asked
 
     async def _write_table(self, without: str = "") -> None:
         self._version += 1
         keys = [key for key in self._keys[-2:] if key != without]
-        await self._store.put("config", "main", _table(self._version, keys))
+        await self._store.put("config", "main", table_document(self._version, keys))
 
     def _stop(self) -> None:
         for front in self._fronts:
@@ -332,58 +340,6 @@
     return "\r\n".join([*lines, "", "body"]).encode()
 
 
-def _asked(asked: Asked, raw: bytes) -> Asked:
-    head, _, body = raw.partition(b"\r\n\r\n")
-    lines = head.decode("latin-1").split("\r\n")
-    if not raw or len(lines[0].split()) < 2:  # noqa: PLR2004 - a version and a status
-        return asked
-    pairs = [line.partition(":") for line in lines[1:]]
-    headers = {name.lower(): value.strip() for name, _, value in pairs}
-    if headers.get("transfer-encoding") == "chunked":
-        whole = body.endswith(b"0\r\n\r\n")
-        body = b"".join(body.split(b"\r\n")[1::2])
-    else:
-        whole = len(body) == int(headers.get("content-length", "-1"))
-    return asked._replace(
-        status=int(lines[0].split()[1]),
-        whole=whole,
-        stamp=headers.get("server-stamp", ""),
-        echo=headers.get("request-id", ""),
-        body=body,
-    )
-
-
-def _table(version: int, keys: list[str]) -> dict[str, Any]:
-    routes = [
-        {
-            "name": name,
-            "host": HOST_NAME,
-            "pathPrefix": f"/{name}/",
-            "routeKind": kind,
-            "timeoutMs": DEADLINE_MS,
-            "sloMs": 400,
-            "priority": 1,
-            "service": "pool",
-            "attempts": attempts,
-            "sticky": kind == "stream",
-            "resumable": resumable,
-            "gapSloMs": 200,
-        }
-        for name, kind, resumable, attempts in ROUTES
-    ]
-    return {
-        "version": version,
-        "routes": routes,
-        "services": [{"name": "pool", "maxConns": 100}],
-        "limits": {},
-        "tenants": [{"name": ORGANISATION, "apiKeys": keys}],
-    }
-
-
-def _entry(address: Address, state: str = "ready") -> dict[str, Any]:
-    return {"service": "pool", "addr": str(address), "slots": 16, "state": state, "born": 1}
-
-
 def _boot(number: int, caller: Address, store: Address) -> dict[str, Any]:
     return {
         "nodeName": f"edge-{number}",
--- a/tests/front_rig.py
+++ b/tests/front_rig.py
@@ -13,6 +13,7 @@
 from redwingbank.settings import Address
 from redwingbank_bench.soakproxy import Proxy
 from redwingbank_standins.objectstore import ObjectStore
+from redwingbank_standins.raw import read_raw
 from redwingbank_standins.runner import Runner
 
 LOOPBACK = "127.0.0.1"
@@ -97,25 +98,6 @@
     }
 
 
-class Answer:
-    """What a caller read."""
-
-    def __init__(self, raw):
-        self.raw = raw
-        head, _, self.body = raw.partition(b"\r\n\r\n")
-        lines = head.decode().split("\r\n")
-        self.status = int(lines[0].split()[1]) if raw else 0
-        pairs = [line.partition(":") for line in lines[1:]]
-        self.headers = {name.lower(): value.strip() for name, _, value in pairs}
-        chunked = self.headers.get("transfer-encoding") == "chunked"
-        self.whole = self.body.endswith(b"0\r\n\r\n") if chunked else self._sized()
-        if chunked:
-            self.body = b"".join(self.body.split(b"\r\n")[1::2])
-
-    def _sized(self):
-        return bool(self.raw) and len(self.body) == int(self.headers.get("content-length", -1))
-
-
 class Rig:
     """The front and its neighbours."""
 
@@ -206,16 +188,16 @@
         writer.write(data)
         try:
             async with asyncio.timeout(PATIENCE_S):
-                return Answer(await reader.read())
+                return read_raw(await reader.read())
         except ConnectionError:
-            return Answer(b"")
+            return read_raw(b"")
         finally:
             writer.close()
 
     async def ready(self):
         reader, writer = await asyncio.open_connection(*self.front.router.settings.readiness)
         writer.write(b"GET /api/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
-        answer = Answer(await reader.read())
+        answer = read_raw(await reader.read())
         writer.close()
         return answer.status
 
--- a/tests/steps/front_leaving.py
+++ b/tests/steps/front_leaving.py
@@ -4,9 +4,10 @@
 
 from behave import given, then, when
 
-from front_rig import Answer, Rig, play, request, table
+from front_rig import Rig, play, request, table
 from redwingbank.front.clock import now_s
 from redwingbank.front.leaving import Leaving
+from redwingbank_standins.raw import read_raw
 
 
 @when(
@@ -45,7 +46,7 @@
         await rig.until(rig.runs)
         rig.front.router.leaving.begin(now_s())
         context.ready = await rig.ready()
-        answer = Answer(await reader.read())
+        answer = read_raw(await reader.read())
         context.second = await rig.ask("single", request_id="r-2")
         writer.close()
         return answer
--- a/tests/steps/system_soak.py
+++ b/tests/steps/system_soak.py
@@ -4,8 +4,9 @@
 
 from behave import given, then, when
 
-from redwingbank_bench.soak import ORGANISATION, REVOKE_S, soak
+from redwingbank_bench.soak import REVOKE_S, soak
 from redwingbank_bench.soakchecks import Asked, Seen, violations
+from redwingbank_bench.soakdocuments import ORGANISATION
 from redwingbank_standins.runner import Run
 
 EVENTS = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 5))
