--- a/src/redwingbank/front/choice.py
+++ b/src/redwingbank/front/choice.py
@@ -123,9 +123,10 @@
         unread = max(0, wish.facts.prompt_tokens - held.here)
         rank = min(wish.tier, LAST_RANK)
         backlog = load.backlog(now_s)
-        first_s = (load.backlog(now_s, rank) + unread) / load.speed + STEP_S
-        streams = load.streams()
-        victims = _victims(streams, backlog, unread, load.speed)
+        read_wait_s = load.backlog(now_s, rank) / load.speed
+        slot_wait_s = load.slot_wait_s(now_s, rank, backend.entry.slots)
+        first_s = max(read_wait_s, slot_wait_s) + unread / load.speed + STEP_S
+        victims = _victims(load, backlog, unread)
         occupied = len(load) / backend.entry.slots
         cost = (
             chance(first_s, wish.target_left_s)
@@ -134,7 +135,9 @@
             + COST_A_SECOND_OF_READING * unread / load.speed
             + COST_A_TOKEN_READ_AGAIN * (held.most - held.here)
             + COST_A_SECOND_OF_WAITING * (backlog + unread) / load.speed
-            + COST_A_STREAM_BESIDE * len(streams) * min(1.0, unread / CHUNK_TOKENS)
+            + COST_A_STREAM_BESIDE
+            * load.streams_by_pause_target.total()
+            * min(1.0, unread / CHUNK_TOKENS)
             + COST_OF_FULL_SLOTS * occupied**2
             + COST_OF_PLACE * place * (unread < CHUNK_TOKENS)
             + COST_OF_ANOTHER_DATA_CENTRE * (backend.entry.data_centre != wish.data_centre)
@@ -161,20 +164,20 @@
     if choice.first_s > wish.patience_left_s:
         return Code.TARGET_UNREACHABLE
     load = choice.backend.load
-    before = sum(one.rank < choice.rank for one in load.streams())
+    before = load.streams_before(choice.rank)
     at_stake = before >= STREAMS_AT_STAKE * choice.backend.entry.slots
     if at_stake and load.reading_share(choice.rank, now_s) > LATER_RANK_SHARE:
         return Code.SHED
     return None
 
 
-def _victims(streams: Sequence[Flight], backlog: float, unread: int, speed: float) -> float:
+def _victims(load: ServerLoad, backlog: float, unread: int) -> float:
     """How many streams pause for too long because of this read, beyond those that do anyway."""
-    before_s = pause_s(backlog, speed)
-    after_s = pause_s(backlog + unread, speed)
+    before_s = pause_s(backlog, load.speed)
+    after_s = pause_s(backlog + unread, load.speed)
     return sum(
-        chance(after_s, one.pause_target_s) - chance(before_s, one.pause_target_s)
-        for one in streams
+        count * (chance(after_s, target_s) - chance(before_s, target_s))
+        for target_s, count in load.streams_by_pause_target.items()
     )
 
 
--- a/src/redwingbank/front/load.py
+++ b/src/redwingbank/front/load.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict, deque
+from collections import Counter, OrderedDict, deque
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -109,6 +109,8 @@
     def __init__(self) -> None:
         self.cache = PromptCache()
         self.speed = FIRST_SPEED
+        # streams whose pauses matter, begun or not
+        self.streams_by_pause_target: Counter[float] = Counter()
         self._flights_by_key: dict[FlightKey, Flight] = {}
         self._progress_s = 0.0
         self._reads: deque[_Read] = deque(maxlen=MOST_READS)
@@ -125,15 +127,33 @@
         )
         return max(0.0, waiting - max(0.0, now_s - self._progress_s) * self.speed)
 
-    def streams(self) -> list[Flight]:
-        """Streams whose pauses matter: begun or not."""
-        return [one for one in self._flights_by_key.values() if one.pause_target_s]
+    def slot_wait_s(self, now_s: float, rank: int, slots: int) -> float:
+        """How long a request of this rank waits until enough of those before it have ended.
+
+        Running requests keep their slots, whatever their rank.
+        """
+        before = [
+            one
+            for one in self._flights_by_key.values()
+            if one.begun_s is not None or one.rank <= rank
+        ]
+        excess = len(before) - slots + 1
+        if excess <= 0:
+            return 0.0
+        left_s = sum(self._slot_left_s(one, now_s) for one in before)
+        return excess * left_s / (len(before) * slots)
+
+    def streams_before(self, rank: int) -> int:
+        """How many streams whose pauses matter go before a request of this rank."""
+        return sum(one.rank < rank for one in self._flights_by_key.values() if one.pause_target_s)
 
     def strain(self, pause_target_s: float, now_s: float) -> float:
         """How many reads lately would have made a stream pause too long, fading with time."""
+        harmless_s = SAFE_PART * pause_target_s
         return sum(
             chance(one.pause_s, pause_target_s) * math.exp((one.at_s - now_s) / STRAIN_S)
             for one in self._reads
+            if one.pause_s > harmless_s
         )
 
     def reading_share(self, rank: int, now_s: float) -> float:
@@ -146,7 +166,10 @@
         """Note a request on its way."""
         if not any(one.begun_s is None for one in self._flights_by_key.values()):
             self._progress_s = flight.sent_s
+        self.ended(key)
         self._flights_by_key[key] = flight
+        if flight.pause_target_s:
+            self.streams_by_pause_target[flight.pause_target_s] += 1
         if flight.unread:
             pause = pause_s(flight.ahead + flight.unread, self.speed)
             self._reads.append(_Read(flight.sent_s, pause, flight.unread, flight.rank))
@@ -163,18 +186,27 @@
 
     def ended(self, key: FlightKey) -> None:
         """Note a request's end."""
-        self._flights_by_key.pop(key, None)
+        flight = self._flights_by_key.pop(key, None)
+        if flight and flight.pause_target_s:
+            self.streams_by_pause_target[flight.pause_target_s] -= 1
 
     def host_gone(self, host: str) -> None:
         """Forget a host's requests: a server drops those whose connection has closed."""
         for key in [key for key in self._flights_by_key if key[0] == host]:
-            del self._flights_by_key[key]
+            self.ended(key)
 
     def expire(self, now_s: float) -> None:
         """Forget requests whose end was never heard of."""
         for key, flight in list(self._flights_by_key.items()):
             if now_s - flight.sent_s > FORGOTTEN_S + flight.answer_tokens * TOKEN_S:
-                del self._flights_by_key[key]
+                self.ended(key)
+
+    def _slot_left_s(self, flight: Flight, now_s: float) -> float:
+        """How long a request goes on to hold a slot, or will once it has one."""
+        answer_s = flight.answer_tokens * STEP_S
+        if flight.begun_s is None:
+            return flight.unread / self.speed + answer_s
+        return max(0.0, flight.begun_s + answer_s - now_s)
 
     def _learn(self, flight: Flight, took_s: float) -> None:
         tokens = flight.unread + flight.ahead
@@ -196,10 +228,11 @@
     >>> chance(0.1, 0.2), chance(0.3, 0.2)
     (0.0, 1.0)
     """
-    if target_s <= 0:
+    if time_s <= SAFE_PART * target_s:
+        return 0.0
+    if time_s >= LATE_PART * target_s:
         return 1.0
-    part = time_s / target_s
-    return min(1.0, max(0.0, (part - SAFE_PART) / (LATE_PART - SAFE_PART)))
+    return (time_s / target_s - SAFE_PART) / (LATE_PART - SAFE_PART)
 
 
 __all__ = [
--- a/tests/front/choice.feature
+++ b/tests/front/choice.feature
@@ -81,6 +81,24 @@
     When 6 memos of 39000 tokens were sent to engine 1 just now
     Then a short stream of a higher tier is not refused
 
+  Scenario: a prompt that would wait too long for a slot is refused, not sent
+    Given the choice of 1 engines
+    When 64 short streams run at engine 1
+    And 100 short streams were sent to engine 1 just now
+    Then a short stream is refused as out of reach
+
+  Scenario: a prompt does not wait for slots behind those of lower tiers
+    Given the choice of 1 engines
+    When 64 short streams run at engine 1
+    And 100 short streams were sent to engine 1 just now
+    Then a short stream of a higher tier is not refused
+
+  Scenario: a free slot at another server is worth a prompt's read
+    Given the choice of 2 engines
+    When 64 short streams run at engine 1
+    And 20 short streams were sent to engine 1 just now
+    Then the choice for a short stream is engine 2
+
   Scenario: one lost answer does not take a server out
     Given the choice of 2 plain servers
     When 1 answers in a row were lost at server 2
--- a/tests/steps/front_choice.py
+++ b/tests/steps/front_choice.py
@@ -249,6 +249,17 @@
     assert refusal(context, memo("new")) is Code.TARGET_UNREACHABLE
 
 
+@when("{count:d} short streams were sent to engine {number:d} just now")
+def streams_sent(context, count, number):
+    for _ in range(count):
+        send(context, number, short_stream())
+
+
+@then("a short stream is refused as out of reach")
+def stream_out_of_reach(context):
+    assert refusal(context, short_stream()) is Code.TARGET_UNREACHABLE
+
+
 @then("a memo is refused for the higher tier")
 def refused_for_tier(context):
     assert refusal(context, memo("new", 8000)) is Code.SHED
