Let relays tell large fleets what became of servers, instead of a watch at each host

Ruled out: watches that may be stale (a tenth of the price): a drain could be seen seconds late. Change: from 16 hosts on, relays spread changes between two of the store's revisions; a host takes them where it knows all before, and closes a gap, which the relay's next answer shows, by one call. A relay whose word is old, or that does not answer, is passed over.

--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -8,6 +8,7 @@
     digest @2 :Digest;
     question @3 :Question;
     answer @4 :Answer;
+    news @5 :News;
   }
 }
 
@@ -25,7 +26,25 @@
   askedS @0 :Float64;
   ageMs @1 :UInt32;         # since the call was sent that confirmed the table last
   tableRevision @2 :UInt64;
-  serverRevision @3 :UInt64; # the store's revision of the newest server entry known
+  serversChanged @3 :UInt64; # the store's revision by which servers had changed last
+  serversWatched @4 :UInt64; # the store's revision up to which changes of servers are known
+}
+
+struct News {               # what became of servers between two revisions of the store
+  since @0 :UInt64;
+  until @1 :UInt64;
+  written @2 :List(Server); # as they are at `until`
+  removed @3 :List(Text);
+}
+
+struct Server {
+  name @0 :Text;
+  pool @1 :Text;
+  address @2 :Text;         # IP:PORT
+  dataCentre @3 :Text;
+  slots @4 :UInt32;
+  draining @5 :Bool;
+  startedMs @6 :Int64;
 }
 
 struct Sent {
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -1,4 +1,4 @@
-"""Messages between hosts, by Cap'n Proto: requests sent, and the freshness of the table."""
+"""Messages between hosts, by Cap'n Proto: requests sent, freshness, changes of servers."""
 
 from __future__ import annotations
 
@@ -9,7 +9,8 @@
 import capnp
 
 from redwingbank.front.load import Flight
-from redwingbank.front.values import Part
+from redwingbank.front.values import Part, ServerEntry
+from redwingbank.settings import parse_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -55,15 +56,32 @@
 
 
 class Answer(NamedTuple):
-    """The answer to a question: the table was confirmed `age_s` before it was given."""
+    """The answer to a question: the table was confirmed `age_s` before it was given.
+
+    Changes of backend servers are known up to the store's revision `servers_watched`; by
+    `servers_changed` the last of them had happened.
+    """
 
     asked_s: float
     age_s: float
     table_revision: int
-    server_revision: int
+    servers_changed: int
+    servers_watched: int
+
 
+class News(NamedTuple):
+    """What became of backend servers between two of the store's revisions.
+
+    `written` are entries as they stand at `until`, `removed` names of those that are gone.
+    """
 
-Content = Digest | Question | Answer
+    since: int
+    until: int
+    written: tuple[ServerEntry, ...]
+    removed: tuple[str, ...]
+
+
+Content = Digest | Question | Answer | News
 
 
 class Message(NamedTuple):
@@ -128,7 +146,20 @@
     answer.askedS = content.asked_s
     answer.ageMs = int(min(content.age_s * MILLISECONDS, HIGHEST_AGE_MS))
     answer.tableRevision = content.table_revision
-    answer.serverRevision = content.server_revision
+    answer.serversChanged = content.servers_changed
+    answer.serversWatched = content.servers_watched
+
+
+@_fill.register
+def _fill_news(content: News, draft: Any) -> None:
+    news = draft.init("news")
+    news.since, news.until = content.since, content.until
+    news.removed = list(content.removed)
+    rows = news.init("written", len(content.written))
+    for row, entry in zip(rows, content.written, strict=True):
+        row.name, row.pool, row.address = entry.name, entry.pool, str(entry.address)
+        row.dataCentre, row.slots = entry.data_centre, entry.slots
+        row.draining, row.startedMs = entry.draining, entry.started_ms
 
 
 def _read_digest(draft: Any, now_s: float) -> Digest:
@@ -160,13 +191,35 @@
 def _read_answer(draft: Any, now_s: float) -> Answer:
     answer = draft.answer
     age_s = answer.ageMs / MILLISECONDS
-    return Answer(answer.askedS, age_s, answer.tableRevision, answer.serverRevision)
+    return Answer(
+        answer.askedS, age_s, answer.tableRevision, answer.serversChanged, answer.serversWatched
+    )
+
+
+def _read_news(draft: Any, now_s: float) -> News:
+    news = draft.news
+    return News(
+        news.since, news.until, tuple(map(_read_server, news.written)), tuple(news.removed)
+    )
+
+
+def _read_server(row: Any) -> ServerEntry:
+    return ServerEntry(
+        name=row.name,
+        pool=row.pool,
+        address=parse_address(row.address),
+        data_centre=row.dataCentre,
+        slots=row.slots,
+        draining=row.draining,
+        started_ms=row.startedMs,
+    )
 
 
 _READER_BY_KIND: dict[str, Callable[[Any, float], Content]] = {
     "digest": _read_digest,
     "question": _read_question,
     "answer": _read_answer,
+    "news": _read_news,
 }
 
 __all__ = [
@@ -176,6 +229,7 @@
     "Digest",
     "Message",
     "MessageError",
+    "News",
     "Question",
     "Sent",
     "decode_message",
--- a/src/redwingbank/front/followers.py
+++ b/src/redwingbank/front/followers.py
@@ -5,17 +5,18 @@
 from typing import TYPE_CHECKING
 
 from redwingbank.front.clock import now_s
+from redwingbank.front.digest import News
 from redwingbank.platform.directory import decode_server, decode_table
 from redwingbank.platform.objects import NAME_TABLE, MalformedError
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Iterable
 
     from redwingbank.front.directory import Departure
     from redwingbank.front.router import Router
-    from redwingbank.front.store import Listing
+    from redwingbank.front.store import Listing, Seen
     from redwingbank.front.values import ServerEntry
-    from redwingbank.platform.objects import Change, StoredObject
+    from redwingbank.platform.objects import StoredObject
 
 
 class TableFollower:
@@ -28,9 +29,9 @@
         """Take the table out of a listing."""
         self._take(listing.objects, listing.asked_s)
 
-    def changed(self, changes: Sequence[Change], asked_s: float) -> None:
+    def changed(self, seen: Seen) -> None:
         """Take the newest table out of changes; a deleted one stays in force."""
-        self._take([one.stored for one in changes if not one.deleted], asked_s)
+        self._take([one.stored for one in seen.changes if not one.deleted], seen.asked_s)
 
     def lost(self, reason: str) -> None:
         """Note the loss."""
@@ -64,35 +65,63 @@
 
 
 class ServerFollower:
-    """Keeps the list of backend servers."""
+    """Keeps the list of backend servers, by the store's word or another host's."""
 
     def __init__(self, router: Router) -> None:
         self._router = router
+        router.freshness.take_servers = self.told
 
     def listed(self, listing: Listing) -> None:
         """Take the whole list; entries that can't be read name no server."""
-        self._newest(listing.objects)
-        entries = [entry for entry in map(self._read, listing.objects) if entry]
+        known = self._router.servers.entries_by_name
+        listed = {stored.name: self._read(stored) for stored in listing.objects}
+        states = {name: entry for name, entry in listed.items() if entry != known.get(name)}
+        states |= dict.fromkeys(known.keys() - listed.keys())
+        self._pass_on(listing.since, listing.revision, states, listing.revision)
+        entries = [entry for entry in listed.values() if entry]
         for entry in entries:
             self._router.backends.of(entry)
         self._departed(self._router.servers.replace(entries, now_s()))
 
-    def changed(self, changes: Sequence[Change], asked_s: float) -> None:
+    def changed(self, seen: Seen) -> None:
         """Take what was written and removed."""
-        servers = self._router.servers
-        self._newest(change.stored for change in changes)
-        for change in changes:
+        states: dict[str, ServerEntry | None] = {}
+        for change in seen.changes:
             entry = None if change.deleted else self._read(change.stored)
+            states[change.stored.name] = entry
+        if states:
+            # what the store gives for a removed entry is not its removal's revision
+            written = [None if one.deleted else one.stored.revision for one in seen.changes]
+            changed = max(seen.until if one is None else one for one in written)
+            self._pass_on(seen.since, seen.until, states, changed)
+            self._apply(states, seen.until)
+
+    def told(self, news: News) -> None:
+        """Take what another host has seen."""
+        states: dict[str, ServerEntry | None] = {entry.name: entry for entry in news.written}
+        self._apply(states | dict.fromkeys(news.removed), news.until)
+
+    def _pass_on(
+        self, since: int, until: int, states: dict[str, ServerEntry | None], changed: int
+    ) -> None:
+        written = tuple(entry for entry in states.values() if entry)
+        removed = tuple(name for name, entry in states.items() if entry is None)
+        news = News(since, until, written, removed)
+        self._router.freshness.servers_changed(news, changed)
+
+    def _apply(self, states: dict[str, ServerEntry | None], revision: int) -> None:
+        servers = self._router.servers
+        for name, entry in states.items():
             if entry is None:
-                self._departed(servers.removed(change.stored.name, now_s()))
+                self._departed(servers.removed(name, now_s()))
                 continue
-            if entry.name not in servers.entries_by_name:
+            if name not in servers.entries_by_name:
                 self._router.log.last(
                     "server-listed",
-                    server=entry.name,
+                    server=name,
                     pool=entry.pool,
                     address=str(entry.address),
-                    store_revision=change.stored.revision,
+                    store_revision=revision,
                 )
             self._router.backends.of(entry)
             self._departed(servers.written(entry))
@@ -111,11 +140,6 @@
         """Drop lapsed entries that the platform has not restored."""
         self._departed(self._router.servers.expire(now_s()))
 
-    def _newest(self, objects: Iterable[StoredObject]) -> None:
-        freshness = self._router.freshness
-        revisions = [stored.revision for stored in objects]
-        freshness.server_revision = max([freshness.server_revision, *revisions])
-
     def _read(self, stored: StoredObject) -> ServerEntry | None:
         try:
             return decode_server(stored.name, stored.content)
--- a/src/redwingbank/front/freshness.py
+++ b/src/redwingbank/front/freshness.py
@@ -1,14 +1,17 @@
-"""How a host knows that its table is in force: from the store, or from a host that asked it."""
+"""How a host knows the table and the servers: from the store, or from a host that asked it."""
 
 from __future__ import annotations
 
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from redwingbank.front.clock import now_s
-from redwingbank.front.digest import Answer
+from redwingbank.front.digest import Answer, News
 from redwingbank.rules.rendezvous import ranked
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from redwingbank.decisions import DecisionLog
     from redwingbank.front.digest import Question
     from redwingbank.front.directory import TableBelief
@@ -20,94 +23,181 @@
 RELAY_WATCH_S = 0.5
 ASK_S = 0.5
 STALE_S = 2.0
+# a relay whose word is older, or that owes an answer for longer, is passed over: half the bound
+# above, so that the next one's word comes before it is reached
+DOUBT_S = 1.0
+# a doubted relay is asked again after this, some seconds longer than a watch takes to recover
+DOUBTED_S = 3.0
+# a host that has just become a relay confirms its table by the third question
+SETTLED_ASKS = 3
 # a watch of the other hosts waits for changes alone
 LONG_WATCH_S = 25.0
 # one relay serves so many hosts: some 60 questions a second
 HOSTS_A_RELAY = 32
 RELAY_KEY = "table relay"
+# among more hosts, relays tell what became of servers: a watch at each host costs a call to the
+# store for each change and host
+TOLD_FROM_HOSTS = 16
+# a datagram carries so many entries of some 100 bytes
+MOST_NEWS = 10
 # a host's own watch, which gathers changes for 0.6 s, has a relay's news within this time
 NEWS_S = 0.8
+# a host that is told of changes hears a relay's news at once; later news may overtake them
+TOLD_NEWS_S = 0.1
 
 
 class Freshness:
     """Decides whether this host asks the store itself, and takes relays' word otherwise.
 
     The relays are the first of all hosts heard, by rendezvous, so hosts agree on them without a
-    word. A relay's answer confirms the table as of the moment of the question, less the age the
-    relay gives: the answer was given after the question, however long it took to come.
+    word; one whose own word is old is passed over. A relay's answer confirms the table as of the
+    moment of the question, less the age the relay gives: the answer was given after the
+    question, however long it took to come. `take_servers` takes what a relay has seen of servers.
     """
 
-    def __init__(self, host: str, tables: TableBelief, peers: Peers, log: DecisionLog) -> None:
-        self.server_revision = 0
+    def __init__(
+        self,
+        host: str,
+        tables: TableBelief,
+        peers: Peers,
+        log: DecisionLog,
+        told_from_hosts: int = TOLD_FROM_HOSTS,
+    ) -> None:
+        self.take_servers: Callable[[News], None] | None = None
         self._host = host
         self._tables = tables
         self._peers = peers
         self._log = log
-        self._follows: tuple[Follow, ...] = ()
+        self._told_from_hosts = told_from_hosts
+        self._table: Follow
+        self._servers: Follow
+        self._servers_changed = 0
         self._own = True
+        self._relaying = True
+        self._told = False
         self._asked = 0
-        self._behind_since_s: float | None = None
+        self._asks_by_relay: Counter[str] = Counter()
+        self._unanswered_since_s_by_relay: dict[str, float] = {}
+        self._doubted_until_s_by_host: dict[str, float] = {}
+        self._behind_since_s_by_follow: dict[Follow, float] = {}
+        self._woken_s_by_follow: dict[Follow, float] = {}
         peers.answer_question = self.answer
         peers.take_answer = self.take
+        peers.take_news = self.hear
 
-    def steer(self, *follows: Follow) -> None:
-        """Set how long these watches wait."""
-        self._follows = follows
+    def steer(self, table: Follow, servers: Follow) -> None:
+        """Set how long these watches wait, and when they begin anew."""
+        self._table, self._servers = table, servers
 
-    def wait_s(self) -> float:
-        """How long a watch may wait for changes."""
+    def table_wait_s(self) -> float:
+        """How long a watch of the table may wait for changes."""
         return RELAY_WATCH_S if self._own else LONG_WATCH_S
 
+    def server_wait_s(self) -> float | None:
+        """How long a watch of servers may wait, None where relays tell of changes."""
+        return None if self._told and not self._own else self.table_wait_s()
+
     def answer(self, question: Question) -> Answer:
-        """Tell another host how fresh this one's table is."""
+        """Tell another host how fresh this one's table is, and what it knows of servers."""
         table = self._tables.table
-        age_s = self._tables.age_s(now_s())
         return Answer(
-            question.asked_s, age_s, table.revision if table else 0, self.server_revision
+            question.asked_s,
+            self._tables.age_s(now_s()),
+            table.revision if table else 0,
+            self._servers_changed,
+            self._servers.revision,
         )
 
-    def take(self, answer: Answer) -> None:
-        """Take a relay's word; a newer table there shows that the own watch is deaf."""
-        table = self._tables.table
-        same_table = table is not None and answer.table_revision <= table.revision
-        if same_table:
+    def take(self, answer: Answer, relay: str) -> None:
+        """Take a relay's word; what is newer there shows that an own watch is deaf."""
+        now, table = now_s(), self._tables.table
+        self._unanswered_since_s_by_relay.pop(relay, None)
+        if answer.age_s > DOUBT_S and self._asks_by_relay[relay] >= SETTLED_ASKS:
+            self._doubt(relay, now, "old word")
+        if table is not None and answer.table_revision <= table.revision:
             self._tables.confirm(None, answer.asked_s - answer.age_s)
-        if same_table and answer.server_revision <= self.server_revision:
-            self._behind_since_s = None
+            self._behind_since_s_by_follow.pop(self._table, None)
         else:
-            self._fall_behind(answer)
+            self._fall_behind(self._table, NEWS_S, answer)
+        if self._knows_servers(answer):
+            self._behind_since_s_by_follow.pop(self._servers, None)
+        else:
+            self._fall_behind(self._servers, TOLD_NEWS_S if self._told else NEWS_S, answer)
+
+    def servers_changed(self, news: News, changed: int) -> None:
+        """Note what this host has seen itself, by which revision; a relay tells the others."""
+        self._servers_changed = max(self._servers_changed, changed)
+        brief = len(news.written) + len(news.removed) <= MOST_NEWS
+        if self._told and self._relaying and news.since and brief:
+            self._peers.spread(news)
+
+    def hear(self, news: News) -> None:
+        """Take what a relay has seen of servers; a gap before it shows by the next answer."""
+        if not self._told or self._own or news.until <= self._servers.revision:
+            return
+        if self._servers.told(news.since, news.until) and self.take_servers:
+            self._servers_changed = max(self._servers_changed, news.until)
+            self.take_servers(news)
 
     def check(self) -> None:
         """Decide who asks the store, and ask a relay where that is another host."""
         now = now_s()
         hosts = [self._host, *self._peers.alive(now)]
-        relays = ranked(RELAY_KEY, hosts)[: 1 + (len(hosts) - 1) // HOSTS_A_RELAY]
-        own = self._host in relays or self._tables.age_s(now) > STALE_S
+        for relay, since_s in list(self._unanswered_since_s_by_relay.items()):
+            if now - since_s > DOUBT_S:
+                self._doubt(relay, now, "no word")
+        sound = [host for host in hosts if self._doubted_until_s_by_host.get(host, now) <= now]
+        relays = ranked(RELAY_KEY, sound)[: 1 + (len(hosts) - 1) // HOSTS_A_RELAY]
+        self._relaying = self._host in relays
+        self._told = len(hosts) >= self._told_from_hosts
+        own = self._relaying or self._tables.age_s(now) > STALE_S
         if own and not self._own:
             self._own = True
-            self._interrupt()
+            self._wake(self._table)
+            self._wake(self._servers)
         self._own = own
         others = [relay for relay in relays if relay != self._host]
-        if others and self._host not in relays:
+        if others and not self._relaying:
             self._asked += 1
-            self._peers.ask(others[self._asked % len(others)])
-
-    def _fall_behind(self, answer: Answer) -> None:
+            self._ask(others[self._asked % len(others)], now)
+
+    def _ask(self, relay: str, now: float) -> None:
+        self._asks_by_relay[relay] += 1
+        self._unanswered_since_s_by_relay.setdefault(relay, now)
+        self._peers.ask(relay)
+
+    def _doubt(self, relay: str, now: float, reason: str) -> None:
+        self._unanswered_since_s_by_relay.pop(relay, None)
+        self._asks_by_relay[relay] = 0
+        self._doubted_until_s_by_host[relay] = now + DOUBTED_S
+        age_s = round(self._tables.age_s(now), 2)
+        self._log.last("relay-doubted", relay=relay, reason=reason, table_age_s=age_s)
+
+    def _knows_servers(self, answer: Answer) -> bool:
+        """Tell whether no change is missed; a host that is told of them knows as much, then."""
+        if self._servers.revision < answer.servers_changed:
+            return False
+        if self._told and not self._own:
+            self._servers.told(self._servers.revision, answer.servers_watched)
+        return True
+
+    def _fall_behind(self, follow: Follow, grace_s: float, answer: Answer) -> None:
         now = now_s()
-        if self._behind_since_s is None:
-            self._behind_since_s = now
-        elif now - self._behind_since_s >= NEWS_S:
-            self._behind_since_s = None
+        since_s = self._behind_since_s_by_follow.setdefault(follow, now)
+        woken_s = self._woken_s_by_follow.get(follow, float("-inf"))
+        if now - since_s >= grace_s and now - woken_s >= ASK_S:
+            del self._behind_since_s_by_follow[follow]
             self._log.last(
                 "watch-deaf",
                 table_revision=answer.table_revision,
-                server_revision=answer.server_revision,
+                servers_changed=answer.servers_changed,
+                servers_known=self._servers.revision,
             )
-            self._interrupt()
+            self._wake(follow)
 
-    def _interrupt(self) -> None:
-        for follow in self._follows:
-            follow.interrupt()
+    def _wake(self, follow: Follow) -> None:
+        self._woken_s_by_follow[follow] = now_s()
+        follow.interrupt()
 
 
 __all__ = ["ASK_S", "Freshness"]
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -13,6 +13,7 @@
     Digest,
     Message,
     MessageError,
+    News,
     Question,
     Sent,
     decode_message,
@@ -59,13 +60,15 @@
 class Peers(asyncio.DatagramProtocol):
     """Tells the other hosts of this one's requests, and takes note of theirs.
 
-    `answer_question` gives the freshness of this host's table, `take_answer` another's.
+    `answer_question` gives the freshness of this host's table, `take_answer` another's,
+    `take_news` what another has seen of backend servers.
     """
 
     def __init__(self, host: str, incarnation: int, backends: Backends, log: DecisionLog) -> None:
         self.peers_by_host: dict[str, Peer] = {}
         self.answer_question: Callable[[Question], Answer] | None = None
-        self.take_answer: Callable[[Answer], None] | None = None
+        self.take_answer: Callable[[Answer, str], None] | None = None
+        self.take_news: Callable[[News], None] | None = None
         self._host = host
         self._incarnation = incarnation
         self._backends = backends
@@ -135,6 +138,10 @@
         if peer:
             self._send(Question(now_s()), [peer.address])
 
+    def spread(self, news: News) -> None:
+        """Tell every other host what became of backend servers."""
+        self._send(news, [peer.address for peer in self.peers_by_host.values()])
+
     def expire(self, now: float) -> None:
         """Forget the requests of hosts that have fallen silent."""
         for host, peer in self.peers_by_host.items():
@@ -205,7 +212,12 @@
     @_take.register
     def _take_answer(self, content: Answer, host: str, now: float) -> None:
         if self.take_answer:
-            self.take_answer(content)
+            self.take_answer(content, host)
+
+    @_take.register
+    def _take_news(self, content: News, host: str, now: float) -> None:
+        if self.take_news:
+            self.take_news(content)
 
 
 __all__ = ["OWN", "Peer", "Peers"]
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -55,12 +55,13 @@
 
         :raises OSError: where an address can't be listened on
         """
+        follows = self._follows()
         await self._listen()
         router, settings = self.router, self._settings
         router.log.last("started", caller=str(settings.caller), store=str(settings.store))
         async with anyio.create_task_group() as group:
             group.start_soon(self._signals)
-            for follow in self._follows():
+            for follow in follows:
                 group.start_soon(follow.run)
             host, peers = settings.name, router.peers
             group.start_soon(find_hosts, self._store, host, settings.peer, peers, router.log)
@@ -69,16 +70,14 @@
         router.log.last("stopped", unanswered=len(router.exchanges))
         router.log.flush()
 
-    def _follows(self) -> tuple[Follow, ...]:
+    def _follows(self) -> tuple[Follow, Follow]:
         """The watches of the table and of the servers."""
-        wait_s, random = self.router.freshness.wait_s, self.router.random
-        table = TableFollower(self.router)
-        follows = (
-            Follow(self._store, KIND_TABLE, table, wait_s, random),
-            Follow(self._store, KIND_SERVERS, self._servers, wait_s, random),
-        )
-        self.router.freshness.steer(*follows)
-        return follows
+        store, freshness, random = self._store, self.router.freshness, self.router.random
+        follower = TableFollower(self.router)
+        table = Follow(store, KIND_TABLE, follower, freshness.table_wait_s, random)
+        servers = Follow(store, KIND_SERVERS, self._servers, freshness.server_wait_s, random)
+        freshness.steer(table, servers)
+        return table, servers
 
     async def _listen(self) -> None:
         loop = asyncio.get_running_loop()
--- a/src/redwingbank/front/store.py
+++ b/src/redwingbank/front/store.py
@@ -125,11 +125,24 @@
 
 
 class Listing(NamedTuple):
-    """All objects of a kind; `asked_s` is when the first page was asked for."""
+    """All objects of a kind; `asked_s` is when the first page was asked for.
+
+    `since` is the revision up to which changes were known before, 0 at first.
+    """
 
     objects: tuple[StoredObject, ...]
     revision: int
     asked_s: float
+    since: int
+
+
+class Seen(NamedTuple):
+    """Changes that a watch saw between two of the store's revisions, none where it ended so."""
+
+    changes: Sequence[Change]
+    since: int
+    until: int
+    asked_s: float
 
 
 class Follower(Protocol):
@@ -138,8 +151,8 @@
     def listed(self, listing: Listing) -> None:
         """Take the whole kind."""
 
-    def changed(self, changes: Sequence[Change], asked_s: float) -> None:
-        """Take changes, none where the watch ended without one."""
+    def changed(self, seen: Seen) -> None:
+        """Take what a watch saw."""
 
     def lost(self, reason: str) -> None:
         """Take note that the store is out of reach."""
@@ -153,7 +166,7 @@
 
     After a failure the watch goes on from the last revision; the kind is listed anew where the
     store no longer holds the changes since, or where an answer could not be read. `wait_s` says
-    how long the next watch may wait.
+    how long the next watch may wait; None where other hosts tell of changes and no watch is due.
     """
 
     def __init__(
@@ -161,33 +174,43 @@
         client: StoreClient,
         kind: str,
         follower: Follower,
-        wait_s: Callable[[], float],
+        wait_s: Callable[[], float | None],
         random: Random,
     ) -> None:
+        self.revision = 0
         self._client = client
         self._kind = kind
         self._follower = follower
         self._wait_s = wait_s
         self._random = random
-        self._revision: int | None = None
+        self._listed = False
         self._lost = False
+        self._woken = False
         self._pause_s = PAUSE_S
         self._waiting = anyio.CancelScope()
 
     def interrupt(self) -> None:
-        """End a watch that waits; the next begins at once, on another connection."""
+        """End a wait; the next watch begins at once, on another connection."""
+        self._woken = True
         self._waiting.cancel()
 
+    def told(self, since: int, until: int) -> bool:
+        """Take changes between two revisions as known; tell whether those before are, too."""
+        if not self._listed or since > self.revision:
+            return False
+        self.revision = max(self.revision, until)
+        return True
+
     async def run(self) -> None:
         """Follow, for ever."""
         while True:
             try:
                 await self._step()
             except HistoryGoneError:
-                self._revision = None
+                self._listed = False
             except (StoreError, MalformedError) as error:
                 if isinstance(error, MalformedError):
-                    self._revision = None
+                    self._listed = False
                 if not self._lost:
                     self._follower.lost(str(error))
                 self._lost = True
@@ -195,25 +218,38 @@
                 self._pause_s = min(2 * self._pause_s, LONGEST_PAUSE_S)
 
     async def _step(self) -> None:
-        if self._revision is None:
-            listing = await _list(self._client, self._kind)
+        if not self._listed:
+            listing = await _list(self._client, self._kind, self.revision)
             self._back()
             self._follower.listed(listing)
-            self._revision = listing.revision
+            self.revision, self._listed = listing.revision, True
             return
-        # a store that did not answer is asked for an answer at once
-        wait_s = LEAST_WAIT_S if self._lost else self._wait_s()
-        path, asked_s = watch_path(self._kind, self._revision, wait_s), now_s()
+        # a store that did not answer, or has news, is asked for an answer at once
+        wait_s = LEAST_WAIT_S if self._lost or self._woken else self._wait_s()
+        if wait_s is None:
+            with anyio.CancelScope() as self._waiting:
+                await anyio.sleep_forever()
+        else:
+            await self._watch(wait_s)
+
+    async def _watch(self, wait_s: float) -> None:
+        self._woken = False
+        since, asked_s = self.revision, now_s()
         body = None
         with anyio.CancelScope() as self._waiting:
-            body = await self._client.get(path, wait_s + CALL_TIMEOUT_S)
+            body = await self._client.get(
+                watch_path(self._kind, since, wait_s), wait_s + CALL_TIMEOUT_S
+            )
         if body is None:
             return
-        changes = decode_changes(body)
+        seen = decode_changes(body)
         self._back()
-        self._follower.changed(changes.changes, asked_s)
-        self._revision = changes.revision
-        if changes.changes:
+        if seen.revision < self.revision:
+            # others have told of later changes meanwhile
+            return
+        self._follower.changed(Seen(seen.changes, since, seen.revision, asked_s))
+        self.revision = seen.revision
+        if seen.changes:
             await anyio.sleep(GATHER_S)
 
     def _back(self) -> None:
@@ -223,7 +259,7 @@
             self._follower.regained()
 
 
-async def _list(client: StoreClient, kind: str) -> Listing:
+async def _list(client: StoreClient, kind: str, since: int) -> Listing:
     asked_s = now_s()
     objects: list[StoredObject] = []
     after = ""
@@ -231,7 +267,7 @@
         page = decode_page(await client.get(list_path(kind, after), LIST_TIMEOUT_S))
         objects += page.objects
         if not page.more or not page.objects:
-            return Listing(tuple(objects), page.revision, asked_s)
+            return Listing(tuple(objects), page.revision, asked_s, since)
         after = page.objects[-1].name
 
 
@@ -247,6 +283,7 @@
     "Follower",
     "HistoryGoneError",
     "Listing",
+    "Seen",
     "StoreClient",
     "StoreError",
 ]
--- a/tests/front/freshness.feature
+++ b/tests/front/freshness.feature
@@ -15,12 +15,12 @@
     When a relay with revision 6 and an age of 0.1 s answers a question 0 s old
     Then the host's table was confirmed 3 s ago
     When it answers so again 0.9 s later
-    Then the host's watches begin anew
+    Then the host's watch of the table begins anew, that of servers goes on
 
   Scenario: a deaf watch of servers shows by the relay's newer entry
     Given a host whose table of revision 5 was confirmed 3 s ago
     When a relay with revision 5 and a newer server entry answers for 0.9 s
-    Then the host's watches begin anew
+    Then the host's watch of servers begins anew, that of the table goes on
 
   Scenario: of hosts that hear each other one is the relay, and the rest wait long
     Given 7 hosts that hear each other, with fresh tables
@@ -31,6 +31,57 @@
     When no answer confirms them for 2.1 s
     Then 7 of them watches for 0.5 s at a time and the rest for 25 s
 
+  Scenario: among many hosts the relay tells the rest what became of servers
+    Given 20 hosts that hear each other, with fresh tables
+    Then 1 of them watches servers and the rest wait for its word
+
+  Scenario: a relay that has lost the store is passed over
+    Given 20 hosts that hear each other, with fresh tables
+    When the relay's word is 1.5 s old at the 3 answers that follow
+    Then another host is a relay as well
+
+  Scenario: a relay that has only just begun is not passed over for its first word
+    Given 20 hosts that hear each other, with fresh tables
+    When the relay's word is 1.5 s old at the 1 answers that follow
+    Then 1 of them watches servers and the rest wait for its word
+
+  Scenario: a relay that does not answer is passed over
+    Given 20 hosts that hear each other, with fresh tables
+    When the relay answers nothing for 1.1 s
+    Then another host is a relay as well
+
+  Scenario: a relay's news are taken where nothing is missed before them
+    Given a host that waits for the word of a relay
+    When the relay has seen a server listed between revisions 10 and 14
+    Then the host has taken 1 news and knows changes up to 14
+    And the host as a relay would tell that servers changed by 14
+
+  Scenario: a gap before a relay's news is closed by the store
+    Given a host that waits for the word of a relay
+    When the relay has seen a server listed between revisions 12 and 14
+    Then the host has taken 0 news and knows changes up to 10
+    When the relay answers that servers changed by 14 and were watched up to 16
+    And it answers so again 0.2 s later
+    Then the host's watch of servers begins anew, that of the table goes on
+    And the host has taken 0 news and knows changes up to 10
+
+  Scenario: where nothing has changed, a relay's watch counts as the host's own
+    Given a host that waits for the word of a relay
+    When the relay answers that servers changed by 9 and were watched up to 30
+    Then the host has taken 0 news and knows changes up to 30
+    When the relay has seen a server listed between revisions 28 and 33
+    Then the host has taken 1 news and knows changes up to 33
+
+  Scenario: news that were known already change nothing
+    Given a host that waits for the word of a relay
+    When the relay has seen a server listed between revisions 8 and 10
+    Then the host has taken 0 news and knows changes up to 10
+
+  Scenario: news travel whole
+    Given two hosts, one of which takes news
+    When the other tells of 3 servers written and 2 removed
+    Then the news arrives as it was told
+
   Scenario: a host that the store turns away serves on the others' word
     Given two fronts on one store
     When the store turns the second away for 3 s
--- a/tests/steps/front_freshness.py
+++ b/tests/steps/front_freshness.py
@@ -11,63 +11,74 @@
 from front_rig import Rig, play
 from redwingbank.front.backends import Backends
 from redwingbank.front.clock import now_s
-from redwingbank.front.digest import Answer
+from redwingbank.front.digest import Answer, Message, News, Question, encode_message
 from redwingbank.front.directory import TableBelief
-from redwingbank.front.freshness import Freshness
+from redwingbank.front.freshness import LONG_WATCH_S, RELAY_WATCH_S, Freshness
 from redwingbank.front.peers import Peer, Peers
-from redwingbank.front.values import Bounds, Limits, RouteTable
+from redwingbank.front.values import Bounds, Limits, RouteTable, ServerEntry
 from redwingbank.settings import Address
 
 # a table unconfirmed for longer than this lets no key through: 3 s of revocation less 1 s
 KEY_LIMIT_S = 2.2
+RELAY = "host-9"
 
 
 class Watch:
-    """A watch that counts how often it was interrupted."""
+    """A watch that counts how often it was interrupted, and knows changes up to a revision."""
 
     def __init__(self):
         self.interrupted = 0
+        self.revision = 10
 
     def interrupt(self):
         self.interrupted += 1
 
+    def told(self, since, until):
+        if since > self.revision:
+            return False
+        self.revision = max(self.revision, until)
+        return True
 
-def host(name, *, age_s, others=()):
+
+def host(name, *, age_s, others=(), told_from_hosts=16):
     tables = TableBelief(Bounds())
     tables.confirm(RouteTable(5, {}, {}, {}, Limits()), now_s() - age_s)
     peers = Peers(name, 1, Backends(Random(1)), Silent())
     for other in others:
         peers.peers_by_host[other] = Peer(Address("10.0.0.1", 1), 1, now_s())
-    freshness = Freshness(name, tables, peers, Silent())
-    freshness.server_revision = 10
-    watch = Watch()
-    freshness.steer(watch)
-    return tables, freshness, watch
+    freshness = Freshness(name, tables, peers, Silent(), told_from_hosts)
+    table, servers = Watch(), Watch()
+    freshness.steer(table, servers)
+    return tables, freshness, table, servers
 
 
 @given("a host whose table of revision 5 was confirmed {age:g} s ago")
 def one_host(context, age):
-    context.tables, context.freshness, context.watch = host("host-1", age_s=age)
+    context.tables, context.freshness, context.table_watch, context.server_watch = host(
+        "host-1", age_s=age
+    )
 
 
 @when(
     "a relay with revision {revision:d} and an age of {age:g} s answers a question {ago:g} s old"
 )
 def relay_answers(context, revision, age, ago):
-    context.said = (age, revision, 10)
-    context.freshness.take(Answer(now_s() - ago, *context.said))
+    context.said = (age, revision, 10, 12)
+    context.freshness.take(Answer(now_s() - ago, *context.said), RELAY)
 
 
 @when("it answers so again {later:g} s later")
 def answers_again(context, later):
-    context.freshness._behind_since_s -= later
-    context.freshness.take(Answer(now_s(), *context.said))
+    behind = context.freshness._behind_since_s_by_follow
+    for follow in behind:
+        behind[follow] -= later
+    context.freshness.take(Answer(now_s(), *context.said), RELAY)
 
 
 @when("a relay with revision 5 and a newer server entry answers for {time:g} s")
 def newer_entry(context, time):
-    context.said = (0.1, 5, 11)
-    context.freshness.take(Answer(now_s(), *context.said))
+    context.said = (0.1, 5, 11, 12)
+    context.freshness.take(Answer(now_s(), *context.said), RELAY)
     answers_again(context, time)
 
 
@@ -76,9 +87,14 @@
     assert abs(context.tables.age_s(now_s()) - age) < 0.2, context.tables.age_s(now_s())
 
 
-@then("the host's watches begin anew")
-def begin_anew(context):
-    assert context.watch.interrupted == 1
+@then("the host's watch of the table begins anew, that of servers goes on")
+def table_anew(context):
+    assert (context.table_watch.interrupted, context.server_watch.interrupted) == (1, 0)
+
+
+@then("the host's watch of servers begins anew, that of the table goes on")
+def servers_anew(context):
+    assert (context.table_watch.interrupted, context.server_watch.interrupted) == (0, 1)
 
 
 @given("{count:d} hosts that hear each other, with fresh tables")
@@ -87,20 +103,131 @@
     context.hosts = [
         host(name, age_s=0.2, others=[other for other in names if other != name]) for name in names
     ]
+    check(context)
+
+
+def check(context):
+    for _, freshness, _, _ in context.hosts:
+        freshness.check()
 
 
 @when("no answer confirms them for {time:g} s")
 def unconfirmed(context, time):
-    for tables, _, _ in context.hosts:
+    for tables, _, _, _ in context.hosts:
         tables.confirmed_s -= time
+    check(context)
 
 
 @then("{count:d} of them watches for {short:g} s at a time and the rest for {long:g} s")
 def waits(context, count, short, long):
-    for _, freshness, _ in context.hosts:
-        freshness.check()
-    given_s = sorted(freshness.wait_s() for _, freshness, _ in context.hosts)
-    assert given_s == [short] * count + [long] * (len(given_s) - count), given_s
+    for wait in ("table_wait_s", "server_wait_s"):
+        given_s = sorted(getattr(freshness, wait)() for _, freshness, _, _ in context.hosts)
+        assert given_s == [short] * count + [long] * (len(given_s) - count), given_s
+
+
+def by_relaying(context):
+    relays = [one for one in context.hosts if one[1].server_wait_s() == RELAY_WATCH_S]
+    return relays, [one for one in context.hosts if one not in relays]
+
+
+@then("{count:d} of them watches servers and the rest wait for its word")
+def waits_for_word(context, count):
+    relays, others = by_relaying(context)
+    assert len(relays) == count
+    assert {one[1].server_wait_s() for one in others} == {None}
+    assert {one[1].table_wait_s() for one in others} == {LONG_WATCH_S}
+
+
+def relay_name(context):
+    return by_relaying(context)[0][0][1]._host
+
+
+@when("the relay's word is {age:g} s old at the {count:d} answers that follow")
+def old_word(context, age, count):
+    relay = relay_name(context)
+    for _ in range(count):
+        check(context)
+        for _, freshness, _, _ in context.hosts:
+            if freshness._host != relay:
+                freshness.take(Answer(now_s(), age, 5, 10, 12), relay)
+    check(context)
+    context.first_relay = relay
+
+
+@when("the relay answers nothing for {time:g} s")
+def no_word(context, time):
+    context.first_relay = relay_name(context)
+    for _, freshness, _, _ in context.hosts:
+        unanswered = freshness._unanswered_since_s_by_relay
+        for relay in unanswered:
+            unanswered[relay] -= time
+    check(context)
+
+
+@then("another host is a relay as well")
+def another_relay(context):
+    relays, _ = by_relaying(context)
+    assert len(relays) == 2, len(relays)
+
+
+@given("a host that waits for the word of a relay")
+def told_host(context):
+    names = ["host-2", "host-3", "host-4"]
+    for name in ["host-1", *names]:
+        others = [other for other in ["host-1", *names] if other != name]
+        one = host(name, age_s=0.2, others=others, told_from_hosts=2)
+        one[1].check()
+        if one[1].server_wait_s() is None:
+            break
+    context.tables, context.freshness, context.table_watch, context.server_watch = one
+    context.heard = []
+    context.freshness.take_servers = context.heard.append
+
+
+@when("the relay has seen a server listed between revisions {since:d} and {until:d}")
+def news(context, since, until):
+    entry = ServerEntry("i-1", "p", Address("10.0.0.9", 1), "z", 16, False, 1)
+    context.freshness.hear(News(since, until, (entry,), ()))
+
+
+@when("the relay answers that servers changed by {changed:d} and were watched up to {watched:d}")
+def answers_servers(context, changed, watched):
+    context.said = (0.1, 5, changed, watched)
+    context.freshness.take(Answer(now_s(), *context.said), RELAY)
+
+
+@then("the host has taken {count:d} news and knows changes up to {revision:d}")
+def has_taken(context, count, revision):
+    assert (len(context.heard), context.server_watch.revision) == (count, revision)
+
+
+@then("the host as a relay would tell that servers changed by {changed:d}")
+def would_tell(context, changed):
+    assert context.freshness.answer(Question(now_s())).servers_changed == changed
+
+
+@given("two hosts, one of which takes news")
+def host_takes_news(context):
+    peers = Peers("host-1", 1, Backends(Random(1)), Silent())
+    context.heard = []
+    peers.take_news = context.heard.append
+    context.peers = peers
+
+
+@when("the other tells of {written:d} servers written and {removed:d} removed")
+def tells_news(context, written, removed):
+    entries = tuple(
+        ServerEntry(f"i-{index}", "p", Address("10.0.0.9", index + 1), "z", 16, index % 2 > 0, -1)
+        for index in range(written)
+    )
+    context.told = News(7, 9, entries, tuple(f"i-x{index}" for index in range(removed)))
+    data = encode_message(Message("host-2", 1, context.told))
+    context.peers.datagram_received(data, ("10.0.0.2", 7200))
+
+
+@then("the news arrives as it was told")
+def news_arrives(context):
+    assert context.heard == [context.told], context.heard
 
 
 @given("two fronts on one store")
