Keep requests that crash three servers in a row from the rest

Cause: the front did not know a request again that crashed each server that ran it; each sending could cost servers. Change: a lost answer counts once its server shows itself down, at whichever host; of crashes at one time only one counts; a whole answer clears path, organisation and body. After three it is refused with code 1232 for ten minutes.

--- a/src/redwingbank/codes.py
+++ b/src/redwingbank/codes.py
@@ -42,6 +42,7 @@
     LEAVING = 1223
     QUARANTINED = 1230
     QUARANTINED_AFTER_RUN = 1231
+    CRASHES_SERVERS = 1232
     PLATFORM_UNAVAILABLE = 1300
     STILL_RUNNING = 1301
     OUTCOME_UNKNOWN = 1302
@@ -120,6 +121,9 @@
     Code.QUARANTINED_AFTER_RUN: _row(
         422, Ran.MAYBE, "this request was running when its servers crashed", "ask an operator"
     ),
+    Code.CRASHES_SERVERS: _row(
+        503, Ran.NO, "requests like this one crashed backend servers in a row", "ask an operator"
+    ),
     Code.PLATFORM_UNAVAILABLE: _row(
         503, Ran.NO, "the call could not be recorded, so it was not run", "come back", retry=True
     ),
--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -6,11 +6,13 @@
 
 from redwingbank.front.load import ServerLoad
 from redwingbank.front.outbound import ConnectionPool
+from redwingbank.model import Outcome
 from redwingbank.rules.breaker import Breaker
 
 if TYPE_CHECKING:
     from random import Random
 
+    from redwingbank.front.attempt import Failure
     from redwingbank.front.values import ServerEntry
 
 # shorter than the servers' own idle timeouts of some seconds, which close unannounced
@@ -63,4 +65,19 @@
             backend.load.expire(now_s)
 
 
-__all__ = ["Backend", "Backends"]
+def judge_backend(
+    backend: Backend, failure: Failure, request_id: str, sent_s: float, now: float
+) -> None:
+    """Hold a failure against a server: one that can't be reached rests at once.
+
+    A single lost answer says little, since a server that has crashed can't be reached next.
+    """
+    if failure.outcome is Outcome.REFUSED:
+        backend.breaker.undecided(request_id)
+    elif failure.outcome is Outcome.CRASHED and not failure.sent:
+        backend.breaker.crashed(request_id, sent_s, now)
+    else:
+        backend.breaker.failed(request_id, sent_s, now)
+
+
+__all__ = ["Backend", "Backends", "judge_backend"]
--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -9,6 +9,7 @@
     question @3 :Question;
     answer @4 :Answer;
     news @5 :News;
+    crash @6 :Crash;
   }
 }
 
@@ -67,3 +68,9 @@
   name @0 :Text;
   tokens @1 :UInt32;
 }
+
+struct Crash {              # a request crashed a server, or is cleared of that
+  fingerprint @0 :Text;
+  ranMs @1 :UInt32;         # how long it had run there
+  cleared @2 :Bool;
+}
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -9,6 +9,7 @@
 import capnp
 
 from redwingbank.front.load import Flight
+from redwingbank.front.poison import CrashNews
 from redwingbank.front.values import Part, ServerEntry
 from redwingbank.settings import parse_address
 
@@ -81,7 +82,7 @@
     removed: tuple[str, ...]
 
 
-Content = Digest | Question | Answer | News
+Content = Digest | Question | Answer | News | CrashNews
 
 
 class Message(NamedTuple):
@@ -162,6 +163,18 @@
         row.draining, row.startedMs = entry.draining, entry.started_ms
 
 
+@_fill.register
+def _fill_crash(content: CrashNews, draft: Any) -> None:
+    crash = draft.init("crash")
+    crash.fingerprint, crash.cleared = content.fingerprint, content.cleared
+    crash.ranMs = int(content.ran_s * MILLISECONDS)
+
+
+def _read_crash(draft: Any, now_s: float) -> CrashNews:
+    crash = draft.crash
+    return CrashNews(crash.fingerprint, crash.ranMs / MILLISECONDS, crash.cleared)
+
+
 def _read_digest(draft: Any, now_s: float) -> Digest:
     digest = draft.digest
     return Digest(
@@ -220,6 +233,7 @@
     "question": _read_question,
     "answer": _read_answer,
     "news": _read_news,
+    "crash": _read_crash,
 }
 
 __all__ = [
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -8,10 +8,12 @@
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.front.account import Account
 from redwingbank.front.attempt import FIRST_SERVER_ERROR, STATUS_OK, Attempt, Failure
+from redwingbank.front.backends import judge_backend
 from redwingbank.front.choice import Wish, flight_of, refused
 from redwingbank.front.clock import now_s
 from redwingbank.front.events import EventCutter, EventError
 from redwingbank.front.peers import OWN
+from redwingbank.front.poison import fingerprint_of
 from redwingbank.front.refusals import error_body
 from redwingbank.front.values import Kind
 from redwingbank.model import Outcome, Request
@@ -22,7 +24,6 @@
 if TYPE_CHECKING:
     from redwingbank.front.admission import Admitted
     from redwingbank.front.attempt import Answer
-    from redwingbank.front.backends import Backend
     from redwingbank.front.router import Router
     from redwingbank.front.wire import AnswerHead, RequestHead
     from redwingbank.platform.headers import AnswerFacts
@@ -32,6 +33,8 @@
 # how many servers may turn a request away before its caller is told to come back
 MOST_REFUSALS = 2
 GATEWAY_TIMEOUT = 504
+# how an attempt ends whose server may have crashed
+CRASH_LIKE = frozenset({Outcome.CRASHED, Outcome.CLOSED_EARLY})
 
 
 class Caller(Protocol):
@@ -79,6 +82,7 @@
         self._number = 0
         self._retry_after_s = 0.0
         self._unbegun = True
+        self._fingerprint = ""
 
     def start(self) -> None:
         """Admit the request and send it, or refuse it."""
@@ -98,6 +102,9 @@
             self._refuse(Code.LEAVING)
             return
         self._request = self._describe(admitted, wait_s)
+        self._fingerprint = fingerprint_of(
+            self._head.target, self._request.organisation, self._body
+        )
         self._life.advance(Step.CHECK)
         self._life.advance(Step.QUEUE)
         self._router.allowance.requested(admitted.pool, now_s())
@@ -147,7 +154,7 @@
             whole = self._cutter.feed(data)
         except EventError as error:
             attempt.cancel()
-            self.attempt_failed(attempt, _garbage(str(error)))
+            self._failed(attempt, _garbage(str(error)), now_s())
             return
         if whole:
             self._caller.part(whole)
@@ -157,18 +164,26 @@
         if answer is not None:
             self._whole(attempt, answer)
         elif self._cutter is not None and not self._cutter.whole:
-            self.attempt_failed(attempt, _garbage("half an event at the end"))
+            self._failed(attempt, _garbage("half an event at the end"), now_s())
         else:
             self._leave(attempt)
             self._life.advance(Step.FINISH)
             self._caller.end()
+            self._router.poison.done(self._fingerprint)
             self._account.done(self._life, STATUS_OK)
             self._close()
 
     def attempt_failed(self, attempt: Attempt, failure: Failure) -> None:
         """Try again where that is allowed, or tell the caller."""
+        server, now = attempt.backend.entry.name, now_s()
+        if failure.sent and failure.outcome in CRASH_LIKE:
+            self._router.poison.lost(server, self._fingerprint, self._sent_s, now)
+        elif failure.outcome is Outcome.CRASHED:
+            self._router.poison.server_down(server, now)
+        self._failed(attempt, failure, now)
+
+    def _failed(self, attempt: Attempt, failure: Failure, now: float) -> None:
         self._leave(attempt)
-        now = now_s()
         judge_backend(attempt.backend, failure, self._life.request_id, self._sent_s, now)
         self._account.failed(self._life, attempt.backend.entry.name, failure)
         if not failure.sent:
@@ -209,6 +224,9 @@
         assert self._admitted is not None
         now = now_s()
         admitted, request = self._admitted, self._request
+        if self._router.poison.held(self._fingerprint, now):
+            self._fail(Code.CRASHES_SERVERS)
+            return
         entries = self._router.servers.usable(admitted.pool)
         wish = self._wish(admitted, now)
         pool = self._router.pool(admitted.pool)
@@ -251,7 +269,7 @@
     def _whole(self, attempt: Attempt, answer: Answer) -> None:
         status = answer.head.status
         if status >= FIRST_SERVER_ERROR and self._may_ask_again(status):
-            self.attempt_failed(attempt, _failed_answer(status))
+            self._failed(attempt, _failed_answer(status), now_s())
             return
         self._leave(attempt)
         self._life.advance(Step.ANSWER)
@@ -259,6 +277,7 @@
         now = now_s()
         if status < FIRST_SERVER_ERROR:
             attempt.backend.breaker.succeeded(self._life.request_id, self._sent_s, now)
+            self._router.poison.done(self._fingerprint)
         else:
             attempt.backend.breaker.failed(self._life.request_id, self._sent_s, now)
         if self._begun:
@@ -365,21 +384,6 @@
         )
 
 
-def judge_backend(
-    backend: Backend, failure: Failure, request_id: str, sent_s: float, now: float
-) -> None:
-    """Hold a failure against a server: one that can't be reached rests at once.
-
-    A single lost answer says little, since a server that has crashed can't be reached next.
-    """
-    if failure.outcome is Outcome.REFUSED:
-        backend.breaker.undecided(request_id)
-    elif failure.outcome is Outcome.CRASHED and not failure.sent:
-        backend.breaker.crashed(request_id, sent_s, now)
-    else:
-        backend.breaker.failed(request_id, sent_s, now)
-
-
 def _garbage(detail: str) -> Failure:
     return Failure(Outcome.GARBAGE, True, detail)
 
@@ -388,4 +392,4 @@
     return Failure(Outcome.CLOSED_EARLY, True, f"status {status}")
 
 
-__all__ = ["Caller", "Exchange", "judge_backend"]
+__all__ = ["Caller", "Exchange"]
--- a/src/redwingbank/front/followers.py
+++ b/src/redwingbank/front/followers.py
@@ -80,7 +80,7 @@
         self._pass_on(listing.since, listing.revision, states, listing.revision)
         entries = [entry for entry in listed.values() if entry]
         for entry in entries:
-            self._router.backends.of(entry)
+            self._meet(entry)
         self._departed(self._router.servers.replace(entries, now_s()))
 
     def changed(self, seen: Seen) -> None:
@@ -123,7 +123,7 @@
                     address=str(entry.address),
                     store_revision=revision,
                 )
-            self._router.backends.of(entry)
+            self._meet(entry)
             self._departed(servers.written(entry))
 
     def lost(self, reason: str) -> None:
@@ -140,6 +140,13 @@
         """Drop lapsed entries that the platform has not restored."""
         self._departed(self._router.servers.expire(now_s()))
 
+    def _meet(self, entry: ServerEntry) -> None:
+        """Take an entry over; a server that started anew under its name had gone down."""
+        known = self._router.servers.entries_by_name.get(entry.name)
+        if known and known.started_ms != entry.started_ms:
+            self._router.poison.server_down(entry.name, now_s())
+        self._router.backends.of(entry)
+
     def _read(self, stored: StoredObject) -> ServerEntry | None:
         try:
             return decode_server(stored.name, stored.content)
@@ -152,6 +159,7 @@
             name = departure.entry.name
             if name not in self._router.servers.entries_by_name:
                 self._router.backends.gone(name)
+                self._router.poison.server_down(name, now_s())
             self._router.log.last(
                 "server-state", server=name, was="serving", state=departure.reason
             )
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -19,6 +19,7 @@
     decode_message,
     encode_message,
 )
+from redwingbank.front.poison import CrashNews
 from redwingbank.settings import Address
 
 if TYPE_CHECKING:
@@ -61,7 +62,8 @@
     """Tells the other hosts of this one's requests, and takes note of theirs.
 
     `answer_question` gives the freshness of this host's table, `take_answer` another's,
-    `take_news` what another has seen of backend servers.
+    `take_news` what another has seen of backend servers, `take_crash` of requests that crash
+    them.
     """
 
     def __init__(self, host: str, incarnation: int, backends: Backends, log: DecisionLog) -> None:
@@ -69,6 +71,7 @@
         self.answer_question: Callable[[Question], Answer] | None = None
         self.take_answer: Callable[[Answer, str], None] | None = None
         self.take_news: Callable[[News], None] | None = None
+        self.take_crash: Callable[[CrashNews, float], None] | None = None
         self._host = host
         self._incarnation = incarnation
         self._backends = backends
@@ -138,8 +141,8 @@
         if peer:
             self._send(Question(now_s()), [peer.address])
 
-    def spread(self, news: News) -> None:
-        """Tell every other host what became of backend servers."""
+    def spread(self, news: News | CrashNews) -> None:
+        """Tell every other host what became of backend servers, or of requests there."""
         self._send(news, [peer.address for peer in self.peers_by_host.values()])
 
     def expire(self, now: float) -> None:
@@ -219,5 +222,10 @@
         if self.take_news:
             self.take_news(content)
 
+    @_take.register
+    def _take_crash(self, content: CrashNews, host: str, now: float) -> None:
+        if self.take_crash:
+            self.take_crash(content, now)
+
 
 __all__ = ["OWN", "Peer", "Peers"]
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -16,6 +16,7 @@
 from redwingbank.front.freshness import Freshness
 from redwingbank.front.leaving import Leaving
 from redwingbank.front.peers import Peers
+from redwingbank.front.poison import Poison
 from redwingbank.front.values import Limits, Pool
 from redwingbank.metrics import Metrics
 
@@ -46,6 +47,8 @@
         self.servers = ServerBelief()
         self.backends = Backends(random)
         self.peers = Peers(settings.name, time.time_ns(), self.backends, self.log)
+        self.poison = Poison(self.peers.spread, self.log)
+        self.peers.take_crash = self.poison.heard
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
         self.chooser = Chooser(self.backends, random)
         self.allowance = Allowance(settings.bounds, lambda: 1 + len(self.peers.peers_by_host))
--- a/tests/steps/front_choice.py
+++ b/tests/steps/front_choice.py
@@ -8,11 +8,10 @@
 
 from redwingbank.codes import Code
 from redwingbank.front.attempt import Failure
-from redwingbank.front.backends import Backends
+from redwingbank.front.backends import Backends, judge_backend
 from redwingbank.front.choice import Chooser, Wish, flight_of, refused
 from redwingbank.front.clock import now_s
 from redwingbank.front.digest import Begun, Digest, Message, Sent, encode_message
-from redwingbank.front.exchange import judge_backend
 from redwingbank.front.load import Flight, PromptCache
 from redwingbank.front.peers import Peers
 from redwingbank.front.values import CallFacts, Kind, Part, Pool, Route, ServerEntry, Share
