Compare the clocks of fronts by their logs, and serve the age of the list of servers

Change: one question to a relay in 10 s is logged where it is sent, where it is heard, and where its answer is; redwingctl pairs these from both sides. The list's age is a gauge and stands in the lines of grants and refusals. Tests: front/freshness.feature "clocks of two hosts are compared".

--- a/src/redwingbank/ctl/skew.py
+++ b/src/redwingbank/ctl/skew.py
@@ -12,6 +12,8 @@
 
 FIELDS_BY_EFFECT: dict[str, tuple[str, tuple[str, ...]]] = {
     "notice-learned": ("notice", ("kind", "subject", "origin", "notice")),
+    "question-heard": ("question-sent", ("asker", "asked_s")),
+    "answer-heard": ("question-heard", ("asker", "asked_s")),
 }
 
 
--- a/src/redwingbank/front/account.py
+++ b/src/redwingbank/front/account.py
@@ -52,6 +52,7 @@
             left_ms=_milliseconds(request.give_up_s - now),
             revision=admitted.revision,
             table_age_ms=_milliseconds(router.tables.age_s(now)),
+            servers_age_ms=_milliseconds(router.freshness.servers_age_s(now)),
         )
 
     def failed(self, life: Life, server: str, failure: Failure) -> None:
@@ -83,6 +84,7 @@
             tried=tried,
             revision=table.revision if table else None,
             table_age_ms=_milliseconds(router.tables.age_s(now_s())),
+            servers_age_ms=_milliseconds(router.freshness.servers_age_s(now_s())),
         )
 
     def first_byte(self) -> None:
--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -21,6 +21,7 @@
 
 struct Question {           # how fresh are you?
   askedS @0 :Float64;       # on the asker's own clock; comes back with the answer
+  traced @1 :Bool;          # both hosts write it to their logs, to compare their clocks
 }
 
 struct Answer {
@@ -29,6 +30,7 @@
   tableRevision @2 :UInt64;
   serversChanged @3 :UInt64; # the store's revision by which servers had changed last
   serversWatched @4 :UInt64; # the store's revision up to which changes of servers are known
+  serversAgeMs @5 :UInt32;  # since the call was sent that confirmed the list of servers last
 }
 
 struct News {               # what became of servers between two revisions of the store
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -51,16 +51,17 @@
 
 
 class Question(NamedTuple):
-    """How fresh are you? `asked_s` is the asker's own time."""
+    """How fresh are you? `asked_s` is the asker's own time; `traced` ones are logged."""
 
     asked_s: float
+    traced: bool = False
 
 
 class Answer(NamedTuple):
     """The answer to a question: the table was confirmed `age_s` before it was given.
 
     Changes of backend servers are known up to the store's revision `servers_watched`; by
-    `servers_changed` the last of them had happened.
+    `servers_changed` the last of them had happened. The list was confirmed `servers_age_s` ago.
     """
 
     asked_s: float
@@ -68,6 +69,7 @@
     table_revision: int
     servers_changed: int
     servers_watched: int
+    servers_age_s: float
 
 
 class News(NamedTuple):
@@ -138,14 +140,16 @@
 
 @_fill.register
 def _fill_question(content: Question, draft: Any) -> None:
-    draft.init("question").askedS = content.asked_s
+    question = draft.init("question")
+    question.askedS, question.traced = content.asked_s, content.traced
 
 
 @_fill.register
 def _fill_answer(content: Answer, draft: Any) -> None:
     answer = draft.init("answer")
     answer.askedS = content.asked_s
-    answer.ageMs = int(min(content.age_s * MILLISECONDS, HIGHEST_AGE_MS))
+    answer.ageMs = _age_ms(content.age_s)
+    answer.serversAgeMs = _age_ms(content.servers_age_s)
     answer.tableRevision = content.table_revision
     answer.serversChanged = content.servers_changed
     answer.serversWatched = content.servers_watched
@@ -198,14 +202,18 @@
 
 
 def _read_question(draft: Any, now_s: float) -> Question:
-    return Question(draft.question.askedS)
+    return Question(draft.question.askedS, draft.question.traced)
 
 
 def _read_answer(draft: Any, now_s: float) -> Answer:
     answer = draft.answer
-    age_s = answer.ageMs / MILLISECONDS
     return Answer(
-        answer.askedS, age_s, answer.tableRevision, answer.serversChanged, answer.serversWatched
+        asked_s=answer.askedS,
+        age_s=answer.ageMs / MILLISECONDS,
+        table_revision=answer.tableRevision,
+        servers_changed=answer.serversChanged,
+        servers_watched=answer.serversWatched,
+        servers_age_s=answer.serversAgeMs / MILLISECONDS,
     )
 
 
@@ -228,6 +236,10 @@
     )
 
 
+def _age_ms(age_s: float) -> int:
+    return int(min(age_s * MILLISECONDS, HIGHEST_AGE_MS))
+
+
 _READER_BY_KIND: dict[str, Callable[[Any, float], Content]] = {
     "digest": _read_digest,
     "question": _read_question,
--- a/src/redwingbank/front/followers.py
+++ b/src/redwingbank/front/followers.py
@@ -73,6 +73,7 @@
 
     def listed(self, listing: Listing) -> None:
         """Take the whole list; entries that can't be read name no server."""
+        self._router.freshness.servers_confirmed(listing.asked_s)
         known = self._router.servers.entries_by_name
         listed = {stored.name: self._read(stored) for stored in listing.objects}
         states = {name: entry for name, entry in listed.items() if entry != known.get(name)}
@@ -85,6 +86,7 @@
 
     def changed(self, seen: Seen) -> None:
         """Take what was written and removed."""
+        self._router.freshness.servers_confirmed(seen.asked_s)
         states: dict[str, ServerEntry | None] = {}
         for change in seen.changes:
             entry = None if change.deleted else self._read(change.stored)
--- a/src/redwingbank/front/freshness.py
+++ b/src/redwingbank/front/freshness.py
@@ -6,14 +6,13 @@
 from typing import TYPE_CHECKING
 
 from redwingbank.front.clock import now_s
-from redwingbank.front.digest import Answer, News
+from redwingbank.front.digest import Answer, News, Question
 from redwingbank.rules.rendezvous import ranked
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from redwingbank.decisions import DecisionLog
-    from redwingbank.front.digest import Question
     from redwingbank.front.directory import TableBelief
     from redwingbank.front.peers import Peers
     from redwingbank.front.store import Follow
@@ -30,6 +29,8 @@
 DOUBTED_S = 3.0
 # a host that has just become a relay confirms its table by the third question
 SETTLED_ASKS = 3
+# a question this often is logged at both ends: clocks drift by microseconds meanwhile
+TRACE_S = 10.0
 # a watch of the other hosts waits for changes alone
 LONG_WATCH_S = 25.0
 # one relay serves so many hosts: some 60 questions a second
@@ -72,6 +73,8 @@
         self._table: Follow
         self._servers: Follow
         self._servers_changed = 0
+        self._servers_confirmed_s = float("-inf")
+        self._traced_s = float("-inf")
         self._own = True
         self._relaying = True
         self._told = False
@@ -97,20 +100,29 @@
         """How long a watch of servers may wait, None where relays tell of changes."""
         return None if self._told and not self._own else self.table_wait_s()
 
-    def answer(self, question: Question) -> Answer:
+    def servers_age_s(self, now_s: float) -> float:
+        """How long ago the list of backend servers was confirmed."""
+        return now_s - self._servers_confirmed_s
+
+    def answer(self, question: Question, asker: str) -> Answer:
         """Tell another host how fresh this one's table is, and what it knows of servers."""
         table = self._tables.table
+        if question.traced:
+            self._log.last("question-heard", asker=asker, asked_s=question.asked_s)
         return Answer(
             question.asked_s,
             self._tables.age_s(now_s()),
             table.revision if table else 0,
             self._servers_changed,
             self._servers.revision,
+            self.servers_age_s(now_s()),
         )
 
     def take(self, answer: Answer, relay: str) -> None:
         """Take a relay's word; what is newer there shows that an own watch is deaf."""
         now, table = now_s(), self._tables.table
+        if answer.asked_s == self._traced_s:
+            self._log.last("answer-heard", asker=self._host, asked_s=answer.asked_s, relay=relay)
         self._unanswered_since_s_by_relay.pop(relay, None)
         if answer.age_s > DOUBT_S and self._asks_by_relay[relay] >= SETTLED_ASKS:
             self._doubt(relay, now, "old word")
@@ -124,6 +136,10 @@
         else:
             self._fall_behind(self._servers, TOLD_NEWS_S if self._told else NEWS_S, answer)
 
+    def servers_confirmed(self, asked_s: float) -> None:
+        """Note that the list of servers is as the store had it when it was asked."""
+        self._servers_confirmed_s = max(self._servers_confirmed_s, asked_s)
+
     def servers_changed(self, news: News, changed: int) -> None:
         """Note what this host has seen itself, by which revision; a relay tells the others."""
         self._servers_changed = max(self._servers_changed, changed)
@@ -164,7 +180,11 @@
     def _ask(self, relay: str, now: float) -> None:
         self._asks_by_relay[relay] += 1
         self._unanswered_since_s_by_relay.setdefault(relay, now)
-        self._peers.ask(relay)
+        traced = now - self._traced_s >= TRACE_S
+        if traced:
+            self._traced_s = now
+            self._log.last("question-sent", asker=self._host, asked_s=now, relay=relay)
+        self._peers.ask(relay, Question(now, traced))
 
     def _doubt(self, relay: str, now: float, reason: str) -> None:
         self._unanswered_since_s_by_relay.pop(relay, None)
@@ -179,6 +199,7 @@
             return False
         if self._told and not self._own:
             self._servers.told(self._servers.revision, answer.servers_watched)
+            self.servers_confirmed(answer.asked_s - answer.servers_age_s)
         return True
 
     def _fall_behind(self, follow: Follow, grace_s: float, answer: Answer) -> None:
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -68,7 +68,7 @@
 
     def __init__(self, host: str, incarnation: int, backends: Backends, log: DecisionLog) -> None:
         self.peers_by_host: dict[str, Peer] = {}
-        self.answer_question: Callable[[Question], Answer] | None = None
+        self.answer_question: Callable[[Question, str], Answer] | None = None
         self.take_answer: Callable[[Answer, str], None] | None = None
         self.take_news: Callable[[News], None] | None = None
         self.take_crash: Callable[[CrashNews, float], None] | None = None
@@ -135,11 +135,11 @@
         digest = Digest(tuple(told.sent), tuple(told.begun), tuple(told.ended))
         self._send(digest, [peer.address for peer in self.peers_by_host.values()])
 
-    def ask(self, host: str) -> None:
+    def ask(self, host: str, question: Question) -> None:
         """Ask a host how fresh its table is."""
         peer = self.peers_by_host.get(host)
         if peer:
-            self._send(Question(now_s()), [peer.address])
+            self._send(question, [peer.address])
 
     def spread(self, news: News | CrashNews) -> None:
         """Tell every other host what became of backend servers, or of requests there."""
@@ -210,7 +210,7 @@
     @_take.register
     def _take_question(self, content: Question, host: str, now: float) -> None:
         if self.answer_question:
-            self._send(self.answer_question(content), [self.peers_by_host[host].address])
+            self._send(self.answer_question(content, host), [self.peers_by_host[host].address])
 
     @_take.register
     def _take_answer(self, content: Answer, host: str, now: float) -> None:
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -30,7 +30,7 @@
 # a caller is asked back after about the time that a host needs to learn what it lacks
 RETRY_AFTER_S = 0.3
 RETRY_AFTER_S_BY_CODE = dict.fromkeys((Code.NOT_READY, Code.TABLE_UNCONFIRMED, Code.LEAVING), 0.2)
-# stands for a table that was never confirmed
+# stands for a table or a list of servers that was never confirmed
 LONGEST_AGE_S = 86_400.0
 LIMITS_UNTIL_KNOWN = Limits()
 
@@ -67,6 +67,7 @@
         now = now_s()
         gauge("table_revision", self.tables.table.revision if self.tables.table else 0)
         gauge("table_age_seconds", min(self.tables.age_s(now), LONGEST_AGE_S))
+        gauge("servers_age_seconds", min(self.freshness.servers_age_s(now), LONGEST_AGE_S))
         gauge("connections", len(self.connections))
         gauge("hosts_heard", len(self.peers.alive(now)))
         gauge("requests_in_flight", len(self.exchanges))
--- a/tests/front/freshness.feature
+++ b/tests/front/freshness.feature
@@ -69,6 +69,7 @@
     Given a host that waits for the word of a relay
     When the relay answers that servers changed by 9 and were watched up to 30
     Then the host has taken 0 news and knows changes up to 30
+    And the list of servers was confirmed 0.2 s ago
     When the relay has seen a server listed between revisions 28 and 33
     Then the host has taken 1 news and knows changes up to 33
 
@@ -82,6 +83,12 @@
     When the other tells of 3 servers written and 2 removed
     Then the news arrives as it was told
 
+  Scenario: clocks of two hosts are compared by their logs, and the list's age can be read
+    Given two fronts on one store
+    When the two serve for 1.5 s
+    Then their logs bound each other's clocks from both sides
+    And the age of the list of servers is a gauge below 3 s
+
   Scenario: a host that the store turns away serves on the others' word
     Given two fronts on one store
     When the store turns the second away for 3 s
--- a/tests/steps/front_freshness.py
+++ b/tests/steps/front_freshness.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import json
 from random import Random
 
 from behave import given, then, when
 from front_choice import Silent
 
 from front_rig import Rig, play
+from redwingbank.ctl.records import read_lines
+from redwingbank.ctl.skew import estimate, links
 from redwingbank.front.backends import Backends
 from redwingbank.front.clock import now_s
 from redwingbank.front.digest import Answer, Message, News, Question, encode_message
@@ -63,7 +66,7 @@
     "a relay with revision {revision:d} and an age of {age:g} s answers a question {ago:g} s old"
 )
 def relay_answers(context, revision, age, ago):
-    context.said = (age, revision, 10, 12)
+    context.said = (age, revision, 10, 12, 0.2)
     context.freshness.take(Answer(now_s() - ago, *context.said), RELAY)
 
 
@@ -77,7 +80,7 @@
 
 @when("a relay with revision 5 and a newer server entry answers for {time:g} s")
 def newer_entry(context, time):
-    context.said = (0.1, 5, 11, 12)
+    context.said = (0.1, 5, 11, 12, 0.2)
     context.freshness.take(Answer(now_s(), *context.said), RELAY)
     answers_again(context, time)
 
@@ -149,7 +152,7 @@
         check(context)
         for _, freshness, _, _ in context.hosts:
             if freshness._host != relay:
-                freshness.take(Answer(now_s(), age, 5, 10, 12), relay)
+                freshness.take(Answer(now_s(), age, 5, 10, 12, 0.2), relay)
     check(context)
     context.first_relay = relay
 
@@ -192,7 +195,7 @@
 
 @when("the relay answers that servers changed by {changed:d} and were watched up to {watched:d}")
 def answers_servers(context, changed, watched):
-    context.said = (0.1, 5, changed, watched)
+    context.said = (0.1, 5, changed, watched, 0.2)
     context.freshness.take(Answer(now_s(), *context.said), RELAY)
 
 
@@ -203,7 +206,7 @@
 
 @then("the host as a relay would tell that servers changed by {changed:d}")
 def would_tell(context, changed):
-    assert context.freshness.answer(Question(now_s())).servers_changed == changed
+    assert context.freshness.answer(Question(now_s()), RELAY).servers_changed == changed
 
 
 @given("two hosts, one of which takes news")
@@ -230,6 +233,40 @@
     assert context.heard == [context.told], context.heard
 
 
+@then("the list of servers was confirmed {age:g} s ago")
+def servers_confirmed(context, age):
+    assert abs(context.freshness.servers_age_s(now_s()) - age) < 0.2
+
+
+@when("the two serve for {time:g} s")
+def serve_for(context, time):
+    async def story(rig):
+        second, _ = await rig.add_host("edge-2")
+        await rig.until(lambda: second.router.peers.alive(now_s()))
+        await asyncio.sleep(time)
+        for front in (rig.front, second):
+            front.router.log.flush()
+        context.metrics = second.router.metrics_text()
+
+    play(context.rig, story)
+
+
+@then("their logs bound each other's clocks from both sides")
+def clocks_bounded(context):
+    records = read_lines(map(json.dumps, context.rig.lines)).records
+    skews = estimate(["edge-1", "edge-2"], links(records))
+    assert skews.consistent
+    skew = skews.by_host["edge-2"]
+    # both run on one clock: what the bounds allow must hold no offset out
+    assert -0.5 < skew.least_s <= 0 <= skew.most_s < 0.5, skew
+
+
+@then("the age of the list of servers is a gauge below {most:g} s")
+def age_gauge(context, most):
+    (line,) = [one for one in context.metrics.splitlines() if "servers_age_seconds" in one[:40]]
+    assert 0 <= float(line.split()[-1]) < most, line
+
+
 @given("two fronts on one store")
 def two_fronts(context):
     context.rig = Rig(modes=["ok"], revokeMs=3000)
