Doubt a relay only when its word is older than its watches and gathering explain

Change: an answer older than 1.8 s, or owed for 1 s, passes a relay over; a host without word for 2.5 s asks the store itself.

--- a/src/redwingbank/front/freshness.py
+++ b/src/redwingbank/front/freshness.py
@@ -17,14 +17,15 @@
     from redwingbank.front.peers import Peers
     from redwingbank.front.store import Follow
 
-# a relay asks the store this often; others ask a relay as often, so that an age stays below
-# 2 s, and with it every bound on tables and keys, even where an answer is lost
+# a relay asks the store this often, and others ask a relay as often
 RELAY_WATCH_S = 0.5
 ASK_S = 0.5
-STALE_S = 2.0
-# a relay whose word is older, or that owes an answer for longer, is passed over: half the bound
-# above, so that the next one's word comes before it is reached
-DOUBT_S = 1.0
+# a relay's table is confirmed each 0.5 s, as of up to 0.5 s before; it gathers changes for 0.6 s.
+# One whose word is older has lost the store: it is passed over, as one that does not answer
+DOUBT_S = 1.8
+UNANSWERED_S = 1.0
+# a host without such word for longer asks the store, well before keys stop to hold at 4 s
+STALE_S = 2.5
 # a doubted relay is asked again after this, some seconds longer than a watch takes to recover
 DOUBTED_S = 3.0
 # a host that has just become a relay confirms its table by the third question
@@ -160,7 +161,7 @@
         now = now_s()
         hosts = [self._host, *self._peers.alive(now)]
         for relay, since_s in list(self._unanswered_since_s_by_relay.items()):
-            if now - since_s > DOUBT_S:
+            if now - since_s > UNANSWERED_S:
                 self._doubt(relay, now, "no word")
         sound = [host for host in hosts if self._doubted_until_s_by_host.get(host, now) <= now]
         relays = ranked(RELAY_KEY, sound)[: 1 + (len(hosts) - 1) // HOSTS_A_RELAY]
