Pass digests on through a relay of each data centre in large fleets

Cause: each host told all others of each request. Receiving was most of it, some 80 microseconds a datagram. Ruled out: longer batches at the sender, since each host sends only 6 requests a second, and a late word of requests makes hosts crowd one server. Change: from 16 hosts on, a host tells the relay of its data centre, which gathers for 20 ms and passes on to its hosts and the other relays. First events and ends wait 0.25 s. Digests are written by columns.

--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -4,19 +4,35 @@
 struct Message {
   host @0 :Text;
   incarnation @1 :UInt64;   # rises with each start of the host's process
+  dataCentre @8 :Text;      # where the host is
   union {
     digest @2 :Digest;
     question @3 :Question;
     answer @4 :Answer;
     news @5 :News;
     crash @6 :Crash;
+    bundle @7 :Bundle;
   }
 }
 
+# Requests, written by columns, which are read in a fraction of the time of a struct a request.
 struct Digest {
-  sent @0 :List(Sent);
-  begun @1 :List(Begun);
-  ended @2 :List(UInt32);   # numbers of requests that are over
+  # for each request that was sent: its number, prompt tokens to be read, prompt tokens that wait
+  # there already, answer tokens, longest good pause between events in ms (0 for a plain call),
+  # its rank in the server's order (0 first), how many of the parts below are its own
+  sent @0 :List(UInt32);
+  servers @1 :List(Text);   # for each request that was sent: its server
+  parts @2 :List(Text);     # shared parts of prompts, in order
+  partTokens @3 :List(UInt32);
+  begun @4 :List(UInt32);   # for each first event: the request's number, ms since it was sent
+  ended @5 :List(UInt32);   # numbers of requests that are over
+}
+
+struct Bundle {             # digests of several hosts, passed on by one of them
+  audience @0 :UInt8;       # whom the receiver tells: 0 nobody, 1 its data centre, 2 all
+  hosts @1 :List(Text);
+  incarnations @2 :List(UInt64);
+  digests @3 :List(Digest);
 }
 
 struct Question {           # how fresh are you?
@@ -50,27 +66,6 @@
   startedMs @6 :Int64;
 }
 
-struct Sent {
-  number @0 :UInt32;        # of this host's requests
-  server @1 :Text;
-  unread @2 :UInt32;        # prompt tokens to be read there
-  ahead @3 :UInt32;         # prompt tokens that wait there already
-  answerTokens @4 :UInt32;
-  pauseMs @5 :UInt32;       # longest good pause between events, 0 for a plain call
-  rank @6 :UInt8;           # its place in the server's order, 0 first
-  parts @7 :List(Part);     # the shared parts of its prompt, in order
-}
-
-struct Begun {              # a request's first event has come
-  number @0 :UInt32;
-  tookMs @1 :UInt32;        # since it was sent
-}
-
-struct Part {
-  name @0 :Text;
-  tokens @1 :UInt32;
-}
-
 struct Crash {              # a request crashed a server, or is cleared of that
   fingerprint @0 :Text;
   ranMs @1 :UInt32;         # how long it had run there
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -2,7 +2,9 @@
 
 from __future__ import annotations
 
+from enum import IntEnum
 from functools import singledispatch
+from itertools import islice
 from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -14,12 +16,14 @@
 from redwingbank.settings import parse_address
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
 capnp.remove_import_hook()
 SCHEMA = capnp.load(str(Path(__file__).with_name("digest.capnp")))
 MILLISECONDS = 1000.0
 HIGHEST_AGE_MS = 2**32 - 1
+# numbers that a digest holds for each request sent
+FIGURES = 7
 
 
 class MessageError(Exception):
@@ -50,6 +54,29 @@
     ended: tuple[int, ...] = ()
 
 
+class Audience(IntEnum):
+    """Whom the receiver of a bundle tells in turn."""
+
+    NOBODY = 0
+    DATA_CENTRE = 1
+    ALL = 2
+
+
+class Report(NamedTuple):
+    """A digest of a host, whoever passes it on."""
+
+    host: str
+    incarnation: int
+    digest: Digest
+
+
+class Bundle(NamedTuple):
+    """Reports that one host passes on to others."""
+
+    reports: tuple[Report, ...]
+    audience: Audience
+
+
 class Question(NamedTuple):
     """How fresh are you? `asked_s` is the asker's own time; `traced` ones are logged."""
 
@@ -84,7 +111,7 @@
     removed: tuple[str, ...]
 
 
-Content = Digest | Question | Answer | News | CrashNews
+Content = Digest | Bundle | Question | Answer | News | CrashNews
 
 
 class Message(NamedTuple):
@@ -93,11 +120,14 @@
     host: str
     incarnation: int
     content: Content
+    data_centre: str = ""
 
 
 def encode_message(message: Message) -> bytes:
     """Write a message."""
-    draft = SCHEMA.Message.new_message(host=message.host, incarnation=message.incarnation)
+    draft = SCHEMA.Message.new_message(
+        host=message.host, incarnation=message.incarnation, dataCentre=message.data_centre
+    )
     _fill(message.content, draft)
     return bytes(draft.to_bytes_packed())
 
@@ -110,7 +140,8 @@
     try:
         draft = SCHEMA.Message.from_bytes_packed(data)
         read = _READER_BY_KIND[draft.which()]
-        return Message(draft.host, draft.incarnation, read(draft, now_s))
+        content = read(draft, now_s)
+        return Message(draft.host, draft.incarnation, content, draft.dataCentre)
     except (capnp.KjException, ValueError, KeyError) as error:
         raise MessageError(str(error)) from error
 
@@ -122,20 +153,47 @@
 
 @_fill.register
 def _fill_digest(content: Digest, draft: Any) -> None:
-    digest = draft.init("digest")
-    for row, begun in zip(digest.init("begun", len(content.begun)), content.begun, strict=True):
-        row.number, row.tookMs = begun.number, int(begun.took_s * MILLISECONDS)
-    digest.ended = list(content.ended)
-    rows = digest.init("sent", len(content.sent))
-    for row, one in zip(rows, content.sent, strict=True):
-        flight = one.flight
-        row.number, row.server = one.number, one.server
-        row.unread, row.ahead = flight.unread, int(flight.ahead)
-        row.answerTokens, row.rank = flight.answer_tokens, flight.rank
-        row.pauseMs = int(flight.pause_target_s * MILLISECONDS)
-        parts = row.init("parts", len(one.parts))
-        for cell, part in zip(parts, one.parts, strict=True):
-            cell.name, cell.tokens = part.name, part.tokens
+    _write_digest(content, draft.init("digest"))
+
+
+@_fill.register
+def _fill_bundle(content: Bundle, draft: Any) -> None:
+    bundle = draft.init("bundle")
+    bundle.audience = content.audience.value
+    bundle.hosts = [report.host for report in content.reports]
+    bundle.incarnations = [report.incarnation for report in content.reports]
+    rows = bundle.init("digests", len(content.reports))
+    for row, report in zip(rows, content.reports, strict=True):
+        _write_digest(report.digest, row)
+
+
+def _write_digest(content: Digest, digest: Any) -> None:
+    if content.sent:
+        digest.sent = [figure for one in content.sent for figure in _figures(one)]
+        digest.servers = [one.server for one in content.sent]
+        digest.parts = [part.name for one in content.sent for part in one.parts]
+        digest.partTokens = [part.tokens for one in content.sent for part in one.parts]
+    if content.begun:
+        digest.begun = [
+            figure
+            for one in content.begun
+            for figure in (one.number, int(one.took_s * MILLISECONDS))
+        ]
+    if content.ended:
+        digest.ended = list(content.ended)
+
+
+def _figures(one: Sent) -> tuple[int, ...]:
+    flight = one.flight
+    return (
+        one.number,
+        flight.unread,
+        int(flight.ahead),
+        flight.answer_tokens,
+        int(flight.pause_target_s * MILLISECONDS),
+        flight.rank,
+        len(one.parts),
+    )
 
 
 @_fill.register
@@ -180,25 +238,49 @@
 
 
 def _read_digest(draft: Any, now_s: float) -> Digest:
-    digest = draft.digest
+    return _digest(draft.digest, now_s)
+
+
+def _read_bundle(draft: Any, now_s: float) -> Bundle:
+    bundle = draft.bundle
+    reports = tuple(
+        Report(host, incarnation, _digest(digest, now_s))
+        for host, incarnation, digest in zip(
+            bundle.hosts, bundle.incarnations, bundle.digests, strict=True
+        )
+    )
+    return Bundle(reports, Audience(bundle.audience))
+
+
+def _digest(digest: Any, now_s: float) -> Digest:
+    begun = list(digest.begun)
     return Digest(
-        sent=tuple(_read_sent(row, now_s) for row in digest.sent),
-        begun=tuple(Begun(row.number, row.tookMs / MILLISECONDS) for row in digest.begun),
+        sent=tuple(_read_sent(digest, now_s)),
+        begun=tuple(
+            Begun(number, took_ms / MILLISECONDS)
+            for number, took_ms in zip(begun[::2], begun[1::2], strict=True)
+        ),
         ended=tuple(digest.ended),
     )
 
 
-def _read_sent(row: Any, now_s: float) -> Sent:
-    flight = Flight(
-        sent_s=now_s,
-        unread=row.unread,
-        ahead=float(row.ahead),
-        answer_tokens=row.answerTokens,
-        pause_target_s=row.pauseMs / MILLISECONDS,
-        rank=row.rank,
-    )
-    parts = tuple(Part(cell.name, cell.tokens) for cell in row.parts)
-    return Sent(row.number, row.server, flight, parts)
+def _read_sent(digest: Any, now_s: float) -> Iterator[Sent]:
+    figures = list(digest.sent)
+    if not figures:
+        return
+    parts = map(Part, digest.parts, digest.partTokens)
+    rows = (figures[at : at + FIGURES] for at in range(0, len(figures), FIGURES))
+    for server, row in zip(digest.servers, rows, strict=True):
+        number, unread, ahead, answer_tokens, pause_ms, rank, part_count = row
+        flight = Flight(
+            sent_s=now_s,
+            unread=unread,
+            ahead=float(ahead),
+            answer_tokens=answer_tokens,
+            pause_target_s=pause_ms / MILLISECONDS,
+            rank=rank,
+        )
+        yield Sent(number, server, flight, tuple(islice(parts, part_count)))
 
 
 def _read_question(draft: Any, now_s: float) -> Question:
@@ -242,6 +324,7 @@
 
 _READER_BY_KIND: dict[str, Callable[[Any, float], Content]] = {
     "digest": _read_digest,
+    "bundle": _read_bundle,
     "question": _read_question,
     "answer": _read_answer,
     "news": _read_news,
@@ -250,13 +333,16 @@
 
 __all__ = [
     "Answer",
+    "Audience",
     "Begun",
+    "Bundle",
     "Content",
     "Digest",
     "Message",
     "MessageError",
     "News",
     "Question",
+    "Report",
     "Sent",
     "decode_message",
     "encode_message",
--- a/src/redwingbank/front/freshness.py
+++ b/src/redwingbank/front/freshness.py
@@ -7,6 +7,7 @@
 
 from redwingbank.front.clock import now_s
 from redwingbank.front.digest import Answer, News, Question
+from redwingbank.front.peers import LARGE_FLEET_HOSTS
 from redwingbank.rules.rendezvous import ranked
 
 if TYPE_CHECKING:
@@ -37,9 +38,6 @@
 # one relay serves so many hosts: some 60 questions a second
 HOSTS_A_RELAY = 32
 RELAY_KEY = "table relay"
-# among more hosts, relays tell what became of servers: a watch at each host costs a call to the
-# store for each change and host
-TOLD_FROM_HOSTS = 16
 # a datagram carries so many entries of some 100 bytes
 MOST_NEWS = 10
 # a host's own watch, which gathers changes for 0.6 s, has a relay's news within this time
@@ -54,7 +52,9 @@
     The relays are the first of all hosts heard, by rendezvous, so hosts agree on them without a
     word; one whose own word is old is passed over. A relay's answer confirms the table as of the
     moment of the question, less the age the relay gives: the answer was given after the
-    question, however long it took to come. `take_servers` takes what a relay has seen of servers.
+    question, however long it took to come. In a large fleet relays tell what became of servers
+    too, since a watch at each host costs a call to the store for each change and host:
+    `take_servers` takes what a relay has seen of them.
     """
 
     def __init__(
@@ -63,7 +63,7 @@
         tables: TableBelief,
         peers: Peers,
         log: DecisionLog,
-        told_from_hosts: int = TOLD_FROM_HOSTS,
+        told_from_hosts: int = LARGE_FLEET_HOSTS,
     ) -> None:
         self.take_servers: Callable[[News], None] | None = None
         self._host = host
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -1,4 +1,10 @@
-"""The other hosts: what they have sent, and how fresh their tables are, heard over UDP."""
+"""The other hosts: what they have sent, and how fresh their tables are, heard over UDP.
+
+In a small fleet each host tells all others. In a large one it tells the relay of its data
+centre, which gathers what its hosts say and passes it on, there and to the other relays: what a
+host hears grows with the requests, not with hosts times requests, and crosses between data
+centres once.
+"""
 
 from __future__ import annotations
 
@@ -9,17 +15,21 @@
 from redwingbank.front.clock import now_s
 from redwingbank.front.digest import (
     Answer,
+    Audience,
     Begun,
+    Bundle,
     Digest,
     Message,
     MessageError,
     News,
     Question,
+    Report,
     Sent,
     decode_message,
     encode_message,
 )
 from redwingbank.front.poison import CrashNews
+from redwingbank.rules.rendezvous import ranked
 from redwingbank.settings import Address
 
 if TYPE_CHECKING:
@@ -35,19 +45,27 @@
 HEARTBEAT_S = 1.0
 # three heartbeats; a host unheard for longer has no requests in flight that count
 SILENT_S = 3.0
-# news waits this long for more: a request counts for the next choice, its end for the load only
+# news waits this long for more: a request counts for the next choice, and its first event and
+# its end, which carry their own times, for what is learned of a server
 SENT_BATCH_S = 0.01
-BEGUN_BATCH_S = 0.05
-ENDED_BATCH_S = 0.25
+PROGRESS_BATCH_S = 0.25
+# a relay gathers this long, a tenth of the time that the shortest targets leave for a first event
+BUNDLE_S = 0.02
+# among fewer hosts each tells all: a relay would save less than it delays
+LARGE_FLEET_HOSTS = 16
+# a heartbeat and a half: a relay unheard for longer is passed over
+RELAY_SILENT_S = 1.5
+RELAY_KEY = "relay of "
 OWN = ""
 
 
 class Peer(NamedTuple):
-    """Another host: its address, the start of its process, and when it was heard last."""
+    """Another host: its address, the start of its process, when it was heard, where it is."""
 
     address: Address
     incarnation: int
     heard_s: float
+    data_centre: str = ""
 
 
 class _Told(NamedTuple):
@@ -58,6 +76,13 @@
     ended: list[int]
 
 
+class _ToPassOn(NamedTuple):
+    """Reports that this host is to pass on, as a relay."""
+
+    here: list[Report]
+    elsewhere: list[Report]
+
+
 class Peers(asyncio.DatagramProtocol):
     """Tells the other hosts of this one's requests, and takes note of theirs.
 
@@ -66,7 +91,14 @@
     them.
     """
 
-    def __init__(self, host: str, incarnation: int, backends: Backends, log: DecisionLog) -> None:
+    def __init__(
+        self,
+        host: str,
+        incarnation: int,
+        backends: Backends,
+        log: DecisionLog,
+        data_centre: str = "",
+    ) -> None:
         self.peers_by_host: dict[str, Peer] = {}
         self.answer_question: Callable[[Question, str], Answer] | None = None
         self.take_answer: Callable[[Answer, str], None] | None = None
@@ -74,12 +106,16 @@
         self.take_crash: Callable[[CrashNews, float], None] | None = None
         self._host = host
         self._incarnation = incarnation
+        self._data_centre = data_centre
         self._backends = backends
         self._log = log
         self._transport: asyncio.DatagramTransport | None = None
         self._told = _Told([], [], [])
-        self._told_s = 0.0
         self._due_s = float("inf")
+        self._beat_s = 0.0
+        self._passing_on = _ToPassOn([], [])
+        self._incarnation_by_host: dict[str, int] = {}
+        self._told_s_by_host: dict[str, float] = {}
         self._number = 0
         self._server_by_number: dict[str, dict[int, str]] = {}
 
@@ -116,24 +152,36 @@
 
     def begun(self, number: int, took_s: float) -> None:
         """Tell of a request's first event."""
-        self._note(BEGUN_BATCH_S).begun.append(Begun(number, took_s))
+        self._note(PROGRESS_BATCH_S).begun.append(Begun(number, took_s))
 
     def ended(self, number: int) -> None:
         """Tell of a request's end."""
-        self._note(ENDED_BATCH_S).ended.append(number)
+        self._note(PROGRESS_BATCH_S).ended.append(number)
 
     def beat(self) -> None:
         """Send a heartbeat where one is due."""
-        if now_s() - self._told_s >= HEARTBEAT_S:
-            self.tell()
+        if now_s() - self._beat_s >= HEARTBEAT_S:
+            self._beat_s = now_s()
+            self._send(Digest(), self._addresses())
 
     def tell(self) -> None:
         """Send what is to be told."""
         now, told = now_s(), self._told
-        self._told, self._told_s = _Told([], [], []), now
+        self._told = _Told([], [], [])
         self._due_s = float("inf")
         digest = Digest(tuple(told.sent), tuple(told.begun), tuple(told.ended))
-        self._send(digest, [peer.address for peer in self.peers_by_host.values()])
+        hosts = self.alive(now)
+        if len(hosts) + 1 < LARGE_FLEET_HOSTS:
+            self._beat_s = now
+            self._send(digest, self._addresses())
+            return
+        report = Report(self._host, self._incarnation, digest)
+        relay = self._relay(self._data_centre, now)
+        if relay == self._host:
+            self._pass_on((report,), Audience.ALL)
+        else:
+            bundle = Bundle((report,), Audience.ALL)
+            self._send(bundle, [self.peers_by_host[relay].address])
 
     def ask(self, host: str, question: Question) -> None:
         """Ask a host how fresh its table is."""
@@ -143,20 +191,22 @@
 
     def spread(self, news: News | CrashNews) -> None:
         """Tell every other host what became of backend servers, or of requests there."""
-        self._send(news, [peer.address for peer in self.peers_by_host.values()])
+        self._send(news, self._addresses())
 
     def expire(self, now: float) -> None:
-        """Forget the requests of hosts that have fallen silent."""
-        for host, peer in self.peers_by_host.items():
-            if now - peer.heard_s >= SILENT_S and self._server_by_number.get(host):
-                del self._server_by_number[host]
+        """Forget the requests of hosts of which nothing was heard, from them or a relay."""
+        for host, told_s in list(self._told_s_by_host.items()):
+            if now - told_s >= SILENT_S:
+                del self._told_s_by_host[host]
+                self._server_by_number.pop(host, None)
                 self._backends.host_gone(host)
-                self._log.last("host-silent", peer=host, since_s=round(now - peer.heard_s, 1))
+                self._log.last("host-silent", peer=host, since_s=round(now - told_s, 1))
 
     def _send(self, content: Content, addresses: Iterable[Address]) -> None:
         if self._transport is None:
             return
-        data = encode_message(Message(self._host, self._incarnation, content))
+        message = Message(self._host, self._incarnation, content, self._data_centre)
+        data = encode_message(message)
         for address in addresses:
             self._transport.sendto(data, address)
 
@@ -172,24 +222,80 @@
         if self._due_s < float("inf"):
             self.tell()
 
+    def _addresses(self) -> list[Address]:
+        return [peer.address for peer in self.peers_by_host.values()]
+
+    def _relay(self, data_centre: str, now: float) -> str:
+        """The host that passes reports on in a data centre, by what this one has heard."""
+        hosts = [
+            host
+            for host, peer in self.peers_by_host.items()
+            if peer.data_centre == data_centre and now - peer.heard_s < RELAY_SILENT_S
+        ]
+        if data_centre == self._data_centre:
+            hosts.append(self._host)
+        return ranked(RELAY_KEY + data_centre, hosts)[0] if hosts else ""
+
+    def _pass_on(self, reports: Iterable[Report], audience: Audience) -> None:
+        """Gather reports for the hosts of this data centre, and for the other relays."""
+        if not self._passing_on.here:
+            asyncio.get_running_loop().call_later(BUNDLE_S, self._pass_on_gathered)
+        self._passing_on.here.extend(reports)
+        if audience is Audience.ALL:
+            self._passing_on.elsewhere.extend(reports)
+
+    def _pass_on_gathered(self) -> None:
+        now, gathered = now_s(), self._passing_on
+        self._passing_on = _ToPassOn([], [])
+        here = [
+            peer.address
+            for peer in self.peers_by_host.values()
+            if peer.data_centre == self._data_centre
+        ]
+        self._send(Bundle(tuple(gathered.here), Audience.NOBODY), here)
+        if not gathered.elsewhere:
+            return
+        others = {peer.data_centre for peer in self.peers_by_host.values()} - {self._data_centre}
+        relays = [self._relay(data_centre, now) for data_centre in others]
+        addresses = [self.peers_by_host[relay].address for relay in relays if relay]
+        self._send(Bundle(tuple(gathered.elsewhere), Audience.DATA_CENTRE), addresses)
+
     def _hear(self, message: Message, address: Address, now: float) -> bool:
         """Note a host's sign of life; one of an earlier start is none."""
-        before = self.peers_by_host.get(message.host)
-        if before and message.incarnation < before.incarnation:
+        if not self._current(message.host, message.incarnation):
             return False
+        before = self.peers_by_host.get(message.host)
         if before is None or message.incarnation > before.incarnation:
-            self._backends.host_gone(message.host)
-            self._server_by_number[message.host] = {}
             self._log.last("host-heard", peer=message.host, address=str(address))
-        self.peers_by_host[message.host] = Peer(address, message.incarnation, now)
+        self.peers_by_host[message.host] = Peer(
+            address, message.incarnation, now, message.data_centre
+        )
         return True
 
+    def _current(self, host: str, incarnation: int) -> bool:
+        """Tell whether this is of a host's latest start; requests of earlier ones are gone."""
+        before = self._incarnation_by_host.get(host, -1)
+        if incarnation > before:
+            self._incarnation_by_host[host] = incarnation
+            self._backends.host_gone(host)
+            self._server_by_number[host] = {}
+        return incarnation >= before
+
     @singledispatchmethod
     def _take(self, content: Any, host: str, now: float) -> None:
         raise TypeError(type(content))
 
+    @_take.register
+    def _take_bundle(self, content: Bundle, host: str, now: float) -> None:
+        for report in content.reports:
+            if report.host != self._host and self._current(report.host, report.incarnation):
+                self._take_digest(report.digest, report.host, now)
+        if content.audience is not Audience.NOBODY:
+            self._pass_on(content.reports, content.audience)
+
     @_take.register
     def _take_digest(self, content: Digest, host: str, now: float) -> None:
+        self._told_s_by_host[host] = now
         servers = self._server_by_number.setdefault(host, {})
         by_name = self._backends.backends_by_name
         for one in content.sent:
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -46,7 +46,9 @@
         self.tables = TableBelief(settings.bounds)
         self.servers = ServerBelief()
         self.backends = Backends(random)
-        self.peers = Peers(settings.name, time.time_ns(), self.backends, self.log)
+        self.peers = Peers(
+            settings.name, time.time_ns(), self.backends, self.log, settings.data_centre
+        )
         self.poison = Poison(self.peers.spread, self.log)
         self.peers.take_crash = self.poison.heard
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
--- /dev/null
+++ b/tests/steps/front_relaying.py
@@ -0,0 +1,206 @@
+"""Steps of front/relaying.feature: hosts on one loop, whose datagrams are handed over directly."""
+
+from __future__ import annotations
+
+import asyncio
+from random import Random
+
+from behave import given, then, when
+from front_choice import POOL, Silent
+
+from redwingbank.front import peers as peers_module
+from redwingbank.front.backends import Backends
+from redwingbank.front.digest import Bundle, Digest, decode_message
+from redwingbank.front.load import Flight
+from redwingbank.front.peers import Peers
+from redwingbank.front.values import Part, ServerEntry
+from redwingbank.settings import Address
+
+SERVER = ServerEntry("i-1", POOL.name, Address("10.9.0.1", 1), "zone-1", 16, False, 1)
+BEAT_S = 0.1
+
+
+class Clock:
+    """The loop's time, set forward by what a scenario lets pass."""
+
+    def __init__(self):
+        self.ahead_s = 0.0
+
+    def now_s(self):
+        return asyncio.get_running_loop().time() + self.ahead_s
+
+
+class Network:
+    """Hosts by address; those that are gone get nothing."""
+
+    def __init__(self, count, data_centres):
+        self.clock = Clock()
+        self.gone = set()
+        self.messages = []
+        self.by_address = {}
+        self.hosts = []
+        for number in range(1, count + 1):
+            backends = Backends(Random(1))
+            backends.of(SERVER)
+            zone = f"zone-{number % data_centres}"
+            host = Peers(f"host-{number}", 1, backends, Silent(), zone)
+            address = Address("10.0.0.1", number)
+            host.connection_made(Wire(self, host, address))
+            self.by_address[address] = host
+            self.hosts.append(host)
+
+    @property
+    def left(self):
+        return [host for host in self.hosts if host not in self.gone]
+
+    async def beat(self, seconds=0.0):
+        """Let time pass, with a heartbeat of each host at every step."""
+        steps = int(seconds / 0.5) + 1
+        for step in range(steps):
+            self.clock.ahead_s += 0.5 if step else 0.0
+            for host in self.left:
+                host._beat_s = float("-inf")
+                host.beat()
+            await asyncio.sleep(0.01)
+            for host in self.left:
+                host.expire(self.clock.now_s())
+
+
+class Wire:
+    """A host's end of the network."""
+
+    def __init__(self, network, host, address):
+        self.network, self.host, self.address = network, host, address
+
+    def sendto(self, data, address):
+        there = self.network.by_address[address]
+        if self.host in self.network.gone or there in self.network.gone:
+            return
+        message = decode_message(data, 0.0)
+        self.network.messages.append((self.host, there, message))
+        loop = asyncio.get_running_loop()
+        loop.call_soon(there.datagram_received, data, self.address)
+
+
+def knows(host):
+    return len(host._backends.backends_by_name[SERVER.name].load)
+
+
+def play(context, story):
+    """Run a scenario's steps, which were gathered, on one loop; the clock is the network's."""
+
+    async def run():
+        network = context.network
+        kept = peers_module.now_s
+        peers_module.now_s = network.clock.now_s
+        try:
+            for host in network.hosts:
+                host.know({other._host: wire for wire, other in network.by_address.items()})
+            await network.beat()
+            await network.beat()
+            network.messages.clear()
+            for step in [*context.steps, story]:
+                await step(network)
+        finally:
+            peers_module.now_s = kept
+
+    asyncio.run(run())
+
+
+async def within(seconds, holds):
+    async with asyncio.timeout(seconds):
+        while not holds():  # noqa: ASYNC110 - what is awaited has no event of its own
+            await asyncio.sleep(0.005)
+
+
+@given("{count:d} hosts in {data_centres:d} data centres that hear each other")
+def hosts(context, count, data_centres):
+    context.network = Network(count, data_centres)
+    context.steps = []
+
+
+@when("host 1 sends a memo of {tokens:d} tokens")
+def sends(context, tokens):
+    async def step(network):
+        flight = Flight(network.clock.now_s(), tokens, 0.0, 52, 0.3, 1)
+        host = network.hosts[0]
+        context.number = host.sent(SERVER.name, flight, (Part("file", 6000),))
+        host._backends.backends_by_name[SERVER.name].load.sent(("", context.number), flight)
+
+    context.steps.append(step)
+
+
+@when("it begins and ends")
+def begins_and_ends(context):
+    async def step(network):
+        host = network.hosts[0]
+        await within(0.3, lambda: all(map(knows, network.hosts)))
+        host.begun(context.number, 0.4)
+        host.ended(context.number)
+        host._backends.backends_by_name[SERVER.name].load.ended(("", context.number))
+
+    context.steps.append(step)
+
+
+@when("all hosts know of it")
+def all_know_meanwhile(context):
+    async def step(network):
+        await within(0.3, lambda: all(map(knows, network.hosts)))
+
+    context.steps.append(step)
+
+
+@when("the relay of host 1 is gone for {seconds:g} s")
+def relay_gone(context, seconds):
+    async def step(network):
+        host = network.hosts[0]
+        relay = host._relay(host._data_centre, network.clock.now_s())
+        assert relay != host._host, "the scenario needs another host as the relay"
+        network.gone.add(next(one for one in network.hosts if one._host == relay))
+        await network.beat(seconds)
+
+    context.steps.append(step)
+
+
+@when("host 1 is gone for {seconds:g} s")
+def host_gone(context, seconds):
+    async def step(network):
+        network.gone.add(network.hosts[0])
+        await network.beat(seconds)
+
+    context.steps.append(step)
+
+
+@then("all hosts know of it within {seconds:g} s")
+@then("all hosts that are left know of it within {seconds:g} s")
+def all_know(context, seconds):
+    async def step(network):
+        await within(seconds, lambda: all(map(knows, network.left)))
+
+    play(context, step)
+
+
+@then("no host knows of a request within {seconds:g} s")
+@then("no host that is left knows of a request within {seconds:g} s")
+def none_knows(context, seconds):
+    async def step(network):
+        await within(seconds, lambda: not any(map(knows, network.left)))
+
+    play(context, step)
+
+
+@then("at most {most:d} digests of it crossed between data centres")
+def crossed(context, most):
+    across = [
+        message
+        for sender, receiver, message in context.network.messages
+        if sender._data_centre != receiver._data_centre
+        and isinstance(message.content, Bundle | Digest)
+    ]
+    assert 1 <= len(across) <= most, across
+
+
+@then("no host has passed anything on")
+def nothing_passed_on(context):
+    contents = [message.content for _, _, message in context.network.messages]
+    assert not [content for content in contents if isinstance(content, Bundle)]
