--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -33,7 +33,8 @@
   audience @0 :UInt8;       # whom the receiver tells: 0 nobody, 1 its data centre, 2 all
   hosts @1 :List(Text);
   incarnations @2 :List(UInt64);
-  digests @3 :List(Digest);
+  counts @3 :List(UInt32);  # for each host: how many requests sent, first events and ends follow
+  digest @4 :Digest;        # those of all hosts, one host after the other
 }
 
 struct Question {           # how fresh are you?
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -176,9 +176,14 @@
     bundle.audience = content.audience.value
     bundle.hosts = [report.host for report in content.reports]
     bundle.incarnations = [report.incarnation for report in content.reports]
-    rows = bundle.init("digests", len(content.reports))
-    for row, report in zip(rows, content.reports, strict=True):
-        _write_digest(report.digest, row)
+    digests = [report.digest for report in content.reports]
+    bundle.counts = [len(events) for digest in digests for events in digest]
+    merged = Digest(
+        tuple(one for digest in digests for one in digest.sent),
+        tuple(one for digest in digests for one in digest.begun),
+        tuple(one for digest in digests for one in digest.ended),
+    )
+    _write_digest(merged, bundle.init("digest"))
 
 
 def _write_digest(content: Digest, digest: Any) -> None:
@@ -257,11 +262,22 @@
 
 def _read_bundle(draft: Any, now_s: float) -> Bundle:
     bundle = draft.bundle
+    merged, counts = _digest(bundle.digest, now_s), list(bundle.counts)
+    sent, begun, ended = iter(merged.sent), iter(merged.begun), iter(merged.ended)
+    rows = zip(
+        bundle.hosts, bundle.incarnations, counts[::3], counts[1::3], counts[2::3], strict=True
+    )
     reports = tuple(
-        Report(host, incarnation, _digest(digest, now_s))
-        for host, incarnation, digest in zip(
-            bundle.hosts, bundle.incarnations, bundle.digests, strict=True
+        Report(
+            host,
+            incarnation,
+            Digest(
+                tuple(islice(sent, sent_count)),
+                tuple(islice(begun, begun_count)),
+                tuple(islice(ended, ended_count)),
+            ),
         )
+        for host, incarnation, sent_count, begun_count, ended_count in rows
     )
     return Bundle(reports, Audience(bundle.audience))
 
--- a/tests/front/relaying.feature
+++ b/tests/front/relaying.feature
@@ -42,3 +42,8 @@
     When host 1 sends a memo of 20000 tokens
     Then all hosts know of it within 0.1 s
     And no host has passed anything on
+
+  Scenario: a bundle whose counts don't fit is dropped and told in the log
+    Given a host and a bundle with a count too few
+    When the host gets the bundle
+    Then it knows of nothing and tells that a message was unreadable
--- a/tests/steps/front_relaying.py
+++ b/tests/steps/front_relaying.py
@@ -10,7 +10,18 @@
 
 from redwingbank.front import peers as peers_module
 from redwingbank.front.backends import Backends
-from redwingbank.front.digest import Audience, Bundle, Digest, Place, decode_message
+from redwingbank.front.digest import (
+    SCHEMA,
+    Audience,
+    Bundle,
+    Digest,
+    Message,
+    Place,
+    Report,
+    Sent,
+    decode_message,
+    encode_message,
+)
 from redwingbank.front.load import Flight
 from redwingbank.front.peers import Peers
 from redwingbank.front.values import Part, ServerEntry
@@ -224,3 +235,30 @@
 def nothing_passed_on(context):
     contents = [message.content for _, _, message in context.network.messages]
     assert not [content for content in contents if isinstance(content, Bundle)]
+
+
+@given("a host and a bundle with a count too few")
+def bad_bundle(context):
+    context.told = []
+    log = Silent()
+    log.detail = lambda event, **fields: context.told.append(event)
+    context.backends = Backends(Random(1))
+    context.backends.of(SERVER)
+    context.host = Peers("host-1", 1, context.backends, log)
+    flight = Flight(0.0, 900, 0.0, 52, 0.3, 1)
+    report = Report("host-2", 1, Digest((Sent(1, SERVER.name, flight, ()),)))
+    data = encode_message(Message("host-2", 1, Bundle((report,), Audience.NOBODY)))
+    draft = SCHEMA.Message.from_bytes_packed(data).as_builder()
+    draft.bundle.counts = [1, 0]
+    context.data = draft.to_bytes_packed()
+
+
+@when("the host gets the bundle")
+def gets_bundle(context):
+    context.host.datagram_received(context.data, ("10.0.0.2", 7200))
+
+
+@then("it knows of nothing and tells that a message was unreadable")
+def unreadable(context):
+    assert len(context.backends.backends_by_name[SERVER.name].load) == 0
+    assert context.told == ["message-unreadable"], context.told
