--- a/src/redwingbank_bench/soak.py
+++ b/src/redwingbank_bench/soak.py
@@ -33,6 +33,9 @@
     from collections.abc import Callable, Coroutine
 
 HOSTS = 3
+DATA_CENTRES = ("a", "b")
+# enough for a relay between hosts
+LINK_MBPS = 1000
 SERVERS = 4
 CALLERS = 12
 ANY_PORT = Address(LOOPBACK, 0)
@@ -61,10 +64,11 @@
 
 
 class Soak:
-    """One run with one seed."""
+    """One run with one seed and so many fronts; from 16 on they work as a large fleet."""
 
-    def __init__(self, seed: int, folder: Path) -> None:
+    def __init__(self, seed: int, folder: Path, hosts: int) -> None:
         self._seed = seed
+        self._hosts = hosts
         self._random = Random(seed)
         self._folder = folder
         self._store = ObjectStore()
@@ -114,11 +118,13 @@
             await self._store.put(
                 "servers", server.name, entry_document(await proxy.start(ANY_PORT))
             )
-        for number in range(HOSTS):
+        for number in range(self._hosts):
             proxy = Proxy(store)
             self._store_proxies.append(proxy)
             self._add_front(number, await proxy.start(ANY_PORT))
-        await asyncio.gather(*(self._served(number, FIRST_READY_S) for number in range(HOSTS)))
+        await asyncio.gather(
+            *(self._served(number, FIRST_READY_S) for number in range(self._hosts))
+        )
 
     def _add_front(self, number: int, store: Address) -> None:
         caller = Address(LOOPBACK, free_port())
@@ -227,7 +233,7 @@
 
     async def _recover(self) -> None:
         served = await asyncio.gather(
-            *(self._served(number, RECOVERY_S) for number in range(HOSTS))
+            *(self._served(number, RECOVERY_S) for number in range(self._hosts))
         )
         for number, well in enumerate(served):
             if not well:
@@ -344,27 +350,28 @@
     return {
         "nodeName": f"edge-{number}",
         "ip": LOOPBACK,
-        "zone": "a",
+        "zone": DATA_CENTRES[number % len(DATA_CENTRES)],
         "listen": {"front": str(caller), "ready": f"{LOOPBACK}:{free_port()}"},
         "portRange": [free_port(), free_port()],
         "beatMs": 1200,
+        "limits": {"linkMbps": LINK_MBPS},
         "bounds": {"revokeMs": int(REVOKE_S * 1000), "graceS": GRACE_S},
         "platform": {"addr": str(store)},
     }
 
 
-def soak(seed: int, seconds: float) -> Result:
+def soak(seed: int, seconds: float, hosts: int = HOSTS) -> Result:
     """Run one soak."""
     with tempfile.TemporaryDirectory() as folder:
-        run = Soak(seed, Path(folder)).run(seconds)
+        run = Soak(seed, Path(folder), hosts).run(seconds)
         return asyncio.run(asyncio.wait_for(run, seconds + LONGEST_RUN_S))
 
 
-def main(first: int, count: int, seconds: float) -> int:
+def main(first: int, count: int, seconds: float, hosts: int = HOSTS) -> int:
     """Run seeds one after the other and print a line each; exit code 1 where one broke."""
     broken = 0
     for seed in range(first, first + count):
-        result = soak(seed, seconds)
+        result = soak(seed, seconds, hosts)
         broken += bool(result.broken)
         print(json.dumps(result._asdict()), flush=True)
     print(f"{count - broken} seeds kept every promise, {broken} broke one")
@@ -372,6 +379,6 @@
 
 
 if __name__ == "__main__":
-    sys.exit(main(int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3])))
+    sys.exit(main(int(sys.argv[1]), int(sys.argv[2]), float(sys.argv[3]), *map(int, sys.argv[4:])))
 
 __all__ = ["Result", "soak"]
