--- a/src/redwingbank/front/admission.py
+++ b/src/redwingbank/front/admission.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+from bisect import bisect_left
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.codes import Code
@@ -18,7 +19,8 @@
     """A request that may be sent: under which class, for whom, and to which pool.
 
     `tier` orders by the organisation's tier first, where it has one, and by the class's within
-    it; `revision` is the table's that decided.
+    it; `order` is its place among the tiers of requests with prompts. `revision` is the table's
+    that decided.
     """
 
     facts: CallFacts
@@ -26,6 +28,7 @@
     organisation: Organisation | None
     pool: str
     tier: int
+    order: int
     revision: int
 
 
@@ -57,12 +60,14 @@
         self, facts: CallFacts, route: Route, organisation: Organisation | None, table: RouteTable
     ) -> Admitted:
         own_tier = (organisation.tier if organisation else None) or 0
+        tier = own_tier * table.class_tiers + route.tier
         return Admitted(
             facts=facts,
             route=route,
             organisation=organisation,
             pool=pool_of(route, facts.request_id),
-            tier=own_tier * table.class_tiers + route.tier,
+            tier=tier,
+            order=bisect_left(table.prompt_tiers, tier),
             revision=table.revision,
         )
 
