--- a/src/redwingbank/front/admission.py
+++ b/src/redwingbank/front/admission.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import hashlib
-from bisect import bisect_left
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.codes import Code
@@ -19,8 +18,7 @@
     """A request that may be sent: under which class, for whom, and to which pool.
 
     `tier` orders by the organisation's tier first, where it has one, and by the class's within
-    it; `order` is its place among the tiers of requests with prompts. `revision` is the table's
-    that decided.
+    it; `revision` is the table's that decided.
     """
 
     facts: CallFacts
@@ -28,7 +26,6 @@
     organisation: Organisation | None
     pool: str
     tier: int
-    order: int
     revision: int
 
 
@@ -60,14 +57,12 @@
         self, facts: CallFacts, route: Route, organisation: Organisation | None, table: RouteTable
     ) -> Admitted:
         own_tier = (organisation.tier if organisation else None) or 0
-        tier = own_tier * table.class_tiers + route.tier
         return Admitted(
             facts=facts,
             route=route,
             organisation=organisation,
             pool=pool_of(route, facts.request_id),
-            tier=tier,
-            order=bisect_left(table.prompt_tiers, tier),
+            tier=own_tier * table.class_tiers + route.tier,
             revision=table.revision,
         )
 
--- a/src/redwingbank/front/choice.py
+++ b/src/redwingbank/front/choice.py
@@ -24,8 +24,6 @@
 COST_OF_FULL_SLOTS = 0.5
 COST_OF_PLACE = 0.005
 COST_OF_ANOTHER_DATA_CENTRE = 0.002
-# ranks within a tier: in time, and late
-LANES = 2
 # prompts of later ranks may take this part of a server's time while streams of earlier ones run
 # there: a stream of 300 tokens then still ends within 15 s, with a chunk in three of four steps
 LATER_RANK_SHARE = 0.75
@@ -58,14 +56,11 @@
 
 
 class Wish(NamedTuple):
-    """What a request needs of a server, and the time left to its target and its patience.
-
-    `order` is the place of its tier among those of requests with prompts, 0 first.
-    """
+    """What a request needs of a server, and the time left to its target and its patience."""
 
     facts: CallFacts
     route: Route
-    order: int
+    tier: int
     target_left_s: float
     patience_left_s: float
     data_centre: str
@@ -104,15 +99,13 @@
             backend.load.cache.capacity = pool.cache_tokens
         held = [backend.load.cache.held(wish.facts.parts) for backend in sound]
         most = max(held)
-        candidates = [
-            _Candidate(one, place, Held(tokens, most))
-            for place, (one, tokens) in enumerate(zip(sound, held, strict=True))
-        ]
-        best = min(candidates, key=lambda one: _judge(one, _rank(wish), wish, now_s).cost)
-        choice = _judge(best, _rank(wish), wish, now_s)
-        if choice.first_s <= wish.target_left_s:
-            return choice
-        return _judge(best, _rank(wish, late=True), wish, now_s)
+        return min(
+            (
+                self._judge(one, place, Held(tokens, most), wish, now_s)
+                for place, (one, tokens) in enumerate(zip(sound, held, strict=True))
+            ),
+            key=lambda choice: choice.cost,
+        )
 
     def _least_loaded(self, sound: list[Backend], wish: Wish) -> Choice:
         best = min(
@@ -125,48 +118,31 @@
         )
         return Choice(best, len(best.load), 0, 0, 0.0, 0.0, 0.0)
 
-
-class _Candidate(NamedTuple):
-    """A server, its place among those to choose from, and what it holds of a prompt."""
-
-    backend: Backend
-    place: int
-    held: Held
-
-
-def _rank(wish: Wish, *, late: bool = False) -> int:
-    """A request's place in the order of an engine.
-
-    Within a tier, those that can't begin in time yield to those that can.
-    """
-    return min(LANES * wish.order + late, LAST_RANK)
-
-
-def _judge(candidate: _Candidate, rank: int, wish: Wish, now_s: float) -> Choice:
-    backend, place, held = candidate
-    load = backend.load
-    unread = max(0, wish.facts.prompt_tokens - held.here)
-    backlog = load.backlog(now_s)
-    read_wait_s = load.backlog(now_s, rank) / load.speed
-    slot_wait_s = load.slot_wait_s(now_s, rank, backend.entry.slots)
-    first_s = max(read_wait_s, slot_wait_s) + unread / load.speed + STEP_S
-    victims = _victims(load, backlog, unread)
-    occupied = len(load) / backend.entry.slots
-    cost = (
-        chance(first_s, wish.target_left_s)
-        + victims
-        + _exposure(load, wish, backlog, now_s)
-        + COST_A_SECOND_OF_READING * unread / load.speed
-        + COST_A_TOKEN_READ_AGAIN * (held.most - held.here)
-        + COST_A_SECOND_OF_WAITING * (backlog + unread) / load.speed
-        + COST_A_STREAM_BESIDE
-        * load.streams_by_pause_target.total()
-        * min(1.0, unread / CHUNK_TOKENS)
-        + COST_OF_FULL_SLOTS * occupied**2
-        + COST_OF_PLACE * place * (unread < CHUNK_TOKENS)
-        + COST_OF_ANOTHER_DATA_CENTRE * (backend.entry.data_centre != wish.data_centre)
-    )
-    return Choice(backend, cost, rank, unread, backlog, first_s, victims)
+    def _judge(self, backend: Backend, place: int, held: Held, wish: Wish, now_s: float) -> Choice:
+        load = backend.load
+        unread = max(0, wish.facts.prompt_tokens - held.here)
+        rank = min(wish.tier, LAST_RANK)
+        backlog = load.backlog(now_s)
+        read_wait_s = load.backlog(now_s, rank) / load.speed
+        slot_wait_s = load.slot_wait_s(now_s, rank, backend.entry.slots)
+        first_s = max(read_wait_s, slot_wait_s) + unread / load.speed + STEP_S
+        victims = _victims(load, backlog, unread)
+        occupied = len(load) / backend.entry.slots
+        cost = (
+            chance(first_s, wish.target_left_s)
+            + victims
+            + _exposure(load, wish, backlog, now_s)
+            + COST_A_SECOND_OF_READING * unread / load.speed
+            + COST_A_TOKEN_READ_AGAIN * (held.most - held.here)
+            + COST_A_SECOND_OF_WAITING * (backlog + unread) / load.speed
+            + COST_A_STREAM_BESIDE
+            * load.streams_by_pause_target.total()
+            * min(1.0, unread / CHUNK_TOKENS)
+            + COST_OF_FULL_SLOTS * occupied**2
+            + COST_OF_PLACE * place * (unread < CHUNK_TOKENS)
+            + COST_OF_ANOTHER_DATA_CENTRE * (backend.entry.data_centre != wish.data_centre)
+        )
+        return Choice(backend, cost, rank, unread, backlog, first_s, victims)
 
 
 def flight_of(choice: Choice, wish: Wish, now_s: float) -> Flight:
@@ -187,9 +163,10 @@
         return None
     if choice.first_s > wish.patience_left_s:
         return Code.TARGET_UNREACHABLE
-    load, rank = choice.backend.load, _rank(wish)
-    at_stake = load.streams_before(rank) >= STREAMS_AT_STAKE * choice.backend.entry.slots
-    if at_stake and load.reading_share(rank, now_s) > LATER_RANK_SHARE:
+    load = choice.backend.load
+    before = load.streams_before(choice.rank)
+    at_stake = before >= STREAMS_AT_STAKE * choice.backend.entry.slots
+    if at_stake and load.reading_share(choice.rank, now_s) > LATER_RANK_SHARE:
         return Code.SHED
     return None
 
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -354,7 +354,7 @@
         return Wish(
             facts=admitted.facts,
             route=admitted.route,
-            order=admitted.order,
+            tier=admitted.tier,
             target_left_s=self._arrived_s + admitted.route.target_s - now,
             patience_left_s=self._patience_s(admitted) - now,
             data_centre=self._router.settings.data_centre,
--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -92,8 +92,7 @@
     """An accepted table; `routes_by_host` holds the longest prefixes first.
 
     `organisations_by_key` is None where requests carry no keys at all; `class_tiers` is one
-    more than the last tier of a class. `prompt_tiers` are those that requests with prompts can
-    have, in order: the organisation's tier first, then the class's.
+    more than the last tier of a class.
     """
 
     revision: int
@@ -102,7 +101,6 @@
     organisations_by_key: dict[str, Organisation] | None
     limits: Limits
     class_tiers: int = 1
-    prompt_tiers: tuple[int, ...] = ()
 
     def find(self, host: str, path: str) -> Route | None:
         """Find the route with the longest prefix of a path."""
--- a/src/redwingbank/platform/directory.py
+++ b/src/redwingbank/platform/directory.py
@@ -34,26 +34,13 @@
     """
     try:
         routes = [_route(row) for row in content["routes"]]
-        organisations_by_key = _organisations_by_key(content.get("tenants"))
-        class_tiers = 1 + max((route.tier for route in routes), default=0)
-        organisation_tiers = {one.tier or 0 for one in (organisations_by_key or {}).values()}
         return RouteTable(
             revision=int(content["version"]),
             routes_by_host=_routes_by_host(routes),
             pools_by_name={pool.name: pool for pool in map(_pool, content["services"])},
-            organisations_by_key=organisations_by_key,
+            organisations_by_key=_organisations_by_key(content.get("tenants")),
             limits=_limits(content.get("limits") or {}),
-            class_tiers=class_tiers,
-            prompt_tiers=tuple(
-                sorted(
-                    {
-                        tier * class_tiers + route.tier
-                        for tier in organisation_tiers | {0}
-                        for route in routes
-                        if route.has_prompt
-                    }
-                )
-            ),
+            class_tiers=1 + max((route.tier for route in routes), default=0),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise MalformedError(f"table: {type(error).__name__} {error}") from error
