Tell beside a request what its host came to doubt, and the age of its list of servers

Cause: explain showed a refusal for an unconfirmed table without the line that says why (store-lost stood only in the timeline). Change: store-lost, store-regained, watch-deaf and relay-doubted of the request's own host stand beside it, from 5 s before on. Test: front/explained.feature on the operations page's own lines; failed before.

--- a/src/redwingbank/ctl/explain.py
+++ b/src/redwingbank/ctl/explain.py
@@ -21,6 +21,8 @@
 OK = 0
 AROUND_S = 5.0
 AROUND = frozenset({"server-state", "notice", "notice-learned", "server-drain"})
+# what a host came to doubt meanwhile concerns each of its requests
+AROUND_AT_HOST = frozenset({"store-lost", "store-regained", "watch-deaf", "relay-doubted"})
 
 
 class Decision(NamedTuple):
@@ -85,16 +87,19 @@
     """A request's own records in order, and those about its servers from 5 s before to its end."""
     own = [moment for moment in line.moments if moment.record.field("request") == request]
     servers = {moment.record.field("server") for moment in own} - {""}
+    hosts = {moment.record.host for moment in own}
     begins_s, ends_s = own[0].at_s - AROUND_S, own[-1].at_s
     return [
         _decision(moment, own[0].at_s, around=moment.record.field("request") != request)
         for moment in line.moments
         if moment.record.field("request") == request
-        or (begins_s <= moment.at_s <= ends_s and _concerns(moment.record, servers))
+        or (begins_s <= moment.at_s <= ends_s and _concerns(moment.record, servers, hosts))
     ]
 
 
-def _concerns(record: Record, servers: set[str]) -> bool:
+def _concerns(record: Record, servers: set[str], hosts: set[str]) -> bool:
+    if record.event in AROUND_AT_HOST:
+        return record.host in hosts
     if record.event not in AROUND:
         return False
     subject = record.field("subject")
@@ -147,9 +152,15 @@
         f" prompt tokens to read behind {field('ahead_tokens')}, first event expected in"
         f" {field('expected_ms')} ms, {field('victims')} streams delayed",
         f"table {field('revision')}, confirmed {field('table_age_ms')} ms before",
+        *_servers_age(record),
     ]
 
 
+def _servers_age(record: Record) -> list[str]:
+    age_ms = record.field("servers_age_ms")
+    return [f"list of servers confirmed {age_ms} ms before"] if age_ms else []
+
+
 def _failed(record: Record) -> str:
     field = record.field
     if field("detail"):
@@ -177,6 +188,7 @@
             f"; by table {record.field('revision')}, confirmed {record.field('table_age_ms')} ms"
             f" before, with {record.field('servers')} servers listed"
         )
+        told = "; ".join([told, *_servers_age(record)])
     return f"{told}; its answer had begun and broke off" if record.fields.get("begun") else told
 
 
--- a/tests/front/explained.feature
+++ b/tests/front/explained.feature
@@ -8,6 +8,7 @@
       | request          | words                                              |
       | 8e79e77b7588e500 | 1222 TABLE_UNCONFIRMED                             |
       | 8e79e77b7588e500 | by table 14, confirmed 2410 ms before              |
+      | 8e79e77b7588e500 | [store-lost kind=table                             |
       | 44fb6317f51e25fb | attempt at i-a2c41435c1 ended: crashed             |
       | 44fb6317f51e25fb | ran=maybe                                          |
       | b03b7d4841231f8e | 1402 BACKEND_CLOSED_EARLY                          |
