--- a/tests/front/freshness.feature
+++ b/tests/front/freshness.feature
@@ -94,6 +94,18 @@
     Then their logs bound each other's clocks from both sides
     And the age of the list of servers is a gauge below 3 s
 
+  Scenario Outline: a front that waits for a relay's word learns what becomes of servers
+    Given two fronts on one store, one of which waits for the other's word
+    When <news>
+    Then both know it within 2 s, and the one that waits has made <calls> more calls
+
+    Examples:
+      | news                                          | calls    |
+      | a server begins to drain                      | no       |
+      | a server is listed                            | no       |
+      | a server is removed                           | no       |
+      | a server begins to drain and the news is lost | at least 1 |
+
   Scenario: a host that the store turns away serves on the others' word
     Given two fronts on one store
     When the store turns the second away for 3 s
--- a/tests/steps/front_freshness.py
+++ b/tests/steps/front_freshness.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 from front_choice import Silent
 
-from front_rig import Rig, play
+from front_rig import Rig, entry, play
 from redwingbank.ctl.records import read_lines
 from redwingbank.ctl.skew import estimate, links
 from redwingbank.front.backends import Backends
@@ -267,6 +267,79 @@
     assert 0 <= float(line.split()[-1]) < most, line
 
 
+@given("two fronts on one store, one of which waits for the other's word")
+def one_waits(context):
+    context.rig = Rig(modes=["ok", "ok"])
+
+
+async def drain(rig):
+    await rig.store.put("servers", "i-1", entry(rig.addresses["i-1"], state="draining"))
+
+
+async def list_another(rig):
+    await rig.store.put("servers", "i-9", entry(Address("127.0.0.1", 9)))
+
+
+async def remove(rig):
+    await rig.store.delete("servers", "i-1")
+
+
+def drained(front):
+    return front.router.servers.entries_by_name["i-1"].draining
+
+
+def listed(front):
+    return "i-9" in front.router.servers.entries_by_name
+
+
+def removed(front):
+    return "i-1" not in front.router.servers.entries_by_name
+
+
+STORY_BY_NEWS = {
+    "a server begins to drain": (drain, drained, False),
+    "a server is listed": (list_another, listed, False),
+    "a server is removed": (remove, removed, False),
+    "a server begins to drain and the news is lost": (drain, drained, True),
+}
+
+
+def waits_for_relay(front):
+    return front.router.freshness.server_wait_s() is None
+
+
+@when("a server {news}")
+def server_news(context, news):
+    change, known, lost = STORY_BY_NEWS[f"a server {news}"]
+
+    async def story(rig):
+        second, _ = await rig.add_host("edge-2")
+        fronts = [rig.front, second]
+        for front in fronts:
+            front.router.freshness._told_from_hosts = 2
+        await rig.until(lambda: sum(map(waits_for_relay, fronts)) == 1)
+        # the last watch before the wait, and the list of hosts, are over by then
+        await asyncio.sleep(1.0)
+        (waiting,) = filter(waits_for_relay, fronts)
+        (relay,) = (front for front in fronts if front is not waiting)
+        if lost:
+            relay.router.peers.spread = lambda news: None
+        calls = waiting._store.calls
+        await change(rig)
+        started_s = now_s()
+        await rig.until(lambda: all(map(known, fronts)))
+        context.took_s = now_s() - started_s
+        context.calls = waiting._store.calls - calls
+
+    play(context.rig, story)
+
+
+@then("both know it within {seconds:g} s, and the one that waits has made {calls} more calls")
+def both_know(context, seconds, calls):
+    assert context.took_s < seconds, context.took_s
+    assert (context.calls == 0) == (calls == "no"), context.calls
+
+
 @given("two fronts on one store")
 def two_fronts(context):
     context.rig = Rig(modes=["ok"], revokeMs=3000)
