--- a/src/redwingbank/front/poison.py
+++ b/src/redwingbank/front/poison.py
@@ -17,7 +17,7 @@
 CRASH_SHOWS_S = 3.0
 # as long as the product's own quarantine
 HELD_S = 600.0
-# what is remembered at once: the oldest goes first
+# what is remembered at once, in requests and in crashes of one: the oldest goes first
 MOST_REMEMBERED = 2000
 MOST_KEPT = 16
 DIGEST_BYTES = 12
