Let a server's slowness rest on three answers and fade to none

Cause: of two idle servers the one whose first answer took 1.8 times as long was never chosen again (0 of 40): a single sample counted, and its effect decayed towards 1 without reaching it, so the other always cost less. Ruled out: ejection by the breaker (its failures were below three). Change: a mean of fewer than 3 samples counts as no difference, and a decayed ratio within the tolerance as none. Before: fleet.feature's two new rows fail (0 of 40). After: they pass; the rows on slow and frozen servers pass unchanged.

--- a/src/redwingbank/rules/speed.py
+++ b/src/redwingbank/rules/speed.py
@@ -16,16 +16,20 @@
 SLOWNESS_TOLERANCE = 1.25
 FIRST_TOKEN_BASE_TOKENS = 256
 MIN_SERVERS_FOR_MEDIAN = 2
+# A single slow answer says little about a server.
+MIN_SAMPLES = 3
 
 
 class _MovingAverage(NamedTuple):
-    """An exponentially weighted mean and the time of its last sample."""
+    """An exponentially weighted mean, the time of its last sample and their number."""
 
     value: float
     updated_s: float
+    samples: int = 1
 
     def with_sample(self, sample: float, now_s: float) -> _MovingAverage:
-        return _MovingAverage(self.value + EWMA_WEIGHT * (sample - self.value), now_s)
+        value = self.value + EWMA_WEIGHT * (sample - self.value)
+        return _MovingAverage(value, now_s, self.samples + 1)
 
 
 class _Pending(NamedTuple):
@@ -92,13 +96,14 @@
     ) -> float:
         """Return how many times slower than the median a server is, 1.0 to `MAX_SLOWNESS`.
 
-        Differences within `SLOWNESS_TOLERANCE` count as none. The effect of old samples decays,
-        so that a slow server is tried again.
+        Differences within `SLOWNESS_TOLERANCE` count as none, as do those of fewer than
+        `MIN_SAMPLES` answers. The effect of old samples decays until it is within the
+        tolerance, so that a slow server is tried again.
         """
         if now_s - self._updated_s >= MEDIAN_INTERVAL_S:
             self._update(servers(), now_s)
-        first = _ratio(server.first_token, self._median_first_token, now_s)
-        token = _ratio(server.between_tokens, self._median_between_tokens, now_s)
+        first = _sampled_ratio(server.first_token, self._median_first_token, now_s)
+        token = _sampled_ratio(server.between_tokens, self._median_between_tokens, now_s)
         pending = _ratio(server.oldest_pending(now_s), self._median_first_token, now_s)
         return max(first, token, pending)
 
@@ -113,12 +118,20 @@
     return median(values) if len(values) >= MIN_SERVERS_FOR_MEDIAN else 0.0
 
 
+def _sampled_ratio(average: _MovingAverage | None, median_value: float, now_s: float) -> float:
+    """Return the ratio of a mean to the median, 1.0 for a mean of too few samples."""
+    if average is None or average.samples < MIN_SAMPLES:
+        return 1.0
+    return _ratio(average, median_value, now_s)
+
+
 def _ratio(average: _MovingAverage | None, median_value: float, now_s: float) -> float:
-    """Return the ratio to the median, decayed towards 1 by the age of the last sample."""
-    if average is None or median_value <= 0 or average.value <= SLOWNESS_TOLERANCE * median_value:
+    """Return the ratio to the median, decayed to 1 by the age of the last sample."""
+    if average is None or median_value <= 0:
         return 1.0
     decay = math.pow(0.5, (now_s - average.updated_s) / SLOWNESS_HALF_LIFE_S)
-    return min(MAX_SLOWNESS, 1 + (average.value / median_value - 1) * decay)
+    ratio = 1 + (average.value / median_value - 1) * decay
+    return min(MAX_SLOWNESS, ratio) if ratio > SLOWNESS_TOLERANCE else 1.0
 
 
 __all__ = ["PoolSpeed", "ServerSpeed"]
--- a/tests/rules/fleet.feature
+++ b/tests/rules/fleet.feature
@@ -108,6 +108,8 @@
       | without own sends there is herding          | without own sends    | lag           | at least 20 |
       | a slow server gets few                      | as built             | slow          | at most 8   |
       | without speed it gets its share             | without speed        | slow          | at least 15 |
+      | one slow answer is no reason to avoid it    | as built             | slow once     | at least 8  |
+      | slowness of two minutes ago counts no more  | as built             | slow before   | at least 8  |
       | a frozen server gets few                    | as built             | frozen        | at most 8   |
       | without speed a frozen one gets its share   | without speed        | frozen        | at least 15 |
       | a flapping server is tried less and less    | as built             | flap          | at most 12  |
--- a/tests/steps/rules_fleet.py
+++ b/tests/steps/rules_fleet.py
@@ -216,6 +216,30 @@
     return chosen.count("c")
 
 
+def slow_once(fleet):
+    """Return how many of 40 requests go to a server whose first answer was slow."""
+    for name, first_token_s in (("a", 0.18), ("b", 0.1)):
+        fleet.record_send(name, request(f"first-{name}"), 0.0)
+        fleet.record_first_token(name, request(f"first-{name}"), first_token_s, 0.2)
+        fleet.record_finish(name, request(f"first-{name}"), Outcome.DONE, 0.2)
+    idle = {"a": 20, "b": 20}
+    chosen = [fleet.choose(request(f"r{number}"), idle, 0.3) for number in range(40)]
+    return chosen.count("a")
+
+
+def slow_before(fleet):
+    """Return how many of 40 requests go to a server that was slow two minutes before."""
+    for name, first_token_s in (("a", 0.9), ("b", 0.09)):
+        for number in range(10):
+            old = request(f"{name}{number}")
+            fleet.record_send(name, old, 0.0)
+            fleet.record_first_token(name, old, first_token_s, 0.9)
+            fleet.record_finish(name, old, Outcome.DONE, 0.9)
+    idle = {"a": 20, "b": 20}
+    chosen = [fleet.choose(request(f"r{number}"), idle, 121.0) for number in range(40)]
+    return chosen.count("a")
+
+
 def frozen(fleet):
     """Return how many of 60 requests go to a server that never answers; none of them finishes."""
     chosen = []
@@ -277,6 +301,8 @@
 TRIAL_BY_NAME = {
     "lag": lag,
     "slow": slow,
+    "slow once": slow_once,
+    "slow before": slow_before,
     "frozen": frozen,
     "flap": flap,
     "half-open": half_open,
