Create deleted leases again; read no load from errors; pass over corrupt heads

Cause: a lease ignored the absence of its object, so it was never claimed again; read_load decoded the body of any status; readers of the table's history raised PageError on a corrupt head. Each has a scenario that failed before: lease.feature, engine.feature, table_store.feature.

--- a/src/redwingbank/ports/engine.py
+++ b/src/redwingbank/ports/engine.py
@@ -7,6 +7,7 @@
 import time
 from contextlib import asynccontextmanager
 from enum import StrEnum
+from http import HTTPStatus
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import anyio
@@ -220,6 +221,8 @@
         answer = await self._backend.call(address, "GET", "/load")
         if answer is None:
             return LoadFailure.UNREACHABLE
+        if answer[0] != HTTPStatus.OK:
+            return LoadFailure.NO_REPORT
         try:
             document = json.loads(answer[1])
             return LoadReport(
--- a/src/redwingbank/ports/table_pruning.py
+++ b/src/redwingbank/ports/table_pruning.py
@@ -40,9 +40,10 @@
     needed = set(head.root.names())
     for name in sorted(kept):
         stored = await platform.read(name)
-        if not isinstance(stored, Stored):
+        kept_head = pages.readable_head(stored.value) if isinstance(stored, Stored) else None
+        if kept_head is None:
             return ()
-        needed.update(pages.decode_head(stored.value).root.names())
+        needed.update(kept_head.root.names())
     found = []
     for key in (*sorted(set(history) - kept), *sorted(set(page_names) - needed)):
         stored = await platform.read(key)
--- a/src/redwingbank/ports/table_store.py
+++ b/src/redwingbank/ports/table_store.py
@@ -245,19 +245,19 @@
     stored = await platform.read(pages.HEAD_KEY)
     if not isinstance(stored, Stored) or stored.version <= current.version:
         return None
-    stored_head = pages.decode_head(stored.value)
-    if stored_head.revision > head.revision:
+    stored_head = pages.readable_head(stored.value)
+    if stored_head and stored_head.revision > head.revision:
         archived = await platform.read(pages.history_name(head.revision))
-        if not isinstance(archived, Stored):
-            return None
-        stored_head = pages.decode_head(archived.value)
+        stored_head = pages.readable_head(archived.value) if isinstance(archived, Stored) else None
+    if stored_head is None:
+        return None
     if stored_head.nonce == head.nonce:
         return Accepted(head.revision)
     return Conflict(pages.HEAD_KEY, stored.version)
 
 
 async def load_history(platform: Platform) -> tuple[pages.Head, ...] | Unknown:
-    """Read the kept heads, newest first, including the one in force."""
+    """Read the kept heads that are readable, newest first, including the one in force."""
     names = await platform.keys(pages.HISTORY_PREFIX)
     if isinstance(names, Unknown):
         return names
@@ -266,8 +266,8 @@
         stored = await platform.read(name)
         if isinstance(stored, Unknown):
             return stored
-        if isinstance(stored, Stored):
-            head = pages.decode_head(stored.value)
+        head = pages.readable_head(stored.value) if isinstance(stored, Stored) else None
+        if head is not None:
             heads[head.revision] = head
     newest = sorted(heads, reverse=True)[:KEPT_REVISIONS]
     return tuple(heads[revision] for revision in newest if revision > newest[0] - KEPT_REVISIONS)
@@ -279,7 +279,8 @@
         stored = await platform.read(name)
         if isinstance(stored, Unknown):
             return stored
-        if isinstance(stored, Stored) and pages.decode_head(stored.value).revision == revision:
+        head = pages.readable_head(stored.value) if isinstance(stored, Stored) else None
+        if head is not None and isinstance(stored, Stored) and head.revision == revision:
             return await load_pages(platform, stored, {})
     return Absent(pages.history_name(revision))
 
--- a/src/redwingbank/rules/lease.py
+++ b/src/redwingbank/rules/lease.py
@@ -86,6 +86,7 @@
         self._record: LeaseRecord | None = None
         self._version = 0
         self._version_seen_s = 0.0
+        self._absent = True
         self._expires_s = 0.0
 
     @property
@@ -106,9 +107,14 @@
         return now_s >= self._expires_s - self._term_s * (1 - RENEW_SHARE)
 
     def observe(self, record: LeaseRecord | None, version: int, now_s: float) -> None:
-        """Record the object as read; a version older than the last one seen is ignored."""
-        if version < self._version or (record is None and self._version):
+        """Record the object as read; a version older than the last one seen is ignored.
+
+        A deleted object is created again, by its holder at once and by others after its term.
+        """
+        if record is None or version < self._version:
+            self._absent = record is None
             return
+        self._absent = False
         if version > self._version:
             self._version = version
             self._version_seen_s = now_s
@@ -122,13 +128,19 @@
         if current is None:
             return Claim(LeaseRecord(self._host, 1, nonce, self._term_s), 0)
         if self.state is LeaseState.HELD and now_s < self._expires_s:
-            return Claim(current._replace(nonce=nonce), self._version)
+            return Claim(current._replace(nonce=nonce), self._stored_version)
         if not current.released and now_s < self._free_at_s(current):
             return None
         return Claim(
-            LeaseRecord(self._host, current.number + 1, nonce, self._term_s), self._version
+            LeaseRecord(self._host, current.number + 1, nonce, self._term_s),
+            self._stored_version,
         )
 
+    @property
+    def _stored_version(self) -> int:
+        """The version to update, 0 if the object has to be created."""
+        return 0 if self._absent else self._version
+
     def _free_at_s(self, current: LeaseRecord) -> float:
         return self._version_seen_s + current.term_s * (1 + MARGIN_SHARE)
 
@@ -136,6 +148,7 @@
         """Record a successful write; its term counts from the time before it was sent."""
         self._record = record
         self._version = version
+        self._absent = False
         self._version_seen_s = sent_s
         self._expires_s = sent_s if record.released else sent_s + record.term_s
         self._transition(LeaseEvent.LOST if record.released else LeaseEvent.WRITTEN)
--- a/src/redwingbank/rules/pages.py
+++ b/src/redwingbank/rules/pages.py
@@ -160,6 +160,14 @@
         raise PageError("not a head") from error
 
 
+def readable_head(value: bytes) -> Head | None:
+    """Decode a stored head; None if the value is not a head."""
+    try:
+        return decode_head(value)
+    except PageError:
+        return None
+
+
 def _split(digests: bytes) -> tuple[bytes, ...]:
     starts = range(0, len(digests), DIGEST_BYTES)
     return tuple(digests[start : start + DIGEST_BYTES] for start in starts)
@@ -210,5 +218,6 @@
     "pack",
     "page_count",
     "page_name",
+    "readable_head",
     "unpack",
 ]
--- a/tests/ports/engine.feature
+++ b/tests/ports/engine.feature
@@ -6,6 +6,11 @@
     Then the engine client opened 1 connection
     And the engine client's transport can detect the async library with sniffio
 
+  Scenario: an error answer is no report of the load
+    Given an engine client of a small deployment
+    When the engine client reads the load from an answer with status 500
+    Then the engine client has no report
+
   Scenario Outline: a prefix block's KV cache is copied from one engine to another
     Given an engine client of a small deployment
     When the engine client copies <what> to another engine
--- a/tests/ports/table_store.feature
+++ b/tests/ports/table_store.feature
@@ -8,6 +8,13 @@
     And the table store's history is 2, 1
     And the table store still loads revision 1
 
+  Scenario: a corrupt head of the history is passed over
+    Given a table store
+    When the table store's operator sets classes/memo/tier to "2"
+    And the table store's head of revision 1 is corrupt
+    Then the table store's history is 2
+    And the table store has no revision 1 and finds nothing to prune
+
   Scenario Outline: one write of a change fails
     Given a table store
     When the table store's writes to <write> fail with "<fault>" <times> times
--- a/tests/rules/lease.feature
+++ b/tests/rules/lease.feature
@@ -26,6 +26,11 @@
     Given a lease of 10 s that another host last renewed at 0 s
     Then a lease read at an older version or as absent still waits from 0 s
 
+  Scenario: a deleted lease is taken again with a higher number
+    Given a lease of 10 s that another host last renewed at 0 s
+    Then a lease deleted at 5 s may be created again from 12 s, with number 8
+    And a lease deleted while it is held is created again by its holder
+
   Scenario: a lease is stored and read back
     Then a lease is decoded as it was encoded and other values are refused
 
--- a/tests/steps/ports_engine.py
+++ b/tests/steps/ports_engine.py
@@ -7,7 +7,7 @@
 import anyio
 from behave import given, then, when
 
-from redwingbank.ports.engine import BackendClient, EngineClient
+from redwingbank.ports.engine import BackendClient, EngineClient, LoadFailure
 from redwingbank.rules.blocks import block_hashes
 from redwingbank.settings import Address
 from redwingbank_standins.engine import EngineSettings, build_engine
@@ -44,6 +44,20 @@
     assert importlib.util.find_spec("sniffio") is not None
 
 
+@when("the engine client reads the load from an answer with status {status:d}")
+def engine_client_reads_error(context, status):
+    class Erroneous:
+        async def call(self, address, method, path):
+            return status, b'{"age_ms":0,"slots":4,"running":0,"waiting":0}'
+
+    context.report = anyio.run(EngineClient(Erroneous()).read_load, "127.0.0.1:1")
+
+
+@then("the engine client has no report")
+def engine_client_no_report(context):
+    assert context.report is LoadFailure.NO_REPORT, context.report
+
+
 @when("the engine client copies {what} to another engine")
 def engine_client_moves(context, what):
     held, missing = block_hashes("word " * 128)
--- a/tests/steps/ports_table_store.py
+++ b/tests/steps/ports_table_store.py
@@ -9,7 +9,7 @@
 
 from memory_platform import MemoryPlatform, Shared, interleave, random_faults
 from redwingbank.ports import table_pruning, table_store
-from redwingbank.ports.platform import Conflict, Stored, Unknown
+from redwingbank.ports.platform import Absent, Conflict, Stored, Unknown
 from redwingbank.rules import pages
 from redwingbank.rules.merge import CellName, flatten_cells
 from table_samples import sample_sheets, with_cell
@@ -129,6 +129,26 @@
     assert ", ".join(str(head.revision) for head in heads) == revisions
 
 
+@when("the table store's head of revision {revision:d} is corrupt")
+def corrupt_head(context, revision):
+    async def corrupt():
+        key = pages.history_name(revision)
+        stored = await context.store.read(key)
+        await context.store.update(key, b"corrupt", stored.version)
+
+    anyio.run(corrupt)
+
+
+@then("the table store has no revision {revision:d} and finds nothing to prune")
+def no_revision(context, revision):
+    async def read():
+        assert isinstance(await table_store.load_revision(context.store, revision), Absent)
+        loaded = await table_store.load_table(context.store)
+        assert await table_pruning.find_unused(context.store, loaded.head) == ()
+
+    anyio.run(read)
+
+
 @then("the table store still loads revision {revision:d}")
 def loads_revision(context, revision):
     loaded = anyio.run(table_store.load_revision, context.store, revision)
--- a/tests/steps/rules_lease.py
+++ b/tests/steps/rules_lease.py
@@ -93,6 +93,22 @@
     assert may_take(context.lease, 12.0)
 
 
+@then("a lease deleted at 5 s may be created again from 12 s, with number 8")
+def deleted(context):
+    context.lease.observe(None, 0, 5.0)
+    assert not may_take(context.lease, 11.9)
+    claim = context.lease.claim("again", 12.0)
+    assert (claim.version, claim.record.number) == (0, 8), claim
+
+
+@then("a lease deleted while it is held is created again by its holder")
+def deleted_while_held(context):
+    assert take(context.lease, 12.0) == 8
+    context.lease.observe(None, 0, 15.0)
+    claim = context.lease.claim("again", 15.0)
+    assert (claim.version, claim.record.number) == (0, 8), claim
+
+
 @then("a lease is decoded as it was encoded and other values are refused")
 def read_back(context):
     assert decode_lease(encode_lease(OTHER)) == OTHER
