--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -158,6 +158,7 @@
             self._handle_failure(attempt, _invalid_answer(str(error)), now_s())
             return
         if complete_events:
+            self._recorder.record_event()
             self._caller.send_part(complete_events)
 
     def attempt_completed(self, attempt: Attempt, answer: Answer | None) -> None:
--- a/src/redwingbank/front/request_recorder.py
+++ b/src/redwingbank/front/request_recorder.py
@@ -27,6 +27,9 @@
         self.admitted: AdmittedRequest | None = None
         self._router = router
         self._arrived_s = arrived_s
+        self._last_event_s: float | None = None
+        self._first_event_ms: int | None = None
+        self._longest_pause_s = 0.0
 
     def record_grant(
         self, life: Lifecycle, request: Request, admitted: AdmittedRequest, choice: Choice
@@ -96,6 +99,15 @@
         took_s = now_s() - self._arrived_s
         self._router.observe("first_byte_seconds", took_s, self._class_name())
 
+    def record_event(self) -> None:
+        """Record that events of a streamed answer were forwarded."""
+        now = now_s()
+        if self._last_event_s is None:
+            self._first_event_ms = _milliseconds(now - self._arrived_s)
+        else:
+            self._longest_pause_s = max(self._longest_pause_s, now - self._last_event_s)
+        self._last_event_s = now
+
     def record_answer(self, life: Lifecycle, status: int) -> None:
         """Record an answer that was forwarded completely."""
         took_s = now_s() - self._arrived_s
@@ -107,6 +119,10 @@
             status=status,
             attempts=life.attempt,
             took_ms=self._age_ms(),
+            service_class=self._class_name(),
+            target_ms=_milliseconds(self.admitted.route.target_s) if self.admitted else None,
+            first_event_ms=self._first_event_ms,
+            longest_pause_ms=_milliseconds(self._longest_pause_s),
         )
 
     def record_caller_gone(self, life: Lifecycle) -> None:
