--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -4,9 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from redwingbank.front.load import ServerLoad
 from redwingbank.front.outbound import ConnectionPool
 from redwingbank.model import Outcome
+from redwingbank.routing.load import ServerLoad
 from redwingbank.rules.breaker import Breaker
 
 if TYPE_CHECKING:
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -10,9 +10,9 @@
 
 import capnp
 
-from redwingbank.front.load import InFlightRequest
 from redwingbank.front.poison import CrashNews
 from redwingbank.front.values import PromptPart, ServerEntry
+from redwingbank.routing.load import InFlightRequest
 from redwingbank.settings import parse_address
 
 if TYPE_CHECKING:
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -8,7 +8,6 @@
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.front.attempt import FIRST_SERVER_ERROR, STATUS_OK, Attempt, Failure
 from redwingbank.front.backends import update_breaker
-from redwingbank.front.choice import RequestNeeds, as_in_flight, refusal_code
 from redwingbank.front.clock import now_s
 from redwingbank.front.events import EventError, EventSplitter
 from redwingbank.front.peers import OWN_HOST
@@ -18,6 +17,7 @@
 from redwingbank.front.values import Kind
 from redwingbank.model import Outcome, Request
 from redwingbank.platform.headers import Envelope, decode_call, encode_call, encode_own_answer
+from redwingbank.routing.choice import RequestNeeds, as_in_flight, refusal_code
 from redwingbank.rules.lifecycle import Lifecycle, Step
 from redwingbank.rules.retry import Retry, decide
 
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -40,8 +40,8 @@
     from redwingbank.decisions import DecisionLog
     from redwingbank.front.backends import Backends
     from redwingbank.front.digest import Content
-    from redwingbank.front.load import InFlightRequest
     from redwingbank.front.values import PromptPart
+    from redwingbank.routing.load import InFlightRequest
 
 # A host with nothing to report sends an empty digest this often, so that silence shows its loss.
 HEARTBEAT_S = 1.0
--- a/src/redwingbank/front/request_recorder.py
+++ b/src/redwingbank/front/request_recorder.py
@@ -12,9 +12,9 @@
     from redwingbank.codes import Code
     from redwingbank.front.admission import AdmittedRequest
     from redwingbank.front.attempt import Failure
-    from redwingbank.front.choice import Choice
     from redwingbank.front.router import Router
     from redwingbank.model import Request
+    from redwingbank.routing.choice import Choice
     from redwingbank.rules.lifecycle import Lifecycle
 
 MILLISECONDS = 1000
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -10,7 +10,6 @@
 from redwingbank.front.admission import Admission
 from redwingbank.front.allowance import RetryAllowance
 from redwingbank.front.backends import Backends
-from redwingbank.front.choice import Chooser
 from redwingbank.front.clock import now_s
 from redwingbank.front.digest import Place
 from redwingbank.front.directory import ServerRegistry, TableState
@@ -20,6 +19,7 @@
 from redwingbank.front.shutdown import Shutdown
 from redwingbank.front.values import Limits, Pool
 from redwingbank.metrics import Metrics
+from redwingbank.routing.choice import Chooser
 
 if TYPE_CHECKING:
     from random import Random
--- a/src/redwingbank/front/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -5,12 +5,11 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.codes import Code
-from redwingbank.front.load import (
+from redwingbank.routing.load import LAST_RANK, InFlightRequest
+from redwingbank.routing.targets import (
     CHUNK_TOKENS,
     DECODE_STEP_S,
-    LAST_RANK,
     TOKENS_PER_EVENT,
-    InFlightRequest,
     longest_pause_s,
     miss_probability,
 )
@@ -20,8 +19,8 @@
     from random import Random
 
     from redwingbank.front.backends import Backend, Backends
-    from redwingbank.front.load import ServerLoad
     from redwingbank.front.values import CallFacts, Pool, Route, ServerEntry
+    from redwingbank.routing.load import ServerLoad
 
 # Costs are in units of one request that misses its target.
 COST_PER_READ_SECOND = 0.5
--- a/src/redwingbank/front/load.py
+++ b/src/redwingbank/routing/load.py
@@ -3,13 +3,16 @@
 from __future__ import annotations
 
 import math
-from collections import Counter, OrderedDict, deque
-from typing import TYPE_CHECKING, NamedTuple
+from collections import Counter, deque
+from typing import NamedTuple
 
-if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-    from redwingbank.front.values import PromptPart
+from redwingbank.routing.prompt_cache import PromptCache
+from redwingbank.routing.targets import (
+    DECODE_STEP_S,
+    SAFE_TARGET_SHARE,
+    longest_pause_s,
+    miss_probability,
+)
 
 # The engines' data sheets state 38 to 50 prompt tokens per ms. The speed of each server is then
 # learned from the times until its first events.
@@ -26,18 +29,6 @@
 EXPIRY_MARGIN_S = 5.0
 # Time constant and window for recent prompt reads, about the length of a stream.
 READ_HISTORY_S = 2.0
-# Prompt tokens that an engine reads between two tokens of running streams (the engines' usual
-# chunk), and answer tokens per event (from the engines' data sheets).
-CHUNK_TOKENS = 2048
-TOKENS_PER_EVENT = 4
-# Time per answer token while no prompt is read: 5.2 ms in the engines' data sheets, more in a
-# larger batch.
-DECODE_STEP_S = 0.008
-# The probability of a miss rises linearly from 0 to 1 between these shares of a target.
-SAFE_TARGET_SHARE = 0.7
-MISSED_TARGET_SHARE = 1.1
-# Share of an engine's memory that holds cached prompts while requests run.
-PROMPT_CACHE_SHARE = 0.7
 # A server reads about ten prompts per second, so this covers more than READ_HISTORY_S.
 MAX_RECENT_READS = 64
 # Engines accept ranks from 0 (served first) to 9.
@@ -72,41 +63,6 @@
     rank: int
 
 
-class PromptCache:
-    """Model of a server's prompt cache: shared prompt parts, least recently used first."""
-
-    def __init__(self) -> None:
-        self.capacity_tokens = 0
-        self._tokens_by_part_name: OrderedDict[str, int] = OrderedDict()
-        self._total_tokens = 0
-
-    def held_tokens(self, parts: Iterable[PromptPart]) -> int:
-        """Count the tokens of the leading parts that are cached."""
-        tokens = 0
-        for part in parts:
-            if part.name not in self._tokens_by_part_name:
-                break
-            tokens += part.tokens
-        return tokens
-
-    def insert(self, parts: Iterable[PromptPart]) -> None:
-        """Add parts as most recently used; evict the least recently used ones over capacity."""
-        for part in parts:
-            self._total_tokens += part.tokens - self._tokens_by_part_name.pop(part.name, 0)
-            self._tokens_by_part_name[part.name] = part.tokens
-        while (
-            self._total_tokens > self.capacity_tokens * PROMPT_CACHE_SHARE
-            and self._tokens_by_part_name
-        ):
-            _, tokens = self._tokens_by_part_name.popitem(last=False)
-            self._total_tokens -= tokens
-
-    def clear(self) -> None:
-        """Empty the cache after a restart of the server."""
-        self._tokens_by_part_name.clear()
-        self._total_tokens = 0
-
-
 class ServerLoad:
     """Tracks the requests of all hosts that are in flight at a server and derives estimates."""
 
@@ -241,36 +197,4 @@
         self.read_tokens_per_s += READ_SPEED_SMOOTHING * (sample - self.read_tokens_per_s)
 
 
-def longest_pause_s(tokens: float, read_tokens_per_s: float) -> float:
-    """Longest pause between events of a running stream while `tokens` prompt tokens are read."""
-    return (
-        min(tokens, TOKENS_PER_EVENT * CHUNK_TOKENS) / read_tokens_per_s
-        + TOKENS_PER_EVENT * DECODE_STEP_S
-    )
-
-
-def miss_probability(time_s: float, target_s: float) -> float:
-    """Probability that the actual time exceeds a target, given the estimated time.
-
-    >>> miss_probability(0.1, 0.2), miss_probability(0.3, 0.2)
-    (0.0, 1.0)
-    """
-    if time_s <= SAFE_TARGET_SHARE * target_s:
-        return 0.0
-    if time_s >= MISSED_TARGET_SHARE * target_s:
-        return 1.0
-    return (time_s / target_s - SAFE_TARGET_SHARE) / (MISSED_TARGET_SHARE - SAFE_TARGET_SHARE)
-
-
-__all__ = [
-    "CHUNK_TOKENS",
-    "LAST_RANK",
-    "DECODE_STEP_S",
-    "TOKENS_PER_EVENT",
-    "InFlightRequest",
-    "RequestKey",
-    "PromptCache",
-    "ServerLoad",
-    "miss_probability",
-    "longest_pause_s",
-]
+__all__ = ["LAST_RANK", "InFlightRequest", "RequestKey", "ServerLoad"]
--- a/tests/steps/front_choice.py
+++ b/tests/steps/front_choice.py
@@ -9,13 +9,14 @@
 from redwingbank.codes import Code
 from redwingbank.front.attempt import Failure
 from redwingbank.front.backends import Backends, update_breaker
-from redwingbank.front.choice import Chooser, RequestNeeds, as_in_flight, refusal_code
 from redwingbank.front.clock import now_s
 from redwingbank.front.digest import Digest, FirstEvent, Message, Sent, encode_message
-from redwingbank.front.load import InFlightRequest, PromptCache
 from redwingbank.front.peers import Peers
 from redwingbank.front.values import CallFacts, Kind, Pool, PromptPart, Route, ServerEntry, Share
 from redwingbank.model import Outcome
+from redwingbank.routing.choice import Chooser, RequestNeeds, as_in_flight, refusal_code
+from redwingbank.routing.load import InFlightRequest
+from redwingbank.routing.prompt_cache import PromptCache
 from redwingbank.settings import Address
 
 NOW_S = 100.0
--- a/tests/steps/front_relaying.py
+++ b/tests/steps/front_relaying.py
@@ -22,9 +22,9 @@
     decode_message,
     encode_message,
 )
-from redwingbank.front.load import InFlightRequest
 from redwingbank.front.peers import Peers
 from redwingbank.front.values import PromptPart, ServerEntry
+from redwingbank.routing.load import InFlightRequest
 from redwingbank.settings import Address
 
 SERVER = ServerEntry("i-1", POOL.name, Address("10.9.0.1", 1), "zone-1", 16, False, 1)
