--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -7,6 +7,7 @@
 from redwingbank.front.outbound import ConnectionPool
 from redwingbank.model import Outcome
 from redwingbank.routing.load import ServerLoad
+from redwingbank.routing.targets import PauseEstimate
 from redwingbank.rules.breaker import Breaker
 
 if TYPE_CHECKING:
@@ -23,11 +24,11 @@
 class Backend:
     """The connections, circuit breaker and load of one backend server."""
 
-    def __init__(self, entry: ServerEntry, random: Random) -> None:
+    def __init__(self, entry: ServerEntry, random: Random, pauses: PauseEstimate) -> None:
         self.entry = entry
         self.connections = ConnectionPool(entry.address, KEEP_IDLE_S)
         self.breaker = Breaker(random)
-        self.load = ServerLoad()
+        self.load = ServerLoad(pauses)
 
 
 class Backends:
@@ -36,12 +37,14 @@
     def __init__(self, random: Random) -> None:
         self.backends_by_name: dict[str, Backend] = {}
         self._random = random
+        self._pauses_by_pool: dict[str, PauseEstimate] = {}
 
     def get_or_create(self, entry: ServerEntry) -> Backend:
         """Return a server's state, created if missing; a restart empties its prompt cache."""
         backend = self.backends_by_name.get(entry.name)
         if backend is None:
-            backend = self.backends_by_name[entry.name] = Backend(entry, self._random)
+            pauses = self._pauses_by_pool.setdefault(entry.pool, PauseEstimate())
+            backend = self.backends_by_name[entry.name] = Backend(entry, self._random, pauses)
         if backend.entry.started_ms != entry.started_ms:
             backend.load.cache.clear()
         backend.entry = entry
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -17,7 +17,8 @@
 from redwingbank.front.values import Kind
 from redwingbank.model import Outcome, Request
 from redwingbank.platform.headers import Envelope, decode_call, encode_call, encode_own_answer
-from redwingbank.routing.choice import RequestNeeds, as_in_flight, refusal_code
+from redwingbank.routing.choice import RequestNeeds, as_in_flight
+from redwingbank.routing.dispatch import Refuse
 from redwingbank.rules.lifecycle import Lifecycle, Step
 from redwingbank.rules.retry import Retry, decide
 
@@ -158,7 +159,10 @@
             self._handle_failure(attempt, _invalid_answer(str(error)), now_s())
             return
         if complete_events:
-            self._recorder.record_event()
+            now = now_s()
+            pause_s = self._recorder.record_event(now)
+            if pause_s is not None:
+                attempt.backend.load.event_received(pause_s, now)
             self._caller.send_part(complete_events)
 
     def attempt_completed(self, attempt: Attempt, answer: Answer | None) -> None:
@@ -232,15 +236,12 @@
         entries = self._router.servers.usable(admitted.pool)
         needs = self._request_needs(admitted, now)
         pool = self._router.pool(admitted.pool)
-        choice = self._router.chooser.choose(entries, pool, needs, self._tried, now)
-        if choice is None:
-            self._fail(Code.NO_BACKEND_SERVER)
-            return
-        code = refusal_code(choice, needs, now)
-        if code and not self._answer_started:
-            self._retry_after_s = choice.backlog_tokens / choice.backend.load.read_tokens_per_s
-            self._fail(code)
+        decision = self._router.dispatcher.decide(entries, pool, needs, self._tried, now)
+        if isinstance(decision, Refuse):
+            self._retry_after_s = decision.retry_after_s
+            self._fail(decision.code)
             return
+        choice = decision.choice
         backend = choice.backend
         if self._splitter:
             self._splitter.drop_partial()
@@ -252,8 +253,7 @@
         self._sent_s, self._awaiting_first_event = now, True
         in_flight, shared = as_in_flight(choice, needs, now), admitted.facts.parts[:-1]
         self._number = self._router.peers.report_sent(backend.entry.name, in_flight, shared)
-        backend.load.request_sent((OWN_HOST, self._number), in_flight)
-        backend.load.cache.insert(shared)
+        backend.load.request_sent((OWN_HOST, self._number), in_flight, shared)
         backend.breaker.record_send(request.request_id, now)
         envelope = Envelope(
             server=backend.entry.name,
@@ -261,6 +261,7 @@
             deadline_s=request.give_up_s - now,
             resume_after=self._splitter.last_id if self._splitter else "",
             rank=in_flight.rank if admitted.route.has_prompt else None,
+            copy_from=choice.copy.source.address if choice.copy else None,
         )
         self._recorder.record_grant(self._life, request, admitted, choice)
         self._attempt = Attempt(self, backend, request.request_id)
@@ -364,6 +365,7 @@
             target_left_s=self._arrived_s + admitted.route.target_s - now,
             patience_left_s=self._patience_ends_s(admitted) - now,
             data_centre=self._router.settings.data_centre,
+            answer_begun=self._answer_started,
         )
 
     def _patience_ends_s(self, admitted: AdmittedRequest) -> float:
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -311,8 +311,7 @@
             backend = by_name.get(sent.server)
             if backend:
                 servers[sent.number] = sent.server
-                backend.load.request_sent((host, sent.number), sent.in_flight)
-                backend.load.cache.insert(sent.parts)
+                backend.load.request_sent((host, sent.number), sent.in_flight, sent.parts)
         for first_event in content.begun:
             backend = by_name.get(servers.get(first_event.number, ""))
             if backend:
--- a/src/redwingbank/front/request_recorder.py
+++ b/src/redwingbank/front/request_recorder.py
@@ -50,6 +50,8 @@
             slots=backend.entry.slots,
             cost=round(choice.cost, 3),
             unread_tokens=choice.unread_tokens,
+            copied_tokens=choice.copy.tokens if choice.copy else 0,
+            copied_from=choice.copy.source.name if choice.copy else "",
             ahead_tokens=round(choice.backlog_tokens),
             expected_ms=_milliseconds(choice.expected_first_event_s),
             victims=round(choice.long_pauses, 2),
@@ -99,14 +101,14 @@
         took_s = now_s() - self._arrived_s
         self._router.observe("first_byte_seconds", took_s, self._class_name())
 
-    def record_event(self) -> None:
-        """Record that events of a streamed answer were forwarded."""
-        now = now_s()
-        if self._last_event_s is None:
+    def record_event(self, now: float) -> float | None:
+        """Record that events of a stream were forwarded; return the pause before them, if any."""
+        last_s, self._last_event_s = self._last_event_s, now
+        if last_s is None:
             self._first_event_ms = _milliseconds(now - self._arrived_s)
-        else:
-            self._longest_pause_s = max(self._longest_pause_s, now - self._last_event_s)
-        self._last_event_s = now
+            return None
+        self._longest_pause_s = max(self._longest_pause_s, now - last_s)
+        return now - last_s
 
     def record_answer(self, life: Lifecycle, status: int) -> None:
         """Record an answer that was forwarded completely."""
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -20,6 +20,7 @@
 from redwingbank.front.values import Limits, Pool
 from redwingbank.metrics import Metrics
 from redwingbank.routing.choice import Chooser
+from redwingbank.routing.dispatch import Dispatcher
 
 if TYPE_CHECKING:
     from random import Random
@@ -52,7 +53,7 @@
         self.poison = PoisonTracker(self.peers.broadcast, self.log)
         self.peers.on_crash = self.poison.handle_crash_news
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
-        self.chooser = Chooser(self.backends, random)
+        self.dispatcher = Dispatcher(Chooser(self.backends, random))
         self.allowance = RetryAllowance(settings.bounds, lambda: 1 + len(self.peers.peers_by_host))
         self.admission = Admission(self.tables)
         self.shutdown = Shutdown(settings.bounds.grace_s)
--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -66,10 +66,12 @@
     """A group of identical backend servers.
 
     `cache_tokens` is the capacity of an engine for prompts and answers, 0 for a plain service.
+    Engines copy cached prompts from each other at `copy_tokens_per_s`, not at all if it is 0.0.
     """
 
     name: str
     cache_tokens: int
+    copy_tokens_per_s: float = 0.0
 
 
 class Organisation(NamedTuple):
--- a/src/redwingbank/platform/directory.py
+++ b/src/redwingbank/platform/directory.py
@@ -18,6 +18,7 @@
 from redwingbank.settings import parse_address
 
 MS_PER_S = 1000.0
+BYTES_PER_S_PER_MBPS = 125_000
 # the platform calls a call that may run at most once "nonidempotent"
 KIND_BY_NAME = {
     "idempotent": Kind.IDEMPOTENT,
@@ -104,7 +105,10 @@
 
 def _pool(row: Any) -> Pool:
     engine = row.get("engine") or {}
-    return Pool(row["name"], int(engine.get("kvCapacity", 0)))
+    token_bytes = float(engine.get("kvTokenBytes", 0))
+    link_bytes_per_s = float(engine.get("linkMbps", 0)) * BYTES_PER_S_PER_MBPS
+    copy_tokens_per_s = link_bytes_per_s / token_bytes if token_bytes > 0 else 0.0
+    return Pool(row["name"], int(engine.get("kvCapacity", 0)), copy_tokens_per_s)
 
 
 def _organisations_by_key(rows: Any) -> dict[str, Organisation] | None:
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -10,6 +10,7 @@
     from collections.abc import Iterable, Mapping
 
     from redwingbank.front.values import Organisation
+    from redwingbank.settings import Address
 
 Header = tuple[bytes, bytes]
 
@@ -86,6 +87,7 @@
     """The values that the router adds to a request for one backend server.
 
     `rank` is 0 to 9, where 0 goes first; `resume_after` is the last event already forwarded.
+    `copy_from` is another server from which this one copies what it has cached of the prompt.
     """
 
     server: str
@@ -93,6 +95,7 @@
     deadline_s: float
     resume_after: str
     rank: int | None
+    copy_from: Address | None = None
 
 
 def decode_call(headers: Iterable[Header]) -> CallFacts:
@@ -137,6 +140,9 @@
         lines.append(_header_line("Tenant", envelope.organisation.name))
     if envelope.rank is not None:
         lines.append(_header_line("Request-Priority", str(envelope.rank)))
+    if envelope.copy_from is not None:
+        host, port = envelope.copy_from
+        lines.append(_header_line("Kv-Fetch", f"{host}:{port}"))
     if envelope.resume_after:
         lines.append(_header_line("Last-Event-Id", envelope.resume_after))
     if body or method not in {b"GET", b"HEAD", b"DELETE", b"OPTIONS"}:
--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -10,7 +10,6 @@
     CHUNK_TOKENS,
     DECODE_STEP_S,
     TOKENS_PER_EVENT,
-    longest_pause_s,
     miss_probability,
 )
 
@@ -26,13 +25,18 @@
 COST_PER_READ_SECOND = 0.5
 # Deployments count 0.33 to 0.43 for 1,000 shared tokens that are reread and about 2.5 for a
 # request: 1,000 tokens cost 0.13 to 0.17 of a request.
-COST_PER_REREAD_TOKEN = 0.15 / 1000
-COST_PER_BACKLOG_SECOND = 0.5
+COST_PER_REREAD_TOKEN = 0.3 / 1000
+COST_PER_COPIED_TOKEN = 0.01 / 1000
+# Shorter parts are read sooner than a copy is set up.
+MIN_COPIED_TOKENS = 512
+COST_PER_BACKLOG_SECOND = 0.2
 COST_PER_CONCURRENT_STREAM = 0.01
 COST_OF_FULL_SLOTS = 0.5
 # Requests with few unread tokens prefer servers that come first by name.
 COST_PER_NAME_POSITION = 0.005
 COST_OF_OTHER_DATA_CENTRE = 0.002
+COST_OF_BLOCKED = 3.0
+URGENT_SLACK_S = 0.25
 # While streams of earlier ranks run at a server, prompts of later ranks may take up to this share
 # of its time. Even with a prompt chunk in three of four steps, a stream of 300 tokens ends within
 # 15 s.
@@ -41,6 +45,13 @@
 MIN_PROTECTED_STREAM_SHARE = 1 / 8
 
 
+class Copy(NamedTuple):
+    """Prompt tokens that a server copies from the cache of another one instead of reading."""
+
+    source: ServerEntry
+    tokens: int
+
+
 class Choice(NamedTuple):
     """The selected backend server and the estimates behind the selection.
 
@@ -56,19 +67,21 @@
     backlog_tokens: float
     expected_first_event_s: float
     long_pauses: float
+    copy: Copy | None = None
 
 
-class CachedTokens(NamedTuple):
-    """Prompt tokens found in the cache of one server, and the most found at any server."""
+class CachedPrompt(NamedTuple):
+    """How much of a prompt is cached: at one server, the most at any, and what can be copied."""
 
     on_server: int
     maximum: int
+    copy: Copy | None
 
 
 class RequestNeeds(NamedTuple):
     """A request's requirements, with the time left until its target and until the caller gives up.
 
-    `data_centre` is that of the host.
+    `data_centre` is that of the host; `answer_begun` is true for a stream to be resumed.
     """
 
     facts: CallFacts
@@ -77,6 +90,7 @@
     target_left_s: float
     patience_left_s: float
     data_centre: str
+    answer_begun: bool = False
 
     @property
     def pause_sensitive(self) -> bool:
@@ -114,12 +128,19 @@
         candidates.sort(key=lambda backend: backend.entry.name)
         for backend in candidates:
             backend.load.cache.capacity_tokens = pool.cache_tokens
-        cached = [backend.load.cache.held_tokens(needs.facts.parts) for backend in candidates]
-        best = max(cached)
+        held = [backend.load.cache.held_tokens(needs.facts.parts) for backend in candidates]
+        most = max(held)
+        sources = _copy_sources(candidates, needs) if pool.copy_tokens_per_s else []
         return min(
             (
-                self._estimate(backend, position, CachedTokens(tokens, best), needs, now_s)
-                for position, (backend, tokens) in enumerate(zip(candidates, cached, strict=True))
+                self._estimate(
+                    backend,
+                    position,
+                    CachedPrompt(tokens, most, _best_copy(backend, tokens, sources)),
+                    needs,
+                    now_s,
+                )
+                for position, (backend, tokens) in enumerate(zip(candidates, held, strict=True))
             ),
             key=lambda choice: choice.cost,
         )
@@ -139,12 +160,13 @@
         self,
         backend: Backend,
         position: int,
-        cached: CachedTokens,
+        cached: CachedPrompt,
         needs: RequestNeeds,
         now_s: float,
     ) -> Choice:
         load = backend.load
-        unread_tokens = max(0, needs.facts.prompt_tokens - cached.on_server)
+        copied_tokens = cached.copy.tokens if cached.copy else 0
+        unread_tokens = max(0, needs.facts.prompt_tokens - cached.on_server - copied_tokens)
         rank = min(needs.tier, LAST_RANK)
         backlog_tokens = load.backlog_tokens(now_s)
         read_wait_s = load.backlog_tokens(now_s, rank) / load.read_tokens_per_s
@@ -157,9 +179,13 @@
         cost = (
             miss_probability(expected_first_event_s, needs.target_left_s)
             + long_pauses
+            + COST_OF_BLOCKED
+            * load.urgent_rate(rank, now_s)
+            * max(0.0, unread_tokens / load.read_tokens_per_s - URGENT_SLACK_S)
             + _pause_risk(load, needs, backlog_tokens, now_s)
             + COST_PER_READ_SECOND * unread_tokens / load.read_tokens_per_s
-            + COST_PER_REREAD_TOKEN * (cached.maximum - cached.on_server)
+            + COST_PER_REREAD_TOKEN * (cached.maximum - cached.on_server - copied_tokens)
+            + COST_PER_COPIED_TOKEN * copied_tokens
             + COST_PER_BACKLOG_SECOND * (backlog_tokens + unread_tokens) / load.read_tokens_per_s
             + COST_PER_CONCURRENT_STREAM
             * load.streams_by_pause_target.total()
@@ -169,7 +195,14 @@
             + COST_OF_OTHER_DATA_CENTRE * (backend.entry.data_centre != needs.data_centre)
         )
         return Choice(
-            backend, cost, rank, unread_tokens, backlog_tokens, expected_first_event_s, long_pauses
+            backend=backend,
+            cost=cost,
+            rank=rank,
+            unread_tokens=unread_tokens,
+            backlog_tokens=backlog_tokens,
+            expected_first_event_s=expected_first_event_s,
+            long_pauses=long_pauses,
+            copy=cached.copy,
         )
 
 
@@ -199,10 +232,29 @@
     return None
 
 
+def _copy_sources(candidates: Sequence[Backend], needs: RequestNeeds) -> list[Copy]:
+    """Return the servers that have read the most of a prompt's shared parts."""
+    copies = [
+        Copy(backend.entry, backend.load.cache.read_tokens(needs.facts.parts))
+        for backend in candidates
+    ]
+    most = max(copy.tokens for copy in copies)
+    return [copy for copy in copies if copy.tokens == most] if most else []
+
+
+def _best_copy(backend: Backend, held_tokens: int, sources: Sequence[Copy]) -> Copy | None:
+    """Return what a server can copy beyond what it holds, from its own data centre if possible."""
+    if not sources or sources[0].tokens - held_tokens < MIN_COPIED_TOKENS:
+        return None
+    near = [copy for copy in sources if copy.source.data_centre == backend.entry.data_centre]
+    source = (near or sources)[0].source
+    return Copy(source, sources[0].tokens - held_tokens)
+
+
 def _expected_long_pauses(load: ServerLoad, backlog_tokens: float, unread_tokens: int) -> float:
     """Expected number of streams that exceed their pause target only because of this prompt."""
-    before_s = longest_pause_s(backlog_tokens, load.read_tokens_per_s)
-    after_s = longest_pause_s(backlog_tokens + unread_tokens, load.read_tokens_per_s)
+    before_s = load.longest_pause_s(backlog_tokens)
+    after_s = load.longest_pause_s(backlog_tokens + unread_tokens)
     return sum(
         count * (miss_probability(after_s, target_s) - miss_probability(before_s, target_s))
         for target_s, count in load.streams_by_pause_target.items()
@@ -219,10 +271,8 @@
     if not needs.pause_sensitive or needs.facts.answer_tokens <= TOKENS_PER_EVENT:
         return 0.0
     target_s = needs.route.pause_target_s
-    current_risk = miss_probability(
-        longest_pause_s(backlog_tokens, load.read_tokens_per_s), target_s
-    )
+    current_risk = miss_probability(load.longest_pause_s(backlog_tokens), target_s)
     return min(1.0, current_risk + load.recent_long_pauses(target_s, now_s))
 
 
-__all__ = ["Choice", "Chooser", "RequestNeeds", "as_in_flight", "refusal_code"]
+__all__ = ["Choice", "Copy", "Chooser", "RequestNeeds", "as_in_flight", "refusal_code"]
--- a/src/redwingbank/routing/load.py
+++ b/src/redwingbank/routing/load.py
@@ -4,25 +4,22 @@
 
 import math
 from collections import Counter, deque
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.routing.prompt_cache import PromptCache
+from redwingbank.routing.read_speed import ReadSpeed
 from redwingbank.routing.targets import (
     DECODE_STEP_S,
     SAFE_TARGET_SHARE,
-    longest_pause_s,
+    PauseEstimate,
     miss_probability,
 )
 
-# The engines' data sheets state 38 to 50 prompt tokens per ms. The speed of each server is then
-# learned from the times until its first events.
-INITIAL_READ_TOKENS_PER_S = 40_000.0
-READ_SPEED_SMOOTHING = 0.2
-# Shorter reads do not update the read speed: the network round trip dominates their time.
-MIN_SAMPLE_TOKENS = 2000
-MIN_SAMPLE_S = 0.005
-MIN_READ_TOKENS_PER_S = 2000.0
-MAX_READ_TOKENS_PER_S = 200_000.0
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+    from redwingbank.front.values import PromptPart
+
 # Requests whose end was not reported expire after EXPIRY_PER_TOKEN_S per answer token and this
 # margin.
 EXPIRY_PER_TOKEN_S = 0.02
@@ -66,29 +63,41 @@
 class ServerLoad:
     """Tracks the requests of all hosts that are in flight at a server and derives estimates."""
 
-    def __init__(self) -> None:
+    def __init__(self, pauses: PauseEstimate | None = None) -> None:
+        self.pauses = pauses or PauseEstimate()
         self.cache = PromptCache()
-        self.read_tokens_per_s = INITIAL_READ_TOKENS_PER_S
+        self.read_speed = ReadSpeed()
         # number of streams by pause target, whether or not their first event has arrived
         self.streams_by_pause_target: Counter[float] = Counter()
         self._in_flight_by_key: dict[RequestKey, InFlightRequest] = {}
-        self._last_progress_s = 0.0
+        self._unread_by_key: dict[RequestKey, InFlightRequest] = {}
+        self._parts_by_key: dict[RequestKey, Sequence[PromptPart]] = {}
+        self._reading: RequestKey | None = None
         self._recent_reads: deque[_PromptRead] = deque(maxlen=MAX_RECENT_READS)
 
+    @property
+    def read_tokens_per_s(self) -> float:
+        """Prompt tokens that the server reads in a second."""
+        return self.read_speed.tokens_per_s
+
     def __len__(self) -> int:
         return len(self._in_flight_by_key)
 
     def backlog_tokens(self, now_s: float, rank: int = LAST_RANK) -> float:
         """Estimate the prompt tokens still to be read before a request of this rank.
 
-        What the server has read since the last reported progress is subtracted.
+        The prompt that is being read is read to its end, whatever its rank. What the server has
+        read since the last reported progress is subtracted.
         """
         waiting = sum(
             request.unread_tokens
-            for request in self._in_flight_by_key.values()
-            if request.first_event_s is None and request.rank <= rank
+            for key, request in self._unread_by_key.items()
+            if request.rank <= rank and key != self._reading
         )
-        return max(0.0, waiting - max(0.0, now_s - self._last_progress_s) * self.read_tokens_per_s)
+        reading = self._unread_by_key.get(self._reading) if self._reading else None
+        since_s = max(0.0, now_s - self.read_speed.last_progress_s)
+        left = (reading.unread_tokens if reading else 0) - since_s * self.read_tokens_per_s
+        return max(0.0, left) + max(0.0, waiting + min(0.0, left))
 
     def slot_wait_s(self, now_s: float, rank: int, slots: int) -> float:
         """Estimate how long a request of this rank waits for a free slot.
@@ -106,6 +115,15 @@
         left_s = sum(self._slot_left_s(request, now_s) for request in before)
         return excess * left_s / (len(before) * slots)
 
+    def longest_pause_s(self, tokens: float) -> float:
+        """Longest pause of a stream that runs while `tokens` prompt tokens are read."""
+        return self.pauses.longest_s(tokens / self.read_tokens_per_s)
+
+    def event_received(self, pause_s: float, now_s: float) -> None:
+        """Record the pause before an event of a stream that this host forwards."""
+        if self.backlog_tokens(now_s) > 0:
+            self.pauses.record_reading(pause_s)
+
     def count_streams_ahead(self, rank: int) -> int:
         """Count the streams with a pause target that have a more urgent rank."""
         return sum(
@@ -127,6 +145,14 @@
             if read.longest_pause_s > safe_s
         )
 
+    def urgent_rate(self, rank: int, now_s: float) -> float:
+        """Requests of earlier ranks that came to the server per second."""
+        since_s = now_s - READ_HISTORY_S
+        return (
+            sum(read.rank < rank for read in self._recent_reads if read.at_s > since_s)
+            / READ_HISTORY_S
+        )
+
     def prompt_read_share(self, rank: int, now_s: float) -> float:
         """Share of the last `READ_HISTORY_S` spent reading prompts of this and later ranks."""
         since_s = now_s - READ_HISTORY_S
@@ -135,18 +161,22 @@
         )
         return tokens / (self.read_tokens_per_s * READ_HISTORY_S)
 
-    def request_sent(self, key: RequestKey, in_flight: InFlightRequest) -> None:
-        """Record a request that was sent."""
-        if not any(request.first_event_s is None for request in self._in_flight_by_key.values()):
-            self._last_progress_s = in_flight.sent_s
+    def request_sent(
+        self, key: RequestKey, in_flight: InFlightRequest, parts: Sequence[PromptPart] = ()
+    ) -> None:
+        """Record a request that was sent, and the shared parts of its prompt."""
         self.request_ended(key)
-        self._in_flight_by_key[key] = in_flight
+        self.cache.insert(parts)
+        self._parts_by_key[key] = parts
+        if not self._unread_by_key:
+            self.read_speed.read_begun(in_flight.sent_s)
+        self._in_flight_by_key[key] = self._unread_by_key[key] = in_flight
+        if self._reading is None:
+            self._reading = key
         if in_flight.pause_target_s:
             self.streams_by_pause_target[in_flight.pause_target_s] += 1
         if in_flight.unread_tokens:
-            pause = longest_pause_s(
-                in_flight.tokens_ahead + in_flight.unread_tokens, self.read_tokens_per_s
-            )
+            pause = self.longest_pause_s(in_flight.tokens_ahead + in_flight.unread_tokens)
             self._recent_reads.append(
                 _PromptRead(in_flight.sent_s, pause, in_flight.unread_tokens, in_flight.rank)
             )
@@ -158,12 +188,15 @@
             return
         first_event_s = in_flight.sent_s + took_s
         self._in_flight_by_key[key] = in_flight._replace(first_event_s=first_event_s)
-        self._last_progress_s = max(self._last_progress_s, first_event_s)
-        self._update_read_speed(in_flight, took_s)
+        self._remove_unread(key)
+        self.cache.mark_read(self._parts_by_key.get(key, ()))
+        self.read_speed.prompt_read(in_flight.unread_tokens, first_event_s)
 
     def request_ended(self, key: RequestKey) -> None:
         """Remove a request that has ended."""
         in_flight = self._in_flight_by_key.pop(key, None)
+        self._parts_by_key.pop(key, None)
+        self._remove_unread(key)
         if in_flight and in_flight.pause_target_s:
             self.streams_by_pause_target[in_flight.pause_target_s] -= 1
 
@@ -181,6 +214,15 @@
             ):
                 self.request_ended(key)
 
+    def _remove_unread(self, key: RequestKey) -> None:
+        """Remove a prompt that is read or cancelled; the most urgent one is read next."""
+        if self._unread_by_key.pop(key, None) is not None and key == self._reading:
+            self._reading = min(self._unread_by_key, key=self._read_order, default=None)
+
+    def _read_order(self, key: RequestKey) -> tuple[int, float]:
+        request = self._unread_by_key[key]
+        return request.rank, request.sent_s
+
     def _slot_left_s(self, in_flight: InFlightRequest, now_s: float) -> float:
         """Estimate how long a request occupies its slot from now on, or from when it gets one."""
         answer_s = in_flight.answer_tokens * DECODE_STEP_S
@@ -188,13 +230,5 @@
             return in_flight.unread_tokens / self.read_tokens_per_s + answer_s
         return max(0.0, in_flight.first_event_s + answer_s - now_s)
 
-    def _update_read_speed(self, in_flight: InFlightRequest, took_s: float) -> None:
-        tokens = in_flight.unread_tokens + in_flight.tokens_ahead
-        if tokens < MIN_SAMPLE_TOKENS:
-            return
-        sample = tokens / max(MIN_SAMPLE_S, took_s)
-        sample = min(max(sample, MIN_READ_TOKENS_PER_S), MAX_READ_TOKENS_PER_S)
-        self.read_tokens_per_s += READ_SPEED_SMOOTHING * (sample - self.read_tokens_per_s)
-
 
 __all__ = ["LAST_RANK", "InFlightRequest", "RequestKey", "ServerLoad"]
--- a/src/redwingbank/routing/targets.py
+++ b/src/redwingbank/routing/targets.py
@@ -9,17 +9,44 @@
 # Time per answer token while no prompt is read: 5.2 ms in the engines' data sheets, more in a
 # larger batch.
 DECODE_STEP_S = 0.008
+# Pause between events while no prompt is read.
+IDLE_PAUSE_S = TOKENS_PER_EVENT * DECODE_STEP_S
+# Pauses while prompts are read: the first estimate, the quantile that is learned, the relative
+# change for each longer pause, and the upper limit.
+INITIAL_READING_PAUSE_S = 0.24
+PAUSE_QUANTILE = 0.9
+PAUSE_STEP = 0.05
+MAX_READING_PAUSE_S = 2.0
 # The probability of a miss rises linearly from 0 to 1 between these shares of a target.
-SAFE_TARGET_SHARE = 0.7
+SAFE_TARGET_SHARE = 0.8
 MISSED_TARGET_SHARE = 1.1
 
 
-def longest_pause_s(tokens: float, read_tokens_per_s: float) -> float:
-    """Longest pause between events of a running stream while `tokens` prompt tokens are read."""
-    return (
-        min(tokens, TOKENS_PER_EVENT * CHUNK_TOKENS) / read_tokens_per_s
-        + TOKENS_PER_EVENT * DECODE_STEP_S
-    )
+class PauseEstimate:
+    """Longest pause between events of streams while prompts are read, learned from streams.
+
+    Answers long prompts beside short streams: an engine reads a chunk of a prompt between two
+    answer tokens, so that beyond a few chunks a longer prompt makes no longer pauses.
+
+    >>> pauses = PauseEstimate()
+    >>> for _ in range(500):
+    ...     pauses.record_reading(0.11)
+    >>> round(pauses.longest_s(5.0), 1), round(pauses.longest_s(0.02), 2)
+    (0.1, 0.05)
+    """
+
+    def __init__(self) -> None:
+        self._reading_s = INITIAL_READING_PAUSE_S
+
+    def record_reading(self, pause_s: float) -> None:
+        """Record a pause of a stream whose server has prompts to read."""
+        shorter = pause_s <= self._reading_s
+        factor = 1 - PAUSE_STEP * (1 - PAUSE_QUANTILE) if shorter else 1 + PAUSE_STEP
+        self._reading_s = min(max(self._reading_s * factor, IDLE_PAUSE_S), MAX_READING_PAUSE_S)
+
+    def longest_s(self, read_s: float) -> float:
+        """Return the longest pause of a stream that runs while prompts are read for `read_s`."""
+        return min(IDLE_PAUSE_S + read_s, self._reading_s)
 
 
 def miss_probability(time_s: float, target_s: float) -> float:
@@ -40,6 +67,6 @@
     "DECODE_STEP_S",
     "SAFE_TARGET_SHARE",
     "TOKENS_PER_EVENT",
-    "longest_pause_s",
+    "PauseEstimate",
     "miss_probability",
 ]
--- a/tests/steps/front_choice.py
+++ b/tests/steps/front_choice.py
@@ -93,8 +93,7 @@
     load = choice.backend.load
     context.number += 1
     key = ("", context.number)
-    load.request_sent(key, as_in_flight(choice, of, NOW_S - ago_s))
-    load.cache.insert(of.facts.parts[:-1])
+    load.request_sent(key, as_in_flight(choice, of, NOW_S - ago_s), of.facts.parts[:-1])
     if begun:
         load.first_event_received(key, choice.expected_first_event_s)
     return load, key
