--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -21,22 +21,13 @@
     from redwingbank.front.values import CallFacts, Pool, Route, ServerEntry
     from redwingbank.routing.load import ServerLoad
 
-# Costs are in units of one request that misses its target.
-COST_PER_READ_SECOND = 0.5
-# Deployments count 0.33 to 0.43 for 1,000 shared tokens that are reread and about 2.5 for a
-# request: 1,000 tokens cost 0.13 to 0.17 of a request.
-COST_PER_REREAD_TOKEN = 0.3 / 1000
-COST_PER_COPIED_TOKEN = 0.01 / 1000
 # Shorter parts are read sooner than a copy is set up.
 MIN_COPIED_TOKENS = 512
-COST_PER_BACKLOG_SECOND = 0.2
-COST_PER_CONCURRENT_STREAM = 0.01
-COST_OF_FULL_SLOTS = 0.5
-# Requests with few unread tokens prefer servers that come first by name.
-COST_PER_NAME_POSITION = 0.005
-COST_OF_OTHER_DATA_CENTRE = 0.002
-COST_OF_BLOCKED = 3.0
-URGENT_SLACK_S = 0.25
+# Time until an engine has set up a copy.
+COPY_SETUP_S = 0.005
+# A prompt that is read for no longer than this does not keep interactive requests from their
+# targets of a few tenths of a second.
+BLOCKING_READ_S = 0.25
 # While streams of earlier ranks run at a server, prompts of later ranks may take up to this share
 # of its time. Even with a prompt chunk in three of four steps, a stream of 300 tokens ends within
 # 15 s.
@@ -45,6 +36,28 @@
 MIN_PROTECTED_STREAM_SHARE = 1 / 8
 
 
+class Costs(NamedTuple):
+    """Weights of the reasons against a server, in units of one request that misses its target.
+
+    `reread_token` and `copied_token` count shared prompt tokens that some server has cached;
+    `blocked_request` counts a more urgent request that arrives during a long read. Requests
+    with few unread tokens prefer servers that come first by name.
+    """
+
+    read_second: float = 0.5
+    reread_token: float = 0.15 / 1000
+    copied_token: float = 0.03 / 1000
+    backlog_second: float = 0.2
+    concurrent_stream: float = 0.01
+    blocked_request: float = 3.0
+    full_slots: float = 0.5
+    name_position: float = 0.005
+    other_data_centre: float = 0.002
+
+
+DEFAULT_COSTS = Costs()
+
+
 class Copy(NamedTuple):
     """Prompt tokens that a server copies from the cache of another one instead of reading."""
 
@@ -99,11 +112,18 @@
 
 
 class Chooser:
-    """Chooses a server for a request among those of its pool that accept requests."""
+    """Chooses a server for a request among those of its pool that accept requests.
+
+    Answers bursts of long prompts beside short requests: a long prompt goes where few urgent
+    requests come and few streams would pause, and is copied from another server's cache where
+    that is possible. Answers the loss of servers and slow servers: a request goes where its
+    first event is expected in time, at each server's own speed.
+    """
 
-    def __init__(self, backends: Backends, random: Random) -> None:
+    def __init__(self, backends: Backends, random: Random, costs: Costs = DEFAULT_COSTS) -> None:
         self._backends = backends
         self._random = random
+        self._costs = costs
 
     def choose(
         self,
@@ -150,7 +170,7 @@
             candidates,
             key=lambda backend: (
                 len(backend.load) / backend.entry.slots
-                + COST_OF_OTHER_DATA_CENTRE * (backend.entry.data_centre != needs.data_centre),
+                + self._costs.other_data_centre * (backend.entry.data_centre != needs.data_centre),
                 self._random.random(),
             ),
         )
@@ -172,27 +192,33 @@
         read_wait_s = load.backlog_tokens(now_s, rank) / load.read_tokens_per_s
         slot_wait_s = load.slot_wait_s(now_s, rank, backend.entry.slots)
         expected_first_event_s = (
-            max(read_wait_s, slot_wait_s) + unread_tokens / load.read_tokens_per_s + DECODE_STEP_S
+            max(read_wait_s, slot_wait_s)
+            + (COPY_SETUP_S if cached.copy else 0.0)
+            + unread_tokens / load.read_tokens_per_s
+            + DECODE_STEP_S
         )
         long_pauses = _expected_long_pauses(load, backlog_tokens, unread_tokens)
         occupied = len(load) / backend.entry.slots
+        read_s = unread_tokens / load.read_tokens_per_s
+        backlog_s = backlog_tokens / load.read_tokens_per_s
+        costs = self._costs
         cost = (
             miss_probability(expected_first_event_s, needs.target_left_s)
             + long_pauses
-            + COST_OF_BLOCKED
-            * load.urgent_rate(rank, now_s)
-            * max(0.0, unread_tokens / load.read_tokens_per_s - URGENT_SLACK_S)
             + _pause_risk(load, needs, backlog_tokens, now_s)
-            + COST_PER_READ_SECOND * unread_tokens / load.read_tokens_per_s
-            + COST_PER_REREAD_TOKEN * (cached.maximum - cached.on_server - copied_tokens)
-            + COST_PER_COPIED_TOKEN * copied_tokens
-            + COST_PER_BACKLOG_SECOND * (backlog_tokens + unread_tokens) / load.read_tokens_per_s
-            + COST_PER_CONCURRENT_STREAM
+            + costs.blocked_request
+            * load.urgent_requests_per_s(rank, now_s)
+            * max(0.0, read_s - BLOCKING_READ_S)
+            + costs.read_second * read_s
+            + costs.reread_token * (cached.maximum - cached.on_server - copied_tokens)
+            + costs.copied_token * copied_tokens
+            + costs.backlog_second * (backlog_s + read_s)
+            + costs.concurrent_stream
             * load.streams_by_pause_target.total()
             * min(1.0, unread_tokens / CHUNK_TOKENS)
-            + COST_OF_FULL_SLOTS * occupied**2
-            + COST_PER_NAME_POSITION * position * (unread_tokens < CHUNK_TOKENS)
-            + COST_OF_OTHER_DATA_CENTRE * (backend.entry.data_centre != needs.data_centre)
+            + costs.full_slots * occupied**2
+            + costs.name_position * position * (unread_tokens < CHUNK_TOKENS)
+            + costs.other_data_centre * (backend.entry.data_centre != needs.data_centre)
         )
         return Choice(
             backend=backend,
@@ -275,4 +301,4 @@
     return min(1.0, current_risk + load.recent_long_pauses(target_s, now_s))
 
 
-__all__ = ["Choice", "Copy", "Chooser", "RequestNeeds", "as_in_flight", "refusal_code"]
+__all__ = ["Choice", "Copy", "Costs", "Chooser", "RequestNeeds", "as_in_flight", "refusal_code"]
--- a/src/redwingbank/routing/load.py
+++ b/src/redwingbank/routing/load.py
@@ -145,7 +145,7 @@
             if read.longest_pause_s > safe_s
         )
 
-    def urgent_rate(self, rank: int, now_s: float) -> float:
+    def urgent_requests_per_s(self, rank: int, now_s: float) -> float:
         """Requests of earlier ranks that came to the server per second."""
         since_s = now_s - READ_HISTORY_S
         return (
--- a/src/redwingbank_bench/__main__.py
+++ b/src/redwingbank_bench/__main__.py
@@ -9,7 +9,7 @@
 import anyio
 from cyclopts import App
 
-from redwingbank_bench import control, failures, overhead, overload, relay
+from redwingbank_bench import control, failures, overhead, overload, relay, replays
 from redwingbank_bench.options import Options
 from redwingbank_bench.report import print_figures
 
@@ -22,6 +22,7 @@
     "overload": overload.measure,
     "failures": failures.measure,
     "control": control.measure,
+    "replay": replays.measure,
 }
 
 app = App(name="redwingbank_bench", help="Experiments on real processes and stand-ins.")
@@ -29,7 +30,7 @@
 
 @app.default
 def main(
-    name: Literal["overhead", "relay", "overload", "failures", "control"],
+    name: Literal["overhead", "relay", "overload", "failures", "control", "replay"],
     *,
     seed: int = 1,
     runs: int = 3,
