--- a/tests/front/choice.feature
+++ b/tests/routing/choice.feature
@@ -27,6 +27,49 @@
     When engine 1 has read 20 prompts at a tenth of the usual speed
     Then the choice for a memo with the shared part "new" is engine 2
 
+  Scenario: a busy server's cached prompt is copied to another one instead of being read again
+    Given a choice of 2 engines that copy prompts
+    When a memo with the shared part "file" was read by engine 1
+    And 3 memos of 20000 tokens were sent to engine 1 just now
+    Then the choice for a memo with the shared part "file" is engine 2
+    And 6000 tokens of it are copied from engine 1
+
+  Scenario: a prompt that is not read yet can't be copied
+    Given a choice of 2 engines that copy prompts
+    When a memo with the shared part "file" was sent to engine 1 just now
+    And 3 memos of 20000 tokens were sent to engine 1 just now
+    Then nothing of a memo with the shared part "file" is copied
+
+  Scenario: the server that holds the prompt copies nothing
+    Given a choice of 2 engines that copy prompts
+    When a memo with the shared part "file" was read by engine 1
+    Then the choice for a memo with the shared part "file" is engine 1
+    And nothing of a memo with the shared part "file" is copied
+
+  Scenario: nothing is copied from an ejected server
+    Given a choice of 2 engines that copy prompts
+    When a memo with the shared part "file" was read by engine 1
+    And 3 answers in a row were lost at server 1
+    Then the choice for a memo with the shared part "file" is engine 2
+    And nothing of a memo with the shared part "file" is copied
+
+  Scenario: engines that can't copy read the prompt
+    Given a choice of 2 engines
+    When a memo with the shared part "file" was read by engine 1
+    And 3 memos of 20000 tokens were sent to engine 1 just now
+    Then nothing of a memo with the shared part "file" is copied
+
+  Scenario: a long prompt avoids the server to which urgent requests come
+    Given a choice of 2 engines
+    When 20 short streams of a higher tier came to engine 1 within the last 2 s and ended
+    Then the choice for a memo of 20000 tokens is engine 2
+    And the choice for a short stream of a higher tier is engine 1
+
+  Scenario: a short stream avoids the server that reads a long prompt of a lower tier
+    Given a choice of 2 engines
+    When 1 memos of 30000 tokens were sent to engine 1 just now
+    Then the choice for a short stream of a higher tier is engine 2
+
   Scenario: plain calls go to the least loaded server, the nearest among equals
     Given a choice of 3 plain servers
     Then the choice for a plain call is the server in its data centre
--- a/tests/run.py
+++ b/tests/run.py
@@ -14,10 +14,11 @@
 
 
 GROUPS = [
-    ["tests/rules"],
+    ["tests/rules", "tests/routing"],
     ["tests/ports", "tests/standins"],
     ["tests/front", "tests/platform"],
     ["tests/tasks", "tests/ctl", "tests/codes.feature", "tests/settings.feature"],
+    ["tests/bench"],
     ["tests/system/once.feature"],
     ["tests/system/failures.feature", "tests/system/path.feature"],
     ["tests/system/soak.feature"],
--- a/tests/steps/front_freshness.py
+++ b/tests/steps/front_freshness.py
@@ -7,7 +7,7 @@
 from random import Random
 
 from behave import given, then, when
-from front_choice import NullLog
+from routing_choice import NullLog
 
 from front_rig import Rig, entry, run_scenario
 from redwingbank.ctl.records import parse_records
--- a/tests/steps/front_poison.py
+++ b/tests/steps/front_poison.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from behave import given, then, when
-from front_choice import NullLog
+from routing_choice import NullLog
 
 from front_rig import Rig, run_scenario
 from redwingbank.front.backends import Backends
--- a/tests/steps/front_relaying.py
+++ b/tests/steps/front_relaying.py
@@ -6,7 +6,7 @@
 from random import Random
 
 from behave import given, then, when
-from front_choice import POOL, NullLog
+from routing_choice import POOL, NullLog
 
 from redwingbank.front import peers as peers_module
 from redwingbank.front.backends import Backends
--- a/tests/steps/front_choice.py
+++ b/tests/steps/routing_choice.py
@@ -1,4 +1,4 @@
-"""Steps of front/choice.feature."""
+"""Steps of routing/choice.feature."""
 
 from __future__ import annotations
 
@@ -76,6 +76,7 @@
     for entry in context.entries:
         context.backends.get_or_create(entry).load.cache.capacity_tokens = POOL.cache_tokens
     context.number = 0
+    context.pool = POOL
 
 
 @given("a choice of {count:d} engines")
@@ -84,8 +85,14 @@
     engines(context, count)
 
 
+@given("a choice of {count:d} engines that copy prompts")
+def choice_of_copying(context, count):
+    engines(context, count)
+    context.pool = POOL._replace(copy_tokens_per_s=400_000.0)
+
+
 def choose(context, of):
-    return context.chooser.choose(context.entries, POOL, of, (), NOW_S)
+    return context.chooser.choose(context.entries, context.pool, of, (), NOW_S)
 
 
 def send(context, number, of, *, ago_s=0.0, begun=False):
@@ -132,6 +139,43 @@
     assert choose(context, memo(part)).backend.entry.name == f"i-{number}"
 
 
+@when('a memo with the shared part "{part}" was sent to engine {number:d} just now')
+def memo_unread(context, part, number):
+    send(context, number, memo(part))
+
+
+@then("{tokens:d} tokens of it are copied from engine {number:d}")
+def copied(context, tokens, number):
+    copy = choose(context, memo("file")).copy
+    assert (copy.tokens, copy.source.name) == (tokens, f"i-{number}"), copy
+
+
+@then('nothing of a memo with the shared part "{part}" is copied')
+def not_copied(context, part):
+    assert choose(context, memo(part)).copy is None
+
+
+@when(
+    "{count:d} short streams of a higher tier came to engine {number:d}"
+    " within the last {time:g} s and ended"
+)
+def urgent_came(context, count, number, time):
+    for index in range(count):
+        ago_s = time * (1 - (index + 0.5) / count)
+        load, key = send(context, number, urgent(), ago_s=ago_s, begun=True)
+        load.request_ended(key)
+
+
+@then("the choice for a memo of {tokens:d} tokens is engine {number:d}")
+def long_memo_goes(context, tokens, number):
+    assert choose(context, memo("new", tokens)).backend.entry.name == f"i-{number}"
+
+
+@then("the choice for a short stream of a higher tier is engine {number:d}")
+def urgent_goes(context, number):
+    assert choose(context, urgent()).backend.entry.name == f"i-{number}"
+
+
 @then("the choice for a short stream is engine {number:d}")
 def stream_goes(context, number):
     assert choose(context, short_stream()).backend.entry.name == f"i-{number}"
