Refuse the least urgent prompts first, and count more urgent ones that come later

Change: a rank's share counts the ranks from the first stream's to its own; the wait is longer by the share of time that more urgent prompts take.

--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -28,9 +28,11 @@
 # A prompt that is read for no longer than this does not keep interactive requests from their
 # targets of a few tenths of a second.
 BLOCKING_READ_S = 0.25
-# While streams of earlier ranks run at a server, prompts of later ranks may take up to this share
-# of its time. Even with a prompt chunk in three of four steps, a stream of 300 tokens ends within
-# 15 s.
+# Share of a server's time that more urgent prompts are expected to take at most.
+MAX_URGENT_SHARE = 0.9
+# While streams run at a server, prompts of later ranks than the first stream's may take up to this
+# share of its time; the least urgent of them are refused first. Even with a prompt chunk in three
+# of four steps, a stream of 300 tokens ends within 15 s.
 MAX_LATER_RANK_SHARE = 0.75
 # Streams that occupy a smaller share of the slots are not protected from a full load of prompts.
 MIN_PROTECTED_STREAM_SHARE = 1 / 8
@@ -189,7 +191,10 @@
         unread_tokens = max(0, needs.facts.prompt_tokens - cached.on_server - copied_tokens)
         rank = min(needs.tier, LAST_RANK)
         backlog_tokens = load.backlog_tokens(now_s)
-        read_wait_s = load.backlog_tokens(now_s, rank) / load.read_tokens_per_s
+        # more urgent prompts that come later are read before this one, too
+        urgent_share = min(MAX_URGENT_SHARE, load.read_share(range(rank), now_s))
+        tokens_per_s = load.read_tokens_per_s * (1 - urgent_share)
+        read_wait_s = load.backlog_tokens(now_s, rank) / tokens_per_s
         slot_wait_s = load.slot_wait_s(now_s, rank, backend.entry.slots)
         expected_first_event_s = (
             max(read_wait_s, slot_wait_s)
@@ -253,7 +258,8 @@
     load = choice.backend.load
     streams_ahead = load.count_streams_ahead(choice.rank)
     protected = streams_ahead >= MIN_PROTECTED_STREAM_SHARE * choice.backend.entry.slots
-    if protected and load.prompt_read_share(choice.rank, now_s) > MAX_LATER_RANK_SHARE:
+    later_ranks = range(load.first_stream_rank() + 1, choice.rank + 1)
+    if protected and load.read_share(later_ranks, now_s) > MAX_LATER_RANK_SHARE:
         return Code.SHED
     return None
 
--- a/src/redwingbank/routing/load.py
+++ b/src/redwingbank/routing/load.py
@@ -153,14 +153,27 @@
             / READ_HISTORY_S
         )
 
-    def prompt_read_share(self, rank: int, now_s: float) -> float:
-        """Share of the last `READ_HISTORY_S` spent reading prompts of this and later ranks."""
+    def read_share(self, ranks: range, now_s: float) -> float:
+        """Share of the last `READ_HISTORY_S` spent reading prompts of some ranks."""
         since_s = now_s - READ_HISTORY_S
         tokens = sum(
-            read.tokens for read in self._recent_reads if read.at_s > since_s and read.rank >= rank
+            read.tokens
+            for read in self._recent_reads
+            if read.at_s > since_s and read.rank in ranks
         )
         return tokens / (self.read_tokens_per_s * READ_HISTORY_S)
 
+    def first_stream_rank(self) -> int:
+        """Rank of the most urgent stream with a pause target, `LAST_RANK` if there is none."""
+        return min(
+            (
+                request.rank
+                for request in self._in_flight_by_key.values()
+                if request.pause_target_s
+            ),
+            default=LAST_RANK,
+        )
+
     def request_sent(
         self, key: RequestKey, in_flight: InFlightRequest, parts: Sequence[PromptPart] = ()
     ) -> None:
--- a/tests/routing/choice.feature
+++ b/tests/routing/choice.feature
@@ -113,6 +113,19 @@
     Then a memo is refused in favour of the higher tier
     And a short stream of a higher tier is not refused
 
+  Scenario: of less urgent prompts the least urgent yield first
+    Given a choice of 1 engines
+    When 20 short streams of a higher tier run at engine 1
+    And memos of 8000 tokens of the lowest tier are sent to engine 1 every 0.15 s for 2 s
+    Then a memo of the lowest tier is refused in favour of the higher tiers
+    And a short stream of the middle tier is not refused
+
+  Scenario: a prompt waits longer where more urgent ones take most of the server's time
+    Given a choice of 1 engines
+    When 45 short streams of a higher tier came to engine 1 within the last 2 s and ended
+    And 2 memos of 20000 tokens were sent to engine 1 just now
+    Then a memo is expected to wait at least 1.5 times the 1 s of what is ahead
+
   Scenario: prompts of the same rank don't yield to each other
     Given a choice of 1 engines
     When 20 memos of 9000 tokens run at engine 1
--- a/tests/steps/routing_choice.py
+++ b/tests/steps/routing_choice.py
@@ -21,6 +21,7 @@
 
 NOW_S = 100.0
 READ_TOKENS_PER_S = 40_000.0
+FIRST_EVENT_S = 0.02
 POOL = Pool("desk-model", 300_000)
 OTHER_ADDRESS = ("10.0.0.2", 7200)
 
@@ -162,7 +163,8 @@
 def urgent_came(context, count, number, time):
     for index in range(count):
         ago_s = time * (1 - (index + 0.5) / count)
-        load, key = send(context, number, urgent(), ago_s=ago_s, begun=True)
+        load, key = send(context, number, urgent(), ago_s=ago_s)
+        load.first_event_received(key, FIRST_EVENT_S + 800 / READ_TOKENS_PER_S)
         load.request_ended(key)
 
 
@@ -277,17 +279,41 @@
 
 
 @when("memos of {tokens:d} tokens are sent to engine {number:d} every {gap:g} s for {time:g} s")
-def steady_memos(context, tokens, number, gap, time):
+def steady_memos(context, tokens, number, gap, time, tier=1):
     read_s = tokens / READ_TOKENS_PER_S
     for index in range(int(time / gap)):
         ago_s = time - index * gap
-        load, key = send(context, number, memo(f"steady-{index}", tokens), ago_s=ago_s)
+        sent = memo(f"steady-{index}", tokens)._replace(tier=tier)
+        load, key = send(context, number, sent, ago_s=ago_s)
         # the engine reads one prompt after the other
         read_ago_s = time - (index + 1) * read_s
         if read_ago_s >= 0:
             load.first_event_received(key, ago_s - read_ago_s)
 
 
+@when(
+    "memos of {tokens:d} tokens of the lowest tier are sent to engine {number:d}"
+    " every {gap:g} s for {time:g} s"
+)
+def steady_low_memos(context, tokens, number, gap, time):
+    steady_memos(context, tokens, number, gap, time, tier=5)
+
+
+@then("a memo of the lowest tier is refused in favour of the higher tiers")
+def refused_lowest(context):
+    assert refusal(context, memo("new", 8000)._replace(tier=5)) is Code.SHED
+
+
+@then("a short stream of the middle tier is not refused")
+def middle_not_refused(context):
+    assert refusal(context, short_stream()) is None
+
+
+@then("a memo is expected to wait at least {factor:g} times the {ahead:g} s of what is ahead")
+def expected_to_wait(context, factor, ahead):
+    assert choose(context, memo("new")).expected_first_event_s >= factor * ahead
+
+
 def refusal(context, of):
     choice = choose(context, of)
     return refusal_code(choice, of, NOW_S)
