--- a/src/redwingbank/ports/table_store.py
+++ b/src/redwingbank/ports/table_store.py
@@ -257,7 +257,10 @@
 
 
 async def load_history(platform: Platform) -> tuple[pages.Head, ...] | Unknown:
-    """Read the kept heads that are readable, newest first, including the one in force."""
+    """Read the head in force and the kept ones that are readable, newest first.
+
+    :raises PageError: if the object in force is not a head
+    """
     names = await platform.keys(pages.HISTORY_PREFIX)
     if isinstance(names, Unknown):
         return names
@@ -266,9 +269,12 @@
         stored = await platform.read(name)
         if isinstance(stored, Unknown):
             return stored
-        head = pages.readable_head(stored.value) if isinstance(stored, Stored) else None
-        if head is not None:
-            heads[head.revision] = head
+        if isinstance(stored, Stored):
+            in_force = name == pages.HEAD_KEY
+            decode = pages.decode_head if in_force else pages.readable_head
+            head = decode(stored.value)
+            if head is not None:
+                heads[head.revision] = head
     newest = sorted(heads, reverse=True)[:KEPT_REVISIONS]
     return tuple(heads[revision] for revision in newest if revision > newest[0] - KEPT_REVISIONS)
 
--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -190,34 +190,33 @@
         copied_tokens = cached.copy.tokens if cached.copy else 0
         unread_tokens = max(0, needs.facts.prompt_tokens - cached.on_server - copied_tokens)
         rank = min(needs.tier, LAST_RANK)
-        backlog_tokens = load.backlog_tokens(now_s)
+        tokens_per_s = load.read_tokens_per_s
+        read_s = unread_tokens / tokens_per_s
+        backlog = load.backlog(now_s, rank)
         # more urgent prompts that come later are read before this one, too
-        urgent_share = min(MAX_URGENT_SHARE, load.read_share(range(rank), now_s))
-        tokens_per_s = load.read_tokens_per_s * (1 - urgent_share)
-        read_wait_s = load.backlog_tokens(now_s, rank) / tokens_per_s
+        urgent = load.urgent_reads(rank, now_s)
+        share_left = 1 - min(MAX_URGENT_SHARE, urgent.share)
+        read_wait_s = backlog.ahead_tokens / (tokens_per_s * share_left)
         slot_wait_s = load.slot_wait_s(now_s, rank, backend.entry.slots)
         expected_first_event_s = (
             max(read_wait_s, slot_wait_s)
             + (COPY_SETUP_S if cached.copy else 0.0)
-            + unread_tokens / load.read_tokens_per_s
+            + read_s
             + DECODE_STEP_S
         )
-        long_pauses = _expected_long_pauses(load, backlog_tokens, unread_tokens)
+        pause_s = load.longest_pause_s(backlog.tokens)
+        long_pauses = _expected_long_pauses(load, backlog.tokens, unread_tokens, pause_s)
         occupied = len(load) / backend.entry.slots
-        read_s = unread_tokens / load.read_tokens_per_s
-        backlog_s = backlog_tokens / load.read_tokens_per_s
         costs = self._costs
         cost = (
             miss_probability(expected_first_event_s, needs.target_left_s)
             + long_pauses
-            + _pause_risk(load, needs, backlog_tokens, now_s)
-            + costs.blocked_request
-            * load.urgent_requests_per_s(rank, now_s)
-            * max(0.0, read_s - BLOCKING_READ_S)
+            + _pause_risk(load, needs, pause_s, now_s)
+            + costs.blocked_request * urgent.requests_per_s * max(0.0, read_s - BLOCKING_READ_S)
             + costs.read_second * read_s
             + costs.reread_token * (cached.maximum - cached.on_server - copied_tokens)
             + costs.copied_token * copied_tokens
-            + costs.backlog_second * (backlog_s + read_s)
+            + costs.backlog_second * (backlog.tokens / tokens_per_s + read_s)
             + costs.concurrent_stream
             * load.streams_by_pause_target.total()
             * min(1.0, unread_tokens / CHUNK_TOKENS)
@@ -230,7 +229,7 @@
             cost=cost,
             rank=rank,
             unread_tokens=unread_tokens,
-            backlog_tokens=backlog_tokens,
+            backlog_tokens=backlog.tokens,
             expected_first_event_s=expected_first_event_s,
             long_pauses=long_pauses,
             copy=cached.copy,
@@ -266,12 +265,16 @@
 
 def _copy_sources(candidates: Sequence[Backend], needs: RequestNeeds) -> list[Copy]:
     """Return the servers that have read the most of a prompt's shared parts."""
-    copies = [
-        Copy(backend.entry, backend.load.cache.read_tokens(needs.facts.parts))
-        for backend in candidates
+    parts = needs.facts.parts
+    read_tokens = [backend.load.cache.read_tokens(parts) for backend in candidates]
+    most = max(read_tokens)
+    if not most:
+        return []
+    return [
+        Copy(backend.entry, tokens)
+        for backend, tokens in zip(candidates, read_tokens, strict=True)
+        if tokens == most
     ]
-    most = max(copy.tokens for copy in copies)
-    return [copy for copy in copies if copy.tokens == most] if most else []
 
 
 def _best_copy(backend: Backend, held_tokens: int, sources: Sequence[Copy]) -> Copy | None:
@@ -283,19 +286,23 @@
     return Copy(source, sources[0].tokens - held_tokens)
 
 
-def _expected_long_pauses(load: ServerLoad, backlog_tokens: float, unread_tokens: int) -> float:
-    """Expected number of streams that exceed their pause target only because of this prompt."""
-    before_s = load.longest_pause_s(backlog_tokens)
+def _expected_long_pauses(
+    load: ServerLoad, backlog_tokens: float, unread_tokens: int, pause_s: float
+) -> float:
+    """Expected number of streams that exceed their pause target only because of this prompt.
+
+    `pause_s` is their longest pause without it.
+    """
     after_s = load.longest_pause_s(backlog_tokens + unread_tokens)
+    if after_s <= pause_s:
+        return 0.0
     return sum(
-        count * (miss_probability(after_s, target_s) - miss_probability(before_s, target_s))
+        count * (miss_probability(after_s, target_s) - miss_probability(pause_s, target_s))
         for target_s, count in load.streams_by_pause_target.items()
     )
 
 
-def _pause_risk(
-    load: ServerLoad, needs: RequestNeeds, backlog_tokens: float, now_s: float
-) -> float:
+def _pause_risk(load: ServerLoad, needs: RequestNeeds, pause_s: float, now_s: float) -> float:
     """Probability that prompt reads at the server make this stream exceed its pause target.
 
     Answers that fit into one event have no pauses.
@@ -303,8 +310,7 @@
     if not needs.pause_sensitive or needs.facts.answer_tokens <= TOKENS_PER_EVENT:
         return 0.0
     target_s = needs.route.pause_target_s
-    current_risk = miss_probability(load.longest_pause_s(backlog_tokens), target_s)
-    return min(1.0, current_risk + load.recent_long_pauses(target_s, now_s))
+    return min(1.0, miss_probability(pause_s, target_s) + load.recent_long_pauses(target_s, now_s))
 
 
 __all__ = ["Choice", "Copy", "Costs", "Chooser", "RequestNeeds", "as_in_flight", "refusal_code"]
--- a/src/redwingbank/routing/load.py
+++ b/src/redwingbank/routing/load.py
@@ -51,6 +51,23 @@
     first_event_s: float | None = None
 
 
+class Backlog(NamedTuple):
+    """Prompt tokens that a server has to read, and those before a request of some rank."""
+
+    tokens: float
+    ahead_tokens: float
+
+
+NO_BACKLOG = Backlog(0.0, 0.0)
+
+
+class UrgentReads(NamedTuple):
+    """Recent requests of earlier ranks: their number a second, and their share of read time."""
+
+    requests_per_s: float
+    share: float
+
+
 class _PromptRead(NamedTuple):
     """A prompt sent to the server and the longest pause it causes in concurrent streams."""
 
@@ -84,26 +101,37 @@
         return len(self._in_flight_by_key)
 
     def backlog_tokens(self, now_s: float, rank: int = LAST_RANK) -> float:
-        """Estimate the prompt tokens still to be read before a request of this rank.
+        """Estimate the prompt tokens still to be read before a request of this rank."""
+        return self.backlog(now_s, rank).ahead_tokens
+
+    def backlog(self, now_s: float, rank: int) -> Backlog:
+        """Estimate the prompt tokens still to be read, and those before a request of a rank.
 
         The prompt that is being read is read to its end, whatever its rank. What the server has
         read since the last reported progress is subtracted.
         """
-        waiting = sum(
-            request.unread_tokens
-            for key, request in self._unread_by_key.items()
-            if request.rank <= rank and key != self._reading
-        )
-        reading = self._unread_by_key.get(self._reading) if self._reading else None
+        if not self._unread_by_key:
+            return NO_BACKLOG
+        total = ahead = reading = 0
+        for key, request in self._unread_by_key.items():
+            if key == self._reading:
+                reading = request.unread_tokens
+                continue
+            total += request.unread_tokens
+            if request.rank <= rank:
+                ahead += request.unread_tokens
         since_s = max(0.0, now_s - self.read_speed.last_progress_s)
-        left = (reading.unread_tokens if reading else 0) - since_s * self.read_tokens_per_s
-        return max(0.0, left) + max(0.0, waiting + min(0.0, left))
+        left = reading - since_s * self.read_speed.tokens_per_s
+        begun, surplus = max(0.0, left), min(0.0, left)
+        return Backlog(begun + max(0.0, total + surplus), begun + max(0.0, ahead + surplus))
 
     def slot_wait_s(self, now_s: float, rank: int, slots: int) -> float:
         """Estimate how long a request of this rank waits for a free slot.
 
         Running requests keep their slots, whatever their rank.
         """
+        if len(self._in_flight_by_key) < slots:
+            return 0.0
         before = [
             request
             for request in self._in_flight_by_key.values()
@@ -145,13 +173,16 @@
             if read.longest_pause_s > safe_s
         )
 
-    def urgent_requests_per_s(self, rank: int, now_s: float) -> float:
-        """Requests of earlier ranks that came to the server per second."""
+    def urgent_reads(self, rank: int, now_s: float) -> UrgentReads:
+        """Return what came to the server in the last `READ_HISTORY_S` with an earlier rank."""
         since_s = now_s - READ_HISTORY_S
-        return (
-            sum(read.rank < rank for read in self._recent_reads if read.at_s > since_s)
-            / READ_HISTORY_S
-        )
+        count = tokens = 0
+        for read in self._recent_reads:
+            if read.rank < rank and read.at_s > since_s:
+                count += 1
+                tokens += read.tokens
+        share = tokens / (self.read_tokens_per_s * READ_HISTORY_S)
+        return UrgentReads(count / READ_HISTORY_S, share)
 
     def read_share(self, ranks: range, now_s: float) -> float:
         """Share of the last `READ_HISTORY_S` spent reading prompts of some ranks."""
