--- a/src/redwingbank_bench/replay.py
+++ b/src/redwingbank_bench/replay.py
@@ -38,12 +38,17 @@
 SETTLE_S = 15.0
 
 
-class Host:
-    """One host's decisions and its state of the servers."""
+class Host(NamedTuple):
+    """One host's decisions and its state of the servers.
 
-    def __init__(self, backends: Backends, dispatcher: Dispatcher) -> None:
-        self.backends = backends
-        self.dispatcher = dispatcher
+    Without `copies` its servers read each prompt themselves; without `refuses` it sends every
+    request to a server.
+    """
+
+    backends: Backends
+    dispatcher: Dispatcher
+    copies: bool = True
+    refuses: bool = True
 
 
 class Figures(NamedTuple):
@@ -184,9 +189,10 @@
         call.attempt += 1
         call.attempt_s = self.now_s
         host = self._hosts[(arrival.host + call.attempt - 1) % HOSTS]
-        needs = self._needs(call)
+        needs = self._needs(call)._replace(answer_begun=not host.refuses)
+        copy_tokens_per_s = self._pattern.copy_tokens_per_s if host.copies else 0.0
+        pool = Pool(POOL, self._facts.memory_tokens, copy_tokens_per_s)
         entries = list(self._entries.values())
-        pool = Pool(POOL, self._facts.memory_tokens, self._pattern.copy_tokens_per_s)
         decision = host.dispatcher.decide(entries, pool, needs, (), self.now_s)
         if isinstance(decision, Refuse):
             self._refuse(call, decision)
--- a/src/redwingbank_bench/replay_arms.py
+++ b/src/redwingbank_bench/replay_arms.py
@@ -6,7 +6,7 @@
 
 from redwingbank.front.backends import Backend, Backends
 from redwingbank.routing.choice import Chooser, Costs
-from redwingbank.routing.dispatch import Dispatcher, Refuse, Send
+from redwingbank.routing.dispatch import Dispatcher
 from redwingbank.routing.load import LAST_RANK, RequestKey, ServerLoad
 from redwingbank_bench.replay import Host, build_host
 
@@ -89,21 +89,6 @@
         return backend
 
 
-class FoundChooser(Chooser):
-    """Chooses without copying cached prompts."""
-
-    def choose(
-        self,
-        entries: Sequence[ServerEntry],
-        pool: Pool,
-        needs: RequestNeeds,
-        avoid: Collection[str],
-        now_s: float,
-    ) -> Choice | None:
-        """Choose a server as if prompts could not be copied."""
-        return super().choose(entries, pool._replace(copy_tokens_per_s=0.0), needs, avoid, now_s)
-
-
 class RandomChooser(Chooser):
     """Chooses any server."""
 
@@ -120,37 +105,22 @@
         return super().choose(entries, pool, needs, avoid, now_s)
 
 
-class AcceptingDispatcher(Dispatcher):
-    """Refuses no request."""
-
-    def decide(
-        self,
-        entries: Sequence[ServerEntry],
-        pool: Pool,
-        needs: RequestNeeds,
-        avoid: Collection[str],
-        now_s: float,
-    ) -> Send | Refuse:
-        """Send the request as if its caller had no other choice."""
-        return super().decide(entries, pool, needs._replace(answer_begun=True), avoid, now_s)
-
-
 def build_found(random: Random) -> Host:
     """Build a host that decides as the router did before."""
     backends = FoundBackends(random)
-    return Host(backends, Dispatcher(FoundChooser(backends, random, FOUND_COSTS)))
+    return Host(backends, Dispatcher(Chooser(backends, random, FOUND_COSTS)), copies=False)
 
 
 def build_accepting(random: Random) -> Host:
     """Build a host that sends each request to the server that the router would choose."""
     backends = Backends(random)
-    return Host(backends, AcceptingDispatcher(Chooser(backends, random)))
+    return Host(backends, Dispatcher(Chooser(backends, random)), refuses=False)
 
 
 def build_random(random: Random) -> Host:
     """Build a host that sends each request to a random server."""
     backends = Backends(random)
-    return Host(backends, AcceptingDispatcher(RandomChooser(backends, random)))
+    return Host(backends, Dispatcher(RandomChooser(backends, random)), refuses=False)
 
 
 BUILD_BY_ARM: dict[str, Callable[[Random], Host]] = {
--- a/tests/platform/formats.feature
+++ b/tests/platform/formats.feature
@@ -22,6 +22,21 @@
     Then a path finds the route with its longest prefix
     And keys identify organisations
 
+  Scenario Outline: the speed at which engines copy cached prompts
+    When the platform's table has a service with the engine <engine>
+    Then its servers copy <speed> tokens a second
+
+    Examples:
+      | engine                                                            | speed  |
+      | {"kvCapacity": 1000, "kvTokenBytes": 160000, "linkMbps": 320000.0} | 250000 |
+      | {"kvCapacity": 1000, "kvTokenBytes": 160000}                       | 0      |
+      | {"kvCapacity": 1000, "linkMbps": 320000.0}                         | 0      |
+      | null                                                              | 0      |
+
+  Scenario: the server that a cached prompt is copied from is named, a caller's is dropped
+    When a request that names a server to copy from is sent with another one
+    Then only the router's server to copy from is named
+
   Scenario Outline: an invalid entry of a server
     When a server's entry has <field> set to <value>
     Then the platform's entry is malformed
--- a/tests/steps/platform_formats.py
+++ b/tests/steps/platform_formats.py
@@ -10,7 +10,7 @@
 from redwingbank.errors import SettingErrors
 from redwingbank.front.values import Kind, PromptPart
 from redwingbank.platform.directory import decode_server, decode_table
-from redwingbank.platform.headers import decode_call
+from redwingbank.platform.headers import Envelope, decode_call, encode_call
 from redwingbank.platform.objects import MalformedError
 from redwingbank.platform.settings import decode_host_settings
 from redwingbank.settings import Address
@@ -105,6 +105,33 @@
     raise AssertionError(context.content)
 
 
+@when("the platform's table has a service with the engine {engine}")
+def table_engine(context, engine):
+    content = table()
+    content["services"][0]["engine"] = json.loads(engine)
+    context.pool_name = content["services"][0]["name"]
+    context.route_table = decode_table(content)
+
+
+@then("its servers copy {speed:g} tokens a second")
+def copy_speed(context, speed):
+    pool = context.route_table.pools_by_name[context.pool_name]
+    assert pool.copy_tokens_per_s == speed, pool
+
+
+@when("a request that names a server to copy from is sent with another one")
+def copy_source_sent(context):
+    headers = ((b"Host", b"desk.example"), (b"Kv-Fetch", b"1.1.1.1:1"))
+    envelope = Envelope("i-1", None, 1.5, "", 0, Address("10.0.0.9", 8080))
+    context.sent = encode_call(b"POST", b"/memo/x", decode_call(headers), b"", envelope)
+
+
+@then("only the router's server to copy from is named")
+def copy_source_named(context):
+    lines = [line for line in context.sent.split(b"\r\n") if line.lower().startswith(b"kv-fetch")]
+    assert lines == [b"Kv-Fetch: 10.0.0.9:8080"], lines
+
+
 @when("a platform request's headers are read")
 def headers_read(context):
     headers = {
