--- a/src/redwingbank_bench/replay_load.py
+++ b/src/redwingbank_bench/replay_load.py
@@ -10,8 +10,16 @@
 
 POOL = "drafting"
 CLASS_TIERS = 3
+HOSTS = 9
+ORGANISATIONS = 10
+# Surges raise the traffic of a class and organisation to this factor at most.
+MAX_TRAFFIC_FACTOR = 8.0
 # The log-normal spread of lengths; the mean stays as given.
 LENGTH_SPREAD = 0.9
+MAX_LENGTH_FACTOR = 8
+# Subjects are asked for more often the lower their number; 1.0 would be all alike.
+SUBJECT_SKEW = 1.3
+TOKENS_PER_EVENT = 3
 
 
 class ServiceClass(NamedTuple):
@@ -98,7 +106,7 @@
 
 
 class Arrival(NamedTuple):
-    """A request of a caller; organisations below `urgent_organisations` go first."""
+    """A request of a caller; organisations with even numbers go first."""
 
     number: int
     at_s: float
@@ -154,10 +162,6 @@
     ),
 }
 
-ORGANISATIONS = 10
-HOSTS = 9
-PEAK_TRAFFIC = 8.0
-
 
 def draw_arrivals(pattern: Pattern, seed: int) -> list[Arrival]:
     """Draw the requests of a pattern in order of arrival; the same seed gives the same ones."""
@@ -166,13 +170,13 @@
     for service_class in CLASSES:
         for organisation in range(ORGANISATIONS):
             usual = service_class.per_s * pattern.load / ORGANISATIONS
-            at_s = random.expovariate(usual * PEAK_TRAFFIC)
+            at_s = random.expovariate(usual * MAX_TRAFFIC_FACTOR)
             while at_s < pattern.seconds:
-                if random.random() < _factor(pattern, at_s, service_class, organisation) / (
-                    PEAK_TRAFFIC
-                ):
+                if random.random() < _traffic_factor(
+                    pattern, at_s, service_class, organisation
+                ) / (MAX_TRAFFIC_FACTOR):
                     drawn.append((at_s, service_class, organisation))
-                at_s += random.expovariate(usual * PEAK_TRAFFIC)
+                at_s += random.expovariate(usual * MAX_TRAFFIC_FACTOR)
     drawn.sort(key=_at_s)
     return [
         _draw_arrival(random, number, at_s, service_class, organisation)
@@ -184,7 +188,7 @@
     return drawn[0]
 
 
-def _factor(
+def _traffic_factor(
     pattern: Pattern, at_s: float, service_class: ServiceClass, organisation: int
 ) -> float:
     factor = 1.0
@@ -195,13 +199,13 @@
         )
         if concerned and surge.from_s <= at_s < surge.to_s:
             factor *= surge.factor
-    return min(factor, PEAK_TRAFFIC)
+    return min(factor, MAX_TRAFFIC_FACTOR)
 
 
 def _draw_arrival(
     random: Random, number: int, at_s: float, service_class: ServiceClass, organisation: int
 ) -> Arrival:
-    subject = int(service_class.subjects * random.random() ** 1.3)
+    subject = int(service_class.subjects * random.random() ** SUBJECT_SKEW)
     # the length of a subject's part is the same each time it is asked for
     subject_random = Random(f"{service_class.name}-{subject}")
     shared_tokens = _draw_length(subject_random, service_class.shared_tokens)
@@ -213,13 +217,15 @@
         organisation=organisation,
         shared=PromptPart(f"{service_class.name}-{subject}", shared_tokens),
         own_tokens=_draw_length(random, service_class.own_tokens),
-        answer_tokens=3 * _draw_length(random, service_class.events),
+        answer_tokens=TOKENS_PER_EVENT * _draw_length(random, service_class.events),
     )
 
 
 def _draw_length(random: Random, mean: float) -> int:
     mu = math.log(mean) - LENGTH_SPREAD**2 / 2
-    return max(1, min(int(random.lognormvariate(mu, LENGTH_SPREAD)), int(8 * mean)))
+    return max(
+        1, min(int(random.lognormvariate(mu, LENGTH_SPREAD)), int(MAX_LENGTH_FACTOR * mean))
+    )
 
 
 __all__ = [
