--- a/src/redwingbank_bench/replay_arms.py
+++ b/src/redwingbank_bench/replay_arms.py
@@ -7,7 +7,7 @@
 from redwingbank.front.backends import Backend, Backends
 from redwingbank.routing.choice import Chooser, Costs
 from redwingbank.routing.dispatch import Dispatcher
-from redwingbank.routing.load import LAST_RANK, RequestKey, ServerLoad
+from redwingbank.routing.load import LAST_RANK, Backlog, RequestKey, ServerLoad, UrgentReads
 from redwingbank_bench.replay import Host, build_host
 
 if TYPE_CHECKING:
@@ -43,15 +43,21 @@
         """Prompt tokens that the server reads in a second."""
         return self._speed
 
-    def backlog_tokens(self, now_s: float, rank: int = LAST_RANK) -> float:
-        """Estimate the prompt tokens of this rank and more urgent ones."""
-        waiting = sum(
-            request.unread_tokens
-            for request in self._unread_by_key.values()
-            if request.rank <= rank
-        )
-        since_s = max(0.0, now_s - self.read_speed.last_progress_s)
-        return max(0.0, waiting - since_s * self._speed)
+    def backlog(self, now_s: float, rank: int) -> Backlog:
+        """Estimate the prompt tokens to read, and those of this rank and more urgent ones."""
+        read_tokens = max(0.0, now_s - self.read_speed.last_progress_s) * self._speed
+        unread = self._unread_by_key.values()
+        total = sum(request.unread_tokens for request in unread)
+        ahead = sum(request.unread_tokens for request in unread if request.rank <= rank)
+        return Backlog(max(0.0, total - read_tokens), max(0.0, ahead - read_tokens))
+
+    def urgent_reads(self, rank: int, now_s: float) -> UrgentReads:
+        """Leave out more urgent requests that come later."""
+        return UrgentReads(0.0, 0.0)
+
+    def read_share(self, ranks: range, now_s: float) -> float:
+        """Share of recent time spent reading prompts of a request's rank and later ones."""
+        return super().read_share(range(ranks.stop - 1, LAST_RANK + 1), now_s)
 
     def longest_pause_s(self, tokens: float) -> float:
         """Longest pause of a stream that runs while `tokens` prompt tokens are read."""
