--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -73,4 +73,6 @@
   fingerprint @0 :Text;
   ranMs @1 :UInt32;         # how long the request had run on the server
   cleared @2 :Bool;
+  server @3 :Text;
+  parts @4 :List(Text);     # fingerprints of the request's shared prompt parts
 }
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -252,11 +252,18 @@
     crash = struct.init("crash")
     crash.fingerprint, crash.cleared = content.fingerprint, content.cleared
     crash.ranMs = int(content.ran_s * MILLISECONDS)
+    crash.server, crash.parts = content.server, list(content.parts)
 
 
 def _decode_crash(struct: Any, now_s: float) -> CrashNews:
     crash = struct.crash
-    return CrashNews(crash.fingerprint, crash.ranMs / MILLISECONDS, crash.cleared)
+    return CrashNews(
+        fingerprint=crash.fingerprint,
+        ran_s=crash.ranMs / MILLISECONDS,
+        cleared=crash.cleared,
+        server=crash.server,
+        parts=tuple(crash.parts),
+    )
 
 
 def _decode_digest(struct: Any, now_s: float) -> Digest:
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -11,7 +11,7 @@
 from redwingbank.front.clock import now_s
 from redwingbank.front.events import EventError, EventSplitter
 from redwingbank.front.peers import OWN_HOST
-from redwingbank.front.poison import request_fingerprint
+from redwingbank.front.poison import part_fingerprints, request_fingerprint
 from redwingbank.front.refusals import error_body
 from redwingbank.front.request_recorder import RequestRecorder
 from redwingbank.front.values import Kind
@@ -26,6 +26,7 @@
     from redwingbank.front.admission import AdmittedRequest
     from redwingbank.front.attempt import Answer
     from redwingbank.front.router import Router
+    from redwingbank.front.values import PromptPart
     from redwingbank.front.wire import AnswerHead, RequestHead
     from redwingbank.platform.headers import AnswerFacts
 
@@ -183,7 +184,8 @@
         """Retry the request if allowed, or answer with an error."""
         server, now = attempt.backend.entry.name, now_s()
         if failure.sent and failure.outcome in POSSIBLE_CRASHES:
-            self._router.poison.answer_lost(server, self._fingerprint, self._sent_s, now)
+            parts = part_fingerprints(self._shared_parts())
+            self._router.poison.answer_lost(server, self._fingerprint, self._sent_s, now, parts)
         elif failure.outcome is Outcome.CRASHED:
             self._router.poison.server_down(server, now)
         self._handle_failure(attempt, failure, now)
@@ -251,7 +253,7 @@
         self._life.advance(Step.GRANT)
         self._life.advance(Step.SEND)
         self._sent_s, self._awaiting_first_event = now, True
-        in_flight, shared = as_in_flight(choice, needs, now), admitted.facts.parts[:-1]
+        in_flight, shared = as_in_flight(choice, needs, now), self._shared_parts()
         self._number = self._router.peers.report_sent(backend.entry.name, in_flight, shared)
         backend.load.request_sent((OWN_HOST, self._number), in_flight, shared)
         backend.breaker.record_send(request.request_id, now)
@@ -372,6 +374,10 @@
         """Return the time when the caller stops waiting for the first event."""
         return min(self._give_up_s(), self._arrived_s + admitted.route.patience_s)
 
+    def _shared_parts(self) -> tuple[PromptPart, ...]:
+        assert self._admitted is not None
+        return self._admitted.facts.parts[:-1]
+
     def _give_up_s(self) -> float:
         assert self._request is not None
         return self._request.give_up_s
--- a/src/redwingbank/front/poison.py
+++ b/src/redwingbank/front/poison.py
@@ -7,9 +7,10 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from redwingbank.decisions import DecisionLog
+    from redwingbank.front.values import PromptPart
 
 # The platform requires that a request is blocked after it has crashed three servers.
 MAX_CRASHES = 3
@@ -21,14 +22,20 @@
 MAX_TRACKED_REQUESTS = 2000
 MAX_CRASHES_PER_REQUEST = 16
 FINGERPRINT_BYTES = 12
+PART_FINGERPRINT_BYTES = 8
 
 
 class CrashNews(NamedTuple):
-    """A request crashed a server after running for `ran_s`, or completed and is `cleared`."""
+    """A request crashed a server after running for `ran_s`, or completed and is `cleared`.
+
+    `parts` are the fingerprints of its shared prompt parts.
+    """
 
     fingerprint: str
     ran_s: float = 0.0
     cleared: bool = False
+    server: str = ""
+    parts: tuple[str, ...] = ()
 
 
 class _LostAnswer(NamedTuple):
@@ -37,6 +44,8 @@
     fingerprint: str
     sent_s: float
     lost_s: float
+    server: str = ""
+    parts: tuple[str, ...] = ()
 
 
 class PoisonTracker:
@@ -68,18 +77,28 @@
             return False
         return _count_in_a_row(crashes) >= MAX_CRASHES
 
-    def answer_lost(self, server: str, fingerprint: str, sent_s: float, now_s: float) -> None:
+    def answer_lost(
+        self,
+        server: str,
+        fingerprint: str,
+        sent_s: float,
+        now_s: float,
+        parts: tuple[str, ...] = (),
+    ) -> None:
         """Record that a request lost its connection to a server."""
         lost = self._lost_by_server.setdefault(server, [])
         lost[:] = [answer for answer in lost if now_s - answer.lost_s < CRASH_DETECTION_S]
-        lost.append(_LostAnswer(fingerprint, sent_s, now_s))
+        lost.append(_LostAnswer(fingerprint, sent_s, now_s, server, parts))
 
     def server_down(self, server: str, now_s: float) -> None:
         """Count a server's crash against the requests that recently lost a connection to it."""
         for lost in self._lost_by_server.pop(server, ()):
             if now_s - lost.lost_s < CRASH_DETECTION_S:
                 self._record_crash(lost)
-                self._broadcast(CrashNews(lost.fingerprint, lost.lost_s - lost.sent_s))
+                ran_s = lost.lost_s - lost.sent_s
+                self._broadcast(
+                    CrashNews(lost.fingerprint, ran_s, server=server, parts=lost.parts)
+                )
 
     def answered(self, fingerprint: str) -> None:
         """Clear a request that received a complete answer."""
@@ -91,7 +110,10 @@
         if news.cleared:
             self._crashes_by_fingerprint.pop(news.fingerprint, None)
         else:
-            self._record_crash(_LostAnswer(news.fingerprint, now_s - news.ran_s, now_s))
+            sent_s = now_s - news.ran_s
+            self._record_crash(
+                _LostAnswer(news.fingerprint, sent_s, now_s, news.server, news.parts)
+            )
 
     def _record_crash(self, crash: _LostAnswer) -> None:
         crashes = self._crashes_by_fingerprint.setdefault(crash.fingerprint, [])
@@ -103,7 +125,13 @@
             self._crashes_by_fingerprint.popitem(last=False)
         if self._log:
             in_a_row = _count_in_a_row(crashes)
-            self._log.essential("crash-blamed", fingerprint=crash.fingerprint, in_a_row=in_a_row)
+            self._log.essential(
+                "crash-blamed",
+                fingerprint=crash.fingerprint,
+                parts=crash.parts,
+                server=crash.server,
+                in_a_row=in_a_row,
+            )
 
 
 def _lost_s(crash: _LostAnswer) -> float:
@@ -133,4 +161,12 @@
     return digest.hexdigest()
 
 
-__all__ = ["CrashNews", "PoisonTracker", "request_fingerprint"]
+def part_fingerprints(parts: Iterable[PromptPart]) -> tuple[str, ...]:
+    """Hash the names of prompt parts, which callers choose and may make long."""
+    return tuple(
+        hashlib.blake2b(part.name.encode(), digest_size=PART_FINGERPRINT_BYTES).hexdigest()
+        for part in parts
+    )
+
+
+__all__ = ["CrashNews", "PoisonTracker", "part_fingerprints", "request_fingerprint"]
--- a/src/redwingbank/front/request_recorder.py
+++ b/src/redwingbank/front/request_recorder.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from redwingbank.front.clock import now_s
+from redwingbank.front.poison import part_fingerprints
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -46,6 +47,7 @@
             tier=request.tier,
             rank=choice.rank,
             organisation=request.organisation,
+            parts=part_fingerprints(admitted.facts.parts[:-1]),
             load=len(backend.load),
             slots=backend.entry.slots,
             cost=round(choice.cost, 3),
@@ -72,6 +74,7 @@
             detail=failure.detail,
             sent=failure.sent,
             after_ms=self._age_ms(),
+            first_event_ms=self._first_event_ms,
         )
 
     def record_refusal(
