--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -37,20 +37,32 @@
 
     Modes with a single response: ok, error, shed, lost, garbage, unsigned, foreign, extra, cut,
     unsized, unsized-reset, encoded. Modes with a stream: stream, broken (reset in the middle of
-    the third event), endless. In mode hang no response is sent.
+    the third event), endless. In mode hang no response is sent. A server in mode stream crashes
+    in the first event of each answer to a prompt with the shared part `crash_part`.
     """
 
     def __init__(self, name: str, mode: str = "ok") -> None:
         super().__init__()
         self.name = name
         self.mode = mode
+        self.crash_part = ""
+        self.crashed = False
         self.pause_s = 0.0
         self.arrivals: list[ReceivedRequest] = []
         self.runs: list[ReceivedRequest] = []
         self.cancelled = 0
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    def crash(self) -> None:
+        """Stop listening and close all connections in the middle of their answers."""
+        self.crashed = True
+        self.stop()
+        for writer in self._writers:
+            writer.close()
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Respond to the requests of a connection in order."""
+        self._writers.add(writer)
         try:
             while request := await _read(reader):
                 self.arrivals.append(request)
@@ -59,6 +71,7 @@
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             return
         finally:
+            self._writers.discard(writer)
             writer.close()
 
     async def _respond(
@@ -114,6 +127,11 @@
         number = first
         while self.mode_for(request.target) == "endless" or number <= EVENTS_PER_STREAM:
             event = b"id: %d\ndata: %b %d\n\n" % (number, self.name.encode(), number)
+            if self.crash_part and self.crash_part in _shared_parts(request):
+                writer.write(_chunk(event[:8]))
+                await writer.drain()
+                self.crash()
+                return False
             if self.mode_for(request.target) == "broken" and number == 3:  # noqa: PLR2004 - after two events
                 writer.write(_chunk(event[:8]))
                 await writer.drain()
@@ -183,6 +201,11 @@
     return ReceivedRequest(request_id, target, headers, body, time.monotonic())
 
 
+def _shared_parts(request: ReceivedRequest) -> list[str]:
+    parts = request.headers_by_name.get("prompt-prefix", "").split(",")
+    return [part.partition(":")[0].strip() for part in parts[:-1]]
+
+
 async def _peer_closes(reader: asyncio.StreamReader, within_s: float) -> bool:
     """Whether the client closes the connection within a time."""
     if not within_s:
--- a/tests/front/poison.feature
+++ b/tests/front/poison.feature
@@ -42,3 +42,15 @@
     Then "f" is blocked at the other host
     When a request like "f" is answered completely
     Then "f" is not blocked at the other host
+
+  Scenario Outline: requests with a prompt part that crashes servers are blocked, sound ones are not
+    Given <hosts> fronts whose 14 servers crash on the prompt part "bad"
+    When 5 requests with the part "bad" are sent, and 3 s later 6 more <then>
+    Then at most 3 of the 6 have reached a server
+    And each sound request with the same key and first part has been answered since
+
+    Examples:
+      | hosts | then                         |
+      | 1     | at the same front            |
+      | 2     | at the same fronts           |
+      | 1     | after a restart of the front |
--- a/tests/front_rig.py
+++ b/tests/front_rig.py
@@ -137,6 +137,16 @@
         with contextlib.suppress(asyncio.CancelledError, Exception):
             await self._task
 
+    async def restart_first(self):
+        """Stop the first front and start it again as another process, on other ports."""
+        await self.stop_first()
+        store = self.front.router.settings.store
+        self.path.write_text(json.dumps(boot(store, await free_ports(3), **self.bounds)))
+        self.front = Front(self.path, read_host_settings(self.path))
+        self.front.router.log._write = self._log
+        self._task = asyncio.create_task(self.front.run())
+        await self.until(self.front.router.ready)
+
     async def stop(self):
         for proxy, task in self._others:
             proxy.stop()
--- a/tests/steps/front_poison.py
+++ b/tests/steps/front_poison.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 from random import Random
 
@@ -10,12 +11,15 @@
 
 from front_rig import Rig, run_scenario
 from redwingbank.front.backends import Backends
+from redwingbank.front.clock import now_s
 from redwingbank.front.digest import Message, encode_message
 from redwingbank.front.peers import Peers
 from redwingbank.front.poison import CrashNews, PoisonTracker
 
 START_S = 100.0
 GAP_S = 1.0
+POISON_GAP_S = 0.4
+CONTACT_S = 3.0
 
 
 @given("a front whose {count:d} servers crash with each request")
@@ -143,3 +147,80 @@
 @then('"{fingerprint}" is not blocked at the other host')
 def not_blocked_there(context, fingerprint):
     assert not context.other.is_blocked(fingerprint, context.now_s)
+
+
+@given('{hosts:d} fronts whose {count:d} servers crash on the prompt part "{part}"')
+def crash_on_part(context, hosts, count, part):
+    context.hosts = hosts
+    context.rig = Rig(modes=["stream"] * count)
+    for server in context.rig.backend_servers:
+        server.crash_part = part
+
+
+@when('{first:d} requests with the part "{part}" are sent, and 3 s later {later:d} more {then}')
+def send_poison(context, first, part, later, then):
+    async def scenario(rig):
+        fronts = await start_fronts(rig, context.hosts)
+        for number in range(first):
+            front = fronts[number % len(fronts)]
+            await asyncio.gather(
+                ask_with_part(rig, front, part, number), ask_with_part(rig, front, "good", number)
+            )
+            await asyncio.sleep(POISON_GAP_S)
+        if "restart" in then:
+            await rig.restart_first()
+            fronts = [rig.front]
+        await asyncio.sleep(CONTACT_S)
+        await remove_servers_after_crash(rig)
+        before = count_runs(rig, part)
+        context.sound = []
+        for number in range(first, first + later):
+            front = fronts[number % len(fronts)]
+            await ask_with_part(rig, front, part, number)
+            context.sound.append(await ask_with_part(rig, front, "good", number))
+        context.reached = count_runs(rig, part) - before
+
+    run_scenario(context.rig, scenario)
+
+
+async def start_fronts(rig, count):
+    """Start further fronts until there are `count` that hear each other."""
+    fronts = [rig.front]
+    for number in range(2, count + 1):
+        front, _ = await rig.add_host(f"edge-{number}")
+        fronts.append(front)
+    peers = [front.router.peers for front in fronts]
+    await rig.until(lambda: all(len(one.alive(now_s())) == count - 1 for one in peers))
+    return fronts
+
+
+async def ask_with_part(rig, front, part, number):
+    """Send a request unlike all others but for its first part and the given second one."""
+    return await rig.ask(
+        f"/fixed/{number}",
+        request_id=f"r-{part}-{number}",
+        front=front,
+        Prompt_Prefix=f"a1:100,{part}:50,own-{part}-{number}:10",
+        Token_Count="160,20",
+    )
+
+
+def count_runs(rig, part):
+    """Count the requests with a part that reached a server."""
+    return sum(run.request_id.startswith(f"r-{part}-") for run in rig.runs())
+
+
+async def remove_servers_after_crash(rig):
+    for server in rig.backend_servers:
+        if server.crashed:
+            await rig.store.delete("servers", server.name)
+
+
+@then("at most {count:d} of the 6 have reached a server")
+def reached(context, count):
+    assert context.reached <= count, context.reached
+
+
+@then("each sound request with the same key and first part has been answered since")
+def sound_answered(context):
+    assert all(answer.status == 200 and answer.complete for answer in context.sound), context.sound
