Block what crashing requests have in common, not only equal requests

Cause: crashes were counted by path, organisation and body together. No two of these requests are equal, so each of 63 fingerprints stayed at one crash. The class of fault: harm is counted by a key that is narrower than its cause. Behind it stood two more: a crash was known only where a host happened to connect again within 3 s (up to 1.3 s late here), and the counts ended with the process.

Ruled out: crashes that were not recognised (each was blamed on every host) and counts that were cleared or lost (none rose above 1).

Change: rules.crash_causes counts crashes by trait (the whole request and each shared part of its prompt), spares what proved harmless, blocks the narrowest explanation first and waits where traits of different requests explain the same crashes. A run proves harmless by a complete answer or by events for over a second. A host that loses an answer probes the server at once. Blocks are kept in the store for hosts that start later. A refusal tells the time left.

--- a/src/redwingbank/codes.py
+++ b/src/redwingbank/codes.py
@@ -122,7 +122,11 @@
         422, Ran.MAYBE, "this request was running when its servers crashed", "ask an operator"
     ),
     Code.CRASHES_SERVERS: _row(
-        503, Ran.NO, "requests like this one crashed backend servers in a row", "ask an operator"
+        503,
+        Ran.NO,
+        "requests like this one, or with a part of its prompt, crashed backend servers in a row",
+        "come back, or ask an operator",
+        retry=True,
     ),
     Code.PLATFORM_UNAVAILABLE: _row(
         503, Ran.NO, "the call could not be recorded, so it was not run", "come back", retry=True
--- /dev/null
+++ b/src/redwingbank/front/block_list.py
@@ -0,0 +1,152 @@
+"""Keeps the blocked causes of crashes in the store, for hosts that start later."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+import anyio
+
+from redwingbank.front.clock import now_s
+from redwingbank.front.store import CALL_TIMEOUT_S, StoreError
+from redwingbank.platform.objects import (
+    STATUS_CONFLICT,
+    STATUS_NOT_FOUND,
+    encode_object,
+    list_path,
+    object_path,
+)
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from redwingbank.decisions import DecisionLog
+    from redwingbank.front.poison import PoisonTracker
+    from redwingbank.front.store import Listing, StoreClient, WatchedChanges
+
+KIND_BLOCKS = "redwingbank-blocks"
+# All hosts block a trait at about the same time; the first to write it spares the others the call.
+MAX_WRITE_DELAY_S = 1.0
+RETRY_S = 1.0
+# The watch only serves to learn of changes that the hosts' messages did not bring.
+WATCH_S = 25.0
+FIRST_STATUS_AFTER_SUCCESS = 300
+
+
+class BlockList:
+    """Writes this host's blocks to the store, and applies those that it holds.
+
+    The object of a block is named after the trait. Deleting it lifts the block on every host. An
+    object has no time of its own, since the hosts' clocks may differ: a host blocks the trait for
+    a full term from when it learns of it, and the first whose term ends deletes the object.
+    """
+
+    def __init__(
+        self, client: StoreClient, poison: PoisonTracker, log: DecisionLog, random: Random
+    ) -> None:
+        self._client = client
+        self._poison = poison
+        self._log = log
+        self._random = random
+        self._stored: set[str] = set()
+        self._due_s_by_trait: dict[str, float] = {}
+        self._lifted: set[str] = set()
+        self._changed = anyio.Event()
+        poison.on_blocked = self._schedule_write
+        poison.on_cleared = self._schedule_deletion
+
+    def wait_s(self) -> float:
+        """Return how long a watch may wait."""
+        return WATCH_S
+
+    def handle_listing(self, listing: Listing) -> None:
+        """Apply the list of all blocks; those no longer listed have been lifted."""
+        listed = {stored.name for stored in listing.objects}
+        for trait in self._stored - listed:
+            self._lift(trait)
+        for trait in listed - self._stored:
+            self._apply(trait)
+
+    def handle_changes(self, watched: WatchedChanges) -> None:
+        """Apply blocks that were written or deleted."""
+        for change in watched.changes:
+            if change.deleted:
+                self._lift(change.stored.name)
+            else:
+                self._apply(change.stored.name)
+
+    def handle_loss(self, reason: str) -> None:
+        """Log that the store is unreachable."""
+        self._log.essential("store-lost", kind="blocks", reason=reason)
+
+    def handle_recovery(self) -> None:
+        """Log that the store is reachable again."""
+        self._log.essential("store-regained", kind="blocks")
+
+    def expire(self, now: float) -> None:
+        """Lift the blocks whose term has ended."""
+        for trait in self._poison.causes.pop_expired(now):
+            self._log.essential("poison-unblocked", fingerprint=trait, reason="term ended")
+            self._schedule_deletion(trait)
+
+    async def run(self) -> None:
+        """Write and delete objects until cancelled."""
+        while True:
+            if not self._due_s_by_trait and not self._lifted:
+                self._changed = anyio.Event()
+                await self._changed.wait()
+            wait_s = min(self._due_s_by_trait.values(), default=0.0) - now_s()
+            if not self._lifted and wait_s > 0:
+                await anyio.sleep(wait_s)
+            try:
+                await self._write_due()
+            except StoreError as error:
+                self._log.detail("block-not-written", reason=str(error))
+                await anyio.sleep(RETRY_S)
+
+    async def _write_due(self) -> None:
+        for trait in list(self._lifted):
+            path = object_path(KIND_BLOCKS, trait)
+            await self._call("DELETE", path, b"", tolerated=STATUS_NOT_FOUND)
+            self._lifted.discard(trait)
+        for trait, due_s in list(self._due_s_by_trait.items()):
+            if due_s <= now_s():
+                created = encode_object(trait, {})
+                await self._call("POST", list_path(KIND_BLOCKS), created, STATUS_CONFLICT)
+                self._due_s_by_trait.pop(trait, None)
+                self._stored.add(trait)
+
+    async def _call(self, method: str, path: str, body: bytes, tolerated: int) -> None:
+        status, _ = await self._client.call(method, path, body, CALL_TIMEOUT_S)
+        if status >= FIRST_STATUS_AFTER_SUCCESS and status != tolerated:
+            raise StoreError(f"status {status}")
+
+    def _schedule_write(self, trait: str) -> None:
+        if trait not in self._stored:
+            self._due_s_by_trait[trait] = now_s() + MAX_WRITE_DELAY_S * self._random.random()
+            self._changed.set()
+
+    def _schedule_deletion(self, trait: str) -> None:
+        self._due_s_by_trait.pop(trait, None)
+        if trait in self._stored:
+            self._stored.discard(trait)
+            self._lifted.add(trait)
+            self._changed.set()
+
+    def _apply(self, trait: str) -> None:
+        """Block a trait that the store lists, unless it is blocked already or being lifted."""
+        self._due_s_by_trait.pop(trait, None)
+        if trait in self._lifted:
+            return
+        self._stored.add(trait)
+        if not self._poison.find_blocked((trait,), now_s()):
+            self._poison.causes.block(trait, now_s())
+            self._log.essential("poison-blocked", fingerprint=trait, reason="listed")
+
+    def _lift(self, trait: str) -> None:
+        if trait in self._stored:
+            self._stored.discard(trait)
+            self._poison.causes.unblock(trait)
+            self._log.essential("poison-unblocked", fingerprint=trait, reason="deleted")
+
+
+__all__ = ["KIND_BLOCKS", "BlockList"]
--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -74,5 +74,6 @@
   ranMs @1 :UInt32;         # how long the request had run on the server
   cleared @2 :Bool;
   server @3 :Text;
-  parts @4 :List(Text);     # fingerprints of the request's shared prompt parts
+  parts @4 :List(Text);     # fingerprints of the request's shared prompt parts, last one first
+  agoMs @5 :UInt32;         # time since the request lost its connection
 }
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -253,6 +253,7 @@
     crash.fingerprint, crash.cleared = content.fingerprint, content.cleared
     crash.ranMs = int(content.ran_s * MILLISECONDS)
     crash.server, crash.parts = content.server, list(content.parts)
+    crash.agoMs = _age_ms(content.ago_s)
 
 
 def _decode_crash(struct: Any, now_s: float) -> CrashNews:
@@ -263,6 +264,7 @@
         cleared=crash.cleared,
         server=crash.server,
         parts=tuple(crash.parts),
+        ago_s=crash.agoMs / MILLISECONDS,
     )
 
 
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -6,14 +6,21 @@
 from typing import TYPE_CHECKING, Protocol
 
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
-from redwingbank.front.attempt import FIRST_SERVER_ERROR, STATUS_OK, Attempt, Failure
+from redwingbank.front.attempt import (
+    FIRST_SERVER_ERROR,
+    STATUS_LAST_SUCCESS,
+    STATUS_OK,
+    Attempt,
+    Failure,
+)
 from redwingbank.front.backends import update_breaker
 from redwingbank.front.clock import now_s
 from redwingbank.front.events import EventError, EventSplitter
 from redwingbank.front.peers import OWN_HOST
-from redwingbank.front.poison import part_fingerprints, request_fingerprint
+from redwingbank.front.poison import request_traits
 from redwingbank.front.refusals import error_body
 from redwingbank.front.request_recorder import RequestRecorder
+from redwingbank.front.run_watch import RunWatch
 from redwingbank.front.values import Kind
 from redwingbank.model import Outcome, Request
 from redwingbank.platform.headers import Envelope, decode_call, encode_call, encode_own_answer
@@ -36,8 +43,6 @@
 # A request that more servers turn away is not sent to another one.
 MAX_REFUSALS = 2
 GATEWAY_TIMEOUT = 504
-# outcomes of attempts whose server may have crashed
-POSSIBLE_CRASHES = frozenset({Outcome.CRASHED, Outcome.CLOSED_EARLY})
 
 
 class Caller(Protocol):
@@ -85,7 +90,7 @@
         self._number = 0
         self._retry_after_s = 0.0
         self._awaiting_first_event = True
-        self._fingerprint = ""
+        self._watch = RunWatch(router.poison, router.probes)
 
     def start(self) -> None:
         """Admit the request and send it, or refuse it."""
@@ -105,9 +110,10 @@
             self._refuse(Code.LEAVING)
             return
         self._request = self._build_request(admitted, wait_s)
-        self._fingerprint = request_fingerprint(
-            self._head.target, self._request.organisation, self._body
+        traits = request_traits(
+            self._head.target, self._request.organisation, self._body, self._shared_parts()
         )
+        self._watch = RunWatch(self._router.poison, self._router.probes, traits)
         self._life.advance(Step.CHECK)
         self._life.advance(Step.QUEUE)
         self._router.allowance.record_request(admitted.pool, now_s())
@@ -161,6 +167,7 @@
             return
         if complete_events:
             now = now_s()
+            self._watch.event_received(now)
             pause_s = self._recorder.record_event(now)
             if pause_s is not None:
                 attempt.backend.load.event_received(pause_s, now)
@@ -176,18 +183,14 @@
             self._release(attempt)
             self._life.advance(Step.FINISH)
             self._caller.end_stream()
-            self._router.poison.answered(self._fingerprint)
+            self._watch.answered()
             self._recorder.record_answer(self._life, STATUS_OK)
             self._close()
 
     def attempt_failed(self, attempt: Attempt, failure: Failure) -> None:
         """Retry the request if allowed, or answer with an error."""
-        server, now = attempt.backend.entry.name, now_s()
-        if failure.sent and failure.outcome in POSSIBLE_CRASHES:
-            parts = part_fingerprints(self._shared_parts())
-            self._router.poison.answer_lost(server, self._fingerprint, self._sent_s, now, parts)
-        elif failure.outcome is Outcome.CRASHED:
-            self._router.poison.server_down(server, now)
+        now = now_s()
+        self._watch.failed(attempt.backend, failure, now)
         self._handle_failure(attempt, failure, now)
 
     def _handle_failure(self, attempt: Attempt, failure: Failure, now: float) -> None:
@@ -232,7 +235,9 @@
         assert self._admitted is not None
         now = now_s()
         admitted, request = self._admitted, self._request
-        if self._router.poison.is_blocked(self._fingerprint, now):
+        blocked = self._watch.find_blocked(now)
+        if blocked:
+            self._retry_after_s = self._router.poison.causes.seconds_left(blocked, now)
             self._fail(Code.CRASHES_SERVERS)
             return
         entries = self._router.servers.usable(admitted.pool)
@@ -253,6 +258,7 @@
         self._life.advance(Step.GRANT)
         self._life.advance(Step.SEND)
         self._sent_s, self._awaiting_first_event = now, True
+        self._watch.sent(now)
         in_flight, shared = as_in_flight(choice, needs, now), self._shared_parts()
         self._number = self._router.peers.report_sent(backend.entry.name, in_flight, shared)
         backend.load.request_sent((OWN_HOST, self._number), in_flight, shared)
@@ -280,9 +286,10 @@
         self._life.advance(Step.ANSWER)
         self._life.advance(Step.FINISH)
         now = now_s()
+        if status <= STATUS_LAST_SUCCESS:
+            self._watch.answered()
         if status < FIRST_SERVER_ERROR:
             attempt.backend.breaker.record_success(self._life.request_id, self._sent_s, now)
-            self._router.poison.answered(self._fingerprint)
         else:
             attempt.backend.breaker.record_failure(self._life.request_id, self._sent_s, now)
         if self._answer_started:
--- a/src/redwingbank/front/outbound.py
+++ b/src/redwingbank/front/outbound.py
@@ -204,7 +204,10 @@
         return connection
 
     def release(self, connection: Connection) -> None:
-        """Return a connection to the pool after its answer has ended."""
+        """Return a connection to the pool, or close it if the pool keeps none."""
+        if self.idle_s <= 0:
+            connection.abort()
+            return
         connection.expires_s = now_s() + self.idle_s
         self._free.append(connection)
 
--- a/src/redwingbank/front/poison.py
+++ b/src/redwingbank/front/poison.py
@@ -1,34 +1,29 @@
-"""Detects requests that crash each backend server that runs them, by a fingerprint."""
+"""Blocks requests that crash each backend server that runs them, whole or by a prompt part."""
 
 from __future__ import annotations
 
 import hashlib
-from collections import OrderedDict
 from typing import TYPE_CHECKING, NamedTuple
 
+from redwingbank.rules.crash_causes import CrashCauses, LostRun
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
     from redwingbank.decisions import DecisionLog
     from redwingbank.front.values import PromptPart
 
-# The platform requires that a request is blocked after it has crashed three servers.
-MAX_CRASHES = 3
 # Within this time a crashed server becomes unreachable or its entry is removed from the store.
 CRASH_DETECTION_S = 3.0
-# same as `QUARANTINE_TTL_S` of redwingbank.rules.quarantine
-BLOCK_S = 600.0
-# Bounds of the tracked state; the oldest requests and crashes are dropped first.
-MAX_TRACKED_REQUESTS = 2000
-MAX_CRASHES_PER_REQUEST = 16
 FINGERPRINT_BYTES = 12
 PART_FINGERPRINT_BYTES = 8
 
 
 class CrashNews(NamedTuple):
-    """A request crashed a server after running for `ran_s`, or completed and is `cleared`.
+    """A request crashed a server after running for `ran_s`, `ago_s` ago, or is `cleared`.
 
-    `parts` are the fingerprints of its shared prompt parts.
+    `parts` are the fingerprints of its shared prompt parts, from the last to the first. The
+    fingerprint of a clearance is that of a request or of a part.
     """
 
     fingerprint: str
@@ -36,115 +31,104 @@
     cleared: bool = False
     server: str = ""
     parts: tuple[str, ...] = ()
-
-
-class _LostAnswer(NamedTuple):
-    """A request that lost its connection before its answer was complete."""
-
-    fingerprint: str
-    sent_s: float
-    lost_s: float
-    server: str = ""
-    parts: tuple[str, ...] = ()
+    ago_s: float = 0.0
 
 
 class PoisonTracker:
-    """Counts the servers that a request has crashed in a row, over all hosts.
+    """Counts the servers that requests have crashed in a row, over all hosts.
 
-    Requests with the same path, organisation and body count as one. A lost answer counts as a
-    crash once its server is known to be down. Of servers that crash at the same time only one
-    counts: each further crash counts only if its run began after the one before. A complete
-    answer clears the request. `broadcast` sends crashes and clearances to the other hosts.
+    The traits of a request are its fingerprint, which stands for its path, organisation and body,
+    and the fingerprints of the shared parts of its prompt; `CrashCauses` decides which of them
+    are blocked. A lost answer counts as a crash once its server is known to be down. A complete
+    answer, or one that goes on for a while, clears the traits of its request. `broadcast` sends
+    crashes and clearances to the other hosts; `on_blocked` and `on_cleared` receive the traits
+    that this host blocked or cleared.
 
     >>> poison = PoisonTracker(lambda news: None, None)
     >>> for server, sent_s in (("i-1", 0.0), ("i-2", 1.0), ("i-3", 2.0)):
-    ...     poison.answer_lost(server, "f", sent_s, sent_s + 0.1)
+    ...     poison.answer_lost(server, ("f",), sent_s, sent_s + 0.1)
     ...     poison.server_down(server, sent_s + 0.2)
-    >>> poison.is_blocked("f", 3.0)
-    True
+    >>> poison.find_blocked(("f",), 3.0)
+    'f'
     """
 
     def __init__(self, broadcast: Callable[[CrashNews], None], log: DecisionLog | None) -> None:
+        self.causes = CrashCauses()
+        self.on_blocked: Callable[[str], None] | None = None
+        self.on_cleared: Callable[[str], None] | None = None
         self._broadcast = broadcast
         self._log = log
-        self._lost_by_server: dict[str, list[_LostAnswer]] = {}
-        self._crashes_by_fingerprint: OrderedDict[str, list[_LostAnswer]] = OrderedDict()
+        self._lost_by_server: dict[str, list[LostRun]] = {}
 
-    def is_blocked(self, fingerprint: str, now_s: float) -> bool:
-        """Whether a request must not be sent to any server."""
-        crashes = self._crashes_by_fingerprint.get(fingerprint)
-        if not crashes or now_s - crashes[-1].lost_s >= BLOCK_S:
-            return False
-        return _count_in_a_row(crashes) >= MAX_CRASHES
+    def find_blocked(self, traits: tuple[str, ...], now_s: float) -> str:
+        """Return the trait for which a request must not be sent, or an empty string."""
+        return self.causes.find_blocked(traits, now_s)
 
     def answer_lost(
-        self,
-        server: str,
-        fingerprint: str,
-        sent_s: float,
-        now_s: float,
-        parts: tuple[str, ...] = (),
+        self, server: str, traits: tuple[str, ...], sent_s: float, now_s: float
     ) -> None:
         """Record that a request lost its connection to a server."""
         lost = self._lost_by_server.setdefault(server, [])
-        lost[:] = [answer for answer in lost if now_s - answer.lost_s < CRASH_DETECTION_S]
-        lost.append(_LostAnswer(fingerprint, sent_s, now_s, server, parts))
+        lost[:] = [run for run in lost if now_s - run.lost_s < CRASH_DETECTION_S]
+        lost.append(LostRun(traits, server, sent_s, now_s))
 
     def server_down(self, server: str, now_s: float) -> None:
         """Count a server's crash against the requests that recently lost a connection to it."""
-        for lost in self._lost_by_server.pop(server, ()):
-            if now_s - lost.lost_s < CRASH_DETECTION_S:
-                self._record_crash(lost)
-                ran_s = lost.lost_s - lost.sent_s
-                self._broadcast(
-                    CrashNews(lost.fingerprint, ran_s, server=server, parts=lost.parts)
+        for run in self._lost_by_server.pop(server, ()):
+            if now_s - run.lost_s < CRASH_DETECTION_S:
+                self._record_crash(run, now_s)
+                fingerprint, *parts = run.traits
+                news = CrashNews(
+                    fingerprint,
+                    run.lost_s - run.sent_s,
+                    server=server,
+                    parts=tuple(parts),
+                    ago_s=now_s - run.lost_s,
                 )
+                self._broadcast(news)
 
-    def answered(self, fingerprint: str) -> None:
-        """Clear a request that received a complete answer."""
-        if self._crashes_by_fingerprint.pop(fingerprint, None):
-            self._broadcast(CrashNews(fingerprint, cleared=True))
+    def answered(self, traits: tuple[str, ...]) -> None:
+        """Clear the traits of a request whose answer shows that it crashes no server."""
+        for trait in self.causes.clear(traits):
+            self._broadcast(CrashNews(trait, cleared=True))
+            if self.on_cleared:
+                self.on_cleared(trait)
 
     def handle_crash_news(self, news: CrashNews, now_s: float) -> None:
         """Apply a crash or clearance reported by another host."""
         if news.cleared:
-            self._crashes_by_fingerprint.pop(news.fingerprint, None)
-        else:
-            sent_s = now_s - news.ran_s
-            self._record_crash(
-                _LostAnswer(news.fingerprint, sent_s, now_s, news.server, news.parts)
-            )
-
-    def _record_crash(self, crash: _LostAnswer) -> None:
-        crashes = self._crashes_by_fingerprint.setdefault(crash.fingerprint, [])
-        self._crashes_by_fingerprint.move_to_end(crash.fingerprint)
-        crashes.append(crash)
-        crashes.sort(key=_lost_s)
-        del crashes[:-MAX_CRASHES_PER_REQUEST]
-        while len(self._crashes_by_fingerprint) > MAX_TRACKED_REQUESTS:
-            self._crashes_by_fingerprint.popitem(last=False)
+            self.causes.unblock(news.fingerprint)
+            return
+        lost_s = now_s - news.ago_s
+        traits = (news.fingerprint, *news.parts)
+        self._record_crash(LostRun(traits, news.server, lost_s - news.ran_s, lost_s), now_s)
+
+    def _record_crash(self, run: LostRun, now_s: float) -> None:
+        blocked = self.causes.record(run, now_s)
         if self._log:
-            in_a_row = _count_in_a_row(crashes)
             self._log.essential(
                 "crash-blamed",
-                fingerprint=crash.fingerprint,
-                parts=crash.parts,
-                server=crash.server,
-                in_a_row=in_a_row,
+                fingerprint=run.traits[0],
+                parts=run.traits[1:],
+                server=run.server,
+                in_a_row=self.causes.count_in_a_row(run.traits[0]),
+                parts_in_a_row=[self.causes.count_in_a_row(part) for part in run.traits[1:]],
             )
+        for trait in blocked:
+            if self._log:
+                self._log.essential("poison-blocked", fingerprint=trait)
+            if self.on_blocked:
+                self.on_blocked(trait)
 
 
-def _lost_s(crash: _LostAnswer) -> float:
-    return crash.lost_s
+def request_traits(
+    target: bytes, organisation: str, body: bytes, parts: Iterable[PromptPart]
+) -> tuple[str, ...]:
+    """Return what may make a request crash servers, from the narrowest to the widest.
 
-
-def _count_in_a_row(crashes: list[_LostAnswer]) -> int:
-    """Count the crashes, in order of time, whose run began after the previously counted crash."""
-    count, last_s = 0, float("-inf")
-    for crash in crashes:
-        if crash.sent_s >= last_s:
-            count, last_s = count + 1, crash.lost_s
-    return count
+    `parts` are the shared parts of its prompt in order.
+    """
+    return request_fingerprint(target, organisation, body), *part_fingerprints(parts)
 
 
 def request_fingerprint(target: bytes, organisation: str, body: bytes) -> str:
@@ -162,11 +146,18 @@
 
 
 def part_fingerprints(parts: Iterable[PromptPart]) -> tuple[str, ...]:
-    """Hash the names of prompt parts, which callers choose and may make long."""
+    """Hash the names of prompt parts, which callers may make long, from the last to the first."""
+    names = reversed(dict.fromkeys(part.name for part in parts))
     return tuple(
-        hashlib.blake2b(part.name.encode(), digest_size=PART_FINGERPRINT_BYTES).hexdigest()
-        for part in parts
+        hashlib.blake2b(name.encode(), digest_size=PART_FINGERPRINT_BYTES).hexdigest()
+        for name in names
     )
 
 
-__all__ = ["CrashNews", "PoisonTracker", "part_fingerprints", "request_fingerprint"]
+__all__ = [
+    "CrashNews",
+    "PoisonTracker",
+    "part_fingerprints",
+    "request_fingerprint",
+    "request_traits",
+]
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -13,6 +13,7 @@
 
 from redwingbank.decisions import STDOUT
 from redwingbank.errors import EXIT_FAULT, EXIT_USAGE, SettingErrors
+from redwingbank.front.block_list import KIND_BLOCKS, BlockList
 from redwingbank.front.clock import now_s
 from redwingbank.front.freshness import ASK_INTERVAL_S
 from redwingbank.front.hosts import discover_hosts
@@ -48,6 +49,9 @@
         self.router = Router(settings, Random())
         self._store = StoreClient(settings.store)
         self._servers = ServerHandler(self.router)
+        self._blocks = BlockList(
+            self._store, self.router.poison, self.router.log, self.router.random
+        )
         self._listeners: list[asyncio.Server] = []
 
     async def run(self) -> None:
@@ -63,6 +67,7 @@
             group.start_soon(self._signals)
             for watcher in watchers:
                 group.start_soon(watcher.run)
+            group.start_soon(self._blocks.run)
             host, peers = settings.name, router.peers
             group.start_soon(discover_hosts, self._store, host, settings.peer, peers, router.log)
             await self._run_housekeeping()
@@ -70,14 +75,15 @@
         router.log.essential("stopped", unanswered=len(router.exchanges))
         router.log.flush()
 
-    def _create_watchers(self) -> tuple[Watcher, Watcher]:
-        """Create the watchers of the table and of the servers."""
+    def _create_watchers(self) -> tuple[Watcher, ...]:
+        """Create the watchers of the table, of the servers and of the blocks."""
         store, freshness, random = self._store, self.router.freshness, self.router.random
         handler = TableHandler(self.router)
         table = Watcher(store, KIND_TABLE, handler, freshness.table_wait_s, random)
         servers = Watcher(store, KIND_SERVERS, self._servers, freshness.server_wait_s, random)
+        blocks = Watcher(store, KIND_BLOCKS, self._blocks, self._blocks.wait_s, random)
         freshness.set_watchers(table, servers)
-        return table, servers
+        return table, servers, blocks
 
     async def _listen(self) -> None:
         loop = asyncio.get_running_loop()
@@ -111,6 +117,7 @@
                 if shutdown.closes_idle(now):
                     connection.close_idle()
             self._servers.expire()
+            self._blocks.expire(now)
             router.backends.expire(now)
             router.peers.expire(now)
             router.peers.send_heartbeat()
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -11,6 +11,7 @@
 from redwingbank.front.allowance import RetryAllowance
 from redwingbank.front.backends import Backends
 from redwingbank.front.clock import now_s
+from redwingbank.front.crash_probe import CrashProbes
 from redwingbank.front.digest import Place
 from redwingbank.front.directory import ServerRegistry, TableState
 from redwingbank.front.freshness import Freshness
@@ -51,6 +52,7 @@
         place = Place(settings.data_centre, settings.link_mbps)
         self.peers = Peers(settings.name, time.time_ns(), self.backends, self.log, place)
         self.poison = PoisonTracker(self.peers.broadcast, self.log)
+        self.probes = CrashProbes(self.poison)
         self.peers.on_crash = self.poison.handle_crash_news
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
         self.dispatcher = Dispatcher(Chooser(self.backends, random))
@@ -74,6 +76,7 @@
         gauge("connections", len(self.connections))
         gauge("hosts_heard", len(self.peers.alive(now)))
         gauge("requests_in_flight", len(self.exchanges))
+        gauge("poison_blocked", len(self.poison.causes.blocked(now)))
         for name, backend in self.backends.backends_by_name.items():
             gauge("server_in_flight", len(backend.load), server=name)
             gauge("server_connections_opened", backend.connections.opened, server=name)
--- /dev/null
+++ b/src/redwingbank/front/run_watch.py
@@ -0,0 +1,68 @@
+"""Follows the runs of one request, for what they tell of crashes."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from redwingbank.model import Outcome
+
+if TYPE_CHECKING:
+    from redwingbank.front.attempt import Failure
+    from redwingbank.front.backends import Backend
+    from redwingbank.front.crash_probe import CrashProbes
+    from redwingbank.front.poison import PoisonTracker
+
+# A request that crashes servers does so as it begins to be answered.
+SURVIVAL_S = 1.0
+# outcomes of attempts whose server may have crashed
+POSSIBLE_CRASHES = frozenset({Outcome.CRASHED, Outcome.CLOSED_EARLY})
+
+
+class RunWatch:
+    """Reports the runs of a request to the poison tracker: lost, or proved harmless.
+
+    A run proves that its request crashes no server by a complete answer, or by events over more
+    than `SURVIVAL_S`. The loss of such a run is not counted against the request.
+    """
+
+    def __init__(
+        self, poison: PoisonTracker, probes: CrashProbes, traits: tuple[str, ...] = ()
+    ) -> None:
+        self._poison = poison
+        self._probes = probes
+        self._traits = traits
+        self._sent_s = 0.0
+        self._began_s: float | None = None
+        self._harmless = False
+
+    def find_blocked(self, now_s: float) -> str:
+        """Return what the request must not be sent for, or an empty string."""
+        return self._poison.find_blocked(self._traits, now_s)
+
+    def sent(self, now_s: float) -> None:
+        """Record that the request was sent to a server."""
+        self._sent_s, self._began_s, self._harmless = now_s, None, False
+
+    def event_received(self, now_s: float) -> None:
+        """Record complete events of a streamed answer."""
+        if self._began_s is None:
+            self._began_s = now_s
+        elif not self._harmless and now_s - self._began_s > SURVIVAL_S:
+            self.answered()
+
+    def answered(self) -> None:
+        """Record that the run proved harmless."""
+        self._harmless = True
+        self._poison.answered(self._traits)
+
+    def failed(self, backend: Backend, failure: Failure, now_s: float) -> None:
+        """Record a failed attempt, which may show that the server has crashed."""
+        server = backend.entry.name
+        if not failure.sent and failure.outcome is Outcome.CRASHED:
+            self._poison.server_down(server, now_s)
+        elif failure.sent and failure.outcome in POSSIBLE_CRASHES and not self._harmless:
+            self._poison.answer_lost(server, self._traits, self._sent_s, now_s)
+            self._probes.start(backend)
+
+
+__all__ = ["RunWatch"]
--- a/src/redwingbank/platform/objects.py
+++ b/src/redwingbank/platform/objects.py
@@ -12,6 +12,7 @@
 MS_PER_S = 1000
 
 STATUS_HISTORY_GONE = 410
+STATUS_NOT_FOUND = 404
 STATUS_CONFLICT = 409
 
 
@@ -142,6 +143,7 @@
     "NAME_TABLE",
     "STATUS_CONFLICT",
     "STATUS_HISTORY_GONE",
+    "STATUS_NOT_FOUND",
     "Change",
     "Changes",
     "MalformedError",
--- /dev/null
+++ b/src/redwingbank/rules/crash_causes.py
@@ -0,0 +1,216 @@
+"""Finds what the runs that a backend server's crash cuts off have in common."""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from typing import NamedTuple
+
+# The platform requires that a cause is blocked after it has crashed three servers.
+CRASHES_TO_BLOCK = 3
+# A cause that another one explains equally well is blocked after this many crashes.
+CRASHES_TO_BLOCK_CONTESTED = 5
+BLOCK_S = 600.0
+# Older crashes no longer count; longer than a block, so that one crash renews an expired block.
+TRACK_S = 2 * BLOCK_S
+# Hosts notice a crash at different times; a server takes longer than this to start again.
+SAME_CRASH_S = 3.0
+# Bounds of the tracked state; the oldest entries are dropped first.
+MAX_TRACKED_TRAITS = 2000
+MAX_RUNS_PER_TRAIT = 16
+MAX_CRASHES = 1000
+MAX_BLOCKED = 1000
+
+
+class LostRun(NamedTuple):
+    """A run that a crash cut off before it proved itself harmless.
+
+    `traits` identify what may have caused the crash, from the narrowest to the widest: the whole
+    request, then the shared parts of its prompt from the last to the first. Times are seconds on
+    the host's monotonic clock.
+    """
+
+    traits: tuple[str, ...]
+    server: str
+    sent_s: float
+    lost_s: float
+
+
+class _CountedRun(NamedTuple):
+    """A lost run and the number of the crash that cut it off."""
+
+    crash: int
+    run: LostRun
+
+
+class CrashCauses:
+    """Counts crashes by trait and blocks the traits that cause them.
+
+    A trait is suspected after `CRASHES_TO_BLOCK` crashes in a row: each run began after the crash
+    before, and no run with the trait proved harmless in between. Crashes at the same time thus
+    count once. A suspect is blocked unless another trait explains the same crashes. Of traits in
+    the same runs the narrowest is blocked first; a wider one follows if the crashes go on without
+    the narrower one. Where traits of different runs were present at the same crashes, nothing is
+    blocked until one of them proves harmless or crashes go on.
+
+    >>> causes = CrashCauses()
+    >>> for number in range(3):
+    ...     sent_s = float(number)
+    ...     run = LostRun((f"request-{number}", "part"), f"i-{number}", sent_s, sent_s + 0.1)
+    ...     blocked = causes.record(run, sent_s + 0.2)
+    >>> blocked
+    ['part']
+    >>> causes.find_blocked(("request-9", "part"), 3.0)
+    'part'
+    """
+
+    def __init__(self) -> None:
+        self._runs_by_trait: OrderedDict[str, list[_CountedRun]] = OrderedDict()
+        self._last_crash_by_server: OrderedDict[str, tuple[int, float]] = OrderedDict()
+        self._crashes = 0
+        self._cause_by_crash: OrderedDict[int, str] = OrderedDict()
+        self._blocked_until_s_by_trait: OrderedDict[str, float] = OrderedDict()
+
+    def record(self, run: LostRun, now_s: float) -> list[str]:
+        """Count a crash against the traits of a run; return the traits that are now blocked."""
+        counted = _CountedRun(self._number_crash(run), run)
+        for trait in run.traits:
+            runs = self._runs_by_trait.setdefault(trait, [])
+            self._runs_by_trait.move_to_end(trait)
+            runs.append(counted)
+            runs.sort(key=_lost_s)
+            runs[:] = [one for one in runs if now_s - one.run.lost_s < TRACK_S]
+            del runs[:-MAX_RUNS_PER_TRAIT]
+        while len(self._runs_by_trait) > MAX_TRACKED_TRAITS:
+            self._runs_by_trait.popitem(last=False)
+        return self._block_causes(run.traits, now_s)
+
+    def clear(self, traits: tuple[str, ...]) -> list[str]:
+        """Clear the traits of a run that proved harmless; return those that had been counted."""
+        return [trait for trait in traits if self._forget(trait)]
+
+    def block(self, trait: str, now_s: float) -> None:
+        """Block a trait; the crashes that it was present at no longer count for others."""
+        self._blocked_until_s_by_trait[trait] = now_s + BLOCK_S
+        while len(self._blocked_until_s_by_trait) > MAX_BLOCKED:
+            self._blocked_until_s_by_trait.popitem(last=False)
+        for counted in self._runs_by_trait.get(trait, ()):
+            self._cause_by_crash.setdefault(counted.crash, trait)
+        while len(self._cause_by_crash) > MAX_CRASHES:
+            self._cause_by_crash.popitem(last=False)
+
+    def unblock(self, trait: str) -> None:
+        """Lift the block of a trait and forget its crashes."""
+        self._forget(trait)
+
+    def find_blocked(self, traits: tuple[str, ...], now_s: float) -> str:
+        """Return the first of the traits that is blocked, or an empty string."""
+        blocked = self._blocked_until_s_by_trait
+        return next((trait for trait in traits if blocked.get(trait, now_s) > now_s), "")
+
+    def seconds_left(self, trait: str, now_s: float) -> float:
+        """Return for how long a trait will be blocked, 0.0 if it is not."""
+        return max(0.0, self._blocked_until_s_by_trait.get(trait, now_s) - now_s)
+
+    def blocked(self, now_s: float) -> list[str]:
+        """List the blocked traits."""
+        return [
+            trait for trait, until_s in self._blocked_until_s_by_trait.items() if until_s > now_s
+        ]
+
+    def pop_expired(self, now_s: float) -> list[str]:
+        """Lift the blocks that have run out; one more crash renews them."""
+        expired = [
+            trait for trait, until_s in self._blocked_until_s_by_trait.items() if until_s <= now_s
+        ]
+        for trait in expired:
+            del self._blocked_until_s_by_trait[trait]
+        return expired
+
+    def count_in_a_row(self, trait: str) -> int:
+        """Count the crashes in a row that no blocked trait explains."""
+        return _count_in_a_row(self._unexplained(trait))
+
+    def _block_causes(self, traits: tuple[str, ...], now_s: float) -> list[str]:
+        blocked = []
+        for trait in traits:
+            if trait not in self._blocked_until_s_by_trait and self._is_cause(trait):
+                self.block(trait, now_s)
+                blocked.append(trait)
+        return blocked
+
+    def _is_cause(self, trait: str) -> bool:
+        runs = self._unexplained(trait)
+        return _count_in_a_row(runs) >= CRASHES_TO_BLOCK and not self._is_contested(trait, runs)
+
+    def _unexplained(self, trait: str) -> list[_CountedRun]:
+        """List the runs whose crash is not that of another, blocked trait."""
+        cause = self._cause_by_crash.get
+        return [
+            counted
+            for counted in self._runs_by_trait.get(trait, ())
+            if cause(counted.crash, trait) == trait
+        ]
+
+    def _is_contested(self, trait: str, runs: list[_CountedRun]) -> bool:
+        """Whether another trait was present at all of the crashes, or at all but one.
+
+        The news of the last crash may have come for one of them only. A narrower trait of the
+        same runs goes first; one of other runs counts up to `CRASHES_TO_BLOCK_CONTESTED` crashes.
+        """
+        crashes = {counted.crash for counted in runs}
+        if _count_in_a_row(runs) >= CRASHES_TO_BLOCK_CONTESTED:
+            rivals = _narrower(trait, runs)
+        else:
+            wider = {other for counted in runs for other in counted.run.traits}
+            rivals = self._runs_by_trait.keys() - wider | _narrower(trait, runs)
+        return any(
+            len(crashes & {counted.crash for counted in self._unexplained(rival)})
+            >= len(crashes) - 1
+            for rival in rivals - self._blocked_until_s_by_trait.keys()
+        )
+
+    def _number_crash(self, run: LostRun) -> int:
+        """Return the number of the crash that cut off a run, the same for all of its runs."""
+        known = self._last_crash_by_server.get(run.server)
+        if known and run.server and abs(run.lost_s - known[1]) < SAME_CRASH_S:
+            return known[0]
+        self._crashes += 1
+        self._last_crash_by_server[run.server] = (self._crashes, run.lost_s)
+        self._last_crash_by_server.move_to_end(run.server)
+        while len(self._last_crash_by_server) > MAX_CRASHES:
+            self._last_crash_by_server.popitem(last=False)
+        return self._crashes
+
+    def _forget(self, trait: str) -> bool:
+        runs = self._runs_by_trait.pop(trait, None)
+        blocked = self._blocked_until_s_by_trait.pop(trait, None)
+        if blocked is not None:
+            for crash in [one for one, cause in self._cause_by_crash.items() if cause == trait]:
+                del self._cause_by_crash[crash]
+        return runs is not None or blocked is not None
+
+
+def _narrower(trait: str, runs: list[_CountedRun]) -> set[str]:
+    """Return the traits of the runs that are narrower than one of them."""
+    return {
+        other
+        for counted in runs
+        for other in counted.run.traits[: counted.run.traits.index(trait)]
+    }
+
+
+def _lost_s(counted: _CountedRun) -> float:
+    return counted.run.lost_s
+
+
+def _count_in_a_row(runs: list[_CountedRun]) -> int:
+    """Count the crashes, in order of time, whose run began after the previously counted crash."""
+    count, last_s, crashes = 0, float("-inf"), set[int]()
+    for crash, run in runs:
+        if run.sent_s >= last_s and crash not in crashes:
+            count, last_s = count + 1, run.lost_s
+            crashes.add(crash)
+    return count
+
+
+__all__ = ["BLOCK_S", "CrashCauses", "LostRun"]
--- a/src/redwingbank_standins/objectstore.py
+++ b/src/redwingbank_standins/objectstore.py
@@ -87,6 +87,8 @@
             pass
         elif method == "GET":
             status, document = await self._read(target)
+        elif method == "DELETE":
+            status, document = await self._remove(target)
         else:
             status, document = await self._write(target, json.loads(body))
         body = json.dumps(document).encode()
@@ -103,6 +105,13 @@
         await self.put(kind, name, written["spec"])
         return 200, self._objects_by_kind[kind][name]
 
+    async def _remove(self, target: str) -> tuple[int, dict[str, Any]]:
+        kind, name = map(unquote, target.split("/")[3:5])
+        if name not in self._objects_by_kind.get(kind, {}):
+            return 404, {}
+        await self.delete(kind, name)
+        return 200, {}
+
     async def _read(self, target: str) -> tuple[int, dict[str, Any]]:
         url = urlsplit(target)
         query = {key: values[0] for key, values in parse_qs(url.query).items()}
--- a/tests/steps/front_poison.py
+++ b/tests/steps/front_poison.py
@@ -79,7 +79,7 @@
 @when('servers "{names}" crash at the same time, each with a request like "{fingerprint}"')
 def crash_together(context, names, fingerprint):
     for name in names.split():
-        context.poison.answer_lost(name, fingerprint, context.now_s - 0.3, context.now_s)
+        context.poison.answer_lost(name, (fingerprint,), context.now_s - 0.3, context.now_s)
         context.poison.server_down(name, context.now_s + 0.1)
 
 
@@ -88,7 +88,7 @@
 def crash_in_turn(context, names, fingerprint):
     for name in names.split():
         context.now_s += GAP_S
-        context.poison.answer_lost(name, fingerprint, context.now_s - 0.3, context.now_s)
+        context.poison.answer_lost(name, (fingerprint,), context.now_s - 0.3, context.now_s)
         context.poison.server_down(name, context.now_s + 0.1)
 
 
@@ -96,13 +96,13 @@
 def lose(context, names, fingerprint):
     for name in names.split():
         context.now_s += GAP_S
-        context.poison.answer_lost(name, fingerprint, context.now_s - 0.3, context.now_s)
+        context.poison.answer_lost(name, (fingerprint,), context.now_s - 0.3, context.now_s)
         context.poison.server_down(name, context.now_s + 10.0)
 
 
 @when('a request like "{fingerprint}" is answered completely')
 def completed(context, fingerprint):
-    context.poison.answered(fingerprint)
+    context.poison.answered((fingerprint,))
 
 
 @when('another host reports that a request like "{fingerprint}" crashed its server')
@@ -113,17 +113,17 @@
 
 @then('"{fingerprint}" is blocked')
 def blocked(context, fingerprint):
-    assert context.poison.is_blocked(fingerprint, context.now_s)
+    assert context.poison.find_blocked((fingerprint,), context.now_s)
 
 
 @then('"{fingerprint}" is not blocked')
 def not_blocked(context, fingerprint):
-    assert not context.poison.is_blocked(fingerprint, context.now_s)
+    assert not context.poison.find_blocked((fingerprint,), context.now_s)
 
 
 @then('"{fingerprint}" is not blocked {later:d} s later')
 def not_blocked_later(context, fingerprint, later):
-    assert not context.poison.is_blocked(fingerprint, context.now_s + later)
+    assert not context.poison.find_blocked((fingerprint,), context.now_s + later)
 
 
 @given("two hosts that track crashes")
@@ -141,12 +141,12 @@
 
 @then('"{fingerprint}" is blocked at the other host')
 def blocked_there(context, fingerprint):
-    assert context.other.is_blocked(fingerprint, context.now_s)
+    assert context.other.find_blocked((fingerprint,), context.now_s)
 
 
 @then('"{fingerprint}" is not blocked at the other host')
 def not_blocked_there(context, fingerprint):
-    assert not context.other.is_blocked(fingerprint, context.now_s)
+    assert not context.other.find_blocked((fingerprint,), context.now_s)
 
 
 @given('{hosts:d} fronts whose {count:d} servers crash on the prompt part "{part}"')
