Tell a stream that its server broke off from one that ended

What callers saw: a stream without a length whose server closed right after the head reached them as a complete, empty answer. One that broke off inside an event was aborted, but not counted as a possible crash of its server, so that a request that crashes servers stayed unknown.

Cause: the end of the connection was taken as the end of the answer whatever had come before it. Ruled out: answers with a length or in chunks, and resets (both covered, pass before and after).

Change: a stream without a length is complete only after at least one event and at the end of an event; otherwise the attempt fails as closed early, is resumed where allowed, and counts as a possible crash.

--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -87,6 +87,11 @@
         self._body = bytearray()
         self._finished = False
 
+    @property
+    def sized(self) -> bool:
+        """Whether the end of the answer is marked, not only by the end of the connection."""
+        return self._head is None or self._head.sized
+
     def start(self, data: bytes) -> None:
         """Send the request on an idle connection, or on a new one."""
         connection = self.backend.connections.acquire()
--- a/src/redwingbank/front/events.py
+++ b/src/redwingbank/front/events.py
@@ -14,6 +14,8 @@
 class EventSplitter:
     r"""Splits a stream's bytes into complete events and tracks the last event id.
 
+    `has_events` tells whether the server that the stream comes from has sent a complete event.
+
     >>> splitter = EventSplitter("")
     >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
     b'id: 1\ndata: a\n\n'
@@ -23,6 +25,7 @@
 
     def __init__(self, last_id: str) -> None:
         self.last_id = last_id
+        self.has_events = False
         self._partial = b""
 
     @property
@@ -32,6 +35,7 @@
 
     def drop_partial(self) -> None:
         """Drop a partial event before another server resumes the stream."""
+        self.has_events = False
         self._partial = b""
 
     def feed(self, data: bytes) -> bytes:
@@ -47,6 +51,7 @@
         if len(self._partial) > MAX_EVENT_BYTES:
             raise EventError("event is too long")
         complete = data[:end]
+        self.has_events = self.has_events or bool(complete)
         self._track_ids(complete)
         return complete
 
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -177,6 +177,9 @@
         """Forward a complete answer, or end a streamed one."""
         if answer is not None:
             self._handle_answer(attempt, answer)
+        elif self._splitter is not None and self._is_cut_short(self._splitter, attempt):
+            failure = Failure(Outcome.CLOSED_EARLY, True, "connection closed inside the stream")
+            self.attempt_failed(attempt, failure)
         elif self._splitter is not None and not self._splitter.complete:
             self._handle_failure(attempt, _invalid_answer("partial event at the end"), now_s())
         else:
@@ -193,6 +196,11 @@
         self._watch.failed(attempt.backend, failure, now)
         self._handle_failure(attempt, failure, now)
 
+    @staticmethod
+    def _is_cut_short(splitter: EventSplitter, attempt: Attempt) -> bool:
+        """Whether the end of the connection broke off a stream instead of completing it."""
+        return not attempt.sized and not (splitter.complete and splitter.has_events)
+
     def _handle_failure(self, attempt: Attempt, failure: Failure, now: float) -> None:
         self._release(attempt)
         update_breaker(attempt.backend, failure, self._life.request_id, self._sent_s, now)
--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -37,8 +37,10 @@
 
     Modes with a single response: ok, error, shed, lost, garbage, unsigned, foreign, extra, cut,
     unsized, unsized-reset, encoded. Modes with a stream: stream, broken (reset in the middle of
-    the third event), endless. In mode hang no response is sent. A server in mode stream crashes
-    in the first event of each answer to a prompt with the shared part `crash_part`.
+    the third event), endless, and three without a length: unsized-stream, unsized-broken (closed
+    in the middle of the third event), unsized-empty (closed after the head). In mode hang no
+    response is sent. A server in mode stream crashes in the first event of each answer to a
+    prompt with the shared part `crash_part`.
     """
 
     def __init__(self, name: str, mode: str = "ok") -> None:
@@ -121,18 +123,21 @@
         first = int(request.headers_by_name.get("last-event-id", "0") or "0") + 1
         head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: %b\r\n"
         writer.write(head % request.request_id.encode())
-        writer.write(
-            STAMP_HEADER % request.request_id.encode() + b"Transfer-Encoding: chunked\r\n\r\n"
-        )
+        writer.write(STAMP_HEADER % request.request_id.encode())
+        mode = self.mode_for(request.target)
+        if mode.startswith("unsized"):
+            await _send_unsized(self.name, mode, first, writer)
+            return False
+        writer.write(b"Transfer-Encoding: chunked\r\n\r\n")
         number = first
-        while self.mode_for(request.target) == "endless" or number <= EVENTS_PER_STREAM:
+        while mode == "endless" or number <= EVENTS_PER_STREAM:
             event = b"id: %d\ndata: %b %d\n\n" % (number, self.name.encode(), number)
             if self.crash_part and self.crash_part in _shared_parts(request):
                 writer.write(_chunk(event[:8]))
                 await writer.drain()
                 self.crash()
                 return False
-            if self.mode_for(request.target) == "broken" and number == 3:  # noqa: PLR2004 - after two events
+            if mode == "broken" and number == 3:  # noqa: PLR2004 - after two events
                 writer.write(_chunk(event[:8]))
                 await writer.drain()
                 await asyncio.sleep(0.05)
@@ -181,9 +186,18 @@
     ),
 }
 
+_STREAM_MODES = (
+    "stream",
+    "broken",
+    "endless",
+    "unsized-stream",
+    "unsized-broken",
+    "unsized-empty",
+)
+
 _METHOD_BY_MODE: dict[str, _AnswerMethod] = {
     **dict.fromkeys(_RESPONSE_BY_MODE, BackendServer._send_response),  # noqa: SLF001 - own methods
-    **dict.fromkeys(("stream", "broken", "endless"), BackendServer._send_stream),  # noqa: SLF001
+    **dict.fromkeys(_STREAM_MODES, BackendServer._send_stream),  # noqa: SLF001
     "hang": BackendServer._hang,  # noqa: SLF001
 }
 
@@ -219,6 +233,19 @@
         return True
 
 
+async def _send_unsized(name: str, mode: str, first: int, writer: asyncio.StreamWriter) -> None:
+    """Send a stream that ends with its connection."""
+    writer.write(b"\r\n")
+    for number in range(first, EVENTS_PER_STREAM + 1):
+        event = b"id: %d\ndata: %b %d\n\n" % (number, name.encode(), number)
+        broken = mode == "unsized-broken" and number == 3  # noqa: PLR2004 - after two events
+        if mode != "unsized-empty":
+            writer.write(event[:8] if broken else event)
+            await writer.drain()
+        if broken:
+            return
+
+
 def _chunk(data: bytes) -> bytes:
     return b"%x\r\n%b\r\n" % (len(data), data)
 
--- a/tests/front/answers.feature
+++ b/tests/front/answers.feature
@@ -46,6 +46,33 @@
     When the front's server is in mode broken for a fixed request
     Then the front's stream is aborted after complete events
 
+  Scenario: a stream without a length is complete if it ends after an event
+    When the front's server is in mode unsized-stream for a fixed request
+    Then the front streams events 1 to 4 completely
+
+  Scenario: a stream without a length that ends inside an event goes on at another server
+    When the front's servers are in modes unsized-broken and then stream for a memo request
+    Then the front streams events 1 to 4 completely
+    And the second server was asked to resume after event 2
+
+  Scenario: a stream without a length that ends without events is made by another server
+    When the front's servers are in modes unsized-empty and then stream for a memo request
+    Then the front streams events 1 to 4 completely
+    And the second server was asked for the whole stream
+
+  Scenario Outline: a stream without a length that ends <where> must not look complete
+    When the front's server is in mode <mode> for a fixed request
+    Then the front's answer is broken off
+
+    Examples:
+      | where           | mode           |
+      | inside an event | unsized-broken |
+      | without events  | unsized-empty  |
+
+  Scenario: servers that crash inside the event of a stream without a length count as crashed
+    When a server in mode unsized-broken goes down after a fixed request
+    Then one crash is counted against the request
+
   Scenario: answers on one connection keep their order
     When a caller sends 3 requests at once on one connection
     Then the front answers them in order
--- a/tests/steps/front_answers.py
+++ b/tests/steps/front_answers.py
@@ -182,3 +182,32 @@
 @then("the request's tier is {tier:d}")
 def tier_is(context, tier):
     assert context.admitted.tier == tier
+
+
+@then("the second server was asked for the whole stream")
+def asked_for_all(context):
+    (run,) = context.rig.backend_servers[1].runs
+    assert "last-event-id" not in run.headers_by_name
+
+
+@then("the front's answer is broken off")
+def broken_off(context):
+    assert not context.answer.complete, context.answer.raw
+
+
+@when("a server in mode {mode} goes down after a {kind} request")
+def crash_without_length(context, mode, kind):
+    context.rig = Rig(modes=[mode])
+
+    async def scenario(rig):
+        await rig.ask(kind)
+        await rig.store.delete("servers", "i-1")
+        await rig.until(lambda: not rig.front.router.servers.entries_by_name)
+
+    run_scenario(context.rig, scenario)
+
+
+@then("one crash is counted against the request")
+def one_crash(context):
+    (line,) = [line for line in context.rig.lines if line["event"] == "crash-blamed"]
+    assert (line["server"], line["in_a_row"]) == ("i-1", 1)
