Quarantine messages that crash engines, not only whole prompts

What callers saw: prompts that share one message that crashes engines, no two alike, crashed every engine behind the daemons (12 of 12), each of them two; a sound prompt that was retried beside them could be quarantined.

Suspicion and quarantine knew the whole prompt only, and a crash counted against a sound prompt though a message of other prompts was present at all of its crashes.

Change: Request.parts are the fingerprints of the messages before the last.

--- a/src/redwingbank/model.py
+++ b/src/redwingbank/model.py
@@ -12,6 +12,8 @@
     Times are seconds on the host's monotonic clock. `tier` 1 is the highest.
     `blocks` are hashes of the prompt's leading blocks in order.
     `fingerprint` identifies the body: equal bodies of one organisation have equal fingerprints.
+    `parts` are the fingerprints of the messages that requests may share, from the last to the
+    first.
     `repeatable` is false for a call that may run at most once.
     """
 
@@ -28,6 +30,7 @@
     blocks: tuple[int, ...] = ()
     repeatable: bool = True
     attempt: int = 1
+    parts: tuple[str, ...] = ()
 
 
 class LoadReport(NamedTuple):
--- a/src/redwingbank/ports/chat.py
+++ b/src/redwingbank/ports/chat.py
@@ -16,6 +16,9 @@
 
 MS_PER_S = 1000.0
 FINGERPRINT_BYTES = 12
+PART_FINGERPRINT_BYTES = 8
+# Later messages of a long conversation are shared by no other one.
+MAX_PARTS = 32
 CHARACTERS_PER_TOKEN = 4
 
 
@@ -23,13 +26,15 @@
     """A validated chat completion request.
 
     `body` is the request body for the engine, `stream` whether the caller asked for a
-    stream, `text` the prompt.
+    stream, `text` the prompt. `parts` are the fingerprints of the messages before the last one,
+    from the last to the first.
     """
 
     model: str
     stream: bool
     body: bytes
     text: str
+    parts: tuple[str, ...] = ()
 
 
 def parse_chat(data: bytes) -> Chat | Refusal:
@@ -46,7 +51,7 @@
     text = prompt_text(document["messages"])
     stream = document.get("stream") is True
     body = data if stream else _request_stream(document)
-    return Chat(document["model"], stream, body, text)
+    return Chat(document["model"], stream, body, text, _part_fingerprints(document["messages"]))
 
 
 def _find_invalid_field(document: dict[str, Any]) -> str:
@@ -73,6 +78,15 @@
     return json.dumps(document | options, separators=(",", ":")).encode()
 
 
+def _part_fingerprints(messages: list[dict[str, Any]]) -> tuple[str, ...]:
+    texts = [prompt_text([message]) for message in messages[:-1][:MAX_PARTS]]
+    return tuple(
+        hashlib.blake2b(text.encode(), digest_size=PART_FINGERPRINT_BYTES).hexdigest()
+        for text in reversed(dict.fromkeys(texts))
+        if text
+    )
+
+
 def compute_fingerprint(organisation: str, data: bytes) -> str:
     """Hash a body with its organisation; equal bodies of one organisation hash the same."""
     digest = hashlib.blake2b(data, digest_size=FINGERPRINT_BYTES, key=organisation.encode()[:64])
@@ -94,6 +108,7 @@
         prompt_tokens=max(1, len(chat.text) // CHARACTERS_PER_TOKEN),
         fingerprint=compute_fingerprint(admitted.organisation.name, chat.text.encode()),
         blocks=block_hashes(chat.text),
+        parts=chat.parts,
     )
 
 
--- a/src/redwingbank/rules/crash_causes.py
+++ b/src/redwingbank/rules/crash_causes.py
@@ -82,6 +82,9 @@
             del runs[:-MAX_RUNS_PER_TRAIT]
         while len(self._runs_by_trait) > MAX_TRACKED_TRAITS:
             self._runs_by_trait.popitem(last=False)
+        known = self.find_blocked(run.traits, now_s)
+        if known:
+            self._explain(counted.crash, known)
         return self._block_causes(run.traits, now_s)
 
     def clear(self, traits: tuple[str, ...]) -> list[str]:
@@ -94,9 +97,7 @@
         while len(self._blocked_until_s_by_trait) > MAX_BLOCKED:
             self._blocked_until_s_by_trait.popitem(last=False)
         for counted in self._runs_by_trait.get(trait, ()):
-            self._cause_by_crash.setdefault(counted.crash, trait)
-        while len(self._cause_by_crash) > MAX_CRASHES:
-            self._cause_by_crash.popitem(last=False)
+            self._explain(counted.crash, trait)
 
     def unblock(self, trait: str) -> None:
         """Lift the block of a trait and forget its crashes."""
@@ -126,10 +127,37 @@
             del self._blocked_until_s_by_trait[trait]
         return expired
 
+    def runs(self, trait: str) -> list[LostRun]:
+        """List the lost runs that are counted against a trait."""
+        return [counted.run for counted in self._runs_by_trait.get(trait, ())]
+
+    def is_part(self, trait: str) -> bool:
+        """Whether a trait is a part of a prompt, as far as its lost runs tell."""
+        return any(trait in run.traits[1:] for run in self.runs(trait))
+
+    def has_rival_part(self, traits: tuple[str, ...]) -> bool:
+        """Whether a part of other requests was present at all crashes of the narrowest trait.
+
+        The newest crash does not count, since the news of other runs may be on their way.
+        """
+        crashes = [counted.crash for counted in self._runs_by_trait.get(traits[0], ())]
+        earlier = set(crashes) - set(crashes[-1:])
+        return bool(earlier) and any(
+            earlier <= {counted.crash for counted in runs}
+            and all(part in counted.run.traits[1:] for counted in runs)
+            for part, runs in self._runs_by_trait.items()
+            if part not in traits
+        )
+
     def count_in_a_row(self, trait: str) -> int:
         """Count the crashes in a row that no blocked trait explains."""
         return _count_in_a_row(self._unexplained(trait))
 
+    def _explain(self, crash: int, cause: str) -> None:
+        self._cause_by_crash.setdefault(crash, cause)
+        while len(self._cause_by_crash) > MAX_CRASHES:
+            self._cause_by_crash.popitem(last=False)
+
     def _block_causes(self, traits: tuple[str, ...], now_s: float) -> list[str]:
         blocked = []
         for trait in traits:
@@ -143,13 +171,20 @@
         return _count_in_a_row(runs) >= CRASHES_TO_BLOCK and not self._is_contested(trait, runs)
 
     def _unexplained(self, trait: str) -> list[_CountedRun]:
-        """List the runs whose crash is not that of another, blocked trait."""
-        cause = self._cause_by_crash.get
-        return [
-            counted
-            for counted in self._runs_by_trait.get(trait, ())
-            if cause(counted.crash, trait) == trait
-        ]
+        """List the runs that count against a trait.
+
+        Crashes of another, blocked trait don't count, but for one of each narrower trait of the
+        same runs: several of these point to what they have in common.
+        """
+        runs, narrower = list[_CountedRun](), set[str]()
+        for counted in self._runs_by_trait.get(trait, ()):
+            cause, traits = self._cause_by_crash.get(counted.crash, trait), counted.run.traits
+            if cause in traits[: traits.index(trait)] and cause not in narrower:
+                narrower.add(cause)
+                runs.append(counted)
+            elif cause == trait:
+                runs.append(counted)
+        return runs
 
     def _is_contested(self, trait: str, runs: list[_CountedRun]) -> bool:
         """Whether another trait was present at all of the crashes, or at all but one.
--- a/src/redwingbank/rules/quarantine.py
+++ b/src/redwingbank/rules/quarantine.py
@@ -5,17 +5,29 @@
 from collections import OrderedDict, deque
 from typing import TYPE_CHECKING, NamedTuple
 
-from redwingbank.messages import Notice
 from redwingbank.model import Outcome
+from redwingbank.rules.crash_causes import CrashCauses, LostRun
+from redwingbank.rules.quarantine_notices import (
+    CRASH_VALUE,
+    SUBJECT_SEPARATOR,
+    TRIAL_VALUE,
+    TRIAL_WAIT_S,
+    QuarantineNotices,
+    read_lost_run,
+)
 from redwingbank.rules.suspicion import (
     CLEARED_TTL_S,
     CRASHES_TO_QUARANTINE,
     NEVER_S,
     SAME_CRASH_S,
     SUSPECT_TTL_S,
+    Allowed,
+    Blocked,
     Case,
     Crash,
+    Decision,
     NoticeKind,
+    Suspect,
     Suspicion,
     build_case,
 )
@@ -23,55 +35,31 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from redwingbank.messages import Notice
     from redwingbank.model import Request
 
 QUARANTINE_TTL_S = 600.0
-TRIAL_WAIT_S = 5.0
 RENEW_INTERVAL_S = 2.0
 TRIAL_SURVIVAL_S = 2.0
+# A request that crashes servers does so as it begins to be answered.
+ANSWER_SURVIVAL_S = 1.0
 NOTICE_SPREAD_S = 0.25
 TURN_INTERVAL_S = 0.25
 MAX_FINGERPRINTS = 10_000
 MAX_EXPLAINED_CRASHES = 1000
-CRASH_VALUE = 0.0
-TRIAL_VALUE = 1.0
-SUBJECT_SEPARATOR = "@"
-
-
-class Allowed(NamedTuple):
-    """The fingerprint is not suspected and may run anywhere."""
-
-
-class Suspect(NamedTuple):
-    """The fingerprint may run a trial, at a server that runs no other suspect.
-
-    `crashed` names the servers that crashed while it was in flight, to be avoided where
-    possible; `busy` names those where another suspect is on trial, which must not be used.
-    """
-
-    crashed: frozenset[str]
-    busy: frozenset[str]
 
 
-class Blocked(NamedTuple):
-    """The fingerprint may not run now.
+class _Run(NamedTuple):
+    """A request in flight at a server; `crashed` once the server crashed during the run.
 
-    `confirmed` is true for a poison request, false for a suspect that waits for a trial.
+    `traits` are its fingerprint and those of its parts; `answered_s` is when its first token came.
     """
 
-    retry_after_s: float
-    confirmed: bool
-
-
-Decision = Allowed | Suspect | Blocked
-
-
-class _Run(NamedTuple):
-    """A request in flight at a server; `crashed` once the server crashed during the run."""
-
     fingerprint: str
     started_s: float
     crashed: bool = False
+    traits: tuple[str, ...] = ()
+    answered_s: float = float("inf")
 
 
 class _CrashGroup(NamedTuple):
@@ -95,6 +83,9 @@
     Where several suspects were in flight at the second crash, one that had run there for
     `TRIAL_SURVIVAL_S` is not the cause.
 
+    A part of a prompt that different requests share is never put on trial, since sound requests
+    would wait for it. It is quarantined once it is the cause of several crashes (`CrashCauses`).
+
     Every method that changes state returns notices for the other hosts. The time of an event is
     derived from the remaining TTL of its notice, so notices may arrive late, repeatedly and in
     any order. Times are seconds on the host's monotonic clock. Memory is bounded: at most `limit`
@@ -113,7 +104,7 @@
     ) -> None:
         self._host = host
         self._ttl_s = ttl_s
-        self._number = first_number
+        self._notices = QuarantineNotices(host, first_number)
         self._limit = limit
         self._run_by_id_by_server: dict[str, dict[str, _Run]] = {}
         self._suspicion_by_fingerprint: OrderedDict[str, Suspicion] = OrderedDict()
@@ -122,13 +113,25 @@
         self._crash_s_by_server: dict[str, float] = {}
         self._group_by_server: dict[str, _CrashGroup] = {}
         self._renewed_s = NEVER_S
+        self._causes = CrashCauses()
 
     def record_start(self, server: str, request: Request, now_s: float) -> list[Notice]:
         """Record the start of a run; for a suspect, returns a notice of its trial."""
-        run = _Run(request.fingerprint, now_s)
+        run = _Run(request.fingerprint, now_s, traits=(request.fingerprint, *request.parts))
         self._run_by_id_by_server.setdefault(server, {})[request.request_id] = run
         suspicion = self._suspicion_by_fingerprint.get(request.fingerprint)
-        return [self._trial_notice(run, server)] if suspicion and suspicion.crashes else []
+        return (
+            [self._notices.trial(run.fingerprint, server)]
+            if suspicion and suspicion.crashes
+            else []
+        )
+
+    def record_first_token(self, server: str, request: Request, now_s: float) -> None:
+        """Record the first token of a run."""
+        runs = self._run_by_id_by_server.get(server, {})
+        if request.request_id in runs:
+            run = runs[request.request_id]
+            runs[request.request_id] = run._replace(answered_s=min(run.answered_s, now_s))
 
     def record_finish(
         self, server: str, request: Request, outcome: Outcome, now_s: float
@@ -146,7 +149,11 @@
         suspicion = self._suspicion_by_fingerprint.get(request.fingerprint)
         if outcome is Outcome.DONE and suspicion and suspicion.crashes:
             suspicion.clear(now_s)
-            notices.append(self._notice(NoticeKind.CLEARED, request.fingerprint, CLEARED_TTL_S))
+            notices.append(
+                self._notices.build(NoticeKind.CLEARED, request.fingerprint, CLEARED_TTL_S)
+            )
+        if outcome is Outcome.DONE:
+            notices += self._clear_parts(run.traits, now_s)
         return notices
 
     def record_crash(self, server: str, now_s: float) -> list[Notice]:
@@ -167,11 +174,17 @@
         ]
         for request_id, run in runs.items():
             runs[request_id] = run._replace(crashed=True)
+        part_notices = self._record_lost_runs(server, new_runs, now_s)
         crash = Crash(server, now_s, self._host)
         if not still_down:
             self._crash_s_by_server[server] = now_s
         fingerprints = sorted({run.fingerprint for run in new_runs})
-        suspects = [name for name in fingerprints if self._add_crash(name, crash)]
+        bystanders = self._bystanders(new_runs)
+        suspects = [
+            name
+            for name in fingerprints
+            if name not in bystanders and self._add_crash(name, crash)
+        ]
         poison = [name for name in suspects if self._get_suspicion(name).is_poison(now_s)]
         culprits = self._recently_started(new_runs, poison, now_s) or poison
         survivors = frozenset(poison) - frozenset(culprits)
@@ -179,7 +192,16 @@
             note for name in culprits for note in self._start_quarantine(name, survivors, now_s)
         ]
         remaining = [name for name in suspects if self._suspicion_by_fingerprint[name].crashes]
-        return [self._crash_notice(name, crash, now_s) for name in remaining] + notices
+        crash_notices = [self._notices.crash(name, crash, now_s) for name in remaining]
+        return crash_notices + notices + part_notices
+
+    def check_request(self, request: Request, now_s: float) -> Decision:
+        """Decide whether a request may run, by the parts of its prompt and its fingerprint."""
+        for part in request.parts:
+            suspicion = self._suspicion_by_fingerprint.get(part)
+            if suspicion and now_s < suspicion.quarantined_until_s:
+                return Blocked(suspicion.quarantined_until_s - now_s, confirmed=True)
+        return self.check(request.fingerprint, now_s)
 
     def check(self, fingerprint: str, now_s: float) -> Decision:
         """Decide whether a request with this fingerprint may run."""
@@ -203,7 +225,7 @@
         self._renewed_s = now_s
         self._remove_idle(now_s)
         return [
-            self._trial_notice(run, server)
+            self._notices.trial(run.fingerprint, server)
             for server, runs in self._run_by_id_by_server.items()
             for run in runs.values()
             if not run.crashed and self._is_suspect(run.fingerprint)
@@ -224,7 +246,7 @@
     def release(self, fingerprint: str, now_s: float) -> list[Notice]:
         """Release a fingerprint at an operator's request; returns a notice for other hosts."""
         self._release(fingerprint, now_s)
-        return [self._notice(NoticeKind.RELEASED, fingerprint, self._ttl_s)]
+        return [self._notices.build(NoticeKind.RELEASED, fingerprint, self._ttl_s)]
 
     def list_cases(self, now_s: float) -> list[Case]:
         """List the suspected and quarantined fingerprints, sorted by fingerprint."""
@@ -234,6 +256,62 @@
             if suspicion.expiry_s(now_s) > now_s
         ]
 
+    def _record_lost_runs(self, server: str, runs: list[_Run], now_s: float) -> list[Notice]:
+        """Count a crash against the parts of the runs that it cut off.
+
+        Runs that had been answered for a while clear their parts instead.
+        """
+        notices: list[Notice] = []
+        for run in runs:
+            if now_s - run.answered_s > ANSWER_SURVIVAL_S:
+                notices += self._clear_parts(run.traits, now_s)
+            elif len(run.traits) > 1:
+                lost = LostRun(run.traits, server, run.started_s, now_s)
+                notices.append(self._notices.lost_run(lost))
+                notices += self._count_lost_run(lost, now_s)
+        return notices
+
+    def _count_lost_run(self, lost: LostRun, now_s: float) -> list[Notice]:
+        notices: list[Notice] = []
+        for trait in self._causes.record(lost, now_s):
+            self._get_suspicion(trait).quarantined_until_s = now_s + self._ttl_s
+            notices.append(self._notices.build(NoticeKind.QUARANTINED, trait, self._ttl_s))
+            notices += self._release_bystanders(trait, now_s)
+        return notices
+
+    def _release_bystanders(self, cause: str, now_s: float) -> list[Notice]:
+        """Release the fingerprints whose crashes a cause explains, unless they contain it."""
+        runs = self._causes.runs(cause)
+        crashes = [Crash(run.server, run.lost_s, self._host) for run in runs]
+        related = {trait for run in runs for trait in run.traits}
+        self._explained_crashes.extend(crashes)
+        notices: list[Notice] = []
+        for fingerprint, suspicion in self._suspicion_by_fingerprint.items():
+            if fingerprint in related or not suspicion.crashes:
+                continue
+            suspicion.drop_crashes(crashes)
+            if not suspicion.crashes and now_s < suspicion.quarantined_until_s:
+                suspicion.quarantined_until_s = NEVER_S
+                notices.append(self._notices.build(NoticeKind.RELEASED, fingerprint, self._ttl_s))
+        return notices
+
+    def _clear_parts(self, traits: tuple[str, ...], now_s: float) -> list[Notice]:
+        """Clear the parts of a run that proved harmless, also those in quarantine."""
+        notices: list[Notice] = []
+        for part in self._causes.clear(traits):
+            if part != traits[0]:
+                self._release(part, now_s)
+                notices.append(self._notices.build(NoticeKind.RELEASED, part, self._ttl_s))
+        return notices
+
+    def _bystanders(self, runs: list[_Run]) -> set[str]:
+        """Select the suspects among the runs whose crashes a part of other requests explains."""
+        return {
+            run.fingerprint
+            for run in runs
+            if self._is_suspect(run.fingerprint) and self._causes.has_rival_part(run.traits)
+        }
+
     def _add_crash(self, fingerprint: str, crash: Crash) -> bool:
         """Add a crash to a fingerprint unless a quarantined one explains it."""
         if any(crash.is_same(known) for known in self._explained_crashes):
@@ -259,7 +337,7 @@
             return []
         suspicion.quarantined_until_s = now_s + self._ttl_s
         self._drop_explained_crashes(suspicion, now_s, survivors)
-        return [self._notice(NoticeKind.QUARANTINED, fingerprint, self._ttl_s)]
+        return [self._notices.build(NoticeKind.QUARANTINED, fingerprint, self._ttl_s)]
 
     def _drop_explained_crashes(
         self, culprit: Suspicion, now_s: float, survivors: frozenset[str] = frozenset()
@@ -330,20 +408,7 @@
         suspicion.quarantined_until_s = NEVER_S
         suspicion.trial_until_s = NEVER_S
         suspicion.clear(at_s)
-
-    def _notice(
-        self, kind: NoticeKind, subject: str, ttl_s: float, value: float = CRASH_VALUE
-    ) -> Notice:
-        self._number += 1
-        return Notice(kind.value, subject, self._host, self._number, value, ttl_s)
-
-    def _crash_notice(self, fingerprint: str, crash: Crash, now_s: float) -> Notice:
-        subject = f"{fingerprint}{SUBJECT_SEPARATOR}{crash.server}"
-        return self._notice(NoticeKind.SUSPECT, subject, SUSPECT_TTL_S - (now_s - crash.at_s))
-
-    def _trial_notice(self, run: _Run, server: str) -> Notice:
-        subject = f"{run.fingerprint}{SUBJECT_SEPARATOR}{server}"
-        return self._notice(NoticeKind.SUSPECT, subject, TRIAL_WAIT_S, TRIAL_VALUE)
+        self._causes.unblock(fingerprint)
 
     def _apply_suspect(self, notice: Notice, now_s: float) -> None:
         fingerprint, _, server = notice.subject.partition(SUBJECT_SEPARATOR)
@@ -362,6 +427,9 @@
         if now_s < suspicion.quarantined_until_s:
             self._drop_explained_crashes(suspicion, now_s)
 
+    def _apply_lost_run(self, notice: Notice, now_s: float) -> None:
+        self._count_lost_run(read_lost_run(notice, now_s), now_s)
+
     def _apply_cleared(self, notice: Notice, now_s: float) -> None:
         suspicion = self._get_suspicion(notice.subject)
         suspicion.clear(now_s - (CLEARED_TTL_S - notice.ttl_s))
@@ -375,6 +443,8 @@
             until_s = now_s + notice.ttl_s
             suspicion.quarantined_until_s = max(suspicion.quarantined_until_s, until_s)
             self._drop_explained_crashes(suspicion, now_s)
+            if self._causes.is_part(notice.subject):
+                self._causes.block(notice.subject, now_s)
 
     def _apply_released(self, notice: Notice, now_s: float) -> None:
         self._release(notice.subject, now_s - (self._ttl_s - notice.ttl_s))
@@ -385,6 +455,7 @@
     NoticeKind.CLEARED: Quarantine._apply_cleared,
     NoticeKind.QUARANTINED: Quarantine._apply_quarantined,
     NoticeKind.RELEASED: Quarantine._apply_released,
+    NoticeKind.LOST_RUN: Quarantine._apply_lost_run,
 }
 
 __all__ = ["Case", "Allowed", "NoticeKind", "Quarantine", "Blocked", "Suspect", "Decision"]
--- a/src/redwingbank/rules/suspicion.py
+++ b/src/redwingbank/rules/suspicion.py
@@ -16,13 +16,43 @@
     """Kinds of notices about fingerprints.
 
     The subject of `SUSPECT` is `fingerprint@server` and its value `CRASH_VALUE` or
-    `TRIAL_VALUE`; the subject of the other kinds is the fingerprint.
+    `TRIAL_VALUE`; the subject of the other kinds is the fingerprint. The subject of `LOST_RUN`
+    is `fingerprint.part.part@server`, a run that a crash cut off, and its value the run's seconds.
     """
 
     SUSPECT = "suspect"
     CLEARED = "cleared"
     QUARANTINED = "quarantined"
     RELEASED = "released"
+    LOST_RUN = "lost-run"
+
+
+class Allowed(NamedTuple):
+    """The fingerprint is not suspected and may run anywhere."""
+
+
+class Suspect(NamedTuple):
+    """The fingerprint may run a trial, at a server that runs no other suspect.
+
+    `crashed` names the servers that crashed while it was in flight, to be avoided where
+    possible; `busy` names those where another suspect is on trial, which must not be used.
+    """
+
+    crashed: frozenset[str]
+    busy: frozenset[str]
+
+
+class Blocked(NamedTuple):
+    """The fingerprint may not run now.
+
+    `confirmed` is true for a poison request, false for a suspect that waits for a trial.
+    """
+
+    retry_after_s: float
+    confirmed: bool
+
+
+Decision = Allowed | Suspect | Blocked
 
 
 class Case(NamedTuple):
@@ -110,9 +140,13 @@
     "NEVER_S",
     "SAME_CRASH_S",
     "SUSPECT_TTL_S",
+    "Allowed",
+    "Blocked",
     "Case",
     "Crash",
+    "Decision",
     "NoticeKind",
+    "Suspect",
     "Suspicion",
     "build_case",
 ]
--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -210,6 +210,7 @@
         ticket = message.ticket
         if ticket.server:
             now_s = time.monotonic()
+            self._quarantine.record_first_token(ticket.server, ticket.request, now_s)
             self._fleet.record_first_token(
                 ticket.server, ticket.request, message.first_token_s, now_s
             )
@@ -310,7 +311,7 @@
         self._changed_pools.add(request.pool)
 
     def _refuse_if_quarantined(self, ticket: Ticket, now_s: float) -> bool:
-        verdict = self._quarantine.check(ticket.request.fingerprint, now_s)
+        verdict = self._quarantine.check_request(ticket.request, now_s)
         if not isinstance(verdict, Blocked) or not verdict.confirmed:
             return False
         ran = ticket.life.ran is not Ran.NO
@@ -374,7 +375,7 @@
         if request is None:
             return False
         ticket = self._ticket_by_id[request.request_id]
-        verdict = self._quarantine.check(request.fingerprint, now_s)
+        verdict = self._quarantine.check_request(request, now_s)
         if isinstance(verdict, Blocked):
             self._queue.remove(request.request_id)
             return self._refuse_if_quarantined(ticket, now_s) or self._park(request)
--- a/tests/rules/crash_causes.feature
+++ b/tests/rules/crash_causes.feature
@@ -14,8 +14,9 @@
       | a request that comes again                   | s1 0-1 f.q.x; s2 2-3 f.q.x; s3 4-5 f.q.x                                                                   | f       |
       | the last of parts that always come together  | s1 0-1 a.p.x; s2 2-3 b.p.x; s3 4-5 c.p.x                                                                   | p       |
       | the first part, as the last ones differ      | s1 0-1 a.q.p; s2 2-3 b.r.p; s3 4-5 c.s.p                                                                   | p       |
-      | a wider part if crashes go on without q      | s1 0-1 a.q.p; s2 2-3 b.q.p; s3 4-5 c.q.p; s4 6-7 d.r.p; s5 8-9 e.s.p; s6 10-11 g.t.p                       | p q     |
-      | the part, after one request came again       | s1 0-1 f.p.x; s2 2-3 f.p.x; s3 4-5 f.p.x; s4 6-7 a.p.x; s5 8-9 b.p.x; s6 10-11 c.p.x                       | f p     |
+      | a wider part if crashes go on without q      | s1 0-1 a.q.p; s2 2-3 b.q.p; s3 4-5 c.q.p; s4 6-7 d.r.p; s5 8-9 e.s.p                                       | p q     |
+      | the part, after one request came again       | s1 0-1 f.p.x; s2 2-3 f.p.x; s3 4-5 f.p.x; s4 6-7 a.p.x; s5 8-9 b.p.x                                       | f p     |
+      | the part of requests that each come again    | s1 0-1 f.p; s2 2-3 f.p; s3 4-5 f.p; s4 6-7 g.p; s5 8-9 g.p; s6 10-11 g.p; s7 12-13 h.p                     | f g p   |
       | a crash that several hosts report is one     | s1 0-1 a.p; s1 0.2-1.1 b.p; s2 2-3 c.p                                                                     | none    |
       | a server that started again counts twice     | s1 0-1 a.p; s1 5-6 b.p; s1 10-11 c.p                                                                       | p       |
 
@@ -30,6 +31,8 @@
       | one of two that five crashes don't part      | s1 0-1 a.p; s1 0-1 b.i; s2 2-3 c.p; s2 2-3 d.i; s3 4-5 e.p; s3 4-5 g.i; s4 6-7 h.p; s4 6-7 j.i; s5 8-9 k.p; s5 8-9 l.i | p       |
       | the other one too, if crashes go on          | s1 0-1 a.p; s1 0-1 b.i; s2 2-3 c.p; s2 2-3 d.i; s3 4-5 e.p; s3 4-5 g.i; s4 6-7 h.p; s4 6-7 j.i; s5 8-9 k.p; s5 8-9 l.i; s6 10-11 m.i; s7 12-13 n.i; s8 14-15 o.i | i p     |
       | a bystander of crashes that are explained    | s1 0-1 a.p; s2 2-3 b.p; s3 4-5 c.p; s2 2-3 d.i; s3 4-5 e.i; s4 6-7 g.i                                     | p       |
+      | a wider part of runs that were in flight     | s1 0-1 a.p.x; s2 2-3 b.p.x; s3 4-5 c.p.x; s4 4-6 d.p.x; s5 6-7 e.p.x; s6 7-8 f.p.x                         | p       |
+      | a bystander of runs that were in flight      | s1 0-1 a.p; s2 2-3 b.p; s3 4-5 c.p; s4 4-6 d.p; s4 4-6 e.i; s5 6-7 f.p; s5 6-7 g.i; s6 7-8 h.p; s6 7-8 j.i | p       |
       | a part blocked by mistake                    | s1 0-1 a.p; s2 2-3 b.p; s3 4-5 c.p; ok d.p                                                                 | none    |
 
   Scenario: a block ends after ten minutes, and one more crash renews it
--- a/tests/steps/tasks_containment.py
+++ b/tests/steps/tasks_containment.py
@@ -17,6 +17,7 @@
 from redwingbank_standins.platform import build_platform
 
 END = b"[DONE]\n\n"
+RULES = "The house's rules apply."
 
 
 class WithoutQuarantine(Quarantine):
@@ -60,11 +61,13 @@
             for daemon in daemons:
                 daemon.drain()
 
-    async def stream_answer(self, caller, text):
-        """Stream one answer; return its bytes, a part of them if it broke off."""
+    async def stream_answer(self, caller, *texts):
+        """Stream one answer to some messages; return its bytes, a part of them if it broke off."""
         content = b""
         headers = {"Authorization": f"Bearer {quickstart.KEY}", "X-Service-Class": "memo"}
-        body = json.dumps(quickstart._chat_body(text, True)).encode()
+        messages = [{"role": "user", "content": text} for text in texts]
+        document = {**quickstart._chat_body(texts[-1], True), "messages": messages}
+        body = json.dumps(document).encode()
         url = f"http://{caller}/v1/chat/completions"
         with contextlib.suppress(httpcore.RemoteProtocolError):
             async with (
@@ -85,6 +88,22 @@
             document = json.loads(await self.stream_answer(callers[number % len(callers)], text))
             self.codes.append(int(document["error"]["code"]))
 
+    async def send_shared(self, count, poison):
+        """Send prompts that share a message with poison, and sound ones that share the first."""
+        async with self.daemons() as daemons:
+            for number in range(count):
+                caller = daemons[number % len(daemons)].caller
+                async with anyio.create_task_group() as both:
+                    both.start_soon(
+                        self.stream_answer, caller, RULES, poison, f"Who owes {number}?"
+                    )
+                    both.start_soon(self.sound_caller, caller, number)
+
+    async def sound_caller(self, caller, number):
+        self.answer_bodies.append(
+            await self.stream_answer(caller, RULES, f"What of file {number}?")
+        )
+
     async def run(self, count, poison="", times=0):
         async with self.daemons() as daemons, anyio.create_task_group() as callers:
             addresses = [daemon.caller for daemon in daemons]
@@ -143,3 +162,19 @@
 @then("the containment's answers are any")
 def answers_any(context):
     assert len(context.trial.answer_bodies) == 16
+
+
+@when(
+    'the containment\'s callers send {count:d} different prompts that share the message "{poison}"'
+)
+def prompts_sharing_poison(context, count, poison):
+    context.count = count
+    anyio.run(context.trial.send_shared, count, poison)
+
+
+@then("each prompt that shares only the first message is answered completely")
+def sound_complete(context):
+    bodies = context.trial.answer_bodies
+    assert len(bodies) == context.count
+    broken = [content[-200:] for content in bodies if not content.endswith(END)]
+    assert not broken, broken
