Blame no prompt for an engine that was still down

What callers saw: a sound prompt sent to two engines that had crashed seconds before, as the trial after their back-off, was answered 1231.

Cause: a run counted as the victim of a new crash once 5 s had passed since the last, though the engine had never come back. Evidence: a traced run (three daemons, poison message): at 9.41 and 9.66 s the prompt went to engines that had crashed at 1.53 and 1.81 s.

Change: where an engine sends load reports, no run sent to it before its next report counts. Ruled out: a longer fixed time, since engines differ.

Before: the two new rows of rules/quarantine.feature failed. After: 46 passed, 0 failed.

--- a/src/redwingbank/rules/quarantine.py
+++ b/src/redwingbank/rules/quarantine.py
@@ -111,6 +111,7 @@
         self._explained_crashes: deque[Crash] = deque(maxlen=MAX_EXPLAINED_CRASHES)
         self._trial_until_s_by_server: dict[str, float] = {}
         self._crash_s_by_server: dict[str, float] = {}
+        self._report_s_by_server: dict[str, float] = {}
         self._group_by_server: dict[str, _CrashGroup] = {}
         self._renewed_s = NEVER_S
         self._causes = CrashCauses()
@@ -159,12 +160,13 @@
     def record_crash(self, server: str, now_s: float) -> list[Notice]:
         """Make suspects of the runs in flight at a crashed server; each run counts once.
 
-        Runs sent within `SAME_CRASH_S` after a crash do not count: the server had not yet
-        restarted.
+        Runs sent to a server that was still down do not count: within `SAME_CRASH_S` after a
+        crash, or before the next load report of a server that sends them.
         """
         runs = self._run_by_id_by_server.get(server, {})
         last_crash_s = self._crash_s_by_server.get(server, NEVER_S)
-        still_down = now_s - last_crash_s < SAME_CRASH_S
+        reported_s = self._report_s_by_server.get(server, now_s)
+        still_down = now_s - last_crash_s < SAME_CRASH_S or reported_s < last_crash_s
         new_runs = [
             run
             for run in runs.values()
@@ -203,6 +205,10 @@
                 return Blocked(suspicion.quarantined_until_s - now_s, confirmed=True)
         return self.check(request.fingerprint, now_s)
 
+    def record_report(self, server: str, at_s: float) -> None:
+        """Record a load report, which shows that a server was up."""
+        self._report_s_by_server[server] = max(at_s, self._report_s_by_server.get(server, NEVER_S))
+
     def check(self, fingerprint: str, now_s: float) -> Decision:
         """Decide whether a request with this fingerprint may run."""
         suspicion = self._suspicion_by_fingerprint.get(fingerprint)
--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -168,6 +168,7 @@
         drained = reported.server in self._fleet.draining_servers(now_s)
         if reported.report is not None:
             self._fleet.record_report(reported.server, reported.report, now_s)
+            self._quarantine.record_report(reported.server, reported.report.at_s)
         for event in reported.cache_events:
             self._fleet.record_cache_event(reported.server, event)
         if not drained and reported.server in self._fleet.draining_servers(now_s):
