Confine an unexpected error to one message of a daemon's tasks

Cause: tasks send to each other's inboxes with send_nowait, which raises when the receiver has ended, as at a stop where the order of ends is open; and no loop over messages caught what a handler raised. Both end the task group, so the process.

Change: tasks.mailbox.post drops a message to a task that has ended; ErrorBarrier confines an error to its message or step in dispatch, allocate, members, tables, loads, orders, records, links and the daemon, and records its type and place (not its text) at most once a second. A request whose message fails is answered 1500. A caller's own task still raises where dispatch has ended: its request then gets 1500, not silence.

--- a/src/redwingbank/daemon.py
+++ b/src/redwingbank/daemon.py
@@ -30,6 +30,7 @@
 from redwingbank.tasks.allocate import AllocateInput, AllocateTask, Capacity, Hosts, Outgoing
 from redwingbank.tasks.dispatch import Dispatch
 from redwingbank.tasks.loads import LoadReader, Plan, Watched
+from redwingbank.tasks.mailbox import ErrorBarrier, post
 from redwingbank.tasks.orders import OrdersTask
 from redwingbank.tasks.records import Recorder
 from redwingbank.tasks.reports import DrainServer, Release
@@ -61,13 +62,14 @@
         self.incarnation = int(time.time() * US_PER_S)
         self.events = EventLog(settings.host, settings.data_centre, settings.events)
         self.metrics = Metrics()
+        self._barrier = ErrorBarrier(self.events, "daemon")
         self.platform = HttpPlatform(settings)
         self._backend = BackendClient(settings)
         self._engines = EngineClient(self._backend)
         self.dispatch = Dispatch(
             settings, self.metrics, self.events, random.Random(), self.incarnation
         )
-        self._allocate = AllocateTask(settings, self.incarnation, time.monotonic)
+        self._allocate = AllocateTask(settings, self.incarnation, time.monotonic, self.events)
         self._allocate_outbox, self._allocate_inbox = anyio.create_memory_object_stream[
             AllocateInput
         ](math.inf)
@@ -110,7 +112,7 @@
     async def run(self, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED) -> None:
         """Serve until drained."""
         async with anyio.create_task_group() as group:
-            loads = LoadReader(self.settings, self._engines, self.dispatch.inbox)
+            loads = LoadReader(self.settings, self._engines, self.dispatch.inbox, self.events)
             outbox, outgoing = anyio.create_memory_object_stream[Outgoing](math.inf)
             await group.start(self.links.run)
             group.start_soon(self._allocate.run, self._allocate_inbox, outbox)
@@ -144,14 +146,14 @@
         known = self._table is not None and server in self._table.backend_servers_by_name
         if known:
             self.events.record("server-drain", server=server)
-            self.dispatch.inbox.send_nowait(DrainServer(server))
+            post(self.dispatch.inbox, DrainServer(server))
         return known
 
     def release(self, fingerprint: str) -> bool:
         """Release a fingerprint from quarantine on every host; false if it is not quarantined."""
         quarantined = {case["fingerprint"] for case in self.dispatch.status()["quarantine"]}
         if fingerprint in quarantined:
-            self.dispatch.inbox.send_nowait(Release(fingerprint))
+            post(self.dispatch.inbox, Release(fingerprint))
         return fingerprint in quarantined
 
     def set_faults(self, document: dict[str, Any]) -> None:
@@ -226,28 +228,31 @@
 
     async def _send_demands(self) -> None:
         async for message in self.dispatch.outgoing:
-            if isinstance(message, Capacity):
-                self._allocate_outbox.send_nowait(message)
-            elif isinstance(message, Notice):
-                self.links.announce(message)
-            elif isinstance(message, OutgoingDemand):
-                await self.links.send(message.host, message.demand)
+            with self._barrier.confine(message):
+                if isinstance(message, Capacity):
+                    post(self._allocate_outbox, message)
+                elif isinstance(message, Notice):
+                    self.links.announce(message)
+                elif isinstance(message, OutgoingDemand):
+                    await self.links.send(message.host, message.demand)
 
     async def _send_allocations(self, outgoing: MemoryObjectReceiveStream[Outgoing]) -> None:
         async for item in outgoing:
-            await self.links.send(item.host, item.allocation)
+            with self._barrier.confine(item):
+                await self.links.send(item.host, item.allocation)
 
     async def _handle_updates(self) -> None:
         async for update in self._update_inbox:
-            if isinstance(update, TableInForce):
-                self._apply_table(update.table)
-            else:
-                self._apply_members(update)
+            with self._barrier.confine(update):
+                if isinstance(update, TableInForce):
+                    self._apply_table(update.table)
+                else:
+                    self._apply_members(update)
 
     def _apply_members(self, view: MemberView) -> None:
-        self.dispatch.inbox.send_nowait(view)
+        post(self.dispatch.inbox, view)
         self._recorder.share_rate(len(view.alive))
-        self._allocate_outbox.send_nowait(Hosts(frozenset(member.host for member in view.alive)))
+        post(self._allocate_outbox, Hosts(frozenset(member.host for member in view.alive)))
         self._orders.update(view)
         self._update_read_plan()
 
@@ -256,8 +261,8 @@
         self._cells_by_pool = cells_by_pool(table)
         self._orders.update(table)
         self._caller_app.set_table(table)
-        self.dispatch.inbox.send_nowait(table)
-        self._allocate_outbox.send_nowait(table)
+        post(self.dispatch.inbox, table)
+        post(self._allocate_outbox, table)
         self._update_read_plan()
         self.table_in_force.set()
 
@@ -276,7 +281,7 @@
             )
             for name in sorted(duties.allocated | duties.used)
         )
-        self._plans.send_nowait(Plan(watched))
+        post(self._plans, Plan(watched))
 
 
 def _bound_address(server: uvicorn.Server, configured: Address) -> Address:
--- a/src/redwingbank/links.py
+++ b/src/redwingbank/links.py
@@ -11,7 +11,14 @@
 from redwingbank.ports.peers import Peers
 from redwingbank.ports.pulls import Pulls
 from redwingbank.rules.membership import Membership
-from redwingbank.tasks.members import Leave, Members, MembersChanged, RevisionSeen
+from redwingbank.tasks.mailbox import ErrorBarrier, post
+from redwingbank.tasks.members import (
+    AnnounceRevision,
+    Leave,
+    Members,
+    MembersChanged,
+    RevisionSeen,
+)
 from redwingbank.tasks.tables import TableInForce, Tables
 
 if TYPE_CHECKING:
@@ -58,6 +65,7 @@
         self._events = events
         self._inboxes = inboxes
         self._members: Members | None = None
+        self._barrier = ErrorBarrier(events, "links")
 
     @property
     def view(self) -> MemberView:
@@ -72,7 +80,7 @@
         received, inbox = anyio.create_memory_object_stream[Received](RECEIVE_BUFFER_MESSAGES)
         members_outbox, outputs = anyio.create_memory_object_stream["MembersOutput"](math.inf)
         tables_outbox, new_tables = anyio.create_memory_object_stream[TableInForce](math.inf)
-        self._inboxes.daemon.send_nowait(self._members.view)
+        post(self._inboxes.daemon, self._members.view)
         try:
             async with anyio.create_task_group() as group:
                 await group.start(self.peers.run, received)
@@ -103,7 +111,7 @@
             self._platform,
             self._events,
             pulls.pull,
-            members.inbox.send_nowait,
+            lambda announced: _post(members, announced),
         )
         return members, tables, pulls
 
@@ -119,39 +127,44 @@
     def announce(self, notice: Notice) -> None:
         """Spread a notice of this host to all others."""
         assert self._members is not None
-        self._members.inbox.send_nowait(notice)
+        post(self._members.inbox, notice)
 
     def leave(self) -> None:
         """Announce to the others that this host is leaving."""
         assert self._members is not None
-        self._members.inbox.send_nowait(Leave())
+        post(self._members.inbox, Leave())
 
     async def _route_received(self, inbox: MemoryObjectReceiveStream[Received]) -> None:
         async for received in inbox:
             assert self._members is not None
-            self._members.inbox.send_nowait(received)
-            self._route(received)
+            post(self._members.inbox, received)
+            with self._barrier.confine(received):
+                self._route(received)
 
     def _route(self, received: Received) -> None:
         if isinstance(received.message, Demand):
-            self._inboxes.allocate.send_nowait(received)
+            post(self._inboxes.allocate, received)
         elif isinstance(received.message, Allocation):
-            self._inboxes.dispatch.send_nowait(received)
+            post(self._inboxes.dispatch, received)
 
     async def _route_members_output(
         self, outputs: MemoryObjectReceiveStream[MembersOutput], tables: Tables
     ) -> None:
         async for message in outputs:
             if isinstance(message, Notice):
-                self._inboxes.dispatch.send_nowait(message)
+                post(self._inboxes.dispatch, message)
                 continue
             if isinstance(message, MembersChanged | RevisionSeen):
-                self._inboxes.daemon.send_nowait(message.view)
-            tables.inbox.send_nowait(message)
+                post(self._inboxes.daemon, message.view)
+            post(tables.inbox, message)
 
     async def _forward_tables(self, new_tables: MemoryObjectReceiveStream[TableInForce]) -> None:
         async for table in new_tables:
-            self._inboxes.daemon.send_nowait(table)
+            post(self._inboxes.daemon, table)
+
+
+def _post(members: Members, announced: AnnounceRevision) -> None:
+    post(members.inbox, announced)
 
 
 __all__ = ["Inboxes", "Links"]
--- a/src/redwingbank/tasks/allocate.py
+++ b/src/redwingbank/tasks/allocate.py
@@ -7,10 +7,12 @@
 
 import anyio
 
+from redwingbank.events import EventLog
 from redwingbank.messages import LIMITS_POOL, Allocation, Demand, Received
 from redwingbank.rules.allocator import Allocator
 from redwingbank.rules.limit_shares import LimitShares
 from redwingbank.rules.table import Table
+from redwingbank.tasks.mailbox import ErrorBarrier, post
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -57,7 +59,13 @@
     host's earlier runs, for example microseconds since 1970.
     """
 
-    def __init__(self, settings: Settings, number: int, now: Callable[[], float]) -> None:
+    def __init__(
+        self,
+        settings: Settings,
+        number: int,
+        now: Callable[[], float],
+        events: EventLog | None = None,
+    ) -> None:
         self._settings = settings
         self._first_number = number
         self._now = now
@@ -71,6 +79,8 @@
         self._limits_number = number
         self._table: Table | None = None
         self._alive: frozenset[str] | None = None
+        events = events or EventLog(settings.host, settings.data_centre)
+        self._barrier = ErrorBarrier(events, "allocate")
 
     @singledispatchmethod
     def handle(self, message: object) -> None:
@@ -139,18 +149,24 @@
             while True:
                 with anyio.move_on_after(self._settings.demand_interval_s):
                     try:
-                        self.handle(await inbox.receive())
+                        message = await inbox.receive()
                     except anyio.EndOfStream:
                         return
+                    self._handle_confined(message)
                     await anyio.sleep(BATCH_DELAY_S)
                 self._handle_pending(inbox)
-                for outgoing in self.tick():
-                    await outbox.send(outgoing)
+                with self._barrier.confine("tick"):
+                    for outgoing in self.tick():
+                        post(outbox, outgoing)
+
+    def _handle_confined(self, message: AllocateInput) -> None:
+        with self._barrier.confine(message):
+            self.handle(message)
 
     def _handle_pending(self, inbox: MemoryObjectReceiveStream[AllocateInput]) -> None:
         while True:
             try:
-                self.handle(inbox.receive_nowait())
+                self._handle_confined(inbox.receive_nowait())
             except (anyio.WouldBlock, anyio.EndOfStream):
                 return
 
--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -21,6 +21,7 @@
 from redwingbank.rules.quarantine import Allowed, Blocked, Quarantine, Suspect
 from redwingbank.rules.roster import MemberView
 from redwingbank.rules.table import Table
+from redwingbank.tasks.mailbox import ErrorBarrier, post
 from redwingbank.tasks.news import DRAIN_NOTICE, NoticePublisher
 from redwingbank.tasks.reports import DrainServer, Release, Reported, Unreachable
 from redwingbank.tasks.slots import Slots
@@ -80,6 +81,7 @@
         self._notices = NoticePublisher(settings.host, events, self._send, number)
         self._ticket_by_id: dict[str, Ticket] = {}
         self._parked: list[Request] = []
+        self._barrier = ErrorBarrier(events, "dispatch")
         self._changed_pools: set[str] = set()
         self.inbox, self._messages = anyio.create_memory_object_stream[object](math.inf)
         self.outbox, self.outgoing = anyio.create_memory_object_stream[object](math.inf)
@@ -94,18 +96,34 @@
 
     def _handle_batch(self, message: object) -> None:
         """Handle a message and all queued behind it, then grant the requests that can run."""
-        self.handle(message)
+        self._handle_confined(message)
         while True:
             try:
-                self.handle(self._messages.receive_nowait())
+                self._handle_confined(self._messages.receive_nowait())
             except anyio.WouldBlock:
                 break
-        self._serve_changed_pools()
+        with self._barrier.confine("serve-pools"):
+            self._serve_changed_pools()
+
+    def _handle_confined(self, message: object) -> None:
+        """Handle a message; a request whose message can't be handled gets an internal error."""
+        with self._barrier.confine(message):
+            self.handle(message)
+            return
+        if isinstance(message, Submit | AttemptEnded):
+            self._abandon(message.ticket.request)
+
+    def _abandon(self, request: Request) -> None:
+        with self._barrier.confine("abandon"):
+            self._queue.remove(request.request_id)
+            self._waits.discard(request.request_id)
+            self._refuse(request.request_id, Code.INTERNAL, MIN_RETRY_AFTER_S)
 
     async def _tick_forever(self) -> None:
         while True:
             await anyio.sleep(TICK_S)
-            self._tick(time.monotonic())
+            with self._barrier.confine("tick"):
+                self._tick(time.monotonic())
 
     def _tick(self, now_s: float) -> None:
         self._unpark(now_s)
@@ -119,7 +137,7 @@
         self._slots.tick(self._limits, now_s)
 
     def _send(self, message: OutgoingDemand | Capacity | Notice) -> None:
-        self.outbox.send_nowait(message)
+        post(self.outbox, message)
 
     @singledispatchmethod
     def handle(self, message: object) -> None:
@@ -375,6 +393,14 @@
         )
         if request is None:
             return False
+        with self._barrier.confine("grant"):
+            return self._grant_selected(request, cell, free, now_s)
+        self._abandon(request)
+        return True
+
+    def _grant_selected(
+        self, request: Request, cell: str, free: dict[str, int], now_s: float
+    ) -> bool:
         ticket = self._ticket_by_id[request.request_id]
         verdict = self._quarantine.check_request(request, now_s)
         if isinstance(verdict, Blocked):
--- a/src/redwingbank/tasks/loads.py
+++ b/src/redwingbank/tasks/loads.py
@@ -6,7 +6,9 @@
 
 import anyio
 
+from redwingbank.events import EventLog
 from redwingbank.ports.engine import LoadFailure
+from redwingbank.tasks.mailbox import ErrorBarrier, post
 from redwingbank.tasks.reports import Reported, Unreachable
 
 if TYPE_CHECKING:
@@ -45,7 +47,11 @@
     """
 
     def __init__(
-        self, settings: Settings, engines: EngineClient, outbox: MemoryObjectSendStream[object]
+        self,
+        settings: Settings,
+        engines: EngineClient,
+        outbox: MemoryObjectSendStream[object],
+        events: EventLog | None = None,
     ) -> None:
         self._settings = settings
         self._engines = engines
@@ -55,6 +61,8 @@
         self._reads_by_server: dict[str, int] = {}
         self._busy: set[str] = set()
         self._waiting: dict[str, Watched] = {}
+        events = events or EventLog(settings.host, settings.data_centre)
+        self._barrier = ErrorBarrier(events, "loads")
 
     async def run(self, plans: MemoryObjectReceiveStream[Plan]) -> None:
         """Read until cancelled."""
@@ -89,14 +97,15 @@
 
     async def _read(self, watched: Watched) -> None:
         try:
-            await self._read_report(watched)
+            with self._barrier.confine("read-load"):
+                await self._read_report(watched)
         finally:
             self._busy.discard(watched.server)
 
     async def _read_report(self, watched: Watched) -> None:
         report = await self._engines.read_load(watched.address)
         if report is LoadFailure.UNREACHABLE:
-            self._outbox.send_nowait(Unreachable(watched.server))
+            post(self._outbox, Unreachable(watched.server))
             return
         after = self._last_event_by_server.get(watched.server, 0)
         events = (
@@ -105,7 +114,7 @@
         if events:
             self._last_event_by_server[watched.server] = events[-1].number
         usable_report = None if isinstance(report, LoadFailure) else report
-        self._outbox.send_nowait(Reported(watched.server, usable_report, events))
+        post(self._outbox, Reported(watched.server, usable_report, events))
 
     async def _events(self, watched: Watched) -> tuple[CacheEvent, ...]:
         """Read an engine's cache events with every fourth report, since they are only hints."""
--- a/src/redwingbank/tasks/members.py
+++ b/src/redwingbank/tasks/members.py
@@ -12,6 +12,7 @@
 
 from redwingbank.messages import Heartbeat, MemberState, Notice, Received
 from redwingbank.ports.platform import Unknown
+from redwingbank.tasks.mailbox import ErrorBarrier, post
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -110,6 +111,7 @@
         self._pulling = False
         self._highest_revision = 0
         self._leaves_to_send = 0
+        self._barrier = ErrorBarrier(events, "members")
 
     @property
     def view(self) -> MemberView:
@@ -134,8 +136,10 @@
                     await self._handle_batch(message, outbox)
                 if self._now() >= tick_s:
                     tick_s = max(tick_s + self._settings.heartbeat_s, self._now())
-                    await self._tick(group)
-                self._publish(outbox)
+                    with self._barrier.confine("tick"):
+                        await self._tick(group)
+                with self._barrier.confine("publish"):
+                    self._publish(outbox)
 
     async def _handle_batch(
         self, message: MembersInput, outbox: MemoryObjectSendStream[MembersOutput]
@@ -147,9 +151,11 @@
                 messages.append(self._receive.receive_nowait())
         for item in messages:
             if not isinstance(item, Notice):
-                await self._handle(item, outbox)
+                with self._barrier.confine(item):
+                    await self._handle(item, outbox)
         notices = [item for item in messages if isinstance(item, Notice)]
-        await self._send_all(self._membership.announce_all(notices, self._now()))
+        with self._barrier.confine("announce"):
+            await self._send_all(self._membership.announce_all(notices, self._now()))
 
     async def _handle(
         self, message: MembersInput, outbox: MemoryObjectSendStream[MembersOutput]
@@ -200,13 +206,18 @@
             group.start_soon(self._pull_members, source.address)
 
     async def _pull_members(self, address: str) -> None:
-        self.inbox.send_nowait(_DigestPulled(await self._pull_digest(address)))
+        digest = None
+        with self._barrier.confine("pull"):
+            digest = await self._pull_digest(address)
+        post(self.inbox, _DigestPulled(digest))
 
     async def _list_hosts(self) -> None:
         """Read the platform's host list periodically, more often while this host is alone."""
         while True:
-            hosts = await self._platform.hosts()
-            self.inbox.send_nowait(_HostsListed(None if isinstance(hosts, Unknown) else hosts))
+            with self._barrier.confine("list-hosts"):
+                hosts = await self._platform.hosts()
+                listed = _HostsListed(None if isinstance(hosts, Unknown) else hosts)
+                post(self.inbox, listed)
             is_alone = len(self._membership.view().members) == 1
             interval_s = ALONE_LIST_INTERVAL_S if is_alone else LIST_INTERVAL_S
             await anyio.sleep(interval_s * (0.5 + self._random.random()))
--- a/src/redwingbank/tasks/orders.py
+++ b/src/redwingbank/tasks/orders.py
@@ -18,6 +18,7 @@
 from redwingbank.rules.table import Table
 from redwingbank.rules.token_bucket import TokenBucket
 from redwingbank.tasks.leases import LeaseKeeper
+from redwingbank.tasks.mailbox import ErrorBarrier
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -134,6 +135,7 @@
         self._table: Table | None = None
         self._view: MemberView | None = None
         self.orders_by_pool: dict[str, PoolOrders] = {}
+        self._barrier = ErrorBarrier(events, "orders")
 
     def update(self, value: Table | MemberView) -> None:
         """Apply a new table or a new view of the members."""
@@ -173,7 +175,8 @@
         while True:
             needed = 0
             for orders in tuple(self.orders_by_pool.values()):
-                needed += await orders.tick()
+                with self._barrier.confine("tick"):
+                    needed += await orders.tick()
             await anyio.sleep(ACTIVE_INTERVAL_S if needed else IDLE_INTERVAL_S)
 
 
--- a/src/redwingbank/tasks/records.py
+++ b/src/redwingbank/tasks/records.py
@@ -29,6 +29,7 @@
 )
 from redwingbank.rules.token_bucket import TokenBucket
 from redwingbank.tasks.expiry import Expiry
+from redwingbank.tasks.mailbox import ErrorBarrier
 
 if TYPE_CHECKING:
     from redwingbank.events import EventLog
@@ -99,6 +100,7 @@
         self._events = events
         self._pending: OrderedDict[tuple[str, str], Pending] = OrderedDict()
         self._expiry = Expiry(platform, settings.host)
+        self._barrier = ErrorBarrier(events, "records")
         self._rate = TokenBucket(CALLS_PER_S, CALLS_PER_S * BURST_S, time.monotonic())
 
     def share_rate(self, hosts: int) -> None:
@@ -236,7 +238,8 @@
         """Confirm pending changes and remove expired records until cancelled."""
         while True:
             await anyio.sleep(TICK_S)
-            await self.tick(time.time())
+            with self._barrier.confine("tick"):
+                await self.tick(time.time())
 
     async def tick(self, wall_s: float) -> None:
         """Retry pending changes and check a part of the records for expiry."""
--- a/src/redwingbank/tasks/tables.py
+++ b/src/redwingbank/tasks/tables.py
@@ -26,6 +26,7 @@
     update_table,
 )
 from redwingbank.tasks.fetch import Fetched, Fetcher, Goal, Offer, revision_of
+from redwingbank.tasks.mailbox import ErrorBarrier, post
 from redwingbank.tasks.members import AnnounceRevision, KnownHosts, MembersChanged, RevisionSeen
 
 if TYPE_CHECKING:
@@ -124,6 +125,7 @@
         self._copy: TableCopy | None = None
         self._best_offer = Offer(0, b"", "")
         self._highest_seen = 0
+        self._barrier = ErrorBarrier(events, "tables")
         self._fetching = False
         self._failures = 0
         self._other_hosts: int | None = None
@@ -158,8 +160,9 @@
             group.start_soon(self._poll)
             self._update_relay_role(group)
             async for message in self._receive:
-                self._handle(message, group, outbox)
-                self._fetch_if_newer(group)
+                with self._barrier.confine(message):
+                    self._handle(message, group, outbox)
+                    self._fetch_if_newer(group)
 
     def _handle(
         self,
@@ -220,7 +223,10 @@
         group.start_soon(self._fetch, goal)
 
     async def _fetch(self, goal: Goal) -> None:
-        self.inbox.send_nowait(await self._fetcher.fetch(goal))
+        fetched = Fetched(goal.best, {})
+        with self._barrier.confine("fetch"):
+            fetched = await self._fetcher.fetch(goal)
+        post(self.inbox, fetched)
 
     def _handle_fetched(
         self,
@@ -294,19 +300,20 @@
         `TOTAL_POLLS_PER_S` times per second.
         """
         while True:
-            stored = await self._platform.read(HEAD_KEY)
-            if isinstance(stored, Stored):
-                self._offer_stored(stored)
-            self.inbox.send_nowait(_PlatformRead())
+            with self._barrier.confine("poll"):
+                stored = await self._platform.read(HEAD_KEY)
+                if isinstance(stored, Stored):
+                    self._offer_stored(stored)
+            post(self.inbox, _PlatformRead())
             interval_s = max(MIN_POLL_INTERVAL_S, len(self._view.alive) / TOTAL_POLLS_PER_S)
             await anyio.sleep(interval_s * (0.75 + 0.5 * self._random.random()))
 
     def _offer_stored(self, stored: Stored) -> None:
-        self.inbox.send_nowait(Offer(revision_of(stored.value), stored.value, ""))
+        post(self.inbox, Offer(revision_of(stored.value), stored.value, ""))
 
     async def _send_later(self, seconds: float, message: TablesInput) -> None:
         await anyio.sleep(seconds)
-        self.inbox.send_nowait(message)
+        post(self.inbox, message)
 
 
 __all__ = ["TableCopy", "TableInForce", "Tables", "TablesInput"]
--- a/src/redwingbank/tasks/ticket.py
+++ b/src/redwingbank/tasks/ticket.py
@@ -8,6 +8,7 @@
 import anyio
 
 from redwingbank.rules.lifecycle import Lifecycle, Step
+from redwingbank.tasks.mailbox import post
 
 if TYPE_CHECKING:
     from redwingbank.codes import Code
@@ -49,7 +50,7 @@
 
     def decide(self, decision: Grant | Refused) -> None:
         """Send a decision to the caller's task; it stays unread if the caller has disconnected."""
-        self._decide.send_nowait(decision)
+        post(self._decide, decision)
 
     def grant(self, grant: Grant, now_s: float) -> None:
         """Assign the request to a backend server."""
--- a/tests/ports/caller.feature
+++ b/tests/ports/caller.feature
@@ -73,6 +73,38 @@
     And the caller asks for 60 tokens, streamed
     Then the caller gets the one expected answer, complete
 
+  Scenario: a task that has ended does not take the daemon down
+    Given a caller of a separate deployment
+    When the inbox of the caller's allocate task is closed
+    Then the caller's daemon still answers after 1 s
+
+  Scenario Outline: an unexpected error in <step> fails one request, not the daemon
+    Given a caller of a separate deployment
+    When <step> of the caller's dispatch task fails once
+    And the caller sends "a question"
+    Then the caller is refused with 500, code 1500 and ran "no"
+    And the caller's daemon still serves after 1 s
+    And the caller's daemon has recorded an internal error without its text
+
+    Examples:
+      | step                 |
+      | admission            |
+      | the choice of server |
+
+  Scenario Outline: an unexpected error in the <task> task does not end the daemon
+    Given a caller of a separate deployment
+    When the <task> task of the caller's daemon fails once
+    Then the caller's daemon still serves after 1 s
+    And the caller's daemon has recorded an internal error without its text
+
+    Examples:
+      | task     |
+      | allocate |
+      | members  |
+      | tables   |
+      | loads    |
+      | orders   |
+
   Scenario: an internal error of the router is answered with a result code
     Given a caller of a separate deployment
     When the caller's daemon has an internal error
--- a/tests/steps/ports_caller.py
+++ b/tests/steps/ports_caller.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import json
+import math
+import time
 
+import anyio
 from behave import given, then, when
 
 from embedded import KEY, MODEL, SERVICE, Embedded, streamed_text
@@ -39,6 +42,7 @@
     ),
     "an unknown path": ("POST", "/v2/nothing", body(), {}),
     "a wrong method": ("GET", CHAT, b"", {}),
+    "a question": ("POST", CHAT, body(), {}),
     "an unknown service": ("POST", "/services/nobody/x", b"{}", {}),
 }
 FAULTS = {
@@ -198,6 +202,83 @@
     context.deployment.set_faults("engine-1", close_early=1, close_after_tokens=tokens)
 
 
+SECRET = "text of a prompt"
+
+
+def fail_once(owner, name):
+    """Make a method raise an error on its next call."""
+    method = getattr(owner, name)
+
+    def failing(*arguments, **keywords):
+        setattr(owner, name, method)
+        raise RuntimeError(SECRET)
+
+    setattr(owner, name, failing)
+
+
+@when("the inbox of the caller's allocate task is closed")
+def closed_inbox(context):
+    daemon = context.deployment.daemons[0]
+
+    async def close():
+        outbox, inbox = anyio.create_memory_object_stream(math.inf)
+        inbox.close()
+        daemon._allocate_outbox = outbox
+
+    context.deployment.portal.call(close)
+
+
+@when("{step} of the caller's dispatch task fails once")
+def dispatch_fails(context, step):
+    dispatch = context.deployment.daemons[0].dispatch
+    owner, name = {
+        "admission": (dispatch._limits, "admit"),
+        "the choice of server": (dispatch._fleet, "choose"),
+    }[step]
+    context.deployment.portal.call(fail_once, owner, name)
+
+
+@when("the {task} task of the caller's daemon fails once")
+def task_fails(context, task):
+    daemon = context.deployment.daemons[0]
+    owner, name = {
+        "allocate": (daemon._allocate, "tick"),
+        "members": (daemon.links._members, "_tick"),
+        "tables": (daemon.platform, "read"),
+        "loads": (daemon._engines, "read_load"),
+        "orders": (next(iter(daemon._orders.orders_by_pool.values())), "tick"),
+    }[task]
+    context.deployment.portal.call(fail_once, owner, name)
+
+
+@then("the caller's daemon still answers after {seconds:d} s")
+def still_answers(context, seconds):
+    time.sleep(seconds)
+    answer = context.deployment.request("GET", "/v1/models")
+    assert answer.status == 200, answer
+
+
+@then("the caller's daemon still serves after {seconds:d} s")
+def still_serves(context, seconds):
+    still_answers(context, seconds)
+    answer = context.deployment.request("POST", CHAT, body())
+    assert answer.status == 200, answer
+    assert answer.complete, answer
+
+
+@then("the caller's daemon has recorded an internal error without its text")
+def internal_error_recorded(context):
+    daemon = context.deployment.daemons[0]
+    limit_s = time.monotonic() + 10
+    while time.monotonic() < limit_s:
+        lines = [line for line in daemon.events.recent if line["event"] == "internal-error"]
+        if lines:
+            break
+        time.sleep(0.1)
+    assert lines
+    assert SECRET not in str(lines), lines
+
+
 @when("the caller's daemon has an internal error")
 def caller_internal_error(context):
     context.deployment.daemons[0]._caller_app._directory = object()
