Bound the head of an answer while it is still incomplete

Cause: sizes were counted when the parser reports a complete header, and of answers not at all; httptools gathers an incomplete line without limit.

Change: bytes that bring neither a head nor a part of a body are counted as they come, for answers and requests. AnswerLimits (a settings object: bytes, lines, interim answers) holds for heads, trailers and the framing of chunks; past it the attempt fails as garbage, the connection is closed. The store's answers have the same limits and one of 16 MB for the body.

Engines and services of the daemon are read by h11, which bounds a head at 100 KB; its listener (uvicorn) isn't bounded yet.

--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from redwingbank.front.outbound import ConnectionPool
+from redwingbank.front.wire import DEFAULT_ANSWER_LIMITS
 from redwingbank.model import Outcome
 from redwingbank.routing.load import ServerLoad
 from redwingbank.routing.targets import PauseEstimate
@@ -15,6 +16,7 @@
 
     from redwingbank.front.attempt import Failure
     from redwingbank.front.values import ServerEntry
+    from redwingbank.front.wire import AnswerLimits
 
 # Shorter than the servers' idle timeouts of several seconds, after which they close connections
 # without notice.
@@ -24,9 +26,11 @@
 class Backend:
     """The connections, circuit breaker and load of one backend server."""
 
-    def __init__(self, entry: ServerEntry, random: Random, pauses: PauseEstimate) -> None:
+    def __init__(
+        self, entry: ServerEntry, random: Random, pauses: PauseEstimate, limits: AnswerLimits
+    ) -> None:
         self.entry = entry
-        self.connections = ConnectionPool(entry.address, KEEP_IDLE_S)
+        self.connections = ConnectionPool(entry.address, KEEP_IDLE_S, limits)
         self.breaker = Breaker(random)
         self.load = ServerLoad(pauses)
 
@@ -34,9 +38,10 @@
 class Backends:
     """All backend servers in use, by name."""
 
-    def __init__(self, random: Random) -> None:
+    def __init__(self, random: Random, limits: AnswerLimits = DEFAULT_ANSWER_LIMITS) -> None:
         self.backends_by_name: dict[str, Backend] = {}
         self._random = random
+        self._limits = limits
         self._pauses_by_pool: dict[str, PauseEstimate] = {}
 
     def get_or_create(self, entry: ServerEntry) -> Backend:
@@ -44,7 +49,8 @@
         backend = self.backends_by_name.get(entry.name)
         if backend is None:
             pauses = self._pauses_by_pool.setdefault(entry.pool, PauseEstimate())
-            backend = self.backends_by_name[entry.name] = Backend(entry, self._random, pauses)
+            backend = Backend(entry, self._random, pauses, self._limits)
+            self.backends_by_name[entry.name] = backend
         if backend.entry.started_ms != entry.started_ms:
             backend.load.cache.clear()
         backend.entry = entry
--- a/src/redwingbank/front/outbound.py
+++ b/src/redwingbank/front/outbound.py
@@ -8,10 +8,10 @@
 from typing import TYPE_CHECKING, Protocol
 
 from redwingbank.front.clock import now_s
-from redwingbank.front.wire import AnswerReader, WireError
+from redwingbank.front.wire import DEFAULT_ANSWER_LIMITS, AnswerReader, WireError
 
 if TYPE_CHECKING:
-    from redwingbank.front.wire import AnswerHead
+    from redwingbank.front.wire import AnswerHead, AnswerLimits
     from redwingbank.settings import Address
 
 # A handshake takes 20 ms across the fleet; a lost packet of it is sent again after a second.
@@ -57,7 +57,7 @@
 
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
-        self._reader = AnswerReader(self)
+        self._reader = AnswerReader(self, pool.limits)
         self._transport: asyncio.Transport | None = None
         self._reply: Reply | None = None
         self._reusable = True
@@ -175,8 +175,11 @@
     The most recently used one is reused first, so that surplus connections expire.
     """
 
-    def __init__(self, address: Address, idle_s: float) -> None:
+    def __init__(
+        self, address: Address, idle_s: float, limits: AnswerLimits = DEFAULT_ANSWER_LIMITS
+    ) -> None:
         self.address = address
+        self.limits = limits
         self.opened = 0
         self.idle_s = idle_s
         self._free: list[Connection] = []
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -48,7 +48,7 @@
         self.metrics = Metrics()
         self.tables = TableState(settings.bounds)
         self.servers = ServerRegistry()
-        self.backends = Backends(random)
+        self.backends = Backends(random, settings.answer_limits)
         place = Place(settings.data_centre, settings.link_mbps)
         self.peers = Peers(settings.name, time.time_ns(), self.backends, self.log, place)
         self.poison = PoisonTracker(self.peers.broadcast, self.log)
--- a/src/redwingbank/front/store.py
+++ b/src/redwingbank/front/store.py
@@ -8,7 +8,7 @@
 import anyio
 
 from redwingbank.front.clock import now_s
-from redwingbank.front.outbound import ConnectionPool
+from redwingbank.front.outbound import ConnectionPool, Loss
 from redwingbank.platform.objects import (
     STATUS_HISTORY_GONE,
     MalformedError,
@@ -22,7 +22,6 @@
     from collections.abc import Callable, Sequence
     from random import Random
 
-    from redwingbank.front.outbound import Loss
     from redwingbank.front.wire import AnswerHead
     from redwingbank.platform.objects import Change, StoredObject
     from redwingbank.settings import Address
@@ -40,6 +39,8 @@
 # a call per change and host.
 CHANGE_BATCH_S = 0.6
 KEEP_IDLE_S = 5.0
+# several times the longest page of a listing
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 STATUS_OK = 200
 
 
@@ -55,6 +56,7 @@
     """Collects the answer to one call."""
 
     def __init__(self) -> None:
+        self.answered = False
         self.done: asyncio.Future[tuple[int, bytes]] = asyncio.get_running_loop().create_future()
         self._status = 0
         self._body = bytearray()
@@ -64,11 +66,15 @@
         self._status = head.status
 
     def body_received(self, data: bytes) -> None:
-        """Append to the body."""
+        """Append to the body; one that is too long fails the call."""
         self._body += data
+        if len(self._body) > MAX_ANSWER_BYTES:
+            self._body.clear()
+            self.answer_lost(Loss.GARBAGE, "answer is too long")
 
     def answer_completed(self) -> None:
         """Return the complete answer to the caller."""
+        self.answered = True
         if not self.done.done():
             self.done.set_result((self._status, bytes(self._body)))
 
@@ -122,7 +128,7 @@
         except (TimeoutError, OSError) as error:
             raise StoreError(str(error) or "timeout") from error
         finally:
-            if connection and not call.done.done():
+            if connection and not call.answered:
                 connection.abort()
 
 
--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from redwingbank.front.wire import DEFAULT_ANSWER_LIMITS, AnswerLimits
 from redwingbank.settings import Address  # noqa: TC001 - a field's type
 
 # The platform's callers wait at least this long for an event.
@@ -184,6 +185,7 @@
     bounds: Bounds
     peer: Address
     link_mbps: float = 0.0
+    answer_limits: AnswerLimits = DEFAULT_ANSWER_LIMITS
 
 
 __all__ = [
--- a/src/redwingbank/front/wire.py
+++ b/src/redwingbank/front/wire.py
@@ -9,10 +9,25 @@
 Header = tuple[bytes, bytes]
 
 FIRST_FINAL_STATUS = 200
+# Bytes of an incomplete head, with the separators that the limit on headers does not count.
+PENDING_FACTOR = 2
 # Answers with these statuses never have a body (RFC 9110, section 6.4.1).
 STATUSES_WITHOUT_BODY = frozenset({204, 304})
 
 
+class AnswerLimits(NamedTuple):
+    """Limits of what a backend server or the store sends beside the body of an answer.
+
+    They hold for a head, for the trailers of a body and for the framing of its chunks.
+    `header_bytes` counts the bytes, `headers` the lines; at most `interim_answers` (1xx) may come
+    before an answer.
+    """
+
+    header_bytes: int = 65_536
+    headers: int = 256
+    interim_answers: int = 16
+
+
 class RequestHead(NamedTuple):
     """A request's first line and headers, as received."""
 
@@ -39,6 +54,9 @@
         self.status = status
 
 
+DEFAULT_ANSWER_LIMITS = AnswerLimits()
+
+
 class RequestSink(Protocol):
     """Receives the events of a `RequestReader`."""
 
@@ -65,12 +83,15 @@
         self._head: RequestHead | None = None
         self._body = bytearray()
         self._header_bytes = 0
+        self._pending_bytes = 0
 
     def feed(self, data: bytes) -> None:
         """Parse bytes from the connection.
 
         :raises WireError: if they are not a valid request; nothing can be read after it
         """
+        # the parser reports a header when it is complete, so its bytes are counted here too
+        self._pending_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
@@ -80,6 +101,8 @@
             raise cause if isinstance(cause, WireError) else WireError(400, str(error)) from error
         except httptools.HttpParserError as error:
             raise WireError(400, str(error)) from error
+        if self._pending_bytes > PENDING_FACTOR * self.header_limit > 0:
+            raise WireError(431, "headers exceed the size limit")
 
     def on_message_begin(self) -> None:
         """Start a request."""
@@ -103,6 +126,7 @@
 
     def on_headers_complete(self) -> None:
         """Pass the head to the sink."""
+        self._pending_bytes = 0
         parser = self._parser
         self._head = RequestHead(
             parser.get_method(),
@@ -114,12 +138,14 @@
 
     def on_body(self, data: bytes) -> None:
         """Collect the body."""
+        self._pending_bytes = 0
         if len(self._body) + len(data) > self.body_limit > 0:
             raise WireError(413, "body exceeds the size limit")
         self._body += data
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the sink."""
+        self._pending_bytes = 0
         assert self._head is not None
         body, self._body = bytes(self._body), bytearray()
         self._sink.request_completed(self._head, body)
@@ -146,8 +172,13 @@
 class AnswerReader:
     """Reads the answers of one connection; interim (1xx) answers are skipped."""
 
-    def __init__(self, sink: AnswerSink) -> None:
+    def __init__(self, sink: AnswerSink, limits: AnswerLimits = DEFAULT_ANSWER_LIMITS) -> None:
         self._sink = sink
+        self._limits = limits
+        self._pending_bytes = 0
+        self._header_bytes = 0
+        self._header_lines = 0
+        self._interim_answers = 0
         self._parser = httptools.HttpResponseParser(self)
         self._reason = b""
         self._headers: list[Header] = []
@@ -165,15 +196,20 @@
 
         :raises WireError: if they are not a valid answer
         """
+        # the parser reports a header when it is complete, so its bytes are counted here too
+        self._pending_bytes += len(data)
         try:
             self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
             raise WireError(502, "unexpected upgrade") from error
         except httptools.HttpParserError as error:
             raise WireError(502, str(error)) from error
+        if self._pending_bytes > self._limits.header_bytes:
+            raise WireError(502, "header exceeds the size limit")
 
     def on_message_begin(self) -> None:
         """Start an answer."""
+        self._header_bytes = self._header_lines = 0
         self._headers = []
         self._reason = b""
         self._headed = False
@@ -183,7 +219,13 @@
         self._reason += reason
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Collect a header."""
+        """Collect a header; trailers after the body are dropped."""
+        self._header_bytes += len(name) + len(value)
+        self._header_lines += 1
+        if self._header_bytes > self._limits.header_bytes:
+            raise WireError(502, "headers exceed the size limit")
+        if self._header_lines > self._limits.headers:
+            raise WireError(502, "too many headers")
         if not self._headed:
             self._headers.append((name, value))
 
@@ -192,8 +234,13 @@
         status = self._parser.get_status_code()
         self._interim = status < FIRST_FINAL_STATUS
         if self._interim:
+            self._interim_answers += 1
+            if self._interim_answers > self._limits.interim_answers:
+                raise WireError(502, "too many interim answers")
             return
         self._headed = True
+        self._pending_bytes = self._header_bytes = self._header_lines = 0
+        self._interim_answers = 0
         self._sized = status in STATUSES_WITHOUT_BODY or any(
             name.lower() in {b"content-length", b"transfer-encoding"} for name, _ in self._headers
         )
@@ -202,17 +249,21 @@
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body to the sink."""
+        self._pending_bytes = 0
         self._sink.answer_body_received(data)
 
     def on_message_complete(self) -> None:
         """Report the end of the answer, unless it is interim."""
         if not self._interim:
+            self._pending_bytes = 0
             self._headed = False
             self._sink.answer_completed(keep_alive=self._parser.should_keep_alive())
 
 
 __all__ = [
+    "DEFAULT_ANSWER_LIMITS",
     "AnswerHead",
+    "AnswerLimits",
     "AnswerReader",
     "AnswerSink",
     "RequestHead",
--- a/src/redwingbank/platform/settings.py
+++ b/src/redwingbank/platform/settings.py
@@ -9,6 +9,7 @@
 
 from redwingbank.errors import SettingError, SettingErrors
 from redwingbank.front.values import Bounds, HostSettings
+from redwingbank.front.wire import AnswerLimits
 from redwingbank.settings import Address, parse_address
 
 if TYPE_CHECKING:
@@ -75,6 +76,7 @@
         bounds=_bounds(reader),
         peer=Address(host or "", ports[PEER_PORT_INDEX] if ports else 0),
         link_mbps=reader.read("limits.linkMbps", _number, NUMBER, 0.0),
+        answer_limits=_answer_limits(reader),
     )
     if reader.errors:
         raise SettingErrors(f"{file}: {len(reader.errors)} invalid settings", reader.errors)
@@ -99,6 +101,20 @@
     return Bounds(**values)
 
 
+def _answer_limits(reader: _Reader) -> AnswerLimits:
+    default = AnswerLimits()
+    fields = (
+        ("headerBytes", "header_bytes"),
+        ("headers", "headers"),
+        ("interimAnswers", "interim_answers"),
+    )
+    values = {
+        name: int(reader.read(f"answerLimits.{key}", _number, NUMBER, getattr(default, name)))
+        for key, name in fields
+    }
+    return AnswerLimits(**values)
+
+
 class _Reader:
     """Reads values of a document by key path and collects the errors."""
 
--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -38,7 +38,9 @@
     Modes with a single response: ok, error, shed, lost, garbage, unsigned, foreign, extra, cut,
     unsized, unsized-reset, encoded. Modes with a stream: stream, broken (reset in the middle of
     the third event), endless, and three without a length: unsized-stream, unsized-broken (closed
-    in the middle of the third event), unsized-empty (closed after the head). In mode hang no
+    in the middle of the third event), unsized-empty (closed after the head). In modes
+    endless-line, endless-headers, endless-interim and endless-trailers the head or the trailers
+    go on until the peer closes, after 64 MB at most; `flood_bytes` counts them. In mode hang no
     response is sent. A server in mode stream crashes in the first event of each answer to a
     prompt with the shared part `crash_part`.
     """
@@ -48,6 +50,7 @@
         self.name = name
         self.mode = mode
         self.crash_part = ""
+        self.flood_bytes = 0
         self.crashed = False
         self.pause_s = 0.0
         self.arrivals: list[ReceivedRequest] = []
@@ -102,6 +105,17 @@
         self.cancelled += await _peer_closes(reader, HANG_S)
         return False
 
+    async def _flood(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter, reader: asyncio.StreamReader
+    ) -> bool:
+        first, repeated = _FLOOD_BY_MODE[self.mode_for(request.target)]
+        writer.write(first.replace(b"%b", request.request_id.encode()))
+        while self.flood_bytes < MAX_FLOOD_BYTES:
+            writer.write(repeated)
+            await writer.drain()
+            self.flood_bytes += len(repeated)
+        return False
+
     async def _send_response(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter, reader: asyncio.StreamReader
     ) -> bool:
@@ -195,9 +209,21 @@
     "unsized-empty",
 )
 
+MAX_FLOOD_BYTES = 64 * 1024 * 1024
+_FLOOD_BY_MODE = {
+    "endless-line": (b"HTTP/1.1 200 x\r\nX-Pad: ", b"x" * 65_536),
+    "endless-headers": (b"HTTP/1.1 200 x\r\n", b"X-Pad: x\r\n" * 4096),
+    "endless-interim": (b"", b"HTTP/1.1 103 x\r\nX-Pad: x\r\n\r\n" * 1024),
+    "endless-trailers": (
+        _head(200, STAMP_HEADER, b"Transfer-Encoding: chunked\r\n") + b"5\r\nwhole\r\n0\r\n",
+        b"X-Pad: x\r\n" * 4096,
+    ),
+}
+
 _METHOD_BY_MODE: dict[str, _AnswerMethod] = {
     **dict.fromkeys(_RESPONSE_BY_MODE, BackendServer._send_response),  # noqa: SLF001 - own methods
     **dict.fromkeys(_STREAM_MODES, BackendServer._send_stream),  # noqa: SLF001
+    **dict.fromkeys(_FLOOD_BY_MODE, BackendServer._flood),  # noqa: SLF001
     "hang": BackendServer._hang,  # noqa: SLF001
 }
 
--- a/tests/front/answers.feature
+++ b/tests/front/answers.feature
@@ -73,6 +73,28 @@
     When a server in mode unsized-broken goes down after a fixed request
     Then one crash is counted against the request
 
+  Scenario Outline: a server whose <what> never ends is cut off
+    When the front's server is in mode <mode> for a single request
+    Then the front answers 502 and the request ran 1 times
+    And the server has sent at most 8 MB
+
+    Examples:
+      | what            | mode             |
+      | header line     | endless-line     |
+      | head            | endless-headers  |
+      | interim answers | endless-interim  |
+      | trailers        | endless-trailers |
+
+  Scenario Outline: a caller whose <what> never ends is cut off
+    When a caller floods the front with <what>
+    Then the caller has sent at most 8 MB within 2 s
+
+    Examples:
+      | what          |
+      | a header line |
+      | headers       |
+      | a target      |
+
   Scenario: answers on one connection keep their order
     When a caller sends 3 requests at once on one connection
     Then the front answers them in order
--- a/tests/steps/front_answers.py
+++ b/tests/steps/front_answers.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import contextlib
+import time
+
 from behave import then, when
 
 from front_rig import HOST, KEY, Rig, request, run_scenario, table
@@ -211,3 +214,39 @@
 def one_crash(context):
     (line,) = [line for line in context.rig.lines if line["event"] == "crash-blamed"]
     assert (line["server"], line["in_a_row"]) == ("i-1", 1)
+
+
+@then("the server has sent at most {megabytes:d} MB")
+def flood_bounded(context, megabytes):
+    (server,) = context.rig.backend_servers
+    assert 0 < server.flood_bytes < megabytes * 1e6, server.flood_bytes
+
+
+@when("a caller floods the front with {what}")
+def caller_flood(context, what):
+    context.rig = Rig()
+    first, repeated = {
+        "a header line": (b"GET / HTTP/1.1\r\nX-Pad: ", b"x" * 65_536),
+        "headers": (b"GET / HTTP/1.1\r\n", b"X-Pad: x\r\n" * 4096),
+        "a target": (b"GET /", b"x" * 65_536),
+    }[what]
+
+    async def scenario(rig):
+        reader, writer = await rig.connect()
+        context.sent, started_s = 0, time.monotonic()
+        writer.write(first)
+        with contextlib.suppress(ConnectionError):
+            while context.sent < 64e6:
+                writer.write(repeated)
+                await writer.drain()
+                context.sent += len(repeated)
+        context.took_s = time.monotonic() - started_s
+        writer.close()
+
+    run_scenario(context.rig, scenario)
+
+
+@then("the caller has sent at most {megabytes:d} MB within {seconds:d} s")
+def caller_bounded(context, megabytes, seconds):
+    assert context.sent < megabytes * 1e6, context.sent
+    assert context.took_s < seconds, context.took_s
