Admit while stopping what can end within the grace period

Cause: requests were admitted in full for a fixed 3 s and connections closed at a fixed 0.6 s before the end, whatever the grace period: with 4 s, what came in the third second and took over 0.4 s was cut.

Change: the time for the balancer's removal and for closing follow from the grace period. A request is admitted if its route's time, or the longest of the class's latest 64 answers where that is shorter, ends within it; without measurements, half of the grace period is taken.

--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -106,7 +106,8 @@
             return
         self._admitted = self._recorder.admitted = admitted
         wait_s = self._wait_s(admitted)
-        if not self._router.shutdown.admits(now_s(), wait_s):
+        longest_s = self._router.durations.longest_s(admitted.route.name)
+        if not self._router.shutdown.admits(now_s(), wait_s, longest_s):
             self._refuse(Code.LEAVING)
             return
         self._request = self._build_request(admitted, wait_s)
--- a/src/redwingbank/front/request_recorder.py
+++ b/src/redwingbank/front/request_recorder.py
@@ -117,6 +117,7 @@
         """Record an answer that was forwarded completely."""
         took_s = now_s() - self._arrived_s
         self._router.observe("answer_seconds", took_s, self._class_name())
+        self._router.durations.record(self._class_name(), took_s)
         self._router.count("answered_total", self._class_name(), status=str(status))
         self._router.log.detail(
             "request-done",
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -17,7 +17,7 @@
 from redwingbank.front.freshness import Freshness
 from redwingbank.front.peers import Peers
 from redwingbank.front.poison import PoisonTracker
-from redwingbank.front.shutdown import Shutdown
+from redwingbank.front.shutdown import AnswerDurations, Shutdown
 from redwingbank.front.values import Limits, Pool
 from redwingbank.metrics import Metrics
 from redwingbank.routing.choice import Chooser
@@ -59,6 +59,7 @@
         self.allowance = RetryAllowance(settings.bounds, lambda: 1 + len(self.peers.peers_by_host))
         self.admission = Admission(self.tables)
         self.shutdown = Shutdown(settings.bounds.grace_s)
+        self.durations = AnswerDurations()
         self.connections: set[InboundConnection] = set()
         self.exchanges: set[Exchange] = set()
 
--- a/src/redwingbank/front/shutdown.py
+++ b/src/redwingbank/front/shutdown.py
@@ -2,20 +2,48 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict, deque
+
 # The balancer checks readiness once per second and removes a host after two failed checks.
 BALANCER_REMOVAL_S = 2.5
-# Requests that arrive within this time are admitted, later ones only if they can end in time.
-FULL_ADMISSION_S = 3.0
-# Part of the grace period reserved for closing connections that have not ended.
-CLOSING_RESERVE_S = 0.6
+# A host keeps listening for new connections until the balancer has surely removed it.
+MIN_STAY_S = 3.0
+# Shares of a grace period: for removal at most, for closing connections, and for a request of a
+# class whose answers have not been measured.
+REMOVAL_SHARE = 1 / 2
+CLOSING_SHARE = 1 / 12
+UNMEASURED_SHARE = 1 / 2
+MEASURED_ANSWERS = 64
+MAX_CLASSES = 256
+
+
+class AnswerDurations:
+    """How long the latest complete answers of each class took, in seconds."""
+
+    def __init__(self) -> None:
+        self._durations_by_class: OrderedDict[str, deque[float]] = OrderedDict()
+
+    def record(self, class_name: str, took_s: float) -> None:
+        """Record a complete answer."""
+        latest = self._durations_by_class.setdefault(class_name, deque(maxlen=MEASURED_ANSWERS))
+        self._durations_by_class.move_to_end(class_name)
+        latest.append(took_s)
+        while len(self._durations_by_class) > MAX_CLASSES:
+            self._durations_by_class.popitem(last=False)
+
+    def longest_s(self, class_name: str) -> float | None:
+        """Return the longest of the latest answers; None if there were none."""
+        return max(self._durations_by_class.get(class_name, ()), default=None)
 
 
 class Shutdown:
     """State of a shutdown, from the signal to the end of the process."""
 
     def __init__(self, grace_s: float) -> None:
-        self._grace_s = grace_s
         self._begun_s: float | None = None
+        self._grace_s = grace_s
+        self._end_s = grace_s * (1 - CLOSING_SHARE)
+        self._removal_s = min(BALANCER_REMOVAL_S, grace_s * REMOVAL_SHARE)
 
     def begin(self, now_s: float) -> bool:
         """Start the shutdown; return False if it had already started."""
@@ -36,26 +64,28 @@
 
     def closes_idle(self, now_s: float) -> bool:
         """Whether connections without a request are closed."""
-        return self._elapsed_s(now_s) >= BALANCER_REMOVAL_S
+        return self._elapsed_s(now_s) >= self._removal_s
 
-    def admits(self, now_s: float, wait_s: float) -> bool:
-        """Whether a request that may take `wait_s` is still admitted."""
-        elapsed_s = self._elapsed_s(now_s)
-        return (
-            elapsed_s < FULL_ADMISSION_S or elapsed_s + wait_s < self._grace_s - CLOSING_RESERVE_S
-        )
+    def admits(self, now_s: float, wait_s: float, longest_s: float | None = None) -> bool:
+        """Whether a request is still admitted, since its answer can end in time.
+
+        `wait_s` is how long the answer may take, `longest_s` how long the latest answers of its
+        class took at most, None if none were measured.
+        """
+        if not self.begun:
+            return True
+        likely_s = self._grace_s * UNMEASURED_SHARE if longest_s is None else longest_s
+        return self._elapsed_s(now_s) + min(wait_s, likely_s) < self._end_s
 
     def finished(self, now_s: float, *, busy: bool) -> bool:
         """Whether the process may end."""
-        elapsed_s = self._elapsed_s(now_s)
         if not self.begun:
             return False
-        return elapsed_s >= self._grace_s - CLOSING_RESERVE_S or (
-            elapsed_s >= FULL_ADMISSION_S and not busy
-        )
+        elapsed_s = self._elapsed_s(now_s)
+        return elapsed_s >= self._end_s or (elapsed_s >= MIN_STAY_S and not busy)
 
     def _elapsed_s(self, now_s: float) -> float:
         return 0.0 if self._begun_s is None else now_s - self._begun_s
 
 
-__all__ = ["Shutdown"]
+__all__ = ["AnswerDurations", "Shutdown"]
--- a/tests/front/shutdown.feature
+++ b/tests/front/shutdown.feature
@@ -15,6 +15,18 @@
     Then the front streams events 1 to 4 completely
     And the host is not ready but its listener is open
 
+  Scenario Outline: callers that keep their connections are not cut by a grace period of <grace> s
+    When 40 callers keep sending requests that take <took> s to a host that ends after <grace> s
+    Then each request that reached a server was answered completely
+    And the callers' other requests were refused with a time to return
+    And the host served for at least <served> s after the signal
+
+    Examples:
+      | grace | took | served |
+      | 2     | 0.3  | 1.0    |
+      | 4     | 0.6  | 2.5    |
+      | 8     | 0.6  | 3.0    |
+
   Scenario Outline: the end of the process
     Given a host that shuts down with 8 s of grace
     Then after <since> s with <requests> requests it <does>
--- a/tests/steps/front_shutdown.py
+++ b/tests/steps/front_shutdown.py
@@ -2,6 +2,9 @@
 
 from __future__ import annotations
 
+import asyncio
+import time
+
 from behave import given, then, when
 
 from front_rig import Rig, request, run_scenario, table
@@ -68,3 +71,85 @@
 def ends(context, since, requests, does):
     over = context.shutdown.finished(100.0 + since, busy=requests > 0)
     assert over == (does == "ends")
+
+
+class SteadyCaller:
+    """A caller that sends one request after the other on a connection as long as it can."""
+
+    def __init__(self, number):
+        self.number = number
+        self.answers = {}
+        self.sent = 0
+
+    async def run(self, rig, until):
+        while not until.is_set():
+            try:
+                reader, writer = await rig.connect()
+            except OSError:
+                return
+            while not until.is_set() and await self.ask(reader, writer):
+                pass
+            writer.close()
+
+    async def ask(self, reader, writer):
+        """Send a request; return whether the connection may be used again."""
+        self.sent += 1
+        name = f"r-{self.number}-{self.sent}"
+        try:
+            writer.write(request("read", request_id=name, close=False))
+            head = await reader.readuntil(b"\r\n\r\n")
+            headers = dict(line.split(b": ", 1) for line in head.lower().split(b"\r\n")[1:-2])
+            await reader.readexactly(int(headers[b"content-length"]))
+        except (OSError, asyncio.IncompleteReadError):
+            return False
+        self.answers[name] = int(head.split()[1]), headers.get(b"retry-after")
+        return headers.get(b"connection") != b"close"
+
+
+@when(
+    "{count:d} callers keep sending requests that take {took:g} s"
+    " to a host that ends after {grace:d} s"
+)
+def steady_callers(context, count, took, grace):
+    context.rig = Rig(modes=["ok"] * 4, graceS=grace)
+    context.callers = [SteadyCaller(number) for number in range(count)]
+
+    async def scenario(rig):
+        for server in rig.backend_servers:
+            server.pause_s = took
+        gone = asyncio.Event()
+        callers = [asyncio.create_task(one.run(rig, gone)) for one in context.callers]
+        await asyncio.sleep(2 * took + 0.5)
+        context.signal_s = time.monotonic()
+        rig.front.router.shutdown.begin(now_s())
+        await rig.until(rig._task.done, within_s=grace + 2)
+        gone.set()
+        # the end of a process closes its connections
+        for connection in list(rig.front.router.connections):
+            connection._transport.abort()
+        await asyncio.gather(*callers)
+
+    run_scenario(context.rig, scenario)
+
+
+@then("each request that reached a server was answered completely")
+def reached_answered(context):
+    answers = {name: answer for one in context.callers for name, answer in one.answers.items()}
+    lost = [
+        run.request_id for run in context.rig.runs() if answers.get(run.request_id, (0,))[0] != 200
+    ]
+    assert not lost, (len(lost), len(context.rig.runs()), lost[:5])
+
+
+@then("the callers' other requests were refused with a time to return")
+def others_refused(context):
+    reached = {run.request_id for run in context.rig.runs()}
+    answers = {name: answer for one in context.callers for name, answer in one.answers.items()}
+    others = {answers[name] for name in answers.keys() - reached}
+    assert all(status == 503 and retry for status, retry in others), others
+
+
+@then("the host served for at least {seconds:g} s after the signal")
+def served_for(context, seconds):
+    last_s = max(run.received_s for run in context.rig.runs())
+    assert last_s - context.signal_s >= seconds, last_s - context.signal_s
