Keep a front running when a background task or a request fails

What operators told: one unexpected error took a whole process down. Here it could: an error in the housekeeping, in a watch's handler or in the list of hosts ended the front with all its streams; one in a request's start left its caller without an answer until the caller's time-out.

Change: ErrorBarrier moves to redwingbank.error_barrier and serves both.

--- a/src/redwingbank/daemon.py
+++ b/src/redwingbank/daemon.py
@@ -10,6 +10,7 @@
 import anyio
 import uvicorn
 
+from redwingbank.error_barrier import ErrorBarrier
 from redwingbank.events import EventLog
 from redwingbank.links import Inboxes, Links
 from redwingbank.messages import Notice
@@ -30,7 +31,7 @@
 from redwingbank.tasks.allocate import AllocateInput, AllocateTask, Capacity, Hosts, Outgoing
 from redwingbank.tasks.dispatch import Dispatch
 from redwingbank.tasks.loads import LoadReader, Plan, Watched
-from redwingbank.tasks.mailbox import ErrorBarrier, post
+from redwingbank.tasks.mailbox import post
 from redwingbank.tasks.orders import OrdersTask
 from redwingbank.tasks.records import Recorder
 from redwingbank.tasks.reports import DrainServer, Release
@@ -62,7 +63,7 @@
         self.incarnation = int(time.time() * US_PER_S)
         self.events = EventLog(settings.host, settings.data_centre, settings.events)
         self.metrics = Metrics()
-        self._barrier = ErrorBarrier(self.events, "daemon")
+        self._barrier = ErrorBarrier(self.events.record, "daemon")
         self.platform = HttpPlatform(settings)
         self._backend = BackendClient(settings)
         self._engines = EngineClient(self._backend)
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -123,6 +123,11 @@
         self._timer = loop.call_later(max(0.0, left_s) + TIMEOUT_GRACE_S, self._time_out)
         self._send()
 
+    def fail_internally(self) -> None:
+        """End the request after an unexpected error, unless it has ended."""
+        if not self._closed:
+            self._fail(Code.INTERNAL)
+
     def cancel(self) -> None:
         """Cancel the request after the caller has closed its connection."""
         if self._closed:
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -6,6 +6,7 @@
 import os
 import signal
 import sys
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING
 
@@ -27,6 +28,7 @@
 from redwingbank.platform.settings import read_host_settings, settings_path
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
     from pathlib import Path
 
     from redwingbank.front.values import HostSettings
@@ -37,6 +39,8 @@
 HOUSEKEEPING_S = 0.1
 # interval of checks whether the settings file has changed without a signal
 SETTINGS_CHECK_S = 1.0
+# pause before a background task that failed starts again
+RESTART_S = 1.0
 
 
 class Front:
@@ -66,15 +70,23 @@
         async with anyio.create_task_group() as group:
             group.start_soon(self._signals)
             for watcher in watchers:
-                group.start_soon(watcher.run)
-            group.start_soon(self._blocks.run)
+                group.start_soon(self._keep_running, watcher.run)
+            group.start_soon(self._keep_running, self._blocks.run)
             host, peers = settings.name, router.peers
-            group.start_soon(discover_hosts, self._store, host, settings.peer, peers, router.log)
+            discover = partial(discover_hosts, self._store, host, settings.peer, peers, router.log)
+            group.start_soon(self._keep_running, discover)
             await self._run_housekeeping()
             group.cancel_scope.cancel()
         router.log.essential("stopped", unanswered=len(router.exchanges))
         router.log.flush()
 
+    async def _keep_running(self, run: Callable[[], Awaitable[None]]) -> None:
+        """Run a task until cancelled; start it again after an unexpected error."""
+        while True:
+            with self.router.barrier.confine("background task"):
+                await run()
+            await anyio.sleep(RESTART_S)
+
     def _create_watchers(self) -> tuple[Watcher, ...]:
         """Create the watchers of the table, of the servers and of the blocks."""
         store, freshness, random = self._store, self.router.freshness, self.router.random
@@ -112,23 +124,34 @@
         while not shutdown.finished(now_s(), busy=bool(router.exchanges)):
             await anyio.sleep(HOUSEKEEPING_S)
             now = now_s()
-            for connection in list(router.connections):
-                connection.check_timeouts(now)
-                if shutdown.closes_idle(now):
-                    connection.close_idle()
-            self._servers.expire()
-            self._blocks.expire(now)
-            router.backends.expire(now)
-            router.peers.expire(now)
-            router.peers.send_heartbeat()
+            with router.barrier.confine("connections"):
+                self._check_connections(now)
+            with router.barrier.confine("expiry"):
+                self._servers.expire()
+                self._blocks.expire(now)
+                router.backends.expire(now)
+                router.peers.expire(now)
+            with router.barrier.confine("heartbeat"):
+                router.peers.send_heartbeat()
             router.log.flush()
             if now >= next_ask_s:
                 next_ask_s = now + ASK_INTERVAL_S
-                router.freshness.update_role()
+                with router.barrier.confine("freshness"):
+                    router.freshness.update_role()
             if now >= next_check_s:
                 next_check_s = now + SETTINGS_CHECK_S
-                if _mtime_ns(self._path) != self._settings_mtime_ns:
-                    self._reload("file changed")
+                with router.barrier.confine("settings"):
+                    self._check_settings()
+
+    def _check_connections(self, now: float) -> None:
+        for connection in list(self.router.connections):
+            connection.check_timeouts(now)
+            if self.router.shutdown.closes_idle(now):
+                connection.close_idle()
+
+    def _check_settings(self) -> None:
+        if _mtime_ns(self._path) != self._settings_mtime_ns:
+            self._reload("file changed")
 
     def _reload(self, reason: str) -> None:
         self._settings_mtime_ns = _mtime_ns(self._path)
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -7,6 +7,7 @@
 
 from redwingbank.codes import Code
 from redwingbank.decisions import DecisionLog
+from redwingbank.error_barrier import ErrorBarrier
 from redwingbank.front.admission import Admission
 from redwingbank.front.allowance import RetryAllowance
 from redwingbank.front.backends import Backends
@@ -45,6 +46,7 @@
         self.settings = settings
         self.random = random
         self.log = DecisionLog(settings.name, settings.data_centre)
+        self.barrier = ErrorBarrier(self.log.essential, "front")
         self.metrics = Metrics()
         self.tables = TableState(settings.bounds)
         self.servers = ServerRegistry()
--- a/src/redwingbank/links.py
+++ b/src/redwingbank/links.py
@@ -7,11 +7,12 @@
 
 import anyio
 
+from redwingbank.error_barrier import ErrorBarrier
 from redwingbank.messages import Allocation, Demand, Notice, Received
 from redwingbank.ports.peers import Peers
 from redwingbank.ports.pulls import Pulls
 from redwingbank.rules.membership import Membership
-from redwingbank.tasks.mailbox import ErrorBarrier, post
+from redwingbank.tasks.mailbox import post
 from redwingbank.tasks.members import (
     AnnounceRevision,
     Leave,
@@ -65,7 +66,7 @@
         self._events = events
         self._inboxes = inboxes
         self._members: Members | None = None
-        self._barrier = ErrorBarrier(events, "links")
+        self._barrier = ErrorBarrier(events.record, "links")
 
     @property
     def view(self) -> MemberView:
--- a/src/redwingbank/tasks/allocate.py
+++ b/src/redwingbank/tasks/allocate.py
@@ -7,12 +7,13 @@
 
 import anyio
 
+from redwingbank.error_barrier import ErrorBarrier
 from redwingbank.events import EventLog
 from redwingbank.messages import LIMITS_POOL, Allocation, Demand, Received
 from redwingbank.rules.allocator import Allocator
 from redwingbank.rules.limit_shares import LimitShares
 from redwingbank.rules.table import Table
-from redwingbank.tasks.mailbox import ErrorBarrier, post
+from redwingbank.tasks.mailbox import post
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -80,7 +81,7 @@
         self._table: Table | None = None
         self._alive: frozenset[str] | None = None
         events = events or EventLog(settings.host, settings.data_centre)
-        self._barrier = ErrorBarrier(events, "allocate")
+        self._barrier = ErrorBarrier(events.record, "allocate")
 
     @singledispatchmethod
     def handle(self, message: object) -> None:
--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -11,6 +11,7 @@
 import anyio
 
 from redwingbank.codes import Code, Ran
+from redwingbank.error_barrier import ErrorBarrier
 from redwingbank.messages import Allocation, Notice, Received
 from redwingbank.model import Outcome
 from redwingbank.rules import retry
@@ -21,7 +22,7 @@
 from redwingbank.rules.quarantine import Allowed, Blocked, Quarantine, Suspect
 from redwingbank.rules.roster import MemberView
 from redwingbank.rules.table import Table
-from redwingbank.tasks.mailbox import ErrorBarrier, post
+from redwingbank.tasks.mailbox import post
 from redwingbank.tasks.news import DRAIN_NOTICE, NoticePublisher
 from redwingbank.tasks.reports import DrainServer, Release, Reported, Unreachable
 from redwingbank.tasks.slots import Slots
@@ -81,7 +82,7 @@
         self._notices = NoticePublisher(settings.host, events, self._send, number)
         self._ticket_by_id: dict[str, Ticket] = {}
         self._parked: list[Request] = []
-        self._barrier = ErrorBarrier(events, "dispatch")
+        self._barrier = ErrorBarrier(events.record, "dispatch")
         self._changed_pools: set[str] = set()
         self.inbox, self._messages = anyio.create_memory_object_stream[object](math.inf)
         self.outbox, self.outgoing = anyio.create_memory_object_stream[object](math.inf)
--- a/src/redwingbank/tasks/loads.py
+++ b/src/redwingbank/tasks/loads.py
@@ -6,9 +6,10 @@
 
 import anyio
 
+from redwingbank.error_barrier import ErrorBarrier
 from redwingbank.events import EventLog
 from redwingbank.ports.engine import LoadFailure
-from redwingbank.tasks.mailbox import ErrorBarrier, post
+from redwingbank.tasks.mailbox import post
 from redwingbank.tasks.reports import Reported, Unreachable
 
 if TYPE_CHECKING:
@@ -62,7 +63,7 @@
         self._busy: set[str] = set()
         self._waiting: dict[str, Watched] = {}
         events = events or EventLog(settings.host, settings.data_centre)
-        self._barrier = ErrorBarrier(events, "loads")
+        self._barrier = ErrorBarrier(events.record, "loads")
 
     async def run(self, plans: MemoryObjectReceiveStream[Plan]) -> None:
         """Read until cancelled."""
--- a/src/redwingbank/tasks/members.py
+++ b/src/redwingbank/tasks/members.py
@@ -10,9 +10,10 @@
 
 import anyio
 
+from redwingbank.error_barrier import ErrorBarrier
 from redwingbank.messages import Heartbeat, MemberState, Notice, Received
 from redwingbank.ports.platform import Unknown
-from redwingbank.tasks.mailbox import ErrorBarrier, post
+from redwingbank.tasks.mailbox import post
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -111,7 +112,7 @@
         self._pulling = False
         self._highest_revision = 0
         self._leaves_to_send = 0
-        self._barrier = ErrorBarrier(events, "members")
+        self._barrier = ErrorBarrier(events.record, "members")
 
     @property
     def view(self) -> MemberView:
--- a/src/redwingbank/tasks/orders.py
+++ b/src/redwingbank/tasks/orders.py
@@ -13,12 +13,12 @@
 
 import anyio
 
+from redwingbank.error_barrier import ErrorBarrier
 from redwingbank.rules.lease import Lease
 from redwingbank.rules.orders import LOAD_KINDS, desired_states, plan_orders
 from redwingbank.rules.table import Table
 from redwingbank.rules.token_bucket import TokenBucket
 from redwingbank.tasks.leases import LeaseKeeper
-from redwingbank.tasks.mailbox import ErrorBarrier
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -135,7 +135,7 @@
         self._table: Table | None = None
         self._view: MemberView | None = None
         self.orders_by_pool: dict[str, PoolOrders] = {}
-        self._barrier = ErrorBarrier(events, "orders")
+        self._barrier = ErrorBarrier(events.record, "orders")
 
     def update(self, value: Table | MemberView) -> None:
         """Apply a new table or a new view of the members."""
--- a/src/redwingbank/tasks/records.py
+++ b/src/redwingbank/tasks/records.py
@@ -15,6 +15,7 @@
 import anyio
 
 from redwingbank.codes import Code, Ran
+from redwingbank.error_barrier import ErrorBarrier
 from redwingbank.ports.platform import Absent, Conflict, Stored, Unknown
 from redwingbank.rules.idempotency import (
     SEND_LIMIT_S,
@@ -29,7 +30,6 @@
 )
 from redwingbank.rules.token_bucket import TokenBucket
 from redwingbank.tasks.expiry import Expiry
-from redwingbank.tasks.mailbox import ErrorBarrier
 
 if TYPE_CHECKING:
     from redwingbank.events import EventLog
@@ -100,7 +100,7 @@
         self._events = events
         self._pending: OrderedDict[tuple[str, str], Pending] = OrderedDict()
         self._expiry = Expiry(platform, settings.host)
-        self._barrier = ErrorBarrier(events, "records")
+        self._barrier = ErrorBarrier(events.record, "records")
         self._rate = TokenBucket(CALLS_PER_S, CALLS_PER_S * BURST_S, time.monotonic())
 
     def share_rate(self, hosts: int) -> None:
--- a/src/redwingbank/tasks/tables.py
+++ b/src/redwingbank/tasks/tables.py
@@ -14,6 +14,7 @@
 
 import anyio
 
+from redwingbank.error_barrier import ErrorBarrier
 from redwingbank.errors import TableErrors
 from redwingbank.messages import Pulled
 from redwingbank.ports.platform import Stored
@@ -26,7 +27,7 @@
     update_table,
 )
 from redwingbank.tasks.fetch import Fetched, Fetcher, Goal, Offer, revision_of
-from redwingbank.tasks.mailbox import ErrorBarrier, post
+from redwingbank.tasks.mailbox import post
 from redwingbank.tasks.members import AnnounceRevision, KnownHosts, MembersChanged, RevisionSeen
 
 if TYPE_CHECKING:
@@ -125,7 +126,7 @@
         self._copy: TableCopy | None = None
         self._best_offer = Offer(0, b"", "")
         self._highest_seen = 0
-        self._barrier = ErrorBarrier(events, "tables")
+        self._barrier = ErrorBarrier(events.record, "tables")
         self._fetching = False
         self._failures = 0
         self._other_hosts: int | None = None
--- a/tests/front/answers.feature
+++ b/tests/front/answers.feature
@@ -95,6 +95,18 @@
       | headers       |
       | a target      |
 
+  Scenario Outline: an unexpected error in <step> does not end the process
+    When <step> of a front fails once
+    Then the front answers <status> to the request during it, and 200 to the next
+    And the front has logged an internal error without its text
+
+    Examples:
+      | step                       | status |
+      | the choice of a server     | 500    |
+      | the housekeeping           | 200    |
+      | the watch of the servers   | 200    |
+      | the list of hosts          | 200    |
+
   Scenario: answers on one connection keep their order
     When a caller sends 3 requests at once on one connection
     Then the front answers them in order
--- a/tests/steps/front_answers.py
+++ b/tests/steps/front_answers.py
@@ -250,3 +250,54 @@
 def caller_bounded(context, megabytes, seconds):
     assert context.sent < megabytes * 1e6, context.sent
     assert context.took_s < seconds, context.took_s
+
+
+SECRET = "text of a prompt"
+
+
+@when("{step} of a front fails once")
+def front_fails(context, step):
+    context.rig = Rig()
+
+    async def scenario(rig):
+        router = rig.front.router
+        fail_once(
+            *{
+                "the choice of a server": (router.dispatcher, "decide"),
+                "the housekeeping": (router.backends, "expire"),
+                "the watch of the servers": (rig.front._servers, "handle_changes"),
+                "the list of hosts": (router.peers, "add_hosts"),
+            }[step]
+        )
+        await rig.store.put("servers", "i-9", {"state": "gone"})
+        if "choice" not in step:
+            await rig.until(lambda: "internal-error" in str(rig.lines), within_s=15)
+        context.answer = await rig.ask("single", request_id="r-1")
+        context.next = await rig.ask("single", request_id="r-2")
+        context.running = not rig._task.done()
+
+    run_scenario(context.rig, scenario)
+
+
+def fail_once(owner, name):
+    """Make a method raise an error on its next call."""
+    method = getattr(owner, name)
+
+    def failing(*arguments, **keywords):
+        setattr(owner, name, method)
+        raise RuntimeError(SECRET)
+
+    setattr(owner, name, failing)
+
+
+@then("the front answers {status:d} to the request during it, and 200 to the next")
+def answered_both(context, status):
+    assert context.running
+    assert context.answer.status == status, context.answer.raw
+    assert context.next.status == 200, context.next.raw
+
+
+@then("the front has logged an internal error without its text")
+def internal_error_logged(context):
+    (line,) = [line for line in context.rig.lines if line["event"] == "internal-error"]
+    assert SECRET not in str(line), line
