Count suspended time in the daemon's leases, allocations and waits

What operators told: a process that had been paused for some seconds acted on a permission that had run out meanwhile. Here it could: after a suspend of 20 s a daemon still held its lease of 10 s and would have sent orders on it, while another host may hold it.

Cause: the daemon took its times from CLOCK_MONOTONIC, which stands still while a machine is suspended; the front uses CLOCK_BOOTTIME already. A process that is stopped or a host that is frozen was never affected.

Change: the front's clock becomes redwingbank.clock; tasks, ports and the daemon read it everywhere, since their times are compared with each other.

Before: the new scenario of tasks/orders.feature failed. After: 14 passed, 0 failed; system/once.feature passes.

--- a/src/redwingbank/daemon.py
+++ b/src/redwingbank/daemon.py
@@ -10,6 +10,7 @@
 import anyio
 import uvicorn
 
+from redwingbank import clock
 from redwingbank.error_barrier import ErrorBarrier
 from redwingbank.events import EventLog
 from redwingbank.links import Inboxes, Links
@@ -70,7 +71,7 @@
         self.dispatch = Dispatch(
             settings, self.metrics, self.events, random.Random(), self.incarnation
         )
-        self._allocate = AllocateTask(settings, self.incarnation, time.monotonic, self.events)
+        self._allocate = AllocateTask(settings, self.incarnation, clock.now_s, self.events)
         self._allocate_outbox, self._allocate_inbox = anyio.create_memory_object_stream[
             AllocateInput
         ](math.inf)
--- a/src/redwingbank/front/block_list.py
+++ b/src/redwingbank/front/block_list.py
@@ -6,7 +6,7 @@
 
 import anyio
 
-from redwingbank.front.clock import now_s
+from redwingbank.clock import now_s
 from redwingbank.front.store import CALL_TIMEOUT_S, StoreError
 from redwingbank.platform.objects import (
     STATUS_CONFLICT,
--- a/src/redwingbank/front/crash_probe.py
+++ b/src/redwingbank/front/crash_probe.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from redwingbank.front.clock import now_s
+from redwingbank.clock import now_s
 
 if TYPE_CHECKING:
     from redwingbank.front.backends import Backend
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Protocol
 
+from redwingbank.clock import now_s
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.front.attempt import (
     FIRST_SERVER_ERROR,
@@ -14,7 +15,6 @@
     Failure,
 )
 from redwingbank.front.backends import update_breaker
-from redwingbank.front.clock import now_s
 from redwingbank.front.events import EventError, EventSplitter
 from redwingbank.front.peers import OWN_HOST
 from redwingbank.front.poison import request_traits
--- a/src/redwingbank/front/freshness.py
+++ b/src/redwingbank/front/freshness.py
@@ -5,7 +5,7 @@
 from collections import Counter
 from typing import TYPE_CHECKING
 
-from redwingbank.front.clock import now_s
+from redwingbank.clock import now_s
 from redwingbank.front.digest import Answer, News, Question
 from redwingbank.front.peers import LARGE_FLEET_HOSTS
 from redwingbank.rules.rendezvous import ranked
--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -7,8 +7,8 @@
 from http import HTTPStatus
 from typing import TYPE_CHECKING, NamedTuple
 
+from redwingbank.clock import now_s
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
-from redwingbank.front.clock import now_s
 from redwingbank.front.exchange import Exchange
 from redwingbank.front.refusals import error_body
 from redwingbank.front.wire import RequestReader, WireError
--- a/src/redwingbank/front/outbound.py
+++ b/src/redwingbank/front/outbound.py
@@ -7,7 +7,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING, Protocol
 
-from redwingbank.front.clock import now_s
+from redwingbank.clock import now_s
 from redwingbank.front.wire import DEFAULT_ANSWER_LIMITS, AnswerReader, WireError
 
 if TYPE_CHECKING:
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -12,7 +12,7 @@
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Any, NamedTuple, cast
 
-from redwingbank.front.clock import now_s
+from redwingbank.clock import now_s
 from redwingbank.front.digest import (
     UNKNOWN_PLACE,
     Answer,
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -12,10 +12,10 @@
 
 import anyio
 
+from redwingbank.clock import now_s
 from redwingbank.decisions import STDOUT
 from redwingbank.errors import EXIT_FAULT, EXIT_USAGE, SettingErrors
 from redwingbank.front.block_list import KIND_BLOCKS, BlockList
-from redwingbank.front.clock import now_s
 from redwingbank.front.freshness import ASK_INTERVAL_S
 from redwingbank.front.hosts import discover_hosts
 from redwingbank.front.inbound import InboundConnection
--- a/src/redwingbank/front/request_recorder.py
+++ b/src/redwingbank/front/request_recorder.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from redwingbank.front.clock import now_s
+from redwingbank.clock import now_s
 from redwingbank.front.poison import part_fingerprints
 
 if TYPE_CHECKING:
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -5,13 +5,13 @@
 import time
 from typing import TYPE_CHECKING
 
+from redwingbank.clock import now_s
 from redwingbank.codes import Code
 from redwingbank.decisions import DecisionLog
 from redwingbank.error_barrier import ErrorBarrier
 from redwingbank.front.admission import Admission
 from redwingbank.front.allowance import RetryAllowance
 from redwingbank.front.backends import Backends
-from redwingbank.front.clock import now_s
 from redwingbank.front.crash_probe import CrashProbes
 from redwingbank.front.digest import Place
 from redwingbank.front.directory import ServerRegistry, TableState
--- a/src/redwingbank/front/store.py
+++ b/src/redwingbank/front/store.py
@@ -7,7 +7,7 @@
 
 import anyio
 
-from redwingbank.front.clock import now_s
+from redwingbank.clock import now_s
 from redwingbank.front.outbound import ConnectionPool, Loss
 from redwingbank.platform.objects import (
     STATUS_HISTORY_GONE,
--- a/src/redwingbank/front/store_handlers.py
+++ b/src/redwingbank/front/store_handlers.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from redwingbank.front.clock import now_s
+from redwingbank.clock import now_s
 from redwingbank.front.digest import News
 from redwingbank.platform.directory import decode_server, decode_table
 from redwingbank.platform.objects import NAME_TABLE, MalformedError
--- a/src/redwingbank/ports/caller.py
+++ b/src/redwingbank/ports/caller.py
@@ -2,10 +2,10 @@
 
 from __future__ import annotations
 
-import time
 import uuid
 from typing import TYPE_CHECKING, NamedTuple
 
+from redwingbank import clock
 from redwingbank.codes import Code
 from redwingbank.model import Request
 from redwingbank.ports.admission import Directory
@@ -152,7 +152,7 @@
         pool = directory.table.pools_by_name.get(chat.model)
         if pool is None or pool.kind != "engine":
             return Refusal(Code.UNKNOWN_MODEL, chat.model)
-        request = build_request(chat, admitted, exchange.request_id, time.monotonic())
+        request = build_request(chat, admitted, exchange.request_id, clock.now_s())
         row = admitted.service_class
         targets = Targets(row.first_token_ms / MS_PER_S, row.token_ms / MS_PER_S)
         await self._completions.serve(chat, request, targets, exchange.receive, exchange.send)
@@ -202,7 +202,7 @@
     call: ServiceCall, admitted: Admitted, pool: str, request_id: str
 ) -> Request:
     row = admitted.service_class
-    now_s = time.monotonic()
+    now_s = clock.now_s()
     return Request(
         request_id=request_id,
         organisation=admitted.organisation.name,
--- a/src/redwingbank/ports/completion.py
+++ b/src/redwingbank/ports/completion.py
@@ -3,11 +3,11 @@
 from __future__ import annotations
 
 import json
-import time
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 import anyio
 
+from redwingbank import clock
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.model import Outcome
 from redwingbank.ports.engine import OK_STATUS, REFUSING_STATUSES, AttemptError
@@ -254,7 +254,7 @@
     async def _attempt(self, chat: Chat, progress: Progress, grant: Grant) -> AttemptEnded:
         life = progress.ticket.life
         life.advance(Step.SEND)
-        started_s = time.monotonic()
+        started_s = clock.now_s()
         progress.attempt_started_s, progress.first_token_reported = started_s, False
         outcome = Outcome.DONE
         response_started = False
@@ -313,10 +313,10 @@
             return
         if not progress.first_token_reported and progress.frames.tokens > delivered:
             progress.first_token_reported = True
-            waited_s = time.monotonic() - progress.attempt_started_s
+            waited_s = clock.now_s() - progress.attempt_started_s
             self._inbox.send_nowait(FirstToken(progress.ticket, waited_s))
         if progress.first_token_s == 0.0 and progress.frames.tokens:
-            progress.first_token_s = time.monotonic()
+            progress.first_token_s = clock.now_s()
         await progress.sink.write_frames(complete_frames)
 
     def _count_answer(self, progress: Progress, code: Code) -> None:
@@ -331,12 +331,12 @@
     def _meets_targets(self, progress: Progress) -> bool:
         first_s = progress.first_token_s - progress.request.arrived_s
         later_tokens = max(1, progress.frames.tokens - 1)
-        gap_s = (time.monotonic() - progress.first_token_s) / later_tokens
+        gap_s = (clock.now_s() - progress.first_token_s) / later_tokens
         return first_s <= progress.targets.first_token_s and gap_s <= progress.targets.token_s
 
     def _observe(self, progress: Progress) -> None:
         request = progress.request
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         first_s = progress.first_token_s - request.arrived_s
         self._metrics.observe("first_token_seconds", first_s, service_class=request.class_name)
         self._metrics.observe(
--- a/src/redwingbank/ports/engine.py
+++ b/src/redwingbank/ports/engine.py
@@ -4,7 +4,6 @@
 
 import json
 import ssl
-import time
 from contextlib import asynccontextmanager
 from enum import StrEnum
 from http import HTTPStatus
@@ -13,6 +12,7 @@
 import anyio
 import httpcore
 
+from redwingbank import clock
 from redwingbank.model import CacheEvent, LoadReport, Outcome
 
 if TYPE_CHECKING:
@@ -226,7 +226,7 @@
         try:
             document = json.loads(answer[1])
             return LoadReport(
-                at_s=time.monotonic() - float(document.get("age_ms", 0)) / MS_PER_S,
+                at_s=clock.now_s() - float(document.get("age_ms", 0)) / MS_PER_S,
                 slots=int(document["slots"]),
                 running=int(document["running"]),
                 waiting=int(document["waiting"]),
--- a/src/redwingbank/ports/peers.py
+++ b/src/redwingbank/ports/peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import time
 from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -10,6 +9,7 @@
 from anyio import TASK_STATUS_IGNORED
 from anyio.abc import SocketAttribute
 
+from redwingbank import clock
 from redwingbank.messages import Heartbeat, Message, Pull, Pulled, Received
 from redwingbank.ports.budget import ByteBudget
 from redwingbank.ports.codec import Envelope, decode, encode, message_kind
@@ -134,12 +134,12 @@
             return self._drop("oversize")
         may_trim = isinstance(message, Heartbeat) and not _has_lasting_notice(message)
         size = len(data) + UDP_HEADER_BYTES
-        if not self.budget.try_spend(size, time.monotonic(), may_shed=may_trim):
+        if not self.budget.try_spend(size, clock.now_s(), may_shed=may_trim):
             assert isinstance(message, Heartbeat)
             data = self._seal(address, trim_heartbeat(message))
             size = len(data) + UDP_HEADER_BYTES
             self.counters.dropped["trimmed"] += 1
-            self.budget.try_spend(size, time.monotonic(), may_shed=False)
+            self.budget.try_spend(size, clock.now_s(), may_shed=False)
         self.counters.messages_out[kind] += 1
         self.counters.bytes_out[kind] += size
         if self.faults.should_lose(address):
--- a/src/redwingbank/ports/service.py
+++ b/src/redwingbank/ports/service.py
@@ -5,11 +5,11 @@
 import base64
 import hashlib
 import json
-import time
 from typing import TYPE_CHECKING, NamedTuple
 
 import anyio
 
+from redwingbank import clock
 from redwingbank.codes import Code, Ran
 from redwingbank.model import Outcome
 from redwingbank.ports.engine import REFUSING_STATUSES, AttemptError
@@ -112,7 +112,7 @@
     ) -> None:
         code = answer.code if isinstance(answer, Refusal) else Code.OK
         self._metrics.count("answers_total", code=str(int(code)))
-        met = code is Code.OK and time.monotonic() <= request.deadline_s
+        met = code is Code.OK and clock.now_s() <= request.deadline_s
         name = "attained_total" if met else "missed_total"
         self._metrics.count(name, service_class=request.class_name)
         if isinstance(answer, Refusal):
--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import math
-import time
 from collections import deque
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING
 
 import anyio
 
+from redwingbank import clock
 from redwingbank.codes import Code, Ran
 from redwingbank.error_barrier import ErrorBarrier
 from redwingbank.messages import Allocation, Notice, Received
@@ -124,7 +124,7 @@
         while True:
             await anyio.sleep(TICK_S)
             with self._barrier.confine("tick"):
-                self._tick(time.monotonic())
+                self._tick(clock.now_s())
 
     def _tick(self, now_s: float) -> None:
         self._unpark(now_s)
@@ -165,12 +165,12 @@
         message = received.message
         if not isinstance(message, Allocation):
             return
-        self._slots.apply(received.sender, message, self._limits, time.monotonic())
+        self._slots.apply(received.sender, message, self._limits, clock.now_s())
         self._changed_pools.add(message.pool.rpartition("/")[0])
 
     @handle.register(Notice)
     def _on_notice(self, notice: Notice) -> None:
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         self._notices.record_received(notice)
         if notice.kind == DRAIN_NOTICE:
             self._fleet.drain(notice.subject, now_s + notice.ttl_s)
@@ -183,7 +183,7 @@
 
     @handle.register(Reported)
     def _on_reported(self, reported: Reported) -> None:
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         drained = reported.server in self._fleet.draining_servers(now_s)
         if reported.report is not None:
             self._fleet.record_report(reported.server, reported.report, now_s)
@@ -196,24 +196,24 @@
 
     @handle.register(Unreachable)
     def _on_unreachable(self, unreachable: Unreachable) -> None:
-        self._fleet.record_unreachable(unreachable.server, time.monotonic())
-        self._slots.capacity_changed(time.monotonic())
+        self._fleet.record_unreachable(unreachable.server, clock.now_s())
+        self._slots.capacity_changed(clock.now_s())
 
     @handle.register(DrainServer)
     def _on_drain(self, drain: DrainServer) -> None:
-        self._fleet.drain(drain.server, time.monotonic() + OPERATOR_DRAIN_TTL_S)
+        self._fleet.drain(drain.server, clock.now_s() + OPERATOR_DRAIN_TTL_S)
         self._notices.announce_draining(drain.server, OPERATOR_DRAIN_TTL_S)
 
     @handle.register(Release)
     def _on_release(self, release: Release) -> None:
         self._events.record("quarantine-released", fingerprint=release.fingerprint)
-        self._notices.announce(self._quarantine.release(release.fingerprint, time.monotonic()))
+        self._notices.announce(self._quarantine.release(release.fingerprint, clock.now_s()))
 
     @handle.register(Submit)
     def _on_submit(self, submit: Submit) -> None:
         ticket = submit.ticket
         request = ticket.request
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         self._ticket_by_id[request.request_id] = ticket
         code = self._limits.admit(request, now_s)
         if code is not None:
@@ -229,7 +229,7 @@
     def _on_first_token(self, message: FirstToken) -> None:
         ticket = message.ticket
         if ticket.server:
-            now_s = time.monotonic()
+            now_s = clock.now_s()
             self._quarantine.record_first_token(ticket.server, ticket.request, now_s)
             self._fleet.record_first_token(
                 ticket.server, ticket.request, message.first_token_s, now_s
@@ -238,7 +238,7 @@
     @handle.register(AttemptEnded)
     def _on_attempt_ended(self, ended: AttemptEnded) -> None:
         ticket = ended.ticket
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         server = self._finish_attempt(ticket, ended.outcome, ended.tokens, now_s, ended)
         if ended.outcome is Outcome.DONE:
             self._complete(ticket.request, ended.tokens, now_s)
@@ -256,7 +256,7 @@
     @handle.register(CallerDisconnected)
     def _on_caller_disconnected(self, disconnected: CallerDisconnected) -> None:
         ticket = disconnected.ticket
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         self._finish_attempt(ticket, Outcome.CANCELLED, disconnected.tokens, now_s)
         self._queue.remove(ticket.request.request_id)
         self._waits.discard(ticket.request.request_id)
@@ -348,7 +348,7 @@
         return verdict.refuse
 
     def _retry_after_s(self, request: Request) -> float:
-        rate = self._queue.starts_per_s(time.monotonic(), request.pool)
+        rate = self._queue.starts_per_s(clock.now_s(), request.pool)
         return self._queue.count_ahead(request) / rate if rate > 0 else MIN_RETRY_AFTER_S
 
     def _refuse(self, request_id: str, code: Code, retry_after_s: float) -> None:
@@ -362,7 +362,7 @@
         self._limits.finish(request_id)
 
     def _serve_changed_pools(self) -> None:
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         for change in self._fleet.state_changes(now_s):
             self._events.record("server-state", **change._asdict())
         pools = sorted(self._changed_pools)
@@ -475,7 +475,7 @@
 
     def status(self) -> dict[str, Any]:
         """Return the state of queue, servers, slots and quarantine as plain data."""
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         servers = self._table.backend_servers_by_name if self._table else {}
         return {
             "waiting": self._queue.waiting_by_class,
--- a/src/redwingbank/tasks/members.py
+++ b/src/redwingbank/tasks/members.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import math
-import time
 from contextlib import suppress
 from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
 import anyio
 
+from redwingbank import clock
 from redwingbank.error_barrier import ErrorBarrier
 from redwingbank.messages import Heartbeat, MemberState, Notice, Received
 from redwingbank.ports.platform import Unknown
@@ -98,7 +98,7 @@
         events: EventLog,
         send: Callable[[str, Heartbeat], Awaitable[bool]],
         pull_digest: Callable[[str], Awaitable[Heartbeat | None]],
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = clock.now_s,
     ) -> None:
         self.inbox, self._receive = anyio.create_memory_object_stream[MembersInput](math.inf)
         self._settings = settings
--- a/src/redwingbank/tasks/orders.py
+++ b/src/redwingbank/tasks/orders.py
@@ -8,11 +8,11 @@
 from __future__ import annotations
 
 import math
-import time
 from typing import TYPE_CHECKING, Protocol
 
 import anyio
 
+from redwingbank import clock
 from redwingbank.error_barrier import ErrorBarrier
 from redwingbank.rules.lease import Lease
 from redwingbank.rules.orders import LOAD_KINDS, desired_states, plan_orders
@@ -124,7 +124,7 @@
         platform: Platform,
         engines: Engines,
         events: EventLog,
-        now: Callable[[], float] = time.monotonic,
+        now: Callable[[], float] = clock.now_s,
     ) -> None:
         self._settings = settings
         self._host = f"{settings.host}/{incarnation}"
--- a/src/redwingbank/tasks/records.py
+++ b/src/redwingbank/tasks/records.py
@@ -14,6 +14,7 @@
 
 import anyio
 
+from redwingbank import clock
 from redwingbank.codes import Code, Ran
 from redwingbank.error_barrier import ErrorBarrier
 from redwingbank.ports.platform import Absent, Conflict, Stored, Unknown
@@ -101,7 +102,7 @@
         self._pending: OrderedDict[tuple[str, str], Pending] = OrderedDict()
         self._expiry = Expiry(platform, settings.host)
         self._barrier = ErrorBarrier(events.record, "records")
-        self._rate = TokenBucket(CALLS_PER_S, CALLS_PER_S * BURST_S, time.monotonic())
+        self._rate = TokenBucket(CALLS_PER_S, CALLS_PER_S * BURST_S, clock.now_s())
 
     def share_rate(self, hosts: int) -> None:
         """Limit this host to its share of the platform's rate, which `hosts` daemons divide."""
@@ -115,19 +116,19 @@
         `maybe` if an existing record can't be decoded or leaves open whether the call ran. `no`
         refers to this sending only: if no record was read, an earlier one may have run.
         """
-        now_s = time.monotonic()
+        now_s = clock.now_s()
         if not self._rate.try_acquire(now_s):
             return UNAVAILABLE._replace(retry_after_s=self._rate.wait_s(now_s))
         name = record_name(organisation, key)
         own = Record(State.RECORDED, uuid.uuid4().hex, digest, time.time())
         begun = await self._create_record(name, own)
         if isinstance(begun, Stored):
-            return Run(name, begun.version, own, time.monotonic() + SEND_LIMIT_S)
+            return Run(name, begun.version, own, clock.now_s() + SEND_LIMIT_S)
         return begun
 
     def may_send(self, run: Run) -> bool:
         """Whether the first byte may still be sent; false after too long a freeze."""
-        return time.monotonic() < run.send_by_s
+        return clock.now_s() < run.send_by_s
 
     async def _create_record(self, name: str, own: Record) -> Stored | Replay | Refuse:
         """Create the record, or decide by the existing one.
@@ -187,7 +188,7 @@
         if maybe_written:
             self._events.record("record-unconfirmed", record=name, nonce=own.nonce)
             void = own.apply(Event.RELEASE)
-            self._add_pending(name, Pending(0, void, time.monotonic() + LATE_WRITE_WINDOW_S))
+            self._add_pending(name, Pending(0, void, clock.now_s() + LATE_WRITE_WINDOW_S))
         return EARLIER_CALL_UNKNOWN if isinstance(answer, Conflict) else refusal
 
     async def finish(self, run: Run, outcome: str) -> None:
@@ -246,7 +247,7 @@
         for key, pending in list(self._pending.items())[:CONFIRMS_PER_TICK]:
             self._pending.move_to_end(key)
             done = await self._confirm(key[0], pending)
-            if done or time.monotonic() > pending.until_s:
+            if done or clock.now_s() > pending.until_s:
                 self._pending.pop(key, None)
         await self._expiry.tick(wall_s)
 
--- a/tests/steps/front_freshness.py
+++ b/tests/steps/front_freshness.py
@@ -10,10 +10,10 @@
 from routing_choice import NullLog
 
 from front_rig import Rig, entry, run_scenario
+from redwingbank.clock import now_s
 from redwingbank.ctl.records import parse_records
 from redwingbank.ctl.skew import estimate_skews, find_links
 from redwingbank.front.backends import Backends
-from redwingbank.front.clock import now_s
 from redwingbank.front.digest import Answer, Message, News, Question, encode_message
 from redwingbank.front.directory import TableState
 from redwingbank.front.freshness import LONG_WATCH_S, RELAY_WATCH_S, Freshness
--- a/tests/steps/front_poison.py
+++ b/tests/steps/front_poison.py
@@ -10,8 +10,8 @@
 from routing_choice import NullLog
 
 from front_rig import Rig, run_scenario
+from redwingbank.clock import now_s
 from redwingbank.front.backends import Backends
-from redwingbank.front.clock import now_s
 from redwingbank.front.digest import Message, encode_message
 from redwingbank.front.peers import Peers
 from redwingbank.front.poison import CrashNews, PoisonTracker
--- a/tests/steps/front_shutdown.py
+++ b/tests/steps/front_shutdown.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from front_rig import Rig, request, run_scenario, table
-from redwingbank.front.clock import now_s
+from redwingbank.clock import now_s
 from redwingbank.front.shutdown import Shutdown
 from redwingbank_standins.raw_response import parse_response
 
--- a/tests/steps/tasks_orders.py
+++ b/tests/steps/tasks_orders.py
@@ -2,16 +2,21 @@
 
 from __future__ import annotations
 
+import time
 from collections import Counter
+from unittest import mock
 
 import anyio
 from behave import given, then, when
 
 from memory_platform import MemoryPlatform
 from redwingbank.events import EventLog
-from redwingbank.rules.lease import decode_lease
+from redwingbank.rules.lease import Lease, decode_lease
 from redwingbank.rules.orders import LOAD_KINDS, DesiredState, ObservedState, OrderKind
-from redwingbank.tasks.orders import PoolOrders
+from redwingbank.settings import Address
+from redwingbank.tasks.leases import LeaseKeeper
+from redwingbank.tasks.orders import OrdersTask, PoolOrders
+from redwingbank_standins import quickstart
 
 LOADS_PER_S = 1.0
 STEP_S = 1.0
@@ -274,3 +279,26 @@
 def ends_without(context, role):
     (engine,) = context.world.fleet.engines.values()
     assert engine.role != role
+
+
+@given("a host that holds the lease of a pool's orders")
+def holds_lease(context):
+    settings = quickstart.host_settings(1, Address("127.0.0.1", 9))
+    task = OrdersTask(settings, 1, None, None, EventLog("a", "x"))
+    context.keeper = LeaseKeeper(MemoryPlatform(), Lease("orders/p", "a", 10.0), task._now)
+    assert anyio.run(context.keeper.claim_or_renew)
+
+
+@when("the host is suspended for {seconds:d} s, which its monotonic clock does not count")
+def suspended(context, seconds):
+    def read_clock(clock):
+        return time.monotonic() + (seconds if clock == time.CLOCK_BOOTTIME else 0.0)
+
+    patch = mock.patch("time.clock_gettime", read_clock)
+    patch.start()
+    context.add_cleanup(patch.stop)
+
+
+@then("the host no longer acts on the lease")
+def lease_lapsed(context):
+    assert context.keeper.fencing() is None
--- a/tests/tasks/orders.feature
+++ b/tests/tasks/orders.feature
@@ -65,3 +65,8 @@
       | mechanism        | moment           | end                                     |
       | the clock check  | before its check | accepted 1 orders of a after those of b |
       | level triggering | after its check  | does not end with role "decode"         |
+
+  Scenario: a host that was suspended sends no orders on a lease that has run out
+    Given a host that holds the lease of a pool's orders
+    When the host is suspended for 20 s, which its monotonic clock does not count
+    Then the host no longer acts on the lease
