Keep half of the soak's callers on their connections until these end

The soak closed each connection after its answer, so that no late bytes, no closing host and no ending process met a connection in use. Every second caller now keeps its connection until the host closes it or the process is gone; the result counts the answers on reused connections.

--- a/src/redwingbank_bench/soak.py
+++ b/src/redwingbank_bench/soak.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import json
 import signal
 import sys
@@ -16,10 +15,9 @@
 
 from redwingbank.settings import Address
 from redwingbank_bench.processes import ChildProcess, free_port
+from redwingbank_bench.soakcallers import PATH_BY_CLASS, CallerConnection, encode_request
 from redwingbank_bench.soakchecks import Attempt, Observations, find_violations
 from redwingbank_bench.soakdocuments import (
-    DEADLINE_MS,
-    HOST_NAME,
     ORGANISATION,
     entry_document,
     table_document,
@@ -51,19 +49,20 @@
 PAUSE_BETWEEN_FAULTS_S = (0.05, 0.8)
 PAUSE_BETWEEN_REQUESTS_S = 0.03
 ANSWER_MODES = ("ok", "error", "shed", "lost", "garbage", "foreign", "extra", "cut", "unsized")
-PATH_BY_CLASS = {"book": "/book/x", "read": "/read/x", "fixed": "/fixed/x", "memo": "/memo/x"}
 
 
 class Result(NamedTuple):
     """The result of a soak: violated guarantees, and counts of responses and faults.
 
-    `ends` counts requests by class and status, `faults` the injected faults by name.
+    `ends` counts requests by class and status, `faults` the injected faults by name, `reused` the
+    answers that came on a connection used before.
     """
 
     seed: int
     broken: list[str]
     ends: dict[str, int]
     faults: dict[str, int]
+    reused: int = 0
 
 
 class Soak:
@@ -88,6 +87,7 @@
         self._exit_requested: dict[str, bool] = {}
         self._faults: Counter[str] = Counter()
         self._violations: list[str] = []
+        self._reused = 0
 
     async def run(self, seconds: float) -> Result:
         """Start the system, inject faults for some seconds, clear them, and check."""
@@ -115,6 +115,7 @@
             self._violations + find_violations(observations),
             dict(sorted(ends.items())),
             dict(self._faults),
+            self._reused,
         )
 
     async def _start(self) -> None:
@@ -257,7 +258,10 @@
         deadline_s = time.monotonic() + within_s
         while time.monotonic() < deadline_s:
             attempt = await self._send_request(
-                self._caller_addresses[number], "read", f"probe-{number}-{time.time_ns()}"
+                CallerConnection(self._caller_addresses[number]),
+                "read",
+                f"probe-{number}-{time.time_ns()}",
+                keep=False,
             )
             if attempt.status == 200:  # noqa: PLR2004 - HTTP
                 return True
@@ -265,33 +269,29 @@
         return False
 
     async def _run_caller(self, number: int) -> None:
+        """Send requests until the end; every second caller keeps its connection while it lasts."""
         random = Random(f"{self._seed}-{number}")
         count = 0
+        connection = CallerConnection(random.choice(self._caller_addresses))
         while not self._finished:
             count += 1
             name = random.choice(list(PATH_BY_CLASS))
-            await self._send_request(
-                random.choice(self._caller_addresses), name, f"r-{number}-{count}"
-            )
+            if not connection.is_open:
+                connection = CallerConnection(random.choice(self._caller_addresses))
+            await self._send_request(connection, name, f"r-{number}-{count}", keep=number % 2 == 1)
             await asyncio.sleep(PAUSE_BETWEEN_REQUESTS_S * random.random())
+        connection.close()
 
     async def _send_request(
-        self, address: Address, service_class: str, request_id: str
+        self, connection: CallerConnection, service_class: str, request_id: str, *, keep: bool
     ) -> Attempt:
         key, sent_s = self._keys[-1], time.monotonic()
         self._attempts_by_id[request_id] = Attempt(
             request_id, service_class, key, sent_s, 0, False, "", "", b""
         )
-        raw = b""
-        with contextlib.suppress(OSError, TimeoutError):
-            async with asyncio.timeout(DEADLINE_MS / 1000 + 1):
-                reader, writer = await asyncio.open_connection(*address)
-                try:
-                    writer.write(_request(service_class, request_id, key))
-                    while data := await reader.read(65_536):
-                        raw += data
-                finally:
-                    writer.close()
+        reused = connection.is_open
+        raw = await connection.send(encode_request(service_class, request_id, key, keep=keep))
+        self._reused += reused and bool(raw)
         answer = parse_response(raw)
         attempt = self._attempts_by_id[request_id]._replace(
             status=answer.status,
@@ -348,21 +348,6 @@
 }
 
 
-def _request(service_class: str, request_id: str, key: str) -> bytes:
-    lines = (
-        f"POST {PATH_BY_CLASS[service_class]} HTTP/1.1",
-        f"Host: {HOST_NAME}",
-        f"Request-Id: {request_id}",
-        f"Deadline-Ms: {DEADLINE_MS}",
-        f"Authorization: Token {key}",
-        "Token-Count: 900,16",
-        "Prompt-Prefix: a1:600,b2:300",
-        "Content-Length: 4",
-        "Connection: close",
-    )
-    return "\r\n".join([*lines, "", "body"]).encode()
-
-
 def _boot_document(number: int, caller: Address, store: Address) -> dict[str, Any]:
     return {
         "nodeName": f"edge-{number}",
