--- a/tests/ports/caller.feature
+++ b/tests/ports/caller.feature
@@ -105,6 +105,16 @@
       | loads    |
       | orders   |
 
+  Scenario Outline: a caller whose <what> never ends is cut off
+    Given a caller of a small deployment
+    When the caller floods its daemon with <what>
+    Then the caller's daemon has taken at most 8 MB
+
+    Examples:
+      | what          |
+      | a header line |
+      | headers       |
+
   Scenario: an internal error of the router is answered with a result code
     Given a caller of a separate deployment
     When the caller's daemon has an internal error
--- a/tests/steps/ports_caller.py
+++ b/tests/steps/ports_caller.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import math
+import socket
 import time
 
 import anyio
@@ -282,3 +284,23 @@
 @when("the caller's daemon has an internal error")
 def caller_internal_error(context):
     context.deployment.daemons[0]._caller_app._directory = object()
+
+
+@when("the caller floods its daemon with {what}")
+def caller_floods(context, what):
+    repeated = {"a header line": b"x" * 65_536, "headers": b"X-Pad: x\r\n" * 4096}[what]
+    context.taken = 0
+    with (
+        socket.create_connection(context.deployment.daemons[0].caller) as connection,
+        contextlib.suppress(OSError),
+    ):
+        connection.settimeout(5)
+        connection.sendall(b"GET / HTTP/1.1\r\nX-First: ")
+        while context.taken < 64e6:
+            connection.sendall(repeated)
+            context.taken += len(repeated)
+
+
+@then("the caller's daemon has taken at most {megabytes:d} MB")
+def flood_bounded(context, megabytes):
+    assert context.taken < megabytes * 1e6, context.taken
