Step tests' stalls by the clock that is used; allow for reports under way

Three of them (ports/service.feature and tasks/records.feature, stalled hosts) stepped time.monotonic, which the code no longer reads: their stalls never came.

A report now counts as a sign of a restart only from a second after the crash.

--- a/src/redwingbank/rules/quarantine.py
+++ b/src/redwingbank/rules/quarantine.py
@@ -41,6 +41,8 @@
 QUARANTINE_TTL_S = 600.0
 RENEW_INTERVAL_S = 2.0
 TRIAL_SURVIVAL_S = 2.0
+# A report under way at a crash may be dated after it; no server restarts within this time.
+REPORT_DELAY_S = 1.0
 # A request that crashes servers does so as it begins to be answered.
 ANSWER_SURVIVAL_S = 1.0
 NOTICE_SPREAD_S = 0.25
@@ -166,7 +168,9 @@
         runs = self._run_by_id_by_server.get(server, {})
         last_crash_s = self._crash_s_by_server.get(server, NEVER_S)
         reported_s = self._report_s_by_server.get(server, now_s)
-        still_down = now_s - last_crash_s < SAME_CRASH_S or reported_s < last_crash_s
+        still_down = (
+            now_s - last_crash_s < SAME_CRASH_S or reported_s < last_crash_s + REPORT_DELAY_S
+        )
         new_runs = [
             run
             for run in runs.values()
--- a/tests/steps/ports_service.py
+++ b/tests/steps/ports_service.py
@@ -60,7 +60,7 @@
 
     async def stall(call, request, record):
         later_s = time.monotonic() + stall_s
-        with mock.patch("redwingbank.tasks.records.time.monotonic", lambda: later_s):
+        with mock.patch("redwingbank.clock.now_s", lambda: later_s):
             return await run_recorded(call, request, record)
 
     async with anyio.create_task_group() as tasks:
--- a/tests/steps/tasks_records.py
+++ b/tests/steps/tasks_records.py
@@ -206,7 +206,7 @@
     run = rig.runs["first"]
     assert rig.recorders["first"].may_send(run)
     later_s = time.monotonic() + seconds
-    with mock.patch.object(records.time, "monotonic", return_value=later_s):
+    with mock.patch.object(records.clock, "now_s", return_value=later_s):
         assert not rig.recorders["first"].may_send(run)
 
 
