Resume a stream whose tokens stop coming, whatever other bytes do

What operators told: stalled streams that sent a byte now and then never ended. Here they did not: an engine that went on byte by byte inside a frame held its caller for as long as the bytes came (test: still running at the caller's 30 s limit).

Cause: the only limit was httpcore's read time-out, which each byte starts anew; idle_timeout_s bounded writes alone, and first_byte_timeout_s (60 s) was the limit between bytes.

Change: the time until the next token is bounded, idle_timeout_s between tokens and first_byte_timeout_s until the first, at least as long as the caller waits. Waiting for a slow caller uses none of it. The attempt ends as timed out and is resumed where allowed. A slow stream whose tokens come within the idle time is not cut (new scenario, passed before and after). The front bounds each answer by its route's time already.

Before: ports/caller.feature "stalls" failed by time-out. After: passes.

--- a/src/redwingbank/ports/completion.py
+++ b/src/redwingbank/ports/completion.py
@@ -288,12 +288,33 @@
         if response.status != OK_STATUS:
             return await self._read_rejection(response, progress)
         try:
-            async for chunk in response.chunks:
-                await self._relay(chunk, progress)
+            if not await self._relay_chunks(response, progress):
+                return Outcome.TIMED_OUT
         except GarbageError:
             return Outcome.GARBAGE
         return Outcome.DONE if progress.frames.finished else Outcome.CLOSED_EARLY
 
+    async def _relay_chunks(self, response: StreamedResponse, progress: Progress) -> bool:
+        """Relay a stream to its end; return False if no token comes in time.
+
+        Bytes that bring no token do not extend the time; waiting for the caller uses none of it.
+        """
+        chunks = aiter(response.chunks)
+        patience_s = progress.request.give_up_s - clock.now_s()
+        left_s = max(self._engines.first_token_timeout_s, patience_s)
+        while True:
+            waited_s, tokens = clock.now_s(), progress.frames.tokens
+            with anyio.move_on_after(left_s) as scope:
+                chunk = await anext(chunks, None)
+            if scope.cancelled_caught:
+                return False
+            if chunk is None:
+                return True
+            left_s -= clock.now_s() - waited_s
+            await self._relay(chunk, progress)
+            if progress.frames.tokens > tokens:
+                left_s = self._engines.token_timeout_s
+
     async def _read_rejection(self, response: StreamedResponse, progress: Progress) -> Outcome:
         """Read the engine's error response, to be forwarded to the caller."""
         if response.status >= SERVER_ERROR_STATUS:
--- a/src/redwingbank/ports/engine.py
+++ b/src/redwingbank/ports/engine.py
@@ -82,6 +82,8 @@
     """HTTP client of backend servers with a pool of idle connections per server."""
 
     def __init__(self, settings: Settings) -> None:
+        self.first_token_timeout_s = settings.first_byte_timeout_s
+        self.token_timeout_s = settings.idle_timeout_s
         self._timeout = {
             "connect": CONNECT_TIMEOUT_S,
             "pool": CONNECT_TIMEOUT_S,
@@ -191,6 +193,8 @@
     """Client of the engine protocol; see docs/ENGINE-PROTOCOL.md."""
 
     def __init__(self, backend: BackendClient) -> None:
+        self.first_token_timeout_s = backend.first_token_timeout_s
+        self.token_timeout_s = backend.token_timeout_s
         self._backend = backend
 
     @asynccontextmanager
--- a/src/redwingbank_standins/engine.py
+++ b/src/redwingbank_standins/engine.py
@@ -31,6 +31,7 @@
     from redwingbank_standins.serving import Receive, Scope, Send
 
 CRASH_EXIT_CODE = 70
+STALL_BYTE_S = 0.1
 SLOWDOWN_PER_OTHER_REQUEST = 0.01
 
 
@@ -235,12 +236,18 @@
     ) -> None:
         await exchange.send_head(200, encoder.content_type)
         close_after = self.faults.close_after_tokens if self.faults.consume("close_early") else 0
+        stall_after = self.faults.close_after_tokens if self.faults.consume("stall") else 0
         sent = 0
         async for token in self._generate_tokens(job, answer):
             await exchange.send_chunk(encoder.token_frame(token))
             sent += 1
             if sent == close_after:
                 return self._abort_connection(exchange)
+            if sent == stall_after:
+                await exchange.send_chunk(b'data: {"id":"')
+            while sent == stall_after:
+                await exchange.send_chunk(b"x")
+                await anyio.sleep(STALL_BYTE_S)
         await exchange.send_chunk(encoder.finish_frame())
         await exchange.send_chunk(encoder.done, more=False)
         self.statistics.counters["finished"] += 1
--- a/src/redwingbank_standins/faults.py
+++ b/src/redwingbank_standins/faults.py
@@ -67,6 +67,8 @@
     `crash` crashes it at its next request, `crash_after_tokens` when a request has received
     that many tokens, `crash_marker` when a prompt that contains the text starts to run.
     `close_early` is the number of responses to cut off, streams after `close_after_tokens`.
+    `stall` is the number of streams that go on byte by byte, in a frame without end, after
+    `close_after_tokens`.
     Load reports show the load `report_lag_ms` ago, and their age unless `report_hides_age`.
     Cache events are published `event_delay_ms` late; every `event_gap`th is dropped.
     """
@@ -75,6 +77,7 @@
     crash_marker: str = ""
     close_early: int = 0
     close_after_tokens: int = 3
+    stall: int = 0
     report_lag_ms: float = 0.0
     report_hides_age: bool = False
     event_delay_ms: float = 0.0
--- a/tests/ports/caller.feature
+++ b/tests/ports/caller.feature
@@ -115,6 +115,19 @@
       | a header line |
       | headers       |
 
+  Scenario: a stream that stalls but sends a byte now and then is resumed
+    Given a caller of a separate deployment whose servers may be idle for 0.5 s
+    When one of the caller's engines stalls byte by byte after 5 tokens
+    And the caller asks for 60 tokens, streamed
+    Then the caller gets the one expected answer, complete
+
+  Scenario: a slow stream whose tokens come within the idle time is not cut
+    Given a caller of a separate deployment whose servers may be idle for 0.5 s
+    When the caller's engines take 0.3 s for each token
+    And the caller asks for 6 tokens, streamed
+    Then the caller gets the one expected answer, complete
+    And the caller's engines have run it once
+
   Scenario: an internal error of the router is answered with a result code
     Given a caller of a separate deployment
     When the caller's daemon has an internal error
--- a/tests/steps/ports_caller.py
+++ b/tests/steps/ports_caller.py
@@ -115,9 +115,9 @@
     for _ in range(40):
         context.answer = context.deployment.chat(context.question, stream=form == "streamed")
         faults = context.deployment.engines["engine-1"].faults
-        if not (faults.garbage or faults.close_early or faults.refuse):
+        if not (faults.garbage or faults.close_early or faults.refuse or faults.stall):
             break
-        if faults.garbage + faults.close_early + faults.refuse > 1:
+        if faults.garbage + faults.close_early + faults.refuse + faults.stall > 1:
             break
 
 
@@ -218,6 +218,30 @@
     setattr(owner, name, failing)
 
 
+@given("a caller of a separate deployment whose servers may be idle for {seconds:g} s")
+def caller_idle_limit(context, seconds):
+    context.deployment = Embedded(idle_timeout_s=seconds)
+    context.add_cleanup(context.deployment.close)
+
+
+@when("one of the caller's engines stalls byte by byte after {tokens:d} tokens")
+def caller_stall(context, tokens):
+    context.deployment.set_faults("engine-1", stall=1, close_after_tokens=tokens)
+
+
+@when("the caller's engines take {seconds:g} s for each token")
+def slow_tokens(context, seconds):
+    for engine in context.deployment.engines.values():
+        token_ms = engine.settings.token_ms
+        engine.faults.slow = seconds * 1000 / token_ms
+
+
+@then("the caller's engines have run it once")
+def ran_once(context):
+    engines = context.deployment.engines.values()
+    assert sum(engine.statistics.counters["finished"] for engine in engines) == 1
+
+
 @when("the inbox of the caller's allocate task is closed")
 def closed_inbox(context):
     daemon = context.deployment.daemons[0]
