--- a/src/redwingbank/ports/engine.py
+++ b/src/redwingbank/ports/engine.py
@@ -193,10 +193,18 @@
     """Client of the engine protocol; see docs/ENGINE-PROTOCOL.md."""
 
     def __init__(self, backend: BackendClient) -> None:
-        self.first_token_timeout_s = backend.first_token_timeout_s
-        self.token_timeout_s = backend.token_timeout_s
         self._backend = backend
 
+    @property
+    def first_token_timeout_s(self) -> float:
+        """How long an engine may take until the first token."""
+        return self._backend.first_token_timeout_s
+
+    @property
+    def token_timeout_s(self) -> float:
+        """How long an engine may take between tokens."""
+        return self._backend.token_timeout_s
+
     @asynccontextmanager
     async def chat(
         self, address: str, request_id: str, priority: int, resume_from: int, body: bytes
