--- a/src/redwingbank/front/admission.py
+++ b/src/redwingbank/front/admission.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.codes import Code
+from redwingbank.model import Request
 
 if TYPE_CHECKING:
     from redwingbank.front.directory import TableState
@@ -85,4 +86,28 @@
     return route.shares[-1].pool
 
 
-__all__ = ["Admission", "AdmittedRequest", "choose_pool"]
+def longest_wait_s(admitted: AdmittedRequest) -> float:
+    """Return how long a request may take, by its class and its caller."""
+    timeout_s = admitted.route.timeout_s
+    given = admitted.facts.deadline_s
+    return timeout_s if given is None else min(timeout_s, given)
+
+
+def build_request(admitted: AdmittedRequest, arrived_s: float, wait_s: float) -> Request:
+    """Build the request that the rules decide on."""
+    route, facts = admitted.route, admitted.facts
+    return Request(
+        request_id=facts.request_id,
+        organisation=admitted.organisation.name if admitted.organisation else "",
+        class_name=route.name,
+        tier=admitted.tier,
+        pool=admitted.pool,
+        arrived_s=arrived_s,
+        deadline_s=arrived_s + route.target_s,
+        give_up_s=arrived_s + wait_s,
+        prompt_tokens=facts.prompt_tokens,
+        repeatable=route.repeatable,
+    )
+
+
+__all__ = ["Admission", "AdmittedRequest", "build_request", "choose_pool", "longest_wait_s"]
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -7,6 +7,7 @@
 
 from redwingbank.clock import now_s
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
+from redwingbank.front.admission import build_request, longest_wait_s
 from redwingbank.front.attempt import (
     FIRST_SERVER_ERROR,
     STATUS_LAST_SUCCESS,
@@ -16,6 +17,7 @@
 )
 from redwingbank.front.backends import update_breaker
 from redwingbank.front.events import EventError, EventSplitter
+from redwingbank.front.failures import CUT_SHORT, error_answer, invalid_answer, is_cut_short
 from redwingbank.front.peers import OWN_HOST
 from redwingbank.front.poison import request_traits
 from redwingbank.front.refusals import error_body
@@ -105,12 +107,12 @@
             self._refuse(admitted)
             return
         self._admitted = self._recorder.admitted = admitted
-        wait_s = self._wait_s(admitted)
+        wait_s = longest_wait_s(admitted)
         longest_s = self._router.durations.longest_s(admitted.route.name)
         if not self._router.shutdown.admits(now_s(), wait_s, longest_s):
             self._refuse(Code.LEAVING)
             return
-        self._request = self._build_request(admitted, wait_s)
+        self._request = build_request(admitted, self._arrived_s, wait_s)
         traits = request_traits(
             self._head.target, self._request.organisation, self._body, self._shared_parts()
         )
@@ -169,7 +171,7 @@
             complete_events = self._splitter.feed(data)
         except EventError as error:
             attempt.cancel()
-            self._handle_failure(attempt, _invalid_answer(str(error)), now_s())
+            self._handle_failure(attempt, invalid_answer(str(error)), now_s())
             return
         if complete_events:
             now = now_s()
@@ -183,11 +185,10 @@
         """Forward a complete answer, or end a streamed one."""
         if answer is not None:
             self._handle_answer(attempt, answer)
-        elif self._splitter is not None and self._is_cut_short(self._splitter, attempt):
-            failure = Failure(Outcome.CLOSED_EARLY, True, "connection closed inside the stream")
-            self.attempt_failed(attempt, failure)
+        elif self._splitter is not None and is_cut_short(self._splitter, attempt):
+            self.attempt_failed(attempt, CUT_SHORT)
         elif self._splitter is not None and not self._splitter.complete:
-            self._handle_failure(attempt, _invalid_answer("partial event at the end"), now_s())
+            self._handle_failure(attempt, invalid_answer("partial event at the end"), now_s())
         else:
             self._release(attempt)
             self._life.advance(Step.FINISH)
@@ -202,11 +203,6 @@
         self._watch.failed(attempt.backend, failure, now)
         self._handle_failure(attempt, failure, now)
 
-    @staticmethod
-    def _is_cut_short(splitter: EventSplitter, attempt: Attempt) -> bool:
-        """Whether the end of the connection broke off a stream instead of completing it."""
-        return not attempt.sized and not (splitter.complete and splitter.has_events)
-
     def _handle_failure(self, attempt: Attempt, failure: Failure, now: float) -> None:
         self._release(attempt)
         update_breaker(attempt.backend, failure, self._life.request_id, self._sent_s, now)
@@ -294,7 +290,7 @@
     def _handle_answer(self, attempt: Attempt, answer: Answer) -> None:
         status = answer.head.status
         if status >= FIRST_SERVER_ERROR and self._may_retry_answer(status):
-            self._handle_failure(attempt, _error_answer(status), now_s())
+            self._handle_failure(attempt, error_answer(status), now_s())
             return
         self._release(attempt)
         self._life.advance(Step.ANSWER)
@@ -375,11 +371,6 @@
             self._release(self._attempt)
         self._router.remove_exchange(self)
 
-    def _wait_s(self, admitted: AdmittedRequest) -> float:
-        timeout_s = admitted.route.timeout_s
-        given = admitted.facts.deadline_s
-        return timeout_s if given is None else min(timeout_s, given)
-
     def _request_needs(self, admitted: AdmittedRequest, now: float) -> RequestNeeds:
         return RequestNeeds(
             facts=admitted.facts,
@@ -403,28 +394,5 @@
         assert self._request is not None
         return self._request.give_up_s
 
-    def _build_request(self, admitted: AdmittedRequest, wait_s: float) -> Request:
-        route, facts = admitted.route, admitted.facts
-        return Request(
-            request_id=facts.request_id,
-            organisation=admitted.organisation.name if admitted.organisation else "",
-            class_name=route.name,
-            tier=admitted.tier,
-            pool=admitted.pool,
-            arrived_s=self._arrived_s,
-            deadline_s=self._arrived_s + route.target_s,
-            give_up_s=self._arrived_s + wait_s,
-            prompt_tokens=facts.prompt_tokens,
-            repeatable=route.repeatable,
-        )
-
-
-def _invalid_answer(detail: str) -> Failure:
-    return Failure(Outcome.GARBAGE, True, detail)
-
-
-def _error_answer(status: int) -> Failure:
-    return Failure(Outcome.CLOSED_EARLY, True, f"status {status}")
-
 
 __all__ = ["Caller", "Exchange"]
--- /dev/null
+++ b/src/redwingbank/front/failures.py
@@ -0,0 +1,32 @@
+"""Failures of attempts that the answer itself shows, not its connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from redwingbank.front.attempt import Failure
+from redwingbank.model import Outcome
+
+if TYPE_CHECKING:
+    from redwingbank.front.attempt import Attempt
+    from redwingbank.front.events import EventSplitter
+
+CUT_SHORT = Failure(Outcome.CLOSED_EARLY, sent=True, detail="connection closed inside the stream")
+
+
+def invalid_answer(detail: str) -> Failure:
+    """Return the failure of an answer that is not valid."""
+    return Failure(Outcome.GARBAGE, sent=True, detail=detail)
+
+
+def error_answer(status: int) -> Failure:
+    """Return the failure of an answer with an error status."""
+    return Failure(Outcome.CLOSED_EARLY, sent=True, detail=f"status {status}")
+
+
+def is_cut_short(splitter: EventSplitter, attempt: Attempt) -> bool:
+    """Whether the end of the connection broke off a stream instead of completing it."""
+    return not attempt.sized and not (splitter.complete and splitter.has_events)
+
+
+__all__ = ["CUT_SHORT", "error_answer", "invalid_answer", "is_cut_short"]
--- a/src/redwingbank/front/poison.py
+++ b/src/redwingbank/front/poison.py
@@ -15,6 +15,8 @@
 
 # Within this time a crashed server becomes unreachable or its entry is removed from the store.
 CRASH_DETECTION_S = 3.0
+# Old losses are dropped beyond this number of servers.
+MAX_LOST_SERVERS = 1000
 FINGERPRINT_BYTES = 12
 PART_FINGERPRINT_BYTES = 8
 
@@ -71,6 +73,8 @@
         lost = self._lost_by_server.setdefault(server, [])
         lost[:] = [run for run in lost if now_s - run.lost_s < CRASH_DETECTION_S]
         lost.append(LostRun(traits, server, sent_s, now_s))
+        if len(self._lost_by_server) > MAX_LOST_SERVERS:
+            self._forget_old_losses(now_s)
 
     def server_down(self, server: str, now_s: float) -> None:
         """Count a server's crash against the requests that recently lost a connection to it."""
@@ -103,6 +107,13 @@
         traits = (news.fingerprint, *news.parts)
         self._record_crash(LostRun(traits, news.server, lost_s - news.ran_s, lost_s), now_s)
 
+    def _forget_old_losses(self, now_s: float) -> None:
+        self._lost_by_server = {
+            server: lost
+            for server, lost in self._lost_by_server.items()
+            if now_s - lost[-1].lost_s < CRASH_DETECTION_S
+        }
+
     def _record_crash(self, run: LostRun, now_s: float) -> None:
         blocked = self.causes.record(run, now_s)
         if self._log:
