Admit late in the grace period only what surely ends within it

Change: while the balancer still sends new connections (3 s, or three quarters of a shorter grace period) an answer that likely ends in time is admitted; later only one whose route's time ends within the grace period.

Before: the new scenario of front/shutdown.feature failed.

--- a/src/redwingbank/front/shutdown.py
+++ b/src/redwingbank/front/shutdown.py
@@ -8,9 +8,10 @@
 BALANCER_REMOVAL_S = 2.5
 # A host keeps listening for new connections until the balancer has surely removed it.
 MIN_STAY_S = 3.0
-# Shares of a grace period: for removal at most, for closing connections, and for a request of a
-# class whose answers have not been measured.
+# Shares of a grace period: for removal at most, for new connections to come at most, for closing
+# connections, and for a request of a class whose answers have not been measured.
 REMOVAL_SHARE = 1 / 2
+ARRIVAL_SHARE = 3 / 4
 CLOSING_SHARE = 1 / 12
 UNMEASURED_SHARE = 1 / 2
 MEASURED_ANSWERS = 64
@@ -44,6 +45,7 @@
         self._grace_s = grace_s
         self._end_s = grace_s * (1 - CLOSING_SHARE)
         self._removal_s = min(BALANCER_REMOVAL_S, grace_s * REMOVAL_SHARE)
+        self._arrivals_end_s = min(MIN_STAY_S, grace_s * ARRIVAL_SHARE)
 
     def begin(self, now_s: float) -> bool:
         """Start the shutdown; return False if it had already started."""
@@ -70,12 +72,14 @@
         """Whether a request is still admitted, since its answer can end in time.
 
         `wait_s` is how long the answer may take, `longest_s` how long the latest answers of its
-        class took at most, None if none were measured.
+        class took at most, None if none were measured. While the balancer still sends new
+        connections an answer that likely ends in time is admitted, later one that surely does.
         """
-        if not self.begun:
+        elapsed_s = self._elapsed_s(now_s)
+        if not self.begun or elapsed_s + wait_s < self._end_s:
             return True
         likely_s = self._grace_s * UNMEASURED_SHARE if longest_s is None else longest_s
-        return self._elapsed_s(now_s) + min(wait_s, likely_s) < self._end_s
+        return elapsed_s < self._arrivals_end_s and elapsed_s + likely_s < self._end_s
 
     def finished(self, now_s: float, *, busy: bool) -> bool:
         """Whether the process may end."""
--- a/tests/front/shutdown.feature
+++ b/tests/front/shutdown.feature
@@ -10,6 +10,11 @@
     Then the front answers 200 and the request ran 1 times
     And the answer closes its connection
 
+  Scenario: late in the grace period an answer that may last beyond it is refused
+    When a host that began to shut down 4 s ago, whose answers took 0.1 s, gets a single request of 6000 ms
+    Then the front answers 503 and the request ran 0 times
+    And the answer says when to retry
+
   Scenario: a running stream is completed
     When a host begins to shut down during a fixed request
     Then the front streams events 1 to 4 completely
--- a/tests/steps/front_shutdown.py
+++ b/tests/steps/front_shutdown.py
@@ -13,12 +13,22 @@
 from redwingbank_standins.raw_response import parse_response
 
 
+@when(
+    "a host that began to shut down {since:d} s ago, whose answers took {took:g} s,"
+    " gets a {kind} request of {timeout_ms:d} ms"
+)
+def asked_late_measured(context, since, took, kind, timeout_ms):
+    asked_late(context, since, kind, timeout_ms, took)
+
+
 @when("a host that began to shut down {since:d} s ago gets a {kind} request of {timeout_ms:d} ms")
-def asked_late(context, since, kind, timeout_ms):
+def asked_late(context, since, kind, timeout_ms, took=None):
     context.rig = Rig(modes=["stream" if kind == "fixed" else "ok"])
 
     async def scenario(rig):
         rig.front.router.shutdown.begin(now_s() - since)
+        if took is not None:
+            rig.front.router.durations.record("book", took)
         # without a request in progress the process would end at once
         rig.front.router.shutdown.finished = lambda now, busy: False
         return await rig.ask(kind, deadline_ms=timeout_ms)
