Count no run at an engine that gave no sign of life since its crash

Change: at a host that reads load reports any engine counts as down from its crash until a report, a first token or a complete answer.

--- a/src/redwingbank/rules/quarantine.py
+++ b/src/redwingbank/rules/quarantine.py
@@ -113,7 +113,8 @@
         self._explained_crashes: deque[Crash] = deque(maxlen=MAX_EXPLAINED_CRASHES)
         self._trial_until_s_by_server: dict[str, float] = {}
         self._crash_s_by_server: dict[str, float] = {}
-        self._report_s_by_server: dict[str, float] = {}
+        self._alive_s_by_server: dict[str, float] = {}
+        self._reads_reports = False
         self._group_by_server: dict[str, _CrashGroup] = {}
         self._renewed_s = NEVER_S
         self._causes = CrashCauses()
@@ -131,6 +132,7 @@
 
     def record_first_token(self, server: str, request: Request, now_s: float) -> None:
         """Record the first token of a run."""
+        self._record_alive(server, now_s)
         runs = self._run_by_id_by_server.get(server, {})
         if request.request_id in runs:
             run = runs[request.request_id]
@@ -156,6 +158,7 @@
                 self._notices.build(NoticeKind.CLEARED, request.fingerprint, CLEARED_TTL_S)
             )
         if outcome is Outcome.DONE:
+            self._record_alive(server, now_s)
             notices += self._clear_parts(run.traits, now_s)
         return notices
 
@@ -163,13 +166,13 @@
         """Make suspects of the runs in flight at a crashed server; each run counts once.
 
         Runs sent to a server that was still down do not count: within `SAME_CRASH_S` after a
-        crash, or before the next load report of a server that sends them.
+        crash, or before its next sign of life at a host that reads load reports.
         """
         runs = self._run_by_id_by_server.get(server, {})
         last_crash_s = self._crash_s_by_server.get(server, NEVER_S)
-        reported_s = self._report_s_by_server.get(server, now_s)
-        still_down = (
-            now_s - last_crash_s < SAME_CRASH_S or reported_s < last_crash_s + REPORT_DELAY_S
+        alive_s = self._alive_s_by_server.get(server, NEVER_S)
+        still_down = now_s - last_crash_s < SAME_CRASH_S or (
+            self._reads_reports and alive_s < last_crash_s + REPORT_DELAY_S
         )
         new_runs = [
             run
@@ -211,7 +214,8 @@
 
     def record_report(self, server: str, at_s: float) -> None:
         """Record a load report, which shows that a server was up."""
-        self._report_s_by_server[server] = max(at_s, self._report_s_by_server.get(server, NEVER_S))
+        self._reads_reports = True
+        self._record_alive(server, at_s)
 
     def check(self, fingerprint: str, now_s: float) -> Decision:
         """Decide whether a request with this fingerprint may run."""
@@ -266,6 +270,9 @@
             if suspicion.expiry_s(now_s) > now_s
         ]
 
+    def _record_alive(self, server: str, at_s: float) -> None:
+        self._alive_s_by_server[server] = max(at_s, self._alive_s_by_server.get(server, NEVER_S))
+
     def _record_lost_runs(self, server: str, runs: list[_Run], now_s: float) -> list[Notice]:
         """Count a crash against the parts of the runs that it cut off.
 
