Read and log the limits that servers name, without using them

Change: the header is decoded into the facts of an answer (a value that is no decimal number is kept apart from no value). A host logs each change as limit-named, shows the limit of each server as a gauge and beside each grant. No decision changes.

--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -51,6 +51,9 @@
 class AttemptOwner(Protocol):
     """Receives the events of an attempt."""
 
+    def attempt_head_received(self, attempt: Attempt, facts: AnswerFacts) -> None:
+        """Handle the headers of an answer to this request, before anything else of it."""
+
     def attempt_streaming(self, attempt: Attempt, head: AnswerHead, facts: AnswerFacts) -> None:
         """Handle the head of a streamed answer."""
 
@@ -126,6 +129,7 @@
             self._fail(Outcome.GARBAGE, fault)
             return
         self._head, self._facts = head, facts
+        self._owner.attempt_head_received(self, facts)
         if facts.idle_timeout_s is not None:
             self.backend.connections.limit_idle_time(facts.idle_timeout_s)
         if head.status == STATUS_OK and _is_stream(head):
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING
 
 from redwingbank.clock import now_s
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
@@ -34,6 +34,7 @@
 if TYPE_CHECKING:
     from redwingbank.front.admission import AdmittedRequest
     from redwingbank.front.attempt import Answer
+    from redwingbank.front.caller import Caller
     from redwingbank.front.router import Router
     from redwingbank.front.values import PromptPart
     from redwingbank.front.wire import AnswerHead, RequestHead
@@ -47,25 +48,6 @@
 GATEWAY_TIMEOUT = 504
 
 
-class Caller(Protocol):
-    """The connection that an answer is written to."""
-
-    def send_answer(self, status: int, reason: bytes, headers: bytes, body: bytes) -> None:
-        """Write a complete answer."""
-
-    def begin_stream(self, status: int, reason: bytes, headers: bytes) -> None:
-        """Write the head of a streamed answer."""
-
-    def send_part(self, data: bytes) -> None:
-        """Write a part of a streamed answer."""
-
-    def end_stream(self) -> None:
-        """End a streamed answer."""
-
-    def abort(self) -> None:
-        """Close the connection without ending the answer, so that it does not look complete."""
-
-
 class Exchange:
     """Handles one request, from its last byte to the end of its answer."""
 
@@ -147,6 +129,10 @@
         if self._attempt:
             self._attempt.resume()
 
+    def attempt_head_received(self, attempt: Attempt, facts: AnswerFacts) -> None:
+        """Record what the server says of itself, whatever becomes of its answer."""
+        self._router.server_limits.answer_received(attempt.backend.entry, facts.limit)
+
     def attempt_streaming(self, attempt: Attempt, head: AnswerHead, facts: AnswerFacts) -> None:
         """Start a streamed answer, or resume it from another server."""
         self._life.advance(Step.ANSWER)
@@ -395,4 +381,4 @@
         return self._request.give_up_s
 
 
-__all__ = ["Caller", "Exchange"]
+__all__ = ["Exchange"]
--- a/src/redwingbank/front/request_recorder.py
+++ b/src/redwingbank/front/request_recorder.py
@@ -54,6 +54,7 @@
             parts=parts,
             load=len(backend.load),
             slots=backend.entry.slots,
+            limit_per_s=router.server_limits.per_s_by_server.get(backend.entry.name),
             cost=round(choice.cost, 3),
             unread_tokens=choice.unread_tokens,
             copied_tokens=choice.copy.tokens if choice.copy else 0,
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -18,6 +18,7 @@
 from redwingbank.front.freshness import Freshness
 from redwingbank.front.peers import Peers
 from redwingbank.front.poison import PoisonTracker
+from redwingbank.front.server_limits import ServerLimits
 from redwingbank.front.shutdown import AnswerDurations, Shutdown
 from redwingbank.front.values import Limits, Pool
 from redwingbank.metrics import Metrics
@@ -56,6 +57,7 @@
         self.poison = PoisonTracker(self.peers.broadcast, self.log)
         self.probes = CrashProbes(self.poison)
         self.peers.on_crash = self.poison.handle_crash_news
+        self.server_limits = ServerLimits(self.log)
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
         self.dispatcher = Dispatcher(Chooser(self.backends, random))
         self.allowance = RetryAllowance(settings.bounds, lambda: 1 + len(self.peers.peers_by_host))
@@ -83,6 +85,8 @@
         for name, backend in self.backends.backends_by_name.items():
             gauge("server_in_flight", len(backend.load), server=name)
             gauge("server_connections_opened", backend.connections.opened, server=name)
+        for server, per_s in self.server_limits.per_s_by_server.items():
+            gauge("server_limit_per_second", per_s, server=server)
         for pool in self.tables.table.pools_by_name if self.tables.table else ():
             gauge("repeats_left", self.allowance.remaining(pool, now), pool=pool)
         return self.metrics.text()
--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -152,6 +152,15 @@
     forwarded_headers: bytes
 
 
+class StatedLimit(NamedTuple):
+    """What a server's answer says of the requests a second that it takes from all hosts together.
+
+    `per_s` is None if the answer names no limit.
+    """
+
+    per_s: float | None
+
+
 class Bounds(NamedTuple):
     """Limits guaranteed by the host, from its settings, in seconds unless named otherwise.
 
@@ -201,4 +210,5 @@
     "RouteTable",
     "ServerEntry",
     "Share",
+    "StatedLimit",
 ]
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import math
+import re
 from typing import TYPE_CHECKING, NamedTuple
 
-from redwingbank.front.values import CallFacts, PromptPart
+from redwingbank.front.values import CallFacts, PromptPart, StatedLimit
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -24,6 +26,8 @@
 LAST_EVENT_ID = b"last-event-id"
 AUTHORIZATION = b"authorization"
 DEADLINE = b"deadline-ms"
+SERVER_LIMIT = b"server-limit"
+DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
 
 # only the router sets these; they are dropped from a caller's request
 ROUTER_HEADERS = frozenset(
@@ -72,7 +76,7 @@
     `not_run` is true if the server states that it did not run the request. `request_id` echoes
     the request that the answer belongs to, empty if missing. `encoded` bodies have a content
     encoding, which backend servers don't use. `idle_timeout_s` is how long the server keeps an
-    unused connection open.
+    unused connection open. `limit` is None if the server names one that is not a number.
     """
 
     request_id: str
@@ -80,6 +84,7 @@
     not_run: bool
     encoded: bool
     idle_timeout_s: float | None
+    limit: StatedLimit | None
     forwarded_headers: bytes
 
 
@@ -161,6 +166,7 @@
         not_run=NOT_EXECUTED in by_name,
         encoded=encoding.lower() != b"identity",
         idle_timeout_s=_keep_alive_timeout_s(by_name.get(b"keep-alive", b"")),
+        limit=_parse_limit(by_name.get(SERVER_LIMIT)),
         forwarded_headers=b"".join(
             b"%b: %b\r\n" % (name, value)
             for name, value in headers
@@ -208,6 +214,17 @@
     return None
 
 
+def _parse_limit(value: bytes | None) -> StatedLimit | None:
+    """Parse a limit; None if the value is not a finite decimal number."""
+    if value is None:
+        return StatedLimit(None)
+    text = value.strip()
+    if not DECIMAL_NUMBER.fullmatch(text):
+        return None
+    per_s = float(text)
+    return StatedLimit(per_s) if math.isfinite(per_s) else None
+
+
 __all__ = [
     "READINESS_TARGET",
     "AnswerFacts",
--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -42,7 +42,8 @@
     endless-line, endless-headers, endless-interim and endless-trailers the head or the trailers
     go on until the peer closes, after 64 MB at most; `flood_bytes` counts them. In mode hang no
     response is sent. A server in mode stream crashes in the first event of each answer to a
-    prompt with the shared part `crash_part`.
+    prompt with the shared part `crash_part`. While `named_limit` is not empty, the heads of all
+    its responses name it as the requests a second that the server takes.
     """
 
     def __init__(self, name: str, mode: str = "ok") -> None:
@@ -50,6 +51,7 @@
         self.name = name
         self.mode = mode
         self.crash_part = ""
+        self.named_limit = ""
         self.flood_bytes = 0
         self.crashed = False
         self.pause_s = 0.0
@@ -87,7 +89,8 @@
             writer.write(b"HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n")
             return True
         if self.mode == "shed":
-            writer.write(b"HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+            head = b"HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
+            writer.write(head + self._limit_line() + b"\r\n")
             return True
         self.runs.append(request)
         if await _peer_closes(reader, self.pause_s):
@@ -95,6 +98,9 @@
             return False
         return await _METHOD_BY_MODE[self.mode_for(request.target)](self, request, writer, reader)
 
+    def _limit_line(self) -> bytes:
+        return b"Server-Limit: %b\r\n" % self.named_limit.encode() if self.named_limit else b""
+
     def mode_for(self, target: str) -> str:
         """Return the mode for a request's target; subclasses may distinguish targets."""
         return self.mode
@@ -124,7 +130,8 @@
         head = response.head.replace(b"%b", echo.encode(), 1).replace(
             b"%b", request.request_id.encode()
         )
-        writer.write(head + response.body)
+        named_head = head.replace(b"\r\n", b"\r\n" + self._limit_line(), 1)
+        writer.write(named_head + response.body)
         await writer.drain()
         if response.reset:
             await asyncio.sleep(0.05)
@@ -137,7 +144,7 @@
         first = int(request.headers_by_name.get("last-event-id", "0") or "0") + 1
         head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: %b\r\n"
         writer.write(head % request.request_id.encode())
-        writer.write(STAMP_HEADER % request.request_id.encode())
+        writer.write(STAMP_HEADER % request.request_id.encode() + self._limit_line())
         mode = self.mode_for(request.target)
         if mode.startswith("unsized"):
             await _send_unsized(self.name, mode, first, writer)
--- a/tests/platform/formats.feature
+++ b/tests/platform/formats.feature
@@ -55,3 +55,26 @@
     When a platform request's headers are read
     Then its parts, tokens, key and deadline are decoded
     And headers of the connection are dropped
+
+  Scenario Outline: the limit that a server names
+    When a server's answer names the limit "<value>"
+    Then its limit is <limit>
+
+    Examples:
+      | value  | limit      |
+      | 2      | 2.0        |
+      | 2.1    | 2.1        |
+      | .5     | 0.5        |
+      | 0      | 0.0        |
+      | -1     | unreadable |
+      | 1e3    | unreadable |
+      | nan    | unreadable |
+      | inf    | unreadable |
+      | 1_000  | unreadable |
+      | 2, 3   | unreadable |
+      | many   | unreadable |
+      |        | unreadable |
+
+  Scenario: an answer that names no limit
+    When a server's answer names no limit
+    Then its limit is none
--- a/tests/steps/platform_formats.py
+++ b/tests/steps/platform_formats.py
@@ -8,9 +8,9 @@
 
 from front_rig import KEY, boot, entry, table
 from redwingbank.errors import SettingErrors
-from redwingbank.front.values import Kind, PromptPart
+from redwingbank.front.values import Kind, PromptPart, StatedLimit
 from redwingbank.platform.directory import decode_server, decode_table
-from redwingbank.platform.headers import Envelope, decode_call, encode_call
+from redwingbank.platform.headers import Envelope, decode_answer, decode_call, encode_call
 from redwingbank.platform.objects import MalformedError
 from redwingbank.platform.settings import decode_host_settings
 from redwingbank.settings import Address
@@ -164,3 +164,21 @@
     assert b"Model: m\r\n" in forwarded_headers
     assert b"X-Once" not in forwarded_headers
     assert b"Transfer-Encoding" not in forwarded_headers
+
+
+@when('a server\'s answer names the limit "{value}"')
+@when('a server\'s answer names the limit ""')
+def limit_named(context, value=""):
+    context.limit = decode_answer([(b"Server-Limit", value.encode())]).limit
+
+
+@when("a server's answer names no limit")
+def no_limit_named(context):
+    context.limit = decode_answer([(b"Server-Load", b"1,0,6")]).limit
+
+
+@then("its limit is {expected}")
+def limit_matches(context, expected):
+    stated = {"unreadable": None, "none": StatedLimit(None)}
+    wanted = stated[expected] if expected in stated else StatedLimit(float(expected))
+    assert context.limit == wanted, context.limit
