Keep all hosts together within the limit that a server names

Cause: what a server says of itself was not read. The class of fault beyond it: a bound of the whole system judged by one host, which is where a fix that counts at each host alone would have ended.

Ruled out: sends beyond the first as the source of the excess (every logged grant of the windows is a first attempt).

Change: every host fills the same bucket for a server at the limit that it names and takes out what all hosts send; cumulative counts make up for lost messages. Limits have versions and are told to all hosts at once, also to one that starts. A host that does not hear others uses only its part; one that was suspended starts empty. The choice passes over servers without a token, for first sends, retries and resumed streams alike; what only they could take is refused with code 1224 and a time of its own to return.

--- a/src/redwingbank/codes.py
+++ b/src/redwingbank/codes.py
@@ -40,6 +40,7 @@
     NOT_READY = 1221
     TABLE_UNCONFIRMED = 1222
     LEAVING = 1223
+    SERVERS_AT_LIMIT = 1224
     QUARANTINED = 1230
     QUARANTINED_AFTER_RUN = 1231
     CRASHES_SERVERS = 1232
@@ -115,6 +116,13 @@
     Code.LEAVING: _row(
         503, Ran.NO, "the host is leaving and would cut it off", "come back", retry=True
     ),
+    Code.SERVERS_AT_LIMIT: _row(
+        503,
+        Ran.NO,
+        "all backend servers are at the limits that they name",
+        "come back",
+        retry=True,
+    ),
     Code.QUARANTINED: _row(
         422, Ran.NO, "requests like this one crashed backend servers", "ask an operator"
     ),
--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -8,6 +8,7 @@
 from redwingbank.front.wire import DEFAULT_ANSWER_LIMITS
 from redwingbank.model import Outcome
 from redwingbank.routing.load import ServerLoad
+from redwingbank.routing.server_limit import LimitBook
 from redwingbank.routing.targets import PauseEstimate
 from redwingbank.rules.breaker import Breaker
 
@@ -36,10 +37,11 @@
 
 
 class Backends:
-    """All backend servers in use, by name."""
+    """All backend servers in use, by name, and the limits that they name."""
 
     def __init__(self, random: Random, limits: AnswerLimits = DEFAULT_ANSWER_LIMITS) -> None:
         self.backends_by_name: dict[str, Backend] = {}
+        self.limits = LimitBook(random)
         self._random = random
         self._limits = limits
         self._pauses_by_pool: dict[str, PauseEstimate] = {}
--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -1,5 +1,5 @@
 @0xb6d1c07e52a94f13;
-# Messages between hosts: requests in flight, table freshness, server changes and crashes.
+# Messages between hosts: requests in flight, table freshness, changes, crashes and limits of servers.
 
 struct Message {
   host @0 :Text;
@@ -13,6 +13,7 @@
     news @5 :News;
     crash @6 :Crash;
     bundle @7 :Bundle;
+    limits @10 :List(Limit);
   }
 }
 
@@ -77,3 +78,11 @@
   parts @4 :List(Text);     # fingerprints of the request's shared prompt parts, last one first
   agoMs @5 :UInt32;         # time since the request lost its connection
 }
+
+struct Limit {              # requests a second that a server takes from all hosts together
+  server @0 :Text;
+  startedMs @1 :Int64;
+  version @2 :UInt32;       # the highest one holds
+  perS @3 :Float64;         # negative: the server names no limit any more
+  sent @4 :UInt32;          # requests that the host has sent to the server since it knows the limit
+}
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -1,4 +1,4 @@
-"""Cap'n Proto messages between hosts: requests in flight, freshness, server changes, crashes."""
+"""Cap'n Proto messages between hosts: requests in flight, freshness, server changes, notices."""
 
 from __future__ import annotations
 
@@ -10,6 +10,14 @@
 
 import capnp
 
+from redwingbank.front.notice_codec import (
+    LimitReport,
+    age_ms,
+    decode_crash,
+    decode_limits,
+    encode_crash,
+    encode_limits,
+)
 from redwingbank.front.poison import CrashNews
 from redwingbank.front.values import PromptPart, ServerEntry
 from redwingbank.routing.load import InFlightRequest
@@ -21,7 +29,6 @@
 capnp.remove_import_hook()
 SCHEMA = capnp.load(str(Path(__file__).with_name("digest.capnp")))
 MILLISECONDS = 1000.0
-MAX_AGE_MS = 2**32 - 1
 # length of a request's row in `Digest.sent` of the schema
 NUMBERS_PER_REQUEST = 7
 
@@ -114,7 +121,7 @@
     removed: tuple[str, ...]
 
 
-Content = Digest | Bundle | Question | Answer | News | CrashNews
+Content = Digest | Bundle | Question | Answer | News | CrashNews | LimitReport
 
 
 class Place(NamedTuple):
@@ -228,8 +235,8 @@
 def _encode_answer(content: Answer, struct: Any) -> None:
     answer = struct.init("answer")
     answer.askedS = content.asked_s
-    answer.ageMs = _age_ms(content.age_s)
-    answer.serversAgeMs = _age_ms(content.servers_age_s)
+    answer.ageMs = age_ms(content.age_s)
+    answer.serversAgeMs = age_ms(content.servers_age_s)
     answer.tableRevision = content.table_revision
     answer.serversChanged = content.servers_changed
     answer.serversWatched = content.servers_watched
@@ -247,25 +254,8 @@
         row.draining, row.startedMs = entry.draining, entry.started_ms
 
 
-@_encode_content.register
-def _encode_crash(content: CrashNews, struct: Any) -> None:
-    crash = struct.init("crash")
-    crash.fingerprint, crash.cleared = content.fingerprint, content.cleared
-    crash.ranMs = int(content.ran_s * MILLISECONDS)
-    crash.server, crash.parts = content.server, list(content.parts)
-    crash.agoMs = _age_ms(content.ago_s)
-
-
-def _decode_crash(struct: Any, now_s: float) -> CrashNews:
-    crash = struct.crash
-    return CrashNews(
-        fingerprint=crash.fingerprint,
-        ran_s=crash.ranMs / MILLISECONDS,
-        cleared=crash.cleared,
-        server=crash.server,
-        parts=tuple(crash.parts),
-        ago_s=crash.agoMs / MILLISECONDS,
-    )
+_encode_content.register(encode_crash)
+_encode_content.register(encode_limits)
 
 
 def _decode_digest(struct: Any, now_s: float) -> Digest:
@@ -363,17 +353,14 @@
     )
 
 
-def _age_ms(age_s: float) -> int:
-    return int(min(age_s * MILLISECONDS, MAX_AGE_MS))
-
-
 _DECODER_BY_KIND: dict[str, Callable[[Any, float], Content]] = {
     "digest": _decode_digest,
     "bundle": _decode_bundle,
     "question": _decode_question,
     "answer": _decode_answer,
     "news": _decode_news,
-    "crash": _decode_crash,
+    "crash": decode_crash,
+    "limits": decode_limits,
 }
 
 __all__ = [
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -36,7 +36,6 @@
     from redwingbank.front.attempt import Answer
     from redwingbank.front.caller import Caller
     from redwingbank.front.router import Router
-    from redwingbank.front.values import PromptPart
     from redwingbank.front.wire import AnswerHead, RequestHead
     from redwingbank.platform.headers import AnswerFacts
 
@@ -64,6 +63,8 @@
         self._request: Request | None = None
         self._attempt: Attempt | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._resumption: asyncio.TimerHandle | None = None
+        self._last_part_s = 0.0
         self._life = Lifecycle("")
         self._tried: list[str] = []
         self._refusals = 0
@@ -96,7 +97,7 @@
             return
         self._request = build_request(admitted, self._arrived_s, wait_s)
         traits = request_traits(
-            self._head.target, self._request.organisation, self._body, self._shared_parts()
+            self._head.target, self._request.organisation, self._body, facts.shared_parts
         )
         self._watch = RunWatch(self._router.poison, self._router.probes, traits)
         self._life.advance(Step.CHECK)
@@ -131,7 +132,9 @@
 
     def attempt_head_received(self, attempt: Attempt, facts: AnswerFacts) -> None:
         """Record what the server says of itself, whatever becomes of its answer."""
-        self._router.server_limits.answer_received(attempt.backend.entry, facts.limit)
+        self._router.server_limits.answer_received(
+            attempt.backend.entry, facts.limit, self._sent_s, stamped=facts.stamped
+        )
 
     def attempt_streaming(self, attempt: Attempt, head: AnswerHead, facts: AnswerFacts) -> None:
         """Start a streamed answer, or resume it from another server."""
@@ -140,6 +143,7 @@
         if self._answer_started:
             return
         self._answer_started = True
+        self._last_part_s = now_s()
         self._recorder.record_first_byte()
         self._caller.begin_stream(head.status, head.reason, facts.forwarded_headers)
 
@@ -161,6 +165,7 @@
             return
         if complete_events:
             now = now_s()
+            self._last_part_s = now
             self._watch.event_received(now)
             pause_s = self._recorder.record_event(now)
             if pause_s is not None:
@@ -241,8 +246,7 @@
         pool = self._router.pool(admitted.pool)
         decision = self._router.dispatcher.decide(entries, pool, needs, self._tried, now)
         if isinstance(decision, Refuse):
-            self._retry_after_s = decision.retry_after_s
-            self._fail(decision.code)
+            self._wait_or_refuse(decision, now)
             return
         choice = decision.choice
         backend = choice.backend
@@ -255,9 +259,10 @@
         self._life.advance(Step.SEND)
         self._sent_s, self._awaiting_first_event = now, True
         self._watch.sent(now)
-        in_flight, shared = as_in_flight(choice, needs, now), self._shared_parts()
+        in_flight, shared = as_in_flight(choice, needs, now), admitted.facts.shared_parts
         self._number = self._router.peers.report_sent(backend.entry.name, in_flight, shared)
         backend.load.request_sent((OWN_HOST, self._number), in_flight, shared)
+        self._router.server_limits.request_sent(backend.entry)
         backend.breaker.record_send(request.request_id, now)
         envelope = Envelope(
             server=backend.entry.name,
@@ -273,6 +278,19 @@
             encode_call(self._head.method, self._head.target, admitted.facts, self._body, envelope)
         )
 
+    def _wait_or_refuse(self, decision: Refuse, now: float) -> None:
+        """Refuse a request at once; let a stream that has begun wait for a server's limit."""
+        assert self._admitted is not None
+        resumes_s = now + decision.retry_after_s
+        patience_ends_s = self._last_part_s + self._admitted.route.patience_s
+        waits = self._answer_started and decision.code is Code.SERVERS_AT_LIMIT
+        if waits and resumes_s < min(patience_ends_s, self._give_up_s()):
+            loop = asyncio.get_running_loop()
+            self._resumption = loop.call_later(decision.retry_after_s, self._send)
+            return
+        self._retry_after_s = decision.retry_after_s
+        self._fail(decision.code)
+
     def _handle_answer(self, attempt: Attempt, answer: Answer) -> None:
         status = answer.head.status
         if status >= FIRST_SERVER_ERROR and self._may_retry_answer(status):
@@ -349,8 +367,9 @@
 
     def _close(self) -> None:
         self._closed = True
-        if self._timer:
-            self._timer.cancel()
+        for timer in (self._timer, self._resumption):
+            if timer:
+                timer.cancel()
         if self._attempt:
             self._attempt.backend.breaker.record_inconclusive(self._life.request_id)
             self._attempt.cancel()
@@ -372,10 +391,6 @@
         """Return the time when the caller stops waiting for the first event."""
         return min(self._give_up_s(), self._arrived_s + admitted.route.patience_s)
 
-    def _shared_parts(self) -> tuple[PromptPart, ...]:
-        assert self._admitted is not None
-        return self._admitted.facts.parts[:-1]
-
     def _give_up_s(self) -> float:
         assert self._request is not None
         return self._request.give_up_s
--- a/src/redwingbank/front/hosts.py
+++ b/src/redwingbank/front/hosts.py
@@ -24,9 +24,8 @@
     from redwingbank.front.store import StoreClient
 
 KIND_HOSTS = "redwingbank-hosts"
-# A starting host announces itself to the listed hosts by heartbeats. The list is read again for
-# hosts that start at the same time.
-FIRST_LIST_S = 1.0
+# A starting host greets the listed hosts. The list is read again soon, for hosts that start at the
+# same time.
 LIST_S = 10.0
 RETRY_S = 1.0
 
@@ -35,14 +34,11 @@
     client: StoreClient, host: str, address: Address, peers: Peers, log: DecisionLog
 ) -> None:
     """Register this host, then read the list of hosts periodically until cancelled."""
-    registered = False
+    registered = listed = False
     while True:
-        if registered:
-            listed = await _try_step(_list, client, peers, log)
-            await anyio.sleep(LIST_S if listed else RETRY_S)
-        else:
-            registered = await _try_step(_register, client, host, address, log)
-            await anyio.sleep(FIRST_LIST_S)
+        registered = registered or await _try_step(_register, client, host, address, log)
+        listed_before, listed = listed, registered and await _try_step(_list, client, peers, log)
+        await anyio.sleep(LIST_S if listed_before and listed else RETRY_S)
 
 
 async def _try_step(step: Any, client: StoreClient, *rest: Any) -> bool:
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -30,6 +30,8 @@
     decode_message,
     encode_message,
 )
+from redwingbank.front.host_listing import HostListing
+from redwingbank.front.notice_codec import LimitReport
 from redwingbank.front.poison import CrashNews
 from redwingbank.rules.rendezvous import ranked
 from redwingbank.settings import Address
@@ -42,6 +44,7 @@
     from redwingbank.front.digest import Content
     from redwingbank.front.values import PromptPart
     from redwingbank.routing.load import InFlightRequest
+    from redwingbank.routing.server_limit import Fleet, HostKey
 
 # A host with nothing to report sends an empty digest this often, so that silence shows its loss.
 HEARTBEAT_S = 1.0
@@ -85,8 +88,9 @@
 class Peers(asyncio.DatagramProtocol):
     """Reports this host's requests to the other hosts and applies their reports.
 
-    `answer_question` returns the answer to another host's question; `on_answer`, `on_news` and
-    `on_crash` receive answers, changes of backend servers and crashes from other hosts.
+    `answer_question` returns the answer to another host's question; `on_answer`, `on_news`,
+    `on_crash` and `on_limits` receive answers, changes of backend servers, crashes and limits from
+    other hosts, and `on_host_started` the names of hosts that have started.
     """
 
     def __init__(
@@ -102,11 +106,14 @@
         self.on_answer: Callable[[Answer, str], None] | None = None
         self.on_news: Callable[[News], None] | None = None
         self.on_crash: Callable[[CrashNews, float], None] | None = None
+        self.on_limits: Callable[[LimitReport, HostKey], None] | None = None
+        self.on_host_started: Callable[[str], None] | None = None
         self._host = host
         self._incarnation = incarnation
         self._place = place
         self._backends = backends
         self._log = log
+        self.listing = HostListing(now_s())
         self._transport: asyncio.DatagramTransport | None = None
         self._pending = _PendingDigest([], [], [])
         self._flush_due_s = float("inf")
@@ -133,10 +140,12 @@
             self._handle(message.content, message.host, now)
 
     def add_hosts(self, addresses_by_host: dict[str, Address]) -> None:
-        """Add the hosts that the store lists."""
+        """Add the hosts that the store lists, and greet those that are new."""
+        self.listing.record(addresses_by_host, now_s())
         for host, address in addresses_by_host.items():
             if host != self._host and host not in self.peers_by_host:
                 self.peers_by_host[host] = Peer(address, 0, float("-inf"))
+                self._send(Digest(), [address])
 
     def alive(self, now: float) -> list[str]:
         """List the other hosts that sent a message within `HOST_TIMEOUT_S`."""
@@ -146,6 +155,11 @@
             if now - peer.heard_s < HOST_TIMEOUT_S
         ]
 
+    def fleet(self, now: float) -> Fleet:
+        """Count the hosts that share limits, including this one."""
+        heard_s_by_host = {host: peer.heard_s for host, peer in self.peers_by_host.items()}
+        return self.listing.count_hosts(heard_s_by_host, now)
+
     def report_sent(
         self, server: str, in_flight: InFlightRequest, parts: tuple[PromptPart, ...]
     ) -> int:
@@ -192,8 +206,12 @@
         if peer:
             self._send(question, [peer.address])
 
-    def broadcast(self, news: News | CrashNews) -> None:
-        """Send changes of backend servers, or a crash, to every other host."""
+    def tell(self, host: str, report: LimitReport) -> None:
+        """Send the limits that this host knows to another host."""
+        self._send(report, [self.peers_by_host[host].address])
+
+    def broadcast(self, news: News | CrashNews | LimitReport) -> None:
+        """Send changes, a crash or limits of backend servers to every other host."""
         self._send(news, self._addresses())
 
     def expire(self, now: float) -> None:
@@ -276,6 +294,9 @@
         if before is None or message.incarnation > before.incarnation:
             self._log.essential("host-heard", peer=message.host, address=str(address))
         self.peers_by_host[message.host] = Peer(address, message.incarnation, now, message.place)
+        started = before is None or message.incarnation > before.incarnation
+        if started and self.on_host_started:
+            self.on_host_started(message.host)
         return True
 
     def _is_current(self, host: str, incarnation: int) -> bool:
@@ -341,5 +362,10 @@
         if self.on_crash:
             self.on_crash(content, now)
 
+    @_handle.register
+    def _handle_limits(self, content: LimitReport, host: str, now: float) -> None:
+        if self.on_limits:
+            self.on_limits(content, (host, self.peers_by_host[host].incarnation))
+
 
 __all__ = ["OWN_HOST", "Peer", "Peers"]
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -130,6 +130,8 @@
             for owner in (self._servers, self._blocks, router.backends, router.peers):
                 with router.barrier.confine("expiry"):
                     owner.expire(now)
+            with router.barrier.confine("limits"):
+                router.server_limits.update(now, router.backends.backends_by_name.keys())
             with router.barrier.confine("heartbeat"):
                 router.peers.send_heartbeat()
             router.log.flush()
--- a/src/redwingbank/front/request_recorder.py
+++ b/src/redwingbank/front/request_recorder.py
@@ -41,6 +41,7 @@
     ) -> None:
         """Log the selected server and the estimates behind the selection."""
         now, router, backend = now_s(), self._router, choice.backend
+        limit = router.backends.limits.find(backend.entry)
         router.log.detail(
             "request-granted",
             request=request.request_id,
@@ -54,7 +55,7 @@
             parts=parts,
             load=len(backend.load),
             slots=backend.entry.slots,
-            limit_per_s=router.server_limits.per_s_by_server.get(backend.entry.name),
+            limit_per_s=limit.per_s if limit else None,
             cost=round(choice.cost, 3),
             unread_tokens=choice.unread_tokens,
             copied_tokens=choice.copy.tokens if choice.copy else 0,
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -57,7 +57,7 @@
         self.poison = PoisonTracker(self.peers.broadcast, self.log)
         self.probes = CrashProbes(self.poison)
         self.peers.on_crash = self.poison.handle_crash_news
-        self.server_limits = ServerLimits(self.log)
+        self.server_limits = ServerLimits(self.backends.limits, self.peers, self.log)
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
         self.dispatcher = Dispatcher(Chooser(self.backends, random))
         self.allowance = RetryAllowance(settings.bounds, lambda: 1 + len(self.peers.peers_by_host))
@@ -85,7 +85,8 @@
         for name, backend in self.backends.backends_by_name.items():
             gauge("server_in_flight", len(backend.load), server=name)
             gauge("server_connections_opened", backend.connections.opened, server=name)
-        for server, per_s in self.server_limits.per_s_by_server.items():
+        for server, limit in self.backends.limits.limits_by_server.items():
+            per_s = float("inf") if limit.per_s is None else limit.per_s
             gauge("server_limit_per_second", per_s, server=server)
         for pool in self.tables.table.pools_by_name if self.tables.table else ():
             gauge("repeats_left", self.allowance.remaining(pool, now), pool=pool)
@@ -106,6 +107,8 @@
         """Whether the host accepts new connections."""
         if self.shutdown.begun or self.tables.table is None:
             return False
+        if not self.peers.listing.introduced(now_s()):
+            return False
         return bool(self.servers.entries_by_name) and self.tables.can_trust_keys(now_s())
 
     def retry_after_s(self, code: Code) -> float:
--- a/src/redwingbank/front/server_limits.py
+++ b/src/redwingbank/front/server_limits.py
@@ -1,40 +1,135 @@
-"""Limits that backend servers name in their answers."""
+"""Keeps the limits that backend servers name, together with the other hosts."""
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
+from redwingbank.clock import now_s
+from redwingbank.front.notice_codec import LimitReport
+
 if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
     from redwingbank.decisions import DecisionLog
+    from redwingbank.front.peers import Peers
     from redwingbank.front.values import ServerEntry, StatedLimit
+    from redwingbank.routing.server_limit import HostKey, LimitBook, ServerLimit
+
+# All limits are told again this often, since datagrams are lost.
+REPEAT_S = 1.0
+# The end of a limit is repeated for this long.
+REPEAT_END_S = 10.0
+# At most one message in this time tells of requests.
+BATCH_S = 0.02
+# limits per datagram, at about 60 bytes each
+MAX_LIMITS = 20
 
 
 class ServerLimits:
-    """Keeps the requests a second that each server takes, by its latest answer at this host."""
+    """Tells the other hosts the limits that servers name here, and the requests sent to them.
 
-    def __init__(self, log: DecisionLog) -> None:
-        self.per_s_by_server: dict[str, float] = {}
+    What a server says to one host binds all at once; each host counts what the others send.
+    """
+
+    def __init__(self, book: LimitBook, peers: Peers, log: DecisionLog) -> None:
+        self.book = book
+        self._peers = peers
         self._log = log
+        self._repeated_s = float("-inf")
+        self._reported_s = float("-inf")
+        self._unreported: set[str] = set()
+        peers.on_limits = self.handle_report
+        peers.on_host_started = self.tell_host
 
-    def answer_received(self, server: ServerEntry, stated: StatedLimit | None) -> None:
-        """Record what an answer says; a limit that can't be read changes nothing."""
+    def answer_received(
+        self, entry: ServerEntry, stated: StatedLimit | None, sent_s: float, *, stamped: bool
+    ) -> None:
+        """Apply what an answer says; a value that is no limit changes nothing."""
         if stated is None:
-            self._log.detail("limit-unreadable", server=server.name)
+            self._log.detail("limit-unreadable", server=entry.name)
             return
-        before = self.per_s_by_server.get(server.name)
-        if stated.per_s == before:
+        limit = self.book.find(entry)
+        if stated.per_s is None and (limit is None or not stamped):
             return
-        if stated.per_s is None:
-            del self.per_s_by_server[server.name]
-        else:
-            self.per_s_by_server[server.name] = stated.per_s
-        self._log.essential(
-            "limit-named", server=server.name, per_s=stated.per_s, per_s_before=before
+        limit = limit or self.book.get_or_create(entry.name, entry.started_ms)
+        before = limit.per_s
+        if limit.answer_received(stated.per_s, sent_s, now_s()):
+            self._log_change(limit, before, "answer")
+            self._report(limit)
+
+    def request_sent(self, entry: ServerEntry) -> None:
+        """Count a request of this host, and tell the others."""
+        limit = self.book.find(entry)
+        if limit:
+            limit.request_sent(now_s())
+            if limit.per_s is not None:
+                self._report(limit)
+
+    def handle_report(self, report: LimitReport, host: HostKey) -> None:
+        """Apply what another host tells."""
+        now = now_s()
+        for state in report.limits:
+            known = self.book.limits_by_server.get(state.server)
+            before = known.per_s if known else None
+            limit = self.book.merge(state, host, now)
+            if limit:
+                self._log_change(limit, before, host[0])
+
+    def tell_host(self, host: str) -> None:
+        """Tell a host that has just started all limits."""
+        for report in _reports(self.book.limits_by_server.values()):
+            self._peers.tell(host, report)
+
+    def update(self, now: float, servers: Collection[str]) -> None:
+        """Refill what is left of the limits, and repeat them; call it several times a second."""
+        fleet = self._peers.fleet(now)
+        for limit in self.book.limits_by_server.values():
+            limit.update(fleet, now)
+        if now - self._repeated_s >= REPEAT_S:
+            self._repeated_s = now
+            self.book.forget(servers, now)
+            repeated = [
+                limit
+                for limit in self.book.limits_by_server.values()
+                if limit.per_s is not None or now - limit.changed_s < REPEAT_END_S
+            ]
+            for report in _reports(repeated):
+                self._peers.broadcast(report)
+
+    def _report(self, limit: ServerLimit) -> None:
+        """Tell the others of a limit at once, or with the next batch."""
+        if not self._unreported:
+            wait_s = max(0.0, self._reported_s + BATCH_S - now_s())
+            asyncio.get_running_loop().call_later(wait_s, self._send_reports)
+        self._unreported.add(limit.server)
+
+    def _send_reports(self) -> None:
+        self._reported_s = now_s()
+        by_server = self.book.limits_by_server
+        unreported, self._unreported = self._unreported, set()
+        limits = [by_server[server] for server in sorted(unreported) if server in by_server]
+        for report in _reports(limits):
+            self._peers.broadcast(report)
+
+    def _log_change(self, limit: ServerLimit, before: float | None, source: str) -> None:
+        # a server that changes its limit with each answer must not fill the log
+        begins_or_ends = before is None or limit.per_s is None
+        (self._log.essential if begins_or_ends else self._log.detail)(
+            "limit-named",
+            server=limit.server,
+            per_s=limit.per_s,
+            per_s_before=before,
+            version=limit.version,
+            source=source,
         )
 
-    def remove(self, server: str) -> None:
-        """Forget the limit of a server that has left."""
-        self.per_s_by_server.pop(server, None)
+
+def _reports(limits: Iterable[ServerLimit]) -> Iterable[LimitReport]:
+    """Split limits into reports that fit into a datagram."""
+    states = [limit.state() for limit in limits]
+    for at in range(0, len(states), MAX_LIMITS):
+        yield LimitReport(tuple(states[at : at + MAX_LIMITS]))
 
 
 __all__ = ["ServerLimits"]
--- a/src/redwingbank/front/store_handlers.py
+++ b/src/redwingbank/front/store_handlers.py
@@ -169,7 +169,6 @@
             name = departure.entry.name
             if name not in self._router.servers.entries_by_name:
                 self._router.backends.remove(name)
-                self._router.server_limits.remove(name)
                 self._router.poison.server_down(name, now_s())
             self._router.log.essential(
                 "server-state", server=name, was="serving", state=departure.reason
--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -151,6 +151,11 @@
     resume_after: str
     forwarded_headers: bytes
 
+    @property
+    def shared_parts(self) -> tuple[PromptPart, ...]:
+        """The parts that other requests may have in common with this one."""
+        return self.parts[:-1]
+
 
 class StatedLimit(NamedTuple):
     """What a server's answer says of the requests a second that it takes from all hosts together.
--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -85,6 +85,16 @@
     copy: Copy | None = None
 
 
+class AtLimit(NamedTuple):
+    """All servers that could take a request are at the limits that they name.
+
+    The first may take one in `wait_s`; `per_s` is this host's part of what they take in a second.
+    """
+
+    wait_s: float
+    per_s: float
+
+
 class CachedPrompt(NamedTuple):
     """How much of a prompt is cached: at one server, the most at any, and what can be copied."""
 
@@ -134,10 +144,11 @@
         needs: RequestNeeds,
         avoid: Collection[str],
         now_s: float,
-    ) -> Choice | None:
+    ) -> Choice | AtLimit | None:
         """Choose a server outside `avoid`, or return None if there is none.
 
-        Servers whose breakers reject requests are used only if there are no others.
+        Servers whose breakers reject requests are used only if there are no others, and servers
+        at their limits not at all.
         """
         listed = [
             self._backends.get_or_create(entry) for entry in entries if entry.name not in avoid
@@ -145,6 +156,14 @@
         candidates = [backend for backend in listed if backend.breaker.admits(now_s)] or listed
         if not candidates:
             return None
+        limits = self._backends.limits
+        if limits.limits_by_server:
+            below = [
+                backend for backend in candidates if limits.wait_s(backend.entry, now_s) <= 0.0
+            ]
+            if not below:
+                return self._at_limit(candidates, now_s)
+            candidates = below
         if not needs.route.has_prompt:
             return self._least_loaded(candidates, needs)
         candidates.sort(key=lambda backend: backend.entry.name)
@@ -167,6 +186,12 @@
             key=lambda choice: choice.cost,
         )
 
+    def _at_limit(self, candidates: list[Backend], now_s: float) -> AtLimit:
+        limits = self._backends.limits
+        found = [limits.find(backend.entry) for backend in candidates]
+        wait_s = min(limits.wait_s(backend.entry, now_s) for backend in candidates)
+        return AtLimit(wait_s, sum(limit.own_rate_per_s for limit in found if limit))
+
     def _least_loaded(self, candidates: list[Backend], needs: RequestNeeds) -> Choice:
         best = min(
             candidates,
@@ -313,4 +338,13 @@
     return min(1.0, miss_probability(pause_s, target_s) + load.recent_long_pauses(target_s, now_s))
 
 
-__all__ = ["Choice", "Copy", "Costs", "Chooser", "RequestNeeds", "as_in_flight", "refusal_code"]
+__all__ = [
+    "AtLimit",
+    "Choice",
+    "Chooser",
+    "Copy",
+    "Costs",
+    "RequestNeeds",
+    "as_in_flight",
+    "refusal_code",
+]
--- a/src/redwingbank/routing/dispatch.py
+++ b/src/redwingbank/routing/dispatch.py
@@ -1,7 +1,8 @@
 """Decides whether a request is sent to a backend server or refused, and when it may return.
 
 Answers bursts and the loss of servers: a prompt whose best server can't begin it while its caller
-waits is refused at once, with the time in which that server works off what is ahead.
+waits is refused at once, with the time in which that server works off what is ahead. A request
+for which all servers are at their limits is refused with the time at which one of them is not.
 """
 
 from __future__ import annotations
@@ -9,7 +10,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.codes import Code
-from redwingbank.routing.choice import refusal_code
+from redwingbank.routing.choice import AtLimit, refusal_code
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Sequence
@@ -17,6 +18,9 @@
     from redwingbank.front.values import Pool, ServerEntry
     from redwingbank.routing.choice import Choice, Chooser, RequestNeeds
 
+# A later return is not asked for: by then limits, servers and load will be others.
+MAX_RETURN_S = 5.0
+
 
 class Send(NamedTuple):
     """The request is sent to the chosen server."""
@@ -31,11 +35,31 @@
     retry_after_s: float
 
 
+class ReturnTimes:
+    """Spreads the returns of refused callers of each pool over what its servers take.
+
+    >>> returns = ReturnTimes()
+    >>> [returns.assign("pool", AtLimit(wait_s=0.5, per_s=2.0), 10.0) for _ in range(3)]
+    [0.5, 1.0, 1.5]
+    """
+
+    def __init__(self) -> None:
+        self._last_s_by_pool: dict[str, float] = {}
+
+    def assign(self, pool: str, limit: AtLimit, now_s: float) -> float:
+        """Return the time until the next refused caller may return."""
+        after_last_s = self._last_s_by_pool.get(pool, float("-inf")) + 1 / limit.per_s
+        return_s = min(max(now_s + limit.wait_s, after_last_s), now_s + MAX_RETURN_S)
+        self._last_s_by_pool[pool] = return_s
+        return return_s - now_s
+
+
 class Dispatcher:
     """Decides on one request at a time, from the state of the servers at that moment."""
 
     def __init__(self, chooser: Chooser) -> None:
         self._chooser = chooser
+        self._returns = ReturnTimes()
 
     def decide(
         self,
@@ -47,15 +71,23 @@
     ) -> Send | Refuse:
         """Choose a server outside `avoid`, or refuse the request.
 
-        A stream whose answer has begun is never refused while there is a server.
+        A stream whose answer has begun is refused only if there is no server below its limit.
         """
         choice = self._chooser.choose(entries, pool, needs, avoid, now_s)
         if choice is None:
             return Refuse(Code.NO_BACKEND_SERVER, 0.0)
+        if isinstance(choice, AtLimit):
+            return Refuse(Code.SERVERS_AT_LIMIT, self._return_s(pool, choice, needs, now_s))
         code = None if needs.answer_begun else refusal_code(choice, needs, now_s)
         if code is None:
             return Send(choice)
         return Refuse(code, choice.backlog_tokens / choice.backend.load.read_tokens_per_s)
 
+    def _return_s(self, pool: Pool, limit: AtLimit, needs: RequestNeeds, now_s: float) -> float:
+        # a stream that has begun waits here instead of returning
+        if needs.answer_begun:
+            return limit.wait_s
+        return self._returns.assign(pool.name, limit, now_s)
+
 
-__all__ = ["Dispatcher", "Refuse", "Send"]
+__all__ = ["Dispatcher", "Refuse", "ReturnTimes", "Send"]
--- a/src/redwingbank_bench/replay_arms.py
+++ b/src/redwingbank_bench/replay_arms.py
@@ -15,7 +15,7 @@
     from random import Random
 
     from redwingbank.front.values import Pool, PromptPart, ServerEntry
-    from redwingbank.routing.choice import Choice, RequestNeeds
+    from redwingbank.routing.choice import AtLimit, Choice, RequestNeeds
     from redwingbank.routing.load import InFlightRequest
 
 FOUND_COSTS = Costs(copied_token=0.0, backlog_second=0.5, blocked_request=0.0)
@@ -105,7 +105,7 @@
         needs: RequestNeeds,
         avoid: Collection[str],
         now_s: float,
-    ) -> Choice | None:
+    ) -> Choice | AtLimit | None:
         """Choose a random server."""
         entries = [self._random.choice(entries)] if entries else []
         return super().choose(entries, pool, needs, avoid, now_s)
