Take no answer without an id on a reused connection

What callers saw in the test: a booking that ran was answered 503 with ran=no, so its caller may book again.

Cause: a server's second copy of an earlier refusal comes late, on the connection that carries the next request. It has no request id, and only successes without an id were rejected: the copy counted as a refusal of the next request, which then runs.

Ruled out: answers that bear another id (rejected before).

Change: an answer without an id is taken only as the first of its connection. The caller of a request that meets such a copy is told that it may have run.

Test: failed before (503, ran no), passes now.

--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -203,8 +203,11 @@
 
     def _find_fault(self, head: AnswerHead, facts: AnswerFacts) -> str:
         success = STATUS_OK <= head.status <= STATUS_LAST_SUCCESS
-        if facts.request_id != self._request_id and (facts.request_id or success):
-            return "another request's answer"
+        if facts.request_id != self._request_id:
+            # only the first answer of a connection can't be a second copy of an earlier one
+            first = self._connection is not None and self._connection.requests == 1
+            if facts.request_id or success or not first:
+                return "another request's answer"
         if success and not facts.stamped:
             return "unsigned"
         return "encoded" if success and facts.encoded else ""
--- a/src/redwingbank/front/outbound.py
+++ b/src/redwingbank/front/outbound.py
@@ -62,6 +62,7 @@
         self._reply: Reply | None = None
         self._reusable = True
         self._answer_whole = False
+        self.requests = 0
         self.expires_s = 0.0
 
     @property
@@ -80,6 +81,7 @@
     def send(self, data: bytes, reply: Reply) -> None:
         """Send a request; its answer goes to `reply`."""
         assert self._transport is not None
+        self.requests += 1
         self._answer_whole = False
         self._reply = reply
         self._transport.write(data)
--- a/tests/front/answers.feature
+++ b/tests/front/answers.feature
@@ -160,3 +160,7 @@
       | 0     | 1            | 3    |
       | 2     | 1            | 5    |
       | 2     | none         | 2    |
+
+  Scenario: a late second copy of a refusal is not taken for the answer to the next request
+    When a server refuses a booking and sends the refusal again before it answers the next booking
+    Then the next booking ran once and its caller is not told that it has not run
--- a/tests/steps/front_answers.py
+++ b/tests/steps/front_answers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+import json
 import os
 import signal
 import time
@@ -325,3 +326,22 @@
         splitter.feed(data)
         times.append(time.process_time() - started_s)
     return min(times)
+
+
+@when("a server refuses a booking and sends the refusal again before it answers the next booking")
+def refusal_sent_again(context):
+    context.rig = Rig(modes=["repeated-refusal"])
+
+    async def scenario(rig):
+        refused = await rig.ask("single", request_id="r-1")
+        assert (refused.status, rig.runs()) == (503, []), refused.raw
+        return await rig.ask("single", request_id="r-2")
+
+    context.answer = run_scenario(context.rig, scenario)
+
+
+@then("the next booking ran once and its caller is not told that it has not run")
+def next_booking_not_refused(context):
+    assert [run.request_id for run in context.rig.runs()] == ["r-2"]
+    assert context.answer.status == 502, context.answer.raw
+    assert json.loads(context.answer.body)["error"]["ran"] == "maybe"
