Tell a late second copy of an answer from the next call's in the daemon

What callers would see: the answer of another call. In the test the second, third and fourth call on a connection got the answers of the calls before.

Cause: the daemon's client checks no id. httpcore notices bytes that come while a connection is idle, but not a copy that comes after the next request was sent.

Change: every call bears an id. An answer with another id is rejected as garbage; after an answer without one the connection is not used again. The stand-ins echo ids. Header names are compared without case, which the type of an answer was not.

--- a/src/redwingbank/ports/engine.py
+++ b/src/redwingbank/ports/engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import json
 import ssl
 from contextlib import asynccontextmanager
@@ -16,7 +17,7 @@
 from redwingbank.model import CacheEvent, LoadReport, Outcome
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Iterable
 
     from redwingbank.settings import Settings
 
@@ -28,6 +29,7 @@
 REFUSING_STATUSES = {429, 503}
 OK_STATUS = 200
 CONFLICT_STATUS = 409
+REQUEST_ID_HEADER = "x-request-id"
 
 
 _SHORT_TIMEOUT = dict.fromkeys(("connect", "read", "write", "pool"), SHORT_CALL_TIMEOUT_S)
@@ -79,7 +81,12 @@
 
 
 class BackendClient:
-    """HTTP client of backend servers with a pool of idle connections per server."""
+    """HTTP client of backend servers with a pool of idle connections per server.
+
+    A server may send a second copy of an answer late, on a connection that carries the next
+    request. An answer with another request's id is rejected, and a connection on which an answer
+    came without an id is not used again.
+    """
 
     def __init__(self, settings: Settings) -> None:
         self.first_token_timeout_s = settings.first_byte_timeout_s
@@ -91,6 +98,7 @@
             "write": settings.idle_timeout_s,
         }
         self._idle_by_address: dict[str, list[httpcore.AsyncHTTPConnection]] = {}
+        self._call_numbers = itertools.count(1)
 
     async def close(self) -> None:
         """Close every idle connection."""
@@ -116,11 +124,11 @@
         return httpcore.AsyncHTTPConnection(origin, keepalive_expiry=KEEPALIVE_S)
 
     async def _release_connection(
-        self, address: str, connection: httpcore.AsyncHTTPConnection
+        self, address: str, connection: httpcore.AsyncHTTPConnection, *, identified: bool
     ) -> None:
-        """Return a connection to the pool if its response was complete, else close it."""
+        """Return a connection to the pool if its response was complete and had an id."""
         idle = self._idle_by_address.setdefault(address, [])
-        if connection.is_idle() and len(idle) < MAX_IDLE_CONNECTIONS:
+        if identified and connection.is_idle() and len(idle) < MAX_IDLE_CONNECTIONS:
             idle.append(connection)
             return
         with anyio.CancelScope(shield=True):
@@ -135,16 +143,21 @@
         :raises AttemptError: if the response doesn't arrive completely
         """
         connection = await self._acquire_connection(address)
+        sent_id, echo = _header(request.headers, REQUEST_ID_HEADER), None
         try:
             response = await connection.handle_async_request(request)
+            echo = _header(response.headers, REQUEST_ID_HEADER)
             try:
+                if echo not in {None, sent_id}:
+                    raise AttemptError(Outcome.GARBAGE)
                 yield response
             finally:
                 await response.aclose()
         except _TRANSPORT_ERRORS as error:
             raise AttemptError(classify_error(error)) from error
         finally:
-            await self._release_connection(address, connection)
+            identified = echo is not None and echo == sent_id
+            await self._release_connection(address, connection, identified=identified)
 
     @asynccontextmanager
     async def stream(
@@ -162,7 +175,7 @@
             extensions={"timeout": self._timeout},
         )
         async with self._send(address, request) as response:
-            content_type = dict(response.headers).get(b"content-type", b"")
+            content_type = _header(response.headers, "content-type") or b""
             yield StreamedResponse(
                 response.status, content_type.decode("latin-1"), response.aiter_stream()
             )
@@ -174,7 +187,14 @@
         request = httpcore.Request(
             method,
             f"http://{address}{path}",
-            headers=_build_headers(address, {"Content-Type": "application/json"}, body),
+            headers=_build_headers(
+                address,
+                {
+                    "Content-Type": "application/json",
+                    REQUEST_ID_HEADER: f"call-{next(self._call_numbers)}",
+                },
+                body,
+            ),
             content=body,
             extensions={"timeout": _SHORT_TIMEOUT},
         )
@@ -189,6 +209,11 @@
     return [("Host", address), *headers.items(), ("Content-Length", str(len(body)))]
 
 
+def _header(headers: Iterable[tuple[bytes, bytes]], name: str) -> bytes | None:
+    by_name = {key.lower(): value for key, value in headers}
+    return by_name.get(name.encode())
+
+
 class EngineClient:
     """Client of the engine protocol; see docs/ENGINE-PROTOCOL.md."""
 
--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -38,13 +38,14 @@
     Modes with a single response: ok, error, shed, lost, garbage, unsigned, foreign, extra, cut,
     unsized, unsized-reset, encoded. Modes with a stream: stream, broken (reset in the middle of
     the third event), endless, and three without a length: unsized-stream, unsized-broken (closed
-    in the middle of the third event), unsized-empty (closed after the head). In modes
-    endless-line, endless-headers, endless-interim and endless-trailers the head or the trailers
-    go on until the peer closes, after 64 MB at most; `flood_bytes` counts them. In mode hang no
-    response is sent. In mode repeated-refusal the first request of a connection is refused, and a
-    second copy of the refusal comes before the response to the next one. Refusals bear no id. A server in mode stream crashes in the first event of each answer to a
-    prompt with the shared part `crash_part`. While `named_limit` is not empty, the heads of all
-    its responses name it as the requests a second that the server takes.
+    in the middle of the third event), unsized-empty (closed after the head). In modes endless-
+    line, endless-headers, endless-interim and endless-trailers the head or the trailers go on
+    until the peer closes, after 64 MB at most; `flood_bytes` counts them. In mode hang no response
+    is sent. In mode repeated-refusal the first request of a connection is refused, and a second
+    copy of the refusal comes before the response to the next one. Refusals bear no id. A server in
+    mode stream crashes in the first event of each answer to a prompt with the shared part
+    `crash_part`. While `named_limit` is not empty, the heads of all its responses name it as the
+    requests a second that the server takes.
     """
 
     def __init__(self, name: str, mode: str = "ok") -> None:
--- a/src/redwingbank_standins/serving.py
+++ b/src/redwingbank_standins/serving.py
@@ -70,9 +70,13 @@
             more = message.get("more_body", False)
         return b"".join(parts)
 
+    def _echoed_id(self) -> list[tuple[bytes, bytes]]:
+        request_id = self.header("x-request-id")
+        return [(b"x-request-id", request_id.encode("latin-1"))] if request_id else []
+
     async def send_head(self, status: int, content_type: str) -> None:
         """Send the head of a streamed response."""
-        headers = [(b"content-type", content_type.encode())]
+        headers = [(b"content-type", content_type.encode()), *self._echoed_id()]
         await self.send({"type": "http.response.start", "status": status, "headers": headers})
 
     async def send_chunk(self, body: bytes, *, more: bool = True) -> None:
@@ -85,6 +89,7 @@
         headers = [
             (b"content-type", content_type.encode()),
             (b"content-length", str(len(body)).encode()),
+            *self._echoed_id(),
         ]
         await self.send({"type": "http.response.start", "status": status, "headers": headers})
         await self.send_chunk(body, more=False)
--- a/tests/ports/engine.feature
+++ b/tests/ports/engine.feature
@@ -21,3 +21,13 @@
       | a block the engine holds | accepted | yes  |
       | a block it does not hold | nothing  | no   |
       | corrupt bytes            | rejected | no   |
+
+  Scenario Outline: a late second copy of an answer is not taken for the answer to the next call
+    Given a server that <does> the ids of calls and sends each answer again before the next one
+    When the engine client calls it 4 times
+    Then each call got its own answer or none
+
+    Examples:
+      | does        |
+      | echoes      |
+      | leaves out  |
--- a/tests/steps/ports_engine.py
+++ b/tests/steps/ports_engine.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import importlib.util
 
 import anyio
@@ -86,3 +87,46 @@
 def engine_client_result(context, result, held):
     assert context.result == result, context.result
     assert (context.block in context.other.cache) == (held == "yes")
+
+
+@given("a server that {does} the ids of calls and sends each answer again before the next one")
+def repeating_server(context, does):
+    async def serve(reader, writer):
+        copy = b""
+        while line := await reader.readline():
+            headers = {}
+            while text := (await reader.readline()).decode().strip():
+                name, _, value = text.partition(":")
+                headers[name.lower()] = value.strip()
+            path = line.split()[1]
+            echo = headers.get("x-request-id", "") if does == "echoes" else ""
+            id_line = f"X-Request-Id: {echo}\r\n".encode() if echo else b""
+            length = b"Content-Length: %d\r\n" % len(path)
+            answer = b"HTTP/1.1 200 OK\r\n" + length + id_line + b"\r\n" + path
+            writer.write(copy + answer)
+            copy = answer
+        writer.close()
+
+    context.serve, context.echoes = serve, does == "echoes"
+
+
+@when("the engine client calls it {count:d} times")
+def call_repeating(context, count):
+    async def calls():
+        server = await asyncio.start_server(context.serve, "127.0.0.1", 0)
+        client = BackendClient(host_settings(1, Address("127.0.0.1", 1)))
+        address = f"127.0.0.1:{server.sockets[0].getsockname()[1]}"
+        context.answers = [await client.call(address, "GET", f"/{n}") for n in range(count)]
+        await client.close()
+        server.close()
+
+    asyncio.run(calls())
+
+
+@then("each call got its own answer or none")
+def own_answers(context):
+    for number, answer in enumerate(context.answers):
+        assert answer in {None, (200, b"/%d" % number)}, context.answers
+    assert context.answers[0] is not None
+    # a connection whose answers bear ids is used again, and meets the copy
+    assert (None in context.answers) == context.echoes, context.answers
