Send with the time that is left once connected; choose again after a delay

What callers saw in the test: a booking with 8 s to live was sent after 9 s, told 8 s, and one delayed by 6 s was sent to the server chosen before.

Cause: the request is encoded, and its server chosen, before the connection is opened. A process that is suspended or held up meanwhile sends on: the timeout of the connect counts on a clock that stands while suspended.

Ruled out: requests on idle connections, which are encoded and written in one step, and admission, which judges ages by the clock that goes on.

Change: the request is encoded when it is written. If connecting took longer than its timeout by the clock that goes on, nothing is sent and the server is chosen again, by the state of now and within the request's time.

--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -6,11 +6,14 @@
 from enum import Enum, auto
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
-from redwingbank.front.outbound import Loss
+from redwingbank.clock import now_s
+from redwingbank.front.outbound import CONNECT_TIMEOUT_S, Loss
 from redwingbank.model import Outcome
 from redwingbank.platform.headers import decode_answer
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from redwingbank.front.backends import Backend
     from redwingbank.front.outbound import Connection
     from redwingbank.front.wire import AnswerHead
@@ -95,13 +98,16 @@
         """Whether the end of the answer is marked, not only by the end of the connection."""
         return self._head is None or self._head.sized
 
-    def start(self, data: bytes) -> None:
-        """Send the request on an idle connection, or on a new one."""
+    def start(self, encode: Callable[[float], bytes]) -> None:
+        """Send the request on an idle connection, or on a new one.
+
+        `encode` returns the request as it is when it is sent.
+        """
         connection = self.backend.connections.acquire()
         if connection:
-            self._send(connection, data)
+            self._send(connection, encode(now_s()))
         else:
-            self._connecting = asyncio.get_running_loop().create_task(self._connect(data))
+            self._connecting = asyncio.get_running_loop().create_task(self._connect(encode))
 
     def cancel(self) -> None:
         """Stop the attempt; closing the connection cancels the request at the server."""
@@ -177,7 +183,8 @@
             failure = Failure(OUTCOME_BY_LOSS[loss], self.sent, f"{loss}: {detail}")
         self._owner.attempt_failed(self, failure)
 
-    async def _connect(self, data: bytes) -> None:
+    async def _connect(self, encode: Callable[[float], bytes]) -> None:
+        started_s = now_s()
         try:
             connection = await self.backend.connections.connect()
         except OSError as error:
@@ -189,7 +196,14 @@
         if self._finished:
             connection.abort()
             return
-        self._send(connection, data)
+        # the timeout does not count the time for which the process was suspended
+        if now_s() - started_s > CONNECT_TIMEOUT_S:
+            connection.abort()
+            self._finished = True
+            failure = Failure(Outcome.REFUSED, False, "suspended while connecting")
+            self._owner.attempt_failed(self, failure)
+            return
+        self._send(connection, encode(now_s()))
 
     def _send(self, connection: Connection, data: bytes) -> None:
         self._connection = connection
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -18,6 +18,7 @@
 from redwingbank.front.backends import update_breaker
 from redwingbank.front.events import EventError, EventSplitter
 from redwingbank.front.failures import CUT_SHORT, error_answer, invalid_answer, is_cut_short
+from redwingbank.front.outgoing import OutgoingRequest
 from redwingbank.front.peers import OWN_HOST
 from redwingbank.front.poison import request_traits
 from redwingbank.front.refusals import error_body
@@ -25,7 +26,7 @@
 from redwingbank.front.run_watch import RunWatch
 from redwingbank.front.values import Kind
 from redwingbank.model import Outcome, Request
-from redwingbank.platform.headers import Envelope, decode_call, encode_call, encode_own_answer
+from redwingbank.platform.headers import decode_call, encode_own_answer
 from redwingbank.routing.choice import RequestNeeds, as_in_flight
 from redwingbank.routing.dispatch import Refuse
 from redwingbank.rules.lifecycle import Lifecycle, Step
@@ -264,19 +265,13 @@
         backend.load.request_sent((OWN_HOST, self._number), in_flight, shared)
         self._router.server_limits.request_sent(backend.entry)
         backend.breaker.record_send(request.request_id, now)
-        envelope = Envelope(
-            server=backend.entry.name,
-            organisation=admitted.organisation,
-            deadline_s=request.give_up_s - now,
-            resume_after=self._splitter.last_id if self._splitter else "",
-            rank=in_flight.rank if admitted.route.has_prompt else None,
-            copy_from=choice.copy.source.address if choice.copy else None,
-        )
         self._recorder.record_grant(self._life, request, admitted, choice, self._watch.parts)
-        self._attempt = Attempt(self, backend, request.request_id)
-        self._attempt.start(
-            encode_call(self._head.method, self._head.target, admitted.facts, self._body, envelope)
+        resume_after = self._splitter.last_id if self._splitter else ""
+        outgoing = OutgoingRequest(
+            self._head, self._body, admitted, choice, request.give_up_s, resume_after
         )
+        self._attempt = Attempt(self, backend, request.request_id)
+        self._attempt.start(outgoing.encode)
 
     def _wait_or_refuse(self, decision: Refuse, now: float) -> None:
         """Refuse a request at once; let a stream that has begun wait for a server's limit."""
--- a/src/redwingbank/front/outbound.py
+++ b/src/redwingbank/front/outbound.py
@@ -247,4 +247,4 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
-__all__ = ["Connection", "ConnectionPool", "Loss", "Reply"]
+__all__ = ["CONNECT_TIMEOUT_S", "Connection", "ConnectionPool", "Loss", "Reply"]
--- a/tests/steps/front_answers.py
+++ b/tests/steps/front_answers.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import time
+from unittest import mock
 
 from behave import then, when
 
@@ -345,3 +346,47 @@
     assert [run.request_id for run in context.rig.runs()] == ["r-2"]
     assert context.answer.status == 502, context.answer.raw
     assert json.loads(context.answer.body)["error"]["ran"] == "maybe"
+
+
+class ShiftedTime:
+    """Stands in for the time module; its clocks are ahead, as after the process was suspended."""
+
+    def __init__(self):
+        self.ahead_s = 0.0
+
+    def clock_gettime(self, clock):
+        return time.clock_gettime(clock) + self.ahead_s
+
+    CLOCK_BOOTTIME = time.CLOCK_BOOTTIME
+
+
+@when("a host is delayed for {delay_s:g} s while it connects for a booking of {deadline_ms:d} ms")
+def delayed_while_connecting(context, delay_s, deadline_ms):
+    context.rig = Rig(modes=["ok", "ok"])
+    shifted = ShiftedTime()
+
+    def delay_connects(connections):
+        connect = connections.connect
+
+        async def connect_delayed():
+            connection = await connect()
+            shifted.ahead_s = delay_s
+            return connection
+
+        connections.connect = connect_delayed
+
+    async def scenario(rig):
+        for backend in rig.front.router.backends.backends_by_name.values():
+            delay_connects(backend.connections)
+        return await rig.ask("single", deadline_ms=deadline_ms)
+
+    with mock.patch("redwingbank.clock.time", shifted):
+        context.answer = run_scenario(context.rig, scenario, table(timeout_ms=10_000))
+
+
+@then("the booking is sent {sends:d} times, with at most {left_ms:d} ms left")
+def sent_with(context, sends, left_ms):
+    runs = context.rig.runs()
+    assert len(runs) == sends, runs
+    assert context.answer.status == 200, context.answer.raw
+    assert all(int(run.headers_by_name["deadline-ms"]) <= left_ms for run in runs), runs
