Answer what is being read or has arrived when a front may end

What callers saw in the test: a booking that was half read, or came whole while the front decided that it may end, was cut off without an answer.

Cause: a stopping front ended as soon as no request was in progress. Requests that are being read, or lie read or unread in a connection, did not count, and nothing looked for them between the decision and the end.

Ruled out: running requests, for which a front already waited.

Change: requests being read keep the front up to the end of its grace period; then it stops listening, reads what has arrived, answers it (late in the grace period with 503 and a time to return) and ends.

Test: four scenarios failed before (nothing was received), pass now.

--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -39,6 +39,8 @@
 HOUSEKEEPING_S = 0.1
 # interval of checks whether the settings file has changed without a signal
 SETTINGS_CHECK_S = 1.0
+# time in which requests that wait in the sockets are read before the process ends
+LAST_READ_S = 0.02
 # pause before a background task that failed starts again
 RESTART_S = 1.0
 
@@ -76,6 +78,7 @@
             discover = partial(discover_hosts, self._store, host, settings.peer, peers, router.log)
             group.start_soon(self._keep_running, discover)
             await self._run_housekeeping()
+            await self._close()
             group.cancel_scope.cancel()
         router.log.essential("stopped", unanswered=len(router.exchanges))
         router.log.flush()
@@ -122,7 +125,7 @@
         """Run periodic tasks until the shutdown is complete."""
         router, shutdown = self.router, self.router.shutdown
         next_check_s = next_ask_s = now_s() + SETTINGS_CHECK_S
-        while not shutdown.finished(now_s(), busy=bool(router.exchanges)):
+        while not shutdown.finished(now_s(), busy=router.busy):
             await anyio.sleep(HOUSEKEEPING_S)
             now = now_s()
             with router.barrier.confine("connections"):
@@ -144,6 +147,15 @@
                 with router.barrier.confine("settings"):
                     self._check_settings()
 
+    async def _close(self) -> None:
+        """Stop listening, and answer the requests that have arrived meanwhile."""
+        for listener in self._listeners:
+            listener.close()
+        while True:
+            await anyio.sleep(LAST_READ_S)
+            if not self.router.busy or self.router.shutdown.closed(now_s()):
+                return
+
     def _check_connections(self, now: float) -> None:
         for connection in list(self.router.connections):
             connection.check_timeouts(now)
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -111,6 +111,11 @@
             return False
         return bool(self.servers.entries_by_name) and self.tables.can_trust_keys(now_s())
 
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being read or answered."""
+        return bool(self.exchanges) or any(one.busy for one in self.connections)
+
     def retry_after_s(self, code: Code) -> float:
         """Return after how long a refused caller may retry."""
         return RETRY_AFTER_S_BY_CODE.get(code, RETRY_AFTER_S)
--- a/src/redwingbank/front/shutdown.py
+++ b/src/redwingbank/front/shutdown.py
@@ -44,6 +44,7 @@
         self._begun_s: float | None = None
         self._grace_s = grace_s
         self._end_s = grace_s * (1 - CLOSING_SHARE)
+        self._closed_s = grace_s * (1 - CLOSING_SHARE / 2)
         self._removal_s = min(BALANCER_REMOVAL_S, grace_s * REMOVAL_SHARE)
         self._arrivals_end_s = min(MIN_STAY_S, grace_s * ARRIVAL_SHARE)
 
@@ -88,6 +89,10 @@
         elapsed_s = self._elapsed_s(now_s)
         return elapsed_s >= self._end_s or (elapsed_s >= MIN_STAY_S and not busy)
 
+    def closed(self, now_s: float) -> bool:
+        """Whether requests that are not answered by now are given up."""
+        return self._elapsed_s(now_s) >= self._closed_s
+
     def _elapsed_s(self, now_s: float) -> float:
         return 0.0 if self._begun_s is None else now_s - self._begun_s
 
--- a/tests/front/shutdown.feature
+++ b/tests/front/shutdown.feature
@@ -42,3 +42,17 @@
       | 3.1   | 0        | ends    |
       | 3.1   | 1        | stays   |
       | 7.5   | 1        | ends    |
+
+  Scenario Outline: a request that is being read when the process could end is answered
+    When a host that began to shut down <since> s ago has read half of a booking, and gets the rest <later> s later
+    Then the caller gets a complete answer
+
+    Examples:
+      | since | later |
+      | 2.9   | 0.3   |
+      | 3.1   | 0.2   |
+      | 7.2   | 0.15  |
+
+  Scenario: a request that arrives whole in the moment at which the process could end is answered
+    When requests arrive whole while a host decides that it may end
+    Then each of these callers gets a complete answer
--- a/tests/steps/front_shutdown.py
+++ b/tests/steps/front_shutdown.py
@@ -163,3 +163,75 @@
 def served_for(context, seconds):
     last_s = max(run.received_s for run in context.rig.runs())
     assert last_s - context.signal_s >= seconds, last_s - context.signal_s
+
+
+@when(
+    "a host that began to shut down {since:g} s ago has read half of a booking,"
+    " and gets the rest {later:g} s later"
+)
+def half_read(context, since, later):
+    context.rig = Rig()
+
+    async def scenario(rig):
+        data = request("single", close=False)
+        reader, writer = await rig.connect()
+        writer.write(data[:-2])
+        await rig.until(lambda: any(one.busy for one in rig.front.router.connections))
+        rig.front.router.shutdown.begin(now_s() - since)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(close_at_end(rig))
+            await asyncio.sleep(later)
+            writer.write(data[-2:])
+            return await read_all(reader)
+
+    context.answers = [run_scenario(context.rig, scenario)]
+
+
+async def close_at_end(rig):
+    """Close the connections when the front ends, as the end of its process does."""
+    await rig.until(rig._task.done, within_s=10.0)
+    for connection in list(rig.front.router.connections):
+        connection._transport.abort()
+
+
+async def read_all(reader):
+    try:
+        return parse_response(await reader.read())
+    except ConnectionError:
+        return parse_response(b"")
+
+
+@when("requests arrive whole while a host decides that it may end")
+def arrive_at_end(context):
+    context.rig = Rig()
+
+    async def scenario(rig):
+        router = rig.front.router
+        connections = [await rig.connect() for _ in range(5)]
+        await rig.until(lambda: len(router.connections) == len(connections))
+        finished = router.shutdown.finished
+
+        def send_then_decide(now, *, busy):
+            over = finished(now, busy=busy)
+            if over:
+                for number, (_, writer) in enumerate(connections):
+                    writer.write(request("single", request_id=f"r-{number}"))
+            return over
+
+        router.shutdown.finished = send_then_decide
+        # idle connections stay open, as those whose close crosses a request
+        router.shutdown.closes_idle = lambda now: False
+        router.shutdown.begin(now_s() - 3.1)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(close_at_end(rig))
+            return [await read_all(reader) for reader, _ in connections]
+
+    context.answers = run_scenario(context.rig, scenario)
+
+
+@then("the caller gets a complete answer")
+@then("each of these callers gets a complete answer")
+def complete_answers(context):
+    for answer in context.answers:
+        assert answer.complete, answer.raw
+        assert answer.status in {200, 503}, answer.raw
