Let a damaged message between fronts neither end nor hold up a process

What operators would see: a front that dies with 'terminate called', or stops answering for seconds to minutes, after one damaged datagram.

A packed message of several segments is read as it is used; if bytes are missing, the library throws where nothing can catch it and ends the process. And a damaged length may claim millions of empty rows, which were all read: the library's default bound is 8 million words.

Ruled out: the daemon's messages, which are sealed, so that only what a host wrote is decoded.

Limits are kept by a server's start and told only for servers that are listed, so that a damaged one dies out.

--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -10,6 +10,7 @@
 
 import capnp
 
+from redwingbank.front.framing import open_message
 from redwingbank.front.notice_codec import (
     LimitReport,
     age_ms,
@@ -17,6 +18,7 @@
     decode_limits,
     encode_crash,
     encode_limits,
+    read_rows,
 )
 from redwingbank.front.poison import CrashNews
 from redwingbank.front.values import PromptPart, ServerEntry
@@ -161,11 +163,11 @@
     :raises MessageError: if the bytes are not a message
     """
     try:
-        struct = SCHEMA.Message.from_bytes_packed(data)
-        decode = _DECODER_BY_KIND[struct.which()]
-        content = decode(struct, now_s)
-        place = Place(struct.dataCentre, struct.linkMbps)
-        return Message(struct.host, struct.incarnation, content, place)
+        with open_message(SCHEMA.Message, data) as struct:
+            decode = _DECODER_BY_KIND[struct.which()]
+            content = decode(struct, now_s)
+            place = Place(struct.dataCentre, struct.linkMbps)
+            return Message(struct.host, struct.incarnation, content, place)
     except (capnp.KjException, ValueError, KeyError) as error:
         raise MessageError(str(error)) from error
 
@@ -337,7 +339,10 @@
 def _decode_news(struct: Any, now_s: float) -> News:
     news = struct.news
     return News(
-        news.since, news.until, tuple(map(_decode_server, news.written)), tuple(news.removed)
+        news.since,
+        news.until,
+        tuple(map(_decode_server, read_rows(news.written))),
+        tuple(news.removed),
     )
 
 
--- a/src/redwingbank/front/notice_codec.py
+++ b/src/redwingbank/front/notice_codec.py
@@ -12,6 +12,10 @@
 MAX_AGE_MS = 2**32 - 1
 # stands for a limit that is not named any more
 NO_LIMIT = -1.0
+# No server changes its limit so often; a damaged message may hold any number.
+MAX_VERSION = 2**31
+# more than hosts put into a message
+MAX_ROWS = 100
 
 
 class LimitReport(NamedTuple):
@@ -54,14 +58,26 @@
 def decode_limits(struct: Any, now_s: float) -> LimitReport:
     """Decode the limits that a host knows from a message.
 
-    :raises ValueError: if a limit is not a finite number
+    :raises ValueError: if a limit is not a finite number, or a version out of range
     """
-    return LimitReport(tuple(map(_decode_limit, struct.limits)))
+    return LimitReport(tuple(map(_decode_limit, read_rows(struct.limits))))
+
+
+def read_rows(rows: Any) -> Any:
+    """Return the rows of a message; a damaged one may claim any number of empty ones.
+
+    :raises ValueError: if there are more than a message holds
+    """
+    if len(rows) > MAX_ROWS:
+        raise ValueError(f"{len(rows)} rows")
+    return rows
 
 
 def _decode_limit(row: Any) -> LimitState:
     if not math.isfinite(row.perS):
         raise ValueError(f"limit of {row.server}: {row.perS}")
+    if row.version > MAX_VERSION:
+        raise ValueError(f"limit of {row.server}: version {row.version}")
     per_s = row.perS if row.perS >= 0 else None
     return LimitState(row.server, row.startedMs, row.version, per_s, row.sent)
 
@@ -78,4 +94,5 @@
     "decode_limits",
     "encode_crash",
     "encode_limits",
+    "read_rows",
 ]
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -134,7 +134,7 @@
                 with router.barrier.confine("expiry"):
                     owner.expire(now)
             with router.barrier.confine("limits"):
-                router.server_limits.update(now, router.backends.backends_by_name.keys())
+                router.server_limits.update(now, router.servers.entries_by_name.values())
             with router.barrier.confine("heartbeat"):
                 router.peers.send_heartbeat()
             router.log.flush()
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -85,9 +85,9 @@
         for name, backend in self.backends.backends_by_name.items():
             gauge("server_in_flight", len(backend.load), server=name)
             gauge("server_connections_opened", backend.connections.opened, server=name)
-        for server, limit in self.backends.limits.limits_by_server.items():
+        for limit in self.backends.limits.listed():
             per_s = float("inf") if limit.per_s is None else limit.per_s
-            gauge("server_limit_per_second", per_s, server=server)
+            gauge("server_limit_per_second", per_s, server=limit.server)
         for pool in self.tables.table.pools_by_name if self.tables.table else ():
             gauge("repeats_left", self.allowance.remaining(pool, now), pool=pool)
         return self.metrics.text()
--- a/src/redwingbank/front/server_limits.py
+++ b/src/redwingbank/front/server_limits.py
@@ -9,12 +9,12 @@
 from redwingbank.front.notice_codec import LimitReport
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Iterable
 
     from redwingbank.decisions import DecisionLog
     from redwingbank.front.peers import Peers
     from redwingbank.front.values import ServerEntry, StatedLimit
-    from redwingbank.routing.server_limit import HostKey, LimitBook, ServerLimit
+    from redwingbank.routing.server_limit import HostKey, LimitBook, ServerLimit, ServerStart
 
 # All limits are told again this often, since datagrams are lost.
 REPEAT_S = 0.5
@@ -38,7 +38,7 @@
         self._log = log
         self._repeated_s = float("-inf")
         self._reported_s = float("-inf")
-        self._unreported: set[str] = set()
+        self._unreported: dict[ServerStart, ServerLimit] = {}
         peers.on_limits = self.handle_report
         peers.on_host_started = self.tell_host
 
@@ -70,7 +70,7 @@
         """Apply what another host tells."""
         now = now_s()
         for state in report.limits:
-            known = self.book.limits_by_server.get(state.server)
+            known = self.book.limits_by_start.get((state.server, state.started_ms))
             before = known.per_s if known else None
             limit = self.book.merge(state, host, now)
             if limit:
@@ -78,20 +78,20 @@
 
     def tell_host(self, host: str) -> None:
         """Tell a host that has just started all limits."""
-        for report in _reports(self.book.limits_by_server.values()):
+        for report in _reports(self.book.listed()):
             self._peers.tell(host, report)
 
-    def update(self, now: float, servers: Collection[str]) -> None:
-        """Refill what is left of the limits, and repeat them; call it several times a second."""
-        fleet = self._peers.fleet(now)
-        for limit in self.book.limits_by_server.values():
-            limit.update(fleet, now)
+    def update(self, now: float, entries: Iterable[ServerEntry]) -> None:
+        """Refill what is left of the limits, and repeat them; call it several times a second.
+
+        `entries` are the servers that are listed.
+        """
+        self.book.update(self._peers.fleet(now), entries, now)
         if now - self._repeated_s >= REPEAT_S:
             self._repeated_s = now
-            self.book.forget(servers, now)
             repeated = [
                 limit
-                for limit in self.book.limits_by_server.values()
+                for limit in self.book.listed()
                 if limit.per_s is not None or now - limit.changed_s < REPEAT_END_S
             ]
             for report in _reports(repeated):
@@ -102,14 +102,12 @@
         if not self._unreported:
             wait_s = max(0.0, self._reported_s + BATCH_S - now_s())
             asyncio.get_running_loop().call_later(wait_s, self._send_reports)
-        self._unreported.add(limit.server)
+        self._unreported[limit.server, limit.started_ms] = limit
 
     def _send_reports(self) -> None:
         self._reported_s = now_s()
-        by_server = self.book.limits_by_server
-        unreported, self._unreported = self._unreported, set()
-        limits = [by_server[server] for server in sorted(unreported) if server in by_server]
-        for report in _reports(limits):
+        unreported, self._unreported = self._unreported, {}
+        for report in _reports(unreported.values()):
             self._peers.broadcast(report)
 
     def _log_change(self, limit: ServerLimit, before: float | None, source: str) -> None:
--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -157,7 +157,7 @@
         if not candidates:
             return None
         limits = self._backends.limits
-        if limits.limits_by_server:
+        if limits.limits_by_start:
             below = [
                 backend for backend in candidates if limits.wait_s(backend.entry, now_s) <= 0.0
             ]
--- a/src/redwingbank/routing/server_limit.py
+++ b/src/redwingbank/routing/server_limit.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Collection
+    from collections.abc import Iterable
     from random import Random
 
     from redwingbank.front.values import ServerEntry
@@ -29,8 +29,10 @@
 BASELINE_S = 1.5
 # A server may leave the list for a while, for example in an outage of the store.
 FORGET_S = 30.0
+NEVER_S = float("-inf")
 
 HostKey = tuple[str, int]
+ServerStart = tuple[str, int]
 
 
 class Fleet(NamedTuple):
@@ -59,6 +61,13 @@
     sent: int
 
 
+class _HostCount(NamedTuple):
+    """The requests that one process of another host has sent to the server."""
+
+    incarnation: int
+    sent: int
+
+
 class ServerLimit:
     """One host's view of a server's limit, and of what all hosts have left of it.
 
@@ -81,16 +90,16 @@
         self.per_s: float | None = None
         self.version = 0
         self.sent = 0
-        self.named_s = float("-inf")
-        self.changed_s = float("-inf")
-        self.listed_s = float("-inf")
+        self.named_s = NEVER_S
+        self.changed_s = NEVER_S
+        self.listed_s = NEVER_S
         self._random = random
         self._fleet = Fleet()
         self._created_s: float | None = None
         self._tokens = 0.0
-        self._refilled_s = float("-inf")
+        self._refilled_s = NEVER_S
         self._spread_s = 0.0
-        self._sent_by_host: dict[HostKey, int] = {}
+        self._sent_by_host: dict[str, _HostCount] = {}
 
     @property
     def rate_per_s(self) -> float:
@@ -167,13 +176,16 @@
 
     def _count(self, host: HostKey, sent: int, now_s: float) -> None:
         """Take out what another host has sent since its last count; counts may be late or lost."""
-        known = self._sent_by_host.get(host)
+        name, incarnation = host
+        known = self._sent_by_host.get(name)
         if known is None:
             baseline = self._created_s is None or now_s - self._created_s < BASELINE_S
-            known = sent if baseline else 0
-        self._sent_by_host[host] = max(known, sent)
-        if sent > known:
-            self._take(sent - known, now_s)
+            known = _HostCount(incarnation, sent if baseline else 0)
+        elif known.incarnation != incarnation:
+            known = _HostCount(incarnation, 0)
+        self._sent_by_host[name] = _HostCount(incarnation, max(known.sent, sent))
+        if sent > known.sent:
+            self._take(sent - known.sent, now_s)
 
     def _take(self, requests: int, now_s: float) -> None:
         self._refill(now_s)
@@ -193,39 +205,47 @@
 
 
 class LimitBook:
-    """The limits of all servers, by server; a server that started again has none."""
+    """The limits of all servers by their starts; a server that started again has none.
+
+    A start that is not listed is kept for a while, since hosts learn of servers at different
+    times. It is never told to other hosts, so that an entry made by a damaged message dies out.
+    """
 
     def __init__(self, random: Random) -> None:
-        self.limits_by_server: dict[str, ServerLimit] = {}
+        self.limits_by_start: dict[ServerStart, ServerLimit] = {}
         self._random = random
 
     def find(self, entry: ServerEntry) -> ServerLimit | None:
         """Return the limit that a server has named, if any."""
-        limit = self.limits_by_server.get(entry.name)
-        return limit if limit and limit.started_ms == entry.started_ms else None
+        return self.limits_by_start.get((entry.name, entry.started_ms))
 
     def get_or_create(self, server: str, started_ms: int) -> ServerLimit:
-        """Return the limit of a server, created if it is not known since the server's start."""
-        limit = self.limits_by_server.get(server)
-        if limit is None or limit.started_ms < started_ms:
+        """Return the limit of a server, created if none is known."""
+        limit = self.limits_by_start.get((server, started_ms))
+        if limit is None:
             limit = ServerLimit(server, started_ms, self._random)
-            self.limits_by_server[server] = limit
+            self.limits_by_start[server, started_ms] = limit
         return limit
 
     def merge(self, state: LimitState, host: HostKey, now_s: float) -> ServerLimit | None:
         """Apply what another host tells of a server; return the limit if it is new here."""
         limit = self.get_or_create(state.server, state.started_ms)
-        if limit.started_ms == state.started_ms and limit.merge(state, host, now_s):
-            return limit
-        return None
-
-    def forget(self, listed: Collection[str], now_s: float) -> None:
-        """Forget the limits of servers that left the list some time ago."""
-        for server, limit in list(self.limits_by_server.items()):
-            if server in listed:
+        return limit if limit.merge(state, host, now_s) else None
+
+    def listed(self) -> list[ServerLimit]:
+        """Return the limits of servers that have been listed here."""
+        return [limit for limit in self.limits_by_start.values() if limit.listed_s > NEVER_S]
+
+    def update(self, fleet: Fleet, entries: Iterable[ServerEntry], now_s: float) -> None:
+        """Refill the buckets, and forget the limits of servers that left some time ago."""
+        for entry in entries:
+            limit = self.find(entry)
+            if limit:
                 limit.listed_s = now_s
-            elif now_s - max(limit.listed_s, limit.named_s) > FORGET_S:
-                del self.limits_by_server[server]
+        for start, limit in list(self.limits_by_start.items()):
+            limit.update(fleet, now_s)
+            if now_s - max(limit.listed_s, limit.changed_s) > FORGET_S:
+                del self.limits_by_start[start]
 
     def wait_s(self, entry: ServerEntry, now_s: float) -> float:
         """Return the time until a server may get a request, 0.0 if it may now."""
@@ -233,4 +253,11 @@
         return 0.0 if limit is None or limit.admits(now_s) else limit.wait_s(now_s)
 
 
-__all__ = ["Fleet", "HostKey", "LimitBook", "LimitState", "ServerLimit"]
+__all__ = [
+    "Fleet",
+    "HostKey",
+    "LimitBook",
+    "LimitState",
+    "ServerLimit",
+    "ServerStart",
+]
--- a/tests/front/server_limits.feature
+++ b/tests/front/server_limits.feature
@@ -16,3 +16,8 @@
     Given 1 fronts and 2 servers, of which 1 names the limit "2.1"
     When callers send reads, bookings and streams to all fronts for 1 s
     Then the log and the metrics tell the limit of 2.1 requests a second
+
+  Scenario: damaged messages about limits stop nothing and bind no server
+    Given a host that knows the limit of a server and gets 3000 damaged copies of another host's report
+    Then it still reports the limit, and a message of any other content is handled
+    And no damaged limit is told to other hosts
--- a/tests/steps/front_server_limits.py
+++ b/tests/steps/front_server_limits.py
@@ -4,11 +4,21 @@
 
 import asyncio
 import itertools
+from random import Random
 
 from behave import given, then, when
+from routing_choice import NullLog
 
 from front_rig import Rig, run_scenario
 from redwingbank.clock import now_s
+from redwingbank.front.backends import Backends
+from redwingbank.front.digest import Digest, Message, encode_message
+from redwingbank.front.notice_codec import LimitReport
+from redwingbank.front.peers import Peers
+from redwingbank.front.server_limits import ServerLimits
+from redwingbank.front.values import ServerEntry, StatedLimit
+from redwingbank.routing.server_limit import LimitState
+from redwingbank.settings import Address
 from redwingbank_standins.backend_server import BackendServer
 
 CONTACT_S = 3.0
@@ -110,3 +120,63 @@
     named = [line for line in context.rig.lines if line["event"] == "limit-named"]
     assert [(line["server"], line["per_s"]) for line in named] == [("i-1", limit)], named
     assert f'server_limit_per_second{{server="i-1"}} {limit:g}' in context.metrics
+
+
+def damage(data, random):
+    """Return a message with some bits flipped, cut off or repeated."""
+    damaged = bytearray(data)
+    for _ in range(random.randint(1, 6)):
+        damaged[random.randrange(len(damaged))] ^= 1 << random.randrange(8)
+    return bytes(damaged[: random.choice((len(damaged), random.randrange(len(damaged)) + 1))])
+
+
+@given(
+    "a host that knows the limit of a server and gets {count:d} damaged copies"
+    " of another host's report"
+)
+def damaged_reports(context, count):
+    random = Random(28)
+    states = (
+        LimitState("i-1", 1, 3, 2.0, 40),
+        LimitState("i-1", 1, 2**31, 1e308, 2**32 - 1),
+        LimitState("i-2", 2**62, 2**31, 0.0, 0),
+    )
+    server = ServerEntry("i-1", "pool", Address("10.0.0.9", 1), "a", 4, False, 1)
+
+    async def play():
+        backends = Backends(random)
+        peers = Peers("host-1", 1, backends, NullLog())
+        limits = ServerLimits(backends.limits, peers, NullLog())
+        context.told = []
+        peers.broadcast = lambda report: context.told.append(report)
+        limits.answer_received(server, StatedLimit(2.0), now_s(), stamped=True)
+        data = encode_message(Message("host-2", 1, LimitReport(states)))
+        for number in range(count):
+            peers.datagram_received(damage(data, random), ("10.0.0.2", 7200))
+            if number % 100 == 0:
+                limits._repeated_s = float("-inf")
+                limits.update(now_s(), [server])
+        limits._repeated_s = float("-inf")
+        limits.update(now_s(), [server])
+        limits.answer_received(server, StatedLimit(1.5), now_s(), stamped=True)
+        limits._send_reports()
+        context.last = context.told[-1]
+        peers.datagram_received(encode_message(Message("host-3", 1, Digest())), ("10.0.0.3", 7200))
+        context.peers = peers
+        for report in context.told:
+            encode_message(Message("host-1", 1, report))
+
+    asyncio.run(play())
+
+
+@then("it still reports the limit, and a message of any other content is handled")
+def still_reports(context):
+    (state,) = context.last.limits
+    assert (state.server, state.started_ms, state.per_s) == ("i-1", 1, 1.5), state
+    assert "host-3" in context.peers.peers_by_host
+
+
+@then("no damaged limit is told to other hosts")
+def none_spread(context):
+    starts = {(state.server, state.started_ms) for told in context.told for state in told.limits}
+    assert starts == {("i-1", 1)}, starts
