Keep an entry that went missing only if the store was down for all hosts

Cause: a host that was cut off from the store alone (node_cut from 1 to 13 s) took its own cut for an outage of the store. An entry that is gone after it stays in use for 2 s from the host's own return, here to about 16.09 s, while the host counts as in touch from 16.0 s on.

An entry is kept only if no host was served meanwhile.

Test: a host that alone lost the store drops the entry at once (two rows; the rows need the new class, so they were not run on the code before).

--- a/src/redwingbank/front/directory.py
+++ b/src/redwingbank/front/directory.py
@@ -5,12 +5,15 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from redwingbank.front.values import Bounds, RouteTable, ServerEntry
 
 # After an outage, the platform restores lapsed entries within this time.
 RESTORE_TIMEOUT_S = 2.0
+# Relays confirm the list of servers every 0.5 s and are asked as often. Within a shorter outage no
+# entry lapses.
+SHORT_OUTAGE_S = 2.5
 # A watch may miss a revocation for this long: the store can be silent for a second before it drops
 # its history.
 WATCH_DELAY_MARGIN_S = 1.0
@@ -54,6 +57,28 @@
         return self.age_s(now_s) < self._bounds.table_s
 
 
+class StoreContact:
+    """When the store served any host, as far as this host has heard.
+
+    A host that loses the store can't tell whether it is down or only out of its own reach.
+    """
+
+    def __init__(self) -> None:
+        self._served_s = float("-inf")
+        self._returned_s = float("-inf")
+
+    def record(self, served_s: float, now_s: float) -> None:
+        """Record that the store answered a call that was sent at `served_s`."""
+        if served_s - self._served_s > SHORT_OUTAGE_S and self._served_s > float("-inf"):
+            self._returned_s = now_s
+        self._served_s = max(self._served_s, served_s)
+
+    def was_down(self, now_s: float) -> bool:
+        """Whether the store is down for all hosts, or may still restore what lapsed meanwhile."""
+        silent = now_s - self._served_s > SHORT_OUTAGE_S
+        return silent or now_s < self._returned_s + RESTORE_TIMEOUT_S
+
+
 class Departure(NamedTuple):
     """A backend server that was dropped from the list or began to drain."""
 
@@ -65,10 +90,12 @@
     """The backend servers that requests may be sent to.
 
     An entry that disappears while the store is unreachable, or shortly after, may have lapsed in
-    the outage. It stays in use until the platform has had time to restore it.
+    the outage. It stays in use until the platform has had time to restore it, unless `was_down`
+    tells that the store went on serving other hosts.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, was_down: Callable[[float], bool] = lambda now_s: True) -> None:
+        self._was_down = was_down
         self.entries_by_name: dict[str, ServerEntry] = {}
         self._missing: set[str] = set()
         self._store_unreachable = False
@@ -132,11 +159,12 @@
         ]
 
     def _may_be_restored(self, now_s: float) -> bool:
-        return self._store_unreachable or now_s < self._store_returned_s + RESTORE_TIMEOUT_S
+        cut_off = self._store_unreachable or now_s < self._store_returned_s + RESTORE_TIMEOUT_S
+        return cut_off and self._was_down(now_s)
 
     def _drop(self, name: str, reason: str) -> Departure:
         self._missing.discard(name)
         return Departure(self.entries_by_name.pop(name), reason)
 
 
-__all__ = ["Departure", "ServerRegistry", "TableState"]
+__all__ = ["Departure", "ServerRegistry", "StoreContact", "TableState"]
--- a/src/redwingbank/front/freshness.py
+++ b/src/redwingbank/front/freshness.py
@@ -7,6 +7,7 @@
 
 from redwingbank.clock import now_s
 from redwingbank.front.digest import Answer, News, Question
+from redwingbank.front.directory import StoreContact
 from redwingbank.front.peers import LARGE_FLEET_HOSTS
 from redwingbank.rules.rendezvous import ranked
 
@@ -67,6 +68,7 @@
         large_fleet_hosts: int = LARGE_FLEET_HOSTS,
     ) -> None:
         self.on_server_news: Callable[[News], None] | None = None
+        self.store_contact = StoreContact()
         self._host = host
         self._tables = tables
         self._peers = peers
@@ -127,6 +129,7 @@
             self._log.essential(
                 "answer-heard", asker=self._host, asked_s=answer.asked_s, relay=relay
             )
+        self.store_contact.record(answer.asked_s - answer.servers_age_s, now)
         self._unanswered_since_s_by_relay.pop(relay, None)
         if (
             answer.age_s > MAX_RELAY_AGE_S
@@ -149,6 +152,7 @@
 
     def confirm_servers(self, asked_s: float) -> None:
         """Record that the list of servers was current in the store at `asked_s`."""
+        self.store_contact.record(asked_s, now_s())
         self._servers_confirmed_s = max(self._servers_confirmed_s, asked_s)
 
     def record_server_changes(self, news: News, changed: int) -> None:
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -50,7 +50,6 @@
         self.barrier = ErrorBarrier(self.log.essential, "front")
         self.metrics = Metrics()
         self.tables = TableState(settings.bounds)
-        self.servers = ServerRegistry()
         self.backends = Backends(random, settings.answer_limits)
         place = Place(settings.data_centre, settings.link_mbps)
         self.peers = Peers(settings.name, time.time_ns(), self.backends, self.log, place)
@@ -59,6 +58,7 @@
         self.peers.on_crash = self.poison.handle_crash_news
         self.server_limits = ServerLimits(self.backends.limits, self.peers, self.log)
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
+        self.servers = ServerRegistry(self.freshness.store_contact.was_down)
         self.dispatcher = Dispatcher(Chooser(self.backends, random))
         self.allowance = RetryAllowance(settings.bounds, lambda: 1 + len(self.peers.peers_by_host))
         self.admission = Admission(self.tables)
--- a/tests/front/directory.feature
+++ b/tests/front/directory.feature
@@ -45,6 +45,17 @@
     And the store reports "c" written at the address of "a"
     Then the server list holds "b c" at 10 s
 
+  Scenario Outline: an entry that goes missing while <who> lost the store
+    Given a server list of "a b" at a host that lost the store at 2 s
+    When other hosts reach the store until <until> s and again from 10 s on
+    And the store returns from an outage at 10 s without "a"
+    Then the server list holds "<held>" at 10.5 s
+
+    Examples:
+      | who            | until | held |
+      | only this host | 9.5   | b    |
+      | every host     | 4     | a b  |
+
   Scenario: a host cut off from the store refuses keys in time and serves again
     When the store is silent for 4 s
     Then the front refuses a keyed request and is not ready
--- a/tests/steps/front_directory.py
+++ b/tests/steps/front_directory.py
@@ -7,7 +7,7 @@
 from behave import given, then, when
 
 from front_rig import Rig, entry, route, run_scenario, table
-from redwingbank.front.directory import ServerRegistry, TableState
+from redwingbank.front.directory import ServerRegistry, StoreContact, TableState
 from redwingbank.front.values import Bounds, Limits, RouteTable, ServerEntry
 from redwingbank.settings import Address
 
@@ -49,6 +49,24 @@
     context.servers.replace([listed(name) for name in names.split()], 0.0)
 
 
+@given('a server list of "{names}" at a host that lost the store at {at:g} s')
+def lost_store(context, names, at):
+    context.contact = StoreContact()
+    context.contact.record(at, at)
+    context.servers = ServerRegistry(context.contact.was_down)
+    context.servers.replace([listed(name) for name in names.split()], at)
+    context.servers.store_lost()
+    context.lost_s = at
+
+
+@when("other hosts reach the store until {until:g} s and again from {since:g} s on")
+def others_reach(context, until, since):
+    tenths = [at / 10 for at in range(int(context.lost_s * 10), 110, 5)]
+    for at in tenths:
+        if at <= until or at >= since:
+            context.contact.record(at - 0.5, at)
+
+
 @when('the store reports "{name}" removed at {at:g} s')
 def removed(context, name, at):
     context.servers.remove(name, at)
