Let the soak's fifth server name a limit, and check what it gets

The soak kept four servers without a limit, so that kills, pauses, restarts and drains could not break the bound of one. A fifth names 4 requests a second all the time; none of its 4 s may bring it more than 29. The check finds one request too many in its own test.

--- a/src/redwingbank_bench/soak.py
+++ b/src/redwingbank_bench/soak.py
@@ -16,7 +16,7 @@
 from redwingbank.settings import Address
 from redwingbank_bench.processes import ChildProcess, free_port
 from redwingbank_bench.soakcallers import PATH_BY_CLASS, CallerConnection, encode_request
-from redwingbank_bench.soakchecks import Attempt, Observations, find_violations
+from redwingbank_bench.soakchecks import Attempt, LimitedArrivals, Observations, find_violations
 from redwingbank_bench.soakdocuments import (
     ORGANISATION,
     entry_document,
@@ -34,7 +34,10 @@
 DATA_CENTRES = ("a", "b")
 # fast enough for a relay between hosts
 LINK_MBPS = 1000
-SERVERS = 4
+SERVERS = 5
+# The last server names a limit all the time; its link is sound, since a link that holds requests
+# back delivers them together.
+LIMIT_PER_S = 4.0
 CALLERS = 12
 ANY_PORT = Address(LOOPBACK, 0)
 REVOKE_S = 5.0
@@ -77,6 +80,7 @@
         self._store_proxies: list[Proxy] = []
         self._server_proxies: list[Proxy] = []
         self._servers = [Server(f"i-{number}") for number in range(SERVERS)]
+        self._servers[-1].named_limit = str(LIMIT_PER_S)
         self._fronts: list[ChildProcess] = []
         self._caller_addresses: list[Address] = []
         self._attempts_by_id: dict[str, Attempt] = {}
@@ -107,8 +111,14 @@
             for attempt in self._attempts_by_id.values()
         )
         runs = tuple(run for server in self._servers for run in server.runs)
+        arrivals_s = tuple(one.received_s for one in self._servers[-1].arrivals)
         observations = Observations(
-            self._attempts_by_id, runs, self._revoked_s_by_key, REVOKE_S, ORGANISATION
+            self._attempts_by_id,
+            runs,
+            self._revoked_s_by_key,
+            REVOKE_S,
+            ORGANISATION,
+            LimitedArrivals(LIMIT_PER_S, arrivals_s),
         )
         return Result(
             self._seed,
@@ -166,7 +176,7 @@
         await self._disturb_link(self._store_proxies)
 
     async def _disturb_server_link(self) -> None:
-        await self._disturb_link(self._server_proxies)
+        await self._disturb_link(self._server_proxies[:-1])
 
     async def _fail_store(self) -> None:
         self._store.fault = self._random.choice(["busy", "reset", "silent"])
--- a/src/redwingbank_bench/soakchecks.py
+++ b/src/redwingbank_bench/soakchecks.py
@@ -18,6 +18,12 @@
 AT_MOST_ONCE_CLASSES = frozenset({"book", "fixed"})
 STREAM_CLASSES = frozenset({"fixed", "memo"})
 WHOLE_BODY = b"whole"
+# what the users allow a server that names a limit to get
+LIMIT_WINDOW_S = 4.0
+LIMIT_FACTOR = 1.5
+LIMIT_SLACK = 5
+# until every host has been told
+TOLD_S = 3.0
 
 
 class Attempt(NamedTuple):
@@ -37,6 +43,13 @@
     body: bytes
 
 
+class LimitedArrivals(NamedTuple):
+    """When requests reached a server that names a limit all the time."""
+
+    per_s: float
+    at_s: tuple[float, ...]
+
+
 class Observations(NamedTuple):
     """The records of a soak: requests by id, runs, and when each key was revoked."""
 
@@ -45,6 +58,7 @@
     revoked_s_by_key: Mapping[str, float]
     revoke_s: float
     organisation: str
+    limited: LimitedArrivals | None = None
 
 
 def find_violations(seen: Observations) -> list[str]:
@@ -55,6 +69,7 @@
         *_find_repeated_runs(seen),
         *_find_unsent_runs(seen),
         *_find_runs_after_revocation(seen),
+        *_find_limit_excess(seen.limited),
     ]
 
 
@@ -113,4 +128,14 @@
             )
 
 
-__all__ = ["Attempt", "Observations", "find_violations"]
+def _find_limit_excess(limited: LimitedArrivals | None) -> Iterator[str]:
+    """Find windows with more than 1.5 times the limit and 5 requests, 3 s after it was named."""
+    times = [at_s for at_s in limited.at_s if at_s >= limited.at_s[0] + TOLD_S] if limited else []
+    for first, start_s in enumerate(times):
+        count = sum(at_s < start_s + LIMIT_WINDOW_S for at_s in times[first:])
+        if limited and count > LIMIT_FACTOR * limited.per_s * LIMIT_WINDOW_S + LIMIT_SLACK:
+            yield f"limit: {count} requests in {LIMIT_WINDOW_S} s at {limited.per_s} a second"
+            return
+
+
+__all__ = ["Attempt", "LimitedArrivals", "Observations", "find_violations"]
--- a/tests/steps/system_soak.py
+++ b/tests/steps/system_soak.py
@@ -5,7 +5,7 @@
 from behave import given, then, when
 
 from redwingbank_bench.soak import REVOKE_S, soak
-from redwingbank_bench.soakchecks import Attempt, Observations, find_violations
+from redwingbank_bench.soakchecks import Attempt, LimitedArrivals, Observations, find_violations
 from redwingbank_bench.soakdocuments import ORGANISATION
 from redwingbank_standins.backend_server import ReceivedRequest
 
@@ -55,6 +55,8 @@
         make_run("r-4"),
     ]
     context.revoked = {"key-0": 0.5}
+    # 4 s bring at most 17 requests at 2 a second
+    context.arrivals_s = (0.0, *(3.1 + number / 5 for number in range(17)))
 
 
 def change_attempt(name, **values):
@@ -75,6 +77,9 @@
     "an API key reached a server": lambda context: context.runs.append(
         make_run("r-4", authorization="Token key-1")
     ),
+    "a server got more than the limit that it names": lambda context: setattr(
+        context, "arrivals_s", (*context.arrivals_s, 6.9)
+    ),
     "a request ran long after its key was revoked": change_attempt(
         "r-4", key="key-0", sent_s=0.6 + REVOKE_S
     ),
@@ -83,7 +88,12 @@
 
 def run_checks(context):
     observations = Observations(
-        context.attempts, tuple(context.runs), context.revoked, REVOKE_S, ORGANISATION
+        context.attempts,
+        tuple(context.runs),
+        context.revoked,
+        REVOKE_S,
+        ORGANISATION,
+        LimitedArrivals(2.0, context.arrivals_s),
     )
     return find_violations(observations)
 
--- a/tests/system/soak.feature
+++ b/tests/system/soak.feature
@@ -1,13 +1,14 @@
 Feature: fronts keep their guarantees under random faults
 
   Scenario Outline: a short soak
-    When the soak runs for 5 s with seed <seed>
+    When the soak runs for <seconds> s with seed <seed>
     Then the soak found no violation
     And the soak's callers were served in each class
 
     Examples:
-      | seed |
-      | 7    |
+      | seconds | seed |
+      | 5       | 7    |
+      | 15      | 28   |
 
   Scenario Outline: the soak's checks detect each violation
     Given the records of a soak without violations
@@ -26,3 +27,4 @@
       | a request ran but was never sent                  | unasked   |
       | an API key reached a server                       | unasked   |
       | a request ran long after its key was revoked      | revoked   |
+      | a server got more than the limit that it names    | limit     |
