--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -233,8 +233,7 @@
         self._send()
 
     def _send(self) -> None:
-        assert self._request is not None
-        assert self._admitted is not None
+        assert self._request and self._admitted
         now = now_s()
         admitted, request = self._admitted, self._request
         blocked = self._watch.find_blocked(now)
@@ -281,11 +280,17 @@
         waits = self._answer_started and decision.code is Code.SERVERS_AT_LIMIT
         if waits and resumes_s < min(patience_ends_s, self._give_up_s()):
             loop = asyncio.get_running_loop()
-            self._resumption = loop.call_later(decision.retry_after_s, self._send)
+            self._resumption = loop.call_later(decision.retry_after_s, self._resume_stream)
             return
         self._retry_after_s = decision.retry_after_s
         self._fail(decision.code)
 
+    def _resume_stream(self) -> None:
+        with self._router.barrier.confine("request"):
+            self._send()
+            return
+        self.fail_internally()
+
     def _handle_answer(self, attempt: Attempt, answer: Answer) -> None:
         status = answer.head.status
         if status >= FIRST_SERVER_ERROR and self._may_retry_answer(status):
--- a/src/redwingbank/front/server_limits.py
+++ b/src/redwingbank/front/server_limits.py
@@ -86,6 +86,8 @@
 
         `entries` are the servers that are listed.
         """
+        if not self.book.limits_by_start:
+            return
         self.book.update(self._peers.fleet(now), entries, now)
         if now - self._repeated_s >= REPEAT_S:
             self._repeated_s = now
--- a/tests/front/server_limits.feature
+++ b/tests/front/server_limits.feature
@@ -60,3 +60,12 @@
       | value |
       | -1    |
       | many  |
+
+  Scenario Outline: a stream that broke off waits for the limit of the server that goes on with it
+    When a stream breaks off and only a server that takes <limit> requests a second is left
+    Then the caller's stream <ends> within <most> s
+
+    Examples:
+      | limit | ends         | most |
+      | 2     | is completed | 1.5  |
+      | 0.1   | breaks off   | 0.5  |
--- a/tests/steps/front_server_limits.py
+++ b/tests/steps/front_server_limits.py
@@ -251,3 +251,29 @@
     since_s = max(map(max, times)) - seconds
     counts = [sum(time >= since_s for time in each) for each in times]
     assert counts[0] >= sum(counts) / 4, counts
+
+
+@when("a stream breaks off and only a server that takes {limit:g} requests a second is left")
+def break_stream(context, limit):
+    context.rig = rig = Rig()
+    rig.backend_servers = [MixedServer("i-1", "broken"), MixedServer("i-2")]
+    rig.backend_servers[1].named_limit = str(limit)
+
+    async def scenario(rig):
+        router = rig.front.router
+        limited = router.servers.entries_by_name["i-2"]
+        router.server_limits.answer_received(limited, StatedLimit(limit), now_s(), stamped=True)
+        started_s = now_s()
+        answer = await rig.ask("memo", deadline_ms=4000)
+        return answer, now_s() - started_s
+
+    context.answer, context.took_s = run_scenario(rig, scenario, table(timeout_ms=5000))
+
+
+@then("the caller's stream {ends} within {most_s:g} s")
+def stream_ends(context, ends, most_s):
+    answer = context.answer
+    assert context.took_s <= most_s, context.took_s
+    assert answer.status == 200, answer.raw
+    assert answer.complete == (ends == "is completed"), answer.raw
+    assert (b"i-2 4" in answer.raw) == answer.complete, answer.raw
