Pass a server's error on if the others are at their limits; heed no stranger's

What callers saw in the tests: 502 in place of the server's own error, since a retry was begun that no server could take; and the limit of a server that had taken over an address counted as the former server's.

Cause: whether another server is there was asked without its limit, and the headers of an answer 421, which comes from another server, were read.

Tests: both failed before and pass now.

--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -135,7 +135,9 @@
             self._fail(Outcome.GARBAGE, fault)
             return
         self._head, self._facts = head, facts
-        self._owner.attempt_head_received(self, facts)
+        # a misdirected request was answered by another server
+        if head.status != STATUS_MISDIRECTED:
+            self._owner.attempt_head_received(self, facts)
         if facts.idle_timeout_s is not None:
             self.backend.connections.limit_idle_time(facts.idle_timeout_s)
         if head.status == STATUS_OK and _is_stream(head):
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -325,9 +325,8 @@
         runs = len(self._tried) - self._refusals
         pool = self._admitted.pool
         retries_left = self._router.allowance.remaining(pool, now_s()) > 0
-        others = any(
-            server.name not in self._tried for server in self._router.servers.usable(pool)
-        )
+        usable = self._router.servers.usable(pool)
+        others = self._router.backends.limits.any_admits(usable, self._tried, now_s())
         return in_time and retries_left and others and route.repeatable and runs < route.attempts
 
     def _release(self, attempt: Attempt) -> None:
--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -90,7 +90,8 @@
     ) -> bool:
         expected = request.headers_by_name.get("expect-instance", self.name)
         if expected != self.name:
-            writer.write(b"HTTP/1.1 421 x\r\nContent-Length: 0\r\n\r\n")
+            head = b"HTTP/1.1 421 x\r\nContent-Length: 0\r\n"
+            writer.write(head + self._limit_line() + b"\r\n")
             return True
         refused_before = writer in self._refused
         if self.mode in {"shed", "repeated-refusal"}:
--- a/tests/front/server_limits.feature
+++ b/tests/front/server_limits.feature
@@ -69,3 +69,11 @@
       | limit | ends         | most |
       | 2     | is completed | 1.5  |
       | 0.1   | breaks off   | 0.5  |
+
+  Scenario: a server's error is passed on if the other servers are at their limits
+    When a read fails at a server and the other one is at its limit
+    Then the caller gets the server's error
+
+  Scenario: the limit of a server that has taken over an address is not the former server's
+    When an answer comes from another server at the address, which names a limit
+    Then no limit is known
--- a/tests/steps/front_server_limits.py
+++ b/tests/steps/front_server_limits.py
@@ -10,7 +10,7 @@
 from behave import given, then, when
 from routing_choice import NullLog
 
-from front_rig import Rig, run_scenario, table
+from front_rig import Rig, entry, run_scenario, table
 from redwingbank.clock import now_s
 from redwingbank.front.backends import Backends
 from redwingbank.front.digest import Digest, Message, encode_message
@@ -277,3 +277,42 @@
     assert answer.status == 200, answer.raw
     assert answer.complete == (ends == "is completed"), answer.raw
     assert (b"i-2 4" in answer.raw) == answer.complete, answer.raw
+
+
+@when("a read fails at a server and the other one is at its limit")
+def fail_beside_limit(context):
+    context.rig = Rig(modes=["error", "ok"])
+
+    async def scenario(rig):
+        router = rig.front.router
+        limited = router.servers.entries_by_name["i-2"]
+        router.server_limits.answer_received(limited, StatedLimit(0.5), now_s(), stamped=True)
+        return await rig.ask("read")
+
+    context.answer = run_scenario(context.rig, scenario)
+
+
+@then("the caller gets the server's error")
+def servers_error(context):
+    assert (context.answer.status, context.answer.body) == (500, b"fault"), context.answer.raw
+
+
+@when("an answer comes from another server at the address, which names a limit")
+def answer_for_another(context):
+    context.rig = Rig()
+    context.rig.backend_servers[0].named_limit = "2"
+
+    async def scenario(rig):
+        servers = rig.front.router.servers
+        await rig.store.put("servers", "i-9", entry(rig.addresses["i-1"]))
+        await rig.until(lambda: list(servers.entries_by_name) == ["i-9"])
+        answer = await rig.ask("single")
+        assert (answer.status, rig.runs()) == (503, []), answer.raw
+        context.known = dict(rig.front.router.backends.limits.limits_by_start)
+
+    run_scenario(context.rig, scenario)
+
+
+@then("no limit is known")
+def none_known(context):
+    assert not context.known, context.known
