Survive SIGHUP while the front starts

Cause: until the program is imported and its handlers are set, SIGHUP ends the process. Signals and restarts that overlap meet this.

Change: the entry point ignores SIGHUP before it imports the program.

Test: a front that gets SIGHUP while it imports died before and runs on now. Still open: the start of the interpreter itself, some 50 ms, in which no code of ours runs.

--- a/src/redwingbank/front/__main__.py
+++ b/src/redwingbank/front/__main__.py
@@ -2,9 +2,18 @@
 
 from __future__ import annotations
 
+import signal
 import sys
 
-from redwingbank.front.program import main
+
+def run() -> int:
+    """Run the front; return its exit code."""
+    # importing the program takes a while, and the signal would end the process meanwhile
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from redwingbank.front.program import main
+
+    return main()
+
 
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(run())
--- a/tests/front/shutdown.feature
+++ b/tests/front/shutdown.feature
@@ -56,3 +56,7 @@
   Scenario: a request that arrives whole in the moment at which the process could end is answered
     When requests arrive whole while a host decides that it may end
     Then each of these callers gets a complete answer
+
+  Scenario: a reload signal that comes while the front starts does not end it
+    When a front gets SIGHUP while it imports its libraries
+    Then it runs on
--- a/tests/steps/front_shutdown.py
+++ b/tests/steps/front_shutdown.py
@@ -3,15 +3,26 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+import tempfile
 import time
+from pathlib import Path
 
 from behave import given, then, when
 
-from front_rig import Rig, request, run_scenario, table
+from front_rig import LOOPBACK, Rig, boot, free_ports, request, run_scenario, table
 from redwingbank.clock import now_s
 from redwingbank.front.shutdown import Shutdown
+from redwingbank.settings import Address
 from redwingbank_standins.raw_response import parse_response
 
+START_TIMEOUT_S = 10.0
+RUNNING_S = 1.5
+
 
 @when(
     "a host that began to shut down {since:d} s ago, whose answers took {took:g} s,"
@@ -235,3 +246,30 @@
     for answer in context.answers:
         assert answer.complete, answer.raw
         assert answer.status in {200, 503}, answer.raw
+
+
+@when("a front gets SIGHUP while it imports its libraries")
+def reload_at_start(context):
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder) / "boot.json"
+        ports = asyncio.run(free_ports(3))
+        path.write_text(json.dumps(boot(Address(LOOPBACK, 1), ports)))
+        environment = {**os.environ, "REDWINGBANK_NODE_FILE": str(path)}
+        command = [sys.executable, "-m", "redwingbank.front"]
+        process = subprocess.Popen(command, env=environment, stdout=subprocess.DEVNULL)
+        try:
+            maps = Path(f"/proc/{process.pid}/maps")
+            deadline_s = time.monotonic() + START_TIMEOUT_S
+            while "site-packages" not in maps.read_text():
+                assert time.monotonic() < deadline_s
+            process.send_signal(signal.SIGHUP)
+            time.sleep(RUNNING_S)
+            context.exit_code = process.poll()
+        finally:
+            process.kill()
+            process.wait()
+
+
+@then("it runs on")
+def runs_on(context):
+    assert context.exit_code is None, context.exit_code
