--- a/src/redwingbank/ctl/explain.py
+++ b/src/redwingbank/ctl/explain.py
@@ -21,8 +21,10 @@
 OK = 0
 CONTEXT_S = 5.0
 SERVER_CONTEXT_EVENTS = frozenset({"server-state", "notice", "notice-learned", "server-drain"})
-# A host's lost connections and stale data affect all of its requests.
-HOST_CONTEXT_EVENTS = frozenset({"store-lost", "store-regained", "watch-deaf", "relay-doubted"})
+# A host's lost connections, stale data and limits of servers affect all of its requests.
+HOST_CONTEXT_EVENTS = frozenset(
+    {"store-lost", "store-regained", "watch-deaf", "relay-doubted", "limit-named"}
+)
 
 
 class Decision(NamedTuple):
@@ -218,6 +220,13 @@
     return f"{record.field('server')} went from {record.field('was')} to {record.field('state')}"
 
 
+def _format_limit(record: Record) -> str:
+    field = record.field
+    per_s = field("per_s")
+    limit = f"takes {per_s} requests a second from all hosts" if per_s else "names no limit"
+    return f"{field('server')} {limit}, by {field('source')}"
+
+
 def _format_notice(record: Record) -> str:
     action = (
         "notified other hosts"
@@ -234,6 +243,7 @@
     "request-done": _format_done,
     "caller-gone": _format_caller_gone,
     "server-state": _format_server_state,
+    "limit-named": _format_limit,
     "notice": _format_notice,
     "notice-learned": _format_notice,
 }
--- a/tests/front/server_limits.feature
+++ b/tests/front/server_limits.feature
@@ -26,7 +26,8 @@
     Given 2 fronts and 2 servers, of which 2 names the limit "2"
     When callers send reads, bookings and streams to all fronts for 8 s
     Then no 4 s bring the limited server more than 1.5 times its limit and 5 requests
-    And every refusal came within 0.1 s, with code 1224, not run, and a time to return
+    And every refusal came within 25 ms of the request, with code 1224, not run, and a time to return
+    And the explanation of the first refusal tells the limits that were named before it
 
   Scenario Outline: retries and resumed streams keep to the limit
     Given 2 fronts and 2 servers, of which 1 names the limit "2"
--- a/tests/steps/front_server_limits.py
+++ b/tests/steps/front_server_limits.py
@@ -12,6 +12,9 @@
 
 from front_rig import Rig, entry, run_scenario, table
 from redwingbank.clock import now_s
+from redwingbank.ctl.explain import as_text, find_decisions
+from redwingbank.ctl.records import parse_records
+from redwingbank.ctl.timeline_merge import merge
 from redwingbank.front.backends import Backends
 from redwingbank.front.digest import Digest, Message, encode_message
 from redwingbank.front.notice_codec import LimitReport
@@ -85,6 +88,8 @@
         fronts = await start_hosts(context, rig)
         await send_until(context, rig, fronts, now_s() + seconds)
         context.metrics = rig.front.router.metrics_text()
+        for front in fronts:
+            front.router.log.flush()
 
     run_scenario(context.rig, scenario)
 
@@ -222,16 +227,33 @@
     run_scenario(context.rig, scenario)
 
 
-@then("every refusal came within {most_s:g} s, with code {code:d}, not run, and a time to return")
-def refused_at_once(context, most_s, code):
-    refused = [(took_s, a) for _, took_s, _, a in context.answers if a.status != 200]
+@then(
+    "every refusal came within {most_ms:d} ms of the request,"
+    " with code {code:d}, not run, and a time to return"
+)
+def refused_at_once(context, most_ms, code):
+    refused = [answer for _, _, _, answer in context.answers if answer.status != 200]
     assert refused
     assert len(refused) < len(context.answers)
-    for took_s, answer in refused:
+    for answer in refused:
         error = json.loads(answer.body)["error"]
         assert (answer.status, error["code"], error["ran"]) == (503, code, "no"), answer.raw
         assert 0 < float(answer.headers["retry-after"]) <= 5, answer.raw
-        assert took_s <= most_s, took_s
+    # an eighth of the users' shortest target; the caller's own time depends on its processor
+    lines = [line for line in context.rig.lines if line["event"] == "request-refused"]
+    assert len(lines) == len(refused), (len(lines), len(refused))
+    assert max(line["after_ms"] for line in lines) <= most_ms
+
+
+@then("the explanation of the first refusal tells the limits that were named before it")
+def refusal_explained(context):
+    lines = [json.dumps(line) for line in context.rig.lines]
+    first = next(line for line in context.rig.lines if line["event"] == "request-refused")
+    request = first["request"]
+    records = merge(parse_records(lines).records)
+    text = as_text(request, find_decisions(request, records))
+    assert "1224 SERVERS_AT_LIMIT" in text, text
+    assert "takes 2.0 requests a second from all hosts, by" in text, text
 
 
 @then("the limited server got at least {count:d} requests")
