--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -291,12 +291,11 @@
         if not self._is_current(message.host, message.incarnation):
             return False
         before = self.peers_by_host.get(message.host)
+        self.peers_by_host[message.host] = Peer(address, message.incarnation, now, message.place)
         if before is None or message.incarnation > before.incarnation:
             self._log.essential("host-heard", peer=message.host, address=str(address))
-        self.peers_by_host[message.host] = Peer(address, message.incarnation, now, message.place)
-        started = before is None or message.incarnation > before.incarnation
-        if started and self.on_host_started:
-            self.on_host_started(message.host)
+            if self.on_host_started:
+                self.on_host_started(message.host)
         return True
 
     def _is_current(self, host: str, incarnation: int) -> bool:
