--- a/src/redwingbank_bench/processes.py
+++ b/src/redwingbank_bench/processes.py
@@ -74,6 +74,11 @@
         """Whether the process runs."""
         return self._process is not None and self._process.poll() is None
 
+    @property
+    def exit_status(self) -> int | None:
+        """The exit status, negative for a signal; None while the process runs."""
+        return self._process.poll() if self._process else None
+
     async def address(self, timeout_s: float = 15.0) -> str:
         """Wait for the line `listening IP:port` in its log, and return the address.
 
--- a/src/redwingbank_bench/soak.py
+++ b/src/redwingbank_bench/soak.py
@@ -241,7 +241,7 @@
     def _record_exit(self, front: ChildProcess) -> None:
         """Report a front that exited without a signal from the soak."""
         if not self._exit_requested.pop(front.name, None):
-            self._violations.append(f"unexpected exit: {front.name}")
+            self._violations.append(f"unexpected exit: {front.name}, {front.exit_status}")
 
     async def _sleep_during_fault(self) -> None:
         await asyncio.sleep(self._random.uniform(0.1, MAX_FAULT_S))
--- a/tests/steps/front_server_limits.py
+++ b/tests/steps/front_server_limits.py
@@ -31,6 +31,7 @@
 CALLERS = 8
 PAUSE_S = 0.05
 ANSWER_S = 0.02
+TICK_S = 0.01
 
 
 class MixedServer(BackendServer):
@@ -71,6 +72,15 @@
     await asyncio.gather(*(send() for _ in range(CALLERS)))
 
 
+async def measure_stalls(context):
+    """Record for how long the event loop that fronts, servers and callers share was held up."""
+    context.longest_stall_s = 0.0
+    while True:
+        before_s = now_s()
+        await asyncio.sleep(TICK_S)
+        context.longest_stall_s = max(context.longest_stall_s, now_s() - before_s - TICK_S)
+
+
 async def start_hosts(context, rig):
     fronts = [rig.front]
     for number in range(2, context.hosts + 1):
@@ -86,7 +96,9 @@
 def send_to_all(context, seconds):
     async def scenario(rig):
         fronts = await start_hosts(context, rig)
+        ticker = asyncio.create_task(measure_stalls(context))
         await send_until(context, rig, fronts, now_s() + seconds)
+        ticker.cancel()
         context.metrics = rig.front.router.metrics_text()
         for front in fronts:
             front.router.log.flush()
@@ -119,7 +131,7 @@
 def all_answered(context):
     failed = [answer.raw for _, _, _, answer in context.answers if answer.status != 200]
     assert context.answers
-    assert not failed, failed[:3]
+    assert not failed, (failed[:3], f"longest stall {context.longest_stall_s:.2f} s")
 
 
 @then("the log and the metrics tell the limit of {limit:g} requests a second")
