--- a/tests/environment.py
+++ b/tests/environment.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import sys
+import traceback
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parent))
@@ -18,3 +19,9 @@
     """Run the feature's cleanups in reverse order."""
     for clean_up in reversed(context.feature_cleanups):
         clean_up()
+
+
+def after_step(context, step):
+    """Print the trace of a step's error, which the report leaves out."""
+    if step.exception is not None and not isinstance(step.exception, AssertionError):
+        traceback.print_exception(step.exception)
--- a/tests/steps/ports_engine.py
+++ b/tests/steps/ports_engine.py
@@ -91,7 +91,10 @@
 
 @given("a server that {does} the ids of calls and sends each answer again before the next one")
 def repeating_server(context, does):
+    context.serving = set()
+
     async def serve(reader, writer):
+        context.serving.add(asyncio.current_task())
         copy = b""
         while line := await reader.readline():
             headers = {}
@@ -119,6 +122,7 @@
         context.answers = [await client.call(address, "GET", f"/{n}") for n in range(count)]
         await client.close()
         server.close()
+        await asyncio.wait(context.serving)
 
     asyncio.run(calls())
 
