Log the software version of servers, and which stream a request takes up

The entries' `version` is read and passed on between hosts, `Resumes` is read, and request-granted, server-listed and redwingctl explain tell them. No decision uses them yet. Reports of the stand-in tell its start, and it can be back under its name with another version.

--- a/src/redwingbank/ctl/explain.py
+++ b/src/redwingbank/ctl/explain.py
@@ -160,9 +160,20 @@
         f" {field('expected_ms')} ms, {field('victims')} streams delayed",
         f"table {field('revision')}, confirmed {field('table_age_ms')} ms before",
         *_format_servers_age(record),
+        *_format_version(record),
     ]
 
 
+def _format_version(record: Record) -> list[str]:
+    """Describe the server's version and the stream that goes on there."""
+    field = record.field
+    parts = [f"software version {field('version')}"] if field("version") else []
+    if field("resumes") or field("resume_after"):
+        begun = f" of the stream begun as {field('resumes')}" if field("resumes") else ""
+        parts.append(f"to go on after event {field('resume_after') or 'none'}{begun}")
+    return parts
+
+
 def _format_servers_age(record: Record) -> list[str]:
     age_ms = record.field("servers_age_ms")
     return [f"list of servers confirmed {age_ms} ms before"] if age_ms else []
--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -68,6 +68,7 @@
   slots @4 :UInt32;
   draining @5 :Bool;
   startedMs @6 :Int64;
+  version @7 :Text;         # name of its software's version
 }
 
 struct Crash {              # a request crashed a server, or later completed and is cleared
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -257,6 +257,7 @@
         row.name, row.pool, row.address = entry.name, entry.pool, str(entry.address)
         row.dataCentre, row.slots = entry.data_centre, entry.slots
         row.draining, row.startedMs = entry.draining, entry.started_ms
+        row.version = entry.version
 
 
 _encode_content.register(encode_crash)
@@ -358,6 +359,7 @@
         slots=row.slots,
         draining=row.draining,
         started_ms=row.startedMs,
+        version=row.version,
     )
 
 
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -264,8 +264,10 @@
         backend.load.request_sent((OWN_HOST, self._number), in_flight, shared)
         self._router.server_limits.request_sent(backend.entry)
         backend.breaker.record_send(request.request_id, now)
-        self._recorder.record_grant(self._life, request, admitted, choice, self._watch.parts)
         resume_after = self._splitter.last_id if self._splitter else ""
+        self._recorder.record_grant(
+            self._life, request, admitted, choice, self._watch.parts, resume_after
+        )
         outgoing = OutgoingRequest(
             self._head, self._body, admitted, choice, request.give_up_s, resume_after
         )
--- a/src/redwingbank/front/request_recorder.py
+++ b/src/redwingbank/front/request_recorder.py
@@ -38,15 +38,22 @@
         admitted: AdmittedRequest,
         choice: Choice,
         parts: tuple[str, ...],
+        resume_after: str,
     ) -> None:
-        """Log the selected server and the estimates behind the selection."""
+        """Log the selected server and the estimates behind the selection.
+
+        `resume_after` is the last event that the caller has, empty for a new stream.
+        """
         now, router, backend = now_s(), self._router, choice.backend
         limit = router.backends.limits.find(backend.entry)
         router.log.detail(
             "request-granted",
             request=request.request_id,
             server=backend.entry.name,
+            version=backend.entry.version,
             attempt=life.attempt,
+            resumes=admitted.facts.resumes,
+            resume_after=resume_after,
             waited_ms=self._age_ms(),
             service_class=request.class_name,
             tier=request.tier,
--- a/src/redwingbank/front/store_handlers.py
+++ b/src/redwingbank/front/store_handlers.py
@@ -131,6 +131,7 @@
                     server=name,
                     pool=entry.pool,
                     address=str(entry.address),
+                    version=entry.version,
                     store_revision=revision,
                 )
             self._register(entry)
--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -114,7 +114,10 @@
 
 
 class ServerEntry(NamedTuple):
-    """A backend server as listed by the platform; most servers get a new `name` at each start."""
+    """A backend server as listed by the platform; most servers get a new `name` at each start.
+
+    `version` names its software, empty if it is not known. Versions have no order.
+    """
 
     name: str
     pool: str
@@ -123,6 +126,7 @@
     slots: int
     draining: bool
     started_ms: int
+    version: str = ""
 
 
 class PromptPart(NamedTuple):
@@ -138,7 +142,8 @@
     `key` is empty if the request has none; `deadline_s` is how long the caller waits from now.
     `parts` are the prompt's parts in order; the last one is not shared. `resume_after` is the id
     of the last event that the caller received, empty for a new stream. `forwarded_headers` are
-    the headers that go to the backend server unchanged.
+    the headers that go to the backend server unchanged. `resumes` is the id of the request that
+    brought the first event of a stream that the caller takes up, empty if it names none.
     """
 
     request_id: str
@@ -150,6 +155,12 @@
     parts: tuple[PromptPart, ...]
     resume_after: str
     forwarded_headers: bytes
+    resumes: str = ""
+
+    @property
+    def takes_up(self) -> bool:
+        """Whether the caller has events of the stream already."""
+        return bool(self.resumes or self.resume_after)
 
     @property
     def shared_parts(self) -> tuple[PromptPart, ...]:
--- a/src/redwingbank/platform/directory.py
+++ b/src/redwingbank/platform/directory.py
@@ -61,6 +61,7 @@
             slots=_positive_integer(content["slots"]),
             draining=DRAINING_BY_STATE[content["state"]],
             started_ms=_integer(content.get("born", 0)),
+            version=_optional_text(content.get("version")),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise MalformedError(f"server: {type(error).__name__} {error}") from error
@@ -142,6 +143,10 @@
     return value
 
 
+def _optional_text(value: Any) -> str:
+    return value if isinstance(value, str) else ""
+
+
 def _integer(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise ValueError(value)
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -24,6 +24,7 @@
 SERVER_STAMP = b"server-stamp"
 NOT_EXECUTED = b"not-executed"
 LAST_EVENT_ID = b"last-event-id"
+RESUMES = b"resumes"
 AUTHORIZATION = b"authorization"
 DEADLINE = b"deadline-ms"
 SERVER_LIMIT = b"server-limit"
@@ -66,6 +67,7 @@
     b"token-count",
     b"prompt-prefix",
     b"length-hint",
+    RESUMES,
 }
 DROPPED_FROM_REQUEST = ROUTER_HEADERS | CONNECTION_HEADERS | REPLACED_HEADERS
 
@@ -126,6 +128,7 @@
             for name, value in headers
             if name.lower() not in DROPPED_FROM_REQUEST and name.lower() not in options
         ),
+        resumes=by_name.get(RESUMES, b"").decode("latin-1"),
     )
 
 
--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -19,6 +20,7 @@
 # The stamp contains the id of the request that was run.
 STAMP_HEADER = b"Server-Stamp: s.%b\r\n"
 EVENTS_PER_STREAM = 4
+REPORT_TARGET = "/api/report"
 HANG_S = 60.0
 
 
@@ -46,12 +48,21 @@
     mode stream crashes in the first event of each answer to a prompt with the shared part
     `crash_part`. While `named_limit` is not empty, the heads of all its responses name it as the
     requests a second that the server takes.
+
+    Events name the server and, unless it is empty, the `version` of its software. A report tells
+    the time of the server's start, `started_ms`. While `hides_start` is set, it tells none.
     """
 
-    def __init__(self, name: str, mode: str = "ok") -> None:
+    def __init__(
+        self, name: str, mode: str = "ok", version: str = "", started_ms: int = 1
+    ) -> None:
         super().__init__()
         self.name = name
         self.mode = mode
+        self.version = version
+        self.started_ms = started_ms
+        self.hides_start = False
+        self.reports = 0
         self.crash_part = ""
         self.named_limit = ""
         self.flood_bytes = 0
@@ -70,11 +81,21 @@
         for writer in self._writers:
             writer.close()
 
+    def restart(self, version: str) -> None:
+        """Start again under the same name and address, with another version of the software."""
+        self.version = version
+        self.started_ms += 1
+        for writer in self._writers:
+            reset_connection(writer)
+
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Respond to the requests of a connection in order."""
         self._writers.add(writer)
         try:
             while request := await _read(reader):
+                if request.target == REPORT_TARGET:
+                    self._report(writer)
+                    continue
                 self.arrivals.append(request)
                 if not await self._respond(request, writer, reader):
                     return
@@ -106,6 +127,19 @@
             return False
         return await _METHOD_BY_MODE[self.mode_for(request.target)](self, request, writer, reader)
 
+    @property
+    def label(self) -> bytes:
+        """What the events of the server's streams name."""
+        return f"{self.name}@{self.version}".encode() if self.version else self.name.encode()
+
+    def _report(self, writer: asyncio.StreamWriter) -> None:
+        self.reports += 1
+        report: dict[str, object] = {"busy": False, "seq": 1, "queued": 0}
+        if not self.hides_start:
+            report["born"] = self.started_ms
+        body = json.dumps(report).encode()
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+
     def _limit_line(self) -> bytes:
         return b"Server-Limit: %b\r\n" % self.named_limit.encode() if self.named_limit else b""
 
@@ -155,12 +189,12 @@
         writer.write(STAMP_HEADER % request.request_id.encode() + self._limit_line())
         mode = self.mode_for(request.target)
         if mode.startswith("unsized"):
-            await _send_unsized(self.name, mode, first, writer)
+            await _send_unsized(self.label, mode, first, writer)
             return False
         writer.write(b"Transfer-Encoding: chunked\r\n\r\n")
         number = first
         while mode == "endless" or number <= EVENTS_PER_STREAM:
-            event = b"id: %d\ndata: %b %d\n\n" % (number, self.name.encode(), number)
+            event = b"id: %d\ndata: %b %d\n\n" % (number, self.label, number)
             if self.crash_part and self.crash_part in _shared_parts(request):
                 writer.write(_chunk(event[:8]))
                 await writer.drain()
@@ -277,11 +311,11 @@
         return True
 
 
-async def _send_unsized(name: str, mode: str, first: int, writer: asyncio.StreamWriter) -> None:
+async def _send_unsized(label: bytes, mode: str, first: int, writer: asyncio.StreamWriter) -> None:
     """Send a stream that ends with its connection."""
     writer.write(b"\r\n")
     for number in range(first, EVENTS_PER_STREAM + 1):
-        event = b"id: %d\ndata: %b %d\n\n" % (number, name.encode(), number)
+        event = b"id: %d\ndata: %b %d\n\n" % (number, label, number)
         broken = mode == "unsized-broken" and number == 3  # noqa: PLR2004 - after two events
         if mode != "unsized-empty":
             writer.write(event[:8] if broken else event)
--- a/tests/front_rig.py
+++ b/tests/front_rig.py
@@ -64,17 +64,17 @@
     }
 
 
-def entry(address, *, state="ready"):
+def entry(address, *, state="ready", version="v1", started_ms=1):
     return {
         "service": "pool",
         "addr": str(address),
         "zone": "a",
-        "version": "v1",
+        "version": version,
         "slots": 4,
         "state": state,
         "coldLeftMs": 0,
         "seq": 1,
-        "born": 1,
+        "born": started_ms,
     }
 
 
@@ -119,7 +119,8 @@
         await self.store.put("config", "main", content or table())
         for server in self.backend_servers:
             address = self.addresses[server.name] = await server.start(Address(LOOPBACK, 0))
-            await self.store.put("servers", server.name, entry(address))
+            listed = entry(address, version=server.version or "v1", started_ms=server.started_ms)
+            await self.store.put("servers", server.name, listed)
         self.path.write_text(json.dumps(boot(store, await free_ports(3), **self.bounds)))
         self.front = Front(self.path, read_host_settings(self.path))
         self.lines = []
@@ -137,6 +138,16 @@
         with contextlib.suppress(asyncio.CancelledError, Exception):
             await self._task
 
+    async def kill_first(self):
+        """Stop the first front, and close its sockets, as the end of its process does."""
+        await self.stop_first()
+        for listener in self.front._listeners:
+            listener.close()
+        if self.front.router.peers._transport:
+            self.front.router.peers._transport.close()
+        for connection in list(self.front.router.connections):
+            connection._transport.abort()
+
     async def restart_first(self):
         """Stop the first front and start it again as another process, on other ports."""
         await self.stop_first()
--- /dev/null
+++ b/tests/steps/front_stream_versions.py
@@ -0,0 +1,264 @@
+"""Steps of front/stream_versions.feature."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import re
+
+from behave import given, then, when
+
+from front_rig import Rig, request, run_scenario
+from redwingbank.clock import now_s
+from redwingbank.ctl.explain import as_text, find_decisions
+from redwingbank.ctl.records import parse_records
+from redwingbank.ctl.timeline_merge import merge
+from redwingbank_standins.backend_server import EVENTS_PER_STREAM, BackendServer
+from redwingbank_standins.raw_response import parse_response
+
+EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) \d+\n\n")
+EVENT_PAUSE_S = 0.05
+DEADLINE_MS = 4000
+
+
+class Stream:
+    """A stream as its caller holds it, over all tries; `first_id` brought its first event."""
+
+    def __init__(self, number):
+        self.number = number
+        self.events = []
+        self.first_id = ""
+        self.answer = None
+        self.took_s = 0.0
+
+    @property
+    def last_event(self):
+        return self.events[-1][0] if self.events else 0
+
+    @property
+    def versions(self):
+        return {label.rpartition("@")[2] for _, label in self.events}
+
+    @property
+    def whole(self):
+        return [number for number, _ in self.events] == list(range(1, EVENTS_PER_STREAM + 1))
+
+    async def read(self, rig, front, until=EVENTS_PER_STREAM + 1):
+        """Send the request and read up to an event, or to the end of the answer."""
+        request_id = f"r-{self.number}-{self.last_event}"
+        taken_up = {"Last_Event_Id": self.last_event, "Resumes": self.first_id}
+        more = taken_up if self.events else {}
+        data = request(
+            "memo",
+            request_id=request_id,
+            deadline_ms=DEADLINE_MS,
+            Token_Count="900,16",
+            Prompt_Prefix="a1:600,b2:300",
+            **more,
+        )
+        started_s, raw, before = now_s(), b"", list(self.events)
+        reader, writer = await asyncio.open_connection(*front.router.settings.caller)
+        try:
+            writer.write(data)
+            async with asyncio.timeout(DEADLINE_MS / 1000):
+                while part := await reader.read(65_536):
+                    raw += part
+                    found = [(int(one), two.decode()) for one, two in EVENT.findall(raw)]
+                    self.events = before + found
+                    self.first_id = self.first_id or (request_id if found else "")
+                    if self.last_event >= until:
+                        return
+        except ConnectionError:
+            pass
+        finally:
+            writer.close()
+        self.answer, self.took_s = parse_response(raw), now_s() - started_s
+
+
+@given("{hosts:d} fronts and servers of versions {versions}")
+def servers_of_versions(context, hosts, versions):
+    context.hosts = hosts
+    context.rig = Rig(budgetExtra=2700)
+    context.rig.backend_servers = [
+        BackendServer(f"i-{number}", "stream", version)
+        for number, version in enumerate(versions.split(", "), 1)
+    ]
+    for server in context.rig.backend_servers:
+        server.pause_s = EVENT_PAUSE_S
+    context.first_only = False
+    context.numbers = itertools.count(1)
+    context.streams = []
+
+
+@given("the first server breaks its streams off after two events, and is the first to get them")
+def first_breaks(context):
+    context.rig.backend_servers[0].mode = "broken"
+    context.first_only = True
+
+
+async def start_hosts(context, rig):
+    fronts = [rig.front]
+    for number in range(2, context.hosts + 1):
+        front, _ = await rig.add_host(f"edge-{number}")
+        fronts.append(front)
+    await rig.until(
+        lambda: all(len(f.router.peers.alive(now_s())) + 1 >= len(fronts) for f in fronts)
+    )
+    if context.first_only:
+        offer_first_server_first(rig)
+    return fronts
+
+
+def offer_first_server_first(rig):
+    """Offer other servers only once the first one has broken off."""
+    usable = rig.front.router.servers.usable
+
+    def offered(pool):
+        begun = any(exchange._answer_started for exchange in rig.front.router.exchanges)
+        return [entry for entry in usable(pool) if begun or entry.name == "i-1"]
+
+    rig.front.router.servers.usable = offered
+
+
+def new_streams(context, count):
+    streams = [Stream(next(context.numbers)) for _ in range(count)]
+    context.streams += streams
+    return streams
+
+
+@when("{count:d} callers read a stream to its end")
+def read_to_end(context, count):
+    async def scenario(rig):
+        fronts = await start_hosts(context, rig)
+        for stream in new_streams(context, count):
+            await stream.read(rig, fronts[0])
+
+    run_scenario(context.rig, scenario)
+
+
+@when("{count:d} callers read two events at the first front and take their streams up at {where}")
+def take_up(context, count, where):
+    async def scenario(rig):
+        fronts = await start_hosts(context, rig)
+        streams = new_streams(context, count)
+        await asyncio.gather(*(stream.read(rig, fronts[0], until=2) for stream in streams))
+        if where.endswith("gone"):
+            await rig.kill_first()
+        others = fronts[:1] if where == "the same host" else fronts[1:]
+        await asyncio.gather(
+            *(stream.read(rig, others[stream.number % len(others)]) for stream in streams)
+        )
+        for front in fronts:
+            front.router.log.flush()
+
+    run_scenario(context.rig, scenario)
+
+
+@when("{count:d} callers take their streams up at another host after each event")
+def take_up_each(context, count):
+    async def scenario(rig):
+        fronts = await start_hosts(context, rig)
+        for stream in new_streams(context, count):
+            for event in range(1, EVENTS_PER_STREAM + 2):
+                await stream.read(rig, fronts[(stream.number + event) % len(fronts)], event)
+
+    run_scenario(context.rig, scenario)
+
+
+async def lose_what_a_host_knew(context, rig, stream, fronts):
+    """Begin a stream at a host that can tell nobody, and end the host."""
+    fronts[0].router.peers._transport.close()
+    fronts[0].router.peers._transport = None
+    await stream.read(rig, fronts[0], until=2)
+    await rig.kill_first()
+
+
+@when("a caller takes up a stream that {which}")
+def take_up_unknown(context, which):
+    async def scenario(rig):
+        fronts = await start_hosts(context, rig)
+        (stream,) = new_streams(context, 1)
+        if which == "only a lost host knew of":
+            await lose_what_a_host_knew(context, rig, stream, fronts)
+        else:
+            stream.events = [(1, "x@v1"), (2, "x@v1")]
+            stream.first_id = "" if which == "it does not name" else "r-unknown"
+        context.runs_before = len(rig.runs())
+        await stream.read(rig, fronts[1])
+        context.runs_after = len(rig.runs())
+
+    run_scenario(context.rig, scenario)
+
+
+@when("a caller takes its stream up after the server of its version has left")
+def take_up_left(context):
+    async def scenario(rig):
+        fronts = await start_hosts(context, rig)
+        (stream,) = new_streams(context, 1)
+        await stream.read(rig, fronts[0], until=2)
+        name = stream.events[0][1].partition("@")[0]
+        await rig.store.delete("servers", name)
+        known = fronts[1].router.servers.entries_by_name
+        await rig.until(lambda: name not in known)
+        await stream.read(rig, fronts[1])
+
+    run_scenario(context.rig, scenario)
+
+
+@when(
+    "server {number:d} is back with version {version}, the list does not tell,"
+    " and {count:d} callers read a stream"
+)
+def back_with_another_version(context, number, version, count):
+    async def scenario(rig):
+        fronts = await start_hosts(context, rig)
+        rig.backend_servers[number - 1].restart(version)
+        for stream in new_streams(context, count):
+            await stream.read(rig, fronts[0])
+
+    run_scenario(context.rig, scenario)
+
+
+@then("no caller got events of two versions")
+def one_version(context):
+    mixed = [stream.events for stream in context.streams if len(stream.versions) > 1]
+    assert context.streams
+    assert not mixed, mixed
+    assert any(stream.events for stream in context.streams)
+
+
+@then("every caller got its whole stream")
+def all_whole(context):
+    broken = [
+        (stream.events, stream.answer and stream.answer.raw[-300:])
+        for stream in context.streams
+        if not stream.whole
+    ]
+    assert not broken, broken
+
+
+@then("it is refused within {most_ms:d} ms with code {code:d}, not run, and a time to return")
+def refused(context, most_ms, code):
+    (stream,) = context.streams
+    answer = stream.answer
+    assert answer.status == 503, answer.raw
+    error = json.loads(answer.body)["error"]
+    assert (error["code"], error["ran"]) == (code, "no"), error
+    assert 0 < float(answer.headers["retry-after"]) <= 5
+    assert stream.took_s * 1000 < most_ms, stream.took_s
+
+
+@then("the explanation of its second try tells its server's version and the stream that goes on")
+def explained(context):
+    (stream,) = context.streams
+    lines = [json.dumps(line) for line in context.rig.lines]
+    records = merge(parse_records(lines).records)
+    decisions = as_text("r-1-2", find_decisions("r-1-2", records))
+    assert f"software version {stream.events[-1][1].rpartition('@')[2]}" in decisions, decisions
+    assert "to go on after event 2 of the stream begun as r-1-0" in decisions, decisions
+
+
+@then("no server got the request")
+def not_sent(context):
+    assert context.runs_after == context.runs_before
