--- a/tests/front/stream_versions.feature
+++ b/tests/front/stream_versions.feature
@@ -1,5 +1,66 @@
 Feature: a stream goes on only at the version of the servers' software that began it
 
+  Scenario Outline: a stream that breaks off goes on in one answer at the version that began it
+    Given 1 fronts and servers of versions <versions>
+    And the first server breaks its streams off after two events, and is the first to get them
+    When 8 callers read a stream to its end
+    Then no caller got events of two versions
+    And every caller got its whole stream
+
+    Examples: names without an order
+      | versions               |
+      | v1, v1.1, v1           |
+      | 10, 9, 9, 10           |
+      | green, blue, green     |
+
+  Scenario Outline: a stream that its caller takes up goes on at the version that began it
+    Given <hosts> fronts and servers of versions v1, v1.1, v1, v1.1
+    When 12 callers read two events at the first front and take their streams up at <where>
+    Then no caller got events of two versions
+    And every caller got its whole stream
+
+    Examples:
+      | hosts | where                                 |
+      | 1     | the same host                         |
+      | 3     | another host                          |
+      | 3     | another host after the first is gone  |
+
+  Scenario: a stream that was taken up and breaks off again is still bound
+    Given 3 fronts and servers of versions v1, v1.1, v1, v1.1
+    When 8 callers take their streams up at another host after each event
+    Then no caller got events of two versions
+    And every caller got its whole stream
+
+  Scenario Outline: a host that can't know which version began a stream refuses it at once
+    Given 2 fronts and servers of versions v1, v1.1
+    When a caller takes up a stream that <which>
+    Then it is refused within 500 ms with code 1225, not run, and a time to return
+    And no server got the request
+
+    Examples:
+      | which                    |
+      | no host knows            |
+      | it does not name         |
+      | only a lost host knew of |
+
+  Scenario: a stream whose version serves no more does not go on at another one
+    Given 2 fronts and servers of versions v1, v1.1
+    When a caller takes its stream up after the server of its version has left
+    Then it is refused within 500 ms with code 1226, not run, and a time to return
+
+  Scenario Outline: a server that is back with another version before the list tells
+    Given 1 fronts and servers of versions <versions>
+    And the first server breaks its streams off after two events, and is the first to get them
+    When server <number> is back with version v2, the list does not tell, and 4 callers read a stream
+    Then no caller got events of two versions
+
+    Examples: it would go on with the stream, or it began it
+      | versions   | number |
+      | v1, v1     | 2      |
+      | v1, v1, v1 | 2      |
+      | v1, v1     | 1      |
+      | v1, v2, v1 | 1      |
+
   Scenario: the log tells at which version a stream goes on
     Given 3 fronts and servers of versions v1, v1.1, v1, v1.1
     When 1 callers read two events at the first front and take their streams up at another host
