Let a stream go on only at the software version that began it, at any host

What two versions write does not fit together.

Cause: a server for a stream that goes on was chosen as for a new one. Within one answer the version in the list was read by nobody; over a caller's tries the host that it returned to knew nothing of the stream. The class: what one host knows of a request, the host that it returns to does not.

Change: the first event binds a stream to its pool and version, and is told to three hosts on a ring before it is forwarded. What nobody knows is refused at once (1225), and so is what no server of the version can take (1226). A connection asks its server once for its start, since the list may be behind. Memory is bounded and ends with the stream.

--- a/src/redwingbank/codes.py
+++ b/src/redwingbank/codes.py
@@ -41,6 +41,8 @@
     TABLE_UNCONFIRMED = 1222
     LEAVING = 1223
     SERVERS_AT_LIMIT = 1224
+    VERSION_UNKNOWN = 1225
+    VERSION_GONE = 1226
     QUARANTINED = 1230
     QUARANTINED_AFTER_RUN = 1231
     CRASHES_SERVERS = 1232
@@ -123,6 +125,20 @@
         "come back",
         retry=True,
     ),
+    Code.VERSION_UNKNOWN: _row(
+        503,
+        Ran.NO,
+        "the host can't know which software version began the stream",
+        "come back, or begin anew",
+        retry=True,
+    ),
+    Code.VERSION_GONE: _row(
+        503,
+        Ran.NO,
+        "no backend server of the software version that began the stream can take it",
+        "come back, or begin anew",
+        retry=True,
+    ),
     Code.QUARANTINED: _row(
         422, Ran.NO, "requests like this one crashed backend servers", "ask an operator"
     ),
--- a/src/redwingbank/ctl/explain.py
+++ b/src/redwingbank/ctl/explain.py
@@ -221,6 +221,18 @@
     return f"answered completely, {record.field('tokens')} tokens"
 
 
+def _format_stream_origin(record: Record) -> str:
+    field = record.field
+    asked = f"the stream begun as {field('resumes')}" if field("resumes") else "an unnamed stream"
+    if not field("version"):
+        return f"no host knows which version began {asked}; {field('waited_ms')} ms"
+    served = f", last served by {field('served_by')}" if field("served_by") else ""
+    return (
+        f"takes up {asked} at version {field('version')} of {field('pool')}{served};"
+        f" known after {field('waited_ms')} ms"
+    )
+
+
 def _format_caller_gone(record: Record) -> str:
     text = "the caller closed the connection; the backend server was told to stop"
     after_ms = record.field("after_ms")
@@ -248,6 +260,7 @@
 
 
 _FORMATTER_BY_EVENT: dict[str, Callable[[Record], str]] = {
+    "stream-origin": _format_stream_origin,
     "request-granted": _format_granted,
     "attempt-failed": _format_failed,
     "request-refused": _format_refused,
--- a/src/redwingbank/front/admission.py
+++ b/src/redwingbank/front/admission.py
@@ -7,6 +7,7 @@
 
 from redwingbank.codes import Code
 from redwingbank.model import Request
+from redwingbank.routing.choice import RequestNeeds
 
 if TYPE_CHECKING:
     from redwingbank.front.directory import TableState
@@ -93,6 +94,27 @@
     return timeout_s if given is None else min(timeout_s, given)
 
 
+def patience_ends_s(admitted: AdmittedRequest, arrived_s: float, give_up_s: float) -> float:
+    """Return the time when the caller stops waiting for the first event."""
+    return min(give_up_s, arrived_s + admitted.route.patience_s)
+
+
+def build_needs(
+    admitted: AdmittedRequest, request: Request, data_centre: str, now_s: float, *, begun: bool
+) -> RequestNeeds:
+    """Build what the choice of a server depends on; `begun` is true if the answer has begun."""
+    arrived_s = request.arrived_s
+    return RequestNeeds(
+        facts=admitted.facts,
+        route=admitted.route,
+        tier=admitted.tier,
+        target_left_s=arrived_s + admitted.route.target_s - now_s,
+        patience_left_s=patience_ends_s(admitted, arrived_s, request.give_up_s) - now_s,
+        data_centre=data_centre,
+        answer_begun=begun,
+    )
+
+
 def build_request(admitted: AdmittedRequest, arrived_s: float, wait_s: float) -> Request:
     """Build the request that the rules decide on."""
     route, facts = admitted.route, admitted.facts
@@ -110,4 +132,12 @@
     )
 
 
-__all__ = ["Admission", "AdmittedRequest", "build_request", "choose_pool", "longest_wait_s"]
+__all__ = [
+    "Admission",
+    "AdmittedRequest",
+    "build_needs",
+    "build_request",
+    "choose_pool",
+    "longest_wait_s",
+    "patience_ends_s",
+]
--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -4,10 +4,12 @@
 
 import asyncio
 from enum import Enum, auto
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from redwingbank.clock import now_s
 from redwingbank.front.outbound import CONNECT_TIMEOUT_S, Loss
+from redwingbank.front.start_reader import StartReader
 from redwingbank.model import Outcome
 from redwingbank.platform.headers import decode_answer
 
@@ -44,11 +46,27 @@
 
 
 class Failure(NamedTuple):
-    """Why an attempt has no answer; `sent` is true if the server may have run the request."""
+    """Why an attempt has no answer; `sent` is true if the server may have run the request.
+
+    `reached` is false if no byte of the request was sent to the server.
+    """
 
     outcome: Outcome
     sent: bool
     detail: str
+    reached: bool = True
+
+
+class StartCheck(Enum):
+    """What a server must tell of its start on a connection before it gets the request.
+
+    `KNOWN` asks for it, and sends in any case. `LISTED` sends only to the listed start: another
+    one may have another software version.
+    """
+
+    NONE = auto()
+    KNOWN = auto()
+    LISTED = auto()
 
 
 class AttemptOwner(Protocol):
@@ -80,9 +98,22 @@
 class Attempt:
     """Sends one request and reads its answer; the owner gets no events after the end."""
 
-    def __init__(self, owner: AttemptOwner, backend: Backend, request_id: str) -> None:
+    def __init__(
+        self,
+        owner: AttemptOwner,
+        backend: Backend,
+        request_id: str,
+        check: StartCheck = StartCheck.NONE,
+    ) -> None:
         self.backend = backend
+        # the list may change during the attempt
+        self.entry = backend.entry
         self.sent = False
+        self.server_start: int | None = None
+        # servers that never start again under their names tell no start
+        self._check = check if self.entry.started_ms else StartCheck.NONE
+        self._started_s = now_s()
+        self._reconnected = False
         self._owner = owner
         self._request_id = request_id
         self._connection: Connection | None = None
@@ -105,7 +136,7 @@
         """
         connection = self.backend.connections.acquire()
         if connection:
-            self._send(connection, encode(now_s()))
+            self._check_start(connection, encode)
         else:
             self._connecting = asyncio.get_running_loop().create_task(self._connect(encode))
 
@@ -182,11 +213,10 @@
         if self._not_run():
             failure = Failure(Outcome.REFUSED, False, "not run")
         else:
-            failure = Failure(OUTCOME_BY_LOSS[loss], self.sent, f"{loss}: {detail}")
+            failure = Failure(OUTCOME_BY_LOSS[loss], self.sent, f"{loss}: {detail}", self.sent)
         self._owner.attempt_failed(self, failure)
 
     async def _connect(self, encode: Callable[[float], bytes]) -> None:
-        started_s = now_s()
         try:
             connection = await self.backend.connections.connect()
         except OSError as error:
@@ -198,19 +228,57 @@
         if self._finished:
             connection.abort()
             return
-        # the timeout does not count the time for which the process was suspended
-        if now_s() - started_s > CONNECT_TIMEOUT_S:
-            connection.abort()
-            self._finished = True
-            failure = Failure(Outcome.REFUSED, False, "suspended while connecting")
-            self._owner.attempt_failed(self, failure)
+        self._check_start(connection, encode)
+
+    def _check_start(self, connection: Connection, encode: Callable[[float], bytes]) -> None:
+        """Ask the server for its start if it matters and is not known, then send."""
+        self._connection = connection
+        if self._check is StartCheck.NONE or connection.server_start is not None:
+            self._send_if_listed(connection, encode)
             return
-        self._send(connection, encode(now_s()))
+        StartReader(connection, partial(self._start_told, connection, encode)).start()
 
-    def _send(self, connection: Connection, data: bytes) -> None:
+    def _start_told(
+        self, connection: Connection, encode: Callable[[float], bytes], loss: Loss | None
+    ) -> None:
+        if self._finished:
+            return
+        if loss is None and self.backend.connections.take(connection):
+            self._send_if_listed(connection, encode)
+        else:
+            self._reconnect(connection, encode, "closed before the request")
+
+    def _send_if_listed(self, connection: Connection, encode: Callable[[float], bytes]) -> None:
+        # the timeout does not count the time for which the process was suspended
+        if now_s() - self._started_s > CONNECT_TIMEOUT_S:
+            self._give_up_unsent(connection, "delayed while connecting")
+            return
+        if self._check is not StartCheck.NONE:
+            self.server_start = connection.server_start
+        if self._check is StartCheck.LISTED and self.server_start != self.entry.started_ms:
+            self._reconnect(connection, encode, "the server has started again")
+            return
         self._connection = connection
         self.sent = True
-        connection.send(data, self)
+        connection.send(encode(now_s()), self)
+
+    def _reconnect(
+        self, connection: Connection, encode: Callable[[float], bytes], detail: str
+    ) -> None:
+        """Try a new connection, once: an idle one may have lost its server meanwhile."""
+        if self._reconnected:
+            self._give_up_unsent(connection, detail)
+            return
+        self._reconnected = True
+        connection.abort()
+        self._connecting = asyncio.get_running_loop().create_task(self._connect(encode))
+
+    def _give_up_unsent(self, connection: Connection, detail: str) -> None:
+        connection.abort()
+        self._connection = None
+        self._finished = True
+        failure = Failure(Outcome.REFUSED, False, detail, reached=False)
+        self._owner.attempt_failed(self, failure)
 
     def _not_run(self) -> bool:
         if self._head is None or self._facts is None:
@@ -242,4 +310,4 @@
     )
 
 
-__all__ = ["Answer", "Attempt", "AttemptOwner", "Failure"]
+__all__ = ["Answer", "Attempt", "AttemptOwner", "Failure", "StartCheck"]
--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -1,5 +1,6 @@
 @0xb6d1c07e52a94f13;
-# Messages between hosts: requests in flight, table freshness, changes, crashes and limits of servers.
+# Messages between hosts: requests in flight, table freshness, changes, crashes and limits of
+# servers, streams that callers may take up.
 
 struct Message {
   host @0 :Text;
@@ -14,6 +15,7 @@
     crash @6 :Crash;
     bundle @7 :Bundle;
     limits @10 :List(Limit);
+    streams @11 :Streams;
   }
 }
 
@@ -80,6 +82,19 @@
   agoMs @5 :UInt32;         # time since the request lost its connection
 }
 
+struct Streams {            # streams that callers may take up at any host
+  purpose @0 :UInt8;        # 0 told, 1 asked, 2 answered, 3 ended
+  rows @1 :List(Stream);
+}
+
+struct Stream {
+  key @0 :Text;             # hash of the id of the request that brought the first event
+  pool @1 :Text;
+  version @2 :Text;         # software version that began it; empty if it is not known
+  host @3 :Text;            # host that served it last
+  leftMs @4 :UInt32;        # time for which its caller may take it up
+}
+
 struct Limit {              # requests a second that a server takes from all hosts together
   server @0 :Text;
   startedMs @1 :Int64;
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -21,6 +21,7 @@
     read_rows,
 )
 from redwingbank.front.poison import CrashNews
+from redwingbank.front.stream_codec import StreamReport, decode_streams, encode_streams
 from redwingbank.front.values import PromptPart, ServerEntry
 from redwingbank.routing.load import InFlightRequest
 from redwingbank.settings import parse_address
@@ -125,7 +126,7 @@
     removed: tuple[str, ...]
 
 
-Content = Digest | Bundle | Question | Answer | News | CrashNews | LimitReport
+Content = Digest | Bundle | Question | Answer | News | CrashNews | LimitReport | StreamReport
 
 
 class Place(NamedTuple):
@@ -262,6 +263,7 @@
 
 _encode_content.register(encode_crash)
 _encode_content.register(encode_limits)
+_encode_content.register(encode_streams)
 
 
 def _decode_digest(struct: Any, now_s: float) -> Digest:
@@ -371,6 +373,7 @@
     "news": _decode_news,
     "crash": decode_crash,
     "limits": decode_limits,
+    "streams": decode_streams,
 }
 
 __all__ = [
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -7,7 +7,7 @@
 
 from redwingbank.clock import now_s
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
-from redwingbank.front.admission import build_request, longest_wait_s
+from redwingbank.front.admission import build_needs, build_request, longest_wait_s
 from redwingbank.front.attempt import (
     FIRST_SERVER_ERROR,
     STATUS_LAST_SUCCESS,
@@ -19,15 +19,13 @@
 from redwingbank.front.events import EventError, EventSplitter
 from redwingbank.front.failures import CUT_SHORT, error_answer, invalid_answer, is_cut_short
 from redwingbank.front.outgoing import OutgoingRequest
-from redwingbank.front.peers import OWN_HOST
 from redwingbank.front.poison import request_traits
-from redwingbank.front.refusals import error_body
+from redwingbank.front.refusals import refusal
 from redwingbank.front.request_recorder import RequestRecorder
 from redwingbank.front.run_watch import RunWatch
+from redwingbank.front.stream_binding import StreamBinding
 from redwingbank.front.values import Kind
-from redwingbank.model import Outcome, Request
-from redwingbank.platform.headers import decode_call, encode_own_answer
-from redwingbank.routing.choice import RequestNeeds, as_in_flight
+from redwingbank.platform.headers import decode_call
 from redwingbank.routing.dispatch import Refuse
 from redwingbank.rules.lifecycle import Lifecycle, Step
 from redwingbank.rules.retry import Retry, decide
@@ -38,6 +36,7 @@
     from redwingbank.front.caller import Caller
     from redwingbank.front.router import Router
     from redwingbank.front.wire import AnswerHead, RequestHead
+    from redwingbank.model import Outcome, Request
     from redwingbank.platform.headers import AnswerFacts
 
 # Answers are due within 0.5 s of a class's timeout; this leaves time for the server's own answer
@@ -60,6 +59,7 @@
         self._body = body
         self._arrived_s = arrived_s
         self._admitted: AdmittedRequest | None = None
+        self._binding: StreamBinding | None = None
         self._recorder = RequestRecorder(router, arrived_s)
         self._request: Request | None = None
         self._attempt: Attempt | None = None
@@ -103,10 +103,30 @@
         self._watch = RunWatch(self._router.poison, self._router.probes, traits)
         self._life.advance(Step.CHECK)
         self._life.advance(Step.QUEUE)
-        self._router.allowance.record_request(admitted.pool, now_s())
         left_s = self._request.give_up_s - now_s()
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(max(0.0, left_s) + TIMEOUT_GRACE_S, self._time_out)
+        self._binding = StreamBinding(self._router, admitted)
+        self._binding.find(self._origin_found)
+
+    def _origin_found(self, code: Code | None) -> None:
+        """Send the request, or refuse a stream that can't go on."""
+        if self._closed:
+            return
+        with self._router.barrier.confine("request"):
+            if code:
+                self._fail(code)
+            else:
+                self._begin()
+            return
+        self.fail_internally()
+
+    def _begin(self) -> None:
+        assert self._request and self._admitted and self._binding
+        pool = self._binding.pool
+        self._request = self._request._replace(pool=pool)
+        self._admitted = self._recorder.admitted = self._admitted._replace(pool=pool)
+        self._router.allowance.record_request(pool, now_s())
         self._send()
 
     def fail_internally(self) -> None:
@@ -152,9 +172,7 @@
         """Forward a part of the answer, complete events only if it is a stream."""
         if self._awaiting_first_event:
             self._awaiting_first_event = False
-            took_s = now_s() - self._sent_s
-            attempt.backend.load.first_event_received((OWN_HOST, self._number), took_s)
-            self._router.peers.report_first_event(self._number, took_s)
+            self._router.record_first_event(attempt.backend, self._number, self._sent_s)
         if self._splitter is None:
             self._caller.send_part(data)
             return
@@ -165,6 +183,8 @@
             self._handle_failure(attempt, invalid_answer(str(error)), now_s())
             return
         if complete_events:
+            assert self._binding
+            self._binding.events_received(attempt)
             now = now_s()
             self._last_part_s = now
             self._watch.event_received(now)
@@ -185,6 +205,8 @@
             self._release(attempt)
             self._life.advance(Step.FINISH)
             self._caller.end_stream()
+            if self._binding:
+                self._binding.finish()
             self._watch.answered()
             self._recorder.record_answer(self._life, STATUS_OK)
             self._close()
@@ -202,7 +224,7 @@
         if not failure.sent:
             self._life.advance(Step.NOT_ACCEPTED)
             self._refusals += 1
-        if failure.outcome is Outcome.REFUSED or failure.sent:
+        if failure.reached:
             self._retry_or_fail(failure.outcome, now)
         elif self._refusals <= MAX_REFUSALS and now < self._give_up_s():
             self._requeue()
@@ -210,8 +232,7 @@
             self._fail(Code.NO_BACKEND_SERVER)
 
     def _retry_or_fail(self, outcome: Outcome, now: float) -> None:
-        assert self._request is not None
-        assert self._admitted is not None
+        assert self._request and self._admitted
         decision = decide(
             self._request,
             outcome,
@@ -233,7 +254,7 @@
         self._send()
 
     def _send(self) -> None:
-        assert self._request and self._admitted
+        assert self._request and self._admitted and self._binding
         now = now_s()
         admitted, request = self._admitted, self._request
         blocked = self._watch.find_blocked(now)
@@ -241,15 +262,16 @@
             self._retry_after_s = self._router.poison.causes.seconds_left(blocked, now)
             self._fail(Code.CRASHES_SERVERS)
             return
-        entries = self._router.servers.usable(admitted.pool)
-        needs = self._request_needs(admitted, now)
+        data_centre = self._router.settings.data_centre
+        needs = build_needs(admitted, request, data_centre, now, begun=self._answer_started)
         pool = self._router.pool(admitted.pool)
-        decision = self._router.dispatcher.decide(entries, pool, needs, self._tried, now)
+        decision = self._router.dispatcher.decide(
+            self._binding.usable(), pool, needs, self._tried, now
+        )
         if isinstance(decision, Refuse):
             self._wait_or_refuse(decision, now)
             return
-        choice = decision.choice
-        backend = choice.backend
+        choice, backend = decision.choice, decision.choice.backend
         if self._splitter:
             self._splitter.drop_partial()
         elif admitted.route.kind is Kind.STREAM:
@@ -259,10 +281,7 @@
         self._life.advance(Step.SEND)
         self._sent_s, self._awaiting_first_event = now, True
         self._watch.sent(now)
-        in_flight, shared = as_in_flight(choice, needs, now), admitted.facts.shared_parts
-        self._number = self._router.peers.report_sent(backend.entry.name, in_flight, shared)
-        backend.load.request_sent((OWN_HOST, self._number), in_flight, shared)
-        self._router.server_limits.request_sent(backend.entry)
+        self._number = self._router.record_send(choice, needs, now)
         backend.breaker.record_send(request.request_id, now)
         resume_after = self._splitter.last_id if self._splitter else ""
         self._recorder.record_grant(
@@ -271,12 +290,12 @@
         outgoing = OutgoingRequest(
             self._head, self._body, admitted, choice, request.give_up_s, resume_after
         )
-        self._attempt = Attempt(self, backend, request.request_id)
+        self._attempt = Attempt(self, backend, request.request_id, self._binding.start_check)
         self._attempt.start(outgoing.encode)
 
     def _wait_or_refuse(self, decision: Refuse, now: float) -> None:
         """Refuse a request at once; let a stream that has begun wait for a server's limit."""
-        assert self._admitted is not None
+        assert self._admitted and self._binding
         resumes_s = now + decision.retry_after_s
         patience_ends_s = self._last_part_s + self._admitted.route.patience_s
         waits = self._answer_started and decision.code is Code.SERVERS_AT_LIMIT
@@ -285,7 +304,7 @@
             self._resumption = loop.call_later(decision.retry_after_s, self._resume_stream)
             return
         self._retry_after_s = decision.retry_after_s
-        self._fail(decision.code)
+        self._fail(self._binding.refusal_code(decision.code))
 
     def _resume_stream(self) -> None:
         with self._router.barrier.confine("request"):
@@ -320,28 +339,25 @@
         self._close()
 
     def _may_retry_answer(self, status: int) -> bool:
-        assert self._request is not None
-        assert self._admitted is not None
+        assert self._request and self._admitted and self._binding
         in_time = now_s() < self._request.give_up_s and status != GATEWAY_TIMEOUT
         route = self._admitted.route
         runs = len(self._tried) - self._refusals
         pool = self._admitted.pool
         retries_left = self._router.allowance.remaining(pool, now_s()) > 0
-        usable = self._router.servers.usable(pool)
+        usable = self._binding.usable()
         others = self._router.backends.limits.any_admits(usable, self._tried, now_s())
         return in_time and retries_left and others and route.repeatable and runs < route.attempts
 
     def _release(self, attempt: Attempt) -> None:
-        attempt.backend.load.request_ended((OWN_HOST, self._number))
-        self._router.peers.report_end(self._number)
+        self._router.record_end(attempt.backend, self._number)
         if self._attempt is attempt:
             self._attempt = None
 
     def _time_out(self) -> None:
         if self._closed:
             return
-        ran = self._life.ran
-        self._fail(Code.WAIT_EXPIRED if ran is Ran.NO else Code.BACKEND_TIMEOUT)
+        self._fail(Code.WAIT_EXPIRED if self._life.ran is Ran.NO else Code.BACKEND_TIMEOUT)
 
     def _fail(self, code: Code) -> None:
         """End the request with an error answer, or by aborting a stream that has started."""
@@ -355,19 +371,17 @@
 
     def _refuse(self, code: Code) -> None:
         self._recorder.record_refusal(self._life, code, self._tried, begun=False)
-        meaning = MEANING_BY_CODE[code]
         retry_after_s = None
-        if meaning.retry:
+        if MEANING_BY_CODE[code].retry:
             retry_after_s = max(self._retry_after_s, self._router.retry_after_s(code))
         self._close()
-        headers = encode_own_answer(self._life.request_id, retry_after_s)
-        headers += b"Content-Type: application/json\r\n"
-        self._caller.send_answer(
-            meaning.status, b"", headers, error_body(code, self._life.ran, retry_after_s)
-        )
+        answer = refusal(code, self._life.request_id, self._life.ran, retry_after_s)
+        self._caller.send_answer(*answer)
 
     def _close(self) -> None:
         self._closed = True
+        if self._binding:
+            self._binding.release()
         for timer in (self._timer, self._resumption):
             if timer:
                 timer.cancel()
@@ -377,21 +391,6 @@
             self._release(self._attempt)
         self._router.remove_exchange(self)
 
-    def _request_needs(self, admitted: AdmittedRequest, now: float) -> RequestNeeds:
-        return RequestNeeds(
-            facts=admitted.facts,
-            route=admitted.route,
-            tier=admitted.tier,
-            target_left_s=self._arrived_s + admitted.route.target_s - now,
-            patience_left_s=self._patience_ends_s(admitted) - now,
-            data_centre=self._router.settings.data_centre,
-            answer_begun=self._answer_started,
-        )
-
-    def _patience_ends_s(self, admitted: AdmittedRequest) -> float:
-        """Return the time when the caller stops waiting for the first event."""
-        return min(self._give_up_s(), self._arrived_s + admitted.route.patience_s)
-
     def _give_up_s(self) -> float:
         assert self._request is not None
         return self._request.give_up_s
--- a/src/redwingbank/front/outbound.py
+++ b/src/redwingbank/front/outbound.py
@@ -64,6 +64,13 @@
         self._answer_whole = False
         self.requests = 0
         self.expires_s = 0.0
+        # when the server started, 0 if it does not tell; None if it has not been asked
+        self.server_start: int | None = None
+
+    @property
+    def address(self) -> Address:
+        """The address of the server."""
+        return self._pool.address
 
     @property
     def usable(self) -> bool:
@@ -78,10 +85,10 @@
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         _enable_keepalive(transport.get_extra_info("socket"))
 
-    def send(self, data: bytes, reply: Reply) -> None:
-        """Send a request; its answer goes to `reply`."""
+    def send(self, data: bytes, reply: Reply, *, is_request: bool = True) -> None:
+        """Send a caller's request, or a question of the router; its answer goes to `reply`."""
         assert self._transport is not None
-        self.requests += 1
+        self.requests += is_request
         self._answer_whole = False
         self._reply = reply
         self._transport.write(data)
@@ -216,6 +223,13 @@
         connection.expires_s = now_s() + self.idle_s
         self._free.append(connection)
 
+    def take(self, connection: Connection) -> bool:
+        """Acquire a certain connection; return False if it is not idle or not usable."""
+        if connection not in self._free:
+            return False
+        self._free.remove(connection)
+        return connection.usable
+
     def discard(self, connection: Connection) -> None:
         """Remove a closed connection from the pool."""
         if connection in self._free:
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -33,6 +33,7 @@
 from redwingbank.front.host_listing import HostListing
 from redwingbank.front.notice_codec import LimitReport
 from redwingbank.front.poison import CrashNews
+from redwingbank.front.stream_codec import StreamReport
 from redwingbank.rules.rendezvous import ranked
 from redwingbank.settings import Address
 
@@ -89,8 +90,8 @@
     """Reports this host's requests to the other hosts and applies their reports.
 
     `answer_question` returns the answer to another host's question; `on_answer`, `on_news`,
-    `on_crash` and `on_limits` receive answers, changes of backend servers, crashes and limits from
-    other hosts, and `on_host_started` the names of hosts that have started.
+    `on_crash`, `on_limits` and `on_streams` receive answers, changes of backend servers, crashes,
+    limits and streams from other hosts, and `on_host_started` the names of hosts that started.
     """
 
     def __init__(
@@ -107,6 +108,7 @@
         self.on_news: Callable[[News], None] | None = None
         self.on_crash: Callable[[CrashNews, float], None] | None = None
         self.on_limits: Callable[[LimitReport, HostKey], None] | None = None
+        self.on_streams: Callable[[StreamReport, str], None] | None = None
         self.on_host_started: Callable[[str], None] | None = None
         self._host = host
         self._incarnation = incarnation
@@ -206,9 +208,10 @@
         if peer:
             self._send(question, [peer.address])
 
-    def tell(self, host: str, report: LimitReport) -> None:
-        """Send the limits that this host knows to another host."""
-        self._send(report, [self.peers_by_host[host].address])
+    def tell(self, hosts: Iterable[str], report: LimitReport | StreamReport) -> None:
+        """Send limits or streams to some of the other hosts; those not known are left out."""
+        known = [self.peers_by_host[host] for host in hosts if host in self.peers_by_host]
+        self._send(report, [peer.address for peer in known])
 
     def broadcast(self, news: News | CrashNews | LimitReport) -> None:
         """Send changes, a crash or limits of backend servers to every other host."""
@@ -366,5 +369,10 @@
         if self.on_limits:
             self.on_limits(content, (host, self.peers_by_host[host].incarnation))
 
+    @_handle.register
+    def _handle_streams(self, content: StreamReport, host: str, now: float) -> None:
+        if self.on_streams:
+            self.on_streams(content, host)
+
 
 __all__ = ["OWN_HOST", "Peer", "Peers"]
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -135,6 +135,9 @@
                     owner.expire(now)
             with router.barrier.confine("limits"):
                 router.server_limits.update(now, router.servers.entries_by_name.values())
+            with router.barrier.confine("streams"):
+                router.streams.update(now)
+                router.versions.observe(router.servers.entries_by_name.values(), now)
             with router.barrier.confine("heartbeat"):
                 router.peers.send_heartbeat()
             router.log.flush()
--- a/src/redwingbank/front/refusals.py
+++ b/src/redwingbank/front/refusals.py
@@ -5,6 +5,7 @@
 import json
 
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
+from redwingbank.platform.headers import encode_own_answer
 
 
 def error_body(code: Code, ran: Ran, retry_after_s: float | None) -> bytes:
@@ -19,4 +20,13 @@
     return json.dumps({"error": error}, separators=(",", ":")).encode()
 
 
-__all__ = ["error_body"]
+def refusal(
+    code: Code, request_id: str, ran: Ran, retry_after_s: float | None
+) -> tuple[int, bytes, bytes, bytes]:
+    """Return the status, reason, headers and body of the router's own answer."""
+    headers = encode_own_answer(request_id, retry_after_s)
+    headers += b"Content-Type: application/json\r\n"
+    return MEANING_BY_CODE[code].status, b"", headers, error_body(code, ran, retry_after_s)
+
+
+__all__ = ["error_body", "refusal"]
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -16,25 +16,33 @@
 from redwingbank.front.digest import Place
 from redwingbank.front.directory import ServerRegistry, TableState
 from redwingbank.front.freshness import Freshness
-from redwingbank.front.peers import Peers
+from redwingbank.front.peers import OWN_HOST, Peers
 from redwingbank.front.poison import PoisonTracker
 from redwingbank.front.server_limits import ServerLimits
 from redwingbank.front.shutdown import AnswerDurations, Shutdown
+from redwingbank.front.stream_sharing import StreamSharing
 from redwingbank.front.values import Limits, Pool
 from redwingbank.metrics import Metrics
-from redwingbank.routing.choice import Chooser
+from redwingbank.routing.choice import Chooser, as_in_flight
 from redwingbank.routing.dispatch import Dispatcher
+from redwingbank.routing.version_history import VersionHistory
 
 if TYPE_CHECKING:
     from random import Random
 
+    from redwingbank.front.backends import Backend
     from redwingbank.front.exchange import Exchange
     from redwingbank.front.inbound import InboundConnection
     from redwingbank.front.values import HostSettings
+    from redwingbank.routing.choice import Choice, RequestNeeds
 
 # About the time that a host needs to get missing state, such as a newer table.
 RETRY_AFTER_S = 0.3
-RETRY_AFTER_S_BY_CODE = dict.fromkeys((Code.NOT_READY, Code.TABLE_UNCONFIRMED, Code.LEAVING), 0.2)
+RETRY_AFTER_S_BY_CODE = {
+    **dict.fromkeys((Code.NOT_READY, Code.TABLE_UNCONFIRMED, Code.LEAVING), 0.2),
+    # a server that crashed is back after some seconds
+    Code.VERSION_GONE: 1.0,
+}
 # reported as the age of a table or server list that was never confirmed
 MAX_REPORTED_AGE_S = 86_400.0
 DEFAULT_LIMITS = Limits()
@@ -59,6 +67,8 @@
         self.server_limits = ServerLimits(self.backends.limits, self.peers, self.log)
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
         self.servers = ServerRegistry(self.freshness.store_contact.was_down)
+        self.streams = StreamSharing(settings.name, self.peers)
+        self.versions = VersionHistory()
         self.dispatcher = Dispatcher(Chooser(self.backends, random))
         self.allowance = RetryAllowance(settings.bounds, lambda: 1 + len(self.peers.peers_by_host))
         self.admission = Admission(self.tables)
@@ -81,6 +91,7 @@
         gauge("connections", len(self.connections))
         gauge("hosts_heard", len(self.peers.alive(now)))
         gauge("requests_in_flight", len(self.exchanges))
+        gauge("streams_remembered", len(self.streams.book))
         gauge("poison_blocked", len(self.poison.causes.blocked(now)))
         for name, backend in self.backends.backends_by_name.items():
             gauge("server_in_flight", len(backend.load), server=name)
@@ -124,6 +135,26 @@
         """Remove a request that has ended."""
         self.exchanges.discard(exchange)
 
+    def record_send(self, choice: Choice, needs: RequestNeeds, now_s: float) -> int:
+        """Record a request that is sent, and tell the other hosts; return its number."""
+        backend, shared = choice.backend, needs.facts.shared_parts
+        in_flight = as_in_flight(choice, needs, now_s)
+        number = self.peers.report_sent(backend.entry.name, in_flight, shared)
+        backend.load.request_sent((OWN_HOST, number), in_flight, shared)
+        self.server_limits.request_sent(backend.entry)
+        return number
+
+    def record_first_event(self, backend: Backend, number: int, sent_s: float) -> None:
+        """Record the first part of an answer, and tell the other hosts."""
+        took_s = now_s() - sent_s
+        backend.load.first_event_received((OWN_HOST, number), took_s)
+        self.peers.report_first_event(number, took_s)
+
+    def record_end(self, backend: Backend, number: int) -> None:
+        """Record the end of a request at a server, and tell the other hosts."""
+        backend.load.request_ended((OWN_HOST, number))
+        self.peers.report_end(number)
+
     def count(self, name: str, class_name: str, **labels: str) -> None:
         """Increment a counter of a class."""
         self.metrics.count(name, 1, service_class=class_name, **labels)
--- a/src/redwingbank/front/server_limits.py
+++ b/src/redwingbank/front/server_limits.py
@@ -78,7 +78,7 @@
     def tell_host(self, host: str) -> None:
         """Tell a host that has just started all limits."""
         for report in _reports(self.book.listed()):
-            self._peers.tell(host, report)
+            self._peers.tell([host], report)
 
     def update(self, now: float, entries: Iterable[ServerEntry]) -> None:
         """Refill what is left of the limits, and repeat them; call it several times a second.
--- /dev/null
+++ b/src/redwingbank/front/start_reader.py
@@ -0,0 +1,62 @@
+"""Asks the server at the other end of a connection when it started."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from redwingbank.platform.headers import REPORT_CALL
+from redwingbank.platform.objects import MalformedError, decode_server_start
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from redwingbank.front.outbound import Connection, Loss
+    from redwingbank.front.wire import AnswerHead
+
+MAX_REPORT_BYTES = 64 * 1024
+STATUS_OK = 200
+
+
+class StartReader:
+    """Reads a server's report, and stores on the connection when the server started.
+
+    A connection never outlives its server, so one report holds for all requests on it. `told` gets
+    the loss if there is no answer, else None. A report that does not tell the start counts as 0.
+    """
+
+    def __init__(self, connection: Connection, told: Callable[[Loss | None], None]) -> None:
+        self._connection = connection
+        self._told = told
+        self._status = 0
+        self._body = bytearray()
+
+    def start(self) -> None:
+        """Send the question."""
+        host, port = self._connection.address
+        self._connection.send(REPORT_CALL % f"{host}:{port}".encode(), self, is_request=False)
+
+    def head_received(self, head: AnswerHead) -> None:
+        """Record the status."""
+        self._status = head.status
+
+    def body_received(self, data: bytes) -> None:
+        """Collect the report; one that is too long is not read."""
+        if len(self._body) <= MAX_REPORT_BYTES:
+            self._body += data
+
+    def answer_completed(self) -> None:
+        """Decode the report."""
+        try:
+            readable = self._status == STATUS_OK and len(self._body) <= MAX_REPORT_BYTES
+            start = decode_server_start(bytes(self._body)) if readable else 0
+        except MalformedError:
+            start = 0
+        self._connection.server_start = start
+        self._told(None)
+
+    def answer_lost(self, loss: Loss, detail: str) -> None:
+        """Report that the connection was lost."""
+        self._told(loss)
+
+
+__all__ = ["StartReader"]
--- /dev/null
+++ b/src/redwingbank/front/stream_binding.py
@@ -0,0 +1,134 @@
+"""Binds the stream of one request to the software version that began it."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from redwingbank.clock import now_s
+from redwingbank.codes import Code
+from redwingbank.front.attempt import StartCheck
+from redwingbank.front.values import Kind
+from redwingbank.routing.stream_origin import StreamOrigin, serving_version, stream_key
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from redwingbank.front.admission import AdmittedRequest
+    from redwingbank.front.attempt import Attempt
+    from redwingbank.front.router import Router
+    from redwingbank.front.values import ServerEntry
+
+# Within so many tries, each as long as its class's timeout, a stream is taken up that its caller
+# does not name.
+MAX_TRIES = 2
+MILLISECONDS = 1000
+
+
+class StreamBinding:
+    """The version at which a stream goes on, in this answer and over its caller's tries.
+
+    A stream that may be resumed is bound by its first event, which is told to other hosts before
+    it is forwarded. A caller that takes a stream up names the request that brought it. If it
+    names none, the stream goes on only where its pool has had a single version.
+    """
+
+    def __init__(self, router: Router, admitted: AdmittedRequest) -> None:
+        route, facts = admitted.route, admitted.facts
+        self.origin: StreamOrigin | None = None
+        self._router = router
+        self._pool = admitted.pool
+        self._pools = {share.pool for share in route.shares}
+        self._resumable = route.kind is Kind.STREAM and route.resumable
+        self._taken_up = self._resumable and facts.takes_up
+        self._begun = False
+        self._stream = facts.resumes if self._taken_up else facts.request_id
+        # empty for a stream that is taken up without its name
+        self._key = stream_key(self._stream) if self._stream else ""
+        self._timeout_s = route.timeout_s
+        patience_s = route.timeout_s if facts.deadline_s is None else facts.deadline_s
+        self._request_id = facts.request_id
+        self._started_s = now_s()
+        self._ends_s = self._started_s + patience_s
+
+    @property
+    def pool(self) -> str:
+        """The pool that serves the stream."""
+        return self.origin.pool if self.origin else self._pool
+
+    @property
+    def start_check(self) -> StartCheck:
+        """What a server must tell of its start before it gets the request."""
+        if not self._resumable:
+            return StartCheck.NONE
+        return StartCheck.LISTED if self.origin or self._begun else StartCheck.KNOWN
+
+    def find(self, found: Callable[[Code | None], None]) -> None:
+        """Find out what began a stream that is taken up; pass on a code if it can't go on."""
+        if not self._taken_up:
+            found(None)
+        elif not self._stream:
+            within_s = MAX_TRIES * self._timeout_s
+            version = self._router.versions.only_version(self._pool, within_s, now_s())
+            found(self._bind(StreamOrigin(self._pool, version, "") if version else None))
+        else:
+            self._router.streams.find(self._key, lambda origin: found(self._bind(origin)))
+
+    def usable(self) -> list[ServerEntry]:
+        """List the servers that may get the request."""
+        entries = self._router.servers.usable(self.pool)
+        if self.origin:
+            return serving_version(entries, self.origin)
+        return [] if self._begun else entries
+
+    def refusal_code(self, code: Code) -> Code:
+        """Return a more specific code if no server of the stream's version is left."""
+        bound = self.origin is not None and code is Code.NO_BACKEND_SERVER
+        return Code.VERSION_GONE if bound else code
+
+    def events_received(self, attempt: Attempt) -> None:
+        """Bind the stream, at the latest before its first event is forwarded here."""
+        if self._begun or not self._resumable:
+            return
+        self._begun = True
+        version = self._version_of(attempt)
+        if self.origin is None and version:
+            host = self._router.settings.name
+            self.origin = StreamOrigin(attempt.entry.pool, version, host)
+        if self.origin and self._key:
+            self._router.streams.begin(self._key, self.origin, self._ends_s)
+
+    def finish(self) -> None:
+        """Forget the stream, which is complete."""
+        if self.origin and self._key:
+            self._router.streams.finish(self._key)
+
+    def release(self) -> None:
+        """Leave the stream to the host at which its caller takes it up."""
+        self._router.streams.release(self._key)
+
+    def _bind(self, origin: StreamOrigin | None) -> Code | None:
+        self._router.log.detail(
+            "stream-origin",
+            request=self._request_id,
+            resumes=self._stream,
+            version=origin.version if origin else "",
+            pool=origin.pool if origin else "",
+            served_by=origin.host if origin else "",
+            waited_ms=round((now_s() - self._started_s) * MILLISECONDS),
+        )
+        if origin is None:
+            return Code.VERSION_UNKNOWN
+        self.origin = origin
+        return None if origin.pool in self._pools else Code.VERSION_GONE
+
+    def _version_of(self, attempt: Attempt) -> str:
+        """Return the version of the server that an attempt reached, empty if it is not known."""
+        if attempt.server_start in {None, attempt.entry.started_ms}:
+            return attempt.entry.version
+        # the server has started again since it was chosen
+        listed = self._router.servers.entries_by_name.get(attempt.entry.name)
+        current = listed is not None and listed.started_ms == attempt.server_start
+        return listed.version if listed and current else ""
+
+
+__all__ = ["StreamBinding"]
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -60,6 +60,8 @@
         b"expect",
     }
 )
+# Asks a server for its report, given its address.
+REPORT_CALL = b"GET /api/report HTTP/1.1\r\nHost: %b\r\n\r\n"
 REPLACED_HEADERS = frozenset({REQUEST_ID, AUTHORIZATION, DEADLINE, LAST_EVENT_ID, b"host"})
 # forwarded even if a caller lists them in its Connection header
 END_TO_END_HEADERS = REPLACED_HEADERS | {
@@ -230,6 +232,7 @@
 
 __all__ = [
     "READINESS_TARGET",
+    "REPORT_CALL",
     "AnswerFacts",
     "Envelope",
     "decode_answer",
--- a/src/redwingbank/platform/objects.py
+++ b/src/redwingbank/platform/objects.py
@@ -122,6 +122,17 @@
         raise MalformedError(str(error)) from error
 
 
+def decode_server_start(body: bytes) -> int:
+    """Decode when a server started, from its report; 0 if the report does not tell.
+
+    :raises MalformedError: if the body is not a report
+    """
+    start = _document(body).get("born", 0)
+    if isinstance(start, bool) or not isinstance(start, int):
+        raise MalformedError(f"start {start!r}")
+    return start
+
+
 def _document(body: bytes) -> dict[str, Any]:
     try:
         document = json.loads(body)
@@ -152,6 +163,7 @@
     "decode_changes",
     "decode_object",
     "decode_page",
+    "decode_server_start",
     "encode_object",
     "list_path",
     "object_path",
--- a/tests/front/stream_versions.feature
+++ b/tests/front/stream_versions.feature
@@ -61,6 +61,24 @@
       | v1, v1     | 1      |
       | v1, v2, v1 | 1      |
 
+  Scenario: a stream goes on at a sound server beside one that is back with another version
+    Given 1 fronts and servers of versions v1, v1, v1
+    And the first server breaks its streams off after two events, and is the first to get them
+    When server 2 is back with version v2, the list does not tell, and 4 callers read a stream
+    Then no caller got events of two versions
+    And every caller got its whole stream
+
+  Scenario: what is remembered of a stream ends with it, also at another host
+    Given 4 fronts and servers of versions v1, v1.1, v1, v1.1
+    When 12 callers read streams, and half of them take them up at another host
+    Then every caller got its whole stream
+    And no host remembers a stream
+
+  Scenario: what is remembered of a stream ends when its caller gives up
+    Given 4 fronts and servers of versions v1, v1.1
+    When 6 callers leave their streams after two events and do not come back
+    Then no host remembers a stream
+
   Scenario: the log tells at which version a stream goes on
     Given 3 fronts and servers of versions v1, v1.1, v1, v1.1
     When 1 callers read two events at the first front and take their streams up at another host
--- a/tests/front_rig.py
+++ b/tests/front_rig.py
@@ -145,6 +145,7 @@
             listener.close()
         if self.front.router.peers._transport:
             self.front.router.peers._transport.close()
+            self.front.router.peers._transport = None
         for connection in list(self.front.router.connections):
             connection._transport.abort()
 
--- a/tests/steps/front_stream_versions.py
+++ b/tests/steps/front_stream_versions.py
@@ -20,6 +20,8 @@
 EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) \d+\n\n")
 EVENT_PAUSE_S = 0.05
 DEADLINE_MS = 4000
+# until hosts have told each other, and forgotten what has ended
+TOLD_S = 0.3
 
 
 class Stream:
@@ -168,8 +170,9 @@
 
 async def lose_what_a_host_knew(context, rig, stream, fronts):
     """Begin a stream at a host that can tell nobody, and end the host."""
-    fronts[0].router.peers._transport.close()
-    fronts[0].router.peers._transport = None
+    peers = fronts[0].router.peers
+    peers._transport.close()
+    peers._transport = None
     await stream.read(rig, fronts[0], until=2)
     await rig.kill_first()
 
@@ -257,6 +260,42 @@
     decisions = as_text("r-1-2", find_decisions("r-1-2", records))
     assert f"software version {stream.events[-1][1].rpartition('@')[2]}" in decisions, decisions
     assert "to go on after event 2 of the stream begun as r-1-0" in decisions, decisions
+    assert "takes up the stream begun as r-1-0 at version" in decisions, decisions
+    assert "last served by edge-1" in decisions, decisions
+
+
+@when("{count:d} callers read streams, and half of them take them up at another host")
+def read_and_take_up(context, count):
+    async def scenario(rig):
+        fronts = await start_hosts(context, rig)
+        for stream in new_streams(context, count):
+            if stream.number % 2:
+                await stream.read(rig, fronts[0], until=2)
+                assert any(len(front.router.streams.book) for front in fronts)
+            await stream.read(rig, fronts[stream.number % len(fronts)])
+        await asyncio.sleep(TOLD_S)
+        context.remembered = [len(front.router.streams.book) for front in fronts]
+
+    run_scenario(context.rig, scenario)
+
+
+@when("{count:d} callers leave their streams after two events and do not come back")
+def leave(context, count):
+    async def scenario(rig):
+        fronts = await start_hosts(context, rig)
+        for stream in new_streams(context, count):
+            await stream.read(rig, fronts[0], until=2)
+        held = [len(front.router.streams.book) for front in fronts]
+        assert sum(held) >= count, held
+        await asyncio.sleep(DEADLINE_MS / 1000 + TOLD_S)
+        context.remembered = [len(front.router.streams.book) for front in fronts]
+
+    run_scenario(context.rig, scenario)
+
+
+@then("no host remembers a stream")
+def none_remembered(context):
+    assert not any(context.remembered), context.remembered
 
 
 @then("no server got the request")
