Find the holders of a stream at a host that has just started

It now counts hosts that the store has just listed. A report that bears a request's id is a late copy of another answer and not read; keys of another length are dropped.

--- a/src/redwingbank/front/host_listing.py
+++ b/src/redwingbank/front/host_listing.py
@@ -53,6 +53,10 @@
         unlisted = now_s < self._first_s
         return Fleet(1 + len(heard), max(count, MIN_HOSTS) if unlisted else count)
 
+    def is_new(self, host: str, now_s: float) -> bool:
+        """Whether a host was listed so lately that it may not have answered."""
+        return now_s - self._first_s_by_host.get(host, float("-inf")) < LISTED_S
+
     def introduced(self, now_s: float) -> bool:
         """Whether the other hosts have had time to tell this one what they know."""
         if now_s - self._started_s >= MAX_INTRODUCTION_S:
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -157,6 +157,15 @@
             if now - peer.heard_s < HOST_TIMEOUT_S
         ]
 
+    def expected(self, now: float) -> list[str]:
+        """List the hosts that are alive, and those listed so lately that they may not be heard."""
+        return [
+            host
+            for host, peer in self.peers_by_host.items()
+            if now - peer.heard_s < HOST_TIMEOUT_S
+            or (peer.heard_s == float("-inf") and self.listing.is_new(host, now))
+        ]
+
     def fleet(self, now: float) -> Fleet:
         """Count the hosts that share limits, including this one."""
         heard_s_by_host = {host: peer.heard_s for host, peer in self.peers_by_host.items()}
--- a/src/redwingbank/front/start_reader.py
+++ b/src/redwingbank/front/start_reader.py
@@ -4,13 +4,14 @@
 
 from typing import TYPE_CHECKING
 
-from redwingbank.platform.headers import REPORT_CALL
+from redwingbank.front.outbound import Loss
+from redwingbank.platform.headers import REPORT_CALL, decode_answer
 from redwingbank.platform.objects import MalformedError, decode_server_start
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from redwingbank.front.outbound import Connection, Loss
+    from redwingbank.front.outbound import Connection
     from redwingbank.front.wire import AnswerHead
 
 MAX_REPORT_BYTES = 64 * 1024
@@ -28,6 +29,7 @@
         self._connection = connection
         self._told = told
         self._status = 0
+        self._foreign = False
         self._body = bytearray()
 
     def start(self) -> None:
@@ -36,8 +38,9 @@
         self._connection.send(REPORT_CALL % f"{host}:{port}".encode(), self, is_request=False)
 
     def head_received(self, head: AnswerHead) -> None:
-        """Record the status."""
+        """Record the status; an answer with a request's id is a late copy of an earlier one."""
         self._status = head.status
+        self._foreign = bool(decode_answer(head.headers).request_id)
 
     def body_received(self, data: bytes) -> None:
         """Collect the report; one that is too long is not read."""
@@ -46,6 +49,9 @@
 
     def answer_completed(self) -> None:
         """Decode the report."""
+        if self._foreign:
+            self._told(Loss.GARBAGE)
+            return
         try:
             readable = self._status == STATUS_OK and len(self._body) <= MAX_REPORT_BYTES
             start = decode_server_start(bytes(self._body)) if readable else 0
--- a/src/redwingbank/front/stream_codec.py
+++ b/src/redwingbank/front/stream_codec.py
@@ -6,7 +6,7 @@
 from typing import Any, NamedTuple
 
 from redwingbank.front.notice_codec import MILLISECONDS, age_ms, read_rows
-from redwingbank.routing.stream_origin import StreamOrigin
+from redwingbank.routing.stream_origin import KEY_CHARACTERS, StreamOrigin
 
 
 class Purpose(IntEnum):
@@ -51,7 +51,7 @@
 def decode_streams(struct: Any, now_s: float) -> StreamReport:
     """Decode a report of streams from a message.
 
-    :raises ValueError: if its purpose is none, or it holds too many streams
+    :raises ValueError: if its purpose is none, a key has another length, or there are too many
     """
     streams = struct.streams
     notes = tuple(map(_decode_note, read_rows(streams.rows)))
@@ -59,6 +59,8 @@
 
 
 def _decode_note(row: Any) -> StreamNote:
+    if len(row.key) != KEY_CHARACTERS:
+        raise ValueError(f"key of {len(row.key)} characters")
     origin = StreamOrigin(row.pool, row.version, row.host) if row.version else None
     return StreamNote(row.key, origin, row.leftMs / MILLISECONDS)
 
--- a/src/redwingbank/front/stream_sharing.py
+++ b/src/redwingbank/front/stream_sharing.py
@@ -93,6 +93,9 @@
     def find(self, key: str, found: Callable[[StreamOrigin | None], None]) -> None:
         """Pass on what began a stream, at once if it is known here; None if no host can tell."""
         now = now_s()
+        if len(self._ring.hosts) <= 1:
+            # this host has just started
+            self._follow_hosts(now)
         hosts = {host for host in self._ring.successors(key, ASKED_HOSTS) if host != self._host}
         if self.book.remembers(key, now) or not hosts:
             found(self.book.find(key, now))
@@ -109,12 +112,15 @@
 
     def update(self, now: float) -> None:
         """Follow the hosts that come and go, repeat what they hold, and forget what has ended."""
-        changed = self._ring.update([self._host, *self._peers.alive(now)])
+        changed = self._follow_hosts(now)
         self.book.expire(now)
         if changed or now - self._repeated_s >= REPEAT_S:
             self._repeated_s = now
             self._repeat(now)
 
+    def _follow_hosts(self, now: float) -> bool:
+        return self._ring.update([self._host, *self._peers.expected(now)])
+
     def _repeat(self, now: float) -> None:
         notes_by_host: defaultdict[str, list[StreamNote]] = defaultdict(list)
         for key in self._served:
--- a/src/redwingbank/routing/stream_origin.py
+++ b/src/redwingbank/routing/stream_origin.py
@@ -20,6 +20,7 @@
 # Longer names of versions and pools are not remembered: a datagram holds several streams.
 MAX_NAME_CHARACTERS = 200
 KEY_BYTES = 12
+KEY_CHARACTERS = 2 * KEY_BYTES
 
 
 class StreamOrigin(NamedTuple):
@@ -122,6 +123,7 @@
 
 
 __all__ = [
+    "KEY_CHARACTERS",
     "MAX_LIFE_S",
     "MAX_STREAMS",
     "StreamBook",
--- a/tests/front/stream_versions.feature
+++ b/tests/front/stream_versions.feature
@@ -24,6 +24,7 @@
       | 1     | the same host                         |
       | 3     | another host                          |
       | 3     | another host after the first is gone  |
+      | 6     | a host that has just started          |
 
   Scenario: a stream that was taken up and breaks off again is still bound
     Given 3 fronts and servers of versions v1, v1.1, v1, v1.1
--- a/tests/steps/front_stream_versions.py
+++ b/tests/steps/front_stream_versions.py
@@ -148,6 +148,8 @@
         if where.endswith("gone"):
             await rig.kill_first()
         others = fronts[:1] if where == "the same host" else fronts[1:]
+        if where.endswith("just started"):
+            others = [(await rig.add_host("edge-new"))[0]]
         await asyncio.gather(
             *(stream.read(rig, others[stream.number % len(others)]) for stream in streams)
         )
