--- a/tests/damaged_messages.py
+++ b/tests/damaged_messages.py
@@ -32,9 +32,11 @@
 )
 from redwingbank.front.notice_codec import LimitReport
 from redwingbank.front.poison import CrashNews
+from redwingbank.front.stream_codec import Purpose, StreamNote, StreamReport
 from redwingbank.front.values import PromptPart, ServerEntry
 from redwingbank.routing.load import InFlightRequest
 from redwingbank.routing.server_limit import LimitState
+from redwingbank.routing.stream_origin import StreamOrigin, stream_key
 from redwingbank.settings import Address
 
 IN_FLIGHT = InFlightRequest(1.0, 100, 0.0, 50, 0.2, 3)
@@ -52,6 +54,13 @@
     News(1, 5, (ENTRY, ENTRY), ("i-2",)),
     CrashNews("f", 1.0, False, "i-1", ("a",), 0.1),
     LimitReport((LimitState("i-1", 1, 3, 2.0, 4),)),
+    StreamReport(
+        Purpose.TOLD,
+        (
+            StreamNote(stream_key("r-1"), StreamOrigin("pool", "v1", "host-1"), 4.0),
+            StreamNote(stream_key("r-2")),
+        ),
+    ),
 )
 
 
--- /dev/null
+++ b/tests/front/stream_sharing.feature
@@ -0,0 +1,40 @@
+Feature: hosts share what began a stream at a cost that does not grow with the hosts
+
+  Scenario Outline: what a host sends and keeps for its streams
+    Given a fleet of <hosts> hosts
+    When each host serves 5 streams for 3 s
+    Then a host sends at most 30 messages a second on average
+    And a host remembers at most 20 streams on average
+    When the streams end
+    Then no host of the fleet remembers a stream
+
+    Examples:
+      | hosts |
+      | 8     |
+      | 40    |
+      | 160   |
+
+  Scenario Outline: any host finds a stream
+    Given a fleet of <hosts> hosts that lose <percent> of 100 messages
+    When each host serves 5 streams for 2 s
+    And <killed> hosts are killed, and each stream is sought at another host
+    Then <found> of 100 streams are found at the version that began them, and no other is told
+
+    Examples:
+      | hosts | percent | killed | found |
+      | 7     | 0       | 1      | 100   |
+      | 7     | 0       | 2      | 100   |
+      | 40    | 0       | 10     | 95    |
+      | 40    | 20      | 1      | 97    |
+
+  Scenario: a host that is cut off can't know, and says so soon
+    Given a fleet of 7 hosts
+    When each host serves 5 streams for 1 s
+    And a host is cut off from the others, and each stream is sought there
+    Then it finds only what it holds, and tells so within 300 ms
+
+  Scenario: hosts that start again are told what they hold
+    Given a fleet of 7 hosts
+    When each host serves 5 streams for 1 s
+    And all but one of the hosts start again, one each 1.5 s, and its streams are sought at another host
+    Then 100 of 100 streams are found at the version that began them, and no other is told
--- /dev/null
+++ b/tests/steps/front_stream_sharing.py
@@ -0,0 +1,124 @@
+"""Steps of front/stream_sharing.feature."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from redwingbank.routing.stream_origin import stream_key
+from stream_fleet import StreamFleet
+
+VERSIONS = ("v1", "v1.1", "v2")
+
+
+@given("a fleet of {hosts:d} hosts")
+def fleet(context, hosts):
+    context.fleet = StreamFleet(hosts)
+    context.fleet.run(0.2)
+
+
+@given("a fleet of {hosts:d} hosts that lose {percent:d} of 100 messages")
+def lossy_fleet(context, hosts, percent):
+    context.fleet = StreamFleet(hosts, percent / 100)
+    context.fleet.run(0.2)
+
+
+@when("each host serves {count:d} streams for {seconds:d} s")
+def serve(context, count, seconds):
+    fleet, context.seconds = context.fleet, seconds
+    fleet.sent.clear()
+    for host in fleet.alive:
+        for number in range(count):
+            fleet.begin(host, f"r-{host}-{number}", VERSIONS[number % len(VERSIONS)])
+    fleet.run(seconds)
+
+
+@then("a host sends at most {most:d} messages a second on average")
+def messages(context, most):
+    mean = context.fleet.sent.total() / len(context.fleet.alive) / context.seconds
+    assert 0 < mean <= most, mean
+
+
+@then("a host remembers at most {most:d} streams on average")
+def remembers(context, most):
+    hosts = context.fleet.hosts_by_name
+    mean = sum(len(host.book) for host in hosts.values()) / len(hosts)
+    assert 0 < mean <= most, mean
+
+
+@when("the streams end")
+def streams_end(context):
+    for stream in context.fleet.origin_by_stream:
+        context.fleet.finish(stream)
+    context.fleet.run(0.2)
+
+
+@then("no host of the fleet remembers a stream")
+def none_left(context):
+    held = [len(host.book) for host in context.fleet.hosts_by_name.values()]
+    assert not any(held), held
+
+
+def seek_elsewhere(context, streams):
+    """Seek each stream at a host that is alive and did not serve it."""
+    fleet = context.fleet
+    context.found, context.longest_s = {}, 0.0
+    sought = {host: [] for host in fleet.alive}
+    for stream in streams:
+        served_by = fleet.origin_by_stream[stream].host
+        others = [host for host in fleet.alive if host != served_by]
+        sought[fleet.random.choice(others)].append(stream)
+    for host, of_host in sought.items():
+        found, longest_s = fleet.seek(host, of_host)
+        context.found |= found
+        context.longest_s = max(context.longest_s, longest_s)
+
+
+@when("{count:d} hosts are killed, and each stream is sought at another host")
+def kill_and_seek(context, count):
+    fleet = context.fleet
+    for host in fleet.random.sample(fleet.alive, count):
+        fleet.kill(host)
+    seek_elsewhere(context, fleet.origin_by_stream)
+
+
+@when(
+    "all but one of the hosts start again, one each {seconds:g} s,"
+    " and its streams are sought at another host"
+)
+def restart_all(context, seconds):
+    fleet = context.fleet
+    first, *others = fleet.alive
+    for host in others:
+        fleet.kill(host)
+        fleet.run(seconds / 2)
+        fleet.start(host)
+        fleet.run(seconds / 2)
+    seek_elsewhere(
+        context, [name for name, one in fleet.origin_by_stream.items() if one.host == first]
+    )
+
+
+@then("{least:d} of 100 streams are found at the version that began them, and no other is told")
+def found(context, least):
+    origins = context.fleet.origin_by_stream
+    known = {stream: origin for stream, origin in context.found.items() if origin}
+    assert all(origin.version == origins[stream].version for stream, origin in known.items())
+    assert len(known) >= least / 100 * len(context.found), (len(known), len(context.found))
+
+
+@when("a host is cut off from the others, and each stream is sought there")
+def cut_off(context):
+    fleet = context.fleet
+    context.host = fleet.alive[0]
+    fleet.cut_off.add(context.host)
+    others = [name for name, one in fleet.origin_by_stream.items() if one.host != context.host]
+    book = fleet.hosts_by_name[context.host].book
+    context.held = {name for name in others if book.remembers(stream_key(name), fleet.now_s)}
+    context.found, context.longest_s = fleet.seek(context.host, others)
+
+
+@then("it finds only what it holds, and tells so within {most:d} ms")
+def finds_none(context, most):
+    assert {name for name, origin in context.found.items() if origin} == context.held
+    assert len(context.found) > len(context.held)
+    assert context.longest_s * 1000 <= most, context.longest_s
--- /dev/null
+++ b/tests/stream_fleet.py
@@ -0,0 +1,151 @@
+"""Plays a fleet of hosts that share what began their streams, in simulated time."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+from collections import Counter
+from random import Random
+from unittest import mock
+
+from redwingbank.front import stream_sharing
+from redwingbank.front.stream_sharing import StreamSharing
+from redwingbank.routing.stream_origin import StreamOrigin, stream_key
+
+DELAY_S = 0.004
+TICK_S = 0.1
+SILENCE_S = 3.0
+LIFE_S = 30.0
+
+
+class Timer:
+    """A call at a time, which may be cancelled."""
+
+    def __init__(self, call, arguments):
+        self.call, self.arguments, self.cancelled = call, arguments, False
+
+    def cancel(self):
+        self.cancelled = True
+
+
+class HostLink:
+    """What a host sees of the others."""
+
+    def __init__(self, fleet, name):
+        self.on_streams = None
+        self._fleet = fleet
+        self._name = name
+
+    def expected(self, now_s):
+        fleet = self._fleet
+        return [
+            name
+            for name in fleet.hosts_by_name
+            if name != self._name and fleet.silent_s(name, self._name) < SILENCE_S
+        ]
+
+    def tell(self, hosts, report):
+        for host in hosts:
+            self._fleet.send(self._name, host, report)
+
+
+class StreamFleet:
+    """`hosts` hosts; `loss` is the share of messages that are lost."""
+
+    def __init__(self, hosts, loss=0.0, seed=31):
+        self.random = Random(seed)
+        self.now_s = 100.0
+        self.loss = loss
+        self.sent = Counter()
+        self.origin_by_stream = {}
+        self.hosts_by_name = {}
+        self.cut_off = set()
+        self._gone_s_by_name = {}
+        self._events = []
+        self._order = itertools.count()
+        for number in range(hosts):
+            self.start(f"edge-{number}")
+
+    def start(self, name):
+        link = HostLink(self, name)
+        self._gone_s_by_name.pop(name, None)
+        self.hosts_by_name[name] = StreamSharing(name, link)
+        self.hosts_by_name[name].link = link
+
+    def kill(self, name):
+        self._gone_s_by_name[name] = self.now_s
+
+    @property
+    def alive(self):
+        return [name for name in self.hosts_by_name if name not in self._gone_s_by_name]
+
+    def silent_s(self, name, to):
+        gone_s = self._gone_s_by_name.get(name)
+        return 0.0 if gone_s is None else self.now_s - gone_s
+
+    def send(self, sender, host, report):
+        self.sent[sender] += 1
+        cut = {sender, host} & self.cut_off
+        if cut or self.random.random() < self.loss or sender in self._gone_s_by_name:
+            return
+        self.call_later(DELAY_S * (1 + self.random.random()), self._deliver, host, sender, report)
+
+    def _deliver(self, host, sender, report):
+        if host not in self._gone_s_by_name:
+            self.hosts_by_name[host].link.on_streams(report, sender)
+
+    def call_later(self, delay_s, call, *arguments):
+        timer = Timer(call, arguments)
+        heapq.heappush(self._events, (self.now_s + delay_s, next(self._order), timer))
+        return timer
+
+    def run(self, seconds):
+        """Run all hosts for some time."""
+        end_s = self.now_s + seconds
+        with self._clock():
+            while self.now_s < end_s - TICK_S / 2:
+                self._run_until(min(end_s, self.now_s + TICK_S))
+                for name in self.alive:
+                    self.hosts_by_name[name].update(self.now_s)
+
+    def _run_until(self, end_s):
+        while self._events and self._events[0][0] <= end_s:
+            self.now_s, _, timer = heapq.heappop(self._events)
+            if not timer.cancelled:
+                timer.call(*timer.arguments)
+        self.now_s = end_s
+
+    def _clock(self):
+        loop = mock.Mock(get_running_loop=lambda: self)
+        return mock.patch.multiple(stream_sharing, now_s=lambda: self.now_s, asyncio=loop)
+
+    def begin(self, host, stream, version):
+        origin = StreamOrigin("desk-model", version, host)
+        self.origin_by_stream[stream] = origin
+        with self._clock():
+            self.hosts_by_name[host].begin(stream_key(stream), origin, self.now_s + LIFE_S)
+
+    def finish(self, stream):
+        host = self.origin_by_stream[stream].host
+        if host in self.alive:
+            with self._clock():
+                self.hosts_by_name[host].finish(stream_key(stream))
+
+    def seek(self, host, streams):
+        """Seek streams at a host; return what it finds, and the longest time that it took."""
+        found, asked_s = {}, self.now_s
+        longest_s = 0.0
+
+        def record(stream):
+            def told(origin):
+                nonlocal longest_s
+                found[stream] = origin
+                longest_s = max(longest_s, self.now_s - asked_s)
+
+            return told
+
+        with self._clock():
+            for stream in streams:
+                self.hosts_by_name[host].find(stream_key(stream), record(stream))
+        self.run(0.5)
+        return found, longest_s
