--- a/src/redwingbank/front/stream_binding.py
+++ b/src/redwingbank/front/stream_binding.py
@@ -127,8 +127,16 @@
             return attempt.entry.version
         # the server has started again since it was chosen
         listed = self._router.servers.entries_by_name.get(attempt.entry.name)
-        current = listed is not None and listed.started_ms == attempt.server_start
-        return listed.version if listed and current else ""
+        if listed and listed.started_ms == attempt.server_start:
+            return listed.version
+        self._router.log.detail(
+            "version-unknown",
+            request=self._request_id,
+            server=attempt.entry.name,
+            listed_start=attempt.entry.started_ms,
+            told_start=attempt.server_start,
+        )
+        return ""
 
 
 __all__ = ["StreamBinding"]
