--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -14,7 +14,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Sequence
+    from collections.abc import Collection, Mapping, Sequence
     from random import Random
 
     from redwingbank.front.backends import Backend, Backends
@@ -168,7 +168,7 @@
             backend.load.cache.capacity_tokens = pool.cache_tokens
         held = [backend.load.cache.held_tokens(needs.facts.parts) for backend in candidates]
         most = max(held)
-        sources = _copy_sources(candidates, needs) if pool.copy_tokens_per_s else []
+        sources = _copy_sources(candidates, needs) if pool.copy_tokens_per_s else {}
         return min(
             (
                 self._estimate(
@@ -292,22 +292,28 @@
     return None
 
 
-def _copy_sources(candidates: Sequence[Backend], needs: RequestNeeds) -> list[Copy]:
-    """Return the servers that have read the most of a prompt's shared parts."""
+def _copy_sources(candidates: Sequence[Backend], needs: RequestNeeds) -> dict[str, list[Copy]]:
+    """Return the servers of each software version that have read the most of the shared parts.
+
+    What servers of two versions keep in memory does not fit together.
+    """
     parts = needs.facts.parts
-    read_tokens = [backend.load.cache.read_tokens(parts) for backend in candidates]
-    most = max(read_tokens)
-    if not most:
-        return []
-    return [
-        Copy(backend.entry, tokens)
-        for backend, tokens in zip(candidates, read_tokens, strict=True)
-        if tokens == most
-    ]
-
-
-def _best_copy(backend: Backend, held_tokens: int, sources: Sequence[Copy]) -> Copy | None:
+    sources_by_version: dict[str, list[Copy]] = {}
+    for backend in candidates:
+        tokens = backend.load.cache.read_tokens(parts)
+        sources = sources_by_version.setdefault(backend.entry.version, [])
+        if sources and tokens > sources[0].tokens:
+            sources.clear()
+        if tokens and (not sources or tokens == sources[0].tokens):
+            sources.append(Copy(backend.entry, tokens))
+    return sources_by_version
+
+
+def _best_copy(
+    backend: Backend, held_tokens: int, sources_by_version: Mapping[str, Sequence[Copy]]
+) -> Copy | None:
     """Return what a server can copy beyond what it holds, from its own data centre if possible."""
+    sources = sources_by_version.get(backend.entry.version)
     if not sources or sources[0].tokens - held_tokens < MIN_COPIED_TOKENS:
         return None
     near = [copy for copy in sources if copy.source.data_centre == backend.entry.data_centre]
--- a/tests/routing/choice.feature
+++ b/tests/routing/choice.feature
@@ -53,6 +53,17 @@
     Then the choice for a memo with the shared part "file" is engine 2
     And nothing of a memo with the shared part "file" is copied
 
+  Scenario: nothing is copied from a server of another software version
+    Given a choice of 3 engines that copy prompts
+    When engine 1 is of another software version
+    And a memo with the shared part "file" was read by engine 1
+    And 3 memos of 20000 tokens were sent to engine 1 just now
+    Then nothing of a memo with the shared part "file" is copied
+    When a memo with the shared part "file" was read by engine 3
+    And 3 memos of 20000 tokens were sent to engine 3 just now
+    Then the choice for a memo with the shared part "file" is engine 2
+    And 6000 tokens of it are copied from engine 3
+
   Scenario: engines that can't copy read the prompt
     Given a choice of 2 engines
     When a memo with the shared part "file" was read by engine 1
--- a/tests/steps/routing_choice.py
+++ b/tests/steps/routing_choice.py
@@ -145,6 +145,13 @@
     send(context, number, memo(part))
 
 
+@when("engine {number:d} is of another software version")
+def other_version(context, number):
+    entry = context.entries[number - 1]._replace(version="v2")
+    context.entries[number - 1] = entry
+    context.backends.get_or_create(entry)
+
+
 @then("{tokens:d} tokens of it are copied from engine {number:d}")
 def copied(context, tokens, number):
     copy = choose(context, memo("file")).copy
