--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -283,6 +283,9 @@
         return None
     if choice.expected_first_event_s > needs.patience_left_s:
         return Code.TARGET_UNREACHABLE
+    if needs.facts.takes_up:
+        # the stream has begun at another host or in an earlier answer
+        return None
     load = choice.backend.load
     streams_ahead = load.count_streams_ahead(choice.rank)
     protected = streams_ahead >= MIN_PROTECTED_STREAM_SHARE * choice.backend.entry.slots
--- a/tests/routing/choice.feature
+++ b/tests/routing/choice.feature
@@ -124,6 +124,13 @@
     Then a memo is refused in favour of the higher tier
     And a short stream of a higher tier is not refused
 
+  Scenario: a stream that its caller takes up does not yield to new ones
+    Given a choice of 1 engines
+    When 20 short streams of a higher tier run at engine 1
+    And memos of 8000 tokens are sent to engine 1 every 0.15 s for 2 s
+    Then a memo is refused in favour of the higher tier
+    But a memo that its caller takes up is not refused
+
   Scenario: of less urgent prompts the least urgent yield first
     Given a choice of 1 engines
     When 20 short streams of a higher tier run at engine 1
--- a/tests/steps/routing_choice.py
+++ b/tests/steps/routing_choice.py
@@ -347,6 +347,12 @@
     assert refusal(context, memo("new", 8000)) is Code.SHED
 
 
+@then("a memo that its caller takes up is not refused")
+def taken_up_not_refused(context):
+    of = memo("new", 8000)
+    assert refusal(context, of._replace(facts=of.facts._replace(resumes="r-1"))) is None
+
+
 @then("a memo is not refused")
 def not_refused(context):
     assert refusal(context, memo("new", 8000)) is None
