Let the soak's servers come back with another version, and its callers take streams up

Servers of two versions serve side by side; a fault starts one again under its name with any version, and the list tells late. Callers of resumable streams leave some midway, and take up what broke off at any host, naming the stream. A stream with events of two versions is a violation. The servers and their faults are a module of their own.

--- a/src/redwingbank_bench/soak.py
+++ b/src/redwingbank_bench/soak.py
@@ -15,15 +15,28 @@
 
 from redwingbank.settings import Address
 from redwingbank_bench.processes import ChildProcess, free_port
-from redwingbank_bench.soakcallers import PATH_BY_CLASS, CallerConnection, encode_request
+from redwingbank_bench.soakcallers import (
+    MAX_CHUNKS,
+    PATH_BY_CLASS,
+    CallerConnection,
+    encode_request,
+)
 from redwingbank_bench.soakchecks import Attempt, LimitedArrivals, Observations, find_violations
 from redwingbank_bench.soakdocuments import (
+    ANY_PORT,
     ORGANISATION,
-    entry_document,
+    REVOKE_S,
+    boot_document,
     table_document,
 )
-from redwingbank_bench.soakproxy import LOOPBACK, MODES, Proxy
-from redwingbank_standins.backend_server import BackendServer
+from redwingbank_bench.soakproxy import LOOPBACK, Proxy
+from redwingbank_bench.soakservers import (
+    LIMIT_PER_S,
+    ServerFleet,
+    disturb_link,
+    sleep_during_fault,
+)
+from redwingbank_bench.soakstreams import parse_events
 from redwingbank_standins.objectstore import ObjectStore
 from redwingbank_standins.raw_response import parse_response
 
@@ -31,34 +44,29 @@
     from collections.abc import Callable, Coroutine
 
 HOSTS = 3
-DATA_CENTRES = ("a", "b")
-# fast enough for a relay between hosts
-LINK_MBPS = 1000
-SERVERS = 5
-# The last server names a limit all the time; its link is sound, since a link that holds requests
-# back delivers them together.
-LIMIT_PER_S = 4.0
 CALLERS = 12
-ANY_PORT = Address(LOOPBACK, 0)
-REVOKE_S = 5.0
-GRACE_S = 4.0
+# A stream is taken up so often, and this share of the callers of streams leave them midway.
+MAX_TRIES = 4
+LEAVING_SHARE = 0.3
 START_TIMEOUT_S = 15.0
 # the users require a host to serve again within 12 s
 RECOVERY_S = 12.0
-MAX_FAULT_S = 2.5
 RESTART_POLL_S = 0.1
 # longer than any fault or recovery takes, so that a run always ends
 RUN_MARGIN_S = 60.0
 PAUSE_BETWEEN_FAULTS_S = (0.05, 0.8)
 PAUSE_BETWEEN_REQUESTS_S = 0.03
-ANSWER_MODES = ("ok", "error", "shed", "lost", "garbage", "foreign", "extra", "cut", "unsized")
+# Callers whose streams are refused come back after this.
+RETURN_S = 0.2
+STATUS_OK = 200
 
 
 class Result(NamedTuple):
     """The result of a soak: violated guarantees, and counts of responses and faults.
 
     `ends` counts requests by class and status, `faults` the injected faults by name, `reused` the
-    answers that came on a connection used before.
+    answers that came on a connection used before. `taken_up` counts the streams that callers took
+    up and that went on, `not_taken_up` the others.
     """
 
     seed: int
@@ -66,6 +74,8 @@
     ends: dict[str, int]
     faults: dict[str, int]
     reused: int = 0
+    taken_up: int = 0
+    not_taken_up: int = 0
 
 
 class Soak:
@@ -78,9 +88,7 @@
         self._folder = folder
         self._store = ObjectStore()
         self._store_proxies: list[Proxy] = []
-        self._server_proxies: list[Proxy] = []
-        self._servers = [Server(f"i-{number}") for number in range(SERVERS)]
-        self._servers[-1].named_limit = str(LIMIT_PER_S)
+        self._servers = ServerFleet(self._store, self._random)
         self._fronts: list[ChildProcess] = []
         self._caller_addresses: list[Address] = []
         self._attempts_by_id: dict[str, Attempt] = {}
@@ -92,6 +100,7 @@
         self._faults: Counter[str] = Counter()
         self._violations: list[str] = []
         self._reused = 0
+        self._taken_up: Counter[bool] = Counter()
 
     async def run(self, seconds: float) -> Result:
         """Start the system, inject faults for some seconds, clear them, and check."""
@@ -110,15 +119,13 @@
             f"{attempt.service_class} {attempt.status}"
             for attempt in self._attempts_by_id.values()
         )
-        runs = tuple(run for server in self._servers for run in server.runs)
-        arrivals_s = tuple(one.received_s for one in self._servers[-1].arrivals)
         observations = Observations(
             self._attempts_by_id,
-            runs,
+            self._servers.runs,
             self._revoked_s_by_key,
             REVOKE_S,
             ORGANISATION,
-            LimitedArrivals(LIMIT_PER_S, arrivals_s),
+            LimitedArrivals(LIMIT_PER_S, self._servers.limited_arrivals_s),
         )
         return Result(
             self._seed,
@@ -126,17 +133,14 @@
             dict(sorted(ends.items())),
             dict(self._faults),
             self._reused,
+            self._taken_up[True],
+            self._taken_up[False],
         )
 
     async def _start(self) -> None:
         store = await self._store.start(ANY_PORT)
         await self._write_table()
-        for server in self._servers:
-            proxy = Proxy(await server.start(ANY_PORT))
-            self._server_proxies.append(proxy)
-            await self._store.put(
-                "servers", server.name, entry_document(await proxy.start(ANY_PORT))
-            )
+        await self._servers.start()
         for number in range(self._hosts):
             proxy = Proxy(store)
             self._store_proxies.append(proxy)
@@ -149,7 +153,7 @@
         caller = Address(LOOPBACK, free_port())
         self._caller_addresses.append(caller)
         path = self._folder / f"boot-{number}.json"
-        path.write_text(json.dumps(_boot_document(number, caller, store)))
+        path.write_text(json.dumps(boot_document(number, caller, store)))
         environment = {"REDWINGBANK_NODE_FILE": str(path)}
         front = ChildProcess(f"front-{number}", ["redwingbank.front"], self._folder, environment)
         front.start()
@@ -166,35 +170,14 @@
             await asyncio.sleep(self._random.uniform(*PAUSE_BETWEEN_FAULTS_S))
         await asyncio.gather(*tasks)
 
-    async def _disturb_link(self, proxies: list[Proxy]) -> None:
-        proxy = self._random.choice(proxies)
-        proxy.set_mode(self._random.choice(MODES[1:]))
-        await self._sleep_during_fault()
-        proxy.set_mode("pass")
-
-    async def _disturb_store_link(self) -> None:
-        await self._disturb_link(self._store_proxies)
-
-    async def _disturb_server_link(self) -> None:
-        await self._disturb_link(self._server_proxies[:-1])
-
     async def _fail_store(self) -> None:
         self._store.fault = self._random.choice(["busy", "reset", "silent"])
-        await self._sleep_during_fault()
+        await sleep_during_fault(self._random)
         self._store.fault = ""
 
     async def _forget_history(self) -> None:
         self._store.forget_history()
 
-    async def _fail_server(self) -> None:
-        server = self._random.choice(self._servers)
-        server.mode, server.breaks_streams = (
-            self._random.choice(ANSWER_MODES),
-            self._random.random() < 0.5,  # noqa: PLR2004
-        )
-        await self._sleep_during_fault()
-        server.mode, server.breaks_streams = "ok", False
-
     async def _rotate_key(self) -> None:
         self._keys.append(f"key-{len(self._keys)}")
         await self._write_table()
@@ -203,17 +186,10 @@
         await self._write_table(without=old_key)
         self._revoked_s_by_key[old_key] = time.monotonic()
 
-    async def _drain_server(self) -> None:
-        index = self._random.randrange(1, SERVERS)
-        name, address = self._servers[index].name, self._server_proxies[index].address
-        await self._store.put("servers", name, entry_document(address, "draining"))
-        await self._sleep_during_fault()
-        await self._store.put("servers", name, entry_document(address))
-
     async def _pause_front(self) -> None:
         front = self._random.choice(self._fronts)
         front.send_signal(signal.SIGSTOP)
-        await self._sleep_during_fault()
+        await sleep_during_fault(self._random)
         front.send_signal(signal.SIGCONT)
 
     async def _kill_front(self) -> None:
@@ -243,15 +219,11 @@
         if not self._exit_requested.pop(front.name, None):
             self._violations.append(f"unexpected exit: {front.name}, {front.exit_status}")
 
-    async def _sleep_during_fault(self) -> None:
-        await asyncio.sleep(self._random.uniform(0.1, MAX_FAULT_S))
-
     def _clear_faults(self) -> None:
         self._store.fault = ""
-        for proxy in [*self._store_proxies, *self._server_proxies]:
+        for proxy in self._store_proxies:
             proxy.set_mode("pass")
-        for server in self._servers:
-            server.mode, server.breaks_streams = "ok", False
+        self._servers.clear_faults()
 
     async def _check_recovery(self) -> None:
         serving = await asyncio.gather(
@@ -273,7 +245,7 @@
                 f"probe-{number}-{time.time_ns()}",
                 keep=False,
             )
-            if attempt.status == 200:  # noqa: PLR2004 - HTTP
+            if attempt.status == STATUS_OK:
                 return True
             await asyncio.sleep(0.1)
         return False
@@ -288,19 +260,59 @@
             name = random.choice(list(PATH_BY_CLASS))
             if not connection.is_open:
                 connection = CallerConnection(random.choice(self._caller_addresses))
-            await self._send_request(connection, name, f"r-{number}-{count}", keep=number % 2 == 1)
+            leaves = name == "memo" and random.random() < LEAVING_SHARE
+            attempt = await self._send_request(
+                connection,
+                name,
+                f"r-{number}-{count}",
+                keep=number % 2 == 1,
+                most_chunks=2 if leaves else MAX_CHUNKS,
+            )
+            if name == "memo":
+                await self._take_up(attempt, random)
             await asyncio.sleep(PAUSE_BETWEEN_REQUESTS_S * random.random())
         connection.close()
 
+    async def _take_up(self, attempt: Attempt, random: Random) -> None:
+        """Take up a stream that broke off, each time at any host, until it is whole."""
+        stream, last = attempt.request_id, 0
+        for number in range(1, MAX_TRIES):
+            events = parse_events(attempt.body) if attempt.status == STATUS_OK else []
+            last = events[-1].number if events else last
+            if attempt.whole and attempt.status == STATUS_OK or not last:
+                return
+            attempt = await self._send_request(
+                CallerConnection(random.choice(self._caller_addresses)),
+                "memo",
+                f"{stream}-{number}",
+                keep=False,
+                resumes=stream,
+                resume_after=last,
+            )
+            self._taken_up[attempt.status == STATUS_OK] += 1
+            if attempt.status != STATUS_OK:
+                await asyncio.sleep(RETURN_S)
+
     async def _send_request(
-        self, connection: CallerConnection, service_class: str, request_id: str, *, keep: bool
+        self,
+        connection: CallerConnection,
+        service_class: str,
+        request_id: str,
+        *,
+        keep: bool,
+        most_chunks: int = MAX_CHUNKS,
+        resumes: str = "",
+        resume_after: int = 0,
     ) -> Attempt:
         key, sent_s = self._keys[-1], time.monotonic()
         self._attempts_by_id[request_id] = Attempt(
-            request_id, service_class, key, sent_s, 0, False, "", "", b""
+            request_id, service_class, key, sent_s, 0, False, "", "", b"", resumes, resume_after
         )
         reused = connection.is_open
-        raw = await connection.send(encode_request(service_class, request_id, key, keep=keep))
+        request = encode_request(
+            service_class, request_id, key, keep=keep, resumes=resumes, resume_after=resume_after
+        )
+        raw = await connection.send(request, most_chunks)
         self._reused += reused and bool(raw)
         answer = parse_response(raw)
         attempt = self._attempts_by_id[request_id]._replace(
@@ -322,35 +334,21 @@
         for front in self._fronts:
             front.send_signal(signal.SIGCONT)
             front.stop()
-        for proxy in [*self._store_proxies, *self._server_proxies]:
+        for proxy in self._store_proxies:
             proxy.stop()
-        for server in self._servers:
-            server.stop()
+        self._servers.stop()
         self._store.stop()
 
 
-class Server(BackendServer):
-    """A backend server with separate fault modes for plain calls and streams."""
-
-    def __init__(self, name: str) -> None:
-        super().__init__(name)
-        self.breaks_streams = False
-
-    def mode_for(self, target: str) -> str:
-        """Select the mode by the kind of request."""
-        if target.startswith(("/fixed/", "/memo/")) and self.mode != "shed":
-            return "broken" if self.breaks_streams else "stream"
-        return self.mode
-
-
 _FAULTS: dict[str, Callable[[Soak], Coroutine[Any, Any, None]]] = {
-    "store link": Soak._disturb_store_link,  # noqa: SLF001 - a table of the class's own methods
-    "server link": Soak._disturb_server_link,  # noqa: SLF001
+    "store link": lambda soak: disturb_link(soak._store_proxies, soak._random),  # noqa: SLF001 - a table of the class's own methods
+    "server link": lambda soak: soak._servers.disturb_link(),  # noqa: SLF001
     "store": Soak._fail_store,  # noqa: SLF001
     "history": Soak._forget_history,  # noqa: SLF001
-    "server": Soak._fail_server,  # noqa: SLF001
+    "server": lambda soak: soak._servers.fail(),  # noqa: SLF001
     "key": Soak._rotate_key,  # noqa: SLF001
-    "drain": Soak._drain_server,  # noqa: SLF001
+    "drain": lambda soak: soak._servers.drain(),  # noqa: SLF001
+    "restart": lambda soak: soak._servers.restart(),  # noqa: SLF001
     "pause": Soak._pause_front,  # noqa: SLF001
     "kill": Soak._kill_front,  # noqa: SLF001
     "term": Soak._terminate_front,  # noqa: SLF001
@@ -358,20 +356,6 @@
 }
 
 
-def _boot_document(number: int, caller: Address, store: Address) -> dict[str, Any]:
-    return {
-        "nodeName": f"edge-{number}",
-        "ip": LOOPBACK,
-        "zone": DATA_CENTRES[number % len(DATA_CENTRES)],
-        "listen": {"front": str(caller), "ready": f"{LOOPBACK}:{free_port()}"},
-        "portRange": [free_port(), free_port()],
-        "beatMs": 1200,
-        "limits": {"linkMbps": LINK_MBPS},
-        "bounds": {"revokeMs": int(REVOKE_S * 1000), "graceS": GRACE_S},
-        "platform": {"addr": str(store)},
-    }
-
-
 def soak(seed: int, seconds: float, hosts: int = HOSTS) -> Result:
     """Run one soak in a temporary folder."""
     with tempfile.TemporaryDirectory() as folder:
--- a/src/redwingbank_bench/soakcallers.py
+++ b/src/redwingbank_bench/soakcallers.py
@@ -15,6 +15,7 @@
 
 PATH_BY_CLASS = {"book": "/book/x", "read": "/read/x", "fixed": "/fixed/x", "memo": "/memo/x"}
 ANSWER_TIMEOUT_S = DEADLINE_MS / 1000 + 1
+MAX_CHUNKS = 10_000
 
 
 class CallerConnection:
@@ -24,8 +25,11 @@
         self._address = address
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
-    async def send(self, request: bytes) -> bytes:
-        """Send a request and return the bytes of its answer, as far as they arrive in time."""
+    async def send(self, request: bytes, most_chunks: int = MAX_CHUNKS) -> bytes:
+        """Send a request and return the bytes of its answer, as far as they arrive in time.
+
+        The caller leaves after `most_chunks` chunks of a stream.
+        """
         received = bytearray()
         kept = False
         with contextlib.suppress(OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
@@ -34,7 +38,7 @@
                     self._streams = await asyncio.open_connection(*self._address)
                 reader, writer = self._streams
                 writer.write(request)
-                kept = await _read_answer(reader, received)
+                kept = await _read_answer(reader, received, most_chunks)
         if not kept:
             self.close()
         return bytes(received)
@@ -51,9 +55,27 @@
             self._streams = None
 
 
-def encode_request(service_class: str, request_id: str, key: str, *, keep: bool) -> bytes:
-    """Encode a request that keeps the connection open or closes it."""
+def encode_request(
+    service_class: str,
+    request_id: str,
+    key: str,
+    *,
+    keep: bool,
+    resumes: str = "",
+    resume_after: int = 0,
+) -> bytes:
+    """Encode a request that keeps the connection open or closes it, or takes a stream up."""
+    taken_up = (f"Resumes: {resumes}", f"Last-Event-Id: {resume_after}") if resumes else ()
     lines = (
+        *_head_lines(service_class, request_id, key),
+        *taken_up,
+        f"Connection: {'keep-alive' if keep else 'close'}",
+    )
+    return "\r\n".join([*lines, "", "body"]).encode()
+
+
+def _head_lines(service_class: str, request_id: str, key: str) -> tuple[str, ...]:
+    return (
         f"POST {PATH_BY_CLASS[service_class]} HTTP/1.1",
         f"Host: {HOST_NAME}",
         f"Request-Id: {request_id}",
@@ -62,12 +84,12 @@
         "Token-Count: 900,16",
         "Prompt-Prefix: a1:600,b2:300",
         "Content-Length: 4",
-        f"Connection: {'keep-alive' if keep else 'close'}",
     )
-    return "\r\n".join([*lines, "", "body"]).encode()
 
 
-async def _read_answer(reader: asyncio.StreamReader, received: bytearray) -> bool:
+async def _read_answer(
+    reader: asyncio.StreamReader, received: bytearray, most_chunks: int
+) -> bool:
     """Append an answer's bytes to `received`; return whether the connection may be used again.
 
     :raises asyncio.IncompleteReadError: if the connection ends before the answer
@@ -78,6 +100,9 @@
     if headers.get(b"transfer-encoding") == b"chunked":
         size = 1
         while size:
+            if most_chunks == 0:
+                return False
+            most_chunks -= 1
             size = int(await _append(reader.readuntil(b"\r\n"), received), 16)
             await _append(reader.readexactly(size + 2), received)
     else:
--- a/src/redwingbank_bench/soakchecks.py
+++ b/src/redwingbank_bench/soakchecks.py
@@ -5,7 +5,7 @@
 from collections import Counter, deque
 from typing import TYPE_CHECKING, NamedTuple
 
-from redwingbank_standins.backend_server import EVENTS_PER_STREAM
+from redwingbank_bench.soakstreams import STREAM_CLASSES, find_broken_streams
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator, Mapping
@@ -16,7 +16,6 @@
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 # classes whose requests may run at most once
 AT_MOST_ONCE_CLASSES = frozenset({"book", "fixed"})
-STREAM_CLASSES = frozenset({"fixed", "memo"})
 WHOLE_BODY = b"whole"
 # what the users allow a server that names a limit to get
 LIMIT_WINDOW_S = 4.0
@@ -29,7 +28,8 @@
 class Attempt(NamedTuple):
     """A caller's request and its response; times are this process's monotonic seconds.
 
-    `status` is 0 if no response arrived; `whole` is true if the response was complete.
+    `status` is 0 if no response arrived; `whole` is true if the response was complete. One that
+    takes up a stream names the request that began it, and the last event received.
     """
 
     request_id: str
@@ -41,6 +41,8 @@
     stamp: str
     echo: str
     body: bytes
+    resumes: str = ""
+    resume_after: int = 0
 
 
 class LimitedArrivals(NamedTuple):
@@ -65,7 +67,7 @@
     """Describe each violated guarantee, with the request's id."""
     return [
         *_find_mixed_answers(seen.attempts_by_id.values()),
-        *_find_broken_streams(seen.attempts_by_id.values()),
+        *find_broken_streams(seen.attempts_by_id.values()),
         *_find_repeated_runs(seen),
         *_find_unsent_runs(seen),
         *_find_runs_after_revocation(seen),
@@ -83,17 +85,6 @@
             yield f"mixed: {attempt.request_id} received {attempt.body[:40]!r} as complete"
 
 
-def _find_broken_streams(attempts: Iterable[Attempt]) -> Iterator[str]:
-    for attempt in attempts:
-        if attempt.status != 200 or attempt.service_class not in STREAM_CLASSES:  # noqa: PLR2004 - HTTP
-            continue
-        ids = [int(line[4:]) for line in attempt.body.split(b"\n") if line.startswith(b"id: ")]
-        if ids != list(range(1, len(ids) + 1)):
-            yield f"order: {attempt.request_id} received events {ids}"
-        if attempt.whole and len(ids) != EVENTS_PER_STREAM:
-            yield f"order: {attempt.request_id} ended as complete after {len(ids)} events"
-
-
 def _find_repeated_runs(seen: Observations) -> Iterator[str]:
     runs = Counter(run.request_id for run in seen.runs)
     for request_id, count in runs.items():
--- a/src/redwingbank_bench/soakdocuments.py
+++ b/src/redwingbank_bench/soakdocuments.py
@@ -2,12 +2,19 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
-if TYPE_CHECKING:
-    from redwingbank.settings import Address
+from redwingbank.settings import Address
+from redwingbank_bench.processes import free_port
 
 HOST_NAME = "desk.example"
+LOOPBACK = "127.0.0.1"
+ANY_PORT = Address(LOOPBACK, 0)
+DATA_CENTRES = ("a", "b")
+# fast enough for a relay between hosts
+LINK_MBPS = 1000
+REVOKE_S = 5.0
+GRACE_S = 4.0
 ORGANISATION = "bakery"
 DEADLINE_MS = 2500
 ROUTES = (
@@ -46,9 +53,42 @@
     }
 
 
-def entry_document(address: Address, state: str = "ready") -> dict[str, Any]:
+def entry_document(
+    address: Address, version: str, started_ms: int, state: str = "ready"
+) -> dict[str, Any]:
     """Build a backend server's entry."""
-    return {"service": "pool", "addr": str(address), "slots": 16, "state": state, "born": 1}
+    return {
+        "service": "pool",
+        "addr": str(address),
+        "slots": 16,
+        "state": state,
+        "version": version,
+        "born": started_ms,
+    }
+
+
+def boot_document(number: int, caller: Address, store: Address) -> dict[str, Any]:
+    """Build the settings of a front."""
+    return {
+        "nodeName": f"edge-{number}",
+        "ip": LOOPBACK,
+        "zone": DATA_CENTRES[number % len(DATA_CENTRES)],
+        "listen": {"front": str(caller), "ready": f"{LOOPBACK}:{free_port()}"},
+        "portRange": [free_port(), free_port()],
+        "beatMs": 1200,
+        "limits": {"linkMbps": LINK_MBPS},
+        "bounds": {"revokeMs": int(REVOKE_S * 1000), "graceS": GRACE_S},
+        "platform": {"addr": str(store)},
+    }
 
 
-__all__ = ["DEADLINE_MS", "HOST_NAME", "ORGANISATION", "entry_document", "table_document"]
+__all__ = [
+    "ANY_PORT",
+    "DEADLINE_MS",
+    "HOST_NAME",
+    "ORGANISATION",
+    "REVOKE_S",
+    "boot_document",
+    "entry_document",
+    "table_document",
+]
--- /dev/null
+++ b/src/redwingbank_bench/soakservers.py
@@ -0,0 +1,133 @@
+"""The backend servers of a soak, behind proxies, and what goes wrong with them."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from redwingbank_bench.soakdocuments import ANY_PORT, entry_document
+from redwingbank_bench.soakproxy import MODES, Proxy
+from redwingbank_standins.backend_server import BackendServer
+
+if TYPE_CHECKING:
+    from random import Random
+
+    from redwingbank_standins.backend_server import ReceivedRequest
+    from redwingbank_standins.objectstore import ObjectStore
+
+SERVERS = 5
+# The last server names a limit all the time; its link is sound, since a link that holds requests
+# back delivers them together.
+LIMIT_PER_S = 4.0
+# Servers of two software versions serve side by side, and come back with the other one.
+VERSIONS = ("blue", "green")
+ANSWER_MODES = ("ok", "error", "shed", "lost", "garbage", "foreign", "extra", "cut", "unsized")
+MAX_FAULT_S = 2.5
+
+
+class Server(BackendServer):
+    """A backend server with separate fault modes for plain calls and streams."""
+
+    def __init__(self, name: str, version: str) -> None:
+        super().__init__(name, version=version)
+        self.breaks_streams = False
+
+    def mode_for(self, target: str) -> str:
+        """Select the mode by the kind of request."""
+        if target.startswith(("/fixed/", "/memo/")) and self.mode != "shed":
+            return "broken" if self.breaks_streams else "stream"
+        return self.mode
+
+
+class ServerFleet:
+    """Servers of two software versions, which the store lists."""
+
+    def __init__(self, store: ObjectStore, random: Random) -> None:
+        self._store = store
+        self._random = random
+        self._proxies: list[Proxy] = []
+        self._servers = [
+            Server(f"i-{number}", VERSIONS[number % len(VERSIONS)]) for number in range(SERVERS)
+        ]
+        self._servers[-1].named_limit = str(LIMIT_PER_S)
+
+    @property
+    def runs(self) -> tuple[ReceivedRequest, ...]:
+        """All runs that the servers began."""
+        return tuple(run for server in self._servers for run in server.runs)
+
+    @property
+    def limited_arrivals_s(self) -> tuple[float, ...]:
+        """When requests reached the server that names a limit."""
+        return tuple(one.received_s for one in self._servers[-1].arrivals)
+
+    async def start(self) -> None:
+        """Start all servers and list them."""
+        for index, server in enumerate(self._servers):
+            proxy = Proxy(await server.start(ANY_PORT))
+            self._proxies.append(proxy)
+            await proxy.start(ANY_PORT)
+            await self._list(index)
+
+    def stop(self) -> None:
+        """Stop all servers."""
+        for proxy in self._proxies:
+            proxy.stop()
+        for server in self._servers:
+            server.stop()
+
+    def clear_faults(self) -> None:
+        """End all faults of servers and of the links to them."""
+        for proxy in self._proxies:
+            proxy.set_mode("pass")
+        for server in self._servers:
+            server.mode, server.breaks_streams = "ok", False
+
+    async def disturb_link(self) -> None:
+        """Disturb the link to a server for some time."""
+        await disturb_link(self._proxies[:-1], self._random)
+
+    async def fail(self) -> None:
+        """Let a server fail for some time."""
+        server = self._random.choice(self._servers)
+        server.mode, server.breaks_streams = (
+            self._random.choice(ANSWER_MODES),
+            self._random.random() < 0.5,  # noqa: PLR2004
+        )
+        await sleep_during_fault(self._random)
+        server.mode, server.breaks_streams = "ok", False
+
+    async def drain(self) -> None:
+        """List a server as draining for some time."""
+        index = self._random.randrange(1, SERVERS)
+        await self._list(index, "draining")
+        await sleep_during_fault(self._random)
+        await self._list(index)
+
+    async def restart(self) -> None:
+        """Start a server again, maybe with another version; the list tells so late."""
+        index = self._random.randrange(SERVERS)
+        self._servers[index].restart(self._random.choice(VERSIONS))
+        await sleep_during_fault(self._random)
+        await self._list(index)
+
+    async def _list(self, index: int, state: str = "ready") -> None:
+        server, address = self._servers[index], self._proxies[index].address
+        document = entry_document(address, server.version, server.started_ms, state)
+        await self._store.put("servers", server.name, document)
+
+
+async def disturb_link(proxies: list[Proxy], random: Random) -> None:
+    """Disturb one of some links for some time."""
+    proxy = random.choice(proxies)
+    proxy.set_mode(random.choice(MODES[1:]))
+    await sleep_during_fault(random)
+    proxy.set_mode("pass")
+
+
+async def sleep_during_fault(random: Random) -> None:
+    """Wait for the duration of a fault."""
+    await asyncio.sleep(random.uniform(0.1, MAX_FAULT_S))
+
+
+__all__ = ["LIMIT_PER_S", "ServerFleet", "disturb_link", "sleep_during_fault"]
--- a/tests/steps/system_soak.py
+++ b/tests/steps/system_soak.py
@@ -35,6 +35,18 @@
     )
 
 
+def taken_up(attempt, stream, body, resume_after):
+    return attempt._replace(
+        request_id="r-5",
+        stamp="s.r-5",
+        echo="r-5",
+        body=body,
+        whole=False,
+        resumes=stream,
+        resume_after=resume_after,
+    )
+
+
 def make_run(request_id, **headers):
     return ReceivedRequest(request_id, "/x", {"tenant": ORGANISATION, **headers}, b"body", 2.0)
 
@@ -71,6 +83,14 @@
     "a caller received a partial response as complete": change_attempt("r-1", body=b"who"),
     "a stream ended as complete without its last event": change_attempt("r-2", body=EVENTS[:15]),
     "a stream event arrived twice": change_attempt("r-2", body=EVENTS + EVENTS),
+    "a stream that was taken up has events of two versions": lambda context: (
+        context.attempts.update(
+            {"r-5": taken_up(context.attempts["r-2"], "r-2", b"id: 5\ndata: i-1@v2 5\n\n", 4)}
+        )
+    ),
+    "a stream has events of two versions": change_attempt(
+        "r-2", body=EVENTS[:-16] + b"id: 4\ndata: i-2@v2 4\n\n"
+    ),
     "a booking ran twice": lambda context: context.runs.append(make_run("r-1")),
     "a booking answered with 503 ran": lambda context: context.runs.append(make_run("r-3")),
     "a request ran but was never sent": lambda context: context.runs.append(make_run("r-9")),
--- a/tests/system/soak.feature
+++ b/tests/system/soak.feature
@@ -22,6 +22,8 @@
       | a caller received a partial response as complete  | mixed     |
       | a stream ended as complete without its last event | order     |
       | a stream event arrived twice                      | order     |
+      | a stream has events of two versions               | versions  |
+      | a stream that was taken up has events of two versions | versions  |
       | a booking ran twice                               | twice     |
       | a booking answered with 503 ran                   | refused   |
       | a request ran but was never sent                  | unasked   |
