Answer a request at once if an unexpected error ends its sending

An error while a request was sent on a new connection, or after a server had told its start, ended a task that nobody watched: the caller waited for its class's timeout and got 504 (new row of front/answers.feature, 1.5 s there). It is logged now, and answered with 500.

--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import contextmanager
 from enum import Enum, auto
 from functools import partial
 from typing import TYPE_CHECKING, NamedTuple, Protocol
@@ -14,7 +15,7 @@
 from redwingbank.platform.headers import decode_answer
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
 
     from redwingbank.front.backends import Backend
     from redwingbank.front.outbound import Connection
@@ -87,6 +88,9 @@
     def attempt_failed(self, attempt: Attempt, failure: Failure) -> None:
         """Handle the end of an attempt without a complete answer."""
 
+    def attempt_broken(self, attempt: Attempt, error: Exception) -> None:
+        """Handle an unexpected error of the attempt itself."""
+
 
 class _Mode(Enum):
     """Whether the answer's body is buffered until its end or passed on as it arrives."""
@@ -217,6 +221,19 @@
         self._owner.attempt_failed(self, failure)
 
     async def _connect(self, encode: Callable[[float], bytes]) -> None:
+        with self._errors_reported():
+            await self._connect_and_send(encode)
+
+    @contextmanager
+    def _errors_reported(self) -> Iterator[None]:
+        """Report an unexpected error, which would otherwise leave the request unanswered."""
+        try:
+            yield
+        except Exception as error:  # noqa: BLE001 - whatever it is, the owner logs it
+            if not self._finished:
+                self._owner.attempt_broken(self, error)
+
+    async def _connect_and_send(self, encode: Callable[[float], bytes]) -> None:
         try:
             connection = await self.backend.connections.connect()
         except OSError as error:
@@ -243,10 +260,11 @@
     ) -> None:
         if self._finished:
             return
-        if loss is None and self.backend.connections.take(connection):
-            self._send_if_listed(connection, encode)
-        else:
-            self._reconnect(connection, encode, "closed before the request")
+        with self._errors_reported():
+            if loss is None and self.backend.connections.take(connection):
+                self._send_if_listed(connection, encode)
+            else:
+                self._reconnect(connection, encode, "closed before the request")
 
     def _send_if_listed(self, connection: Connection, encode: Callable[[float], bytes]) -> None:
         # the timeout does not count the time for which the process was suspended
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING
 
 from redwingbank.clock import now_s
@@ -110,18 +111,14 @@
         self._binding.find(self._origin_found)
 
     def _origin_found(self, code: Code | None) -> None:
+        if not self._closed:
+            self._router.guard(partial(self._begin, code), self.fail_internally)
+
+    def _begin(self, code: Code | None) -> None:
         """Send the request, or refuse a stream that can't go on."""
-        if self._closed:
-            return
-        with self._router.barrier.confine("request"):
-            if code:
-                self._fail(code)
-            else:
-                self._begin()
+        if code:
+            self._fail(code)
             return
-        self.fail_internally()
-
-    def _begin(self) -> None:
         assert self._request and self._admitted and self._binding
         pool = self._binding.pool
         self._request = self._request._replace(pool=pool)
@@ -217,6 +214,12 @@
         self._watch.failed(attempt.backend, failure, now)
         self._handle_failure(attempt, failure, now)
 
+    def attempt_broken(self, attempt: Attempt, error: Exception) -> None:
+        """Log an unexpected error of an attempt, and end the request."""
+        with self._router.barrier.confine("request"):
+            raise error
+        self.fail_internally()
+
     def _handle_failure(self, attempt: Attempt, failure: Failure, now: float) -> None:
         self._release(attempt)
         update_breaker(attempt.backend, failure, self._life.request_id, self._sent_s, now)
@@ -301,17 +304,13 @@
         waits = self._answer_started and decision.code is Code.SERVERS_AT_LIMIT
         if waits and resumes_s < min(patience_ends_s, self._give_up_s()):
             loop = asyncio.get_running_loop()
-            self._resumption = loop.call_later(decision.retry_after_s, self._resume_stream)
+            self._resumption = loop.call_later(
+                decision.retry_after_s, self._router.guard, self._send, self.fail_internally
+            )
             return
         self._retry_after_s = decision.retry_after_s
         self._fail(self._binding.refusal_code(decision.code))
 
-    def _resume_stream(self) -> None:
-        with self._router.barrier.confine("request"):
-            self._send()
-            return
-        self.fail_internally()
-
     def _handle_answer(self, attempt: Attempt, answer: Answer) -> None:
         status = answer.head.status
         if status >= FIRST_SERVER_ERROR and self._may_retry_answer(status):
--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -193,11 +193,7 @@
             self._router, self, request.head, request.body, request.arrived_s
         )
         self._router.exchanges.add(self._exchange)
-        exchange = self._exchange
-        with self._router.barrier.confine("request"):
-            exchange.start()
-            return
-        exchange.fail_internally()
+        self._router.guard(self._exchange.start, self._exchange.fail_internally)
 
     def _finish_answer(self) -> None:
         self._exchange = None
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -28,6 +28,7 @@
 from redwingbank.routing.version_history import VersionHistory
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
     from random import Random
 
     from redwingbank.front.backends import Backend
@@ -127,6 +128,13 @@
         """Whether a request is being read or answered."""
         return bool(self.exchanges) or any(one.busy for one in self.connections)
 
+    def guard(self, step: Callable[[], None], failed: Callable[[], None]) -> None:
+        """Run a step of a request; after an unexpected error, log it and call `failed`."""
+        with self.barrier.confine("request"):
+            step()
+            return
+        failed()
+
     def retry_after_s(self, code: Code) -> float:
         """Return after how long a refused caller may retry."""
         return RETRY_AFTER_S_BY_CODE.get(code, RETRY_AFTER_S)
--- a/tests/front/answers.feature
+++ b/tests/front/answers.feature
@@ -103,6 +103,7 @@
     Examples:
       | step                       | status |
       | the choice of a server     | 500    |
+      | the sending of a request   | 500    |
       | the housekeeping           | 200    |
       | the watch of the servers   | 200    |
       | the list of hosts          | 200    |
--- a/tests/steps/front_answers.py
+++ b/tests/steps/front_answers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import json
 import os
@@ -12,13 +13,19 @@
 from behave import then, when
 
 from failing import SECRET, fail_once
-from front_rig import HOST, KEY, Rig, request, run_scenario, table
+from front_rig import HOST, KEY, Rig, entry, request, run_scenario, table
+from redwingbank.front import outgoing
 from redwingbank.front.admission import Admission
 from redwingbank.front.directory import TableState
 from redwingbank.front.events import EventSplitter
 from redwingbank.front.values import Bounds
 from redwingbank.platform.directory import decode_table
 from redwingbank.platform.headers import decode_call
+from redwingbank_standins.backend_server import BackendServer
+
+LARGE_EVENT_BYTES = 300_000
+LARGE_BODY_BYTES = 40_000_000
+HALF_CHARACTER = "\ud800"
 
 
 def ask(context, modes, kind):
@@ -267,6 +274,7 @@
         fail_once(
             *{
                 "the choice of a server": (router.dispatcher, "decide"),
+                "the sending of a request": (outgoing, "encode_call"),
                 "the housekeeping": (router.backends, "expire"),
                 "the watch of the servers": (rig.front._servers, "handle_changes"),
                 "the list of hosts": (router.peers, "add_hosts"),
@@ -276,7 +284,7 @@
         await rig.store.put("servers", "i-9", {"state": "gone"})
         if "reload" in step:
             os.kill(os.getpid(), signal.SIGHUP)
-        if "choice" not in step:
+        if step not in {"the choice of a server", "the sending of a request"}:
             await rig.until(lambda: "internal-error" in str(rig.lines), within_s=15)
         context.answer = await rig.ask("single", request_id="r-1")
         context.next = await rig.ask("single", request_id="r-2")
@@ -285,6 +293,94 @@
     run_scenario(context.rig, scenario)
 
 
+class LargeServer(BackendServer):
+    """Answers streams with large events, and other requests with a large body."""
+
+    def mode_for(self, target):
+        return "endless" if target.startswith("/memo/") else "large"
+
+    async def _respond(self, request, writer, reader):
+        if self.mode_for(request.target) == "endless":
+            return await super()._respond(request, writer, reader)
+        head = (
+            f"HTTP/1.1 200 x\r\nRequest-Id: {request.request_id}\r\n"
+            f"Server-Stamp: s\r\nContent-Length: {LARGE_BODY_BYTES}\r\n\r\n"
+        )
+        writer.write(head.encode() + bytes(LARGE_BODY_BYTES))
+        await writer.drain()
+        return True
+
+
+@when("the answer to a caller's {kind} request has megabytes, and the caller reads nothing")
+def reads_nothing(context, kind):
+    context.rig = Rig()
+    server = LargeServer("i-1", version="x" * LARGE_EVENT_BYTES)
+    context.rig.backend_servers = [server]
+
+    async def scenario(rig):
+        router = rig.front.router
+        reader, writer = await rig.connect()
+        reader._transport.pause_reading()
+        writer.write(request(kind, close=False))
+        waiting = [one._transport.get_write_buffer_size for one in router.connections]
+        await rig.until(lambda: any(size() for size in waiting))
+        started_s = time.monotonic()
+        with contextlib.suppress(TimeoutError):
+            await rig.until(lambda: not router.connections, within_s=10)
+        context.took_s = time.monotonic() - started_s
+        writer.transport.abort()
+
+    run_scenario(context.rig, scenario)
+
+
+@then("the front has closed its connection within {seconds:d} s")
+def closed_in_time(context, seconds):
+    assert context.took_s < seconds, context.took_s
+
+
+@when('an organisation named "{name}" sends a booking')
+def named_organisation(context, name):
+    content = table()
+    content["tenants"][0]["name"] = name
+    context.rig, context.name = Rig(), name
+    context.answer = run_scenario(context.rig, lambda rig: rig.ask("single"), content)
+
+
+@then("its server got that name, in UTF-8")
+def got_name(context):
+    assert context.answer.status == 200, context.answer.raw
+    (run,) = context.rig.runs()
+    assert run.headers_by_name["tenant"] == context.name, run.headers_by_name
+
+
+@when("a server's entry has half a character as its {field}, and a memo is requested")
+def half_character(context, field):
+    context.rig = Rig(modes=["stream"])
+
+    async def scenario(rig):
+        known = rig.front.router.servers.entries_by_name
+        content = entry(rig.addresses["i-1"], started_ms=2)
+        name = "i-1"
+        if field == "name":
+            await rig.store.delete("servers", name)
+            name += HALF_CHARACTER
+        else:
+            content[field] = HALF_CHARACTER
+        await rig.store.put("servers", name, content)
+        await rig.until(lambda: "i-1" not in known or known["i-1"].started_ms == 2)
+        rig.backend_servers[0].started_ms = 2
+        await asyncio.sleep(0.2)
+        return await rig.ask("memo")
+
+    context.answer = run_scenario(context.rig, scenario)
+
+
+@then("the memo is {answered}")
+def memo_is(context, answered):
+    expected = {"whole": (200, True), "refused": (503, True)}[answered]
+    assert (context.answer.status, context.answer.complete) == expected, context.answer.raw
+
+
 @then("the front answers {status:d} to the request during it, and 200 to the next")
 def answered_both(context, status):
     assert context.running
