Disconnect a caller that does not read its answer

It is now ended once nothing was read for the idle timeout; one that reads slowly is not, by what the system still holds of the bytes.

--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -11,6 +11,7 @@
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.front.exchange import Exchange
 from redwingbank.front.refusals import error_body
+from redwingbank.front.socket_queue import unacknowledged_bytes
 from redwingbank.front.wire import RequestReader, WireError
 
 if TYPE_CHECKING:
@@ -49,6 +50,8 @@
         self._keep_alive = True
         self._method = b""
         self._closing = False
+        self._unsent_bytes = 0
+        self._progress_s = now_s()
         self.idle_since_s = now_s()
         self.request_started_s: float | None = None
         self.head_complete = False
@@ -173,7 +176,13 @@
     def check_timeouts(self, now: float) -> None:
         """Close the connection if it is idle for too long; refuse a request that is too slow."""
         limits = self._router.limits()
-        if self._exchange is not None or self._closing:
+        if self._exchange is not None:
+            return
+        if self._has_unread_answer(now):
+            if now - self._progress_s > limits.idle_timeout_s and self._transport:
+                self._transport.abort()
+            return
+        if self._closing:
             return
         if self.request_started_s is None:
             if now - self.idle_since_s > limits.idle_timeout_s:
@@ -183,6 +192,17 @@
         ):
             self._reject(Code.TOO_SLOW, "request not complete in time")
 
+    def _has_unread_answer(self, now: float) -> bool:
+        """Whether a part of an answer still waits to be sent; a slow caller reads on."""
+        transport = self._transport
+        unsent = transport.get_write_buffer_size() if transport else 0
+        if transport and unsent:
+            unsent += unacknowledged_bytes(transport.get_extra_info("socket"))
+        if unsent != self._unsent_bytes:
+            self._unsent_bytes = unsent
+            self._progress_s = self.idle_since_s = now
+        return unsent > 0
+
     def _start_next(self) -> None:
         if self._exchange is not None or not self._pending or self._closing:
             return
--- a/tests/front/answers.feature
+++ b/tests/front/answers.feature
@@ -109,6 +109,22 @@
       | the list of hosts          | 200    |
       | the reload of its settings | 200    |
 
+  Scenario Outline: a caller that does not read its answer is disconnected in time
+    When the answer to a caller's <kind> request has megabytes, and the caller reads nothing
+    Then the front has closed its connection within <seconds> s
+
+    Examples: the class's timeout, or that of an idle connection, and 2 s
+      | kind   | seconds |
+      | memo   | 4       |
+      | single | 6       |
+
+  Scenario: a caller that reads slowly is not disconnected while it reads on
+    Given a caller's connection with an unread answer, and an idle timeout of 15 s
+    When the caller reads a little every 10 s for 100 s
+    Then the connection is still open
+    When the caller reads nothing for 16 s
+    Then the connection is aborted
+
   Scenario Outline: an event with the id <what> is passed on
     When a stream has an event "2" and then one with the id <what>
     Then both events are passed on
--- a/tests/steps/front_answers.py
+++ b/tests/steps/front_answers.py
@@ -10,15 +10,17 @@
 import time
 from unittest import mock
 
-from behave import then, when
+from behave import given, then, when
 
 from failing import SECRET, fail_once
 from front_rig import HOST, KEY, Rig, entry, request, run_scenario, table
+from redwingbank.clock import now_s
 from redwingbank.front import outgoing
 from redwingbank.front.admission import Admission
 from redwingbank.front.directory import TableState
 from redwingbank.front.events import EventSplitter
-from redwingbank.front.values import Bounds
+from redwingbank.front.inbound import InboundConnection
+from redwingbank.front.values import Bounds, Limits
 from redwingbank.platform.directory import decode_table
 from redwingbank.platform.headers import decode_call
 from redwingbank_standins.backend_server import BackendServer
@@ -338,6 +340,71 @@
     assert context.took_s < seconds, context.took_s
 
 
+class FullTransport(asyncio.Transport):
+    """A connection whose peer has not read `unread` bytes."""
+
+    def __init__(self, unread):
+        super().__init__()
+        self.unread = unread
+        self.closed = self.aborted = False
+
+    def get_write_buffer_size(self):
+        return self.unread
+
+    def set_write_buffer_limits(self, high=None, low=None):
+        pass
+
+    def get_extra_info(self, name, default=None):
+        return mock.Mock(fileno=mock.Mock(side_effect=OSError))
+
+    def is_closing(self):
+        return self.closed
+
+    def close(self):
+        self.closed = True
+
+    def abort(self):
+        self.aborted = True
+
+
+@given("a caller's connection with an unread answer, and an idle timeout of {seconds:d} s")
+def unread_answer(context, seconds):
+    router = mock.Mock(limits=lambda: Limits(idle_timeout_s=float(seconds)), connections=set())
+    context.connection = InboundConnection(router)
+    context.transport = FullTransport(1_000_000)
+    context.connection.connection_made(context.transport)
+    context.now_s = now_s()
+    context.connection.abort()
+
+
+def pass_seconds(context, seconds):
+    for _ in range(seconds):
+        context.now_s += 1.0
+        context.connection.check_timeouts(context.now_s)
+
+
+@when("the caller reads a little every {every:d} s for {seconds:d} s")
+def reads_slowly(context, every, seconds):
+    for _ in range(seconds // every):
+        pass_seconds(context, every)
+        context.transport.unread -= 1000
+
+
+@when("the caller reads nothing for {seconds:d} s")
+def reads_nothing_more(context, seconds):
+    pass_seconds(context, seconds + 1)
+
+
+@then("the connection is still open")
+def still_open(context):
+    assert not context.transport.aborted
+
+
+@then("the connection is aborted")
+def is_aborted(context):
+    assert context.transport.aborted
+
+
 @when('an organisation named "{name}" sends a booking')
 def named_organisation(context, name):
     content = table()
