--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -145,9 +145,9 @@
     if facts.request_id:
         lines.append(_header_line("Request-Id", facts.request_id))
     lines.append(_header_line("Deadline-Ms", str(max(1, int(envelope.deadline_s * MS_PER_S)))))
-    lines.append(_header_line("Expect-Instance", envelope.server))
+    lines.append(f"Expect-Instance: {envelope.server}\r\n".encode())
     if envelope.organisation:
-        lines.append(_header_line("Tenant", envelope.organisation.name))
+        lines.append(f"Tenant: {envelope.organisation.name}\r\n".encode())
     if envelope.rank is not None:
         lines.append(_header_line("Request-Priority", str(envelope.rank)))
     if envelope.copy_from is not None:
--- a/tests/front/answers.feature
+++ b/tests/front/answers.feature
@@ -125,6 +125,10 @@
     When the caller reads nothing for 16 s
     Then the connection is aborted
 
+  Scenario: the name of an organisation may have any characters
+    When an organisation named "東京 Bäckerei" sends a booking
+    Then its server got that name, in UTF-8
+
   Scenario Outline: an event with the id <what> is passed on
     When a stream has an event "2" and then one with the id <what>
     Then both events are passed on
