Use no server whose entry holds text that can't be sent on

Half of a surrogate pair in an entry's version, data centre or name, which JSON can hold, could not be encoded in messages between hosts and in headers. Streams at such a server broke off at their first event, and relays of a large fleet would have failed to apply the list.

--- a/src/redwingbank/platform/directory.py
+++ b/src/redwingbank/platform/directory.py
@@ -54,10 +54,10 @@
     """
     try:
         return ServerEntry(
-            name=name,
+            name=_non_empty_text(name),
             pool=_non_empty_text(content["service"]),
             address=parse_address(_non_empty_text(content["addr"])),
-            data_centre=str(content.get("zone", "")),
+            data_centre=_text(str(content.get("zone", ""))),
             slots=_positive_integer(content["slots"]),
             draining=DRAINING_BY_STATE[content["state"]],
             started_ms=_integer(content.get("born", 0)),
@@ -140,11 +140,22 @@
 def _non_empty_text(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(value)
+    return _text(value)
+
+
+def _text(value: str) -> str:
+    """Return a text that can be sent on, in a message and in a header."""
+    value.encode()
+    if any(character in value for character in "\r\n\0"):
+        raise ValueError(value)
     return value
 
 
 def _optional_text(value: Any) -> str:
-    return value if isinstance(value, str) else ""
+    try:
+        return _text(value) if isinstance(value, str) else ""
+    except ValueError:
+        return ""
 
 
 def _integer(value: Any) -> int:
--- a/tests/front/answers.feature
+++ b/tests/front/answers.feature
@@ -129,6 +129,17 @@
     When an organisation named "東京 Bäckerei" sends a booking
     Then its server got that name, in UTF-8
 
+  Scenario Outline: an entry with text that is no text names no server, or no version
+    When a server's entry has half a character as its <field>, and a memo is requested
+    Then the memo is <answered>
+
+    Examples:
+      | field   | answered |
+      | version | whole    |
+      | zone    | refused  |
+      | service | refused  |
+      | name    | refused  |
+
   Scenario Outline: an event with the id <what> is passed on
     When a stream has an event "2" and then one with the id <what>
     Then both events are passed on
