Begin a stream also at a server that never lets its start be known

A server that closes its connection after each report, or sends each report twice, got no stream at all: after two tries the request went elsewhere, and with only such servers it was refused (2 of 5 new rows of front/stream_versions.feature). A new stream is now sent unchecked on the third connection; its version counts as unknown, so that it can't go on elsewhere. Late copies of other answers, delays and endless reports are tested as well.

--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -27,6 +27,8 @@
 STATUS_MISDIRECTED = 421
 FIRST_SERVER_ERROR = 500
 EVENT_STREAM = b"text/event-stream"
+# no server starts then
+UNKNOWN_START = 0
 # Answers up to this size are buffered until complete, so that a truncated one can be retried.
 MAX_BUFFERED_BYTES = 256 * 1024
 
@@ -283,10 +285,15 @@
     def _reconnect(
         self, connection: Connection, encode: Callable[[float], bytes], detail: str
     ) -> None:
-        """Try a new connection, once: an idle one may have lost its server meanwhile."""
-        if self._reconnected:
+        """Try a new connection, once: an idle one may have lost its server meanwhile.
+
+        A stream that has not begun is then sent to a server that does not tell its start.
+        """
+        if self._reconnected and self._check is StartCheck.LISTED:
             self._give_up_unsent(connection, detail)
             return
+        if self._reconnected:
+            self._check, self.server_start = StartCheck.NONE, UNKNOWN_START
         self._reconnected = True
         connection.abort()
         self._connecting = asyncio.get_running_loop().create_task(self._connect(encode))
--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -50,7 +50,8 @@
     requests a second that the server takes.
 
     Events name the server and, unless it is empty, the `version` of its software. A report tells
-    the time of the server's start, `started_ms`. While `hides_start` is set, it tells none.
+    the time of the server's start, `started_ms`. While `hides_start` is set, it tells none; while
+    `closes_after_report` is set, it ends the connection.
     """
 
     def __init__(
@@ -62,6 +63,7 @@
         self.version = version
         self.started_ms = started_ms
         self.hides_start = False
+        self.closes_after_report = False
         self.reports = 0
         self.crash_part = ""
         self.named_limit = ""
@@ -138,7 +140,11 @@
         if not self.hides_start:
             report["born"] = self.started_ms
         body = json.dumps(report).encode()
-        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body))
+        closing = b"Connection: close\r\n" if self.closes_after_report else b""
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%b\r\n" % (len(body), closing)
+        writer.write(head + body)
+        if self.closes_after_report:
+            writer.close()
 
     def _limit_line(self) -> bytes:
         return b"Server-Limit: %b\r\n" % self.named_limit.encode() if self.named_limit else b""
--- a/tests/front/stream_versions.feature
+++ b/tests/front/stream_versions.feature
@@ -69,6 +69,25 @@
     Then no caller got events of two versions
     And every caller got its whole stream
 
+  Scenario Outline: a server's report on a connection is told from other answers there
+    Given 1 fronts and servers of versions v1, v1
+    When <what> on the connection of a memo
+    Then every caller got its whole stream
+    And it was sent <sends> times, and the server was asked for its start at most <reports> times
+
+    Examples:
+      | what                                                        | sends | reports |
+      | the server sends a booking's answer again before the report | 1     | 2       |
+      | the server sends the report twice                           | 1     | 4       |
+      | the server closes the connection after each report          | 1     | 2       |
+      | the server tells no start                                   | 1     | 1       |
+      | the host is delayed for 1.5 s while it waits for the report | 1     | 2       |
+
+  Scenario: a server that never ends its report holds a caller no longer than its class's timeout
+    Given 1 fronts and servers of versions v1
+    When the server of a memo goes on with its report byte by byte
+    Then the caller is answered 503 or 504 within 4500 ms
+
   Scenario: what is remembered of a stream ends with it, also at another host
     Given 4 fronts and servers of versions v1, v1.1, v1, v1.1
     When 12 callers read streams, and half of them take them up at another host
--- a/tests/steps/front_stream_versions.py
+++ b/tests/steps/front_stream_versions.py
@@ -6,10 +6,12 @@
 import itertools
 import json
 import re
+from unittest import mock
 
 from behave import given, then, when
+from front_answers import ShiftedTime
 
-from front_rig import Rig, request, run_scenario
+from front_rig import Rig, request, run_scenario, table
 from redwingbank.clock import now_s
 from redwingbank.ctl.explain import as_text, find_decisions
 from redwingbank.ctl.records import parse_records
@@ -19,7 +21,12 @@
 
 EVENT = re.compile(rb"id: (\d+)\ndata: (\S+) \d+\n\n")
 EVENT_PAUSE_S = 0.05
+ANSWER = (
+    b"HTTP/1.1 200 x\r\nRequest-Id: %b\r\nServer-Stamp: s.%b\r\nContent-Length: 5\r\n\r\nwhole"
+)
 DEADLINE_MS = 4000
+# longer than a connection may take
+DELAY_S = 1.5
 # until hosts have told each other, and forgotten what has ended
 TOLD_S = 0.3
 
@@ -225,6 +232,91 @@
     run_scenario(context.rig, scenario)
 
 
+class ReportingServer(BackendServer):
+    """A server whose reports go wrong."""
+
+    def __init__(self, name, fault, shifted):
+        super().__init__(name, "stream", "v1")
+        self.fault = fault
+        self.shifted = shifted
+        self.answered = b""
+
+    def mode_for(self, target):
+        return "stream" if target.startswith("/memo/") else "ok"
+
+    async def _send_response(self, request, writer, reader):
+        self.answered = ANSWER % (request.request_id.encode(), request.request_id.encode())
+        return await super()._send_response(request, writer, reader)
+
+    def _report(self, writer):
+        if "answer again" in self.fault:
+            writer.write(self.answered)
+        if "delayed" in self.fault and not self.reports:
+            self.shifted.ahead_s = DELAY_S
+        super()._report(writer)
+        if "twice" in self.fault:
+            super()._report(writer)
+
+
+@when("{fault} on the connection of a memo")
+def report_goes_wrong(context, fault):
+    shifted = ShiftedTime()
+    context.rig.backend_servers = [
+        ReportingServer(server.name, fault, shifted) for server in context.rig.backend_servers
+    ]
+    for server in context.rig.backend_servers:
+        server.hides_start = "no start" in fault
+        server.closes_after_report = "closes" in fault
+
+    async def scenario(rig):
+        # a booking leaves an idle connection to each server
+        for number in range(8):
+            await rig.ask("single", request_id=f"b-{number}")
+        (stream,) = new_streams(context, 1)
+        await stream.read(rig, rig.front)
+
+    with mock.patch("redwingbank.clock.time", shifted):
+        run_scenario(context.rig, scenario, table(timeout_ms=10_000))
+
+
+@then("it was sent {sends:d} times, and the server was asked for its start at most {most:d} times")
+def sends_and_reports(context, sends, most):
+    runs = [run for run in context.rig.runs() if run.target.startswith("/memo/")]
+    assert len(runs) == sends, runs
+    assert sum(server.reports for server in context.rig.backend_servers) <= most
+
+
+class EndlessReportServer(BackendServer):
+    """A server whose report never ends."""
+
+    def _report(self, writer):
+        writer.write(b"HTTP/1.1 200 OK\r\nContent-Length: 1000000\r\n\r\n")
+        self.sending = asyncio.create_task(self._go_on(writer))
+
+    async def _go_on(self, writer):
+        while not writer.is_closing():
+            writer.write(b" ")
+            await asyncio.sleep(0.05)
+
+
+@when("the server of a memo goes on with its report byte by byte")
+def endless_report(context):
+    context.rig.backend_servers = [EndlessReportServer("i-1", "stream", "v1")]
+
+    async def scenario(rig):
+        (stream,) = new_streams(context, 1)
+        await stream.read(rig, rig.front)
+
+    run_scenario(context.rig, scenario)
+
+
+@then("the caller is answered {first:d} or {second:d} within {most_ms:d} ms")
+def answered_in_time(context, first, second, most_ms):
+    (stream,) = context.streams
+    assert stream.answer.status in {first, second}, stream.answer.raw
+    assert stream.took_s * 1000 < most_ms, stream.took_s
+
+
 @then("no caller got events of two versions")
 def one_version(context):
     mixed = [stream.events for stream in context.streams if len(stream.versions) > 1]
