Tell each stream to three other hosts; follow hosts twice a second

The host that serves a stream could be one of the three on the ring, so that only two others knew of it after its end. Hosts and versions are looked through twice a second instead of ten times: what a host does there grows with the fleet.

--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -137,7 +137,6 @@
                 router.server_limits.update(now, router.servers.entries_by_name.values())
             with router.barrier.confine("streams"):
                 router.streams.update(now)
-                router.versions.observe(router.servers.entries_by_name.values(), now)
             with router.barrier.confine("heartbeat"):
                 router.peers.send_heartbeat()
             router.log.flush()
@@ -145,6 +144,8 @@
                 next_ask_s = now + ASK_INTERVAL_S
                 with router.barrier.confine("freshness"):
                     router.freshness.update_role()
+                with router.barrier.confine("versions"):
+                    router.versions.observe(router.servers.entries_by_name.values(), now)
             if now >= next_check_s:
                 next_check_s = now + SETTINGS_CHECK_S
                 with router.barrier.confine("settings"):
--- a/src/redwingbank/front/stream_sharing.py
+++ b/src/redwingbank/front/stream_sharing.py
@@ -17,10 +17,12 @@
     from redwingbank.front.peers import Peers
     from redwingbank.routing.stream_origin import StreamOrigin
 
-# Hosts that are told of each stream, and hosts that are asked for one: hosts may not agree for
-# some seconds on which of them are alive.
+# Other hosts that are told of each stream, and hosts that are asked for one: hosts may not agree
+# for some seconds on which of them are alive.
 HOLDERS = 3
 ASKED_HOSTS = 5
+# Hosts that come and go are noticed within this time.
+FOLLOW_S = 0.5
 # Streams that go on are told again this often: datagrams are lost, and hosts start again.
 REPEAT_S = 1.0
 # An answer takes some 10 ms; a host that has not answered is asked again.
@@ -54,6 +56,7 @@
         self._peers = peers
         self._ring = HostRing()
         self._served: set[str] = set()
+        self._followed_s = float("-inf")
         self._repeated_s = float("-inf")
         self._search_by_key: dict[str, _Search] = {}
         self._handler_by_purpose = {
@@ -112,13 +115,14 @@
 
     def update(self, now: float) -> None:
         """Follow the hosts that come and go, repeat what they hold, and forget what has ended."""
-        changed = self._follow_hosts(now)
+        changed = now - self._followed_s >= FOLLOW_S and self._follow_hosts(now)
         self.book.expire(now)
         if changed or now - self._repeated_s >= REPEAT_S:
             self._repeated_s = now
             self._repeat(now)
 
     def _follow_hosts(self, now: float) -> bool:
+        self._followed_s = now
         return self._ring.update([self._host, *self._peers.expected(now)])
 
     def _repeat(self, now: float) -> None:
@@ -172,7 +176,8 @@
 
     def _holders(self, key: str) -> list[str]:
         """Return the other hosts that hold a stream."""
-        return [host for host in self._ring.successors(key, HOLDERS) if host != self._host]
+        hosts = self._ring.successors(key, HOLDERS + 1)
+        return [host for host in hosts if host != self._host][:HOLDERS]
 
     def _note(self, key: str, now: float) -> StreamNote:
         return StreamNote(key, self.book.find(key, now), self.book.left_s(key, now))
