Know the version of a stream that begins at a server which is leaving

A stream like this could not go on elsewhere, and cost two connections more. The request now goes out on the second connection, and the server is asked on a third one afterwards: of two starts under one name the later one answers.

--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -10,7 +10,7 @@
 
 from redwingbank.clock import now_s
 from redwingbank.front.outbound import CONNECT_TIMEOUT_S, Loss
-from redwingbank.front.start_reader import StartReader
+from redwingbank.front.start_reader import LateStartCheck, StartReader
 from redwingbank.model import Outcome
 from redwingbank.platform.headers import decode_answer
 
@@ -120,6 +120,8 @@
         self._check = check if self.entry.started_ms else StartCheck.NONE
         self._started_s = now_s()
         self._reconnected = False
+        self._unchecked = False
+        self._late_check: LateStartCheck | None = None
         self._owner = owner
         self._request_id = request_id
         self._connection: Connection | None = None
@@ -148,7 +150,7 @@
 
     def cancel(self) -> None:
         """Stop the attempt; closing the connection cancels the request at the server."""
-        self._finished = True
+        self._finish()
         if self._connecting:
             self._connecting.cancel()
         if self._connection:
@@ -200,7 +202,7 @@
         self._connection = None
         if self._finished or self._head is None or self._facts is None:
             return
-        self._finished = True
+        self._finish()
         if self._mode is _Mode.STREAMED:
             self._owner.attempt_completed(self, None)
         elif self._not_run():
@@ -214,7 +216,7 @@
         self._connection = None
         if self._finished:
             return
-        self._finished = True
+        self._finish()
         # the head of a refusal suffices: the server did not run the request
         if self._not_run():
             failure = Failure(Outcome.REFUSED, False, "not run")
@@ -222,6 +224,11 @@
             failure = Failure(OUTCOME_BY_LOSS[loss], self.sent, f"{loss}: {detail}", self.sent)
         self._owner.attempt_failed(self, failure)
 
+    def _finish(self) -> None:
+        self._finished = True
+        if self._late_check:
+            self._late_check.stop()
+
     async def _connect(self, encode: Callable[[float], bytes]) -> None:
         with self._errors_reported():
             await self._connect_and_send(encode)
@@ -252,7 +259,8 @@
     def _check_start(self, connection: Connection, encode: Callable[[float], bytes]) -> None:
         """Ask the server for its start if it matters and is not known, then send."""
         self._connection = connection
-        if self._check is StartCheck.NONE or connection.server_start is not None:
+        known = connection.server_start is not None
+        if self._check is StartCheck.NONE or known or self._unchecked:
             self._send_if_listed(connection, encode)
             return
         StartReader(connection, partial(self._start_told, connection, encode)).start()
@@ -266,6 +274,8 @@
             if loss is None and self.backend.connections.take(connection):
                 self._send_if_listed(connection, encode)
             else:
+                # a server that is leaving tells its start, and closes the connection
+                self._unchecked = loss is None and self._check is StartCheck.KNOWN
                 self._reconnect(connection, encode, "closed before the request")
 
     def _send_if_listed(self, connection: Connection, encode: Callable[[float], bytes]) -> None:
@@ -274,26 +284,31 @@
             self._give_up_unsent(connection, "delayed while connecting")
             return
         if self._check is not StartCheck.NONE:
-            self.server_start = connection.server_start
+            self.server_start = connection.server_start or UNKNOWN_START
         if self._check is StartCheck.LISTED and self.server_start != self.entry.started_ms:
             self._reconnect(connection, encode, "the server has started again")
             return
         self._connection = connection
         self.sent = True
         connection.send(encode(now_s()), self)
+        if self._unchecked:
+            self._late_check = LateStartCheck(self.backend.connections, self._late_start_told)
+
+    def _late_start_told(self, start: int) -> None:
+        if start == self.entry.started_ms:
+            self.server_start = start
 
     def _reconnect(
         self, connection: Connection, encode: Callable[[float], bytes], detail: str
     ) -> None:
         """Try a new connection, once: an idle one may have lost its server meanwhile.
 
-        A stream that has not begun is then sent to a server that does not tell its start.
+        A stream that has not begun is sent in the end, and the server asked after that.
         """
         if self._reconnected and self._check is StartCheck.LISTED:
             self._give_up_unsent(connection, detail)
             return
-        if self._reconnected:
-            self._check, self.server_start = StartCheck.NONE, UNKNOWN_START
+        self._unchecked = self._unchecked or self._reconnected
         self._reconnected = True
         connection.abort()
         self._connecting = asyncio.get_running_loop().create_task(self._connect(encode))
@@ -301,7 +316,7 @@
     def _give_up_unsent(self, connection: Connection, detail: str) -> None:
         connection.abort()
         self._connection = None
-        self._finished = True
+        self._finish()
         failure = Failure(Outcome.REFUSED, False, detail, reached=False)
         self._owner.attempt_failed(self, failure)
 
--- a/src/redwingbank/front/start_reader.py
+++ b/src/redwingbank/front/start_reader.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
 from typing import TYPE_CHECKING
 
 from redwingbank.front.outbound import Loss
@@ -11,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from redwingbank.front.outbound import Connection
+    from redwingbank.front.outbound import Connection, ConnectionPool
     from redwingbank.front.wire import AnswerHead
 
 MAX_REPORT_BYTES = 64 * 1024
@@ -65,4 +67,34 @@
         self._told(loss)
 
 
-__all__ = ["StartReader"]
+class LateStartCheck:
+    """Asks a server for its start on another connection, once a request was sent to it.
+
+    Of two starts the later one answers, so a server that still tells the start by which it was
+    chosen is the one that got the request.
+    """
+
+    def __init__(self, connections: ConnectionPool, told: Callable[[int], None]) -> None:
+        self._connections = connections
+        self._told = told
+        self._connection: Connection | None = None
+        self._task = asyncio.get_running_loop().create_task(self._ask())
+
+    def stop(self) -> None:
+        """Stop waiting for the answer."""
+        self._task.cancel()
+        if self._connection:
+            self._connection.abort()
+
+    async def _ask(self) -> None:
+        with contextlib.suppress(OSError):
+            connection = self._connection = await self._connections.connect()
+            StartReader(connection, self._answered).start()
+
+    def _answered(self, loss: Loss | None) -> None:
+        connection, self._connection = self._connection, None
+        if connection and connection.server_start and loss is None:
+            self._told(connection.server_start)
+
+
+__all__ = ["LateStartCheck", "StartReader"]
--- a/src/redwingbank/front/stream_binding.py
+++ b/src/redwingbank/front/stream_binding.py
@@ -40,7 +40,7 @@
         self._pools = {share.pool for share in route.shares}
         self._resumable = route.kind is Kind.STREAM and route.resumable
         self._taken_up = self._resumable and facts.takes_up
-        self._begun = False
+        self._begun = self._bound = False
         self._stream = facts.resumes if self._taken_up else facts.request_id
         # empty for a stream that is taken up without its name
         self._key = stream_key(self._stream) if self._stream else ""
@@ -86,14 +86,15 @@
         return Code.VERSION_GONE if bound else code
 
     def events_received(self, attempt: Attempt) -> None:
-        """Bind the stream, at the latest before its first event is forwarded here."""
-        if self._begun or not self._resumable:
+        """Bind the stream before its first event is forwarded, or once its version is known."""
+        if self._bound or not self._resumable:
             return
-        self._begun = True
         version = self._version_of(attempt)
+        self._begun = True
         if self.origin is None and version:
             host = self._router.settings.name
             self.origin = StreamOrigin(attempt.entry.pool, version, host)
+        self._bound = self.origin is not None
         if self.origin and self._key:
             self._router.streams.begin(self._key, self.origin, self._ends_s)
 
@@ -127,15 +128,16 @@
             return attempt.entry.version
         # the server has started again since it was chosen
         listed = self._router.servers.entries_by_name.get(attempt.entry.name)
-        if listed and listed.started_ms == attempt.server_start:
+        if listed and attempt.server_start and listed.started_ms == attempt.server_start:
             return listed.version
-        self._router.log.detail(
-            "version-unknown",
-            request=self._request_id,
-            server=attempt.entry.name,
-            listed_start=attempt.entry.started_ms,
-            told_start=attempt.server_start,
-        )
+        if not self._begun:
+            self._router.log.detail(
+                "version-unknown",
+                request=self._request_id,
+                server=attempt.entry.name,
+                listed_start=attempt.entry.started_ms,
+                told_start=attempt.server_start,
+            )
         return ""
 
 
--- a/tests/front/stream_versions.feature
+++ b/tests/front/stream_versions.feature
@@ -83,6 +83,14 @@
       | the server tells no start                                   | 1     | 1       |
       | the host is delayed for 1.5 s while it waits for the report | 1     | 2       |
 
+  Scenario: a stream that began at a server that is leaving goes on at its version
+    Given 1 fronts and servers of versions v1, v1.1, v1
+    And the first server breaks its streams off after two events, and is the first to get them
+    And the first server closes its connections after each report
+    When 4 callers read a stream to its end
+    Then no caller got events of two versions
+    And every caller got its whole stream
+
   Scenario: a server that never ends its report holds a caller no longer than its class's timeout
     Given 1 fronts and servers of versions v1
     When the server of a memo goes on with its report byte by byte
--- a/tests/steps/front_stream_versions.py
+++ b/tests/steps/front_stream_versions.py
@@ -106,6 +106,11 @@
     context.first_only = True
 
 
+@given("the first server closes its connections after each report")
+def first_closes(context):
+    context.rig.backend_servers[0].closes_after_report = True
+
+
 async def start_hosts(context, rig):
     fronts = [rig.front]
     for number in range(2, context.hosts + 1):
