Bind a named stream although its class is not resumable any more

A stream that its caller takes up was treated as a new one where the table had meanwhile ended the class's right to resume: it went to a server of any version. The new scenario of front/stream_versions.feature failed before. On rereading: the checks of a server's start are named for what they ask.

--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -63,13 +63,13 @@
 class StartCheck(Enum):
     """What a server must tell of its start on a connection before it gets the request.
 
-    `KNOWN` asks for it, and sends in any case. `LISTED` sends only to the listed start: another
-    one may have another software version.
+    `ASK` asks for it, and sends in any case. `MATCH` sends only to the listed start: another one
+    may have another software version.
     """
 
     NONE = auto()
-    KNOWN = auto()
-    LISTED = auto()
+    ASK = auto()
+    MATCH = auto()
 
 
 class AttemptOwner(Protocol):
@@ -120,7 +120,7 @@
         self._check = check if self.entry.started_ms else StartCheck.NONE
         self._started_s = now_s()
         self._reconnected = False
-        self._unchecked = False
+        self._checks_late = False
         self._late_check: LateStartCheck | None = None
         self._owner = owner
         self._request_id = request_id
@@ -260,7 +260,7 @@
         """Ask the server for its start if it matters and is not known, then send."""
         self._connection = connection
         known = connection.server_start is not None
-        if self._check is StartCheck.NONE or known or self._unchecked:
+        if self._check is StartCheck.NONE or known or self._checks_late:
             self._send_if_listed(connection, encode)
             return
         StartReader(connection, partial(self._start_told, connection, encode)).start()
@@ -275,7 +275,7 @@
                 self._send_if_listed(connection, encode)
             else:
                 # a server that is leaving tells its start, and closes the connection
-                self._unchecked = loss is None and self._check is StartCheck.KNOWN
+                self._checks_late = loss is None and self._check is StartCheck.ASK
                 self._reconnect(connection, encode, "closed before the request")
 
     def _send_if_listed(self, connection: Connection, encode: Callable[[float], bytes]) -> None:
@@ -285,13 +285,13 @@
             return
         if self._check is not StartCheck.NONE:
             self.server_start = connection.server_start or UNKNOWN_START
-        if self._check is StartCheck.LISTED and self.server_start != self.entry.started_ms:
+        if self._check is StartCheck.MATCH and self.server_start != self.entry.started_ms:
             self._reconnect(connection, encode, "the server has started again")
             return
         self._connection = connection
         self.sent = True
         connection.send(encode(now_s()), self)
-        if self._unchecked:
+        if self._checks_late:
             self._late_check = LateStartCheck(self.backend.connections, self._late_start_told)
 
     def _late_start_told(self, start: int) -> None:
@@ -305,10 +305,10 @@
 
         A stream that has not begun is sent in the end, and the server asked after that.
         """
-        if self._reconnected and self._check is StartCheck.LISTED:
+        if self._reconnected and self._check is StartCheck.MATCH:
             self._give_up_unsent(connection, detail)
             return
-        self._unchecked = self._unchecked or self._reconnected
+        self._checks_late = self._checks_late or self._reconnected
         self._reconnected = True
         connection.abort()
         self._connecting = asyncio.get_running_loop().create_task(self._connect(encode))
--- a/src/redwingbank/front/stream_binding.py
+++ b/src/redwingbank/front/stream_binding.py
@@ -39,11 +39,14 @@
         self._pool = admitted.pool
         self._pools = {share.pool for share in route.shares}
         self._resumable = route.kind is Kind.STREAM and route.resumable
-        self._taken_up = self._resumable and facts.takes_up
+        # the class may have been resumable when a stream began that is named
+        named = route.kind is Kind.STREAM and bool(facts.resumes)
+        self._taken_up = named or (self._resumable and facts.takes_up)
         self._begun = self._bound = False
         self._stream = facts.resumes if self._taken_up else facts.request_id
         # empty for a stream that is taken up without its name
-        self._key = stream_key(self._stream) if self._stream else ""
+        bindable = self._resumable or self._taken_up
+        self._key = stream_key(self._stream) if bindable and self._stream else ""
         self._timeout_s = route.timeout_s
         patience_s = route.timeout_s if facts.deadline_s is None else facts.deadline_s
         self._request_id = facts.request_id
@@ -58,9 +61,9 @@
     @property
     def start_check(self) -> StartCheck:
         """What a server must tell of its start before it gets the request."""
-        if not self._resumable:
-            return StartCheck.NONE
-        return StartCheck.LISTED if self.origin or self._begun else StartCheck.KNOWN
+        if self.origin:
+            return StartCheck.MATCH
+        return StartCheck.ASK if self._resumable else StartCheck.NONE
 
     def find(self, found: Callable[[Code | None], None]) -> None:
         """Find out what began a stream that is taken up; pass on a code if it can't go on."""
@@ -87,7 +90,7 @@
 
     def events_received(self, attempt: Attempt) -> None:
         """Bind the stream before its first event is forwarded, or once its version is known."""
-        if self._bound or not self._resumable:
+        if self._bound or not (self._resumable or self.origin):
             return
         version = self._version_of(attempt)
         self._begun = True
--- a/tests/front/stream_versions.feature
+++ b/tests/front/stream_versions.feature
@@ -44,6 +44,12 @@
       | it does not name         |
       | only a lost host knew of |
 
+  Scenario: a stream that its caller takes up is bound although its class is not resumable any more
+    Given 3 fronts and servers of versions v1, v1.1, v1, v1.1
+    When 8 callers take their streams up at another host when the class is not resumable any more
+    Then no caller got events of two versions
+    And every caller got its whole stream
+
   Scenario: a stream whose version serves no more does not go on at another one
     Given 2 fronts and servers of versions v1, v1.1
     When a caller takes its stream up after the server of its version has left
--- a/tests/steps/front_stream_versions.py
+++ b/tests/steps/front_stream_versions.py
@@ -171,6 +171,26 @@
     run_scenario(context.rig, scenario)
 
 
+@when(
+    "{count:d} callers take their streams up at another host"
+    " when the class is not resumable any more"
+)
+def take_up_not_resumable(context, count):
+    async def scenario(rig):
+        fronts = await start_hosts(context, rig)
+        streams = new_streams(context, count)
+        await asyncio.gather(*(stream.read(rig, fronts[0], until=2) for stream in streams))
+        changed = table(2)
+        for row in changed["routes"]:
+            row["resumable"] = False
+        await rig.store.put("config", "main", changed)
+        await rig.until(lambda: all(f.router.tables.table.revision == 2 for f in fronts))
+        for stream in streams:
+            await stream.read(rig, fronts[1])
+
+    run_scenario(context.rig, scenario)
+
+
 @when("{count:d} callers take their streams up at another host after each event")
 def take_up_each(context, count):
     async def scenario(rig):
