--- a/tests/front_rig.py
+++ b/tests/front_rig.py
@@ -8,6 +8,7 @@
 import tempfile
 from pathlib import Path
 
+from redwingbank.clock import now_s
 from redwingbank.front.program import Front
 from redwingbank.platform.settings import read_host_settings
 from redwingbank.settings import Address
@@ -200,6 +201,17 @@
         await self.until(front.router.ready)
         return front, proxy
 
+    async def start_hosts(self, count):
+        """Start further fronts until there are `count` that hear each other; return them all."""
+        fronts = [self.front]
+        for number in range(2, count + 1):
+            front, _ = await self.add_host(f"edge-{number}")
+            fronts.append(front)
+        await self.until(
+            lambda: all(len(f.router.peers.alive(now_s())) + 1 >= len(fronts) for f in fronts)
+        )
+        return fronts
+
     async def ask(
         self, kind, *, request_id="r-1", key=KEY, deadline_ms=1500, front=None, **headers
     ):
--- a/tests/steps/front_server_limits.py
+++ b/tests/steps/front_server_limits.py
@@ -80,21 +80,10 @@
         context.longest_stall_s = max(context.longest_stall_s, now_s() - before_s - TICK_S)
 
 
-async def start_hosts(context, rig):
-    fronts = [rig.front]
-    for number in range(2, context.hosts + 1):
-        front, _ = await rig.add_host(f"edge-{number}")
-        fronts.append(front)
-    await rig.until(
-        lambda: all(len(f.router.peers.alive(now_s())) + 1 >= len(fronts) for f in fronts)
-    )
-    return fronts
-
-
 @when("callers send reads, bookings and streams to all fronts for {seconds:d} s")
 def send_to_all(context, seconds):
     async def scenario(rig):
-        fronts = await start_hosts(context, rig)
+        fronts = await rig.start_hosts(context.hosts)
         ticker = asyncio.create_task(measure_stalls(context))
         await send_until(context, rig, fronts, now_s() + seconds)
         ticker.cancel()
@@ -197,7 +186,7 @@
 @when("callers send only {kind} requests to all fronts for {seconds:d} s")
 def send_kind(context, kind, seconds):
     async def scenario(rig):
-        fronts = await start_hosts(context, rig)
+        fronts = await rig.start_hosts(context.hosts)
         await send_until(context, rig, fronts, now_s() + seconds, (kind,))
 
     run_scenario(context.rig, scenario, table(timeout_ms=5000))
@@ -218,7 +207,7 @@
 @when("callers send requests for 3 s, the server stops naming its limit, and they send for 3 s")
 def stop_naming(context):
     async def scenario(rig):
-        fronts = await start_hosts(context, rig)
+        fronts = await rig.start_hosts(context.hosts)
         await send_until(context, rig, fronts, now_s() + 3)
         context.limited[0].named_limit = ""
         await send_until(context, rig, fronts, now_s() + 3)
--- a/tests/steps/front_stream_versions.py
+++ b/tests/steps/front_stream_versions.py
@@ -112,13 +112,7 @@
 
 
 async def start_hosts(context, rig):
-    fronts = [rig.front]
-    for number in range(2, context.hosts + 1):
-        front, _ = await rig.add_host(f"edge-{number}")
-        fronts.append(front)
-    await rig.until(
-        lambda: all(len(f.router.peers.alive(now_s())) + 1 >= len(fronts) for f in fronts)
-    )
+    fronts = await rig.start_hosts(context.hosts)
     if context.first_only:
         offer_first_server_first(rig)
     return fronts
