--- a/src/redwingbank/front/stream_sharing.py
+++ b/src/redwingbank/front/stream_sharing.py
@@ -29,6 +29,8 @@
 # not time: what arrived while this host was held up is read after its timers.
 ASK_AGAIN_S = 0.05
 MAX_QUESTIONS = 5
+# After the end of a host many streams are taken up at the same moment; a message asks for several.
+ASK_BATCH_S = 0.002
 # streams per datagram, at about 80 bytes each
 MAX_NOTES = 15
 
@@ -60,6 +62,7 @@
         self._followed_s = float("-inf")
         self._repeated_s = float("-inf")
         self._search_by_key: dict[str, _Search] = {}
+        self._unasked: list[str] = []
         self._handler_by_purpose = {
             Purpose.TOLD: self._handle_told,
             Purpose.ASKED: self._handle_question,
@@ -166,8 +169,21 @@
             self._conclude(key, None)
             return
         search.questions += 1
-        self._tell(search.silent, Purpose.ASKED, [StreamNote(key)])
-        search.timer = asyncio.get_running_loop().call_later(ASK_AGAIN_S, self._ask, key)
+        loop = asyncio.get_running_loop()
+        if not self._unasked:
+            loop.call_later(ASK_BATCH_S, self._send_questions)
+        self._unasked.append(key)
+        search.timer = loop.call_later(ASK_AGAIN_S, self._ask, key)
+
+    def _send_questions(self) -> None:
+        keys, self._unasked = self._unasked, []
+        notes_by_host: defaultdict[str, list[StreamNote]] = defaultdict(list)
+        for key in keys:
+            search = self._search_by_key.get(key)
+            for host in search.silent if search else ():
+                notes_by_host[host].append(StreamNote(key))
+        for host, notes in notes_by_host.items():
+            self._tell([host], Purpose.ASKED, notes)
 
     def _conclude(self, key: str, origin: StreamOrigin | None) -> None:
         search = self._search_by_key.pop(key)
