--- a/tests/front/stream_versions.feature
+++ b/tests/front/stream_versions.feature
@@ -113,6 +113,10 @@
     When 6 callers leave their streams after two events and do not come back
     Then no host remembers a stream
 
+  Scenario: a relay's news of servers tell their versions
+    When a relay sends news of a server of version v1.1
+    Then the host that gets them knows that it is of version v1.1
+
   Scenario: the log tells at which version a stream goes on
     Given 3 fronts and servers of versions v1, v1.1, v1, v1.1
     When 1 callers read two events at the first front and take their streams up at another host
--- a/tests/steps/front_stream_versions.py
+++ b/tests/steps/front_stream_versions.py
@@ -16,6 +16,9 @@
 from redwingbank.ctl.explain import as_text, find_decisions
 from redwingbank.ctl.records import parse_records
 from redwingbank.ctl.timeline_merge import merge
+from redwingbank.front.digest import Message, News, decode_message, encode_message
+from redwingbank.front.values import ServerEntry
+from redwingbank.settings import Address
 from redwingbank_standins.backend_server import EVENTS_PER_STREAM, BackendServer
 from redwingbank_standins.raw_response import parse_response
 
@@ -377,6 +380,20 @@
     assert "last served by edge-1" in decisions, decisions
 
 
+@when("a relay sends news of a server of version {version}")
+def news_sent(context, version):
+    address = Address("10.0.0.9", 1)
+    server = ServerEntry("i-1", "pool", address, "a", 4, False, 1, version)
+    data = encode_message(Message("edge-1", 1, News(1, 2, (server,), ())))
+    context.news = decode_message(data, 0.0).content
+
+
+@then("the host that gets them knows that it is of version {version}")
+def news_known(context, version):
+    (server,) = context.news.written
+    assert server.version == version
+
+
 @when("{count:d} callers read streams, and half of them take them up at another host")
 def read_and_take_up(context, count):
     async def scenario(rig):
