--- a/src/redwingbank/rules/host_ring.py
+++ b/src/redwingbank/rules/host_ring.py
@@ -24,6 +24,7 @@
 
     >>> ring = HostRing()
     >>> ring.update(["edge-1", "edge-2", "edge-3"])
+    True
     >>> len(ring.successors("a1", 2))
     2
     """
