Handle signals until the process ends

Callers see nothing of it; an operator saw a planned stop end with -1 or -15 and without the last lines of the log when another SIGHUP or SIGTERM came in its last moment. Cause: asyncio puts the default action back when a handler is removed, and the interpreter takes a while to exit after that. Handlers stay until the end now. Ruled out: blocking the signals, since other threads of the daemon still take them.

--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -26,6 +26,7 @@
 from redwingbank.platform.headers import READINESS_TARGET
 from redwingbank.platform.objects import KIND_SERVERS, KIND_TABLE
 from redwingbank.platform.settings import read_host_settings, settings_path
+from redwingbank.process_signals import handled_signals
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -43,6 +44,7 @@
 LAST_READ_S = 0.02
 # pause before a background task that failed starts again
 RESTART_S = 1.0
+HANDLED_SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
 
 
 class Front:
@@ -61,6 +63,14 @@
         self._listeners: list[asyncio.Server] = []
 
     async def run(self) -> None:
+        """Serve, and handle signals, until the shutdown is complete.
+
+        :raises OSError: if an address can't be listened on
+        """
+        with handled_signals(HANDLED_SIGNALS, self.handle_signal):
+            await self.serve()
+
+    async def serve(self) -> None:
         """Serve until the shutdown is complete.
 
         :raises OSError: if an address can't be listened on
@@ -70,7 +80,6 @@
         router, settings = self.router, self._settings
         router.log.essential("started", caller=str(settings.caller), store=str(settings.store))
         async with anyio.create_task_group() as group:
-            group.start_soon(self._signals)
             for watcher in watchers:
                 group.start_soon(self._keep_running, watcher.run)
             group.start_soon(self._keep_running, self._blocks.run)
@@ -112,14 +121,13 @@
             self._listeners.append(server)
         await loop.create_datagram_endpoint(lambda: self.router.peers, settings.peer)
 
-    async def _signals(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP) as signals:
-            async for number in signals:
-                if number == signal.SIGHUP:
-                    with self.router.barrier.confine("settings"):
-                        self._reload("signal")
-                elif self.router.shutdown.begin(now_s()):
-                    self.router.log.essential("leaving", connections=len(self.router.connections))
+    def handle_signal(self, number: signal.Signals) -> None:
+        """Read the settings again at SIGHUP; begin the shutdown at any other signal."""
+        if number == signal.SIGHUP:
+            with self.router.barrier.confine("settings"):
+                self._reload("signal")
+        elif self.router.shutdown.begin(now_s()):
+            self.router.log.essential("leaving", connections=len(self.router.connections))
 
     async def _run_housekeeping(self) -> None:
         """Run periodic tasks until the shutdown is complete."""
--- a/src/redwingbank/run.py
+++ b/src/redwingbank/run.py
@@ -12,13 +12,14 @@
 
 from redwingbank.daemon import Daemon
 from redwingbank.errors import EXIT_FAULT, EXIT_USAGE, SettingErrors
+from redwingbank.process_signals import handled_signals
 from redwingbank.settings import read_settings
 
 if TYPE_CHECKING:
-    from anyio.abc import TaskStatus
-
     from redwingbank.settings import Settings
 
+DRAIN_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 app = cyclopts.App(name="redwingbank", help="Route language-model traffic with service levels.")
 
 
@@ -56,21 +57,10 @@
 
 async def _serve(settings: Settings) -> None:
     daemon = Daemon(settings)
-    async with anyio.create_task_group() as group:
-        await group.start(_drain_on_signal, daemon)
+    with handled_signals(DRAIN_SIGNALS, lambda _number: daemon.drain()):
         async with anyio.create_task_group() as serving:
             await serving.start(daemon.run)
             print(f"listening {daemon.caller} control {daemon.links.peers.address}", flush=True)
-        group.cancel_scope.cancel()
-
-
-async def _drain_on_signal(
-    daemon: Daemon, *, task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED
-) -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        task_status.started()
-        async for _ in signals:
-            daemon.drain()
 
 
 def main() -> None:
--- a/tests/front_rig.py
+++ b/tests/front_rig.py
@@ -126,7 +126,7 @@
         self.front = Front(self.path, read_host_settings(self.path))
         self.lines = []
         self.front.router.log._write = self._log
-        self._task = asyncio.create_task(self.front.run())
+        self._task = asyncio.create_task(self.front.serve())
         await self.until(self.front.router.ready)
 
     def _log(self, data):
@@ -157,7 +157,7 @@
         self.path.write_text(json.dumps(boot(store, await free_ports(3), **self.bounds)))
         self.front = Front(self.path, read_host_settings(self.path))
         self.front.router.log._write = self._log
-        self._task = asyncio.create_task(self.front.run())
+        self._task = asyncio.create_task(self.front.serve())
         await self.until(self.front.router.ready)
 
     async def stop(self):
@@ -196,7 +196,7 @@
         path.write_text(json.dumps(document))
         front = Front(path, read_host_settings(path))
         front.router.log._write = self._log
-        task = asyncio.create_task(front.run())
+        task = asyncio.create_task(front.serve())
         self._others += [(proxy, task)]
         await self.until(front.router.ready)
         return front, proxy
--- a/tests/steps/front_answers.py
+++ b/tests/steps/front_answers.py
@@ -5,7 +5,6 @@
 import asyncio
 import contextlib
 import json
-import os
 import signal
 import time
 from unittest import mock
@@ -285,7 +284,7 @@
         )
         await rig.store.put("servers", "i-9", {"state": "gone"})
         if "reload" in step:
-            os.kill(os.getpid(), signal.SIGHUP)
+            rig.front.handle_signal(signal.SIGHUP)
         if step not in {"the choice of a server", "the sending of a request"}:
             await rig.until(lambda: "internal-error" in str(rig.lines), within_s=15)
         context.answer = await rig.ask("single", request_id="r-1")
