Answer what has just connected to a host that ends

Callers saw connections reset that a host in a planned stop had just accepted. Two causes, each with scenarios of front/shutdown.feature that failed before (4 of 4): from 2.5 s after SIGTERM a connection without a request is closed as idle at the next tick, also one made a moment before, and the process did not wait for its request; and closing the listener resets the connections that the system has set up and the front has not accepted yet. Now the first request of a connection has 0.25 s to come, within the grace period, and the queue is emptied after the listening socket has lost its handler and before its last descriptor is closed. Ruled out: requests half read or read (tested before, they pass).

--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -21,6 +21,8 @@
 WRITE_BUFFER_BYTES = 64 * 1024
 # A connection with more requests waiting for their turn is closed.
 MAX_PIPELINED_REQUESTS = 8
+# The first request of a connection follows its handshake within a round trip.
+FIRST_REQUEST_S = 0.25
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 CODE_BY_STATUS = {
@@ -48,6 +50,7 @@
         self._exchange: Exchange | None = None
         self._pending: deque[PendingRequest] = deque()
         self._keep_alive = True
+        self._unused = True
         self._method = b""
         self._closing = False
         self._unsent_bytes = 0
@@ -58,9 +61,12 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being read or answered."""
+        """Whether a request is being read or answered, or the first one is on its way."""
         return (
-            self._exchange is not None or self.request_started_s is not None or bool(self._pending)
+            self._exchange is not None
+            or self.request_started_s is not None
+            or bool(self._pending)
+            or (self._unused and now_s() - self.idle_since_s < FIRST_REQUEST_S)
         )
 
     @property
@@ -109,6 +115,7 @@
 
     def request_started(self) -> None:
         """Record the arrival of a request's first byte."""
+        self._unused = False
         self.request_started_s = now_s()
         self.head_complete = False
 
@@ -169,7 +176,7 @@
         self._close()
 
     def close_idle(self) -> None:
-        """Close the connection if no request is being read or answered."""
+        """Close the connection unless it is busy."""
         if not self.busy:
             self._close()
 
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -19,6 +19,7 @@
 from redwingbank.front.freshness import ASK_INTERVAL_S
 from redwingbank.front.hosts import discover_hosts
 from redwingbank.front.inbound import InboundConnection
+from redwingbank.front.listener import Listener
 from redwingbank.front.probe import ProbeAnswer, ProbeConnection
 from redwingbank.front.router import Router
 from redwingbank.front.store import StoreClient, Watcher
@@ -35,7 +36,6 @@
     from redwingbank.front.values import HostSettings
 
 METRICS_TARGET = b"/metrics"
-BACKLOG = 512
 # interval of timeouts, idle-connection checks and log flushes
 HOUSEKEEPING_S = 0.1
 # interval of checks whether the settings file has changed without a signal
@@ -60,7 +60,7 @@
         self._blocks = BlockList(
             self._store, self.router.poison, self.router.log, self.router.random
         )
-        self._listeners: list[asyncio.Server] = []
+        self._listeners: list[Listener] = []
 
     async def run(self) -> None:
         """Serve, and handle signals, until the shutdown is complete.
@@ -110,15 +110,15 @@
         return table, servers, blocks
 
     async def _listen(self) -> None:
-        loop = asyncio.get_running_loop()
         settings = self._settings
-        for address, protocol in (
-            (settings.caller, lambda: InboundConnection(self.router)),
-            (settings.readiness, lambda: ProbeConnection(self._answer_readiness)),
-            (settings.metrics, lambda: ProbeConnection(self._answer_metrics)),
-        ):
-            server = await loop.create_server(protocol, *address, backlog=BACKLOG)
-            self._listeners.append(server)
+        self._listeners = [
+            Listener(settings.caller, lambda: InboundConnection(self.router)),
+            Listener(settings.readiness, lambda: ProbeConnection(self._answer_readiness)),
+            Listener(settings.metrics, lambda: ProbeConnection(self._answer_metrics)),
+        ]
+        for listener in self._listeners:
+            await listener.start()
+        loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self.router.peers, settings.peer)
 
     def handle_signal(self, number: signal.Signals) -> None:
@@ -162,7 +162,7 @@
     async def _close(self) -> None:
         """Stop listening, and answer the requests that have arrived meanwhile."""
         for listener in self._listeners:
-            listener.close()
+            await listener.drain()
         while True:
             await anyio.sleep(LAST_READ_S)
             if not self.router.busy or self.router.shutdown.closed(now_s()):
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -125,7 +125,7 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being read or answered."""
+        """Whether a request is being read or answered, or may be about to arrive."""
         return bool(self.exchanges) or any(one.busy for one in self.connections)
 
     def guard(self, step: Callable[[], None], failed: Callable[[], None]) -> None:
--- a/tests/front/shutdown.feature
+++ b/tests/front/shutdown.feature
@@ -57,6 +57,20 @@
     When requests arrive whole while a host decides that it may end
     Then each of these callers gets a complete answer
 
+  Scenario Outline: a connection that has just been made is not closed before its request comes
+    When a caller connects to a host that began to shut down <since> s ago, and sends a booking <later> s later
+    Then the caller gets a complete answer
+
+    Examples:
+      | since | later |
+      | 2.55  | 0.15  |
+      | 3.1   | 0.15  |
+      | 7.0   | 0.15  |
+
+  Scenario: connections that wait to be accepted when the process could end are answered
+    When callers connect and send requests while a host decides that it may end
+    Then each of these callers gets a complete answer
+
   Scenario: a reload signal that comes while the front starts does not end it
     When a front gets SIGHUP while it imports its libraries
     Then it runs on
--- a/tests/steps/front_shutdown.py
+++ b/tests/steps/front_shutdown.py
@@ -6,6 +6,7 @@
 import json
 import os
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -240,6 +241,53 @@
     context.answers = run_scenario(context.rig, scenario)
 
 
+@when(
+    "a caller connects to a host that began to shut down {since:g} s ago,"
+    " and sends a booking {later:g} s later"
+)
+def connects_late(context, since, later):
+    context.rig = Rig()
+
+    async def scenario(rig):
+        rig.front.router.shutdown.begin(now_s() - since)
+        reader, writer = await rig.connect()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(close_at_end(rig))
+            await asyncio.sleep(later)
+            writer.write(request("single"))
+            return await read_all(reader)
+
+    context.answers = [run_scenario(context.rig, scenario)]
+
+
+@when("callers connect and send requests while a host decides that it may end")
+def connect_at_end(context):
+    context.rig = Rig()
+
+    async def scenario(rig):
+        router = rig.front.router
+        finished = router.shutdown.finished
+        sockets = []
+
+        def connect_then_decide(now, *, busy):
+            over = finished(now, busy=busy)
+            if over:
+                for number in range(5):
+                    sockets.append(socket.create_connection(router.settings.caller))
+                    sockets[-1].sendall(request("single", request_id=f"r-{number}"))
+            return over
+
+        router.shutdown.finished = connect_then_decide
+        router.shutdown.begin(now_s() - 3.1)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(close_at_end(rig))
+            await rig.until(lambda: sockets)
+            connections = [await asyncio.open_connection(sock=one) for one in sockets]
+            return [await read_all(reader) for reader, _ in connections]
+
+    context.answers = run_scenario(context.rig, scenario)
+
+
 @then("the caller gets a complete answer")
 @then("each of these callers gets a complete answer")
 def complete_answers(context):
