Let the soak find requests without an answer

A request counts as lost if its host could be reached, was neither killed nor paused meanwhile, and closed the connection without any answer. On a kept connection it counts only if it had run, since an idle close may cross a request. The fronts of the soak move to a module of their own.

--- a/src/redwingbank_bench/soak.py
+++ b/src/redwingbank_bench/soak.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import json
-import signal
 import sys
 import tempfile
 import time
@@ -13,23 +13,26 @@
 from random import Random
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from redwingbank.settings import Address
-from redwingbank_bench.processes import ChildProcess, free_port
 from redwingbank_bench.soakcallers import (
     MAX_CHUNKS,
     PATH_BY_CLASS,
     CallerConnection,
     encode_request,
 )
-from redwingbank_bench.soakchecks import Attempt, LimitedArrivals, Observations, find_violations
+from redwingbank_bench.soakchecks import (
+    Attempt,
+    LimitedArrivals,
+    Observations,
+    find_violations,
+)
 from redwingbank_bench.soakdocuments import (
     ANY_PORT,
     ORGANISATION,
     REVOKE_S,
-    boot_document,
     table_document,
 )
-from redwingbank_bench.soakproxy import LOOPBACK, Proxy
+from redwingbank_bench.soakfronts import FrontFleet
+from redwingbank_bench.soakproxy import Proxy
 from redwingbank_bench.soakservers import (
     LIMIT_PER_S,
     ServerFleet,
@@ -51,7 +54,6 @@
 START_TIMEOUT_S = 15.0
 # the users require a host to serve again within 12 s
 RECOVERY_S = 12.0
-RESTART_POLL_S = 0.1
 # longer than any fault or recovery takes, so that a run always ends
 RUN_MARGIN_S = 60.0
 PAUSE_BETWEEN_FAULTS_S = (0.05, 0.8)
@@ -89,14 +91,12 @@
         self._store = ObjectStore()
         self._store_proxies: list[Proxy] = []
         self._servers = ServerFleet(self._store, self._random)
-        self._fronts: list[ChildProcess] = []
-        self._caller_addresses: list[Address] = []
+        self._fronts = FrontFleet(self._random, folder)
         self._attempts_by_id: dict[str, Attempt] = {}
         self._revoked_s_by_key: dict[str, float] = {}
         self._keys = ["key-0"]
         self._version = 1
         self._finished = False
-        self._exit_requested: dict[str, bool] = {}
         self._faults: Counter[str] = Counter()
         self._violations: list[str] = []
         self._reused = 0
@@ -107,12 +107,15 @@
         try:
             await self._start()
             callers = [asyncio.create_task(self._run_caller(number)) for number in range(CALLERS)]
-            callers.append(asyncio.create_task(self._supervise()))
+            supervisor = asyncio.create_task(self._fronts.supervise())
             await self._inject_faults(seconds)
             self._clear_faults()
             await self._check_recovery()
             self._finished = True
             await asyncio.gather(*callers)
+            supervisor.cancel()
+            with contextlib.suppress(asyncio.CancelledError):
+                await supervisor
         finally:
             self._stop()
         ends = Counter(
@@ -126,10 +129,11 @@
             REVOKE_S,
             ORGANISATION,
             LimitedArrivals(LIMIT_PER_S, self._servers.limited_arrivals_s),
+            tuple(self._fronts.interruptions),
         )
         return Result(
             self._seed,
-            self._violations + find_violations(observations),
+            self._violations + self._fronts.violations + find_violations(observations),
             dict(sorted(ends.items())),
             dict(self._faults),
             self._reused,
@@ -141,24 +145,14 @@
         store = await self._store.start(ANY_PORT)
         await self._write_table()
         await self._servers.start()
-        for number in range(self._hosts):
+        for _ in range(self._hosts):
             proxy = Proxy(store)
             self._store_proxies.append(proxy)
-            self._add_front(number, await proxy.start(ANY_PORT))
+            self._fronts.add(await proxy.start(ANY_PORT))
         await asyncio.gather(
             *(self._wait_until_serving(number, START_TIMEOUT_S) for number in range(self._hosts))
         )
 
-    def _add_front(self, number: int, store: Address) -> None:
-        caller = Address(LOOPBACK, free_port())
-        self._caller_addresses.append(caller)
-        path = self._folder / f"boot-{number}.json"
-        path.write_text(json.dumps(boot_document(number, caller, store)))
-        environment = {"REDWINGBANK_NODE_FILE": str(path)}
-        front = ChildProcess(f"front-{number}", ["redwingbank.front"], self._folder, environment)
-        front.start()
-        self._fronts.append(front)
-
     async def _inject_faults(self, seconds: float) -> None:
         """Start faults at random times, so that they occur in series and overlap."""
         deadline_s = time.monotonic() + seconds
@@ -186,39 +180,6 @@
         await self._write_table(without=old_key)
         self._revoked_s_by_key[old_key] = time.monotonic()
 
-    async def _pause_front(self) -> None:
-        front = self._random.choice(self._fronts)
-        front.send_signal(signal.SIGSTOP)
-        await sleep_during_fault(self._random)
-        front.send_signal(signal.SIGCONT)
-
-    async def _kill_front(self) -> None:
-        front = self._random.choice(self._fronts)
-        self._exit_requested[front.name] = True
-        front.send_signal(signal.SIGKILL)
-
-    async def _terminate_front(self) -> None:
-        front = self._random.choice(self._fronts)
-        self._exit_requested[front.name] = True
-        front.send_signal(signal.SIGTERM)
-
-    async def _reload_front_settings(self) -> None:
-        self._random.choice(self._fronts).send_signal(signal.SIGHUP)
-
-    async def _supervise(self) -> None:
-        """Restart each front that has exited, as the platform does."""
-        while not self._finished:  # noqa: ASYNC110 - a process exit has no event
-            for front in self._fronts:
-                if not front.alive:
-                    self._record_exit(front)
-                    front.start()
-            await asyncio.sleep(RESTART_POLL_S)
-
-    def _record_exit(self, front: ChildProcess) -> None:
-        """Report a front that exited without a signal from the soak."""
-        if not self._exit_requested.pop(front.name, None):
-            self._violations.append(f"unexpected exit: {front.name}, {front.exit_status}")
-
     def _clear_faults(self) -> None:
         self._store.fault = ""
         for proxy in self._store_proxies:
@@ -240,7 +201,7 @@
         deadline_s = time.monotonic() + within_s
         while time.monotonic() < deadline_s:
             attempt = await self._send_request(
-                CallerConnection(self._caller_addresses[number]),
+                CallerConnection(self._fronts.addresses[number]),
                 "read",
                 f"probe-{number}-{time.time_ns()}",
                 keep=False,
@@ -254,12 +215,12 @@
         """Send requests until the end; every second caller keeps its connection while it lasts."""
         random = Random(f"{self._seed}-{number}")
         count = 0
-        connection = CallerConnection(random.choice(self._caller_addresses))
+        connection = CallerConnection(random.choice(self._fronts.addresses))
         while not self._finished:
             count += 1
             name = random.choice(list(PATH_BY_CLASS))
             if not connection.is_open:
-                connection = CallerConnection(random.choice(self._caller_addresses))
+                connection = CallerConnection(random.choice(self._fronts.addresses))
             leaves = name == "memo" and random.random() < LEAVING_SHARE
             attempt = await self._send_request(
                 connection,
@@ -282,7 +243,7 @@
             if attempt.whole and attempt.status == STATUS_OK or not last:
                 return
             attempt = await self._send_request(
-                CallerConnection(random.choice(self._caller_addresses)),
+                CallerConnection(random.choice(self._fronts.addresses)),
                 "memo",
                 f"{stream}-{number}",
                 keep=False,
@@ -321,6 +282,11 @@
             stamp=answer.headers.get("server-stamp", ""),
             echo=answer.headers.get("request-id", ""),
             body=answer.body,
+            host=self._fronts.name_by_address[connection.address]
+            if connection.was_reached
+            else "",
+            reused=reused,
+            ended_s=time.monotonic(),
         )
         self._attempts_by_id[request_id] = attempt
         return attempt
@@ -331,9 +297,7 @@
         await self._store.put("config", "main", table_document(self._version, keys))
 
     def _stop(self) -> None:
-        for front in self._fronts:
-            front.send_signal(signal.SIGCONT)
-            front.stop()
+        self._fronts.stop()
         for proxy in self._store_proxies:
             proxy.stop()
         self._servers.stop()
@@ -349,10 +313,10 @@
     "key": Soak._rotate_key,  # noqa: SLF001
     "drain": lambda soak: soak._servers.drain(),  # noqa: SLF001
     "restart": lambda soak: soak._servers.restart(),  # noqa: SLF001
-    "pause": Soak._pause_front,  # noqa: SLF001
-    "kill": Soak._kill_front,  # noqa: SLF001
-    "term": Soak._terminate_front,  # noqa: SLF001
-    "hup": Soak._reload_front_settings,  # noqa: SLF001
+    "pause": lambda soak: soak._fronts.pause(),  # noqa: SLF001
+    "kill": lambda soak: soak._fronts.kill(),  # noqa: SLF001
+    "term": lambda soak: soak._fronts.terminate(),  # noqa: SLF001
+    "hup": lambda soak: soak._fronts.reload(),  # noqa: SLF001
 }
 
 
--- a/src/redwingbank_bench/soakcallers.py
+++ b/src/redwingbank_bench/soakcallers.py
@@ -22,7 +22,8 @@
     """Sends requests to a host one after the other, on one connection for as long as it lasts."""
 
     def __init__(self, address: Address) -> None:
-        self._address = address
+        self.address = address
+        self.was_reached = False
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     async def send(self, request: bytes, most_chunks: int = MAX_CHUNKS) -> bytes:
@@ -35,7 +36,8 @@
         with contextlib.suppress(OSError, TimeoutError, ValueError, asyncio.IncompleteReadError):
             async with asyncio.timeout(ANSWER_TIMEOUT_S):
                 if self._streams is None:
-                    self._streams = await asyncio.open_connection(*self._address)
+                    self._streams = await asyncio.open_connection(*self.address)
+                    self.was_reached = True
                 reader, writer = self._streams
                 writer.write(request)
                 kept = await _read_answer(reader, received, most_chunks)
--- a/src/redwingbank_bench/soakchecks.py
+++ b/src/redwingbank_bench/soakchecks.py
@@ -29,7 +29,8 @@
     """A caller's request and its response; times are this process's monotonic seconds.
 
     `status` is 0 if no response arrived; `whole` is true if the response was complete. One that
-    takes up a stream names the request that began it, and the last event received.
+    takes up a stream names the request that began it, and the last event received. `host` is
+    empty if it could not be reached; `reused` tells that the connection had been used before.
     """
 
     request_id: str
@@ -43,6 +44,22 @@
     body: bytes
     resumes: str = ""
     resume_after: int = 0
+    host: str = ""
+    reused: bool = False
+    ended_s: float = 0.0
+
+
+class Interruption(NamedTuple):
+    """The time for which a host was killed or paused."""
+
+    host: str
+    from_s: float
+    to_s: float
+
+    def affects(self, attempt: Attempt) -> bool:
+        """Whether a request was under way at the host meanwhile."""
+        overlaps = attempt.sent_s <= self.to_s and self.from_s <= attempt.ended_s
+        return attempt.host == self.host and overlaps
 
 
 class LimitedArrivals(NamedTuple):
@@ -61,6 +78,7 @@
     revoke_s: float
     organisation: str
     limited: LimitedArrivals | None = None
+    interruptions: tuple[Interruption, ...] = ()
 
 
 def find_violations(seen: Observations) -> list[str]:
@@ -72,6 +90,7 @@
         *_find_unsent_runs(seen),
         *_find_runs_after_revocation(seen),
         *_find_limit_excess(seen.limited),
+        *_find_lost_requests(seen),
     ]
 
 
@@ -127,6 +146,19 @@
         yield f"limit: {count} requests in {LIMIT_WINDOW_S} s at {limited.per_s} a second"
 
 
+def _find_lost_requests(seen: Observations) -> Iterator[str]:
+    """Describe the requests without an answer whose host was neither killed nor paused."""
+    ran = {run.request_id for run in seen.runs}
+    for attempt in seen.attempts_by_id.values():
+        if attempt.status or not attempt.host:
+            continue
+        # the host may close an idle connection at the moment at which a request arrives
+        crossed = attempt.reused and attempt.request_id not in ran
+        if not crossed and not any(item.affects(attempt) for item in seen.interruptions):
+            waited_s = attempt.ended_s - attempt.sent_s
+            yield f"lost: {attempt.request_id} waited for {attempt.host} {waited_s:.2f} s in vain"
+
+
 def allowed_in_window(per_s: float) -> float:
     """Return how many requests a server that names a limit may get in `LIMIT_WINDOW_S`."""
     return LIMIT_FACTOR * per_s * LIMIT_WINDOW_S + LIMIT_SLACK
@@ -153,6 +185,7 @@
 __all__ = [
     "TOLD_S",
     "Attempt",
+    "Interruption",
     "LimitedArrivals",
     "Observations",
     "allowed_in_window",
--- /dev/null
+++ b/src/redwingbank_bench/soakfronts.py
@@ -0,0 +1,102 @@
+"""The fronts of a soak: started, disturbed by signals, and started again when they exit."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import signal
+import time
+from typing import TYPE_CHECKING
+
+from redwingbank.settings import Address
+from redwingbank_bench.processes import ChildProcess, free_port
+from redwingbank_bench.soakchecks import Interruption
+from redwingbank_bench.soakdocuments import boot_document
+from redwingbank_bench.soakproxy import LOOPBACK
+from redwingbank_bench.soakservers import sleep_during_fault
+
+if TYPE_CHECKING:
+    from pathlib import Path
+    from random import Random
+
+RESTART_POLL_S = 0.1
+
+
+class FrontFleet:
+    """Front processes by number; `violations` names those that exited without a signal to."""
+
+    def __init__(self, random: Random, folder: Path) -> None:
+        self.addresses: list[Address] = []
+        self.name_by_address: dict[Address, str] = {}
+        self.interruptions: list[Interruption] = []
+        self.violations: list[str] = []
+        self._random = random
+        self._folder = folder
+        self._fronts: list[ChildProcess] = []
+        self._exit_requested: set[str] = set()
+        self._killed_s_by_name: dict[str, float] = {}
+
+    def add(self, store: Address) -> None:
+        """Start a front that reaches the store at an address."""
+        number = len(self._fronts)
+        caller = Address(LOOPBACK, free_port())
+        path = self._folder / f"boot-{number}.json"
+        path.write_text(json.dumps(boot_document(number, caller, store)))
+        environment = {"REDWINGBANK_NODE_FILE": str(path)}
+        front = ChildProcess(f"front-{number}", ["redwingbank.front"], self._folder, environment)
+        front.start()
+        self._fronts.append(front)
+        self.addresses.append(caller)
+        self.name_by_address[caller] = front.name
+
+    async def pause(self) -> None:
+        """Stop a front for a while."""
+        front = self._random.choice(self._fronts)
+        paused_s = time.monotonic()
+        front.send_signal(signal.SIGSTOP)
+        await sleep_during_fault(self._random)
+        front.send_signal(signal.SIGCONT)
+        self.interruptions.append(Interruption(front.name, paused_s, time.monotonic()))
+
+    async def kill(self) -> None:
+        """Kill a front."""
+        front = self._random.choice(self._fronts)
+        self._exit_requested.add(front.name)
+        self._killed_s_by_name[front.name] = time.monotonic()
+        front.send_signal(signal.SIGKILL)
+
+    async def terminate(self) -> None:
+        """Begin the planned stop of a front."""
+        front = self._random.choice(self._fronts)
+        self._exit_requested.add(front.name)
+        front.send_signal(signal.SIGTERM)
+
+    async def reload(self) -> None:
+        """Let a front read its settings again."""
+        self._random.choice(self._fronts).send_signal(signal.SIGHUP)
+
+    async def supervise(self) -> None:
+        """Restart each front that has exited, as the platform does, until cancelled."""
+        while True:
+            for front in self._fronts:
+                if not front.alive:
+                    self._record_exit(front)
+                    front.start()
+            await asyncio.sleep(RESTART_POLL_S)
+
+    def stop(self) -> None:
+        """Stop all fronts."""
+        for front in self._fronts:
+            front.send_signal(signal.SIGCONT)
+            front.stop()
+
+    def _record_exit(self, front: ChildProcess) -> None:
+        killed_s = self._killed_s_by_name.pop(front.name, None)
+        if killed_s is not None:
+            self.interruptions.append(Interruption(front.name, killed_s, time.monotonic()))
+        if front.name not in self._exit_requested:
+            self.violations.append(f"unexpected exit: {front.name}, {front.exit_status}")
+        self._exit_requested.discard(front.name)
+
+
+__all__ = ["FrontFleet"]
--- a/tests/steps/system_soak.py
+++ b/tests/steps/system_soak.py
@@ -5,7 +5,13 @@
 from behave import given, then, when
 
 from redwingbank_bench.soak import REVOKE_S, soak
-from redwingbank_bench.soakchecks import Attempt, LimitedArrivals, Observations, find_violations
+from redwingbank_bench.soakchecks import (
+    Attempt,
+    Interruption,
+    LimitedArrivals,
+    Observations,
+    find_violations,
+)
 from redwingbank_bench.soakdocuments import ORGANISATION
 from redwingbank_standins.backend_server import ReceivedRequest
 
@@ -47,6 +53,11 @@
     )
 
 
+def make_unanswered(request_id, host, sent_s=1.0, reused=False):
+    attempt = make_attempt(request_id, "read", b"", sent_s, status=0)
+    return attempt._replace(host=host, ended_s=sent_s + 0.1, reused=reused)
+
+
 def make_run(request_id, **headers):
     return ReceivedRequest(request_id, "/x", {"tenant": ORGANISATION, **headers}, b"body", 2.0)
 
@@ -58,7 +69,10 @@
         "r-2": make_attempt("r-2", "memo", EVENTS),
         "r-3": make_attempt("r-3", "book", b"", status=503),
         "r-4": make_attempt("r-4", "read", b"whole"),
+        "r-6": make_unanswered("r-6", "front-1", sent_s=2.5),
+        "r-7": make_unanswered("r-7", "front-2", reused=True),
     }
+    context.interruptions = (Interruption("front-1", 2.0, 3.0),)
     context.runs = [
         make_run("r-1"),
         make_run("r-2"),
@@ -103,6 +117,12 @@
     "a request ran long after its key was revoked": change_attempt(
         "r-4", key="key-0", sent_s=0.6 + REVOKE_S
     ),
+    "a request got no answer from a host that ran all the while": change_attempt(
+        "r-6", sent_s=3.1, ended_s=3.2
+    ),
+    "a request that ran got no answer on a kept connection": lambda context: context.runs.append(
+        make_run("r-7")
+    ),
 }
 
 
@@ -114,6 +134,7 @@
         REVOKE_S,
         ORGANISATION,
         LimitedArrivals(2.0, context.arrivals_s),
+        context.interruptions,
     )
     return find_violations(observations)
 
