Drain a daemon without cutting off what is on its way

Callers of a draining daemon lost requests that had just been accepted: at the end of the drain the server library closes every connection without a complete head.

--- /dev/null
+++ b/tests/ports/drain.feature
@@ -0,0 +1,18 @@
+Feature: a daemon drains without cutting callers off
+
+  Scenario Outline: a request that is on its way when the listener closes is answered
+    Given a daemon that keeps its listener for 0.5 s while it drains
+    When a caller that has sent <sent> sends the rest 0.15 s after the listener has closed
+    Then the caller gets a complete response
+
+    Examples:
+      | sent                                     |
+      | nothing on a new connection              |
+      | half a head on a new connection          |
+      | half a body on a new connection          |
+      | half a head on a connection used before  |
+
+  Scenario: a draining daemon tells callers to connect again
+    Given a daemon that keeps its listener for 0.5 s while it drains
+    When a question comes on a kept connection while the daemon drains
+    Then the response closes the connection
