Let a body take long if it comes steadily

Callers with a slow link got 408 for a body that took longer than the idle timeout, though it never paused: the timeout was counted from the first byte of the request. The time allowed is the idle timeout plus what the bytes that have arrived take at 16 KiB/s; a pause of the idle timeout ends it.

--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -23,6 +23,8 @@
 MAX_PIPELINED_REQUESTS = 8
 # The first request of a connection follows its handshake within a round trip.
 FIRST_REQUEST_S = 0.25
+# A body that comes more slowly, beyond the idle timeout, is refused.
+MIN_BODY_BYTES_PER_S = 16 * 1024
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 CODE_BY_STATUS = {
@@ -54,7 +56,7 @@
         self._method = b""
         self._closing = False
         self._unsent_bytes = 0
-        self._progress_s = now_s()
+        self._progress_s = self._received_s = now_s()
         self.idle_since_s = now_s()
         self.request_started_s: float | None = None
         self.head_complete = False
@@ -85,6 +87,7 @@
         """Read requests."""
         if self._closing:
             return
+        self._received_s = now_s()
         limits = self._router.limits()
         self._reader.header_limit = limits.header_bytes
         self._reader.body_limit = limits.body_bytes
@@ -194,11 +197,17 @@
         if self.request_started_s is None:
             if now - self.idle_since_s > limits.idle_timeout_s:
                 self._close()
-        elif now - self.request_started_s > (
-            limits.idle_timeout_s if self.head_complete else limits.header_timeout_s
-        ):
+        elif self._is_too_slow(now - self.request_started_s, now):
             self._reject(Code.TOO_SLOW, "request not complete in time")
 
+    def _is_too_slow(self, elapsed_s: float, now: float) -> bool:
+        """Whether a request has stalled, or comes more slowly than it may."""
+        limits = self._router.limits()
+        if not self.head_complete:
+            return elapsed_s > limits.header_timeout_s
+        allowed_s = limits.idle_timeout_s + self._reader.body_bytes / MIN_BODY_BYTES_PER_S
+        return elapsed_s > allowed_s or now - self._received_s > limits.idle_timeout_s
+
     def _has_unread_answer(self, now: float) -> bool:
         """Whether a part of an answer still waits to be sent; a slow caller reads on."""
         transport = self._transport
--- a/src/redwingbank/front/wire.py
+++ b/src/redwingbank/front/wire.py
@@ -85,6 +85,11 @@
         self._header_bytes = 0
         self._pending_bytes = 0
 
+    @property
+    def body_bytes(self) -> int:
+        """How much of the body of the current request has arrived."""
+        return len(self._body)
+
     def feed(self, data: bytes) -> None:
         """Parse bytes from the connection.
 
--- a/tests/front/answers.feature
+++ b/tests/front/answers.feature
@@ -125,6 +125,16 @@
     When the caller reads nothing for 16 s
     Then the connection is aborted
 
+  Scenario Outline: a body may take long if it comes steadily
+    When a body of <bytes> bytes comes in 10 parts, one each <pause> s, at an idle timeout of 2 s
+    Then the front answers <status> and the request ran <runs> times
+
+    Examples:
+      | bytes  | pause | status | runs |
+      | 200000 | 0.3   | 200    | 1    |
+      | 10     | 0.3   | 408    | 0    |
+      | 200000 | 2.5   | 408    | 0    |
+
   Scenario: the name of an organisation may have any characters
     When an organisation named "東京 Bäckerei" sends a booking
     Then its server got that name, in UTF-8
--- a/tests/steps/front_answers.py
+++ b/tests/steps/front_answers.py
@@ -23,6 +23,7 @@
 from redwingbank.platform.directory import decode_table
 from redwingbank.platform.headers import decode_call
 from redwingbank_standins.backend_server import BackendServer
+from redwingbank_standins.raw_response import parse_response
 
 LARGE_EVENT_BYTES = 300_000
 LARGE_BODY_BYTES = 40_000_000
@@ -405,6 +406,30 @@
     assert context.transport.aborted
 
 
+@when(
+    "a body of {size:d} bytes comes in {parts:d} parts, one each {pause:g} s,"
+    " at an idle timeout of {idle:d} s"
+)
+def slow_body(context, size, parts, pause, idle):
+    content = table()
+    content["limits"] |= {"maxBodyBytes": size, "idleTimeoutMs": idle * 1000}
+    context.rig = Rig()
+
+    async def scenario(rig):
+        reader, writer = await rig.connect()
+        head = request("single", deadline_ms=20_000).removesuffix(b"body")
+        writer.write(head.replace(b"Content-Length: 4", b"Content-Length: %d" % size))
+        answer = asyncio.create_task(reader.read())
+        for _ in range(parts):
+            await asyncio.sleep(pause)
+            if answer.done():
+                break
+            writer.write(bytes(size // parts))
+        return parse_response(await answer)
+
+    context.answer = run_scenario(context.rig, scenario, content)
+
+
 @when('an organisation named "{name}" sends a booking')
 def named_organisation(context, name):
     content = table()
