Refuse requests that stall at a daemon

A caller that sent nothing, or a byte of a head or body now and then, kept its connection to a daemon forever: the server library has a timeout for idle connections after an answer only. Four of the six rows of ports/slow_callers.feature failed with the check taken out (two waited 10 s in vain, two got 200 for what came in trickles); a slow steady body and a pipelined head behind a long answer passed before, and do now. The same rule as in the front: the idle timeout, plus what the bytes that have come take at 16 KiB/s.

--- a/src/redwingbank/daemon.py
+++ b/src/redwingbank/daemon.py
@@ -22,7 +22,7 @@
 from redwingbank.ports.engine import BackendClient, EngineClient
 from redwingbank.ports.engine_orders import EngineOrders
 from redwingbank.ports.faults import FaultPlan
-from redwingbank.ports.listener import bounded_protocol, close_connections
+from redwingbank.ports.listener import CallerLimits, bounded_protocol, close_connections
 from redwingbank.ports.operator import OperatorEndpoints
 from redwingbank.ports.peer_metrics import export_peer_counters
 from redwingbank.ports.platform_http import HttpPlatform
@@ -203,7 +203,7 @@
             close_connections(self._caller_app, self._draining.is_set),
             host=self.settings.caller.host,
             port=self.settings.caller.port,
-            http=bounded_protocol(self.settings.header_limit_bytes),
+            http=bounded_protocol(CallerLimits(self.settings.header_limit_bytes)),
             ws="none",
             lifespan="off",
             loop="asyncio",
--- a/src/redwingbank/ports/listener.py
+++ b/src/redwingbank/ports/listener.py
@@ -1,8 +1,9 @@
-"""The protocol of callers' connections: bounded heads, and no request cut off by a drain."""
+"""The protocol of callers' connections: limits on requests, and none cut off by a drain."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING, Any, ClassVar
+from enum import Enum, auto
+from typing import TYPE_CHECKING, Any, ClassVar, NamedTuple
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
@@ -20,35 +21,65 @@
 FIRST_REQUEST_S = 0.25
 # How long a drain waits for the rest of a head.
 REST_OF_HEAD_S = 1.0
+# A body that comes more slowly, beyond the idle timeout, is refused.
+MIN_BODY_BYTES_PER_S = 16 * 1024
+CHECKS_PER_TIMEOUT = 4
 TOO_LARGE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
     b"Content-Length: 0\r\nConnection: close\r\n\r\n"
 )
+TOO_SLOW = b"HTTP/1.1 408 Request Timeout\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+
+
+class CallerLimits(NamedTuple):
+    """Limits on what a caller may send, and on how long it may take."""
+
+    header_bytes: int
+    head_timeout_s: float = 10.0
+    idle_timeout_s: float = 15.0
+
+
+class _Phase(Enum):
+    """What is to come next on a connection."""
+
+    FIRST_REQUEST = auto()
+    HEAD = auto()
+    BODY = auto()
+    ANYTHING = auto()
 
 
 class CallerProtocol(HttpToolsProtocol):
-    """Closes a connection whose head is far over the limit.
+    """Refuses heads that are far over the limit, and requests that stall.
 
     The parser gathers an incomplete header without a limit, and reports its size only at its end.
     At the end of a drain a connection whose request is on its way stays open for it.
     """
 
-    header_limit_bytes: ClassVar[int]
+    limits: ClassVar[CallerLimits]
 
     def __init__(self, *arguments: Any, **keywords: Any) -> None:
         super().__init__(*arguments, **keywords)
-        self._pending_bytes = 0
-        self._connected_s = 0.0
+        self._pending_bytes = self._body_bytes = 0
+        self._phase = _Phase.FIRST_REQUEST
+        self._begun_s = self._received_s = 0.0
+        self._check: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
-        """Record when the connection was made."""
+        """Expect the first request."""
         super().connection_made(transport)
-        self._connected_s = self.loop.time()
+        self._begun_s = self._received_s = self.loop.time()
+        self._check_later()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Stop the checks."""
+        if self._check:
+            self._check.cancel()
+        super().connection_lost(exc)
 
     def shutdown(self) -> None:
         """Close the connection, after the answer in progress or the request on its way."""
-        connected_for_s = self.loop.time() - self._connected_s
-        expects_first = self.cycle is None and connected_for_s < FIRST_REQUEST_S
+        waited_s = self.loop.time() - self._begun_s
+        expects_first = self._phase is _Phase.FIRST_REQUEST and waited_s < FIRST_REQUEST_S
         if self._pending_bytes or expects_first:
             self.loop.call_later(REST_OF_HEAD_S, super().shutdown)
         else:
@@ -56,33 +87,81 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a part of a request."""
+        self._received_s = self.loop.time()
         self._pending_bytes += len(data)
         super().data_received(data)
-        if self._pending_bytes > PENDING_FACTOR * self.header_limit_bytes:
-            # nothing is written into an answer that is in progress
-            if self.cycle is None or self.cycle.response_complete:
-                self.transport.write(TOO_LARGE)
-            self.transport.close()
+        if self._pending_bytes > PENDING_FACTOR * self.limits.header_bytes:
+            self._refuse(TOO_LARGE)
+        elif self._phase is not _Phase.ANYTHING:
+            self._check_later()
+
+    def on_message_begin(self) -> None:
+        """Expect the rest of a head."""
+        self._phase, self._begun_s = _Phase.HEAD, self._received_s
+        super().on_message_begin()
 
     def on_headers_complete(self) -> None:
         """Start the application."""
-        self._pending_bytes = 0
+        self._pending_bytes = self._body_bytes = 0
+        self._phase = _Phase.BODY
         super().on_headers_complete()
 
     def on_body(self, body: bytes) -> None:
         """Pass on a part of the body."""
         self._pending_bytes = 0
+        self._body_bytes += len(body)
         super().on_body(body)
 
     def on_message_complete(self) -> None:
         """Pass on the end of the request."""
         self._pending_bytes = 0
+        self._phase = _Phase.ANYTHING
         super().on_message_complete()
 
+    def _check_later(self) -> None:
+        if self._check is None:
+            limits = self.limits
+            interval_s = min(limits.head_timeout_s, limits.idle_timeout_s) / CHECKS_PER_TIMEOUT
+            self._check = self.loop.call_later(interval_s, self._check_progress)
+
+    def _check_progress(self) -> None:
+        self._check = None
+        if self.transport.is_closing() or self._phase is _Phase.ANYTHING:
+            return
+        if not self._is_too_slow(self.loop.time()) or self._is_answering():
+            self._check_later()
+        elif self._phase is _Phase.FIRST_REQUEST:
+            self.transport.close()
+        else:
+            self._refuse(TOO_SLOW)
+
+    def _is_answering(self) -> bool:
+        """Whether an earlier request is being answered, or this one already."""
+        if self.cycle is None or self.cycle.response_complete:
+            return False
+        earlier = bool(self.pipeline) or self._phase is _Phase.HEAD
+        return earlier or self.cycle.response_started
+
+    def _is_too_slow(self, now: float) -> bool:
+        """Whether a request has stalled, or comes more slowly than it may."""
+        limits, elapsed_s = self.limits, now - self._begun_s
+        if self._phase is _Phase.FIRST_REQUEST:
+            return elapsed_s > self.timeout_keep_alive
+        if self._phase is _Phase.HEAD:
+            return elapsed_s > limits.head_timeout_s
+        allowed_s = limits.idle_timeout_s + self._body_bytes / MIN_BODY_BYTES_PER_S
+        return elapsed_s > allowed_s or now - self._received_s > limits.idle_timeout_s
+
+    def _refuse(self, answer: bytes) -> None:
+        """Close the connection; nothing is written into an answer that is in progress."""
+        if not self._is_answering():
+            self.transport.write(answer)
+        self.transport.close()
+
 
-def bounded_protocol(header_limit_bytes: int) -> type[asyncio.Protocol]:
-    """Return the protocol of callers' connections with a limit on the size of heads."""
-    return type("BoundedProtocol", (CallerProtocol,), {"header_limit_bytes": header_limit_bytes})
+def bounded_protocol(limits: CallerLimits) -> type[asyncio.Protocol]:
+    """Return the protocol of callers' connections with some limits."""
+    return type("BoundedProtocol", (CallerProtocol,), {"limits": limits})
 
 
 def close_connections(app: App, draining: Callable[[], bool]) -> App:
@@ -100,4 +179,4 @@
     return call
 
 
-__all__ = ["bounded_protocol", "close_connections"]
+__all__ = ["CallerLimits", "bounded_protocol", "close_connections"]
