--- a/src/redwingbank_bench/processes.py
+++ b/src/redwingbank_bench/processes.py
@@ -55,7 +55,7 @@
 
     def start(self) -> None:
         """Start the process, or start it again after it has exited."""
-        with self.log.open("ab") as log, _reload_signal_ignored():
+        with self.log.open("ab") as log:
             self._process = subprocess.Popen(  # noqa: S603
                 self._arguments,
                 stdout=log,
@@ -126,10 +126,11 @@
 
 
 @contextlib.contextmanager
-def _reload_signal_ignored() -> Iterator[None]:
+def reload_signal_ignored() -> Iterator[None]:
     """Ignore SIGHUP, so that a process started meanwhile ignores it until it handles it itself.
 
-    Without this, the signal ends a process whose interpreter has not run its first line yet.
+    Without this, the signal ends a process whose interpreter has not run its first line yet. To
+    be called from the main thread.
     """
     previous = signal.signal(signal.SIGHUP, signal.SIG_IGN)
     try:
@@ -163,4 +164,4 @@
 
 _assigned_ports: set[int] = set()
 
-__all__ = ["ChildError", "ChildProcess", "Usage", "free_port"]
+__all__ = ["ChildError", "ChildProcess", "Usage", "free_port", "reload_signal_ignored"]
--- a/src/redwingbank_bench/soakfronts.py
+++ b/src/redwingbank_bench/soakfronts.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 from redwingbank.settings import Address
-from redwingbank_bench.processes import ChildProcess, free_port
+from redwingbank_bench.processes import ChildProcess, free_port, reload_signal_ignored
 from redwingbank_bench.soakchecks import Interruption
 from redwingbank_bench.soakdocuments import boot_document
 from redwingbank_bench.soakproxy import LOOPBACK
@@ -44,7 +44,7 @@
         path.write_text(json.dumps(boot_document(number, caller, store)))
         environment = {"REDWINGBANK_NODE_FILE": str(path)}
         front = ChildProcess(f"front-{number}", ["redwingbank.front"], self._folder, environment)
-        front.start()
+        self._start(front)
         self._fronts.append(front)
         self.addresses.append(caller)
         self.name_by_address[caller] = front.name
@@ -81,7 +81,7 @@
             for front in self._fronts:
                 if not front.alive:
                     self._record_exit(front)
-                    front.start()
+                    self._start(front)
             await asyncio.sleep(RESTART_POLL_S)
 
     def stop(self) -> None:
@@ -90,6 +90,10 @@
             front.send_signal(signal.SIGCONT)
             front.stop()
 
+    def _start(self, front: ChildProcess) -> None:
+        with reload_signal_ignored():
+            front.start()
+
     def _record_exit(self, front: ChildProcess) -> None:
         killed_s = self._killed_s_by_name.pop(front.name, None)
         if killed_s is not None:
--- a/tests/steps/bench_process_signals.py
+++ b/tests/steps/bench_process_signals.py
@@ -13,7 +13,7 @@
 
 from front_rig import LOOPBACK, boot, free_ports
 from redwingbank.settings import Address
-from redwingbank_bench.processes import ChildProcess
+from redwingbank_bench.processes import ChildProcess, reload_signal_ignored
 from redwingbank_bench.rig import write_toml
 
 TIMEOUT_S = 15.0
@@ -60,7 +60,8 @@
     environment = {"REDWINGBANK_NODE_FILE": str(path)}
     arguments = [argument.format(path=path) for argument in arguments]
     context.program = ChildProcess(program, arguments, folder, environment)
-    context.program.start()
+    with reload_signal_ignored():
+        context.program.start()
     context.add_cleanup(context.program.stop)
 
 
