Pause fronts in the soak for longer than what they were told holds

A paused host could act on a permission that has run out: a key, a caller's deadline, the list. The soak's pauses ended after 2.5 s, keys last 5 s. Three in ten pauses now take 5 to 8 s, and a request that reaches a server 3 s or more after its deadline is a violation.

--- a/src/redwingbank_bench/soakchecks.py
+++ b/src/redwingbank_bench/soakchecks.py
@@ -5,6 +5,7 @@
 from collections import Counter, deque
 from typing import TYPE_CHECKING, NamedTuple
 
+from redwingbank_bench.soakdocuments import DEADLINE_MS, MAX_FAULT_S
 from redwingbank_bench.soakstreams import STREAM_CLASSES, find_broken_streams
 
 if TYPE_CHECKING:
@@ -23,6 +24,8 @@
 LIMIT_SLACK = 5
 # until every host has been told
 TOLD_S = 3.0
+# a request that was sent in time may be held up for as long as a link is disturbed
+LATE_S = MAX_FAULT_S + 0.5
 
 
 class Attempt(NamedTuple):
@@ -89,6 +92,7 @@
         *_find_repeated_runs(seen),
         *_find_unsent_runs(seen),
         *_find_runs_after_revocation(seen),
+        *_find_late_runs(seen),
         *_find_limit_excess(seen.limited),
         *_find_lost_requests(seen),
     ]
@@ -138,6 +142,16 @@
             )
 
 
+def _find_late_runs(seen: Observations) -> Iterator[str]:
+    for run in seen.runs:
+        attempt = seen.attempts_by_id.get(run.request_id)
+        if attempt is None:
+            continue
+        late_s = run.received_s - attempt.sent_s - DEADLINE_MS / 1000
+        if late_s > LATE_S:
+            yield f"late: {run.request_id} reached a server {late_s:.1f} s after its deadline"
+
+
 def _find_limit_excess(limited: LimitedArrivals | None) -> Iterator[str]:
     if limited is None or not limited.at_s:
         return
@@ -183,6 +197,7 @@
 
 
 __all__ = [
+    "LATE_S",
     "TOLD_S",
     "Attempt",
     "Interruption",
--- a/src/redwingbank_bench/soakdocuments.py
+++ b/src/redwingbank_bench/soakdocuments.py
@@ -17,6 +17,7 @@
 GRACE_S = 4.0
 ORGANISATION = "bakery"
 DEADLINE_MS = 2500
+MAX_FAULT_S = 2.5
 ROUTES = (
     ("book", "nonidempotent", False, 1),
     ("read", "idempotent", False, 2),
@@ -86,6 +87,7 @@
     "ANY_PORT",
     "DEADLINE_MS",
     "HOST_NAME",
+    "MAX_FAULT_S",
     "ORGANISATION",
     "REVOKE_S",
     "boot_document",
--- a/src/redwingbank_bench/soakfronts.py
+++ b/src/redwingbank_bench/soakfronts.py
@@ -11,7 +11,7 @@
 from redwingbank.settings import Address
 from redwingbank_bench.processes import ChildProcess, free_port, reload_signal_ignored
 from redwingbank_bench.soakchecks import Interruption
-from redwingbank_bench.soakdocuments import boot_document
+from redwingbank_bench.soakdocuments import REVOKE_S, boot_document
 from redwingbank_bench.soakproxy import LOOPBACK
 from redwingbank_bench.soakservers import sleep_during_fault
 
@@ -20,6 +20,8 @@
     from random import Random
 
 RESTART_POLL_S = 0.1
+LONG_PAUSE_SHARE = 0.3
+LONG_PAUSE_S = (REVOKE_S, REVOKE_S + 3.0)
 
 
 class FrontFleet:
@@ -50,11 +52,14 @@
         self.name_by_address[caller] = front.name
 
     async def pause(self) -> None:
-        """Stop a front for a while."""
+        """Stop a front for a while, sometimes for longer than anything it was told is valid."""
         front = self._random.choice(self._fronts)
         paused_s = time.monotonic()
         front.send_signal(signal.SIGSTOP)
-        await sleep_during_fault(self._random)
+        if self._random.random() < LONG_PAUSE_SHARE:
+            await asyncio.sleep(self._random.uniform(*LONG_PAUSE_S))
+        else:
+            await sleep_during_fault(self._random)
         front.send_signal(signal.SIGCONT)
         self.interruptions.append(Interruption(front.name, paused_s, time.monotonic()))
 
--- a/src/redwingbank_bench/soakservers.py
+++ b/src/redwingbank_bench/soakservers.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from redwingbank_bench.soakdocuments import ANY_PORT, entry_document
+from redwingbank_bench.soakdocuments import ANY_PORT, MAX_FAULT_S, entry_document
 from redwingbank_bench.soakproxy import MODES, Proxy
 from redwingbank_standins.backend_server import BackendServer
 
@@ -22,7 +22,6 @@
 # Servers of two software versions serve side by side, and come back with the other one.
 VERSIONS = ("blue", "green")
 ANSWER_MODES = ("ok", "error", "shed", "lost", "garbage", "foreign", "extra", "cut", "unsized")
-MAX_FAULT_S = 2.5
 
 
 class Server(BackendServer):
--- a/tests/steps/system_soak.py
+++ b/tests/steps/system_soak.py
@@ -6,13 +6,14 @@
 
 from redwingbank_bench.soak import REVOKE_S, soak
 from redwingbank_bench.soakchecks import (
+    LATE_S,
     Attempt,
     Interruption,
     LimitedArrivals,
     Observations,
     find_violations,
 )
-from redwingbank_bench.soakdocuments import ORGANISATION
+from redwingbank_bench.soakdocuments import DEADLINE_MS, ORGANISATION
 from redwingbank_standins.backend_server import ReceivedRequest
 
 EVENTS = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 5))
@@ -111,6 +112,9 @@
     "an API key reached a server": lambda context: context.runs.append(
         make_run("r-4", authorization="Token key-1")
     ),
+    "a request reached a server long after its deadline": lambda context: context.runs.append(
+        make_run("r-2")._replace(received_s=1.1 + DEADLINE_MS / 1000 + LATE_S)
+    ),
     "a server got more than the limit that it names": lambda context: setattr(
         context, "arrivals_s", (*context.arrivals_s, 6.9)
     ),
--- a/tests/system/soak.feature
+++ b/tests/system/soak.feature
@@ -29,6 +29,7 @@
       | a request ran but was never sent                  | unasked   |
       | an API key reached a server                       | unasked   |
       | a request ran long after its key was revoked      | revoked   |
+      | a request reached a server long after its deadline | late      |
       | a server got more than the limit that it names    | limit     |
       | a request got no answer from a host that ran all the while | lost |
       | a request that ran got no answer on a kept connection      | lost |
