Let hosts settle before only one of them reaches the platform

tasks/tables @2.2 is known red, an assertion without a message, once. Twenty plays at once failed 6 times. Trace of 20 more: in 9 of 10 failures the one host that reaches the platform was a relay when the table changed, in none of the 10 that passed. It takes that place while the others, just started again, are not yet seen alive, and a relay watches the platform, polls or not. So the premise was not met, and the scenario waits for it now.

--- a/tests/steps/tasks_tables.py
+++ b/tests/steps/tasks_tables.py
@@ -59,9 +59,12 @@
     context.variant = {"tables_kind": KIND_BY_VARIANT[variant]}
     hosts.start_many(count, **context.variant)
     assert hosts.wait_for_revision(context.revision)
-    assert hosts.wait_until(
-        lambda: all(len(hosts.alive_seen_by(name)) == count for name in hosts.by_name)
-    )
+    wait_until_all_alive(hosts)
+
+
+def wait_until_all_alive(hosts):
+    names = set(hosts.by_name)
+    assert hosts.wait_until(lambda: all(hosts.alive_seen_by(name) == names for name in names))
 
 
 def change(context, count=1):
@@ -104,6 +107,8 @@
             platform=unreachable_platform,
             **context.variant,
         )
+    # while others are not seen alive, this host may take the place of a relay
+    wait_until_all_alive(hosts)
     change(context)
 
 
