Give the first request of a connection half a second

A caller on a slow link, or a busy machine, needs more than 0.25 s between the handshake and its request.

--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -21,8 +21,8 @@
 WRITE_BUFFER_BYTES = 64 * 1024
 # A connection with more requests waiting for their turn is closed.
 MAX_PIPELINED_REQUESTS = 8
-# The first request of a connection follows its handshake within a round trip.
-FIRST_REQUEST_S = 0.25
+# The first request of a connection follows its handshake within a round trip or two.
+FIRST_REQUEST_S = 0.5
 # A body that comes more slowly, beyond the idle timeout, is refused.
 MIN_BODY_BYTES_PER_S = 16 * 1024
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
--- a/src/redwingbank/ports/listener.py
+++ b/src/redwingbank/ports/listener.py
@@ -17,8 +17,8 @@
 
 # Bytes of an incomplete head, with the separators that the limit on headers does not count.
 PENDING_FACTOR = 2
-# The first request of a connection follows its handshake within a round trip.
-FIRST_REQUEST_S = 0.25
+# The first request of a connection follows its handshake within a round trip or two.
+FIRST_REQUEST_S = 0.5
 # How long a drain waits for the rest of a head.
 REST_OF_HEAD_S = 1.0
 # A body that comes more slowly, beyond the idle timeout, is refused.
