Share the rule of slow bodies; never answer a request twice at a daemon

Found while rereading: a daemon that had answered before the end of a body, and got no more of it, wrote a 408 behind that answer after the idle timeout. The new scenario of slow_callers.feature failed before with that 408. The rule itself stood twice, in the front and in the daemon; it is in rules/arrival.py now.

--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -13,6 +13,7 @@
 from redwingbank.front.refusals import error_body
 from redwingbank.front.socket_queue import unacknowledged_bytes
 from redwingbank.front.wire import RequestReader, WireError
+from redwingbank.rules.arrival import FIRST_REQUEST_S, is_body_too_slow
 
 if TYPE_CHECKING:
     from redwingbank.front.router import Router
@@ -21,10 +22,6 @@
 WRITE_BUFFER_BYTES = 64 * 1024
 # A connection with more requests waiting for their turn is closed.
 MAX_PIPELINED_REQUESTS = 8
-# The first request of a connection follows its handshake within a round trip or two.
-FIRST_REQUEST_S = 0.5
-# A body that comes more slowly, beyond the idle timeout, is refused.
-MIN_BODY_BYTES_PER_S = 16 * 1024
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 CODE_BY_STATUS = {
@@ -205,8 +202,8 @@
         limits = self._router.limits()
         if not self.head_complete:
             return elapsed_s > limits.header_timeout_s
-        allowed_s = limits.idle_timeout_s + self._reader.body_bytes / MIN_BODY_BYTES_PER_S
-        return elapsed_s > allowed_s or now - self._received_s > limits.idle_timeout_s
+        silent_s, body_bytes = now - self._received_s, self._reader.body_bytes
+        return is_body_too_slow(body_bytes, elapsed_s, silent_s, limits.idle_timeout_s)
 
     def _has_unread_answer(self, now: float) -> bool:
         """Whether a part of an answer still waits to be sent; a slow caller reads on."""
--- a/src/redwingbank/ports/listener.py
+++ b/src/redwingbank/ports/listener.py
@@ -7,6 +7,8 @@
 
 from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from redwingbank.rules.arrival import FIRST_REQUEST_S, is_body_too_slow
+
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Awaitable, Callable
@@ -17,12 +19,8 @@
 
 # Bytes of an incomplete head, with the separators that the limit on headers does not count.
 PENDING_FACTOR = 2
-# The first request of a connection follows its handshake within a round trip or two.
-FIRST_REQUEST_S = 0.5
 # How long a drain waits for the rest of a head.
 REST_OF_HEAD_S = 1.0
-# A body that comes more slowly, beyond the idle timeout, is refused.
-MIN_BODY_BYTES_PER_S = 16 * 1024
 CHECKS_PER_TIMEOUT = 4
 TOO_LARGE = (
     b"HTTP/1.1 431 Request Header Fields Too Large\r\n"
@@ -62,7 +60,7 @@
         self._pending_bytes = self._body_bytes = 0
         self._phase = _Phase.FIRST_REQUEST
         self._begun_s = self._received_s = 0.0
-        self._check: asyncio.TimerHandle | None = None
+        self._check_timer: asyncio.TimerHandle | None = None
 
     def connection_made(self, transport: asyncio.Transport) -> None:  # type: ignore[override]
         """Expect the first request."""
@@ -72,8 +70,8 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Stop the checks."""
-        if self._check:
-            self._check.cancel()
+        if self._check_timer:
+            self._check_timer.cancel()
         super().connection_lost(exc)
 
     def shutdown(self) -> None:
@@ -119,18 +117,18 @@
         super().on_message_complete()
 
     def _check_later(self) -> None:
-        if self._check is None:
+        if self._check_timer is None:
             limits = self.limits
             interval_s = min(limits.head_timeout_s, limits.idle_timeout_s) / CHECKS_PER_TIMEOUT
-            self._check = self.loop.call_later(interval_s, self._check_progress)
+            self._check_timer = self.loop.call_later(interval_s, self._check_progress)
 
     def _check_progress(self) -> None:
-        self._check = None
+        self._check_timer = None
         if self.transport.is_closing() or self._phase is _Phase.ANYTHING:
             return
         if not self._is_too_slow(self.loop.time()) or self._is_answering():
             self._check_later()
-        elif self._phase is _Phase.FIRST_REQUEST:
+        elif self._phase is _Phase.FIRST_REQUEST or self._is_answered():
             self.transport.close()
         else:
             self._refuse(TOO_SLOW)
@@ -142,6 +140,10 @@
         earlier = bool(self.pipeline) or self._phase is _Phase.HEAD
         return earlier or self.cycle.response_started
 
+    def _is_answered(self) -> bool:
+        """Whether the answer was complete before the body."""
+        return self._phase is _Phase.BODY and self.cycle.response_complete
+
     def _is_too_slow(self, now: float) -> bool:
         """Whether a request has stalled, or comes more slowly than it may."""
         limits, elapsed_s = self.limits, now - self._begun_s
@@ -149,8 +151,8 @@
             return elapsed_s > self.timeout_keep_alive
         if self._phase is _Phase.HEAD:
             return elapsed_s > limits.head_timeout_s
-        allowed_s = limits.idle_timeout_s + self._body_bytes / MIN_BODY_BYTES_PER_S
-        return elapsed_s > allowed_s or now - self._received_s > limits.idle_timeout_s
+        silent_s = now - self._received_s
+        return is_body_too_slow(self._body_bytes, elapsed_s, silent_s, limits.idle_timeout_s)
 
     def _refuse(self, answer: bytes) -> None:
         """Close the connection; nothing is written into an answer that is in progress."""
--- a/tests/steps/ports_slow_callers.py
+++ b/tests/steps/ports_slow_callers.py
@@ -24,7 +24,8 @@
 
 
 async def slow_app(scope, receive, send):
-    await read_body(receive, BODY_LIMIT_BYTES)
+    if scope["path"] != "/unread":
+        await read_body(receive, BODY_LIMIT_BYTES)
     if scope["path"] == "/slow":
         await asyncio.sleep(2.0)
     headers = [(b"content-length", b"2")]
@@ -42,6 +43,8 @@
     size = int((re.findall(r"\d{2,}", what) or ["4"])[0])
     if what.startswith("a body"):
         return build_head(size), [bytes(size // count)] * count
+    if what == "an unread body":
+        return build_head(1000, "/unread"), [b"x"] * count
     if what.startswith("a pipelined head"):
         return build_head(0, "/slow"), [b"P", b"O", b"S", b"T"]
     return b"", [b""] if what == "nothing" else [build_head(4)[at : at + 1] for at in range(count)]
@@ -69,12 +72,15 @@
         writer.write(first)
         for part in parts:
             await asyncio.sleep(pause)
-            if answer.done():
+            if answer.done() and what != "an unread body":
                 break
             writer.write(part)
         async with asyncio.timeout(PATIENCE_S):
             context.answer = parse_response(await answer)
         context.took_s = time.monotonic() - started_s
+        if what == "an unread body":
+            async with asyncio.timeout(PATIENCE_S):
+                context.rest = await reader.read()
         writer.close()
         server.should_exit = True
         await serving
@@ -86,3 +92,8 @@
 def gets_in_time(context, status, seconds):
     assert context.answer.status == status, context.answer
     assert context.took_s < seconds, context.took_s
+
+
+@then("nothing more before the connection closes")
+def gets_no_more(context):
+    assert context.rest == b"", context.rest
