Give the fronts of features ports below the ephemeral range

Its ports had been taken from the ephemeral range and freed again; any outgoing connection of the tests, or the proxy that is started next, may get one of them before the front listens. With the port held by another socket the old rig ends in the same TimeoutError in add_host; it now tells the front's own error, address already in use. The ports come from processes.free_port now, as those of the soak.

--- a/tests/front_rig.py
+++ b/tests/front_rig.py
@@ -12,6 +12,7 @@
 from redwingbank.front.program import Front
 from redwingbank.platform.settings import read_host_settings
 from redwingbank.settings import Address
+from redwingbank_bench.processes import free_port
 from redwingbank_bench.soakproxy import Proxy
 from redwingbank_standins.backend_server import BackendServer
 from redwingbank_standins.objectstore import ObjectStore
@@ -122,12 +123,12 @@
             address = self.addresses[server.name] = await server.start(Address(LOOPBACK, 0))
             listed = entry(address, version=server.version or "v1", started_ms=server.started_ms)
             await self.store.put("servers", server.name, listed)
-        self.path.write_text(json.dumps(boot(store, await free_ports(3), **self.bounds)))
+        self.path.write_text(json.dumps(boot(store, free_ports(3), **self.bounds)))
         self.front = Front(self.path, read_host_settings(self.path))
         self.lines = []
         self.front.router.log._write = self._log
         self._task = asyncio.create_task(self.front.serve())
-        await self.until(self.front.router.ready)
+        await self.wait_until_ready(self.front, self._task)
 
     def _log(self, data):
         self.lines += [json.loads(line) for line in data.splitlines()]
@@ -154,11 +155,11 @@
         """Stop the first front and start it again as another process, on other ports."""
         await self.stop_first()
         store = self.front.router.settings.store
-        self.path.write_text(json.dumps(boot(store, await free_ports(3), **self.bounds)))
+        self.path.write_text(json.dumps(boot(store, free_ports(3), **self.bounds)))
         self.front = Front(self.path, read_host_settings(self.path))
         self.front.router.log._write = self._log
         self._task = asyncio.create_task(self.front.serve())
-        await self.until(self.front.router.ready)
+        await self.wait_until_ready(self.front, self._task)
 
     async def stop(self):
         for proxy, task in self._others:
@@ -181,13 +182,19 @@
             while not condition():  # noqa: ASYNC110 - there is no event to wait for
                 await asyncio.sleep(0.01)
 
+    async def wait_until_ready(self, front, task):
+        """Wait until a front is ready, or raise the error with which it ended."""
+        await self.until(lambda: front.router.ready() or task.done())
+        if task.done():
+            await task
+
     async def connect(self):
         return await asyncio.open_connection(*self.front.router.settings.caller)
 
     async def add_host(self, name):
         """Start another front on the same store, behind its own proxy."""
         proxy = Proxy(self.front.router.settings.store)
-        ports = await free_ports(3)
+        ports = free_ports(3)
         document = {
             **boot(await proxy.start(Address(LOOPBACK, 0)), ports, **self.bounds),
             "nodeName": name,
@@ -198,7 +205,7 @@
         front.router.log._write = self._log
         task = asyncio.create_task(front.serve())
         self._others += [(proxy, task)]
-        await self.until(front.router.ready)
+        await self.wait_until_ready(front, task)
         return front, proxy
 
     async def start_hosts(self, count):
@@ -257,13 +264,8 @@
     return "\r\n".join([*lines, "", "body"]).encode()
 
 
-async def free_ports(count):
-    servers = [await asyncio.start_server(lambda *_: None, LOOPBACK, 0) for _ in range(count)]
-    ports = [server.sockets[0].getsockname()[1] for server in servers]
-    for server in servers:
-        server.close()
-        await server.wait_closed()
-    return ports
+def free_ports(count):
+    return [free_port() for _ in range(count)]
 
 
 def run_scenario(rig, scenario, content=None):
--- a/tests/steps/bench_process_signals.py
+++ b/tests/steps/bench_process_signals.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import asyncio
 import json
 import signal
 import tempfile
@@ -51,7 +50,7 @@
     context.add_cleanup(directory.cleanup)
     folder = Path(directory.name)
     path = folder / "settings"
-    ports = asyncio.run(free_ports(3))
+    ports = free_ports(3)
     if program == "front":
         path.write_text(json.dumps(boot(Address(LOOPBACK, 1), ports)))
     else:
--- a/tests/steps/front_shutdown.py
+++ b/tests/steps/front_shutdown.py
@@ -300,7 +300,7 @@
 def reload_at_start(context):
     with tempfile.TemporaryDirectory() as folder:
         path = Path(folder) / "boot.json"
-        ports = asyncio.run(free_ports(3))
+        ports = free_ports(3)
         path.write_text(json.dumps(boot(Address(LOOPBACK, 1), ports)))
         environment = {**os.environ, "REDWINGBANK_NODE_FILE": str(path)}
         command = [sys.executable, "-m", "redwingbank.front"]
