Reserve the ports of experiments by process

Cause: each process drew ports at random from one range and only looked whether they were free at that moment; between that and the start of the child another test process drew the same one, more likely since the features' fronts draw there, too. A process now holds the first port of a block bound, and draws from that block; the holder ends with it.

--- a/src/redwingbank_bench/processes.py
+++ b/src/redwingbank_bench/processes.py
@@ -23,6 +23,7 @@
 KIBIBYTE = 1024
 MIN_PORT = 12_000
 MAX_PORT = 32_000
+BLOCK_PORTS = 64
 
 
 class ChildError(RuntimeError):
@@ -140,18 +141,34 @@
 
 
 def free_port() -> int:
-    """Return a port that is free for TCP and UDP and was not returned before.
+    """Return a port that is free for TCP and UDP, and that no other process gets from here.
 
     Ports lie below the ephemeral range, from which an outgoing connection could take one
     before its process listens.
     """
     while True:
-        port = MIN_PORT + secrets.randbelow(MAX_PORT - MIN_PORT)
-        if port not in _assigned_ports and _is_free(port):
-            _assigned_ports.add(port)
+        if not _reserved_ports:
+            _reserve_block()
+        port = _reserved_ports.pop()
+        if _is_free(port):
             return port
 
 
+def _reserve_block() -> None:
+    """Reserve some ports until this process ends: those behind a port that it holds bound."""
+    while True:
+        first = MIN_PORT + BLOCK_PORTS * secrets.randbelow((MAX_PORT - MIN_PORT) // BLOCK_PORTS)
+        holder = socket.socket()
+        try:
+            holder.bind(("127.0.0.1", first))
+        except OSError:
+            holder.close()
+        else:
+            _block_holders.append(holder)
+            _reserved_ports.extend(range(first + 1, first + BLOCK_PORTS))
+            return
+
+
 def _is_free(port: int) -> bool:
     with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
         try:
@@ -162,6 +179,7 @@
     return True
 
 
-_assigned_ports: set[int] = set()
+_block_holders: list[socket.socket] = []
+_reserved_ports: list[int] = []
 
 __all__ = ["ChildError", "ChildProcess", "Usage", "free_port", "reload_signal_ignored"]
