--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from redwingbank.clock import now_s
+from redwingbank.front.failures import Failure
 from redwingbank.front.outbound import CONNECT_TIMEOUT_S, Loss
 from redwingbank.front.start_reader import LateStartCheck, StartReader
 from redwingbank.model import Outcome
@@ -48,18 +49,6 @@
     body: bytes
 
 
-class Failure(NamedTuple):
-    """Why an attempt has no answer; `sent` is true if the server may have run the request.
-
-    `reached` is false if no byte of the request was sent to the server.
-    """
-
-    outcome: Outcome
-    sent: bool
-    detail: str
-    reached: bool = True
-
-
 class StartCheck(Enum):
     """What a server must tell of its start on a connection before it gets the request.
 
@@ -350,4 +339,4 @@
     )
 
 
-__all__ = ["Answer", "Attempt", "AttemptOwner", "Failure", "StartCheck"]
+__all__ = ["Answer", "Attempt", "AttemptOwner", "StartCheck"]
--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -15,7 +15,7 @@
 if TYPE_CHECKING:
     from random import Random
 
-    from redwingbank.front.attempt import Failure
+    from redwingbank.front.failures import Failure
     from redwingbank.front.values import ServerEntry
     from redwingbank.front.wire import AnswerLimits
 
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -14,11 +14,16 @@
     STATUS_LAST_SUCCESS,
     STATUS_OK,
     Attempt,
-    Failure,
 )
 from redwingbank.front.backends import update_breaker
 from redwingbank.front.events import EventError, EventSplitter
-from redwingbank.front.failures import CUT_SHORT, error_answer, invalid_answer, is_cut_short
+from redwingbank.front.failures import (
+    CUT_SHORT,
+    Failure,
+    error_answer,
+    invalid_answer,
+    is_cut_short,
+)
 from redwingbank.front.outgoing import OutgoingRequest
 from redwingbank.front.poison import request_traits
 from redwingbank.front.refusals import refusal
@@ -194,7 +199,7 @@
         """Forward a complete answer, or end a streamed one."""
         if answer is not None:
             self._handle_answer(attempt, answer)
-        elif self._splitter is not None and is_cut_short(self._splitter, attempt):
+        elif self._splitter is not None and is_cut_short(self._splitter, sized=attempt.sized):
             self.attempt_failed(attempt, CUT_SHORT)
         elif self._splitter is not None and not self._splitter.complete:
             self._handle_failure(attempt, invalid_answer("partial event at the end"), now_s())
--- a/src/redwingbank/front/failures.py
+++ b/src/redwingbank/front/failures.py
@@ -1,16 +1,27 @@
-"""Failures of attempts that the answer itself shows, not its connection."""
+"""Failures of attempts, and those that the answer itself shows, not its connection."""
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
-from redwingbank.front.attempt import Failure
 from redwingbank.model import Outcome
 
 if TYPE_CHECKING:
-    from redwingbank.front.attempt import Attempt
     from redwingbank.front.events import EventSplitter
 
+
+class Failure(NamedTuple):
+    """Why an attempt has no answer; `sent` is true if the server may have run the request.
+
+    `reached` is false if no byte of the request was sent to the server.
+    """
+
+    outcome: Outcome
+    sent: bool
+    detail: str
+    reached: bool = True
+
+
 CUT_SHORT = Failure(Outcome.CLOSED_EARLY, sent=True, detail="connection closed inside the stream")
 
 
@@ -24,9 +35,9 @@
     return Failure(Outcome.CLOSED_EARLY, sent=True, detail=f"status {status}")
 
 
-def is_cut_short(splitter: EventSplitter, attempt: Attempt) -> bool:
+def is_cut_short(splitter: EventSplitter, *, sized: bool) -> bool:
     """Whether the end of the connection broke off a stream instead of completing it."""
-    return not attempt.sized and not (splitter.complete and splitter.has_events)
+    return not sized and not (splitter.complete and splitter.has_events)
 
 
-__all__ = ["CUT_SHORT", "error_answer", "invalid_answer", "is_cut_short"]
+__all__ = ["CUT_SHORT", "Failure", "error_answer", "invalid_answer", "is_cut_short"]
--- /dev/null
+++ b/src/redwingbank/front/open_work.py
@@ -0,0 +1,29 @@
+"""The connections and requests that a host keeps open until its shutdown is complete."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+
+class OpenConnection(Protocol):
+    """A caller's connection."""
+
+    @property
+    def busy(self) -> bool:
+        """Whether a request is being read or answered, or the first one is on its way."""
+
+    def check_timeouts(self, now: float) -> None:
+        """Close the connection if it is idle for too long; refuse a request that is too slow."""
+
+    def close_idle(self) -> None:
+        """Close the connection unless it is busy."""
+
+
+class OpenExchange(Protocol):
+    """A request that is being answered."""
+
+    def cancel(self) -> None:
+        """Cancel the request after the caller has closed its connection."""
+
+
+__all__ = ["OpenConnection", "OpenExchange"]
--- a/src/redwingbank/front/request_recorder.py
+++ b/src/redwingbank/front/request_recorder.py
@@ -11,7 +11,7 @@
 
     from redwingbank.codes import Code
     from redwingbank.front.admission import AdmittedRequest
-    from redwingbank.front.attempt import Failure
+    from redwingbank.front.failures import Failure
     from redwingbank.front.router import Router
     from redwingbank.model import Request
     from redwingbank.routing.choice import Choice
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -32,8 +32,7 @@
     from random import Random
 
     from redwingbank.front.backends import Backend
-    from redwingbank.front.exchange import Exchange
-    from redwingbank.front.inbound import InboundConnection
+    from redwingbank.front.open_work import OpenConnection, OpenExchange
     from redwingbank.front.values import HostSettings
     from redwingbank.routing.choice import Choice, RequestNeeds
 
@@ -75,8 +74,8 @@
         self.admission = Admission(self.tables)
         self.shutdown = Shutdown(settings.bounds.grace_s)
         self.durations = AnswerDurations()
-        self.connections: set[InboundConnection] = set()
-        self.exchanges: set[Exchange] = set()
+        self.connections: set[OpenConnection] = set()
+        self.exchanges: set[OpenExchange] = set()
 
     def update_settings(self, settings: HostSettings) -> None:
         """Apply reloaded settings."""
@@ -139,7 +138,7 @@
         """Return after how long a refused caller may retry."""
         return RETRY_AFTER_S_BY_CODE.get(code, RETRY_AFTER_S)
 
-    def remove_exchange(self, exchange: Exchange) -> None:
+    def remove_exchange(self, exchange: OpenExchange) -> None:
         """Remove a request that has ended."""
         self.exchanges.discard(exchange)
 
--- a/src/redwingbank/front/run_watch.py
+++ b/src/redwingbank/front/run_watch.py
@@ -7,9 +7,9 @@
 from redwingbank.model import Outcome
 
 if TYPE_CHECKING:
-    from redwingbank.front.attempt import Failure
     from redwingbank.front.backends import Backend
     from redwingbank.front.crash_probe import CrashProbes
+    from redwingbank.front.failures import Failure
     from redwingbank.front.poison import PoisonTracker
 
 # A request that crashes servers does so as it begins to be answered.
