--- a/tests/steps/routing_choice.py
+++ b/tests/steps/routing_choice.py
@@ -8,7 +8,7 @@
 
 from redwingbank.clock import now_s
 from redwingbank.codes import Code
-from redwingbank.front.attempt import Failure
+from redwingbank.front.failures import Failure
 from redwingbank.front.backends import Backends, update_breaker
 from redwingbank.front.digest import Digest, FirstEvent, Message, Sent, encode_message
 from redwingbank.front.peers import Peers
