--- a/tests/steps/front_relaying.py
+++ b/tests/steps/front_relaying.py
@@ -144,7 +144,7 @@
 @then("only hosts {names} have relayed anything")
 def passed_on(context, names):
     passing = {
-        sender._host
+        sender.host
         for sender, _, message in context.network.messages
         if isinstance(message.content, Bundle)
         and len(message.content.reports)
@@ -191,8 +191,8 @@
     async def step(network):
         host = network.hosts[0]
         relay = host._select_relay(host._place.data_centre, network.clock.now_s())
-        assert relay != host._host, "the scenario needs another host as the relay"
-        network.down.add(next(one for one in network.hosts if one._host == relay))
+        assert relay != host.host, "the scenario needs another host as the relay"
+        network.down.add(next(one for one in network.hosts if one.host == relay))
         await network.beat(seconds)
 
     context.steps.append(step)
