--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -112,7 +112,7 @@
         self._pending = _PendingDigest([], [], [])
         self._flush_due_s = float("inf")
         self._heartbeat_sent_s = 0.0
-        self._relay = ReportRelay(self)
+        self.relay = ReportRelay(self)
         self._incarnation_by_host: dict[str, int] = {}
         self._last_report_s_by_host: dict[str, float] = {}
         self._number = 0
@@ -191,14 +191,14 @@
         self._pending = _PendingDigest([], [], [])
         self._flush_due_s = float("inf")
         digest = Digest(tuple(pending.sent), tuple(pending.begun), tuple(pending.ended))
-        relay = self._relay.select(self.place.data_centre, now)
+        relay = self.relay.select(self.place.data_centre, now)
         if not relay or len(self.alive(now)) + 1 < LARGE_FLEET_HOSTS:
             self._heartbeat_sent_s = now
             self.send(digest, self.addresses())
             return
         report = Report(self.host, self._incarnation, digest)
         if relay == self.host:
-            self._relay.relay((report,))
+            self.relay.relay((report,))
         else:
             bundle = Bundle((report,), Audience.ALL)
             self.send(bundle, [self.peers_by_host[relay].address])
@@ -287,9 +287,9 @@
             if report.host != self.host and self._is_current(report.host, report.incarnation):
                 self._handle_digest(report.digest, report.host, now)
         if content.audience is Audience.ALL:
-            self._relay.relay(content.reports)
+            self.relay.relay(content.reports)
         elif content.audience is Audience.DATA_CENTRE:
-            self._relay.forward(content.reports)
+            self.relay.forward(content.reports)
 
     @_handle.register
     def _handle_digest(self, content: Digest, host: str, now: float) -> None:
--- a/tests/steps/front_relaying.py
+++ b/tests/steps/front_relaying.py
@@ -190,7 +190,7 @@
 def relay_down(context, seconds):
     async def step(network):
         host = network.hosts[0]
-        relay = host._select_relay(host._place.data_centre, network.clock.now_s())
+        relay = host.relay.select(host.place.data_centre, network.clock.now_s())
         assert relay != host.host, "the scenario needs another host as the relay"
         network.down.add(next(one for one in network.hosts if one.host == relay))
         await network.beat(seconds)
@@ -230,7 +230,7 @@
     crossing = [
         message
         for sender, receiver, message in context.network.messages
-        if sender._place.data_centre != receiver._place.data_centre
+        if sender.place.data_centre != receiver.place.data_centre
         and isinstance(message.content, Bundle | Digest)
     ]
     assert 1 <= len(crossing) <= most, crossing
