Do not join a stream from two versions when its class's timeout was lowered

Report: after all hosts were killed at once, streams that callers took up were joined from two software versions. Found here for one case: the old version's servers have left, the class's timeout was lowered, and the caller does not name its stream. A host that has just started watched the pool for only twice the new timeout before it took the one version left for the one that began the stream. Ruled out by the other rows (passing before and after): both versions in service, old version gone, taken up by name or not. Change: watch for at least 10 s. Limit: a timeout lowered from more than 10 s within that time is not covered after a start of all hosts.

--- a/src/redwingbank/front/stream_binding.py
+++ b/src/redwingbank/front/stream_binding.py
@@ -21,6 +21,9 @@
 # Within so many tries, each as long as its class's timeout, a stream is taken up that its caller
 # does not name.
 MAX_TRIES = 2
+# A class's timeout may have been lowered since a stream began, and a host that has just started
+# does not know the earlier one.
+MIN_WATCHED_S = 10.0
 MILLISECONDS = 1000
 
 
@@ -70,7 +73,7 @@
         if not self._taken_up:
             found(None)
         elif not self._stream:
-            within_s = MAX_TRIES * self._timeout_s
+            within_s = max(MIN_WATCHED_S, MAX_TRIES * self._timeout_s)
             version = self._router.versions.only_version(self._pool, within_s, now_s())
             found(self._bind(StreamOrigin(self._pool, version, "") if version else None))
         else:
--- a/tests/front/stream_versions.feature
+++ b/tests/front/stream_versions.feature
@@ -44,6 +44,20 @@
       | it does not name         |
       | only a lost host knew of |
 
+  Scenario Outline: no stream is joined from two versions after all hosts ended at once
+    Given 3 fronts and servers of versions v1, v1.1, v1, v1.1
+    When all hosts end while 12 callers read, <change>, and their streams are taken up <how>
+    Then no caller got events of two versions
+    And every stream taken up was continued whole or refused with a time to return
+
+    Examples:
+      | change                                | how               |
+      | both versions stay                    | by name           |
+      | both versions stay                    | without a name    |
+      | servers of the old version have left  | by name           |
+      | servers of the old version have left  | without a name    |
+      | the old have left and timeouts fall   | without a name    |
+
   Scenario: a stream that its caller takes up is bound although its class is not resumable any more
     Given 3 fronts and servers of versions v1, v1.1, v1, v1.1
     When 8 callers take their streams up at another host when the class is not resumable any more
--- a/tests/steps/front_stream_versions.py
+++ b/tests/steps/front_stream_versions.py
@@ -30,6 +30,8 @@
 DEADLINE_MS = 4000
 # longer than a connection may take
 DELAY_S = 1.5
+LATE_RETURN_S = 2.5
+LONG_TIMEOUT_MS = 4000
 # until hosts have told each other, and forgotten what has ended
 TOLD_S = 0.3
 
@@ -188,6 +190,41 @@
     run_scenario(context.rig, scenario)
 
 
+@when("all hosts end while {count:d} callers read, {change}, and their streams are taken up {how}")
+def take_up_after_all_ended(context, count, change, how):
+    async def scenario(rig):
+        fronts = await start_hosts(context, rig)
+        streams = new_streams(context, count)
+        await asyncio.gather(
+            *(stream.read(rig, fronts[n % 3], until=2) for n, stream in enumerate(streams))
+        )
+        for _, task in rig._others:
+            task.cancel()
+        if "left" in change:
+            for server in rig.backend_servers[::2]:
+                await rig.store.delete("servers", server.name)
+        if "timeouts fall" in change:
+            await rig.store.put("config", "main", table(2, timeout_ms=400))
+        await rig.kill_first()
+        await rig.restart_first()
+        # callers come back at once, and after several tries of a class with a short timeout
+        for wait_s in (0.0, LATE_RETURN_S):
+            await asyncio.sleep(wait_s)
+            for stream in streams:
+                stream.first_id = stream.first_id if how == "by name" else ""
+                if not stream.whole:
+                    await stream.read(rig, rig.front)
+
+    run_scenario(context.rig, scenario, table(timeout_ms=LONG_TIMEOUT_MS))
+
+
+@then("every stream taken up was continued whole or refused with a time to return")
+def whole_or_refused(context):
+    for stream in context.streams:
+        refused = stream.answer.status == 503 and "retry-after" in stream.answer.headers
+        assert stream.whole or refused, (stream.events, stream.answer)
+
+
 @when("{count:d} callers take their streams up at another host after each event")
 def take_up_each(context, count):
     async def scenario(rig):
