--- a/tests/steps/front_stream_versions.py
+++ b/tests/steps/front_stream_versions.py
@@ -190,6 +190,15 @@
     run_scenario(context.rig, scenario)
 
 
+async def change_deployment(rig, change):
+    """Remove the servers of version v1, and lower the timeouts, if the change says so."""
+    if "left" in change:
+        for server in rig.backend_servers[::2]:
+            await rig.store.delete("servers", server.name)
+    if "timeouts fall" in change:
+        await rig.store.put("config", "main", table(2, timeout_ms=400))
+
+
 @when("all hosts end while {count:d} callers read, {change}, and their streams are taken up {how}")
 def take_up_after_all_ended(context, count, change, how):
     async def scenario(rig):
@@ -200,11 +209,7 @@
         )
         for _, task in rig._others:
             task.cancel()
-        if "left" in change:
-            for server in rig.backend_servers[::2]:
-                await rig.store.delete("servers", server.name)
-        if "timeouts fall" in change:
-            await rig.store.put("config", "main", table(2, timeout_ms=400))
+        await change_deployment(rig, change)
         await rig.kill_first()
         await rig.restart_first()
         # callers come back at once, and after several tries of a class with a short timeout
