--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -6,6 +6,13 @@
 
 from redwingbank.codes import Code
 from redwingbank.routing.load import LAST_RANK, InFlightRequest
+from redwingbank.routing.prompt_copy import (
+    CachedPrompt,
+    Copy,
+    best_copy,
+    copied_tokens,
+    copy_sources,
+)
 from redwingbank.routing.targets import (
     CHUNK_TOKENS,
     DECODE_STEP_S,
@@ -21,8 +28,6 @@
     from redwingbank.front.values import CallFacts, Pool, Route, ServerEntry
     from redwingbank.routing.load import ServerLoad
 
-# Shorter parts are read sooner than a copy is set up.
-MIN_COPIED_TOKENS = 512
 # Time until an engine has set up a copy.
 COPY_SETUP_S = 0.005
 # A prompt that is read for no longer than this does not keep interactive requests from their
@@ -58,13 +63,9 @@
 
 
 DEFAULT_COSTS = Costs()
-
-
-class Copy(NamedTuple):
-    """Prompt tokens that a server copies from the cache of another one instead of reading."""
-
-    source: ServerEntry
-    tokens: int
+# A bound adds the same terms as the cost in another order, so that it may exceed the cost by
+# rounding.
+ROUNDING = 1e-9
 
 
 class Choice(NamedTuple):
@@ -95,14 +96,6 @@
     per_s: float
 
 
-class CachedPrompt(NamedTuple):
-    """How much of a prompt is cached: at one server, the most at any, and what can be copied."""
-
-    on_server: int
-    maximum: int
-    copy: Copy | None
-
-
 class RequestNeeds(NamedTuple):
     """A request's requirements, with the time left until its target and until the caller gives up.
 
@@ -166,21 +159,77 @@
         candidates.sort(key=lambda backend: backend.entry.name)
         for backend in candidates:
             backend.load.cache.capacity_tokens = pool.cache_tokens
-        held = [backend.load.cache.held_tokens(needs.facts.parts) for backend in candidates]
+        return self._least_cost(candidates, pool, needs, now_s)
+
+    def _least_cost(
+        self, candidates: list[Backend], pool: Pool, needs: RequestNeeds, now_s: float
+    ) -> Choice:
+        """Return the server of the least cost, the first one among equals.
+
+        A full estimate takes much longer than a bound below the cost, so only servers whose
+        bound is not above the least cost so far are estimated, those with the least bound first.
+        """
+        parts = needs.facts.parts
+        held = [backend.load.cache.held_tokens(parts) for backend in candidates]
         most = max(held)
-        sources = _copy_sources(candidates, needs) if pool.copy_tokens_per_s else {}
-        return min(
-            (
-                self._estimate(
-                    backend,
-                    position,
-                    CachedPrompt(tokens, most, _best_copy(backend, tokens, sources)),
-                    needs,
-                    now_s,
-                )
-                for position, (backend, tokens) in enumerate(zip(candidates, held, strict=True))
-            ),
-            key=lambda choice: choice.cost,
+        sources = copy_sources(candidates, parts) if pool.copy_tokens_per_s else {}
+        bounds = self._bounds(candidates, held, sources, needs)
+        least: tuple[float, int] = (float("inf"), len(candidates))
+        best: Choice | None = None
+        for position in sorted(range(len(candidates)), key=bounds.__getitem__):
+            backend, tokens, bound = candidates[position], held[position], bounds[position]
+            if best:
+                excess = best.cost + ROUNDING - bound
+                if excess < 0.0:
+                    break
+                if self._backlog_bound(backend, needs, now_s) > excess:
+                    continue
+            cached = CachedPrompt(tokens, most, best_copy(backend, tokens, sources))
+            choice = self._estimate(backend, position, cached, needs, now_s)
+            if best is None or (choice.cost, position) < least:
+                least, best = (choice.cost, position), choice
+        assert best is not None
+        return best
+
+    def _bounds(
+        self,
+        candidates: Sequence[Backend],
+        held: Sequence[int],
+        sources: Mapping[str, Sequence[Copy]],
+        needs: RequestNeeds,
+    ) -> list[float]:
+        """Return the terms of the servers' costs that do not depend on their backlogs."""
+        costs, prompt_tokens, data_centre = (
+            self._costs,
+            needs.facts.prompt_tokens,
+            needs.data_centre,
+        )
+        most, copied = max(held), 0
+        copyable = {version: copies[0].tokens for version, copies in sources.items() if copies}
+        bounds = []
+        for position, (backend, tokens) in enumerate(zip(candidates, held, strict=True)):
+            entry, load = backend.entry, backend.load
+            if copyable:
+                copied = copied_tokens(copyable.get(entry.version, 0), tokens)
+            unread = max(0, prompt_tokens - tokens - copied)
+            bounds.append(
+                (costs.read_second + costs.backlog_second) * unread / load.read_tokens_per_s
+                + costs.reread_token * (most - tokens - copied)
+                + costs.copied_token * copied
+                + costs.full_slots * (len(load) / entry.slots) ** 2
+                + costs.name_position * position * (unread < CHUNK_TOKENS)
+                + costs.other_data_centre * (entry.data_centre != data_centre)
+            )
+        return bounds
+
+    def _backlog_bound(self, backend: Backend, needs: RequestNeeds, now_s: float) -> float:
+        """Return the least that the backlog of a server adds to its cost."""
+        load = backend.load
+        backlog = load.backlog(now_s, min(needs.tier, LAST_RANK))
+        tokens_per_s = load.read_tokens_per_s
+        return (
+            miss_probability(backlog.ahead_tokens / tokens_per_s, needs.target_left_s)
+            + self._costs.backlog_second * backlog.tokens / tokens_per_s
         )
 
     def _below_limit(
@@ -295,35 +344,6 @@
     return None
 
 
-def _copy_sources(candidates: Sequence[Backend], needs: RequestNeeds) -> dict[str, list[Copy]]:
-    """Return the servers of each software version that have read the most of the shared parts.
-
-    What servers of two versions keep in memory does not fit together.
-    """
-    parts = needs.facts.parts
-    sources_by_version: dict[str, list[Copy]] = {}
-    for backend in candidates:
-        tokens = backend.load.cache.read_tokens(parts)
-        sources = sources_by_version.setdefault(backend.entry.version, [])
-        if sources and tokens > sources[0].tokens:
-            sources.clear()
-        if tokens and (not sources or tokens == sources[0].tokens):
-            sources.append(Copy(backend.entry, tokens))
-    return sources_by_version
-
-
-def _best_copy(
-    backend: Backend, held_tokens: int, sources_by_version: Mapping[str, Sequence[Copy]]
-) -> Copy | None:
-    """Return what a server can copy beyond what it holds, from its own data centre if possible."""
-    sources = sources_by_version.get(backend.entry.version)
-    if not sources or sources[0].tokens - held_tokens < MIN_COPIED_TOKENS:
-        return None
-    near = [copy for copy in sources if copy.source.data_centre == backend.entry.data_centre]
-    source = (near or sources)[0].source
-    return Copy(source, sources[0].tokens - held_tokens)
-
-
 def _expected_long_pauses(
     load: ServerLoad, backlog_tokens: float, unread_tokens: int, pause_s: float
 ) -> float:
--- a/src/redwingbank/routing/load.py
+++ b/src/redwingbank/routing/load.py
@@ -68,6 +68,9 @@
     share: float
 
 
+NO_URGENT_READS = UrgentReads(0.0, 0.0)
+
+
 class _PromptRead(NamedTuple):
     """A prompt sent to the server and the longest pause it causes in concurrent streams."""
 
@@ -88,6 +91,9 @@
         self.streams_by_pause_target: Counter[float] = Counter()
         self._in_flight_by_key: dict[RequestKey, InFlightRequest] = {}
         self._unread_by_key: dict[RequestKey, InFlightRequest] = {}
+        # sums over `_unread_by_key`, since every choice asks for the backlog of every server
+        self._unread_tokens = 0
+        self._unread_tokens_by_rank: dict[int, int] = {}
         self._parts_by_key: dict[RequestKey, Sequence[PromptPart]] = {}
         self._reading: RequestKey | None = None
         self._recent_reads: deque[_PromptRead] = deque(maxlen=MAX_RECENT_READS)
@@ -112,14 +118,16 @@
         """
         if not self._unread_by_key:
             return NO_BACKLOG
-        total = ahead = reading = 0
-        for key, request in self._unread_by_key.items():
-            if key == self._reading:
-                reading = request.unread_tokens
-                continue
-            total += request.unread_tokens
-            if request.rank <= rank:
-                ahead += request.unread_tokens
+        total, reading = self._unread_tokens, 0
+        ahead = 0
+        for other, tokens in self._unread_tokens_by_rank.items():
+            if other <= rank:
+                ahead += tokens
+        begun_read = self._unread_by_key.get(self._reading) if self._reading else None
+        if begun_read:
+            reading = begun_read.unread_tokens
+            total -= reading
+            ahead -= reading * (begun_read.rank <= rank)
         since_s = max(0.0, now_s - self.read_speed.last_progress_s)
         left = reading - since_s * self.read_speed.tokens_per_s
         begun, surplus = max(0.0, left), min(0.0, left)
@@ -149,7 +157,7 @@
 
     def event_received(self, pause_s: float, now_s: float) -> None:
         """Record the pause before an event of a stream that this host forwards."""
-        if self.backlog_tokens(now_s) > 0:
+        if self._unread_by_key and self.backlog_tokens(now_s) > 0:
             self.pauses.record_reading(pause_s)
 
     def count_streams_ahead(self, rank: int) -> int:
@@ -175,6 +183,8 @@
 
     def urgent_reads(self, rank: int, now_s: float) -> UrgentReads:
         """Return what came to the server in the last `READ_HISTORY_S` with an earlier rank."""
+        if rank <= 0:
+            return NO_URGENT_READS
         since_s = now_s - READ_HISTORY_S
         count = tokens = 0
         for read in self._recent_reads:
@@ -215,6 +225,7 @@
         if not self._unread_by_key:
             self.read_speed.read_begun(in_flight.sent_s)
         self._in_flight_by_key[key] = self._unread_by_key[key] = in_flight
+        self._count_unread(in_flight.rank, in_flight.unread_tokens)
         if self._reading is None:
             self._reading = key
         if in_flight.pause_target_s:
@@ -231,7 +242,8 @@
         if in_flight is None or in_flight.first_event_s is not None:
             return
         first_event_s = in_flight.sent_s + took_s
-        self._in_flight_by_key[key] = in_flight._replace(first_event_s=first_event_s)
+        # faster than `_replace`
+        self._in_flight_by_key[key] = InFlightRequest(*in_flight[:-1], first_event_s)
         self._remove_unread(key)
         self.cache.mark_read(self._parts_by_key.get(key, ()))
         self.read_speed.prompt_read(in_flight.unread_tokens, first_event_s)
@@ -260,9 +272,21 @@
 
     def _remove_unread(self, key: RequestKey) -> None:
         """Remove a prompt that is read or cancelled; the most urgent one is read next."""
-        if self._unread_by_key.pop(key, None) is not None and key == self._reading:
+        removed = self._unread_by_key.pop(key, None)
+        if removed is None:
+            return
+        self._count_unread(removed.rank, -removed.unread_tokens)
+        if key == self._reading:
             self._reading = min(self._unread_by_key, key=self._read_order, default=None)
 
+    def _count_unread(self, rank: int, tokens: int) -> None:
+        self._unread_tokens += tokens
+        left = self._unread_tokens_by_rank.get(rank, 0) + tokens
+        if left:
+            self._unread_tokens_by_rank[rank] = left
+        else:
+            self._unread_tokens_by_rank.pop(rank, None)
+
     def _read_order(self, key: RequestKey) -> tuple[int, float]:
         request = self._unread_by_key[key]
         return request.rank, request.sent_s
