Read the fields of messages between hosts by their schema, not by name

An attribute of a Cap'n Proto struct is looked up by its name at each access, and a singledispatch method builds a function at each call. Fields are now read through the schema's own field, lists that are not set are skipped, and the handler is looked up in the dispatcher. The messages are unchanged.

--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -5,12 +5,13 @@
 from enum import IntEnum
 from functools import singledispatch
 from itertools import islice
-from pathlib import Path
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import capnp
 
-from redwingbank.front.framing import open_message
+from redwingbank.front import digest_schema as schema
+from redwingbank.front.digest_schema import SCHEMA
+from redwingbank.front.framing import open_message, read_kind
 from redwingbank.front.notice_codec import (
     LimitReport,
     age_ms,
@@ -29,8 +30,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
-capnp.remove_import_hook()
-SCHEMA = capnp.load(str(Path(__file__).with_name("digest.capnp")))
 MILLISECONDS = 1000.0
 # Messages up to this size have one segment, which is the fastest to read.
 FIRST_SEGMENT_WORDS = 8192
@@ -150,13 +149,10 @@
 
 def encode_message(message: Message) -> bytes:
     """Encode a message."""
-    struct = SCHEMA.Message.new_message(
-        num_first_segment_words=FIRST_SEGMENT_WORDS,
-        host=message.host,
-        incarnation=message.incarnation,
-        dataCentre=message.place.data_centre,
-        linkMbps=message.place.link_mbps,
-    )
+    struct = SCHEMA.Message.new_message(num_first_segment_words=FIRST_SEGMENT_WORDS)
+    # named arguments would take four times as long
+    struct.host, struct.incarnation = message.host, message.incarnation
+    struct.dataCentre, struct.linkMbps = message.place
     _encode_content(message.content, struct)
     return bytes(struct.to_bytes_packed())
 
@@ -168,10 +164,12 @@
     """
     try:
         with open_message(SCHEMA.Message, data) as struct:
-            decode = _DECODER_BY_KIND[struct.which()]
+            decode = _DECODER_BY_KIND[read_kind(struct)]
             content = decode(struct, now_s)
-            place = Place(struct.dataCentre, struct.linkMbps)
-            return Message(struct.host, struct.incarnation, content, place)
+            place = Place(schema.READ_DATA_CENTRE(struct), schema.READ_LINK(struct))
+            return Message(
+                schema.READ_HOST(struct), schema.READ_INCARNATION(struct), content, place
+            )
     except (capnp.KjException, ValueError, KeyError) as error:
         raise MessageError(str(error)) from error
 
@@ -267,15 +265,20 @@
 
 
 def _decode_digest(struct: Any, now_s: float) -> Digest:
-    return _decode_columns(struct.digest, now_s)
+    return _decode_columns(schema.READ_DIGEST(struct), now_s)
 
 
 def _decode_bundle(struct: Any, now_s: float) -> Bundle:
-    bundle = struct.bundle
-    merged, counts = _decode_columns(bundle.digest, now_s), list(bundle.counts)
+    bundle = schema.READ_BUNDLE(struct)
+    merged, counts = _decode_columns(schema.READ_MERGED(bundle), now_s), schema.READ_COUNTS(bundle)
     sent, begun, ended = iter(merged.sent), iter(merged.begun), iter(merged.ended)
     rows = zip(
-        bundle.hosts, bundle.incarnations, counts[::3], counts[1::3], counts[2::3], strict=True
+        schema.READ_HOSTS(bundle),
+        schema.READ_INCARNATIONS(bundle),
+        counts[::3],
+        counts[1::3],
+        counts[2::3],
+        strict=True,
     )
     reports = tuple(
         Report(
@@ -289,39 +292,35 @@
         )
         for host, incarnation, sent_count, begun_count, ended_count in rows
     )
-    return Bundle(reports, Audience(bundle.audience))
+    return Bundle(reports, Audience(schema.READ_AUDIENCE(bundle)))
 
 
 def _decode_columns(digest: Any, now_s: float) -> Digest:
-    begun = list(digest.begun)
+    begun = schema.READ_BEGUN(digest)
     return Digest(
         sent=tuple(_decode_sent(digest, now_s)),
         begun=tuple(
             FirstEvent(number, took_ms / MILLISECONDS)
             for number, took_ms in zip(begun[::2], begun[1::2], strict=True)
         ),
-        ended=tuple(digest.ended),
+        ended=tuple(schema.READ_ENDED(digest)),
     )
 
 
 def _decode_sent(digest: Any, now_s: float) -> Iterator[Sent]:
-    numbers = list(digest.sent)
+    numbers = schema.READ_SENT(digest)
     if not numbers:
         return
-    parts = map(PromptPart, digest.parts, digest.partTokens)
+    parts = map(PromptPart, schema.READ_PARTS(digest), schema.READ_PART_TOKENS(digest))
     rows = (
         numbers[at : at + NUMBERS_PER_REQUEST]
         for at in range(0, len(numbers), NUMBERS_PER_REQUEST)
     )
-    for server, row in zip(digest.servers, rows, strict=True):
+    for server, row in zip(schema.READ_SERVERS(digest), rows, strict=True):
         number, unread_tokens, tokens_ahead, answer_tokens, pause_ms, rank, part_count = row
+        pause_s = pause_ms / MILLISECONDS
         in_flight = InFlightRequest(
-            sent_s=now_s,
-            unread_tokens=unread_tokens,
-            tokens_ahead=float(tokens_ahead),
-            answer_tokens=answer_tokens,
-            pause_target_s=pause_ms / MILLISECONDS,
-            rank=rank,
+            now_s, unread_tokens, float(tokens_ahead), answer_tokens, pause_s, rank
         )
         yield Sent(number, server, in_flight, tuple(islice(parts, part_count)))
 
@@ -385,6 +384,7 @@
     "Digest",
     "Message",
     "MessageError",
+    "SCHEMA",
     "UNKNOWN_PLACE",
     "News",
     "Place",
--- /dev/null
+++ b/src/redwingbank/front/digest_schema.py
@@ -0,0 +1,46 @@
+"""The schema of the messages between hosts, and functions that read the fields used most."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import capnp
+
+from redwingbank.front.framing import field_reader, list_reader
+
+capnp.remove_import_hook()
+SCHEMA = capnp.load(str(Path(__file__).with_name("digest.capnp")))
+# The fields of the messages that come for each request and with each heartbeat.
+READ_HOST, READ_INCARNATION, READ_DATA_CENTRE, READ_LINK, READ_DIGEST, READ_BUNDLE = (
+    field_reader(SCHEMA.Message, name)
+    for name in ("host", "incarnation", "dataCentre", "linkMbps", "digest", "bundle")
+)
+READ_SENT, READ_SERVERS, READ_PARTS, READ_PART_TOKENS, READ_BEGUN, READ_ENDED = (
+    list_reader(SCHEMA.Digest, name)
+    for name in ("sent", "servers", "parts", "partTokens", "begun", "ended")
+)
+READ_HOSTS, READ_INCARNATIONS, READ_COUNTS = (
+    list_reader(SCHEMA.Bundle, name) for name in ("hosts", "incarnations", "counts")
+)
+READ_MERGED, READ_AUDIENCE = (field_reader(SCHEMA.Bundle, name) for name in ("digest", "audience"))
+
+__all__ = [
+    "READ_AUDIENCE",
+    "READ_BEGUN",
+    "READ_BUNDLE",
+    "READ_COUNTS",
+    "READ_DATA_CENTRE",
+    "READ_DIGEST",
+    "READ_ENDED",
+    "READ_HOST",
+    "READ_HOSTS",
+    "READ_INCARNATION",
+    "READ_INCARNATIONS",
+    "READ_LINK",
+    "READ_MERGED",
+    "READ_PARTS",
+    "READ_PART_TOKENS",
+    "READ_SENT",
+    "READ_SERVERS",
+    "SCHEMA",
+]
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -131,7 +131,8 @@
             self._log.detail("message-unreadable", sender=addr[0], reason=str(error))
             return
         if message.host != self.host and self._record_sender(message, Address(*addr[:2]), now):
-            self._handle(message.content, message.host, now)
+            handle = _HANDLER.dispatch(type(message.content))
+            handle(self, message.content, message.host, now)
 
     def add_hosts(self, addresses_by_host: dict[str, Address]) -> None:
         """Add the hosts that the store lists, and greet those that are new."""
@@ -341,4 +342,7 @@
             self.on_streams(content, host)
 
 
+# Calls through the method build a function each time, which takes longer than a small message.
+_HANDLER = Peers.__dict__["_handle"].dispatcher
+
 __all__ = ["OWN_HOST", "Peer", "Peers"]
