Give the relay of the relaying steps the network's clock, as its peers have it

Since relaying has a module of its own, it compared this machine's uptime with times of the network's clock, so that the scenario of a request that crosses to another data centre once failed once the machine had run for 1.5 s.

--- a/tests/steps/front_relaying.py
+++ b/tests/steps/front_relaying.py
@@ -10,6 +10,7 @@
 
 import virtual_time
 from redwingbank.front import peers as peers_module
+from redwingbank.front import report_relay as relay_module
 from redwingbank.front.backends import Backends
 from redwingbank.front.digest import (
     SCHEMA,
@@ -105,7 +106,7 @@
     async def run():
         network = context.network
         original = peers_module.now_s
-        peers_module.now_s = network.clock.now_s
+        peers_module.now_s = relay_module.now_s = network.clock.now_s
         try:
             for host in network.hosts:
                 host.add_hosts(
@@ -117,7 +118,7 @@
             for step in [*context.steps, scenario]:
                 await step(network)
         finally:
-            peers_module.now_s = original
+            peers_module.now_s = relay_module.now_s = original
 
     virtual_time.run(run())
 
