--- a/src/redwingbank/front/admission.py
+++ b/src/redwingbank/front/admission.py
@@ -8,6 +8,7 @@
 from redwingbank.codes import Code
 from redwingbank.model import Request
 from redwingbank.routing.choice import RequestNeeds
+from redwingbank.routing.shortage import organisation_number
 
 if TYPE_CHECKING:
     from redwingbank.front.directory import TableState
@@ -112,6 +113,8 @@
         patience_left_s=patience_ends_s(admitted, arrived_s, request.give_up_s) - now_s,
         data_centre=data_centre,
         answer_begun=begun,
+        left_s=request.give_up_s - now_s,
+        organisation=organisation_number(request.organisation),
     )
 
 
--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -99,7 +99,9 @@
 class RequestNeeds(NamedTuple):
     """A request's requirements, with the time left until its target and until the caller gives up.
 
-    `data_centre` is that of the host; `answer_begun` is true for a stream to be resumed.
+    `data_centre` is that of the host; `answer_begun` is true for a stream to be resumed. `left_s`
+    is the time until the caller gives up the whole answer; `organisation` is a number that stands
+    for the organisation, 0 if it has none.
     """
 
     facts: CallFacts
@@ -109,6 +111,8 @@
     patience_left_s: float
     data_centre: str
     answer_begun: bool = False
+    left_s: float = float("inf")
+    organisation: int = 0
 
     @property
     def pause_sensitive(self) -> bool:
--- a/src/redwingbank_bench/replay.py
+++ b/src/redwingbank_bench/replay.py
@@ -17,6 +17,7 @@
 from redwingbank.front.values import CallFacts, Pool, PromptPart, ServerEntry
 from redwingbank.routing.choice import Chooser, RequestNeeds, as_in_flight
 from redwingbank.routing.dispatch import Dispatcher, Refuse
+from redwingbank.routing.shortage import slot_seconds
 from redwingbank.settings import Address
 from redwingbank_bench.replay_engine import Engine, EngineFacts, Job
 from redwingbank_bench.replay_load import HOSTS, PATTERNS, POOL, draw_arrivals
@@ -61,6 +62,7 @@
     worth: float
     worst_seconds: float
     worst_class: float
+    worst_organisation: float
     late: float
     refused: float
     refused_twice: float
@@ -235,7 +237,16 @@
             forwarded_headers=b"",
         )
         patience_s = min(left_s, route.patience_s)
-        return RequestNeeds(facts, route, arrival.tier, route.target_s, patience_s, DATA_CENTRE)
+        return RequestNeeds(
+            facts,
+            route,
+            arrival.tier,
+            route.target_s,
+            patience_s,
+            DATA_CENTRE,
+            left_s=left_s,
+            organisation=1 + arrival.organisation,
+        )
 
     def _refuse(self, call: _Call, refusal: Refuse) -> None:
         call.refusals += 1
@@ -285,6 +296,11 @@
         def record(host: Host) -> None:
             backend = host.backends.get_or_create(entry)
             backend.load.request_sent(key, in_flight, parts)
+            work_s = slot_seconds(
+                in_flight.unread_tokens, backend.load.read_tokens_per_s, in_flight.answer_tokens
+            )
+            shortage = host.dispatcher.shortage
+            shortage.record(POOL, needs.organisation, work_s, self.now_s)
 
         self._tell(call, record, SENT_DELAY_S)
 
@@ -337,6 +353,7 @@
         waits = [call.first_s - call.arrival.at_s for call in calls if call.first_s is not None]
         windows = _shares([(int(call.arrival.at_s / WINDOW_S), call) for call in calls])
         classes = _shares([(call.arrival.service_class.name, call) for call in calls])
+        organisations = _shares([(call.arrival.organisation, call) for call in calls])
         asked = sum(call.arrival.shared.tokens + call.arrival.own_tokens for call in calls)
         own = sum(call.arrival.own_tokens for call in calls)
         shared = {call.arrival.shared for call in calls}
@@ -347,6 +364,7 @@
             worth=sum(call.worth for call in calls) / owed,
             worst_seconds=sum(sorted(windows)[:WORST_WINDOWS]) / WORST_WINDOWS,
             worst_class=min(classes),
+            worst_organisation=min(organisations),
             late=len(late) / len(calls),
             refused=sum(call.refusals > 0 for call in calls) / len(calls),
             refused_twice=sum(call.refusals > 1 for call in calls) / len(calls),
@@ -378,9 +396,17 @@
     return Host(backends, Dispatcher(Chooser(backends, random)))
 
 
+def build_sharing_host(random: Random) -> Host:
+    """Build a host that answers shortages of the pool."""
+    backends = Backends(random)
+    dispatcher = Dispatcher(Chooser(backends, random), lambda: HOSTS)
+    dispatcher.shortage.switch_on(POOL)
+    return Host(backends, dispatcher)
+
+
 def replay(name: str, seed: int, build: Callable[[Random], Host] = build_host) -> Figures:
     """Replay a pattern by its name."""
     return Replay(PATTERNS[name], seed, build).run()
 
 
-__all__ = ["Figures", "Host", "Replay", "build_host", "replay"]
+__all__ = ["Figures", "Host", "Replay", "build_host", "build_sharing_host", "replay"]
