Spread the returns of refused callers; take the shares of organisations back

Change: times to return are given out by rank at a quarter of the rate at which the pool begins prompts, per host. No pool is switched on yet.

--- a/src/redwingbank/front/admission.py
+++ b/src/redwingbank/front/admission.py
@@ -8,7 +8,6 @@
 from redwingbank.codes import Code
 from redwingbank.model import Request
 from redwingbank.routing.choice import RequestNeeds
-from redwingbank.routing.shortage import organisation_number
 
 if TYPE_CHECKING:
     from redwingbank.front.directory import TableState
@@ -114,7 +113,6 @@
         data_centre=data_centre,
         answer_begun=begun,
         left_s=request.give_up_s - now_s,
-        organisation=organisation_number(request.organisation),
     )
 
 
--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -31,8 +31,6 @@
   partTokens @3 :List(UInt32);
   begun @4 :List(UInt32);   # two numbers per first event: request number, ms since it was sent
   ended @5 :List(UInt32);   # numbers of requests that ended
-  # a number for the organisation of each request sent, 0 for none; empty if all are 0
-  organisations @6 :List(UInt16);
 }
 
 struct Bundle {             # digests of several hosts, forwarded by a relay
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -4,7 +4,7 @@
 
 from enum import IntEnum
 from functools import singledispatch
-from itertools import islice, repeat
+from itertools import islice
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import capnp
@@ -42,16 +42,12 @@
 
 
 class Sent(NamedTuple):
-    """A request that a host sent to a server; `number` is unique to the host.
-
-    `organisation` is a number that stands for the organisation, 0 where its share doesn't matter.
-    """
+    """A request that a host sent to a server; `number` is unique to the host."""
 
     number: int
     server: str
     in_flight: InFlightRequest
     parts: tuple[PromptPart, ...]
-    organisation: int = 0
 
 
 class FirstEvent(NamedTuple):
@@ -210,9 +206,6 @@
         digest.servers = [request.server for request in content.sent]
         digest.parts = [part.name for request in content.sent for part in request.parts]
         digest.partTokens = [part.tokens for request in content.sent for part in request.parts]
-        organisations = [request.organisation for request in content.sent]
-        if any(organisations):
-            digest.organisations = organisations
     if content.begun:
         digest.begun = [
             number
@@ -323,15 +316,13 @@
         numbers[at : at + NUMBERS_PER_REQUEST]
         for at in range(0, len(numbers), NUMBERS_PER_REQUEST)
     )
-    organisations = schema.READ_ORGANISATIONS(digest) or repeat(0)
-    servers = zip(schema.READ_SERVERS(digest), rows, strict=True)
-    for (server, row), organisation in zip(servers, organisations, strict=False):
+    for server, row in zip(schema.READ_SERVERS(digest), rows, strict=True):
         number, unread_tokens, tokens_ahead, answer_tokens, pause_ms, rank, part_count = row
         pause_s = pause_ms / MILLISECONDS
         in_flight = InFlightRequest(
             now_s, unread_tokens, float(tokens_ahead), answer_tokens, pause_s, rank
         )
-        yield Sent(number, server, in_flight, tuple(islice(parts, part_count)), organisation)
+        yield Sent(number, server, in_flight, tuple(islice(parts, part_count)))
 
 
 def _decode_question(struct: Any, now_s: float) -> Question:
--- a/src/redwingbank/front/digest_schema.py
+++ b/src/redwingbank/front/digest_schema.py
@@ -19,7 +19,6 @@
     list_reader(SCHEMA.Digest, name)
     for name in ("sent", "servers", "parts", "partTokens", "begun", "ended")
 )
-READ_ORGANISATIONS = list_reader(SCHEMA.Digest, "organisations")
 READ_HOSTS, READ_INCARNATIONS, READ_COUNTS = (
     list_reader(SCHEMA.Bundle, name) for name in ("hosts", "incarnations", "counts")
 )
@@ -39,7 +38,6 @@
     "READ_INCARNATIONS",
     "READ_LINK",
     "READ_MERGED",
-    "READ_ORGANISATIONS",
     "READ_PARTS",
     "READ_PART_TOKENS",
     "READ_SENT",
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -41,7 +41,7 @@
     from collections.abc import Callable, Iterable
 
     from redwingbank.decisions import DecisionLog
-    from redwingbank.front.backends import Backend, Backends
+    from redwingbank.front.backends import Backends
     from redwingbank.front.digest import Content
     from redwingbank.front.values import PromptPart
     from redwingbank.routing.load import InFlightRequest
@@ -83,8 +83,7 @@
 
     `answer_question` returns the answer to another host's question; `on_answer`, `on_news`,
     `on_crash`, `on_limits` and `on_streams` receive answers, changes of backend servers, crashes,
-    limits and streams from other hosts, and `on_host_started` the names of hosts that started;
-    `on_organisation` receives the requests whose organisation matters.
+    limits and streams from other hosts, and `on_host_started` the names of hosts that started.
     """
 
     def __init__(
@@ -103,7 +102,6 @@
         self.on_limits: Callable[[LimitReport, HostKey], None] | None = None
         self.on_streams: Callable[[StreamReport, str], None] | None = None
         self.on_host_started: Callable[[str], None] | None = None
-        self.on_organisation: Callable[[Backend, InFlightRequest, int], None] | None = None
         self.host = host
         self._incarnation = incarnation
         self.place = place
@@ -167,16 +165,11 @@
         return self.listing.count_hosts(heard_s_by_host, now)
 
     def report_sent(
-        self,
-        server: str,
-        in_flight: InFlightRequest,
-        parts: tuple[PromptPart, ...],
-        organisation: int = 0,
+        self, server: str, in_flight: InFlightRequest, parts: tuple[PromptPart, ...]
     ) -> int:
         """Report a request that was sent; return its number."""
         self._number += 1
-        sent = Sent(self._number, server, in_flight, parts, organisation)
-        self._schedule(SENT_BATCH_S).sent.append(sent)
+        self._schedule(SENT_BATCH_S).sent.append(Sent(self._number, server, in_flight, parts))
         return self._number
 
     def report_first_event(self, number: int, took_s: float) -> None:
@@ -309,8 +302,6 @@
             if backend:
                 servers[sent.number] = sent.server
                 backend.load.request_sent((host, sent.number), sent.in_flight, sent.parts)
-                if sent.organisation and self.on_organisation:
-                    self.on_organisation(backend, sent.in_flight, sent.organisation)
         for first_event in content.begun:
             backend = by_name.get(servers.get(first_event.number, ""))
             if backend:
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -25,7 +25,6 @@
 from redwingbank.metrics import Metrics
 from redwingbank.routing.choice import Chooser, as_in_flight
 from redwingbank.routing.dispatch import Dispatcher
-from redwingbank.routing.shortage import slot_seconds
 from redwingbank.routing.version_history import VersionHistory
 
 if TYPE_CHECKING:
@@ -36,7 +35,6 @@
     from redwingbank.front.open_work import OpenConnection, OpenExchange
     from redwingbank.front.values import HostSettings
     from redwingbank.routing.choice import Choice, RequestNeeds
-    from redwingbank.routing.load import InFlightRequest
 
 # About the time that a host needs to get missing state, such as a newer table.
 RETRY_AFTER_S = 0.3
@@ -74,7 +72,6 @@
         self.dispatcher = Dispatcher(
             Chooser(self.backends, random), lambda: 1 + len(self.peers.peers_by_host)
         )
-        self.peers.on_organisation = self._record_organisation
         self.allowance = RetryAllowance(settings.bounds, lambda: 1 + len(self.peers.peers_by_host))
         self.admission = Admission(self.tables)
         self.shutdown = Shutdown(settings.bounds.grace_s)
@@ -151,24 +148,11 @@
         """Record a request that is sent, and tell the other hosts; return its number."""
         backend, shared = choice.backend, needs.facts.shared_parts
         in_flight = as_in_flight(choice, needs, now_s)
-        answers = self.dispatcher.shortage.answers(backend.entry.pool)
-        organisation = needs.organisation if answers else 0
-        number = self.peers.report_sent(backend.entry.name, in_flight, shared, organisation)
-        if organisation:
-            self._record_organisation(backend, in_flight, organisation)
+        number = self.peers.report_sent(backend.entry.name, in_flight, shared)
         backend.load.request_sent((OWN_HOST, number), in_flight, shared)
         self.server_limits.request_sent(backend.entry)
         return number
 
-    def _record_organisation(
-        self, backend: Backend, in_flight: InFlightRequest, organisation: int
-    ) -> None:
-        """Count a request that any host has sent for an organisation."""
-        work_s = slot_seconds(
-            in_flight.unread_tokens, backend.load.read_tokens_per_s, in_flight.answer_tokens
-        )
-        self.dispatcher.shortage.record(backend.entry.pool, organisation, work_s, now_s())
-
     def record_first_event(self, backend: Backend, number: int, sent_s: float) -> None:
         """Record the first part of an answer, and tell the other hosts."""
         took_s = now_s() - sent_s
--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -100,8 +100,7 @@
     """A request's requirements, with the time left until its target and until the caller gives up.
 
     `data_centre` is that of the host; `answer_begun` is true for a stream to be resumed. `left_s`
-    is the time until the caller gives up the whole answer; `organisation` is a number that stands
-    for the organisation, 0 if it has none.
+    is the time until the caller gives up the whole answer.
     """
 
     facts: CallFacts
@@ -112,7 +111,6 @@
     data_centre: str
     answer_begun: bool = False
     left_s: float = float("inf")
-    organisation: int = 0
 
     @property
     def pause_sensitive(self) -> bool:
@@ -165,6 +163,12 @@
             backend.load.cache.capacity_tokens = pool.cache_tokens
         return self._least_cost(candidates, pool, needs, now_s)
 
+    def reads_per_s(self, entries: Sequence[ServerEntry], now_s: float) -> float:
+        """Return the prompts a second that all hosts have sent to some servers lately."""
+        return sum(
+            self._backends.get_or_create(entry).load.reads_per_s(now_s) for entry in entries
+        )
+
     def _least_cost(
         self, candidates: list[Backend], pool: Pool, needs: RequestNeeds, now_s: float
     ) -> Choice:
--- a/src/redwingbank/routing/dispatch.py
+++ b/src/redwingbank/routing/dispatch.py
@@ -88,23 +88,16 @@
             return Refuse(Code.NO_BACKEND_SERVER, 0.0)
         if isinstance(choice, AtLimit):
             return Refuse(Code.SERVERS_AT_LIMIT, self._return_s(pool, choice, needs, now_s))
-        code = None if needs.answer_begun else self._refusal_code(choice, pool, needs, now_s)
+        code = None if needs.answer_begun else refusal_code(choice, needs, now_s)
         if code is None:
             return Send(choice)
         wait_s = choice.backlog_tokens / choice.backend.load.read_tokens_per_s
         if not self.shortage.answers(pool.name):
             return Refuse(code, wait_s)
-        room = Room(self.shortage.begun_per_s(pool.name, now_s), self._count_hosts())
+        room = Room(self._chooser.reads_per_s(entries, now_s), self._count_hosts())
         return_s = self._returns.assign(pool.name, needs.tier, room.returning(wait_s), now_s)
         return Refuse(code, honoured_s(return_s, needs.left_s))
 
-    def _refusal_code(
-        self, choice: Choice, pool: Pool, needs: RequestNeeds, now_s: float
-    ) -> Code | None:
-        if self.shortage.must_yield(pool.name, choice, needs, now_s):
-            return Code.SHED
-        return refusal_code(choice, needs, now_s)
-
     def _return_s(self, pool: Pool, limit: AtLimit, needs: RequestNeeds, now_s: float) -> float:
         # a stream that has begun waits here instead of returning
         if needs.answer_begun:
--- a/src/redwingbank/routing/load.py
+++ b/src/redwingbank/routing/load.py
@@ -204,6 +204,11 @@
         )
         return tokens / (self.read_tokens_per_s * READ_HISTORY_S)
 
+    def reads_per_s(self, now_s: float) -> float:
+        """Return the prompts a second that came in the last `READ_HISTORY_S`."""
+        since_s = now_s - READ_HISTORY_S
+        return sum(read.at_s > since_s for read in self._recent_reads) / READ_HISTORY_S
+
     def first_stream_rank(self) -> int:
         """Rank of the most urgent stream with a pause target, `LAST_RANK` if there is none."""
         return min(
--- a/src/redwingbank_bench/replay.py
+++ b/src/redwingbank_bench/replay.py
@@ -17,7 +17,6 @@
 from redwingbank.front.values import CallFacts, Pool, PromptPart, ServerEntry
 from redwingbank.routing.choice import Chooser, RequestNeeds, as_in_flight
 from redwingbank.routing.dispatch import Dispatcher, Refuse
-from redwingbank.routing.shortage import slot_seconds
 from redwingbank.settings import Address
 from redwingbank_bench.replay_engine import Engine, EngineFacts, Job
 from redwingbank_bench.replay_load import HOSTS, PATTERNS, POOL, draw_arrivals
@@ -245,7 +244,6 @@
             patience_s,
             DATA_CENTRE,
             left_s=left_s,
-            organisation=1 + arrival.organisation,
         )
 
     def _refuse(self, call: _Call, refusal: Refuse) -> None:
@@ -296,11 +294,6 @@
         def record(host: Host) -> None:
             backend = host.backends.get_or_create(entry)
             backend.load.request_sent(key, in_flight, parts)
-            work_s = slot_seconds(
-                in_flight.unread_tokens, backend.load.read_tokens_per_s, in_flight.answer_tokens
-            )
-            shortage = host.dispatcher.shortage
-            shortage.record(POOL, needs.organisation, work_s, self.now_s)
 
         self._tell(call, record, SENT_DELAY_S)
 
@@ -396,8 +389,8 @@
     return Host(backends, Dispatcher(Chooser(backends, random)))
 
 
-def build_sharing_host(random: Random) -> Host:
-    """Build a host that answers shortages of the pool."""
+def build_spreading_host(random: Random) -> Host:
+    """Build a host that spreads the returns of refused callers."""
     backends = Backends(random)
     dispatcher = Dispatcher(Chooser(backends, random), lambda: HOSTS)
     dispatcher.shortage.switch_on(POOL)
@@ -409,4 +402,4 @@
     return Replay(PATTERNS[name], seed, build).run()
 
 
-__all__ = ["Figures", "Host", "Replay", "build_host", "build_sharing_host", "replay"]
+__all__ = ["Figures", "Host", "Replay", "build_host", "build_spreading_host", "replay"]
