--- a/src/redwingbank/front/store.py
+++ b/src/redwingbank/front/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 import anyio
@@ -117,6 +118,15 @@
     ) -> tuple[int, bytes]:
         """Make a call and return the answer's status and body.
 
+        :raises StoreError: if there is no answer in time
+        """
+        return await self.exchange(partial(_request, method, path, body), timeout_s)
+
+    async def exchange(
+        self, encode: Callable[[Address], bytes], timeout_s: float
+    ) -> tuple[int, bytes]:
+        """Send what `encode` returns once a connection is open; return the status and body.
+
         :raises StoreError: if there is no answer in time
         """
         self.calls += 1
@@ -125,7 +135,7 @@
         try:
             with anyio.fail_after(timeout_s):
                 connection = self._pool.acquire() or await self._pool.connect()
-                connection.send(_request(method, path, body, self._pool.address), call)
+                connection.send(encode(self._pool.address), call)
                 return await call.done
         except (TimeoutError, OSError) as error:
             raise StoreError(str(error) or "timeout") from error
