Decide and order the servers of pools with scaling

Pools with scaling ran as many servers as were there at the start. Checked by the doctests only so far.

--- /dev/null
+++ b/src/redwingbank/duties/demand.py
@@ -0,0 +1,127 @@
+"""How many servers the load of a pool needs, from the load of the last seconds.
+
+Answers bursts of one class at 1.7 to 2.4 times its usual load that come faster than a server
+starts, and the daily wave: needs follow the usual load (the median, which a burst of some seconds
+doesn't move) times what the largest class could add, or the present load if that is more.
+"""
+
+from __future__ import annotations
+
+import math
+from collections import deque
+from statistics import median
+from typing import TYPE_CHECKING, NamedTuple
+
+from redwingbank.duties.server_plan import Needs
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+# A burst is at most this many times the usual load of a class.
+BURST_FACTOR = 2.4
+# The present load may be the lower half of the daily wave (swing 0.27), and may still grow until
+# an ordered server serves.
+PRESENT_FACTOR = 1.15
+# The share of slots that is used in a burst, and of their time that servers read prompts in a
+# burst and usually. Beyond that callers wait, or streams pause for longer than their target.
+SLOT_SHARE = 0.9
+BURST_READ_SHARE = 0.6
+READ_SHARE = 0.45
+# Part of the servers needed usually that are ordinary ones, whatever spot servers cost.
+ORDINARY_SHARE = 0.2
+# Longer than the daily wave (11 s) and than twice the longest burst (9 s).
+USUAL_S = 20.0
+# Share of the servers that were there before traffic that must outlive the loss of spot servers.
+# On a full day 276 of 684 slots are used: 0.46 of the servers, at 1.15 times that and SLOT_SHARE.
+IDLE_SURVIVOR_SHARE = 0.5
+IDLE_ORDINARY_SHARE = 0.1
+
+
+class LoadSample(NamedTuple):
+    """The load of a pool's servers over all hosts.
+
+    `slots` is the mean number of slots of a server. `in_flight_by_class` are the requests that
+    run or wait, `read_s` the seconds that servers read prompts for each second, and `waiting_s`
+    the seconds of reading that wait.
+    """
+
+    slots: float
+    in_flight_by_class: Mapping[float, int]
+    read_s: float
+    waiting_s: float = 0.0
+
+
+class _Point(NamedTuple):
+    at_s: float
+    slots_used: float
+    read_s: float
+    largest_share: float
+    full: int
+
+
+class Demand:
+    """Load of the last seconds of one pool.
+
+    >>> demand = Demand()
+    >>> for second in range(20):
+    ...     demand.record(LoadSample(12.0, {0.15: 210, 0.25: 63}, 9.0), float(second))
+    >>> demand.needs()
+    Needs(full=53, survivors=30, ordinary=6, losses=2)
+    """
+
+    def __init__(self) -> None:
+        self._points: deque[_Point] = deque()
+
+    def record(self, sample: LoadSample, now_s: float) -> None:
+        """Record the load of about one second."""
+        in_flight = sum(sample.in_flight_by_class.values())
+        largest = max(sample.in_flight_by_class.values(), default=0)
+        slots_used = in_flight / max(1.0, sample.slots)
+        read_s = sample.read_s + sample.waiting_s
+        present = max(slots_used / SLOT_SHARE, read_s / BURST_READ_SHARE)
+        point = _Point(
+            at_s=now_s,
+            slots_used=slots_used,
+            read_s=read_s,
+            largest_share=largest / in_flight if in_flight else 1.0,
+            full=math.ceil(present * PRESENT_FACTOR),
+        )
+        self._points.append(point)
+        while self._points[0].at_s < now_s - USUAL_S:
+            self._points.popleft()
+
+    def needs(self, losses: int = 2) -> Needs:
+        """Return what the present and the usual load need."""
+        return self._needs(self._points[-1].full, losses)
+
+    def peak_needs(self, losses: int = 2) -> Needs:
+        """Return what the highest load of the last `USUAL_S` and the usual load need."""
+        return self._needs(max(point.full for point in self._points), losses)
+
+    def _needs(self, present: int, losses: int) -> Needs:
+        slots_used = median(point.slots_used for point in self._points)
+        read_s = median(point.read_s for point in self._points)
+        share = median(point.largest_share for point in self._points)
+        burst = 1 + (BURST_FACTOR - 1) * share
+        usual = max(slots_used / SLOT_SHARE, read_s / READ_SHARE)
+        full = burst * max(slots_used / SLOT_SHARE, read_s / BURST_READ_SHARE)
+        survivors = math.ceil(PRESENT_FACTOR * usual)
+        return Needs(
+            full=max(present, math.ceil(full)),
+            survivors=survivors,
+            ordinary=math.ceil(ORDINARY_SHARE * survivors),
+            losses=losses,
+        )
+
+
+def idle_needs(servers: int, losses: int = 2) -> Needs:
+    """Return what is kept before traffic, when `servers` were there at the start."""
+    return Needs(
+        full=servers,
+        survivors=math.ceil(IDLE_SURVIVOR_SHARE * servers),
+        ordinary=math.ceil(IDLE_ORDINARY_SHARE * servers),
+        losses=losses,
+    )
+
+
+__all__ = ["USUAL_S", "Demand", "LoadSample", "idle_needs"]
--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -7,6 +7,7 @@
 from redwingbank.front.outbound import ConnectionPool
 from redwingbank.front.wire import DEFAULT_ANSWER_LIMITS
 from redwingbank.model import Outcome
+from redwingbank.routing.arrivals import Arrivals
 from redwingbank.routing.load import ServerLoad
 from redwingbank.routing.server_limit import LimitBook
 from redwingbank.routing.targets import PauseEstimate
@@ -28,12 +29,17 @@
     """The connections, circuit breaker and load of one backend server."""
 
     def __init__(
-        self, entry: ServerEntry, random: Random, pauses: PauseEstimate, limits: AnswerLimits
+        self,
+        entry: ServerEntry,
+        random: Random,
+        pauses: PauseEstimate,
+        limits: AnswerLimits,
+        arrivals: Arrivals,
     ) -> None:
         self.entry = entry
         self.connections = ConnectionPool(entry.address, KEEP_IDLE_S, limits)
         self.breaker = Breaker(random)
-        self.load = ServerLoad(pauses)
+        self.load = ServerLoad(pauses, arrivals)
 
 
 class Backends:
@@ -45,13 +51,15 @@
         self._random = random
         self._limits = limits
         self._pauses_by_pool: dict[str, PauseEstimate] = {}
+        self.arrivals_by_pool: dict[str, Arrivals] = {}
 
     def get_or_create(self, entry: ServerEntry) -> Backend:
         """Return a server's state, created if missing; a restart empties its prompt cache."""
         backend = self.backends_by_name.get(entry.name)
         if backend is None:
             pauses = self._pauses_by_pool.setdefault(entry.pool, PauseEstimate())
-            backend = Backend(entry, self._random, pauses, self._limits)
+            arrivals = self.arrivals_by_pool.setdefault(entry.pool, Arrivals())
+            backend = Backend(entry, self._random, pauses, self._limits, arrivals)
             self.backends_by_name[entry.name] = backend
         if backend.entry.started_ms != entry.started_ms:
             backend.load.cache.clear()
--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -71,6 +71,8 @@
   draining @5 :Bool;
   startedMs @6 :Int64;
   version @7 :Text;         # name of its software's version
+  spot @8 :Bool;            # cheaper, and may be reclaimed
+  leavesMs @9 :Float64 = -1; # stated with `draining`: after how long it leaves; -1 if not stated
 }
 
 struct Crash {              # a request crashed a server, or later completed and is cleared
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -258,7 +258,9 @@
         row.name, row.pool, row.address = entry.name, entry.pool, str(entry.address)
         row.dataCentre, row.slots = entry.data_centre, entry.slots
         row.draining, row.startedMs = entry.draining, entry.started_ms
-        row.version = entry.version
+        row.version, row.spot = entry.version, entry.spot
+        if entry.leaves_s is not None:
+            row.leavesMs = entry.leaves_s * MILLISECONDS
 
 
 _encode_content.register(encode_crash)
@@ -362,6 +364,8 @@
         draining=row.draining,
         started_ms=row.startedMs,
         version=row.version,
+        spot=row.spot,
+        leaves_s=row.leavesMs / MILLISECONDS if row.leavesMs >= 0 else None,
     )
 
 
--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -63,16 +63,33 @@
         return self.kind is Kind.IDEMPOTENT or (self.kind is Kind.STREAM and self.resumable)
 
 
+class Scaling(NamedTuple):
+    """How many servers of a pool may be ordered in each data centre, and what they cost.
+
+    `least` and `most` hold for both kinds of servers together. A new server serves `boot_s` after
+    its order. A spot server costs `spot_price` times an ordinary one of its data centre; one that
+    `prices_by_data_centre` leaves out costs 1.0.
+    """
+
+    least: int
+    most: int
+    boot_s: float
+    spot_price: float
+    prices_by_data_centre: dict[str, float]
+
+
 class Pool(NamedTuple):
     """A group of identical backend servers.
 
     `cache_tokens` is the capacity of an engine for prompts and answers, 0 for a plain service.
     Engines copy cached prompts from each other at `copy_tokens_per_s`, not at all if it is 0.0.
+    The number of servers is left alone without `scaling`.
     """
 
     name: str
     cache_tokens: int
     copy_tokens_per_s: float = 0.0
+    scaling: Scaling | None = None
 
 
 class Organisation(NamedTuple):
@@ -116,7 +133,8 @@
 class ServerEntry(NamedTuple):
     """A backend server as listed by the platform; most servers get a new `name` at each start.
 
-    `version` names its software, empty if it is not known. Versions have no order.
+    `version` names its software, empty if it is not known. Versions have no order. A `spot` server
+    is cheaper and may be reclaimed; it then drains and leaves after `leaves_s`, None if not known.
     """
 
     name: str
@@ -127,6 +145,8 @@
     draining: bool
     started_ms: int
     version: str = ""
+    spot: bool = False
+    leaves_s: float | None = None
 
 
 class PromptPart(NamedTuple):
@@ -224,6 +244,7 @@
     "PromptPart",
     "Route",
     "RouteTable",
+    "Scaling",
     "ServerEntry",
     "Share",
     "StatedLimit",
--- a/src/redwingbank/platform/directory.py
+++ b/src/redwingbank/platform/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Any
 
 from redwingbank.front.values import (
@@ -11,6 +12,7 @@
     Pool,
     Route,
     RouteTable,
+    Scaling,
     ServerEntry,
     Share,
 )
@@ -19,6 +21,8 @@
 
 MS_PER_S = 1000.0
 BYTES_PER_S_PER_MBPS = 125_000
+# for a pool that does not tell how long its servers take to start
+DEFAULT_BOOT_S = 4.0
 # the platform calls a call that may run at most once "nonidempotent"
 KIND_BY_NAME = {
     "idempotent": Kind.IDEMPOTENT,
@@ -62,6 +66,8 @@
             draining=DRAINING_BY_STATE[content["state"]],
             started_ms=_integer(content.get("born", 0)),
             version=_optional_text(content.get("version")),
+            spot=content.get("spot") is True,
+            leaves_s=_optional_seconds(content.get("leaves_ms")),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise MalformedError(f"server: {type(error).__name__} {error}") from error
@@ -109,7 +115,29 @@
     token_bytes = float(engine.get("kvTokenBytes", 0))
     link_bytes_per_s = float(engine.get("linkMbps", 0)) * BYTES_PER_S_PER_MBPS
     copy_tokens_per_s = link_bytes_per_s / token_bytes if token_bytes > 0 else 0.0
-    return Pool(row["name"], int(engine.get("kvCapacity", 0)), copy_tokens_per_s)
+    return Pool(row["name"], int(engine.get("kvCapacity", 0)), copy_tokens_per_s, _scaling(row))
+
+
+def _scaling(row: Any) -> Scaling | None:
+    """Decode the bounds of a pool's orders; bounds that can't be used leave the pool alone.
+
+    A table with such bounds stays in force, since its routes and keys serve callers.
+    """
+    try:
+        settings = row["scaling"]
+        scaling = Scaling(
+            least=_integer(settings.get("min", 0)),
+            most=_integer(settings["max"]),
+            boot_s=_positive_number(settings.get("bootS", DEFAULT_BOOT_S)),
+            spot_price=_positive_number(settings.get("spotPrice", 1.0)),
+            prices_by_data_centre={
+                _text(name): _positive_number(price)
+                for name, price in (settings.get("zonePrices") or {}).items()
+            },
+        )
+    except (KeyError, TypeError, ValueError, AttributeError):
+        return None
+    return scaling if 0 <= scaling.least <= scaling.most else None
 
 
 def _organisations_by_key(rows: Any) -> dict[str, Organisation] | None:
@@ -158,6 +186,19 @@
         return ""
 
 
+def _optional_seconds(value: Any) -> float | None:
+    """Return milliseconds in seconds; None if they are no finite, non-negative number."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        return None
+    return value / MS_PER_S if 0 <= value < math.inf else None
+
+
+def _positive_number(value: Any) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
+        raise ValueError(value)
+    return float(value)
+
+
 def _integer(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise ValueError(value)
--- a/src/redwingbank/routing/load.py
+++ b/src/redwingbank/routing/load.py
@@ -19,6 +19,7 @@
     from collections.abc import Sequence
 
     from redwingbank.front.values import PromptPart
+    from redwingbank.routing.arrivals import Arrivals
 
 # Requests whose end was not reported expire after EXPIRY_PER_TOKEN_S per answer token and this
 # margin.
@@ -80,8 +81,11 @@
 class ServerLoad:
     """Tracks the requests of all hosts that are in flight at a server and derives estimates."""
 
-    def __init__(self, pauses: PauseEstimate | None = None) -> None:
+    def __init__(
+        self, pauses: PauseEstimate | None = None, arrivals: Arrivals | None = None
+    ) -> None:
         self.pauses = pauses or PauseEstimate()
+        self._arrivals = arrivals
         self.cache = PromptCache()
         self.read_speed = ReadSpeed()
         # number of streams by pause target, whether or not their first event has arrived
@@ -100,6 +104,12 @@
     def __len__(self) -> int:
         return len(self._in_flight_by_key)
 
+    def count_by_pause_target(self) -> Counter[float]:
+        """Count the requests in flight by their pause target, 0.0 for those without one."""
+        counts = +self.streams_by_pause_target
+        counts[0.0] = len(self._in_flight_by_key) - counts.total()
+        return counts
+
     def backlog_tokens(self, now_s: float, rank: int = LAST_RANK) -> float:
         """Estimate the prompt tokens still to be read before a request of this rank."""
         return self.backlog(now_s, rank).ahead_tokens
@@ -210,6 +220,8 @@
     ) -> None:
         """Record a request that was sent, and the shared parts of its prompt."""
         self.request_ended(key)
+        if self._arrivals is not None:
+            self._arrivals.record(key[0], in_flight)
         self.cache.insert(parts)
         self._parts_by_key[key] = parts
         if not self._unread_by_key:
