Hold duties by a lease in the store, count usage and report it from one host

Calls to the platform's interface are the duty of one host at a time. The lease is a store object taken and renewed by conditional writes; its holder acts only within a permit that ends before another host may take it. Hosts tell cumulative counts to the holder and two other candidates; a report's counts are written into the object before it is sent, so that a later holder repeats them exactly.

--- a/src/redwingbank/duties/client.py
+++ b/src/redwingbank/duties/client.py
@@ -50,8 +50,14 @@
         self._refused = refused
         self._http = StoreClient(settings.address)
         rate = RATE_SHARE * settings.per_s
+        self._calls = 0
         self._bucket = TokenBucket(rate, max(MIN_BURST, rate), now_s())
 
+    @property
+    def busy(self) -> bool:
+        """Whether a call is on its way."""
+        return self._calls > 0
+
     async def report_usage(self, report: UsageReport, permit: Permit) -> DutyAnswer:
         """Report the usage of a window."""
         return await self._call(report, permit)
@@ -69,12 +75,15 @@
             return DutyAnswer.BUSY
         timeout_s = min(CALL_TIMEOUT_S, permit.ends_s - now)
         encode = partial(self._encode, call, permit)
+        self._calls += 1
         try:
             status, _ = await self._http.exchange(encode, timeout_s)
         except NoPermitError:
             return DutyAnswer.BUSY
         except StoreError:
             return DutyAnswer.UNKNOWN
+        finally:
+            self._calls -= 1
         answer = decode_duty_answer(status)
         if answer is DutyAnswer.REFUSED:
             await self._refused(call)
--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -16,6 +16,8 @@
     bundle @7 :Bundle;
     limits @10 :List(Limit);
     streams @11 :Streams;
+    dutyHolder @12 :DutyHolder;
+    usage @13 :Usage;
   }
 }
 
@@ -102,3 +104,21 @@
   perS @3 :Float64;         # negative: the server names no limit any more
   sent @4 :UInt32;          # requests that the host has sent to the server since it knows the limit
 }
+
+struct DutyHolder {         # told each second by the holder of the lease of duties
+  holder @0 :Text;          # empty if it has released the lease
+  incarnation @1 :UInt64;
+  fence @2 :UInt64;
+  renewal @3 :UInt64;
+  composed @4 :Int64;       # the highest window whose report is written down, -1 if there is none
+  wallS @5 :Float64;        # time of day by the holder's view of the fleet
+}
+
+struct Usage {              # requests that began, counted by one process since each window began
+  host @0 :Text;            # host and incarnation of the process that counted
+  incarnation @1 :UInt64;
+  windows @2 :List(Int64);
+  organisations @3 :List(Text);
+  counts @4 :List(UInt32);  # for each window, one for each of the organisations
+  wallS @5 :Float64;        # the sender's time of day, 0 if the counts are passed on
+}
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -10,6 +10,14 @@
 
 import capnp
 
+from redwingbank.duties.codec import (
+    Announcement,
+    UsageCounts,
+    decode_announcement,
+    decode_usage,
+    encode_announcement,
+    encode_usage,
+)
 from redwingbank.front.framing import open_message
 from redwingbank.front.notice_codec import (
     LimitReport,
@@ -126,7 +134,18 @@
     removed: tuple[str, ...]
 
 
-Content = Digest | Bundle | Question | Answer | News | CrashNews | LimitReport | StreamReport
+Content = (
+    Digest
+    | Bundle
+    | Question
+    | Answer
+    | News
+    | CrashNews
+    | LimitReport
+    | StreamReport
+    | Announcement
+    | UsageCounts
+)
 
 
 class Place(NamedTuple):
@@ -264,6 +283,8 @@
 _encode_content.register(encode_crash)
 _encode_content.register(encode_limits)
 _encode_content.register(encode_streams)
+_encode_content.register(Announcement, encode_announcement)
+_encode_content.register(UsageCounts, encode_usage)
 
 
 def _decode_digest(struct: Any, now_s: float) -> Digest:
@@ -374,6 +395,8 @@
     "crash": decode_crash,
     "limits": decode_limits,
     "streams": decode_streams,
+    "dutyHolder": decode_announcement,
+    "usage": decode_usage,
 }
 
 __all__ = [
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -226,6 +226,8 @@
         self.fail_internally()
 
     def _handle_failure(self, attempt: Attempt, failure: Failure, now: float) -> None:
+        if self._router.runs and not failure.sent:
+            self._router.runs.refused(self._number)
         self._release(attempt)
         update_breaker(attempt.backend, failure, self._life.request_id, self._sent_s, now)
         self._recorder.record_failure(self._life, attempt.backend.entry.name, failure)
@@ -289,7 +291,7 @@
         self._life.advance(Step.SEND)
         self._sent_s, self._awaiting_first_event = now, True
         self._watch.sent(now)
-        self._number = self._router.record_send(choice, needs, now)
+        self._number = self._router.record_send(choice, needs, request.organisation, now)
         backend.breaker.record_send(request.request_id, now)
         resume_after = self._splitter.last_id if self._splitter else ""
         self._recorder.record_grant(
@@ -318,6 +320,8 @@
 
     def _handle_answer(self, attempt: Attempt, answer: Answer) -> None:
         status = answer.head.status
+        if self._router.runs:
+            self._router.runs.answered(self._number, now_s())
         if status >= FIRST_SERVER_ERROR and self._may_retry_answer(status):
             self._handle_failure(attempt, error_answer(status), now_s())
             return
@@ -355,6 +359,8 @@
 
     def _release(self, attempt: Attempt) -> None:
         self._router.record_end(attempt.backend, self._number)
+        if self._router.runs:
+            self._router.runs.ended(self._number, now_s(), sent=attempt.sent)
         if self._attempt is attempt:
             self._attempt = None
 
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -13,6 +13,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple, cast
 
 from redwingbank.clock import now_s
+from redwingbank.duties.codec import Announcement, UsageCounts
 from redwingbank.front.digest import (
     UNKNOWN_PLACE,
     Answer,
@@ -84,6 +85,7 @@
     `answer_question` returns the answer to another host's question; `on_answer`, `on_news`,
     `on_crash`, `on_limits` and `on_streams` receive answers, changes of backend servers, crashes,
     limits and streams from other hosts, and `on_host_started` the names of hosts that started.
+    `on_duties` receives messages of the duties; without one they are dropped.
     """
 
     def __init__(
@@ -102,8 +104,9 @@
         self.on_limits: Callable[[LimitReport, HostKey], None] | None = None
         self.on_streams: Callable[[StreamReport, str], None] | None = None
         self.on_host_started: Callable[[str], None] | None = None
+        self.on_duties: Callable[[Announcement | UsageCounts, str], None] | None = None
         self.host = host
-        self._incarnation = incarnation
+        self.incarnation = incarnation
         self.place = place
         self._backends = backends
         self._log = log
@@ -196,7 +199,7 @@
             self._heartbeat_sent_s = now
             self.send(digest, self.addresses())
             return
-        report = Report(self.host, self._incarnation, digest)
+        report = Report(self.host, self.incarnation, digest)
         if relay == self.host:
             self.relay.relay((report,))
         else:
@@ -231,7 +234,7 @@
         """Send a message to some addresses."""
         if self._transport is None:
             return
-        message = Message(self.host, self._incarnation, content, self.place)
+        message = Message(self.host, self.incarnation, content, self.place)
         data = encode_message(message)
         for address in addresses:
             self._transport.sendto(data, address)
@@ -340,5 +343,11 @@
         if self.on_streams:
             self.on_streams(content, host)
 
+    @_handle.register(Announcement)
+    @_handle.register(UsageCounts)
+    def _handle_duties(self, content: Announcement | UsageCounts, host: str, now: float) -> None:
+        if self.on_duties:
+            self.on_duties(content, host)
+
 
 __all__ = ["OWN_HOST", "Peer", "Peers"]
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -14,6 +14,7 @@
 
 from redwingbank.clock import now_s
 from redwingbank.decisions import STDOUT
+from redwingbank.duties.host_duties import HostDuties
 from redwingbank.errors import EXIT_FAULT, EXIT_USAGE, SettingErrors
 from redwingbank.front.block_list import KIND_BLOCKS, BlockList
 from redwingbank.front.freshness import ASK_INTERVAL_S
@@ -60,6 +61,9 @@
         self._blocks = BlockList(
             self._store, self.router.poison, self.router.log, self.router.random
         )
+        self._duties: HostDuties | None = None
+        if settings.duties:
+            self._duties = HostDuties(settings.duties, self.router, self._store)
         self._listeners: list[Listener] = []
 
     async def run(self) -> None:
@@ -86,8 +90,12 @@
             host, peers = settings.name, router.peers
             discover = partial(discover_hosts, self._store, host, settings.peer, peers, router.log)
             group.start_soon(self._keep_running, discover)
+            if self._duties:
+                group.start_soon(self._keep_running, self._duties.run)
             await self._run_housekeeping()
             await self._close()
+            if self._duties:
+                self._duties.finish()
             group.cancel_scope.cancel()
         router.log.essential("stopped", unanswered=len(router.exchanges))
         router.log.flush()
@@ -128,6 +136,8 @@
                 self._reload("signal")
         elif self.router.shutdown.begin(now_s()):
             self.router.log.essential("leaving", connections=len(self.router.connections))
+            if self._duties:
+                self._duties.leave()
 
     async def _run_housekeeping(self) -> None:
         """Run periodic tasks until the shutdown is complete."""
@@ -199,6 +209,8 @@
         if target != METRICS_TARGET:
             return ProbeAnswer(404)
         self.router.metrics.gauge("store_calls", self._store.calls)
+        if self._duties:
+            self._duties.record_gauges()
         return ProbeAnswer(200, self.router.metrics_text().encode())
 
 
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -21,7 +21,7 @@
 from redwingbank.front.server_limits import ServerLimits
 from redwingbank.front.shutdown import AnswerDurations, Shutdown
 from redwingbank.front.stream_sharing import StreamSharing
-from redwingbank.front.values import Limits, Pool
+from redwingbank.front.values import Kind, Limits, Pool
 from redwingbank.metrics import Metrics
 from redwingbank.routing.choice import Chooser, as_in_flight
 from redwingbank.routing.dispatch import Dispatcher
@@ -31,6 +31,7 @@
     from collections.abc import Callable
     from random import Random
 
+    from redwingbank.duties.counter import RunCounter
     from redwingbank.front.backends import Backend
     from redwingbank.front.open_work import OpenConnection, OpenExchange
     from redwingbank.front.values import HostSettings
@@ -76,6 +77,8 @@
         self.durations = AnswerDurations()
         self.connections: set[OpenConnection] = set()
         self.exchanges: set[OpenExchange] = set()
+        # None unless the duties include usage reports
+        self.runs: RunCounter | None = None
 
     def update_settings(self, settings: HostSettings) -> None:
         """Apply reloaded settings."""
@@ -142,18 +145,27 @@
         """Remove a request that has ended."""
         self.exchanges.discard(exchange)
 
-    def record_send(self, choice: Choice, needs: RequestNeeds, now_s: float) -> int:
+    def record_send(
+        self, choice: Choice, needs: RequestNeeds, organisation: str, now_s: float
+    ) -> int:
         """Record a request that is sent, and tell the other hosts; return its number."""
         backend, shared = choice.backend, needs.facts.shared_parts
         in_flight = as_in_flight(choice, needs, now_s)
         number = self.peers.report_sent(backend.entry.name, in_flight, shared)
         backend.load.request_sent((OWN_HOST, number), in_flight, shared)
         self.server_limits.request_sent(backend.entry)
+        if self.runs:
+            streams = needs.route.kind is Kind.STREAM
+            had_room = len(backend.load) <= backend.entry.slots
+            self.runs.sent(number, organisation, now_s, streams=streams, had_room=had_room)
         return number
 
     def record_first_event(self, backend: Backend, number: int, sent_s: float) -> None:
         """Record the first part of an answer, and tell the other hosts."""
-        took_s = now_s() - sent_s
+        now = now_s()
+        took_s = now - sent_s
+        if self.runs:
+            self.runs.first_event(number, now)
         backend.load.first_event_received((OWN_HOST, number), took_s)
         self.peers.report_first_event(number, took_s)
 
--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -5,6 +5,7 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from redwingbank.duties.values import DutySettings  # noqa: TC001 - a field's type
 from redwingbank.front.wire import DEFAULT_ANSWER_LIMITS, AnswerLimits
 from redwingbank.settings import Address  # noqa: TC001 - a field's type
 
@@ -198,7 +199,7 @@
 
     `readiness` is the address of the balancer's readiness checks, `metrics` that of the metrics
     and `peer` that of messages from other hosts. `link_mbps` is the bandwidth of the host's
-    network link, 0.0 if unknown.
+    network link, 0.0 if unknown. `duties` is None if the host takes part in none.
     """
 
     name: str
@@ -211,6 +212,7 @@
     peer: Address
     link_mbps: float = 0.0
     answer_limits: AnswerLimits = DEFAULT_ANSWER_LIMITS
+    duties: DutySettings | None = None
 
 
 __all__ = [
--- a/src/redwingbank/platform/settings.py
+++ b/src/redwingbank/platform/settings.py
@@ -7,6 +7,7 @@
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from redwingbank.duties.values import DutySettings
 from redwingbank.errors import SettingError, SettingErrors
 from redwingbank.front.values import Bounds, HostSettings
 from redwingbank.front.wire import AnswerLimits
@@ -24,6 +25,9 @@
 # the first port of the range is for messages between hosts
 PEER_PORT_INDEX = 0
 
+# calls a second to the interface of the duties if the settings state no rate
+DEFAULT_CALLS_PER_S = 50.0
+
 ADDRESS = "an IP address and a port"
 NUMBER = "a non-negative number"
 
@@ -77,6 +81,7 @@
         peer=Address(host or "", ports[PEER_PORT_INDEX] if ports else 0),
         link_mbps=reader.read("limits.linkMbps", _number, NUMBER, 0.0),
         answer_limits=_answer_limits(reader),
+        duties=_duties(reader),
     )
     if reader.errors:
         raise SettingErrors(f"{file}: {len(reader.errors)} invalid settings", reader.errors)
@@ -101,6 +106,31 @@
     return Bounds(**values)
 
 
+def _duties(reader: _Reader) -> DutySettings | None:
+    names = reader.read("cloud.duties", _names, "a list of names", ())
+    if not names:
+        return None
+    rates = [
+        reader.read(f"cloud.{key}", _positive, "a positive number", DEFAULT_CALLS_PER_S)
+        for key in ("ratePerS", "dutyPerS")
+    ]
+    default = DutySettings(Address("", 0), 0.0, ())
+    fields: tuple[tuple[str, str, Callable[[Any], Any]], ...] = (
+        ("leaseMs", "lease_s", _positive_milliseconds),
+        ("thawMs", "thaw_s", _positive_milliseconds),
+        ("reportWindowS", "window_s", _positive),
+        ("usageOff", "usage_off", _number),
+        ("usageLateS", "late_s", _positive),
+        ("fencing", "fencing", bool),
+    )
+    values = {
+        name: reader.read(f"bounds.{key}", parse, "a positive number", getattr(default, name))
+        for key, name, parse in fields
+    }
+    address = reader.read("cloud.addr", parse_address, ADDRESS)
+    return DutySettings(address, min(rates), names, **values)
+
+
 def _answer_limits(reader: _Reader) -> AnswerLimits:
     default = AnswerLimits()
     fields = (
@@ -155,6 +185,22 @@
     return float(value)
 
 
+def _positive(value: Any) -> float:
+    if _number(value) <= 0:
+        raise ValueError(value)
+    return float(value)
+
+
+def _positive_milliseconds(value: Any) -> float:
+    return _positive(value) / MS_PER_S
+
+
+def _names(value: Any) -> tuple[str, ...]:
+    if not isinstance(value, list):
+        raise ValueError(value)
+    return tuple(map(_text, value))
+
+
 def _milliseconds(value: Any) -> float:
     return _number(value) / MS_PER_S
 
