--- a/src/redwingbank/duties/capacity.py
+++ b/src/redwingbank/duties/capacity.py
@@ -2,7 +2,7 @@
 
 Answers bursts that come faster than a server starts, the daily wave, reclaimed spot servers of one
 or two data centres, dry markets, orders that are refused or late, and servers that never come,
-crash or drain. More servers are ordered at once. Fewer are ordered one at a time and only after
+crash or drain. More servers are ordered at once. Fewer are ordered a few at a time and only after
 calm, since a server takes its prompt cache with it; before traffic there is no cache to lose, and
 the set of servers is changed as soon as the replacements are ready.
 """
@@ -30,6 +30,8 @@
 # then one at a time.
 CALM_S = USUAL_S
 STEP_S = 2.0
+# One of so many servers leaves at a step, so that few prompts have to be read again.
+STEP_SERVERS = 30
 # Fewer servers are ordered only if the new plan costs this much less, so that orders don't flap.
 MIN_SAVING = 0.1
 # A server that is listed this long serves; the list reaches all hosts in that time.
@@ -132,7 +134,10 @@
 
     def _note_reclaims(self, state: PoolState, now_s: float) -> None:
         for data_centre, draining in state.draining_spot.items():
-            if draining >= RECLAIMED_SERVERS:
+            listed = state.listed.get(data_centre, NONE).spot
+            # servers that were ordered away drain as well, but are not missing
+            missing = self.book.desired(Subject(data_centre, spot=True)) - listed
+            if min(draining, missing) >= RECLAIMED_SERVERS:
                 self._reclaimed_s[data_centre] = self._unrest_s = now_s
 
     def _reclaimed(self, data_centre: str, now_s: float) -> bool:
@@ -241,10 +246,11 @@
             )
             for one, counts in self.plan().items()
         }
-        steps = 1 if self._traffic else sum(counts.total for counts in ready.values())
+        total = sum(counts.total for counts in ready.values())
+        steps = max(1, total // STEP_SERVERS) if self._traffic else total
         lowered = 0
-        for data_centre in sorted(ready, key=lambda one: self._use(one, state)):
-            for kind in Counts._fields:
+        for kind in Counts._fields:
+            for data_centre in sorted(ready, key=lambda one: self._use(one, state)):
                 while lowered < steps and self._lower_one(
                     data_centre, kind, target, ready, needs, now_s
                 ):
--- a/src/redwingbank/duties/demand.py
+++ b/src/redwingbank/duties/demand.py
@@ -31,6 +31,8 @@
 ORDINARY_SHARE = 0.2
 # Longer than the daily wave (11 s) and than twice the longest burst (9 s).
 USUAL_S = 20.0
+# Before so many seconds, the usual load is not known: caches are cold when traffic begins.
+FIRST_S = 5
 # Share of the servers that were there before traffic that must outlive the loss of spot servers.
 # On a full day 276 of 684 slots are used: 0.46 of the servers, at 1.15 times that and SLOT_SHARE.
 IDLE_SURVIVOR_SHARE = 0.5
@@ -99,6 +101,8 @@
         return self._needs(max(point.full for point in self._points), losses)
 
     def _needs(self, present: int, losses: int) -> Needs:
+        if len(self._points) < FIRST_S:
+            return Needs(full=present, survivors=0, losses=losses)
         slots_used = median(point.slots_used for point in self._points)
         read_s = median(point.read_s for point in self._points)
         share = median(point.largest_share for point in self._points)
--- a/src/redwingbank/duties/host_duties.py
+++ b/src/redwingbank/duties/host_duties.py
@@ -7,10 +7,11 @@
 
 import anyio
 
+from redwingbank.duties.capacity_task import create_capacity_duty
 from redwingbank.duties.codec import Announcement, UsageCounts
 from redwingbank.duties.task import DutyTask
 from redwingbank.duties.usage_reports import UsageReports
-from redwingbank.duties.values import USAGE
+from redwingbank.duties.values import SCALE, USAGE
 
 if TYPE_CHECKING:
     from redwingbank.duties.values import DutySettings
@@ -29,6 +30,8 @@
             self._usage = UsageReports(self.task, router.peers, router.random)
             self.task.register(USAGE, self._usage)
             router.runs = self._usage.counter
+        if SCALE in settings.duties:
+            self.task.register(SCALE, create_capacity_duty(self.task, router))
         router.peers.on_duties = self.handle
 
     async def run(self) -> None:
