--- a/src/redwingbank/duties/capacity.py
+++ b/src/redwingbank/duties/capacity.py
@@ -34,6 +34,7 @@
 STEP_SERVERS = 30
 # Fewer servers are ordered only if the new plan costs this much less, so that orders don't flap.
 MIN_SAVING = 0.1
+MIN_IDLE_SAVING = 0.02
 # A server that is listed this long serves; the list reaches all hosts in that time.
 READY_S = 1.0
 
@@ -93,6 +94,7 @@
         """Return the servers to ask for, given the state now; called about once a second."""
         self._adopt(state, now_s)
         self._note_reclaims(state, now_s)
+        self.book.keep_surplus(by_subject(state.listed), now_s)
         if state.traffic and not self._traffic:
             self._traffic, self._unrest_s = True, now_s
         if self._traffic:
@@ -134,11 +136,13 @@
 
     def _note_reclaims(self, state: PoolState, now_s: float) -> None:
         for data_centre, draining in state.draining_spot.items():
+            subject = Subject(data_centre, spot=True)
             listed = state.listed.get(data_centre, NONE).spot
             # servers that were ordered away drain as well, but are not missing
-            missing = self.book.desired(Subject(data_centre, spot=True)) - listed
+            missing = self.book.desired(subject) - listed
             if min(draining, missing) >= RECLAIMED_SERVERS:
                 self._reclaimed_s[data_centre] = self._unrest_s = now_s
+                self.book.correct(subject, listed)
 
     def _reclaimed(self, data_centre: str, now_s: float) -> bool:
         return now_s < self._reclaimed_s.get(data_centre, float("-inf")) + RECLAIM_S
@@ -212,7 +216,8 @@
         current = self.plan()
         target = self._cheapest(current, needs, now_s)
         saving = price(current, self.scaling) - price(target, self.scaling)
-        if shortfall(target, needs) or saving < MIN_SAVING * price(current, self.scaling):
+        least = MIN_SAVING if self._traffic else MIN_IDLE_SAVING
+        if shortfall(target, needs) or saving < least * price(current, self.scaling):
             return ""
         raised = {
             one: Counts(
@@ -249,42 +254,46 @@
         total = sum(counts.total for counts in ready.values())
         steps = max(1, total // STEP_SERVERS) if self._traffic else total
         lowered = 0
-        for kind in Counts._fields:
-            for data_centre in sorted(ready, key=lambda one: self._use(one, state)):
-                while lowered < steps and self._lower_one(
-                    data_centre, kind, target, ready, needs, now_s
-                ):
-                    lowered += 1
+        while lowered < steps and self._lower_one(target, state, ready, needs, now_s):
+            lowered += 1
         if not lowered:
             return ""
         self._step_s = now_s
         return "calm" if self._traffic else "no traffic yet, replacements are ready"
 
     def _lower_one(
-        self,
-        data_centre: str,
-        kind: str,
-        target: Plan,
-        ready: Plan,
-        needs: Needs,
-        now_s: float,
+        self, target: Plan, state: PoolState, ready: Plan, needs: Needs, now_s: float
     ) -> bool:
-        asked = self.plan()[data_centre]
-        counts = ready[data_centre]
-        if getattr(asked, kind) <= getattr(target[data_centre], kind):
-            return False
-        left = counts._replace(**{kind: max(0, getattr(counts, kind) - 1)})
-        if shortfall({**ready, data_centre: left}, needs):
-            return False
-        ready[data_centre] = left
-        self._want(data_centre, asked._replace(**{kind: getattr(asked, kind) - 1}), now_s)
-        return True
-
-    def _use(self, data_centre: str, state: PoolState) -> tuple[float, float, str]:
-        """Order data centres by requests for each server, then the most expensive first."""
+        """Ask for one server less of `ready`, if there is one that may go."""
+        asked = self.plan()
+        for kind in Counts._fields:
+            surplus = {
+                one: getattr(asked[one], kind) - getattr(target[one], kind) for one in asked
+            }
+            for data_centre in sorted(asked, key=lambda one: self._use(one, surplus[one], state)):
+                counts = ready[data_centre]
+                left = counts._replace(**{kind: max(0, getattr(counts, kind) - 1)})
+                if surplus[data_centre] <= 0 or shortfall({**ready, data_centre: left}, needs):
+                    continue
+                ready[data_centre] = left
+                fewer = getattr(asked[data_centre], kind) - 1
+                self._want(data_centre, asked[data_centre]._replace(**{kind: fewer}), now_s)
+                return True
+        return False
+
+    def _use(self, data_centre: str, surplus: int, state: PoolState) -> tuple[float, int, str]:
+        """Order data centres by requests for each server, then the largest surplus first."""
         servers = max(1, state.listed.get(data_centre, NONE).total)
-        cost = self.scaling.prices_by_data_centre.get(data_centre, 1.0)
-        return state.in_flight.get(data_centre, 0) / servers, -cost, data_centre
+        return state.in_flight.get(data_centre, 0) / servers, -surplus, data_centre
+
+
+def by_subject(counts_by_data_centre: Mapping[str, Counts]) -> dict[Subject, int]:
+    """Return counts of servers by subject."""
+    return {
+        Subject(data_centre, spot): counts.spot if spot else counts.ordinary
+        for data_centre, counts in counts_by_data_centre.items()
+        for spot in (False, True)
+    }
 
 
 def count_servers(servers: Iterable[tuple[str, bool]]) -> Plan:
@@ -296,4 +305,4 @@
     return plan
 
 
-__all__ = ["READY_S", "CapacityPlanner", "Decision", "PoolState", "count_servers"]
+__all__ = ["READY_S", "CapacityPlanner", "Decision", "PoolState", "by_subject", "count_servers"]
--- a/src/redwingbank/duties/capacity_task.py
+++ b/src/redwingbank/duties/capacity_task.py
@@ -8,10 +8,16 @@
 import anyio
 
 from redwingbank.clock import now_s as clock_s
-from redwingbank.duties.capacity import READY_S, CapacityPlanner, PoolState, count_servers
+from redwingbank.duties.capacity import (
+    READY_S,
+    CapacityPlanner,
+    PoolState,
+    by_subject,
+    count_servers,
+)
 from redwingbank.duties.demand import LoadSample
 from redwingbank.duties.server_plan import Counts, price
-from redwingbank.duties.values import ServerOrder
+from redwingbank.duties.values import DutyAnswer, ServerOrder
 from redwingbank.front.peers import OWN_HOST
 
 if TYPE_CHECKING:
@@ -22,7 +28,7 @@
     from redwingbank.duties.capacity import Decision
     from redwingbank.duties.order_book import Subject
     from redwingbank.duties.task import DutyTask
-    from redwingbank.duties.values import DutyAnswer, Permit
+    from redwingbank.duties.values import Permit
     from redwingbank.front.backends import Backends
     from redwingbank.front.router import Router
     from redwingbank.front.values import Pool, ServerEntry
@@ -98,12 +104,28 @@
                     self._planners_by_pool.pop(pool.name, None)
                     continue
                 state, arrivals = self._observe(pool.name, entries, passed_s, now_s)
-                planner = self._planner(pool)
-                decision = planner.decide(state, now_s)
-                self._record(pool.name, planner, state, decision, arrivals)
-                listed = _by_subject(planner, state.listed)
+                group.start_soon(self._decide, pool, state, arrivals, permit, now_s)
+
+    async def _decide(
+        self,
+        pool: Pool,
+        state: PoolState,
+        arrivals: Counter[Source],
+        permit: Permit,
+        now_s: float,
+    ) -> None:
+        """Decide on a pool and send its orders; decide again if there are none to be had."""
+        planner = self._planner(pool)
+        listed = by_subject(state.listed)
+        refused = True
+        while refused and clock_s() < permit.ends_s:
+            decision = planner.decide(state, now_s)
+            self._record(pool.name, planner, state, decision, arrivals)
+            answers: list[DutyAnswer] = []
+            async with anyio.create_task_group() as group:
                 for subject in planner.book.due(listed, now_s):
-                    group.start_soon(self._order, pool.name, planner, subject, permit)
+                    group.start_soon(self._order, pool.name, planner, subject, permit, answers)
+            refused = DutyAnswer.REFUSED in answers
 
     def _planner(self, pool: Pool) -> CapacityPlanner:
         assert pool.scaling is not None
@@ -116,11 +138,17 @@
         return planner
 
     async def _order(
-        self, pool: str, planner: CapacityPlanner, subject: Subject, permit: Permit
+        self,
+        pool: str,
+        planner: CapacityPlanner,
+        subject: Subject,
+        permit: Permit,
+        answers: list[DutyAnswer],
     ) -> None:
         desired = planner.book.desired(subject)
         order = ServerOrder(pool, subject.data_centre, desired, subject.spot)
         answer = await self._client.order_servers(order, permit)
+        answers.append(answer)
         planner.book.record(subject, desired, answer, clock_s())
         self._fleet.metrics.count("server_orders_total", pool=pool, answer=answer.name.lower())
         self._fleet.log.essential(
@@ -249,16 +277,6 @@
     return CapacityDuty(task.client, task, fleet)
 
 
-def _by_subject(planner: CapacityPlanner, listed: Mapping[str, Counts]) -> dict[Subject, int]:
-    none = Counts()
-    return {
-        subject: getattr(
-            listed.get(subject.data_centre, none), "spot" if subject.spot else "ordinary"
-        )
-        for subject in planner.book.subjects
-    }
-
-
 def encode_capacity(plans_by_pool: Mapping[str, Mapping[str, Counts]]) -> dict[str, Any]:
     """Encode plans as JSON for the next holder.
 
--- a/src/redwingbank/duties/demand.py
+++ b/src/redwingbank/duties/demand.py
@@ -22,6 +22,9 @@
 # The present load may be the lower half of the daily wave (swing 0.27), and may still grow until
 # an ordered server serves.
 PRESENT_FACTOR = 1.15
+# The usual load may be at the peak of the wave when spot servers are reclaimed, or be joined by
+# the lesser part of a burst: replacements take longer to start than reclaimed servers to leave.
+SURVIVOR_FACTOR = 1.5
 # The share of slots that is used in a burst, and of their time that servers read prompts in a
 # burst and usually. Beyond that callers wait, or streams pause for longer than their target.
 SLOT_SHARE = 0.9
@@ -34,8 +37,8 @@
 # Before so many seconds, the usual load is not known: caches are cold when traffic begins.
 FIRST_S = 5
 # Share of the servers that were there before traffic that must outlive the loss of spot servers.
-# On a full day 276 of 684 slots are used: 0.46 of the servers, at 1.15 times that and SLOT_SHARE.
-IDLE_SURVIVOR_SHARE = 0.5
+# On a full day about 250 of 684 slots are used: SURVIVOR_FACTOR times that at SLOT_SHARE.
+IDLE_SURVIVOR_SHARE = 0.6
 IDLE_ORDINARY_SHARE = 0.1
 
 
@@ -68,14 +71,14 @@
     >>> for second in range(20):
     ...     demand.record(LoadSample(12.0, {0.15: 210, 0.25: 63}, 9.0), float(second))
     >>> demand.needs()
-    Needs(full=53, survivors=30, ordinary=6, losses=2)
+    Needs(full=53, survivors=38, ordinary=8, losses=2)
     """
 
     def __init__(self) -> None:
         self._points: deque[_Point] = deque()
 
     def record(self, sample: LoadSample, now_s: float) -> None:
-        """Record the load of about one second."""
+        """Record the load of about one second; of two at the same time the last one counts."""
         in_flight = sum(sample.in_flight_by_class.values())
         largest = max(sample.in_flight_by_class.values(), default=0)
         slots_used = in_flight / max(1.0, sample.slots)
@@ -88,6 +91,8 @@
             largest_share=largest / in_flight if in_flight else 1.0,
             full=math.ceil(present * PRESENT_FACTOR),
         )
+        if self._points and self._points[-1].at_s == now_s:
+            self._points.pop()
         self._points.append(point)
         while self._points[0].at_s < now_s - USUAL_S:
             self._points.popleft()
@@ -109,7 +114,7 @@
         burst = 1 + (BURST_FACTOR - 1) * share
         usual = max(slots_used / SLOT_SHARE, read_s / READ_SHARE)
         full = burst * max(slots_used / SLOT_SHARE, read_s / BURST_READ_SHARE)
-        survivors = math.ceil(PRESENT_FACTOR * usual)
+        survivors = math.ceil(SURVIVOR_FACTOR * usual)
         return Needs(
             full=max(present, math.ceil(full)),
             survivors=survivors,
--- a/src/redwingbank/duties/order_book.py
+++ b/src/redwingbank/duties/order_book.py
@@ -48,11 +48,16 @@
         self.accepted = desired
         self.open = False
         self.due_s = float("-inf")
-        self.sent_s = since_s
+        self.sent_s = float("-inf")
         self.late: list[_Late] = []
         self.refusals = 0
         self.dry_until_s = float("-inf")
 
+    @property
+    def changed_s(self) -> float:
+        """When the order was last changed or sent."""
+        return max(self.since_s, self.sent_s)
+
     def overtaken(self, now_s: float) -> bool:
         """Whether a late call could replace this order."""
         self.late = [call for call in self.late if call.until_s > now_s]
@@ -110,6 +115,25 @@
         """Whether none are available."""
         return now_s < self._orders[subject].dry_until_s
 
+    def correct(self, subject: Subject, listed: int) -> None:
+        """Take what is listed for what is in force, without an order."""
+        order = self._orders[subject]
+        order.desired = order.accepted = listed
+        order.open = False
+
+    def keep_surplus(self, listed: dict[Subject, int], now_s: float) -> None:
+        """Take over servers that came unasked: those of a late order, or that were listed late.
+
+        They are ordered away like others, after calm.
+        """
+        for subject, order in self._orders.items():
+            settled = now_s >= order.changed_s + self.boot_s + MISSING_MARGIN_S
+            never_sent = order.sent_s == float("-inf")
+            open_order = order.open or order.overtaken(now_s)
+            surplus = listed.get(subject, 0) > order.desired
+            if surplus and not open_order and (settled or never_sent):
+                self.correct(subject, listed[subject])
+
     def due(self, listed: dict[Subject, int], now_s: float) -> list[Subject]:
         """List the subjects whose orders are to be sent now, increases first."""
         due = [subject for subject in self._orders if self._is_due(subject, listed, now_s)]
@@ -139,9 +163,8 @@
             return False
         if order.open or order.overtaken(now_s):
             return True
-        missing = listed.get(subject, 0) != order.desired
-        changed_s = max(order.since_s, order.sent_s)
-        return missing and now_s >= changed_s + self.boot_s + MISSING_MARGIN_S
+        missing = listed.get(subject, 0) < order.desired
+        return missing and now_s >= order.changed_s + self.boot_s + MISSING_MARGIN_S
 
 
 __all__ = ["OrderBook", "Subject"]
--- a/src/redwingbank_bench/__main__.py
+++ b/src/redwingbank_bench/__main__.py
@@ -9,7 +9,15 @@
 import anyio
 from cyclopts import App
 
-from redwingbank_bench import control, failures, overhead, overload, relay, replays
+from redwingbank_bench import (
+    control,
+    failures,
+    overhead,
+    overload,
+    relay,
+    replay_capacities,
+    replays,
+)
 from redwingbank_bench.options import Options
 from redwingbank_bench.report import print_figures
 
@@ -23,6 +31,7 @@
     "failures": failures.measure,
     "control": control.measure,
     "replay": replays.measure,
+    "servers": replay_capacities.measure,
 }
 
 app = App(name="redwingbank_bench", help="Experiments on real processes and stand-ins.")
@@ -30,7 +39,7 @@
 
 @app.default
 def main(
-    name: Literal["overhead", "relay", "overload", "failures", "control", "replay"],
+    name: Literal["overhead", "relay", "overload", "failures", "control", "replay", "servers"],
     *,
     seed: int = 1,
     runs: int = 3,
--- a/src/redwingbank_bench/replay_capacity.py
+++ b/src/redwingbank_bench/replay_capacity.py
@@ -13,8 +13,6 @@
 
 from redwingbank.duties.capacity import READY_S, PoolState, count_servers
 from redwingbank.duties.demand import LoadSample
-from redwingbank.duties.order_book import Subject
-from redwingbank.duties.server_plan import Counts
 from redwingbank.duties.values import DutyAnswer
 from redwingbank_bench.replay_capacity_load import (
     CLASSES,
@@ -29,6 +27,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from redwingbank.duties.order_book import Subject
+    from redwingbank.duties.server_plan import Counts
     from redwingbank_bench.replay_capacity_load import CapacityPattern, Request
 
 # From the engines' data sheet; a step takes longer the more streams run.
@@ -203,10 +203,14 @@
 
     def _tick(self, now_s: float) -> None:
         state = self._observe(now_s)
-        for subject, desired in self._arm.orders(state, now_s).items():
-            self._orders += 1
-            answer = self._answer(subject, desired, now_s)
-            self._arm.record(subject, desired, answer, now_s)
+        refused = True
+        while refused:
+            refused = False
+            for subject, desired in self._arm.orders(state, now_s).items():
+                self._orders += 1
+                answer = self._answer(subject, desired, now_s)
+                refused |= answer is DutyAnswer.REFUSED
+                self._arm.record(subject, desired, answer, now_s)
         self._add_price()
         self.history.append((now_s, self._counts(), state))
 
--- a/src/redwingbank_bench/replay_capacity_arms.py
+++ b/src/redwingbank_bench/replay_capacity_arms.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from redwingbank.duties.capacity import CapacityPlanner
+from redwingbank.duties.capacity import CapacityPlanner, by_subject
 from redwingbank.duties.order_book import Subject
 from redwingbank_bench.replay_capacity_load import DATA_CENTRES, SCALING, SLOTS, START_SERVERS
 
@@ -33,11 +33,7 @@
         """Return the orders that are due."""
         self.planner.decide(state, now_s)
         book = self.planner.book
-        listed = {
-            Subject(data_centre, spot): counts.spot if spot else counts.ordinary
-            for data_centre, counts in state.listed.items()
-            for spot in (False, True)
-        }
+        listed = by_subject(state.listed)
         return {subject: book.desired(subject) for subject in book.due(listed, now_s)}
 
     def record(self, subject: Subject, desired: int, answer: DutyAnswer, now_s: float) -> None:
