--- /dev/null
+++ b/tests/duties/lease.feature
@@ -0,0 +1,12 @@
+Feature: one host at a time carries out the duties
+
+  Scenario: whatever happens to hosts, store and clocks, no rule of the duties is broken
+    # Guards against two holders with one fence, a fence that decreases, holders in the order
+    # A, B, A within a lease, and two reports with different counts for one window.
+    Given fleets whose hosts pause, restart, leave, and lose answers, messages and the store
+    Then at most one host has a permit, and no fence, order of holders or report contradicts another
+
+  Scenario: without faults every window is reported in time by one host
+    # Guards against a lease that nobody takes, and reports that are left out.
+    Given a fleet without faults that runs for 60 s
+    Then one host reported every window within 10 s of its end
