--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -9,6 +9,14 @@
 
 import capnp
 
+from redwingbank.duties.codec import (
+    Announcement,
+    UsageCounts,
+    decode_announcement,
+    decode_usage,
+    encode_announcement,
+    encode_usage,
+)
 from redwingbank.front import digest_schema as schema
 from redwingbank.front.digest_schema import SCHEMA
 from redwingbank.front.framing import open_message, read_kind
@@ -125,7 +133,18 @@
     removed: tuple[str, ...]
 
 
-Content = Digest | Bundle | Question | Answer | News | CrashNews | LimitReport | StreamReport
+Content = (
+    Digest
+    | Bundle
+    | Question
+    | Answer
+    | News
+    | CrashNews
+    | LimitReport
+    | StreamReport
+    | Announcement
+    | UsageCounts
+)
 
 
 class Place(NamedTuple):
@@ -256,12 +275,16 @@
         row.name, row.pool, row.address = entry.name, entry.pool, str(entry.address)
         row.dataCentre, row.slots = entry.data_centre, entry.slots
         row.draining, row.startedMs = entry.draining, entry.started_ms
-        row.version = entry.version
+        row.version, row.spot = entry.version, entry.spot
+        if entry.leaves_s is not None:
+            row.leavesMs = entry.leaves_s * MILLISECONDS
 
 
 _encode_content.register(encode_crash)
 _encode_content.register(encode_limits)
 _encode_content.register(encode_streams)
+_encode_content.register(Announcement, encode_announcement)
+_encode_content.register(UsageCounts, encode_usage)
 
 
 def _decode_digest(struct: Any, now_s: float) -> Digest:
@@ -361,6 +384,8 @@
         draining=row.draining,
         started_ms=row.startedMs,
         version=row.version,
+        spot=row.spot,
+        leaves_s=row.leavesMs / MILLISECONDS if row.leavesMs >= 0 else None,
     )
 
 
@@ -373,6 +398,8 @@
     "crash": decode_crash,
     "limits": decode_limits,
     "streams": decode_streams,
+    "dutyHolder": decode_announcement,
+    "usage": decode_usage,
 }
 
 __all__ = [
