--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -117,6 +117,8 @@
         """Return a pool of the table; a pool that is not listed has no prompt cache."""
         table = self.tables.table
         known = table.pools_by_name.get(name) if table else None
+        if known and known.scaling:
+            self.dispatcher.shortage.switch_on(name)
         return known or Pool(name, 0)
 
     def ready(self) -> bool:
