--- a/src/redwingbank/duties/usage.py
+++ b/src/redwingbank/duties/usage.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 from collections import Counter
+from math import ceil
 from statistics import median
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -23,8 +24,8 @@
 REPORT_SHARE = 0.4
 # Reports are sent for so many times that time after the end of their window.
 LATEST_FACTOR = 2.5
-# Windows are kept in the store object, and counts in memory, for 40 s with windows of 5 s.
-KEPT_WINDOWS = 8
+# Windows are kept in the store object, and counts in memory, for so many times that time.
+KEPT_FACTOR = 4.0
 # A host whose wall clock differs by more from that of the fleet has a clock that stepped.
 CLOCK_TOLERANCE_S = 0.25
 
@@ -53,6 +54,11 @@
         """Return the window of a wall-clock time."""
         return int(wall_s // self.window_s)
 
+    @property
+    def kept_windows(self) -> int:
+        """How many windows are kept."""
+        return ceil(KEPT_FACTOR * self.late_s / self.window_s)
+
     def end_s(self, window: int) -> float:
         """Return the wall-clock time of a window's end."""
         return (window + 1) * self.window_s
@@ -138,7 +144,7 @@
 
     def expire(self, wall_s: float) -> None:
         """Forget windows that can't be reported any more."""
-        oldest = self.terms.window(wall_s) - KEPT_WINDOWS
+        oldest = self.terms.window(wall_s) - self.terms.kept_windows
         for window in [known for known in self._counts_by_source if known < oldest]:
             del self._counts_by_source[window]
 
@@ -166,7 +172,7 @@
         self._accepted.add(window)
 
     def begin(self, wall_s: float) -> None:
-        """Start with the current window if none was ever composed."""
+        """Start with the window of a time if none was ever composed."""
         if self.floor < 0:
             self.floor = self.terms.window(wall_s) - 1
 
@@ -186,7 +192,7 @@
         for report in composed:
             if report.window > highest:
                 by_window[report.window] = report
-        oldest = max(by_window, default=0) - KEPT_WINDOWS
+        oldest = max(by_window, default=0) - self.terms.kept_windows
         return tuple(
             report._replace(accepted=report.accepted or window in self._accepted)
             for window, report in sorted(by_window.items())
--- a/src/redwingbank/duties/usage_reports.py
+++ b/src/redwingbank/duties/usage_reports.py
@@ -13,7 +13,6 @@
 from redwingbank.duties.counter import RunCounter
 from redwingbank.duties.lease import LeaseRecord, SentReport
 from redwingbank.duties.usage import (
-    KEPT_WINDOWS,
     FleetClock,
     ReportPlan,
     Source,
@@ -64,7 +63,7 @@
         self._random = random
         self._source = Source(peers.host, peers.incarnation)
         self._staged: tuple[SentReport, ...] = ()
-        self._acquired_s = now_s()
+        self._acquired_s = self._started_s = now_s()
         self._told: tuple[list[WindowCounts], list[str]] = ([], [])
         self._told_s = float("-inf")
         self._passed_on = (0, 0)
@@ -89,17 +88,19 @@
 
     @handle.register
     def _handle_announcement(self, content: Announcement, host: str) -> None:
-        if content.composed <= self.ledger.terms.window(self.wall_s()) + KEPT_WINDOWS:
+        terms = self.ledger.terms
+        if content.composed <= terms.window(self.wall_s()) + terms.kept_windows:
             self.plan.note_composed(content.composed)
         now = now_s()
         self._holder_offset = (content.wall_s - now, now)
 
     @handle.register
     def _handle_counts(self, content: UsageCounts, host: str) -> None:
-        current = self.ledger.terms.window(self.wall_s())
+        terms = self.ledger.terms
+        current = terms.window(self.wall_s())
         for told in content.windows:
             # a damaged message may hold any number
-            if abs(told.window - current) <= KEPT_WINDOWS:
+            if abs(told.window - current) <= terms.kept_windows:
                 self.ledger.merge(content.source, told)
         if content.wall_s:
             now = now_s()
@@ -130,7 +131,7 @@
             await anyio.sleep(settle_s)
         wall_s = self.wall_s()
         self._note_sent()
-        self.plan.begin(wall_s)
+        self.plan.begin(self._clock.wall_s(self._started_s))
         due = self.plan.due(wall_s)
         if due:
             self._staged = tuple(SentReport(at, self.ledger.totals(at)) for at in due)
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -226,7 +226,7 @@
         self.fail_internally()
 
     def _handle_failure(self, attempt: Attempt, failure: Failure, now: float) -> None:
-        if self._router.runs and not failure.sent:
+        if self._router.runs and (attempt.turned_away or not failure.sent):
             self._router.runs.refused(self._number)
         self._release(attempt)
         update_breaker(attempt.backend, failure, self._life.request_id, self._sent_s, now)
