--- a/src/redwingbank/ctl/app.py
+++ b/src/redwingbank/ctl/app.py
@@ -10,6 +10,7 @@
 
 from redwingbank.ctl.check import check
 from redwingbank.ctl.drain import drain
+from redwingbank.ctl.duties import duties
 from redwingbank.ctl.explain import explain
 from redwingbank.ctl.release import release
 from redwingbank.ctl.status import status
@@ -27,7 +28,15 @@
 """
 
 # The commands without subcommands.
-COMMANDS: tuple[Callable[..., int], ...] = (check, status, timeline, explain, drain, release)
+COMMANDS: tuple[Callable[..., int], ...] = (
+    check,
+    status,
+    timeline,
+    explain,
+    duties,
+    drain,
+    release,
+)
 
 app = cyclopts.App(name="redwingctl", help=HELP, result_action="return_value")
 app.command(table)
--- a/src/redwingbank/duties/client.py
+++ b/src/redwingbank/duties/client.py
@@ -53,6 +53,10 @@
         self._calls = 0
         self._bucket = TokenBucket(rate, max(MIN_BURST, rate), now_s())
 
+    def move(self, address: Address) -> None:
+        """Use another address for later calls."""
+        self._http.move(address)
+
     @property
     def busy(self) -> bool:
         """Whether a call is on its way."""
--- a/src/redwingbank/duties/host_duties.py
+++ b/src/redwingbank/duties/host_duties.py
@@ -38,6 +38,11 @@
             if self._usage:
                 group.start_soon(self._usage.run)
 
+    def update_settings(self, settings: DutySettings | None) -> None:
+        """Apply a changed address of the interface; other changes take effect at a restart."""
+        if settings:
+            self.task.client.move(settings.address)
+
     def leave(self) -> None:
         """Make no more calls and release the lease; this host is stopping."""
         self.task.leave()
--- a/src/redwingbank/duties/task.py
+++ b/src/redwingbank/duties/task.py
@@ -125,7 +125,9 @@
         self.lease.handle_announcement(content.key, now_s())
 
     async def run(self) -> None:
-        """Keep the lease and perform the duties until cancelled."""
+        """Keep the lease and perform the duties until cancelled; without a duty, do nothing."""
+        if not self._duties_by_name:
+            await anyio.sleep_forever()
         async with anyio.create_task_group() as group:
             group.start_soon(self._pulse)
             for name, duty in self._duties_by_name.items():
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -199,6 +199,8 @@
         self._settings = settings
         self.router.update_settings(settings)
         self._store.move(settings.store)
+        if self._duties:
+            self._duties.update_settings(settings.duties)
         self.router.log.essential("reloaded", reason=reason, store=str(settings.store))
 
     def _answer_readiness(self, target: bytes) -> ProbeAnswer:
--- a/tests/damaged_messages.py
+++ b/tests/damaged_messages.py
@@ -14,6 +14,9 @@
 from random import Random
 from unittest import mock
 
+from redwingbank.duties.codec import Announcement, UsageCounts
+from redwingbank.duties.lease import RenewalKey
+from redwingbank.duties.usage import Source, WindowCounts
 from redwingbank.front import digest
 from redwingbank.front.digest import (
     Answer,
@@ -54,6 +57,10 @@
     News(1, 5, (ENTRY, ENTRY), ("i-2",)),
     CrashNews("f", 1.0, False, "i-1", ("a",), 0.1),
     LimitReport((LimitState("i-1", 1, 3, 2.0, 4),)),
+    Announcement(RenewalKey("host-1", 1, 1_800_000_000, 7), 353445120, 1.8e9),
+    UsageCounts(
+        Source("host-1", 1), (WindowCounts(7, {"a": 1, "b": 2}), WindowCounts(8, {"b": 3})), 1.8e9
+    ),
     StreamReport(
         Purpose.TOLD,
         (
--- a/tests/duty_fleet.py
+++ b/tests/duty_fleet.py
@@ -1,4 +1,4 @@
-"""Plays hosts that share the duties, with a store that loses and delays writes; time is virtual."""
+"""Plays hosts that share the duties, in virtual time; the store loses and delays writes."""
 
 from __future__ import annotations
 
@@ -65,7 +65,22 @@
         """Call the store; the answer may be lost, with or without effect, which may be late."""
         fleet, random = self.fleet, self.fleet.random
         self.waits_until_s = fleet.now_s + 0.6
-        incarnation, fate = self.incarnation, random.random()
+        fate, answered = random.random(), self._receiver(step)
+
+        def executed():
+            fleet.deliver(random.uniform(0.001, 0.2), self, answered, execute())
+
+        away = fleet.now_s < max(fleet.outage_until_s, self.cut_until_s)
+        if fleet.faults and (fate < 0.08 or away):
+            if fate < 0.05:
+                fleet.schedule(random.uniform(0.01, 4.0), execute)
+            fleet.deliver(0.6, self, answered)
+        else:
+            fleet.schedule(random.uniform(0.001, 0.2), executed)
+
+    def _receiver(self, step):
+        """Return what handles the answer to a call, unless the host started again."""
+        fleet, incarnation = self.fleet, self.incarnation
 
         def answered(stored=None):
             if self.incarnation != incarnation:
@@ -78,17 +93,7 @@
                 if self.lease.holds:
                     fleet.announce(self)
 
-        def executed():
-            stored = execute()
-            fleet.deliver(random.uniform(0.001, 0.2), self, answered, stored)
-
-        away = fleet.now_s < max(fleet.outage_until_s, self.cut_until_s)
-        if fleet.faults and (fate < 0.08 or away):
-            if fate < 0.05:
-                fleet.schedule(random.uniform(0.01, 4.0), execute)
-            fleet.deliver(0.6, self, answered)
-        else:
-            fleet.schedule(random.uniform(0.001, 0.2), executed)
+        return answered
 
     def _act(self):
         """Do what the usage reports do within a permit."""
@@ -117,7 +122,7 @@
 
 
 class DutyFleet:
-    """Hosts with ranks 0, 1, 2 as candidates; with `faults`, all that can happen to them happens."""
+    """Hosts of which three are candidates; with `faults`, all that can happen to them does."""
 
     def __init__(self, seed, *, hosts=4, faults=True):
         self.random = Random(seed)
--- a/tests/platform/formats.feature
+++ b/tests/platform/formats.feature
@@ -17,6 +17,18 @@
       | portRange           | [1]    |
       | nodeName            | ""     |
 
+  Scenario Outline: the settings of the duties
+    When the platform's settings have the cloud <cloud>
+    Then the duties are <duties>
+
+    Examples:
+      | cloud                                                                                   | duties       |
+      | {}                                                                                      | off          |
+      | {"addr": "127.0.0.1:9", "duties": []}                                                   | off          |
+      | {"addr": "127.0.0.1:9", "ratePerS": 50.0, "duties": ["usage", "scale"], "dutyPerS": 20} | usage,scale  |
+      | {"addr": "127.0.0.1:9", "duties": "usage"}                                              | cloud.duties |
+      | {"duties": ["usage"]}                                                                   | cloud.addr   |
+
   Scenario: the table
     When the platform's table is read
     Then a path finds the route with its longest prefix
--- a/tests/steps/platform_formats.py
+++ b/tests/steps/platform_formats.py
@@ -7,6 +7,7 @@
 from behave import then, when
 
 from front_rig import KEY, boot, entry, table
+from redwingbank.duties.values import DutySettings
 from redwingbank.errors import SettingErrors
 from redwingbank.front.values import Kind, PromptPart, StatedLimit
 from redwingbank.platform.directory import decode_server, decode_table
@@ -57,6 +58,25 @@
         context.errors = errors.exceptions
 
 
+@when("the platform's settings have the cloud {cloud}")
+def settings_of_duties(context, cloud):
+    document = boot(STORE, [1, 2, 3], leaseMs=3000, fencing=False) | {"cloud": json.loads(cloud)}
+    try:
+        context.duties = decode_host_settings(document, "boot.json").duties
+    except SettingErrors as errors:
+        context.duties = errors.exceptions
+
+
+@then("the duties are {expected}")
+def duties_match(context, expected):
+    duties = context.duties
+    if not isinstance(duties, DutySettings):
+        assert expected in str(duties or "off"), duties
+        return
+    assert ",".join(duties.duties) == expected
+    assert (duties.per_s, duties.lease_s, duties.fencing) == (20.0, 3.0, False), duties
+
+
 @then("the only settings error names {key}")
 def error_named(context, key):
     (error,) = context.errors
