--- /dev/null
+++ b/src/redwingbank/forwarding/client.py
@@ -0,0 +1,292 @@
+"""One request that is forwarded to another host, and its answer passed on unchanged."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple, Protocol
+
+from redwingbank.clock import now_s
+from redwingbank.codes import Code
+from redwingbank.front.attempt import MAX_BUFFERED_BYTES, STATUS_OK
+from redwingbank.front.outbound import Loss
+from redwingbank.front.refusals import decode_error_code
+from redwingbank.platform.headers import decode_answer, encode_forwarded_call
+from redwingbank.rules.lifecycle import Step
+
+if TYPE_CHECKING:
+    from redwingbank.forwarding.task import Forwarding
+    from redwingbank.front.caller import Caller
+    from redwingbank.front.outbound import Connection
+    from redwingbank.front.request_recorder import RequestRecorder
+    from redwingbank.front.wire import AnswerHead, RequestHead
+    from redwingbank.platform.headers import AnswerFacts
+    from redwingbank.rules.lifecycle import Lifecycle
+
+# A request goes to two helpers at most.
+MAX_HELPERS = 2
+# A connection takes 20 ms across the fleet; this leaves time for a second helper.
+CONNECT_TIMEOUT_S = 0.5
+STATUS_UNAVAILABLE = 503
+FIRST_ERROR_STATUS = 400
+EVENT_STREAM = b"text/event-stream"
+# A helper that answers with these did not run the request, and another one may serve it.
+CODES_FOR_ANOTHER = frozenset(
+    {Code.NO_BACKEND_SERVER, Code.NOT_READY, Code.TABLE_UNCONFIRMED, Code.LEAVING}
+)
+
+
+class ForwardedCall(NamedTuple):
+    """A request to forward; `repeatable` is true if it may run more than once.
+
+    `reason` tells why it is forwarded.
+    """
+
+    head: RequestHead
+    body: bytes
+    request_id: str
+    pool: str
+    give_up_s: float
+    repeatable: bool
+    reason: str
+
+
+class ForwardOwner(Protocol):
+    """The request's owner, which is told once of its end."""
+
+    def forward_finished(self) -> None:
+        """End the request, which is answered or whose connection was closed."""
+
+    def forward_failed(self, code: Code) -> None:
+        """Answer the request with an error; nothing was answered yet."""
+
+    def may_repeat(self) -> bool:
+        """Use one repeat of the pool's allowance; false if there is none."""
+
+
+class Forward:
+    """Forwards a request to one helper, or to a second one if nothing was answered.
+
+    A request that may run at most once goes to the second one only if no byte of it was sent, or
+    if the first one states that it did not run. A broken stream is closed without its end.
+    """
+
+    def __init__(
+        self,
+        forwarding: Forwarding,
+        owner: ForwardOwner,
+        call: ForwardedCall,
+        life: Lifecycle,
+        caller: Caller,
+        recorder: RequestRecorder,
+    ) -> None:
+        self._forwarding = forwarding
+        self._owner = owner
+        self._call = call
+        self._life = life
+        self._caller = caller
+        self._recorder = recorder
+        self._tried: list[str] = []
+        self._helper = ""
+        self._connecting: asyncio.Task[None] | None = None
+        self._connection: Connection | None = None
+        self._sent = self._streaming = False
+        self._ended = True
+        self._head: AnswerHead | None = None
+        self._facts: AnswerFacts | None = None
+        self._body = bytearray()
+
+    def start(self) -> bool:
+        """Send the request to a helper; return False if there is none."""
+        helper = self._pick()
+        if helper:
+            self._send_to(helper)
+        return bool(helper)
+
+    def cancel(self) -> None:
+        """Stop; closing the connection cancels the request at the helper."""
+        if not self._ended:
+            self._end("cancelled")
+        if self._connecting:
+            self._connecting.cancel()
+        if self._connection:
+            self._connection.abort()
+
+    def pause(self) -> None:
+        """Stop reading the answer until `resume`."""
+        if self._connection:
+            self._connection.pause()
+
+    def resume(self) -> None:
+        """Continue to read the answer."""
+        if self._connection:
+            self._connection.resume()
+
+    def head_received(self, head: AnswerHead) -> None:
+        """Begin a stream at once; keep any other head until its body is complete."""
+        facts = decode_answer(head.headers)
+        own_error = not facts.request_id and head.status >= FIRST_ERROR_STATUS
+        if facts.request_id != self._call.request_id and not own_error:
+            self._lose(Loss.GARBAGE, "another request's answer")
+            return
+        self._head, self._facts = head, facts
+        is_stream = any(
+            name.lower() == b"content-type" and value.lower().startswith(EVENT_STREAM)
+            for name, value in head.headers
+        )
+        if head.status == STATUS_OK and is_stream:
+            self._begin_stream()
+
+    def body_received(self, data: bytes) -> None:
+        """Pass a part of a stream on; buffer other bodies up to a limit."""
+        if self._ended or self._head is None:
+            return
+        if self._streaming:
+            self._caller.send_part(data)
+            return
+        self._body += data
+        if len(self._body) > MAX_BUFFERED_BYTES:
+            buffered, self._body = bytes(self._body), bytearray()
+            self._begin_stream()
+            self._caller.send_part(buffered)
+
+    def answer_completed(self) -> None:
+        """Pass the complete answer on, or try another helper if this one can't serve."""
+        self._connection = None
+        if self._ended or self._head is None or self._facts is None:
+            return
+        another = self._pick() if self._can_not_serve() else ""
+        if another:
+            self._forwarding.avoid(self._helper)
+            self._end("unserved")
+            self._life.advance(Step.NOT_ACCEPTED)
+            self._try_another(another)
+            return
+        status = self._head.status
+        self._end("refused" if status >= FIRST_ERROR_STATUS else "answered")
+        if self._streaming:
+            self._life.advance(Step.FINISH)
+            self._caller.end_stream()
+        else:
+            self._life.advance(Step.ANSWER)
+            self._life.advance(Step.FINISH)
+            self._recorder.record_first_byte()
+            headers = self._facts.forwarded_headers
+            self._caller.send_answer(status, self._head.reason, headers, bytes(self._body))
+        self._recorder.record_answer(self._life, status)
+        self._owner.forward_finished()
+
+    def answer_lost(self, loss: Loss, detail: str) -> None:
+        """Try another helper if the request allows, or fail."""
+        self._connection = None
+        if not self._ended:
+            self._lose(loss, detail)
+
+    def _pick(self) -> str:
+        if len(self._tried) >= MAX_HELPERS or now_s() >= self._call.give_up_s:
+            return ""
+        return self._forwarding.pick(self._call.pool, self._tried)
+
+    def _send_to(self, helper: str) -> None:
+        self._helper = helper
+        self._tried.append(helper)
+        self._sent = self._ended = False
+        self._head = self._facts = None
+        self._body.clear()
+        self._life.advance(Step.GRANT)
+        self._life.advance(Step.SEND)
+        self._forwarding.forward_begun(helper)
+        self._forwarding.log.detail(
+            "request-forwarded",
+            request=self._call.request_id,
+            helper=helper,
+            pool=self._call.pool,
+            reason=self._call.reason,
+            attempt=self._life.attempt,
+            left_ms=round((self._call.give_up_s - now_s()) * 1000),
+        )
+        connections = self._forwarding.connections(helper)
+        # an idle connection may close at the moment of the send, and the request may have run
+        idle = connections.acquire() if self._call.repeatable else None
+        if idle:
+            self._send_on(idle)
+        else:
+            self._connecting = asyncio.get_running_loop().create_task(self._connect())
+
+    async def _connect(self) -> None:
+        try:
+            connections = self._forwarding.connections(self._helper)
+            connection = await connections.connect(CONNECT_TIMEOUT_S)
+        except OSError as error:
+            self._connecting = None
+            if not self._ended:
+                self._lose(Loss.UNCONNECTED, str(error) or "timeout")
+            return
+        self._connecting = None
+        if self._ended:
+            connection.abort()
+        else:
+            self._send_on(connection)
+
+    def _send_on(self, connection: Connection) -> None:
+        call = self._call
+        left_s = call.give_up_s - now_s()
+        head = call.head
+        data = encode_forwarded_call(
+            head.method, head.target, head.headers, call.body, left_s, self._forwarding.host
+        )
+        self._connection, self._sent = connection, True
+        connection.send(data, self)
+
+    def _begin_stream(self) -> None:
+        assert self._head is not None
+        assert self._facts is not None
+        self._streaming = True
+        self._life.advance(Step.ANSWER)
+        self._recorder.record_first_byte()
+        headers = self._facts.forwarded_headers
+        self._caller.begin_stream(self._head.status, self._head.reason, headers)
+
+    def _can_not_serve(self) -> bool:
+        if self._head is None or self._facts is None or self._streaming:
+            return False
+        unavailable = self._head.status == STATUS_UNAVAILABLE and not self._facts.stamped
+        return unavailable and decode_error_code(bytes(self._body)) in CODES_FOR_ANOTHER
+
+    def _lose(self, loss: Loss, detail: str) -> None:
+        connection, self._connection = self._connection, None
+        if connection:
+            connection.abort()
+        self._end("lost" if self._sent else "unsent")
+        self._forwarding.avoid(self._helper)
+        self._forwarding.log.detail(
+            "forward-failed",
+            request=self._call.request_id,
+            helper=self._helper,
+            detail=f"{loss}: {detail}",
+            sent=self._sent,
+        )
+        if self._streaming:
+            self._life.advance(Step.FAIL)
+            self._caller.abort()
+            self._owner.forward_finished()
+            return
+        if not self._sent:
+            self._life.advance(Step.NOT_ACCEPTED)
+        another = self._pick() if self._call.repeatable or not self._sent else ""
+        if another and (not self._sent or self._owner.may_repeat()):
+            self._try_another(another)
+        else:
+            self._owner.forward_failed(
+                Code.BACKEND_FAILED if self._sent else Code.NO_BACKEND_SERVER
+            )
+
+    def _try_another(self, helper: str) -> None:
+        self._life.advance(Step.RETRY)
+        self._send_to(helper)
+
+    def _end(self, outcome: str) -> None:
+        self._ended = True
+        self._forwarding.forward_ended(self._helper, self._call.reason, outcome)
+
+
+__all__ = ["Forward", "ForwardOwner", "ForwardedCall"]
--- /dev/null
+++ b/src/redwingbank/forwarding/probes.py
@@ -0,0 +1,68 @@
+"""Finds out whether a server answers on a new connection."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from redwingbank.front.outbound import Loss
+from redwingbank.platform.headers import REPORT_CALL
+from redwingbank.routing.reachability import ProbeResult
+
+if TYPE_CHECKING:
+    from redwingbank.front.outbound import Connection, ConnectionPool
+    from redwingbank.front.wire import AnswerHead
+
+# Far more than a connection and an answer take across the fleet.
+PROBE_TIMEOUT_S = 0.4
+
+
+class _ProbeReply:
+    """Waits for any answer to a probe."""
+
+    def __init__(self) -> None:
+        self.result: asyncio.Future[ProbeResult] = asyncio.get_running_loop().create_future()
+
+    def head_received(self, head: AnswerHead) -> None:
+        """Accept an answer with any status."""
+        self._set(ProbeResult.ANSWERED)
+
+    def body_received(self, data: bytes) -> None:
+        """Ignore the report."""
+
+    def answer_completed(self) -> None:
+        """Leave the connection to its pool."""
+
+    def answer_lost(self, loss: Loss, detail: str) -> None:
+        """Fail, unless the server has sent something."""
+        self._set(ProbeResult.ANSWERED if loss is Loss.GARBAGE else ProbeResult.FAILED)
+
+    def _set(self, result: ProbeResult) -> None:
+        if not self.result.done():
+            self.result.set_result(result)
+
+
+async def probe(connections: ConnectionPool) -> ProbeResult:
+    """Ask a server for its report on a new connection, which is kept if the server answers.
+
+    A middlebox may accept connections to servers that it does not reach, so that a connection
+    alone proves nothing.
+    """
+    connection: Connection | None = None
+    reply = _ProbeReply()
+    try:
+        async with asyncio.timeout(PROBE_TIMEOUT_S):
+            connection = await connections.connect()
+            host, port = connections.address
+            connection.send(REPORT_CALL % f"{host}:{port}".encode(), reply, is_request=False)
+            return await reply.result
+    except TimeoutError:
+        if connection is None:
+            return ProbeResult.FAILED
+        connection.abort()
+        return ProbeResult.SILENT
+    except OSError:
+        return ProbeResult.FAILED
+
+
+__all__ = ["probe"]
--- /dev/null
+++ b/src/redwingbank/forwarding/reach_codec.py
@@ -0,0 +1,55 @@
+"""What a host tells in its heartbeats of the pools that it reaches."""
+
+from __future__ import annotations
+
+import zlib
+from typing import Any, NamedTuple
+
+MILLISECONDS = 1000.0
+MAX_AGE_MS = 2**32 - 1
+
+
+class ReachReport(NamedTuple):
+    """The pools that a host reaches, by `pool_key`, with the time since it heard from a server.
+
+    A host that is cut off from a pool, or never heard from it, leaves the pool out.
+    `takes_forwards` is true if it serves requests that other hosts forward. If `asks` is true, it
+    asks the receiver whether that reaches these pools.
+    """
+
+    age_s_by_key: dict[int, float]
+    takes_forwards: bool
+    asks: bool = False
+
+
+def pool_key(pool: str) -> int:
+    """Return a checksum of a pool's name, which is shorter than most names."""
+    return zlib.crc32(pool.encode())
+
+
+def encode_reach(report: ReachReport, digest: Any) -> None:
+    """Write a report into a digest."""
+    digest.reachedMs = [
+        number
+        for key, age_s in report.age_s_by_key.items()
+        for number in (key, min(MAX_AGE_MS, max(0, int(age_s * MILLISECONDS))))
+    ]
+    digest.takesForwards = report.takes_forwards
+    digest.asksReach = report.asks
+
+
+def decode_reach(digest: Any) -> ReachReport | None:
+    """Read a report; None if the digest has none.
+
+    :raises ValueError: if the numbers are not in pairs
+    """
+    numbers = list(digest.reachedMs)
+    if not numbers and not digest.takesForwards:
+        return None
+    age_s_by_key = {
+        key: age_ms / MILLISECONDS for key, age_ms in zip(numbers[::2], numbers[1::2], strict=True)
+    }
+    return ReachReport(age_s_by_key, digest.takesForwards, digest.asksReach)
+
+
+__all__ = ["ReachReport", "decode_reach", "encode_reach", "pool_key"]
--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -107,7 +107,7 @@
         self.server_start: int | None = None
         # servers that never start again under their names tell no start
         self._check = check if self.entry.started_ms else StartCheck.NONE
-        self._started_s = now_s()
+        self.started_s = now_s()
         self._reconnected = False
         self._checks_late = False
         self._late_check: LateStartCheck | None = None
@@ -126,6 +126,16 @@
         """Whether the end of the answer is marked, not only by the end of the connection."""
         return self._head is None or self._head.sized
 
+    @property
+    def begun(self) -> bool:
+        """Whether anything of the answer has arrived."""
+        return self._head is not None
+
+    @property
+    def proved(self) -> bool:
+        """Whether the server has sent anything on the connection in use."""
+        return self._connection is not None and self._connection.proved
+
     def start(self, encode: Callable[[float], bytes]) -> None:
         """Send the request on an idle connection, or on a new one.
 
@@ -269,7 +279,7 @@
 
     def _send_if_listed(self, connection: Connection, encode: Callable[[float], bytes]) -> None:
         # the timeout does not count the time for which the process was suspended
-        if now_s() - self._started_s > CONNECT_TIMEOUT_S:
+        if now_s() - self.started_s > CONNECT_TIMEOUT_S:
             self._give_up_unsent(connection, "delayed while connecting")
             return
         if self._check is not StartCheck.NONE:
--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -33,8 +33,13 @@
         self.entry = entry
         self.connections = ConnectionPool(entry.address, KEEP_IDLE_S, limits)
         self.breaker = Breaker(random)
+        self._random = random
         self.load = ServerLoad(pauses)
 
+    def reset_breaker(self) -> None:
+        """Forget the server's failures, which were not its own."""
+        self.breaker = Breaker(self._random)
+
 
 class Backends:
     """All backend servers in use, by name, and the limits that they name."""
--- a/src/redwingbank/front/crash_probe.py
+++ b/src/redwingbank/front/crash_probe.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Protocol
 
 from redwingbank.clock import now_s
 
@@ -12,15 +12,30 @@
     from redwingbank.front.poison import PoisonTracker
 
 
+VERDICT_POLL_S = 0.05
+
+
+class ReachVerdict(Protocol):
+    """Tells whether this host reaches a pool."""
+
+    def awaits_verdict(self, pool: str) -> bool:
+        """Whether it is about to be decided if the pool is cut off."""
+
+    def is_cut(self, pool: str) -> bool:
+        """Whether this host reaches no server of a pool."""
+
+
 class CrashProbes:
     """Opens a connection to a server that lost an answer, at most one at a time.
 
     If there is no connection, the server is down and ejected. Otherwise the connection replaces
-    the one that was lost.
+    the one that was lost. While this host may be cut off from the pool, the verdict waits for that
+    decision: a cut is no crash, and no request is to blame for it.
     """
 
-    def __init__(self, poison: PoisonTracker) -> None:
+    def __init__(self, poison: PoisonTracker, reach: ReachVerdict) -> None:
         self._poison = poison
+        self._reach = reach
         self._probe_by_server: dict[str, asyncio.Task[None]] = {}
 
     def start(self, backend: Backend) -> None:
@@ -31,11 +46,21 @@
             self._probe_by_server[server] = probe
             probe.add_done_callback(lambda _: self._probe_by_server.pop(server, None))
 
+    def in_doubt(self, backend: Backend) -> bool:
+        """Whether the loss of a connection may be due to a cut of this host."""
+        pool = backend.entry.pool
+        return self._reach.is_cut(pool) or self._reach.awaits_verdict(pool)
+
     async def _probe(self, backend: Backend) -> None:
         started_s = now_s()
         try:
             connection = await backend.connections.connect()
         except OSError:
+            pool = backend.entry.pool
+            while self._reach.awaits_verdict(pool):  # noqa: ASYNC110 - there is no event to wait for
+                await asyncio.sleep(VERDICT_POLL_S)
+            if self._reach.is_cut(pool):
+                return
             backend.breaker.record_crash("", started_s, now_s())
             self._poison.server_down(backend.entry.name, now_s())
         else:
--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -31,6 +31,11 @@
   partTokens @3 :List(UInt32);
   begun @4 :List(UInt32);   # two numbers per first event: request number, ms since it was sent
   ended @5 :List(UInt32);   # numbers of requests that ended
+  # Two numbers per pool, in one message a second: checksum of the pool's name, and ms since the
+  # host last heard from a server of it.
+  reachedMs @6 :List(UInt32);
+  takesForwards @7 :Bool;   # the host serves requests that other hosts forward to it
+  asksReach @8 :Bool;       # the host asks whether the receiver reaches the pools of `reachedMs`
 }
 
 struct Bundle {             # digests of several hosts, forwarded by a relay
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -10,6 +10,7 @@
 
 import capnp
 
+from redwingbank.forwarding.reach_codec import ReachReport, decode_reach, encode_reach
 from redwingbank.front.framing import open_message
 from redwingbank.front.notice_codec import (
     LimitReport,
@@ -59,11 +60,15 @@
 
 
 class Digest(NamedTuple):
-    """Requests sent, first events and ends at a host since its last digest."""
+    """Requests sent, first events and ends at a host since its last digest.
+
+    `reach` tells which pools the host reaches, in one digest a second.
+    """
 
     sent: tuple[Sent, ...] = ()
     begun: tuple[FirstEvent, ...] = ()
     ended: tuple[int, ...] = ()
+    reach: ReachReport | None = None
 
 
 class Audience(IntEnum):
@@ -193,7 +198,7 @@
     bundle.hosts = [report.host for report in content.reports]
     bundle.incarnations = [report.incarnation for report in content.reports]
     digests = [report.digest for report in content.reports]
-    bundle.counts = [len(events) for digest in digests for events in digest]
+    bundle.counts = [len(events) for digest in digests for events in digest[:3]]
     merged = Digest(
         tuple(sent for digest in digests for sent in digest.sent),
         tuple(event for digest in digests for event in digest.begun),
@@ -216,6 +221,8 @@
         ]
     if content.ended:
         digest.ended = list(content.ended)
+    if content.reach:
+        encode_reach(content.reach, digest)
 
 
 def _request_row(request: Sent) -> tuple[int, ...]:
@@ -301,6 +308,7 @@
             for number, took_ms in zip(begun[::2], begun[1::2], strict=True)
         ),
         ended=tuple(digest.ended),
+        reach=decode_reach(digest),
     )
 
 
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -8,6 +8,7 @@
 
 from redwingbank.clock import now_s
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
+from redwingbank.forwarding.handover import Handover, Parties
 from redwingbank.front.admission import build_needs, build_request, longest_wait_s
 from redwingbank.front.attempt import (
     FIRST_SERVER_ERROR,
@@ -50,6 +51,8 @@
 TIMEOUT_GRACE_S = 0.05
 # A request that more servers turn away is not sent to another one.
 MAX_REFUSALS = 2
+# interval of checks whether it is decided that the pool is cut off
+VERDICT_POLL_S = 0.05
 GATEWAY_TIMEOUT = 504
 
 
@@ -57,7 +60,14 @@
     """Handles one request, from its last byte to the end of its answer."""
 
     def __init__(
-        self, router: Router, caller: Caller, head: RequestHead, body: bytes, arrived_s: float
+        self,
+        router: Router,
+        caller: Caller,
+        head: RequestHead,
+        body: bytes,
+        arrived_s: float,
+        *,
+        forwarded: bool = False,
     ) -> None:
         self._router = router
         self._caller = caller
@@ -67,6 +77,8 @@
         self._admitted: AdmittedRequest | None = None
         self._binding: StreamBinding | None = None
         self._recorder = RequestRecorder(router, arrived_s)
+        parties = Parties(self, caller, head, body, self._recorder, forwarded)
+        self._handover = Handover(router.forwarding, parties)
         self._request: Request | None = None
         self._attempt: Attempt | None = None
         self._timer: asyncio.TimerHandle | None = None
@@ -145,14 +157,43 @@
 
     def pause(self) -> None:
         """Stop reading the answer while the caller is slow."""
+        self._handover.pause()
         if self._attempt:
             self._attempt.pause()
 
     def resume(self) -> None:
         """Continue to read the answer."""
+        self._handover.resume()
         if self._attempt:
             self._attempt.resume()
 
+    def pool_cut(self, pool: str, sent_before_s: float) -> None:
+        """Forward the request if it waits for a server of a pool that is cut off."""
+        attempt, request = self._attempt, self._request
+        if attempt is None or request is None or self._answer_started or request.pool != pool:
+            return
+        if not self._handover.may_take(attempt, request, sent_before_s):
+            return
+        attempt.cancel()
+        attempt.backend.breaker.record_inconclusive(request.request_id)
+        self._release(attempt)
+        if not attempt.sent:
+            self._life.advance(Step.NOT_ACCEPTED)
+        self._requeue()
+
+    def may_repeat(self) -> bool:
+        """Use one repeat of the pool's allowance; false if there is none."""
+        assert self._admitted
+        return self._router.allowance.try_spend(self._admitted.pool, now_s())
+
+    def forward_finished(self) -> None:
+        """End a request whose forwarded answer was passed on."""
+        self._close()
+
+    def forward_failed(self, code: Code) -> None:
+        """Answer a forwarded request with an error."""
+        self._fail(code)
+
     def attempt_head_received(self, attempt: Attempt, facts: AnswerFacts) -> None:
         """Record what the server says of itself, whatever becomes of its answer."""
         self._router.server_limits.answer_received(
@@ -236,6 +277,9 @@
             self._retry_or_fail(failure.outcome, now)
         elif self._refusals <= MAX_REFUSALS and now < self._give_up_s():
             self._requeue()
+        elif self._may_await_verdict():
+            self._life.advance(Step.RETRY)
+            self._await_verdict()
         else:
             self._fail(Code.NO_BACKEND_SERVER)
 
@@ -261,6 +305,23 @@
         self._life.advance(Step.RETRY)
         self._send()
 
+    def _may_await_verdict(self) -> bool:
+        """Whether it is about to be decided if the pool is cut off, so that waiting helps."""
+        assert self._request
+        undecided = self._router.forwarding.awaits_verdict(self._request.pool)
+        return undecided and self._handover.possible and not self._answer_started
+
+    def _await_verdict(self) -> None:
+        """Send the request when it is decided whether the pool is cut off."""
+        if self._may_await_verdict():
+            loop = asyncio.get_running_loop()
+            guard = partial(self._router.guard, self._await_verdict, self.fail_internally)
+            self._resumption = loop.call_later(VERDICT_POLL_S, guard)
+            return
+        if self._life.ran is Ran.NO:
+            self._tried.clear()
+        self._send()
+
     def _send(self) -> None:
         assert self._request and self._admitted and self._binding
         now = now_s()
@@ -273,9 +334,15 @@
         data_centre = self._router.settings.data_centre
         needs = build_needs(admitted, request, data_centre, now, begun=self._answer_started)
         pool = self._router.pool(admitted.pool)
-        decision = self._router.dispatcher.decide(
-            self._binding.usable(), pool, needs, self._tried, now
-        )
+        entries = self._binding.usable()
+        if self._router.forwarding.cut_pools:
+            selected = self._handover.select_servers(
+                entries, request, self._life, self._tried, now, begun=self._answer_started
+            )
+            if selected is None:
+                return
+            entries = selected
+        decision = self._router.dispatcher.decide(entries, pool, needs, self._tried, now)
         if isinstance(decision, Refuse):
             self._wait_or_refuse(decision, now)
             return
@@ -304,6 +371,9 @@
     def _wait_or_refuse(self, decision: Refuse, now: float) -> None:
         """Refuse a request at once; let a stream that has begun wait for a server's limit."""
         assert self._admitted and self._binding
+        if decision.code is Code.NO_BACKEND_SERVER and self._tried and self._may_await_verdict():
+            self._await_verdict()
+            return
         resumes_s = now + decision.retry_after_s
         patience_ends_s = self._last_part_s + self._admitted.route.patience_s
         waits = self._answer_started and decision.code is Code.SERVERS_AT_LIMIT
@@ -389,6 +459,7 @@
         for timer in (self._timer, self._resumption):
             if timer:
                 timer.cancel()
+        self._handover.cancel()
         if self._attempt:
             self._attempt.backend.breaker.record_inconclusive(self._life.request_id)
             self._attempt.cancel()
--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -40,10 +40,11 @@
 
 
 class InboundConnection(asyncio.Protocol):
-    """One connection of a caller."""
+    """One connection of a caller, or of another host that forwards callers' requests."""
 
-    def __init__(self, router: Router) -> None:
+    def __init__(self, router: Router, *, forwarded: bool = False) -> None:
         self._router = router
+        self._forwarded = forwarded
         self._reader = RequestReader(self)
         self._transport: asyncio.Transport | None = None
         self._exchange: Exchange | None = None
@@ -223,7 +224,12 @@
         self._method = request.head.method
         self._keep_alive = request.head.keep_alive
         self._exchange = Exchange(
-            self._router, self, request.head, request.body, request.arrived_s
+            self._router,
+            self,
+            request.head,
+            request.body,
+            request.arrived_s,
+            forwarded=self._forwarded,
         )
         self._router.exchanges.add(self._exchange)
         self._router.guard(self._exchange.start, self._exchange.fail_internally)
--- a/src/redwingbank/front/open_work.py
+++ b/src/redwingbank/front/open_work.py
@@ -25,5 +25,8 @@
     def cancel(self) -> None:
         """Cancel the request after the caller has closed its connection."""
 
+    def pool_cut(self, pool: str, sent_before_s: float) -> None:
+        """Forward the request if it waits for a server of a pool that is cut off."""
+
 
 __all__ = ["OpenConnection", "OpenExchange"]
--- a/src/redwingbank/front/outbound.py
+++ b/src/redwingbank/front/outbound.py
@@ -9,6 +9,7 @@
 
 from redwingbank.clock import now_s
 from redwingbank.front.wire import DEFAULT_ANSWER_LIMITS, AnswerReader, WireError
+from redwingbank.routing.reachability import ServerContact
 
 if TYPE_CHECKING:
     from redwingbank.front.wire import AnswerHead, AnswerLimits
@@ -62,6 +63,8 @@
         self._reply: Reply | None = None
         self._reusable = True
         self._answer_whole = False
+        # whether the server has sent a byte on it
+        self.proved = False
         self.requests = 0
         self.expires_s = 0.0
         # when the server started, 0 if it does not tell; None if it has not been asked
@@ -91,6 +94,7 @@
         self.requests += is_request
         self._answer_whole = False
         self._reply = reply
+        self._pool.contact.request_sent(now_s(), proved=self.proved)
         self._transport.write(data)
 
     def abort(self) -> None:
@@ -113,6 +117,8 @@
         if self._reply is None:
             self._close()
             return
+        self._pool.contact.byte_received(now_s(), proved=self.proved)
+        self.proved = True
         try:
             self._reader.feed(data)
         except WireError as error:
@@ -169,6 +175,8 @@
         reply, self._reply = self._reply, None
         self._close()
         if reply is not None:
+            if loss is not Loss.GARBAGE:
+                self._pool.contact.failed_s = now_s()
             reply.answer_lost(loss, detail)
 
     def _close(self) -> None:
@@ -191,8 +199,14 @@
         self.limits = limits
         self.opened = 0
         self.idle_s = idle_s
+        self.contact = ServerContact()
         self._free: list[Connection] = []
 
+    @property
+    def has_idle(self) -> bool:
+        """Whether `acquire` is likely to return a connection."""
+        return bool(self._free)
+
     def acquire(self) -> Connection | None:
         """Return an idle connection that is still usable, or None."""
         now = now_s()
@@ -203,7 +217,7 @@
             connection.abort()
         return None
 
-    async def connect(self) -> Connection:
+    async def connect(self, timeout_s: float = CONNECT_TIMEOUT_S) -> Connection:
         """Open a connection.
 
         :raises OSError: if the address can't be reached in time
@@ -211,8 +225,16 @@
         self.opened += 1
         loop = asyncio.get_running_loop()
         host, port = self.address
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, connection = await loop.create_connection(lambda: Connection(self), host, port)
+        began_s = now_s()
+        self.contact.connecting(began_s)
+        try:
+            async with asyncio.timeout(timeout_s):
+                _, connection = await loop.create_connection(lambda: Connection(self), host, port)
+        except OSError:
+            self.contact.failed_s = now_s()
+            raise
+        finally:
+            self.contact.connecting_ended(began_s)
         return connection
 
     def release(self, connection: Connection) -> None:
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -41,6 +41,7 @@
     from collections.abc import Callable, Iterable
 
     from redwingbank.decisions import DecisionLog
+    from redwingbank.forwarding.reach_codec import ReachReport
     from redwingbank.front.backends import Backends
     from redwingbank.front.digest import Content
     from redwingbank.front.values import PromptPart
@@ -84,6 +85,8 @@
     `answer_question` returns the answer to another host's question; `on_answer`, `on_news`,
     `on_crash`, `on_limits` and `on_streams` receive answers, changes of backend servers, crashes,
     limits and streams from other hosts, and `on_host_started` the names of hosts that started.
+    `reach_report` returns what the next digest to all hosts tells of the pools that this host
+    reaches, if anything; `on_reach` receives what other hosts tell.
     """
 
     def __init__(
@@ -102,6 +105,8 @@
         self.on_limits: Callable[[LimitReport, HostKey], None] | None = None
         self.on_streams: Callable[[StreamReport, str], None] | None = None
         self.on_host_started: Callable[[str], None] | None = None
+        self.reach_report: Callable[[float], ReachReport | None] | None = None
+        self.on_reach: Callable[[ReachReport, str, float], None] | None = None
         self.host = host
         self._incarnation = incarnation
         self.place = place
@@ -181,9 +186,10 @@
 
     def send_heartbeat(self) -> None:
         """Send a heartbeat if one is due."""
-        if now_s() - self._heartbeat_sent_s >= HEARTBEAT_S:
-            self._heartbeat_sent_s = now_s()
-            self.send(Digest(), self.addresses())
+        now = now_s()
+        if now - self._heartbeat_sent_s >= HEARTBEAT_S:
+            self._heartbeat_sent_s = now
+            self.send(Digest(reach=self._next_reach_report(now)), self.addresses())
 
     def flush(self) -> None:
         """Send the pending digest."""
@@ -194,7 +200,7 @@
         relay = self.relay.select(self.place.data_centre, now)
         if not relay or len(self.alive(now)) + 1 < LARGE_FLEET_HOSTS:
             self._heartbeat_sent_s = now
-            self.send(digest, self.addresses())
+            self.send(digest._replace(reach=self._next_reach_report(now)), self.addresses())
             return
         report = Report(self.host, self._incarnation, digest)
         if relay == self.host:
@@ -209,8 +215,8 @@
         if peer:
             self.send(question, [peer.address])
 
-    def tell(self, hosts: Iterable[str], report: LimitReport | StreamReport) -> None:
-        """Send limits or streams to some of the other hosts; those not known are left out."""
+    def tell(self, hosts: Iterable[str], report: LimitReport | StreamReport | Digest) -> None:
+        """Send a message to some of the other hosts; those not known are left out."""
         known = [self.peers_by_host[host] for host in hosts if host in self.peers_by_host]
         self.send(report, [peer.address for peer in known])
 
@@ -236,6 +242,9 @@
         for address in addresses:
             self._transport.sendto(data, address)
 
+    def _next_reach_report(self, now: float) -> ReachReport | None:
+        return self.reach_report(now) if self.reach_report else None
+
     def _schedule(self, within_s: float) -> _PendingDigest:
         """Schedule a flush within a time and return the pending digest."""
         flush_due_s = now_s() + within_s
@@ -294,6 +303,8 @@
     @_handle.register
     def _handle_digest(self, content: Digest, host: str, now: float) -> None:
         self._last_report_s_by_host[host] = now
+        if content.reach and self.on_reach:
+            self.on_reach(content.reach, host, now)
         servers = self._server_by_number.setdefault(host, {})
         by_name = self._backends.backends_by_name
         for sent in content.sent:
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -15,6 +15,7 @@
 from redwingbank.clock import now_s
 from redwingbank.decisions import STDOUT
 from redwingbank.errors import EXIT_FAULT, EXIT_USAGE, SettingErrors
+from redwingbank.forwarding.listener import listen_for_forwards
 from redwingbank.front.block_list import KIND_BLOCKS, BlockList
 from redwingbank.front.freshness import ASK_INTERVAL_S
 from redwingbank.front.hosts import discover_hosts
@@ -118,6 +119,9 @@
         ]
         for listener in self._listeners:
             await listener.start()
+        forwards = await listen_for_forwards(self.router)
+        if forwards:
+            self._listeners.append(forwards)
         loop = asyncio.get_running_loop()
         await loop.create_datagram_endpoint(lambda: self.router.peers, settings.peer)
 
@@ -127,6 +131,7 @@
             with self.router.barrier.confine("settings"):
                 self._reload("signal")
         elif self.router.shutdown.begin(now_s()):
+            self.router.forwarding.takes_forwards = False
             self.router.log.essential("leaving", connections=len(self.router.connections))
 
     async def _run_housekeeping(self) -> None:
@@ -143,6 +148,8 @@
                     owner.expire(now)
             with router.barrier.confine("limits"):
                 router.server_limits.update(now, router.servers.entries_by_name.values())
+            with router.barrier.confine("reachability"):
+                router.forwarding.update(now, router.servers.entries_by_name.values())
             with router.barrier.confine("streams"):
                 router.streams.update(now)
             with router.barrier.confine("heartbeat"):
--- a/src/redwingbank/front/refusals.py
+++ b/src/redwingbank/front/refusals.py
@@ -20,6 +20,19 @@
     return json.dumps({"error": error}, separators=(",", ":")).encode()
 
 
+def decode_error_code(body: bytes) -> int:
+    """Return the code of the router's own error object, 0 if the body is not one.
+
+    >>> decode_error_code(error_body(Code.SHED, Ran.NO, 0.5))
+    1210
+    """
+    try:
+        code = json.loads(body)["error"]["code"]
+    except (ValueError, TypeError, KeyError):
+        return 0
+    return code if isinstance(code, int) else 0
+
+
 def refusal(
     code: Code, request_id: str, ran: Ran, retry_after_s: float | None
 ) -> tuple[int, bytes, bytes, bytes]:
@@ -29,4 +42,4 @@
     return MEANING_BY_CODE[code].status, b"", headers, error_body(code, ran, retry_after_s)
 
 
-__all__ = ["error_body", "refusal"]
+__all__ = ["decode_error_code", "error_body", "refusal"]
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -9,6 +9,7 @@
 from redwingbank.codes import Code
 from redwingbank.decisions import DecisionLog
 from redwingbank.error_barrier import ErrorBarrier
+from redwingbank.forwarding.task import Forwarding
 from redwingbank.front.admission import Admission
 from redwingbank.front.allowance import RetryAllowance
 from redwingbank.front.backends import Backends
@@ -62,7 +63,11 @@
         place = Place(settings.data_centre, settings.link_mbps)
         self.peers = Peers(settings.name, time.time_ns(), self.backends, self.log, place)
         self.poison = PoisonTracker(self.peers.broadcast, self.log)
-        self.probes = CrashProbes(self.poison)
+        self.forwarding = Forwarding(
+            settings, self.backends, self.peers, self.log, self.metrics, random
+        )
+        self.forwarding.on_cut = self.forward_pending
+        self.probes = CrashProbes(self.poison, self.forwarding)
         self.peers.on_crash = self.poison.handle_crash_news
         self.server_limits = ServerLimits(self.backends.limits, self.peers, self.log)
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
@@ -99,6 +104,7 @@
         for limit in self.backends.limits.listed():
             per_s = float("inf") if limit.per_s is None else limit.per_s
             gauge("server_limit_per_second", per_s, server=limit.server)
+        self.forwarding.record_gauges()
         for pool in self.tables.table.pools_by_name if self.tables.table else ():
             gauge("repeats_left", self.allowance.remaining(pool, now), pool=pool)
         return self.metrics.text()
@@ -138,6 +144,12 @@
         """Return after how long a refused caller may retry."""
         return RETRY_AFTER_S_BY_CODE.get(code, RETRY_AFTER_S)
 
+    def forward_pending(self, pool: str, sent_before_s: float) -> None:
+        """Forward requests that wait for servers of a pool that is cut off."""
+        for exchange in list(self.exchanges):
+            with self.barrier.confine("forwarding"):
+                exchange.pool_cut(pool, sent_before_s)
+
     def remove_exchange(self, exchange: OpenExchange) -> None:
         """Remove a request that has ended."""
         self.exchanges.discard(exchange)
--- a/src/redwingbank/front/run_watch.py
+++ b/src/redwingbank/front/run_watch.py
@@ -64,7 +64,10 @@
         """Record a failed attempt, which may show that the server has crashed."""
         server = backend.entry.name
         if not failure.sent and failure.outcome is Outcome.CRASHED:
-            self._poison.server_down(server, now_s)
+            if self._probes.in_doubt(backend):
+                self._probes.start(backend)
+            else:
+                self._poison.server_down(server, now_s)
         elif failure.sent and failure.outcome in POSSIBLE_CRASHES and not self._harmless:
             self._poison.answer_lost(server, self._traits, self._sent_s, now_s)
             self._probes.start(backend)
--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -180,6 +180,7 @@
 class Bounds(NamedTuple):
     """Limits guaranteed by the host, from its settings, in seconds unless named otherwise.
 
+    Within `contact_s` a host notices that it reaches no servers; 0.0 if that is not asked for.
     Over all hosts, the sends beyond the first within `repeat_window_s` are limited to
     `repeat_ratio` times the requests plus `repeat_extra`.
     """
@@ -191,6 +192,7 @@
     repeat_ratio: float = 0.2
     repeat_window_s: float = 10.0
     repeat_extra: float = 54.0
+    contact_s: float = 0.0
 
 
 class HostSettings(NamedTuple):
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -28,6 +28,7 @@
 AUTHORIZATION = b"authorization"
 DEADLINE = b"deadline-ms"
 SERVER_LIMIT = b"server-limit"
+FORWARDED_BY = b"redwingbank-forwarded-by"
 DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
 
 # only the router sets these; they are dropped from a caller's request
@@ -42,6 +43,7 @@
         b"request-priority",
         b"expect-instance",
         b"expect-version",
+        FORWARDED_BY,
     }
 )
 # hop-by-hop headers (RFC 9110, section 7.6.1), or headers written anew
@@ -160,6 +162,33 @@
     return b"".join([*lines, b"\r\n", body])
 
 
+def encode_forwarded_call(
+    method: bytes,
+    target: bytes,
+    headers: Iterable[Header],
+    body: bytes,
+    deadline_s: float,
+    host: str,
+) -> bytes:
+    """Encode a caller's request for another host, as it came but with the time that is left.
+
+    `host` is the name of this host.
+    """
+    replaced = CONNECTION_HEADERS | {DEADLINE, FORWARDED_BY}
+    by_name = {name.lower(): value for name, value in headers}
+    options = _connection_options(by_name)
+    lines = [b"%b %b HTTP/1.1\r\n" % (method, target)]
+    lines += [
+        b"%b: %b\r\n" % (name, value)
+        for name, value in headers
+        if name.lower() not in replaced and name.lower() not in options
+    ]
+    lines.append(_header_line("Deadline-Ms", str(max(1, int(deadline_s * MS_PER_S)))))
+    lines.append(_header_line("Redwingbank-Forwarded-By", host))
+    lines.append(_header_line("Content-Length", str(len(body))))
+    return b"".join([*lines, b"\r\n", body])
+
+
 def decode_answer(headers: Iterable[Header]) -> AnswerFacts:
     """Decode the headers of a backend server's answer."""
     by_name = {name.lower(): value for name, value in headers}
@@ -238,5 +267,6 @@
     "decode_answer",
     "decode_call",
     "encode_call",
+    "encode_forwarded_call",
     "encode_own_answer",
 ]
--- a/src/redwingbank/platform/settings.py
+++ b/src/redwingbank/platform/settings.py
@@ -93,6 +93,7 @@
         ("budgetRatio", "repeat_ratio", _number),
         ("budgetWindowS", "repeat_window_s", _number),
         ("budgetExtra", "repeat_extra", _number),
+        ("contactMs", "contact_s", _milliseconds),
     )
     values = {
         name: reader.read(f"bounds.{key}", parse, NUMBER, getattr(default, name))
