Test and soak hosts that are cut off from all servers

Change: front/forwarding.feature cuts real fronts off in five ways and breaks the link between hosts; the soak cuts hosts off from all servers, told apart by their source addresses. A report without a pool does not delay the next one.

--- a/src/redwingbank/forwarding/task.py
+++ b/src/redwingbank/forwarding/task.py
@@ -174,8 +174,10 @@
         """Return what all hosts are told, if it is due."""
         if now - self._told_s < TELL_S:
             return None
-        self._told_s = now
-        return self._build_report(self._entries_by_pool, now)
+        report = self._build_report(self._entries_by_pool, now)
+        if report.age_s_by_key:
+            self._told_s = now
+        return report
 
     def handle_report(self, report: ReachReport, host: str, now: float) -> None:
         """Record another host's report, or answer its question."""
--- a/src/redwingbank_bench/soak.py
+++ b/src/redwingbank_bench/soak.py
@@ -32,7 +32,7 @@
     table_document,
 )
 from redwingbank_bench.soakfronts import FrontFleet
-from redwingbank_bench.soakproxy import Proxy
+from redwingbank_bench.soakproxy import CUT_MODES, Proxy
 from redwingbank_bench.soakservers import (
     LIMIT_PER_S,
     ServerFleet,
@@ -56,6 +56,8 @@
 RECOVERY_S = 12.0
 # longer than any fault or recovery takes, so that a run always ends
 RUN_MARGIN_S = 60.0
+# longer than hosts need to notice that they are cut off
+CUT_S = (2.0, 5.0)
 PAUSE_BETWEEN_FAULTS_S = (0.05, 0.8)
 PAUSE_BETWEEN_REQUESTS_S = 0.03
 # Callers whose streams are refused come back after this.
@@ -180,6 +182,14 @@
         await self._write_table(without=old_key)
         self._revoked_s_by_key[old_key] = time.monotonic()
 
+    async def _cut_hosts(self) -> None:
+        """Cut some hosts, but not all, off from all servers for some time."""
+        count = self._random.randint(1, max(1, self._hosts - 1))
+        sources = self._random.sample(self._fronts.sources, count)
+        self._servers.cut(sources, self._random.choice(CUT_MODES))
+        await asyncio.sleep(self._random.uniform(*CUT_S))
+        self._servers.cut(sources, "pass")
+
     def _clear_faults(self) -> None:
         self._store.fault = ""
         for proxy in self._store_proxies:
@@ -309,6 +319,7 @@
     "server link": lambda soak: soak._servers.disturb_link(),  # noqa: SLF001
     "store": Soak._fail_store,  # noqa: SLF001
     "history": Soak._forget_history,  # noqa: SLF001
+    "cut": Soak._cut_hosts,  # noqa: SLF001
     "server": lambda soak: soak._servers.fail(),  # noqa: SLF001
     "key": Soak._rotate_key,  # noqa: SLF001
     "drain": lambda soak: soak._servers.drain(),  # noqa: SLF001
--- a/src/redwingbank_bench/soakdocuments.py
+++ b/src/redwingbank_bench/soakdocuments.py
@@ -15,6 +15,7 @@
 LINK_MBPS = 1000
 REVOKE_S = 5.0
 GRACE_S = 4.0
+CONTACT_MS = 3000
 ORGANISATION = "bakery"
 DEADLINE_MS = 2500
 MAX_FAULT_S = 2.5
@@ -78,7 +79,7 @@
         "portRange": [free_port(), free_port()],
         "beatMs": 1200,
         "limits": {"linkMbps": LINK_MBPS},
-        "bounds": {"revokeMs": int(REVOKE_S * 1000), "graceS": GRACE_S},
+        "bounds": {"revokeMs": int(REVOKE_S * 1000), "graceS": GRACE_S, "contactMs": CONTACT_MS},
         "platform": {"addr": str(store)},
     }
 
--- a/src/redwingbank_bench/soakfronts.py
+++ b/src/redwingbank_bench/soakfronts.py
@@ -12,6 +12,7 @@
 from redwingbank_bench.processes import ChildProcess, free_port, reload_signal_ignored
 from redwingbank_bench.soakchecks import Interruption
 from redwingbank_bench.soakdocuments import REVOKE_S, boot_document
+from redwingbank_bench.soakfront import SOURCE_VARIABLE
 from redwingbank_bench.soakproxy import LOOPBACK
 from redwingbank_bench.soakservers import sleep_during_fault
 
@@ -20,6 +21,8 @@
     from random import Random
 
 RESTART_POLL_S = 0.1
+# last part of the loopback address from which the first front connects
+FIRST_SOURCE = 10
 LONG_PAUSE_SHARE = 0.3
 LONG_PAUSE_S = (REVOKE_S, REVOKE_S + 3.0)
 
@@ -29,6 +32,7 @@
 
     def __init__(self, random: Random, folder: Path) -> None:
         self.addresses: list[Address] = []
+        self.sources: list[str] = []
         self.name_by_address: dict[Address, str] = {}
         self.interruptions: list[Interruption] = []
         self.violations: list[str] = []
@@ -44,8 +48,11 @@
         caller = Address(LOOPBACK, free_port())
         path = self._folder / f"boot-{number}.json"
         path.write_text(json.dumps(boot_document(number, caller, store)))
-        environment = {"REDWINGBANK_NODE_FILE": str(path)}
-        front = ChildProcess(f"front-{number}", ["redwingbank.front"], self._folder, environment)
+        source = f"127.0.0.{FIRST_SOURCE + number}"
+        environment = {"REDWINGBANK_NODE_FILE": str(path), SOURCE_VARIABLE: source}
+        module = "redwingbank_bench.soakfront"
+        front = ChildProcess(f"front-{number}", [module], self._folder, environment)
+        self.sources.append(source)
         self._start(front)
         self._fronts.append(front)
         self.addresses.append(caller)
--- a/src/redwingbank_bench/soakproxy.py
+++ b/src/redwingbank_bench/soakproxy.py
@@ -19,18 +19,24 @@
 BLOCKED_POLL_S = 0.05
 
 MODES = ("pass", "delay", "reset", "silent", "one-way")
+# modes of all links of a host at once: connections hang, are reset, or live on while new ones
+# hang or are reset
+CUT_MODES = ("silent", "reset", "new-silent", "new-reset")
 
 
 class Proxy(StreamServer):
     """Forwards connections to an address as `mode` says.
 
     `silent` forwards nothing in either direction, `one-way` only what callers send. Both hold
-    back data until the mode changes, as a network partition does.
+    back data until the mode changes, as a network partition does. `new-silent` and `new-reset` do
+    so to new connections only, while those that exist live on.
     """
 
     def __init__(self, target: Address) -> None:
         super().__init__()
         self.mode = "pass"
+        self._mode_by_source: dict[str, str] = {}
+        self._writers_by_source: dict[str, set[asyncio.StreamWriter]] = {}
         self._target = target
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -41,6 +47,18 @@
             for writer in list(self._writers):
                 reset_connection(writer)
 
+    def cut(self, source: str, mode: str) -> None:
+        """Cut off the connections from a source address as a mode says; `pass` ends that.
+
+        What is held back then is never delivered, as if its connections had timed out.
+        """
+        ended = self._mode_by_source.pop(source, "")
+        if mode != "pass":
+            self._mode_by_source[source] = mode
+        if mode == "reset" or (mode == "pass" and ended == "silent"):
+            for writer in list(self._writers_by_source.get(source, ())):
+                reset_connection(writer)
+
     def stop(self) -> None:
         """Stop listening and abort all connections."""
         super().stop()
@@ -49,25 +67,37 @@
 
     async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         """Forward one connection."""
-        if self.mode == "reset":
+        source = writer.get_extra_info("peername")[0]
+        if self._mode(source) in {"reset", "new-reset"}:
             reset_connection(writer)
             return
+        while self._mode(source) == "new-silent":  # noqa: ASYNC110 - the mode changes without an event
+            await asyncio.sleep(BLOCKED_POLL_S)
         try:
             target_reader, target_writer = await asyncio.open_connection(*self._target)
         except OSError:
             reset_connection(writer)
             return
-        self._writers |= {writer, target_writer}
+        both = {writer, target_writer}
+        self._writers |= both
+        of_source = self._writers_by_source.setdefault(source, set())
+        of_source |= both
         try:
             await asyncio.gather(
-                self._forward(reader, target_writer, lambda: self.mode == "silent"),
-                self._forward(target_reader, writer, lambda: self.mode in {"silent", "one-way"}),
+                self._forward(reader, target_writer, lambda: self._mode(source) == "silent"),
+                self._forward(
+                    target_reader, writer, lambda: self._mode(source) in {"silent", "one-way"}
+                ),
             )
         except (ConnectionError, asyncio.CancelledError):
             writer.transport.abort()
             target_writer.transport.abort()
         finally:
-            self._writers -= {writer, target_writer}
+            self._writers -= both
+            of_source -= both
+
+    def _mode(self, source: str) -> str:
+        return self._mode_by_source.get(source, self.mode)
 
     async def _forward(
         self,
@@ -86,4 +116,4 @@
             writer.close()
 
 
-__all__ = ["LOOPBACK", "MODES", "Proxy"]
+__all__ = ["CUT_MODES", "LOOPBACK", "MODES", "Proxy"]
--- a/src/redwingbank_bench/soakservers.py
+++ b/src/redwingbank_bench/soakservers.py
@@ -10,6 +10,7 @@
 from redwingbank_standins.backend_server import BackendServer
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
     from random import Random
 
     from redwingbank_standins.backend_server import ReceivedRequest
@@ -86,6 +87,12 @@
         """Disturb the link to a server for some time."""
         await disturb_link(self._proxies[:-1], self._random)
 
+    def cut(self, sources: Iterable[str], mode: str) -> None:
+        """Cut the hosts with some source addresses off from all servers; `pass` ends that."""
+        for proxy in self._proxies:
+            for source in sources:
+                proxy.cut(source, mode)
+
     async def fail(self) -> None:
         """Let a server fail for some time."""
         server = self._random.choice(self._servers)
--- /dev/null
+++ b/tests/front/forwarding.feature
@@ -0,0 +1,62 @@
+Feature: hosts that reach no servers forward their callers' requests to hosts that do
+
+  Scenario Outline: a host is cut off from all servers and <how>
+    Given <hosts> fronts and 3 servers with callers at each front
+    When fronts <cut> are cut off from all servers: <how>
+    Then from 3 s after the cut callers at fronts <cut> are served as RECOVER demands
+    And no single call ran twice, and none answered with 503 ran
+    And a cut was noticed within 3 s at fronts <cut> and at no other
+    And forwarding ends within 2 s after the cut, and the servers are used directly
+
+    Examples:
+      | hosts | cut | how        |
+      | 3     | 1   | hang       |
+      | 3     | 1   | silent     |
+      | 3     | 1   | reset      |
+      | 3     | 1   | new-reset  |
+      | 3     | 1   | new-silent |
+      | 4     | 1 2 | silent     |
+
+  Scenario Outline: <what> is no cut, and nothing is forwarded
+    Given 3 fronts and 3 servers with callers at each front
+    When <what>
+    Then no front forwards anything, and none believes to be cut off
+
+    Examples:
+      | what                                        |
+      | a server is silent for 1.2 s                |
+      | all servers are silent for 1.2 s            |
+      | all servers go down                         |
+      | a front is starved for 1.5 s                |
+
+  Scenario Outline: a <kind> call whose forwarding connection <fault>
+    Given a cut front with 2 helpers of which the first <fault>
+    When its caller sends a <kind> request
+    Then the caller gets <status> and servers ran it <runs> times
+
+    Examples:
+      | kind   | fault                              | status | runs |
+      | single | breaks after the request was sent  | 502    | 0    |
+      | read   | breaks after the request was sent  | 200    | 1    |
+      | single | refuses the connection             | 200    | 1    |
+      | single | reaches no servers either          | 200    | 1    |
+      | memo   | breaks inside the stream           | cut    | 0    |
+
+  Scenario: a host that was chosen as a helper and reaches no servers never forwards again
+    Given 2 fronts that are cut off and believe that the other reaches the servers
+    When the first gets a read request of a caller
+    Then the caller gets 503 within 0.5 s and each front sent it on at most once
+
+  Scenario: a forwarded request is cancelled at the server when its caller leaves
+    Given a cut front with 2 helpers of which the first works
+    When its caller sends a request to a server that hangs, and leaves
+    Then the server sees the end of the request within 0.5 s
+
+  Scenario: a host whose forwarding port is taken serves, and is not chosen as a helper
+    Given a front whose forwarding port is taken, and another one
+    Then it serves its callers and logs forwards-refused
+    And the other front does not choose it as a helper
+
+  Scenario: without contactMs nothing is listened to, told or forwarded
+    Given a front without contactMs
+    Then it does not listen for forwards and its heartbeats carry no reach
--- a/tests/front_rig.py
+++ b/tests/front_rig.py
@@ -86,7 +86,7 @@
         "ip": LOOPBACK,
         "zone": "a",
         "listen": {"front": f"{LOOPBACK}:{ports[0]}", "ready": f"{LOOPBACK}:{ports[1]}"},
-        "portRange": [ports[2], ports[2]],
+        "portRange": [ports[2], ports[-1]],
         "beatMs": 1200,
         "bounds": {
             "graceS": 8,
@@ -123,7 +123,7 @@
             address = self.addresses[server.name] = await server.start(Address(LOOPBACK, 0))
             listed = entry(address, version=server.version or "v1", started_ms=server.started_ms)
             await self.store.put("servers", server.name, listed)
-        self.path.write_text(json.dumps(boot(store, free_ports(3), **self.bounds)))
+        self.path.write_text(json.dumps(boot(store, free_ports(4), **self.bounds)))
         self.front = Front(self.path, read_host_settings(self.path))
         self.lines = []
         self.front.router.log._write = self._log
@@ -155,7 +155,7 @@
         """Stop the first front and start it again as another process, on other ports."""
         await self.stop_first()
         store = self.front.router.settings.store
-        self.path.write_text(json.dumps(boot(store, free_ports(3), **self.bounds)))
+        self.path.write_text(json.dumps(boot(store, free_ports(4), **self.bounds)))
         self.front = Front(self.path, read_host_settings(self.path))
         self.front.router.log._write = self._log
         self._task = asyncio.create_task(self.front.serve())
@@ -191,13 +191,14 @@
     async def connect(self):
         return await asyncio.open_connection(*self.front.router.settings.caller)
 
-    async def add_host(self, name):
+    async def add_host(self, name, zone="a"):
         """Start another front on the same store, behind its own proxy."""
         proxy = Proxy(self.front.router.settings.store)
-        ports = free_ports(3)
+        ports = free_ports(4)
         document = {
             **boot(await proxy.start(Address(LOOPBACK, 0)), ports, **self.bounds),
             "nodeName": name,
+            "zone": zone,
         }
         path = self.path.with_name(f"{name}.json")
         path.write_text(json.dumps(document))
--- /dev/null
+++ b/tests/steps/front_forwarding.py
@@ -0,0 +1,498 @@
+"""Steps of front/forwarding.feature."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import itertools
+import socket
+import time
+
+from behave import given, then, when
+
+from front_rig import LOOPBACK, Rig, free_ports, request, run_scenario
+from redwingbank.clock import now_s
+from redwingbank.front.digest import Digest
+from redwingbank.routing.reachability import Reach
+from redwingbank.settings import Address
+from redwingbank_bench.soakproxy import Proxy
+from redwingbank_standins.backend_server import BackendServer
+from redwingbank_standins.stream_server import StreamServer, reset_connection
+
+CONTACT_S = 3.0
+CUT_S = 6.0
+END_S = 2.0
+CALLERS = 4
+PAUSE_S = 0.03
+ANSWER_S = 0.02
+KINDS = ("read", "single", "memo")
+POOL = "pool"
+# RECOVER: at least this share of what is served at the other hosts, or at most so many failures
+SERVED_SHARE = 2 / 3
+FAILURES = 10
+FAILURE_SHARE = 1 / 50
+
+
+class MixedServer(BackendServer):
+    """Answers memos with a stream and other requests with a body."""
+
+    def mode_for(self, target):
+        return "stream" if target.startswith("/memo/") and self.mode == "ok" else self.mode
+
+
+class Links:
+    """The links of one front to all servers, each through a proxy."""
+
+    def __init__(self, front):
+        self.front = front
+        self.proxies = {}
+        self._holders = []
+
+    async def insert(self):
+        """Lead the front's connections to the servers through proxies."""
+        for name, backend in self.front.router.backends.backends_by_name.items():
+            proxy = self.proxies[name] = Proxy(backend.entry.address)
+            backend.connections.address = await proxy.start(Address(LOOPBACK, 0))
+
+    def set_mode(self, mode):
+        for name, proxy in self.proxies.items():
+            proxy.set_mode("silent" if mode == "hang" else mode)
+            backend = self.front.router.backends.backends_by_name[name]
+            hangs = mode == "hang"
+            backend.connections.address = self._black_hole() if hangs else proxy.address
+
+    def stop(self):
+        for proxy in self.proxies.values():
+            proxy.stop()
+        for holder in self._holders:
+            holder.close()
+
+    def _black_hole(self):
+        """Return an address at which new connections hang: a listener with a full queue."""
+        listening = socket.socket()
+        listening.bind((LOOPBACK, 0))
+        listening.listen(0)
+        self._holders.append(listening)
+        for _ in range(2):
+            filler = socket.socket()
+            filler.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filler.connect(listening.getsockname())
+            self._holders.append(filler)
+        return Address(*listening.getsockname())
+
+
+class Fleet:
+    """Fronts with callers that send one request after the other; `answers` holds their ends."""
+
+    def __init__(self, rig, hosts, zones=("a", "b")):
+        self.rig, self.hosts, self.zones = rig, hosts, zones
+        self.fronts, self.links, self.answers = [], [], []
+        self.numbers = itertools.count(1)
+        self._callers = []
+
+    async def start(self):
+        self.fronts = [self.rig.front]
+        for number in range(2, self.hosts + 1):
+            zone = self.zones[(number - 1) * len(self.zones) // self.hosts]
+            front, _ = await self.rig.add_host(f"edge-{number}", zone)
+            self.fronts.append(front)
+        for front in self.fronts:
+            peers = front.router.peers
+            await self.rig.until(lambda peers=peers: len(peers.alive(now_s())) + 1 >= self.hosts)
+            links = Links(front)
+            await links.insert()
+            self.links.append(links)
+
+    def start_callers(self):
+        self._callers += [
+            asyncio.create_task(self._call(front, number))
+            for front in self.fronts
+            for number in range(CALLERS)
+        ]
+
+    async def _call(self, front, number):
+        while True:
+            kind = KINDS[(number + next(self.numbers)) % len(KINDS)]
+            name, sent_s = f"r-{next(self.numbers)}", time.monotonic()
+            answer = await self.rig.ask(kind, request_id=name, front=front, deadline_ms=1500)
+            whole = answer.status == 200 and answer.complete
+            self.answers.append((front, kind, name, sent_s, answer.status, whole))
+            await asyncio.sleep(PAUSE_S)
+
+    def served(self, front, since_s, until_s):
+        """Return how many of a front's first tries were served, and how many there were."""
+        whole = [a[5] for a in self.answers if a[0] is front and since_s <= a[3] < until_s]
+        return sum(whole), len(whole)
+
+    async def stop(self):
+        for caller in self._callers:
+            caller.cancel()
+        await asyncio.gather(*self._callers, return_exceptions=True)
+        for links in self.links:
+            links.stop()
+
+
+def events(rig, name):
+    """List the log records of an event; a front logs with a little delay."""
+    return [line for line in rig.lines if line["event"] == name]
+
+
+def forwarded(front):
+    counts = front.router.metrics.counts
+    return sum(n for key, n in counts.items() if key.name == "redwingbank_forwarded_total")
+
+
+def make_rig(servers=3, **bounds):
+    rig = Rig(contactMs=CONTACT_S * 1000, **bounds)
+    rig.backend_servers = [MixedServer(f"i-{number}") for number in range(1, servers + 1)]
+    for server in rig.backend_servers:
+        server.pause_s = ANSWER_S
+    return rig
+
+
+@given("{hosts:d} fronts and {servers:d} servers with callers at each front")
+def fronts_with_callers(context, hosts, servers):
+    context.rig = make_rig(servers)
+    context.hosts = hosts
+
+
+@when("fronts {cut} are cut off from all servers: {how}")
+def cut_off(context, cut, how):
+    numbers = [int(number) - 1 for number in cut.split()]
+
+    async def scenario(rig):
+        fleet = context.fleet = Fleet(rig, context.hosts)
+        await fleet.start()
+        fleet.start_callers()
+        await asyncio.sleep(1.5)
+        context.cut_s, context.cut_clock_s = time.monotonic(), now_s()
+        for number in numbers:
+            fleet.links[number].set_mode(how)
+        # they need new connections
+        fleet.start_callers()
+        await asyncio.sleep(CUT_S)
+        context.healed_s = time.monotonic()
+        for number in numbers:
+            fleet.links[number].set_mode("pass")
+        await asyncio.sleep(END_S)
+        context.forwarded_after = [forwarded(front) for front in fleet.fronts]
+        context.states = [front.router.forwarding.cut_pools.copy() for front in fleet.fronts]
+        await asyncio.sleep(1.0)
+        context.forwarded_end = [forwarded(front) for front in fleet.fronts]
+        for front in fleet.fronts:
+            front.router.log.flush()
+        context.end_s = time.monotonic()
+        await fleet.stop()
+
+    run_scenario(context.rig, scenario)
+    context.cut_numbers = numbers
+
+
+@then("from 3 s after the cut callers at fronts {cut} are served as RECOVER demands")
+def recovered(context, cut):
+    since_s, until_s = context.cut_s + CONTACT_S, context.healed_s
+    fleet = context.fleet
+    served = [fleet.served(front, since_s, until_s) for front in fleet.fronts]
+    others = [one for number, one in enumerate(served) if number not in context.cut_numbers]
+    other_share = sum(s for s, _ in others) / sum(n for _, n in others)
+    assert other_share > 0.9, served
+    for number in context.cut_numbers:
+        whole, tries = served[number]
+        assert tries > 20, served
+        enough = whole / tries >= SERVED_SHARE * other_share
+        assert enough or tries - whole <= FAILURES + tries * FAILURE_SHARE, served
+        assert forwarded(fleet.fronts[number]) > 0, served
+
+
+@then("no single call ran twice, and none answered with 503 ran")
+def at_most_once(context):
+    runs = [run.request_id for run in context.rig.runs()]
+    single = {a[2]: a[4] for a in context.fleet.answers if a[1] == "single"}
+    assert all(runs.count(name) <= 1 for name in single)
+    assert not [name for name, status in single.items() if status == 503 and name in set(runs)]
+
+
+@then("a cut was noticed within 3 s at fronts {cut} and at no other")
+def noticed(context, cut):
+    lines = [line for line in events(context.rig, "pool-reach") if line["state"] == "cut"]
+    noticed_by = {line["host"] for line in lines}
+    assert noticed_by == {f"edge-{number + 1}" for number in context.cut_numbers}, lines
+    first_s = {line["host"]: line["monotonic_s"] for line in reversed(lines)}
+    took_s = {host: at_s - context.cut_clock_s for host, at_s in first_s.items()}
+    assert max(took_s.values()) < CONTACT_S, took_s
+
+
+@then("forwarding ends within 2 s after the cut, and the servers are used directly")
+def ends(context):
+    assert not any(context.states), context.states
+    assert context.forwarded_end == context.forwarded_after, context.forwarded_end
+    for front in context.fleet.fronts:
+        whole, tries = context.fleet.served(front, context.healed_s + END_S, context.end_s)
+        assert whole >= 0.9 * tries > 0, (whole, tries)
+
+
+async def silence(servers, links, seconds):
+    for link in links:
+        for server in servers:
+            link.proxies[server.name].set_mode("silent")
+    await asyncio.sleep(seconds)
+    for link in links:
+        for server in servers:
+            link.proxies[server.name].set_mode("pass")
+
+
+async def servers_down(fleet):
+    for server in fleet.rig.backend_servers:
+        server.crash()
+    await asyncio.sleep(3.0)
+
+
+async def starve(fleet):
+    # holds the event loop up, as a machine without processor time does
+    time.sleep(1.5)  # noqa: ASYNC251
+    await asyncio.sleep(2.0)
+
+
+NO_CUTS = {
+    "a server is silent for 1.2 s": lambda fleet: silence(
+        fleet.rig.backend_servers[:1], fleet.links, 1.2
+    ),
+    "all servers are silent for 1.2 s": lambda fleet: silence(
+        fleet.rig.backend_servers, fleet.links, 1.2
+    ),
+    "all servers go down": servers_down,
+    "a front is starved for 1.5 s": starve,
+}
+
+
+def no_cut(context, what):
+    async def scenario(rig):
+        fleet = context.fleet = Fleet(rig, context.hosts)
+        await fleet.start()
+        fleet.start_callers()
+        await asyncio.sleep(1.5)
+        await NO_CUTS[what](fleet)
+        await asyncio.sleep(1.5)
+        for front in fleet.fronts:
+            front.router.log.flush()
+        await fleet.stop()
+
+    run_scenario(context.rig, scenario)
+
+
+for _what in NO_CUTS:
+    when(_what)(lambda context, what=_what: no_cut(context, what))
+
+
+@then("no front forwards anything, and none believes to be cut off")
+def none_cut(context):
+    states = [line for line in events(context.rig, "pool-reach") if line["state"] == "cut"]
+    assert not states, events(context.rig, "pool-reach")
+    assert not any(forwarded(front) for front in context.fleet.fronts)
+
+
+class FaultyHelper(StreamServer):
+    """Takes a forwarded request and breaks the connection as `fault` says."""
+
+    def __init__(self, fault):
+        super().__init__()
+        self.fault = fault
+        self.requests = 0
+
+    async def serve(self, reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        self.requests += 1
+        if self.fault == "breaks inside the stream":
+            head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: r-1\r\n"
+            writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n")
+            await writer.drain()
+            await asyncio.sleep(0.1)
+        if self.fault == "reaches no servers either":
+            body = b'{"error":{"code":1220,"message":"x","ran":"no"}}'
+            head = b"HTTP/1.1 503 x\r\nRequest-Id: r-1\r\nContent-Length: %d\r\n\r\n" % len(body)
+            writer.write(head + body)
+            await writer.drain()
+            return
+        reset_connection(writer)
+
+
+async def make_cut(fleet, front):
+    """Let a front believe that it is cut off from the pool."""
+    links = fleet.links[fleet.fronts.index(front)]
+    links.set_mode("reset")
+    router = front.router
+    router.forwarding.update(now_s(), router.servers.entries_by_name.values())
+    reach = router.forwarding._reach_by_pool[POOL]
+    reach.state, reach.since_s, reach._next_probe_s = Reach.CUT, now_s(), float("inf")
+    router.forwarding.cut_pools.add(POOL)
+
+
+async def with_cut_front(context, rig, act):
+    fleet = context.fleet = Fleet(rig, 2)
+    await fleet.start()
+    cut, helper = fleet.fronts
+    await rig.until(lambda: cut.router.forwarding.pick(POOL, ()) or rig_warm(rig, helper))
+    await rig.ask("read", request_id="warm", front=helper)
+    await make_cut(fleet, cut)
+    await rig.until(lambda: cut.router.forwarding.pick(POOL, ()))
+    faulty = FaultyHelper(context.fault)
+    address = await faulty.start(Address(LOOPBACK, 0))
+    if context.fault == "refuses the connection":
+        faulty.stop()
+    forwarding = cut.router.forwarding
+    if context.fault != "works":
+        peers = cut.router.peers
+        peers.peers_by_host["faulty"] = peers.peers_by_host["edge-2"]._replace(address=address)
+        pick = forwarding.pick
+        forwarding.pick = lambda pool, tried: pick(pool, tried) if tried else "faulty"
+    try:
+        await act(fleet, cut)
+    finally:
+        faulty.stop()
+        await fleet.stop()
+
+
+def rig_warm(rig, helper):
+    """Let the helper hear from a server, so that others learn that it reaches the pool."""
+    if not getattr(helper, "warmed", None):
+        helper.warmed = asyncio.create_task(rig.ask("read", request_id="warm", front=helper))
+    return False
+
+
+@given("a cut front with 2 helpers of which the first {fault}")
+def cut_front(context, fault):
+    context.rig, context.fault = make_rig(), fault
+
+
+@when("its caller sends a {kind} request")
+def caller_sends(context, kind):
+    async def act(fleet, cut):
+        context.answer = await fleet.rig.ask(kind, front=cut)
+        context.runs = sum(run.request_id == "r-1" for run in fleet.rig.runs())
+
+    run_scenario(context.rig, lambda rig: with_cut_front(context, rig, act))
+
+
+@then("the caller gets {status} and servers ran it {runs:d} times")
+def caller_gets(context, status, runs):
+    answer = context.answer
+    if status == "cut":
+        assert answer.status == 200 and not answer.complete, answer
+    else:
+        assert answer.status == int(status), answer
+    assert context.runs == runs, context.runs
+
+
+@given("2 fronts that are cut off and believe that the other reaches the servers")
+def two_cut(context):
+    context.rig, context.fault = make_rig(), "works"
+
+
+@when("the first gets a read request of a caller")
+def asks_first(context):
+    async def act(fleet, cut):
+        await make_cut(fleet, fleet.fronts[1])
+        began_s = time.monotonic()
+        context.answer = await fleet.rig.ask("read", front=cut)
+        context.took_s = time.monotonic() - began_s
+        context.forwards = [forwarded(front) for front in fleet.fronts]
+
+    run_scenario(context.rig, lambda rig: with_cut_front(context, rig, act))
+
+
+@then("the caller gets 503 within {seconds:g} s and each front sent it on at most once")
+def one_hop(context, seconds):
+    assert context.answer.status == 503, context.answer
+    assert context.took_s < seconds, context.took_s
+    assert context.forwards == [1, 0], context.forwards
+
+
+@when("its caller sends a request to a server that hangs, and leaves")
+def caller_leaves(context):
+    async def act(fleet, cut):
+        for server in fleet.rig.backend_servers:
+            server.mode = "hang"
+        _, writer = await asyncio.open_connection(*cut.router.settings.caller)
+        writer.write(request("read", request_id="r-9"))
+        runs = fleet.rig.runs
+        await fleet.rig.until(lambda: any(run.request_id == "r-9" for run in runs()))
+        writer.close()
+        left_s = time.monotonic()
+        await fleet.rig.until(lambda: any(s.cancelled for s in fleet.rig.backend_servers))
+        context.took_s = time.monotonic() - left_s
+
+    run_scenario(context.rig, lambda rig: with_cut_front(context, rig, act))
+
+
+@then("the server sees the end of the request within {seconds:g} s")
+def cancelled(context, seconds):
+    assert context.took_s < seconds, context.took_s
+
+
+@given("a front whose forwarding port is taken, and another one")
+def port_taken(context):
+    context.rig = rig = make_rig()
+    ports = free_ports(4)
+    taken = socket.socket()
+    taken.bind((LOOPBACK, ports[2]))
+    taken.listen()
+
+    async def scenario(rig):
+        fleet = context.fleet = Fleet(rig, 2)
+        await fleet.start()
+        context.answer = await rig.ask("read")
+        other = fleet.fronts[1].router.forwarding
+        await rig.until(lambda: "edge-1" in other._told._told_by_host)
+        context.picked = other.pick(POOL, ())
+        rig.front.router.log.flush()
+        await fleet.stop()
+
+    import front_rig
+
+    original = front_rig.free_ports
+    given_ports = iter([ports])
+    front_rig.free_ports = lambda count: next(given_ports, None) or original(count)
+    try:
+        run_scenario(rig, scenario)
+    finally:
+        front_rig.free_ports = original
+        taken.close()
+
+
+@then("it serves its callers and logs forwards-refused")
+def serves_without(context):
+    assert context.answer.status == 200, context.answer
+    assert [line["host"] for line in events(context.rig, "forwards-refused")] == ["edge-1"]
+
+
+@then("the other front does not choose it as a helper")
+def not_chosen(context):
+    assert not context.picked, context.picked
+
+
+@given("a front without contactMs")
+def without_contact(context):
+    context.rig = Rig()
+    context.sent = []
+
+    async def scenario(rig):
+        await rig.ask("read")
+        rig.front.router.peers.send = lambda content, addresses: context.sent.append(content)
+        rig.front.router.peers._heartbeat_sent_s = 0.0
+        rig.front.router.peers.send_heartbeat()
+        _, writer = await asyncio.open_connection(*rig.front.router.settings.peer)
+        writer.close()
+
+    try:
+        run_scenario(context.rig, scenario)
+        context.listens = True
+    except ConnectionRefusedError:
+        context.listens = False
+
+
+@then("it does not listen for forwards and its heartbeats carry no reach")
+def no_forwarding(context):
+    assert not context.listens
+    assert Digest() in context.sent, context.sent
+    assert all(digest.reach is None for digest in context.sent), context.sent
