--- a/src/redwingbank/ctl/explain.py
+++ b/src/redwingbank/ctl/explain.py
@@ -23,7 +23,7 @@
 SERVER_CONTEXT_EVENTS = frozenset({"server-state", "notice", "notice-learned", "server-drain"})
 # A host's lost connections, stale data and limits of servers affect all of its requests.
 HOST_CONTEXT_EVENTS = frozenset(
-    {"store-lost", "store-regained", "watch-deaf", "relay-doubted", "limit-named"}
+    {"store-lost", "store-regained", "watch-deaf", "relay-doubted", "limit-named", "pool-reach"}
 )
 
 
@@ -250,6 +250,27 @@
     return f"{field('server')} {limit}, by {field('source')}"
 
 
+def _format_forwarded(record: Record) -> str:
+    field = record.field
+    return (
+        f"forwarded to host {field('helper')} ({field('reason')}), since this one reaches no server"
+        f" of {field('pool')}; {field('left_ms')} ms left"
+    )
+
+
+def _format_forward_failed(record: Record) -> str:
+    sent = "sent" if record.fields.get("sent") else "not sent"
+    return f"host {record.field('helper')} gave no answer: {record.field('detail')}, {sent}"
+
+
+def _format_reach(record: Record) -> str:
+    field = record.field
+    return (
+        f"way to the servers of {field('pool')}: {field('was')} to {field('state')},"
+        f" {field('reason')}; {field('helpers')} hosts reach them"
+    )
+
+
 def _format_notice(record: Record) -> str:
     action = (
         "notified other hosts"
@@ -263,6 +284,9 @@
     "stream-origin": _format_stream_origin,
     "request-granted": _format_granted,
     "attempt-failed": _format_failed,
+    "request-forwarded": _format_forwarded,
+    "forward-failed": _format_forward_failed,
+    "pool-reach": _format_reach,
     "request-refused": _format_refused,
     "request-done": _format_done,
     "caller-gone": _format_caller_gone,
--- a/src/redwingbank/front/crash_probe.py
+++ b/src/redwingbank/front/crash_probe.py
@@ -56,12 +56,12 @@
         try:
             connection = await backend.connections.connect()
         except OSError:
+            backend.breaker.record_crash("", started_s, now_s())
             pool = backend.entry.pool
             while self._reach.awaits_verdict(pool):  # noqa: ASYNC110 - there is no event to wait for
                 await asyncio.sleep(VERDICT_POLL_S)
             if self._reach.is_cut(pool):
                 return
-            backend.breaker.record_crash("", started_s, now_s())
             self._poison.server_down(backend.entry.name, now_s())
         else:
             backend.connections.release(connection)
--- a/src/redwingbank/routing/reachability.py
+++ b/src/redwingbank/routing/reachability.py
@@ -26,6 +26,8 @@
 # Two rounds of probes end within the 3 s in which a cut must have been noticed.
 ROUND_INTERVAL_S = 0.15
 LONG_DOUBT_S = 2.0
+# A decision is due within this time after the doubt.
+VERDICT_S = 1.5
 LONG_DOUBT_INTERVAL_S = 1.0
 PROBES_PER_ROUND = 3
 # While the pool still sends bytes on earlier connections, a second round must fail as well: the
@@ -101,7 +103,7 @@
     @property
     def connecting_s(self) -> float:
         """When the oldest connection that is being made was begun; infinite if there is none."""
-        return min(self._connecting_s, default=NOT_PENDING_S)
+        return self._connecting_s[0] if self._connecting_s else NOT_PENDING_S
 
     def connecting(self, now_s: float) -> None:
         """Record the beginning of a connection."""
@@ -241,7 +243,7 @@
 
     def awaits_verdict(self, now_s: float) -> bool:
         """Whether a decision is due soon, so that a request may wait for it."""
-        return self.state is Reach.DOUBTFUL and now_s - self.since_s < LONG_DOUBT_S
+        return self.state is Reach.DOUBTFUL and now_s - self.since_s < VERDICT_S
 
     def _check_reaching(
         self, contacts: Sequence[ServerContact], others: Others, now_s: float
--- a/tests/steps/front_forwarding.py
+++ b/tests/steps/front_forwarding.py
@@ -23,6 +23,7 @@
 CUT_S = 6.0
 END_S = 2.0
 CALLERS = 4
+MORE_CALLERS = 3
 PAUSE_S = 0.03
 ANSWER_S = 0.02
 KINDS = ("read", "single", "memo")
@@ -104,10 +105,10 @@
             await links.insert()
             self.links.append(links)
 
-    def start_callers(self):
+    def start_callers(self, fronts=()):
         self._callers += [
             asyncio.create_task(self._call(front, number))
-            for front in self.fronts
+            for front in fronts or self.fronts
             for number in range(CALLERS)
         ]
 
@@ -169,8 +170,9 @@
         context.cut_s, context.cut_clock_s = time.monotonic(), now_s()
         for number in numbers:
             fleet.links[number].set_mode(how)
-        # they need new connections
-        fleet.start_callers()
+        # more callers than there are connections that may live on
+        for _ in range(MORE_CALLERS):
+            fleet.start_callers([fleet.fronts[number] for number in numbers])
         await asyncio.sleep(CUT_S)
         context.healed_s = time.monotonic()
         for number in numbers:
