--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -17,6 +17,7 @@
     encode_announcement,
     encode_usage,
 )
+from redwingbank.forwarding.reach_codec import ReachReport, decode_reach, encode_reach
 from redwingbank.front import digest_schema as schema
 from redwingbank.front.digest_schema import SCHEMA
 from redwingbank.front.framing import open_message, read_kind
@@ -66,11 +67,15 @@
 
 
 class Digest(NamedTuple):
-    """Requests sent, first events and ends at a host since its last digest."""
+    """Requests sent, first events and ends at a host since its last digest.
+
+    `reach` tells which pools the host reaches, in one digest a second.
+    """
 
     sent: tuple[Sent, ...] = ()
     begun: tuple[FirstEvent, ...] = ()
     ended: tuple[int, ...] = ()
+    reach: ReachReport | None = None
 
 
 class Audience(IntEnum):
@@ -210,7 +215,7 @@
     bundle.hosts = [report.host for report in content.reports]
     bundle.incarnations = [report.incarnation for report in content.reports]
     digests = [report.digest for report in content.reports]
-    bundle.counts = [len(events) for digest in digests for events in digest]
+    bundle.counts = [len(events) for digest in digests for events in digest[:3]]
     merged = Digest(
         tuple(sent for digest in digests for sent in digest.sent),
         tuple(event for digest in digests for event in digest.begun),
@@ -233,6 +238,8 @@
         ]
     if content.ended:
         digest.ended = list(content.ended)
+    if content.reach:
+        encode_reach(content.reach, digest)
 
 
 def _request_row(request: Sent) -> tuple[int, ...]:
@@ -327,6 +334,7 @@
             for number, took_ms in zip(begun[::2], begun[1::2], strict=True)
         ),
         ended=tuple(schema.READ_ENDED(digest)),
+        reach=decode_reach(digest),
     )
 
 
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -42,6 +42,7 @@
     from collections.abc import Callable, Iterable
 
     from redwingbank.decisions import DecisionLog
+    from redwingbank.forwarding.reach_codec import ReachReport
     from redwingbank.front.backends import Backends
     from redwingbank.front.digest import Content
     from redwingbank.front.values import PromptPart
@@ -86,6 +87,8 @@
     `on_crash`, `on_limits` and `on_streams` receive answers, changes of backend servers, crashes,
     limits and streams from other hosts, and `on_host_started` the names of hosts that started.
     `on_duties` receives messages of the duties; without one they are dropped.
+    `reach_report` returns what the next digest to all hosts tells of the pools that this host
+    reaches, if anything; `on_reach` receives what other hosts tell.
     """
 
     def __init__(
@@ -105,6 +108,8 @@
         self.on_streams: Callable[[StreamReport, str], None] | None = None
         self.on_host_started: Callable[[str], None] | None = None
         self.on_duties: Callable[[Announcement | UsageCounts, str], None] | None = None
+        self.reach_report: Callable[[float], ReachReport | None] | None = None
+        self.on_reach: Callable[[ReachReport, str, float], None] | None = None
         self.host = host
         self.incarnation = incarnation
         self.place = place
@@ -185,9 +190,10 @@
 
     def send_heartbeat(self) -> None:
         """Send a heartbeat if one is due."""
-        if now_s() - self._heartbeat_sent_s >= HEARTBEAT_S:
-            self._heartbeat_sent_s = now_s()
-            self.send(Digest(), self.addresses())
+        now = now_s()
+        if now - self._heartbeat_sent_s >= HEARTBEAT_S:
+            self._heartbeat_sent_s = now
+            self.send(Digest(reach=self._next_reach_report(now)), self.addresses())
 
     def flush(self) -> None:
         """Send the pending digest."""
@@ -198,7 +204,7 @@
         relay = self.relay.select(self.place.data_centre, now)
         if not relay or len(self.alive(now)) + 1 < LARGE_FLEET_HOSTS:
             self._heartbeat_sent_s = now
-            self.send(digest, self.addresses())
+            self.send(digest._replace(reach=self._next_reach_report(now)), self.addresses())
             return
         report = Report(self.host, self.incarnation, digest)
         if relay == self.host:
@@ -213,8 +219,8 @@
         if peer:
             self.send(question, [peer.address])
 
-    def tell(self, hosts: Iterable[str], report: LimitReport | StreamReport) -> None:
-        """Send limits or streams to some of the other hosts; those not known are left out."""
+    def tell(self, hosts: Iterable[str], report: LimitReport | StreamReport | Digest) -> None:
+        """Send a message to some of the other hosts; those not known are left out."""
         known = [self.peers_by_host[host] for host in hosts if host in self.peers_by_host]
         self.send(report, [peer.address for peer in known])
 
@@ -240,6 +246,9 @@
         for address in addresses:
             self._transport.sendto(data, address)
 
+    def _next_reach_report(self, now: float) -> ReachReport | None:
+        return self.reach_report(now) if self.reach_report else None
+
     def _schedule(self, within_s: float) -> _PendingDigest:
         """Schedule a flush within a time and return the pending digest."""
         flush_due_s = now_s() + within_s
@@ -298,6 +307,8 @@
     @_handle.register
     def _handle_digest(self, content: Digest, host: str, now: float) -> None:
         self._last_report_s_by_host[host] = now
+        if content.reach and self.on_reach:
+            self.on_reach(content.reach, host, now)
         servers = self._server_by_number.setdefault(host, {})
         by_name = self._backends.backends_by_name
         for sent in content.sent:
