Keep the weights of hosts and the time of the next expiry

Hosts rank the same hosts for the same keys with each message that they send, so weights are kept. The requests of a server are looked through only once one of them may have expired, not ten times a second.

--- a/src/redwingbank/routing/load.py
+++ b/src/redwingbank/routing/load.py
@@ -24,6 +24,7 @@
 # margin.
 EXPIRY_PER_TOKEN_S = 0.02
 EXPIRY_MARGIN_S = 5.0
+NEVER_S = float("inf")
 # Time constant and window for recent prompt reads, about the length of a stream.
 READ_HISTORY_S = 2.0
 # A server reads about ten prompts per second, so this covers more than READ_HISTORY_S.
@@ -96,6 +97,8 @@
         self._unread_tokens_by_rank: dict[int, int] = {}
         self._parts_by_key: dict[RequestKey, Sequence[PromptPart]] = {}
         self._reading: RequestKey | None = None
+        # no request expires before
+        self._next_expiry_s = NEVER_S
         self._recent_reads: deque[_PromptRead] = deque(maxlen=MAX_RECENT_READS)
 
     @property
@@ -219,7 +222,8 @@
         self, key: RequestKey, in_flight: InFlightRequest, parts: Sequence[PromptPart] = ()
     ) -> None:
         """Record a request that was sent, and the shared parts of its prompt."""
-        self.request_ended(key)
+        if key in self._in_flight_by_key:
+            self.request_ended(key)
         self.cache.insert(parts)
         self._parts_by_key[key] = parts
         if not self._unread_by_key:
@@ -228,6 +232,7 @@
         self._count_unread(in_flight.rank, in_flight.unread_tokens)
         if self._reading is None:
             self._reading = key
+        self._next_expiry_s = min(self._next_expiry_s, _expiry_s(in_flight))
         if in_flight.pause_target_s:
             self.streams_by_pause_target[in_flight.pause_target_s] += 1
         if in_flight.unread_tokens:
@@ -263,12 +268,12 @@
 
     def expire(self, now_s: float) -> None:
         """Remove requests whose end was never reported."""
+        if now_s <= self._next_expiry_s:
+            return
         for key, in_flight in list(self._in_flight_by_key.items()):
-            if (
-                now_s - in_flight.sent_s
-                > EXPIRY_MARGIN_S + in_flight.answer_tokens * EXPIRY_PER_TOKEN_S
-            ):
+            if now_s > _expiry_s(in_flight):
                 self.request_ended(key)
+        self._next_expiry_s = min(map(_expiry_s, self._in_flight_by_key.values()), default=NEVER_S)
 
     def _remove_unread(self, key: RequestKey) -> None:
         """Remove a prompt that is read or cancelled; the most urgent one is read next."""
@@ -299,4 +304,8 @@
         return max(0.0, in_flight.first_event_s + answer_s - now_s)
 
 
+def _expiry_s(in_flight: InFlightRequest) -> float:
+    return in_flight.sent_s + EXPIRY_MARGIN_S + in_flight.answer_tokens * EXPIRY_PER_TOKEN_S
+
+
 __all__ = ["LAST_RANK", "InFlightRequest", "RequestKey", "ServerLoad"]
--- a/src/redwingbank/rules/rendezvous.py
+++ b/src/redwingbank/rules/rendezvous.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import lru_cache
 from hashlib import blake2b
 from typing import TYPE_CHECKING
 
@@ -10,8 +11,11 @@
 
 WEIGHT_BYTES = 8
 SEPARATOR = b"\0"
+# Hosts rank each other for the same few keys with each message that they send.
+KEPT_WEIGHTS = 4096
 
 
+@lru_cache(KEPT_WEIGHTS)
 def weight(key: str, name: str) -> int:
     """Compute a name's weight for a key; equal on every host and across restarts."""
     text = key.encode() + SEPARATOR + name.encode()
