Even the load of servers that state it; estimate few servers for their prompts

Hosts learn late of the sends and ends of others, so that they overrun servers in turns. Pools whose servers state a fourth figure in Server-Load, and pools with scaling, are now served by a choice of their own: plain calls go where the count, corrected by the last statement while it is fresh, leaves most room at the stated speed, with a random part that differs between hosts; prompts are estimated at six servers that hold most of them and ten others at random.

--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -16,7 +16,7 @@
     from random import Random
 
     from redwingbank.front.failures import Failure
-    from redwingbank.front.values import ServerEntry
+    from redwingbank.front.values import ServerEntry, StatedLoad
     from redwingbank.front.wire import AnswerLimits
 
 # Shorter than the servers' idle timeouts of several seconds, after which they close connections
@@ -42,6 +42,8 @@
     def __init__(self, random: Random, limits: AnswerLimits = DEFAULT_ANSWER_LIMITS) -> None:
         self.backends_by_name: dict[str, Backend] = {}
         self.limits = LimitBook(random)
+        # pools whose load is evened out by what a server has stated
+        self.evened_pools: set[str] = set()
         self._random = random
         self._limits = limits
         self._pauses_by_pool: dict[str, PauseEstimate] = {}
@@ -55,9 +57,19 @@
             self.backends_by_name[entry.name] = backend
         if backend.entry.started_ms != entry.started_ms:
             backend.load.cache.clear()
+            backend.load.statement = None
         backend.entry = entry
         return backend
 
+    def load_stated(
+        self, backend: Backend, stated: StatedLoad, now_s: float, *, scaled: bool
+    ) -> None:
+        """Record a load; a slowness in it switches the even choice of the server's pool on."""
+        if stated.slowness_per_cent is not None:
+            self.evened_pools.add(backend.entry.pool)
+        if scaled or backend.entry.pool in self.evened_pools:
+            backend.load.load_stated(stated, now_s)
+
     def remove(self, name: str) -> None:
         """Remove a server; requests in flight there are not interrupted."""
         backend = self.backends_by_name.pop(name, None)
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -158,6 +158,7 @@
         self._router.server_limits.answer_received(
             attempt.backend.entry, facts.limit, self._sent_s, stamped=facts.stamped
         )
+        self._router.record_stated_load(attempt.backend, facts)
 
     def attempt_streaming(self, attempt: Attempt, head: AnswerHead, facts: AnswerFacts) -> None:
         """Start a streamed answer, or resume it from another server."""
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -34,6 +34,7 @@
     from redwingbank.front.backends import Backend
     from redwingbank.front.open_work import OpenConnection, OpenExchange
     from redwingbank.front.values import HostSettings
+    from redwingbank.platform.headers import AnswerFacts
     from redwingbank.routing.choice import Choice, RequestNeeds
 
 # About the time that a host needs to get missing state, such as a newer table.
@@ -99,6 +100,8 @@
         for limit in self.backends.limits.listed():
             per_s = float("inf") if limit.per_s is None else limit.per_s
             gauge("server_limit_per_second", per_s, server=limit.server)
+        for pool in self.backends.evened_pools:
+            gauge("load_evened", 1, pool=pool)
         for pool in self.tables.table.pools_by_name if self.tables.table else ():
             gauge("repeats_left", self.allowance.remaining(pool, now), pool=pool)
         return self.metrics.text()
@@ -162,6 +165,15 @@
         backend.load.request_ended((OWN_HOST, number))
         self.peers.report_end(number)
 
+    def record_stated_load(self, backend: Backend, facts: AnswerFacts) -> None:
+        """Record what an answer says of its server's load; odd figures are only counted."""
+        pool = backend.entry.pool
+        if facts.load_unreadable:
+            self.metrics.count("stated_load_unreadable_total", 1, pool=pool)
+        elif facts.load and facts.stamped:
+            scaled = self.pool(pool).scaled
+            self.backends.load_stated(backend, facts.load, now_s(), scaled=scaled)
+
     def count(self, name: str, class_name: str, **labels: str) -> None:
         """Increment a counter of a class."""
         self.metrics.count(name, 1, service_class=class_name, **labels)
--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -68,11 +68,13 @@
 
     `cache_tokens` is the capacity of an engine for prompts and answers, 0 for a plain service.
     Engines copy cached prompts from each other at `copy_tokens_per_s`, not at all if it is 0.0.
+    The servers of a pool that is `scaled` are ordered by load.
     """
 
     name: str
     cache_tokens: int
     copy_tokens_per_s: float = 0.0
+    scaled: bool = False
 
 
 class Organisation(NamedTuple):
@@ -177,6 +179,19 @@
     per_s: float | None
 
 
+class StatedLoad(NamedTuple):
+    """What a server's answer says of its load at that moment.
+
+    `slowness_per_cent` is how long work takes on the server's machine, 100 as usual, None if the
+    answer does not say it.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness_per_cent: int | None = None
+
+
 class Bounds(NamedTuple):
     """Limits guaranteed by the host, from its settings, in seconds unless named otherwise.
 
@@ -227,4 +242,5 @@
     "ServerEntry",
     "Share",
     "StatedLimit",
+    "StatedLoad",
 ]
--- a/src/redwingbank/platform/directory.py
+++ b/src/redwingbank/platform/directory.py
@@ -109,7 +109,8 @@
     token_bytes = float(engine.get("kvTokenBytes", 0))
     link_bytes_per_s = float(engine.get("linkMbps", 0)) * BYTES_PER_S_PER_MBPS
     copy_tokens_per_s = link_bytes_per_s / token_bytes if token_bytes > 0 else 0.0
-    return Pool(row["name"], int(engine.get("kvCapacity", 0)), copy_tokens_per_s)
+    scaled = bool(row.get("scaling"))
+    return Pool(row["name"], int(engine.get("kvCapacity", 0)), copy_tokens_per_s, scaled)
 
 
 def _organisations_by_key(rows: Any) -> dict[str, Organisation] | None:
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -6,7 +6,7 @@
 import re
 from typing import TYPE_CHECKING, NamedTuple
 
-from redwingbank.front.values import CallFacts, PromptPart, StatedLimit
+from redwingbank.front.values import CallFacts, PromptPart, StatedLimit, StatedLoad
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -28,6 +28,9 @@
 AUTHORIZATION = b"authorization"
 DEADLINE = b"deadline-ms"
 SERVER_LIMIT = b"server-limit"
+SERVER_LOAD = b"server-load"
+# running, waiting, slots, and at some deployments the slowness in per cent
+LOAD_FIGURES = re.compile(rb"(\d{1,6}),(\d{1,6}),(\d{1,6})(?:,(\d{1,6}))?")
 DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
 
 # only the router sets these; they are dropped from a caller's request
@@ -80,7 +83,8 @@
     `not_run` is true if the server states that it did not run the request. `request_id` echoes
     the request that the answer belongs to, empty if missing. `encoded` bodies have a content
     encoding, which backend servers don't use. `idle_timeout_s` is how long the server keeps an
-    unused connection open. `limit` is None if the server names one that is not a number.
+    unused connection open. `limit` is None if the server names one that is not a number. `load`
+    is None if the server states none or an unreadable one; the latter sets `load_unreadable`.
     """
 
     request_id: str
@@ -90,6 +94,8 @@
     idle_timeout_s: float | None
     limit: StatedLimit | None
     forwarded_headers: bytes
+    load: StatedLoad | None = None
+    load_unreadable: bool = False
 
 
 class Envelope(NamedTuple):
@@ -165,6 +171,8 @@
     by_name = {name.lower(): value for name, value in headers}
     options = _connection_options(by_name)
     encoding = by_name.get(b"content-encoding", b"identity")
+    stated = by_name.get(SERVER_LOAD)
+    load = None if stated is None else _parse_load(stated)
     return AnswerFacts(
         request_id=by_name.get(REQUEST_ID, b"").decode("latin-1"),
         stamped=SERVER_STAMP in by_name,
@@ -177,6 +185,8 @@
             for name, value in headers
             if name.lower() not in CONNECTION_HEADERS and name.lower() not in options
         ),
+        load=load,
+        load_unreadable=stated is not None and load is None,
     )
 
 
@@ -230,6 +240,16 @@
     return StatedLimit(per_s) if math.isfinite(per_s) else None
 
 
+def _parse_load(value: bytes) -> StatedLoad | None:
+    """Parse a load; None if it is no list of three or four figures, or has no slots."""
+    found = LOAD_FIGURES.fullmatch(value.replace(b" ", b""))
+    if found is None:
+        return None
+    running, waiting, slots = (int(figure) for figure in found.groups()[:3])
+    slowness = None if found[4] is None else int(found[4])
+    return StatedLoad(running, waiting, slots, slowness) if slots and slowness != 0 else None
+
+
 __all__ = [
     "READINESS_TARGET",
     "REPORT_CALL",
--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -5,7 +5,9 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.codes import Code
+from redwingbank.routing.candidates import DEFAULT_COUNTS, CandidateCounts, select_candidates
 from redwingbank.routing.load import LAST_RANK, InFlightRequest
+from redwingbank.routing.pause_risk import expected_long_pauses, pause_risk
 from redwingbank.routing.prompt_copy import (
     CachedPrompt,
     Copy,
@@ -13,10 +15,10 @@
     copied_tokens,
     copy_sources,
 )
+from redwingbank.routing.stated_load import DEFAULT_EVEN_COSTS, even_cost
 from redwingbank.routing.targets import (
     CHUNK_TOKENS,
     DECODE_STEP_S,
-    TOKENS_PER_EVENT,
     miss_probability,
 )
 
@@ -26,7 +28,6 @@
 
     from redwingbank.front.backends import Backend, Backends
     from redwingbank.front.values import CallFacts, Pool, Route, ServerEntry
-    from redwingbank.routing.load import ServerLoad
 
 # Time until an engine has set up a copy.
 COPY_SETUP_S = 0.005
@@ -125,7 +126,14 @@
     first event is expected in time, at each server's own speed.
     """
 
-    def __init__(self, backends: Backends, random: Random, costs: Costs = DEFAULT_COSTS) -> None:
+    def __init__(
+        self,
+        backends: Backends,
+        random: Random,
+        costs: Costs = DEFAULT_COSTS,
+        counts: CandidateCounts = DEFAULT_COUNTS,
+    ) -> None:
+        self._counts = counts
         self._backends = backends
         self._random = random
         self._costs = costs
@@ -154,15 +162,26 @@
             if isinstance(below, AtLimit):
                 return below
             candidates = below
+        evened = pool.scaled or pool.name in self._backends.evened_pools
         if not needs.route.has_prompt:
-            return self._least_loaded(candidates, needs)
+            return (
+                self._evenly_loaded(candidates, needs, now_s)
+                if evened
+                else self._least_loaded(candidates, needs)
+            )
         candidates.sort(key=lambda backend: backend.entry.name)
         for backend in candidates:
             backend.load.cache.capacity_tokens = pool.cache_tokens
-        return self._least_cost(candidates, pool, needs, now_s)
+        return self._least_cost(candidates, pool, needs, now_s, few=evened)
 
     def _least_cost(
-        self, candidates: list[Backend], pool: Pool, needs: RequestNeeds, now_s: float
+        self,
+        candidates: list[Backend],
+        pool: Pool,
+        needs: RequestNeeds,
+        now_s: float,
+        *,
+        few: bool,
     ) -> Choice:
         """Return the server of the least cost, the first one among equals.
 
@@ -173,11 +192,16 @@
         held = [backend.load.cache.held_tokens(parts) for backend in candidates]
         most = max(held)
         sources = copy_sources(candidates, parts) if pool.copy_tokens_per_s else {}
-        bounds = self._bounds(candidates, held, sources, needs)
+        positions: Sequence[int] = range(len(candidates))
+        if few:
+            positions = select_candidates(
+                held, [len(backend.load) for backend in candidates], self._random, self._counts
+            )
+        bounds = self._bounds(positions, candidates, held, sources, needs, now_s)
         least: tuple[float, int] = (float("inf"), len(candidates))
         best: Choice | None = None
-        for position in sorted(range(len(candidates)), key=bounds.__getitem__):
-            backend, tokens, bound = candidates[position], held[position], bounds[position]
+        for bound, position in sorted(zip(bounds, positions, strict=True)):
+            backend, tokens = candidates[position], held[position]
             if best:
                 excess = best.cost + ROUNDING - bound
                 if excess < 0.0:
@@ -193,21 +217,21 @@
 
     def _bounds(
         self,
+        positions: Sequence[int],
         candidates: Sequence[Backend],
         held: Sequence[int],
         sources: Mapping[str, Sequence[Copy]],
         needs: RequestNeeds,
+        now_s: float,
     ) -> list[float]:
         """Return the terms of the servers' costs that do not depend on their backlogs."""
-        costs, prompt_tokens, data_centre = (
-            self._costs,
-            needs.facts.prompt_tokens,
-            needs.data_centre,
-        )
+        costs, data_centre = self._costs, needs.data_centre
+        prompt_tokens = needs.facts.prompt_tokens
         most, copied = max(held), 0
         copyable = {version: copies[0].tokens for version, copies in sources.items() if copies}
         bounds = []
-        for position, (backend, tokens) in enumerate(zip(candidates, held, strict=True)):
+        for position in positions:
+            backend, tokens = candidates[position], held[position]
             entry, load = backend.entry, backend.load
             if copyable:
                 copied = copied_tokens(copyable.get(entry.version, 0), tokens)
@@ -216,7 +240,7 @@
                 (costs.read_second + costs.backlog_second) * unread / load.read_tokens_per_s
                 + costs.reread_token * (most - tokens - copied)
                 + costs.copied_token * copied
-                + costs.full_slots * (len(load) / entry.slots) ** 2
+                + costs.full_slots * (load.in_flight(now_s) / entry.slots) ** 2
                 + costs.name_position * position * (unread < CHUNK_TOKENS)
                 + costs.other_data_centre * (entry.data_centre != data_centre)
             )
@@ -256,6 +280,20 @@
         )
         return Choice(best, len(best.load), 0, 0, 0.0, 0.0, 0.0)
 
+    def _evenly_loaded(
+        self, candidates: Sequence[Backend], needs: RequestNeeds, now_s: float
+    ) -> Choice:
+        """Choose by what servers state of their load; hosts that choose at once differ."""
+        spread, draw = DEFAULT_EVEN_COSTS.spread, self._random.random
+        other_data_centre, data_centre = self._costs.other_data_centre, needs.data_centre
+        costs = []
+        for backend in candidates:
+            load, entry = backend.load, backend.entry
+            cost = even_cost(len(load), entry.slots, load.statement, now_s) + spread * draw()
+            costs.append(cost + other_data_centre * (entry.data_centre != data_centre))
+        least = min(costs)
+        return Choice(candidates[costs.index(least)], least, 0, 0, 0.0, 0.0, 0.0)
+
     def _estimate(
         self,
         backend: Backend,
@@ -283,13 +321,13 @@
             + DECODE_STEP_S
         )
         pause_s = load.longest_pause_s(backlog.tokens)
-        long_pauses = _expected_long_pauses(load, backlog.tokens, unread_tokens, pause_s)
-        occupied = len(load) / backend.entry.slots
+        long_pauses = expected_long_pauses(load, backlog.tokens, unread_tokens, pause_s)
+        occupied = load.in_flight(now_s) / backend.entry.slots
         costs = self._costs
         cost = (
             miss_probability(expected_first_event_s, needs.target_left_s)
             + long_pauses
-            + _pause_risk(load, needs, pause_s, now_s)
+            + pause_risk(load, needs, pause_s, now_s)
             + costs.blocked_request * urgent.requests_per_s * max(0.0, read_s - BLOCKING_READ_S)
             + costs.read_second * read_s
             + costs.reread_token * (cached.maximum - cached.on_server - copied_tokens)
@@ -344,33 +382,6 @@
     return None
 
 
-def _expected_long_pauses(
-    load: ServerLoad, backlog_tokens: float, unread_tokens: int, pause_s: float
-) -> float:
-    """Expected number of streams that exceed their pause target only because of this prompt.
-
-    `pause_s` is their longest pause without it.
-    """
-    after_s = load.longest_pause_s(backlog_tokens + unread_tokens)
-    if after_s <= pause_s:
-        return 0.0
-    return sum(
-        count * (miss_probability(after_s, target_s) - miss_probability(pause_s, target_s))
-        for target_s, count in load.streams_by_pause_target.items()
-    )
-
-
-def _pause_risk(load: ServerLoad, needs: RequestNeeds, pause_s: float, now_s: float) -> float:
-    """Probability that prompt reads at the server make this stream exceed its pause target.
-
-    Answers that fit into one event have no pauses.
-    """
-    if not needs.pause_sensitive or needs.facts.answer_tokens <= TOKENS_PER_EVENT:
-        return 0.0
-    target_s = needs.route.pause_target_s
-    return min(1.0, miss_probability(pause_s, target_s) + load.recent_long_pauses(target_s, now_s))
-
-
 __all__ = [
     "AtLimit",
     "Choice",
--- a/src/redwingbank/routing/load.py
+++ b/src/redwingbank/routing/load.py
@@ -8,6 +8,7 @@
 
 from redwingbank.routing.prompt_cache import PromptCache
 from redwingbank.routing.read_speed import ReadSpeed
+from redwingbank.routing.stated_load import Statement, expected_in_flight
 from redwingbank.routing.targets import (
     DECODE_STEP_S,
     SAFE_TARGET_SHARE,
@@ -18,7 +19,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from redwingbank.front.values import PromptPart
+    from redwingbank.front.values import PromptPart, StatedLoad
 
 # Requests whose end was not reported expire after EXPIRY_PER_TOKEN_S per answer token and this
 # margin.
@@ -88,6 +89,8 @@
         self.pauses = pauses or PauseEstimate()
         self.cache = PromptCache()
         self.read_speed = ReadSpeed()
+        # only of servers of pools for which the choice evens the load out
+        self.statement: Statement | None = None
         # number of streams by pause target, whether or not their first event has arrived
         self.streams_by_pause_target: Counter[float] = Counter()
         self._in_flight_by_key: dict[RequestKey, InFlightRequest] = {}
@@ -163,6 +166,14 @@
         if self._unread_by_key and self.backlog_tokens(now_s) > 0:
             self.pauses.record_reading(pause_s)
 
+    def load_stated(self, stated: StatedLoad, now_s: float) -> None:
+        """Record what an answer of the server says of its load."""
+        self.statement = Statement(stated, len(self._in_flight_by_key), now_s)
+
+    def in_flight(self, now_s: float) -> float:
+        """Estimate the requests at the server, from those counted and from what it states."""
+        return expected_in_flight(len(self._in_flight_by_key), self.statement, now_s)
+
     def count_streams_ahead(self, rank: int) -> int:
         """Count the streams with a pause target that have a more urgent rank."""
         return sum(
