--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -6,6 +6,7 @@
 
 from redwingbank.codes import Code
 from redwingbank.routing.candidates import DEFAULT_COUNTS, CandidateCounts, select_candidates
+from redwingbank.routing.costs import DEFAULT_COSTS, Costs
 from redwingbank.routing.load import LAST_RANK, InFlightRequest
 from redwingbank.routing.pause_risk import expected_long_pauses, pause_risk
 from redwingbank.routing.prompt_copy import (
@@ -44,29 +45,12 @@
 MIN_PROTECTED_STREAM_SHARE = 1 / 8
 
 
-class Costs(NamedTuple):
-    """Weights of the reasons against a server, in units of one request that misses its target.
-
-    `reread_token` and `copied_token` count shared prompt tokens that some server has cached;
-    `blocked_request` counts a more urgent request that arrives during a long read. Requests
-    with few unread tokens prefer servers that come first by name.
-    """
-
-    read_second: float = 0.5
-    reread_token: float = 0.15 / 1000
-    copied_token: float = 0.03 / 1000
-    backlog_second: float = 0.2
-    concurrent_stream: float = 0.01
-    blocked_request: float = 3.0
-    full_slots: float = 0.5
-    name_position: float = 0.005
-    other_data_centre: float = 0.002
-
-
-DEFAULT_COSTS = Costs()
 # A bound adds the same terms as the cost in another order, so that it may exceed the cost by
 # rounding.
 ROUNDING = 1e-9
+# More servers are not compared for a plain call where the load is evened out: it would take longer
+# than the comparison of all counts.
+MAX_COMPARED = 24
 
 
 class Choice(NamedTuple):
@@ -151,10 +135,10 @@
         Servers whose breakers reject requests are used only if there are no others, and servers
         at their limits not at all.
         """
-        listed = [
-            self._backends.get_or_create(entry) for entry in entries if entry.name not in avoid
-        ]
-        candidates = [backend for backend in listed if backend.breaker.admits(now_s)] or listed
+        evened = pool.scaled or pool.name in self._backends.evened_pools
+        compares_few = evened and not needs.route.has_prompt
+        usable = [entry for entry in entries if entry.name not in avoid]
+        candidates = self._admitting(usable, now_s, compares_few=compares_few)
         if not candidates:
             return None
         if self._backends.limits.limits_by_start:
@@ -162,18 +146,28 @@
             if isinstance(below, AtLimit):
                 return below
             candidates = below
-        evened = pool.scaled or pool.name in self._backends.evened_pools
         if not needs.route.has_prompt:
-            return (
-                self._evenly_loaded(candidates, needs, now_s)
-                if evened
-                else self._least_loaded(candidates, needs)
-            )
+            if evened:
+                return self._evenly_loaded(candidates, needs, now_s)
+            return self._least_loaded(candidates, needs)
         candidates.sort(key=lambda backend: backend.entry.name)
         for backend in candidates:
             backend.load.cache.capacity_tokens = pool.cache_tokens
         return self._least_cost(candidates, pool, needs, now_s, few=evened)
 
+    def _admitting(
+        self, entries: list[ServerEntry], now_s: float, *, compares_few: bool
+    ) -> list[Backend]:
+        """Return the servers whose breakers admit requests, or all if there are none."""
+        book = self._backends
+        if compares_few and len(entries) > MAX_COMPARED and not book.limits.limits_by_start:
+            drawn = map(book.get_or_create, self._random.sample(entries, MAX_COMPARED))
+            candidates = [backend for backend in drawn if backend.breaker.admits(now_s)]
+            if candidates:
+                return candidates
+        listed = list(map(book.get_or_create, entries))
+        return [backend for backend in listed if backend.breaker.admits(now_s)] or listed
+
     def _least_cost(
         self,
         candidates: list[Backend],
