--- a/src/redwingbank_bench/replay_even.py
+++ b/src/redwingbank_bench/replay_even.py
@@ -26,7 +26,7 @@
     Share,
     StatedLoad,
 )
-from redwingbank.routing.choice import Choice, Chooser, RequestNeeds, as_in_flight
+from redwingbank.routing.choice import AtLimit, Choice, Chooser, RequestNeeds, as_in_flight
 from redwingbank.settings import Address
 
 if TYPE_CHECKING:
@@ -160,10 +160,17 @@
 class FoundChooser(Chooser):
     """Compares all servers by what is counted there, as the router does for other pools."""
 
-    def _evenly_loaded(
-        self, candidates: Sequence[Backend], needs: RequestNeeds, now_s: float
-    ) -> Choice:
-        return self._least_loaded(list(candidates), needs)
+    def choose(
+        self,
+        entries: Sequence[ServerEntry],
+        pool: Pool,
+        needs: RequestNeeds,
+        avoid: Collection[str],
+        now_s: float,
+    ) -> Choice | AtLimit | None:
+        """Choose as for a pool whose servers state nothing."""
+        self._backends.evened_pools.clear()
+        return super().choose(entries, pool, needs, avoid, now_s)
 
 
 CHOOSER_BY_ARM: dict[str, Callable[[Backends, Random], Chooser]] = {
