--- a/src/redwingbank/routing/stated_load.py
+++ b/src/redwingbank/routing/stated_load.py
@@ -54,7 +54,7 @@
     >>> from redwingbank.front.values import StatedLoad
     >>> statement = Statement(StatedLoad(3, 1, 8, 100), counted=8, at_s=10.0)
     >>> [expected_in_flight(8, statement, now_s) for now_s in (10.0, 10.125, 10.5)]
-    [4.0, 6.0, 8.0]
+    [4.0, 6.0, 8]
     """
     if statement is None:
         return counted
--- a/tests/routing/even_load.feature
+++ b/tests/routing/even_load.feature
@@ -36,3 +36,7 @@
 
   Scenario: a choice among 70 servers takes at most half a millisecond
     Then a choice among 70 busy servers takes at most 500 us
+
+  Scenario: a host reads the load in its answers, and counts odd figures
+    Given a host that gets answers with the loads "3,0,8,250" and "3,0,8,-1" and one that is not stamped
+    Then its metrics tell one pool whose load is evened out and 1 unreadable load
--- a/tests/steps/routing_even_load.py
+++ b/tests/steps/routing_even_load.py
@@ -7,7 +7,8 @@
 from behave import given, then, when
 
 from redwingbank.front.backends import Backends
-from redwingbank.front.values import ServerEntry, StatedLoad
+from redwingbank.front.router import Router
+from redwingbank.front.values import Bounds, HostSettings, ServerEntry, StatedLoad
 from redwingbank.platform.headers import decode_answer
 from redwingbank.routing.candidates import select_candidates
 from redwingbank.settings import Address
@@ -111,3 +112,28 @@
 def choice_cost(context, most):
     took_us = choice_us()
     assert took_us <= most, took_us
+
+
+@given('a host that gets answers with the loads "{load}" and "{odd}" and one that is not stamped')
+def host_with_answers(context, load, odd):
+    address = Address("127.0.0.1", 1)
+    settings = HostSettings("h", "a", *(address,) * 4, Bounds(), address)
+    context.router = router = Router(settings, Random(1))
+    for pool, value, stamp in (
+        ("stated", load, b"x"),
+        ("odd", odd, b"x"),
+        ("unstamped", load, None),
+    ):
+        entry = ServerEntry(f"i-{pool}", pool, address, "a", 8, False, 1)
+        headers = [(b"Server-Load", value.encode())]
+        headers += [(b"Server-Stamp", stamp)] if stamp else []
+        backend = router.backends.get_or_create(entry)
+        router.record_stated_load(backend, decode_answer(headers))
+
+
+@then("its metrics tell one pool whose load is evened out and {count:d} unreadable load")
+def load_metrics(context, count):
+    text = context.router.metrics_text()
+    assert text.count("redwingbank_load_evened") == 1, text
+    assert 'redwingbank_load_evened{pool="stated"} 1' in text, text
+    assert f'redwingbank_stated_load_unreadable_total{{pool="odd"}} {count}' in text, text
