--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -92,6 +92,11 @@
     copy_tokens_per_s: float = 0.0
     scaling: Scaling | None = None
 
+    @property
+    def scaled(self) -> bool:
+        """Whether the servers of the pool are ordered by load."""
+        return self.scaling is not None
+
 
 class Organisation(NamedTuple):
     """A customer; a `tier`, if set, takes precedence over those of the classes, 0 first."""
@@ -198,6 +203,19 @@
     per_s: float | None
 
 
+class StatedLoad(NamedTuple):
+    """What a server's answer says of its load at that moment.
+
+    `slowness_per_cent` is how long work takes on the server's machine, 100 as usual, None if the
+    answer does not say it.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    slowness_per_cent: int | None = None
+
+
 class Bounds(NamedTuple):
     """Limits guaranteed by the host, from its settings, in seconds unless named otherwise.
 
@@ -252,4 +270,5 @@
     "ServerEntry",
     "Share",
     "StatedLimit",
+    "StatedLoad",
 ]
--- a/src/redwingbank/routing/load.py
+++ b/src/redwingbank/routing/load.py
@@ -8,6 +8,7 @@
 
 from redwingbank.routing.prompt_cache import PromptCache
 from redwingbank.routing.read_speed import ReadSpeed
+from redwingbank.routing.stated_load import Statement, expected_in_flight
 from redwingbank.routing.targets import (
     DECODE_STEP_S,
     SAFE_TARGET_SHARE,
@@ -18,13 +19,14 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-    from redwingbank.front.values import PromptPart
+    from redwingbank.front.values import PromptPart, StatedLoad
     from redwingbank.routing.arrivals import Arrivals
 
 # Requests whose end was not reported expire after EXPIRY_PER_TOKEN_S per answer token and this
 # margin.
 EXPIRY_PER_TOKEN_S = 0.02
 EXPIRY_MARGIN_S = 5.0
+NEVER_S = float("inf")
 # Time constant and window for recent prompt reads, about the length of a stream.
 READ_HISTORY_S = 2.0
 # A server reads about ten prompts per second, so this covers more than READ_HISTORY_S.
@@ -91,6 +93,8 @@
         self._arrivals = arrivals
         self.cache = PromptCache()
         self.read_speed = ReadSpeed()
+        # only of servers of pools for which the choice evens the load out
+        self.statement: Statement | None = None
         # number of streams by pause target, whether or not their first event has arrived
         self.streams_by_pause_target: Counter[float] = Counter()
         self._in_flight_by_key: dict[RequestKey, InFlightRequest] = {}
@@ -100,6 +104,8 @@
         self._unread_tokens_by_rank: dict[int, int] = {}
         self._parts_by_key: dict[RequestKey, Sequence[PromptPart]] = {}
         self._reading: RequestKey | None = None
+        # no request expires before
+        self._next_expiry_s = NEVER_S
         self._recent_reads: deque[_PromptRead] = deque(maxlen=MAX_RECENT_READS)
 
     @property
@@ -170,6 +176,14 @@
         if self._unread_by_key and self.backlog_tokens(now_s) > 0:
             self.pauses.record_reading(pause_s)
 
+    def load_stated(self, stated: StatedLoad, now_s: float) -> None:
+        """Record what an answer of the server says of its load."""
+        self.statement = Statement(stated, len(self._in_flight_by_key), now_s)
+
+    def in_flight(self, now_s: float) -> float:
+        """Estimate the requests at the server, from those counted and from what it states."""
+        return expected_in_flight(len(self._in_flight_by_key), self.statement, now_s)
+
     def count_streams_ahead(self, rank: int) -> int:
         """Count the streams with a pause target that have a more urgent rank."""
         return sum(
@@ -234,7 +248,8 @@
         self, key: RequestKey, in_flight: InFlightRequest, parts: Sequence[PromptPart] = ()
     ) -> None:
         """Record a request that was sent, and the shared parts of its prompt."""
-        self.request_ended(key)
+        if key in self._in_flight_by_key:
+            self.request_ended(key)
         if self._arrivals is not None:
             self._arrivals.record(key[0], in_flight)
         self.cache.insert(parts)
@@ -245,6 +260,7 @@
         self._count_unread(in_flight.rank, in_flight.unread_tokens)
         if self._reading is None:
             self._reading = key
+        self._next_expiry_s = min(self._next_expiry_s, _expiry_s(in_flight))
         if in_flight.pause_target_s:
             self.streams_by_pause_target[in_flight.pause_target_s] += 1
         if in_flight.unread_tokens:
@@ -280,12 +296,12 @@
 
     def expire(self, now_s: float) -> None:
         """Remove requests whose end was never reported."""
+        if now_s <= self._next_expiry_s:
+            return
         for key, in_flight in list(self._in_flight_by_key.items()):
-            if (
-                now_s - in_flight.sent_s
-                > EXPIRY_MARGIN_S + in_flight.answer_tokens * EXPIRY_PER_TOKEN_S
-            ):
+            if now_s > _expiry_s(in_flight):
                 self.request_ended(key)
+        self._next_expiry_s = min(map(_expiry_s, self._in_flight_by_key.values()), default=NEVER_S)
 
     def _remove_unread(self, key: RequestKey) -> None:
         """Remove a prompt that is read or cancelled; the most urgent one is read next."""
@@ -316,4 +332,8 @@
         return max(0.0, in_flight.first_event_s + answer_s - now_s)
 
 
+def _expiry_s(in_flight: InFlightRequest) -> float:
+    return in_flight.sent_s + EXPIRY_MARGIN_S + in_flight.answer_tokens * EXPIRY_PER_TOKEN_S
+
+
 __all__ = ["LAST_RANK", "InFlightRequest", "RequestKey", "ServerLoad"]
