--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -201,6 +201,8 @@
         elif facts.load and facts.stamped:
             scaled = self.pool(pool).scaled
             self.backends.load_stated(backend, facts.load, now_s(), scaled=scaled)
+            if pool in self.backends.evened_pools:
+                self.dispatcher.shortage.switch_on(pool)
 
     def count(self, name: str, class_name: str, **labels: str) -> None:
         """Increment a counter of a class."""
