Share the room at brittle servers among hosts; statements of servers by kind

Servers that say they are brittle (Server-Brittle: N) fall over when they turn away more than N requests in a second. Hosts now keep what all of them have in flight there within the slots and a learned part of the queue: each has a share by rendezvous hashing, and hosts that lack room borrow from others. Limits and brittleness are statements by kind in one message.

--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -8,6 +8,7 @@
 from redwingbank.front.wire import DEFAULT_ANSWER_LIMITS
 from redwingbank.model import Outcome
 from redwingbank.routing.load import ServerLoad
+from redwingbank.routing.room_book import RoomBook
 from redwingbank.routing.server_limit import LimitBook
 from redwingbank.routing.targets import PauseEstimate
 from redwingbank.rules.breaker import Breaker
@@ -37,12 +38,13 @@
 
 
 class Backends:
-    """All backend servers in use, by name, and the limits that they name."""
+    """All backend servers in use, by name, and what they say of themselves."""
 
     def __init__(self, random: Random, limits: AnswerLimits = DEFAULT_ANSWER_LIMITS) -> None:
         self.backends_by_name: dict[str, Backend] = {}
         self.limits = LimitBook(random)
-        self._random = random
+        self.rooms = RoomBook()
+        self.random = random
         self._limits = limits
         self._pauses_by_pool: dict[str, PauseEstimate] = {}
 
@@ -51,7 +53,7 @@
         backend = self.backends_by_name.get(entry.name)
         if backend is None:
             pauses = self._pauses_by_pool.setdefault(entry.pool, PauseEstimate())
-            backend = Backend(entry, self._random, pauses, self._limits)
+            backend = Backend(entry, self.random, pauses, self._limits)
             self.backends_by_name[entry.name] = backend
         if backend.entry.started_ms != entry.started_ms:
             backend.load.cache.clear()
--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -95,10 +95,20 @@
   leftMs @4 :UInt32;        # time for which its caller may take it up
 }
 
-struct Limit {              # requests a second that a server takes from all hosts together
+# What a server says of itself, by `kind`: 0 the requests a second that it takes from all hosts
+# together, 1 that it is brittle. Or what hosts say of the room at brittle servers: 2 that a host
+# asks for room at any server of the pool `server`, 3 that it lends room at a server. Only kind 0
+# has a limit in `perS`; others have -1 there.
+struct Limit {
   server @0 :Text;
   startedMs @1 :Int64;
   version @2 :UInt32;       # the highest one holds
   perS @3 :Float64;         # negative: the server names no limit any more
   sent @4 :UInt32;          # requests that the host has sent to the server since it knows the limit
+                            # (kind 1: that it has in flight there)
+  kind @5 :UInt8;
+  count @6 :Int32;          # kind 1: requests that the server can turn away in a second, negative
+                            # if it is not brittle any more; kinds 2 and 3: requests
+  rejected @7 :UInt32;      # requests of the host that the server has turned away
+  fallen @8 :Bool;          # the server fell over and has not answered since
 }
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -12,12 +12,12 @@
 
 from redwingbank.front.framing import open_message
 from redwingbank.front.notice_codec import (
-    LimitReport,
+    StatementReport,
     age_ms,
     decode_crash,
-    decode_limits,
+    decode_statements,
     encode_crash,
-    encode_limits,
+    encode_statements,
     read_rows,
 )
 from redwingbank.front.poison import CrashNews
@@ -126,7 +126,7 @@
     removed: tuple[str, ...]
 
 
-Content = Digest | Bundle | Question | Answer | News | CrashNews | LimitReport | StreamReport
+Content = Digest | Bundle | Question | Answer | News | CrashNews | StatementReport | StreamReport
 
 
 class Place(NamedTuple):
@@ -262,7 +262,7 @@
 
 
 _encode_content.register(encode_crash)
-_encode_content.register(encode_limits)
+_encode_content.register(encode_statements)
 _encode_content.register(encode_streams)
 
 
@@ -372,7 +372,7 @@
     "answer": _decode_answer,
     "news": _decode_news,
     "crash": decode_crash,
-    "limits": decode_limits,
+    "limits": decode_statements,
     "streams": decode_streams,
 }
 
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -44,6 +44,7 @@
     from redwingbank.front.wire import AnswerHead, RequestHead
     from redwingbank.model import Outcome, Request
     from redwingbank.platform.headers import AnswerFacts
+    from redwingbank.routing.choice import AtLimit
 
 # Answers are due within 0.5 s of a class's timeout; this leaves time for the server's own answer
 # at the timeout.
@@ -80,6 +81,7 @@
         self._closed = False
         self._sent_s = 0.0
         self._number = 0
+        self._waiting: int | None = None
         self._retry_after_s = 0.0
         self._awaiting_first_event = True
         self._watch = RunWatch(router.poison, router.probes)
@@ -155,9 +157,10 @@
 
     def attempt_head_received(self, attempt: Attempt, facts: AnswerFacts) -> None:
         """Record what the server says of itself, whatever becomes of its answer."""
-        self._router.server_limits.answer_received(
-            attempt.backend.entry, facts.limit, self._sent_s, stamped=facts.stamped
-        )
+        statements, entry = self._router.statements, attempt.backend.entry
+        statements.answer_received(entry, facts.statements, self._sent_s, stamped=facts.stamped)
+        if facts.not_run:
+            statements.rooms.request_rejected(entry)
 
     def attempt_streaming(self, attempt: Attempt, head: AnswerHead, facts: AnswerFacts) -> None:
         """Start a streamed answer, or resume it from another server."""
@@ -217,6 +220,7 @@
         """Retry the request if allowed, or answer with an error."""
         now = now_s()
         self._watch.failed(attempt.backend, failure, now)
+        self._router.statements.rooms.attempt_failed(attempt.backend.entry, failure)
         self._handle_failure(attempt, failure, now)
 
     def attempt_broken(self, attempt: Attempt, error: Exception) -> None:
@@ -277,7 +281,8 @@
             self._binding.usable(), pool, needs, self._tried, now
         )
         if isinstance(decision, Refuse):
-            self._wait_or_refuse(decision, now)
+            if not (decision.lacks_room and self._wait_for_room(decision.lacks_room, now)):
+                self._wait_or_refuse(decision, now)
             return
         choice, backend = decision.choice, decision.choice.backend
         if self._splitter:
@@ -301,6 +306,23 @@
         self._attempt = Attempt(self, backend, request.request_id, self._binding.start_check)
         self._attempt.start(outgoing.encode)
 
+    def _wait_for_room(self, limit: AtLimit, now: float) -> bool:
+        """Wait at this host if room comes in time; else assign the time to return."""
+        assert self._admitted and self._request
+        admitted, rooms = self._admitted, self._router.statements.rooms
+        if self._answer_started:
+            return False
+        self._waiting = rooms.wait(admitted, self._request, limit, self._resume_sending, now)
+        if self._waiting is None:
+            self._retry_after_s = self._router.dispatcher.assign_return_s(
+                admitted.pool, admitted.tier, limit, now
+            )
+        return self._waiting is not None
+
+    def _resume_sending(self) -> None:
+        self._waiting = None
+        self._router.guard(self._send, self.fail_internally)
+
     def _wait_or_refuse(self, decision: Refuse, now: float) -> None:
         """Refuse a request at once; let a stream that has begun wait for a server's limit."""
         assert self._admitted and self._binding
@@ -313,7 +335,7 @@
                 decision.retry_after_s, self._router.guard, self._send, self.fail_internally
             )
             return
-        self._retry_after_s = decision.retry_after_s
+        self._retry_after_s = max(self._retry_after_s, decision.retry_after_s)
         self._fail(self._binding.refusal_code(decision.code))
 
     def _handle_answer(self, attempt: Attempt, answer: Answer) -> None:
@@ -384,6 +406,8 @@
 
     def _close(self) -> None:
         self._closed = True
+        if self._waiting is not None and self._admitted:
+            self._router.statements.rooms.queue.leave(self._admitted.pool, self._waiting)
         if self._binding:
             self._binding.release()
         for timer in (self._timer, self._resumption):
--- a/src/redwingbank/front/notice_codec.py
+++ b/src/redwingbank/front/notice_codec.py
@@ -1,27 +1,39 @@
-"""Encodes and decodes what hosts tell each other of backend servers: crashes and limits."""
+"""Encodes and decodes what hosts tell each other of backend servers: crashes and statements."""
 
 from __future__ import annotations
 
 import math
-from typing import Any, NamedTuple
+from functools import singledispatch
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from redwingbank.front.poison import CrashNews
+from redwingbank.routing.brittle_room import RoomState
+from redwingbank.routing.room_book import RoomAsk, RoomLoan
 from redwingbank.routing.server_limit import LimitState
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 MILLISECONDS = 1000.0
 MAX_AGE_MS = 2**32 - 1
 # stands for a limit that is not named any more
 NO_LIMIT = -1.0
+# stands for a server that is not brittle any more
+NOT_BRITTLE = -1
+KIND_LIMIT, KIND_ROOM, KIND_ASK, KIND_LOAN = range(4)
 # No server changes its limit so often; a damaged message may hold any number.
 MAX_VERSION = 2**31
 # more than hosts put into a message
 MAX_ROWS = 100
 
 
-class LimitReport(NamedTuple):
-    """The limits that a host knows, and how many requests it has sent to each server."""
+State = LimitState | RoomState | RoomAsk | RoomLoan
+
+
+class StatementReport(NamedTuple):
+    """What servers have said of themselves as a host knows it, of any kind."""
 
-    limits: tuple[LimitState, ...]
+    states: tuple[State, ...]
 
 
 def encode_crash(content: CrashNews, struct: Any) -> None:
@@ -46,21 +58,53 @@
     )
 
 
-def encode_limits(content: LimitReport, struct: Any) -> None:
-    """Encode the limits that a host knows into a message."""
-    rows = struct.init("limits", len(content.limits))
-    for row, state in zip(rows, content.limits, strict=True):
-        row.server, row.startedMs = state.server, state.started_ms
-        row.version, row.sent = state.version, state.sent
-        row.perS = NO_LIMIT if state.per_s is None else state.per_s
+def encode_statements(content: StatementReport, struct: Any) -> None:
+    """Encode what servers have said into a message."""
+    rows = struct.init("limits", len(content.states))
+    for row, state in zip(rows, content.states, strict=True):
+        _encode_state(state, row)
 
 
-def decode_limits(struct: Any, now_s: float) -> LimitReport:
-    """Decode the limits that a host knows from a message.
+def decode_statements(struct: Any, now_s: float) -> StatementReport:
+    """Decode what servers have said from a message; rows of unknown kinds are left out.
 
     :raises ValueError: if a limit is not a finite number, or a version out of range
     """
-    return LimitReport(tuple(map(_decode_limit, read_rows(struct.limits))))
+    rows = [row for row in read_rows(struct.limits) if row.kind in _DECODER_BY_KIND]
+    return StatementReport(tuple(_DECODER_BY_KIND[row.kind](row) for row in rows))
+
+
+@singledispatch
+def _encode_state(state: Any, row: Any) -> None:
+    raise TypeError(type(state))
+
+
+@_encode_state.register
+def _encode_limit(state: LimitState, row: Any) -> None:
+    row.server, row.startedMs = state.server, state.started_ms
+    row.version, row.sent = state.version, state.sent
+    row.perS = NO_LIMIT if state.per_s is None else state.per_s
+
+
+@_encode_state.register
+def _encode_room(state: RoomState, row: Any) -> None:
+    row.kind, row.perS = KIND_ROOM, NO_LIMIT
+    row.server, row.startedMs = state.server, state.started_ms
+    row.version, row.sent = state.version, state.in_flight
+    row.count = NOT_BRITTLE if state.most_rejected is None else state.most_rejected
+    row.rejected, row.fallen = state.rejected, state.fallen
+
+
+@_encode_state.register
+def _encode_ask(state: RoomAsk, row: Any) -> None:
+    row.kind, row.perS = KIND_ASK, NO_LIMIT
+    row.server, row.count = state.pool, state.requests
+
+
+@_encode_state.register
+def _encode_loan(state: RoomLoan, row: Any) -> None:
+    row.kind, row.perS = KIND_LOAN, NO_LIMIT
+    row.server, row.startedMs, row.count = state.server, state.started_ms, state.requests
 
 
 def read_rows(rows: Any) -> Any:
@@ -76,10 +120,42 @@
 def _decode_limit(row: Any) -> LimitState:
     if not math.isfinite(row.perS):
         raise ValueError(f"limit of {row.server}: {row.perS}")
-    if row.version > MAX_VERSION:
-        raise ValueError(f"limit of {row.server}: version {row.version}")
     per_s = row.perS if row.perS >= 0 else None
-    return LimitState(row.server, row.startedMs, row.version, per_s, row.sent)
+    return LimitState(row.server, row.startedMs, _read_version(row), per_s, row.sent)
+
+
+def _decode_room(row: Any) -> RoomState:
+    return RoomState(
+        server=row.server,
+        started_ms=row.startedMs,
+        version=_read_version(row),
+        most_rejected=row.count if row.count >= 0 else None,
+        fallen=row.fallen,
+        rejected=row.rejected,
+        in_flight=row.sent,
+    )
+
+
+def _decode_ask(row: Any) -> RoomAsk:
+    return RoomAsk(row.server, row.count)
+
+
+def _decode_loan(row: Any) -> RoomLoan:
+    return RoomLoan(row.server, row.startedMs, row.count)
+
+
+def _read_version(row: Any) -> int:
+    if row.version > MAX_VERSION:
+        raise ValueError(f"statement of {row.server}: version {row.version}")
+    return int(row.version)
+
+
+_DECODER_BY_KIND: dict[int, Callable[[Any], State]] = {
+    KIND_LIMIT: _decode_limit,
+    KIND_ROOM: _decode_room,
+    KIND_ASK: _decode_ask,
+    KIND_LOAN: _decode_loan,
+}
 
 
 def age_ms(age_s: float) -> int:
@@ -88,11 +164,12 @@
 
 
 __all__ = [
-    "LimitReport",
+    "State",
+    "StatementReport",
     "age_ms",
     "decode_crash",
-    "decode_limits",
+    "decode_statements",
     "encode_crash",
-    "encode_limits",
+    "encode_statements",
     "read_rows",
 ]
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -31,7 +31,7 @@
     encode_message,
 )
 from redwingbank.front.host_listing import HostListing
-from redwingbank.front.notice_codec import LimitReport
+from redwingbank.front.notice_codec import StatementReport
 from redwingbank.front.poison import CrashNews
 from redwingbank.front.report_relay import ReportRelay
 from redwingbank.front.stream_codec import StreamReport
@@ -82,8 +82,9 @@
     """Reports this host's requests to the other hosts and applies their reports.
 
     `answer_question` returns the answer to another host's question; `on_answer`, `on_news`,
-    `on_crash`, `on_limits` and `on_streams` receive answers, changes of backend servers, crashes,
-    limits and streams from other hosts, and `on_host_started` the names of hosts that started.
+    `on_crash`, `on_statements` and `on_streams` receive answers, changes of backend servers,
+    crashes, statements of servers and streams from other hosts, and `on_host_started` the names
+    of hosts that started.
     """
 
     def __init__(
@@ -99,7 +100,7 @@
         self.on_answer: Callable[[Answer, str], None] | None = None
         self.on_news: Callable[[News], None] | None = None
         self.on_crash: Callable[[CrashNews, float], None] | None = None
-        self.on_limits: Callable[[LimitReport, HostKey], None] | None = None
+        self.on_statements: Callable[[StatementReport, HostKey], None] | None = None
         self.on_streams: Callable[[StreamReport, str], None] | None = None
         self.on_host_started: Callable[[str], None] | None = None
         self.host = host
@@ -175,9 +176,9 @@
         """Report a request's first event."""
         self._schedule(PROGRESS_BATCH_S).begun.append(FirstEvent(number, took_s))
 
-    def report_end(self, number: int) -> None:
+    def report_end(self, number: int, within_s: float = PROGRESS_BATCH_S) -> None:
         """Report a request's end."""
-        self._schedule(PROGRESS_BATCH_S).ended.append(number)
+        self._schedule(within_s).ended.append(number)
 
     def send_heartbeat(self) -> None:
         """Send a heartbeat if one is due."""
@@ -209,12 +210,12 @@
         if peer:
             self.send(question, [peer.address])
 
-    def tell(self, hosts: Iterable[str], report: LimitReport | StreamReport) -> None:
+    def tell(self, hosts: Iterable[str], report: StatementReport | StreamReport) -> None:
         """Send limits or streams to some of the other hosts; those not known are left out."""
         known = [self.peers_by_host[host] for host in hosts if host in self.peers_by_host]
         self.send(report, [peer.address for peer in known])
 
-    def broadcast(self, news: News | CrashNews | LimitReport) -> None:
+    def broadcast(self, news: News | CrashNews | StatementReport) -> None:
         """Send changes, a crash or limits of backend servers to every other host."""
         self.send(news, self.addresses())
 
@@ -331,9 +332,9 @@
             self.on_crash(content, now)
 
     @_handle.register
-    def _handle_limits(self, content: LimitReport, host: str, now: float) -> None:
-        if self.on_limits:
-            self.on_limits(content, (host, self.peers_by_host[host].incarnation))
+    def _handle_statements(self, content: StatementReport, host: str, now: float) -> None:
+        if self.on_statements:
+            self.on_statements(content, (host, self.peers_by_host[host].incarnation))
 
     @_handle.register
     def _handle_streams(self, content: StreamReport, host: str, now: float) -> None:
@@ -341,4 +342,4 @@
             self.on_streams(content, host)
 
 
-__all__ = ["OWN_HOST", "Peer", "Peers"]
+__all__ = ["OWN_HOST", "PROGRESS_BATCH_S", "Peer", "Peers"]
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -142,7 +142,7 @@
                 with router.barrier.confine("expiry"):
                     owner.expire(now)
             with router.barrier.confine("limits"):
-                router.server_limits.update(now, router.servers.entries_by_name.values())
+                router.statements.update(now, router.servers.entries_by_name.values())
             with router.barrier.confine("streams"):
                 router.streams.update(now)
             with router.barrier.confine("heartbeat"):
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -16,9 +16,9 @@
 from redwingbank.front.digest import Place
 from redwingbank.front.directory import ServerRegistry, TableState
 from redwingbank.front.freshness import Freshness
-from redwingbank.front.peers import OWN_HOST, Peers
+from redwingbank.front.peers import OWN_HOST, PROGRESS_BATCH_S, Peers
 from redwingbank.front.poison import PoisonTracker
-from redwingbank.front.server_limits import ServerLimits
+from redwingbank.front.server_statements import ServerStatements
 from redwingbank.front.shutdown import AnswerDurations, Shutdown
 from redwingbank.front.stream_sharing import StreamSharing
 from redwingbank.front.values import Limits, Pool
@@ -64,7 +64,7 @@
         self.poison = PoisonTracker(self.peers.broadcast, self.log)
         self.probes = CrashProbes(self.poison)
         self.peers.on_crash = self.poison.handle_crash_news
-        self.server_limits = ServerLimits(self.backends.limits, self.peers, self.log)
+        self.statements = ServerStatements(self.backends, self.peers, self.log, self.metrics)
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
         self.servers = ServerRegistry(self.freshness.store_contact.was_down)
         self.streams = StreamSharing(settings.name, self.peers)
@@ -99,6 +99,7 @@
         for limit in self.backends.limits.listed():
             per_s = float("inf") if limit.per_s is None else limit.per_s
             gauge("server_limit_per_second", per_s, server=limit.server)
+        self.statements.rooms.record_gauges()
         for pool in self.tables.table.pools_by_name if self.tables.table else ():
             gauge("repeats_left", self.allowance.remaining(pool, now), pool=pool)
         return self.metrics.text()
@@ -148,7 +149,7 @@
         in_flight = as_in_flight(choice, needs, now_s)
         number = self.peers.report_sent(backend.entry.name, in_flight, shared)
         backend.load.request_sent((OWN_HOST, number), in_flight, shared)
-        self.server_limits.request_sent(backend.entry)
+        self.statements.request_sent(backend.entry)
         return number
 
     def record_first_event(self, backend: Backend, number: int, sent_s: float) -> None:
@@ -160,7 +161,8 @@
     def record_end(self, backend: Backend, number: int) -> None:
         """Record the end of a request at a server, and tell the other hosts."""
         backend.load.request_ended((OWN_HOST, number))
-        self.peers.report_end(number)
+        within_s = self.statements.rooms.end_batch_s(backend.entry)
+        self.peers.report_end(number, PROGRESS_BATCH_S if within_s is None else within_s)
 
     def count(self, name: str, class_name: str, **labels: str) -> None:
         """Increment a counter of a class."""
--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -177,6 +177,27 @@
     per_s: float | None
 
 
+class StatedBrittleness(NamedTuple):
+    """What a server's answer says of how many requests it can turn away.
+
+    The server falls over if it turns away more than `most_rejected` requests in a second; None if
+    the answer does not say that it is brittle.
+    """
+
+    most_rejected: int | None
+
+
+class UnreadableStatement(NamedTuple):
+    """A statement of a server whose value can't be read; it changes nothing."""
+
+    kind: str
+
+
+Statement = StatedLimit | StatedBrittleness | UnreadableStatement
+# what most answers state
+NOTHING_STATED: tuple[Statement, ...] = (StatedLimit(None), StatedBrittleness(None))
+
+
 class Bounds(NamedTuple):
     """Limits guaranteed by the host, from its settings, in seconds unless named otherwise.
 
@@ -217,6 +238,7 @@
     "Bounds",
     "CallFacts",
     "HostSettings",
+    "NOTHING_STATED",
     "Kind",
     "Limits",
     "Organisation",
@@ -226,5 +248,8 @@
     "RouteTable",
     "ServerEntry",
     "Share",
+    "StatedBrittleness",
     "StatedLimit",
+    "Statement",
+    "UnreadableStatement",
 ]
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -6,12 +6,19 @@
 import re
 from typing import TYPE_CHECKING, NamedTuple
 
-from redwingbank.front.values import CallFacts, PromptPart, StatedLimit
+from redwingbank.front.values import (
+    NOTHING_STATED,
+    CallFacts,
+    PromptPart,
+    StatedBrittleness,
+    StatedLimit,
+    UnreadableStatement,
+)
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Callable, Iterable, Mapping
 
-    from redwingbank.front.values import Organisation
+    from redwingbank.front.values import Organisation, Statement
     from redwingbank.settings import Address
 
 Header = tuple[bytes, bytes]
@@ -28,7 +35,10 @@
 AUTHORIZATION = b"authorization"
 DEADLINE = b"deadline-ms"
 SERVER_LIMIT = b"server-limit"
+SERVER_BRITTLE = b"server-brittle"
 DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
+# No server turns away more requests in a second.
+COUNT = re.compile(rb"\d{1,6}")
 
 # only the router sets these; they are dropped from a caller's request
 ROUTER_HEADERS = frozenset(
@@ -80,7 +90,7 @@
     `not_run` is true if the server states that it did not run the request. `request_id` echoes
     the request that the answer belongs to, empty if missing. `encoded` bodies have a content
     encoding, which backend servers don't use. `idle_timeout_s` is how long the server keeps an
-    unused connection open. `limit` is None if the server names one that is not a number.
+    unused connection open. `statements` are what the server says of itself, one of each kind.
     """
 
     request_id: str
@@ -88,7 +98,7 @@
     not_run: bool
     encoded: bool
     idle_timeout_s: float | None
-    limit: StatedLimit | None
+    statements: tuple[Statement, ...]
     forwarded_headers: bytes
 
 
@@ -171,7 +181,7 @@
         not_run=NOT_EXECUTED in by_name,
         encoded=encoding.lower() != b"identity",
         idle_timeout_s=_keep_alive_timeout_s(by_name.get(b"keep-alive", b"")),
-        limit=_parse_limit(by_name.get(SERVER_LIMIT)),
+        statements=_read_statements(by_name),
         forwarded_headers=b"".join(
             b"%b: %b\r\n" % (name, value)
             for name, value in headers
@@ -219,17 +229,36 @@
     return None
 
 
-def _parse_limit(value: bytes | None) -> StatedLimit | None:
-    """Parse a limit; None if the value is not a finite decimal number."""
-    if value is None:
-        return StatedLimit(None)
-    text = value.strip()
-    if not DECIMAL_NUMBER.fullmatch(text):
-        return None
-    per_s = float(text)
-    return StatedLimit(per_s) if math.isfinite(per_s) else None
+def _read_statements(by_name: Mapping[bytes, bytes]) -> tuple[Statement, ...]:
+    if not by_name.keys() & _PARSER_BY_STATEMENT:
+        return NOTHING_STATED
+    return tuple(
+        parse(by_name[name].strip()) if name in by_name else absent
+        for (name, parse), absent in zip(_PARSER_BY_STATEMENT.items(), NOTHING_STATED, strict=True)
+    )
+
+
+def _parse_limit(value: bytes) -> Statement:
+    """Parse a limit; it has to be a finite decimal number."""
+    if not DECIMAL_NUMBER.fullmatch(value):
+        return UnreadableStatement("limit")
+    per_s = float(value)
+    return StatedLimit(per_s) if math.isfinite(per_s) else UnreadableStatement("limit")
 
 
+def _parse_brittleness(value: bytes) -> Statement:
+    """Parse how many requests a brittle server can turn away in a second."""
+    if not COUNT.fullmatch(value):
+        return UnreadableStatement("brittle")
+    return StatedBrittleness(int(value))
+
+
+# in the order of `NOTHING_STATED`
+_PARSER_BY_STATEMENT: dict[bytes, Callable[[bytes], Statement]] = {
+    SERVER_LIMIT: _parse_limit,
+    SERVER_BRITTLE: _parse_brittleness,
+}
+
 __all__ = [
     "READINESS_TARGET",
     "REPORT_CALL",
--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -89,10 +89,12 @@
     """All servers that could take a request are at the limits that they name.
 
     The first may take one in `wait_s`; `per_s` is this host's part of what they take in a second.
+    `brittle` is true if they have no room for more requests in flight.
     """
 
     wait_s: float
     per_s: float
+    brittle: bool = False
 
 
 class CachedPrompt(NamedTuple):
@@ -161,6 +163,12 @@
             if isinstance(below, AtLimit):
                 return below
             candidates = below
+        if self._backends.rooms.rooms_by_start:
+            with_room = self._backends.rooms.with_room(candidates, now_s)
+            if not with_room:
+                room_per_s = self._backends.rooms.room_per_s(pool.name, now_s)
+                return AtLimit(1 / room_per_s, room_per_s, brittle=True)
+            candidates = with_room
         if not needs.route.has_prompt:
             return self._least_loaded(candidates, needs)
         candidates.sort(key=lambda backend: backend.entry.name)
--- a/src/redwingbank/routing/dispatch.py
+++ b/src/redwingbank/routing/dispatch.py
@@ -29,10 +29,15 @@
 
 
 class Refuse(NamedTuple):
-    """The request is refused; `retry_after_s` is 0.0 if nothing is known of when to return."""
+    """The request is refused; `retry_after_s` is 0.0 if nothing is known of when to return.
+
+    `lacks_room` tells of the room that comes if there is none at brittle servers; the time to
+    return is then still to be assigned.
+    """
 
     code: Code
     retry_after_s: float
+    lacks_room: AtLimit | None = None
 
 
 class ReturnTimes:
@@ -84,12 +89,18 @@
         if choice is None:
             return Refuse(Code.NO_BACKEND_SERVER, 0.0)
         if isinstance(choice, AtLimit):
+            if choice.brittle:
+                return Refuse(Code.SERVERS_AT_LIMIT, choice.wait_s, choice)
             return Refuse(Code.SERVERS_AT_LIMIT, self._return_s(pool, choice, needs, now_s))
         code = None if needs.answer_begun else refusal_code(choice, needs, now_s)
         if code is None:
             return Send(choice)
         return Refuse(code, choice.backlog_tokens / choice.backend.load.read_tokens_per_s)
 
+    def assign_return_s(self, pool: str, tier: int, limit: AtLimit, now_s: float) -> float:
+        """Return the time until a caller may return that is refused for want of room."""
+        return self._returns.assign(pool, tier, limit, now_s)
+
     def _return_s(self, pool: Pool, limit: AtLimit, needs: RequestNeeds, now_s: float) -> float:
         # a stream that has begun waits here instead of returning
         if needs.answer_begun:
--- a/src/redwingbank/routing/load.py
+++ b/src/redwingbank/routing/load.py
@@ -100,6 +100,20 @@
     def __len__(self) -> int:
         return len(self._in_flight_by_key)
 
+    def count(self, host: str) -> int:
+        """Count the requests of a host that are in flight at the server."""
+        return sum(key[0] == host for key in self._in_flight_by_key)
+
+    def trim(self, host: str, most: int, sent_before_s: float) -> None:
+        """Remove the oldest requests of a host beyond `most`: the reports of their ends are lost.
+
+        Requests sent after `sent_before_s` are kept, since the reports may be under way.
+        """
+        keys = [key for key in self._in_flight_by_key if key[0] == host]
+        for key in keys[: max(0, len(keys) - most)]:
+            if self._in_flight_by_key[key].sent_s < sent_before_s:
+                self.request_ended(key)
+
     def backlog_tokens(self, now_s: float, rank: int = LAST_RANK) -> float:
         """Estimate the prompt tokens still to be read before a request of this rank."""
         return self.backlog(now_s, rank).ahead_tokens
--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -147,6 +147,7 @@
             writer.close()
 
     def _limit_line(self) -> bytes:
+        """What the server says of itself in the head of each response."""
         return b"Server-Limit: %b\r\n" % self.named_limit.encode() if self.named_limit else b""
 
     def mode_for(self, target: str) -> str:
--- a/tests/damaged_messages.py
+++ b/tests/damaged_messages.py
@@ -30,7 +30,7 @@
     decode_message,
     encode_message,
 )
-from redwingbank.front.notice_codec import LimitReport
+from redwingbank.front.notice_codec import StatementReport
 from redwingbank.front.poison import CrashNews
 from redwingbank.front.stream_codec import Purpose, StreamNote, StreamReport
 from redwingbank.front.values import PromptPart, ServerEntry
@@ -53,7 +53,7 @@
     Answer(1.0, 1.0, 3, 4, 5, 1.0),
     News(1, 5, (ENTRY, ENTRY), ("i-2",)),
     CrashNews("f", 1.0, False, "i-1", ("a",), 0.1),
-    LimitReport((LimitState("i-1", 1, 3, 2.0, 4),)),
+    StatementReport((LimitState("i-1", 1, 3, 2.0, 4),)),
     StreamReport(
         Purpose.TOLD,
         (
--- a/tests/platform/formats.feature
+++ b/tests/platform/formats.feature
@@ -78,3 +78,16 @@
   Scenario: an answer that names no limit
     When a server's answer names no limit
     Then its limit is none
+
+  Scenario Outline: how many requests a brittle server can turn away; bad values change nothing
+    When a server's answer says that it is brittle with "<value>"
+    Then it can turn away <most> a second
+
+    Examples:
+      | value     | most       |
+      | 0         | 0          |
+      | 12        | 12         |
+      | -1        | unreadable |
+      | many      | unreadable |
+      | 4.5       | unreadable |
+      | 123456789 | unreadable |
--- a/tests/steps/front_server_limits.py
+++ b/tests/steps/front_server_limits.py
@@ -17,10 +17,11 @@
 from redwingbank.ctl.timeline_merge import merge
 from redwingbank.front.backends import Backends
 from redwingbank.front.digest import Digest, Message, encode_message
-from redwingbank.front.notice_codec import LimitReport
+from redwingbank.front.notice_codec import StatementReport
 from redwingbank.front.peers import Peers
-from redwingbank.front.server_limits import ServerLimits
+from redwingbank.front.server_statements import ServerStatements
 from redwingbank.front.values import ServerEntry, StatedLimit
+from redwingbank.metrics import Metrics
 from redwingbank.routing.server_limit import LimitState
 from redwingbank.settings import Address
 from redwingbank_bench.soakchecks import TOLD_S, allowed_in_window, most_in_window
@@ -141,11 +142,11 @@
     async def play():
         backends = Backends(random)
         peers = Peers("host-1", 1, backends, NullLog())
-        limits = ServerLimits(backends.limits, peers, NullLog())
+        limits = ServerStatements(backends, peers, NullLog(), Metrics())
         context.told = []
         peers.broadcast = lambda report: context.told.append(report)
-        limits.answer_received(server, StatedLimit(2.0), now_s(), stamped=True)
-        data = encode_message(Message("host-2", 1, LimitReport(states)))
+        limits.answer_received(server, (StatedLimit(2.0),), now_s(), stamped=True)
+        data = encode_message(Message("host-2", 1, StatementReport(states)))
         for number in range(count):
             peers.datagram_received(damage(data, random), ("10.0.0.2", 7200))
             if number % 100 == 0:
@@ -153,7 +154,7 @@
                 limits.update(now_s(), [server])
         limits._repeated_s = float("-inf")
         limits.update(now_s(), [server])
-        limits.answer_received(server, StatedLimit(1.5), now_s(), stamped=True)
+        limits.answer_received(server, (StatedLimit(1.5),), now_s(), stamped=True)
         limits._send_reports()
         context.last = context.told[-1]
         peers.datagram_received(encode_message(Message("host-3", 1, Digest())), ("10.0.0.3", 7200))
@@ -166,14 +167,14 @@
 
 @then("it still reports the limit, and a message of any other content is handled")
 def still_reports(context):
-    (state,) = context.last.limits
+    (state,) = context.last.states
     assert (state.server, state.started_ms, state.per_s) == ("i-1", 1, 1.5), state
     assert "host-3" in context.peers.peers_by_host
 
 
 @then("no damaged limit is told to other hosts")
 def none_spread(context):
-    starts = {(state.server, state.started_ms) for told in context.told for state in told.limits}
+    starts = {(state.server, state.started_ms) for told in context.told for state in told.states}
     assert starts == {("i-1", 1)}, starts
 
 
@@ -273,7 +274,7 @@
     async def scenario(rig):
         router = rig.front.router
         limited = router.servers.entries_by_name["i-2"]
-        router.server_limits.answer_received(limited, StatedLimit(limit), now_s(), stamped=True)
+        router.statements.answer_received(limited, (StatedLimit(limit),), now_s(), stamped=True)
         started_s = now_s()
         answer = await rig.ask("memo", deadline_ms=4000)
         return answer, now_s() - started_s
@@ -297,7 +298,7 @@
     async def scenario(rig):
         router = rig.front.router
         limited = router.servers.entries_by_name["i-2"]
-        router.server_limits.answer_received(limited, StatedLimit(0.5), now_s(), stamped=True)
+        router.statements.answer_received(limited, (StatedLimit(0.5),), now_s(), stamped=True)
         return await rig.ask("read")
 
     context.answer = run_scenario(context.rig, scenario)
--- a/tests/steps/platform_formats.py
+++ b/tests/steps/platform_formats.py
@@ -8,7 +8,13 @@
 
 from front_rig import KEY, boot, entry, table
 from redwingbank.errors import SettingErrors
-from redwingbank.front.values import Kind, PromptPart, StatedLimit
+from redwingbank.front.values import (
+    Kind,
+    PromptPart,
+    StatedBrittleness,
+    StatedLimit,
+    UnreadableStatement,
+)
 from redwingbank.platform.directory import decode_server, decode_table
 from redwingbank.platform.headers import Envelope, decode_answer, decode_call, encode_call
 from redwingbank.platform.objects import MalformedError
@@ -169,16 +175,28 @@
 @when('a server\'s answer names the limit "{value}"')
 @when('a server\'s answer names the limit ""')
 def limit_named(context, value=""):
-    context.limit = decode_answer([(b"Server-Limit", value.encode())]).limit
+    context.limit = decode_answer([(b"Server-Limit", value.encode())]).statements[0]
 
 
 @when("a server's answer names no limit")
 def no_limit_named(context):
-    context.limit = decode_answer([(b"Server-Load", b"1,0,6")]).limit
+    context.limit = decode_answer([(b"Server-Load", b"1,0,6")]).statements[0]
 
 
 @then("its limit is {expected}")
 def limit_matches(context, expected):
-    stated = {"unreadable": None, "none": StatedLimit(None)}
+    stated = {"unreadable": UnreadableStatement("limit"), "none": StatedLimit(None)}
     wanted = stated[expected] if expected in stated else StatedLimit(float(expected))
     assert context.limit == wanted, context.limit
+
+
+@when('a server\'s answer says that it is brittle with "{value}"')
+def brittleness_named(context, value):
+    context.brittle = decode_answer([(b"Server-Brittle", value.encode())]).statements[1]
+
+
+@then("it can turn away {expected} a second")
+def brittleness_matches(context, expected):
+    unreadable = expected == "unreadable"
+    wanted = UnreadableStatement("brittle") if unreadable else StatedBrittleness(int(expected))
+    assert context.brittle == wanted, context.brittle
