--- a/src/redwingbank/front/room_sharing.py
+++ b/src/redwingbank/front/room_sharing.py
@@ -32,7 +32,7 @@
     Report = Callable[[type, str, int, Callable[[], State]], None]
 
 # A host that lacks room asks another one at most this often.
-ASK_S = 0.03
+ASK_S = 0.02
 # Hosts choose whom they ask from so many.
 ASKED_SAMPLE = 4
 # An ask is for this many requests more than those that wait.
@@ -145,18 +145,22 @@
             return None
         return self.queue.enter(pool, tier, until_s, resume)
 
-    def lend(self, ask: RoomAsk) -> list[RoomLoan]:
-        """Return the room that is lent to a host that asks for it."""
-        loans = self.book.lend(self._in_pool(ask.pool), ask.requests, now_s())
-        self._metrics.count("room_lent_total", sum(loan.requests for loan in loans))
-        return loans
+    def lend(self, ask: RoomAsk, host: str) -> None:
+        """Lend room to a host that asks for it, if there is some to spare."""
+        loans = self.book.lend(host, self._in_pool(ask.pool), ask.requests, now_s())
+        if loans:
+            self._metrics.count("room_lent_total", sum(loan.requests for loan in loans))
+            self._peers.tell([host], StatementReport(tuple(loans)))
 
-    def borrow(self, loan: RoomLoan) -> None:
-        """Use room that another host lends."""
+    def borrow(self, loan: RoomLoan, host: str) -> None:
+        """Use room that another host lends, or that it gives back."""
         room = self.book.rooms_by_start.get((loan.server, loan.started_ms))
         backend = self._backends.backends_by_name.get(loan.server)
-        if room and backend and loan.requests > 0:
-            room.borrow(loan.requests, now_s())
+        if room and backend:
+            if loan.requests > 0:
+                room.borrow(host, loan.requests, now_s())
+            else:
+                room.take_back(host, -loan.requests)
             self.queue.wake(backend.entry.pool)
 
     def update(self, now: float, entries: Collection[ServerEntry]) -> None:
@@ -164,6 +168,9 @@
         self._entries = entries
         if self.book.rooms_by_start:
             self._share_room(entries, now)
+            backends = self._backends.backends_by_name.values()
+            for host, loans in self.book.give_back(backends, now).items():
+                self._peers.tell([host], StatementReport(tuple(loans)))
 
     def states(self, now: float, changed_s: float = float("-inf")) -> list[RoomState]:
         """Return the servers that are brittle, and those that have not been since `changed_s`."""
--- a/src/redwingbank/front/server_statements.py
+++ b/src/redwingbank/front/server_statements.py
@@ -159,12 +159,11 @@
 
     @_merge.register
     def _merge_ask(self, state: RoomAsk, host: HostKey) -> None:
-        for report in _reports(self.rooms.lend(state)):
-            self._peers.tell([host[0]], report)
+        self.rooms.lend(state, host[0])
 
     @_merge.register
     def _merge_loan(self, state: RoomLoan, host: HostKey) -> None:
-        self.rooms.borrow(state)
+        self.rooms.borrow(state, host[0])
 
     def _limit_states(self, changed_s: float = float("-inf")) -> list[State]:
         """Return the limits in force, and those that have ended since `changed_s`."""
--- a/src/redwingbank/routing/brittle_room.py
+++ b/src/redwingbank/routing/brittle_room.py
@@ -13,10 +13,11 @@
     from redwingbank.routing.server_limit import HostKey
 
 NEVER_S = float("-inf")
-# A loan ends this long after it was made; the borrower stops earlier by the time that the message
-# of it may take.
-LOAN_S = 1.0
-LOAN_GUARD_S = 0.2
+# Room that was borrowed is used for this time, and given back when what was sent there has ended.
+BORROWED_S = 0.15
+# Room that was lent and is not given back is lost until then: the message of it was lost, or
+# streams take so long.
+LENT_S = 30.0
 # While hosts learn of each other at different times, a host uses the smaller of its two shares.
 SETTLE_S = 1.0
 # Rejections count for this long, as they do at the servers.
@@ -30,9 +31,14 @@
 # A part of the queue is tried after this time without a rejection; after each rejection later.
 GROWTH_S = 3.0
 MAX_GROWTH_S = 60.0
+# Within this time after it has said that it is brittle, a server begins to let fewer wait.
+CONTACT_S = 5.0
 FULL_S = 0.5
-# Servers that fall over at fewer rejections than this get no more than their slots.
+# Servers that fall over at fewer rejections than this get no more than their slots. While a host
+# tries a part of the queue, others that do not know of it yet may be turned away: with 9 and 30
+# hosts and 4 rejections a second, servers of a replay fell over.
 MIN_REJECTED_FOR_QUEUE = 2
+HOSTS_PER_REJECTION = 3
 # A server that fell over is tried by one request after this time.
 FALLEN_S = 1.0
 # Answers that arrive so soon after a fall may have been sent before it.
@@ -83,28 +89,12 @@
         return capacity // self.hosts + (self.place < capacity % self.hosts)
 
 
-class _Loan(NamedTuple):
-    """Room that another host may use, or that it lets this one use, until some time."""
+class Loan(NamedTuple):
+    """Room at a server that one host lets another use until some time."""
 
-    until_s: float
+    host: str
     requests: int
-
-
-class _Loans:
-    """Loans in the order of their ends."""
-
-    def __init__(self) -> None:
-        self._loans: deque[_Loan] = deque()
-
-    def add(self, requests: int, until_s: float) -> None:
-        """Add a loan."""
-        self._loans.append(_Loan(until_s, requests))
-
-    def total(self, now_s: float) -> int:
-        """Return the requests of the loans that have not ended."""
-        while self._loans and self._loans[0].until_s <= now_s:
-            self._loans.popleft()
-        return sum(loan.requests for loan in self._loans)
+    until_s: float
 
 
 class BrittleRoom:
@@ -143,7 +133,8 @@
         self._share_before = Share()
         self._settled_s = NEVER_S
         self._updated_s: float | None = None
-        self._lent, self._borrowed = _Loans(), _Loans()
+        self._lent: list[Loan] = []
+        self._borrowed: list[Loan] = []
         self._rejected_by_host: dict[str, tuple[int, int]] = {}
 
     @property
@@ -160,12 +151,8 @@
 
     def quota(self, now_s: float) -> int:
         """Return how many requests this host may have in flight at the server."""
-        if self._share is None:
-            return 0
-        share = self._share.of(self.capacity)
-        if now_s < self._settled_s:
-            share = min(share, self._share_before.of(self.capacity))
-        return max(0, share - self._lent.total(now_s)) + self._borrowed.total(now_s)
+        borrowed = sum(loan.requests for loan in self._borrowed if loan.until_s > now_s)
+        return max(0, self._own_room(now_s)) + borrowed
 
     def state(self, in_flight: int) -> RoomState:
         """Return what to tell other hosts."""
@@ -254,19 +241,53 @@
             self._full_s = now_s
         return self._open(use, now_s) and use.own < self.quota(now_s)
 
-    def lend(self, most: int, use: RoomUse, now_s: float) -> int:
+    def lend(self, host: str, most: int, use: RoomUse, now_s: float) -> int:
         """Let another host use room that this one does not need; return how much."""
         idle = min(self.quota(now_s) - use.own, self.capacity - use.total, most)
-        own = self._share.of(self.capacity) - self._lent.total(now_s) if self._share else 0
-        lent = min(idle, own)
+        lent = min(idle, self._own_room(now_s))
         if lent < 1 or not self._open(use, now_s):
             return 0
-        self._lent.add(lent, now_s + LOAN_S)
+        self._lent.append(Loan(host, lent, now_s + LENT_S))
         return lent
 
-    def borrow(self, requests: int, now_s: float) -> None:
+    def borrow(self, host: str, requests: int, now_s: float) -> None:
         """Use room that another host has lent."""
-        self._borrowed.add(min(requests, MAX_LOAN), now_s + LOAN_S - LOAN_GUARD_S)
+        self._borrowed.append(Loan(host, min(requests, MAX_LOAN), now_s + BORROWED_S))
+
+    def give_back(self, own: int, now_s: float) -> list[Loan]:
+        """Return the loans to give back, with `own` requests of this host at the server."""
+        back: list[Loan] = []
+        spare = self.quota(now_s) - own
+        ended = [loan for loan in self._borrowed if loan.until_s <= now_s]
+        spare += sum(loan.requests for loan in ended)
+        for loan in ended:
+            given = min(loan.requests, spare)
+            if given > 0:
+                spare -= given
+                back.append(loan._replace(requests=given))
+                self._borrowed.remove(loan)
+                if given < loan.requests:
+                    self._borrowed.append(loan._replace(requests=loan.requests - given))
+        return back
+
+    def take_back(self, host: str, requests: int) -> None:
+        """Use room again that was lent to a host."""
+        for loan in [loan for loan in self._lent if loan.host == host]:
+            taken = min(requests, loan.requests)
+            requests -= taken
+            self._lent.remove(loan)
+            if taken < loan.requests:
+                self._lent.append(loan._replace(requests=loan.requests - taken))
+
+    def _own_room(self, now_s: float) -> int:
+        """Return this host's share without what it has lent, negative if it has lent more."""
+        if self._share is None:
+            return 0
+        share = self._share.of(self.capacity)
+        if now_s < self._settled_s:
+            share = min(share, self._share_before.of(self.capacity))
+        self._lent = [loan for loan in self._lent if loan.until_s > now_s]
+        return share - sum(loan.requests for loan in self._lent)
 
     def _open(self, use: RoomUse, now_s: float) -> bool:
         """Whether the server takes requests, from whichever host."""
@@ -305,9 +326,13 @@
 
     def _grows(self, now_s: float) -> bool:
         """Whether a part of the queue may be tried: the slots were full, and nothing rejected."""
-        if self.fallen or self._missing or (self.most_rejected or 0) < MIN_REJECTED_FOR_QUEUE:
+        hosts = self._share.hosts if self._share else 1
+        needed = MIN_REJECTED_FOR_QUEUE + hosts // HOSTS_PER_REJECTION
+        if self.fallen or self._missing or (self.most_rejected or 0) < needed:
+            return False
+        if self._queued >= (self.most_rejected or 0) // 2:
             return False
-        quiet_s = now_s - max(self._learned_s, self._began_s)
+        quiet_s = now_s - max(self._learned_s, self._began_s + CONTACT_S)
         return now_s - self._full_s < FULL_S and quiet_s > self._growth_s
 
     def _count_rejections(self, now_s: float) -> int:
@@ -331,4 +356,4 @@
     return state.fallen, NEVER_S if most is None else -float(most)
 
 
-__all__ = ["BrittleRoom", "RoomState", "RoomUse", "Share"]
+__all__ = ["BrittleRoom", "Loan", "RoomState", "RoomUse", "Share"]
--- a/src/redwingbank/routing/room_book.py
+++ b/src/redwingbank/routing/room_book.py
@@ -20,7 +20,7 @@
 # The rate at which room comes is measured over this time.
 RATE_S = 1.0
 # A host that lacked room so lately lends none.
-SHORT_S = 0.1
+SHORT_S = 0.03
 # key of this host's own requests in the load of a server
 OWN_HOST = ""
 NEVER_S = float("-inf")
@@ -34,7 +34,7 @@
 
 
 class RoomLoan(NamedTuple):
-    """A host lends another one room at a server."""
+    """A host lends another one room at a server, or gives it back if `requests` is negative."""
 
     server: str
     started_ms: int
@@ -98,7 +98,9 @@
             ended_s.popleft()
         return max(1.0, len(ended_s) / RATE_S)
 
-    def lend(self, backends: Iterable[Backend], most: int, now_s: float) -> list[RoomLoan]:
+    def lend(
+        self, host: str, backends: Iterable[Backend], most: int, now_s: float
+    ) -> list[RoomLoan]:
         """Lend room at some servers of a pool, none if this host lacks it."""
         loans: list[RoomLoan] = []
         for backend in backends:
@@ -106,7 +108,7 @@
             short_s = self._short_s_by_pool.get(entry.pool, NEVER_S)
             if room is None or not room.brittle or now_s - short_s < SHORT_S:
                 continue
-            lent = room.lend(most, use_of(backend), now_s)
+            lent = room.lend(host, most, use_of(backend), now_s)
             if lent:
                 loans.append(RoomLoan(entry.name, entry.started_ms, lent))
                 most -= lent
@@ -114,6 +116,16 @@
                 break
         return loans
 
+    def give_back(self, backends: Iterable[Backend], now_s: float) -> dict[str, list[RoomLoan]]:
+        """Return by host the borrowed room that is not used any longer."""
+        loans_by_host: dict[str, list[RoomLoan]] = {}
+        for backend in backends:
+            entry, room = backend.entry, self.find(backend.entry)
+            for loan in room.give_back(use_of(backend).own, now_s) if room else ():
+                given = RoomLoan(entry.name, entry.started_ms, -loan.requests)
+                loans_by_host.setdefault(loan.host, []).append(given)
+        return loans_by_host
+
     def update(
         self, entries: Collection[ServerEntry], own: str, hosts: Iterable[str], now_s: float
     ) -> None:
--- a/tests/room_fleet.py
+++ b/tests/room_fleet.py
@@ -15,7 +15,10 @@
 BATCH_S = 0.003
 FALLEN_S = 3.0
 RETRY_S = 0.01
-ASK_S = 0.03
+# what is told to one host only is not batched or relayed
+DIRECT_S = (0.001, 0.012)
+ASK_S = 0.02
+SHORT_S = 0.03
 
 
 class Server:
@@ -135,6 +138,7 @@
         ]
         if not free:
             self._ask(host)
+            host.short_s = self.now_s
             return False
         number = min(free, key=lambda one: (uses[one].total, self.random.random()))
         host.own[number] += 1
@@ -208,31 +212,30 @@
 
     def _ask(self, host):
         """Ask another host for room: of some, the one with the fewest requests in flight."""
-        host.short_s = self.now_s
         if self.now_s - host.asked_s < ASK_S or len(self.hosts) == 1:
             return
         host.asked_s = self.now_s
         others = [other for other in self.hosts if other is not host]
         some = self.random.sample(others, min(4, len(others)))
         lender = min(some, key=lambda other: sum(other.own))
-        self.schedule(self.random.uniform(*self.delay_s), self._lend, lender, host)
+        self.schedule(self.random.uniform(*DIRECT_S), self._lend, lender, host)
 
     def _lend(self, host, borrower):
-        if self.now_s - host.short_s < 0.1:
+        if self.now_s - host.short_s < SHORT_S:
             return
         spare = max(1, len(host.waiting) + 2)
         for number in self.random.sample(range(len(host.rooms)), len(host.rooms)):
             use = RoomUse(host.own[number] + host.others[number], host.own[number])
-            lent = host.rooms[number].lend(spare, use, self.now_s)
+            lent = host.rooms[number].lend(borrower.name, spare, use, self.now_s)
             if lent:
-                delay_s = self.random.uniform(*self.delay_s)
-                self.schedule(delay_s, self._borrow, borrower, number, lent)
+                delay_s = self.random.uniform(*DIRECT_S)
+                self.schedule(delay_s, self._borrow, borrower, number, lent, host)
                 spare -= lent
             if spare < 1:
                 break
 
-    def _borrow(self, host, number, lent):
-        host.rooms[number].borrow(lent, self.now_s)
+    def _borrow(self, host, number, lent, lender):
+        host.rooms[number].borrow(lender.name, lent, self.now_s)
         self._retry(host)
 
     def _rejected(self, host, number):
@@ -250,3 +253,9 @@
         for server, room, order in zip(self.servers, host.rooms, self.order, strict=True):
             share = Share(order.index(host.name), len(order))
             room.update(server.slots, share, self.now_s)
+        by_name = {each.name: each for each in self.hosts}
+        for number, room in enumerate(host.rooms):
+            for loan in room.give_back(host.own[number], self.now_s):
+                lender = by_name[loan.host].rooms[number]
+                delay_s = self.random.uniform(*DIRECT_S)
+                self.schedule(delay_s, lender.take_back, host.name, loan.requests)
--- a/tests/steps/front_brittle_servers.py
+++ b/tests/steps/front_brittle_servers.py
@@ -108,3 +108,104 @@
         error = json.loads(answer.body)["error"]
         assert error["ran"] == "no", answer.raw
         assert 0 < float(answer.headers["retry-after"]) <= 5, answer.raw
+
+
+async def play(context, rig, load, seconds, change):
+    """Send requests for some time, and change the servers meanwhile."""
+    context.fronts = await rig.start_hosts(context.hosts)
+    changing = asyncio.create_task(change())
+    per_s = load * context.room_per_s
+    await ask_at_rate(context, rig, context.fronts, per_s, now_s() + seconds)
+    await changing
+    context.metrics = rig.front.router.metrics_text()
+    context.rooms = [
+        room
+        for front in context.fronts
+        for room in front.router.backends.rooms.rooms_by_start.values()
+    ]
+    context.breakers = [
+        backend.breaker.state(now_s())
+        for front in context.fronts
+        for backend in front.router.backends.backends_by_name.values()
+    ]
+
+
+@when("one of the servers is silent for {silent_s:g} s while callers ask for {load:g} of the room")
+def fall_silent(context, silent_s, load):
+    context.most_in_flight = 0
+
+    async def watch():
+        while True:
+            counts = [server.in_flight for server in context.rig.backend_servers]
+            context.most_in_flight = max(context.most_in_flight, *counts)
+            await asyncio.sleep(0.005)
+
+    async def change():
+        await asyncio.sleep(1.0)
+        await context.rig.backend_servers[0].fall_silent(silent_s)
+
+    async def scenario(rig):
+        watching = asyncio.create_task(watch())
+        await play(context, rig, load, 4.0, change)
+        watching.cancel()
+
+    run_scenario(context.rig, scenario)
+
+
+@then("no server is ejected, and no request is run twice")
+def not_ejected(context):
+    assert set(context.breakers) == {"closed"}, context.breakers
+    runs = [run.request_id for run in context.rig.runs()]
+    assert len(runs) == len(set(runs))
+
+
+@then("no server has more than twice its slots in flight")
+def no_crowd(context):
+    assert context.most_in_flight <= 2 * SLOTS, context.most_in_flight
+
+
+@then("every request is answered by a server")
+def all_answered(context):
+    others = [answer.raw for _, _, answer in context.answers if answer.status != 200]
+    assert context.answers
+    assert not others, (len(others), others[:3])
+
+
+@when(
+    'the servers say that they are brittle with "{value}" while callers ask for {load:g}'
+    " of the room"
+)
+def say_badly(context, value, load):
+    async def change():
+        for server in context.rig.backend_servers:
+            server.brittle = value
+
+    run_scenario(context.rig, lambda rig: play(context, rig, load, 1.5, change))
+
+
+@then("no server is taken for brittle, and the metrics count what could not be read")
+def none_brittle(context):
+    assert context.rooms == []
+    counted = 'redwingbank_statements_unreadable_total{kind="brittle"}'
+    assert counted in context.metrics, context.metrics
+
+
+@when(
+    "the servers say for {said_s:g} s that they are brittle while callers ask for {load:g}"
+    " of the room"
+)
+def say_for_some_time(context, said_s, load):
+    async def change():
+        for server in context.rig.backend_servers:
+            server.brittle = "4"
+        await asyncio.sleep(said_s)
+        for server in context.rig.backend_servers:
+            server.brittle = ""
+
+    run_scenario(context.rig, lambda rig: play(context, rig, load, said_s + 2, change))
+
+
+@then("no server is taken for brittle at any host")
+def ended(context):
+    assert len(context.rooms) == context.hosts * len(context.rig.backend_servers)
+    assert not any(room.brittle for room in context.rooms)
