--- a/src/redwingbank_bench/soakservers.py
+++ b/src/redwingbank_bench/soakservers.py
@@ -7,7 +7,7 @@
 
 from redwingbank_bench.soakdocuments import ANY_PORT, MAX_FAULT_S, entry_document
 from redwingbank_bench.soakproxy import MODES, Proxy
-from redwingbank_standins.backend_server import BackendServer
+from redwingbank_standins.brittle_server import BrittleServer
 
 if TYPE_CHECKING:
     from random import Random
@@ -21,14 +21,23 @@
 LIMIT_PER_S = 4.0
 # Servers of two software versions serve side by side, and come back with the other one.
 VERSIONS = ("blue", "green")
+# Requests that run at a time, and that wait while a server is not brittle.
+SLOTS = 16
+UNLIMITED = 10_000
+BRITTLE_QUEUE = 2
+MOST_REJECTED = 4
+CONTACT_S = 5.0
+BRITTLE_S = 3.0
+SILENT_S = 1.2
 ANSWER_MODES = ("ok", "error", "shed", "lost", "garbage", "foreign", "extra", "cut", "unsized")
 
 
-class Server(BackendServer):
+class Server(BrittleServer):
     """A backend server with separate fault modes for plain calls and streams."""
 
     def __init__(self, name: str, version: str) -> None:
-        super().__init__(name, version=version)
+        super().__init__(name, slots=SLOTS, queue=UNLIMITED)
+        self.version = version
         self.breaks_streams = False
 
     def mode_for(self, target: str) -> str:
@@ -48,6 +57,7 @@
         self._servers = [
             Server(f"i-{number}", VERSIONS[number % len(VERSIONS)]) for number in range(SERVERS)
         ]
+        self._brittle = False
         self._servers[-1].named_limit = str(LIMIT_PER_S)
 
     @property
@@ -60,6 +70,11 @@
         """When requests reached the server that names a limit."""
         return tuple(one.received_s for one in self._servers[-1].arrivals)
 
+    @property
+    def falls(self) -> int:
+        """How often servers fell over."""
+        return sum(len(server.fall_times) for server in self._servers)
+
     async def start(self) -> None:
         """Start all servers and list them."""
         for index, server in enumerate(self._servers):
@@ -96,6 +111,25 @@
         await sleep_during_fault(self._random)
         server.mode, server.breaks_streams = "ok", False
 
+    async def turn_brittle(self) -> None:
+        """Let all servers say that they are brittle, and some time later turn requests away."""
+        if self._brittle:
+            return
+        self._brittle = True
+        for server in self._servers:
+            server.brittle = str(MOST_REJECTED)
+        await asyncio.sleep(CONTACT_S)
+        for server in self._servers:
+            server.queue, server.most_rejected = BRITTLE_QUEUE, MOST_REJECTED
+        await asyncio.sleep(BRITTLE_S)
+        for server in self._servers:
+            server.brittle, server.queue, server.most_rejected = "", UNLIMITED, None
+        self._brittle = False
+
+    async def fall_silent(self) -> None:
+        """Let a server be silent for a short time."""
+        await self._random.choice(self._servers).fall_silent(SILENT_S)
+
     async def drain(self) -> None:
         """List a server as draining for some time."""
         index = self._random.randrange(1, SERVERS)
