--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -14,6 +14,7 @@
 from redwingbank.rules.breaker import Breaker
 
 if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
     from random import Random
 
     from redwingbank.front.failures import Failure
@@ -60,6 +61,17 @@
         backend.entry = entry
         return backend
 
+    def any_admits(
+        self, entries: Iterable[ServerEntry], avoid: Collection[str], now_s: float
+    ) -> bool:
+        """Whether a server outside `avoid` may get a request now, by what servers have said."""
+        return any(
+            entry.name not in avoid
+            and self.limits.wait_s(entry, now_s) <= 0.0
+            and self.rooms.admits(self.get_or_create(entry), now_s)
+            for entry in entries
+        )
+
     def remove(self, name: str) -> None:
         """Remove a server; requests in flight there are not interrupted."""
         backend = self.backends_by_name.pop(name, None)
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -372,7 +372,7 @@
         pool = self._admitted.pool
         retries_left = self._router.allowance.remaining(pool, now_s()) > 0
         usable = self._binding.usable()
-        others = self._router.backends.limits.any_admits(usable, self._tried, now_s())
+        others = self._router.backends.any_admits(usable, self._tried, now_s())
         return in_time and retries_left and others and route.repeatable and runs < route.attempts
 
     def _release(self, attempt: Attempt) -> None:
--- a/src/redwingbank/front/room_sharing.py
+++ b/src/redwingbank/front/room_sharing.py
@@ -13,7 +13,7 @@
 from redwingbank.routing.room_book import OWN_HOST, RoomAsk
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Collection
+    from collections.abc import Callable, Collection, Iterable
 
     from redwingbank.decisions import DecisionLog
     from redwingbank.front.admission import AdmittedRequest
@@ -33,6 +33,8 @@
 
 # A host that lacks room asks another one at most this often.
 ASK_S = 0.02
+# What could not be lent at once is lent later for so long.
+UNMET_S = 0.05
 # Hosts choose whom they ask from so many.
 ASKED_SAMPLE = 4
 # An ask is for this many requests more than those that wait.
@@ -68,6 +70,7 @@
         self._metrics = metrics
         self._report = report
         self._asked_s_by_pool: dict[str, float] = {}
+        self._unmet_by_pool: dict[str, tuple[RoomAsk, str, float]] = {}
         self._entries: Collection[ServerEntry] = ()
 
     def answer_received(
@@ -110,7 +113,15 @@
         if room is None or not room.brittle:
             return None
         self.book.request_ended(entry.pool, now_s())
-        self.queue.wake(entry.pool)
+        backend = self._backends.backends_by_name.get(entry.name)
+        if backend:
+            self._give_back([backend], now_s())
+        if self.queue.count(entry.pool):
+            self.queue.wake(entry.pool)
+        elif entry.pool in self._unmet_by_pool:
+            ask, host, until_s = self._unmet_by_pool.pop(entry.pool)
+            if now_s() < until_s:
+                self.lend(ask, host)
         return END_BATCH_S
 
     def merge(self, state: RoomState, host: HostKey) -> None:
@@ -146,9 +157,12 @@
         return self.queue.enter(pool, tier, until_s, resume)
 
     def lend(self, ask: RoomAsk, host: str) -> None:
-        """Lend room to a host that asks for it, if there is some to spare."""
-        loans = self.book.lend(host, self._in_pool(ask.pool), ask.requests, now_s())
-        if loans:
+        """Lend room to a host that asks for it, or as soon as there is some to spare."""
+        now = now_s()
+        loans = self.book.lend(host, self._in_pool(ask.pool), ask.requests, now)
+        if not loans:
+            self._unmet_by_pool[ask.pool] = (ask, host, now + UNMET_S)
+        else:
             self._metrics.count("room_lent_total", sum(loan.requests for loan in loans))
             self._peers.tell([host], StatementReport(tuple(loans)))
 
@@ -168,9 +182,7 @@
         self._entries = entries
         if self.book.rooms_by_start:
             self._share_room(entries, now)
-            backends = self._backends.backends_by_name.values()
-            for host, loans in self.book.give_back(backends, now).items():
-                self._peers.tell([host], StatementReport(tuple(loans)))
+            self._give_back(self._backends.backends_by_name.values(), now)
 
     def states(self, now: float, changed_s: float = float("-inf")) -> list[RoomState]:
         """Return the servers that are brittle, and those that have not been since `changed_s`."""
@@ -191,6 +203,10 @@
     def _share_room(self, entries: Collection[ServerEntry], now: float) -> None:
         self.book.update(entries, self._peers.host, self._peers.expected(now), now)
 
+    def _give_back(self, backends: Iterable[Backend], now: float) -> None:
+        for host, loans in self.book.give_back(backends, now).items():
+            self._peers.tell([host], StatementReport(tuple(loans)))
+
     def _ask(self, pool: str, now: float) -> None:
         """Ask the host for room that has the fewest requests in flight, of some hosts."""
         if now - self._asked_s_by_pool.get(pool, float("-inf")) < ASK_S:
@@ -206,9 +222,13 @@
             self._peers.tell([lender], StatementReport((RoomAsk(pool, requests),)))
 
     def _in_pool(self, pool: str) -> list[Backend]:
-        backends = list(self._backends.backends_by_name.values())
+        backends = [
+            backend
+            for backend in self._backends.backends_by_name.values()
+            if backend.entry.pool == pool
+        ]
         self._backends.random.shuffle(backends)
-        return [backend for backend in backends if backend.entry.pool == pool]
+        return backends
 
     def _report_room(self, room: BrittleRoom) -> None:
         self._report(RoomState, room.server, room.started_ms, partial(self._state, room))
--- a/src/redwingbank/routing/brittle_room.py
+++ b/src/redwingbank/routing/brittle_room.py
@@ -14,7 +14,7 @@
 
 NEVER_S = float("-inf")
 # Room that was borrowed is used for this time, and given back when what was sent there has ended.
-BORROWED_S = 0.15
+BORROWED_S = 0.1
 # Room that was lent and is not given back is lost until then: the message of it was lost, or
 # streams take so long.
 LENT_S = 30.0
--- a/src/redwingbank/routing/room_book.py
+++ b/src/redwingbank/routing/room_book.py
@@ -19,8 +19,6 @@
 FORGET_S = 30.0
 # The rate at which room comes is measured over this time.
 RATE_S = 1.0
-# A host that lacked room so lately lends none.
-SHORT_S = 0.03
 # key of this host's own requests in the load of a server
 OWN_HOST = ""
 NEVER_S = float("-inf")
@@ -50,7 +48,6 @@
     def __init__(self) -> None:
         self.rooms_by_start: dict[ServerStart, BrittleRoom] = {}
         self.on_short: Callable[[str, float], None] | None = None
-        self._short_s_by_pool: dict[str, float] = {}
         self._ended_s_by_pool: dict[str, deque[float]] = {}
         self._hosts: tuple[str, ...] = ()
         self._shares: dict[str, Share] = {}
@@ -74,11 +71,8 @@
     def with_room(self, candidates: Sequence[Backend], now_s: float) -> list[Backend]:
         """Return the servers that this host may send a request to now."""
         admitted = [backend for backend in candidates if self.admits(backend, now_s)]
-        if candidates and not admitted:
-            pool = candidates[0].entry.pool
-            self._short_s_by_pool[pool] = now_s
-            if self.on_short:
-                self.on_short(pool, now_s)
+        if candidates and not admitted and self.on_short:
+            self.on_short(candidates[0].entry.pool, now_s)
         return admitted
 
     def admits(self, backend: Backend, now_s: float) -> bool:
@@ -101,12 +95,11 @@
     def lend(
         self, host: str, backends: Iterable[Backend], most: int, now_s: float
     ) -> list[RoomLoan]:
-        """Lend room at some servers of a pool, none if this host lacks it."""
+        """Lend room that is idle at some servers of a pool."""
         loans: list[RoomLoan] = []
         for backend in backends:
             entry, room = backend.entry, self.find(backend.entry)
-            short_s = self._short_s_by_pool.get(entry.pool, NEVER_S)
-            if room is None or not room.brittle or now_s - short_s < SHORT_S:
+            if room is None or not room.brittle:
                 continue
             lent = room.lend(host, most, use_of(backend), now_s)
             if lent:
--- a/src/redwingbank/routing/server_limit.py
+++ b/src/redwingbank/routing/server_limit.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Iterable
     from random import Random
 
     from redwingbank.front.values import ServerEntry
@@ -255,14 +255,6 @@
         limit = self.find(entry)
         return limit.wait_s(now_s, reserved) if limit else 0.0
 
-    def any_admits(
-        self, entries: Iterable[ServerEntry], avoid: Collection[str], now_s: float
-    ) -> bool:
-        """Whether a server outside `avoid` may get a request now."""
-        return any(
-            entry.name not in avoid and self.wait_s(entry, now_s) <= 0.0 for entry in entries
-        )
-
     def reserve(self, tier: int) -> float:
         """Return how much a request of a tier leaves to more urgent ones."""
         if self._random.random() < UNRESERVED_SHARE:
--- a/tests/room_fleet.py
+++ b/tests/room_fleet.py
@@ -18,7 +18,7 @@
 # what is told to one host only is not batched or relayed
 DIRECT_S = (0.001, 0.012)
 ASK_S = 0.02
-SHORT_S = 0.03
+UNMET_S = 0.05
 
 
 class Server:
@@ -50,7 +50,7 @@
     def __init__(self, name, servers):
         self.name = name
         self.asked_s = 0.0
-        self.short_s = 0.0
+        self.unmet = None
         self.key = (name, 1)
         self.rooms = [BrittleRoom(server.name, 0) for server in servers]
         self.own = [0] * len(servers)
@@ -92,6 +92,7 @@
         self._order, self._numbers = itertools.count(), itertools.count(1)
         self._events = []
         self.hosts = [Host(f"host-{number}", self.servers) for number in range(hosts)]
+        self.by_name = {host.name: host for host in self.hosts}
         names = [host.name for host in self.hosts]
         self.order = [ranked(server.name, names) for server in self.servers]
         for host in self.hosts:
@@ -138,7 +139,6 @@
         ]
         if not free:
             self._ask(host)
-            host.short_s = self.now_s
             return False
         number = min(free, key=lambda one: (uses[one].total, self.random.random()))
         host.own[number] += 1
@@ -209,6 +209,11 @@
         host.own[number] -= 1
         self._tell(host, number, -1)
         self._retry(host)
+        self._give_back(host, number)
+        if host.unmet and not host.waiting:
+            (borrower, until_s), host.unmet = host.unmet, None
+            if self.now_s < until_s:
+                self._lend(host, borrower)
 
     def _ask(self, host):
         """Ask another host for room: of some, the one with the fewest requests in flight."""
@@ -221,9 +226,7 @@
         self.schedule(self.random.uniform(*DIRECT_S), self._lend, lender, host)
 
     def _lend(self, host, borrower):
-        if self.now_s - host.short_s < SHORT_S:
-            return
-        spare = max(1, len(host.waiting) + 2)
+        asked = spare = 3
         for number in self.random.sample(range(len(host.rooms)), len(host.rooms)):
             use = RoomUse(host.own[number] + host.others[number], host.own[number])
             lent = host.rooms[number].lend(borrower.name, spare, use, self.now_s)
@@ -233,6 +236,8 @@
                 spare -= lent
             if spare < 1:
                 break
+        if spare == asked:
+            host.unmet = (borrower, self.now_s + UNMET_S)
 
     def _borrow(self, host, number, lent, lender):
         host.rooms[number].borrow(lender.name, lent, self.now_s)
@@ -253,9 +258,11 @@
         for server, room, order in zip(self.servers, host.rooms, self.order, strict=True):
             share = Share(order.index(host.name), len(order))
             room.update(server.slots, share, self.now_s)
-        by_name = {each.name: each for each in self.hosts}
-        for number, room in enumerate(host.rooms):
-            for loan in room.give_back(host.own[number], self.now_s):
-                lender = by_name[loan.host].rooms[number]
-                delay_s = self.random.uniform(*DIRECT_S)
-                self.schedule(delay_s, lender.take_back, host.name, loan.requests)
+        for number in range(len(host.rooms)):
+            self._give_back(host, number)
+
+    def _give_back(self, host, number):
+        for loan in host.rooms[number].give_back(host.own[number], self.now_s):
+            lender = self.by_name[loan.host].rooms[number]
+            delay_s = self.random.uniform(*DIRECT_S)
+            self.schedule(delay_s, lender.take_back, host.name, loan.requests)
--- a/tests/steps/routing_brittle_room.py
+++ b/tests/steps/routing_brittle_room.py
@@ -94,7 +94,7 @@
     context.borrower = brittle_room(Share(12, 13))
     assert context.room.lend("b", 3, NONE, 10.0) == 3
     context.borrower.borrow("a", 3, 10.0)
-    assert context.borrower.quota(10.1) == 3
+    assert context.borrower.quota(10.0) == 3
 
 
 @then("it gets 1 request back at once and the rest when they have ended")
