--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -9,11 +9,13 @@
 from redwingbank.model import Outcome
 from redwingbank.routing.arrivals import Arrivals
 from redwingbank.routing.load import ServerLoad
+from redwingbank.routing.room_book import RoomBook
 from redwingbank.routing.server_limit import LimitBook
 from redwingbank.routing.targets import PauseEstimate
 from redwingbank.rules.breaker import Breaker
 
 if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
     from random import Random
 
     from redwingbank.front.failures import Failure
@@ -48,14 +50,15 @@
 
 
 class Backends:
-    """All backend servers in use, by name, and the limits that they name."""
+    """All backend servers in use, by name, and what they say of themselves."""
 
     def __init__(self, random: Random, limits: AnswerLimits = DEFAULT_ANSWER_LIMITS) -> None:
         self.backends_by_name: dict[str, Backend] = {}
         self.limits = LimitBook(random)
         # pools whose load is evened out by what a server has stated
         self.evened_pools: set[str] = set()
-        self._random = random
+        self.rooms = RoomBook()
+        self.random = random
         self._limits = limits
         self._pauses_by_pool: dict[str, PauseEstimate] = {}
         self.arrivals_by_pool: dict[str, Arrivals] = {}
@@ -66,7 +69,7 @@
         if backend is None:
             pauses = self._pauses_by_pool.setdefault(entry.pool, PauseEstimate())
             arrivals = self.arrivals_by_pool.setdefault(entry.pool, Arrivals())
-            backend = Backend(entry, self._random, pauses, self._limits, arrivals)
+            backend = Backend(entry, self.random, pauses, self._limits, arrivals)
             self.backends_by_name[entry.name] = backend
         if backend.entry.started_ms != entry.started_ms:
             backend.load.cache.clear()
@@ -83,6 +86,17 @@
         if scaled or backend.entry.pool in self.evened_pools:
             backend.load.load_stated(stated, now_s)
 
+    def any_admits(
+        self, entries: Iterable[ServerEntry], avoid: Collection[str], now_s: float
+    ) -> bool:
+        """Whether a server outside `avoid` may get a request now, by what servers have said."""
+        return any(
+            entry.name not in avoid
+            and self.limits.wait_s(entry, now_s) <= 0.0
+            and self.rooms.admits(self.get_or_create(entry), now_s)
+            for entry in entries
+        )
+
     def remove(self, name: str) -> None:
         """Remove a server; requests in flight there are not interrupted."""
         backend = self.backends_by_name.pop(name, None)
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -22,12 +22,12 @@
 from redwingbank.front.digest_schema import SCHEMA
 from redwingbank.front.framing import open_message, read_kind
 from redwingbank.front.notice_codec import (
-    LimitReport,
+    StatementReport,
     age_ms,
     decode_crash,
-    decode_limits,
+    decode_statements,
     encode_crash,
-    encode_limits,
+    encode_statements,
     read_rows,
 )
 from redwingbank.front.poison import CrashNews
@@ -145,7 +145,7 @@
     | Answer
     | News
     | CrashNews
-    | LimitReport
+    | StatementReport
     | StreamReport
     | Announcement
     | UsageCounts
@@ -288,7 +288,7 @@
 
 
 _encode_content.register(encode_crash)
-_encode_content.register(encode_limits)
+_encode_content.register(encode_statements)
 _encode_content.register(encode_streams)
 _encode_content.register(Announcement, encode_announcement)
 _encode_content.register(UsageCounts, encode_usage)
@@ -404,7 +404,7 @@
     "answer": _decode_answer,
     "news": _decode_news,
     "crash": decode_crash,
-    "limits": decode_limits,
+    "limits": decode_statements,
     "streams": decode_streams,
     "dutyHolder": decode_announcement,
     "usage": decode_usage,
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -157,7 +157,7 @@
                 with router.barrier.confine("expiry"):
                     owner.expire(now)
             with router.barrier.confine("limits"):
-                router.server_limits.update(now, router.servers.entries_by_name.values())
+                router.statements.update(now, router.servers.entries_by_name.values())
             with router.barrier.confine("reachability"):
                 router.forwarding.update(now, router.servers.entries_by_name.values())
             with router.barrier.confine("streams"):
--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -75,10 +75,12 @@
     """All servers that could take a request are at the limits that they name.
 
     The first may take one in `wait_s`; `per_s` is this host's part of what they take in a second.
+    `brittle` is true if they have no room for more requests in flight.
     """
 
     wait_s: float
     per_s: float
+    brittle: bool = False
 
 
 class RequestNeeds(NamedTuple):
@@ -143,11 +145,10 @@
         candidates = self._admitting(usable, now_s, compares_few=compares_few)
         if not candidates:
             return None
-        if self._backends.limits.limits_by_start:
-            below = self._below_limit(candidates, needs.tier, now_s)
-            if isinstance(below, AtLimit):
-                return below
-            candidates = below
+        taking = self._taking(candidates, pool, needs, now_s)
+        if isinstance(taking, AtLimit):
+            return taking
+        candidates = taking
         if not needs.route.has_prompt:
             if evened:
                 return self._evenly_loaded(candidates, needs, now_s)
@@ -157,6 +158,23 @@
             backend.load.cache.capacity_tokens = pool.cache_tokens
         return self._least_cost(candidates, pool, needs, now_s, few=evened)
 
+    def _taking(
+        self, candidates: list[Backend], pool: Pool, needs: RequestNeeds, now_s: float
+    ) -> list[Backend] | AtLimit:
+        """Return the servers that take a request, by what servers have said of themselves."""
+        if self._backends.limits.limits_by_start:
+            below = self._below_limit(candidates, needs.tier, now_s)
+            if isinstance(below, AtLimit):
+                return below
+            candidates = below
+        rooms = self._backends.rooms
+        if rooms.rooms_by_start:
+            candidates = rooms.with_room(candidates, now_s)
+            if not candidates:
+                room_per_s = rooms.room_per_s(pool.name, now_s)
+                return AtLimit(1 / room_per_s, room_per_s, brittle=True)
+        return candidates
+
     def _admitting(
         self, entries: list[ServerEntry], now_s: float, *, compares_few: bool
     ) -> list[Backend]:
