--- a/src/redwingbank/duties/codec.py
+++ b/src/redwingbank/duties/codec.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from functools import singledispatch
 from math import isfinite
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -9,7 +10,7 @@
 from redwingbank.duties.usage import Source, WindowCounts
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Iterator
+    from collections.abc import Callable, Iterable, Iterator
 
 # Fences are Unix times; a damaged message may hold any number.
 MAX_FENCE = 2**40
@@ -45,6 +46,16 @@
     wall_s: float = 0.0
 
 
+DutyMessage = Announcement | UsageCounts
+
+
+@singledispatch
+def encode_duties(content: Any, struct: Any) -> None:
+    """Encode a message of the duties."""
+    raise TypeError(type(content))
+
+
+@encode_duties.register
 def encode_announcement(content: Announcement, struct: Any) -> None:
     """Encode an announcement into a message."""
     row = struct.init("dutyHolder")
@@ -64,6 +75,7 @@
     return Announcement(key, row.composed, row.wallS)
 
 
+@encode_duties.register
 def encode_usage(content: UsageCounts, struct: Any) -> None:
     """Encode usage counts into a message."""
     usage = struct.init("usage")
@@ -105,6 +117,12 @@
     return UsageCounts(Source(usage.host, usage.incarnation), told, usage.wallS)
 
 
+DUTY_DECODER_BY_KIND: dict[str, Callable[[Any, float], DutyMessage]] = {
+    "dutyHolder": decode_announcement,
+    "usage": decode_usage,
+}
+
+
 def split_counts(content: UsageCounts) -> Iterator[UsageCounts]:
     """Split counts into messages of which each fits into a datagram."""
     names = sorted({name for told in content.windows for name in told.counts_by_organisation})
@@ -136,11 +154,14 @@
 
 
 __all__ = [
+    "DUTY_DECODER_BY_KIND",
     "Announcement",
+    "DutyMessage",
     "UsageCounts",
     "decode_announcement",
     "decode_usage",
     "encode_announcement",
+    "encode_duties",
     "encode_usage",
     "split_counts",
 ]
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -10,14 +10,7 @@
 
 import capnp
 
-from redwingbank.duties.codec import (
-    Announcement,
-    UsageCounts,
-    decode_announcement,
-    decode_usage,
-    encode_announcement,
-    encode_usage,
-)
+from redwingbank.duties.codec import DUTY_DECODER_BY_KIND, DutyMessage, encode_duties
 from redwingbank.front.framing import open_message
 from redwingbank.front.notice_codec import (
     LimitReport,
@@ -134,18 +127,8 @@
     removed: tuple[str, ...]
 
 
-Content = (
-    Digest
-    | Bundle
-    | Question
-    | Answer
-    | News
-    | CrashNews
-    | LimitReport
-    | StreamReport
-    | Announcement
-    | UsageCounts
-)
+_Notice = CrashNews | LimitReport | StreamReport | DutyMessage
+Content = Digest | Bundle | Question | Answer | News | _Notice
 
 
 class Place(NamedTuple):
@@ -283,8 +266,7 @@
 _encode_content.register(encode_crash)
 _encode_content.register(encode_limits)
 _encode_content.register(encode_streams)
-_encode_content.register(Announcement, encode_announcement)
-_encode_content.register(UsageCounts, encode_usage)
+_encode_content.register(DutyMessage, encode_duties)
 
 
 def _decode_digest(struct: Any, now_s: float) -> Digest:
@@ -395,8 +377,7 @@
     "crash": decode_crash,
     "limits": decode_limits,
     "streams": decode_streams,
-    "dutyHolder": decode_announcement,
-    "usage": decode_usage,
+    **DUTY_DECODER_BY_KIND,
 }
 
 __all__ = [
