--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -9,14 +9,7 @@
 
 import capnp
 
-from redwingbank.duties.codec import (
-    Announcement,
-    UsageCounts,
-    decode_announcement,
-    decode_usage,
-    encode_announcement,
-    encode_usage,
-)
+from redwingbank.duties.codec import DUTY_DECODER_BY_KIND, DutyMessage, encode_duties
 from redwingbank.forwarding.reach_codec import ReachReport, decode_reach, encode_reach
 from redwingbank.front import digest_schema as schema
 from redwingbank.front.digest_schema import SCHEMA
@@ -138,18 +131,8 @@
     removed: tuple[str, ...]
 
 
-Content = (
-    Digest
-    | Bundle
-    | Question
-    | Answer
-    | News
-    | CrashNews
-    | StatementReport
-    | StreamReport
-    | Announcement
-    | UsageCounts
-)
+_Notice = CrashNews | StatementReport | StreamReport | DutyMessage
+Content = Digest | Bundle | Question | Answer | News | _Notice
 
 
 class Place(NamedTuple):
@@ -290,8 +273,7 @@
 _encode_content.register(encode_crash)
 _encode_content.register(encode_statements)
 _encode_content.register(encode_streams)
-_encode_content.register(Announcement, encode_announcement)
-_encode_content.register(UsageCounts, encode_usage)
+_encode_content.register(DutyMessage, encode_duties)
 
 
 def _decode_digest(struct: Any, now_s: float) -> Digest:
@@ -406,8 +388,7 @@
     "crash": decode_crash,
     "limits": decode_statements,
     "streams": decode_streams,
-    "dutyHolder": decode_announcement,
-    "usage": decode_usage,
+    **DUTY_DECODER_BY_KIND,
 }
 
 __all__ = [
