--- a/tests/steps/duties_lease.py
+++ b/tests/steps/duties_lease.py
@@ -17,7 +17,9 @@
     context.fleets_called = 0
 
 
-@then("at most one host has a permit, and no fence, order of holders or report contradicts another")
+@then(
+    "at most one host has a permit, and no fence, order of holders or report contradicts another"
+)
 def no_rule_broken(context):
     @settings(max_examples=EXAMPLES, derandomize=True, database=None, deadline=None)
     @for_all(strategies.integers(0, 2**32))
