Keep orders of servers within the maximum, and from flapping

The scenario on flapping was first written with 10 s of settling; the usual load is the median of 20 s, so it is two periods of the wave.

--- a/src/redwingbank/duties/capacity.py
+++ b/src/redwingbank/duties/capacity.py
@@ -95,6 +95,7 @@
         self._adopt(state, now_s)
         self._note_reclaims(state, now_s)
         self.book.keep_surplus(by_subject(state.listed), now_s)
+        self._keep_to_maximum(now_s)
         if state.traffic and not self._traffic:
             self._traffic, self._unrest_s = True, now_s
         if self._traffic:
@@ -134,6 +135,13 @@
             total = sum(counts.ordinary for counts in state.listed.values())
             self._idle_servers = max(self._idle_servers, total)
 
+    def _keep_to_maximum(self, now_s: float) -> None:
+        """Ask for fewer spot servers where a late or refused order left more than the maximum."""
+        for data_centre, counts in self.plan().items():
+            ordinary = min(counts.ordinary, self.scaling.most)
+            spot = min(counts.spot, self.scaling.most - ordinary)
+            self._want(data_centre, Counts(ordinary, spot), now_s)
+
     def _note_reclaims(self, state: PoolState, now_s: float) -> None:
         for data_centre, draining in state.draining_spot.items():
             subject = Subject(data_centre, spot=True)
--- a/src/redwingbank/duties/demand.py
+++ b/src/redwingbank/duties/demand.py
@@ -34,6 +34,10 @@
 ORDINARY_SHARE = 0.2
 # Longer than the daily wave (11 s) and than twice the longest burst (9 s).
 USUAL_S = 20.0
+# Fewer servers are ordered down to this many times the highest needs of PEAK_S, so that the wave
+# and chance don't ask for them again.
+KEEP_FACTOR = 1.15
+PEAK_S = 40.0
 # Before so many seconds, the usual load is not known: caches are cold when traffic begins.
 FIRST_S = 5
 # Share of the servers that were there before traffic that must outlive the loss of spot servers.
@@ -76,6 +80,7 @@
 
     def __init__(self) -> None:
         self._points: deque[_Point] = deque()
+        self._needs_by_time: deque[tuple[float, Needs]] = deque()
 
     def record(self, sample: LoadSample, now_s: float) -> None:
         """Record the load of about one second; of two at the same time the last one counts."""
@@ -96,14 +101,23 @@
         self._points.append(point)
         while self._points[0].at_s < now_s - USUAL_S:
             self._points.popleft()
+        self._needs_by_time.append((now_s, self._needs(point.full, 2)))
+        while self._needs_by_time[0][0] < now_s - PEAK_S:
+            self._needs_by_time.popleft()
 
     def needs(self, losses: int = 2) -> Needs:
         """Return what the present and the usual load need."""
         return self._needs(self._points[-1].full, losses)
 
     def peak_needs(self, losses: int = 2) -> Needs:
-        """Return what the highest load of the last `USUAL_S` and the usual load need."""
-        return self._needs(max(point.full for point in self._points), losses)
+        """Return what is kept when fewer servers are ordered."""
+        known = [needs for _, needs in self._needs_by_time]
+        return Needs(
+            full=math.ceil(KEEP_FACTOR * max(needs.full for needs in known)),
+            survivors=math.ceil(KEEP_FACTOR * max(needs.survivors for needs in known)),
+            ordinary=max(needs.ordinary for needs in known),
+            losses=losses,
+        )
 
     def _needs(self, present: int, losses: int) -> Needs:
         if len(self._points) < FIRST_S:
--- a/src/redwingbank/duties/order_book.py
+++ b/src/redwingbank/duties/order_book.py
@@ -149,7 +149,7 @@
         elif answer is DutyAnswer.ACCEPTED:
             order.accepted, order.refusals, order.dry_until_s = desired, 0, float("-inf")
             order.open = order.open and order.desired != desired
-        elif answer is DutyAnswer.REFUSED:
+        elif answer is DutyAnswer.REFUSED and desired > order.accepted:
             wait_s = min(MAX_DRY_S, FIRST_DRY_S * 2**order.refusals)
             order.refusals += 1
             order.dry_until_s = order.due_s = now_s + wait_s
