--- a/tests/platform/formats.feature
+++ b/tests/platform/formats.feature
@@ -33,6 +33,29 @@
       | {"kvCapacity": 1000, "linkMbps": 320000.0}                         | 0      |
       | null                                                              | 0      |
 
+  Scenario: how many servers of a pool may be ordered
+    When the platform's table has a service with the scaling {"min": 1, "max": 38, "bootS": 4.0, "spotPrice": 0.18, "zonePrices": {"dc-a": 0.85}}
+    Then from 1 to 38 of its servers may be ordered, a spot server for 0.18 of the price
+
+  Scenario Outline: bounds that can't be used leave a pool alone, and the table in force
+    When the platform's table has a service with the scaling <scaling>
+    Then no servers of it are ordered
+
+    Examples:
+      | scaling                                |
+      | null                                   |
+      | 7                                      |
+      | {"min": 1}                             |
+      | {"min": 5, "max": 4}                   |
+      | {"min": 1, "max": "many"}              |
+      | {"max": 4, "bootS": -1}                |
+      | {"max": 4, "zonePrices": {"dc-a": 0}}  |
+
+  Scenario: a spot server that leaves is known as such, also from other hosts
+    When a spot server's entry tells that it leaves in 2500 ms
+    Then it is a draining spot server that leaves in 2.5 s
+    And a host that is told of it knows the same
+
   Scenario: the server that a cached prompt is copied from is named, a caller's is dropped
     When a request that names a server to copy from is sent with another one
     Then only the router's server to copy from is named
--- a/tests/steps/platform_formats.py
+++ b/tests/steps/platform_formats.py
@@ -8,6 +8,7 @@
 
 from front_rig import KEY, boot, entry, table
 from redwingbank.errors import SettingErrors
+from redwingbank.front.digest import Message, News, decode_message, encode_message
 from redwingbank.front.values import Kind, PromptPart, StatedLimit
 from redwingbank.platform.directory import decode_server, decode_table
 from redwingbank.platform.headers import Envelope, decode_answer, decode_call, encode_call
@@ -105,6 +106,46 @@
     raise AssertionError(context.content)
 
 
+@when("the platform's table has a service with the scaling {scaling}")
+def scaling_read(context, scaling):
+    content = table()
+    content["services"] = [{"name": "drafting", "scaling": json.loads(scaling)}]
+    context.pool = decode_table(content).pools_by_name["drafting"]
+
+
+@then(
+    "from {least:d} to {most:d} of its servers may be ordered, a spot server for {price:g} of the price"
+)
+def scaling_known(context, least, most, price):
+    scaling = context.pool.scaling
+    assert scaling[:4] == (least, most, 4.0, price), scaling
+    assert scaling.prices_by_data_centre == {"dc-a": 0.85}, scaling
+
+
+@then("no servers of it are ordered")
+def scaling_ignored(context):
+    assert context.pool.scaling is None
+
+
+@when("a spot server's entry tells that it leaves in {milliseconds:d} ms")
+def spot_leaves(context, milliseconds):
+    content = {**entry("10.0.0.1:80", state="draining"), "spot": True, "leaves_ms": milliseconds}
+    context.server = decode_server("engine-1", content)
+
+
+@then("it is a draining spot server that leaves in {seconds:g} s")
+def spot_known(context, seconds):
+    server = context.server
+    assert (server.draining, server.spot, server.leaves_s) == (True, True, seconds), server
+
+
+@then("a host that is told of it knows the same")
+def spot_told(context):
+    news = News(1, 2, (context.server,), ())
+    message = decode_message(encode_message(Message("host-1", 1, news)), 0.0)
+    assert message.content == news, message
+
+
 @when("the platform's table has a service with the engine {engine}")
 def table_engine(context, engine):
     content = table()
