Answer requests that no server answered before a stopping process ends; make the check of pools cheaper

Change: at the end of the grace period they get 504, or 503 if nothing was sent. What other hosts tell is read in doubt only. Forwarded heads may be longer by what hosts add.

--- a/src/redwingbank/ctl/explain.py
+++ b/src/redwingbank/ctl/explain.py
@@ -253,8 +253,8 @@
 def _format_forwarded(record: Record) -> str:
     field = record.field
     return (
-        f"forwarded to host {field('helper')} ({field('reason')}), since this one reaches no server"
-        f" of {field('pool')}; {field('left_ms')} ms left"
+        f"forwarded to host {field('helper')} ({field('reason')}), since this one reaches no"
+        f" server of {field('pool')}; {field('left_ms')} ms left"
     )
 
 
--- a/src/redwingbank/forwarding/handover.py
+++ b/src/redwingbank/forwarding/handover.py
@@ -43,6 +43,8 @@
         self._parties = parties
         self._forward: Forward | None = None
         self._reason = "cut"
+        if parties.forwarded:
+            forwarding.metrics.count("forwards_taken_total")
 
     @property
     def possible(self) -> bool:
--- a/src/redwingbank/forwarding/task.py
+++ b/src/redwingbank/forwarding/task.py
@@ -17,6 +17,7 @@
     FAILURE_WINDOW_S,
     NEVER_S,
     SILENCE_S,
+    Others,
     PoolReach,
     ProbeResult,
     Reach,
@@ -146,7 +147,10 @@
         """Return the connections to a host."""
         address = self._peers.peers_by_host[host].address
         known = self._connections_by_host.get(host)
-        if known is None or known.address != address:
+        if known is not None and known.address != address:
+            known.close()
+            known = None
+        if known is None:
             known = self._connections_by_host[host] = ConnectionPool(address, KEEP_IDLE_S)
         return known
 
@@ -202,7 +206,10 @@
         before = reach.state
         backends = self._listed(pool)
         contacts = [backend.connections.contact for backend in backends]
-        reach.update(contacts, self._told.others(pool_key(pool), now), now)
+        # what others tell matters in doubt only
+        settled = reach.state is Reach.REACHING
+        others = Others() if settled else self._told.others(pool_key(pool), now)
+        reach.update(contacts, others, now)
         self._apply_state(pool, reach, before)
         count = reach.probes_due(now)
         if count:
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -155,6 +155,10 @@
         self._recorder.record_caller_gone(self._life)
         self._close()
 
+    def give_up(self) -> None:
+        """Answer with an error before the process ends, as at the end of the request's time."""
+        self._time_out()
+
     def pause(self) -> None:
         """Stop reading the answer while the caller is slow."""
         self._handover.pause()
@@ -172,14 +176,19 @@
         attempt, request = self._attempt, self._request
         if attempt is None or request is None or self._answer_started or request.pool != pool:
             return
-        if not self._handover.may_take(attempt, request, sent_before_s):
+        refuses = not self._handover.possible and not attempt.sent
+        if not refuses and not self._handover.may_take(attempt, request, sent_before_s):
             return
         attempt.cancel()
         attempt.backend.breaker.record_inconclusive(request.request_id)
         self._release(attempt)
         if not attempt.sent:
             self._life.advance(Step.NOT_ACCEPTED)
-        self._requeue()
+        if refuses:
+            # the host that forwarded it sends it to another one
+            self._fail(Code.NO_BACKEND_SERVER)
+        else:
+            self._requeue()
 
     def may_repeat(self) -> bool:
         """Use one repeat of the pool's allowance; false if there is none."""
--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -22,6 +22,8 @@
 WRITE_BUFFER_BYTES = 64 * 1024
 # A connection with more requests waiting for their turn is closed.
 MAX_PIPELINED_REQUESTS = 8
+# What a host adds at most to a request that it forwards; the limit holds for the caller's headers.
+FORWARDING_HEADER_BYTES = 512
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 CODE_BY_STATUS = {
@@ -87,7 +89,8 @@
             return
         self._received_s = now_s()
         limits = self._router.limits()
-        self._reader.header_limit = limits.header_bytes
+        added_bytes = FORWARDING_HEADER_BYTES if self._forwarded else 0
+        self._reader.header_limit = limits.header_bytes + added_bytes
         self._reader.body_limit = limits.body_bytes
         try:
             self._reader.feed(data)
--- a/src/redwingbank/front/open_work.py
+++ b/src/redwingbank/front/open_work.py
@@ -25,6 +25,9 @@
     def cancel(self) -> None:
         """Cancel the request after the caller has closed its connection."""
 
+    def give_up(self) -> None:
+        """Answer the request with an error, since the process ends."""
+
     def pool_cut(self, pool: str, sent_before_s: float) -> None:
         """Forward the request if it waits for a server of a pool that is cut off."""
 
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -167,13 +167,21 @@
                     self._check_settings()
 
     async def _close(self) -> None:
-        """Stop listening, and answer the requests that have arrived meanwhile."""
+        """Stop listening, and answer the requests that have arrived meanwhile.
+
+        Those that no server has answered by the end of the grace period get an error.
+        """
         for listener in self._listeners:
             await listener.drain()
         while True:
             await anyio.sleep(LAST_READ_S)
-            if not self.router.busy or self.router.shutdown.closed(now_s()):
+            if not self.router.busy:
                 return
+            if self.router.shutdown.closed(now_s()):
+                break
+        for exchange in list(self.router.exchanges):
+            self.router.guard(exchange.give_up, exchange.cancel)
+        await anyio.sleep(LAST_READ_S)
 
     def _check_connections(self, now: float) -> None:
         for connection in list(self.router.connections):
--- a/src/redwingbank/routing/reachability.py
+++ b/src/redwingbank/routing/reachability.py
@@ -105,6 +105,15 @@
         """When the oldest connection that is being made was begun; infinite if there is none."""
         return self._connecting_s[0] if self._connecting_s else NOT_PENDING_S
 
+    @property
+    def is_pending(self) -> bool:
+        """Whether a connection or a byte is awaited."""
+        return (
+            self.asked_s != NOT_PENDING_S
+            or bool(self._connecting_s)
+            or self.unproved_s != NOT_PENDING_S
+        )
+
     def connecting(self, now_s: float) -> None:
         """Record the beginning of a connection."""
         self._connecting_s.append(now_s)
@@ -150,17 +159,18 @@
     if not contacts:
         return ""
     needed = min(MIN_FAILING, len(contacts))
-    proved_s = max(one.proved_s for one in contacts)
+    proved_s = max([one.proved_s for one in contacts])
     first_s = max(since_s, now_s - FAILURE_WINDOW_S, proved_s)
-    if sum(one.failed_s > first_s for one in contacts) >= needed:
+    if sum([one.failed_s > first_s for one in contacts]) >= needed:
         return "failures"
-    if _overdue([one.connecting_s for one in contacts], since_s, CONNECT_DUE_S, now_s) >= needed:
+    pending = [one for one in contacts if one.is_pending]
+    if _overdue([one.connecting_s for one in pending], since_s, CONNECT_DUE_S, now_s) >= needed:
         return "hanging connections"
-    heard_s = max(one.heard_s for one in contacts)
-    asked = _overdue([one.asked_s for one in contacts], since_s, SILENCE_S, now_s)
+    heard_s = max([one.heard_s for one in contacts])
+    asked = _overdue([one.asked_s for one in pending], since_s, SILENCE_S, now_s)
     if asked and now_s - max(heard_s, since_s) > SILENCE_S:
         return "silence"
-    unproved = [one.unproved_s for one in contacts if one.unproved_s > proved_s]
+    unproved = [one.unproved_s for one in pending if one.unproved_s > proved_s]
     if _overdue(unproved, since_s, SILENCE_S, now_s) >= needed:
         return "silence on new connections"
     return ""
--- a/tests/front/shutdown.feature
+++ b/tests/front/shutdown.feature
@@ -15,6 +15,10 @@
     Then the front answers 503 and the request ran 0 times
     And the answer says when to retry
 
+  Scenario: a caller whose server never answers is told so before the process ends
+    When a host with 2 s of grace, which began to shut down 0.5 s ago, gets a booking that its server never answers
+    Then the booking is answered with 504 before the grace period ends
+
   Scenario: a running stream is completed
     When a host begins to shut down during a fixed request
     Then the front streams events 1 to 4 completely
--- a/tests/steps/front_shutdown.py
+++ b/tests/steps/front_shutdown.py
@@ -321,3 +321,26 @@
 @then("it runs on")
 def runs_on(context):
     assert context.exit_code is None, context.exit_code
+
+
+@when(
+    "a host with 2 s of grace, which began to shut down 0.5 s ago,"
+    " gets a booking that its server never answers"
+)
+def never_answered(context):
+    context.rig = Rig(modes=["hang"], graceS=2)
+
+    async def scenario(rig):
+        rig.front.router.shutdown.begin(now_s() - 0.5)
+        started_s = time.monotonic()
+        context.answer = await rig.ask("single", deadline_ms=1500)
+        context.took_s = time.monotonic() - started_s
+
+    run_scenario(context.rig, scenario)
+
+
+@then("the booking is answered with {status:d} before the grace period ends")
+def answered_at_the_end(context, status):
+    assert context.answer.status == status, context.answer
+    # the class's own timeout would come 1.5 s after the request
+    assert context.took_s < 1.5, context.took_s
