--- a/src/redwingbank_bench/soakproxy.py
+++ b/src/redwingbank_bench/soakproxy.py
@@ -71,11 +71,13 @@
         if self._mode(source) in {"reset", "new-reset"}:
             reset_connection(writer)
             return
+        self._writers.add(writer)
         while self._mode(source) == "new-silent":  # noqa: ASYNC110 - the mode changes without an event
             await asyncio.sleep(BLOCKED_POLL_S)
         try:
             target_reader, target_writer = await asyncio.open_connection(*self._target)
         except OSError:
+            self._writers.discard(writer)
             reset_connection(writer)
             return
         both = {writer, target_writer}
