--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -26,6 +26,7 @@
     is_cut_short,
 )
 from redwingbank.front.outgoing import OutgoingRequest
+from redwingbank.front.pending_send import PendingSend
 from redwingbank.front.poison import request_traits
 from redwingbank.front.refusals import refusal
 from redwingbank.front.request_recorder import RequestRecorder
@@ -52,8 +53,6 @@
 TIMEOUT_GRACE_S = 0.05
 # A request that more servers turn away is not sent to another one.
 MAX_REFUSALS = 2
-# interval of checks whether it is decided that the pool is cut off
-VERDICT_POLL_S = 0.05
 GATEWAY_TIMEOUT = 504
 
 
@@ -83,7 +82,7 @@
         self._request: Request | None = None
         self._attempt: Attempt | None = None
         self._timer: asyncio.TimerHandle | None = None
-        self._resumption: asyncio.TimerHandle | None = None
+        self._pending = PendingSend(router, self)
         self._last_part_s = 0.0
         self._life = Lifecycle("")
         self._tried: list[str] = []
@@ -93,7 +92,6 @@
         self._closed = False
         self._sent_s = 0.0
         self._number = 0
-        self._waiting: int | None = None
         self._retry_after_s = 0.0
         self._awaiting_first_event = True
         self._watch = RunWatch(router.poison, router.probes)
@@ -329,11 +327,9 @@
 
     def _await_verdict(self) -> None:
         """Send the request when it is decided whether the pool is cut off."""
-        if self._may_await_verdict():
-            loop = asyncio.get_running_loop()
-            guard = partial(self._router.guard, self._await_verdict, self.fail_internally)
-            self._resumption = loop.call_later(VERDICT_POLL_S, guard)
-            return
+        self._pending.for_verdict(self._may_await_verdict, self._send_after_verdict)
+
+    def _send_after_verdict(self) -> None:
         if self._life.ran is Ran.NO:
             self._tried.clear()
         self._send()
@@ -388,19 +384,15 @@
     def _wait_for_room(self, limit: AtLimit, now: float) -> bool:
         """Wait at this host if room comes in time; else assign the time to return."""
         assert self._admitted and self._request
-        admitted, rooms = self._admitted, self._router.statements.rooms
+        admitted = self._admitted
         if self._answer_started:
             return False
-        self._waiting = rooms.wait(admitted, self._request, limit, self._resume_sending, now)
-        if self._waiting is None:
+        waits = self._pending.for_room(admitted, self._request, limit, self._send, now)
+        if not waits:
             self._retry_after_s = self._router.dispatcher.assign_return_s(
                 admitted.pool, admitted.tier, limit, now
             )
-        return self._waiting is not None
-
-    def _resume_sending(self) -> None:
-        self._waiting = None
-        self._router.guard(self._send, self.fail_internally)
+        return waits
 
     def _wait_or_refuse(self, decision: Refuse, now: float) -> None:
         """Refuse a request at once; let a stream that has begun wait for a server's limit."""
@@ -412,10 +404,7 @@
         patience_ends_s = self._last_part_s + self._admitted.route.patience_s
         waits = self._answer_started and decision.code is Code.SERVERS_AT_LIMIT
         if waits and resumes_s < min(patience_ends_s, self._give_up_s()):
-            loop = asyncio.get_running_loop()
-            self._resumption = loop.call_later(
-                decision.retry_after_s, self._router.guard, self._send, self.fail_internally
-            )
+            self._pending.after(decision.retry_after_s, self._send)
             return
         self._retry_after_s = max(self._retry_after_s, decision.retry_after_s)
         self._fail(self._binding.refusal_code(decision.code))
@@ -492,13 +481,11 @@
 
     def _close(self) -> None:
         self._closed = True
-        if self._waiting is not None and self._admitted:
-            self._router.statements.rooms.queue.leave(self._admitted.pool, self._waiting)
         if self._binding:
             self._binding.release()
-        for timer in (self._timer, self._resumption):
-            if timer:
-                timer.cancel()
+        if self._timer:
+            self._timer.cancel()
+        self._pending.cancel()
         self._handover.cancel()
         if self._attempt:
             self._attempt.backend.breaker.record_inconclusive(self._life.request_id)
