Tell by the table's age whether the list of servers may order fewer

A host that does not relay watches its list of servers for up to 25 s without an answer, so that the age of the list alone would have held back every order of fewer.

--- a/src/redwingbank/duties/capacity_task.py
+++ b/src/redwingbank/duties/capacity_task.py
@@ -265,11 +265,17 @@
         peer = router.peers.peers_by_host.get(host)
         return peer.place.data_centre if peer else ""
 
+    def list_age_s(now: float) -> float:
+        # a watch of the servers may wait for 25 s without news; the age of the table tells whether
+        # the store is in reach
+        never = router.freshness.servers_age_s(now) == float("inf")
+        return float("inf") if never else router.tables.age_s(now)
+
     fleet = Fleet(
         pools=pools,
         servers_by_name=router.servers.entries_by_name,
         backends=router.backends,
-        list_age_s=router.freshness.servers_age_s,
+        list_age_s=list_age_s,
         data_centre=data_centre,
         log=router.log,
         metrics=router.metrics,
--- a/tests/steps/platform_formats.py
+++ b/tests/steps/platform_formats.py
@@ -114,7 +114,8 @@
 
 
 @then(
-    "from {least:d} to {most:d} of its servers may be ordered, a spot server for {price:g} of the price"
+    "from {least:d} to {most:d} of its servers may be ordered, "
+    "a spot server for {price:g} of the price"
 )
 def scaling_known(context, least, most, price):
     scaling = context.pool.scaling
