--- a/src/redwingbank/duties/task.py
+++ b/src/redwingbank/duties/task.py
@@ -125,7 +125,9 @@
         self.lease.handle_announcement(content.key, now_s())
 
     async def run(self) -> None:
-        """Keep the lease and perform the duties until cancelled."""
+        """Keep the lease and perform the duties until cancelled; without a duty, do nothing."""
+        if not self._duties_by_name:
+            await anyio.sleep_forever()
         async with anyio.create_task_group() as group:
             group.start_soon(self._pulse)
             for name, duty in self._duties_by_name.items():
@@ -200,7 +202,7 @@
             self.holder = stored.record.key
             if self.permit():
                 self._announce()
-        elif step is Step.RELEASE:
+        elif step is Step.RELEASE and not stored.record.holder:
             self._send(stored.record.key._replace(fence=held))
 
     def _note_loss(self, fence: int, reason: Step) -> None:
