--- a/src/redwingbank/front/room_queue.py
+++ b/src/redwingbank/front/room_queue.py
@@ -48,11 +48,6 @@
         """Count the requests that wait."""
         return sum(map(len, self._waiters_by_pool.values()))
 
-    def is_behind(self, pool: str, tier: int) -> bool:
-        """Whether requests that are as urgent as one of this tier wait already."""
-        waiters = self._waiters_by_pool.get(pool, [])
-        return bool(waiters) and waiters[0].tier <= tier
-
     def enter(self, pool: str, tier: int, until_s: float, resume: Callable[[], None]) -> int:
         """Let a request wait; return its number."""
         waiters = self._waiters_by_pool.setdefault(pool, [])
--- a/tests/damaged_messages.py
+++ b/tests/damaged_messages.py
@@ -34,7 +34,9 @@
 from redwingbank.front.poison import CrashNews
 from redwingbank.front.stream_codec import Purpose, StreamNote, StreamReport
 from redwingbank.front.values import PromptPart, ServerEntry
+from redwingbank.routing.brittle_room import RoomState
 from redwingbank.routing.load import InFlightRequest
+from redwingbank.routing.room_book import RoomAsk, RoomLoan
 from redwingbank.routing.server_limit import LimitState
 from redwingbank.routing.stream_origin import StreamOrigin, stream_key
 from redwingbank.settings import Address
@@ -54,6 +56,14 @@
     News(1, 5, (ENTRY, ENTRY), ("i-2",)),
     CrashNews("f", 1.0, False, "i-1", ("a",), 0.1),
     StatementReport((LimitState("i-1", 1, 3, 2.0, 4),)),
+    StatementReport(
+        (
+            RoomState("i-1", 1, 3, 4, False, 2, 5),
+            RoomAsk("pool", 3),
+            RoomLoan("i-1", 1, -2),
+            RoomState("i-2", 1, 3, None, True, 0, 0),
+        )
+    ),
     StreamReport(
         Purpose.TOLD,
         (
