--- a/tests/damaged_messages.py
+++ b/tests/damaged_messages.py
@@ -37,7 +37,9 @@
 from redwingbank.front.poison import CrashNews
 from redwingbank.front.stream_codec import Purpose, StreamNote, StreamReport
 from redwingbank.front.values import PromptPart, ServerEntry
+from redwingbank.routing.brittle_room import RoomState
 from redwingbank.routing.load import InFlightRequest
+from redwingbank.routing.room_book import RoomAsk, RoomLoan
 from redwingbank.routing.server_limit import LimitState
 from redwingbank.routing.stream_origin import StreamOrigin, stream_key
 from redwingbank.settings import Address
@@ -61,6 +63,14 @@
         Source("host-1", 1), (WindowCounts(7, {"a": 1, "b": 2}), WindowCounts(8, {"b": 3})), 1.8e9
     ),
     StatementReport((LimitState("i-1", 1, 3, 2.0, 4),)),
+    StatementReport(
+        (
+            RoomState("i-1", 1, 3, 4, False, 2, 5),
+            RoomAsk("pool", 3),
+            RoomLoan("i-1", 1, -2),
+            RoomState("i-2", 1, 3, None, True, 0, 0),
+        )
+    ),
     StreamReport(
         Purpose.TOLD,
         (
