Order ordinary servers for the present load, not for a burst, while spot servers are dry

Change: survivors are 1.15 times the usual load at 0.6 of the reading; waiting prompts count for the present load only; without spot servers to be had, a burst that may come asks for no ordinary servers.

--- a/src/redwingbank/duties/capacity.py
+++ b/src/redwingbank/duties/capacity.py
@@ -158,6 +158,10 @@
     def _grow(self, state: PoolState, needs: Needs, now_s: float) -> str:
         """Ask for more where what is there and what is coming falls short."""
         expected = {one: self._expected(one, state, now_s) for one in self._data_centres}
+        if self._traffic and not self._spot_to_be_had(expected, now_s):
+            # ordinary servers are too dear for a burst that may not come
+            most = max(needs.present, needs.survivors)
+            needs = needs._replace(full=min(needs.full, most))
         lacking = shortfall(expected, needs)
         below = [one for one in expected if expected[one].total < self.scaling.least]
         if not lacking and not below:
@@ -169,6 +173,13 @@
         self._unrest_s = now_s
         return f"{lacking} servers short of what is needed" if lacking else "below the minimum"
 
+    def _spot_to_be_had(self, expected: Mapping[str, Counts], now_s: float) -> bool:
+        ceiling = self._ceiling(expected, now_s)
+        return any(
+            ceiling[one].spot > counts.spot and counts.total < self.scaling.most
+            for one, counts in expected.items()
+        )
+
     def _expected(self, data_centre: str, state: PoolState, now_s: float) -> Counts:
         listed = state.listed.get(data_centre, NONE)
         ordinary, spot = Subject(data_centre, spot=False), Subject(data_centre, spot=True)
--- a/src/redwingbank/duties/demand.py
+++ b/src/redwingbank/duties/demand.py
@@ -22,14 +22,13 @@
 # The present load may be the lower half of the daily wave (swing 0.27), and may still grow until
 # an ordered server serves.
 PRESENT_FACTOR = 1.15
-# The usual load may be at the peak of the wave when spot servers are reclaimed, or be joined by
-# the lesser part of a burst: replacements take longer to start than reclaimed servers to leave.
-SURVIVOR_FACTOR = 1.5
-# The share of slots that is used in a burst, and of their time that servers read prompts in a
-# burst and usually. Beyond that callers wait, or streams pause for longer than their target.
+# The usual load may be at the peak of the wave when spot servers are reclaimed, and replacements
+# take longer to start than reclaimed servers to leave.
+SURVIVOR_FACTOR = 1.15
+# The share of slots that is used at most, and of their time that servers read prompts. Beyond
+# that callers wait, or streams pause for longer than their target.
 SLOT_SHARE = 0.9
-BURST_READ_SHARE = 0.6
-READ_SHARE = 0.45
+READ_SHARE = 0.6
 # Part of the servers needed usually that are ordinary ones, whatever spot servers cost.
 ORDINARY_SHARE = 0.2
 # Longer than the daily wave (11 s) and than twice the longest burst (9 s).
@@ -75,7 +74,7 @@
     >>> for second in range(20):
     ...     demand.record(LoadSample(12.0, {0.15: 210, 0.25: 63}, 9.0), float(second))
     >>> demand.needs()
-    Needs(full=53, survivors=38, ordinary=8, losses=2)
+    Needs(full=53, survivors=30, ordinary=6, losses=2, present=30)
     """
 
     def __init__(self) -> None:
@@ -88,11 +87,12 @@
         largest = max(sample.in_flight_by_class.values(), default=0)
         slots_used = in_flight / max(1.0, sample.slots)
         read_s = sample.read_s + sample.waiting_s
-        present = max(slots_used / SLOT_SHARE, read_s / BURST_READ_SHARE)
+        present = max(slots_used / SLOT_SHARE, read_s / READ_SHARE)
         point = _Point(
             at_s=now_s,
             slots_used=slots_used,
-            read_s=read_s,
+            # what waits is no part of the usual load: it is gone once it is read
+            read_s=sample.read_s,
             largest_share=largest / in_flight if in_flight else 1.0,
             full=math.ceil(present * PRESENT_FACTOR),
         )
@@ -121,19 +121,20 @@
 
     def _needs(self, present: int, losses: int) -> Needs:
         if len(self._points) < FIRST_S:
-            return Needs(full=present, survivors=0, losses=losses)
+            return Needs(full=present, survivors=0, losses=losses, present=present)
         slots_used = median(point.slots_used for point in self._points)
         read_s = median(point.read_s for point in self._points)
         share = median(point.largest_share for point in self._points)
         burst = 1 + (BURST_FACTOR - 1) * share
         usual = max(slots_used / SLOT_SHARE, read_s / READ_SHARE)
-        full = burst * max(slots_used / SLOT_SHARE, read_s / BURST_READ_SHARE)
+        full = burst * usual
         survivors = math.ceil(SURVIVOR_FACTOR * usual)
         return Needs(
             full=max(present, math.ceil(full)),
             survivors=survivors,
             ordinary=math.ceil(ORDINARY_SHARE * survivors),
             losses=losses,
+            present=present,
         )
 
 
--- a/src/redwingbank/duties/server_plan.py
+++ b/src/redwingbank/duties/server_plan.py
@@ -39,13 +39,15 @@
     """Servers that a pool needs over all data centres.
 
     `full` are needed for a burst, `survivors` must be left when the spot servers of the `losses`
-    data centres with most of them go at once, and `ordinary` are kept in any case.
+    data centres with most of them go at once, and `ordinary` are kept in any case. The load of
+    this moment needs `present`.
     """
 
     full: int
     survivors: int
     ordinary: int = 0
     losses: int = 2
+    present: int = 0
 
 
 def count_survivors(plan: Mapping[str, Counts], losses: int) -> int:
