--- a/src/redwingbank/duties/demand.py
+++ b/src/redwingbank/duties/demand.py
@@ -39,8 +39,8 @@
 PEAK_S = 40.0
 # Before so many seconds, the usual load is not known: caches are cold when traffic begins.
 FIRST_S = 5
-# Share of the servers that were there before traffic that must outlive the loss of spot servers.
-# On a full day about 250 of 684 slots are used: SURVIVOR_FACTOR times that at SLOT_SHARE.
+# Share of the servers that were there before traffic that must outlive the loss of spot servers:
+# traffic may begin with a burst.
 IDLE_SURVIVOR_SHARE = 0.6
 IDLE_ORDINARY_SHARE = 0.1
 
