--- a/src/redwingbank/routing/shortage.py
+++ b/src/redwingbank/routing/shortage.py
@@ -23,7 +23,7 @@
     """Requests a second that a pool's servers have begun lately, and the hosts that share it.
 
     >>> Room(per_s=240.0, hosts=60).returning(wait_s=0.5)
-    AtLimit(wait_s=0.5, per_s=1.0)
+    AtLimit(wait_s=0.5, per_s=1.0, brittle=False)
     """
 
     per_s: float
