Derive where refused callers are spread from where the load is evened out

Cause: a second set of pools was kept for it, and filled by a getter on the path of every request. Both follow from the same condition. Nothing else changes; the five scenarios of shortage pass.

--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -127,8 +127,6 @@
         """Return a pool of the table; a pool that is not listed has no prompt cache."""
         table = self.tables.table
         known = table.pools_by_name.get(name) if table else None
-        if known and known.scaling:
-            self.dispatcher.shortage.switch_on(name)
         return known or Pool(name, 0)
 
     def ready(self) -> bool:
@@ -203,8 +201,6 @@
         elif facts.load and facts.stamped:
             scaled = self.pool(pool).scaled
             self.backends.load_stated(backend, facts.load, now_s(), scaled=scaled)
-            if pool in self.backends.evened_pools:
-                self.dispatcher.shortage.switch_on(pool)
 
     def count(self, name: str, class_name: str, **labels: str) -> None:
         """Increment a counter of a class."""
--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -139,7 +139,7 @@
         Servers whose breakers reject requests are used only if there are no others, and servers
         at their limits not at all.
         """
-        evened = pool.scaled or pool.name in self._backends.evened_pools
+        evened = self.evens_load(pool)
         compares_few = evened and not needs.route.has_prompt
         usable = [entry for entry in entries if entry.name not in avoid]
         candidates = self._admitting(usable, now_s, compares_few=compares_few)
@@ -188,6 +188,10 @@
         listed = list(map(book.get_or_create, entries))
         return [backend for backend in listed if backend.breaker.admits(now_s)] or listed
 
+    def evens_load(self, pool: Pool) -> bool:
+        """Whether the load of a pool is evened out, and its refused callers are spread."""
+        return pool.scaled or pool.name in self._backends.evened_pools
+
     def reads_per_s(self, entries: Sequence[ServerEntry], now_s: float) -> float:
         """Return the prompts a second that all hosts have sent to some servers lately."""
         return sum(
--- a/src/redwingbank/routing/dispatch.py
+++ b/src/redwingbank/routing/dispatch.py
@@ -11,7 +11,7 @@
 
 from redwingbank.codes import Code
 from redwingbank.routing.choice import AtLimit, refusal_code
-from redwingbank.routing.shortage import Room, Shortage, honoured_s
+from redwingbank.routing.shortage import Room, honoured_s
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Sequence
@@ -71,7 +71,6 @@
     """Decides on one request at a time, from the state of the servers at that moment."""
 
     def __init__(self, chooser: Chooser, count_hosts: Callable[[], int] = lambda: 1) -> None:
-        self.shortage = Shortage()
         self._chooser = chooser
         self._count_hosts = count_hosts
         self._returns = ReturnTimes()
@@ -99,7 +98,7 @@
         if code is None:
             return Send(choice)
         wait_s = choice.backlog_tokens / choice.backend.load.read_tokens_per_s
-        if not self.shortage.answers(pool.name):
+        if not self._chooser.evens_load(pool):
             return Refuse(code, wait_s)
         room = Room(self._chooser.reads_per_s(entries, now_s), self._count_hosts())
         return_s = self._returns.assign(pool.name, needs.tier, room.returning(wait_s), now_s)
--- a/src/redwingbank/routing/shortage.py
+++ b/src/redwingbank/routing/shortage.py
@@ -35,24 +35,9 @@
         return AtLimit(wait_s, per_s)
 
 
-class Shortage:
-    """The pools whose refused callers are spread."""
-
-    def __init__(self) -> None:
-        self._pools: set[str] = set()
-
-    def switch_on(self, pool: str) -> None:
-        """Spread the callers of a pool from now on."""
-        self._pools.add(pool)
-
-    def answers(self, pool: str) -> bool:
-        """Whether the callers of a pool are spread."""
-        return pool in self._pools
-
-
 def honoured_s(return_s: float, left_s: float) -> float:
     """Return the time to return that a caller with `left_s` seconds left honours."""
     return min(return_s, HONOURED_SHARE * left_s)
 
 
-__all__ = ["Room", "Shortage", "honoured_s"]
+__all__ = ["Room", "honoured_s"]
--- a/src/redwingbank_bench/replay.py
+++ b/src/redwingbank_bench/replay.py
@@ -392,9 +392,8 @@
 def build_spreading_host(random: Random) -> Host:
     """Build a host that spreads the returns of refused callers."""
     backends = Backends(random)
-    dispatcher = Dispatcher(Chooser(backends, random), lambda: HOSTS)
-    dispatcher.shortage.switch_on(POOL)
-    return Host(backends, dispatcher)
+    backends.evened_pools.add(POOL)
+    return Host(backends, Dispatcher(Chooser(backends, random), lambda: HOSTS))
 
 
 def replay(name: str, seed: int, build: Callable[[Random], Host] = build_host) -> Figures:
--- a/tests/steps/routing_shortage.py
+++ b/tests/steps/routing_shortage.py
@@ -41,7 +41,7 @@
             load.request_sent(("other", number), waiting)
     context.dispatcher = Dispatcher(Chooser(backends, Random(1)), lambda: hosts)
     if hosts > 1:
-        context.dispatcher.shortage.switch_on("pool")
+        backends.evened_pools.add("pool")
 
 
 def refuse(context, tier):
