--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -7,7 +7,7 @@
 
 from redwingbank.clock import now_s
 from redwingbank.codes import Code
-from redwingbank.front.attempt import MAX_BUFFERED_BYTES, STATUS_OK
+from redwingbank.front.attempt import MAX_BUFFERED_BYTES, STATUS_OK, is_event_stream
 from redwingbank.front.outbound import Loss
 from redwingbank.front.refusals import decode_error_code
 from redwingbank.platform.headers import decode_answer, encode_forwarded_call
@@ -28,7 +28,6 @@
 CONNECT_TIMEOUT_S = 0.5
 STATUS_UNAVAILABLE = 503
 FIRST_ERROR_STATUS = 400
-EVENT_STREAM = b"text/event-stream"
 # A helper that answers with these did not run the request, and another one may serve it.
 CODES_FOR_ANOTHER = frozenset(
     {Code.NO_BACKEND_SERVER, Code.NOT_READY, Code.TABLE_UNCONFIRMED, Code.LEAVING}
@@ -129,11 +128,7 @@
             self._lose(Loss.GARBAGE, "another request's answer")
             return
         self._head, self._facts = head, facts
-        is_stream = any(
-            name.lower() == b"content-type" and value.lower().startswith(EVENT_STREAM)
-            for name, value in head.headers
-        )
-        if head.status == STATUS_OK and is_stream:
+        if head.status == STATUS_OK and is_event_stream(head):
             self._begin_stream()
 
     def body_received(self, data: bytes) -> None:
--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -181,7 +181,7 @@
             self._owner.attempt_head_received(self, facts)
         if facts.idle_timeout_s is not None:
             self.backend.connections.limit_idle_time(facts.idle_timeout_s)
-        if head.status == STATUS_OK and _is_stream(head):
+        if head.status == STATUS_OK and is_event_stream(head):
             self._mode = _Mode.STREAMED
             self._owner.attempt_streaming(self, head, facts)
 
@@ -345,11 +345,12 @@
         self._owner.attempt_failed(self, Failure(outcome, self.sent, detail))
 
 
-def _is_stream(head: AnswerHead) -> bool:
+def is_event_stream(head: AnswerHead) -> bool:
+    """Whether the body of an answer is a stream of events."""
     return any(
         name.lower() == b"content-type" and value.lower().startswith(EVENT_STREAM)
         for name, value in head.headers
     )
 
 
-__all__ = ["Answer", "Attempt", "AttemptOwner", "StartCheck"]
+__all__ = ["Answer", "Attempt", "AttemptOwner", "StartCheck", "is_event_stream"]
--- a/src/redwingbank/front/crash_probe.py
+++ b/src/redwingbank/front/crash_probe.py
@@ -6,15 +6,13 @@
 from typing import TYPE_CHECKING, Protocol
 
 from redwingbank.clock import now_s
+from redwingbank.routing.reachability import VERDICT_POLL_S
 
 if TYPE_CHECKING:
     from redwingbank.front.backends import Backend
     from redwingbank.front.poison import PoisonTracker
 
 
-VERDICT_POLL_S = 0.05
-
-
 class ReachVerdict(Protocol):
     """Tells whether this host reaches a pool."""
 
--- a/src/redwingbank/front/pending_send.py
+++ b/src/redwingbank/front/pending_send.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING, Protocol
 
+from redwingbank.routing.reachability import VERDICT_POLL_S
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -13,9 +15,6 @@
     from redwingbank.model import Request
     from redwingbank.routing.choice import AtLimit
 
-# interval of checks whether it is decided that the pool is cut off
-VERDICT_POLL_S = 0.05
-
 
 class PendingOwner(Protocol):
     """The request that waits."""
--- a/src/redwingbank/routing/reachability.py
+++ b/src/redwingbank/routing/reachability.py
@@ -28,6 +28,8 @@
 LONG_DOUBT_S = 2.0
 # A decision is due within this time after the doubt.
 VERDICT_S = 1.5
+# interval at which requests that wait for the decision ask for it
+VERDICT_POLL_S = 0.05
 LONG_DOUBT_INTERVAL_S = 1.0
 PROBES_PER_ROUND = 3
 # While the pool still sends bytes on earlier connections, a second round must fail as well: the
@@ -297,4 +299,12 @@
     Reach.CUT: PoolReach._check_cut,  # noqa: SLF001
 }
 
-__all__ = ["Others", "PoolReach", "ProbeResult", "Reach", "ServerContact", "find_suspicion"]
+__all__ = [
+    "VERDICT_POLL_S",
+    "Others",
+    "PoolReach",
+    "ProbeResult",
+    "Reach",
+    "ServerContact",
+    "find_suspicion",
+]
