--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -14,6 +14,7 @@
 from redwingbank.front import digest_schema as schema
 from redwingbank.front.digest_schema import SCHEMA
 from redwingbank.front.framing import open_message, read_kind
+from redwingbank.front.news_codec import News, decode_news, encode_news
 from redwingbank.front.notice_codec import (
     StatementReport,
     age_ms,
@@ -21,13 +22,11 @@
     decode_statements,
     encode_crash,
     encode_statements,
-    read_rows,
 )
 from redwingbank.front.poison import CrashNews
 from redwingbank.front.stream_codec import StreamReport, decode_streams, encode_streams
-from redwingbank.front.values import PromptPart, ServerEntry
+from redwingbank.front.values import PromptPart
 from redwingbank.routing.load import InFlightRequest
-from redwingbank.settings import parse_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -119,18 +118,6 @@
     servers_age_s: float
 
 
-class News(NamedTuple):
-    """Changes of backend servers between two store revisions.
-
-    `written` holds the changed entries as of `until`, `removed` the names of deleted ones.
-    """
-
-    since: int
-    until: int
-    written: tuple[ServerEntry, ...]
-    removed: tuple[str, ...]
-
-
 _Notice = CrashNews | StatementReport | StreamReport | DutyMessage
 Content = Digest | Bundle | Question | Answer | News | _Notice
 
@@ -255,22 +242,8 @@
     answer.serversWatched = content.servers_watched
 
 
-@_encode_content.register
-def _encode_news(content: News, struct: Any) -> None:
-    news = struct.init("news")
-    news.since, news.until = content.since, content.until
-    news.removed = list(content.removed)
-    rows = news.init("written", len(content.written))
-    for row, entry in zip(rows, content.written, strict=True):
-        row.name, row.pool, row.address = entry.name, entry.pool, str(entry.address)
-        row.dataCentre, row.slots = entry.data_centre, entry.slots
-        row.draining, row.startedMs = entry.draining, entry.started_ms
-        row.version, row.spot = entry.version, entry.spot
-        if entry.leaves_s is not None:
-            row.leavesMs = entry.leaves_s * MILLISECONDS
-
-
 _encode_content.register(encode_crash)
+_encode_content.register(encode_news)
 _encode_content.register(encode_statements)
 _encode_content.register(encode_streams)
 _encode_content.register(DutyMessage, encode_duties)
@@ -354,37 +327,12 @@
     )
 
 
-def _decode_news(struct: Any, now_s: float) -> News:
-    news = struct.news
-    return News(
-        news.since,
-        news.until,
-        tuple(map(_decode_server, read_rows(news.written))),
-        tuple(news.removed),
-    )
-
-
-def _decode_server(row: Any) -> ServerEntry:
-    return ServerEntry(
-        name=row.name,
-        pool=row.pool,
-        address=parse_address(row.address),
-        data_centre=row.dataCentre,
-        slots=row.slots,
-        draining=row.draining,
-        started_ms=row.startedMs,
-        version=row.version,
-        spot=row.spot,
-        leaves_s=row.leavesMs / MILLISECONDS if row.leavesMs >= 0 else None,
-    )
-
-
 _DECODER_BY_KIND: dict[str, Callable[[Any, float], Content]] = {
     "digest": _decode_digest,
     "bundle": _decode_bundle,
     "question": _decode_question,
     "answer": _decode_answer,
-    "news": _decode_news,
+    "news": decode_news,
     "crash": decode_crash,
     "limits": decode_statements,
     "streams": decode_streams,
--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from redwingbank.codes import Code
 from redwingbank.routing.candidates import DEFAULT_COUNTS, CandidateCounts, select_candidates
 from redwingbank.routing.costs import DEFAULT_COSTS, Costs
 from redwingbank.routing.load import LAST_RANK, InFlightRequest
@@ -37,14 +36,6 @@
 BLOCKING_READ_S = 0.25
 # Share of a server's time that more urgent prompts are expected to take at most.
 MAX_URGENT_SHARE = 0.9
-# While streams run at a server, prompts of later ranks than the first stream's may take up to this
-# share of its time; the least urgent of them are refused first. Even with a prompt chunk in three
-# of four steps, a stream of 300 tokens ends within 15 s.
-MAX_LATER_RANK_SHARE = 0.75
-# Streams that occupy a smaller share of the slots are not protected from a full load of prompts.
-MIN_PROTECTED_STREAM_SHARE = 1 / 8
-
-
 # A bound adds the same terms as the cost in another order, so that it may exceed the cost by
 # rounding.
 ROUNDING = 1e-9
@@ -388,24 +379,6 @@
     )
 
 
-def refusal_code(choice: Choice, needs: RequestNeeds, now_s: float) -> Code | None:
-    """Return the code to refuse a request with instead of sending it to its best server."""
-    if not needs.route.has_prompt:
-        return None
-    if choice.expected_first_event_s > needs.patience_left_s:
-        return Code.TARGET_UNREACHABLE
-    if needs.facts.takes_up:
-        # the stream has begun at another host or in an earlier answer
-        return None
-    load = choice.backend.load
-    streams_ahead = load.count_streams_ahead(choice.rank)
-    protected = streams_ahead >= MIN_PROTECTED_STREAM_SHARE * choice.backend.entry.slots
-    later_ranks = range(load.first_stream_rank() + 1, choice.rank + 1)
-    if protected and load.read_share(later_ranks, now_s) > MAX_LATER_RANK_SHARE:
-        return Code.SHED
-    return None
-
-
 __all__ = [
     "AtLimit",
     "Choice",
@@ -414,5 +387,4 @@
     "Costs",
     "RequestNeeds",
     "as_in_flight",
-    "refusal_code",
 ]
--- a/src/redwingbank/routing/dispatch.py
+++ b/src/redwingbank/routing/dispatch.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.codes import Code
-from redwingbank.routing.choice import AtLimit, refusal_code
+from redwingbank.routing.choice import AtLimit
 from redwingbank.routing.shortage import Room, honoured_s
 
 if TYPE_CHECKING:
@@ -21,6 +21,12 @@
 
 # A later return is not asked for: by then limits, servers and load will be others.
 MAX_RETURN_S = 5.0
+# While streams run at a server, prompts of later ranks than the first stream's may take up to this
+# share of its time; the least urgent of them are refused first. Even with a prompt chunk in three
+# of four steps, a stream of 300 tokens ends within 15 s.
+MAX_LATER_RANK_SHARE = 0.75
+# Streams that occupy a smaller share of the slots are not protected from a full load of prompts.
+MIN_PROTECTED_STREAM_SHARE = 1 / 8
 
 
 class Send(NamedTuple):
@@ -115,4 +121,22 @@
         return self._returns.assign(pool.name, needs.tier, limit, now_s)
 
 
-__all__ = ["Dispatcher", "Refuse", "ReturnTimes", "Send"]
+def refusal_code(choice: Choice, needs: RequestNeeds, now_s: float) -> Code | None:
+    """Return the code to refuse a request with instead of sending it to its best server."""
+    if not needs.route.has_prompt:
+        return None
+    if choice.expected_first_event_s > needs.patience_left_s:
+        return Code.TARGET_UNREACHABLE
+    if needs.facts.takes_up:
+        # the stream has begun at another host or in an earlier answer
+        return None
+    load = choice.backend.load
+    streams_ahead = load.count_streams_ahead(choice.rank)
+    protected = streams_ahead >= MIN_PROTECTED_STREAM_SHARE * choice.backend.entry.slots
+    later_ranks = range(load.first_stream_rank() + 1, choice.rank + 1)
+    if protected and load.read_share(later_ranks, now_s) > MAX_LATER_RANK_SHARE:
+        return Code.SHED
+    return None
+
+
+__all__ = ["Dispatcher", "Refuse", "ReturnTimes", "Send", "refusal_code"]
--- a/src/redwingbank_bench/replay.py
+++ b/src/redwingbank_bench/replay.py
@@ -389,16 +389,9 @@
     return Host(backends, Dispatcher(Chooser(backends, random)))
 
 
-def build_spreading_host(random: Random) -> Host:
-    """Build a host that spreads the returns of refused callers."""
-    backends = Backends(random)
-    backends.evened_pools.add(POOL)
-    return Host(backends, Dispatcher(Chooser(backends, random), lambda: HOSTS))
-
-
 def replay(name: str, seed: int, build: Callable[[Random], Host] = build_host) -> Figures:
     """Replay a pattern by its name."""
     return Replay(PATTERNS[name], seed, build).run()
 
 
-__all__ = ["Figures", "Host", "Replay", "build_host", "build_spreading_host", "replay"]
+__all__ = ["Figures", "Host", "Replay", "build_host", "replay"]
--- a/src/redwingbank_bench/replay_arms.py
+++ b/src/redwingbank_bench/replay_arms.py
@@ -9,6 +9,7 @@
 from redwingbank.routing.dispatch import Dispatcher
 from redwingbank.routing.load import LAST_RANK, Backlog, RequestKey, ServerLoad, UrgentReads
 from redwingbank_bench.replay import Host, build_host
+from redwingbank_bench.replay_load import HOSTS, POOL
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Collection, Sequence
@@ -129,6 +130,13 @@
     return Host(backends, Dispatcher(RandomChooser(backends, random)), refuses=False)
 
 
+def build_spreading_host(random: Random) -> Host:
+    """Build a host that spreads the returns of refused callers."""
+    backends = Backends(random)
+    backends.evened_pools.add(POOL)
+    return Host(backends, Dispatcher(Chooser(backends, random), lambda: HOSTS))
+
+
 BUILD_BY_ARM: dict[str, Callable[[Random], Host]] = {
     "as built": build_host,
     "as found": build_found,
@@ -136,4 +144,4 @@
     "random": build_random,
 }
 
-__all__ = ["BUILD_BY_ARM"]
+__all__ = ["BUILD_BY_ARM", "build_spreading_host"]
--- a/tests/steps/routing_choice.py
+++ b/tests/steps/routing_choice.py
@@ -14,7 +14,8 @@
 from redwingbank.front.peers import Peers
 from redwingbank.front.values import CallFacts, Kind, Pool, PromptPart, Route, ServerEntry, Share
 from redwingbank.model import Outcome
-from redwingbank.routing.choice import Chooser, RequestNeeds, as_in_flight, refusal_code
+from redwingbank.routing.choice import Chooser, RequestNeeds, as_in_flight
+from redwingbank.routing.dispatch import refusal_code
 from redwingbank.routing.load import InFlightRequest
 from redwingbank.routing.prompt_cache import PromptCache
 from redwingbank.settings import Address
--- a/tests/steps/routing_shortage.py
+++ b/tests/steps/routing_shortage.py
@@ -14,7 +14,8 @@
 from redwingbank.routing.dispatch import Dispatcher, Refuse
 from redwingbank.routing.load import InFlightRequest
 from redwingbank.settings import Address
-from redwingbank_bench.replay import build_host, build_spreading_host, replay
+from redwingbank_bench.replay import build_host, replay
+from redwingbank_bench.replay_arms import build_spreading_host
 from redwingbank_bench.replay_load import CLASSES
 
 NOW_S = 100.0
