Count arrivals only at hosts that may order servers

Cause: every host of every deployment counted each request of all hosts, for a duty that is off where the settings name none.

--- a/src/redwingbank/duties/capacity_task.py
+++ b/src/redwingbank/duties/capacity_task.py
@@ -84,6 +84,7 @@
         self._client = client
         self._store = store
         self._fleet = fleet
+        fleet.backends.counts_arrivals = True
         self._planners_by_pool: dict[str, CapacityPlanner] = {}
         self._listed_s_by_server: dict[str, float] = {}
         self._fence = -1
--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -36,7 +36,7 @@
         random: Random,
         pauses: PauseEstimate,
         limits: AnswerLimits,
-        arrivals: Arrivals,
+        arrivals: Arrivals | None,
     ) -> None:
         self.entry = entry
         self.connections = ConnectionPool(entry.address, KEEP_IDLE_S, limits)
@@ -61,6 +61,8 @@
         self.random = random
         self._limits = limits
         self._pauses_by_pool: dict[str, PauseEstimate] = {}
+        # set by the duty that takes the counts
+        self.counts_arrivals = False
         self.arrivals_by_pool: dict[str, Arrivals] = {}
 
     def get_or_create(self, entry: ServerEntry) -> Backend:
@@ -68,7 +70,7 @@
         backend = self.backends_by_name.get(entry.name)
         if backend is None:
             pauses = self._pauses_by_pool.setdefault(entry.pool, PauseEstimate())
-            arrivals = self.arrivals_by_pool.setdefault(entry.pool, Arrivals())
+            arrivals = self._arrivals(entry.pool) if self.counts_arrivals else None
             backend = Backend(entry, self.random, pauses, self._limits, arrivals)
             self.backends_by_name[entry.name] = backend
         if backend.entry.started_ms != entry.started_ms:
@@ -77,6 +79,9 @@
         backend.entry = entry
         return backend
 
+    def _arrivals(self, pool: str) -> Arrivals:
+        return self.arrivals_by_pool.setdefault(pool, Arrivals())
+
     def load_stated(
         self, backend: Backend, stated: StatedLoad, now_s: float, *, scaled: bool
     ) -> None:
--- a/src/redwingbank/routing/arrivals.py
+++ b/src/redwingbank/routing/arrivals.py
@@ -12,8 +12,8 @@
 if TYPE_CHECKING:
     from redwingbank.routing.load import InFlightRequest
 
-# Nobody takes the counts at a host that has no duties. They begin anew at this number of sources,
-# so that hosts that come and go use no more memory.
+# Only the holder of the lease takes the counts. They begin anew at this number of sources, so
+# that hosts that come and go use no more memory at the others.
 MAX_SOURCES = 2048
 
 
