--- a/src/redwingbank/forwarding/reach_codec.py
+++ b/src/redwingbank/forwarding/reach_codec.py
@@ -5,6 +5,8 @@
 import zlib
 from typing import Any, NamedTuple
 
+from redwingbank.front import digest_schema as schema
+
 MILLISECONDS = 1000.0
 MAX_AGE_MS = 2**32 - 1
 
@@ -43,13 +45,14 @@
 
     :raises ValueError: if the numbers are not in pairs
     """
-    numbers = list(digest.reachedMs)
-    if not numbers and not digest.takesForwards:
+    numbers = schema.READ_REACHED(digest)
+    takes_forwards = schema.READ_TAKES_FORWARDS(digest)
+    if not numbers and not takes_forwards:
         return None
     age_s_by_key = {
         key: age_ms / MILLISECONDS for key, age_ms in zip(numbers[::2], numbers[1::2], strict=True)
     }
-    return ReachReport(age_s_by_key, digest.takesForwards, digest.asksReach)
+    return ReachReport(age_s_by_key, takes_forwards, schema.READ_ASKS_REACH(digest))
 
 
 __all__ = ["ReachReport", "decode_reach", "encode_reach", "pool_key"]
--- a/src/redwingbank/front/digest_schema.py
+++ b/src/redwingbank/front/digest_schema.py
@@ -19,12 +19,17 @@
     list_reader(SCHEMA.Digest, name)
     for name in ("sent", "servers", "parts", "partTokens", "begun", "ended")
 )
+READ_REACHED = list_reader(SCHEMA.Digest, "reachedMs")
+READ_TAKES_FORWARDS, READ_ASKS_REACH = (
+    field_reader(SCHEMA.Digest, name) for name in ("takesForwards", "asksReach")
+)
 READ_HOSTS, READ_INCARNATIONS, READ_COUNTS = (
     list_reader(SCHEMA.Bundle, name) for name in ("hosts", "incarnations", "counts")
 )
 READ_MERGED, READ_AUDIENCE = (field_reader(SCHEMA.Bundle, name) for name in ("digest", "audience"))
 
 __all__ = [
+    "READ_ASKS_REACH",
     "READ_AUDIENCE",
     "READ_BEGUN",
     "READ_BUNDLE",
@@ -40,7 +45,9 @@
     "READ_MERGED",
     "READ_PARTS",
     "READ_PART_TOKENS",
+    "READ_REACHED",
     "READ_SENT",
     "READ_SERVERS",
+    "READ_TAKES_FORWARDS",
     "SCHEMA",
 ]
