--- /dev/null
+++ b/review/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the review cases: store, runner, client, and the fronts as processes."""
