--- a/review/standins/http.py
+++ b/review/standins/http.py
@@ -60,7 +60,7 @@
 
 
 class Listener:
-    """A TCP server that knows its connections; `stop` refuses new ones and resets the open ones."""
+    """A TCP server; `stop` refuses new connections and resets the open ones."""
 
     def __init__(self, ip: str, port: int) -> None:
         self.ip, self.port = ip, port
--- a/review/standins/scene.py
+++ b/review/standins/scene.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import shutil
+import signal
 import sys
 import time
 from pathlib import Path
@@ -169,9 +170,16 @@
 
     async def run() -> int:
         scene = Scene(folder, machines, **settings)
+        task = asyncio.current_task()
+        assert task
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 broken = await story(scene)
+        except asyncio.CancelledError:
+            print("ended by a signal", file=sys.stderr)
+            return NOT_RUN
         except Exception as error:  # whatever it is, the case could not run
             scene.write_record([f"could not run: {type(error).__name__} {error}"])
             print(f"could not run: {type(error).__name__} {error}", file=sys.stderr)
