--- a/src/redwingbank/ctl/explain.py
+++ b/src/redwingbank/ctl/explain.py
@@ -183,9 +183,11 @@
     field = record.field
     if field("detail"):
         sent = "sent" if record.fields.get("sent") else "not sent or not run"
+        overtaken = field("attempt") != field("latest")
+        latest = f", while attempt {field('latest')} was in progress" if overtaken else ""
         return (
             f"attempt at {field('server')} ended: {field('outcome')} ({field('detail')}), {sent},"
-            f" {field('after_ms')} ms after arrival"
+            f" {field('after_ms')} ms after arrival{latest}"
         )
     return (
         f"attempt at {field('server')} ended: {field('outcome')},"
@@ -265,9 +267,10 @@
 
 def _format_reach(record: Record) -> str:
     field = record.field
+    found = f"; found by {field('source')}" if field("source") else ""
     return (
         f"way to the servers of {field('pool')}: {field('was')} to {field('state')},"
-        f" {field('reason')}; {field('helpers')} hosts reach them"
+        f" {field('reason')}; {field('helpers')} hosts reach them{found}"
     )
 
 
--- a/src/redwingbank/forwarding/task.py
+++ b/src/redwingbank/forwarding/task.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections import Counter
+from enum import StrEnum
 from typing import TYPE_CHECKING
 
 from redwingbank.clock import now_s
@@ -49,6 +50,14 @@
 STATES_NOT_TOLD = frozenset({Reach.CUT})
 
 
+class VerdictSource(StrEnum):
+    """Where the evidence was weighed that changed the state of a pool."""
+
+    TICK = "tick"
+    PROBES = "probes"
+    REQUEST = "request"
+
+
 class Forwarding:
     """Reachability of this host's pools, and the connections to helpers.
 
@@ -102,7 +111,7 @@
             self._leave_pool(pool)
         self._entries_by_pool = entries_by_pool
         for pool in entries_by_pool:
-            self._check(pool, now)
+            self._check(pool, now, VerdictSource.TICK)
         for connections in self._connections_by_host.values():
             connections.expire()
 
@@ -111,7 +120,7 @@
         if not self.enabled or pool not in self._entries_by_pool:
             return False
         now = now_s()
-        self._check(pool, now)
+        self._check(pool, now, VerdictSource.REQUEST)
         return self._reach_by_pool[pool].awaits_verdict(now) and any(self._told.live_hosts(now))
 
     def is_cut(self, pool: str) -> bool:
@@ -199,7 +208,7 @@
                 self._start(self._probe_and_tell(self._random.choice(backends), host))
         self._tell(host, now)
 
-    def _check(self, pool: str, now: float) -> None:
+    def _check(self, pool: str, now: float, source: VerdictSource) -> None:
         reach = self._reach_by_pool.get(pool)
         if reach is None:
             reach = self._reach_by_pool[pool] = PoolReach(self._random)
@@ -210,14 +219,16 @@
         settled = reach.state is Reach.REACHING
         others = Others() if settled else self._told.others(pool_key(pool), now)
         reach.update(contacts, others, now)
-        self._apply_state(pool, reach, before)
+        self._apply_state(pool, reach, before, source)
         count = reach.probes_due(now)
         if count:
             self._start(self._run_round(pool, reach, self._select(backends, count, now)))
         if reach.state is not Reach.REACHING:
             self._ask_others(pool, reach, now)
 
-    def _apply_state(self, pool: str, reach: PoolReach, before: Reach) -> None:
+    def _apply_state(
+        self, pool: str, reach: PoolReach, before: Reach, source: VerdictSource
+    ) -> None:
         if reach.state is before:
             return
         self.log.essential(
@@ -226,6 +237,7 @@
             state=reach.state.name.lower(),
             was=before.name.lower(),
             reason=reach.reason,
+            source=source,
             helpers=sum(1 for _ in self._told.helpers(pool_key(pool), now_s())),
         )
         if reach.state is Reach.CUT:
@@ -265,7 +277,7 @@
             contacts = [backend.connections.contact for backend in self._listed(pool)]
             reach.probed(results, contacts, self._told.others(pool_key(pool), now), now)
             if self._reach_by_pool.get(pool) is reach:
-                self._apply_state(pool, reach, before)
+                self._apply_state(pool, reach, before, VerdictSource.PROBES)
                 if reach.state is Reach.CUT:
                     self._reroute(pool, now - SILENCE_S)
 
--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -91,16 +91,21 @@
 
 
 class Attempt:
-    """Sends one request and reads its answer; the owner gets no events after the end."""
+    """Sends one request and reads its answer; the owner gets no events after the end.
+
+    `number` counts the sends of the request, from 1.
+    """
 
     def __init__(
         self,
         owner: AttemptOwner,
         backend: Backend,
         request_id: str,
+        number: int,
         check: StartCheck = StartCheck.NONE,
     ) -> None:
         self.backend = backend
+        self.number = number
         # the list may change during the attempt
         self.entry = backend.entry
         self.sent = False
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -283,7 +283,7 @@
             self._router.runs.refused(self._number)
         self._release(attempt)
         update_breaker(attempt.backend, failure, self._life.request_id, self._sent_s, now)
-        self._recorder.record_failure(self._life, attempt.backend.entry.name, failure)
+        self._recorder.record_failure(self._life, attempt, failure)
         if not failure.sent:
             self._life.advance(Step.NOT_ACCEPTED)
             self._refusals += 1
@@ -378,7 +378,8 @@
         outgoing = OutgoingRequest(
             self._head, self._body, admitted, choice, request.give_up_s, resume_after
         )
-        self._attempt = Attempt(self, backend, request.request_id, self._binding.start_check)
+        check = self._binding.start_check
+        self._attempt = Attempt(self, backend, request.request_id, self._life.attempt, check)
         self._attempt.start(outgoing.encode)
 
     def _wait_for_room(self, limit: AtLimit, now: float) -> bool:
--- a/src/redwingbank/front/request_recorder.py
+++ b/src/redwingbank/front/request_recorder.py
@@ -11,6 +11,7 @@
 
     from redwingbank.codes import Code
     from redwingbank.front.admission import AdmittedRequest
+    from redwingbank.front.attempt import Attempt
     from redwingbank.front.failures import Failure
     from redwingbank.front.router import Router
     from redwingbank.model import Request
@@ -77,12 +78,14 @@
             servers_age_ms=_milliseconds(router.freshness.servers_age_s(now)),
         )
 
-    def record_failure(self, life: Lifecycle, server: str, failure: Failure) -> None:
-        """Log an attempt that ended without an answer."""
+    def record_failure(self, life: Lifecycle, attempt: Attempt, failure: Failure) -> None:
+        """Log an attempt that ended without an answer, and the latest one of its request."""
         self._router.log.detail(
             "attempt-failed",
             request=life.request_id,
-            server=server,
+            server=attempt.backend.entry.name,
+            attempt=attempt.number,
+            latest=life.attempt,
             outcome=failure.outcome,
             detail=failure.detail,
             sent=failure.sent,
