Hold a request by one attempt, forward or wait at a time

Callers saw: a call that may run once ran at two servers, and its answer broke off (TWICE). The failure of an attempt asked whether the pool may be cut off. The failure then went on, took its own attempt for the one in progress, and forwarded the request again.

The fix: a verdict is announced in an event loop call of its own, so that no question moves a request; an attempt that ends gives its request up before anything is asked, and the end of an attempt that doesn't hold it is ignored; a send while something holds the request is an error and sends nothing. The count of a run ends with its attempt, once.

--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -94,6 +94,11 @@
         self._facts: AnswerFacts | None = None
         self._body = bytearray()
 
+    @property
+    def active(self) -> bool:
+        """Whether a helper has the request, or is about to get it."""
+        return not self._ended
+
     def start(self) -> bool:
         """Send the request to a helper; return False if there is none."""
         helper = self._pick()
--- a/src/redwingbank/forwarding/handover.py
+++ b/src/redwingbank/forwarding/handover.py
@@ -51,6 +51,11 @@
         """Whether the request may be forwarded at all."""
         return self._forwarding.enabled and not self._parties.forwarded
 
+    @property
+    def active(self) -> bool:
+        """Whether a helper has the request, or is about to get it."""
+        return self._forward is not None and self._forward.active
+
     def select_servers(
         self,
         entries: list[ServerEntry],
--- a/src/redwingbank/forwarding/task.py
+++ b/src/redwingbank/forwarding/task.py
@@ -63,7 +63,8 @@
 
     `cut_pools` holds the pools that are cut off; it is empty while nothing is, so that a request
     costs one check. `on_cut` is called while a pool is cut off, with the time since which
-    requests without an answer are to be forwarded instead.
+    requests without an answer are to be forwarded instead. It runs in an event loop call of its
+    own, so that a request which asks a question here is not moved before it has the answer.
     """
 
     def __init__(
@@ -251,7 +252,10 @@
                 backend.reset_breaker()
 
     def _reroute(self, pool: str, sent_before_s: float) -> None:
-        if self.on_cut:
+        asyncio.get_running_loop().call_soon(self._announce_cut, pool, sent_before_s)
+
+    def _announce_cut(self, pool: str, sent_before_s: float) -> None:
+        if self.on_cut and pool in self.cut_pools:
             self.on_cut(pool, sent_before_s)
 
     def _leave_pool(self, pool: str) -> None:
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -35,7 +35,7 @@
 from redwingbank.front.values import Kind
 from redwingbank.platform.headers import decode_call
 from redwingbank.routing.dispatch import Refuse
-from redwingbank.rules.lifecycle import Lifecycle, Step
+from redwingbank.rules.lifecycle import Lifecycle, LifecycleError, Step
 from redwingbank.rules.retry import Retry, decide
 
 if TYPE_CHECKING:
@@ -57,7 +57,11 @@
 
 
 class Exchange:
-    """Handles one request, from its last byte to the end of its answer."""
+    """Handles one request, from its last byte to the end of its answer.
+
+    At any time at most one attempt, forward or wait holds the request. An attempt that ends gives
+    it up before anything else is asked or decided; the end of any other attempt is ignored.
+    """
 
     def __init__(
         self,
@@ -234,7 +238,7 @@
             complete_events = self._splitter.feed(data)
         except EventError as error:
             attempt.cancel()
-            self._handle_failure(attempt, invalid_answer(str(error)), now_s())
+            self._answer_invalid(attempt, str(error))
             return
         if complete_events:
             assert self._binding
@@ -249,12 +253,14 @@
 
     def attempt_completed(self, attempt: Attempt, answer: Answer | None) -> None:
         """Forward a complete answer, or end a streamed one."""
+        if self._attempt is not attempt:
+            return
         if answer is not None:
             self._handle_answer(attempt, answer)
         elif self._splitter is not None and is_cut_short(self._splitter, sized=attempt.sized):
             self.attempt_failed(attempt, CUT_SHORT)
         elif self._splitter is not None and not self._splitter.complete:
-            self._handle_failure(attempt, invalid_answer("partial event at the end"), now_s())
+            self._answer_invalid(attempt, "partial event at the end")
         else:
             self._release(attempt)
             self._life.advance(Step.FINISH)
@@ -267,6 +273,8 @@
 
     def attempt_failed(self, attempt: Attempt, failure: Failure) -> None:
         """Retry the request if allowed, or answer with an error."""
+        if not self._release(attempt, not_run=attempt.turned_away or not failure.sent):
+            return
         now = now_s()
         self._watch.failed(attempt.backend, failure, now)
         self._router.statements.rooms.attempt_failed(attempt.backend.entry, failure)
@@ -278,10 +286,12 @@
             raise error
         self.fail_internally()
 
+    def _answer_invalid(self, attempt: Attempt, detail: str) -> None:
+        if self._release(attempt, not_run=attempt.turned_away):
+            self._handle_failure(attempt, invalid_answer(detail), now_s())
+
     def _handle_failure(self, attempt: Attempt, failure: Failure, now: float) -> None:
-        if self._router.runs and (attempt.turned_away or not failure.sent):
-            self._router.runs.refused(self._number)
-        self._release(attempt)
+        """Retry the request after an attempt that no longer holds it, or end it."""
         update_breaker(attempt.backend, failure, self._life.request_id, self._sent_s, now)
         self._recorder.record_failure(self._life, attempt, failure)
         if not failure.sent:
@@ -336,6 +346,7 @@
 
     def _send(self) -> None:
         assert self._request and self._admitted and self._binding
+        self._check_not_held()
         now = now_s()
         admitted, request = self._admitted, self._request
         blocked = self._watch.find_blocked(now)
@@ -382,6 +393,11 @@
         self._attempt = Attempt(self, backend, request.request_id, self._life.attempt, check)
         self._attempt.start(outgoing.encode)
 
+    def _check_not_held(self) -> None:
+        """Raise an error if sending the request now could make it run twice."""
+        if self._attempt or self._handover.active or self._pending.active:
+            raise LifecycleError(f"{self._life.request_id}: sent while it is held")
+
     def _wait_for_room(self, limit: AtLimit, now: float) -> bool:
         """Wait at this host if room comes in time; else assign the time to return."""
         assert self._admitted and self._request
@@ -414,10 +430,10 @@
         status = answer.head.status
         if self._router.runs:
             self._router.runs.answered(self._number, now_s())
+        self._release(attempt)
         if status >= FIRST_SERVER_ERROR and self._may_retry_answer(status):
             self._handle_failure(attempt, error_answer(status), now_s())
             return
-        self._release(attempt)
         self._life.advance(Step.ANSWER)
         self._life.advance(Step.FINISH)
         now = now_s()
@@ -449,12 +465,17 @@
         others = self._router.backends.any_admits(usable, self._tried, now_s())
         return in_time and retries_left and others and route.repeatable and runs < route.attempts
 
-    def _release(self, attempt: Attempt) -> None:
+    def _release(self, attempt: Attempt, *, not_run: bool = False) -> bool:
+        """Take the request back from an attempt; return False if that doesn't hold it."""
+        if self._attempt is not attempt:
+            return False
+        self._attempt = None
         self._router.record_end(attempt.backend, self._number)
         if self._router.runs:
+            if not_run:
+                self._router.runs.refused(self._number)
             self._router.runs.ended(self._number, now_s(), sent=attempt.sent)
-        if self._attempt is attempt:
-            self._attempt = None
+        return True
 
     def _time_out(self) -> None:
         if self._closed:
--- a/src/redwingbank/front/pending_send.py
+++ b/src/redwingbank/front/pending_send.py
@@ -36,11 +36,19 @@
         self._pool = ""
         self._place: int | None = None
 
+    @property
+    def active(self) -> bool:
+        """Whether the request waits."""
+        return self._timer is not None or self._place is not None
+
     def after(self, wait_s: float, resume: Callable[[], None]) -> None:
         """Wait for a time."""
-        loop = asyncio.get_running_loop()
-        guard = self._router.guard
-        self._timer = loop.call_later(wait_s, guard, resume, self._owner.fail_internally)
+
+        def time_passed() -> None:
+            self._timer = None
+            self._router.guard(resume, self._owner.fail_internally)
+
+        self._timer = asyncio.get_running_loop().call_later(wait_s, time_passed)
 
     def for_verdict(self, undecided: Callable[[], bool], resume: Callable[[], None]) -> None:
         """Wait while it is not decided whether the pool is cut off."""
@@ -72,6 +80,7 @@
         """End the wait without resuming."""
         if self._timer:
             self._timer.cancel()
+            self._timer = None
         if self._place is not None:
             self._router.statements.rooms.queue.leave(self._pool, self._place)
             self._place = None
