Keep the state of an answer to a caller in one place

Whether an answer had begun was known twice: the exchange knew of its own attempts, the forward of its stream. The time-out and the end of the process asked the exchange only.

Evidence: four rows of forwarding.feature failed (HTTP/1.1 504 after the events), with the caller's time over and with a front that ends.

Both write through CallerAnswer now, a table of what may follow what; a part that can't follow is an error and isn't written. All that asked the exchange's own flag (verdicts of cuts, retries, waits, records) asks this one.

--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from redwingbank.forwarding.task import Forwarding
-    from redwingbank.front.caller import Caller
+    from redwingbank.front.caller_answer import CallerAnswer
     from redwingbank.front.outbound import Connection
     from redwingbank.front.request_recorder import RequestRecorder
     from redwingbank.front.wire import AnswerHead, RequestHead
@@ -75,14 +75,14 @@
         owner: ForwardOwner,
         call: ForwardedCall,
         life: Lifecycle,
-        caller: Caller,
+        answer: CallerAnswer,
         recorder: RequestRecorder,
     ) -> None:
         self._forwarding = forwarding
         self._owner = owner
         self._call = call
         self._life = life
-        self._caller = caller
+        self._answer = answer
         self._recorder = recorder
         self._tried: list[str] = []
         self._helper = ""
@@ -141,13 +141,13 @@
         if self._ended or self._head is None:
             return
         if self._streaming:
-            self._caller.send_part(data)
+            self._answer.send_part(data)
             return
         self._body += data
         if len(self._body) > MAX_BUFFERED_BYTES:
             buffered, self._body = bytes(self._body), bytearray()
             self._begin_stream()
-            self._caller.send_part(buffered)
+            self._answer.send_part(buffered)
 
     def answer_completed(self) -> None:
         """Pass the complete answer on, or try another helper if this one can't serve."""
@@ -165,13 +165,13 @@
         self._end("refused" if status >= FIRST_ERROR_STATUS else "answered")
         if self._streaming:
             self._life.advance(Step.FINISH)
-            self._caller.end_stream()
+            self._answer.end_stream()
         else:
             self._life.advance(Step.ANSWER)
             self._life.advance(Step.FINISH)
             self._recorder.record_first_byte()
             headers = self._facts.forwarded_headers
-            self._caller.send_answer(status, self._head.reason, headers, bytes(self._body))
+            self._answer.send_answer(status, self._head.reason, headers, bytes(self._body))
         self._recorder.record_answer(self._life, status)
         self._owner.forward_finished()
 
@@ -244,7 +244,7 @@
         self._life.advance(Step.ANSWER)
         self._recorder.record_first_byte()
         headers = self._facts.forwarded_headers
-        self._caller.begin_stream(self._head.status, self._head.reason, headers)
+        self._answer.begin_stream(self._head.status, self._head.reason, headers)
 
     def _can_not_serve(self) -> bool:
         if self._head is None or self._facts is None or self._streaming:
@@ -267,7 +267,7 @@
         )
         if self._streaming:
             self._life.advance(Step.FAIL)
-            self._caller.abort()
+            self._answer.abort()
             self._owner.forward_finished()
             return
         if not self._sent:
--- a/src/redwingbank/forwarding/handover.py
+++ b/src/redwingbank/forwarding/handover.py
@@ -13,7 +13,7 @@
     from redwingbank.forwarding.client import ForwardOwner
     from redwingbank.forwarding.task import Forwarding
     from redwingbank.front.attempt import Attempt
-    from redwingbank.front.caller import Caller
+    from redwingbank.front.caller_answer import CallerAnswer
     from redwingbank.front.request_recorder import RequestRecorder
     from redwingbank.front.values import ServerEntry
     from redwingbank.front.wire import RequestHead
@@ -25,7 +25,7 @@
     """Who takes part in a request; `forwarded` is true if another host forwarded it here."""
 
     owner: ForwardOwner
-    caller: Caller
+    answer: CallerAnswer
     head: RequestHead
     body: bytes
     recorder: RequestRecorder
@@ -79,7 +79,7 @@
             return alive
         if begun:
             return entries
-        owner, caller, head, body, recorder, _ = self._parties
+        owner, answer, head, body, recorder, _ = self._parties
         call = ForwardedCall(
             head,
             body,
@@ -89,7 +89,7 @@
             request.repeatable,
             self._reason,
         )
-        self._forward = Forward(self._forwarding, owner, call, life, caller, recorder)
+        self._forward = Forward(self._forwarding, owner, call, life, answer, recorder)
         return None if self._forward.start() else entries
 
     def may_take(self, attempt: Attempt, request: Request, sent_before_s: float) -> bool:
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -17,6 +17,7 @@
     Attempt,
 )
 from redwingbank.front.backends import update_breaker
+from redwingbank.front.caller_answer import CallerAnswer
 from redwingbank.front.events import EventError, EventSplitter
 from redwingbank.front.failures import (
     CUT_SHORT,
@@ -74,14 +75,14 @@
         forwarded: bool = False,
     ) -> None:
         self._router = router
-        self._caller = caller
+        self._answer = CallerAnswer(caller)
         self._head = head
         self._body = body
         self._arrived_s = arrived_s
         self._admitted: AdmittedRequest | None = None
         self._binding: StreamBinding | None = None
         self._recorder = RequestRecorder(router, arrived_s)
-        parties = Parties(self, caller, head, body, self._recorder, forwarded)
+        parties = Parties(self, self._answer, head, body, self._recorder, forwarded)
         self._handover = Handover(router.forwarding, parties)
         self._request: Request | None = None
         self._attempt: Attempt | None = None
@@ -92,7 +93,6 @@
         self._tried: list[str] = []
         self._refusals = 0
         self._splitter: EventSplitter | None = None
-        self._answer_started = False
         self._closed = False
         self._sent_s = 0.0
         self._number = 0
@@ -178,7 +178,7 @@
     def pool_cut(self, pool: str, sent_before_s: float) -> None:
         """Forward the request if it waits for a server of a pool that is cut off."""
         attempt, request = self._attempt, self._request
-        if attempt is None or request is None or self._answer_started or request.pool != pool:
+        if attempt is None or request is None or self._answer.begun or request.pool != pool:
             return
         refuses = not self._handover.possible and not attempt.sent
         if not refuses and not self._handover.may_take(attempt, request, sent_before_s):
@@ -219,12 +219,11 @@
         """Start a streamed answer, or resume it from another server."""
         self._life.advance(Step.ANSWER)
         attempt.backend.breaker.record_success(self._life.request_id, self._sent_s, now_s())
-        if self._answer_started:
+        if self._answer.begun:
             return
-        self._answer_started = True
         self._last_part_s = now_s()
         self._recorder.record_first_byte()
-        self._caller.begin_stream(head.status, head.reason, facts.forwarded_headers)
+        self._answer.begin_stream(head.status, head.reason, facts.forwarded_headers)
 
     def attempt_body_received(self, attempt: Attempt, data: bytes) -> None:
         """Forward a part of the answer, complete events only if it is a stream."""
@@ -232,7 +231,7 @@
             self._awaiting_first_event = False
             self._router.record_first_event(attempt.backend, self._number, self._sent_s)
         if self._splitter is None:
-            self._caller.send_part(data)
+            self._answer.send_part(data)
             return
         try:
             complete_events = self._splitter.feed(data)
@@ -249,7 +248,7 @@
             pause_s = self._recorder.record_event(now)
             if pause_s is not None:
                 attempt.backend.load.event_received(pause_s, now)
-            self._caller.send_part(complete_events)
+            self._answer.send_part(complete_events)
 
     def attempt_completed(self, attempt: Attempt, answer: Answer | None) -> None:
         """Forward a complete answer, or end a streamed one."""
@@ -264,7 +263,7 @@
         else:
             self._release(attempt)
             self._life.advance(Step.FINISH)
-            self._caller.end_stream()
+            self._answer.end_stream()
             if self._binding:
                 self._binding.finish()
             self._watch.answered()
@@ -313,7 +312,7 @@
             self._request,
             outcome,
             first_byte_sent=self._life.ran is not Ran.NO,
-            answer_begun=self._answer_started,
+            answer_begun=self._answer.begun,
             tried=self._tried,
             budget=self._router.allowance,
             now_s=now,
@@ -333,7 +332,7 @@
         """Whether it is about to be decided if the pool is cut off, so that waiting helps."""
         assert self._request
         undecided = self._router.forwarding.awaits_verdict(self._request.pool)
-        return undecided and self._handover.possible and not self._answer_started
+        return undecided and self._handover.possible and not self._answer.begun
 
     def _await_verdict(self) -> None:
         """Send the request when it is decided whether the pool is cut off."""
@@ -355,12 +354,12 @@
             self._fail(Code.CRASHES_SERVERS)
             return
         data_centre = self._router.settings.data_centre
-        needs = build_needs(admitted, request, data_centre, now, begun=self._answer_started)
+        needs = build_needs(admitted, request, data_centre, now, begun=self._answer.begun)
         pool = self._router.pool(admitted.pool)
         entries = self._binding.usable()
         if self._router.forwarding.cut_pools:
             selected = self._handover.select_servers(
-                entries, request, self._life, self._tried, now, begun=self._answer_started
+                entries, request, self._life, self._tried, now, begun=self._answer.begun
             )
             if selected is None:
                 return
@@ -402,7 +401,7 @@
         """Wait at this host if room comes in time; else assign the time to return."""
         assert self._admitted and self._request
         admitted = self._admitted
-        if self._answer_started:
+        if self._answer.begun:
             return False
         waits = self._pending.for_room(admitted, self._request, limit, self._send, now)
         if not waits:
@@ -419,7 +418,7 @@
             return
         resumes_s = now + decision.retry_after_s
         patience_ends_s = self._last_part_s + self._admitted.route.patience_s
-        waits = self._answer_started and decision.code is Code.SERVERS_AT_LIMIT
+        waits = self._answer.begun and decision.code is Code.SERVERS_AT_LIMIT
         if waits and resumes_s < min(patience_ends_s, self._give_up_s()):
             self._pending.after(decision.retry_after_s, self._send)
             return
@@ -443,12 +442,12 @@
             attempt.backend.breaker.record_success(self._life.request_id, self._sent_s, now)
         else:
             attempt.backend.breaker.record_failure(self._life.request_id, self._sent_s, now)
-        if self._answer_started:
+        if self._answer.begun:
             # the server asked to resume the stream sent no stream, so it can't be completed
-            self._caller.abort()
+            self._answer.abort()
         else:
             self._recorder.record_first_byte()
-            self._caller.send_answer(
+            self._answer.send_answer(
                 status, answer.head.reason, answer.facts.forwarded_headers, answer.body
             )
         self._recorder.record_answer(self._life, status)
@@ -485,11 +484,11 @@
     def _fail(self, code: Code) -> None:
         """End the request with an error answer, or by aborting a stream that has started."""
         code = self._life.correct_code(code)
-        if not self._answer_started:
+        if not self._answer.begun:
             self._refuse(code)
             return
         self._recorder.record_refusal(self._life, code, self._tried, begun=True)
-        self._caller.abort()
+        self._answer.abort()
         self._close()
 
     def _refuse(self, code: Code) -> None:
@@ -499,7 +498,7 @@
             retry_after_s = max(self._retry_after_s, self._router.retry_after_s(code))
         self._close()
         answer = refusal(code, self._life.request_id, self._life.ran, retry_after_s)
-        self._caller.send_answer(*answer)
+        self._answer.send_answer(*answer)
 
     def _close(self) -> None:
         self._closed = True
--- a/src/redwingbank_bench/requestcost.py
+++ b/src/redwingbank_bench/requestcost.py
@@ -206,7 +206,8 @@
     )
     exchange._binding = StreamBinding(router, admitted)
     exchange._splitter = EventSplitter("")
-    exchange._answer_started, exchange._awaiting_first_event = True, False
+    exchange._answer.begin_stream(200, b"OK", b"")
+    exchange._awaiting_first_event = False
     attempt = Attempt(exchange, backend, "r", 1)
     connection = Connection(backend.connections)
     connection._transport = SilentTransport()  # type: ignore[assignment]
--- a/tests/front/forwarding.feature
+++ b/tests/front/forwarding.feature
@@ -42,6 +42,18 @@
       | single | reaches no servers either          | 200    | 1    |
       | memo   | breaks inside the stream           | cut    | 0    |
 
+  Scenario Outline: a forwarded <kind> stream that has begun and is given up ends as a broken-off stream
+    Given a cut front with 2 helpers of which the first falls silent inside the stream
+    When its caller sends a <kind> request, and it is given up as <why>
+    Then the caller gets the events so far and nothing after them
+
+    Examples:
+      | kind  | why                    |
+      | fixed | its time is over       |
+      | memo  | its time is over       |
+      | fixed | the front ends         |
+      | memo  | the front ends         |
+
   Scenario: a host that was chosen as a helper and reaches no servers never forwards again
     Given 2 fronts that are cut off and believe that the other reaches the servers
     When the first gets a read request of a caller
--- a/tests/steps/front_forwarding.py
+++ b/tests/steps/front_forwarding.py
@@ -177,11 +177,11 @@
     async def serve(self, reader, writer):
         await reader.readuntil(b"\r\n\r\n")
         self.requests += 1
-        if self.fault == "breaks inside the stream":
+        if self.fault.endswith("inside the stream"):
             head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: r-1\r\n"
             writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n")
             await writer.drain()
-            await asyncio.sleep(0.1)
+            await asyncio.sleep(60.0 if self.fault.startswith("falls silent") else 0.1)
         if self.fault == "reaches no servers either":
             body = b'{"error":{"code":1220,"message":"x","ran":"no"}}'
             head = b"HTTP/1.1 503 x\r\nRequest-Id: r-1\r\nContent-Length: %d\r\n\r\n" % len(body)
@@ -237,6 +237,27 @@
     run_scenario(context.rig, lambda rig: with_cut_front(context, rig, act))
 
 
+@when("its caller sends a {kind} request, and it is given up as {why}")
+def given_up(context, kind, why):
+    async def act(fleet, cut):
+        router = cut.router
+        asked = asyncio.create_task(fleet.rig.ask(kind, front=cut, deadline_ms=600))
+        await fleet.rig.until(lambda: any(one._answer.begun for one in router.exchanges))
+        if why == "the front ends":
+            for exchange in list(router.exchanges):
+                router.guard(exchange.give_up, exchange.cancel)
+        context.answer = await asked
+        assert not router.exchanges, router.exchanges
+
+    run_scenario(context.rig, lambda rig: with_cut_front(context, rig, act))
+
+
+@then("the caller gets the events so far and nothing after them")
+def broken_off(context):
+    raw = context.answer.raw
+    assert raw.endswith(b"9\r\ndata: x\n\n\r\n") and raw.count(b"HTTP/1.1") == 1, raw
+
+
 @then("the caller gets {status} and servers ran it {runs:d} times")
 def caller_gets(context, status, runs):
     answer = context.answer
--- a/tests/steps/front_stream_versions.py
+++ b/tests/steps/front_stream_versions.py
@@ -128,7 +128,7 @@
     usable = rig.front.router.servers.usable
 
     def offered(pool):
-        begun = any(exchange._answer_started for exchange in rig.front.router.exchanges)
+        begun = any(exchange._answer.begun for exchange in rig.front.router.exchanges)
         return [entry for entry in usable(pool) if begun or entry.name == "i-1"]
 
     rig.front.router.servers.usable = offered
