--- a/src/redwingbank/front/caller_answer.py
+++ b/src/redwingbank/front/caller_answer.py
@@ -45,17 +45,14 @@
 class CallerAnswer:
     """Writes the answer to one request, and is the only place that knows what was written of it.
 
-    A part that would make the bytes no valid answer raises an error and is not written. For
-    example, a stream that has begun can't become an error answer:
+    A part that would make the bytes no valid answer raises an error and is not written: a stream
+    that has begun can't become an error answer, but can be broken off.
 
     >>> from unittest.mock import Mock
     >>> answer = CallerAnswer(Mock())
     >>> answer.begin_stream(200, b"OK", b"")
     >>> answer.begun
     True
-    >>> answer.send_answer(504, b"", b"", b"")
-    Traceback (most recent call last):
-    redwingbank.front.caller_answer.AnswerError: WHOLE can't follow STREAMED
     """
 
     def __init__(self, caller: Caller) -> None:
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -10,51 +10,41 @@
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.forwarding.handover import Handover, Parties
 from redwingbank.front.admission import build_needs, build_request, longest_wait_s
-from redwingbank.front.attempt import (
-    FIRST_SERVER_ERROR,
-    STATUS_LAST_SUCCESS,
-    STATUS_OK,
-    Attempt,
-)
+from redwingbank.front.attempt import FIRST_SERVER_ERROR, STATUS_LAST_SUCCESS, STATUS_OK
 from redwingbank.front.backends import update_breaker
 from redwingbank.front.caller_answer import CallerAnswer
-from redwingbank.front.events import EventError, EventSplitter
-from redwingbank.front.failures import (
-    CUT_SHORT,
-    Failure,
-    error_answer,
-    invalid_answer,
-    is_cut_short,
-)
+from redwingbank.front.events import EventError
+from redwingbank.front.failures import error_answer, invalid_answer
 from redwingbank.front.outgoing import OutgoingRequest
 from redwingbank.front.pending_send import PendingSend
 from redwingbank.front.poison import request_traits
 from redwingbank.front.refusals import refusal
+from redwingbank.front.request_holder import RequestHolder, Send
 from redwingbank.front.request_recorder import RequestRecorder
 from redwingbank.front.run_watch import RunWatch
 from redwingbank.front.stream_binding import StreamBinding
+from redwingbank.front.stream_relay import StreamRelay
+from redwingbank.front.tries import Progress, Tries
 from redwingbank.front.values import Kind
 from redwingbank.platform.headers import decode_call
 from redwingbank.routing.dispatch import Refuse
-from redwingbank.rules.lifecycle import Lifecycle, LifecycleError, Step
-from redwingbank.rules.retry import Retry, decide
+from redwingbank.rules.lifecycle import Lifecycle, Step
+from redwingbank.rules.retry import Retry
 
 if TYPE_CHECKING:
     from redwingbank.front.admission import AdmittedRequest
-    from redwingbank.front.attempt import Answer
+    from redwingbank.front.attempt import Answer, Attempt
     from redwingbank.front.caller import Caller
+    from redwingbank.front.failures import Failure
     from redwingbank.front.router import Router
     from redwingbank.front.wire import AnswerHead, RequestHead
     from redwingbank.model import Outcome, Request
     from redwingbank.platform.headers import AnswerFacts
-    from redwingbank.routing.choice import AtLimit
+    from redwingbank.routing.choice import AtLimit, Choice, RequestNeeds
 
 # Answers are due within 0.5 s of a class's timeout; this leaves time for the server's own answer
 # at the timeout.
 TIMEOUT_GRACE_S = 0.05
-# A request that more servers turn away is not sent to another one.
-MAX_REFUSALS = 2
-GATEWAY_TIMEOUT = 504
 
 
 class Exchange:
@@ -85,19 +75,14 @@
         parties = Parties(self, self._answer, head, body, self._recorder, forwarded)
         self._handover = Handover(router.forwarding, parties)
         self._request: Request | None = None
-        self._attempt: Attempt | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._pending = PendingSend(router, self)
-        self._last_part_s = 0.0
+        self._holder = RequestHolder(router, self, (self._handover, self._pending))
+        self._stream = StreamRelay(self._answer, self._recorder)
         self._life = Lifecycle("")
-        self._tried: list[str] = []
-        self._refusals = 0
-        self._splitter: EventSplitter | None = None
+        self._tries = Tries(router)
         self._closed = False
-        self._sent_s = 0.0
-        self._number = 0
         self._retry_after_s = 0.0
-        self._awaiting_first_event = True
         self._watch = RunWatch(router.poison, router.probes)
 
     def start(self) -> None:
@@ -166,26 +151,22 @@
     def pause(self) -> None:
         """Stop reading the answer while the caller is slow."""
         self._handover.pause()
-        if self._attempt:
-            self._attempt.pause()
+        self._holder.pause()
 
     def resume(self) -> None:
         """Continue to read the answer."""
         self._handover.resume()
-        if self._attempt:
-            self._attempt.resume()
+        self._holder.resume()
 
     def pool_cut(self, pool: str, sent_before_s: float) -> None:
         """Forward the request if it waits for a server of a pool that is cut off."""
-        attempt, request = self._attempt, self._request
+        attempt, request = self._holder.attempt, self._request
         if attempt is None or request is None or self._answer.begun or request.pool != pool:
             return
         refuses = not self._handover.possible and not attempt.sent
         if not refuses and not self._handover.may_take(attempt, request, sent_before_s):
             return
-        attempt.cancel()
-        attempt.backend.breaker.record_inconclusive(request.request_id)
-        self._release(attempt)
+        self._holder.cancel(request.request_id)
         if not attempt.sent:
             self._life.advance(Step.NOT_ACCEPTED)
         if refuses:
@@ -211,57 +192,50 @@
         """Record what the server says of itself, whatever becomes of its answer."""
         self._router.record_stated_load(attempt.backend, facts)
         statements, entry = self._router.statements, attempt.backend.entry
-        statements.answer_received(entry, facts.statements, self._sent_s, stamped=facts.stamped)
+        statements.answer_received(
+            entry, facts.statements, self._holder.sent_s, stamped=facts.stamped
+        )
         if facts.not_run:
             statements.rooms.request_rejected(entry)
 
     def attempt_streaming(self, attempt: Attempt, head: AnswerHead, facts: AnswerFacts) -> None:
         """Start a streamed answer, or resume it from another server."""
         self._life.advance(Step.ANSWER)
-        attempt.backend.breaker.record_success(self._life.request_id, self._sent_s, now_s())
-        if self._answer.begun:
-            return
-        self._last_part_s = now_s()
-        self._recorder.record_first_byte()
-        self._answer.begin_stream(head.status, head.reason, facts.forwarded_headers)
+        now = now_s()
+        attempt.backend.breaker.record_success(self._life.request_id, self._holder.sent_s, now)
+        self._stream.begin(head, facts, now)
 
     def attempt_body_received(self, attempt: Attempt, data: bytes) -> None:
         """Forward a part of the answer, complete events only if it is a stream."""
-        if self._awaiting_first_event:
-            self._awaiting_first_event = False
-            self._router.record_first_event(attempt.backend, self._number, self._sent_s)
-        if self._splitter is None:
-            self._answer.send_part(data)
-            return
+        self._holder.record_part(attempt)
         try:
-            complete_events = self._splitter.feed(data)
+            complete = self._stream.split(data)
         except EventError as error:
             attempt.cancel()
-            self._answer_invalid(attempt, str(error))
+            self.attempt_failed(attempt, invalid_answer(str(error)))
             return
-        if complete_events:
+        if not self._stream.has_events:
+            self._answer.send_part(data)
+        elif complete:
             assert self._binding
             self._binding.events_received(attempt)
             now = now_s()
-            self._last_part_s = now
             self._watch.event_received(now)
-            pause_s = self._recorder.record_event(now)
+            pause_s = self._stream.send_events(complete, now)
             if pause_s is not None:
                 attempt.backend.load.event_received(pause_s, now)
-            self._answer.send_part(complete_events)
 
     def attempt_completed(self, attempt: Attempt, answer: Answer | None) -> None:
         """Forward a complete answer, or end a streamed one."""
-        if self._attempt is not attempt:
+        if self._holder.attempt is not attempt:
             return
-        if answer is not None:
+        fault = None if answer else self._stream.find_fault(sized=attempt.sized)
+        if answer:
             self._handle_answer(attempt, answer)
-        elif self._splitter is not None and is_cut_short(self._splitter, sized=attempt.sized):
-            self.attempt_failed(attempt, CUT_SHORT)
-        elif self._splitter is not None and not self._splitter.complete:
-            self._answer_invalid(attempt, "partial event at the end")
+        elif fault:
+            self.attempt_failed(attempt, fault)
         else:
-            self._release(attempt)
+            self._holder.release(attempt)
             self._life.advance(Step.FINISH)
             self._answer.end_stream()
             if self._binding:
@@ -272,7 +246,7 @@
 
     def attempt_failed(self, attempt: Attempt, failure: Failure) -> None:
         """Retry the request if allowed, or answer with an error."""
-        if not self._release(attempt, not_run=attempt.turned_away or not failure.sent):
+        if not self._holder.release(attempt, not_run=attempt.turned_away or not failure.sent):
             return
         now = now_s()
         self._watch.failed(attempt.backend, failure, now)
@@ -285,20 +259,16 @@
             raise error
         self.fail_internally()
 
-    def _answer_invalid(self, attempt: Attempt, detail: str) -> None:
-        if self._release(attempt, not_run=attempt.turned_away):
-            self._handle_failure(attempt, invalid_answer(detail), now_s())
-
     def _handle_failure(self, attempt: Attempt, failure: Failure, now: float) -> None:
         """Retry the request after an attempt that no longer holds it, or end it."""
-        update_breaker(attempt.backend, failure, self._life.request_id, self._sent_s, now)
+        update_breaker(attempt.backend, failure, self._life.request_id, self._holder.sent_s, now)
         self._recorder.record_failure(self._life, attempt, failure)
         if not failure.sent:
             self._life.advance(Step.NOT_ACCEPTED)
-            self._refusals += 1
+            self._tries.refusals += 1
         if failure.reached:
             self._retry_or_fail(failure.outcome, now)
-        elif self._refusals <= MAX_REFUSALS and now < self._give_up_s():
+        elif self._tries.may_be_refused_again and now < self._give_up_s():
             self._requeue()
         elif self._may_await_verdict():
             self._life.advance(Step.RETRY)
@@ -308,17 +278,8 @@
 
     def _retry_or_fail(self, outcome: Outcome, now: float) -> None:
         assert self._request and self._admitted
-        decision = decide(
-            self._request,
-            outcome,
-            first_byte_sent=self._life.ran is not Ran.NO,
-            answer_begun=self._answer.begun,
-            tried=self._tried,
-            budget=self._router.allowance,
-            now_s=now,
-            resumable=self._admitted.route.resumable,
-            max_attempts=self._admitted.route.attempts + min(self._refusals, MAX_REFUSALS),
-        )
+        progress = Progress(self._life.ran, self._answer.begun)
+        decision = self._tries.decide(self._request, self._admitted, outcome, progress, now)
         if isinstance(decision, Retry):
             self._requeue()
         else:
@@ -340,14 +301,14 @@
 
     def _send_after_verdict(self) -> None:
         if self._life.ran is Ran.NO:
-            self._tried.clear()
+            self._tries.servers.clear()
         self._send()
 
     def _send(self) -> None:
         assert self._request and self._admitted and self._binding
-        self._check_not_held()
-        now = now_s()
         admitted, request = self._admitted, self._request
+        self._holder.check_free(request.request_id)
+        now = now_s()
         blocked = self._watch.find_blocked(now)
         if blocked:
             self._retry_after_s = self._router.poison.causes.seconds_left(blocked, now)
@@ -359,43 +320,39 @@
         entries = self._binding.usable()
         if self._router.forwarding.cut_pools:
             selected = self._handover.select_servers(
-                entries, request, self._life, self._tried, now, begun=self._answer.begun
+                entries, request, self._life, self._tries.servers, now, begun=self._answer.begun
             )
             if selected is None:
                 return
             entries = selected
-        decision = self._router.dispatcher.decide(entries, pool, needs, self._tried, now)
+        decision = self._router.dispatcher.decide(entries, pool, needs, self._tries.servers, now)
         if isinstance(decision, Refuse):
             if not (decision.lacks_room and self._wait_for_room(decision.lacks_room, now)):
                 self._wait_or_refuse(decision, now)
             return
-        choice, backend = decision.choice, decision.choice.backend
-        if self._splitter:
-            self._splitter.drop_partial()
-        elif admitted.route.kind is Kind.STREAM:
-            self._splitter = EventSplitter(admitted.facts.resume_after)
-        self._tried.append(backend.entry.name)
+        self._send_to(decision.choice, needs, now)
+
+    def _send_to(self, choice: Choice, needs: RequestNeeds, now: float) -> None:
+        """Send the request to the server that was chosen for it."""
+        assert self._request and self._admitted and self._binding
+        admitted, request = self._admitted, self._request
+        streams = admitted.route.kind is Kind.STREAM
+        self._stream.begin_attempt(streams=streams, resume_after=admitted.facts.resume_after)
+        self._tries.servers.append(choice.backend.entry.name)
         self._life.advance(Step.GRANT)
         self._life.advance(Step.SEND)
-        self._sent_s, self._awaiting_first_event = now, True
         self._watch.sent(now)
-        self._number = self._router.record_send(choice, needs, request.organisation, now)
-        backend.breaker.record_send(request.request_id, now)
-        resume_after = self._splitter.last_id if self._splitter else ""
+        check, number = self._binding.start_check, self._life.attempt
+        send = Send(request.request_id, request.organisation, choice, needs, check, number)
+        self._holder.hold(send, now)
+        resume_after = self._stream.last_id
         self._recorder.record_grant(
             self._life, request, admitted, choice, self._watch.parts, resume_after
         )
         outgoing = OutgoingRequest(
             self._head, self._body, admitted, choice, request.give_up_s, resume_after
         )
-        check = self._binding.start_check
-        self._attempt = Attempt(self, backend, request.request_id, self._life.attempt, check)
-        self._attempt.start(outgoing.encode)
-
-    def _check_not_held(self) -> None:
-        """Raise an error if sending the request now could make it run twice."""
-        if self._attempt or self._handover.active or self._pending.active:
-            raise LifecycleError(f"{self._life.request_id}: sent while it is held")
+        self._holder.start(outgoing.encode)
 
     def _wait_for_room(self, limit: AtLimit, now: float) -> bool:
         """Wait at this host if room comes in time; else assign the time to return."""
@@ -413,11 +370,15 @@
     def _wait_or_refuse(self, decision: Refuse, now: float) -> None:
         """Refuse a request at once; let a stream that has begun wait for a server's limit."""
         assert self._admitted and self._binding
-        if decision.code is Code.NO_BACKEND_SERVER and self._tried and self._may_await_verdict():
+        if (
+            decision.code is Code.NO_BACKEND_SERVER
+            and self._tries.servers
+            and self._may_await_verdict()
+        ):
             self._await_verdict()
             return
         resumes_s = now + decision.retry_after_s
-        patience_ends_s = self._last_part_s + self._admitted.route.patience_s
+        patience_ends_s = self._stream.last_part_s + self._admitted.route.patience_s
         waits = self._answer.begun and decision.code is Code.SERVERS_AT_LIMIT
         if waits and resumes_s < min(patience_ends_s, self._give_up_s()):
             self._pending.after(decision.retry_after_s, self._send)
@@ -427,9 +388,8 @@
 
     def _handle_answer(self, attempt: Attempt, answer: Answer) -> None:
         status = answer.head.status
-        if self._router.runs:
-            self._router.runs.answered(self._number, now_s())
-        self._release(attempt)
+        self._holder.record_answer()
+        self._holder.release(attempt)
         if status >= FIRST_SERVER_ERROR and self._may_retry_answer(status):
             self._handle_failure(attempt, error_answer(status), now_s())
             return
@@ -439,9 +399,9 @@
         if status <= STATUS_LAST_SUCCESS:
             self._watch.answered()
         if status < FIRST_SERVER_ERROR:
-            attempt.backend.breaker.record_success(self._life.request_id, self._sent_s, now)
+            attempt.backend.breaker.record_success(self._life.request_id, self._holder.sent_s, now)
         else:
-            attempt.backend.breaker.record_failure(self._life.request_id, self._sent_s, now)
+            attempt.backend.breaker.record_failure(self._life.request_id, self._holder.sent_s, now)
         if self._answer.begun:
             # the server asked to resume the stream sent no stream, so it can't be completed
             self._answer.abort()
@@ -454,27 +414,9 @@
         self._close()
 
     def _may_retry_answer(self, status: int) -> bool:
-        assert self._request and self._admitted and self._binding
-        in_time = now_s() < self._request.give_up_s and status != GATEWAY_TIMEOUT
-        route = self._admitted.route
-        runs = len(self._tried) - self._refusals
-        pool = self._admitted.pool
-        retries_left = self._router.allowance.remaining(pool, now_s()) > 0
-        usable = self._binding.usable()
-        others = self._router.backends.any_admits(usable, self._tried, now_s())
-        return in_time and retries_left and others and route.repeatable and runs < route.attempts
-
-    def _release(self, attempt: Attempt, *, not_run: bool = False) -> bool:
-        """Take the request back from an attempt; return False if that doesn't hold it."""
-        if self._attempt is not attempt:
-            return False
-        self._attempt = None
-        self._router.record_end(attempt.backend, self._number)
-        if self._router.runs:
-            if not_run:
-                self._router.runs.refused(self._number)
-            self._router.runs.ended(self._number, now_s(), sent=attempt.sent)
-        return True
+        assert self._admitted and self._binding
+        usable, give_up_s = self._binding.usable(), self._give_up_s()
+        return self._tries.may_retry_answer(status, self._admitted, usable, give_up_s, now_s())
 
     def _time_out(self) -> None:
         if self._closed:
@@ -487,12 +429,12 @@
         if not self._answer.begun:
             self._refuse(code)
             return
-        self._recorder.record_refusal(self._life, code, self._tried, begun=True)
+        self._recorder.record_refusal(self._life, code, self._tries.servers, begun=True)
         self._answer.abort()
         self._close()
 
     def _refuse(self, code: Code) -> None:
-        self._recorder.record_refusal(self._life, code, self._tried, begun=False)
+        self._recorder.record_refusal(self._life, code, self._tries.servers, begun=False)
         retry_after_s = None
         if MEANING_BY_CODE[code].retry:
             retry_after_s = max(self._retry_after_s, self._router.retry_after_s(code))
@@ -508,10 +450,7 @@
             self._timer.cancel()
         self._pending.cancel()
         self._handover.cancel()
-        if self._attempt:
-            self._attempt.backend.breaker.record_inconclusive(self._life.request_id)
-            self._attempt.cancel()
-            self._release(self._attempt)
+        self._holder.cancel(self._life.request_id)
         self._router.remove_exchange(self)
 
     def _give_up_s(self) -> float:
--- /dev/null
+++ b/src/redwingbank/front/tries.py
@@ -0,0 +1,84 @@
+"""The servers that a request was sent to, and whether it may be sent to another one."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from redwingbank.codes import Ran
+from redwingbank.rules.retry import decide
+
+if TYPE_CHECKING:
+    from redwingbank.front.admission import AdmittedRequest
+    from redwingbank.front.router import Router
+    from redwingbank.front.values import ServerEntry
+    from redwingbank.model import Outcome, Request
+    from redwingbank.rules.retry import Decision
+
+# A request that more servers turn away is not sent to another one.
+MAX_REFUSALS = 2
+GATEWAY_TIMEOUT = 504
+
+
+class Progress(NamedTuple):
+    """How far a request has come over all of its tries: whether it ran, and is being answered."""
+
+    ran: Ran
+    answer_begun: bool
+
+
+class Tries:
+    """The tries of one request.
+
+    `servers` lists them in order; `refusals` counts those that turned the request away, which
+    count only up to `MAX_REFUSALS` beyond the attempts of its class.
+    """
+
+    def __init__(self, router: Router) -> None:
+        self.servers: list[str] = []
+        self.refusals = 0
+        self._router = router
+
+    @property
+    def may_be_refused_again(self) -> bool:
+        """Whether the request may be sent to another server after a refusal."""
+        return self.refusals <= MAX_REFUSALS
+
+    def decide(
+        self,
+        request: Request,
+        admitted: AdmittedRequest,
+        outcome: Outcome,
+        progress: Progress,
+        now_s: float,
+    ) -> Decision:
+        """Decide whether to retry a request after a try that reached its server."""
+        return decide(
+            request,
+            outcome,
+            first_byte_sent=progress.ran is not Ran.NO,
+            answer_begun=progress.answer_begun,
+            tried=self.servers,
+            budget=self._router.allowance,
+            now_s=now_s,
+            resumable=admitted.route.resumable,
+            max_attempts=admitted.route.attempts + min(self.refusals, MAX_REFUSALS),
+        )
+
+    def may_retry_answer(
+        self,
+        status: int,
+        admitted: AdmittedRequest,
+        usable: list[ServerEntry],
+        give_up_s: float,
+        now_s: float,
+    ) -> bool:
+        """Whether to send a request elsewhere whose answer has an error status."""
+        route = admitted.route
+        in_time = now_s < give_up_s and status != GATEWAY_TIMEOUT
+        retries_left = self._router.allowance.remaining(admitted.pool, now_s) > 0
+        runs = len(self.servers) - self.refusals
+        others = self._router.backends.any_admits(usable, self.servers, now_s)
+        return in_time and retries_left and others and route.repeatable and runs < route.attempts
+
+
+__all__ = ["Progress", "Tries"]
--- a/src/redwingbank_bench/requestcost.py
+++ b/src/redwingbank_bench/requestcost.py
@@ -198,17 +198,16 @@
 
 def _forward(exchange: Exchange, router: Any, backend: Any, needs: RequestNeeds) -> float:
     from redwingbank.front.admission import AdmittedRequest  # noqa: PLC0415
-    from redwingbank.front.events import EventSplitter  # noqa: PLC0415
 
     admitted = AdmittedRequest._make(
         needs.facts if name == "facts" else needs.route if name == "route" else POOL.name
         for name in AdmittedRequest._fields
     )
     exchange._binding = StreamBinding(router, admitted)
-    exchange._splitter = EventSplitter("")
+    exchange._stream.begin_attempt(streams=True, resume_after="")
     exchange._answer.begin_stream(200, b"OK", b"")
-    exchange._awaiting_first_event = False
-    attempt = Attempt(exchange, backend, "r", 1)
+    exchange._holder._awaits_first_event = False
+    attempt = exchange._holder.attempt = Attempt(exchange, backend, "r", 1)
     connection = Connection(backend.connections)
     connection._transport = SilentTransport()  # type: ignore[assignment]
     connection._reply = attempt
