Forward a request whose own question finds that its host is cut off

Callers saw: a request with nothing left to try was refused (502 or 503) at the moment at which its host found that it reaches no servers, though other hosts reach them. It asked whether a verdict is pending; the question found the verdict, so that it was no longer pending, and the request ended. The test failed with 502 before; it is forwarded and answered now.

--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -290,10 +290,14 @@
         self._send()
 
     def _may_await_verdict(self) -> bool:
-        """Whether it is about to be decided if the pool is cut off, so that waiting helps."""
+        """Whether it is about to be decided if the pool is cut off, or was decided just now."""
         assert self._request
-        undecided = self._router.forwarding.awaits_verdict(self._request.pool)
-        return undecided and self._handover.possible and not self._answer.begun
+        forwarding, pool = self._router.forwarding, self._request.pool
+        was_cut = forwarding.is_cut(pool)
+        undecided = forwarding.awaits_verdict(pool)
+        # the question may itself find the verdict
+        found = forwarding.is_cut(pool) and not was_cut
+        return (undecided or found) and self._handover.possible and not self._answer.begun
 
     def _await_verdict(self) -> None:
         """Send the request when it is decided whether the pool is cut off."""
--- a/tests/front/one_holder.feature
+++ b/tests/front/one_holder.feature
@@ -22,3 +22,8 @@
       | kind   |
       | single |
       | read   |
+
+  Scenario: a front finds that it is cut off as it asks whether a request may wait for the verdict
+    Given 4 fronts and one server, of which the first finds that it is cut off as it asks
+    When its caller sends a read request to it
+    Then the caller gets status 200
--- a/tests/steps/front_one_holder.py
+++ b/tests/steps/front_one_holder.py
@@ -14,18 +14,22 @@
 HANG_S = 0.3
 
 
-def find_cut_at_failure(front, *, hangs=False):
-    """Let all connections to servers fail, and the failure complete the evidence of a cut."""
+def complete_evidence(front):
+    """Let the next look at the evidence find that a front is cut off."""
     forwarding = front.router.forwarding
-    forwarding.update(now_s(), front.router.servers.entries_by_name.values())
     reach = forwarding._reach_by_pool[POOL]
+    reach.state, reach.since_s, reach.reason = Reach.DOUBTFUL, now_s() - 0.2, "failures"
+    reach._confirmed, reach._next_probe_s = True, float("inf")
+    forwarding._told.others = lambda key, now: Others(now)
+
+
+def find_cut_at_failure(front, *, hangs=False):
+    """Let all connections to servers fail, and the failure complete the evidence of a cut."""
 
     async def fail(timeout_s=0.0):
         if hangs:
             await asyncio.sleep(HANG_S)
-        reach.state, reach.since_s, reach.reason = Reach.DOUBTFUL, now_s() - 0.2, "failures"
-        reach._confirmed, reach._next_probe_s = True, float("inf")
-        forwarding._told.others = lambda key, now: Others(now)
+        complete_evidence(front)
         raise TimeoutError
 
     for backend in front.router.backends.backends_by_name.values():
@@ -65,6 +69,25 @@
     context.rig, context.prepare = make_rig(), prepare
 
 
+@given("4 fronts and one server, of which the first finds that it is cut off as it asks")
+def finds_cut_asking(context):
+    async def prepare(fleet):
+        front, server = fleet.fronts[0], fleet.rig.backend_servers[0]
+        forwarding, server.mode = front.router.forwarding, "lost"
+        awaits_verdict = forwarding.awaits_verdict
+
+        def ask(pool):
+            if server.mode == "lost":
+                server.mode = "ok"
+                complete_evidence(front)
+                fleet.links[0].set_mode("reset")
+            return awaits_verdict(pool)
+
+        forwarding.awaits_verdict = ask
+
+    context.rig, context.prepare = make_rig(1), prepare
+
+
 @when("its caller sends a {kind} request to it")
 def sends(context, kind):
     async def scenario(rig):
