Refuse connections at some servers while hosts are cut off, in the soak

All cuts of the soak accepted connections, so that no connection failed before its request was sent while a host was in doubt: the order of the incident couldn't happen.

--- a/src/redwingbank_bench/soak.py
+++ b/src/redwingbank_bench/soak.py
@@ -58,6 +58,7 @@
 RUN_MARGIN_S = 60.0
 # longer than hosts need to notice that they are cut off
 CUT_S = (2.0, 5.0)
+REFUSING_SHARE = 0.5
 PAUSE_BETWEEN_FAULTS_S = (0.05, 0.8)
 PAUSE_BETWEEN_REQUESTS_S = 0.03
 # Callers whose streams are refused come back after this.
@@ -186,11 +187,16 @@
         self._revoked_s_by_key[old_key] = time.monotonic()
 
     async def _cut_hosts(self) -> None:
-        """Cut some hosts, but not all, off from all servers for some time."""
+        """Cut some hosts, but not all, off from all servers for some time.
+
+        In half of the cuts some of the servers refuse connections meanwhile.
+        """
         count = self._random.randint(1, max(1, self._hosts - 1))
         sources = self._random.sample(self._fronts.sources, count)
         self._servers.cut(sources, self._random.choice(CUT_MODES))
-        await asyncio.sleep(self._random.uniform(*CUT_S))
+        seconds = self._random.uniform(*CUT_S)
+        servers_refuse = self._random.random() < REFUSING_SHARE
+        await (self._servers.refuse_connections if servers_refuse else asyncio.sleep)(seconds)
         self._servers.cut(sources, "pass")
 
     def _clear_faults(self) -> None:
--- a/src/redwingbank_bench/soakproxy.py
+++ b/src/redwingbank_bench/soakproxy.py
@@ -4,14 +4,15 @@
 
 import asyncio
 import contextlib
+import socket
 from typing import TYPE_CHECKING
 
+from redwingbank.settings import Address
 from redwingbank_standins.stream_server import StreamServer, reset_connection
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from redwingbank.settings import Address
 
 LOOPBACK = "127.0.0.1"
 CHUNK_BYTES = 65_536
@@ -38,6 +39,7 @@
         self._mode_by_source: dict[str, str] = {}
         self._writers_by_source: dict[str, set[asyncio.StreamWriter]] = {}
         self._target = target
+        self._closed: socket.socket | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
     def set_mode(self, mode: str) -> None:
@@ -59,9 +61,33 @@
             for writer in list(self._writers_by_source.get(source, ())):
                 reset_connection(writer)
 
+    @property
+    def address(self) -> Address:
+        """The address at which the proxy listens, or did before its port was closed."""
+        return Address(*self._closed.getsockname()) if self._closed else super().address
+
+    def close_port(self) -> bool:
+        """Refuse new connections until `open_port`; return False if that is so already."""
+        if self._closed:
+            return False
+        address = self.address
+        super().stop()
+        # bound, so that nobody else gets the port, but not listening
+        self._closed = socket.socket()
+        self._closed.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self._closed.bind(address)
+        return True
+
+    async def open_port(self) -> None:
+        """Listen again at the same address."""
+        placeholder, self._closed = self._closed, None
+        self._server = await asyncio.start_server(self.serve, sock=placeholder)
+
     def stop(self) -> None:
         """Stop listening and abort all connections."""
         super().stop()
+        if self._closed:
+            self._closed.close()
         for writer in list(self._writers):
             writer.transport.abort()
 
--- a/src/redwingbank_bench/soakservers.py
+++ b/src/redwingbank_bench/soakservers.py
@@ -108,6 +108,14 @@
             for source in sources:
                 proxy.cut(source, mode)
 
+    async def refuse_connections(self, seconds: float) -> None:
+        """Let half of the servers refuse new connections for some time."""
+        some = self._random.sample(self._proxies, len(self._proxies) // 2)
+        proxies = [proxy for proxy in some if proxy.close_port()]
+        await asyncio.sleep(seconds)
+        for proxy in proxies:
+            await proxy.open_port()
+
     async def fail(self) -> None:
         """Let a server fail for some time."""
         server = self._random.choice(self._servers)
