Resume a server's connection before it is kept for the next request

Callers saw: 504 for calls that had run, one after the other, at the server whose last answer went to a slow caller. The part of an answer that fills the caller's buffer pauses the server's connection; if it is also the end of the answer, the connection went back to its pool paused, and the exchange that would resume it was over. The next request on it was sent and run, and its answer never read.

--- a/src/redwingbank/front/outbound.py
+++ b/src/redwingbank/front/outbound.py
@@ -165,6 +165,8 @@
     def _finish(self) -> None:
         reply, self._reply = self._reply, None
         if self._reusable:
+            # the reply that paused it is over, and nobody else would resume it
+            self.resume()
             self._pool.release(self)
         else:
             self._close()
