Look for room with one timer for each pool

Callers saw nothing by themselves but a slow host: a request that waits alone for room at brittle servers, and finds none when it is tried, enters the queue again while it is being looked at. It was then the only one, which started a second timer beside that of the look; each look doubled them.

Two of three rows of room_queue.feature failed, and pass now. Whether a pool has a timer is known in one place; a look gives its timer up before it tries anybody.

--- a/src/redwingbank/front/room_queue.py
+++ b/src/redwingbank/front/room_queue.py
@@ -35,6 +35,8 @@
         self._waiters_by_pool: dict[str, list[Waiter]] = {}
         self._numbers = count(1)
         self._woken: set[str] = set()
+        # pools with a timer of `_look`
+        self._looked_after: set[str] = set()
 
     def count(self, pool: str) -> int:
         """Count the requests that wait for a pool."""
@@ -53,8 +55,7 @@
         waiters = self._waiters_by_pool.setdefault(pool, [])
         number = next(self._numbers)
         heappush(waiters, Waiter(tier, until_s, number, resume))
-        if len(waiters) == 1:
-            asyncio.get_running_loop().call_later(LOOK_S, self._look, pool)
+        self._schedule_look(pool)
         return number
 
     def leave(self, pool: str, number: int) -> None:
@@ -68,7 +69,13 @@
             self._woken.add(pool)
             asyncio.get_running_loop().call_soon(self._try_in_order, pool)
 
+    def _schedule_look(self, pool: str) -> None:
+        if pool not in self._looked_after:
+            self._looked_after.add(pool)
+            asyncio.get_running_loop().call_later(LOOK_S, self._look, pool)
+
     def _look(self, pool: str) -> None:
+        self._looked_after.discard(pool)
         self._try_in_order(pool)
         now = now_s()
         waiters = self._waiters_by_pool.get(pool, [])
@@ -76,7 +83,7 @@
             self.leave(pool, waiter.number)
             waiter.resume()
         if waiters:
-            asyncio.get_running_loop().call_later(LOOK_S, self._look, pool)
+            self._schedule_look(pool)
 
     def _try_in_order(self, pool: str) -> None:
         self._woken.discard(pool)
