Give the slot of a service call back after an unexpected error

Callers saw: each service call whose idempotency key or path isn't ASCII got 500, and after 16 of them every call of that service was refused with 503 after 10 s, until the daemon ended. The HTTP client turns such text away with an error of its own, after the slot was granted. Only an answer, a refusal and a caller that leaves ended the ticket, so the slot stayed taken and the call in flight; the record of the call stayed open too.

Now none is in flight and the sound call gets 200 at once. Any end of the call without an answer now ends the ticket, and closes the record by what the request's lifecycle tells.

Open: these calls still get 500; the client should send the caller's bytes as they came.

--- a/src/redwingbank/ports/service.py
+++ b/src/redwingbank/ports/service.py
@@ -145,13 +145,16 @@
     ) -> ServiceAnswer | Refusal:
         ticket = Ticket(request)
         self._events.record("call-recorded", request=request.request_id)
-        answer = await self._run(call, ticket, record)
-        if isinstance(answer, ServiceAnswer):
-            await self._recorder.finish(record, answer.to_record())
-        elif ticket.life.ran is Ran.NO:
-            await self._recorder.release(record)
-        else:
-            await self._recorder.give_up(record)
+        answer: ServiceAnswer | Refusal | None = None
+        try:
+            answer = await self._run(call, ticket, record)
+        finally:
+            if isinstance(answer, ServiceAnswer):
+                await self._recorder.finish(record, answer.to_record())
+            elif ticket.life.ran is Ran.NO:
+                await self._recorder.release(record)
+            else:
+                await self._recorder.give_up(record)
         return answer
 
     async def _run(
@@ -162,7 +165,8 @@
         self._inbox.send_nowait(Submit(ticket))
         try:
             return await self._follow_decisions(call, ticket, record)
-        except anyio.get_cancelled_exc_class():
+        except BaseException:
+            # also an unexpected error gives the slot back
             self._inbox.send_nowait(CallerDisconnected(ticket))
             raise
 
--- a/tests/ports/caller.feature
+++ b/tests/ports/caller.feature
@@ -133,3 +133,14 @@
     When the caller's daemon has an internal error
     And the caller sends "an unknown model"
     Then the caller is refused with 500, code 1500 and ran "maybe"
+
+  Scenario Outline: a service call that can't be sent gives its slot back
+    Given a caller of a separate deployment
+    When the caller sends 5 service calls with <what>
+    Then the caller's daemon has no call in flight
+    And the caller's next service call is answered
+
+    Examples:
+      | what                     |
+      | a key that is not ASCII  |
+      | a path that is not ASCII |
--- a/tests/steps/ports_caller.py
+++ b/tests/steps/ports_caller.py
@@ -315,3 +315,33 @@
 @then("the caller's daemon has taken at most {megabytes:d} MB")
 def flood_bounded(context, megabytes):
     assert context.taken < megabytes * 1e6, context.taken
+
+
+UNUSUAL_CALLS = {
+    "a key that is not ASCII": ("orders", {"Idempotency-Key": "caf\u00e9 %d"}),
+    "a path that is not ASCII": ("orders/caf%%C3%%A9-%d", {}),
+}
+
+
+@when("the caller sends {count:d} service calls with {what}")
+def unusual_calls(context, count, what):
+    path, headers = UNUSUAL_CALLS[what]
+    for number in range(count):
+        target = (path % number if "%d" in path else path).encode("latin-1")
+        lines = [b"POST /services/%b/%b HTTP/1.1" % (SERVICE.encode(), target), b"Host: x"]
+        lines += [b"Authorization: Bearer %b" % KEY.encode(), b"Content-Length: 2"]
+        lines += [f"{key}: {value % number}".encode("latin-1") for key, value in headers.items()]
+        data = b"\r\n".join([*lines, b"Connection: close", b"", b"{}"])
+        answer = context.deployment.send_raw(data, close=False)
+        assert answer.startswith(b"HTTP/1.1 "), answer
+
+
+@then("the caller's daemon has no call in flight")
+def none_in_flight(context):
+    context.deployment.wait_until(lambda: context.deployment.daemons[0].status()["in_flight"] == 0)
+
+
+@then("the caller's next service call is answered")
+def service_call_answered(context):
+    answer = context.deployment.request("POST", f"/services/{SERVICE}/orders", b"{}")
+    assert answer.status == 200, answer
