End a request at once after an error in the handling of its attempt's end

Callers saw: no answer until the end of the request's time after an unexpected error as its attempt ended, or as it was moved after the verdict of a cut. The attempt had given the request up by then, and nobody else held it; only the timer ended it. One such error needs no bug elsewhere: a server that breaks off a refusal of more than 256 KB, which has begun to be passed on, raises LifecycleError ('not accepted' in state streaming).

Evidence: with an error put in at four places, and by such a refusal, five of five scenarios failed before (1.5 s to the class's timeout; an answered request stayed among the open ones). They end within 1 s now, and none is left. The end of an attempt and the move after a verdict are steps like the others, under the router's guard, which ends the request.

--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -227,8 +227,10 @@
 
     def attempt_completed(self, attempt: Attempt, answer: Answer | None) -> None:
         """Forward a complete answer, or end a streamed one."""
-        if self._holder.attempt is not attempt:
-            return
+        if self._holder.attempt is attempt:
+            self._router.guard(partial(self._complete, attempt, answer), self.fail_internally)
+
+    def _complete(self, attempt: Attempt, answer: Answer | None) -> None:
         fault = None if answer else self._stream.find_fault(sized=attempt.sized)
         if answer:
             self._handle_answer(attempt, answer)
@@ -246,8 +248,11 @@
 
     def attempt_failed(self, attempt: Attempt, failure: Failure) -> None:
         """Retry the request if allowed, or answer with an error."""
-        if not self._holder.release(attempt, not_run=attempt.turned_away or not failure.sent):
-            return
+        if self._holder.release(attempt, not_run=attempt.turned_away or not failure.sent):
+            failed = partial(self._handle_loss, attempt, failure)
+            self._router.guard(failed, self.fail_internally)
+
+    def _handle_loss(self, attempt: Attempt, failure: Failure) -> None:
         now = now_s()
         self._watch.failed(attempt.backend, failure, now)
         self._router.statements.rooms.attempt_failed(attempt.backend.entry, failure)
--- a/src/redwingbank/front/open_work.py
+++ b/src/redwingbank/front/open_work.py
@@ -28,6 +28,9 @@
     def give_up(self) -> None:
         """Answer the request with an error, since the process ends."""
 
+    def fail_internally(self) -> None:
+        """End the request after an unexpected error, unless it has ended."""
+
     def pool_cut(self, pool: str, sent_before_s: float) -> None:
         """Forward the request if it waits for a server of a pool that is cut off."""
 
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import time
+from functools import partial
 from typing import TYPE_CHECKING
 
 from redwingbank.clock import now_s
@@ -156,8 +157,8 @@
     def forward_pending(self, pool: str, sent_before_s: float) -> None:
         """Forward requests that wait for servers of a pool that is cut off."""
         for exchange in list(self.exchanges):
-            with self.barrier.confine("forwarding"):
-                exchange.pool_cut(pool, sent_before_s)
+            moved = partial(exchange.pool_cut, pool, sent_before_s)
+            self.guard(moved, exchange.fail_internally)
 
     def remove_exchange(self, exchange: OpenExchange) -> None:
         """Remove a request that has ended."""
--- a/tests/front/one_holder.feature
+++ b/tests/front/one_holder.feature
@@ -27,3 +27,20 @@
     Given 4 fronts and one server, of which the first finds that it is cut off as it asks
     When its caller sends a read request to it
     Then the caller gets status 200
+
+  Scenario Outline: an unexpected error as <step> ends the request
+    Given a front with one server, in mode <mode>
+    When an error occurs as <step> of a <kind> request
+    Then its caller gets status <status> within 1 s, and no request is left
+
+    Examples:
+      | step                      | mode   | kind   | status |
+      | an attempt fails          | lost   | single | 500    |
+      | an attempt is answered    | ok     | single | 200    |
+      | an attempt's stream ends  | stream | memo   | 200    |
+      | a verdict ends an attempt | ok     | single | 500    |
+
+  Scenario: a server breaks off a long refusal
+    Given a front with one server, in mode long-refusal
+    When the front gets a single request
+    Then its caller's answer breaks off within 1 s, and no request is left
--- a/tests/steps/front_one_holder.py
+++ b/tests/steps/front_one_holder.py
@@ -3,15 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 from behave import given, then, when
 
-from forward_fleet import POOL, Fleet, forwarded, make_cut, make_rig
-from front_rig import run_scenario
+from failing import fail_once
+from forward_fleet import CONTACT_S, POOL, Fleet, forwarded, make_cut, make_rig
+from front_rig import Rig, run_scenario
 from redwingbank.clock import now_s
 from redwingbank.routing.reachability import Others, Reach
+from redwingbank_standins.backend_server import BackendServer
 
 HANG_S = 0.3
+LONG_BYTES = 500_000
 
 
 def complete_evidence(front):
@@ -118,3 +122,81 @@
 def not_run(context, status):
     gets_status(context, status)
     assert context.runs == 0, context.runs
+
+
+class RefusingServer(BackendServer):
+    """Breaks off a refusal in mode long-refusal, after more than a front buffers."""
+
+    async def _respond(self, request, writer, reader):
+        if self.mode != "long-refusal":
+            return await super()._respond(request, writer, reader)
+        head = f"HTTP/1.1 503 x\r\nNot-Executed: 1\r\nRequest-Id: {request.request_id}\r\n"
+        length = f"Content-Length: {2 * LONG_BYTES}\r\n\r\n"
+        writer.write(f"{head}{length}".encode() + bytes(LONG_BYTES))
+        await writer.drain()
+        return False
+
+
+@given("a front with one server, in mode {mode}")
+def one_server(context, mode):
+    context.rig = Rig(modes=(), contactMs=CONTACT_S * 1000)
+    context.rig.backend_servers = [RefusingServer("i-1", mode)]
+
+
+async def end_by_verdict(rig):
+    """Tell the front that it is cut off while a connection to its server is being made."""
+    router = rig.front.router
+    for backend in router.backends.backends_by_name.values():
+        backend.connections.close()
+        backend.connections.connect = lambda: asyncio.sleep(CONTACT_S)
+    await rig.until(lambda: router.exchanges)
+    await asyncio.sleep(HANG_S)
+    fail_once(router.poison, "find_blocked")
+    router.forward_pending(POOL, now_s())
+
+
+async def ask_within(context, rig, kind):
+    asked_s = time.monotonic()
+    context.answer = await rig.ask(kind)
+    context.took_s = time.monotonic() - asked_s
+    context.left = len(rig.front.router.exchanges)
+
+
+@when("an error occurs as {step} of a {kind} request")
+def error_occurs(context, step, kind):
+    async def scenario(rig):
+        router = rig.front.router
+        owner, name = {
+            "an attempt fails": (router.statements.rooms, "attempt_failed"),
+            "an attempt is answered": (router.durations, "record"),
+            "an attempt's stream ends": (router.streams, "finish"),
+            "a verdict ends an attempt": (None, ""),
+        }[step]
+        verdict = None
+        if owner:
+            fail_once(owner, name)
+        else:
+            verdict = asyncio.create_task(end_by_verdict(rig))
+            await asyncio.sleep(0)
+        await ask_within(context, rig, kind)
+        if verdict:
+            await verdict
+
+    run_scenario(context.rig, scenario)
+
+
+@when("the front gets a {kind} request")
+def sends_to_front(context, kind):
+    run_scenario(context.rig, lambda rig: ask_within(context, rig, kind))
+
+
+@then("its caller gets status {status:d} within {seconds:g} s, and no request is left")
+def ended_in_time(context, status, seconds):
+    gets_status(context, status)
+    assert (context.took_s < seconds, context.left) == (True, 0), (context.took_s, context.left)
+
+
+@then("its caller's answer breaks off within {seconds:g} s, and no request is left")
+def broken_off_in_time(context, seconds):
+    assert not context.answer.complete, context.answer
+    assert (context.took_s < seconds, context.left) == (True, 0), (context.took_s, context.left)
