Never go on with an error answer as if it were a stream

Callers saw: the head of one server's error, complete, with another server's events as its body (500 and four events); or events of a stream, then an error's text. An answer over 256 KB is passed on as it comes. On a class whose streams may be resumed it was cut into events, whatever it was, and when it broke off another server was asked to go on with it; a server asked to resume could answer with an error, which was written into the stream.

An answer that is no event stream has no events, so it is passed on unchanged and nobody goes on with it; one that comes in place of a stream's rest is no answer, and is not written.

--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -7,7 +7,7 @@
 
 from redwingbank.clock import now_s
 from redwingbank.codes import Code
-from redwingbank.front.attempt import MAX_BUFFERED_BYTES, STATUS_OK, is_event_stream
+from redwingbank.front.attempt import MAX_BUFFERED_BYTES, is_event_stream
 from redwingbank.front.outbound import Loss
 from redwingbank.front.refusals import decode_error_code
 from redwingbank.platform.headers import decode_answer, encode_forwarded_call
@@ -133,7 +133,7 @@
             self._lose(Loss.GARBAGE, "another request's answer")
             return
         self._head, self._facts = head, facts
-        if head.status == STATUS_OK and is_event_stream(head):
+        if is_event_stream(head):
             self._begin_stream()
 
     def body_received(self, data: bytes) -> None:
--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -186,7 +186,7 @@
             self._owner.attempt_head_received(self, facts)
         if facts.idle_timeout_s is not None:
             self.backend.connections.limit_idle_time(facts.idle_timeout_s)
-        if head.status == STATUS_OK and is_event_stream(head):
+        if is_event_stream(head):
             self._mode = _Mode.STREAMED
             self._owner.attempt_streaming(self, head, facts)
 
@@ -202,7 +202,8 @@
             self._mode = _Mode.STREAMED
             self._owner.attempt_streaming(self, self._head, self._facts)
             buffered, self._body = bytes(self._body), bytearray()
-            self._owner.attempt_body_received(self, buffered)
+            if not self._finished:
+                self._owner.attempt_body_received(self, buffered)
 
     def answer_completed(self) -> None:
         """Pass the complete answer to the owner."""
@@ -351,8 +352,8 @@
 
 
 def is_event_stream(head: AnswerHead) -> bool:
-    """Whether the body of an answer is a stream of events."""
-    return any(
+    """Whether an answer is a success whose body is a stream of events."""
+    return head.status == STATUS_OK and any(
         name.lower() == b"content-type" and value.lower().startswith(EVENT_STREAM)
         for name, value in head.headers
     )
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -10,7 +10,12 @@
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.forwarding.handover import Handover, Parties
 from redwingbank.front.admission import build_needs, build_request, longest_wait_s
-from redwingbank.front.attempt import FIRST_SERVER_ERROR, STATUS_LAST_SUCCESS, STATUS_OK
+from redwingbank.front.attempt import (
+    FIRST_SERVER_ERROR,
+    STATUS_LAST_SUCCESS,
+    STATUS_OK,
+    is_event_stream,
+)
 from redwingbank.front.backends import update_breaker
 from redwingbank.front.caller_answer import CallerAnswer
 from redwingbank.front.events import EventError
@@ -200,6 +205,10 @@
 
     def attempt_streaming(self, attempt: Attempt, head: AnswerHead, facts: AnswerFacts) -> None:
         """Start a streamed answer, or resume it from another server."""
+        if self._answer.begun and not is_event_stream(head):
+            attempt.cancel()
+            self.attempt_failed(attempt, invalid_answer("no stream"))
+            return
         self._life.advance(Step.ANSWER)
         now = now_s()
         attempt.backend.breaker.record_success(self._life.request_id, self._holder.sent_s, now)
@@ -283,7 +292,7 @@
 
     def _retry_or_fail(self, outcome: Outcome, now: float) -> None:
         assert self._request and self._admitted
-        progress = Progress(self._life.ran, self._answer.begun)
+        progress = Progress(self._life.ran, self._answer.begun, self._stream.has_events)
         decision = self._tries.decide(self._request, self._admitted, outcome, progress, now)
         if isinstance(decision, Retry):
             self._requeue()
--- a/src/redwingbank/front/stream_relay.py
+++ b/src/redwingbank/front/stream_relay.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from redwingbank.front.attempt import is_event_stream
 from redwingbank.front.events import EventSplitter
 from redwingbank.front.failures import CUT_SHORT, Failure, invalid_answer, is_cut_short
 
@@ -44,9 +45,14 @@
             self._splitter = EventSplitter(resume_after)
 
     def begin(self, head: AnswerHead, facts: AnswerFacts, now_s: float) -> None:
-        """Write the head, unless an earlier attempt has begun the answer."""
+        """Write the head, unless an earlier attempt has begun the answer.
+
+        An answer that is no stream has no events, and passes unchanged.
+        """
         if self._answer.begun:
             return
+        if not is_event_stream(head):
+            self._splitter = None
         self.last_part_s = now_s
         self._recorder.record_first_byte()
         self._answer.begin_stream(head.status, head.reason, facts.forwarded_headers)
--- a/src/redwingbank/front/tries.py
+++ b/src/redwingbank/front/tries.py
@@ -20,10 +20,14 @@
 
 
 class Progress(NamedTuple):
-    """How far a request has come over all of its tries: whether it ran, and is being answered."""
+    """How far a request has come over all of its tries: whether it ran, and is being answered.
+
+    `has_events` is true if the answer consists of events, which another server can go on with.
+    """
 
     ran: Ran
     answer_begun: bool
+    has_events: bool
 
 
 class Tries:
@@ -60,7 +64,7 @@
             tried=self.servers,
             budget=self._router.allowance,
             now_s=now_s,
-            resumable=admitted.route.resumable,
+            resumable=admitted.route.resumable and progress.has_events,
             max_attempts=admitted.route.attempts + min(self.refusals, MAX_REFUSALS),
         )
 
