--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from redwingbank.clock import now_s
-from redwingbank.codes import Code
+from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.front.attempt import MAX_BUFFERED_BYTES, is_event_stream
 from redwingbank.front.outbound import Loss
 from redwingbank.front.refusals import decode_error_code
@@ -32,6 +32,10 @@
 CODES_FOR_ANOTHER = frozenset(
     {Code.NO_BACKEND_SERVER, Code.NOT_READY, Code.TABLE_UNCONFIRMED, Code.LEAVING}
 )
+# The router's own errors that tell a caller that its request did not run.
+CODES_WITHOUT_RUN = frozenset(
+    code for code, meaning in MEANING_BY_CODE.items() if meaning.ran is Ran.NO
+)
 
 
 class ForwardedCall(NamedTuple):
@@ -163,6 +167,10 @@
             return
         status = self._head.status
         self._end("refused" if status >= FIRST_ERROR_STATUS else "answered")
+        if self._life.ran_before is not Ran.NO and self._claims_no_run():
+            # the helper knows nothing of the runs before
+            self._owner.forward_failed(Code.BACKEND_FAILED)
+            return
         if self._streaming:
             self._life.advance(Step.FINISH)
             self._answer.end_stream()
@@ -252,6 +260,11 @@
         unavailable = self._head.status == STATUS_UNAVAILABLE and not self._facts.stamped
         return unavailable and decode_error_code(bytes(self._body)) in CODES_FOR_ANOTHER
 
+    def _claims_no_run(self) -> bool:
+        if self._facts is None or self._streaming or self._facts.stamped:
+            return False
+        return decode_error_code(bytes(self._body)) in CODES_WITHOUT_RUN
+
     def _lose(self, loss: Loss, detail: str) -> None:
         connection, self._connection = self._connection, None
         if connection:
--- a/src/redwingbank/rules/lifecycle.py
+++ b/src/redwingbank/rules/lifecycle.py
@@ -90,6 +90,11 @@
         self.attempt = 0
         self._ran_before_send = Ran.NO
 
+    @property
+    def ran_before(self) -> Ran:
+        """Whether a backend server ran it before the latest send."""
+        return self._ran_before_send
+
     def advance(self, step: Step) -> None:
         """Apply one step.
 
--- a/tests/front/one_holder.feature
+++ b/tests/front/one_holder.feature
@@ -44,3 +44,8 @@
     Given a front with one server, in mode long-refusal
     When the front gets a single request
     Then its caller's answer breaks off within 1 s, and no request is left
+
+  Scenario: a request that has run is forwarded to helpers that have no server
+    Given 4 fronts, of which the first is cut off once a request has run, and the others have no server
+    When its caller sends a read request to it
+    Then the caller gets status 502, and is not told that the request did not run
--- a/tests/steps/front_one_holder.py
+++ b/tests/steps/front_one_holder.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import json
 import time
 
 from behave import given, then, when
@@ -92,6 +93,29 @@
     context.rig, context.prepare = make_rig(1), prepare
 
 
+@given(
+    "4 fronts, of which the first is cut off once a request has run, and the others have no server"
+)
+def helpers_without_servers(context):
+    async def prepare(fleet):
+        front = fleet.fronts[0]
+        for server in fleet.rig.backend_servers:
+            server.mode = "lost"
+        for helper in fleet.fronts[1:]:
+            helper.router.servers.usable = lambda pool: []
+        failed = front.router.statements.rooms.attempt_failed
+
+        def fail(entry, failure):
+            failed(entry, failure)
+            complete_evidence(front)
+            fleet.links[0].set_mode("reset")
+            front.router.forwarding.awaits_verdict(POOL)
+
+        front.router.statements.rooms.attempt_failed = fail
+
+    context.rig, context.prepare = make_rig(), prepare
+
+
 @when("its caller sends a {kind} request to it")
 def sends(context, kind):
     async def scenario(rig):
@@ -112,6 +136,14 @@
     assert (context.answer.status, context.answer.complete) == (status, True), context.answer
 
 
+@then("the caller gets status {status:d}, and is not told that the request did not run")
+def not_told(context, status):
+    assert context.runs, "the request did not run"
+    assert context.forwards, "the request was not forwarded"
+    gets_status(context, status)
+    assert json.loads(context.answer.body)["error"]["ran"] != "no", context.answer.body
+
+
 @then("servers ran it at most once, and it was forwarded {forwards:d} times")
 def at_most_once(context, forwards):
     assert context.runs <= 1, context.runs
