Guard the step in which an attempt gives its request up

Callers saw: no answer until the end of the request's time, if the count of a run's end failed as its attempt ended. The attempt had given the request up already. Evidence: the new row failed before (over 1 s), and passes now: giving up is a part of the guarded step.

--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -257,11 +257,12 @@
 
     def attempt_failed(self, attempt: Attempt, failure: Failure) -> None:
         """Retry the request if allowed, or answer with an error."""
-        if self._holder.release(attempt, not_run=attempt.turned_away or not failure.sent):
+        if self._holder.attempt is attempt:
             failed = partial(self._handle_loss, attempt, failure)
             self._router.guard(failed, self.fail_internally)
 
     def _handle_loss(self, attempt: Attempt, failure: Failure) -> None:
+        self._holder.release(attempt, not_run=attempt.turned_away or not failure.sent)
         now = now_s()
         self._watch.failed(attempt.backend, failure, now)
         self._router.statements.rooms.attempt_failed(attempt.backend.entry, failure)
--- a/tests/front/one_holder.feature
+++ b/tests/front/one_holder.feature
@@ -36,6 +36,7 @@
     Examples:
       | step                      | mode   | kind   | status |
       | an attempt fails          | lost   | single | 500    |
+      | an attempt is given up    | lost   | single | 500    |
       | an attempt is answered    | ok     | single | 200    |
       | an attempt's stream ends  | stream | memo   | 200    |
       | a verdict ends an attempt | ok     | single | 500    |
--- a/tests/steps/front_one_holder.py
+++ b/tests/steps/front_one_holder.py
@@ -200,6 +200,7 @@
         router = rig.front.router
         owner, name = {
             "an attempt fails": (router.statements.rooms, "attempt_failed"),
+            "an attempt is given up": (router.statements.rooms, "end_batch_s"),
             "an attempt is answered": (router.durations, "record"),
             "an attempt's stream ends": (router.streams, "finish"),
             "a verdict ends an attempt": (None, ""),
