Connect to a server's new address when it starts again under its name

Callers saw: 503 for all that one server could have run, as long as its entry was listed: a server that starts again under its id may have another address, and hosts went on connecting to the former one. The address was kept twice, in the entry and in the server's connections, and only the entry was updated.

A new address brings new connections and a fresh breaker; the former connections are closed, or not kept after their answers.

--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -44,6 +44,18 @@
         self._random = random
         self.load = ServerLoad(pauses, arrivals)
 
+    def update(self, entry: ServerEntry) -> None:
+        """Use a newer entry; a new start has an empty prompt cache, and maybe another address."""
+        before, self.entry = self.entry, entry
+        if before.started_ms != entry.started_ms:
+            self.load.cache.clear()
+            self.load.statement = None
+        if before.address != entry.address:
+            former = self.connections
+            self.connections = ConnectionPool(entry.address, KEEP_IDLE_S, former.limits)
+            former.retire()
+            self.reset_breaker()
+
     def reset_breaker(self) -> None:
         """Forget the server's failures, which were not its own."""
         self.breaker = Breaker(self._random)
@@ -66,17 +78,14 @@
         self.arrivals_by_pool: dict[str, Arrivals] = {}
 
     def get_or_create(self, entry: ServerEntry) -> Backend:
-        """Return a server's state, created if missing; a restart empties its prompt cache."""
+        """Return a server's state, created if missing, as the entry tells."""
         backend = self.backends_by_name.get(entry.name)
         if backend is None:
             pauses = self._pauses_by_pool.setdefault(entry.pool, PauseEstimate())
             arrivals = self._arrivals(entry.pool) if self.counts_arrivals else None
             backend = Backend(entry, self.random, pauses, self._limits, arrivals)
             self.backends_by_name[entry.name] = backend
-        if backend.entry.started_ms != entry.started_ms:
-            backend.load.cache.clear()
-            backend.load.statement = None
-        backend.entry = entry
+        backend.update(entry)
         return backend
 
     def _arrivals(self, pool: str) -> Arrivals:
@@ -106,8 +115,7 @@
         """Remove a server; requests in flight there are not interrupted."""
         backend = self.backends_by_name.pop(name, None)
         if backend:
-            backend.connections.idle_s = 0.0
-            backend.connections.close()
+            backend.connections.retire()
 
     def remove_host(self, host: str) -> None:
         """Remove the in-flight requests of another host."""
--- a/src/redwingbank/front/outbound.py
+++ b/src/redwingbank/front/outbound.py
@@ -269,6 +269,11 @@
         for connection in [kept for kept in self._free if now >= kept.expires_s]:
             connection.abort()
 
+    def retire(self) -> None:
+        """Close the idle connections, and keep none of those in use after their answers."""
+        self.idle_s = 0.0
+        self.close()
+
     def close(self) -> None:
         """Close the idle connections; those in use are left to the owners of their requests."""
         for connection in list(self._free):
--- a/tests/steps/front_kept_connections.py
+++ b/tests/steps/front_kept_connections.py
@@ -7,7 +7,8 @@
 
 from behave import then, when
 
-from front_rig import Rig, request, run_scenario
+from front_rig import LOOPBACK, Rig, entry, request, run_scenario
+from redwingbank.settings import Address
 from redwingbank_standins.backend_server import BackendServer
 
 # More than is buffered at the front, and less than two reads of it.
@@ -68,3 +69,28 @@
     assert context.size > LARGE_BODY_BYTES, context.size
     assert context.opened_later == context.opened, "the connection was not used again"
     assert (context.answer.status, context.answer.complete) == (200, True), context.answer
+
+
+@when("the only server starts again at another address after a call")
+def starts_elsewhere(context):
+    context.rig = Rig(modes=["ok"])
+
+    async def scenario(rig):
+        await rig.ask("single", request_id="before")
+        (before,) = rig.backend_servers
+        after = BackendServer("i-1", started_ms=2)
+        rig.backend_servers.append(after)
+        address = await after.start(Address(LOOPBACK, 0))
+        before.crash()
+        await rig.store.put("servers", "i-1", entry(address, started_ms=2))
+        listed = rig.front.router.servers.entries_by_name
+        await rig.until(lambda: listed["i-1"].started_ms == after.started_ms)
+        context.answer = await rig.ask("single", request_id="after")
+
+    run_scenario(context.rig, scenario)
+
+
+@then("the next call is answered at the new address")
+def answered_elsewhere(context):
+    assert (context.answer.status, context.answer.complete) == (200, True), context.answer
+    assert [run.request_id for run in context.rig.backend_servers[1].runs] == ["after"]
