--- a/tests/steps/front_one_holder.py
+++ b/tests/steps/front_one_holder.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import json
+import time
 
 from behave import given, then, when
 
-from forward_fleet import POOL, Fleet, forwarded, make_cut, make_rig
-from front_rig import run_scenario
+from failing import fail_once
+from forward_fleet import CONTACT_S, POOL, Fleet, forwarded, make_cut, make_rig
+from front_rig import Rig, run_scenario
 from redwingbank.clock import now_s
 from redwingbank.routing.reachability import Others, Reach
+from redwingbank_standins.backend_server import BackendServer
 
 HANG_S = 0.3
+LONG_BYTES = 500_000
 
 
 def complete_evidence(front):
@@ -88,6 +93,29 @@
     context.rig, context.prepare = make_rig(1), prepare
 
 
+@given(
+    "4 fronts, of which the first is cut off once a request has run, and the others have no server"
+)
+def helpers_without_servers(context):
+    async def prepare(fleet):
+        front = fleet.fronts[0]
+        for server in fleet.rig.backend_servers:
+            server.mode = "lost"
+        for helper in fleet.fronts[1:]:
+            helper.router.servers.usable = lambda pool: []
+        failed = front.router.statements.rooms.attempt_failed
+
+        def fail(entry, failure):
+            failed(entry, failure)
+            complete_evidence(front)
+            fleet.links[0].set_mode("reset")
+            front.router.forwarding.awaits_verdict(POOL)
+
+        front.router.statements.rooms.attempt_failed = fail
+
+    context.rig, context.prepare = make_rig(), prepare
+
+
 @when("its caller sends a {kind} request to it")
 def sends(context, kind):
     async def scenario(rig):
@@ -108,6 +136,14 @@
     assert (context.answer.status, context.answer.complete) == (status, True), context.answer
 
 
+@then("the caller gets status {status:d}, and is not told that the request did not run")
+def not_told(context, status):
+    assert context.runs, "the request did not run"
+    assert context.forwards, "the request was not forwarded"
+    gets_status(context, status)
+    assert json.loads(context.answer.body)["error"]["ran"] != "no", context.answer.body
+
+
 @then("servers ran it at most once, and it was forwarded {forwards:d} times")
 def at_most_once(context, forwards):
     assert context.runs <= 1, context.runs
@@ -118,3 +154,82 @@
 def not_run(context, status):
     gets_status(context, status)
     assert context.runs == 0, context.runs
+
+
+class RefusingServer(BackendServer):
+    """Breaks off a refusal in mode long-refusal, after more than a front buffers."""
+
+    async def _respond(self, request, writer, reader):
+        if self.mode != "long-refusal":
+            return await super()._respond(request, writer, reader)
+        head = f"HTTP/1.1 503 x\r\nNot-Executed: 1\r\nRequest-Id: {request.request_id}\r\n"
+        length = f"Content-Length: {2 * LONG_BYTES}\r\n\r\n"
+        writer.write(f"{head}{length}".encode() + bytes(LONG_BYTES))
+        await writer.drain()
+        return False
+
+
+@given("a front with one server, in mode {mode}")
+def one_server(context, mode):
+    context.rig = Rig(modes=(), contactMs=CONTACT_S * 1000)
+    context.rig.backend_servers = [RefusingServer("i-1", mode)]
+
+
+async def end_by_verdict(rig):
+    """Tell the front that it is cut off while a connection to its server is being made."""
+    router = rig.front.router
+    for backend in router.backends.backends_by_name.values():
+        backend.connections.close()
+        backend.connections.connect = lambda: asyncio.sleep(CONTACT_S)
+    await rig.until(lambda: router.exchanges)
+    await asyncio.sleep(HANG_S)
+    fail_once(router.poison, "find_blocked")
+    router.forward_pending(POOL, now_s())
+
+
+async def ask_within(context, rig, kind):
+    asked_s = time.monotonic()
+    context.answer = await rig.ask(kind)
+    context.took_s = time.monotonic() - asked_s
+    context.left = len(rig.front.router.exchanges)
+
+
+@when("an error occurs as {step} of a {kind} request")
+def error_occurs(context, step, kind):
+    async def scenario(rig):
+        router = rig.front.router
+        owner, name = {
+            "an attempt fails": (router.statements.rooms, "attempt_failed"),
+            "an attempt is given up": (router.statements.rooms, "end_batch_s"),
+            "an attempt is answered": (router.durations, "record"),
+            "an attempt's stream ends": (router.streams, "finish"),
+            "a verdict ends an attempt": (None, ""),
+        }[step]
+        verdict = None
+        if owner:
+            fail_once(owner, name)
+        else:
+            verdict = asyncio.create_task(end_by_verdict(rig))
+            await asyncio.sleep(0)
+        await ask_within(context, rig, kind)
+        if verdict:
+            await verdict
+
+    run_scenario(context.rig, scenario)
+
+
+@when("the front gets a {kind} request")
+def sends_to_front(context, kind):
+    run_scenario(context.rig, lambda rig: ask_within(context, rig, kind))
+
+
+@then("its caller gets status {status:d} within {seconds:g} s, and no request is left")
+def ended_in_time(context, status, seconds):
+    gets_status(context, status)
+    assert (context.took_s < seconds, context.left) == (True, 0), (context.took_s, context.left)
+
+
+@then("its caller's answer breaks off within {seconds:g} s, and no request is left")
+def broken_off_in_time(context, seconds):
+    assert not context.answer.complete, context.answer
+    assert (context.took_s < seconds, context.left) == (True, 0), (context.took_s, context.left)
