Count a run although the refusal of another request came first on its connection

What operators saw: the usage of an organisation was too low: a run was not counted while its caller was told, rightly, that the request may have run.

Cause: an attempt noted "not run" before it checked whose answer it was, and the count followed that note.

The fix: the count follows the failure itself, which says "not run" only of an answer that is the request's own.

--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -109,8 +109,6 @@
         # the list may change during the attempt
         self.entry = backend.entry
         self.sent = False
-        # whether an answer tells that the request was not run, also one that may be another's
-        self.turned_away = False
         self.server_start: int | None = None
         # servers that never start again under their names tell no start
         self._check = check if self.entry.started_ms else StartCheck.NONE
@@ -175,7 +173,6 @@
     def head_received(self, head: AnswerHead) -> None:
         """Check the answer's head; the attempt fails if the answer is not to this request."""
         facts = decode_answer(head.headers)
-        self.turned_away = facts.not_run or head.status == STATUS_MISDIRECTED
         fault = self._find_fault(head, facts)
         if fault:
             self._fail(Outcome.GARBAGE, fault)
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -273,7 +273,7 @@
 
     def attempt_failed(self, attempt: Attempt, failure: Failure) -> None:
         """Retry the request if allowed, or answer with an error."""
-        if not self._release(attempt, not_run=attempt.turned_away or not failure.sent):
+        if not self._release(attempt, not_run=not failure.sent):
             return
         now = now_s()
         self._watch.failed(attempt.backend, failure, now)
@@ -287,7 +287,7 @@
         self.fail_internally()
 
     def _answer_invalid(self, attempt: Attempt, detail: str) -> None:
-        if self._release(attempt, not_run=attempt.turned_away):
+        if self._release(attempt):
             self._handle_failure(attempt, invalid_answer(detail), now_s())
 
     def _handle_failure(self, attempt: Attempt, failure: Failure, now: float) -> None:
--- a/tests/duties/usage.feature
+++ b/tests/duties/usage.feature
@@ -19,6 +19,18 @@
       | broken,stream  | memo   | 2    |
       | shed           | fixed  | 0    |
 
+  Scenario Outline: the refusal of another request takes no run out of the count
+    # Guards against runs that are not counted as an answer on their connection says "not run".
+    Given a server that refuses booking r-0 with <refusal> and writes it again <manner>
+    When booking r-1 reaches it on the connection that is left
+    Then its run is counted
+
+    Examples:
+      | refusal   | manner            |
+      | 503 named | before the answer |
+      | 429 named | with the answer   |
+      | 421 named | in halves         |
+
   Scenario: a caller that leaves changes the count only if the server had room
     # Guards against counts of requests that were taken out of a server's queue, and against an
     # empty name in a report.
