--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -128,10 +128,12 @@
     def head_received(self, head: AnswerHead) -> None:
         """Begin a stream at once; keep any other head until its body is complete."""
         facts = decode_answer(head.headers)
-        own_error = not facts.request_id and head.status >= FIRST_ERROR_STATUS
-        if facts.request_id != self._call.request_id and not own_error:
+        assert self._connection is not None
+        origin = self._connection.origin
+        if not origin.is_own(facts.request_id, head.status):
             self._lose(Loss.GARBAGE, "another request's answer")
             return
+        origin.answered(facts.request_id, head.status, not_run=facts.not_run)
         self._head, self._facts = head, facts
         if head.status == STATUS_OK and is_event_stream(head):
             self._begin_stream()
@@ -206,7 +208,7 @@
         )
         connections = self._forwarding.connections(helper)
         # an idle connection may close at the moment of the send, and the request may have run
-        idle = connections.acquire() if self._call.repeatable else None
+        idle = connections.acquire(self._call.request_id) if self._call.repeatable else None
         if idle:
             self._send_on(idle)
         else:
@@ -235,7 +237,7 @@
             head.method, head.target, head.headers, call.body, left_s, self._forwarding.host
         )
         self._connection, self._sent = connection, True
-        connection.send(data, self)
+        connection.send(data, self, call.request_id)
 
     def _begin_stream(self) -> None:
         assert self._head is not None
--- a/tests/front/forwarding.feature
+++ b/tests/front/forwarding.feature
@@ -42,6 +42,11 @@
       | single | reaches no servers either          | 200    | 1    |
       | memo   | breaks inside the stream           | cut    | 0    |
 
+  Scenario: a copy of a helper's earlier error is not passed on as the answer to another request
+    Given a cut front with 2 helpers of which the first repeats an error without an id
+    When its caller sends two read requests, the first of which is answered with the error
+    Then the caller gets 200 and servers ran it 1 times
+
   Scenario: a host that was chosen as a helper and reaches no servers never forwards again
     Given 2 fronts that are cut off and believe that the other reaches the servers
     When the first gets a read request of a caller
--- a/tests/steps/front_forwarding.py
+++ b/tests/steps/front_forwarding.py
@@ -177,6 +177,13 @@
     async def serve(self, reader, writer):
         await reader.readuntil(b"\r\n\r\n")
         self.requests += 1
+        if self.fault == "repeats an error without an id":
+            writer.write(b"HTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\n")
+            await reader.readuntil(b"body")
+            await reader.readuntil(b"body")
+            writer.write(b"HTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\n")
+            await asyncio.sleep(0.1)
+            return
         if self.fault == "breaks inside the stream":
             head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: r-1\r\n"
             writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n")
@@ -237,6 +244,17 @@
     run_scenario(context.rig, lambda rig: with_cut_front(context, rig, act))
 
 
+@when("its caller sends two {kind} requests, the first of which is answered with the error")
+def caller_sends_two(context, kind):
+    async def act(fleet, cut):
+        first = await fleet.rig.ask(kind, request_id="r-0", front=cut)
+        assert first.status == 400, first.raw
+        context.answer = await fleet.rig.ask(kind, front=cut)
+        context.runs = sum(run.request_id == "r-1" for run in fleet.rig.runs())
+
+    run_scenario(context.rig, lambda rig: with_cut_front(context, rig, act))
+
+
 @then("the caller gets {status} and servers ran it {runs:d} times")
 def caller_gets(context, status, runs):
     answer = context.answer
