--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -109,8 +109,6 @@
         # the list may change during the attempt
         self.entry = backend.entry
         self.sent = False
-        # whether an answer tells that the request was not run, also one that may be another's
-        self.turned_away = False
         self.server_start: int | None = None
         # servers that never start again under their names tell no start
         self._check = check if self.entry.started_ms else StartCheck.NONE
@@ -148,7 +146,7 @@
 
         `encode` returns the request as it is when it is sent.
         """
-        connection = self.backend.connections.acquire()
+        connection = self.backend.connections.acquire(self._request_id)
         if connection:
             self._check_start(connection, encode)
         else:
@@ -175,7 +173,6 @@
     def head_received(self, head: AnswerHead) -> None:
         """Check the answer's head; the attempt fails if the answer is not to this request."""
         facts = decode_answer(head.headers)
-        self.turned_away = facts.not_run or head.status == STATUS_MISDIRECTED
         fault = self._find_fault(head, facts)
         if fault:
             self._fail(Outcome.GARBAGE, fault)
@@ -298,7 +295,7 @@
             return
         self._connection = connection
         self.sent = True
-        connection.send(encode(now_s()), self)
+        connection.send(encode(now_s()), self, self._request_id)
         if self._checks_late:
             self._late_check = LateStartCheck(self.backend.connections, self._late_start_told)
 
@@ -334,12 +331,12 @@
         return self._facts.not_run or self._head.status == STATUS_MISDIRECTED
 
     def _find_fault(self, head: AnswerHead, facts: AnswerFacts) -> str:
+        assert self._connection is not None
+        origin = self._connection.origin
+        if not origin.is_own(facts.request_id, head.status):
+            return "another request's answer"
+        origin.answered(facts.request_id, head.status, not_run=facts.not_run)
         success = STATUS_OK <= head.status <= STATUS_LAST_SUCCESS
-        if facts.request_id != self._request_id:
-            # only the first answer of a connection can't be a second copy of an earlier one
-            first = self._connection is not None and self._connection.requests == 1
-            if facts.request_id or success or not first:
-                return "another request's answer"
         if success and not facts.stamped:
             return "unsigned"
         return "encoded" if success and facts.encoded else ""
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -262,7 +262,7 @@
             self._router.guard(failed, self.fail_internally)
 
     def _handle_loss(self, attempt: Attempt, failure: Failure) -> None:
-        self._holder.release(attempt, not_run=attempt.turned_away or not failure.sent)
+        self._holder.release(attempt, not_run=not failure.sent)
         now = now_s()
         self._watch.failed(attempt.backend, failure, now)
         self._router.statements.rooms.attempt_failed(attempt.backend.entry, failure)
