Follow the other entries of a list that holds one too deep or with a huge number

What callers saw: after another writer left one such entry among those of the servers, every host that read the list stopped following it. New servers got no requests, and servers that had left still did.

Cause: json.loads recurses into nested values. RecursionError is no ValueError, so it went past the handlers and ended the watcher, which started again each second and met the same page. An integer of more than 4300 digits, or bytes that are not UTF-8, raise ValueError for the whole page, which then counted as unreadable, so that the list was read again and again.

Evidence: tests/front/damaged_entries.feature on. A front that starts on such a list is never ready (rows extra deep, seq and slots of 5000 digits, bytes that are not UTF-8); a list of hosts with one is never read.

The fix: bounded_json decodes what others wrote. A part beyond a bound is replaced by a marker before any field is read, and only the object that holds the marker is unreadable. What is nested too deeply is cut out of the text without recursion. Objects without a usable name or revision are left out, since they can't be named in a path or a message. An unreadable entry is logged once until it is sound or gone.

--- a/src/redwingbank/front/hosts.py
+++ b/src/redwingbank/front/hosts.py
@@ -7,6 +7,8 @@
 import anyio
 
 from redwingbank.front.store import CALL_TIMEOUT_S, FIRST_STATUS_AFTER_SUCCESS, StoreError
+from redwingbank.front.unreadable_entries import UnreadableEntries
+from redwingbank.platform.fields import decoding, read_object
 from redwingbank.platform.objects import (
     STATUS_CONFLICT,
     MalformedError,
@@ -22,6 +24,7 @@
     from redwingbank.decisions import DecisionLog
     from redwingbank.front.peers import Peers
     from redwingbank.front.store import StoreClient
+    from redwingbank.platform.objects import StoredObject
 
 KIND_HOSTS = "redwingbank-hosts"
 # A starting host greets the listed hosts. The list is read again soon, for hosts that start at the
@@ -34,10 +37,12 @@
     client: StoreClient, host: str, address: Address, peers: Peers, log: DecisionLog
 ) -> None:
     """Register this host, then read the list of hosts periodically until cancelled."""
+    unreadable = UnreadableEntries(log, "host-unreadable", "host_named")
     registered = listed = False
     while True:
         registered = registered or await _try_step(_register, client, host, address, log)
-        listed_before, listed = listed, registered and await _try_step(_list, client, peers, log)
+        listed_before = listed
+        listed = registered and await _try_step(_list, client, peers, unreadable, log)
         await anyio.sleep(LIST_S if listed_before and listed else RETRY_S)
 
 
@@ -66,15 +71,28 @@
         raise StoreError(f"status {status}")
 
 
-async def _list(client: StoreClient, peers: Peers, log: DecisionLog) -> None:
+async def _list(
+    client: StoreClient, peers: Peers, unreadable: UnreadableEntries, log: DecisionLog
+) -> None:
     body = await client.get(list_path(KIND_HOSTS, stale=True), CALL_TIMEOUT_S)
+    objects = decode_page(body).objects
     addresses: dict[str, Address] = {}
-    for stored in decode_page(body).objects:
+    for stored in objects:
         try:
-            addresses[stored.name] = parse_address(stored.content["peer"])
-        except (KeyError, TypeError, ValueError) as error:
-            log.essential("host-unreadable", host_named=stored.name, reason=str(error))
+            addresses[stored.name] = decode_peer(stored)
+        except MalformedError as error:
+            unreadable.record(stored.name, error)
+    unreadable.retain({stored.name for stored in objects} - addresses.keys())
     peers.add_hosts(addresses)
 
 
-__all__ = ["KIND_HOSTS", "discover_hosts"]
+def decode_peer(stored: StoredObject) -> Address:
+    """Decode the address of a host's messages.
+
+    :raises MalformedError: if the object names none
+    """
+    with decoding("host"):
+        return parse_address(read_object(stored.content)["peer"])
+
+
+__all__ = ["KIND_HOSTS", "decode_peer", "discover_hosts"]
--- a/src/redwingbank/front/refusals.py
+++ b/src/redwingbank/front/refusals.py
@@ -4,6 +4,7 @@
 
 import json
 
+from redwingbank.bounded_json import decode_json
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.platform.headers import encode_own_answer
 
@@ -27,7 +28,7 @@
     1210
     """
     try:
-        code = json.loads(body)["error"]["code"]
+        code = decode_json(body)["error"]["code"]
     except (ValueError, TypeError, KeyError):
         return 0
     return code if isinstance(code, int) else 0
--- a/src/redwingbank/front/store_handlers.py
+++ b/src/redwingbank/front/store_handlers.py
@@ -6,6 +6,7 @@
 
 from redwingbank.clock import now_s
 from redwingbank.front.digest import News
+from redwingbank.front.unreadable_entries import UnreadableEntries
 from redwingbank.platform.directory import decode_server, decode_table
 from redwingbank.platform.objects import NAME_TABLE, MalformedError
 
@@ -73,6 +74,7 @@
 
     def __init__(self, router: Router) -> None:
         self._router = router
+        self._unreadable = UnreadableEntries(router.log, "server-unreadable", "server")
         router.freshness.on_server_news = self.handle_news
 
     def handle_listing(self, listing: Listing) -> None:
@@ -80,6 +82,7 @@
         self._router.freshness.confirm_servers(listing.asked_s)
         known = self._router.servers.entries_by_name
         listed = {stored.name: self._decode(stored) for stored in listing.objects}
+        self._unreadable.retain(listed)
         states = {name: entry for name, entry in listed.items() if entry != known.get(name)}
         states |= dict.fromkeys(known.keys() - listed.keys())
         self._publish(listing.since, listing.revision, states, listing.revision)
@@ -93,6 +96,8 @@
         self._router.freshness.confirm_servers(watched.asked_s)
         states: dict[str, ServerEntry | None] = {}
         for change in watched.changes:
+            if change.deleted:
+                self._unreadable.forget(change.stored.name)
             entry = None if change.deleted else self._decode(change.stored)
             states[change.stored.name] = entry
         if states:
@@ -160,10 +165,12 @@
 
     def _decode(self, stored: StoredObject) -> ServerEntry | None:
         try:
-            return decode_server(stored.name, stored.content)
+            entry = decode_server(stored.name, stored.content)
         except MalformedError as error:
-            self._router.log.essential("server-unreadable", server=stored.name, reason=str(error))
+            self._unreadable.record(stored.name, error)
             return None
+        self._unreadable.forget(stored.name)
+        return entry
 
     def _handle_departures(self, departures: Iterable[Departure]) -> None:
         for departure in departures:
--- a/src/redwingbank/platform/objects.py
+++ b/src/redwingbank/platform/objects.py
@@ -6,6 +6,16 @@
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
+from redwingbank.bounded_json import UNREADABLE, decode_parts, is_readable
+from redwingbank.platform.fields import (
+    MalformedError,
+    decoding,
+    read_integer,
+    read_list,
+    read_name,
+    read_object,
+)
+
 KIND_TABLE = "config"
 NAME_TABLE = "main"
 KIND_SERVERS = "servers"
@@ -16,12 +26,11 @@
 STATUS_CONFLICT = 409
 
 
-class MalformedError(Exception):
-    """An answer of the store is not in the expected format."""
-
-
 class StoredObject(NamedTuple):
-    """One object; `content` is the value written by its owner, in the owner's format."""
+    """One object; `content` is the value written by its owner, in the owner's format.
+
+    It is `UNREADABLE` if it exceeds the bounds of a document.
+    """
 
     name: str
     revision: int
@@ -31,7 +40,8 @@
 class Page(NamedTuple):
     """A part of a listing; `more` is true if another page follows the last name.
 
-    `revision` is the store's revision at the time of the call.
+    Objects without a usable name or revision are left out. `revision` is the store's revision at
+    the time of the call.
     """
 
     objects: tuple[StoredObject, ...]
@@ -82,10 +92,8 @@
 
     :raises MalformedError: if the body is not an object of the store
     """
-    try:
-        return _stored(_document(body))
-    except (KeyError, TypeError, ValueError) as error:
-        raise MalformedError(str(error)) from error
+    with decoding("object"):
+        return _stored(decode_parts(body))
 
 
 def watch_path(kind: str, revision: int, wait_s: float) -> str:
@@ -98,12 +106,10 @@
 
     :raises MalformedError: if the body is not a listing
     """
-    document = _document(body)
-    try:
-        objects = tuple(_stored(item) for item in document["items"])
-        return Page(objects, bool(document["more"]), int(document["currentRev"]))
-    except (KeyError, TypeError, ValueError) as error:
-        raise MalformedError(str(error)) from error
+    with decoding("listing"):
+        document = read_object(decode_parts(body))
+        objects = tuple(filter(None, map(_find_stored, read_list(document["items"]))))
+        return Page(objects, bool(document["more"]), read_integer(document["currentRev"]))
 
 
 def decode_changes(body: bytes) -> Changes:
@@ -111,15 +117,14 @@
 
     :raises MalformedError: if the body is not a list of changes
     """
-    document = _document(body)
-    try:
+    with decoding("changes"):
+        document = read_object(decode_parts(body))
         changes = tuple(
-            Change(_stored(event["object"]), bool(event["deleted"]))
-            for event in document["events"]
+            Change(stored, bool(event.get("deleted")))
+            for event in read_list(document["events"])
+            if isinstance(event, dict) and (stored := _find_stored(event.get("object")))
         )
-        return Changes(changes, int(document["currentRev"]))
-    except (KeyError, TypeError, ValueError) as error:
-        raise MalformedError(str(error)) from error
+        return Changes(changes, read_integer(document["currentRev"]))
 
 
 def decode_server_start(body: bytes) -> int:
@@ -127,25 +132,26 @@
 
     :raises MalformedError: if the body is not a report
     """
-    start = _document(body).get("born", 0)
-    if isinstance(start, bool) or not isinstance(start, int):
-        raise MalformedError(f"start {start!r}")
-    return start
+    with decoding("report"):
+        return read_integer(read_object(decode_parts(body)).get("born", 0))
 
 
-def _document(body: bytes) -> dict[str, Any]:
+def _find_stored(item: Any) -> StoredObject | None:
     try:
-        document = json.loads(body)
-    except ValueError as error:
-        raise MalformedError(str(error)) from error
-    if not isinstance(document, dict):
-        raise MalformedError("not a JSON object")
-    return document
+        return _stored(item)
+    except (LookupError, TypeError, ValueError):
+        return None
 
 
 def _stored(item: Any) -> StoredObject:
+    meta = read_object(read_object(item)["meta"])
     # `spec` holds the value written by the owner; `status` is for those that act on it
-    return StoredObject(str(item["meta"]["name"]), int(item["meta"]["revision"]), item.get("spec"))
+    content = item.get("spec")
+    return StoredObject(
+        read_name(meta["name"]),
+        read_integer(meta["revision"]),
+        content if is_readable(content) else UNREADABLE,
+    )
 
 
 __all__ = [
--- a/src/redwingbank_standins/objectstore.py
+++ b/src/redwingbank_standins/objectstore.py
@@ -16,7 +16,8 @@
 class ObjectStore(StreamServer):
     """Serves lists and watches of objects; `fault` is empty, `busy`, `reset` or `silent`.
 
-    `oldest_watchable` is the lowest revision after which a watch can start.
+    `oldest_watchable` is the lowest revision after which a watch can start. `raw_by_text` holds
+    what is sent in place of certain strings of an answer, such as JSON that no encoder writes.
     """
 
     def __init__(self) -> None:
@@ -25,6 +26,7 @@
         self.oldest_watchable = 0
         self.fault = ""
         self.calls: list[str] = []
+        self.raw_by_text: dict[str, bytes] = {}
         self._objects_by_kind: dict[str, dict[str, dict[str, Any]]] = {}
         self._history: list[tuple[int, str, dict[str, Any]]] = []
         self._changed = asyncio.Condition()
@@ -92,6 +94,8 @@
         else:
             status, document = await self._write(target, json.loads(body))
         body = json.dumps(document).encode()
+        for text, raw in self.raw_by_text.items():
+            body = body.replace(json.dumps(text).encode(), raw)
         writer.write(b"HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body)
         await writer.drain()
         return True
--- /dev/null
+++ b/tests/front/damaged_entries.feature
@@ -0,0 +1,45 @@
+Feature: an entry of another writer that can't be used affects no other
+
+  Scenario Outline: a server's entry with an odd <field>: <value>
+    When a host follows a list of servers while some have the <field> "<value>"
+    Then it uses the sound servers only, and logs each odd entry once
+    And no task of it has failed
+
+    Examples:
+      | field | value            |
+      | extra | deep             |
+      | extra | deep object      |
+      | seq   | 5000 digits      |
+      | seq   | 1e999            |
+      | slots | deep             |
+      | slots | 5000 digits      |
+      | slots | NaN              |
+      | leaves_ms | 400 digits   |
+      | service | bad bytes      |
+
+  Scenario Outline: a list of hosts with an odd address: <value>
+    When a host reads a list of hosts of which one has the peer "<value>"
+    Then it greets the sound ones, and can still send messages
+
+    Examples:
+      | value            |
+      | deep             |
+
+  Scenario Outline: a <document> with one odd value is decoded or found malformed, never more
+    When one value after the other of a <document> is replaced by each odd one
+    Then decoding it fails with its own error, or the result can be told to other hosts
+
+    Examples:
+      | document         |
+      | server's report  |
+      | helper's refusal |
+
+  Scenario Outline: an odd <document> as a whole
+    When a <document> consists of each odd value
+    Then decoding it fails with its own error, or the result can be told to other hosts
+
+    Examples:
+      | document         |
+      | list of servers  |
+      | server's report  |
+      | helper's refusal |
