Use no values of an entry, table or lease that messages between hosts can't hold

What callers saw: after an entry with, for example, 2**40 slots was written in a fleet of 16 hosts, the relay stopped following the list of servers for good and its watcher started again each second; the others got no news of any server from it.

Cause: decoders took any integer, number or text, while a message between hosts has 32 or 64 bits for it and fits into a datagram. Encoding the news of the entry raised an error in the handler of the relay's watch, before it had applied the list. The same holds for a table's version (the answer to each question of other hosts could not be encoded), for the fence of a lease and for texts with half surrogates or of a megabyte. Other values failed later: infinite weights and time-outs, or a number of 400 digits divided by 1000, which raises OverflowError, no ValueError.

The fix: platform/fields reads each value within bounds that every message and header can hold, and `decoding` turns whatever else goes wrong into MalformedError. A table that is refused leaves the one before in force. News of a server without slots, by which the choice divides, are refused as a damaged message.

--- a/src/redwingbank/duties/store.py
+++ b/src/redwingbank/duties/store.py
@@ -5,12 +5,19 @@
 from functools import partial
 from typing import TYPE_CHECKING, Any
 
+from redwingbank.duties.codec import MAX_FENCE
 from redwingbank.duties.lease import NO_LEASE, LeaseRecord, SentReport, StoredLease
 from redwingbank.front.store import CALL_TIMEOUT_S, FIRST_STATUS_AFTER_SUCCESS, StoreError
+from redwingbank.platform.fields import (
+    decoding,
+    read_integer,
+    read_list,
+    read_object,
+    read_text,
+)
 from redwingbank.platform.objects import (
     STATUS_CONFLICT,
     STATUS_NOT_FOUND,
-    MalformedError,
     decode_object,
     decode_page,
     encode_object,
@@ -70,24 +77,23 @@
 
     :raises MalformedError: if it is not a lease
     """
-    try:
+    with decoding("lease"):
+        content = read_object(content)
         return LeaseRecord(
-            holder=str(content["holder"]),
-            incarnation=int(content["incarnation"]),
-            fence=int(content["fence"]),
-            renewal=int(content["renewal"]),
-            sent=tuple(
-                SentReport(int(row["windowId"]), _counts(row["counts"]), bool(row["accepted"]))
-                for row in content["sent"]
-            ),
+            holder=read_text(content["holder"]),
+            incarnation=read_integer(content["incarnation"]),
+            fence=read_integer(content["fence"], most=MAX_FENCE),
+            renewal=read_integer(content["renewal"]),
+            sent=tuple(map(_sent, read_list(content["sent"]))),
             capacity=content.get("capacity"),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise MalformedError(f"lease: {type(error).__name__} {error}") from error
 
 
-def _counts(row: Any) -> dict[str, int]:
-    return {str(name): int(count) for name, count in row.items()}
+def _sent(row: Any) -> SentReport:
+    counts = {
+        read_text(name): read_integer(count) for name, count in read_object(row["counts"]).items()
+    }
+    return SentReport(read_integer(row["windowId"]), counts, bool(row["accepted"]))
 
 
 def _decode(stored: StoredObject) -> StoredLease:
--- a/src/redwingbank/front/news_codec.py
+++ b/src/redwingbank/front/news_codec.py
@@ -41,7 +41,7 @@
 def decode_news(struct: Any, now_s: float) -> News:
     """Decode changes of servers from a message.
 
-    :raises ValueError: if an address is no address
+    :raises ValueError: if an address is no address, or a server has no slots
     """
     news = struct.news
     return News(
@@ -53,6 +53,8 @@
 
 
 def _decode_server(row: Any) -> ServerEntry:
+    if not row.slots:
+        raise ValueError(f"{row.name} has no slots")
     return ServerEntry(
         name=row.name,
         pool=row.pool,
--- a/src/redwingbank/platform/directory.py
+++ b/src/redwingbank/platform/directory.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import math
 from typing import Any
 
 from redwingbank.front.values import (
@@ -16,7 +15,16 @@
     ServerEntry,
     Share,
 )
-from redwingbank.platform.objects import MalformedError
+from redwingbank.platform.fields import (
+    MAX_NUMBER,
+    decoding,
+    read_integer,
+    read_list,
+    read_name,
+    read_number,
+    read_object,
+    read_text,
+)
 from redwingbank.settings import parse_address
 
 MS_PER_S = 1000.0
@@ -30,6 +38,14 @@
     "stream": Kind.STREAM,
 }
 DRAINING_BY_STATE = {"ready": False, "draining": True}
+# as many as a server's answer can state
+MAX_SLOTS = 999_999
+# more servers, attempts or tiers than any table has
+MAX_COUNT = 1_000_000
+# a year
+MAX_MILLISECONDS = 31_536_000_000
+# written for other readers; a value that is no number shows that the entry is not a server's
+UNUSED_NUMBERS = ("seq", "coldLeftMs")
 
 
 def decode_table(content: Any) -> RouteTable:
@@ -37,18 +53,18 @@
 
     :raises MalformedError: if the table can't be served
     """
-    try:
-        routes = [_route(row) for row in content["routes"]]
+    with decoding("table"):
+        content = read_object(content)
+        routes = [_route(row) for row in read_list(content["routes"])]
+        pools = map(_pool, read_list(content["services"]))
         return RouteTable(
-            revision=int(content["version"]),
+            revision=read_integer(content["version"]),
             routes_by_host=_routes_by_host(routes),
-            pools_by_name={pool.name: pool for pool in map(_pool, content["services"])},
+            pools_by_name={pool.name: pool for pool in pools},
             organisations_by_key=_organisations_by_key(content.get("tenants")),
             limits=_limits(content.get("limits") or {}),
             class_tiers=1 + max((route.tier for route in routes), default=0),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise MalformedError(f"table: {type(error).__name__} {error}") from error
 
 
 def decode_server(name: str, content: Any) -> ServerEntry:
@@ -56,21 +72,22 @@
 
     :raises MalformedError: if the entry describes no usable server
     """
-    try:
+    with decoding("server"):
+        content = read_object(content)
+        for key in UNUSED_NUMBERS:
+            read_number(content.get(key, 0), least=-MAX_NUMBER)
         return ServerEntry(
-            name=_non_empty_text(name),
-            pool=_non_empty_text(content["service"]),
-            address=parse_address(_non_empty_text(content["addr"])),
-            data_centre=_text(str(content.get("zone", ""))),
-            slots=_positive_integer(content["slots"]),
-            draining=DRAINING_BY_STATE[content["state"]],
-            started_ms=_integer(content.get("born", 0)),
+            name=read_name(name),
+            pool=read_name(content["service"]),
+            address=parse_address(read_name(content["addr"])),
+            data_centre=read_text(content.get("zone", "")),
+            slots=read_integer(content["slots"], 1, MAX_SLOTS),
+            draining=DRAINING_BY_STATE[read_name(content["state"])],
+            started_ms=read_integer(content.get("born", 0)),
             version=_optional_text(content.get("version")),
             spot=content.get("spot") is True,
             leaves_s=_optional_seconds(content.get("leaves_ms")),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
-        raise MalformedError(f"server: {type(error).__name__} {error}") from error
 
 
 def _routes_by_host(rows: list[Route]) -> dict[str, tuple[Route, ...]]:
@@ -84,19 +101,20 @@
 
 
 def _route(row: Any) -> Route:
+    timeout_s = _seconds(row["timeoutMs"])
     return Route(
-        name=row["name"],
-        host=row["host"].lower(),
-        prefix=row["pathPrefix"],
-        kind=KIND_BY_NAME[row["routeKind"]],
+        name=read_name(row["name"]),
+        host=read_name(row["host"]).lower(),
+        prefix=read_name(row["pathPrefix"]),
+        kind=KIND_BY_NAME[read_name(row["routeKind"])],
         resumable=bool(row.get("resumable", False)),
         shares=_shares(row),
-        attempts=max(1, int(row.get("attempts", 1))),
-        tier=int(row.get("priority", 0)),
-        timeout_s=row["timeoutMs"] / MS_PER_S,
+        attempts=max(1, _count(row.get("attempts", 1))),
+        tier=_count(row.get("priority", 0)),
+        timeout_s=timeout_s,
         # the platform's "slo" is only the latency target
-        target_s=row.get("sloMs", row["timeoutMs"]) / MS_PER_S,
-        pause_target_s=row.get("gapSloMs", 0) / MS_PER_S,
+        target_s=_seconds(row["sloMs"]) if "sloMs" in row else timeout_s,
+        pause_target_s=_seconds(row.get("gapSloMs", 0)),
         public=bool(row.get("public", False)),
         # "sticky" marks the routes whose requests carry a prompt
         has_prompt=bool(row.get("sticky", False)),
@@ -106,16 +124,20 @@
 def _shares(row: Any) -> tuple[Share, ...]:
     split = row.get("split")
     if not split:
-        return (Share(row["service"], 1.0),)
-    return tuple(Share(share["service"], float(share["weight"])) for share in split)
+        return (Share(read_name(row["service"]), 1.0),)
+    return tuple(
+        Share(read_name(share["service"]), read_number(share["weight"]))
+        for share in read_list(split)
+    )
 
 
 def _pool(row: Any) -> Pool:
-    engine = row.get("engine") or {}
-    token_bytes = float(engine.get("kvTokenBytes", 0))
-    link_bytes_per_s = float(engine.get("linkMbps", 0)) * BYTES_PER_S_PER_MBPS
+    engine = read_object(row.get("engine") or {})
+    token_bytes = read_number(engine.get("kvTokenBytes", 0))
+    link_bytes_per_s = read_number(engine.get("linkMbps", 0)) * BYTES_PER_S_PER_MBPS
     copy_tokens_per_s = link_bytes_per_s / token_bytes if token_bytes > 0 else 0.0
-    return Pool(row["name"], int(engine.get("kvCapacity", 0)), copy_tokens_per_s, _scaling(row))
+    cache_tokens = int(read_number(engine.get("kvCapacity", 0)))
+    return Pool(read_name(row["name"]), cache_tokens, copy_tokens_per_s, _scaling(row))
 
 
 def _scaling(row: Any) -> Scaling | None:
@@ -124,91 +146,69 @@
     A table with such bounds stays in force, since its routes and keys serve callers.
     """
     try:
-        settings = row["scaling"]
+        settings = read_object(row["scaling"])
         scaling = Scaling(
-            least=_integer(settings.get("min", 0)),
-            most=_integer(settings["max"]),
+            least=read_integer(settings.get("min", 0), most=MAX_COUNT),
+            most=read_integer(settings["max"], most=MAX_COUNT),
             boot_s=_positive_number(settings.get("bootS", DEFAULT_BOOT_S)),
             spot_price=_positive_number(settings.get("spotPrice", 1.0)),
             prices_by_data_centre={
-                _text(name): _positive_number(price)
-                for name, price in (settings.get("zonePrices") or {}).items()
+                read_text(name): _positive_number(price)
+                for name, price in read_object(settings.get("zonePrices") or {}).items()
             },
         )
-    except (KeyError, TypeError, ValueError, AttributeError):
+    except (LookupError, TypeError, ValueError):
         return None
-    return scaling if 0 <= scaling.least <= scaling.most else None
+    return scaling if scaling.least <= scaling.most else None
 
 
 def _organisations_by_key(rows: Any) -> dict[str, Organisation] | None:
     if rows is None:
         return None
     by_key: dict[str, Organisation] = {}
-    for row in rows:
+    for row in read_list(rows):
         tier = row.get("priority")
-        organisation = Organisation(row["name"], None if tier is None else int(tier))
-        by_key.update(dict.fromkeys(row["apiKeys"], organisation))
+        organisation = Organisation(read_name(row["name"]), None if tier is None else _count(tier))
+        by_key.update(dict.fromkeys(map(read_name, read_list(row["apiKeys"])), organisation))
     return by_key
 
 
 def _limits(row: Any) -> Limits:
-    default = Limits()
+    default, row = Limits(), read_object(row)
     return Limits(
-        header_bytes=int(row.get("maxHeaderBytes", default.header_bytes)),
-        body_bytes=int(row.get("maxBodyBytes", default.body_bytes)),
-        header_timeout_s=_seconds(row, "headerTimeoutMs", default.header_timeout_s),
-        idle_timeout_s=_seconds(row, "idleTimeoutMs", default.idle_timeout_s),
+        header_bytes=int(read_number(row.get("maxHeaderBytes", default.header_bytes))),
+        body_bytes=int(read_number(row.get("maxBodyBytes", default.body_bytes))),
+        header_timeout_s=_seconds(row.get("headerTimeoutMs", MS_PER_S * default.header_timeout_s)),
+        idle_timeout_s=_seconds(row.get("idleTimeoutMs", MS_PER_S * default.idle_timeout_s)),
     )
 
 
-def _seconds(row: Any, key: str, default: float) -> float:
-    return row[key] / MS_PER_S if key in row else default
-
-
-def _non_empty_text(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError(value)
-    return _text(value)
-
-
-def _text(value: str) -> str:
-    """Return a text that can be sent on, in a message and in a header."""
-    value.encode()
-    if any(character in value for character in "\r\n\0"):
-        raise ValueError(value)
-    return value
-
-
 def _optional_text(value: Any) -> str:
     try:
-        return _text(value) if isinstance(value, str) else ""
+        return read_text(value)
     except ValueError:
         return ""
 
 
-def _optional_seconds(value: Any) -> float | None:
-    """Return milliseconds in seconds; None if they are no finite, non-negative number."""
-    if isinstance(value, bool) or not isinstance(value, int | float):
+def _seconds(milliseconds: Any) -> float:
+    return read_number(milliseconds, most=MAX_MILLISECONDS) / MS_PER_S
+
+
+def _optional_seconds(milliseconds: Any) -> float | None:
+    try:
+        return _seconds(milliseconds)
+    except ValueError:
         return None
-    return value / MS_PER_S if 0 <= value < math.inf else None
 
 
 def _positive_number(value: Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float) or not 0 < value < math.inf:
+    if not read_number(value):
         raise ValueError(value)
     return float(value)
 
 
-def _integer(value: Any) -> int:
-    if isinstance(value, bool) or not isinstance(value, int):
-        raise ValueError(value)
-    return value
-
-
-def _positive_integer(value: Any) -> int:
-    if _integer(value) <= 0:
-        raise ValueError(value)
-    return int(value)
+def _count(value: Any) -> int:
+    return int(read_number(value, most=MAX_COUNT))
 
 
 __all__ = ["decode_server", "decode_table"]
--- a/tests/front/damaged_entries.feature
+++ b/tests/front/damaged_entries.feature
@@ -13,9 +13,19 @@
       | seq   | 1e999            |
       | slots | deep             |
       | slots | 5000 digits      |
+      | slots | 2**70            |
+      | slots | 2**40            |
       | slots | NaN              |
+      | born  | 2**70            |
       | leaves_ms | 400 digits   |
+      | zone  | half surrogate   |
       | service | bad bytes      |
+      | zone  | megabyte         |
+
+  Scenario: hosts that get the list from relays follow it beside odd entries
+    When 16 hosts follow a list of servers while some have odd fields
+    Then all use the sound servers only
+    And no task of them has failed
 
   Scenario Outline: a list of hosts with an odd address: <value>
     When a host reads a list of hosts of which one has the peer "<value>"
@@ -31,6 +41,10 @@
 
     Examples:
       | document         |
+      | list of servers  |
+      | change of a server |
+      | table            |
+      | lease            |
       | server's report  |
       | helper's refusal |
 
