Connect only to an IPv4 address and a port, and count any failure of it as one

What callers saw: a server whose entry named port 0, a host name or 0.0.0.0 was chosen like any other, and its requests failed. An object among those of the hosts with a name that can't be encoded closed the socket of messages of every host that read the list, until its process ended: no loads, news or limits from others any more.

Cause: the parser of settings, which takes names and port 0, also read the addresses that others write. Sending a datagram to a name looks the name up in the event loop, and a name that can't be encoded raises TypeError there, after which asyncio closes the transport. Connecting raises UnicodeError for a label that is too long and OverflowError for a port out of range; neither is an OSError, so they ended a probe, the check of a start or a call to the store as unexpected errors.

The fix: addresses of servers and hosts are read as an IPv4 address and a port from 1 to 65535, without a look-up, also in news. ConnectionPool.connect, which all calls share, raises OSError for whatever a setting names.

--- a/src/redwingbank/front/hosts.py
+++ b/src/redwingbank/front/hosts.py
@@ -18,7 +18,7 @@
     list_path,
     object_path,
 )
-from redwingbank.settings import Address, parse_address
+from redwingbank.settings import Address, parse_remote_address
 
 if TYPE_CHECKING:
     from redwingbank.decisions import DecisionLog
@@ -92,7 +92,7 @@
     :raises MalformedError: if the object names none
     """
     with decoding("host"):
-        return parse_address(read_object(stored.content)["peer"])
+        return parse_remote_address(read_object(stored.content)["peer"])
 
 
 __all__ = ["KIND_HOSTS", "decode_peer", "discover_hosts"]
--- a/src/redwingbank/front/news_codec.py
+++ b/src/redwingbank/front/news_codec.py
@@ -6,7 +6,7 @@
 
 from redwingbank.front.notice_codec import read_rows
 from redwingbank.front.values import ServerEntry
-from redwingbank.settings import parse_address
+from redwingbank.settings import parse_remote_address
 
 MILLISECONDS = 1000.0
 
@@ -58,7 +58,7 @@
     return ServerEntry(
         name=row.name,
         pool=row.pool,
-        address=parse_address(row.address),
+        address=parse_remote_address(row.address),
         data_centre=row.dataCentre,
         slots=row.slots,
         draining=row.draining,
--- a/src/redwingbank/front/outbound.py
+++ b/src/redwingbank/front/outbound.py
@@ -230,9 +230,12 @@
         try:
             async with asyncio.timeout(timeout_s):
                 _, connection = await loop.create_connection(lambda: Connection(self), host, port)
-        except OSError:
+        except (OSError, OverflowError, ValueError) as error:
             self.contact.failed_s = now_s()
-            raise
+            if isinstance(error, OSError):
+                raise
+            # a name that can't be looked up, or a port out of range
+            raise OSError(f"{type(error).__name__}: {host}:{port}") from error
         finally:
             self.contact.connecting_ended(began_s)
         return connection
--- a/src/redwingbank/platform/directory.py
+++ b/src/redwingbank/platform/directory.py
@@ -25,7 +25,7 @@
     read_object,
     read_text,
 )
-from redwingbank.settings import parse_address
+from redwingbank.settings import parse_remote_address
 
 MS_PER_S = 1000.0
 BYTES_PER_S_PER_MBPS = 125_000
@@ -79,7 +79,7 @@
         return ServerEntry(
             name=read_name(name),
             pool=read_name(content["service"]),
-            address=parse_address(read_name(content["addr"])),
+            address=parse_remote_address(read_name(content["addr"])),
             data_centre=read_text(content.get("zone", "")),
             slots=read_integer(content["slots"], 1, MAX_SLOTS),
             draining=DRAINING_BY_STATE[read_name(content["state"])],
--- a/src/redwingbank/settings.py
+++ b/src/redwingbank/settings.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
+import re
+import reprlib
 import tomllib
+from ipaddress import IPv4Address
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from redwingbank.errors import SettingError, SettingErrors
@@ -14,6 +17,7 @@
 KIBIBYTE = 1024
 POLICIES = ("full", "local", "first-come", "random")
 MAX_PORT = 65_535
+PORT = re.compile(r"[0-9]{1,5}")
 MIN_SECRET_BYTES = 16
 MAX_KEY_NUMBER = 255
 
@@ -96,12 +100,28 @@
 def parse_address(value: Any) -> Address:
     """Parse `IP:port`, for example `127.0.0.1:8080`."""
     host, _, port = str(value).rpartition(":")
-    number = int(port)
+    number = int(port) if PORT.fullmatch(port) else -1
     if not host or not 0 <= number <= MAX_PORT:
-        raise ValueError(value)
+        raise ValueError(reprlib.repr(value))
     return Address(host.strip("[]"), number)
 
 
+def parse_remote_address(value: Any) -> Address:
+    """Parse the IPv4 address and port of a server or host to connect to.
+
+    Unlike a setting, it may come from anyone: there is no look-up of names, which takes long and
+    fails in further ways.
+
+    >>> parse_remote_address("10.0.0.1:80")
+    Address(host='10.0.0.1', port=80)
+    """
+    address = parse_address(value)
+    host = IPv4Address(address.host)
+    if not address.port or host.is_unspecified or host.is_multicast:
+        raise ValueError(reprlib.repr(value))
+    return address
+
+
 def _text(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise ValueError(value)
@@ -251,4 +271,13 @@
     return parse_settings(document, str(path))
 
 
-__all__ = ["Address", "PeerKey", "Settings", "parse_address", "parse_settings", "read_settings"]
+__all__ = [
+    "MAX_PORT",
+    "Address",
+    "PeerKey",
+    "Settings",
+    "parse_address",
+    "parse_remote_address",
+    "parse_settings",
+    "read_settings",
+]
--- a/tests/front/damaged_entries.feature
+++ b/tests/front/damaged_entries.feature
@@ -21,6 +21,13 @@
       | zone  | half surrogate   |
       | service | bad bytes      |
       | zone  | megabyte         |
+      | addr  | port 0           |
+      | addr  | port -1          |
+      | addr  | port 65536       |
+      | addr  | port 5000 digits |
+      | addr  | long label       |
+      | addr  | wide label       |
+      | addr  | any address      |
 
   Scenario: hosts that get the list from relays follow it beside odd entries
     When 16 hosts follow a list of servers while some have odd fields
@@ -34,6 +41,11 @@
     Examples:
       | value            |
       | deep             |
+      | long label       |
+      | wide label       |
+      | name             |
+      | port 0           |
+      | port 5000 digits |
 
   Scenario Outline: a <document> with one odd value is decoded or found malformed, never more
     When one value after the other of a <document> is replaced by each odd one
@@ -47,6 +59,7 @@
       | lease            |
       | server's report  |
       | helper's refusal |
+      | list of hosts    |
 
   Scenario Outline: an odd <document> as a whole
     When a <document> consists of each odd value
@@ -57,3 +70,12 @@
       | list of servers  |
       | server's report  |
       | helper's refusal |
+
+  Scenario Outline: an address that can't be connected to is an address out of reach
+    Then connecting to "<host>" and port <port> fails as one to an unreachable server
+
+    Examples:
+      | host             | port  |
+      | long label       | 80    |
+      | 127.0.0.1        | 99999 |
+      | 127.0.0.1        | -1    |
--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -40,6 +40,7 @@
     "no port": b'"127.0.0.1"',
     "name": b'"server.example:80"',
     "long label": b'"' + b"x" * 70 + b'.example:80"',
+    "wide label": b'"' + b"\\u00fc" * 70 + b'.example:80"',
     "any address": b'"0.0.0.0:80"',
     "IPv6": b'"::1:80"',
     "short IPv4": b'"127.1:80"',
--- a/tests/steps/front_damaged_entries.py
+++ b/tests/steps/front_damaged_entries.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import tempfile
 from contextlib import suppress
@@ -18,6 +19,7 @@
 from redwingbank.front.admission import choose_pool
 from redwingbank.front.digest import Answer, Message, News, decode_message, encode_message
 from redwingbank.front.hosts import KIND_HOSTS, decode_peer
+from redwingbank.front.outbound import ConnectionPool
 from redwingbank.front.refusals import decode_error_code
 from redwingbank.platform.directory import decode_server, decode_table
 from redwingbank.platform.objects import (
@@ -150,6 +152,17 @@
     no_errors(context)
 
 
+@then('connecting to "{host}" and port {port:d} fails as one to an unreachable server')
+def connect_fails(context, host, port):
+    pool = ConnectionPool(Address(host.replace("long label", "x" * 70), port), 1.0)
+    try:
+        asyncio.run(pool.connect())
+    except OSError:
+        assert pool.contact.failed_s > 0
+        return
+    raise AssertionError
+
+
 def stored(content, name="i-1"):
     return {"meta": {"name": name, "revision": 7, "created": 1}, "spec": content, "status": None}
 
