Keep a table in force whose unused keys hold anything

Cause: an object of the store was marked unreadable for any part beyond a bound, before it was known which parts are needed.

The fix: the object keeps its other parts. The decoder of a server's entry, which has to be sound as a whole, and that of a lease, whose plans are written again, check for marked parts; all others fail only where they read one. Integers of 64 bits, also without a sign, are within the bounds of a document.

--- a/src/redwingbank/bounded_json.py
+++ b/src/redwingbank/bounded_json.py
@@ -18,8 +18,8 @@
 MAX_DEPTH = 32
 # what is nested no deeper is left to `is_readable`
 PRUNED_DEPTH = 2 * MAX_DEPTH
-MAX_INTEGER = 2**63 - 1
-MAX_DIGITS = len(str(MAX_INTEGER))
+# those of an integer of 64 bits
+MAX_DIGITS = 20
 
 # the next brackets outside of texts, as many as open or close one after the other
 _NEXT_BRACKETS = re.compile(r'(?:[^"\[\]{}]++|"(?:[^"\\]++|\\.)*+")*+([\[{]++|[\]}]++)', re.DOTALL)
@@ -114,10 +114,7 @@
 
 
 def _integer(text: str) -> int | Unreadable:
-    if len(text) > MAX_DIGITS + 1:
-        return UNREADABLE
-    value = int(text)
-    return value if abs(value) <= MAX_INTEGER else UNREADABLE
+    return int(text) if len(text.lstrip("-")) <= MAX_DIGITS else UNREADABLE
 
 
 def _number(text: str) -> float | Unreadable:
@@ -125,4 +122,4 @@
     return value if math.isfinite(value) else UNREADABLE
 
 
-__all__ = ["MAX_DEPTH", "MAX_INTEGER", "UNREADABLE", "decode_json", "decode_parts", "is_readable"]
+__all__ = ["MAX_DEPTH", "UNREADABLE", "decode_json", "decode_parts", "is_readable"]
--- a/src/redwingbank/duties/store.py
+++ b/src/redwingbank/duties/store.py
@@ -14,6 +14,7 @@
     read_list,
     read_object,
     read_text,
+    read_whole,
 )
 from redwingbank.platform.objects import (
     STATUS_CONFLICT,
@@ -85,7 +86,7 @@
             fence=read_integer(content["fence"], most=MAX_FENCE),
             renewal=read_integer(content["renewal"]),
             sent=tuple(map(_sent, read_list(content["sent"]))),
-            capacity=content.get("capacity"),
+            capacity=read_whole(content.get("capacity")),
         )
 
 
--- a/src/redwingbank/platform/directory.py
+++ b/src/redwingbank/platform/directory.py
@@ -24,6 +24,7 @@
     read_number,
     read_object,
     read_text,
+    read_whole,
 )
 from redwingbank.settings import parse_remote_address
 
@@ -73,7 +74,7 @@
     :raises MalformedError: if the entry describes no usable server
     """
     with decoding("server"):
-        content = read_object(content)
+        content = read_object(read_whole(content))
         for key in UNUSED_NUMBERS:
             read_number(content.get(key, 0), least=-MAX_NUMBER)
         return ServerEntry(
--- a/src/redwingbank/platform/fields.py
+++ b/src/redwingbank/platform/fields.py
@@ -9,12 +9,13 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING, Any
 
-from redwingbank.bounded_json import MAX_INTEGER, UNREADABLE
+from redwingbank.bounded_json import UNREADABLE, is_readable
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
 MAX_TEXT_BYTES = 1024
+MAX_INTEGER = 2**63 - 1
 # integers up to this one have an exact floating-point number
 MAX_NUMBER = 2**53
 MAX_REASON_CHARACTERS = 200
@@ -34,10 +35,15 @@
         raise MalformedError(f"{what}: {reason:.{MAX_REASON_CHARACTERS}}") from error
 
 
+def read_whole(value: Any) -> Any:
+    """Read a value of which each part has to be within the bounds of a document."""
+    if not is_readable(value):
+        raise ValueError(UNREADABLE.value)
+    return value
+
+
 def read_object(value: Any) -> dict[str, Any]:
     """Read a JSON object."""
-    if value is UNREADABLE:
-        raise ValueError(UNREADABLE.value)
     if not isinstance(value, dict):
         raise _unexpected(value)
     return value
@@ -95,4 +101,5 @@
     "read_number",
     "read_object",
     "read_text",
+    "read_whole",
 ]
--- a/src/redwingbank/platform/objects.py
+++ b/src/redwingbank/platform/objects.py
@@ -6,7 +6,7 @@
 from typing import Any, NamedTuple
 from urllib.parse import quote
 
-from redwingbank.bounded_json import UNREADABLE, decode_parts, is_readable
+from redwingbank.bounded_json import decode_parts
 from redwingbank.platform.fields import (
     MalformedError,
     decoding,
@@ -29,7 +29,7 @@
 class StoredObject(NamedTuple):
     """One object; `content` is the value written by its owner, in the owner's format.
 
-    It is `UNREADABLE` if it exceeds the bounds of a document.
+    Parts of it may be `UNREADABLE`.
     """
 
     name: str
@@ -146,12 +146,7 @@
 def _stored(item: Any) -> StoredObject:
     meta = read_object(read_object(item)["meta"])
     # `spec` holds the value written by the owner; `status` is for those that act on it
-    content = item.get("spec")
-    return StoredObject(
-        read_name(meta["name"]),
-        read_integer(meta["revision"]),
-        content if is_readable(content) else UNREADABLE,
-    )
+    return StoredObject(read_name(meta["name"]), read_integer(meta["revision"]), item.get("spec"))
 
 
 __all__ = [
--- a/tests/front/damaged_entries.feature
+++ b/tests/front/damaged_entries.feature
@@ -79,3 +79,11 @@
       | long label       | 80    |
       | 127.0.0.1        | 99999 |
       | 127.0.0.1        | -1    |
+
+  Scenario Outline: a <document> may have anything in a key that is not used
+    When a <document> has an unused key with each odd value
+    Then it is decoded in each case
+
+    Examples:
+      | document         |
+      | table            |
--- a/tests/steps/front_damaged_entries.py
+++ b/tests/steps/front_damaged_entries.py
@@ -280,6 +280,23 @@
     context.bodies = [(raw, name) for name, raw in RAW_BY_NAME.items()]
 
 
+@when("a {document} has an unused key with each odd value")
+def unused_values(context, document):
+    sample, complete, context.read = READ_BY_DOCUMENT[document]
+    whole = {**sample, "unused": ODD_TEXT}
+    body = json.dumps(complete(whole) if complete else whole).encode()
+    context.bodies = [
+        (body.replace(json.dumps(ODD_TEXT).encode(), raw), name)
+        for name, raw in RAW_BY_NAME.items()
+    ]
+
+
+@then("it is decoded in each case")
+def decoded(context):
+    for body, _ in context.bodies:
+        context.read(body)
+
+
 @then("decoding it fails with its own error, or the result can be told to other hosts")
 def only_own_errors(context):
     failures = []
