Refuse a settings file with a deep or huge value, or with a port out of range

What callers saw: a process whose settings file holds a value nested too deeply, an integer of thousands of digits or a port above 65535 ended at its start with a trace in place of the list of errors, and a reload of such a file was logged as an internal error without its reason.

Cause: RecursionError and OverflowError are no ValueError; the ports of the range were not checked, so listening on one raised OverflowError.

The fix: the file is decoded like documents of the store, and its values are read with the same bounds. An unused key may still hold anything.

--- a/src/redwingbank/platform/settings.py
+++ b/src/redwingbank/platform/settings.py
@@ -2,16 +2,17 @@
 
 from __future__ import annotations
 
-import json
 import os
 from pathlib import Path
 from typing import TYPE_CHECKING, Any
 
+from redwingbank.bounded_json import decode_parts
 from redwingbank.duties.values import DutySettings
 from redwingbank.errors import SettingError, SettingErrors
 from redwingbank.front.values import Bounds, HostSettings
 from redwingbank.front.wire import AnswerLimits
-from redwingbank.settings import Address, parse_address
+from redwingbank.platform.fields import read_integer, read_list, read_name, read_number
+from redwingbank.settings import MAX_PORT, Address, parse_address
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -52,7 +53,7 @@
     :raises SettingErrors: with every error of the file
     """
     try:
-        document = json.loads(path.read_text())
+        document = decode_parts(path.read_bytes())
     except (OSError, ValueError) as error:
         setting_error = SettingError(str(path), "(whole file)", f"a readable JSON file ({error})")
         raise SettingErrors(f"{path}: unreadable", [setting_error]) from error
@@ -66,20 +67,20 @@
     """
     reader = _Reader(document, file)
     ports = reader.read("portRange", _ports, "two port numbers")
-    host = reader.read("ip", _text, "an IP address")
+    host = reader.read("ip", read_name, "an IP address")
     metrics_port = os.environ.get(METRICS_PORT_VARIABLE) or (
         ports[METRICS_PORT_INDEX] if ports else 0
     )
     settings = HostSettings(
-        name=reader.read("nodeName", _text, "a name"),
-        data_centre=reader.read("zone", _text, "a name"),
+        name=reader.read("nodeName", read_name, "a name"),
+        data_centre=reader.read("zone", read_name, "a name"),
         caller=reader.read("listen.front", parse_address, ADDRESS),
         readiness=reader.read("listen.ready", parse_address, ADDRESS),
         metrics=Address(host or "", int(metrics_port)),
         store=reader.read("platform.addr", parse_address, ADDRESS),
         bounds=_bounds(reader),
         peer=Address(host or "", ports[PEER_PORT_INDEX] if ports else 0),
-        link_mbps=reader.read("limits.linkMbps", _number, NUMBER, 0.0),
+        link_mbps=reader.read("limits.linkMbps", read_number, NUMBER, 0.0),
         answer_limits=_answer_limits(reader),
         duties=_duties(reader),
     )
@@ -93,11 +94,11 @@
     fields: tuple[tuple[str, str, Callable[[Any], Any]], ...] = (
         ("revokeMs", "revoke_s", _milliseconds),
         ("strictRevoke", "strict_revoke", bool),
-        ("graceS", "grace_s", _number),
+        ("graceS", "grace_s", read_number),
         ("configMs", "table_s", _milliseconds),
-        ("budgetRatio", "repeat_ratio", _number),
-        ("budgetWindowS", "repeat_window_s", _number),
-        ("budgetExtra", "repeat_extra", _number),
+        ("budgetRatio", "repeat_ratio", read_number),
+        ("budgetWindowS", "repeat_window_s", read_number),
+        ("budgetExtra", "repeat_extra", read_number),
         ("contactMs", "contact_s", _milliseconds),
     )
     values = {
@@ -120,7 +121,7 @@
         ("leaseMs", "lease_s", _positive_milliseconds),
         ("thawMs", "thaw_s", _positive_milliseconds),
         ("reportWindowS", "window_s", _positive),
-        ("usageOff", "usage_off", _number),
+        ("usageOff", "usage_off", read_number),
         ("usageLateS", "late_s", _positive),
         ("fencing", "fencing", bool),
     )
@@ -140,7 +141,7 @@
         ("interimAnswers", "interim_answers"),
     )
     values = {
-        name: int(reader.read(f"answerLimits.{key}", _number, NUMBER, getattr(default, name)))
+        name: int(reader.read(f"answerLimits.{key}", read_number, NUMBER, getattr(default, name)))
         for key, name in fields
     }
     return AnswerLimits(**values)
@@ -174,20 +175,8 @@
     return document
 
 
-def _text(value: Any) -> str:
-    if not isinstance(value, str) or not value:
-        raise ValueError(value)
-    return value
-
-
-def _number(value: Any) -> float:
-    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
-        raise ValueError(value)
-    return float(value)
-
-
 def _positive(value: Any) -> float:
-    if _number(value) <= 0:
+    if not read_number(value):
         raise ValueError(value)
     return float(value)
 
@@ -197,19 +186,16 @@
 
 
 def _names(value: Any) -> tuple[str, ...]:
-    if not isinstance(value, list):
-        raise ValueError(value)
-    return tuple(map(_text, value))
+    return tuple(map(read_name, read_list(value)))
 
 
 def _milliseconds(value: Any) -> float:
-    return _number(value) / MS_PER_S
+    return read_number(value) / MS_PER_S
 
 
 def _ports(value: Any) -> tuple[int, int]:
-    if not isinstance(value, list) or len(value) != 2:  # noqa: PLR2004 - first and last
-        raise ValueError(value)
-    return int(value[0]), int(value[1])
+    first, last = (read_integer(port, most=MAX_PORT) for port in read_list(value))
+    return first, last
 
 
 __all__ = ["decode_host_settings", "read_host_settings", "settings_path"]
--- a/tests/front/damaged_entries.feature
+++ b/tests/front/damaged_entries.feature
@@ -60,6 +60,7 @@
       | server's report  |
       | helper's refusal |
       | list of hosts    |
+      | settings file    |
 
   Scenario Outline: an odd <document> as a whole
     When a <document> consists of each odd value
@@ -70,6 +71,7 @@
       | list of servers  |
       | server's report  |
       | helper's refusal |
+      | settings file    |
 
   Scenario Outline: an address that can't be connected to is an address out of reach
     Then connecting to "<host>" and port <port> fails as one to an unreachable server
@@ -87,3 +89,4 @@
     Examples:
       | document         |
       | table            |
+      | settings file    |
