Refuse a request whose counts no message between hosts can hold

A token count of 900 digits ended in 500.

Cause: the decoder of headers took any integer, and a digest has 32 bits for it. Encoding it raised an error in the callback that sends the digest, after its events had been taken. Tokens ahead of a request add up, so they may exceed the 32 bits with sound requests.

The fix: a request with a count below 0 or above 2**31, or a deadline that is no number, is refused as malformed, as one with letters is; times of a table are at most those of a message; the sum of tokens ahead is told as the highest number of 32 bits. Now the other host knows of the sound memo in each row.

--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -36,6 +36,8 @@
 FIRST_SEGMENT_WORDS = 8192
 # length of a request's row in `Digest.sent` of the schema
 NUMBERS_PER_REQUEST = 7
+# the tokens of all requests at a server may add up to more
+MAX_COUNT = 2**32 - 1
 
 
 class MessageError(Exception):
@@ -217,7 +219,7 @@
     return (
         request.number,
         in_flight.unread_tokens,
-        int(in_flight.tokens_ahead),
+        int(min(in_flight.tokens_ahead, MAX_COUNT)),
         in_flight.answer_tokens,
         int(in_flight.pause_target_s * MILLISECONDS),
         in_flight.rank,
--- a/src/redwingbank/platform/directory.py
+++ b/src/redwingbank/platform/directory.py
@@ -43,8 +43,8 @@
 MAX_SLOTS = 999_999
 # more servers, attempts or tiers than any table has
 MAX_COUNT = 1_000_000
-# a year
-MAX_MILLISECONDS = 31_536_000_000
+# as many as a message between hosts holds
+MAX_MILLISECONDS = 2**32 - 1
 # written for other readers; a value that is no number shows that the entry is not a server's
 UNUSED_NUMBERS = ("seq", "coldLeftMs")
 
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -44,6 +44,8 @@
 DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
 # No server turns away more requests in a second.
 COUNT = re.compile(rb"\d{1,6}")
+# more than any prompt or answer has
+MAX_TOKENS = 2**31
 
 # only the router sets these; they are dropped from a caller's request
 ROUTER_HEADERS = frozenset(
@@ -134,13 +136,13 @@
     """
     by_name = {name.lower(): value for name, value in headers}
     options = _connection_options(by_name)
-    tokens = _parse_integers(by_name.get(b"token-count", b""))
+    tokens = _parse_counts(by_name.get(b"token-count", b""))
     deadline = by_name.get(DEADLINE)
     return CallFacts(
         request_id=by_name.get(REQUEST_ID, b"").decode("latin-1"),
         host=by_name.get(b"host", b"").decode("latin-1"),
         key=_parse_key(by_name.get(AUTHORIZATION, b"").decode("latin-1")),
-        deadline_s=None if deadline is None else float(deadline) / MS_PER_S,
+        deadline_s=None if deadline is None else _parse_deadline(deadline),
         prompt_tokens=tokens[0] if tokens else 0,
         answer_tokens=tokens[1] if len(tokens) > 1 else 0,
         parts=tuple(_parse_parts(by_name.get(b"prompt-prefix", b"").decode("latin-1"))),
@@ -248,8 +250,22 @@
     return frozenset(item.strip() for item in items) - END_TO_END_HEADERS
 
 
-def _parse_integers(value: bytes) -> list[int]:
-    return [int(item) for item in value.split(b",")] if value else []
+def _parse_deadline(value: bytes) -> float:
+    deadline_s = float(value) / MS_PER_S
+    if math.isnan(deadline_s):
+        raise ValueError(value)
+    return deadline_s
+
+
+def _parse_counts(value: bytes) -> list[int]:
+    return [_parse_tokens(item) for item in value.split(b",")] if value else []
+
+
+def _parse_tokens(value: bytes | str) -> int:
+    tokens = int(value)
+    if not 0 <= tokens <= MAX_TOKENS:
+        raise ValueError(value)
+    return tokens
 
 
 def _parse_key(value: str) -> str:
@@ -259,7 +275,7 @@
 def _parse_parts(value: str) -> Iterable[PromptPart]:
     for item in value.split(",") if value else ():
         name, _, tokens = item.strip().partition(":")
-        yield PromptPart(name, int(tokens))
+        yield PromptPart(name, _parse_tokens(tokens))
 
 
 def _keep_alive_timeout_s(value: bytes) -> float | None:
@@ -311,6 +327,7 @@
 }
 
 __all__ = [
+    "MAX_TOKENS",
     "READINESS_TARGET",
     "REPORT_CALL",
     "AnswerFacts",
--- a/tests/front/damaged_entries.feature
+++ b/tests/front/damaged_entries.feature
@@ -90,3 +90,21 @@
       | document         |
       | table            |
       | settings file    |
+
+  Scenario Outline: a request with <header> "<value>" is refused, and hosts are told of the next
+    When a memo with <header> "<value>" arrives at the same time as a sound one
+    Then the first is refused as malformed, and the other host knows of the second
+
+    Examples:
+      | header        | value             |
+      | Token-Count   | 1099511627776,5   |
+      | Token-Count   | -5,5              |
+      | Token-Count   | digits            |
+      | Prompt-Prefix | aa:1e3,bb:1       |
+      | Prompt-Prefix | aa:99999999999,bb:1 |
+      | Prompt-Prefix | aa:-1,bb:2        |
+      | Prompt-Prefix | aa:digits,bb:2 |
+      | Deadline-Ms   | nan               |
+
+  Scenario: tokens that add up to more than a message holds are told as its highest number
+    Then a digest of a request behind many of the longest is encoded with the highest number
