Read records and answers with odd values as unreadable in the daemon, too

What operators saw: a stored head, record or lease, or an answer of an engine or of the platform, with one value nested too deeply or one infinite number, ended the task of the daemon that read it; redwingctl ended with a trace on such a log line or answer.

The fix: these documents are read with decode_json, which raises ValueError. A chunk whose text is none is garbage, like one without choices. Logs and answers of own processes may hold infinite numbers, so redwingctl only takes a deep one as unreadable.

--- a/src/redwingbank/ctl/hosts.py
+++ b/src/redwingbank/ctl/hosts.py
@@ -144,7 +144,7 @@
 def _parse_response(address: str, status: int, content: bytes) -> HostResponse:
     try:
         document = json.loads(content)
-    except ValueError:
+    except (ValueError, RecursionError):
         document = None
     if not isinstance(document, dict):
         return HostResponse(address, status, {}, f"status {status} without JSON; is it a daemon?")
--- a/src/redwingbank/ctl/records.py
+++ b/src/redwingbank/ctl/records.py
@@ -87,7 +87,7 @@
 def _parse_line(line: str) -> dict[str, Any] | None:
     try:
         document = json.loads(line)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     return document if isinstance(document, dict) and document.keys() >= RECORD_FIELDS else None
 
--- a/src/redwingbank/ports/engine.py
+++ b/src/redwingbank/ports/engine.py
@@ -14,6 +14,7 @@
 import httpcore
 
 from redwingbank import clock
+from redwingbank.bounded_json import decode_json
 from redwingbank.model import CacheEvent, LoadReport, Outcome
 
 if TYPE_CHECKING:
@@ -261,7 +262,7 @@
         if answer[0] != HTTPStatus.OK:
             return LoadFailure.NO_REPORT
         try:
-            document = json.loads(answer[1])
+            document = decode_json(answer[1])
             return LoadReport(
                 at_s=clock.now_s() - float(document.get("age_ms", 0)) / MS_PER_S,
                 slots=int(document["slots"]),
@@ -311,7 +312,7 @@
         if answer is None or answer[0] != OK_STATUS:
             return None
         try:
-            document = json.loads(answer[1])
+            document = decode_json(answer[1])
         except ValueError:
             return None
         return document if isinstance(document, dict) else None
--- a/src/redwingbank/ports/operator.py
+++ b/src/redwingbank/ports/operator.py
@@ -4,10 +4,10 @@
 
 import hmac
 import ipaddress
-import json
 from typing import TYPE_CHECKING, Any, Protocol
 from urllib.parse import parse_qs
 
+from redwingbank.bounded_json import decode_json
 from redwingbank.ports.http import read_body, send_json, send_response
 
 if TYPE_CHECKING:
@@ -146,7 +146,7 @@
     """Read the JSON object of a command; empty if there is none or it is invalid."""
     try:
         body = await read_body(receive, MAX_COMMAND_BYTES)
-        document = json.loads(body or b"{}")
+        document = decode_json(body or b"{}")
     except (ConnectionError, ValueError):
         return {}
     return document if isinstance(document, dict) else {}
--- a/src/redwingbank/ports/platform_http.py
+++ b/src/redwingbank/ports/platform_http.py
@@ -2,12 +2,12 @@
 
 from __future__ import annotations
 
-import json
 from typing import TYPE_CHECKING, Any, Protocol, TypeVar
 from urllib.parse import quote
 
 import httpcore
 
+from redwingbank.bounded_json import decode_json
 from redwingbank.ports.platform import Absent, Conflict, ListedHost, Stored, Unknown
 
 if TYPE_CHECKING:
@@ -177,7 +177,7 @@
     if answer.status != 200:
         return Unknown(key, f"status {answer.status}")
     try:
-        return parse(json.loads(answer.content))
+        return parse(decode_json(answer.content))
     except PARSE_ERRORS:
         return Unknown(key, "unreadable answer")
 
--- a/src/redwingbank/rules/frames.py
+++ b/src/redwingbank/rules/frames.py
@@ -2,9 +2,10 @@
 
 from __future__ import annotations
 
-import json
 from typing import Any
 
+from redwingbank.bounded_json import decode_json
+
 FRAME_END = b"\n\n"
 FRAME_START = b"data: "
 END_MARK = b"data: [DONE]\n\n"
@@ -83,15 +84,15 @@
         for frame in frames.split(FRAME_END):
             if not frame or frame == END_MARK.strip():
                 continue
-            chunk = json.loads(frame[len(FRAME_START) :])
+            chunk = decode_json(frame[len(FRAME_START) :])
             body |= {key: chunk[key] for key in ("id", "created", "model") if key in chunk}
             body |= {"usage": chunk["usage"]} if chunk.get("usage") else {}
             for choice in chunk["choices"]:
                 text.append(choice["delta"].get("content") or "")
                 reason = choice.get("finish_reason") or reason
+        message = {"role": "assistant", "content": "".join(text)}
     except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise GarbageError from error
-    message = {"role": "assistant", "content": "".join(text)}
     body["choices"] = [{"index": 0, "message": message, "finish_reason": reason}]
     return body
 
--- a/src/redwingbank/rules/idempotency.py
+++ b/src/redwingbank/rules/idempotency.py
@@ -11,6 +11,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from redwingbank.bounded_json import decode_json
+
 RECORD_PREFIX = "calls/"
 SHARDS = 256
 MAX_OUTCOME_BYTES = 512 * 1024
@@ -135,7 +137,7 @@
     :raises RecordError: if the value is not a record
     """
     try:
-        document = json.loads(value)
+        document = decode_json(value)
         outcome = document["outcome"]
         return Record(
             State(document["state"]),
--- a/src/redwingbank/rules/lease.py
+++ b/src/redwingbank/rules/lease.py
@@ -11,6 +11,8 @@
 from enum import StrEnum
 from typing import NamedTuple
 
+from redwingbank.bounded_json import decode_json
+
 LEASE_PREFIX = "leases/"
 MARGIN_SHARE = 0.2
 RENEW_SHARE = 0.3
@@ -179,7 +181,7 @@
     :raises LeaseError: if the value is not a lease
     """
     try:
-        document = json.loads(value)
+        document = decode_json(value)
         return LeaseRecord(
             str(document["holder"]),
             int(document["number"]),
--- a/src/redwingbank/rules/pages.py
+++ b/src/redwingbank/rules/pages.py
@@ -12,6 +12,7 @@
 import zlib
 from typing import TYPE_CHECKING, NamedTuple
 
+from redwingbank.bounded_json import decode_json
 from redwingbank.errors import RedwingbankError
 
 if TYPE_CHECKING:
@@ -117,8 +118,11 @@
     """
     sheets: dict[str, dict[str, dict[str, str]]] = {}
     for digest in dict.fromkeys(root.digests):
-        for sheet, row, cells in json.loads(_read_page(digest, values_by_name)):
-            sheets.setdefault(sheet, {})[row] = cells
+        try:
+            for sheet, row, cells in decode_json(_read_page(digest, values_by_name)):
+                sheets.setdefault(sheet, {})[row] = cells
+        except (ValueError, TypeError) as error:
+            raise PageError(f"{page_name(digest)} holds no rows") from error
     return sheets
 
 
@@ -145,7 +149,7 @@
     :raises PageError: if the value is not a head
     """
     try:
-        document = json.loads(value)
+        document = decode_json(value)
         digests = base64.b64decode(document["pages"], validate=True)
         if len(digests) % DIGEST_BYTES:
             raise PageError("the head's digests are truncated")
--- a/src/redwingbank/rules/table_change.py
+++ b/src/redwingbank/rules/table_change.py
@@ -10,6 +10,7 @@
 import json
 from typing import TYPE_CHECKING, Any
 
+from redwingbank.bounded_json import decode_json
 from redwingbank.rules.pages import (
     DIGEST_BYTES,
     Head,
@@ -58,7 +59,7 @@
     :raises PageError: if the value is not a change of this head
     """
     try:
-        document = json.loads(value)
+        document = decode_json(value)
         if document["from"] != old.revision:
             raise PageError(f"not a change of revision {old.revision}")
         digests = list(old.root.digests)
--- a/tests/odd_values.py
+++ b/tests/odd_values.py
@@ -6,7 +6,7 @@
 
 RAW_BY_NAME = {
     "deep": b"[" * 100_000 + b"]" * 100_000,
-    "deep object": b'{"a":' * 900 + b"1" + b"}" * 900,
+    "deep object": b'{"a":' * 2000 + b"1" + b"}" * 2000,
     "rather deep": b"[" * 400 + b"]" * 400,
     "5000 digits": b"9" * 5000,
     "400 digits": b"9" * 400,
