Drop a server whose entry becomes odd also just after an outage of the store

What callers saw: for up to 2 s after the store came back from an outage, requests still went to a server whose entry another writer had replaced by one that names no server.

Cause: an entry that can't be decoded was removed like one that is missing, and what is missing then may have lapsed in the outage and be restored. The store does hold it.

The fix: the registry is told whether an entry was deleted. A deleted one is still held until the platform had time to restore it. The test of lists now removes the server whose entry becomes odd by that alone; before, its successor took its address over.

--- a/src/redwingbank/front/directory.py
+++ b/src/redwingbank/front/directory.py
@@ -134,12 +134,12 @@
             departures.append(Departure(entry, "draining"))
         return departures
 
-    def remove(self, name: str, now_s: float) -> list[Departure]:
-        """Remove an entry that was deleted or can't be decoded."""
+    def remove(self, name: str, now_s: float, *, deleted: bool = True) -> list[Departure]:
+        """Remove an entry that was deleted, or that the store holds but can't be decoded."""
         entry = self.entries_by_name.get(name)
         if entry is None:
             return []
-        if not entry.draining and self._may_be_restored(now_s):
+        if deleted and not entry.draining and self._may_be_restored(now_s):
             self._missing.add(name)
             return []
         return [self._drop(name, "removed")]
--- a/src/redwingbank/front/store_handlers.py
+++ b/src/redwingbank/front/store_handlers.py
@@ -86,6 +86,9 @@
         states = {name: entry for name, entry in listed.items() if entry != known.get(name)}
         states |= dict.fromkeys(known.keys() - listed.keys())
         self._publish(listing.since, listing.revision, states, listing.revision)
+        for name in listed:
+            if name in self._unreadable:
+                self._remove(name)
         entries = [entry for entry in listed.values() if entry]
         for entry in entries:
             self._register(entry)
@@ -114,6 +117,8 @@
     def handle_news(self, news: News) -> None:
         """Apply changes that a relay sent."""
         states: dict[str, ServerEntry | None] = {entry.name: entry for entry in news.written}
+        for name in states:
+            self._unreadable.forget(name)
         self._apply(states | dict.fromkeys(news.removed), news.until)
 
     def _publish(
@@ -128,7 +133,7 @@
         servers = self._router.servers
         for name, entry in states.items():
             if entry is None:
-                self._handle_departures(servers.remove(name, now_s()))
+                self._remove(name)
                 continue
             if name not in servers.entries_by_name:
                 self._router.log.essential(
@@ -156,6 +161,11 @@
         """Drop lapsed entries that the platform has not restored."""
         self._handle_departures(self._router.servers.expire(now))
 
+    def _remove(self, name: str) -> None:
+        servers = self._router.servers
+        deleted = name not in self._unreadable
+        self._handle_departures(servers.remove(name, now_s(), deleted=deleted))
+
     def _register(self, entry: ServerEntry) -> None:
         """Register an entry; a new start time under its name means that the server was down."""
         known = self._router.servers.entries_by_name.get(entry.name)
--- a/src/redwingbank/front/unreadable_entries.py
+++ b/src/redwingbank/front/unreadable_entries.py
@@ -22,6 +22,9 @@
         self._key = key
         self._names: set[str] = set()
 
+    def __contains__(self, name: str) -> bool:
+        return name in self._names
+
     def record(self, name: str, error: Exception) -> None:
         """Log an entry, unless it was unreadable before."""
         if name not in self._names:
--- a/tests/front/damaged_entries.feature
+++ b/tests/front/damaged_entries.feature
@@ -34,6 +34,15 @@
     Then all use the sound servers only
     And no task of them has failed
 
+  Scenario: a server whose entry becomes odd is not taken for one whose entry lapsed in an outage
+    When an odd entry replaces a server's just after an outage of the store
+    Then that server is not used, while one whose entry lapsed still is
+
+  Scenario: an odd table leaves the one before in force
+    When an odd table is written, and then a sound one with a new route
+    Then the table before serves requests until the new one is in force
+    And no task of it has failed
+
   Scenario Outline: a list of hosts with an odd address: <value>
     When a host reads a list of hosts of which one has the peer "<value>"
     Then it greets the sound ones, and can still send messages
--- a/tests/steps/front_damaged_entries.py
+++ b/tests/steps/front_damaged_entries.py
@@ -10,7 +10,7 @@
 
 from behave import then, when
 
-from front_rig import Rig, boot, entry, run_scenario, table
+from front_rig import Rig, boot, entry, route, run_scenario, table
 from odd_values import ODD_TEXT, RAW_BY_NAME, spoiled
 from redwingbank.clock import now_s
 from redwingbank.duties.codec import Announcement
@@ -59,7 +59,7 @@
     """A rig whose store holds an odd entry from the start, and gets another one later."""
 
     def __init__(self, oddities):
-        super().__init__(modes=["ok", "ok"])
+        super().__init__(modes=["ok", "ok", "ok"])
         self.oddities = oddities
         for number, (_, value) in enumerate(oddities):
             self.store.raw_by_text[f"{ODD_TEXT}{number}"] = RAW_BY_NAME[value]
@@ -74,15 +74,15 @@
             await self.store.put("servers", f"{name}-{number}", odd)
 
     async def spoil(self):
-        """Replace the entry of a server by odd ones, and list its successor."""
-        address = self.addresses["i-2"]
+        """List odd entries, one of them in place of a sound one, and a server that is new."""
         await self.put_odd("late", SERVER)
-        odd = {**entry(address), self.oddities[0][0]: f"{ODD_TEXT}0"}
+        odd = {**entry(self.addresses["i-2"]), self.oddities[0][0]: f"{ODD_TEXT}0"}
         await self.store.put("servers", "i-2", odd)
-        await self.store.put("servers", "i-3", entry(address))
+        await self.store.delete("servers", "i-3")
+        await self.store.put("servers", "i-4", entry(self.addresses["i-3"]))
 
     async def until_followed(self, fronts):
-        expected = {"i-1", "i-3"}
+        expected = {"i-1", "i-4"}
         lists = [front.router.servers.entries_by_name for front in fronts]
         try:
             await self.until(lambda: all(expected == set(one) for one in lists), FOLLOW_S)
@@ -103,6 +103,52 @@
     run_scenario(rig, scenario)
 
 
+@when("an odd entry replaces a server's just after an outage of the store")
+def odd_after_outage(context):
+    context.rig = rig = OddRig([("slots", "deep")])
+
+    async def scenario(rig):
+        servers, now = rig.front.router.servers, now_s()
+        servers.store_lost()
+        servers.store_returned(now)
+        rig.front.router.freshness.store_contact._returned_s = now
+        await rig.store.delete("servers", "i-3")
+        odd = {**entry(rig.addresses["i-2"]), "slots": f"{ODD_TEXT}0"}
+        await rig.store.put("servers", "i-2", odd)
+        with suppress(TimeoutError):
+            await rig.until(lambda: "i-2" not in servers.entries_by_name, FOLLOW_S)
+        context.held = set(servers.entries_by_name)
+
+    run_scenario(rig, scenario)
+
+
+@then("that server is not used, while one whose entry lapsed still is")
+def only_lapsed_held(context):
+    assert context.held == {"i-1", "i-3"}, context.held
+
+
+@when("an odd table is written, and then a sound one with a new route")
+def odd_table(context):
+    context.rig = rig = OddRig([("slots", "deep")])
+
+    async def scenario(rig):
+        context.fronts = [rig.front]
+        odd = {**table(2), "limits": {"maxBodyBytes": f"{ODD_TEXT}0"}}
+        await rig.store.put("config", "main", odd)
+        await rig.until(lambda: any(line["event"] == "table-unreadable" for line in rig.lines))
+        context.during = await rig.ask("single")
+        new = route("/new/", "idempotent")
+        await rig.store.put("config", "main", table(3, routes=[new]))
+        await rig.until(lambda: rig.front.router.tables.table.revision == 3, FOLLOW_S)
+
+    run_scenario(rig, scenario)
+
+
+@then("the table before serves requests until the new one is in force")
+def table_served(context):
+    assert context.during.status == 200, context.during
+
+
 @then("it uses the sound servers only, and logs each odd entry once")
 def uses_sound(context):
     assert context.answer.status == 200, context.answer
@@ -245,10 +291,10 @@
 def read_table(body):
     read = decode_table(decode_page(body).objects[0].content)
     tell(Answer(1.0, 1.0, read.revision, 1, 1, 1.0))
-    for route in read.routes_by_host.get("desk.example", ()):
-        assert isinstance(choose_pool(route, "r-1"), str)
-        assert 0 <= route.timeout_s < 1e9
-        in_flight = InFlightRequest(0.0, 5, 5.0, 5, route.pause_target_s, 0)
+    for decoded in read.routes_by_host.get("desk.example", ()):
+        assert isinstance(choose_pool(decoded, "r-1"), str)
+        assert 0 <= decoded.timeout_s < 1e9
+        in_flight = InFlightRequest(0.0, 5, 5.0, 5, decoded.pause_target_s, 0)
         tell(Digest((Sent(1, "i-1", in_flight, ()),)))
 
 
