Refuse a chat whose n is a list, or that holds half a character, as a bad request

What callers saw: 500 in place of 400 for a chat with a list or an object as `n`, with half a surrogate pair in its model or text, or nested so deeply that it can just be decoded but not encoded again for the engine.

Cause: the first raises TypeError in a set's look-up, the others UnicodeEncodeError and RecursionError, after the part of the parser that expects errors.

--- a/src/redwingbank/ports/chat.py
+++ b/src/redwingbank/ports/chat.py
@@ -40,18 +40,24 @@
 def parse_chat(data: bytes) -> Chat | Refusal:
     """Parse a request body and validate the fields that the router needs."""
     try:
-        document = json.loads(data)
+        return _read_chat(data)
     except (ValueError, RecursionError):
+        # also half surrogates, and nesting that can be decoded but not encoded again
         return Refusal(Code.NOT_JSON)
+
+
+def _read_chat(data: bytes) -> Chat | Refusal:
+    document = json.loads(data)
     if not isinstance(document, dict):
         return Refusal(Code.NOT_JSON)
     invalid_field = _find_invalid_field(document)
     if invalid_field:
         return Refusal(Code.BAD_FIELD, invalid_field)
-    text = prompt_text(document["messages"])
+    model, text = document["model"], prompt_text(document["messages"])
+    (model + text).encode()
     stream = document.get("stream") is True
     body = data if stream else _request_stream(document)
-    return Chat(document["model"], stream, body, text, _part_fingerprints(document["messages"]))
+    return Chat(model, stream, body, text, _part_fingerprints(document["messages"]))
 
 
 def _find_invalid_field(document: dict[str, Any]) -> str:
@@ -61,7 +67,7 @@
         ("messages: a list with a message or more", isinstance(messages, list) and messages),
         ("messages: objects with a role", _has_roles(messages)),
         ("stream: true or false", isinstance(document.get("stream", False), bool)),
-        ("n: 1", document.get("n", 1) in {1, None}),
+        ("n: 1", document.get("n", 1) in (1, None)),
     )
     return next((expected for expected, valid in checks if not valid), "")
 
--- a/tests/rules/damaged_records.feature
+++ b/tests/rules/damaged_records.feature
@@ -17,3 +17,4 @@
       | command of operators |
       | line of a log        |
       | answer to ctl        |
+      | chat of a caller     |
--- a/tests/steps/rules_damaged_records.py
+++ b/tests/steps/rules_damaged_records.py
@@ -11,9 +11,11 @@
 from odd_values import spoiled
 from redwingbank.ctl.hosts import _parse_response
 from redwingbank.ctl.records import _parse_line
+from redwingbank.ports.chat import Chat, compute_fingerprint, parse_chat
 from redwingbank.ports.engine import EngineClient
 from redwingbank.ports.operator import _read_command
 from redwingbank.ports.platform_http import _parse_answer, _parse_hosts
+from redwingbank.rules.blocks import block_hashes
 from redwingbank.rules.frames import GarbageError, assemble
 from redwingbank.rules.idempotency import Record, RecordError, State, decode_record, encode_record
 from redwingbank.rules.lease import LeaseError, LeaseRecord, decode_lease, encode_lease
@@ -47,7 +49,17 @@
     asyncio.run(_read_command(receive))
 
 
+def read_chat(body):
+    chat = parse_chat(body)
+    if isinstance(chat, Chat):
+        compute_fingerprint("a", chat.text.encode())
+        assert isinstance(chat.model.encode(), bytes) and block_hashes(chat.text) is not None
+
+
+MESSAGES = [{"role": role, "content": [{"type": "text", "text": "a"}]} for role in ("a", "b")]
+CHAT = {"model": "m", "stream": False, "n": 1, "max_tokens": 5, "messages": MESSAGES}
 READ_BY_DOCUMENT = {
+    "chat of a caller": (CHAT, read_chat),
     "head of a table": (encode_head(NEW), decode_head),
     "change of a table": (encode_change(OLD, NEW), lambda body: apply_change(OLD, body)),
     "record of a call": (encode_record(Record(State.DONE, "n", "d", 1.0, "o")), decode_record),
