--- a/src/redwingbank/front/news_codec.py
+++ b/src/redwingbank/front/news_codec.py
@@ -6,7 +6,7 @@
 
 from redwingbank.front.notice_codec import read_rows
 from redwingbank.front.values import ServerEntry
-from redwingbank.settings import parse_address
+from redwingbank.settings import parse_remote_address
 
 MILLISECONDS = 1000.0
 
@@ -41,7 +41,7 @@
 def decode_news(struct: Any, now_s: float) -> News:
     """Decode changes of servers from a message.
 
-    :raises ValueError: if an address is no address
+    :raises ValueError: if an address is no address, or a server has no slots
     """
     news = struct.news
     return News(
@@ -53,10 +53,12 @@
 
 
 def _decode_server(row: Any) -> ServerEntry:
+    if not row.slots:
+        raise ValueError(f"{row.name} has no slots")
     return ServerEntry(
         name=row.name,
         pool=row.pool,
-        address=parse_address(row.address),
+        address=parse_remote_address(row.address),
         data_centre=row.dataCentre,
         slots=row.slots,
         draining=row.draining,
--- a/src/redwingbank/front/store_handlers.py
+++ b/src/redwingbank/front/store_handlers.py
@@ -6,6 +6,7 @@
 
 from redwingbank.clock import now_s
 from redwingbank.front.digest import News
+from redwingbank.front.unreadable_entries import UnreadableEntries
 from redwingbank.platform.directory import decode_server, decode_table
 from redwingbank.platform.objects import NAME_TABLE, MalformedError
 
@@ -73,6 +74,7 @@
 
     def __init__(self, router: Router) -> None:
         self._router = router
+        self._unreadable = UnreadableEntries(router.log, "server-unreadable", "server")
         router.freshness.on_server_news = self.handle_news
 
     def handle_listing(self, listing: Listing) -> None:
@@ -80,9 +82,13 @@
         self._router.freshness.confirm_servers(listing.asked_s)
         known = self._router.servers.entries_by_name
         listed = {stored.name: self._decode(stored) for stored in listing.objects}
+        self._unreadable.retain(listed)
         states = {name: entry for name, entry in listed.items() if entry != known.get(name)}
         states |= dict.fromkeys(known.keys() - listed.keys())
         self._publish(listing.since, listing.revision, states, listing.revision)
+        for name in listed:
+            if name in self._unreadable:
+                self._remove(name)
         entries = [entry for entry in listed.values() if entry]
         for entry in entries:
             self._register(entry)
@@ -93,6 +99,8 @@
         self._router.freshness.confirm_servers(watched.asked_s)
         states: dict[str, ServerEntry | None] = {}
         for change in watched.changes:
+            if change.deleted:
+                self._unreadable.forget(change.stored.name)
             entry = None if change.deleted else self._decode(change.stored)
             states[change.stored.name] = entry
         if states:
@@ -109,6 +117,8 @@
     def handle_news(self, news: News) -> None:
         """Apply changes that a relay sent."""
         states: dict[str, ServerEntry | None] = {entry.name: entry for entry in news.written}
+        for name in states:
+            self._unreadable.forget(name)
         self._apply(states | dict.fromkeys(news.removed), news.until)
 
     def _publish(
@@ -123,7 +133,7 @@
         servers = self._router.servers
         for name, entry in states.items():
             if entry is None:
-                self._handle_departures(servers.remove(name, now_s()))
+                self._remove(name)
                 continue
             if name not in servers.entries_by_name:
                 self._router.log.essential(
@@ -151,6 +161,11 @@
         """Drop lapsed entries that the platform has not restored."""
         self._handle_departures(self._router.servers.expire(now))
 
+    def _remove(self, name: str) -> None:
+        servers = self._router.servers
+        deleted = name not in self._unreadable
+        self._handle_departures(servers.remove(name, now_s(), deleted=deleted))
+
     def _register(self, entry: ServerEntry) -> None:
         """Register an entry; a new start time under its name means that the server was down."""
         known = self._router.servers.entries_by_name.get(entry.name)
@@ -160,10 +175,12 @@
 
     def _decode(self, stored: StoredObject) -> ServerEntry | None:
         try:
-            return decode_server(stored.name, stored.content)
+            entry = decode_server(stored.name, stored.content)
         except MalformedError as error:
-            self._router.log.essential("server-unreadable", server=stored.name, reason=str(error))
+            self._unreadable.record(stored.name, error)
             return None
+        self._unreadable.forget(stored.name)
+        return entry
 
     def _handle_departures(self, departures: Iterable[Departure]) -> None:
         for departure in departures:
