Go on with an unnamed stream only on a list of servers that is current

Cause: such a stream goes on at the only version that the pool has had. The history of versions was written from the list twice a second, whether or not the list was still confirmed: a host that has lost the store watches a list in which nothing changes, and takes that for a pool of one version. A pause of under 1.5 s, and the time until the next entry in the history, were not noticed either.

All rows by name passed: what nobody tells is refused. Cut off from the other hosts alone passed, too.

The fix: a host can't tell from what it holds that it is out of step, so it asks the store after the request has arrived, and decides on a list that was current then. A stream begins at a listed server only, so its version is in that list, or in the history of what came before. Versions are noted with each change, not at the next tick. Nothing waits for clocks or for other hosts' lists, and servers of a new version get streams at once, as before. `redwingctl explain` tells that the list was not confirmed.

--- a/src/redwingbank/ctl/explain.py
+++ b/src/redwingbank/ctl/explain.py
@@ -252,6 +252,10 @@
     return f"{field('server')} {limit}, by {field('source')}"
 
 
+def _format_list_unconfirmed(record: Record) -> str:
+    return "the store did not confirm that the list of servers is current"
+
+
 def _format_forwarded(record: Record) -> str:
     field = record.field
     return (
@@ -285,6 +289,7 @@
 
 _FORMATTER_BY_EVENT: dict[str, Callable[[Record], str]] = {
     "stream-origin": _format_stream_origin,
+    "list-unconfirmed": _format_list_unconfirmed,
     "request-granted": _format_granted,
     "attempt-failed": _format_failed,
     "request-forwarded": _format_forwarded,
--- a/src/redwingbank/front/freshness.py
+++ b/src/redwingbank/front/freshness.py
@@ -8,6 +8,7 @@
 from redwingbank.clock import now_s
 from redwingbank.front.digest import Answer, News, Question
 from redwingbank.front.directory import StoreContact
+from redwingbank.front.list_check import ListCheck
 from redwingbank.front.peers import LARGE_FLEET_HOSTS
 from redwingbank.rules.rendezvous import ranked
 
@@ -69,6 +70,7 @@
     ) -> None:
         self.on_server_news: Callable[[News], None] | None = None
         self.store_contact = StoreContact()
+        self.list_check = ListCheck(self._ask_for_servers)
         self._host = host
         self._tables = tables
         self._peers = peers
@@ -151,9 +153,10 @@
             )
 
     def confirm_servers(self, asked_s: float) -> None:
-        """Record that the list of servers was current in the store at `asked_s`."""
+        """Record that the list of servers, as it is known now, was current at `asked_s`."""
         self.store_contact.record(asked_s, now_s())
         self._servers_confirmed_s = max(self._servers_confirmed_s, asked_s)
+        self.list_check.confirmed(asked_s)
 
     def record_server_changes(self, news: News, changed: int) -> None:
         """Record changes that this host got from the store; a relay broadcasts them.
@@ -236,6 +239,9 @@
             )
             self._restart(watcher)
 
+    def _ask_for_servers(self) -> None:
+        self._restart(self._servers)
+
     def _restart(self, watcher: Watcher) -> None:
         self._restarted_s_by_watcher[watcher] = now_s()
         watcher.interrupt()
--- a/src/redwingbank/front/store.py
+++ b/src/redwingbank/front/store.py
@@ -273,7 +273,8 @@
         )
         self.revision = changes.revision
         if changes.changes:
-            await anyio.sleep(CHANGE_BATCH_S)
+            with anyio.CancelScope() as self._wait_scope:
+                await anyio.sleep(CHANGE_BATCH_S)
 
     def _note_recovery(self) -> None:
         if self._unreachable:
--- a/src/redwingbank/front/store_handlers.py
+++ b/src/redwingbank/front/store_handlers.py
@@ -77,7 +77,6 @@
 
     def handle_listing(self, listing: Listing) -> None:
         """Replace the list of servers; entries that can't be decoded are left out."""
-        self._router.freshness.confirm_servers(listing.asked_s)
         known = self._router.servers.entries_by_name
         listed = {stored.name: self._decode(stored) for stored in listing.objects}
         states = {name: entry for name, entry in listed.items() if entry != known.get(name)}
@@ -87,10 +86,10 @@
         for entry in entries:
             self._register(entry)
         self._handle_departures(self._router.servers.replace(entries, now_s()))
+        self._router.freshness.confirm_servers(listing.asked_s)
 
     def handle_changes(self, watched: WatchedChanges) -> None:
         """Apply entries that were written or deleted."""
-        self._router.freshness.confirm_servers(watched.asked_s)
         states: dict[str, ServerEntry | None] = {}
         for change in watched.changes:
             entry = None if change.deleted else self._decode(change.stored)
@@ -105,9 +104,11 @@
             )
             self._publish(watched.since, watched.until, states, changed)
             self._apply(states, watched.until)
+        self._router.freshness.confirm_servers(watched.asked_s)
 
     def handle_news(self, news: News) -> None:
         """Apply changes that a relay sent."""
+        self._router.versions.note(news.written, now_s())
         states: dict[str, ServerEntry | None] = {entry.name: entry for entry in news.written}
         self._apply(states | dict.fromkeys(news.removed), news.until)
 
@@ -140,11 +141,13 @@
     def handle_loss(self, reason: str) -> None:
         """Record that the store is unreachable, so that missing entries may have lapsed."""
         self._router.servers.store_lost()
+        self._router.freshness.list_check.lost()
         self._router.log.essential("store-lost", kind="servers", reason=reason)
 
     def handle_recovery(self) -> None:
         """Record that the store is reachable again."""
         self._router.servers.store_returned(now_s())
+        self._router.freshness.list_check.regained()
         self._router.log.essential("store-regained", kind="servers")
 
     def expire(self, now: float) -> None:
@@ -160,10 +163,13 @@
 
     def _decode(self, stored: StoredObject) -> ServerEntry | None:
         try:
-            return decode_server(stored.name, stored.content)
+            entry = decode_server(stored.name, stored.content)
         except MalformedError as error:
             self._router.log.essential("server-unreadable", server=stored.name, reason=str(error))
             return None
+        # also of a server that a later change of the same answer removes
+        self._router.versions.note([entry], now_s())
+        return entry
 
     def _handle_departures(self, departures: Iterable[Departure]) -> None:
         for departure in departures:
--- a/src/redwingbank/front/stream_binding.py
+++ b/src/redwingbank/front/stream_binding.py
@@ -73,12 +73,28 @@
         if not self._taken_up:
             found(None)
         elif not self._stream:
-            within_s = max(MIN_WATCHED_S, MAX_TRIES * self._timeout_s)
-            version = self._router.versions.only_version(self._pool, within_s, now_s())
-            found(self._bind(StreamOrigin(self._pool, version, "") if version else None))
+            self._find_unnamed(found)
         else:
             self._router.streams.find(self._key, lambda origin: found(self._bind(origin)))
 
+    def _find_unnamed(self, found: Callable[[Code | None], None]) -> None:
+        """Find the only version of the pool, once it is known that no other one has joined."""
+
+        def told(current: bool) -> None:  # noqa: FBT001 - the only argument of a callback
+            if not current:
+                self._router.log.detail("list-unconfirmed", request=self._request_id)
+            found(self._bind(self._only_origin() if current else None))
+
+        if self._only_origin():
+            self._router.freshness.list_check.start(told)
+        else:
+            found(self._bind(None))
+
+    def _only_origin(self) -> StreamOrigin | None:
+        within_s, now = max(MIN_WATCHED_S, MAX_TRIES * self._timeout_s), now_s()
+        version = self._router.versions.only_version(self._pool, within_s, now)
+        return StreamOrigin(self._pool, version, "") if version else None
+
     def usable(self) -> list[ServerEntry]:
         """List the servers that may get the request."""
         entries = self._router.servers.usable(self.pool)
--- a/src/redwingbank/routing/version_history.py
+++ b/src/redwingbank/routing/version_history.py
@@ -33,8 +33,7 @@
         if now_s - self._observed_s > MAX_GAP_S:
             self._since_s = now_s
         self._observed_s = now_s
-        for entry in entries:
-            self._seen_s_by_pool.setdefault(entry.pool, {})[entry.version] = now_s
+        self.note(entries, now_s)
         for pool, seen_s in list(self._seen_s_by_pool.items()):
             old = [version for version, at_s in seen_s.items() if now_s - at_s > FORGET_S]
             for version in old:
@@ -42,6 +41,11 @@
             if not seen_s:
                 del self._seen_s_by_pool[pool]
 
+    def note(self, entries: Iterable[ServerEntry], now_s: float) -> None:
+        """Record entries as soon as they are known, also those that are gone again at once."""
+        for entry in entries:
+            self._seen_s_by_pool.setdefault(entry.pool, {})[entry.version] = now_s
+
     def only_version(self, pool: str, within_s: float, now_s: float) -> str:
         """Return the only version that servers of a pool had within a time.
 
