Know no versions from before a list that was read whole after a gap

Callers saw: a host was cut off from the store while servers of a new version joined and left again, and the store dropped its history of that.

Cause: the history of versions took the list that was read whole for what had been there all the while.

Streams that are not named are refused there until two timeouts have passed, as after a start; named ones are not.

--- a/src/redwingbank/front/store_handlers.py
+++ b/src/redwingbank/front/store_handlers.py
@@ -77,6 +77,8 @@
 
     def handle_listing(self, listing: Listing) -> None:
         """Replace the list of servers; entries that can't be decoded are left out."""
+        gap_s = self._router.freshness.servers_age_s(listing.asked_s)
+        self._router.versions.resume(gap_s, now_s())
         known = self._router.servers.entries_by_name
         listed = {stored.name: self._decode(stored) for stored in listing.objects}
         states = {name: entry for name, entry in listed.items() if entry != known.get(name)}
--- a/src/redwingbank/routing/version_history.py
+++ b/src/redwingbank/routing/version_history.py
@@ -46,6 +46,11 @@
         for entry in entries:
             self._seen_s_by_pool.setdefault(entry.pool, {})[entry.version] = now_s
 
+    def resume(self, gap_s: float, now_s: float) -> None:
+        """Record that the list was read whole; what came and went since `gap_s` ago is unknown."""
+        if gap_s > MAX_GAP_S:
+            self._since_s = now_s
+
     def only_version(self, pool: str, within_s: float, now_s: float) -> str:
         """Return the only version that servers of a pool had within a time.
 
--- a/tests/front/out_of_step.feature
+++ b/tests/front/out_of_step.feature
@@ -37,6 +37,18 @@
       | cut off from the store                | without a name |
       | cut off from the store and the hosts  | without a name |
 
+  Scenario Outline: servers of a new version have come and gone when a host has the store again
+    Given 3 fronts and servers of versions v1, v1
+    When the last host is cut off from the store until servers of v2 have left, <history>, and streams begun there are taken up <named>
+    Then no caller got events of two versions
+    And every stream taken up was continued whole or refused with a time to return
+
+    Examples:
+      | history                         | named          |
+      | the store tells all changes     | without a name |
+      | the store has dropped some      | without a name |
+      | the store has dropped some      | by name        |
+
   Scenario: hosts that are in step go on with streams that are not named
     Given 3 fronts and servers of versions v1, v1
     When 4 s pass, and 4 callers take their streams up at each host without a name
--- a/tests/steps/front_out_of_step.py
+++ b/tests/steps/front_out_of_step.py
@@ -131,6 +131,31 @@
         run_scenario(context.rig, scenario, table(timeout_ms=TIMEOUT_MS))
 
 
+@when(
+    "the last host is cut off from the store until servers of v2 have left, {history},"
+    " and streams begun there are taken up {named}"
+)
+def come_and_gone(context, history, named):
+    async def scenario(rig):
+        fronts = await start_hosts(context, rig)
+        await asyncio.sleep(1.5 * WATCHED_S)
+        last = OutOfStep(rig, fronts[-1], "cut off from the store")
+        await let_join(rig, "v2")
+        await asyncio.sleep(LATE_S)
+        begun = await begin_at(rig, context, "v2", TRIES_S)
+        assert len(begun) == TAKEN_UP
+        await rig.store.delete("servers", "i-v2")
+        if "dropped" in history:
+            rig.store.forget_history()
+        last.proxy.set_mode("pass")
+        freshness = fronts[-1].router.freshness
+        await rig.until(lambda: freshness.servers_age_s(now_s()) < WATCHED_S)
+        await take_up(rig, begun, fronts[-1], named)
+
+    with mock.patch.object(stream_binding, "MIN_WATCHED_S", WATCHED_S):
+        run_scenario(context.rig, scenario, table(timeout_ms=TIMEOUT_MS))
+
+
 @when(
     "{seconds:d} s pass, and {count:d} callers take their streams up at each host without a name"
 )
