Count the versions of all pools to which a route leads, or led, for an unnamed stream

Callers saw: a stream that was taken up with Last-Event-Id alone went on at another software version where its route is split over two services, or had been moved from one to another since it began (ORDER), also at hosts in step.

It asked for the only version of the pool that the second try's id, or the table in force, leads to; the stream may have begun at another pool.

The fix: the only version is that of all pools to which the route leads, or led within two timeouts and the bound on tables (configMs), since other hosts may have used the earlier table for so long. Routes are compared by the requests that they match, as prefixes are added and removed. Where all pools have the same version, nothing changes.

--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -26,6 +26,7 @@
 from redwingbank.metrics import Metrics
 from redwingbank.routing.choice import Chooser, as_in_flight
 from redwingbank.routing.dispatch import Dispatcher
+from redwingbank.routing.route_history import RouteHistory
 from redwingbank.routing.version_history import VersionHistory
 
 if TYPE_CHECKING:
@@ -76,6 +77,7 @@
         self.servers = ServerRegistry(self.freshness.store_contact.was_down)
         self.streams = StreamSharing(settings.name, self.peers)
         self.versions = VersionHistory()
+        self.routes = RouteHistory()
         self.dispatcher = Dispatcher(
             Chooser(self.backends, random), lambda: 1 + len(self.peers.peers_by_host)
         )
--- a/src/redwingbank/front/store_handlers.py
+++ b/src/redwingbank/front/store_handlers.py
@@ -56,7 +56,10 @@
             except MalformedError as error:
                 self._router.log.essential("table-unreadable", reason=str(error))
                 return
+            before = tables.table
             if tables.confirm(table, asked_s):
+                if before:
+                    self._router.routes.replace(before, table, now_s())
                 self._router.log.essential(
                     "table-in-force",
                     revision=table.revision,
--- a/src/redwingbank/front/stream_binding.py
+++ b/src/redwingbank/front/stream_binding.py
@@ -32,13 +32,14 @@
 
     A stream that may be resumed is bound by its first event, which is told to other hosts before
     it is forwarded. A caller that takes a stream up names the request that brought it. If it
-    names none, the stream goes on only where its pool has had a single version.
+    names none, the stream goes on only where the pools of its route have had a single version.
     """
 
     def __init__(self, router: Router, admitted: AdmittedRequest) -> None:
         route, facts = admitted.route, admitted.facts
         self.origin: StreamOrigin | None = None
         self._router = router
+        self._route = route
         self._pool = admitted.pool
         self._pools = {share.pool for share in route.shares}
         self._resumable = route.kind is Kind.STREAM and route.resumable
@@ -50,7 +51,6 @@
         # empty for a stream that is taken up without its name
         bindable = self._resumable or self._taken_up
         self._key = stream_key(self._stream) if bindable and self._stream else ""
-        self._timeout_s = route.timeout_s
         patience_s = route.timeout_s if facts.deadline_s is None else facts.deadline_s
         self._request_id = facts.request_id
         self._started_s = now_s()
@@ -78,7 +78,7 @@
             self._router.streams.find(self._key, lambda origin: found(self._bind(origin)))
 
     def _find_unnamed(self, found: Callable[[Code | None], None]) -> None:
-        """Find the only version of the pool, once it is known that no other one has joined."""
+        """Find the only version of the pools, once it is known that no other one has joined."""
 
         def told(current: bool) -> None:  # noqa: FBT001 - the only argument of a callback
             if not current:
@@ -91,8 +91,11 @@
             found(self._bind(None))
 
     def _only_origin(self) -> StreamOrigin | None:
-        within_s, now = max(MIN_WATCHED_S, MAX_TRIES * self._timeout_s), now_s()
-        version = self._router.versions.only_version(self._pool, within_s, now)
+        router, now = self._router, now_s()
+        within_s = max(MIN_WATCHED_S, MAX_TRIES * self._route.timeout_s)
+        # other hosts may have used an earlier table for as long as the bound allows
+        pools = router.routes.pools(self._route, within_s + router.settings.bounds.table_s, now)
+        version = router.versions.only_version(pools, within_s, now)
         return StreamOrigin(self._pool, version, "") if version else None
 
     def usable(self) -> list[ServerEntry]:
--- a/src/redwingbank/routing/version_history.py
+++ b/src/redwingbank/routing/version_history.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from redwingbank.front.values import ServerEntry
 
@@ -19,7 +19,7 @@
 
     >>> history = VersionHistory()
     >>> history.observe([], now_s=0.0)
-    >>> history.only_version("desk-model", within_s=5.0, now_s=0.0)
+    >>> history.only_version(["desk-model"], within_s=5.0, now_s=0.0)
     ''
     """
 
@@ -51,16 +51,20 @@
         if gap_s > MAX_GAP_S:
             self._since_s = now_s
 
-    def only_version(self, pool: str, within_s: float, now_s: float) -> str:
-        """Return the only version that servers of a pool had within a time.
+    def only_version(self, pools: Collection[str], within_s: float, now_s: float) -> str:
+        """Return the only version that servers of some pools had within a time.
 
         Empty if there was more than one, or if this host has not watched for so long.
         """
         since_s = now_s - within_s
-        seen_s = self._seen_s_by_pool.get(pool, {})
-        versions = [version for version, at_s in seen_s.items() if at_s >= since_s]
+        versions = {
+            version
+            for pool in pools
+            for version, at_s in self._seen_s_by_pool.get(pool, {}).items()
+            if at_s >= since_s
+        }
         watched = self._since_s <= since_s and now_s - self._observed_s <= MAX_GAP_S
-        return versions[0] if watched and len(versions) == 1 else ""
+        return versions.pop() if watched and len(versions) == 1 else ""
 
 
 __all__ = ["VersionHistory"]
--- a/tests/front/out_of_step.feature
+++ b/tests/front/out_of_step.feature
@@ -54,3 +54,16 @@
     When 4 s pass, and 4 callers take their streams up at each host without a name
     Then every caller got its whole stream
     And the streams of a host were taken up within 300 ms, with 2 questions to the store at most
+
+  Scenario Outline: a stream that is not named, when its route <change> to another service
+    Given 3 fronts and servers of versions v1, v1
+    When the route of streams <change> to another service of v2, and streams begun there are taken up at <where>
+    Then no caller got events of two versions
+    And every stream taken up was continued whole or refused with a time to return
+
+    Examples:
+      | change   | where                                       |
+      | is split | a host in step                              |
+      | is moved | a host in step                              |
+      | is moved | a host cut off from the store               |
+      | is moved | a host cut off from the store and the hosts |
--- a/tests/steps/front_out_of_step.py
+++ b/tests/steps/front_out_of_step.py
@@ -56,7 +56,7 @@
                 self.deliver(*datagram)
 
 
-async def let_join(rig, version, server=None):
+async def let_join(rig, version, server=None, service=POOL):
     """Start a server of a version, under its former name if it is one that served before."""
     if server:
         server.restart(version)
@@ -66,7 +66,7 @@
         rig.addresses[server.name] = await server.start(Address(LOOPBACK, 0))
     server.pause_s = 0.05
     listed = entry(rig.addresses[server.name], version=version, started_ms=server.started_ms)
-    await rig.store.put("servers", server.name, listed)
+    await rig.store.put("servers", server.name, listed | {"service": service})
 
 
 async def begin_at(rig, context, version, within_s):
@@ -184,3 +184,40 @@
     took_s = [stream.took_s for stream in context.streams]
     assert max(took_s) * 1000 < most_ms + REST_MS, took_s
     assert all(0 < count <= most for count in context.questions), context.questions
+
+
+def route_changed(change):
+    """Return a newer table, in which the route of streams leads to another service."""
+    shares = [{"service": POOL, "weight": 1.0}, {"service": "pool-2", "weight": 1.0}]
+    leads_to = {"split": shares} if "split" in change else {"service": "pool-2"}
+    content = table(2, timeout_ms=TIMEOUT_MS)
+    content["services"].append(content["services"][0] | {"name": "pool-2"})
+    content["routes"][-1] |= leads_to
+    return content
+
+
+@when(
+    "the route of streams {change} to another service of v2,"
+    " and streams begun there are taken up at {where}"
+)
+def routes_change(context, change, where):
+    context.rig.bounds |= {"revokeMs": 20_000}
+
+    async def scenario(rig):
+        fronts = await start_hosts(context, rig)
+        await let_join(rig, "v2", service="pool-2")
+        await asyncio.sleep(1.5 * WATCHED_S)
+        begun = await begin_at(rig, context, "v1", TRIES_S)
+        if "cut off" in where:
+            OutOfStep(rig, fronts[-1], where)
+        await rig.store.put("config", "main", route_changed(change))
+        informed = fronts[0] if "cut off" in where else fronts[-1]
+        await rig.until(lambda: informed.router.tables.table.revision > 1)
+        await take_up(rig, begun, fronts[-1], "without a name")
+        for wait_s in (0.0, LATE_S):
+            await asyncio.sleep(wait_s)
+            begun = await begin_at(rig, context, "v2", TRIES_S)
+            await take_up(rig, begun, fronts[-1], "without a name")
+
+    with mock.patch.object(stream_binding, "MIN_WATCHED_S", WATCHED_S):
+        run_scenario(context.rig, scenario, table(timeout_ms=TIMEOUT_MS))
--- a/tests/steps/routing_stream_origin.py
+++ b/tests/steps/routing_stream_origin.py
@@ -145,5 +145,5 @@
 
 @then("within {seconds:d} s the pool has had {version}")
 def has_had(context, seconds, version):
-    found = context.history.only_version(ORIGIN.pool, float(seconds), context.now_s)
+    found = context.history.only_version([ORIGIN.pool], float(seconds), context.now_s)
     assert found == ("" if version == "several" else version), found
