--- a/src/redwingbank/front/store_handlers.py
+++ b/src/redwingbank/front/store_handlers.py
@@ -57,7 +57,10 @@
             except MalformedError as error:
                 self._router.log.essential("table-unreadable", reason=str(error))
                 return
+            before = tables.table
             if tables.confirm(table, asked_s):
+                if before:
+                    self._router.routes.replace(before, table, now_s())
                 self._router.log.essential(
                     "table-in-force",
                     revision=table.revision,
@@ -79,7 +82,8 @@
 
     def handle_listing(self, listing: Listing) -> None:
         """Replace the list of servers; entries that can't be decoded are left out."""
-        self._router.freshness.confirm_servers(listing.asked_s)
+        gap_s = self._router.freshness.servers_age_s(listing.asked_s)
+        self._router.versions.resume(gap_s, now_s())
         known = self._router.servers.entries_by_name
         listed = {stored.name: self._decode(stored) for stored in listing.objects}
         self._unreadable.retain(listed)
@@ -93,10 +97,10 @@
         for entry in entries:
             self._register(entry)
         self._handle_departures(self._router.servers.replace(entries, now_s()))
+        self._router.freshness.confirm_servers(listing.asked_s)
 
     def handle_changes(self, watched: WatchedChanges) -> None:
         """Apply entries that were written or deleted."""
-        self._router.freshness.confirm_servers(watched.asked_s)
         states: dict[str, ServerEntry | None] = {}
         for change in watched.changes:
             if change.deleted:
@@ -113,9 +117,11 @@
             )
             self._publish(watched.since, watched.until, states, changed)
             self._apply(states, watched.until)
+        self._router.freshness.confirm_servers(watched.asked_s)
 
     def handle_news(self, news: News) -> None:
         """Apply changes that a relay sent."""
+        self._router.versions.note(news.written, now_s())
         states: dict[str, ServerEntry | None] = {entry.name: entry for entry in news.written}
         for name in states:
             self._unreadable.forget(name)
@@ -150,11 +156,13 @@
     def handle_loss(self, reason: str) -> None:
         """Record that the store is unreachable, so that missing entries may have lapsed."""
         self._router.servers.store_lost()
+        self._router.freshness.list_check.lost()
         self._router.log.essential("store-lost", kind="servers", reason=reason)
 
     def handle_recovery(self) -> None:
         """Record that the store is reachable again."""
         self._router.servers.store_returned(now_s())
+        self._router.freshness.list_check.regained()
         self._router.log.essential("store-regained", kind="servers")
 
     def expire(self, now: float) -> None:
@@ -180,6 +188,8 @@
             self._unreadable.record(stored.name, error)
             return None
         self._unreadable.forget(stored.name)
+        # also of a server that a later change of the same answer removes
+        self._router.versions.note([entry], now_s())
         return entry
 
     def _handle_departures(self, departures: Iterable[Departure]) -> None:
--- a/src/redwingbank/routing/version_history.py
+++ b/src/redwingbank/routing/version_history.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Collection, Iterable
 
     from redwingbank.front.values import ServerEntry
 
@@ -19,7 +19,7 @@
 
     >>> history = VersionHistory()
     >>> history.observe([], now_s=0.0)
-    >>> history.only_version("desk-model", within_s=5.0, now_s=0.0)
+    >>> history.only_version(["desk-model"], within_s=5.0, now_s=0.0)
     ''
     """
 
@@ -33,8 +33,7 @@
         if now_s - self._observed_s > MAX_GAP_S:
             self._since_s = now_s
         self._observed_s = now_s
-        for entry in entries:
-            self._seen_s_by_pool.setdefault(entry.pool, {})[entry.version] = now_s
+        self.note(entries, now_s)
         for pool, seen_s in list(self._seen_s_by_pool.items()):
             old = [version for version, at_s in seen_s.items() if now_s - at_s > FORGET_S]
             for version in old:
@@ -42,16 +41,30 @@
             if not seen_s:
                 del self._seen_s_by_pool[pool]
 
-    def only_version(self, pool: str, within_s: float, now_s: float) -> str:
-        """Return the only version that servers of a pool had within a time.
+    def note(self, entries: Iterable[ServerEntry], now_s: float) -> None:
+        """Record entries as soon as they are known, also those that are gone again at once."""
+        for entry in entries:
+            self._seen_s_by_pool.setdefault(entry.pool, {})[entry.version] = now_s
+
+    def resume(self, gap_s: float, now_s: float) -> None:
+        """Record that the list was read whole; what came and went since `gap_s` ago is unknown."""
+        if gap_s > MAX_GAP_S:
+            self._since_s = now_s
+
+    def only_version(self, pools: Collection[str], within_s: float, now_s: float) -> str:
+        """Return the only version that servers of some pools had within a time.
 
         Empty if there was more than one, or if this host has not watched for so long.
         """
         since_s = now_s - within_s
-        seen_s = self._seen_s_by_pool.get(pool, {})
-        versions = [version for version, at_s in seen_s.items() if at_s >= since_s]
+        versions = {
+            version
+            for pool in pools
+            for version, at_s in self._seen_s_by_pool.get(pool, {}).items()
+            if at_s >= since_s
+        }
         watched = self._since_s <= since_s and now_s - self._observed_s <= MAX_GAP_S
-        return versions[0] if watched and len(versions) == 1 else ""
+        return versions.pop() if watched and len(versions) == 1 else ""
 
 
 __all__ = ["VersionHistory"]
