Remember a stream until its last answer at a host has ended

Callers saw: 503 (the version that began the stream isn't known) when they took a stream up again. A caller may take a stream up at the host that still serves its first answer; both answers had the stream's key, and the end of the first one released or forgot the stream for the second, here and at the hosts that hold it.

The host counts its answers of each stream, and a binding releases only what it has begun. stream_versions.feature and stream_sharing.feature pass.

--- a/src/redwingbank/front/stream_binding.py
+++ b/src/redwingbank/front/stream_binding.py
@@ -45,7 +45,7 @@
         # the class may have been resumable when a stream began that is named
         named = route.kind is Kind.STREAM and bool(facts.resumes)
         self._taken_up = named or (self._resumable and facts.takes_up)
-        self._begun = self._bound = False
+        self._begun = self._bound = self._serves = False
         self._stream = facts.resumes if self._taken_up else facts.request_id
         # empty for a stream that is taken up without its name
         bindable = self._resumable or self._taken_up
@@ -102,16 +102,20 @@
             self.origin = StreamOrigin(attempt.entry.pool, version, host)
         self._bound = self.origin is not None
         if self.origin and self._key:
+            self._serves = True
             self._router.streams.begin(self._key, self.origin, self._ends_s)
 
     def finish(self) -> None:
         """Forget the stream, which is complete."""
-        if self.origin and self._key:
+        if self.origin and self._key and self._serves == self._router.streams.serves(self._key):
+            self._serves = False
             self._router.streams.finish(self._key)
 
     def release(self) -> None:
         """Leave the stream to the host at which its caller takes it up."""
-        self._router.streams.release(self._key)
+        if self._serves:
+            self._serves = False
+            self._router.streams.release(self._key)
 
     def _bind(self, origin: StreamOrigin | None) -> Code | None:
         self._router.log.detail(
--- a/src/redwingbank/front/stream_sharing.py
+++ b/src/redwingbank/front/stream_sharing.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections import defaultdict
+from collections import Counter, defaultdict
 from typing import TYPE_CHECKING
 
 from redwingbank.clock import now_s
@@ -58,7 +58,8 @@
         self._host = host
         self._peers = peers
         self._ring = HostRing()
-        self._served: set[str] = set()
+        # the answers of each stream at this host, since a caller may take it up beside the first
+        self._served: Counter[str] = Counter()
         self._followed_s = float("-inf")
         self._repeated_s = float("-inf")
         self._search_by_key: dict[str, _Search] = {}
@@ -79,23 +80,37 @@
         """
         now, before = now_s(), origin.host
         self.book.record(key, origin._replace(host=self._host), ends_s, now)
-        self._served.add(key)
+        self._served[key] += 1
         holders = self._holders(key)
         self._tell(holders, Purpose.TOLD, [self._note(key, now)])
         if before not in {self._host, *holders}:
             self._tell([before], Purpose.ENDED, [StreamNote(key)])
 
+    def serves(self, key: str) -> bool:
+        """Whether an answer of this host serves a stream."""
+        return self._served[key] > 0
+
     def release(self, key: str) -> None:
-        """Record that this host no longer serves a stream, which its caller may take up."""
-        if key in self._served:
-            self._served.discard(key)
+        """Record that an answer no longer serves a stream, which its caller may take up."""
+        if self._end_answer(key):
             self._tell(self._holders(key), Purpose.TOLD, [self._note(key, now_s())])
 
     def finish(self, key: str) -> None:
-        """Forget a stream that is complete, here and at the hosts that hold it."""
-        self._served.discard(key)
-        self.book.end(key)
-        self._tell(self._holders(key), Purpose.ENDED, [StreamNote(key)])
+        """Forget a stream that is complete, here and at the hosts that hold it.
+
+        It is remembered while another answer serves it.
+        """
+        if self._end_answer(key):
+            self.book.end(key)
+            self._tell(self._holders(key), Purpose.ENDED, [StreamNote(key)])
+
+    def _end_answer(self, key: str) -> bool:
+        """Count the end of an answer; return whether it was the last one of its stream."""
+        self._served[key] -= 1
+        if self._served[key] > 0:
+            return False
+        del self._served[key]
+        return True
 
     def find(self, key: str, found: Callable[[StreamOrigin | None], None]) -> None:
         """Pass on what began a stream, at once if it is known here; None if no host can tell."""
--- a/tests/front/stream_versions.feature
+++ b/tests/front/stream_versions.feature
@@ -135,3 +135,7 @@
     Given 3 fronts and servers of versions v1, v1.1, v1, v1.1
     When 1 callers read two events at the first front and take their streams up at another host
     Then the explanation of its second try tells its server's version and the stream that goes on
+
+  Scenario: a stream is taken up at its host before its first connection has ended
+    When a stream is taken up at the same host, and its first answer ends before the second
+    Then the second answer is taken up at another host
--- a/tests/steps/front_stream_versions.py
+++ b/tests/steps/front_stream_versions.py
@@ -473,3 +473,43 @@
 @then("no server got the request")
 def not_sent(context):
     assert context.runs_after == context.runs_before
+
+
+async def read_to(front, text, **asked):
+    """Ask for a memo, and read its answer until a text comes."""
+    reader, writer = await asyncio.open_connection(*front.router.settings.caller)
+    writer.write(request("memo", deadline_ms=1400, **asked))
+    answer = await reader.readuntil(text)
+    return answer, writer
+
+
+@when("a stream is taken up at the same host, and its first answer ends before the second")
+def taken_up_beside(context):
+    context.rig = Rig(modes=["stream", "endless"])
+
+    async def scenario(rig):
+        first, second = await rig.start_hosts(2)
+        for server in rig.backend_servers:
+            server.pause_s = 0.15
+        usable = first.router.servers.usable
+        first.router.servers.usable = lambda pool: [
+            one for one in usable(pool) if one.name == ("i-2" if rig.runs() else "i-1")
+        ]
+        _, writer = await read_to(first, b"id: 2", request_id="s-1")
+        _, beside = await read_to(
+            first, b"id: 3", request_id="s-2", Resumes="s-1", Last_Event_Id="2"
+        )
+        await rig.until(lambda: len(first.router.exchanges) == 1)
+        beside.close()
+        writer.close()
+        context.answer, last = await read_to(
+            second, b"\r\n\r\n", request_id="s-3", Resumes="s-1", Last_Event_Id="3"
+        )
+        last.close()
+
+    run_scenario(context.rig, scenario)
+
+
+@then("the second answer is taken up at another host")
+def taken_up_again(context):
+    assert context.answer.startswith(b"HTTP/1.1 200"), context.answer
