--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from functools import partial
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from redwingbank.clock import now_s
@@ -14,9 +15,11 @@
 from redwingbank.rules.lifecycle import Step
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from redwingbank.forwarding.task import Forwarding
     from redwingbank.front.caller_answer import CallerAnswer
-    from redwingbank.front.outbound import Connection
+    from redwingbank.front.outbound import Connection, ConnectionPool
     from redwingbank.front.request_recorder import RequestRecorder
     from redwingbank.front.wire import AnswerHead, RequestHead
     from redwingbank.platform.headers import AnswerFacts
@@ -56,6 +59,9 @@
 class ForwardOwner(Protocol):
     """The request's owner, which is told once of its end."""
 
+    def run_forward(self, step: Callable[[], None]) -> None:
+        """Run a step of the forward; after an unexpected error, log it and end the request."""
+
     def forward_finished(self) -> None:
         """End the request, which is answered or whose connection was closed."""
 
@@ -158,8 +164,10 @@
     def answer_completed(self) -> None:
         """Pass the complete answer on, or try another helper if this one can't serve."""
         self._connection = None
-        if self._ended or self._head is None or self._facts is None:
-            return
+        if not self._ended and self._head is not None and self._facts is not None:
+            self._owner.run_forward(partial(self._complete, self._head, self._facts))
+
+    def _complete(self, head: AnswerHead, facts: AnswerFacts) -> None:
         another = self._pick() if self._can_not_serve() else ""
         if another:
             self._forwarding.avoid(self._helper)
@@ -167,7 +175,7 @@
             self._life.advance(Step.NOT_ACCEPTED)
             self._try_another(another)
             return
-        status = self._head.status
+        status = head.status
         self._end("refused" if status >= FIRST_ERROR_STATUS else "answered")
         if self._life.ran_before is not Ran.NO and self._claims_no_run():
             # the helper knows nothing of the runs before
@@ -180,8 +188,8 @@
             self._life.advance(Step.ANSWER)
             self._life.advance(Step.FINISH)
             self._recorder.record_first_byte()
-            headers = self._facts.forwarded_headers
-            self._answer.send_answer(status, self._head.reason, headers, bytes(self._body))
+            headers = facts.forwarded_headers
+            self._answer.send_answer(status, head.reason, headers, bytes(self._body))
         self._recorder.record_answer(self._life, status)
         self._owner.forward_finished()
 
@@ -189,7 +197,7 @@
         """Try another helper if the request allows, or fail."""
         self._connection = None
         if not self._ended:
-            self._lose(loss, detail)
+            self._owner.run_forward(partial(self._lose, loss, detail))
 
     def _pick(self) -> str:
         if len(self._tried) >= MAX_HELPERS or now_s() >= self._call.give_up_s:
@@ -220,22 +228,20 @@
         if idle:
             self._send_on(idle)
         else:
-            self._connecting = asyncio.get_running_loop().create_task(self._connect())
+            self._connecting = asyncio.get_running_loop().create_task(self._connect(connections))
 
-    async def _connect(self) -> None:
+    async def _connect(self, connections: ConnectionPool) -> None:
         try:
-            connections = self._forwarding.connections(self._helper)
             connection = await connections.connect(CONNECT_TIMEOUT_S)
         except OSError as error:
             self._connecting = None
-            if not self._ended:
-                self._lose(Loss.UNCONNECTED, str(error) or "timeout")
+            self.answer_lost(Loss.UNCONNECTED, str(error) or "timeout")
             return
         self._connecting = None
         if self._ended:
             connection.abort()
         else:
-            self._send_on(connection)
+            self._owner.run_forward(partial(self._send_on, connection))
 
     def _send_on(self, connection: Connection) -> None:
         call = self._call
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -37,6 +37,8 @@
 from redwingbank.rules.retry import Retry
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from redwingbank.front.admission import AdmittedRequest
     from redwingbank.front.attempt import Answer, Attempt
     from redwingbank.front.caller import Caller
@@ -185,6 +187,10 @@
         assert self._admitted
         return self._router.allowance.try_spend(self._admitted.pool, now_s())
 
+    def run_forward(self, step: Callable[[], None]) -> None:
+        """Run a step of a forward; after an unexpected error, log it and end the request."""
+        self._router.guard(step, self.fail_internally)
+
     def forward_finished(self) -> None:
         """End a request whose forwarded answer was passed on."""
         self._close()
@@ -463,14 +469,14 @@
 
     def _close(self) -> None:
         self._closed = True
-        if self._binding:
-            self._binding.release()
         if self._timer:
             self._timer.cancel()
         self._pending.cancel()
         self._handover.cancel()
         self._holder.cancel(self._life.request_id)
         self._router.remove_exchange(self)
+        if self._binding:
+            self._binding.release()
 
     def _give_up_s(self) -> float:
         assert self._request is not None
--- a/tests/front/forwarding.feature
+++ b/tests/front/forwarding.feature
@@ -54,6 +54,16 @@
       | fixed | the front ends         |
       | memo  | the front ends         |
 
+  Scenario Outline: an unexpected error as a forward <ends> ends its request at once
+    Given a cut front with 2 helpers of which the first <fault>
+    When its caller sends a single request whose forward fails as it <ends>
+    Then the caller gets 500 or 502 within 1 s, and no request is left open
+
+    Examples:
+      | ends         | fault                             |
+      | is answered  | reaches no servers either         |
+      | is lost      | breaks after the request was sent |
+
   Scenario: a copy of a helper's earlier error is not passed on as the answer to another request
     Given a cut front with 2 helpers of which the first repeats an error without an id
     When its caller sends two read requests, the first of which is answered with the error
--- a/tests/steps/front_forwarding.py
+++ b/tests/steps/front_forwarding.py
@@ -259,6 +259,27 @@
     run_scenario(context.rig, lambda rig: with_cut_front(context, rig, act))
 
 
+@when("its caller sends a single request whose forward fails as it {ends}")
+def forward_fails(context, ends):
+    async def act(fleet, cut):
+        def fail(host):
+            raise RuntimeError
+
+        cut.router.forwarding.avoid = fail
+        began_s = time.monotonic()
+        context.answer = await fleet.rig.ask("single", front=cut)
+        context.took_s = time.monotonic() - began_s
+        context.left_open = len(cut.router.exchanges)
+
+    run_scenario(context.rig, lambda rig: with_cut_front(context, rig, act))
+
+
+@then("the caller gets 500 or 502 within 1 s, and no request is left open")
+def ended_at_once(context):
+    assert context.answer.status in {500, 502}, context.answer
+    assert context.took_s < 1.0 and not context.left_open, (context.took_s, context.left_open)
+
+
 @when("its caller sends two {kind} requests, the first of which is answered with the error")
 def caller_sends_two(context, kind):
     async def act(fleet, cut):
