--- a/src/redwingbank/rules/answer_origin.py
+++ b/src/redwingbank/rules/answer_origin.py
@@ -28,8 +28,8 @@
     >>> is_joined(b"Service UnavHTTP/1.1 200 OK", ())
     True
     """
-    texts = (reason, *(value for _, value in headers))
-    return any(_STATUS_LINE.search(text) for text in texts)
+    text = b"\n".join([reason, *[value for _, value in headers]])
+    return b"HTTP/1." in text and _STATUS_LINE.search(text) is not None
 
 
 class AnswerOrigin:
