Conclude that a host is cut off only by a server's answer after its own probes failed

Cause: the host compared when others had heard from a server with when its doubt began, give or take 50 ms. Both figures are the time of reading, not of sending: a host that is behind reads bytes of servers late that are down by now, and a message that waits in a socket makes its age look younger by the wait. The class of fault: an order of events is taken from clocks of readers.

The fix: once its probes have failed, the host asks others with the time of the question; a host that reaches the pool asks a server after that and repeats the time in its reply. The pool is cut off if such a time is not before the failure of the probes. All times compared are the asker's own, so no delay can turn the order around. A question that comes during a probe waits for the next one; a host in doubt doesn't answer.

Left: servers that come back between the failed probes and the other host's probe still look like a cut, until two probes of this host's answer.

--- a/src/redwingbank/forwarding/reach_codec.py
+++ b/src/redwingbank/forwarding/reach_codec.py
@@ -17,11 +17,16 @@
     A host that is cut off from a pool, or never heard from it, leaves the pool out.
     `takes_forwards` is true if it serves requests that other hosts forward. If `asks` is true, it
     asks the receiver whether that reaches these pools.
+
+    `asked_s` of a question is the asker's time, if only a server's answer from now on counts. The
+    reply repeats it with `proved_key`, the key of the pool, once a server has answered.
     """
 
     age_s_by_key: dict[int, float]
     takes_forwards: bool
     asks: bool = False
+    asked_s: float = 0.0
+    proved_key: int = 0
 
 
 def pool_key(pool: str) -> int:
@@ -38,6 +43,8 @@
     ]
     digest.takesForwards = report.takes_forwards
     digest.asksReach = report.asks
+    digest.reachAskedS = report.asked_s
+    digest.reachProved = report.proved_key
 
 
 def decode_reach(digest: Any) -> ReachReport | None:
@@ -52,7 +59,13 @@
     age_s_by_key = {
         key: age_ms / MILLISECONDS for key, age_ms in zip(numbers[::2], numbers[1::2], strict=True)
     }
-    return ReachReport(age_s_by_key, takes_forwards, schema.READ_ASKS_REACH(digest))
+    return ReachReport(
+        age_s_by_key,
+        takes_forwards,
+        schema.READ_ASKS_REACH(digest),
+        schema.READ_REACH_ASKED(digest),
+        schema.READ_REACH_PROVED(digest),
+    )
 
 
 __all__ = ["ReachReport", "decode_reach", "encode_reach", "pool_key"]
--- a/src/redwingbank/forwarding/task.py
+++ b/src/redwingbank/forwarding/task.py
@@ -56,6 +56,7 @@
     TICK = "tick"
     PROBES = "probes"
     REQUEST = "request"
+    PROOF = "proof"
 
 
 class Forwarding:
@@ -93,6 +94,9 @@
         self._told_s = NEVER_S
         self._asked_s_by_pool: dict[str, float] = {}
         self._answered_s_by_pool: dict[str, float] = {}
+        # times of the questions of hosts that await a proof
+        self._asked_s_by_host_by_pool: dict[str, dict[str, float]] = {}
+        self._proving: set[str] = set()
         self._in_flight: Counter[str] = Counter()
         self._avoided_until_s_by_host: dict[str, float] = {}
         self._connections_by_host: dict[str, ConnectionPool] = {}
@@ -197,9 +201,14 @@
         """Record another host's report, or answer its question."""
         if not report.asks:
             self._told.record(report, host, now)
+            if report.proved_key:
+                self._record_proof(report, now)
             return
         asked = [pool for pool in self._entries_by_pool if pool_key(pool) in report.age_s_by_key]
         for pool in asked:
+            if report.asked_s:
+                self._prove(pool, host, report.asked_s)
+                continue
             backends = self._listed(pool)
             age_s = now - max(one.connections.contact.heard_s for one in backends)
             reaching = pool in self._reach_by_pool and not self.suspects(pool)
@@ -284,6 +293,41 @@
                 self._apply_state(pool, reach, before, VerdictSource.PROBES)
                 if reach.state is Reach.CUT:
                     self._reroute(pool, now - SILENCE_S)
+                elif reach.awaits_proof:
+                    # the rounds before asked too early for a proof
+                    self._asked_s_by_pool.pop(pool, None)
+                    self._ask_others(pool, reach, now)
+
+    def _record_proof(self, report: ReachReport, now: float) -> None:
+        for pool in self._entries_by_pool:
+            if pool_key(pool) == report.proved_key:
+                self._told.record_proof(report.proved_key, report.asked_s, now)
+                self._check(pool, now, VerdictSource.PROOF)
+
+    def _prove(self, pool: str, host: str, asked_s: float) -> None:
+        """Ask a server for a host, after the server that may have been asked already."""
+        if self.suspects(pool):
+            return
+        self._asked_s_by_host_by_pool.setdefault(pool, {})[host] = asked_s
+        if pool not in self._proving:
+            self._proving.add(pool)
+            self._start(self._prove_to_askers(pool))
+
+    async def _prove_to_askers(self, pool: str) -> None:
+        try:
+            while asked_s_by_host := self._asked_s_by_host_by_pool.pop(pool, None):
+                backends = self._select(self._listed(pool), 1, now_s())
+                if (
+                    not backends
+                    or await probe(backends[0].connections) is not ProbeResult.ANSWERED
+                ):
+                    continue
+                report = self._build_report(self._entries_by_pool, now_s())
+                for host, asked_s in asked_s_by_host.items():
+                    proof = report._replace(asked_s=asked_s, proved_key=pool_key(pool))
+                    self._peers.tell([host], Digest(reach=proof))
+        finally:
+            self._proving.discard(pool)
 
     async def _probe_and_tell(self, backend: Backend, host: str) -> None:
         if await probe(backend.connections) is ProbeResult.ANSWERED:
@@ -299,7 +343,12 @@
         self._asked_s_by_pool[pool] = now
         hosts = list(self._told.live_hosts(now))
         asked = self._random.sample(hosts, min(HOSTS_ASKED, len(hosts)))
-        question = ReachReport({pool_key(pool): 0.0}, self.takes_forwards, asks=True)
+        question = ReachReport(
+            {pool_key(pool): 0.0},
+            self.takes_forwards,
+            asks=True,
+            asked_s=now if reach.awaits_proof else 0.0,
+        )
         self._peers.tell(asked, Digest(reach=question))
 
     def _tell(self, host: str, now: float) -> None:
--- a/src/redwingbank/forwarding/told_reach.py
+++ b/src/redwingbank/forwarding/told_reach.py
@@ -26,17 +26,23 @@
 
 
 class ToldReach:
-    """The latest report of each host."""
+    """The latest report of each host, and the last question to which a proof came."""
 
     def __init__(self, peers: Peers) -> None:
         self._peers = peers
         self._told_by_host: dict[str, _Told] = {}
+        self._proved_s_by_key: dict[int, float] = {}
 
     def record(self, report: ReachReport, host: str, now_s: float) -> None:
         """Record a report that has just arrived."""
         heard = {key: now_s - age_s for key, age_s in report.age_s_by_key.items()}
         self._told_by_host[host] = _Told(heard, report.takes_forwards)
 
+    def record_proof(self, key: int, asked_s: float, now_s: float) -> None:
+        """Record that a host asked at a time has been answered by a server since."""
+        if 0 < asked_s <= now_s:
+            self._proved_s_by_key[key] = max(asked_s, self._proved_s_by_key.get(key, NEVER_S))
+
     def live_hosts(self, now_s: float) -> Iterator[str]:
         """Yield the hosts that sent a message lately."""
         for host, peer in self._peers.peers_by_host.items():
@@ -47,7 +53,8 @@
         """Return when the last of the live hosts heard from a pool."""
         told = (self._told_by_host.get(host) for host in self.live_hosts(now_s))
         return Others(
-            max((one.heard_s_by_key.get(key, NEVER_S) for one in told if one), default=NEVER_S)
+            max((one.heard_s_by_key.get(key, NEVER_S) for one in told if one), default=NEVER_S),
+            self._proved_s_by_key.get(key, NEVER_S),
         )
 
     def helpers(self, key: int, now_s: float) -> Iterator[str]:
--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -38,6 +38,9 @@
   reachedMs @6 :List(UInt32);
   takesForwards @7 :Bool;   # the host serves requests that other hosts forward to it
   asksReach @8 :Bool;       # the host asks whether the receiver reaches the pools of `reachedMs`
+  reachAskedS @9 :Float64;  # time of the question on the asker's clock, if it asks for a proof; the
+                            # answer repeats it once a server was asked after it and has answered
+  reachProved @10 :UInt32;  # checksum of the name of that server's pool
 }
 
 struct Bundle {             # digests of several hosts, forwarded by a relay
--- a/src/redwingbank/front/digest_schema.py
+++ b/src/redwingbank/front/digest_schema.py
@@ -20,8 +20,9 @@
     for name in ("sent", "servers", "parts", "partTokens", "begun", "ended")
 )
 READ_REACHED = list_reader(SCHEMA.Digest, "reachedMs")
-READ_TAKES_FORWARDS, READ_ASKS_REACH = (
-    field_reader(SCHEMA.Digest, name) for name in ("takesForwards", "asksReach")
+READ_TAKES_FORWARDS, READ_ASKS_REACH, READ_REACH_ASKED, READ_REACH_PROVED = (
+    field_reader(SCHEMA.Digest, name)
+    for name in ("takesForwards", "asksReach", "reachAskedS", "reachProved")
 )
 READ_HOSTS, READ_INCARNATIONS, READ_COUNTS = (
     list_reader(SCHEMA.Bundle, name) for name in ("hosts", "incarnations", "counts")
@@ -46,6 +47,8 @@
     "READ_PARTS",
     "READ_PART_TOKENS",
     "READ_REACHED",
+    "READ_REACH_ASKED",
+    "READ_REACH_PROVED",
     "READ_SENT",
     "READ_SERVERS",
     "READ_TAKES_FORWARDS",
--- a/src/redwingbank/routing/reachability.py
+++ b/src/redwingbank/routing/reachability.py
@@ -2,8 +2,9 @@
 
 Answers cuts of some hosts, up to a whole data centre, from all servers: connections hang, are
 reset, or live on while new ones fail. Failing or silent connections only raise a doubt; new
-connections to a few servers settle it. If other hosts hear from the servers meanwhile, the cut is
-this host's. If none does, the servers are down, and forwarding would not help.
+connections to a few servers settle it. If another host that is asked after these have failed is
+answered by a server, the cut is this host's. If none is, the servers are down, and it would not
+help to forward. When bytes were read proves nothing here: a host that is behind reads them late.
 """
 
 from __future__ import annotations
@@ -38,8 +39,6 @@
 PROBE_INTERVAL_S = 0.5
 PROBE_JITTER = 0.3
 SUCCESSES_TO_END = 2
-# What other hosts tell is a little late, so a byte that they received may seem this much younger.
-TELLING_MARGIN_S = 0.05
 # Other hosts must have heard from the servers within this time, or the cut is in doubt again.
 OTHERS_SILENT_S = 3.0
 # A longer gap between updates means that the process was suspended or starved: silence before it
@@ -145,9 +144,14 @@
 
 
 class Others(NamedTuple):
-    """When another host last heard from the pool, as far as hosts have told."""
+    """When another host last heard from the pool, as far as hosts have told.
+
+    `heard_s` seems later than it was if a host is behind. `proved_s` is never too late: a server
+    answered a host that asked it after this host's question of that time.
+    """
 
     heard_s: float = NEVER_S
+    proved_s: float = NEVER_S
 
 
 def find_suspicion(contacts: Sequence[ServerContact], since_s: float, now_s: float) -> str:
@@ -198,9 +202,15 @@
         self._updated_s = NEVER_S
         self._next_probe_s = NEVER_S
         self._failed_rounds = 0
-        self._confirmed = False
+        # when as many rounds of probes as are needed had failed
+        self._confirmed_s = NOT_PENDING_S
         self._successes = 0
 
+    @property
+    def awaits_proof(self) -> bool:
+        """Whether the pool is cut off if another host reaches it."""
+        return self.state is Reach.DOUBTFUL and self._confirmed_s != NOT_PENDING_S
+
     def update(self, contacts: Sequence[ServerContact], others: Others, now_s: float) -> None:
         """Apply the evidence so far."""
         if now_s - self._updated_s > SUSPENDED_S:
@@ -237,10 +247,7 @@
                 self._ignored_until_s = now_s
                 self._apply(Event.CLEARED, "probe answered", now_s)
                 return
-            self._failed_rounds += 1
-            heard = any(one.heard_s > self.since_s for one in contacts)
-            needed = ROUNDS_WHILE_HEARD if heard else 1
-            self._confirmed = self._failed_rounds >= needed
+            self._round_failed(contacts, now_s)
         elif self.state is Reach.CUT:
             jitter = 1 + PROBE_JITTER * (2 * self._random.random() - 1)
             self._next_probe_s = now_s + PROBE_INTERVAL_S * jitter
@@ -253,6 +260,14 @@
                 return
         self.update(contacts, others, now_s)
 
+    def _round_failed(self, contacts: Sequence[ServerContact], now_s: float) -> None:
+        self._failed_rounds += 1
+        heard = any(one.heard_s > self.since_s for one in contacts)
+        if self._failed_rounds < (ROUNDS_WHILE_HEARD if heard else 1):
+            self._confirmed_s = NOT_PENDING_S
+        else:
+            self._confirmed_s = min(self._confirmed_s, now_s)
+
     def awaits_verdict(self, now_s: float) -> bool:
         """Whether a decision is due soon, so that a request may wait for it."""
         return self.state is Reach.DOUBTFUL and now_s - self.since_s < VERDICT_S
@@ -262,7 +277,7 @@
     ) -> None:
         reason = find_suspicion(contacts, self._ignored_until_s, now_s)
         if reason:
-            self._failed_rounds, self._confirmed = 0, False
+            self._failed_rounds, self._confirmed_s = 0, NOT_PENDING_S
             self._next_probe_s = now_s
             self._apply(Event.SUSPICION, reason, now_s)
 
@@ -273,7 +288,7 @@
         spoke = self.reason == "silence" and any(one.heard_s > self.since_s for one in contacts)
         if not contacts or proved or spoke:
             self._apply(Event.CLEARED, "bytes received", now_s)
-        elif self._confirmed and others.heard_s > self.since_s + TELLING_MARGIN_S:
+        elif others.proved_s >= self._confirmed_s:
             self._successes = 0
             self._next_probe_s = now_s + PROBE_INTERVAL_S
             self._apply(Event.CONFIRMED, self.reason, now_s)
@@ -282,7 +297,7 @@
         if not contacts:
             self._apply(Event.CLEARED, "no servers", now_s)
         elif now_s - max(others.heard_s, self.since_s) > OTHERS_SILENT_S:
-            self._failed_rounds, self._confirmed = 0, False
+            self._failed_rounds, self._confirmed_s = 0, NOT_PENDING_S
             self._next_probe_s = now_s
             self._apply(Event.OTHERS_SILENT, "other hosts are silent", now_s)
 
--- a/tests/front/forwarding.feature
+++ b/tests/front/forwarding.feature
@@ -27,6 +27,7 @@
       | a server is silent for 1.2 s                |
       | all servers are silent for 1.2 s            |
       | all servers go down                         |
+      | all servers go down, and fronts read late   |
       | a front is starved for 1.5 s                |
 
   Scenario Outline: a <kind> call whose forwarding connection <fault>
--- a/tests/routing/reachability.feature
+++ b/tests/routing/reachability.feature
@@ -16,6 +16,11 @@
       | only new connections hang  | probes fail   | hear from them | is cut off      | 11.5 |
       | one server fails           | probes answer | hear from them | stays reaching  | 20.0 |
 
+  Scenario: servers that go down while other hosts read what they sent 0.2 s late are no cut
+    Given a host that was answered by 3 servers until 10 s
+    When the servers go down, and other hosts read until 10.3 s what came before
+    Then the host never believes to be cut off
+
   Scenario: the silence of a process that was suspended is no evidence
     Given a host that was answered by 3 servers until 10 s
     When it is suspended from 10 s to 15 s with requests in flight
--- a/tests/steps/front_forwarding.py
+++ b/tests/steps/front_forwarding.py
@@ -16,6 +16,7 @@
 from redwingbank_standins.stream_server import StreamServer, reset_connection
 
 CUT_S = 6.0
+MESSAGES_LATE_S = 0.2
 END_S = 2.0
 MORE_CALLERS = 3
 # RECOVER: at least this share of what is served at the other hosts, or at most so many failures
@@ -122,6 +123,19 @@
     await asyncio.sleep(3.0)
 
 
+async def servers_down_read_late(fleet):
+    for front in fleet.fronts:
+        # messages wait in the socket, as on a machine that is behind
+        delay_reading(front.router.peers, "datagram_received", MESSAGES_LATE_S)
+    await asyncio.sleep(1.0)
+    await servers_down(fleet)
+
+
+def delay_reading(protocol, method, seconds):
+    loop, read = asyncio.get_running_loop(), getattr(protocol, method)
+    setattr(protocol, method, lambda *args: loop.call_later(seconds, read, *args))
+
+
 async def starve(fleet):
     # holds the event loop up, as a machine without processor time does
     time.sleep(1.5)  # noqa: ASYNC251
@@ -136,6 +150,7 @@
         fleet.rig.backend_servers, fleet.links, 1.2
     ),
     "all servers go down": servers_down,
+    "all servers go down, and fronts read late": servers_down_read_late,
     "a front is starved for 1.5 s": starve,
 }
 
--- a/tests/steps/front_one_holder.py
+++ b/tests/steps/front_one_holder.py
@@ -24,8 +24,8 @@
     forwarding = front.router.forwarding
     reach = forwarding._reach_by_pool[POOL]
     reach.state, reach.since_s, reach.reason = Reach.DOUBTFUL, now_s() - 0.2, "failures"
-    reach._confirmed, reach._next_probe_s = True, float("inf")
-    forwarding._told.others = lambda key, now: Others(now)
+    reach._confirmed_s, reach._next_probe_s = now_s(), float("inf")
+    forwarding._told.others = lambda key, now: Others(now, now)
 
 
 def find_cut_at_failure(front, *, hangs=False):
--- a/tests/steps/routing_reachability.py
+++ b/tests/steps/routing_reachability.py
@@ -70,13 +70,32 @@
     for tick in range(201):
         now_s = 10.0 + tick * TICK_S
         EVIDENCE[evidence](contacts, now_s)
-        heard = Others(now_s if others == "hear from them" else 10.0)
+        heard = Others(now_s, now_s) if others == "hear from them" else Others(10.0)
         reach.update(contacts, heard, now_s)
         if count := reach.probes_due(now_s):
             reach.probed([result] * count, contacts, heard, now_s)
         context.states.append((now_s, reach.state))
 
 
+@when("the servers go down, and other hosts read until {until_s:g} s what came before")
+def others_read_late(context, until_s):
+    reach, context.states = context.reach, []
+    for tick in range(201):
+        now_s = 10.0 + tick * TICK_S
+        fail(context.contacts, now_s)
+        heard = Others(min(now_s, until_s))
+        reach.update(context.contacts, heard, now_s)
+        if count := reach.probes_due(now_s):
+            reach.probed([ProbeResult.FAILED] * count, context.contacts, heard, now_s)
+        context.states.append(reach.state)
+
+
+@then("the host never believes to be cut off")
+def never_cut(context):
+    assert Reach.CUT not in context.states
+    assert context.states[-1] is Reach.DOUBTFUL, context.states[-1]
+
+
 @then("the host {ends} by {by:g} s")
 def ends(context, ends, by):
     states = [state for now_s, state in context.states if now_s >= by]
