Order what a host believes of the store by era, then by revision

In a fleet of 16 hosts those that lost a relay's news kept the old list.

Cause: a watch, a relay's answers and its news were compared by the revision alone, and nothing read `Store-Era`. A watch from a revision that was given out again gets no 410 and misses what lies before it.

The client of the store judges the era of each answer: one that has risen begins all lists anew before the answer is used, one that has fallen is a late answer and is dropped, and one that is no number, huge or jumps changes nothing; such an era is logged once. Answers and news between hosts carry the era in a new field. A later one makes the reader ask the store, once, so that a damaged message moves nothing; one of an earlier era confirms nothing. Messages without the field are believed until the era rises here. Hosts register again in a new era, and blocks that the copy lacks are written again, not lifted.

Why it works: no revision is compared with one of another era any more, and each host that gets any answer of the new era, or hears of one that did, reads all lists.

--- a/src/redwingbank/ctl/explain.py
+++ b/src/redwingbank/ctl/explain.py
@@ -23,7 +23,15 @@
 SERVER_CONTEXT_EVENTS = frozenset({"server-state", "notice", "notice-learned", "server-drain"})
 # A host's lost connections, stale data and limits of servers affect all of its requests.
 HOST_CONTEXT_EVENTS = frozenset(
-    {"store-lost", "store-regained", "watch-deaf", "relay-doubted", "limit-named", "pool-reach"}
+    {
+        "store-lost",
+        "store-regained",
+        "store-era",
+        "watch-deaf",
+        "relay-doubted",
+        "limit-named",
+        "pool-reach",
+    }
 )
 
 
--- a/src/redwingbank/front/block_list.py
+++ b/src/redwingbank/front/block_list.py
@@ -61,7 +61,12 @@
         """Apply the list of all blocks; those no longer listed have been lifted."""
         listed = {stored.name for stored in listing.objects}
         for trait in self._stored - listed:
-            self._lift(trait)
+            if listing.begins_era:
+                # the copy is older than the block
+                self._stored.discard(trait)
+                self._schedule_write(trait)
+            else:
+                self._lift(trait)
         for trait in listed - self._stored:
             self._apply(trait)
 
--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -60,6 +60,7 @@
   serversChanged @3 :UInt64; # store revision at or before which the latest server change happened
   serversWatched @4 :UInt64; # store revision up to which server changes are known
   serversAgeMs @5 :UInt32;  # time since the last call that confirmed the server list was sent
+  era @6 :UInt64;           # the store's era, of which the revisions of servers are; 0 if not known
 }
 
 struct News {               # server changes between two store revisions
@@ -67,6 +68,7 @@
   until @1 :UInt64;
   written @2 :List(Server); # changed entries as of `until`
   removed @3 :List(Text);
+  era @4 :UInt64;           # the store's era, of which the revisions are; 0 if not known
 }
 
 struct Server {
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -109,7 +109,8 @@
     """The answer to a question; `age_s` is the time since the table was confirmed.
 
     Server changes are known up to store revision `servers_watched`; the latest one happened at or
-    before revision `servers_changed`. The list was confirmed `servers_age_s` ago.
+    before revision `servers_changed`. The list was confirmed `servers_age_s` ago. The revisions
+    are of the store's `era`, 0 if it isn't known.
     """
 
     asked_s: float
@@ -118,6 +119,7 @@
     servers_changed: int
     servers_watched: int
     servers_age_s: float
+    era: int = 0
 
 
 _Notice = CrashNews | StatementReport | StreamReport | DutyMessage
@@ -242,6 +244,7 @@
     answer.tableRevision = content.table_revision
     answer.serversChanged = content.servers_changed
     answer.serversWatched = content.servers_watched
+    answer.era = content.era
 
 
 _encode_content.register(encode_crash)
@@ -326,6 +329,7 @@
         servers_changed=answer.serversChanged,
         servers_watched=answer.serversWatched,
         servers_age_s=answer.serversAgeMs / MILLISECONDS,
+        era=answer.era,
     )
 
 
--- a/src/redwingbank/front/freshness.py
+++ b/src/redwingbank/front/freshness.py
@@ -11,6 +11,7 @@
 from redwingbank.front.list_check import ListCheck
 from redwingbank.front.peers import LARGE_FLEET_HOSTS
 from redwingbank.rules.rendezvous import ranked
+from redwingbank.rules.store_order import Position, Standing, find_standing
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -78,7 +79,10 @@
         self._large_fleet_hosts = large_fleet_hosts
         self._table: Watcher
         self._servers: Watcher
-        self._servers_changed = 0
+        self._servers_changed = Position()
+        self._era_has_risen = False
+        self._era_told = 0
+        self._bad_era_logged = False
         self._servers_confirmed_s = float("-inf")
         self._traced_s = float("-inf")
         self._asks_store = True
@@ -119,9 +123,10 @@
             question.asked_s,
             self._tables.age_s(now_s()),
             table.revision if table else 0,
-            self._servers_changed,
+            self._servers_changed.revision,
             self._servers.revision,
             self.servers_age_s(now_s()),
+            self._servers.era,
         )
 
     def handle_answer(self, answer: Answer, relay: str) -> None:
@@ -131,8 +136,10 @@
             self._log.essential(
                 "answer-heard", asker=self._host, asked_s=answer.asked_s, relay=relay
             )
-        self.store_contact.record(answer.asked_s - answer.servers_age_s, now)
         self._unanswered_since_s_by_relay.pop(relay, None)
+        if not self._is_of_era(answer.era, relay):
+            return
+        self.store_contact.record(answer.asked_s - answer.servers_age_s, now)
         if (
             answer.age_s > MAX_RELAY_AGE_S
             and self._questions_by_relay[relay] >= MIN_QUESTIONS_BEFORE_SUSPENSION
@@ -163,19 +170,58 @@
 
         The last of them happened at or before the store revision `changed`.
         """
-        self._servers_changed = max(self._servers_changed, changed)
+        self._servers_changed = max(self._servers_changed, Position(news.era, changed))
         fits_datagram = len(news.written) + len(news.removed) <= MAX_NEWS_ENTRIES
         if self._news_from_relay and self._is_relay and news.since and fits_datagram:
             self._peers.broadcast(news)
 
     def handle_news(self, news: News) -> None:
         """Apply a relay's server changes; a gap before them is detected by the next answer."""
-        if not self._news_from_relay or self._asks_store or news.until <= self._servers.revision:
+        if not self._news_from_relay or self._asks_store or not self._is_of_era(news.era, "news"):
+            return
+        if news.until <= self._servers.revision:
             return
         if self._servers.advance(news.since, news.until) and self.on_server_news:
-            self._servers_changed = max(self._servers_changed, news.until)
+            until = Position(self._servers.era, news.until)
+            self._servers_changed = max(self._servers_changed, until)
             self.on_server_news(news)
 
+    def handle_new_era(self, before: int, era: int) -> None:
+        """Record that the store came back from a copy, as one of its answers tells."""
+        table = self._tables.table
+        self._era_has_risen = self._era_has_risen or before > 0
+        self._log.essential(
+            "store-era",
+            before=before,
+            era=era,
+            table_revision=table.revision if table else 0,
+            table_age_s=_log_age_s(self._tables.age_s(now_s())),
+            servers_known=self._servers.revision,
+            servers_age_s=_log_age_s(self.servers_age_s(now_s())),
+        )
+
+    def handle_bad_era(self, reason: str) -> None:
+        """Log the first era that can't be used; it changes nothing."""
+        if not self._bad_era_logged:
+            self._bad_era_logged = True
+            self._log.essential("store-era-unreadable", reason=reason, era=self._servers.era)
+
+    def _is_of_era(self, era: int, source: str) -> bool:
+        """Return whether a message is of this host's era.
+
+        A later era is confirmed by the store before it counts: it is asked once, since the message
+        may be damaged.
+        """
+        own = self._servers.era
+        if not self._servers.revision:
+            return True
+        standing = find_standing(era, own, has_risen=self._era_has_risen)
+        if standing is Standing.LATER and era != self._era_told:
+            self._era_told = era
+            self._log.essential("store-era-told", source=source, era=own, told=era)
+            self._restart(self._servers)
+        return standing is Standing.SAME
+
     def update_role(self) -> None:
         """Decide whether this host asks the store, and ask a relay if it is not a relay itself."""
         now = now_s()
@@ -247,4 +293,8 @@
         watcher.interrupt()
 
 
+def _log_age_s(age_s: float) -> float | None:
+    return round(age_s, 2) if age_s != float("inf") else None
+
+
 __all__ = ["ASK_INTERVAL_S", "Freshness"]
--- a/src/redwingbank/front/hosts.py
+++ b/src/redwingbank/front/hosts.py
@@ -36,11 +36,17 @@
 async def discover_hosts(
     client: StoreClient, host: str, address: Address, peers: Peers, log: DecisionLog
 ) -> None:
-    """Register this host, then read the list of hosts periodically until cancelled."""
+    """Register this host, then read the list of hosts periodically until cancelled.
+
+    In a new era of the store it registers again: the copy may be older than its object.
+    """
     unreadable = UnreadableEntries(log, "host-unreadable", "host_named")
     registered = listed = False
+    era = 0
     while True:
+        registered = registered and era == client.era
         registered = registered or await _try_step(_register, client, host, address, log)
+        era = client.era
         listed_before = listed
         listed = registered and await _try_step(_list, client, peers, unreadable, log)
         await anyio.sleep(LIST_S if listed_before and listed else RETRY_S)
--- a/src/redwingbank/front/news_codec.py
+++ b/src/redwingbank/front/news_codec.py
@@ -12,7 +12,7 @@
 
 
 class News(NamedTuple):
-    """Changes of backend servers between two store revisions.
+    """Changes of backend servers between two revisions of an era of the store, 0 if not known.
 
     `written` holds the changed entries as of `until`, `removed` the names of deleted ones.
     """
@@ -21,12 +21,13 @@
     until: int
     written: tuple[ServerEntry, ...]
     removed: tuple[str, ...]
+    era: int = 0
 
 
 def encode_news(content: News, struct: Any) -> None:
     """Encode changes of servers into a message."""
     news = struct.init("news")
-    news.since, news.until = content.since, content.until
+    news.since, news.until, news.era = content.since, content.until, content.era
     news.removed = list(content.removed)
     rows = news.init("written", len(content.written))
     for row, entry in zip(rows, content.written, strict=True):
@@ -49,6 +50,7 @@
         news.until,
         tuple(map(_decode_server, read_rows(news.written))),
         tuple(news.removed),
+        news.era,
     )
 
 
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -116,6 +116,8 @@
         servers = Watcher(store, KIND_SERVERS, self._servers, freshness.server_wait_s, random)
         blocks = Watcher(store, KIND_BLOCKS, self._blocks, self._blocks.wait_s, random)
         freshness.set_watchers(table, servers)
+        store.on_new_era.append(freshness.handle_new_era)
+        store.on_bad_era = freshness.handle_bad_era
         return table, servers, blocks
 
     async def _listen(self) -> None:
--- a/src/redwingbank/front/store.py
+++ b/src/redwingbank/front/store.py
@@ -15,16 +15,18 @@
     STATUS_HISTORY_GONE,
     MalformedError,
     decode_changes,
+    decode_era,
     decode_page,
     list_path,
     watch_path,
 )
+from redwingbank.rules.store_order import EraStep, StoreOrder
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
     from random import Random
 
-    from redwingbank.front.wire import AnswerHead, AnswerLimits
+    from redwingbank.front.wire import AnswerHead, AnswerLimits, Header
     from redwingbank.platform.objects import Change, StoredObject
     from redwingbank.settings import Address
 
@@ -55,18 +57,27 @@
     """The store no longer holds the changes that a watch asked for."""
 
 
+class _Answer(NamedTuple):
+    """The answer to a call."""
+
+    status: int
+    headers: tuple[Header, ...]
+    body: bytes
+
+
 class _Call:
     """Collects the answer to one call."""
 
     def __init__(self) -> None:
         self.answered = False
-        self.done: asyncio.Future[tuple[int, bytes]] = asyncio.get_running_loop().create_future()
+        self.done: asyncio.Future[_Answer] = asyncio.get_running_loop().create_future()
         self._status = 0
+        self._headers: tuple[Header, ...] = ()
         self._body = bytearray()
 
     def head_received(self, head: AnswerHead) -> None:
-        """Record the status."""
-        self._status = head.status
+        """Record the status and the headers."""
+        self._status, self._headers = head.status, head.headers
 
     def body_received(self, data: bytes) -> None:
         """Append to the body; one that is too long fails the call."""
@@ -79,7 +90,7 @@
         """Return the complete answer to the caller."""
         self.answered = True
         if not self.done.done():
-            self.done.set_result((self._status, bytes(self._body)))
+            self.done.set_result(_Answer(self._status, self._headers, bytes(self._body)))
 
     def answer_lost(self, loss: Loss, detail: str) -> None:
         """Raise a `StoreError` at the caller."""
@@ -88,12 +99,24 @@
 
 
 class StoreClient:
-    """Calls the store over reused connections."""
+    """Calls the store over reused connections, and follows its era.
+
+    `on_new_era` is called with the eras before and after a rise, before the answer that tells it
+    is returned, and `on_bad_era` with the reason for which an answer's era changes nothing.
+    """
 
     def __init__(self, address: Address, limits: AnswerLimits = DEFAULT_ANSWER_LIMITS) -> None:
         self.calls = 0
+        self.on_new_era: list[Callable[[int, int], None]] = []
+        self.on_bad_era: Callable[[str], None] = lambda reason: None
+        self._order = StoreOrder()
         self._pool = ConnectionPool(address, KEEP_IDLE_S, limits)
 
+    @property
+    def era(self) -> int:
+        """The store's era, that of the answer that was returned last; 0 if none was stated."""
+        return self._order.era
+
     def move(self, address: Address) -> None:
         """Use another address for later calls."""
         if address != self._pool.address:
@@ -136,24 +159,46 @@
             with anyio.fail_after(timeout_s):
                 connection = self._pool.acquire() or await self._pool.connect()
                 connection.send(encode(self._pool.address), call)
-                return await call.done
+                answer = await call.done
         except (TimeoutError, OSError) as error:
             raise StoreError(str(error) or "timeout") from error
         finally:
             if connection and not call.answered:
                 connection.abort()
+        self._check_era(answer.headers)
+        return answer.status, answer.body
+
+    def _check_era(self, headers: tuple[Header, ...]) -> None:
+        """Follow the era of an answer; one that can't be read is taken for the era known."""
+        before, stated = self._order.era, None
+        try:
+            stated = decode_era(headers)
+        except MalformedError as error:
+            self.on_bad_era(str(error))
+        step = self._order.judge(stated)
+        if step is EraStep.RISEN:
+            for listener in self.on_new_era:
+                listener(before, self._order.era)
+        elif step is not EraStep.SAME:
+            reason = f"era {stated} after {before}"
+            self.on_bad_era(reason)
+            if step is EraStep.FALLEN:
+                raise StoreError(reason)
 
 
 class Listing(NamedTuple):
     """All objects of a kind; `asked_s` is when the first page was requested.
 
-    `since` is the revision up to which changes were known before, 0 at first.
+    `since` is the revision up to which changes were known before in the same era, 0 at first.
+    `begins_era` is true for the first list of an era after another one.
     """
 
     objects: tuple[StoredObject, ...]
     revision: int
     asked_s: float
     since: int
+    era: int = 0
+    begins_era: bool = False
 
 
 class WatchedChanges(NamedTuple):
@@ -163,6 +208,7 @@
     since: int
     until: int
     asked_s: float
+    era: int = 0
 
 
 class ChangeHandler(Protocol):
@@ -185,7 +231,8 @@
     """Keeps a handler up to date with a kind of objects.
 
     After a failure the watch continues from the last revision. The objects are listed again if
-    the store no longer holds the changes since then, or if an answer could not be decoded.
+    the store no longer holds the changes since then, if an answer could not be decoded, or in a
+    new era, in which `revision` is of other contents.
     `wait_s` returns how long the next watch may wait, or None if other hosts send the changes and
     no watch is needed.
     """
@@ -199,6 +246,7 @@
         random: Random,
     ) -> None:
         self.revision = 0
+        self.era = 0
         self._client = client
         self._kind = kind
         self._handler = handler
@@ -209,6 +257,12 @@
         self._interrupted = False
         self._backoff_s = INITIAL_BACKOFF_S
         self._wait_scope = anyio.CancelScope()
+        client.on_new_era.append(lambda before, after: self.interrupt())
+
+    @property
+    def _in_era(self) -> bool:
+        """Whether the objects were listed in the store's era."""
+        return self._listed and self.era == self._client.era
 
     def interrupt(self) -> None:
         """End the current wait; the next watch starts at once, on another connection."""
@@ -217,7 +271,7 @@
 
     def advance(self, since: int, until: int) -> bool:
         """Mark changes up to `until` as known; return False if changes before `since` are not."""
-        if not self._listed or since > self.revision:
+        if not self._in_era or since > self.revision:
             return False
         self.revision = max(self.revision, until)
         return True
@@ -239,11 +293,13 @@
                 self._backoff_s = min(2 * self._backoff_s, MAX_BACKOFF_S)
 
     async def _step(self) -> None:
-        if not self._listed:
-            listing = await _list(self._client, self._kind, self.revision)
+        if not self._in_era:
+            listing = await _list(self._client, self._kind)
+            begins_era = bool(self.revision) and listing.era != self.era
+            since = 0 if begins_era else self.revision
             self._note_recovery()
-            self._handler.handle_listing(listing)
-            self.revision, self._listed = listing.revision, True
+            self._handler.handle_listing(listing._replace(since=since, begins_era=begins_era))
+            self.revision, self.era, self._listed = listing.revision, listing.era, True
             return
         # after a failure or an interruption, the store is asked to answer at once
         wait_s = MIN_WAIT_S if self._unreachable or self._interrupted else self._wait_s()
@@ -263,13 +319,16 @@
             )
         if body is None:
             return
+        if not self._in_era:
+            # the changes are since a revision that was given out again
+            return
         changes = decode_changes(body)
         self._note_recovery()
         if changes.revision < self.revision:
             # another host has sent later changes in the meantime
             return
         self._handler.handle_changes(
-            WatchedChanges(changes.changes, since, changes.revision, asked_s)
+            WatchedChanges(changes.changes, since, changes.revision, asked_s, self.era)
         )
         self.revision = changes.revision
         if changes.changes:
@@ -283,15 +342,18 @@
             self._handler.handle_recovery()
 
 
-async def _list(client: StoreClient, kind: str, since: int) -> Listing:
-    asked_s = now_s()
+async def _list(client: StoreClient, kind: str) -> Listing:
+    asked_s, era = now_s(), 0
     objects: list[StoredObject] = []
     after = ""
     while True:
         page = decode_page(await client.get(list_path(kind, after), LIST_TIMEOUT_S))
+        if after and client.era != era:
+            raise StoreError("new era between two pages")
+        era = client.era
         objects += page.objects
         if not page.more or not page.objects:
-            return Listing(tuple(objects), page.revision, asked_s, since)
+            return Listing(tuple(objects), page.revision, asked_s, 0, era)
         after = page.objects[-1].name
 
 
--- a/src/redwingbank/front/store_handlers.py
+++ b/src/redwingbank/front/store_handlers.py
@@ -89,7 +89,9 @@
         self._unreadable.retain(listed)
         states = {name: entry for name, entry in listed.items() if entry != known.get(name)}
         states |= dict.fromkeys(known.keys() - listed.keys())
-        self._publish(listing.since, listing.revision, states, listing.revision)
+        self._publish(
+            News(listing.since, listing.revision, *_split(states), listing.era), listing.revision
+        )
         for name in listed:
             if name in self._unreadable:
                 self._remove(name)
@@ -115,7 +117,9 @@
             changed = max(
                 watched.until if revision is None else revision for revision in revisions
             )
-            self._publish(watched.since, watched.until, states, changed)
+            self._publish(
+                News(watched.since, watched.until, *_split(states), watched.era), changed
+            )
             self._apply(states, watched.until)
         self._router.freshness.confirm_servers(watched.asked_s)
 
@@ -127,12 +131,7 @@
             self._unreadable.forget(name)
         self._apply(states | dict.fromkeys(news.removed), news.until)
 
-    def _publish(
-        self, since: int, until: int, states: dict[str, ServerEntry | None], changed: int
-    ) -> None:
-        written = tuple(entry for entry in states.values() if entry)
-        removed = tuple(name for name, entry in states.items() if entry is None)
-        news = News(since, until, written, removed)
+    def _publish(self, news: News, changed: int) -> None:
         self._router.freshness.record_server_changes(news, changed)
 
     def _apply(self, states: dict[str, ServerEntry | None], revision: int) -> None:
@@ -203,6 +202,14 @@
             )
 
 
+def _split(
+    states: dict[str, ServerEntry | None],
+) -> tuple[tuple[ServerEntry, ...], tuple[str, ...]]:
+    """Split states into the entries that were written and the names of removed ones."""
+    written = tuple(entry for entry in states.values() if entry)
+    return written, tuple(name for name, entry in states.items() if entry is None)
+
+
 def _age_ms(router: Router) -> int | None:
     age_s = router.tables.age_s(now_s())
     return round(age_s * 1000) if age_s != float("inf") else None
--- a/src/redwingbank/platform/objects.py
+++ b/src/redwingbank/platform/objects.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import json
-from typing import Any, NamedTuple
+import reprlib
+from typing import TYPE_CHECKING, Any, NamedTuple
 from urllib.parse import quote
 
 from redwingbank.bounded_json import decode_parts
@@ -16,10 +17,18 @@
     read_object,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from redwingbank.platform.headers import Header
+
 KIND_TABLE = "config"
 NAME_TABLE = "main"
 KIND_SERVERS = "servers"
 MS_PER_S = 1000
+# lower-case, as received names are compared
+HEADER_ERA = b"store-era"
+MAX_ERA_DIGITS = 6
 
 STATUS_HISTORY_GONE = 410
 STATUS_NOT_FOUND = 404
@@ -136,6 +145,21 @@
         return read_integer(read_object(decode_parts(body)).get("born", 0))
 
 
+def decode_era(headers: Iterable[Header]) -> int | None:
+    """Decode the store's era from an answer's headers, None if none is stated.
+
+    :raises MalformedError: if it is no number from 1, or a huge one
+    """
+    values = [value.strip() for name, value in headers if name.lower() == HEADER_ERA]
+    if not values:
+        return None
+    with decoding("era"):
+        text = values[0].decode("ascii")
+        if len(set(values)) > 1 or len(text) > MAX_ERA_DIGITS or not text.isdecimal():
+            raise ValueError(reprlib.repr(text))
+        return read_integer(int(text), least=1)
+
+
 def _find_stored(item: Any) -> StoredObject | None:
     try:
         return _stored(item)
@@ -162,6 +186,7 @@
     "Page",
     "StoredObject",
     "decode_changes",
+    "decode_era",
     "decode_object",
     "decode_page",
     "decode_server_start",
--- a/src/redwingbank_standins/objectstore.py
+++ b/src/redwingbank_standins/objectstore.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
@@ -18,6 +19,7 @@
 
     `oldest_watchable` is the lowest revision after which a watch can start. `raw_by_text` holds
     what is sent in place of certain strings of an answer, such as JSON that no encoder writes.
+    All answers state the `era`, or `stated_era` in its place; without either none is stated.
     """
 
     def __init__(self) -> None:
@@ -25,6 +27,9 @@
         self.revision = 1
         self.oldest_watchable = 0
         self.fault = ""
+        self.era = 1
+        self.stated_era: str | None = None
+        self._copy: tuple[int, dict[str, dict[str, dict[str, Any]]], list[Any]] | None = None
         self.calls: list[str] = []
         self.raw_by_text: dict[str, bytes] = {}
         self._objects_by_kind: dict[str, dict[str, dict[str, Any]]] = {}
@@ -44,6 +49,19 @@
         self.oldest_watchable = self.revision + 1
         self.revision += 1
 
+    def keep_copy(self) -> None:
+        """Keep a copy of all objects and of their history, in place of an earlier one."""
+        self._copy = (self.revision, copy.deepcopy(self._objects_by_kind), list(self._history))
+
+    async def come_back(self) -> None:
+        """Begin a new era from the copy; watches that wait are told that their history is gone."""
+        assert self._copy, "no copy was kept"
+        async with self._changed:
+            self.revision, objects, history = self._copy
+            self._objects_by_kind, self._history = copy.deepcopy(objects), list(history)
+            self.era += 1
+            self._changed.notify_all()
+
     async def _change(self, kind: str, name: str, content: Any, *, deleted: bool) -> None:
         async with self._changed:
             self.revision += 1
@@ -96,7 +114,10 @@
         body = json.dumps(document).encode()
         for text, raw in self.raw_by_text.items():
             body = body.replace(json.dumps(text).encode(), raw)
-        writer.write(b"HTTP/1.1 %d x\r\nContent-Length: %d\r\n\r\n" % (status, len(body)) + body)
+        era = str(self.era) if self.stated_era is None else self.stated_era
+        stated = f"Store-Era: {era}\r\n".encode() if era else b""
+        head = b"HTTP/1.1 %d x\r\n%bContent-Length: %d\r\n\r\n" % (status, stated, len(body))
+        writer.write(head + body)
         await writer.drain()
         return True
 
@@ -129,13 +150,16 @@
         return 200, {"items": page, "more": more, "currentRev": self.revision}
 
     async def _watch(self, kind: str, since: int, wait_ms: int) -> tuple[int, dict[str, Any]]:
-        if since < self.oldest_watchable:
+        era = self.era
+        if since < self.oldest_watchable or since > self.revision:
             return 410, {}
         try:
             async with asyncio.timeout(wait_ms / MS_PER_S), self._changed:
-                await self._changed.wait_for(lambda: self._events(kind, since))
+                await self._changed.wait_for(lambda: self._events(kind, since) or self.era != era)
         except TimeoutError:
             pass
+        if self.era != era:
+            return 410, {}
         return 200, {"events": self._events(kind, since), "currentRev": self.revision}
 
     def _events(self, kind: str, since: int) -> list[dict[str, Any]]:
--- /dev/null
+++ b/tests/front/store_eras.feature
@@ -0,0 +1,49 @@
+Feature: what a host believes of the store is ordered by its era, then by revision
+
+  Scenario Outline: a revoked key stays revoked after <drills> drills, and a moved revision is seen
+    Given <hosts> hosts that know a table and three servers written since a copy was kept
+    When the store comes back from the copy <drills> times, <seconds> s apart
+    And a table without the key is written, under a revision that was given out before
+    Then every host knows that table within 2 s
+    And every host knows the servers that are written again within 2 s
+
+    Examples:
+      | hosts | drills | seconds |
+      | 1     | 1      | 0       |
+      | 3     | 1      | 0       |
+      | 3     | 2      | 4       |
+
+  Scenario: hosts of a large fleet that hear no news of their relay list the new era
+    Given 16 hosts that know a table and three servers written since a copy was kept
+    And the news of relays are lost from now on
+    When the store comes back from the copy 1 times, 0 s apart
+    And a table without the key is written, under a revision that was given out before
+    Then every host knows that table within 2 s
+    And every host knows the servers that are written again within 2 s
+
+  Scenario Outline: an era that <what> is logged once and changes nothing
+    Given 1 hosts that know a table and three servers written since a copy was kept
+    When the store states the era "<stated>" for 1 s, in which a table is written
+    Then the host has logged it once and has not listed again
+    And it knows the table <when>
+
+    Examples:
+      | what         | stated               | when                              |
+      | is no number | later                | at once                           |
+      | is negative  | -3                   | at once                           |
+      | is huge      | 99999999999999999999 | at once                           |
+      | jumps        | 999999               | at once                           |
+      | falls        | 1                    | when the era is the known one     |
+
+  Scenario Outline: a message of another host that tells era <told> where <own> is known
+    Given a host that relies on a relay's news
+    And it has listed era <own>, which it saw rise
+    When the relay answers in era <told>, and again
+    Then the answers confirm <confirmed>, and the store is asked <asked> times
+
+    Examples:
+      | told | own | confirmed | asked |
+      | 2    | 2   | the list  | 0     |
+      | 3    | 2   | nothing   | 1     |
+      | 1    | 2   | nothing   | 0     |
+      | 0    | 2   | nothing   | 0     |
--- a/tests/steps/front_freshness.py
+++ b/tests/steps/front_freshness.py
@@ -32,6 +32,7 @@
     def __init__(self):
         self.interrupted = 0
         self.revision = 10
+        self.era = 0
 
     def interrupt(self):
         self.interrupted += 1
@@ -223,7 +224,7 @@
         ServerEntry(f"i-{index}", "p", Address("10.0.0.9", index + 1), "z", 16, index % 2 > 0, -1)
         for index in range(written)
     )
-    context.sent_news = News(7, 9, entries, tuple(f"i-x{index}" for index in range(removed)))
+    context.sent_news = News(7, 9, entries, tuple(f"i-x{index}" for index in range(removed)), 3)
     data = encode_message(Message("host-2", 1, context.sent_news))
     context.peers.datagram_received(data, ("10.0.0.2", 7200))
 
--- /dev/null
+++ b/tests/steps/front_store_eras.py
@@ -0,0 +1,193 @@
+"""Steps of front/store_eras.feature."""
+
+from __future__ import annotations
+
+import asyncio
+from contextlib import ExitStack
+from unittest import mock
+
+from behave import given, then, when
+
+from front_rig import Rig, entry, run_scenario, table
+from redwingbank.clock import now_s
+from redwingbank.front.digest import Answer, News
+from redwingbank.front.freshness import Freshness
+
+JOINED = ("i-11", "i-12", "i-13")
+RELAY = "host-9"
+SOON_S = 0.8
+
+
+class Drill:
+    """What the steps do to the store in a scenario, in order, and to which hosts."""
+
+    def __init__(self, hosts):
+        self.rig = Rig(modes=["ok", "ok", "ok"])
+        self.hosts = hosts
+        self.steps = []
+        self.patches = []
+
+    def play(self):
+        async def scenario(rig):
+            self.fronts = await rig.start_hosts(self.hosts)
+            rig.store.keep_copy()
+            await rig.store.put("config", "main", table(2))
+            await self.join()
+            await self.until(lambda front: front.router.tables.table.revision == 2)
+            await self.until(lambda front: set(JOINED) <= set(listed(front)))
+            for step in self.steps:
+                await step()
+
+        with ExitStack() as stack:
+            for patch in self.patches:
+                stack.enter_context(patch)
+            run_scenario(self.rig, scenario)
+
+    async def join(self, started_ms=1):
+        for number, name in enumerate(JOINED):
+            address = f"127.0.0.1:{9 + number}"
+            await self.rig.store.put("servers", name, entry(address, started_ms=started_ms))
+
+    async def until(self, known, within_s=5.0):
+        await self.rig.until(lambda: all(map(known, self.fronts)), within_s)
+
+
+def listed(front):
+    return front.router.servers.entries_by_name
+
+
+@given("{hosts:d} hosts that know a table and three servers written since a copy was kept")
+def hosts_know(context, hosts):
+    context.drill = Drill(hosts)
+
+
+@given("the news of relays are lost from now on")
+def news_lost(context):
+    def lose(self, news: News):
+        pass
+
+    async def begin():
+        patch = mock.patch.object(Freshness, "handle_news", lose)
+        patch.start()
+        for front in context.drill.fronts:
+            front.router.peers.on_news = lambda news: None
+        patch.stop()
+
+    context.drill.steps.append(begin)
+
+
+@when("the store comes back from the copy {drills:d} times, {seconds:g} s apart")
+def comes_back(context, drills, seconds):
+    drill = context.drill
+
+    async def come_back():
+        store = drill.rig.store
+        for number in range(drills):
+            store.fault = "reset"
+            await asyncio.sleep(SOON_S)
+            await store.come_back()
+            if number < drills - 1:
+                store.fault = ""
+                await drill.join()
+                await asyncio.sleep(seconds)
+        # what is written next precedes the return of any watch
+        asyncio.get_running_loop().call_later(0.05, setattr, store, "fault", "")
+
+    drill.steps.append(come_back)
+
+
+@when("a table without the key is written, under a revision that was given out before")
+def key_taken(context):
+    drill = context.drill
+
+    async def write():
+        store = drill.rig.store
+        given_out = max(front.router.freshness._servers.revision for front in drill.fronts)
+        await store.put("config", "main", table(3, keys=("key-2",)))
+        assert store.revision <= given_out
+        await drill.join(started_ms=2)
+        await store.put("servers", "i-14", entry("127.0.0.1:20"))
+
+    drill.steps.append(write)
+
+
+@then("every host knows that table within {within:g} s")
+def table_known(context, within):
+    drill = context.drill
+    drill.steps.append(
+        lambda: drill.until(lambda front: front.router.tables.table.revision == 3, within)
+    )
+
+
+@then("every host knows the servers that are written again within {within:g} s")
+def servers_known(context, within):
+    drill = context.drill
+    wanted = dict.fromkeys(JOINED, 2) | {"i-14": 1}
+
+    def known(front):
+        started_by_name = {name: one.started_ms for name, one in listed(front).items()}
+        return wanted.items() <= started_by_name.items()
+
+    drill.steps.append(lambda: drill.until(known, within))
+    drill.play()
+
+
+@when('the store states the era "{stated}" for {seconds:g} s, in which a table is written')
+def states_era(context, stated, seconds):
+    drill = context.drill
+
+    async def state():
+        store = drill.rig.store
+        if stated == "1":
+            store.keep_copy()
+            await store.come_back()
+            await drill.until(lambda front: front.router.freshness._servers.era == 2)
+            await asyncio.sleep(SOON_S)
+        drill.rig.front.router.log.flush()
+        drill.rig.lines.clear()
+        store.calls.clear()
+        store.stated_era = stated
+        await store.put("config", "main", table(3))
+        await asyncio.sleep(seconds)
+        drill.knows = drill.fronts[0].router.tables.table.revision == 3
+        store.stated_era = None
+        await drill.until(lambda front: front.router.tables.table.revision == 3, 2.0)
+        drill.rig.front.router.log.flush()
+
+    drill.steps.append(state)
+    drill.play()
+
+
+@then("the host has logged it once and has not listed again")
+def logged_once(context):
+    rig = context.drill.rig
+    events = [line["event"] for line in rig.lines]
+    assert events.count("store-era-unreadable") == 1, events
+    assert "store-era" not in events, events
+    lists = [call for call in rig.store.calls if call.endswith(("/servers", "/config"))]
+    assert not lists, lists
+
+
+@then("it knows the table {when}")
+def knows_table(context, when):
+    assert context.drill.knows == (when == "at once"), when
+
+
+@given("it has listed era {own:d}, which it saw rise")
+def has_listed(context, own):
+    context.freshness.handle_new_era(own - 1, own)
+    context.server_watch.era = own
+
+
+@when("the relay answers in era {told:d}, and again")
+def answers_in_era(context, told):
+    context.freshness._servers_confirmed_s = float("-inf")
+    for _ in range(2):
+        context.freshness.handle_answer(Answer(now_s(), 0.1, 5, 10, 12, 0.2, told), RELAY)
+
+
+@then("the answers confirm {confirmed}, and the store is asked {asked:d} times")
+def confirms(context, confirmed, asked):
+    is_confirmed = context.freshness.servers_age_s(now_s()) < 1
+    assert is_confirmed == (confirmed == "the list")
+    assert context.server_watch.interrupted == asked
