Keep what is known of a server when the store comes back from a copy

A server that the copy lacked was dropped at once though it served.

Cause: a list read in the new era replaced what the host knew, entry by entry.

The change: `find_doubt` in rules/store_order.py weighs an entry told within 2 s of a new era against what the host knows of the server's starts. One that drained under the same start, or whose address a later start has, is held back for as long as the store tells the same of it; one that had departed or has started again since, for 5 s, in which the entry of a server that is gone lapses. An entry that differs from the held one is a new word and is weighed anew.

Why it works: what a host acknowledged is undone only by a word that the copy didn't hold, or by time enough for a server that is gone to have lapsed.

Left out: a host that starts during a drill knows nothing better than the copy and may send to what drained, until the server writes again.

--- a/src/redwingbank/front/directory.py
+++ b/src/redwingbank/front/directory.py
@@ -4,8 +4,10 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from redwingbank.rules.store_order import HOLD_S_BY_DOUBT, SETTLE_S, Doubt, Start, find_doubt
+
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterable
+    from collections.abc import Callable, Container, Iterable
 
     from redwingbank.front.values import Bounds, RouteTable, ServerEntry
 
@@ -17,6 +19,8 @@
 # A watch may miss a revocation for this long: the store can be silent for a second before it drops
 # its history.
 WATCH_DELAY_MARGIN_S = 1.0
+# about three times the servers of the largest fleet
+MAX_DEPARTED = 16_384
 
 
 class TableState:
@@ -86,18 +90,31 @@
     reason: str
 
 
+class _Held(NamedTuple):
+    """An entry that is not believed before `until_s`, unless the store changes it."""
+
+    entry: ServerEntry
+    until_s: float
+
+
 class ServerRegistry:
     """The backend servers that requests may be sent to.
 
     An entry that disappears while the store is unreachable, or shortly after, may have lapsed in
     the outage. It stays in use until the platform has had time to restore it, unless `was_down`
     tells that the store went on serving other hosts.
+
+    When the store comes back from a copy, a new era begins. Until its entries are written again,
+    servers that it lacks stay in use, and `believe` holds back what the host knows better.
     """
 
     def __init__(self, was_down: Callable[[float], bool] = lambda now_s: True) -> None:
         self._was_down = was_down
         self.entries_by_name: dict[str, ServerEntry] = {}
         self._missing: set[str] = set()
+        self._held_by_name: dict[str, _Held] = {}
+        self._departed_ms_by_name: dict[str, int] = {}
+        self._era_began_s = float("-inf")
         self._store_unreachable = False
         self._store_returned_s = float("-inf")
 
@@ -111,11 +128,59 @@
             self._store_unreachable = False
             self._store_returned_s = now_s
 
+    def begin_era(self, now_s: float) -> None:
+        """Record that the store came back from a copy."""
+        self._era_began_s = now_s
+
+    def believe(self, entry: ServerEntry, now_s: float) -> ServerEntry | None:
+        """Return the entry to use for one that the store tells, None if it is held back."""
+        held = self._held_by_name.get(entry.name)
+        known = self.entries_by_name.get(entry.name)
+        if not (held and held.entry == entry and now_s < held.until_s):
+            self._held_by_name.pop(entry.name, None)
+            settles = now_s < self._era_began_s + SETTLE_S
+            doubt = self._find_doubt(entry, known) if settles else Doubt.NONE
+            if doubt is Doubt.NONE:
+                return entry
+            self._held_by_name[entry.name] = _Held(entry, now_s + HOLD_S_BY_DOUBT[doubt])
+        return known if known and known.started_ms == entry.started_ms else None
+
+    def pop_due(self, now_s: float) -> list[ServerEntry]:
+        """Remove and return held entries that the store has listed for so long that they count."""
+        due = [held.entry for held in self._held_by_name.values() if held.until_s <= now_s]
+        for entry in due:
+            del self._held_by_name[entry.name]
+        return [
+            entry
+            for entry in due
+            if self._find_doubt(entry, self.entries_by_name.get(entry.name))
+            in {Doubt.NONE, Doubt.DEPARTED}
+        ]
+
+    def forget_held(self, listed: Container[str]) -> None:
+        """Forget the entries held back that the store no longer lists."""
+        self._held_by_name = {
+            name: held for name, held in self._held_by_name.items() if name in listed
+        }
+
+    def _find_doubt(self, entry: ServerEntry, known: ServerEntry | None) -> Doubt:
+        neighbours_ms = [
+            other.started_ms
+            for other in self.entries_by_name.values()
+            if other.address == entry.address and other.name != entry.name
+        ]
+        return find_doubt(
+            Start(entry.started_ms, entry.draining),
+            Start(known.started_ms, known.draining) if known else None,
+            self._departed_ms_by_name.get(entry.name),
+            max(neighbours_ms, default=None),
+        )
+
     def replace(self, entries: Iterable[ServerEntry], now_s: float) -> list[Departure]:
         """Replace all entries by a complete list."""
         listed = {entry.name: entry for entry in entries}
         missing = [name for name in self.entries_by_name if name not in listed]
-        departures = [departure for name in missing for departure in self.remove(name, now_s)]
+        departures = [departure for name in missing for departure in self._lose(name, now_s)]
         return departures + [
             departure for entry in listed.values() for departure in self.upsert(entry)
         ]
@@ -136,6 +201,10 @@
 
     def remove(self, name: str, now_s: float, *, deleted: bool = True) -> list[Departure]:
         """Remove an entry that was deleted, or that the store holds but can't be decoded."""
+        self._held_by_name.pop(name, None)
+        return self._lose(name, now_s, deleted=deleted)
+
+    def _lose(self, name: str, now_s: float, *, deleted: bool = True) -> list[Departure]:
         entry = self.entries_by_name.get(name)
         if entry is None:
             return []
@@ -160,11 +229,17 @@
 
     def _may_be_restored(self, now_s: float) -> bool:
         cut_off = self._store_unreachable or now_s < self._store_returned_s + RESTORE_TIMEOUT_S
-        return cut_off and self._was_down(now_s)
+        settles = now_s < self._era_began_s + RESTORE_TIMEOUT_S
+        return settles or (cut_off and self._was_down(now_s))
 
     def _drop(self, name: str, reason: str) -> Departure:
         self._missing.discard(name)
-        return Departure(self.entries_by_name.pop(name), reason)
+        entry = self.entries_by_name.pop(name)
+        self._departed_ms_by_name.pop(name, None)
+        self._departed_ms_by_name[name] = entry.started_ms
+        if len(self._departed_ms_by_name) > MAX_DEPARTED:
+            del self._departed_ms_by_name[next(iter(self._departed_ms_by_name))]
+        return Departure(entry, reason)
 
 
 __all__ = ["Departure", "ServerRegistry", "StoreContact", "TableState"]
--- a/src/redwingbank/front/store_handlers.py
+++ b/src/redwingbank/front/store_handlers.py
@@ -82,6 +82,8 @@
 
     def handle_listing(self, listing: Listing) -> None:
         """Replace the list of servers; entries that can't be decoded are left out."""
+        if listing.begins_era:
+            self._router.servers.begin_era(now_s())
         gap_s = self._router.freshness.servers_age_s(listing.asked_s)
         self._router.versions.resume(gap_s, now_s())
         known = self._router.servers.entries_by_name
@@ -95,7 +97,9 @@
         for name in listed:
             if name in self._unreadable:
                 self._remove(name)
-        entries = [entry for entry in listed.values() if entry]
+        self._router.servers.forget_held(listed)
+        told = [self._believe(entry) for entry in listed.values() if entry]
+        entries = [entry for entry in told if entry]
         for entry in entries:
             self._register(entry)
         self._handle_departures(self._router.servers.replace(entries, now_s()))
@@ -136,10 +140,13 @@
 
     def _apply(self, states: dict[str, ServerEntry | None], revision: int) -> None:
         servers = self._router.servers
-        for name, entry in states.items():
-            if entry is None:
+        for name, told in states.items():
+            if told is None:
                 self._remove(name)
                 continue
+            entry = self._believe(told)
+            if entry is None:
+                continue
             if name not in servers.entries_by_name:
                 self._router.log.essential(
                     "server-listed",
@@ -165,8 +172,18 @@
         self._router.log.essential("store-regained", kind="servers")
 
     def expire(self, now: float) -> None:
-        """Drop lapsed entries that the platform has not restored."""
+        """Drop lapsed entries that the platform has not restored; use those held back so long."""
         self._handle_departures(self._router.servers.expire(now))
+        self._apply({entry.name: entry for entry in self._router.servers.pop_due(now)}, 0)
+
+    def _believe(self, told: ServerEntry) -> ServerEntry | None:
+        """Return the entry to use for one that the store tells, None if it is held back."""
+        entry = self._router.servers.believe(told, now_s())
+        if entry != told:
+            self._router.log.detail(
+                "server-held-back", server=told.name, started_ms=told.started_ms
+            )
+        return entry
 
     def _remove(self, name: str) -> None:
         servers = self._router.servers
--- a/src/redwingbank/rules/store_order.py
+++ b/src/redwingbank/rules/store_order.py
@@ -2,7 +2,8 @@
 
 Answers a store that comes back from a copy: revisions go back and are given out again for other
 contents, and for some seconds the copy tells of servers as they were. All that comes from the
-store has a `Position`, and of two the later one counts.
+store has a `Position`, and of two the later one counts. What was known in the era before is kept
+until the new one confirms or refutes it, and no longer than `HOLD_S_BY_DOUBT` tells.
 
 >>> Position(era=1, revision=900) < Position(era=2, revision=880)
 True
@@ -11,6 +12,8 @@
 (<EraStep.RISEN: 2>, 2)
 >>> order.judge(1), order.era
 (<EraStep.FALLEN: 3>, 2)
+>>> find_doubt(Start(7, draining=False), known=Start(7, draining=True))
+<Doubt.DRAINED: 2>
 """
 
 from __future__ import annotations
@@ -20,6 +23,10 @@
 
 # An era rises by one at a time; one that rises by more than a host can have missed is damaged.
 MAX_RISE = 1000
+# The runners' and the operator's entries are back within this time of the store's return.
+SETTLE_S = 2.0
+# three heartbeats of 1.2 s, after which the entry of a server that is gone lapses, and a margin
+LAPSE_S = 5.0
 
 
 class Position(NamedTuple):
@@ -78,10 +85,64 @@
     return Standing.LATER if told > own else Standing.EARLIER
 
 
+class Start(NamedTuple):
+    """One start of a server, and whether it drains."""
+
+    started_ms: int
+    draining: bool
+
+
+class Doubt(Enum):
+    """Why an entry that the store tells early in an era is not believed yet."""
+
+    NONE = auto()
+    DRAINED = auto()
+    DEPARTED = auto()
+    EARLIER_START = auto()
+    ADDRESS_TAKEN = auto()
+
+
+# A start that drains never takes requests again, nor one whose address a later one has. The others
+# are believed if they are listed still when the entry of a server that is gone would have lapsed.
+HOLD_S_BY_DOUBT = {
+    Doubt.DRAINED: float("inf"),
+    Doubt.DEPARTED: LAPSE_S,
+    Doubt.EARLIER_START: LAPSE_S,
+    Doubt.ADDRESS_TAKEN: float("inf"),
+}
+
+
+def find_doubt(
+    told: Start,
+    known: Start | None = None,
+    departed_ms: int | None = None,
+    neighbour_ms: int | None = None,
+) -> Doubt:
+    """Return what speaks against an entry in a list that may be a copy.
+
+    `known` is the start in use under its name, `departed_ms` the latest start that was dropped,
+    and `neighbour_ms` the start of another server that is known at its address.
+    """
+    if neighbour_ms is not None and neighbour_ms > told.started_ms:
+        return Doubt.ADDRESS_TAKEN
+    if known is None:
+        departed = departed_ms is not None and told.started_ms <= departed_ms
+        return Doubt.DEPARTED if departed else Doubt.NONE
+    if told.started_ms < known.started_ms:
+        return Doubt.EARLIER_START
+    drained = known.draining and not told.draining and told.started_ms == known.started_ms
+    return Doubt.DRAINED if drained else Doubt.NONE
+
+
 __all__ = [
+    "HOLD_S_BY_DOUBT",
+    "SETTLE_S",
+    "Doubt",
     "EraStep",
     "Position",
     "Standing",
+    "Start",
     "StoreOrder",
+    "find_doubt",
     "find_standing",
 ]
--- a/tests/front/store_eras.feature
+++ b/tests/front/store_eras.feature
@@ -21,6 +21,34 @@
     Then every host knows that table within 2 s
     And every host knows the servers that are written again within 2 s
 
+  Scenario: the copy's older table and server entries undo nothing
+    Given 1 hosts that know a table and three servers written since a copy was kept
+    And a server of the copy drains since, and one has left
+    When the store comes back from the copy 1 times, 0 s apart
+    Then for 3 s every host uses the newer table, and neither the draining server nor the one that left
+    And after 6 s the draining server is still not used
+
+  Scenario: servers that the copy lacks stay in use until they are written again, or 2 s
+    Given 1 hosts that know a table and three servers written since a copy was kept
+    When the store comes back from the copy 1 times, 0 s apart
+    Then the servers that it lacks are used for 1.5 s more, and not after 3 s
+
+  Scenario Outline: an entry of a copy counts as the host's knowledge allows
+    Given a server list in which "a" <known> before a new era at 10 s
+    When the store tells at 10.1 s that "a" <told>
+    Then "a" may be sent to <later> s later: <used>
+
+    Examples:
+      | known                | told                   | later | used |
+      | is ready             | is ready               | 0.1   | yes  |
+      | drained in start 5   | is ready in start 5    | 0.1   | no   |
+      | drained in start 5   | is ready in start 5    | 60    | no   |
+      | drained in start 5   | is ready in start 6    | 0.1   | yes  |
+      | departed in start 5  | is ready in start 5    | 3     | no   |
+      | departed in start 5  | is ready in start 5    | 6     | yes  |
+      | departed in start 5  | is ready in start 6    | 0.1   | yes  |
+      | gave its address to b | is ready in start 5   | 6     | no   |
+
   Scenario Outline: an era that <what> is logged once and changes nothing
     Given 1 hosts that know a table and three servers written since a copy was kept
     When the store states the era "<stated>" for 1 s, in which a table is written
--- a/tests/steps/front_store_eras.py
+++ b/tests/steps/front_store_eras.py
@@ -11,7 +11,10 @@
 from front_rig import Rig, entry, run_scenario, table
 from redwingbank.clock import now_s
 from redwingbank.front.digest import Answer, News
+from redwingbank.front.directory import ServerRegistry
 from redwingbank.front.freshness import Freshness
+from redwingbank.front.values import ServerEntry
+from redwingbank.settings import Address
 
 JOINED = ("i-11", "i-12", "i-13")
 RELAY = "host-9"
@@ -51,6 +54,9 @@
     async def until(self, known, within_s=5.0):
         await self.rig.until(lambda: all(map(known, self.fronts)), within_s)
 
+    def usable(self):
+        return [{one.name for one in front.router.servers.usable("pool")} for front in self.fronts]
+
 
 def listed(front):
     return front.router.servers.entries_by_name
@@ -76,6 +82,20 @@
     context.drill.steps.append(begin)
 
 
+@given("a server of the copy drains since, and one has left")
+def drains_and_leaves(context):
+    drill = context.drill
+
+    async def leave():
+        rig = drill.rig
+        await rig.store.put("servers", "i-1", entry(rig.addresses["i-1"], state="draining"))
+        await rig.store.delete("servers", "i-2")
+        await drill.until(lambda front: listed(front)["i-1"].draining)
+        await drill.until(lambda front: "i-2" not in listed(front))
+
+    drill.steps.append(leave)
+
+
 @when("the store comes back from the copy {drills:d} times, {seconds:g} s apart")
 def comes_back(context, drills, seconds):
     drill = context.drill
@@ -132,6 +152,94 @@
     drill.play()
 
 
+@then(
+    "for {seconds:g} s every host uses the newer table,"
+    " and neither the draining server nor the one that left"
+)
+def nothing_undone(context, seconds):
+    drill = context.drill
+
+    async def watch():
+        ends_s = now_s() + seconds
+        while now_s() < ends_s:
+            assert all(front.router.tables.table.revision == 2 for front in drill.fronts)
+            assert all(not usable & {"i-1", "i-2"} for usable in drill.usable()), drill.usable()
+            await asyncio.sleep(0.02)
+
+    drill.steps.append(watch)
+
+
+@then("after {seconds:g} s the draining server is still not used")
+def still_drained(context, seconds):
+    drill = context.drill
+
+    async def look():
+        await asyncio.sleep(seconds - 3)
+        assert all(usable == {"i-2", "i-3"} for usable in drill.usable()), drill.usable()
+
+    drill.steps.append(look)
+    drill.play()
+
+
+@then("the servers that it lacks are used for {seconds:g} s more, and not after {late:g} s")
+def kept_for(context, seconds, late):
+    drill = context.drill
+
+    async def look():
+        await drill.until(lambda front: front.router.freshness.servers_age_s(now_s()) < SOON_S)
+        await asyncio.sleep(seconds)
+        assert all(set(JOINED) <= usable for usable in drill.usable()), drill.usable()
+        await asyncio.sleep(late - seconds)
+        assert all(usable == {"i-1", "i-2", "i-3"} for usable in drill.usable()), drill.usable()
+
+    drill.steps.append(look)
+    drill.play()
+
+
+def server(name, started_ms=5, *, draining=False, port=1):
+    return ServerEntry(name, "pool", Address("10.0.0.1", port), "x", 4, draining, started_ms)
+
+
+HISTORY = {
+    "is ready": [server("a")],
+    "drained in start 5": [server("a", draining=True)],
+    "departed in start 5": [server("a"), None],
+    "gave its address to b": [server("a"), server("b", 9)],
+}
+
+
+@given('a server list in which "a" {known} before a new era at 10 s')
+def known_before(context, known):
+    context.servers = ServerRegistry()
+    for one in HISTORY[known]:
+        if one:
+            context.servers.upsert(one)
+        else:
+            context.servers.remove("a", 5.0)
+    context.servers.begin_era(10.0)
+
+
+@when('the store tells at 10.1 s that "a" {told}')
+def store_tells(context, told):
+    context.told = server("a", int(told.split()[-1]) if "start" in told else 5)
+    apply(context, 10.1)
+
+
+def apply(context, at_s):
+    if believed := context.servers.believe(context.told, at_s):
+        context.servers.upsert(believed)
+
+
+@then('"a" may be sent to {later:g} s later: {used}')
+def may_send(context, later, used):
+    servers, at_s = context.servers, 10.1 + later
+    apply(context, at_s)
+    servers.expire(at_s)
+    for one in servers.pop_due(at_s):
+        servers.upsert(one)
+    assert ("a" in {one.name for one in servers.usable("pool")}) == (used == "yes")
+
+
 @when('the store states the era "{stated}" for {seconds:g} s, in which a table is written')
 def states_era(context, stated, seconds):
     drill = context.drill
