Act on no lease of an earlier era of the store

When the store came back from a copy, the holder of the duties kept its permit by a renewal that the store had lost, and another host could take the lease on the strength of a read made before.

The change: `Lease.begin_era`, called for each rise of the era. The holder reads and renews before it has a permit again; the others forget their read, so they wait for a whole lease from the next one on.

Evidence: tests/duties/lease.feature, the lease of an earlier era (fails before: the holder has a permit, and the other host takes the lease without a read); duties lease, fronts and usage pass.

--- a/src/redwingbank/duties/lease.py
+++ b/src/redwingbank/duties/lease.py
@@ -183,6 +183,16 @@
         if self.state is State.HOLDING:
             self.state = State.UNSURE
 
+    def begin_era(self, now_s: float) -> None:
+        """Act on nothing that was read or written before the store came back from a copy.
+
+        A holder reads the object and renews the lease before it has a permit again; the others
+        wait for a whole lease from their next read on.
+        """
+        self.doubt()
+        self._read_s = NEVER_S
+        self._valid_from_s = now_s
+
     def drop(self, now_s: float) -> None:
         """Give up the fence for good after it was refused."""
         self._dropped_fence = max(self._dropped_fence, self.fence)
--- a/src/redwingbank/duties/task.py
+++ b/src/redwingbank/duties/task.py
@@ -79,6 +79,7 @@
         self._ranked_s = float("-inf")
         self._held_fence = 0
         self.holder = RenewalKey("", 0, 0, 0)
+        store.on_new_era.append(lambda before, era: self.lease.begin_era(now_s()))
 
     def register(self, name: str, duty: Duty) -> None:
         """Add a duty; it never runs if the settings don't name it."""
--- a/tests/duties/lease.feature
+++ b/tests/duties/lease.feature
@@ -10,3 +10,10 @@
     # Guards against a lease that nobody takes, and reports that are left out.
     Given a fleet without faults that runs for 60 s
     Then one host reported every window within 10 s of its end
+
+  Scenario: a lease of an earlier era of the store gives no permit, and is not taken at once
+    Given a host that holds the lease, and one that has seen it end
+    When the store comes back from a copy
+    Then neither has a permit or writes before it has read the object
+    And the holder has a permit again once it has renewed the lease
+    And the other waits for a whole lease after its read
--- a/tests/steps/duties_lease.py
+++ b/tests/steps/duties_lease.py
@@ -2,11 +2,12 @@
 
 from __future__ import annotations
 
-from behave import given, then
+from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import settings, strategies
 
 from duty_fleet import LEASE_S, START_S, TERMS, UNIX_S, DutyFleet
+from redwingbank.duties.lease import NO_LEASE, Lease, Step, StoredLease
 
 EXAMPLES = 60
 RUN_S = 120.0
@@ -64,3 +65,64 @@
     for window in range(begun, ended):
         late_s = first_s_by_window[window] + UNIX_S - TERMS.end_s(window)
         assert 0 < late_s < TERMS.late_s, (window, late_s)
+
+
+BACK_S = 20.0
+
+
+def held_lease(host, now_s):
+    """Return a lease that a host has just taken, and the object that it wrote."""
+    lease = Lease(host, 1, LEASE_S, 1.0, 0.0)
+    lease.observe(NO_LEASE, 0.0)
+    lease.observe(NO_LEASE, now_s)
+    lease.pulse(now_s)
+    record = lease.build(Step.TAKE, 1.0)
+    lease.write_sent(record, now_s)
+    lease.observe(StoredLease(record, 7), now_s)
+    assert lease.permit(now_s + 0.1)
+    return lease, record
+
+
+@given("a host that holds the lease, and one that has seen it end")
+def holder_and_other(context):
+    context.holder, context.record = held_lease("host-1", BACK_S - 0.5)
+    context.other = Lease("host-2", 1, LEASE_S, 1.0, 0.0)
+    for at_s in (0.0, BACK_S - 0.1):
+        context.other.observe(StoredLease(context.record, 7), at_s)
+    assert context.other.next_step(0, BACK_S) is Step.TAKE
+
+
+@when("the store comes back from a copy")
+def store_comes_back(context):
+    for lease in (context.holder, context.other):
+        lease.begin_era(BACK_S)
+
+
+@then("neither has a permit or writes before it has read the object")
+def reads_first(context):
+    for lease in (context.holder, context.other):
+        assert lease.permit(BACK_S + 0.1) is None
+        assert lease.next_step(0, BACK_S + 0.1) is Step.READ
+
+
+@then("the holder has a permit again once it has renewed the lease")
+def permit_again(context):
+    lease, at_s = context.holder, BACK_S + 0.2
+    lease.observe(StoredLease(context.record, 7), at_s)
+    assert lease.permit(at_s) is None
+    assert lease.next_step(0, at_s) is Step.RENEW
+    renewed = lease.build(Step.RENEW, 2.0)
+    lease.write_sent(renewed, at_s)
+    lease.observe(StoredLease(renewed, 8), at_s + 0.1)
+    assert lease.permit(at_s + 0.1)
+
+
+@then("the other waits for a whole lease after its read")
+def waits_whole_lease(context):
+    lease, at_s = context.other, BACK_S + 0.2
+    lease.observe(StoredLease(context.record, 7), at_s)
+    assert lease.next_step(0, at_s + 0.1) is Step.WAIT
+    at_s += LEASE_S
+    assert lease.next_step(0, at_s) is Step.READ
+    lease.observe(StoredLease(context.record, 7), at_s)
+    assert lease.next_step(0, at_s) is Step.TAKE
