Send nothing to a server that says itself that it is leaving

The host passed on answers with `Server-Leaving: 1` and went on sending to that server until it was gone.

Cause: only entries of the store made a server draining. What the server says of itself was decoded by nothing.

The fix: the header is a statement of servers, as limits and brittleness are. The word of any answer on a server's connections counts (to requests, reports and probes, also answers that are refused as unsigned or another request's; not 421, which another server gave), is told to the other hosts at once and repeated, and names one start of the server. The list that all sends choose from leaves that start out, whatever the store says of it. A request that is connecting or has asked for the start is given back unsent and goes to another server. Probes of reachability pass it by. Hosts of an earlier release leave the new rows out; their messages are read as before.

--- a/src/redwingbank/ctl/explain.py
+++ b/src/redwingbank/ctl/explain.py
@@ -20,7 +20,9 @@
 
 OK = 0
 CONTEXT_S = 5.0
-SERVER_CONTEXT_EVENTS = frozenset({"server-state", "notice", "notice-learned", "server-drain"})
+SERVER_CONTEXT_EVENTS = frozenset(
+    {"server-state", "server-leaving", "notice", "notice-learned", "server-drain"}
+)
 # A host's lost connections, stale data and limits of servers affect all of its requests.
 HOST_CONTEXT_EVENTS = frozenset(
     {"store-lost", "store-regained", "watch-deaf", "relay-doubted", "limit-named", "pool-reach"}
@@ -245,6 +247,10 @@
     return f"{record.field('server')} went from {record.field('was')} to {record.field('state')}"
 
 
+def _format_leaving(record: Record) -> str:
+    return f"{record.field('server')} says that it is leaving, by {record.field('source')}"
+
+
 def _format_limit(record: Record) -> str:
     field = record.field
     per_s = field("per_s")
@@ -299,6 +305,7 @@
     "request-done": _format_done,
     "caller-gone": _format_caller_gone,
     "server-state": _format_server_state,
+    "server-leaving": _format_leaving,
     "limit-named": _format_limit,
     "notice": _format_notice,
     "notice-learned": _format_notice,
--- a/src/redwingbank/forwarding/probes.py
+++ b/src/redwingbank/forwarding/probes.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from redwingbank.front.outbound import Connection, ConnectionPool
+    from redwingbank.front.start_reader import Heard
     from redwingbank.front.wire import AnswerHead
 
 # Far more than a connection and an answer take across the fleet.
@@ -20,7 +21,8 @@
 class _ProbeReply:
     """Waits for any answer to a probe."""
 
-    def __init__(self) -> None:
+    def __init__(self, heard: Heard | None) -> None:
+        self._heard = heard
         self.connection: Connection | None = None
         self.result: asyncio.Future[ProbeResult] = asyncio.get_running_loop().create_future()
 
@@ -30,6 +32,8 @@
         facts = decode_answer(head.headers)
         origin = self.connection.origin
         origin.answered(facts.request_id, head.status, not_run=facts.not_run)
+        if self._heard:
+            self._heard(facts.statements)
         self._set(ProbeResult.ANSWERED)
 
     def body_received(self, data: bytes) -> None:
@@ -47,14 +51,14 @@
             self.result.set_result(result)
 
 
-async def probe(connections: ConnectionPool) -> ProbeResult:
+async def probe(connections: ConnectionPool, heard: Heard | None = None) -> ProbeResult:
     """Ask a server for its report on a new connection, which is kept if the server answers.
 
     A middlebox may accept connections to servers that it does not reach, so that a connection
-    alone proves nothing.
+    alone proves nothing. `heard` gets what the server says of itself.
     """
     connection: Connection | None = None
-    reply = _ProbeReply()
+    reply = _ProbeReply(heard)
     try:
         async with asyncio.timeout(PROBE_TIMEOUT_S):
             connection = reply.connection = await connections.connect()
--- a/src/redwingbank/forwarding/task.py
+++ b/src/redwingbank/forwarding/task.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections import Counter
 from enum import StrEnum
+from functools import partial
 from typing import TYPE_CHECKING
 
 from redwingbank.clock import now_s
@@ -201,6 +202,8 @@
         asked = [pool for pool in self._entries_by_pool if pool_key(pool) in report.age_s_by_key]
         for pool in asked:
             backends = self._listed(pool)
+            if not backends:
+                continue
             age_s = now - max(one.connections.contact.heard_s for one in backends)
             reaching = pool in self._reach_by_pool and not self.suspects(pool)
             recent_s = now - self._answered_s_by_pool.get(pool, NEVER_S)
@@ -263,7 +266,8 @@
         self.cut_pools.discard(pool)
 
     def _listed(self, pool: str) -> list[Backend]:
-        entries = self._entries_by_pool.get(pool, ())
+        """Return the servers of a pool, without those that say that they are leaving."""
+        entries = self._backends.leaving.staying(self._entries_by_pool.get(pool, ()))
         return [self._backends.get_or_create(entry) for entry in entries]
 
     def _select(self, backends: list[Backend], count: int, now: float) -> list[Backend]:
@@ -275,7 +279,7 @@
     async def _run_round(self, pool: str, reach: PoolReach, backends: list[Backend]) -> None:
         results: Sequence[ProbeResult] = (ProbeResult.FAILED,)
         try:
-            results = await asyncio.gather(*(probe(one.connections) for one in backends))
+            results = await asyncio.gather(*map(_probe, backends))
         finally:
             now, before = now_s(), reach.state
             contacts = [backend.connections.contact for backend in self._listed(pool)]
@@ -286,7 +290,7 @@
                     self._reroute(pool, now - SILENCE_S)
 
     async def _probe_and_tell(self, backend: Backend, host: str) -> None:
-        if await probe(backend.connections) is ProbeResult.ANSWERED:
+        if await _probe(backend) is ProbeResult.ANSWERED:
             self._tell(host, now_s())
 
     def _ask_others(self, pool: str, reach: PoolReach, now: float) -> None:
@@ -309,7 +313,8 @@
         ages = {}
         for pool in pools:
             reach = self._reach_by_pool.get(pool)
-            heard_s = max(one.connections.contact.heard_s for one in self._listed(pool))
+            contacts = (one.connections.contact for one in self._listed(pool))
+            heard_s = max((contact.heard_s for contact in contacts), default=NEVER_S)
             if heard_s > NEVER_S and not (reach and reach.state in STATES_NOT_TOLD):
                 ages[pool_key(pool)] = now - heard_s
         return ReachReport(ages, self.takes_forwards)
@@ -320,6 +325,10 @@
         task.add_done_callback(self._tasks.discard)
 
 
+def _probe(backend: Backend) -> Coroutine[None, None, ProbeResult]:
+    return probe(backend.connections, partial(backend.report_received, backend.entry))
+
+
 def _lives_on(backend: Backend, now: float) -> bool:
     connections = backend.connections
     return connections.has_idle and now - connections.contact.heard_s < SILENCE_S
--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -20,6 +20,7 @@
 
     from redwingbank.front.backends import Backend
     from redwingbank.front.outbound import Connection
+    from redwingbank.front.values import Statement
     from redwingbank.front.wire import AnswerHead
     from redwingbank.platform.headers import AnswerFacts
 
@@ -175,6 +176,7 @@
         facts = decode_answer(head.headers)
         fault = self._find_fault(head, facts)
         if fault:
+            self._heard(facts.statements)
             self._fail(Outcome.GARBAGE, fault)
             return
         self._head, self._facts = head, facts
@@ -268,7 +270,8 @@
         if self._check is StartCheck.NONE or known or self._checks_late:
             self._send_if_listed(connection, encode)
             return
-        StartReader(connection, partial(self._start_told, connection, encode)).start()
+        told = partial(self._start_told, connection, encode)
+        StartReader(connection, told, self._heard).start()
 
     def _start_told(
         self, connection: Connection, encode: Callable[[float], bytes], loss: Loss | None
@@ -279,7 +282,7 @@
             if loss is None and self.backend.connections.take(connection):
                 self._send_if_listed(connection, encode)
             else:
-                # a server that is leaving tells its start, and closes the connection
+                # some servers tell their start, and close the connection
                 self._checks_late = loss is None and self._check is StartCheck.ASK
                 self._reconnect(connection, encode, "closed before the request")
 
@@ -288,6 +291,10 @@
         if now_s() - self.started_s > CONNECT_TIMEOUT_S:
             self._give_up_unsent(connection, "delayed while connecting")
             return
+        # it may have said so since it was chosen
+        if self.backend.is_leaving(self.entry):
+            self._give_up_unsent(connection, "the server is leaving")
+            return
         if self._check is not StartCheck.NONE:
             self.server_start = connection.server_start or UNKNOWN_START
         if self._check is StartCheck.MATCH and self.server_start != self.entry.started_ms:
@@ -297,7 +304,11 @@
         self.sent = True
         connection.send(encode(now_s()), self, self._request_id)
         if self._checks_late:
-            self._late_check = LateStartCheck(self.backend.connections, self._late_start_told)
+            connections = self.backend.connections
+            self._late_check = LateStartCheck(connections, self._late_start_told, self._heard)
+
+    def _heard(self, statements: tuple[Statement, ...]) -> None:
+        self.backend.report_received(self.entry, statements)
 
     def _late_start_told(self, start: int) -> None:
         if start == self.entry.started_ms:
--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -10,16 +10,17 @@
 from redwingbank.routing.arrivals import Arrivals
 from redwingbank.routing.load import ServerLoad
 from redwingbank.routing.room_book import RoomBook
+from redwingbank.routing.server_leaving import LeavingBook
 from redwingbank.routing.server_limit import LimitBook
 from redwingbank.routing.targets import PauseEstimate
 from redwingbank.rules.breaker import Breaker
 
 if TYPE_CHECKING:
-    from collections.abc import Collection, Iterable
+    from collections.abc import Callable, Collection, Iterable
     from random import Random
 
     from redwingbank.front.failures import Failure
-    from redwingbank.front.values import ServerEntry, StatedLoad
+    from redwingbank.front.values import ServerEntry, StatedLoad, Statement
     from redwingbank.front.wire import AnswerLimits
 
 # Shorter than the servers' idle timeouts of several seconds, after which they close connections
@@ -33,15 +34,14 @@
     def __init__(
         self,
         entry: ServerEntry,
-        random: Random,
+        backends: Backends,
         pauses: PauseEstimate,
-        limits: AnswerLimits,
         arrivals: Arrivals | None,
     ) -> None:
         self.entry = entry
-        self.connections = ConnectionPool(entry.address, KEEP_IDLE_S, limits)
-        self.breaker = Breaker(random)
-        self._random = random
+        self.connections = ConnectionPool(entry.address, KEEP_IDLE_S, backends.answer_limits)
+        self.breaker = Breaker(backends.random)
+        self._backends = backends
         self.load = ServerLoad(pauses, arrivals)
 
     def update(self, entry: ServerEntry) -> None:
@@ -58,7 +58,15 @@
 
     def reset_breaker(self) -> None:
         """Forget the server's failures, which were not its own."""
-        self.breaker = Breaker(self._random)
+        self.breaker = Breaker(self._backends.random)
+
+    def is_leaving(self, entry: ServerEntry) -> bool:
+        """Whether the start of the server that an entry lists says that it is leaving."""
+        return self._backends.leaving.contains(entry.name, entry.started_ms)
+
+    def report_received(self, entry: ServerEntry, statements: tuple[Statement, ...]) -> None:
+        """Pass on what a server said in an answer that is not to the request of a caller."""
+        self._backends.on_report(entry, statements)
 
 
 class Backends:
@@ -70,8 +78,11 @@
         # pools whose load is evened out by what a server has stated
         self.evened_pools: set[str] = set()
         self.rooms = RoomBook()
+        self.leaving = LeavingBook()
         self.random = random
-        self._limits = limits
+        # what servers say in answers that are not to requests of callers
+        self.on_report: Callable[[ServerEntry, tuple[Statement, ...]], None] = _ignore_report
+        self.answer_limits = limits
         self._pauses_by_pool: dict[str, PauseEstimate] = {}
         # set by the duty that takes the counts
         self.counts_arrivals = False
@@ -83,7 +94,7 @@
         if backend is None:
             pauses = self._pauses_by_pool.setdefault(entry.pool, PauseEstimate())
             arrivals = self._arrivals(entry.pool) if self.counts_arrivals else None
-            backend = Backend(entry, self.random, pauses, self._limits, arrivals)
+            backend = Backend(entry, self, pauses, arrivals)
             self.backends_by_name[entry.name] = backend
         backend.update(entry)
         return backend
@@ -129,6 +140,10 @@
             backend.load.expire(now_s)
 
 
+def _ignore_report(entry: ServerEntry, statements: tuple[Statement, ...]) -> None:
+    pass
+
+
 def update_breaker(
     backend: Backend, failure: Failure, request_id: str, sent_s: float, now: float
 ) -> None:
--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -106,8 +106,8 @@
 
 # What a server says of itself, by `kind`: 0 the requests a second that it takes from all hosts
 # together, 1 that it is brittle. Or what hosts say of the room at brittle servers: 2 that a host
-# asks for room at any server of the pool `server`, 3 that it lends room at a server. Only kind 0
-# has a limit in `perS`; others have -1 there.
+# asks for room at any server of the pool `server`, 3 that it lends room at a server. Or 4, a server
+# that says that it is leaving. Only kind 0 has a limit in `perS`; others have -1 there.
 struct Limit {
   server @0 :Text;
   startedMs @1 :Int64;
--- a/src/redwingbank/front/directory.py
+++ b/src/redwingbank/front/directory.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from redwingbank.routing.server_leaving import LeavingBook
+
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
@@ -91,11 +93,17 @@
 
     An entry that disappears while the store is unreachable, or shortly after, may have lapsed in
     the outage. It stays in use until the platform has had time to restore it, unless `was_down`
-    tells that the store went on serving other hosts.
+    tells that the store went on serving other hosts. `leaving` knows the servers that say
+    themselves that they are leaving.
     """
 
-    def __init__(self, was_down: Callable[[float], bool] = lambda now_s: True) -> None:
+    def __init__(
+        self,
+        was_down: Callable[[float], bool] = lambda now_s: True,
+        leaving: LeavingBook | None = None,
+    ) -> None:
         self._was_down = was_down
+        self._leaving = leaving or LeavingBook()
         self.entries_by_name: dict[str, ServerEntry] = {}
         self._missing: set[str] = set()
         self._store_unreachable = False
@@ -152,11 +160,11 @@
 
     def usable(self, pool: str) -> list[ServerEntry]:
         """List the servers of a pool that accept new requests."""
-        return [
+        return self._leaving.staying(
             entry
             for entry in self.entries_by_name.values()
             if entry.pool == pool and not entry.draining
-        ]
+        )
 
     def _may_be_restored(self, now_s: float) -> bool:
         cut_off = self._store_unreachable or now_s < self._store_returned_s + RESTORE_TIMEOUT_S
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -196,7 +196,7 @@
     def attempt_head_received(self, attempt: Attempt, facts: AnswerFacts) -> None:
         """Record what the server says of itself, whatever becomes of its answer."""
         self._router.record_stated_load(attempt.backend, facts)
-        statements, entry = self._router.statements, attempt.backend.entry
+        statements, entry = self._router.statements, attempt.entry
         statements.answer_received(
             entry, facts.statements, self._holder.sent_s, stamped=facts.stamped
         )
--- a/src/redwingbank/front/notice_codec.py
+++ b/src/redwingbank/front/notice_codec.py
@@ -9,6 +9,7 @@
 from redwingbank.front.poison import CrashNews
 from redwingbank.routing.brittle_room import RoomState
 from redwingbank.routing.room_book import RoomAsk, RoomLoan
+from redwingbank.routing.server_leaving import LeavingState
 from redwingbank.routing.server_limit import LimitState
 
 if TYPE_CHECKING:
@@ -20,14 +21,14 @@
 NO_LIMIT = -1.0
 # stands for a server that is not brittle any more
 NOT_BRITTLE = -1
-KIND_LIMIT, KIND_ROOM, KIND_ASK, KIND_LOAN = range(4)
+KIND_LIMIT, KIND_ROOM, KIND_ASK, KIND_LOAN, KIND_LEAVING = range(5)
 # No server changes its limit so often; a damaged message may hold any number.
 MAX_VERSION = 2**31
 # more than hosts put into a message
 MAX_ROWS = 100
 
 
-State = LimitState | RoomState | RoomAsk | RoomLoan
+State = LimitState | RoomState | RoomAsk | RoomLoan | LeavingState
 
 
 class StatementReport(NamedTuple):
@@ -107,6 +108,12 @@
     row.server, row.startedMs, row.count = state.server, state.started_ms, state.requests
 
 
+@_encode_state.register
+def _encode_leaving(state: LeavingState, row: Any) -> None:
+    row.kind, row.perS = KIND_LEAVING, NO_LIMIT
+    row.server, row.startedMs = state.server, state.started_ms
+
+
 def read_rows(rows: Any) -> Any:
     """Return the rows of a message; a damaged one may claim any number of empty ones.
 
@@ -144,6 +151,13 @@
     return RoomLoan(row.server, row.startedMs, row.count)
 
 
+def _decode_leaving(row: Any) -> LeavingState:
+    # a damaged row of another kind must not end the use of a server
+    if row.perS != NO_LIMIT or row.version or row.sent or row.count:
+        raise ValueError(f"leaving of {row.server}: figures of another statement")
+    return LeavingState(row.server, row.startedMs)
+
+
 def _read_version(row: Any) -> int:
     if row.version > MAX_VERSION:
         raise ValueError(f"statement of {row.server}: version {row.version}")
@@ -155,6 +169,7 @@
     KIND_ROOM: _decode_room,
     KIND_ASK: _decode_ask,
     KIND_LOAN: _decode_loan,
+    KIND_LEAVING: _decode_leaving,
 }
 
 
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -75,7 +75,7 @@
         self.peers.on_crash = self.poison.handle_crash_news
         self.statements = ServerStatements(self.backends, self.peers, self.log, self.metrics)
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
-        self.servers = ServerRegistry(self.freshness.store_contact.was_down)
+        self.servers = ServerRegistry(self.freshness.store_contact.was_down, self.backends.leaving)
         self.streams = StreamSharing(settings.name, self.peers)
         self.versions = VersionHistory()
         self.routes = RouteHistory()
--- a/src/redwingbank/front/server_statements.py
+++ b/src/redwingbank/front/server_statements.py
@@ -17,12 +17,14 @@
     NOTHING_STATED,
     ServerEntry,
     StatedBrittleness,
+    StatedLeaving,
     StatedLimit,
     Statement,
     UnreadableStatement,
 )
 from redwingbank.routing.brittle_room import RoomState
 from redwingbank.routing.room_book import RoomAsk, RoomLoan
+from redwingbank.routing.server_leaving import LeavingState
 from redwingbank.routing.server_limit import HostKey, LimitState
 
 if TYPE_CHECKING:
@@ -53,6 +55,8 @@
         self, backends: Backends, peers: Peers, log: DecisionLog, metrics: Metrics
     ) -> None:
         self.limits = backends.limits
+        self.leaving = backends.leaving
+        backends.on_report = self.report_received
         self.rooms = RoomSharing(backends, peers, log, metrics, self._report)
         self._peers = peers
         self._log = log
@@ -78,6 +82,12 @@
         for statement in statements:
             self._apply(statement, entry, sent_s, stamped=stamped)
 
+    def report_received(self, entry: ServerEntry, statements: tuple[Statement, ...]) -> None:
+        """Apply what a report, or an answer that is not to a request, says of leaving."""
+        for statement in statements:
+            if isinstance(statement, StatedLeaving):
+                self._apply(statement, entry, 0.0, stamped=False)
+
     def request_sent(self, entry: ServerEntry) -> None:
         """Count a request of this host, and tell the others."""
         limit = self.limits.find(entry)
@@ -93,7 +103,8 @@
 
     def tell_host(self, host: str) -> None:
         """Tell a host that has just started all statements."""
-        for report in _reports([*self._limit_states(), *self.rooms.states(now_s())]):
+        states = [*self.leaving.states(), *self._limit_states(), *self.rooms.states(now_s())]
+        for report in _reports(states):
             self._peers.tell([host], report)
 
     def update(self, now: float, entries: Collection[ServerEntry]) -> None:
@@ -101,14 +112,24 @@
 
         `entries` are the servers that are listed.
         """
-        if not (self.limits.limits_by_start or self.rooms.book.rooms_by_start):
+        known = (
+            self.limits.limits_by_start,
+            self.rooms.book.rooms_by_start,
+            self.leaving.leaving_by_start,
+        )
+        if not any(known):
             return
+        self.leaving.update(entries, now)
         self.limits.update(self._peers.fleet(now), entries, now)
         self.rooms.update(now, entries)
         if now - self._repeated_s >= REPEAT_S:
             self._repeated_s = now
             changed_s = now - REPEAT_END_S
-            states = [*self._limit_states(changed_s), *self.rooms.states(now, changed_s)]
+            states = [
+                *self.leaving.states(),
+                *self._limit_states(changed_s),
+                *self.rooms.states(now, changed_s),
+            ]
             for report in _reports(states):
                 self._peers.broadcast(report)
 
@@ -135,6 +156,14 @@
     ) -> None:
         self.rooms.answer_received(entry, statement.most_rejected, sent_s, stamped=stamped)
 
+    @_apply.register
+    def _apply_leaving(
+        self, statement: StatedLeaving, entry: ServerEntry, sent_s: float, *, stamped: bool
+    ) -> None:
+        if statement.leaving and self._mark_leaving(entry.name, entry.started_ms, "answer"):
+            state = LeavingState(entry.name, entry.started_ms)
+            self._report(LeavingState, *state, lambda: state)
+
     @_apply.register
     def _apply_unreadable(
         self, statement: UnreadableStatement, entry: ServerEntry, sent_s: float, *, stamped: bool
@@ -165,6 +194,19 @@
     def _merge_loan(self, state: RoomLoan, host: HostKey) -> None:
         self.rooms.borrow(state, host[0])
 
+    @_merge.register
+    def _merge_leaving(self, state: LeavingState, host: HostKey) -> None:
+        self._mark_leaving(state.server, state.started_ms, host[0])
+
+    def _mark_leaving(self, server: str, started_ms: int, source: str) -> bool:
+        new = self.leaving.mark(server, started_ms, now_s())
+        if new:
+            self._metrics.count("servers_leaving_total")
+            self._log.essential(
+                "server-leaving", server=server, started_ms=started_ms, source=source
+            )
+        return new
+
     def _limit_states(self, changed_s: float = float("-inf")) -> list[State]:
         """Return the limits in force, and those that have ended since `changed_s`."""
         return [
--- a/src/redwingbank/front/start_reader.py
+++ b/src/redwingbank/front/start_reader.py
@@ -14,8 +14,11 @@
     from collections.abc import Callable
 
     from redwingbank.front.outbound import Connection, ConnectionPool
+    from redwingbank.front.values import Statement
     from redwingbank.front.wire import AnswerHead
 
+    Heard = Callable[[tuple[Statement, ...]], None]
+
 MAX_REPORT_BYTES = 64 * 1024
 STATUS_OK = 200
 
@@ -25,11 +28,18 @@
 
     A connection never outlives its server, so one report holds for all requests on it. `told` gets
     the loss if there is no answer, else None. A report that does not tell the start counts as 0.
+    `heard` gets what the server says of itself, before anything else of the answer.
     """
 
-    def __init__(self, connection: Connection, told: Callable[[Loss | None], None]) -> None:
+    def __init__(
+        self,
+        connection: Connection,
+        told: Callable[[Loss | None], None],
+        heard: Heard | None = None,
+    ) -> None:
         self._connection = connection
         self._told = told
+        self._heard = heard
         self._status = 0
         self._foreign = False
         self._body = bytearray()
@@ -44,6 +54,8 @@
         self._status = head.status
         facts = decode_answer(head.headers)
         self._foreign = bool(facts.request_id)
+        if self._heard:
+            self._heard(facts.statements)
         origin = self._connection.origin
         origin.answered(facts.request_id, head.status, not_run=facts.not_run)
 
@@ -77,9 +89,15 @@
     chosen is the one that got the request.
     """
 
-    def __init__(self, connections: ConnectionPool, told: Callable[[int], None]) -> None:
+    def __init__(
+        self,
+        connections: ConnectionPool,
+        told: Callable[[int], None],
+        heard: Heard | None = None,
+    ) -> None:
         self._connections = connections
         self._told = told
+        self._heard = heard
         self._connection: Connection | None = None
         self._task = asyncio.get_running_loop().create_task(self._ask())
 
@@ -92,7 +110,7 @@
     async def _ask(self) -> None:
         with contextlib.suppress(OSError):
             connection = self._connection = await self._connections.connect()
-            StartReader(connection, self._answered).start()
+            StartReader(connection, self._answered, self._heard).start()
 
     def _answered(self, loss: Loss | None) -> None:
         connection, self._connection = self._connection, None
--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -226,15 +226,25 @@
     most_rejected: int | None
 
 
+class StatedLeaving(NamedTuple):
+    """What a server's answer says of whether it is leaving, and wants no more requests."""
+
+    leaving: bool
+
+
 class UnreadableStatement(NamedTuple):
     """A statement of a server whose value can't be read; it changes nothing."""
 
     kind: str
 
 
-Statement = StatedLimit | StatedBrittleness | UnreadableStatement
+Statement = StatedLimit | StatedBrittleness | StatedLeaving | UnreadableStatement
 # what most answers state
-NOTHING_STATED: tuple[Statement, ...] = (StatedLimit(None), StatedBrittleness(None))
+NOTHING_STATED: tuple[Statement, ...] = (
+    StatedLimit(None),
+    StatedBrittleness(None),
+    StatedLeaving(leaving=False),
+)
 
 
 class Bounds(NamedTuple):
@@ -292,6 +302,7 @@
     "ServerEntry",
     "Share",
     "StatedBrittleness",
+    "StatedLeaving",
     "StatedLimit",
     "StatedLoad",
     "Statement",
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -11,6 +11,7 @@
     CallFacts,
     PromptPart,
     StatedBrittleness,
+    StatedLeaving,
     StatedLimit,
     StatedLoad,
     UnreadableStatement,
@@ -41,6 +42,7 @@
 # running, waiting, slots, and at some deployments the slowness in per cent
 LOAD_FIGURES = re.compile(rb"(\d{1,6}),(\d{1,6}),(\d{1,6})(?:,(\d{1,6}))?")
 SERVER_BRITTLE = b"server-brittle"
+SERVER_LEAVING = b"server-leaving"
 DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
 # No server turns away more requests in a second.
 COUNT = re.compile(rb"\d{1,6}")
@@ -320,10 +322,16 @@
     return StatedBrittleness(int(value))
 
 
+def _parse_leaving(value: bytes) -> Statement:
+    """Parse whether a server is leaving; only one value says so."""
+    return StatedLeaving(leaving=True) if value == b"1" else UnreadableStatement("leaving")
+
+
 # in the order of `NOTHING_STATED`
 _PARSER_BY_STATEMENT: dict[bytes, Callable[[bytes], Statement]] = {
     SERVER_LIMIT: _parse_limit,
     SERVER_BRITTLE: _parse_brittleness,
+    SERVER_LEAVING: _parse_leaving,
 }
 
 __all__ = [
--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -45,7 +45,8 @@
     until the peer closes, after 64 MB at most; `flood_bytes` counts them. In mode hang no response
     is sent. Refusals bear no id. A server in mode stream crashes in the first event of each answer
     to a prompt with the shared part `crash_part`. While `named_limit` is not empty, the heads of
-    all its responses name it as the requests a second that the server takes.
+    all its responses name it as the requests a second that the server takes. So it is with
+    `leaving`, which reports tell too.
 
     Events name the server and, unless it is empty, the `version` of its software. A report tells
     the time of the server's start, `started_ms`. While `hides_start` is set, it tells none; while
@@ -65,6 +66,7 @@
         self.reports = 0
         self.crash_part = ""
         self.named_limit = ""
+        self.leaving = ""
         self.flood_bytes = 0
         self.crashed = False
         self.pause_s = 0.0
@@ -110,11 +112,11 @@
         expected = request.headers_by_name.get("expect-instance", self.name)
         if expected != self.name:
             head = b"HTTP/1.1 421 x\r\nContent-Length: 0\r\n"
-            writer.write(head + self._limit_line() + b"\r\n")
+            writer.write(head + self._statement_lines() + b"\r\n")
             return True
         if self.mode == "shed":
             head = b"HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
-            writer.write(head + self._limit_line() + b"\r\n")
+            writer.write(head + self._statement_lines() + b"\r\n")
             return True
         self.runs.append(request)
         if await _peer_closes(reader, self.pause_s):
@@ -134,14 +136,19 @@
             report["born"] = self.started_ms
         body = json.dumps(report).encode()
         closing = b"Connection: close\r\n" if self.closes_after_report else b""
+        if self.leaving:
+            closing += b"Server-Leaving: %b\r\n" % self.leaving.encode()
         head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n%b\r\n" % (len(body), closing)
         writer.write(head + body)
         if self.closes_after_report:
             writer.close()
 
-    def _limit_line(self) -> bytes:
+    def _statement_lines(self) -> bytes:
         """What the server says of itself in the head of each response."""
-        return b"Server-Limit: %b\r\n" % self.named_limit.encode() if self.named_limit else b""
+        values = {b"Server-Limit": self.named_limit, b"Server-Leaving": self.leaving}
+        return b"".join(
+            b"%b: %b\r\n" % (name, value.encode()) for name, value in values.items() if value
+        )
 
     def mode_for(self, target: str) -> str:
         """Return the mode for a request's target; subclasses may distinguish targets."""
@@ -172,7 +179,7 @@
         head = response.head.replace(b"%b", echo.encode(), 1).replace(
             b"%b", request.request_id.encode()
         )
-        named_head = head.replace(b"\r\n", b"\r\n" + self._limit_line(), 1)
+        named_head = head.replace(b"\r\n", b"\r\n" + self._statement_lines(), 1)
         writer.write(named_head + response.body)
         await writer.drain()
         if response.reset:
@@ -186,7 +193,7 @@
         first = int(request.headers_by_name.get("last-event-id", "0") or "0") + 1
         head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: %b\r\n"
         writer.write(head % request.request_id.encode())
-        writer.write(STAMP_HEADER % request.request_id.encode() + self._limit_line())
+        writer.write(STAMP_HEADER % request.request_id.encode() + self._statement_lines())
         mode = self.mode_for(request.target)
         if mode.startswith("unsized"):
             await _send_unsized(self.label, mode, first, writer)
--- a/src/redwingbank_standins/brittle_server.py
+++ b/src/redwingbank_standins/brittle_server.py
@@ -80,7 +80,7 @@
             self._fall(now_s)
             return False
         head = b"HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n"
-        writer.write(head + self._limit_line() + b"\r\n")
+        writer.write(head + self._statement_lines() + b"\r\n")
         return True
 
     def _fall(self, now_s: float) -> None:
@@ -96,9 +96,9 @@
         assert self._listened is not None
         self._restarting = asyncio.get_running_loop().create_task(self.start(self._listened))
 
-    def _limit_line(self) -> bytes:
+    def _statement_lines(self) -> bytes:
         line = b"Server-Brittle: %b\r\n" % self.brittle.encode() if self.brittle else b""
-        return super()._limit_line() + line
+        return super()._statement_lines() + line
 
 
 __all__ = ["BrittleServer"]
