Tell servers that go down together from a prompt part that crashes them

Cause: a trait present at three crashes in a row was taken for their cause. That other servers went down at the same moment, whatever they ran, didn't speak against it, nor did a host's own losses at several servers at once.

A group counts for a trait only if the trait was present at all its servers (one unrelated server beside one of its own aside) and its runs weren't lost together at three or more servers; a request sent on from server to server still counts each time. A host applies the same rule to its own losses before it blames or reports. A block that later news refutes is lifted, in the store too; one that other crashes stood beside lasts one minute, then one more crash renews it.

--- a/src/redwingbank/front/poison.py
+++ b/src/redwingbank/front/poison.py
@@ -5,6 +5,7 @@
 import hashlib
 from typing import TYPE_CHECKING, NamedTuple
 
+from redwingbank.rules.common_cause import CrashGroups
 from redwingbank.rules.crash_causes import CrashCauses, LostRun
 
 if TYPE_CHECKING:
@@ -61,6 +62,9 @@
         self._broadcast = broadcast
         self._log = log
         self._lost_by_server: dict[str, list[LostRun]] = {}
+        self._own_losses = CrashGroups()
+        self._own_loss_by_server: dict[str, tuple[int, float]] = {}
+        self._own_count = 0
 
     def find_blocked(self, traits: tuple[str, ...], now_s: float) -> str:
         """Return the trait for which a request must not be sent, or an empty string."""
@@ -72,14 +76,16 @@
         """Record that a request lost its connection to a server."""
         lost = self._lost_by_server.setdefault(server, [])
         lost[:] = [run for run in lost if now_s - run.lost_s < CRASH_DETECTION_S]
-        lost.append(LostRun(traits, server, sent_s, now_s))
+        run = LostRun(traits, server, sent_s, now_s)
+        lost.append(run)
+        self._own_losses.add(self._number_own_loss(run), traits, sent_s, now_s)
         if len(self._lost_by_server) > MAX_LOST_SERVERS:
             self._forget_old_losses(now_s)
 
     def server_down(self, server: str, now_s: float) -> None:
         """Count a server's crash against the requests that recently lost a connection to it."""
         for run in self._lost_by_server.pop(server, ()):
-            if now_s - run.lost_s < CRASH_DETECTION_S:
+            if now_s - run.lost_s < CRASH_DETECTION_S and self._may_be_cause(run):
                 self._record_crash(run, now_s)
                 fingerprint, *parts = run.traits
                 news = CrashNews(
@@ -107,6 +113,25 @@
         traits = (news.fingerprint, *news.parts)
         self._record_crash(LostRun(traits, news.server, lost_s - news.ran_s, lost_s), now_s)
 
+    def _number_own_loss(self, run: LostRun) -> int:
+        known = self._own_loss_by_server.get(run.server)
+        if known and run.lost_s - known[1] < CRASH_DETECTION_S:
+            return known[0]
+        self._own_count += 1
+        self._own_loss_by_server.pop(run.server, None)
+        self._own_loss_by_server[run.server] = (self._own_count, run.lost_s)
+        if len(self._own_loss_by_server) > MAX_LOST_SERVERS:
+            del self._own_loss_by_server[next(iter(self._own_loss_by_server))]
+        return self._own_count
+
+    def _may_be_cause(self, run: LostRun) -> bool:
+        """Whether a trait of the run explains all that this host lost at the same moment.
+
+        If none does, the cause may be this host's own way to the servers.
+        """
+        number = self._number_own_loss(run)
+        return any(not self._own_losses.is_common(number, trait, ()) for trait in run.traits)
+
     def _forget_old_losses(self, now_s: float) -> None:
         self._lost_by_server = {
             server: lost
@@ -130,6 +155,11 @@
                 self._log.essential("poison-blocked", fingerprint=trait)
             if self.on_blocked:
                 self.on_blocked(trait)
+        for trait in self.causes.pop_refuted():
+            if self._log:
+                self._log.essential("poison-unblocked", fingerprint=trait, reason="common cause")
+            if self.on_cleared:
+                self.on_cleared(trait)
 
 
 def request_traits(
--- a/src/redwingbank/rules/crash_causes.py
+++ b/src/redwingbank/rules/crash_causes.py
@@ -5,11 +5,15 @@
 from collections import OrderedDict
 from typing import NamedTuple
 
+from redwingbank.rules.common_cause import CrashGroups
+
 # The platform requires that a cause is blocked after it has crashed three servers.
 CRASHES_TO_BLOCK = 3
 # A cause that another one explains equally well is blocked after this many crashes.
 CRASHES_TO_BLOCK_CONTESTED = 5
 BLOCK_S = 600.0
+# A block is short if other servers went down beside the crashes that it rests on.
+WEAK_BLOCK_S = 60.0
 # Older crashes no longer count; longer than a block, so that one crash renews an expired block.
 TRACK_S = 2 * BLOCK_S
 # Hosts notice a crash at different times; a server takes longer than this to start again.
@@ -50,7 +54,8 @@
     count once. A suspect is blocked unless another trait explains the same crashes. Of traits in
     the same runs the narrowest is blocked first; a wider one follows if the crashes go on without
     the narrower one. Where traits of different runs were present at the same crashes, nothing is
-    blocked until one of them proves harmless or crashes go on.
+    blocked until one of them proves harmless or crashes go on. Crashes of servers that went down
+    together count only for a trait that explains them all (`CrashGroups`).
 
     >>> causes = CrashCauses()
     >>> for number in range(3):
@@ -67,12 +72,15 @@
         self._runs_by_trait: OrderedDict[str, list[_CountedRun]] = OrderedDict()
         self._last_crash_by_server: OrderedDict[str, tuple[int, float]] = OrderedDict()
         self._crashes = 0
+        self._groups = CrashGroups()
+        self._evidence_by_trait: dict[str, list[_CountedRun]] = {}
         self._cause_by_crash: OrderedDict[int, str] = OrderedDict()
         self._blocked_until_s_by_trait: OrderedDict[str, float] = OrderedDict()
 
     def record(self, run: LostRun, now_s: float) -> list[str]:
         """Count a crash against the traits of a run; return the traits that are now blocked."""
         counted = _CountedRun(self._number_crash(run), run)
+        self._groups.add(counted.crash, run.traits, run.sent_s, run.lost_s)
         for trait in run.traits:
             runs = self._runs_by_trait.setdefault(trait, [])
             self._runs_by_trait.move_to_end(trait)
@@ -91,9 +99,9 @@
         """Clear the traits of a run that proved harmless; return those that had been counted."""
         return [trait for trait in traits if self._forget(trait)]
 
-    def block(self, trait: str, now_s: float) -> None:
+    def block(self, trait: str, now_s: float, block_s: float = BLOCK_S) -> None:
         """Block a trait; the crashes that it was present at no longer count for others."""
-        self._blocked_until_s_by_trait[trait] = now_s + BLOCK_S
+        self._blocked_until_s_by_trait[trait] = now_s + block_s
         while len(self._blocked_until_s_by_trait) > MAX_BLOCKED:
             self._blocked_until_s_by_trait.popitem(last=False)
         for counted in self._runs_by_trait.get(trait, ()):
@@ -125,8 +133,20 @@
         ]
         for trait in expired:
             del self._blocked_until_s_by_trait[trait]
+            self._evidence_by_trait.pop(trait, None)
         return expired
 
+    def pop_refuted(self) -> list[str]:
+        """Lift the blocks whose crashes turned out to have a cause in common with others."""
+        refuted = [
+            trait
+            for trait, runs in self._evidence_by_trait.items()
+            if _count_in_a_row(self._without_common(trait, runs)) < CRASHES_TO_BLOCK
+        ]
+        for trait in refuted:
+            self._forget(trait)
+        return refuted
+
     def runs(self, trait: str) -> list[LostRun]:
         """List the lost runs that are counted against a trait."""
         return [counted.run for counted in self._runs_by_trait.get(trait, ())]
@@ -151,7 +171,7 @@
 
     def count_in_a_row(self, trait: str) -> int:
         """Count the crashes in a row that no blocked trait explains."""
-        return _count_in_a_row(self._unexplained(trait))
+        return _count_in_a_row(self._without_common(trait, self._unexplained(trait)))
 
     def _explain(self, crash: int, cause: str) -> None:
         self._cause_by_crash.setdefault(crash, cause)
@@ -161,15 +181,25 @@
     def _block_causes(self, traits: tuple[str, ...], now_s: float) -> list[str]:
         blocked = []
         for trait in traits:
-            if trait not in self._blocked_until_s_by_trait and self._is_cause(trait):
-                self.block(trait, now_s)
+            runs = self._without_common(trait, self._unexplained(trait))
+            if trait not in self._blocked_until_s_by_trait and self._is_cause(trait, runs):
+                self.block(trait, now_s, self._term_s(runs))
+                self._evidence_by_trait[trait] = runs
                 blocked.append(trait)
         return blocked
 
-    def _is_cause(self, trait: str) -> bool:
-        runs = self._unexplained(trait)
+    def _is_cause(self, trait: str, runs: list[_CountedRun]) -> bool:
         return _count_in_a_row(runs) >= CRASHES_TO_BLOCK and not self._is_contested(trait, runs)
 
+    def _without_common(self, trait: str, runs: list[_CountedRun]) -> list[_CountedRun]:
+        """Leave out the crashes of servers that went down together, whatever they ran."""
+        explained = self._cause_by_crash
+        return [one for one in runs if not self._groups.is_common(one.crash, trait, explained)]
+
+    def _term_s(self, runs: list[_CountedRun]) -> float:
+        newest = list(dict.fromkeys(one.crash for one in runs))[-CRASHES_TO_BLOCK:]
+        return BLOCK_S if all(map(self._groups.is_single, newest)) else WEAK_BLOCK_S
+
     def _unexplained(self, trait: str) -> list[_CountedRun]:
         """List the runs that count against a trait.
 
@@ -219,6 +249,7 @@
     def _forget(self, trait: str) -> bool:
         runs = self._runs_by_trait.pop(trait, None)
         blocked = self._blocked_until_s_by_trait.pop(trait, None)
+        self._evidence_by_trait.pop(trait, None)
         if blocked is not None:
             for crash in [one for one, cause in self._cause_by_crash.items() if cause == trait]:
                 del self._cause_by_crash[crash]
--- a/tests/front/poison.feature
+++ b/tests/front/poison.feature
@@ -30,6 +30,13 @@
     When servers "i-1 i-2 i-3 i-4" lose the answer to a request like "f" and stay up
     Then "f" is not blocked
 
+  Scenario: a host that loses its connections to several servers at once blames no request
+    Given a host that tracks crashes
+    When connections are reset at once by servers "i-1 i-2 i-3" with requests like "f g g"
+    Then no crash is reported to the other hosts
+    When servers "i-4 i-5 i-6" crash one after the other with a request like "g"
+    Then "g" is blocked
+
   Scenario: hosts count crashes together
     Given a host that tracks crashes
     When servers "i-1 i-2" crash one after the other with a request like "f"
--- a/tests/rules/crash_causes.feature
+++ b/tests/rules/crash_causes.feature
@@ -35,6 +35,20 @@
       | a bystander of runs that were in flight      | s1 0-1 a.p; s2 2-3 b.p; s3 4-5 c.p; s4 4-6 d.p; s4 4-6 e.i; s5 6-7 f.p; s5 6-7 g.i; s6 7-8 h.p; s6 7-8 j.i | p       |
       | a part blocked by mistake                    | s1 0-1 a.p; s2 2-3 b.p; s3 4-5 c.p; ok d.p                                                                 | none    |
 
+    Examples: servers that go down together have a cause in common, not a part of a prompt
+      | case                                         | runs                                                                                                       | blocked |
+      | all servers crash three times                | s1 0-1 a.p; s2 0-1 b.p; s3 0-1 c.p; s1 3-4 d.p; s2 3-4 e.p; s3 3-4 f.p; s1 6-7 g.p; s2 6-7 h.p; s3 6-7 i.p | none    |
+      | others without the part are lost too         | s1 0-1 a.p; s2 0-1 b.q; s3 0-1 c.r; s1 3-4 d.p; s2 3-4 e.q; s3 3-4 f.r; s1 6-7 g.p; s2 6-7 h.q; s3 6-7 i.r | none    |
+      | a host's connections, sent anew, are reset   | s1 0-1 a.q; s2 0-1 b.p; s3 1.01-1.02 c.p; s4 1.03-1.04 d.p                                                 | none    |
+      | news of the other servers comes last         | s1 0-1 a.p; s2 2-3 b.p; s3 4-5 c.p; s4 4-5 d.q; s5 4-5 e.r                                                 | none    |
+
+    Examples: a part that crashes servers, with other crashes about it
+      | case                                         | runs                                                                                                       | blocked |
+      | its own request only, sent again at once     | s1 0-0.1 f.p; s2 0.1-0.2 f.p; s3 0.2-0.3 f.p                                                               | f       |
+      | an unrelated crash beside one of its own     | s1 0-1 a.p; s9 0-1 k.q; s2 2-3 b.p; s3 4-5 c.p                                                             | p       |
+      | paired crashes of the part                   | s1 0-1 a.p; s2 0-1 b.p; s3 2-3 c.p; s4 2-3 d.p; s5 4-5 e.p; s6 4-5 g.p                                     | p       |
+      | a common crash beside repeated ones          | s1 0-1 a.p; s2 0-1 b.q; s3 0-1 c.r; s4 3-4 d.p; s5 5-6 e.p; s6 7-8 g.p                                     | p       |
+
   Scenario: a block ends after ten minutes, and one more crash renews it
     When runs end as "s1 0-1 a.p; s2 2-3 b.p; s3 4-5 c.p"
     Then the blocked traits 599 s later are "p"
@@ -42,6 +56,13 @@
     When runs end as "s4 610-611 d.p"
     Then the blocked traits are "p"
 
+  Scenario: a block on evidence that other crashes stood beside is short
+    When runs end as "s1 0-1 a.p; s9 0-1 k.q; s2 2-3 b.p; s3 4-5 c.p"
+    Then the blocked traits 59 s later are "p"
+    And the blocked traits 61 s later are "none"
+    When runs end as "s4 70-71 d.p"
+    Then the blocked traits 599 s later are "p"
+
   Scenario: the state is bounded
     When 3000 servers crash one after the other, each with 3 requests unlike all others
     Then at most 2000 traits are tracked
--- a/tests/steps/front_poison.py
+++ b/tests/steps/front_poison.py
@@ -100,6 +100,21 @@
         context.poison.server_down(name, context.now_s + 10.0)
 
 
+@when('connections are reset at once by servers "{names}" with requests like "{fingerprints}"')
+def reset_at_once(context, names, fingerprints):
+    servers = names.split()
+    for name, fingerprint in zip(servers, fingerprints.split(), strict=True):
+        context.now_s += 0.02
+        context.poison.answer_lost(name, (fingerprint,), context.now_s - 0.01, context.now_s)
+    for name in servers:
+        context.poison.server_down(name, context.now_s + 0.1)
+
+
+@then("no crash is reported to the other hosts")
+def none_reported(context):
+    assert not context.spread, context.spread
+
+
 @when('a request like "{fingerprint}" is answered completely')
 def completed(context, fingerprint):
     context.poison.answered((fingerprint,))
--- a/tests/steps/rules_crash_causes.py
+++ b/tests/steps/rules_crash_causes.py
@@ -29,6 +29,7 @@
         sent_s, lost_s = map(float, rest[0].split("-"))
         context.now_s = lost_s
         context.causes.record(LostRun(traits, first, sent_s, lost_s), lost_s)
+        context.causes.pop_refuted()
 
 
 @then('the blocked traits are "{names}"')
@@ -119,6 +120,7 @@
         self.random.shuffle(runs)
         for one, sent_s in runs:
             self.causes.record(LostRun(one, f"s-{server}-{self.crashes}", sent_s, lost_s), lost_s)
+            self.causes.pop_refuted()
 
 
 @when("a part crashes servers in {plays:d} seeded plays, {sound:d} sound requests to each crash")
