Watch a list of several pages from its first page on

Callers saw nothing yet: a list of several pages took its revision from the last page, so a change to an entry of an earlier page that came in between was missed for good, and requests went to a server that drained.

Evidence: the new scenario, with pages of one entry, failed before and passes now. The watch begins at the first page's revision; what the later pages show already is told once more, which changes nothing.

--- a/src/redwingbank/front/store.py
+++ b/src/redwingbank/front/store.py
@@ -343,17 +343,19 @@
 
 
 async def _list(client: StoreClient, kind: str) -> Listing:
-    asked_s, era = now_s(), 0
+    asked_s, era, revision = now_s(), 0, 0
     objects: list[StoredObject] = []
     after = ""
     while True:
         page = decode_page(await client.get(list_path(kind, after), LIST_TIMEOUT_S))
         if after and client.era != era:
             raise StoreError("new era between two pages")
-        era = client.era
+        if not after:
+            # a page may change while those after it are read; the watch from here on tells it
+            era, revision = client.era, page.revision
         objects += page.objects
         if not page.more or not page.objects:
-            return Listing(tuple(objects), page.revision, asked_s, 0, era)
+            return Listing(tuple(objects), revision, asked_s, 0, era)
         after = page.objects[-1].name
 
 
--- a/tests/front/directory.feature
+++ b/tests/front/directory.feature
@@ -76,3 +76,7 @@
   Scenario: an entry that can't be decoded does not affect the others
     When another writer adds invalid entries to the server list
     Then the front answers 200 and the request ran 1 times
+
+  Scenario: an entry that changes while later pages of the list are read is followed
+    When the list of servers has two pages, and an entry of the first one drains between them
+    Then the front knows that the entry drains within 1 s
--- a/tests/steps/front_directory.py
+++ b/tests/steps/front_directory.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
+from unittest import mock
 
 from behave import given, then, when
 
@@ -10,6 +12,7 @@
 from redwingbank.front.directory import ServerRegistry, StoreContact, TableState
 from redwingbank.front.values import Bounds, Limits, RouteTable, ServerEntry
 from redwingbank.settings import Address
+from redwingbank_standins import objectstore
 
 
 def accepted(revision):
@@ -197,3 +200,37 @@
         return await rig.ask("single")
 
     context.answer = run_scenario(context.rig, scenario)
+
+
+@when("the list of servers has two pages, and an entry of the first one drains between them")
+def drains_between_pages(context):
+    async def scenario(rig):
+        answer = rig.store._read
+        pages = []
+
+        async def read_paged(target):
+            status, page = await answer(target)
+            if "servers" in target and "watch" not in target:
+                pages.append(target)
+                if len(pages) == 1:
+                    last = entry(rig.addresses["i-1"], state="draining")
+                    await rig.store.put("servers", "i-1", last)
+            return status, page
+
+        with mock.patch.object(objectstore, "OBJECTS_PER_PAGE", 1):
+            rig.store._read = read_paged
+            rig.store.forget_history()
+            freshness = rig.front.router.freshness
+            freshness._restart(freshness._servers)
+            servers = rig.front.router.servers.entries_by_name
+            await rig.until(lambda: len(pages) > 1)
+            with contextlib.suppress(TimeoutError):
+                await rig.until(lambda: servers["i-1"].draining, within_s=1.0)
+        context.draining = rig.front.router.servers.entries_by_name["i-1"].draining
+
+    run_scenario(Rig(modes=("ok", "ok")), scenario)
+
+
+@then("the front knows that the entry drains within 1 s")
+def knows_draining(context):
+    assert context.draining
