--- a/src/redwingbank/rules/common_cause.py
+++ b/src/redwingbank/rules/common_cause.py
@@ -48,13 +48,8 @@
         self._crash_by_number: OrderedDict[int, _Crash] = OrderedDict()
 
     def add(self, number: int, traits: Sequence[str], sent_s: float, lost_s: float) -> None:
-        """Record a lost run; runs lost by the same crash have the same number.
-
-        A run that was sent after the server was lost didn't cause the loss.
-        """
+        """Record a lost run; runs lost by the same crash have the same number."""
         crash = self._crash_by_number.setdefault(number, _Crash(number, lost_s))
-        if sent_s > crash.lost_s:
-            return
         for trait in traits:
             crash.sent_s_by_trait[trait] = max(sent_s, crash.sent_s_by_trait.get(trait, sent_s))
         while len(self._crash_by_number) > MAX_CRASHES:
