--- a/src/redwingbank/bounded_json.py
+++ b/src/redwingbank/bounded_json.py
@@ -14,7 +14,7 @@
 from enum import Enum
 from typing import Any
 
-# a few times the depth of any document in use
+# Documents in use are far less deep.
 MAX_DEPTH = 32
 # what is nested no deeper is left to `is_readable`
 PRUNED_DEPTH = 2 * MAX_DEPTH
--- a/src/redwingbank/front/directory.py
+++ b/src/redwingbank/front/directory.py
@@ -20,7 +20,7 @@
 # A watch may miss a revocation for this long: the store can be silent for a second before it drops
 # its history.
 WATCH_DELAY_MARGIN_S = 1.0
-# about three times the servers of the largest fleet
+# The oldest departures are forgotten beyond this number.
 MAX_DEPARTED = 16_384
 
 
@@ -145,7 +145,7 @@
         known = self.entries_by_name.get(entry.name)
         if not (held and held.entry == entry and now_s < held.until_s):
             self._held_by_name.pop(entry.name, None)
-            settles = now_s < self._era_began_s + SETTLE_S
+            settles = self._settles(now_s)
             doubt = self._find_doubt(entry, known) if settles else Doubt.NONE
             if doubt is Doubt.NONE:
                 return entry
@@ -236,8 +236,11 @@
 
     def _may_be_restored(self, now_s: float) -> bool:
         cut_off = self._store_unreachable or now_s < self._store_returned_s + RESTORE_TIMEOUT_S
-        settles = now_s < self._era_began_s + RESTORE_TIMEOUT_S
-        return settles or (cut_off and self._was_down(now_s))
+        return self._settles(now_s) or (cut_off and self._was_down(now_s))
+
+    def _settles(self, now_s: float) -> bool:
+        """Whether entries that the store lost may not have been written again yet."""
+        return now_s < self._era_began_s + SETTLE_S
 
     def _drop(self, name: str, reason: str) -> Departure:
         self._missing.discard(name)
--- a/src/redwingbank/rules/store_order.py
+++ b/src/redwingbank/rules/store_order.py
@@ -25,7 +25,7 @@
 MAX_RISE = 1000
 # The runners' and the operator's entries are back within this time of the store's return.
 SETTLE_S = 2.0
-# three heartbeats of 1.2 s, after which the entry of a server that is gone lapses, and a margin
+# The entry of a server that is gone has lapsed after this time.
 LAPSE_S = 5.0
 
 
