End the answer to HEAD with its head

Callers saw: HEAD for a route of single answers got 504 after the whole time that the request had, though the server had answered at once. HEAD for a stream got the last chunk after its head, so that the next answer on the caller's connection could not be read. Forwarded by another host it was the same.

Cause: nothing told the reader of answers which method it was answered to, so that it waited for the body whose length the head states. At the caller's side only whole answers left the body out.

The stand-in server answers HEAD with a head alone now.

The fix: a connection tells its reader with each send whether the answer has a body. Where it has none, the parser gets one line at a time and is replaced at the end of the head, so that bytes after it are seen as what they are. The length that the server states goes to the caller, and nothing is written to a caller's HEAD beside the head.

--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -137,7 +137,7 @@
 
     def head_received(self, head: AnswerHead) -> None:
         """Begin a stream at once; keep any other head until its body is complete."""
-        facts = decode_answer(head.headers)
+        facts = decode_answer(head.headers, bodiless=head.bodiless)
         assert self._connection is not None
         origin = self._connection.origin
         if not origin.is_own(facts.request_id, head.status):
--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -53,7 +53,8 @@
         self._pending: deque[PendingRequest] = deque()
         self._keep_alive = True
         self._unused = True
-        self._method = b""
+        # whether the request in progress is a HEAD request, whose answer has no body
+        self._to_head = False
         self._closing = False
         self._unsent_bytes = 0
         self._progress_s = self._received_s = now_s()
@@ -145,9 +146,9 @@
             asyncio.get_running_loop().call_soon(self._start_next)
 
     def send_answer(self, status: int, reason: bytes, headers: bytes, body: bytes) -> None:
-        """Write a complete answer."""
-        length = b"Content-Length: %d\r\n" % len(body)
-        payload = b"" if self._method == b"HEAD" else body
+        """Write a complete answer; to HEAD, its head, with the length that `headers` may state."""
+        length = b"" if self._to_head and not body else b"Content-Length: %d\r\n" % len(body)
+        payload = b"" if self._to_head else body
         self._write(
             _status_line(status, reason),
             headers,
@@ -160,18 +161,20 @@
 
     def begin_stream(self, status: int, reason: bytes, headers: bytes) -> None:
         """Write the head of a streamed answer."""
-        coding = b"Transfer-Encoding: chunked\r\n"
+        coding = b"" if self._to_head else b"Transfer-Encoding: chunked\r\n"
         self._write(
             _status_line(status, reason), headers, coding, self._connection_header(), b"\r\n"
         )
 
     def send_part(self, data: bytes) -> None:
         """Write a part of a streamed answer as a chunk."""
-        self._write(b"%x\r\n" % len(data), data, b"\r\n")
+        if not self._to_head:
+            self._write(b"%x\r\n" % len(data), data, b"\r\n")
 
     def end_stream(self) -> None:
         """End a streamed answer."""
-        self._write(LAST_CHUNK)
+        if not self._to_head:
+            self._write(LAST_CHUNK)
         self._finish_answer()
 
     def abort(self) -> None:
@@ -224,7 +227,7 @@
         if self._exchange is not None or not self._pending or self._closing:
             return
         request = self._pending.popleft()
-        self._method = request.head.method
+        self._to_head = request.head.method == b"HEAD"
         self._keep_alive = request.head.keep_alive
         self._exchange = Exchange(
             self._router,
@@ -239,6 +242,7 @@
 
     def _finish_answer(self) -> None:
         self._exchange = None
+        self._to_head = False
         self.idle_since_s = now_s()
         if not self._keep_alive or self._router.shutdown.closes_connections:
             self._close()
--- a/src/redwingbank/front/outbound.py
+++ b/src/redwingbank/front/outbound.py
@@ -27,6 +27,7 @@
 # not used.
 IDLE_TIMEOUT_SHARE = 0.6
 WRITE_BUFFER_BYTES = 64 * 1024
+HEAD_METHOD = b"HEAD "
 
 
 class Loss(StrEnum):
@@ -101,6 +102,7 @@
         else:
             self.origin.request_sent(request_id)
         self._answer_whole = False
+        self._reader.expect_answer(bodiless=data.startswith(HEAD_METHOD))
         self._reply = reply
         self._pool.contact.request_sent(now_s(), proved=self.proved)
         self._transport.write(data)
--- a/src/redwingbank/front/wire.py
+++ b/src/redwingbank/front/wire.py
@@ -40,12 +40,17 @@
 
 
 class AnswerHead(NamedTuple):
-    """An answer's status and headers; `sized` is false if the answer ends with the connection."""
+    """An answer's status and headers; `sized` is false if the answer ends with the connection.
+
+    `bodiless` is true for the answer to a HEAD request: a length in its headers is that of a body
+    which does not follow.
+    """
 
     status: int
     reason: bytes
     headers: tuple[Header, ...]
     sized: bool
+    bodiless: bool = False
 
 
 class WireError(Exception):
@@ -180,7 +185,11 @@
 
 
 class AnswerReader:
-    """Reads the answers of one connection; interim (1xx) answers are skipped."""
+    """Reads the answers of one connection; interim (1xx) answers are skipped.
+
+    The parser can't be told that no body follows a head. Where that is so, it gets one line at a
+    time, and the bytes after the head go to a new parser.
+    """
 
     def __init__(self, sink: AnswerSink, limits: AnswerLimits = DEFAULT_ANSWER_LIMITS) -> None:
         self._sink = sink
@@ -195,6 +204,12 @@
         self._interim = False
         self._headed = False
         self._sized = True
+        self._bodiless = False
+        self._parser_over = False
+
+    def expect_answer(self, *, bodiless: bool) -> None:
+        """Expect the answer to the next request; it is `bodiless` if that is a HEAD request."""
+        self._bodiless = bodiless
 
     @property
     def ends_with_connection(self) -> bool:
@@ -209,7 +224,10 @@
         # the parser reports a header when it is complete, so its bytes are counted here too
         self._pending_bytes += len(data)
         try:
-            self._parser.feed_data(data)
+            if self._bodiless:
+                self._feed_lines(data)
+            else:
+                self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
             raise WireError(502, "unexpected upgrade") from error
         except httptools.HttpParserError as error:
@@ -217,6 +235,13 @@
         if self._pending_bytes > self._limits.header_bytes:
             raise WireError(502, "header exceeds the size limit")
 
+    def _feed_lines(self, data: bytes) -> None:
+        for line in data.splitlines(keepends=True):
+            self._parser.feed_data(line)
+            if self._parser_over:
+                self._parser = httptools.HttpResponseParser(self)
+                self._parser_over = False
+
     def on_message_begin(self) -> None:
         """Start an answer."""
         self._header_bytes = self._header_lines = 0
@@ -254,11 +279,19 @@
         self._headed = True
         self._pending_bytes = self._header_bytes = self._header_lines = 0
         self._interim_answers = 0
-        self._sized = status in STATUSES_WITHOUT_BODY or any(
-            name.lower() in {b"content-length", b"transfer-encoding"} for name, _ in self._headers
+        self._sized = (
+            self._bodiless
+            or status in STATUSES_WITHOUT_BODY
+            or any(
+                name.lower() in {b"content-length", b"transfer-encoding"}
+                for name, _ in self._headers
+            )
         )
-        head = AnswerHead(status, self._reason, tuple(self._headers), self._sized)
+        headers = tuple(self._headers)
+        head = AnswerHead(status, self._reason, headers, self._sized, self._bodiless)
         self._sink.answer_head_received(head)
+        if self._bodiless:
+            self._complete()
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body to the sink."""
@@ -266,11 +299,15 @@
         self._sink.answer_body_received(data)
 
     def on_message_complete(self) -> None:
-        """Report the end of the answer, unless it is interim."""
-        if not self._interim:
-            self._pending_bytes = 0
-            self._headed = False
-            self._sink.answer_completed(keep_alive=self._parser.should_keep_alive())
+        """Report the end of the answer, unless it is interim or has ended with its head."""
+        if not self._interim and not self._parser_over:
+            self._complete()
+
+    def _complete(self) -> None:
+        self._pending_bytes = 0
+        self._headed = False
+        self._parser_over = self._bodiless
+        self._sink.answer_completed(keep_alive=self._parser.should_keep_alive())
 
 
 __all__ = [
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -33,6 +33,7 @@
 SERVER_STAMP = b"server-stamp"
 NOT_EXECUTED = b"not-executed"
 LAST_EVENT_ID = b"last-event-id"
+CONTENT_LENGTH = b"content-length"
 RESUMES = b"resumes"
 AUTHORIZATION = b"authorization"
 DEADLINE = b"deadline-ms"
@@ -76,7 +77,7 @@
         b"trailer",
         b"transfer-encoding",
         b"upgrade",
-        b"content-length",
+        CONTENT_LENGTH,
         b"expect",
     }
 )
@@ -211,8 +212,12 @@
     return b"".join([*lines, b"\r\n", body])
 
 
-def decode_answer(headers: Iterable[Header]) -> AnswerFacts:
-    """Decode the headers of a backend server's answer."""
+def decode_answer(headers: Iterable[Header], *, bodiless: bool = False) -> AnswerFacts:
+    """Decode the headers of a backend server's answer.
+
+    The length of a body that does not follow the head (`bodiless`) is forwarded.
+    """
+    dropped = CONNECTION_HEADERS - {CONTENT_LENGTH} if bodiless else CONNECTION_HEADERS
     by_name = {name.lower(): value for name, value in headers}
     options = _connection_options(by_name)
     encoding = by_name.get(b"content-encoding", b"identity")
@@ -228,7 +233,7 @@
         forwarded_headers=b"".join(
             b"%b: %b\r\n" % (name, value)
             for name, value in headers
-            if name.lower() not in CONNECTION_HEADERS and name.lower() not in options
+            if name.lower() not in dropped and name.lower() not in options
         ),
         load=load,
         load_unreadable=stated is not None and load is None,
--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -32,11 +32,14 @@
     headers_by_name: dict[str, str]
     body: bytes
     received_s: float
+    method: str = "POST"
 
 
 class BackendServer(StreamServer):
     """Responds to requests according to `mode`; `runs` holds the requests that it started.
 
+    The response to a HEAD request is the head alone.
+
     Modes with a single response: ok, error, shed, lost, garbage, unsigned, foreign, extra, cut,
     unsized, unsized-reset, encoded. Modes with a stream: stream, broken (reset in the middle of
     the third event), endless, and three without a length: unsized-stream, unsized-broken (closed
@@ -180,7 +183,7 @@
             b"%b", request.request_id.encode()
         )
         named_head = head.replace(b"\r\n", b"\r\n" + self._statement_lines(), 1)
-        writer.write(named_head + response.body)
+        writer.write(named_head + (b"" if request.method == "HEAD" else response.body))
         await writer.drain()
         if response.reset:
             await asyncio.sleep(0.05)
@@ -199,6 +202,8 @@
             await _send_unsized(self.label, mode, first, writer)
             return False
         writer.write(b"Transfer-Encoding: chunked\r\n\r\n")
+        if request.method == "HEAD":
+            return True
         number = first
         while mode == "endless" or number <= EVENTS_PER_STREAM:
             event = b"id: %d\ndata: %b %d\n\n" % (number, self.label, number)
@@ -293,8 +298,9 @@
         name, _, value = text.partition(":")
         headers[name.lower()] = value.strip()
     body = await reader.readexactly(int(headers.get("content-length", "0")))
-    request_id, target = headers.get("request-id", ""), line.split()[1].decode()
-    return ReceivedRequest(request_id, target, headers, body, time.monotonic())
+    method, target = line.decode().split()[:2]
+    request_id = headers.get("request-id", "")
+    return ReceivedRequest(request_id, target, headers, body, time.monotonic(), method)
 
 
 def _shared_parts(request: ReceivedRequest) -> list[str]:
--- a/tests/front/forwarding.feature
+++ b/tests/front/forwarding.feature
@@ -43,6 +43,11 @@
       | single | reaches no servers either          | 200    | 1    |
       | memo   | breaks inside the stream           | cut    | 0    |
 
+  Scenario: a forwarded HEAD gets the server's head
+    Given a cut front with 2 helpers of which the first works
+    When its caller sends a read request by HEAD
+    Then the caller gets 200 and servers ran it 1 times
+
   Scenario Outline: a forwarded <kind> stream that has begun and is given up ends as a broken-off stream
     Given a cut front with 2 helpers of which the first falls silent inside the stream
     When its caller sends a <kind> request, and it is given up as <why>
--- a/tests/front_rig.py
+++ b/tests/front_rig.py
@@ -249,10 +249,12 @@
         return [run for server in self.backend_servers for run in server.runs]
 
 
-def request(kind, *, request_id="r-1", key=KEY, deadline_ms=1500, close=True, **headers):
+def request(
+    kind, *, request_id="r-1", key=KEY, deadline_ms=1500, close=True, method="POST", **headers
+):
     path = PATH_BY_KIND.get(kind, kind)
     lines = [
-        f"POST {path} HTTP/1.1",
+        f"{method} {path} HTTP/1.1",
         f"Host: {HOST}",
         f"Request-Id: {request_id}",
         f"Deadline-Ms: {deadline_ms}",
--- a/tests/steps/front_forwarding.py
+++ b/tests/steps/front_forwarding.py
@@ -252,9 +252,10 @@
 
 
 @when("its caller sends a {kind} request")
-def caller_sends(context, kind):
+@when("its caller sends a {kind} request by {method}")
+def caller_sends(context, kind, method="POST"):
     async def act(fleet, cut):
-        context.answer = await fleet.rig.ask(kind, front=cut)
+        context.answer = await fleet.rig.ask(kind, front=cut, method=method)
         context.runs = sum(run.request_id == "r-1" for run in fleet.rig.runs())
 
     run_scenario(context.rig, lambda rig: with_cut_front(context, rig, act))
