Take an answer in an unknown transfer coding for none

Callers saw: the bytes of `gzip, chunked` in a 200 that named no coding, as one answer or as a stream; and for `chunked, gzip` the framing of the chunks among the events of their stream, or 504 after the request's whole time.

Cause: a head counted as one that marks its end if it had any Transfer-Encoding. The parser undoes chunks only if they are the last coding, no other coding is undone by anybody, and the header is not passed on.

The fix: a head whose transfer coding is not chunked alone is no answer. It is refused before anything of it is passed on, and a request that may be repeated goes to another server.

An answer whose trailers have a length is lost as a whole (502, a stream is broken off).

--- a/src/redwingbank/front/wire.py
+++ b/src/redwingbank/front/wire.py
@@ -10,6 +10,9 @@
 
 Header = tuple[bytes, bytes]
 
+CONTENT_LENGTH = b"content-length"
+TRANSFER_ENCODING = b"transfer-encoding"
+FRAMING_NAME_LENGTHS = frozenset({len(CONTENT_LENGTH), len(TRANSFER_ENCODING)})
 FIRST_FINAL_STATUS = 200
 # Bytes of an incomplete head, with the separators that the limit on headers does not count.
 PENDING_FACTOR = 2
@@ -279,14 +282,8 @@
         self._headed = True
         self._pending_bytes = self._header_bytes = self._header_lines = 0
         self._interim_answers = 0
-        self._sized = (
-            self._bodiless
-            or status in STATUSES_WITHOUT_BODY
-            or any(
-                name.lower() in {b"content-length", b"transfer-encoding"}
-                for name, _ in self._headers
-            )
-        )
+        marks_end = _marks_end(self._headers)
+        self._sized = marks_end or self._bodiless or status in STATUSES_WITHOUT_BODY
         headers = tuple(self._headers)
         head = AnswerHead(status, self._reason, headers, self._sized, self._bodiless)
         self._sink.answer_head_received(head)
@@ -310,6 +307,22 @@
         self._sink.answer_completed(keep_alive=self._parser.should_keep_alive())
 
 
+def _marks_end(headers: list[Header]) -> bool:
+    """Whether a head tells where the body ends.
+
+    :raises WireError: if the body is transfer-coded, beside chunks; the router asks for no such
+        coding and could not undo it
+    """
+    marked = False
+    for name, value in headers:
+        if len(name) in FRAMING_NAME_LENGTHS:
+            lowered = name.lower()
+            if lowered == TRANSFER_ENCODING and value.strip().lower() != b"chunked":
+                raise WireError(502, "unknown transfer coding")
+            marked = marked or lowered in {TRANSFER_ENCODING, CONTENT_LENGTH}
+    return marked
+
+
 __all__ = [
     "DEFAULT_ANSWER_LIMITS",
     "AnswerHead",
--- a/tests/steps/front_answer_heads.py
+++ b/tests/steps/front_answer_heads.py
@@ -2,14 +2,56 @@
 
 from __future__ import annotations
 
+import asyncio
 import time
 
 from behave import then, when
 
 from front_rig import Rig, request, run_scenario
+from redwingbank_standins.backend_server import BackendServer
 from redwingbank_standins.raw_response import parse_response
 
 SOON_S = 0.5
+# The server keeps the connection open after an answer unless it is named so.
+AND_THE_END = ", and the end"
+END_S = 0.05
+HEAD = b"HTTP/1.1 200 x\r\nRequest-Id: r-1\r\nServer-Stamp: s.r-1\r\n"
+STREAM_HEAD = HEAD + b"Content-Type: text/event-stream\r\n"
+SIZED = b"Content-Length: 5\r\n"
+CODED = b"Transfer-Encoding: gzip, chunked\r\n"
+UNKNOWN = b"Transfer-Encoding: chunked, gzip\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n"
+EVENTS = b"\r\n1e\r\nid: 1\ndata: x\n\nid: 2\ndata: x\n\n\r\n0\r\n\r\n"
+CHUNK = b"\r\n5\r\nwhole\r\n"
+ANSWERS = {
+    "chunks of a coded body": HEAD + CODED + CHUNK + b"0\r\n\r\n",
+    "events in chunks of a coded body": STREAM_HEAD + CODED + EVENTS,
+    "a body with an unknown coding": HEAD + UNKNOWN + CHUNK + b"0\r\n\r\n",
+    "events with an unknown coding": STREAM_HEAD + UNKNOWN + EVENTS,
+    "two lengths": HEAD + SIZED + SIZED + b"\r\nwhole",
+    "a length and chunks": HEAD + SIZED + CHUNKED + CHUNK + b"0\r\n\r\n",
+    "a folded line": HEAD + SIZED + b"X-A: b\r\n c\r\n\r\nwhole",
+    "bare line feeds": (HEAD + SIZED + b"\r\nwhole").replace(b"\r", b""),
+    "trailers that contradict the head": HEAD
+    + CHUNKED
+    + CHUNK
+    + b"0\r\nNot-Executed: 1\r\nRequest-Id: r-0\r\nTransfer-Encoding: gzip\r\n\r\n",
+    "a length in its trailers": HEAD + CHUNKED + CHUNK + b"0\r\n" + SIZED + b"\r\n",
+    "half of its trailers, and the end": HEAD + CHUNKED + CHUNK + b"0\r\nNot-Exec",
+    "half of its last chunk, and the end": HEAD + CHUNKED + CHUNK + b"0\r\n",
+    "half of a long header, and the end": HEAD + b"X-A: " + b"b" * 9000,
+}
+
+
+class ScriptedServer(BackendServer):
+    """Answers with the bytes of `ANSWERS` that its mode names."""
+
+    async def _respond(self, request, writer, reader):
+        self.arrivals.append(request)
+        self.runs.append(request)
+        writer.write(ANSWERS[self.mode])
+        await asyncio.sleep(END_S if self.mode.endswith(AND_THE_END) else 2 * SOON_S)
+        return False
 
 
 @when("a caller sends HEAD and then POST for a {kind} request to a server in mode {mode}")
@@ -35,3 +77,24 @@
     ), context.answer.raw
     assert (second.headers["server-stamp"], second.complete) == ("s.r-1", True), rest
     assert (context.opened, context.took_s < SOON_S) == (1, True), context.took_s
+
+
+@when("a server answers a {kind} request with {what}")
+def answers_with(context, kind, what):
+    context.rig = Rig(modes=())
+    context.rig.backend_servers = [ScriptedServer("i-1", what)]
+
+    async def scenario(rig):
+        began_s = time.monotonic()
+        context.answer = await rig.ask(kind)
+        context.took_s = time.monotonic() - began_s
+
+    run_scenario(context.rig, scenario)
+
+
+@then("the caller gets {status:d} soon, and nothing that is no answer")
+def gets_soon(context, status):
+    answer = context.answer
+    assert (answer.status, answer.complete, len(context.rig.runs())) == (status, True, 1), answer
+    assert context.took_s < SOON_S, context.took_s
+    assert answer.body == b"whole" if status == 200 else b'"ran":"maybe"' in answer.body, answer
