--- a/tests/front/answer_heads.feature
+++ b/tests/front/answer_heads.feature
@@ -14,6 +14,19 @@
     When a server answers a <kind> request with <what>
     Then the caller gets <status> soon, and nothing that is no answer
 
+    Examples: interim heads before the answer, or instead of it
+      | kind   | what                                              | status |
+      | single | its answer after three interim heads              | 200    |
+      | single | its answer after an interim head with a length    | 200    |
+      | single | its answer after an interim head with chunks      | 200    |
+      | single | its answer after an interim head that closes      | 200    |
+      | single | its answer after an interim head of HTTP/1.0      | 200    |
+      | single | its answer and an interim head                    | 200    |
+      | single | a switch to another protocol                      | 502    |
+      | single | an interim head, and the end                      | 502    |
+      | single | half of an interim head, and the end              | 502    |
+      | single | an interim head and half of another, and the end  | 502    |
+
     Examples: heads and ends of bodies that say how long an answer is
       | kind   | what                                | status |
       | single | chunks of a coded body              | 502    |
@@ -29,3 +42,11 @@
       | single | half of its trailers, and the end   | 502    |
       | single | half of its last chunk, and the end | 502    |
       | single | half of a long header, and the end  | 502    |
+
+  Scenario Outline: an answer that arrives in two parts is read as if it came whole, to <method>
+    Then each of these answers is read alike at every split, as the answer to <method>
+
+    Examples:
+      | method |
+      | POST   |
+      | HEAD   |
