Check a head before it is skipped as an interim one

Callers saw: 504 after the whole time that the request had, where a server broke off inside a header of an interim head and its answer followed, or sent a status below 100. A request that may be repeated was not.

Cause: whatever had a status below 200 was skipped before anything of its head was looked at, and with it the answer whose status line it had run into. The body of an answer with a status below 100 was taken for that of the answer after it, in the reports that the front reads.

Evidence: the rows "inside a header of an interim head" and "a status below 100" of answer_heads.feature failed on the code before (no answer before the server closed, after 1 s).

The fix: the check for a second status line comes first, for interim heads as well, and a status below 100 is no answer.

--- a/src/redwingbank/front/wire.py
+++ b/src/redwingbank/front/wire.py
@@ -13,6 +13,7 @@
 CONTENT_LENGTH = b"content-length"
 TRANSFER_ENCODING = b"transfer-encoding"
 FRAMING_NAME_LENGTHS = frozenset({len(CONTENT_LENGTH), len(TRANSFER_ENCODING)})
+FIRST_STATUS = 100
 FIRST_FINAL_STATUS = 200
 # How the head of an interim answer begins.
 INTERIM_STARTS = (b"HTTP/1.1 1", b"HTTP/1.0 1")
@@ -281,14 +282,16 @@
     def on_headers_complete(self) -> None:
         """Pass the head to the sink, unless it is interim."""
         status = self._parser.get_status_code()
+        if status < FIRST_STATUS:
+            raise WireError(502, "invalid status")
+        if is_joined(self._reason, self._headers):
+            raise WireError(502, "an answer inside the head of another one")
         self._interim = status < FIRST_FINAL_STATUS
         if self._interim:
             self._interim_answers += 1
             if self._interim_answers > self._limits.interim_answers:
                 raise WireError(502, "too many interim answers")
             return
-        if is_joined(self._reason, self._headers):
-            raise WireError(502, "an answer inside the head of another one")
         self._headed = True
         self._by_lines = self._bodiless
         self._pending_bytes = self._header_bytes = self._header_lines = 0
--- a/tests/front/answer_heads.feature
+++ b/tests/front/answer_heads.feature
@@ -22,7 +22,9 @@
       | single | its answer after an interim head that closes      | 200    |
       | single | its answer after an interim head of HTTP/1.0      | 200    |
       | single | its answer and an interim head                    | 200    |
+      | single | its answer inside a header of an interim head     | 502    |
       | single | a switch to another protocol                      | 502    |
+      | single | a status below 100                                | 502    |
       | single | an interim head, and the end                      | 502    |
       | single | half of an interim head, and the end              | 502    |
       | single | an interim head and half of another, and the end  | 502    |
