Take a forwarded answer that does not mark its end for none

Callers saw, where another host's answer came without a length and its connection ended: 200 with half a body, or with none, framed as whole; or a stream that ended as complete inside an event, also one that could have been made again.

Cause: a forward passed on whatever ended with its connection as complete. Backend servers may answer so, and their streams are checked for it; hosts mark the end of each answer, and the host that forwards looks at no events, so that it can't tell where such a stream broke off.

Evidence: four of the nine new rows of forwarding.feature, those that end an answer or a stream without a length or with its head, failed on the code before (200 with "who", with nothing, and twice with half an event before the last chunk).

A request that may run at most once is not sent again.

--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -143,6 +143,10 @@
         if not origin.is_own(facts.request_id, head.status):
             self._lose(Loss.GARBAGE, "another request's answer")
             return
+        # hosts mark the end of each answer, so that one that breaks off can't look complete
+        if not head.sized:
+            self._lose(Loss.GARBAGE, "an answer without a length")
+            return
         origin.answered(facts.request_id, head.status, not_run=facts.not_run)
         self._head, self._facts = head, facts
         if is_event_stream(head):
--- a/tests/front/forwarding.feature
+++ b/tests/front/forwarding.feature
@@ -42,6 +42,15 @@
       | single | refuses the connection             | 200    | 1    |
       | single | reaches no servers either          | 200    | 1    |
       | memo   | breaks inside the stream           | cut    | 0    |
+      | single | ends inside a header               | 502    | 0    |
+      | read   | ends inside a header               | 200    | 1    |
+      | single | ends after an interim head         | 502    | 0    |
+      | single | ends an answer without a length    | 502    | 0    |
+      | read   | ends with a head without a length  | 200    | 1    |
+      | single | ends inside the trailers           | 502    | 0    |
+      | fixed  | ends a stream without a length     | 502    | 0    |
+      | memo   | ends a stream without a length     | 200    | 1    |
+      | memo   | ends inside the last chunk         | cut    | 0    |
 
   Scenario: a forwarded HEAD gets the server's head
     Given a cut front with 2 helpers of which the first works
--- a/tests/steps/front_forwarding.py
+++ b/tests/steps/front_forwarding.py
@@ -182,6 +182,20 @@
     assert not any(forwarded(front) for front in context.fleet.fronts)
 
 
+HELPER_HEAD = b"HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nServer-Stamp: s\r\n"
+HELPER_STREAM = HELPER_HEAD + b"Content-Type: text/event-stream\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+BROKEN_ANSWERS = {
+    "ends inside a header": HELPER_HEAD + b"X-A: b",
+    "ends after an interim head": b"HTTP/1.1 103 x\r\nX-A: b\r\n\r\n",
+    "ends an answer without a length": HELPER_HEAD + b"\r\nwho",
+    "ends with a head without a length": HELPER_HEAD + b"\r\n",
+    "ends inside the trailers": HELPER_HEAD + CHUNKED + b"5\r\nwhole\r\n0\r\nX-A: b",
+    "ends a stream without a length": HELPER_STREAM + b"\r\nid: 1\ndata: x\n\nid: 2\nda",
+    "ends inside the last chunk": HELPER_STREAM + CHUNKED + b"9\r\ndata: x\n\n\r\n0\r\n",
+}
+
+
 class FaultyHelper(StreamServer):
     """Takes a forwarded request and breaks the connection as `fault` says."""
 
@@ -193,6 +207,11 @@
     async def serve(self, reader, writer):
         await reader.readuntil(b"\r\n\r\n")
         self.requests += 1
+        if self.fault in BROKEN_ANSWERS:
+            await reader.readuntil(b"body")
+            writer.write(BROKEN_ANSWERS[self.fault])
+            writer.close()
+            return
         if self.fault == "repeats an error without an id":
             writer.write(b"HTTP/1.1 400 x\r\nContent-Length: 0\r\n\r\n")
             await reader.readuntil(b"body")
