Name the reason for which an answer's head is refused

Operators saw: "User callback error" in `attempt-failed` and `forward-failed`, whatever was wrong with a head: too many headers, an answer inside another head, an unknown transfer coding.

Cause: an error that is raised while the parser calls back comes wrapped. The reader of requests took the cause out, the reader of answers didn't.

Evidence: the scenario "why an answer was lost is told by its name" failed on the code before.

--- a/src/redwingbank/front/wire.py
+++ b/src/redwingbank/front/wire.py
@@ -244,6 +244,9 @@
                 self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
             raise WireError(502, "unexpected upgrade") from error
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            raise cause if isinstance(cause, WireError) else WireError(502, str(error)) from error
         except httptools.HttpParserError as error:
             raise WireError(502, str(error)) from error
         if self._pending_bytes > self._limits.header_bytes:
--- a/tests/front/answer_heads.feature
+++ b/tests/front/answer_heads.feature
@@ -54,3 +54,6 @@
       | method |
       | POST   |
       | HEAD   |
+
+  Scenario: why an answer was lost is told by its name
+    Then reading chunks of a coded body fails with "unknown transfer coding"
--- a/tests/steps/front_answer_heads.py
+++ b/tests/steps/front_answer_heads.py
@@ -154,7 +154,7 @@
         for part in parts:
             reader.feed(part)
     except WireError as error:
-        sink.events.append(error.status)
+        sink.events.append(str(error))
     return sink.events, sink.body
 
 
@@ -164,3 +164,9 @@
         whole = read([answer], method)
         for at in range(1, len(answer)):
             assert read([answer[:at], answer[at:]], method) == whole, (what, at)
+
+
+@then('reading {what} fails with "{reason}"')
+def fails_with(context, what, reason):
+    events, _ = read([ANSWERS[what]], "POST")
+    assert events == [reason], events
