Refuse a request in an unknown transfer coding

Servers got: the bytes of `Transfer-Encoding: gzip, chunked` as the body of a request that names no coding.

Cause: that of the answers before: chunks are undone, the coding before them isn't, and the header is not passed on.

Evidence: found while looking for the same cause elsewhere; the row "a coded body" of answers.feature failed on the code before: the request was read and went on to the check of its key (401).

The fix: it is refused with 400, as other requests whose length can't be told.

--- a/src/redwingbank/front/wire.py
+++ b/src/redwingbank/front/wire.py
@@ -140,6 +140,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers after the body are dropped."""
         if self._head is None:
+            if len(name) == len(TRANSFER_ENCODING) and name.lower() == TRANSFER_ENCODING:
+                _check_coding(value, 400)
             self._headers.append((name, value))
         self._count(len(name) + len(value))
 
@@ -331,19 +333,27 @@
 def _marks_end(headers: list[Header]) -> bool:
     """Whether a head tells where the body ends.
 
-    :raises WireError: if the body is transfer-coded, beside chunks; the router asks for no such
-        coding and could not undo it
+    :raises WireError: if the body is transfer-coded, beside chunks
     """
     marked = False
     for name, value in headers:
         if len(name) in FRAMING_NAME_LENGTHS:
             lowered = name.lower()
-            if lowered == TRANSFER_ENCODING and value.strip().lower() != b"chunked":
-                raise WireError(502, "unknown transfer coding")
+            if lowered == TRANSFER_ENCODING:
+                _check_coding(value, 502)
             marked = marked or lowered in {TRANSFER_ENCODING, CONTENT_LENGTH}
     return marked
 
 
+def _check_coding(value: bytes, status: int) -> None:
+    """Check that a body is not transfer-coded, beside chunks: no other coding is undone.
+
+    :raises WireError: with the status if it is
+    """
+    if value.strip().lower() != b"chunked":
+        raise WireError(status, "unknown transfer coding")
+
+
 __all__ = [
     "DEFAULT_ANSWER_LIMITS",
     "AnswerHead",
--- a/tests/front/answers.feature
+++ b/tests/front/answers.feature
@@ -186,6 +186,7 @@
       | fault            | status |
       | two lengths      | 400    |
       | length and chunks | 400   |
+      | a coded body     | 400    |
       | a bare line feed | 400    |
       | long headers     | 431    |
       | a long body      | 413    |
--- a/tests/steps/front_answers.py
+++ b/tests/steps/front_answers.py
@@ -169,6 +169,7 @@
 FAULTS = {
     "two lengths": b"Content-Length: 4\r\nContent-Length: 4\r\n\r\nbody",
     "length and chunks": b"Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+    "a coded body": b"Transfer-Encoding: gzip, chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
     "a bare line feed": b"X: a\n\r\n",
     "long headers": b"X: " + b"a" * 3000 + b"\r\n\r\n",
     "a long body": b"Content-Length: 6000\r\n\r\n" + b"a" * 6000,
