Drop the headers that any of several Connection lines lists

Callers, servers and other hosts got headers that concern one connection only, where a head listed them in a Connection line before the last one. An answer that listed `Server-Stamp` reached its caller unsigned.

Cause: the lines were read by their name into one value, the last. The names that are passed on in any case were those of requests.

Evidence: the row "X-Hop" of answer_heads.feature failed on the code before, for answers, requests and forwarded requests; the row "Server-Stamp" fails without the name in the list once all lines are read.

--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -33,6 +33,7 @@
 SERVER_STAMP = b"server-stamp"
 NOT_EXECUTED = b"not-executed"
 LAST_EVENT_ID = b"last-event-id"
+CONNECTION = b"connection"
 CONTENT_LENGTH = b"content-length"
 RESUMES = b"resumes"
 AUTHORIZATION = b"authorization"
@@ -68,7 +69,7 @@
 # hop-by-hop headers (RFC 9110, section 7.6.1), or headers written anew
 CONNECTION_HEADERS = frozenset(
     {
-        b"connection",
+        CONNECTION,
         b"keep-alive",
         b"proxy-connection",
         b"proxy-authenticate",
@@ -84,8 +85,9 @@
 # Asks a server for its report, given its address.
 REPORT_CALL = b"GET /api/report HTTP/1.1\r\nHost: %b\r\n\r\n"
 REPLACED_HEADERS = frozenset({REQUEST_ID, AUTHORIZATION, DEADLINE, LAST_EVENT_ID, b"host"})
-# forwarded even if a caller lists them in its Connection header
+# forwarded even if they are listed in a Connection header
 END_TO_END_HEADERS = REPLACED_HEADERS | {
+    SERVER_STAMP,
     b"model",
     b"token-count",
     b"prompt-prefix",
@@ -138,7 +140,6 @@
     :raises ValueError: if a header that the router needs is malformed
     """
     by_name = {name.lower(): value for name, value in headers}
-    options = _connection_options(by_name)
     tokens = _parse_counts(by_name.get(b"token-count", b""))
     deadline = by_name.get(DEADLINE)
     return CallFacts(
@@ -150,11 +151,7 @@
         answer_tokens=tokens[1] if len(tokens) > 1 else 0,
         parts=tuple(_parse_parts(by_name.get(b"prompt-prefix", b"").decode("latin-1"))),
         resume_after=by_name.get(LAST_EVENT_ID, b"").decode("latin-1"),
-        forwarded_headers=b"".join(
-            b"%b: %b\r\n" % (name, value)
-            for name, value in headers
-            if name.lower() not in DROPPED_FROM_REQUEST and name.lower() not in options
-        ),
+        forwarded_headers=b"".join(_forwarded_lines(headers, DROPPED_FROM_REQUEST)),
         resumes=by_name.get(RESUMES, b"").decode("latin-1"),
     )
 
@@ -198,14 +195,8 @@
     `host` is the name of this host.
     """
     replaced = CONNECTION_HEADERS | {DEADLINE, FORWARDED_BY}
-    by_name = {name.lower(): value for name, value in headers}
-    options = _connection_options(by_name)
     lines = [b"%b %b HTTP/1.1\r\n" % (method, target)]
-    lines += [
-        b"%b: %b\r\n" % (name, value)
-        for name, value in headers
-        if name.lower() not in replaced and name.lower() not in options
-    ]
+    lines += _forwarded_lines(headers, replaced)
     lines.append(_header_line("Deadline-Ms", str(max(1, int(deadline_s * MS_PER_S)))))
     lines.append(_header_line("Redwingbank-Forwarded-By", host))
     lines.append(_header_line("Content-Length", str(len(body))))
@@ -219,7 +210,6 @@
     """
     dropped = CONNECTION_HEADERS - {CONTENT_LENGTH} if bodiless else CONNECTION_HEADERS
     by_name = {name.lower(): value for name, value in headers}
-    options = _connection_options(by_name)
     encoding = by_name.get(b"content-encoding", b"identity")
     stated = by_name.get(SERVER_LOAD)
     load = None if stated is None else _parse_load(stated)
@@ -230,11 +220,7 @@
         encoded=encoding.lower() != b"identity",
         idle_timeout_s=_keep_alive_timeout_s(by_name.get(b"keep-alive", b"")),
         statements=_read_statements(by_name),
-        forwarded_headers=b"".join(
-            b"%b: %b\r\n" % (name, value)
-            for name, value in headers
-            if name.lower() not in dropped and name.lower() not in options
-        ),
+        forwarded_headers=b"".join(_forwarded_lines(headers, dropped)),
         load=load,
         load_unreadable=stated is not None and load is None,
     )
@@ -252,9 +238,19 @@
     return f"{name}: {value}\r\n".encode("latin-1")
 
 
-def _connection_options(by_name: Mapping[bytes, bytes]) -> frozenset[bytes]:
-    items = by_name.get(b"connection", b"").lower().split(b",")
-    return frozenset(item.strip() for item in items) - END_TO_END_HEADERS
+def _forwarded_lines(headers: Iterable[Header], dropped: frozenset[bytes]) -> list[bytes]:
+    """Encode the headers that concern more than one connection, without those in `dropped`."""
+    lines = [
+        value
+        for name, value in headers
+        if len(name) == len(CONNECTION) and name.lower() == CONNECTION
+    ]
+    if lines:
+        options = {item.strip() for item in b",".join(lines).lower().split(b",")}
+        dropped |= options - END_TO_END_HEADERS
+    return [
+        b"%b: %b\r\n" % (name, value) for name, value in headers if name.lower() not in dropped
+    ]
 
 
 def _parse_deadline(value: bytes) -> float:
--- a/tests/front/answer_heads.feature
+++ b/tests/front/answer_heads.feature
@@ -57,3 +57,12 @@
 
   Scenario: why an answer was lost is told by its name
     Then reading chunks of a coded body fails with "unknown transfer coding"
+
+  Scenario Outline: of the headers that two Connection lines name, <header> <fate>
+    When a head has the lines "Connection: X-Hop, Server-Stamp" and "Connection: close", and <header>
+    Then it <fate> with answers, requests and forwarded requests
+
+    Examples:
+      | header       | fate             |
+      | X-Hop        | is not passed on |
+      | Server-Stamp | is passed on     |
--- a/tests/steps/front_answer_heads.py
+++ b/tests/steps/front_answer_heads.py
@@ -11,6 +11,7 @@
 from redwingbank.codes import Code, Ran
 from redwingbank.front.refusals import error_body
 from redwingbank.front.wire import AnswerReader, WireError
+from redwingbank.platform.headers import decode_answer, decode_call, encode_forwarded_call
 from redwingbank_standins.backend_server import BackendServer
 from redwingbank_standins.raw_response import parse_response
 
@@ -170,3 +171,21 @@
 def fails_with(context, what, reason):
     events, _ = read([ANSWERS[what]], "POST")
     assert events == [reason], events
+
+
+@when('a head has the lines "{first}" and "{second}", and {header}')
+def connection_lines(context, first, second, header):
+    lines = [line.partition(": ")[::2] for line in (first, second, f"{header}: x")]
+    headers = [(name.encode(), value.encode()) for name, value in lines]
+    context.line = header.encode() + b": x\r\n"
+    context.passed_on = [
+        decode_answer(headers).forwarded_headers,
+        decode_call(headers).forwarded_headers,
+        encode_forwarded_call(b"GET", b"/", headers, b"", 1.0, "edge-1"),
+    ]
+
+
+@then("it {fate} with answers, requests and forwarded requests")
+def has_fate(context, fate):
+    passed_on = [context.line in headers for headers in context.passed_on]
+    assert passed_on == 3 * [fate == "is passed on"], context.passed_on
