--- a/src/redwingbank/front/wire.py
+++ b/src/redwingbank/front/wire.py
@@ -10,7 +10,14 @@
 
 Header = tuple[bytes, bytes]
 
+CONTENT_LENGTH = b"content-length"
+TRANSFER_ENCODING = b"transfer-encoding"
+FRAMING_NAME_LENGTHS = frozenset({len(CONTENT_LENGTH), len(TRANSFER_ENCODING)})
+FIRST_STATUS = 100
 FIRST_FINAL_STATUS = 200
+# How the head of an interim answer begins.
+INTERIM_STARTS = (b"HTTP/1.1 1", b"HTTP/1.0 1")
+INTERIM_START_BYTES = 10
 # Bytes of an incomplete head, with the separators that the limit on headers does not count.
 PENDING_FACTOR = 2
 # Answers with these statuses never have a body (RFC 9110, section 6.4.1).
@@ -40,12 +47,17 @@
 
 
 class AnswerHead(NamedTuple):
-    """An answer's status and headers; `sized` is false if the answer ends with the connection."""
+    """An answer's status and headers; `sized` is false if the answer ends with the connection.
+
+    `bodiless` is true for the answer to a HEAD request: a length in its headers is that of a body
+    which does not follow.
+    """
 
     status: int
     reason: bytes
     headers: tuple[Header, ...]
     sized: bool
+    bodiless: bool = False
 
 
 class WireError(Exception):
@@ -128,6 +140,8 @@
     def on_header(self, name: bytes, value: bytes) -> None:
         """Collect a header; trailers after the body are dropped."""
         if self._head is None:
+            if len(name) == len(TRANSFER_ENCODING) and name.lower() == TRANSFER_ENCODING:
+                _check_coding(value, 400)
             self._headers.append((name, value))
         self._count(len(name) + len(value))
 
@@ -180,7 +194,12 @@
 
 
 class AnswerReader:
-    """Reads the answers of one connection; interim (1xx) answers are skipped."""
+    """Reads the answers of one connection; interim (1xx) answers are skipped.
+
+    The parser can't be told that no body follows a head, or that another head follows one that
+    announces the end of the connection. Where that may be so, it gets one line at a time, and the
+    bytes after the head go to a new parser.
+    """
 
     def __init__(self, sink: AnswerSink, limits: AnswerLimits = DEFAULT_ANSWER_LIMITS) -> None:
         self._sink = sink
@@ -195,6 +214,14 @@
         self._interim = False
         self._headed = False
         self._sized = True
+        self._bodiless = False
+        self._by_lines = False
+        self._parser_over = False
+        self._keep_alive = True
+
+    def expect_answer(self, *, bodiless: bool) -> None:
+        """Expect the answer to the next request; it is `bodiless` if that is a HEAD request."""
+        self._bodiless = self._by_lines = bodiless
 
     @property
     def ends_with_connection(self) -> bool:
@@ -208,15 +235,32 @@
         """
         # the parser reports a header when it is complete, so its bytes are counted here too
         self._pending_bytes += len(data)
+        if not self._headed and (
+            data.startswith(INTERIM_STARTS) or len(data) < INTERIM_START_BYTES
+        ):
+            self._by_lines = True
         try:
-            self._parser.feed_data(data)
+            if self._by_lines:
+                self._feed_lines(data)
+            else:
+                self._parser.feed_data(data)
         except httptools.HttpParserUpgrade as error:
             raise WireError(502, "unexpected upgrade") from error
+        except httptools.HttpParserCallbackError as error:
+            cause = error.__context__
+            raise cause if isinstance(cause, WireError) else WireError(502, str(error)) from error
         except httptools.HttpParserError as error:
             raise WireError(502, str(error)) from error
         if self._pending_bytes > self._limits.header_bytes:
             raise WireError(502, "header exceeds the size limit")
 
+    def _feed_lines(self, data: bytes) -> None:
+        for line in data.splitlines(keepends=True):
+            self._parser.feed_data(line)
+            if self._parser_over:
+                self._parser = httptools.HttpResponseParser(self)
+                self._parser_over = False
+
     def on_message_begin(self) -> None:
         """Start an answer."""
         self._header_bytes = self._header_lines = 0
@@ -243,22 +287,27 @@
     def on_headers_complete(self) -> None:
         """Pass the head to the sink, unless it is interim."""
         status = self._parser.get_status_code()
+        if status < FIRST_STATUS:
+            raise WireError(502, "invalid status")
+        if is_joined(self._reason, self._headers):
+            raise WireError(502, "an answer inside the head of another one")
         self._interim = status < FIRST_FINAL_STATUS
         if self._interim:
             self._interim_answers += 1
             if self._interim_answers > self._limits.interim_answers:
                 raise WireError(502, "too many interim answers")
             return
-        if is_joined(self._reason, self._headers):
-            raise WireError(502, "an answer inside the head of another one")
         self._headed = True
+        self._by_lines = self._bodiless
         self._pending_bytes = self._header_bytes = self._header_lines = 0
         self._interim_answers = 0
-        self._sized = status in STATUSES_WITHOUT_BODY or any(
-            name.lower() in {b"content-length", b"transfer-encoding"} for name, _ in self._headers
-        )
-        head = AnswerHead(status, self._reason, tuple(self._headers), self._sized)
+        marks_end = _marks_end(self._headers)
+        self._sized = marks_end or self._bodiless or status in STATUSES_WITHOUT_BODY
+        headers = tuple(self._headers)
+        head = AnswerHead(status, self._reason, headers, self._sized, self._bodiless)
         self._sink.answer_head_received(head)
+        if self._bodiless:
+            self._complete()
 
     def on_body(self, data: bytes) -> None:
         """Pass a part of the body to the sink."""
@@ -266,11 +315,43 @@
         self._sink.answer_body_received(data)
 
     def on_message_complete(self) -> None:
-        """Report the end of the answer, unless it is interim."""
-        if not self._interim:
-            self._pending_bytes = 0
-            self._headed = False
-            self._sink.answer_completed(keep_alive=self._parser.should_keep_alive())
+        """Report the end of the answer, unless it is interim or has ended with its head."""
+        if self._interim:
+            self._keep_alive = self._keep_alive and self._parser.should_keep_alive()
+            self._parser_over = self._by_lines
+        elif not self._bodiless:
+            self._complete()
+
+    def _complete(self) -> None:
+        self._pending_bytes = 0
+        self._headed = False
+        self._parser_over = self._bodiless
+        keep_alive = self._keep_alive and self._parser.should_keep_alive()
+        self._sink.answer_completed(keep_alive=keep_alive)
+
+
+def _marks_end(headers: list[Header]) -> bool:
+    """Whether a head tells where the body ends.
+
+    :raises WireError: if the body is transfer-coded, beside chunks
+    """
+    marked = False
+    for name, value in headers:
+        if len(name) in FRAMING_NAME_LENGTHS:
+            lowered = name.lower()
+            if lowered == TRANSFER_ENCODING:
+                _check_coding(value, 502)
+            marked = marked or lowered in {TRANSFER_ENCODING, CONTENT_LENGTH}
+    return marked
+
+
+def _check_coding(value: bytes, status: int) -> None:
+    """Check that a body is not transfer-coded, beside chunks: no other coding is undone.
+
+    :raises WireError: with the status if it is
+    """
+    if value.strip().lower() != b"chunked":
+        raise WireError(status, "unknown transfer coding")
 
 
 __all__ = [
