Take an error in place of a stream's rest for the engine's, not for the caller's

Callers whose stream had begun and broke off, and whose next engine answered the resumption with a 4xx, lost the stream: it was cut without an error event, although other engines could go on. Callers of a whole answer got the engine's error page as the answer to a request that had run.

Cause: every 4xx counted as a rejection of the request, to be forwarded, also when frames of the answer had been taken. A second response head was then sent into the stream; the listener raised and closed the connection. 204 and 3xx counted as rejections, too.

An engine's error is forwarded only while nothing of the answer has been taken. After that the request is known to be valid, so an error means that this engine can't continue: the attempt failed as GARBAGE and is retried elsewhere; when none is left the stream ends with an error event and ran=yes. Statuses below 400 other than 200 are GARBAGE at any time.

The error text never stood in a stream that had begun, before or after: the listener raised first.

--- a/src/redwingbank/ports/completion.py
+++ b/src/redwingbank/ports/completion.py
@@ -39,6 +39,7 @@
     from redwingbank.ports.engine import EngineClient, StreamedResponse
     from redwingbank.ports.http import Receive, Send
 
+CLIENT_ERROR_STATUS = 400
 SERVER_ERROR_STATUS = 500
 MAX_ERROR_BODY_BYTES = 64 * 1024
 
@@ -141,7 +142,10 @@
 
 
 class Progress:
-    """The state of one completion over all its attempts."""
+    """The state of one completion over all its attempts.
+
+    `begun` is true if frames of the answer have gone to the sink, in any attempt.
+    """
 
     def __init__(self, ticket: Ticket, send: Send, sink: Sink, targets: Targets) -> None:
         self.ticket = ticket
@@ -152,6 +156,7 @@
         self.first_token_s = 0.0
         self.attempt_started_s = 0.0
         self.first_token_reported = False
+        self.begun = False
         self.done = False
         self.rejection: Rejection | None = None
 
@@ -316,9 +321,15 @@
                 left_s = self._engines.token_timeout_s
 
     async def _read_rejection(self, response: StreamedResponse, progress: Progress) -> Outcome:
-        """Read the engine's error response, to be forwarded to the caller."""
+        """Read the engine's error response, to be forwarded if it rejects the request itself.
+
+        A request whose answer has begun is valid: an error in place of the rest of the answer
+        means that this engine can't continue it.
+        """
         if response.status >= SERVER_ERROR_STATUS:
             return Outcome.CRASHED
+        if response.status < CLIENT_ERROR_STATUS or progress.begun:
+            return Outcome.GARBAGE
         body = b""
         async for chunk in response.chunks:
             body += chunk
@@ -338,6 +349,7 @@
             self._inbox.send_nowait(FirstToken(progress.ticket, waited_s))
         if progress.first_token_s == 0.0 and progress.frames.tokens:
             progress.first_token_s = clock.now_s()
+        progress.begun = True
         await progress.sink.write_frames(complete_frames)
 
     def _count_answer(self, progress: Progress, code: Code) -> None:
--- a/tests/embedded.py
+++ b/tests/embedded.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import contextlib
 import json
 import socket
@@ -48,8 +49,14 @@
     """A platform, engines, a service and daemons on the event loop of one thread."""
 
     def __init__(
-        self, daemons: int = 1, engines: int = 2, give_up_s: str = "", **settings: Any
+        self,
+        daemons: int = 1,
+        engines: int = 2,
+        give_up_s: str = "",
+        raw_servers: dict[str, Any] | None = None,
+        **settings: Any,
     ) -> None:
+        self._raw_servers = raw_servers or {}
         self._give_up_s = give_up_s
         self._portal_scope = start_blocking_portal()
         self.portal = self._portal_scope.__enter__()
@@ -74,6 +81,11 @@
                 name: Address("127.0.0.1", await stack.enter_async_context(embedded(app)))
                 for name, app in apps.items()
             }
+            for name, serve in self._raw_servers.items():
+                server = await stack.enter_async_context(
+                    await asyncio.start_server(serve, "127.0.0.1", 0)
+                )
+                self.addresses[name] = Address(*server.sockets[0].getsockname())
             sheets = sample_sheets(self.addresses)
             if self._give_up_s:
                 sheets["classes"]["question"]["give_up_s"] = self._give_up_s
