Refuse frames that are no part of an answer, and an end mark without a finish reason

Callers found an engine's error text in the middle of their stream, followed by `[DONE]`: the stream looked whole with half of its tokens. It happens where an engine, after a stream broke off elsewhere, reports its error as an event of a 200 answer. A lone `[DONE]` in place of the rest had the same effect; a caller of a whole answer got 200 with the first tokens only.

Cause: any JSON-like event counted as a frame of the answer, and the end mark alone made it whole.

Each frame but the end mark must now be a chunk (it has `choices`), and the end mark counts only after a chunk with a finish reason, as the engines' protocol has it. Anything else is GARBAGE, and the stream goes on at another engine. `finished` is set only by frames that are valid, so garbage that ends in the mark no longer makes all later attempts fail.

The words of the test's answers hold `"choices":` and `"finish_reason": "x"` as text, which must not count.

--- a/src/redwingbank/rules/frames.py
+++ b/src/redwingbank/rules/frames.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any
 
 from redwingbank.bounded_json import decode_json
@@ -9,6 +10,9 @@
 FRAME_END = b"\n\n"
 FRAME_START = b"data: "
 END_MARK = b"data: [DONE]\n\n"
+# Quotes inside a string are escaped, so text that holds these fields does not match.
+CHOICES_FIELD = b'"choices":'
+_FINISH_REASON = re.compile(rb'"finish_reason": ?"')
 MAX_FRAME_BYTES = 1024 * 1024
 
 
@@ -20,7 +24,8 @@
     r"""Splits an engine's byte stream into whole frames.
 
     `tokens` counts the frames with text over all attempts fed so far; `finished` is set only
-    by the engine's end mark.
+    by the engine's end mark, which must come after a finish reason: frames that report an error
+    are not part of an answer, and an end mark after them does not complete it.
 
     >>> frames = FrameParser()
     >>> frames.feed(b'data: {"choices":[{"delta":{"content":"a"}}]}\n\ndata: {"ch')
@@ -33,6 +38,7 @@
         self.tokens = 0
         self.finished = False
         self._partial = b""
+        self._has_reason = False
 
     def reset(self) -> None:
         """Drop an incomplete frame before the stream continues from another backend server."""
@@ -62,14 +68,17 @@
         self._partial = partial
 
     def _validate(self, whole: bytes) -> None:
-        if self.finished:
-            raise GarbageError
-        self.finished = whole.endswith(END_MARK)
+        ends = whole.endswith(END_MARK)
         frames = whole.count(FRAME_END)
         starts = whole.count(b"\n\ndata: ") + whole.startswith(FRAME_START)
         objects = whole.count(b"}\n\n")
-        if starts != frames or objects + self.finished != frames:
+        chunks = whole.count(CHOICES_FIELD)
+        has_reason = self._has_reason or _FINISH_REASON.search(whole) is not None
+        if self.finished or starts != frames or not objects == chunks == frames - ends:
+            raise GarbageError
+        if ends and not has_reason:
             raise GarbageError
+        self.finished, self._has_reason = ends, has_reason
 
 
 def assemble(frames: bytes) -> dict[str, Any]:
--- a/tests/ports/broken_answers.feature
+++ b/tests/ports/broken_answers.feature
@@ -20,6 +20,10 @@
       | streamed | 200 of JSON             |
       | streamed | 200 of nothing          |
       | streamed | a stream of nothing     |
+      | streamed | a stream of an error    |
+      | streamed | a stream of text        |
+      | streamed | a stream of an end mark |
+      | whole    | a stream of an end mark |
       | streamed | half a head             |
 
   Scenario Outline: a stream that only errors follow ends with an error of the router
--- a/tests/rules/frames.feature
+++ b/tests/rules/frames.feature
@@ -16,12 +16,17 @@
     Then the frames are garbage
 
     Examples:
-      | bytes                             |
-      | <html>                            |
-      | data: {"a":1}\n\nhello\n\n        |
-      | data: not json\n\n                |
-      | data: [DONE]\n\ndata: {"a":1}\n\n |
-      | event: x\n\n                      |
+      | bytes                                                                                    |
+      | <html>                                                                                   |
+      | data: {"a":1}\n\nhello\n\n                                                               |
+      | data: {"choices":[]}\n\nhello\n\n                                                        |
+      | data: not json\n\n                                                                       |
+      | data: {"error":{"message":"no"}}\n\n                                                     |
+      | data: [DONE]\n\n                                                                         |
+      | data: {"choices":[{"finish_reason":null}]}\n\ndata: [DONE]\n\n                           |
+      | data: [DONE]\n\ndata: {"a":1}\n\n                                                        |
+      | data: {"choices":[{"finish_reason":"stop"}]}\n\ndata: [DONE]\n\ndata: {"choices":[]}\n\n |
+      | event: x\n\n                                                                             |
 
   Scenario: an incomplete frame is dropped when another server continues
     When the frames are fed "data: {\"cho"
--- a/tests/steps/ports_broken_answers.py
+++ b/tests/steps/ports_broken_answers.py
@@ -11,7 +11,7 @@
 from embedded import Embedded, streamed_text
 
 ERROR = b"no-such-engine"
-WORDS = [f"word-{number} " for number in range(6)]
+WORDS = ["one ", "two ", "three ", 'the "choices": ', '"finish_reason": "x" ', "end"]
 WHOLE = len(WORDS)
 BROKEN_AFTER = 3
 DONE = b"data: [DONE]\n\n"
