Let nothing after the end mark of a stream undo the answer

Callers whose engine closed the connection right after `[DONE]`, without the last chunk, or wrote more bytes, found an error event after the whole answer; callers of a whole answer got 502. With an engine that left the connection open, whole answers came after the idle timeout (30 s) at best.

Cause: how the attempt ended was judged by the connection alone, so a whole answer was sent to two more engines, whose frames after the end mark were garbage by then.

An attempt whose frames are finished is DONE, however its connection ends. The end of the body gets one second, so that a sound connection can still be used again.

--- a/src/redwingbank/ports/completion.py
+++ b/src/redwingbank/ports/completion.py
@@ -41,6 +41,8 @@
 
 CLIENT_ERROR_STATUS = 400
 SERVER_ERROR_STATUS = 500
+# How long the end of the body may take after the end mark, for the connection to be used again.
+END_OF_BODY_S = 1.0
 MAX_ERROR_BODY_BYTES = 64 * 1024
 
 
@@ -276,6 +278,9 @@
         except AttemptError as error:
             outcome = error.outcome
             response_started = life.state is State.STREAMING
+        if progress.frames.finished:
+            # the end mark makes the answer whole, whatever comes after it
+            outcome = Outcome.DONE
         if outcome is Outcome.REFUSED:
             life.advance(Step.NOT_ACCEPTED)
         if outcome is Outcome.DONE:
@@ -297,7 +302,7 @@
                 return Outcome.TIMED_OUT
         except GarbageError:
             return Outcome.GARBAGE
-        return Outcome.DONE if progress.frames.finished else Outcome.CLOSED_EARLY
+        return Outcome.CLOSED_EARLY
 
     async def _relay_chunks(self, response: StreamedResponse, progress: Progress) -> bool:
         """Relay a stream to its end; return False if no token comes in time.
@@ -319,6 +324,8 @@
             await self._relay(chunk, progress)
             if progress.frames.tokens > tokens:
                 left_s = self._engines.token_timeout_s
+            if progress.frames.finished:
+                left_s = min(left_s, END_OF_BODY_S)
 
     async def _read_rejection(self, response: StreamedResponse, progress: Progress) -> Outcome:
         """Read the engine's error response, to be forwarded if it rejects the request itself.
--- a/tests/ports/broken_answers.feature
+++ b/tests/ports/broken_answers.feature
@@ -46,3 +46,17 @@
     Given engines whose answers are, in turn: 204, 302, a whole answer
     When a caller asks them, streamed
     Then the caller gets the whole answer once
+
+  Scenario Outline: what follows the end mark of a stream is not part of the answer
+    Given engines whose answers are, in turn: <answer>, a whole answer, a whole answer
+    When a caller asks them, <form>
+    Then the caller gets the whole answer once
+
+    Examples:
+      | form     | answer                                |
+      | streamed | a whole answer                        |
+      | streamed | a whole answer without its last chunk |
+      | whole    | a whole answer without its last chunk |
+      | streamed | a whole answer left open              |
+      | streamed | a whole answer and a part of the next |
+      | streamed | a whole answer and an error           |
--- a/tests/steps/ports_broken_answers.py
+++ b/tests/steps/ports_broken_answers.py
@@ -60,6 +60,7 @@
     "a whole answer": stream(),
     "a broken stream": stream(BROKEN_AFTER),
     "a whole answer without its last chunk": stream(cut=len(LAST_CHUNK)),
+    "a whole answer left open": stream(cut=len(LAST_CHUNK)),
     "a whole answer and a part of the next": stream(
         cut=len(LAST_CHUNK), after=b"9\r\ndata: x\n\n"
     ),
@@ -99,7 +100,10 @@
             line, headers, _ = await read_request(reader)
             if "completions" in line:
                 start = int(headers.get("x-resume-from", "0"))
-                writer.write(ANSWERS[next(turns)](headers["x-request-id"], start))
+                turn = next(turns)
+                writer.write(ANSWERS[turn](headers["x-request-id"], start))
+                if turn.endswith("left open"):
+                    await reader.read()
             else:
                 writer.write(b"HTTP/1.1 404 x\r\nContent-Length: 0\r\n\r\n")
         writer.close()
