Take no refusal without an id for the answer to a call on a kept connection

Callers got 503 for a service call that had run: a server that wrote a refusal of its own on a kept connection (as servers and gateways do for one that was idle too long) just when the next call was on its way. A 503 says that the call was refused, so callers send it again, and a call without a key runs twice; under a key the 503 was recorded as the answer and replayed.

Cause: an answer without an id was taken for the call's on any connection. That no earlier answer on it came without an id excludes copies, but not answers that the server sends unasked.

On a connection that carried an earlier call, an answer must now bear the call's id; else the attempt is GARBAGE (502, ran=yes or maybe; only safe methods are sent again). Servers that never send ids are not affected: their connections carry one call each.

Evidence: ports/engine.feature "a refusal without an id" got 503 before the fix and none after it.

--- a/src/redwingbank/ports/engine.py
+++ b/src/redwingbank/ports/engine.py
@@ -92,9 +92,10 @@
 class BackendClient:
     """HTTP client of backend servers with a pool of idle connections per server.
 
-    A server may send a second copy of an answer late, on a connection that carries the next
-    request. An answer with another request's id is rejected, and a connection on which an answer
-    came without an id, or a refusal, is not used again.
+    A server may send a second copy of an answer late, or an error of its own, on a connection that
+    carries the next request. An answer with another request's id is rejected, on a connection in
+    use again also one without an id; a connection on which an answer came without an id, or a
+    refusal, is not used again.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -153,13 +154,14 @@
         """
         connection = await self._acquire_connection(address)
         sent_id = _header(request.headers, REQUEST_ID_HEADER)
+        accepted_ids = {sent_id} if connection.is_available() else {None, sent_id}
         reusable = False
         try:
             response = await connection.handle_async_request(request)
             echo = _header(response.headers, REQUEST_ID_HEADER)
             reason = response.extensions.get("reason_phrase", b"")
             try:
-                if echo not in {None, sent_id} or is_joined(reason, response.headers):
+                if echo not in accepted_ids or is_joined(reason, response.headers):
                     raise AttemptError(Outcome.GARBAGE)
                 # a refused request may come back, and a copy of the refusal would bear its id
                 reusable = echo == sent_id and response.status not in REFUSING_STATUSES
--- a/tests/ports/engine.feature
+++ b/tests/ports/engine.feature
@@ -42,3 +42,4 @@
       | a copy of the refusal        | an answer |
       | the head of a refusal        | none      |
       | the status line of a refusal | none      |
+      | a refusal without an id      | none      |
--- a/tests/steps/ports_broken_answers.py
+++ b/tests/steps/ports_broken_answers.py
@@ -9,6 +9,7 @@
 from behave import given, then, when
 
 from embedded import Embedded, streamed_text
+from raw_servers import head, read_request, sized
 
 ERROR = b"no-such-engine"
 WORDS = ["one ", "two ", "three ", 'the "choices": ', '"finish_reason": "x" ', "end"]
@@ -19,14 +20,8 @@
 STREAM = "200 OK\r\nContent-Type: text/event-stream"
 
 
-def head(status_line, request_id):
-    return f"HTTP/1.1 {status_line}\r\nX-Request-Id: {request_id}\r\n".encode()
-
-
-def sized(status_line, body):
-    return lambda number, start: (
-        head(status_line, number) + b"Content-Length: %d\r\n\r\n%b" % (len(body), body)
-    )
+def whole(status_line, body):
+    return lambda number, start: sized(status_line, number, body)
 
 
 def chunked(status_line, *parts):
@@ -65,17 +60,17 @@
         cut=len(LAST_CHUNK), after=b"9\r\ndata: x\n\n"
     ),
     "a whole answer and an error": stream(cut=len(LAST_CHUNK), after=b"e\r\n" + ERROR + b"\r\n"),
-    "400": sized("400 Bad Request\r\nContent-Type: application/json", b'{"error":"%b"}' % ERROR),
-    "404 of HTML": sized("404 Not Found\r\nContent-Type: text/html", b"<p>%b</p>" % ERROR),
+    "400": whole("400 Bad Request\r\nContent-Type: application/json", b'{"error":"%b"}' % ERROR),
+    "404 of HTML": whole("404 Not Found\r\nContent-Type: text/html", b"<p>%b</p>" % ERROR),
     "422 in chunks": chunked("422 x", ERROR, ERROR),
     "401 without a length": lambda number, start: head("401 x", number) + b"\r\n" + ERROR,
     "204": lambda number, start: head("204 No Content", number) + b"\r\n",
-    "302": sized("302 Found\r\nLocation: /", ERROR),
-    "500": sized("500 x", ERROR),
-    "503": sized("503 x", ERROR),
-    "200 of HTML": sized("200 OK\r\nContent-Type: text/html", b"<p>%b</p>" % ERROR),
-    "200 of JSON": sized("200 OK\r\nContent-Type: application/json", b'{"error":"%b"}' % ERROR),
-    "200 of nothing": sized(STREAM, b""),
+    "302": whole("302 Found\r\nLocation: /", ERROR),
+    "500": whole("500 x", ERROR),
+    "503": whole("503 x", ERROR),
+    "200 of HTML": whole("200 OK\r\nContent-Type: text/html", b"<p>%b</p>" % ERROR),
+    "200 of JSON": whole("200 OK\r\nContent-Type: application/json", b'{"error":"%b"}' % ERROR),
+    "200 of nothing": whole(STREAM, b""),
     "a stream of nothing": chunked(STREAM),
     "a stream of an error": chunked(STREAM, b'data: {"error":{"message":"%b"}}\n\n' % ERROR, DONE),
     "a stream of text": chunked(STREAM, b"data: %b {}\n\n" % ERROR, DONE),
@@ -84,13 +79,6 @@
 }
 
 
-async def read_request(reader):
-    """Read a request; return its first line and headers."""
-    line, *lines = (await reader.readuntil(b"\r\n\r\n")).decode().split("\r\n")
-    headers = {name.lower(): value.strip() for name, _, value in (x.partition(":") for x in lines)}
-    return line, headers, await reader.readexactly(int(headers.get("content-length", "0")))
-
-
 @given("engines whose answers are, in turn: {answers}")
 def engines_in_turn(context, answers):
     turns = iter(answers.split(", "))
--- a/tests/steps/ports_engine.py
+++ b/tests/steps/ports_engine.py
@@ -144,6 +144,7 @@
     "a copy of the refusal": REFUSAL,
     "the head of a refusal": REFUSAL.partition(b"\r\nContent-Length")[0],
     "the status line of a refusal": REFUSAL.partition(b"\r\n")[0],
+    "a refusal without an id": REFUSAL.replace(b"X-Request-Id: r-1\r\n", b""),
 }
 
 
--- a/tests/steps/ports_service.py
+++ b/tests/steps/ports_service.py
@@ -5,8 +5,6 @@
 import asyncio
 import contextlib
 import math
-import socket
-import struct
 import time
 from unittest import mock
 
@@ -15,6 +13,7 @@
 
 from memory_platform import MemoryPlatform
 from platform_bench import settings_for
+from raw_servers import reset
 from redwingbank.codes import Code
 from redwingbank.events import EventLog
 from redwingbank.metrics import Metrics
@@ -117,8 +116,7 @@
         writer.write(answer[: len(ran) - 1])
         await writer.drain()
         if ending == "reset":
-            linger = struct.pack("ii", 1, 0)
-            writer.get_extra_info("socket").setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            reset(writer)
         writer.close()
 
     settings = settings_for(Address("127.0.0.1", 1))
