Test that service calls late in the grace of a planned stop are answered

Calls that come until the listener closes and take 2 s, longer than the grace, are answered and ran once: the daemon waits for the requests in flight without a limit.

--- a/tests/ports/drain.feature
+++ b/tests/ports/drain.feature
@@ -16,3 +16,13 @@
     Given a daemon that keeps its listener for 0.5 s while it drains
     When a question comes on a kept connection while the daemon drains
     Then the response closes the connection
+
+  Scenario Outline: service calls that come late in the grace are answered, however long they take
+    Given a daemon that keeps its listener for 0.8 s while it drains
+    When calls <kind> of a service that takes 2 s come until the listener closes
+    Then each of the calls is answered and ran once
+
+    Examples:
+      | kind          |
+      | with a key    |
+      | without a key |
--- a/tests/steps/ports_drain.py
+++ b/tests/steps/ports_drain.py
@@ -9,7 +9,7 @@
 
 from embedded import Embedded
 from redwingbank.settings import parse_address
-from redwingbank_standins.quickstart import KEY, MODEL
+from redwingbank_standins.quickstart import KEY, MODEL, SERVICE
 from redwingbank_standins.raw_response import parse_response
 
 SECONDS_BEFORE_CLOSE = 0.1
@@ -100,3 +100,38 @@
 def closes(context):
     complete(context)
     assert context.response.headers.get("connection") == "close", context.response.headers
+
+
+@when("calls {kind} of a service that takes {later:g} s come until the listener closes")
+def calls_until_close(context, kind, later):
+    deployment = context.deployment
+    service = deployment.service
+    service.faults.slow = later * 1000 / service.settings.call_ms
+    address = parse_address(deployment.daemons[0].caller)
+
+    async def call(number):
+        key = f"Idempotency-Key: order-{number}\r\n" if kind == "with a key" else ""
+        body = json.dumps({"order": number})
+        reader, writer = await asyncio.open_connection(*address)
+        writer.write(
+            f"POST /services/{SERVICE}/orders HTTP/1.1\r\nHost: x\r\n{key}"
+            f"Authorization: Bearer {KEY}\r\nContent-Length: {len(body)}\r\n\r\n{body}".encode()
+        )
+        return parse_response(await reader.read())
+
+    async def run():
+        deployment.daemons[0].drain()
+        calls = []
+        for number in range(int(context.drain_s / SECONDS_BEFORE_CLOSE)):
+            calls.append(asyncio.create_task(call(number)))
+            await asyncio.sleep(SECONDS_BEFORE_CLOSE)
+        return await asyncio.gather(*calls)
+
+    context.responses = deployment.portal.call(run)
+
+
+@then("each of the calls is answered and ran once")
+def calls_answered(context):
+    for response in context.responses:
+        assert response.complete and response.status == 200, response
+        assert json.loads(response.body)["ran"] == 1, response
