--- a/src/redwingbank/ports/completion.py
+++ b/src/redwingbank/ports/completion.py
@@ -39,7 +39,10 @@
     from redwingbank.ports.engine import EngineClient, StreamedResponse
     from redwingbank.ports.http import Receive, Send
 
+CLIENT_ERROR_STATUS = 400
 SERVER_ERROR_STATUS = 500
+# How long the end of the body may take after the end mark, for the connection to be used again.
+END_OF_BODY_S = 1.0
 MAX_ERROR_BODY_BYTES = 64 * 1024
 
 
@@ -141,7 +144,10 @@
 
 
 class Progress:
-    """The state of one completion over all its attempts."""
+    """The state of one completion over all its attempts.
+
+    `begun` is true if frames of the answer have gone to the sink, in any attempt.
+    """
 
     def __init__(self, ticket: Ticket, send: Send, sink: Sink, targets: Targets) -> None:
         self.ticket = ticket
@@ -152,6 +158,7 @@
         self.first_token_s = 0.0
         self.attempt_started_s = 0.0
         self.first_token_reported = False
+        self.begun = False
         self.done = False
         self.rejection: Rejection | None = None
 
@@ -271,6 +278,9 @@
         except AttemptError as error:
             outcome = error.outcome
             response_started = life.state is State.STREAMING
+        if progress.frames.finished:
+            # the end mark makes the answer whole, whatever comes after it
+            outcome = Outcome.DONE
         if outcome is Outcome.REFUSED:
             life.advance(Step.NOT_ACCEPTED)
         if outcome is Outcome.DONE:
@@ -292,7 +302,7 @@
                 return Outcome.TIMED_OUT
         except GarbageError:
             return Outcome.GARBAGE
-        return Outcome.DONE if progress.frames.finished else Outcome.CLOSED_EARLY
+        return Outcome.CLOSED_EARLY
 
     async def _relay_chunks(self, response: StreamedResponse, progress: Progress) -> bool:
         """Relay a stream to its end; return False if no token comes in time.
@@ -314,11 +324,19 @@
             await self._relay(chunk, progress)
             if progress.frames.tokens > tokens:
                 left_s = self._engines.token_timeout_s
+            if progress.frames.finished:
+                left_s = min(left_s, END_OF_BODY_S)
 
     async def _read_rejection(self, response: StreamedResponse, progress: Progress) -> Outcome:
-        """Read the engine's error response, to be forwarded to the caller."""
+        """Read the engine's error response, to be forwarded if it rejects the request itself.
+
+        A request whose answer has begun is valid: an error in place of the rest of the answer
+        means that this engine can't continue it.
+        """
         if response.status >= SERVER_ERROR_STATUS:
             return Outcome.CRASHED
+        if response.status < CLIENT_ERROR_STATUS or progress.begun:
+            return Outcome.GARBAGE
         body = b""
         async for chunk in response.chunks:
             body += chunk
@@ -338,6 +356,7 @@
             self._inbox.send_nowait(FirstToken(progress.ticket, waited_s))
         if progress.first_token_s == 0.0 and progress.frames.tokens:
             progress.first_token_s = clock.now_s()
+        progress.begun = True
         await progress.sink.write_frames(complete_frames)
 
     def _count_answer(self, progress: Progress, code: Code) -> None:
--- a/src/redwingbank/ports/engine.py
+++ b/src/redwingbank/ports/engine.py
@@ -31,6 +31,8 @@
 REFUSING_STATUSES = {429, 503}
 OK_STATUS = 200
 CONFLICT_STATUS = 409
+BODILESS_STATUSES = {204, 304}
+FRAMING_HEADERS = ("content-length", "transfer-encoding")
 REQUEST_ID_HEADER = "x-request-id"
 
 
@@ -38,11 +40,16 @@
 
 
 class StreamedResponse(NamedTuple):
-    """A response whose head has arrived; `chunks` yields the body as it arrives."""
+    """A response whose head has arrived; `chunks` yields the body as it arrives.
+
+    A body that is not `delimited` ends where its connection does, so one that broke off looks the
+    same as a whole one.
+    """
 
     status: int
     content_type: str
     chunks: AsyncIterator[bytes]
+    delimited: bool
 
 
 class LoadFailure(StrEnum):
@@ -85,9 +92,10 @@
 class BackendClient:
     """HTTP client of backend servers with a pool of idle connections per server.
 
-    A server may send a second copy of an answer late, on a connection that carries the next
-    request. An answer with another request's id is rejected, and a connection on which an answer
-    came without an id, or a refusal, is not used again.
+    A server may send a second copy of an answer late, or an error of its own, on a connection that
+    carries the next request. An answer with another request's id is rejected, on a connection in
+    use again also one without an id; a connection on which an answer came without an id, or a
+    refusal, is not used again.
     """
 
     def __init__(self, settings: Settings) -> None:
@@ -146,13 +154,14 @@
         """
         connection = await self._acquire_connection(address)
         sent_id = _header(request.headers, REQUEST_ID_HEADER)
+        accepted_ids = {sent_id} if connection.is_available() else {None, sent_id}
         reusable = False
         try:
             response = await connection.handle_async_request(request)
             echo = _header(response.headers, REQUEST_ID_HEADER)
             reason = response.extensions.get("reason_phrase", b"")
             try:
-                if echo not in {None, sent_id} or is_joined(reason, response.headers):
+                if echo not in accepted_ids or is_joined(reason, response.headers):
                     raise AttemptError(Outcome.GARBAGE)
                 # a refused request may come back, and a copy of the refusal would bear its id
                 reusable = echo == sent_id and response.status not in REFUSING_STATUSES
@@ -182,7 +191,10 @@
         async with self._send(address, request) as response:
             content_type = _header(response.headers, "content-type") or b""
             yield StreamedResponse(
-                response.status, content_type.decode("latin-1"), response.aiter_stream()
+                response.status,
+                content_type.decode("latin-1"),
+                response.aiter_stream(),
+                _is_delimited(method, response),
             )
 
     async def call(
@@ -219,6 +231,13 @@
     return by_name.get(name.encode())
 
 
+def _is_delimited(method: str, response: httpcore.Response) -> bool:
+    """Whether a response states where its body ends, or can't have one."""
+    if method == "HEAD" or response.status in BODILESS_STATUSES:
+        return True
+    return any(_header(response.headers, name) is not None for name in FRAMING_HEADERS)
+
+
 class EngineClient:
     """Client of the engine protocol; see docs/ENGINE-PROTOCOL.md."""
 
