Pass over a relay that tells no era once the era has risen

What callers saw: nothing yet. In a large fleet of two releases whose store came back from a copy, hosts of this release learned of a draining server 1.4 to 2.6 s late, and sent it requests meanwhile.

Cause: a relay of an earlier release tells revisions without an era, which a host that saw the era rise can't put in order. It ignored the relay's answers and news, but counted the relay as one that answers, and went on asking it until its own table was 2.5 s old.

Change: an answer without an era, where the era has risen, suspends the relay as one that has lost the store is suspended. Another host, at worst this one, takes its place.

Evidence: the new scenario of front/freshness.feature failed before (1 relay); freshness.feature and store_eras.feature pass (46 scenarios).

--- a/src/redwingbank/front/freshness.py
+++ b/src/redwingbank/front/freshness.py
@@ -138,6 +138,9 @@
             )
         self._unanswered_since_s_by_relay.pop(relay, None)
         if not self._is_of_era(answer.era, relay):
+            if not answer.era:
+                # of an earlier release: its revisions can't be put in order
+                self._suspend_relay(relay, now, "no era")
             return
         self.store_contact.record(answer.asked_s - answer.servers_age_s, now)
         if (
--- a/tests/front/freshness.feature
+++ b/tests/front/freshness.feature
@@ -50,6 +50,11 @@
     When the relay's table is 1.6 s old in its next 8 answers
     Then 1 of them watches servers and the rest rely on its news
 
+  Scenario: a relay of an earlier release, which tells no era, is passed over once the era has risen
+    Given 20 hosts that know each other, with fresh tables
+    When the era rises and the relay's next answers tell none
+    Then another host is a relay too
+
   Scenario: a relay that does not answer is passed over
     Given 20 hosts that know each other, with fresh tables
     When the relay does not answer for 1.1 s
--- a/tests/steps/front_freshness.py
+++ b/tests/steps/front_freshness.py
@@ -158,6 +158,17 @@
     context.first_relay = relay
 
 
+@when("the era rises and the relay's next answers tell none")
+def answers_without_era(context):
+    relay = split_by_role(context)[0][0][1]._host
+    for _, freshness, _, servers in context.hosts:
+        freshness.handle_new_era(1, 2)
+        servers.era = 2
+        if freshness._host != relay:
+            freshness.handle_answer(Answer(now_s(), 0.1, 5, 10, 12, 0.2), relay)
+    update_roles(context)
+
+
 @when("the relay does not answer for {time:g} s")
 def no_answer(context, time):
     context.first_relay = relay_name(context)
