Answer requests that were read behind another one when a host stops

What callers saw: of several requests that were sent on one connection without waiting, only the one in progress was answered after SIGTERM. The others, read whole and waiting for their turn, ended with the connection and had no answer.

Cause: after SIGTERM every answer closed its connection, whatever had been read behind it.

Change: an answer is the last one of its connection only if nothing behind it has been read or is being read. Each request behind it is then admitted or refused as any other, and the grace period still ends all of them.

--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -240,13 +240,23 @@
     def _finish_answer(self) -> None:
         self._exchange = None
         self.idle_since_s = now_s()
-        if not self._keep_alive or self._router.shutdown.closes_connections:
+        if not self._keep_alive or self._is_last:
             self._close()
         elif self._pending:
             asyncio.get_running_loop().call_soon(self._start_next)
 
+    @property
+    def _has_next(self) -> bool:
+        """Whether a request behind the one in progress has been read, or is being read."""
+        return bool(self._pending) or self.request_started_s is not None
+
+    @property
+    def _is_last(self) -> bool:
+        """Whether the connection closes after the current answer, since the host stops."""
+        return self._router.shutdown.closes_connections and not self._has_next
+
     def _connection_header(self) -> bytes:
-        if self._router.shutdown.closes_connections:
+        if self._is_last:
             self._keep_alive = False
         return b"" if self._keep_alive else b"Connection: close\r\n"
 
--- a/tests/front/shutdown.feature
+++ b/tests/front/shutdown.feature
@@ -57,6 +57,15 @@
       | 3.1   | 0.2   |
       | 7.2   | 0.15  |
 
+  Scenario Outline: requests read behind one that is answered as the host stops are answered: <what>
+    When a host begins to shut down while it answers a booking, and <what>
+    Then the caller gets 3 complete answers, and the last one closes the connection
+
+    Examples:
+      | what                                      |
+      | 2 more have come on the connection         |
+      | 2 more come on the connection, one in parts |
+
   Scenario: a request that arrives whole in the moment at which the process could end is answered
     When requests arrive whole while a host decides that it may end
     Then each of these callers gets a complete answer
--- a/tests/steps/front_shutdown.py
+++ b/tests/steps/front_shutdown.py
@@ -117,8 +117,12 @@
         """Send a request; return whether the connection may be used again."""
         self.sent += 1
         name = f"r-{self.number}-{self.sent}"
+        writer.write(request("read", request_id=name, close=False))
+        return await self.read(reader, name)
+
+    async def read(self, reader, name):
+        """Read an answer; return whether the connection may be used again."""
         try:
-            writer.write(request("read", request_id=name, close=False))
             head = await reader.readuntil(b"\r\n\r\n")
             headers = dict(line.split(b": ", 1) for line in head.lower().split(b"\r\n")[1:-2])
             await reader.readexactly(int(headers[b"content-length"]))
@@ -213,6 +217,33 @@
         return parse_response(b"")
 
 
+@when("a host begins to shut down while it answers a booking, and {what}")
+def read_behind(context, what):
+    context.rig = Rig()
+    context.rig.backend_servers[0].pause_s = 0.3
+
+    async def scenario(rig):
+        data = b"".join(request("single", request_id=f"r-{n}", close=False) for n in range(3))
+        late = 20 if what.endswith("in parts") else 0
+        reader, writer = await rig.connect()
+        writer.write(data[: len(data) - late])
+        await rig.until(rig.runs)
+        rig.front.router.shutdown.begin(now_s())
+        await asyncio.sleep(0.4 if late else 0)
+        writer.write(data[len(data) - late :])
+        caller = SteadyCaller(0)
+        context.usable = [await caller.read(reader, f"r-{n}") for n in range(3)]
+        context.answers = caller.answers
+
+    run_scenario(context.rig, scenario)
+
+
+@then("the caller gets {count:d} complete answers, and the last one closes the connection")
+def all_answered(context, count):
+    assert [status for status, _ in context.answers.values()] == [200] * count, context.answers
+    assert not context.usable[-1]
+
+
 @when("requests arrive whole while a host decides that it may end")
 def arrive_at_end(context):
     context.rig = Rig()
