Refuse requests that are half read when a stopping host ends

What callers saw: a request whose body was still on its way at the end of the grace period ended with a closed connection and no answer.

Cause: the end of the process gives up the requests that are being answered; those that are being read were not looked at.

Change: at that moment they get 503 with a time to return. One behind a request that is given up follows after it, so answers keep their order.

Before: the new scenario of front/shutdown.feature failed (0 bytes received).

--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -10,7 +10,7 @@
 from redwingbank.clock import now_s
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.front.exchange import Exchange
-from redwingbank.front.refusals import error_body
+from redwingbank.front.refusals import refusal
 from redwingbank.front.socket_queue import unacknowledged_bytes
 from redwingbank.front.wire import RequestReader, WireError
 from redwingbank.rules.arrival import FIRST_REQUEST_S, is_body_too_slow
@@ -184,6 +184,12 @@
         if not self.busy:
             self._close()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse a request that is being read, unless there is one before it."""
+        waits = self._exchange is not None or self._pending
+        if self.request_started_s is not None and not (waits or self._closing):
+            self._reject(Code.LEAVING, "request not complete before the end")
+
     def check_timeouts(self, now: float) -> None:
         """Close the connection if it is idle for too long; refuse a request that is too slow."""
         limits = self._router.limits()
@@ -266,9 +272,10 @@
         self._router.count("refused_total", "", code=str(int(code)))
         if self._exchange is None:
             self._keep_alive = False
-            headers = b"Content-Type: application/json\r\n"
-            body = error_body(code, Ran.NO, None)
-            self.send_answer(MEANING_BY_CODE[code].status, b"", headers, body)
+            retry_after_s = (
+                self._router.retry_after_s(code) if MEANING_BY_CODE[code].retry else None
+            )
+            self.send_answer(*refusal(code, "", Ran.NO, retry_after_s))
         else:
             # the answer in progress is completed, then the connection is closed
             self._keep_alive = False
--- a/src/redwingbank/front/open_work.py
+++ b/src/redwingbank/front/open_work.py
@@ -18,6 +18,9 @@
     def close_idle(self) -> None:
         """Close the connection unless it is busy."""
 
+    def refuse_incomplete(self) -> None:
+        """Refuse a request that is being read, unless there is one before it."""
+
 
 class OpenExchange(Protocol):
     """A request that is being answered."""
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -181,7 +181,8 @@
     async def _close(self) -> None:
         """Stop listening, and answer the requests that have arrived meanwhile.
 
-        Those that no server has answered by the end of the grace period get an error.
+        Those that no server has answered, or that are not complete, by the end of the grace
+        period get an error.
         """
         for listener in self._listeners:
             await listener.drain()
@@ -193,7 +194,12 @@
                 break
         for exchange in list(self.router.exchanges):
             self.router.guard(exchange.give_up, exchange.cancel)
-        await anyio.sleep(LAST_READ_S)
+        for _ in range(2):
+            # the second time those behind requests that were refused meanwhile
+            for connection in list(self.router.connections):
+                with self.router.barrier.confine("connections"):
+                    connection.refuse_incomplete()
+            await anyio.sleep(LAST_READ_S)
 
     def _check_connections(self, now: float) -> None:
         for connection in list(self.router.connections):
--- a/tests/front/shutdown.feature
+++ b/tests/front/shutdown.feature
@@ -66,6 +66,10 @@
       | 2 more have come on the connection         |
       | 2 more come on the connection, one in parts |
 
+  Scenario: a request half read at the end of the grace period is refused, not closed silently
+    When a host with 2 s of grace has read half of a booking, and the rest never comes
+    Then the caller gets 503 with a time to return before the grace period ends
+
   Scenario: a request that arrives whole in the moment at which the process could end is answered
     When requests arrive whole while a host decides that it may end
     Then each of these callers gets a complete answer
--- a/tests/steps/front_shutdown.py
+++ b/tests/steps/front_shutdown.py
@@ -244,6 +244,31 @@
     assert not context.usable[-1]
 
 
+@when("a host with {grace:d} s of grace has read half of a booking, and the rest never comes")
+def never_whole(context, grace):
+    context.rig = Rig(graceS=grace)
+
+    async def scenario(rig):
+        reader, writer = await rig.connect()
+        writer.write(request("single", close=False)[:-2])
+        await rig.until(lambda: any(one.busy for one in rig.front.router.connections))
+        rig.front.router.shutdown.begin(now_s())
+        started_s = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(close_at_end(rig))
+            context.answer = await read_all(reader)
+        context.took_s = time.monotonic() - started_s
+
+    run_scenario(context.rig, scenario)
+
+
+@then("the caller gets 503 with a time to return before the grace period ends")
+def refused_in_time(context):
+    assert context.answer.status == 503, context.answer.raw
+    assert context.took_s < context.rig.bounds["graceS"], context.took_s
+    says_when(context)
+
+
 @when("requests arrive whole while a host decides that it may end")
 def arrive_at_end(context):
     context.rig = Rig()
