Wait for slow callers to take their answers before a stopping host ends

What callers saw: a caller that reads a large answer slowly from a host in its planned stop got the first part of it; then the connection was reset, with most of the grace period left.

Cause: a connection counted as busy only until the last byte of an answer was written to the transport. What the system had not yet taken was lost when the process ended.

Change: a connection is busy as long as the transport holds bytes. The end of the grace period bounds the wait, as it does for requests.

Before: the new scenario of front/shutdown.feature failed (12396 of 450000 bytes arrived). After: shutdown and kept_connections features, 27 scenarios passed, 0 failed.

--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -63,11 +63,14 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being read or answered, or the first one is on its way."""
+        """Whether a request is being read or answered, or the first one is on its way.
+
+        An answer is complete when the system has taken all of it.
+        """
         return (
             self._exchange is not None
-            or self.request_started_s is not None
-            or bool(self._pending)
+            or self._has_next
+            or (self._transport is not None and self._transport.get_write_buffer_size() > 0)
             or (self._unused and now_s() - self.idle_since_s < FIRST_REQUEST_S)
         )
 
--- a/tests/front/shutdown.feature
+++ b/tests/front/shutdown.feature
@@ -70,6 +70,10 @@
     When a host with 2 s of grace has read half of a booking, and the rest never comes
     Then the caller gets 503 with a time to return before the grace period ends
 
+  Scenario: an answer that its caller has not read yet is not cut off when the process could end
+    When a caller reads a large answer slowly from a host that began to shut down 2.9 s ago
+    Then the caller gets all of it
+
   Scenario: a request that arrives whole in the moment at which the process could end is answered
     When requests arrive whole while a host decides that it may end
     Then each of these callers gets a complete answer
--- a/tests/steps/front_kept_connections.py
+++ b/tests/steps/front_kept_connections.py
@@ -31,7 +31,7 @@
         return True
 
 
-async def read_slowly(rig):
+async def read_slowly(rig, pause_s=PAUSE_S):
     """Ask for a large answer, and read it after the server has sent all of it."""
     loop = asyncio.get_running_loop()
     with socket.socket() as caller:
@@ -43,7 +43,7 @@
             sending = connection._transport.get_extra_info("socket")
             sending.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SMALL_BUFFER_BYTES)
         await loop.sock_sendall(caller, request("read", request_id="large"))
-        await asyncio.sleep(PAUSE_S)
+        await asyncio.sleep(pause_s)
         size = 0
         while data := await loop.sock_recv(caller, LARGE_BODY_BYTES):
             size += len(data)
--- a/tests/steps/front_shutdown.py
+++ b/tests/steps/front_shutdown.py
@@ -14,6 +14,7 @@
 from pathlib import Path
 
 from behave import given, then, when
+from front_kept_connections import LARGE_BODY_BYTES, LargeAnswers, read_slowly
 
 from front_rig import LOOPBACK, Rig, boot, free_ports, request, run_scenario, table
 from redwingbank.clock import now_s
@@ -269,6 +270,25 @@
     says_when(context)
 
 
+@when("a caller reads a large answer slowly from a host that began to shut down {since:g} s ago")
+def reads_slowly(context, since):
+    context.rig = Rig(modes=())
+    context.rig.backend_servers = [LargeAnswers("i-1")]
+
+    async def scenario(rig):
+        rig.front.router.shutdown.begin(now_s() - since)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(close_at_end(rig))
+            context.size = await read_slowly(rig, pause_s=1.0)
+
+    run_scenario(context.rig, scenario)
+
+
+@then("the caller gets all of it")
+def gets_all(context):
+    assert context.size > LARGE_BODY_BYTES, context.size
+
+
 @when("requests arrive whole while a host decides that it may end")
 def arrive_at_end(context):
     context.rig = Rig()
