Ask before each send whether an answer can end before a stopping host

Cause: whether the answer can end in time was asked once, when the request had been read. Every later send took that answer for granted.

A request that has not run gets 503 and a time to return, one that may have run 502. One that was read while the balancer still sent connections may be sent again later, if its class's measured answers fit into what is left.

--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -68,6 +68,9 @@
     def forward_failed(self, code: Code) -> None:
         """Answer the request with an error; nothing was answered yet."""
 
+    def may_send(self) -> bool:
+        """Whether an answer can end before this host does; one that has begun goes on."""
+
     def may_repeat(self) -> bool:
         """Use one repeat of the pool's allowance; false if there is none."""
 
@@ -202,6 +205,8 @@
     def _pick(self) -> str:
         if len(self._tried) >= MAX_HELPERS or now_s() >= self._call.give_up_s:
             return ""
+        if not self._owner.may_send():
+            return ""
         return self._forwarding.pick(self._call.pool, self._tried)
 
     def _send_to(self, helper: str) -> None:
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -105,12 +105,8 @@
             self._refuse(admitted)
             return
         self._admitted = self._recorder.admitted = admitted
-        wait_s = longest_wait_s(admitted)
-        longest_s = self._router.durations.longest_s(admitted.route.name)
-        if not self._router.shutdown.admits(now_s(), wait_s, longest_s):
-            self._refuse(Code.LEAVING)
-            return
-        self._request = build_request(admitted, self._arrived_s, wait_s)
+        self._request = build_request(admitted, self._arrived_s, longest_wait_s(admitted))
+        self._router.durations.begin(admitted.route.name, self, now_s())
         traits = request_traits(
             self._head.target, self._request.organisation, self._body, facts.shared_parts
         )
@@ -119,7 +115,7 @@
         self._life.advance(Step.QUEUE)
         left_s = self._request.give_up_s - now_s()
         loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(max(0.0, left_s) + TIMEOUT_GRACE_S, self._time_out)
+        self._timer = loop.call_later(max(0.0, left_s) + TIMEOUT_GRACE_S, self.give_up)
         self._binding = StreamBinding(self._router, admitted)
         self._binding.find(self._origin_found)
 
@@ -152,8 +148,9 @@
         self._close()
 
     def give_up(self) -> None:
-        """Answer with an error before the process ends, as at the end of the request's time."""
-        self._time_out()
+        """Answer with an error, at the end of the request's time or before the process ends."""
+        if not self._closed:
+            self._fail(Code.WAIT_EXPIRED if self._life.ran is Ran.NO else Code.BACKEND_TIMEOUT)
 
     def pause(self) -> None:
         """Stop reading the answer while the caller is slow."""
@@ -187,6 +184,11 @@
         assert self._admitted
         return self._router.allowance.try_spend(self._admitted.pool, now_s())
 
+    def may_send(self) -> bool:
+        """Whether an answer can end before this host does; one that has begun goes on."""
+        assert self._request
+        return self._answer.begun or self._router.may_send(self._request, self, now_s())
+
     def run_forward(self, step: Callable[[], None]) -> None:
         """Run a step of a forward; after an unexpected error, log it and end the request."""
         self._router.guard(step, self.fail_internally)
@@ -333,15 +335,17 @@
         assert self._request and self._admitted and self._binding
         admitted, request = self._admitted, self._request
         self._holder.check_free(request.request_id)
+        if not self.may_send():
+            self._fail(Code.LEAVING)
+            return
         now = now_s()
         blocked = self._watch.find_blocked(now)
         if blocked:
             self._retry_after_s = self._router.poison.causes.seconds_left(blocked, now)
             self._fail(Code.CRASHES_SERVERS)
             return
-        data_centre = self._router.settings.data_centre
-        needs = build_needs(admitted, request, data_centre, now, begun=self._answer.begun)
-        pool = self._router.pool(admitted.pool)
+        place, pool = self._router.settings.data_centre, self._router.pool(admitted.pool)
+        needs = build_needs(admitted, request, place, now, begun=self._answer.begun)
         entries = self._binding.usable()
         if self._router.forwarding.cut_pools:
             selected = self._handover.select_servers(
@@ -443,11 +447,6 @@
         usable, give_up_s = self._binding.usable(), self._give_up_s()
         return self._tries.may_retry_answer(status, self._admitted, usable, give_up_s, now_s())
 
-    def _time_out(self) -> None:
-        if self._closed:
-            return
-        self._fail(Code.WAIT_EXPIRED if self._life.ran is Ran.NO else Code.BACKEND_TIMEOUT)
-
     def _fail(self, code: Code) -> None:
         """End the request with an error answer, or by aborting a stream that has started."""
         code = self._life.correct_code(code)
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -13,6 +13,7 @@
 from redwingbank.forwarding.task import Forwarding
 from redwingbank.front.admission import Admission
 from redwingbank.front.allowance import RetryAllowance
+from redwingbank.front.answer_durations import AnswerDurations
 from redwingbank.front.backends import Backends
 from redwingbank.front.crash_probe import CrashProbes
 from redwingbank.front.digest import Place
@@ -21,7 +22,7 @@
 from redwingbank.front.peers import OWN_HOST, PROGRESS_BATCH_S, Peers
 from redwingbank.front.poison import PoisonTracker
 from redwingbank.front.server_statements import ServerStatements
-from redwingbank.front.shutdown import AnswerDurations, Shutdown
+from redwingbank.front.shutdown import Shutdown
 from redwingbank.front.stream_sharing import StreamSharing
 from redwingbank.front.values import Kind, Limits, Pool
 from redwingbank.metrics import Metrics
@@ -38,6 +39,7 @@
     from redwingbank.front.backends import Backend
     from redwingbank.front.open_work import OpenConnection, OpenExchange
     from redwingbank.front.values import HostSettings
+    from redwingbank.model import Request
     from redwingbank.platform.headers import AnswerFacts
     from redwingbank.routing.choice import Choice, RequestNeeds
 
@@ -156,6 +158,16 @@
         """Return after how long a refused caller may retry."""
         return RETRY_AFTER_S_BY_CODE.get(code, RETRY_AFTER_S)
 
+    def may_send(self, request: Request, owner: OpenExchange, now: float) -> bool:
+        """Whether the answer to a request that is sent now can end before this host does."""
+        durations = self.durations
+        return not self.shutdown.begun or self.shutdown.may_send(
+            now,
+            begun_s=durations.begun_s(owner),
+            give_up_s=request.give_up_s,
+            likely_s=durations.longest_s(request.class_name),
+        )
+
     def forward_pending(self, pool: str, sent_before_s: float) -> None:
         """Forward requests that wait for servers of a pool that is cut off."""
         for exchange in list(self.exchanges):
@@ -165,6 +177,7 @@
     def remove_exchange(self, exchange: OpenExchange) -> None:
         """Remove a request that has ended."""
         self.exchanges.discard(exchange)
+        self.durations.end(exchange)
 
     def record_send(
         self, choice: Choice, needs: RequestNeeds, organisation: str, now_s: float
--- a/src/redwingbank/front/shutdown.py
+++ b/src/redwingbank/front/shutdown.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-from collections import OrderedDict, deque
-
 # The balancer checks readiness once per second and removes a host after two failed checks.
 BALANCER_REMOVAL_S = 2.5
 # A host keeps listening for new connections until the balancer has surely removed it.
@@ -14,27 +12,6 @@
 ARRIVAL_SHARE = 3 / 4
 CLOSING_SHARE = 1 / 12
 UNMEASURED_SHARE = 1 / 2
-MEASURED_ANSWERS = 64
-MAX_CLASSES = 256
-
-
-class AnswerDurations:
-    """How long the latest complete answers of each class took, in seconds."""
-
-    def __init__(self) -> None:
-        self._durations_by_class: OrderedDict[str, deque[float]] = OrderedDict()
-
-    def record(self, class_name: str, took_s: float) -> None:
-        """Record a complete answer."""
-        latest = self._durations_by_class.setdefault(class_name, deque(maxlen=MEASURED_ANSWERS))
-        self._durations_by_class.move_to_end(class_name)
-        latest.append(took_s)
-        while len(self._durations_by_class) > MAX_CLASSES:
-            self._durations_by_class.popitem(last=False)
-
-    def longest_s(self, class_name: str) -> float | None:
-        """Return the longest of the latest answers; None if there were none."""
-        return max(self._durations_by_class.get(class_name, ()), default=None)
 
 
 class Shutdown:
@@ -69,18 +46,22 @@
         """Whether connections without a request are closed."""
         return self._elapsed_s(now_s) >= self._removal_s
 
-    def admits(self, now_s: float, wait_s: float, longest_s: float | None = None) -> bool:
-        """Whether a request is still admitted, since its answer can end in time.
+    def may_send(
+        self, now_s: float, *, begun_s: float, give_up_s: float, likely_s: float | None
+    ) -> bool:
+        """Whether a request may be sent to a server, since its answer can end in time.
 
-        `wait_s` is how long the answer may take, `longest_s` how long the latest answers of its
-        class took at most, None if none were measured. While the balancer still sends new
-        connections an answer that likely ends in time is admitted, later one that surely does.
+        `begun_s` is when the request was read, `give_up_s` when its time is over, and `likely_s`
+        how long an answer of its class takes, None if none were measured. One whose answer surely
+        ends in time may be sent. One whose answer likely does may be if it was read while the
+        balancer still sends new connections.
         """
-        elapsed_s = self._elapsed_s(now_s)
-        if not self.begun or elapsed_s + wait_s < self._end_s:
+        if not self.begun or self._elapsed_s(give_up_s) < self._end_s:
             return True
-        likely_s = self._grace_s * UNMEASURED_SHARE if longest_s is None else longest_s
-        return elapsed_s < self._arrivals_end_s and elapsed_s + likely_s < self._end_s
+        if likely_s is None:
+            likely_s = self._grace_s * UNMEASURED_SHARE
+        in_time = self._elapsed_s(now_s) + likely_s < self._end_s
+        return in_time and self._elapsed_s(begun_s) < self._arrivals_end_s
 
     def finished(self, now_s: float, *, busy: bool) -> bool:
         """Whether the process may end."""
@@ -97,4 +78,4 @@
         return 0.0 if self._begun_s is None else now_s - self._begun_s
 
 
-__all__ = ["AnswerDurations", "Shutdown"]
+__all__ = ["Shutdown"]
--- a/tests/front/forwarding.feature
+++ b/tests/front/forwarding.feature
@@ -43,6 +43,11 @@
       | single | reaches no servers either          | 200    | 1    |
       | memo   | breaks inside the stream           | cut    | 0    |
 
+  Scenario: a call is not forwarded again when its answer would be cut off by the end of the host
+    Given a cut front with 2 helpers of which the first reaches no servers either, and says so late
+    When its caller sends a single request 2.9 s after the host began to shut down
+    Then the caller gets 503 and servers ran it 0 times
+
   Scenario Outline: a forwarded <kind> stream that has begun and is given up ends as a broken-off stream
     Given a cut front with 2 helpers of which the first falls silent inside the stream
     When its caller sends a <kind> request, and it is given up as <why>
--- a/tests/front/shutdown.feature
+++ b/tests/front/shutdown.feature
@@ -74,6 +74,11 @@
     When a caller reads a large answer slowly from a host that began to shut down 2.9 s ago
     Then the caller gets all of it
 
+  Scenario: a refused request is not sent again when its answer would be cut off by the end
+    When a host with 2 s of grace sends a booking, and its server refuses it 1.2 s later
+    Then the front answers 503 and the request ran 0 times
+    And the answer says when to retry
+
   Scenario: a request that arrives whole in the moment at which the process could end is answered
     When requests arrive whole while a host decides that it may end
     Then each of these callers gets a complete answer
--- a/tests/steps/front_forwarding.py
+++ b/tests/steps/front_forwarding.py
@@ -9,7 +9,7 @@
 from behave import given, then, when
 
 from forward_fleet import CONTACT_S, POOL, Fleet, events, forwarded, make_cut, make_rig
-from front_rig import LOOPBACK, Rig, free_ports, request, run_scenario
+from front_rig import LOOPBACK, Rig, free_ports, request, run_scenario, table
 from redwingbank.clock import now_s
 from redwingbank.front.digest import Digest
 from redwingbank.routing.reachability import Reach
@@ -24,6 +24,10 @@
 SERVED_SHARE = 2 / 3
 FAILURES = 10
 FAILURE_SHARE = 1 / 50
+# a helper that answers late does so after this time
+LATE_S = 0.4
+# within the grace period of 8 s
+LONGEST_IN_GRACE_S = 8 * 11 / 12
 
 
 @given("{hosts:d} fronts and {servers:d} servers with callers at each front")
@@ -205,7 +209,8 @@
             writer.write(head + b"Transfer-Encoding: chunked\r\n\r\n9\r\ndata: x\n\n\r\n")
             await writer.drain()
             await asyncio.sleep(60.0 if self.fault.startswith("falls silent") else 0.1)
-        if self.fault == "reaches no servers either":
+        if self.fault.startswith("reaches no servers either"):
+            await asyncio.sleep(LATE_S if self.fault.endswith("late") else 0.0)
             body = b'{"error":{"code":1220,"message":"x","ran":"no"}}'
             head = b"HTTP/1.1 503 x\r\nRequest-Id: r-1\r\nContent-Length: %d\r\n\r\n" % len(body)
             writer.write(head + body)
@@ -260,6 +265,18 @@
     run_scenario(context.rig, lambda rig: with_cut_front(context, rig, act))
 
 
+@when("its caller sends a {kind} request 2.9 s after the host began to shut down")
+def caller_sends_late(context, kind):
+    async def act(fleet, cut):
+        cut.router.durations.record("book", LONGEST_IN_GRACE_S - 2.9 - LATE_S / 2)
+        cut.router.shutdown.begin(now_s() - 2.9)
+        context.answer = await fleet.rig.ask(kind, front=cut, deadline_ms=6000)
+        context.runs = sum(run.request_id == "r-1" for run in fleet.rig.runs())
+
+    content = table(timeout_ms=6000)
+    run_scenario(context.rig, lambda rig: with_cut_front(context, rig, act), content)
+
+
 @when("its caller sends a {kind} request, and it is given up as {why}")
 def given_up(context, kind, why):
     async def act(fleet, cut):
--- a/tests/steps/front_shutdown.py
+++ b/tests/steps/front_shutdown.py
@@ -20,6 +20,7 @@
 from redwingbank.clock import now_s
 from redwingbank.front.shutdown import Shutdown
 from redwingbank.settings import Address
+from redwingbank_standins.backend_server import BackendServer
 from redwingbank_standins.raw_response import parse_response
 
 START_TIMEOUT_S = 10.0
@@ -289,6 +290,38 @@
     assert context.size > LARGE_BODY_BYTES, context.size
 
 
+class LateRefusals(BackendServer):
+    """Refuses the first request that any of these servers gets, after a time."""
+
+    after_s = 1.2
+
+    async def _respond(self, request, writer, reader):
+        if not self.refused:
+            self.refused.append(request)
+            await asyncio.sleep(self.after_s)
+            writer.write(b"HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+            return True
+        return await super()._respond(request, writer, reader)
+
+
+@when("a host with 2 s of grace sends a booking, and its server refuses it 1.2 s later")
+def refused_late(context):
+    context.rig = Rig(modes=(), graceS=2)
+    servers = context.rig.backend_servers = [LateRefusals("i-1"), LateRefusals("i-2")]
+    refused = []
+    for server in servers:
+        server.refused, server.pause_s = refused, 0.9
+
+    async def scenario(rig):
+        rig.front.router.durations.record("book", 0.9)
+        rig.front.router.shutdown.begin(now_s())
+        async with asyncio.TaskGroup() as group:
+            group.create_task(close_at_end(rig))
+            context.answer = await rig.ask("single", deadline_ms=6000)
+
+    run_scenario(context.rig, scenario, table(timeout_ms=6000))
+
+
 @when("requests arrive whole while a host decides that it may end")
 def arrive_at_end(context):
     context.rig = Rig()
