Measure answers for the planned stop without the time of the bodies

What callers saw: after a few bodies that came slowly, a stopping host refused requests of their class whose answers would have ended in time.

Cause: the duration of an answer was measured from the first byte of its request, but added to the moment at which a request had been read whole.

Change: it is measured from that moment.

Before: the new scenario of front/shutdown.feature failed (0.503 s for an answer that came at once, after a body of 0.5 s). After: it passed.

--- a/src/redwingbank/front/request_recorder.py
+++ b/src/redwingbank/front/request_recorder.py
@@ -28,6 +28,7 @@
         self.admitted: AdmittedRequest | None = None
         self._router = router
         self._arrived_s = arrived_s
+        self._read_s = now_s()
         self._last_event_s: float | None = None
         self._first_event_ms: int | None = None
         self._longest_pause_s = 0.0
@@ -133,7 +134,7 @@
         """Record an answer that was forwarded completely."""
         took_s = now_s() - self._arrived_s
         self._router.observe("answer_seconds", took_s, self._class_name())
-        self._router.durations.record(self._class_name(), took_s)
+        self._router.durations.record(self._class_name(), now_s() - self._read_s)
         self._router.count("answered_total", self._class_name(), status=str(status))
         self._router.log.detail(
             "request-done",
--- a/tests/front/shutdown.feature
+++ b/tests/front/shutdown.feature
@@ -79,6 +79,10 @@
     Then the front answers 503 and the request ran 0 times
     And the answer says when to retry
 
+  Scenario: a body that comes slowly does not make its class's answers look slow
+    When a stopping host has answered a booking whose body took 0.5 s
+    Then the answers of its class count as shorter than 0.4 s
+
   Scenario: a request that arrives whole in the moment at which the process could end is answered
     When requests arrive whole while a host decides that it may end
     Then each of these callers gets a complete answer
--- a/tests/steps/front_shutdown.py
+++ b/tests/steps/front_shutdown.py
@@ -322,6 +322,27 @@
     run_scenario(context.rig, scenario, table(timeout_ms=6000))
 
 
+@when("a stopping host has answered a booking whose body took {took:g} s")
+def slow_body(context, took):
+    context.rig = Rig()
+
+    async def scenario(rig):
+        data = request("single")
+        reader, writer = await rig.connect()
+        writer.write(data[:-2])
+        await asyncio.sleep(took)
+        writer.write(data[-2:])
+        await read_all(reader)
+        return rig.front.router.durations
+
+    context.durations = run_scenario(context.rig, scenario)
+
+
+@then("the answers of its class count as shorter than {seconds:g} s")
+def counts_as(context, seconds):
+    assert context.durations.longest_s("book") < seconds, context.durations.longest_s("book")
+
+
 @when("requests arrive whole while a host decides that it may end")
 def arrive_at_end(context):
     context.rig = Rig()
