Take no forwards on a host that is told to stop while it starts

Cause: SIGTERM ends the taking of forwards; one that came before the forward listener was open was undone when that opened.

Change: the listener looks whether the shutdown has begun.

Before: the new scenario of front/shutdown.feature failed. After: it passed.

--- a/src/redwingbank/forwarding/listener.py
+++ b/src/redwingbank/forwarding/listener.py
@@ -25,7 +25,8 @@
     except OSError as error:
         router.log.essential("forwards-refused", address=str(settings.peer), reason=str(error))
         return None
-    forwarding.takes_forwards = True
+    # the shutdown may have begun while the front started
+    forwarding.takes_forwards = not router.shutdown.begun
     return listener
 
 
--- a/tests/front/shutdown.feature
+++ b/tests/front/shutdown.feature
@@ -112,6 +112,10 @@
     When callers connect and send requests while a host decides that it may end
     Then each of these callers gets a complete answer
 
+  Scenario: a host that is told to stop while it starts does not take other hosts' requests
+    When a host begins to shut down before it listens
+    Then it tells no other host that it takes forwarded requests
+
   Scenario: a reload signal that comes while the front starts does not end it
     When a front gets SIGHUP while it imports its libraries
     Then it runs on
--- a/tests/steps/front_shutdown.py
+++ b/tests/steps/front_shutdown.py
@@ -19,13 +19,16 @@
 from front_rig import LOOPBACK, Rig, boot, free_ports, request, run_scenario, table
 from redwingbank.clock import now_s
 from redwingbank.front.answer_durations import AnswerDurations
+from redwingbank.front.program import Front
 from redwingbank.front.shutdown import Shutdown
+from redwingbank.platform.settings import read_host_settings
 from redwingbank.settings import Address
 from redwingbank_standins.backend_server import BackendServer
 from redwingbank_standins.raw_response import parse_response
 
 START_TIMEOUT_S = 10.0
 RUNNING_S = 1.5
+LISTENERS = ("callers", "readiness", "metrics", "forwards")
 
 
 @when(
@@ -443,6 +446,28 @@
         assert answer.status in {200, 503}, answer.raw
 
 
+@when("a host begins to shut down before it listens")
+def leaves_before_it_listens(context):
+    context.rig = Rig(contactMs=3000)
+
+    async def scenario(rig):
+        document = boot(rig.front.router.settings.store, free_ports(4), **rig.bounds)
+        rig.path.write_text(json.dumps(document))
+        front = Front(rig.path, read_host_settings(rig.path))
+        front.handle_signal(signal.SIGTERM)
+        task = asyncio.create_task(front.serve())
+        await rig.until(lambda: len(front._listeners) == len(LISTENERS))
+        task.cancel()
+        return front.router.forwarding.takes_forwards
+
+    context.takes_forwards = run_scenario(context.rig, scenario)
+
+
+@then("it tells no other host that it takes forwarded requests")
+def takes_none(context):
+    assert not context.takes_forwards
+
+
 @when("a front gets SIGHUP while it imports its libraries")
 def reload_at_start(context):
     with tempfile.TemporaryDirectory() as folder:
