--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -10,7 +10,7 @@
 from redwingbank.clock import now_s
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.front.exchange import Exchange
-from redwingbank.front.refusals import error_body
+from redwingbank.front.refusals import refusal
 from redwingbank.front.socket_queue import unacknowledged_bytes
 from redwingbank.front.wire import RequestReader, WireError
 from redwingbank.rules.arrival import FIRST_REQUEST_S, is_body_too_slow
@@ -64,11 +64,14 @@
 
     @property
     def busy(self) -> bool:
-        """Whether a request is being read or answered, or the first one is on its way."""
+        """Whether a request is being read or answered, or the first one is on its way.
+
+        An answer is complete when the system has taken all of it.
+        """
         return (
             self._exchange is not None
-            or self.request_started_s is not None
-            or bool(self._pending)
+            or self._has_next
+            or (self._transport is not None and self._transport.get_write_buffer_size() > 0)
             or (self._unused and now_s() - self.idle_since_s < FIRST_REQUEST_S)
         )
 
@@ -187,6 +190,12 @@
         if not self.busy:
             self._close()
 
+    def refuse_incomplete(self) -> None:
+        """Refuse a request that is being read, unless there is one before it."""
+        waits = self._exchange is not None or self._pending
+        if self.request_started_s is not None and not (waits or self._closing):
+            self._reject(Code.LEAVING, "request not complete before the end")
+
     def check_timeouts(self, now: float) -> None:
         """Close the connection if it is idle for too long; refuse a request that is too slow."""
         limits = self._router.limits()
@@ -244,13 +253,23 @@
         self._exchange = None
         self._to_head = False
         self.idle_since_s = now_s()
-        if not self._keep_alive or self._router.shutdown.closes_connections:
+        if not self._keep_alive or self._is_last:
             self._close()
         elif self._pending:
             asyncio.get_running_loop().call_soon(self._start_next)
 
+    @property
+    def _has_next(self) -> bool:
+        """Whether a request behind the one in progress has been read, or is being read."""
+        return bool(self._pending) or self.request_started_s is not None
+
+    @property
+    def _is_last(self) -> bool:
+        """Whether the connection closes after the current answer, since the host stops."""
+        return self._router.shutdown.closes_connections and not self._has_next
+
     def _connection_header(self) -> bytes:
-        if self._router.shutdown.closes_connections:
+        if self._is_last:
             self._keep_alive = False
         return b"" if self._keep_alive else b"Connection: close\r\n"
 
@@ -260,9 +279,10 @@
         self._router.count("refused_total", "", code=str(int(code)))
         if self._exchange is None:
             self._keep_alive = False
-            headers = b"Content-Type: application/json\r\n"
-            body = error_body(code, Ran.NO, None)
-            self.send_answer(MEANING_BY_CODE[code].status, b"", headers, body)
+            retry_after_s = (
+                self._router.retry_after_s(code) if MEANING_BY_CODE[code].retry else None
+            )
+            self.send_answer(*refusal(code, "", Ran.NO, retry_after_s))
         else:
             # the answer in progress is completed, then the connection is closed
             self._keep_alive = False
--- a/tests/front/shutdown.feature
+++ b/tests/front/shutdown.feature
@@ -57,6 +57,43 @@
       | 3.1   | 0.2   |
       | 7.2   | 0.15  |
 
+  Scenario Outline: requests read behind one that is answered as the host stops are answered: <what>
+    When a host begins to shut down while it answers a booking, and <what>
+    Then the caller gets 3 complete answers, and the last one closes the connection
+
+    Examples:
+      | what                                      |
+      | 2 more have come on the connection         |
+      | 2 more come on the connection, one in parts |
+
+  Scenario: a request half read at the end of the grace period is refused, not closed silently
+    When a host with 2 s of grace has read half of a booking, and the rest never comes
+    Then the caller gets 503 with a time to return before the grace period ends
+
+  Scenario: an answer that its caller has not read yet is not cut off when the process could end
+    When a caller reads a large answer slowly from a host that began to shut down 2.9 s ago
+    Then the caller gets all of it
+
+  Scenario: a refused request is not sent again when its answer would be cut off by the end
+    When a host with 2 s of grace sends a booking, and its server refuses it 1.2 s later
+    Then the front answers 503 and the request ran 0 times
+    And the answer says when to retry
+
+  Scenario: a body that comes slowly does not make its class's answers look slow
+    When a stopping host has answered a booking whose body took 0.5 s
+    Then the answers of its class count as shorter than 0.4 s
+
+  Scenario Outline: servers that grow slow during a stop are noticed before their answers are complete
+    Given a class whose answers took 0.6 s, and <slow> of <count> requests open for <age> s
+    Then an answer is expected to take <expected> s
+
+    Examples:
+      | slow | count | age | expected |
+      | 20   | 20    | 0.5 | 0.6      |
+      | 20   | 20    | 1.5 | 3.0      |
+      | 4    | 20    | 1.5 | 0.6      |
+      | 3    | 3     | 1.5 | 0.6      |
+
   Scenario: a request that arrives whole in the moment at which the process could end is answered
     When requests arrive whole while a host decides that it may end
     Then each of these callers gets a complete answer
@@ -75,6 +112,10 @@
     When callers connect and send requests while a host decides that it may end
     Then each of these callers gets a complete answer
 
+  Scenario: a host that is told to stop while it starts does not take other hosts' requests
+    When a host begins to shut down before it listens
+    Then it tells no other host that it takes forwarded requests
+
   Scenario: a reload signal that comes while the front starts does not end it
     When a front gets SIGHUP while it imports its libraries
     Then it runs on
--- a/tests/steps/front_shutdown.py
+++ b/tests/steps/front_shutdown.py
@@ -14,15 +14,21 @@
 from pathlib import Path
 
 from behave import given, then, when
+from front_kept_connections import LARGE_BODY_BYTES, LargeAnswers, read_slowly
 
 from front_rig import LOOPBACK, Rig, boot, free_ports, request, run_scenario, table
 from redwingbank.clock import now_s
+from redwingbank.front.answer_durations import AnswerDurations
+from redwingbank.front.program import Front
 from redwingbank.front.shutdown import Shutdown
+from redwingbank.platform.settings import read_host_settings
 from redwingbank.settings import Address
+from redwingbank_standins.backend_server import BackendServer
 from redwingbank_standins.raw_response import parse_response
 
 START_TIMEOUT_S = 10.0
 RUNNING_S = 1.5
+LISTENERS = ("callers", "readiness", "metrics", "forwards")
 
 
 @when(
@@ -117,8 +123,12 @@
         """Send a request; return whether the connection may be used again."""
         self.sent += 1
         name = f"r-{self.number}-{self.sent}"
+        writer.write(request("read", request_id=name, close=False))
+        return await self.read(reader, name)
+
+    async def read(self, reader, name):
+        """Read an answer; return whether the connection may be used again."""
         try:
-            writer.write(request("read", request_id=name, close=False))
             head = await reader.readuntil(b"\r\n\r\n")
             headers = dict(line.split(b": ", 1) for line in head.lower().split(b"\r\n")[1:-2])
             await reader.readexactly(int(headers[b"content-length"]))
@@ -213,6 +223,146 @@
         return parse_response(b"")
 
 
+@when("a host begins to shut down while it answers a booking, and {what}")
+def read_behind(context, what):
+    context.rig = Rig()
+    context.rig.backend_servers[0].pause_s = 0.3
+
+    async def scenario(rig):
+        data = b"".join(request("single", request_id=f"r-{n}", close=False) for n in range(3))
+        late = 20 if what.endswith("in parts") else 0
+        reader, writer = await rig.connect()
+        writer.write(data[: len(data) - late])
+        await rig.until(rig.runs)
+        rig.front.router.shutdown.begin(now_s())
+        await asyncio.sleep(0.4 if late else 0)
+        writer.write(data[len(data) - late :])
+        caller = SteadyCaller(0)
+        context.usable = [await caller.read(reader, f"r-{n}") for n in range(3)]
+        context.answers = caller.answers
+
+    run_scenario(context.rig, scenario)
+
+
+@then("the caller gets {count:d} complete answers, and the last one closes the connection")
+def all_answered(context, count):
+    assert [status for status, _ in context.answers.values()] == [200] * count, context.answers
+    assert not context.usable[-1]
+
+
+@when("a host with {grace:d} s of grace has read half of a booking, and the rest never comes")
+def never_whole(context, grace):
+    context.rig = Rig(graceS=grace)
+
+    async def scenario(rig):
+        reader, writer = await rig.connect()
+        writer.write(request("single", close=False)[:-2])
+        await rig.until(lambda: any(one.busy for one in rig.front.router.connections))
+        rig.front.router.shutdown.begin(now_s())
+        started_s = time.monotonic()
+        async with asyncio.TaskGroup() as group:
+            group.create_task(close_at_end(rig))
+            context.answer = await read_all(reader)
+        context.took_s = time.monotonic() - started_s
+
+    run_scenario(context.rig, scenario)
+
+
+@then("the caller gets 503 with a time to return before the grace period ends")
+def refused_in_time(context):
+    assert context.answer.status == 503, context.answer.raw
+    assert context.took_s < context.rig.bounds["graceS"], context.took_s
+    says_when(context)
+
+
+@when("a caller reads a large answer slowly from a host that began to shut down {since:g} s ago")
+def reads_slowly(context, since):
+    context.rig = Rig(modes=())
+    context.rig.backend_servers = [LargeAnswers("i-1")]
+
+    async def scenario(rig):
+        rig.front.router.shutdown.begin(now_s() - since)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(close_at_end(rig))
+            context.size = await read_slowly(rig, pause_s=1.0)
+
+    run_scenario(context.rig, scenario)
+
+
+@then("the caller gets all of it")
+def gets_all(context):
+    assert context.size > LARGE_BODY_BYTES, context.size
+
+
+class LateRefusals(BackendServer):
+    """Refuses the first request that any of these servers gets, after a time."""
+
+    after_s = 1.2
+
+    async def _respond(self, request, writer, reader):
+        if not self.refused:
+            self.refused.append(request)
+            await asyncio.sleep(self.after_s)
+            writer.write(b"HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+            return True
+        return await super()._respond(request, writer, reader)
+
+
+@when("a host with 2 s of grace sends a booking, and its server refuses it 1.2 s later")
+def refused_late(context):
+    context.rig = Rig(modes=(), graceS=2)
+    servers = context.rig.backend_servers = [LateRefusals("i-1"), LateRefusals("i-2")]
+    refused = []
+    for server in servers:
+        server.refused, server.pause_s = refused, 0.9
+
+    async def scenario(rig):
+        rig.front.router.durations.record("book", 0.9)
+        rig.front.router.shutdown.begin(now_s())
+        async with asyncio.TaskGroup() as group:
+            group.create_task(close_at_end(rig))
+            context.answer = await rig.ask("single", deadline_ms=6000)
+
+    run_scenario(context.rig, scenario, table(timeout_ms=6000))
+
+
+@when("a stopping host has answered a booking whose body took {took:g} s")
+def slow_body(context, took):
+    context.rig = Rig()
+
+    async def scenario(rig):
+        data = request("single")
+        reader, writer = await rig.connect()
+        writer.write(data[:-2])
+        await asyncio.sleep(took)
+        writer.write(data[-2:])
+        await read_all(reader)
+        return rig.front.router.durations
+
+    context.durations = run_scenario(context.rig, scenario)
+
+
+@then("the answers of its class count as shorter than {seconds:g} s")
+def counts_as(context, seconds):
+    expected_s = context.durations.expected_s("book", now_s())
+    assert expected_s < seconds, expected_s
+
+
+@given(
+    "a class whose answers took {took:g} s, and {slow:d} of {count:d} requests open for {age:g} s"
+)
+def class_with_open(context, took, slow, count, age):
+    context.durations = AnswerDurations()
+    context.durations.record("book", took)
+    for number in range(count):
+        context.durations.begin("book", number, 100.0 - (age if number < slow else 0.0))
+
+
+@then("an answer is expected to take {seconds:g} s")
+def expected(context, seconds):
+    assert context.durations.expected_s("book", 100.0) == seconds
+
+
 @when("requests arrive whole while a host decides that it may end")
 def arrive_at_end(context):
     context.rig = Rig()
@@ -296,6 +446,28 @@
         assert answer.status in {200, 503}, answer.raw
 
 
+@when("a host begins to shut down before it listens")
+def leaves_before_it_listens(context):
+    context.rig = Rig(contactMs=3000)
+
+    async def scenario(rig):
+        document = boot(rig.front.router.settings.store, free_ports(4), **rig.bounds)
+        rig.path.write_text(json.dumps(document))
+        front = Front(rig.path, read_host_settings(rig.path))
+        front.handle_signal(signal.SIGTERM)
+        task = asyncio.create_task(front.serve())
+        await rig.until(lambda: len(front._listeners) == len(LISTENERS))
+        task.cancel()
+        return front.router.forwarding.takes_forwards
+
+    context.takes_forwards = run_scenario(context.rig, scenario)
+
+
+@then("it tells no other host that it takes forwarded requests")
+def takes_none(context):
+    assert not context.takes_forwards
+
+
 @when("a front gets SIGHUP while it imports its libraries")
 def reload_at_start(context):
     with tempfile.TemporaryDirectory() as folder:
