--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -44,7 +44,7 @@
 class ForwardedCall(NamedTuple):
     """A request to forward; `repeatable` is true if it may run more than once.
 
-    `reason` tells why it is forwarded.
+    `max_attempts` is the number of servers that may get it; `reason` tells why it is forwarded.
     """
 
     head: RequestHead
@@ -53,6 +53,7 @@
     pool: str
     give_up_s: float
     repeatable: bool
+    max_attempts: int
     reason: str
 
 
@@ -76,7 +77,8 @@
     """Forwards a request to one helper, or to a second one if nothing was answered.
 
     A request that may run at most once goes to the second one only if no byte of it was sent, or
-    if the first one states that it did not run. A broken stream is closed without its end.
+    if the first one states that it did not run. Any other request that the first one may have sent
+    counts as sent to one server. A broken stream is closed without its end.
     """
 
     def __init__(
@@ -293,7 +295,7 @@
             return
         if not self._sent:
             self._life.advance(Step.NOT_ACCEPTED)
-        another = self._pick() if self._call.repeatable or not self._sent else ""
+        another = self._pick() if not self._sent or self._may_go_to_another_server() else ""
         if another and (not self._sent or self._owner.may_repeat()):
             self._try_another(another)
         else:
@@ -301,6 +303,9 @@
                 Code.BACKEND_FAILED if self._sent else Code.NO_BACKEND_SERVER
             )
 
+    def _may_go_to_another_server(self) -> bool:
+        return self._call.repeatable and self._life.accepted < self._call.max_attempts
+
     def _try_another(self, helper: str) -> None:
         self._life.advance(Step.RETRY)
         self._send_to(helper)
--- a/src/redwingbank/forwarding/handover.py
+++ b/src/redwingbank/forwarding/handover.py
@@ -87,6 +87,7 @@
             request.pool,
             request.give_up_s,
             request.repeatable,
+            request.max_attempts,
             self._reason,
         )
         self._forward = Forward(self._forwarding, owner, call, life, answer, recorder)
--- a/src/redwingbank/front/admission.py
+++ b/src/redwingbank/front/admission.py
@@ -130,6 +130,7 @@
         give_up_s=arrived_s + wait_s,
         prompt_tokens=facts.prompt_tokens,
         repeatable=route.repeatable,
+        max_attempts=route.attempts,
     )
 
 
--- a/src/redwingbank/model.py
+++ b/src/redwingbank/model.py
@@ -14,7 +14,8 @@
     `fingerprint` identifies the body: equal bodies of one organisation have equal fingerprints.
     `parts` are the fingerprints of the messages that requests may share, from the last to the
     first.
-    `repeatable` is false for a call that may run at most once.
+    `repeatable` is false for a call that may run at most once. `max_attempts` is the number of
+    backend servers that may get it.
     """
 
     request_id: str
@@ -31,6 +32,7 @@
     repeatable: bool = True
     attempt: int = 1
     parts: tuple[str, ...] = ()
+    max_attempts: int = 1
 
 
 class LoadReport(NamedTuple):
--- a/src/redwingbank/rules/lifecycle.py
+++ b/src/redwingbank/rules/lifecycle.py
@@ -76,11 +76,15 @@
 
     `ran` only rises, except that it is restored after an attempt that is known not to have
     been accepted (no connection, or a refusal by a server that refuses before it runs).
+    `accepted` counts the other sends, each of which may have run it.
 
     >>> lifecycle = Lifecycle("a1")
     >>> for step in (Step.CHECK, Step.QUEUE, Step.GRANT, Step.SEND): lifecycle.advance(step)
     >>> lifecycle.ran
     <Ran.MAYBE: 'maybe'>
+    >>> lifecycle.advance(Step.NOT_ACCEPTED)
+    >>> lifecycle.ran, lifecycle.accepted
+    (<Ran.NO: 'no'>, 0)
     """
 
     def __init__(self, request_id: str) -> None:
@@ -88,6 +92,7 @@
         self.state = State.RECEIVED
         self.ran = Ran.NO
         self.attempt = 0
+        self.accepted = 0
         self._ran_before_send = Ran.NO
 
     @property
@@ -106,8 +111,10 @@
             raise LifecycleError(message)
         if step is Step.SEND:
             self.attempt += 1
+            self.accepted += 1
             self._ran_before_send = self.ran
         if step is Step.NOT_ACCEPTED:
+            self.accepted -= 1
             self.ran = self._ran_before_send
         self.ran = max(self.ran, RAN_BY_STATE.get(state, self.ran), key=_RAN_ORDER.index)
         self.state = state
--- /dev/null
+++ b/tests/steps/front_ending_helpers.py
@@ -0,0 +1,60 @@
+"""Steps of front/ending_helpers.feature."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then, when
+
+from forward_fleet import POOL, Fleet, make_cut, make_rig
+from front_rig import route, run_scenario, table
+
+WORK_S = 0.3
+PATH_BY_KIND = {"once": "/once/x"}
+
+
+async def start_fleet(rig):
+    """Start 3 fronts of which the first is cut off, with two helpers."""
+    fleet = Fleet(rig, 3)
+    await fleet.start()
+    cut, *helpers = fleet.fronts
+    for helper in helpers:
+        await rig.ask("read", request_id="warm", front=helper)
+    await rig.until(lambda: cut.router.forwarding.pick(POOL, ("edge-2",)))
+    await rig.until(lambda: cut.router.forwarding.pick(POOL, ("edge-3",)))
+    await make_cut(fleet, cut)
+    return fleet
+
+
+def runs(rig, name="r-1"):
+    return [run for run in rig.runs() if run.request_id == name]
+
+
+@given("3 fronts, of which the first is cut off, and servers that take their time")
+def cut_front(context):
+    context.rig = make_rig()
+
+
+@when("the helper that sends a {kind} request ends")
+def helper_ends(context, kind):
+    async def scenario(rig):
+        fleet = await start_fleet(rig)
+        for server in rig.backend_servers:
+            server.pause_s = WORK_S
+        asked = asyncio.create_task(rig.ask(PATH_BY_KIND.get(kind, kind), front=fleet.fronts[0]))
+        await rig.until(lambda: runs(rig))
+        for helper in fleet.fronts[1:]:
+            if helper.router.exchanges:
+                for connection in list(helper.router.connections):
+                    connection._transport.abort()
+        context.answer = await asked
+        await fleet.stop()
+
+    content = table(routes=[route("/once/", "idempotent")])
+    run_scenario(context.rig, scenario, content)
+
+
+@then("the caller gets status {status:d}, and {servers:d} servers ran it")
+def ran_at(context, status, servers):
+    assert context.answer.status == status, context.answer
+    assert len(runs(context.rig)) == servers, runs(context.rig)
