Drop a request whose sender left before it was read

Callers saw: nothing themselves, since they had gone. Servers ran requests, also such as may run once, up to some seconds after the caller or the host that had forwarded them had given up, and that work was for nobody.

Cause: a process that was frozen or starved finds the request and the end of its connection in the same moment. The event loop hands over the bytes first and the end with its next turn, and in between the request was sent on a kept connection.

Evidence: front/ending_helpers.feature, three of the four rows of a frozen host failed before (a stream that may be resumed asks the server for its start first, and was cancelled in time).

The system knows that the peer has closed its side as soon as that has arrived, also while bytes before it are unread; it is asked (1 us) before a request is started.

--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -11,7 +11,7 @@
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.front.exchange import Exchange
 from redwingbank.front.refusals import error_body
-from redwingbank.front.socket_queue import unacknowledged_bytes
+from redwingbank.front.socket_queue import is_closed_by_peer, unacknowledged_bytes
 from redwingbank.front.wire import RequestReader, WireError
 from redwingbank.rules.arrival import FIRST_REQUEST_S, is_body_too_slow
 
@@ -223,6 +223,11 @@
     def _start_next(self) -> None:
         if self._exchange is not None or not self._pending or self._closing:
             return
+        if self._transport and is_closed_by_peer(self._transport.get_extra_info("socket")):
+            # read late, with the end of the connection still to come
+            self._router.count("callers_gone", "")
+            self._disconnect()
+            return
         request = self._pending.popleft()
         self._method = request.head.method
         self._keep_alive = request.head.keep_alive
--- a/tests/front/ending_helpers.feature
+++ b/tests/front/ending_helpers.feature
@@ -10,3 +10,15 @@
       | single  | 502    | 1       |
       | once    | 502    | 1       |
       | read    | 200    | 2       |
+
+  Scenario Outline: a host that was frozen does not run a request whose <sender> has left meanwhile
+    Given a front that keeps a connection to its server
+    When it is frozen while a <sender> sends a <kind> request and leaves
+    Then no server gets the request
+
+    Examples:
+      | sender | kind   |
+      | caller | single |
+      | host   | single |
+      | host   | read   |
+      | host   | memo   |
--- a/tests/steps/front_ending_helpers.py
+++ b/tests/steps/front_ending_helpers.py
@@ -3,13 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 
 from behave import given, then, when
 
 from forward_fleet import POOL, Fleet, make_cut, make_rig
-from front_rig import route, run_scenario, table
+from front_rig import request, route, run_scenario, table
 
 WORK_S = 0.3
+LEAVING_S = 0.2
 PATH_BY_KIND = {"once": "/once/x"}
 
 
@@ -58,3 +60,28 @@
 def ran_at(context, status, servers):
     assert context.answer.status == status, context.answer
     assert len(runs(context.rig)) == servers, runs(context.rig)
+
+
+@given("a front that keeps a connection to its server")
+def kept_connection(context):
+    context.rig = make_rig(1)
+
+
+@when("it is frozen while a {sender} sends a {kind} request and leaves")
+def leaves_meanwhile(context, sender, kind):
+    async def scenario(rig):
+        await rig.ask("read", request_id="warm")
+        settings = rig.front.router.settings
+        address = settings.caller if sender == "caller" else settings.peer
+        # nothing else runs in the event loop meanwhile
+        with socket.create_connection(address) as connection:
+            connection.sendall(request(kind))
+        await asyncio.sleep(LEAVING_S)
+        context.arrivals = [one.request_id for one in rig.backend_servers[0].arrivals]
+
+    run_scenario(context.rig, scenario)
+
+
+@then("no server gets the request")
+def not_sent(context):
+    assert context.arrivals == ["warm"], context.arrivals
