Count the time for which a request waited to be read

Callers saw: nothing directly; a host that had been frozen or starved served a request after the time that its caller or the forwarding host had given, and told the server that more was left than the caller would wait.

Cause: the age of a request was counted from when its bytes were read. While a process does not run they wait in the system. A request whose time was over was sent with a deadline of 1 ms in place of being refused.

Evidence: front/ending_helpers.feature, all six rows of the scenario of a request that waited to be read failed before (servers were given 1,199 ms of which 600 had passed; a request of 500 ms that was read after 600 was run).

The system tells how long ago the last bytes of a connection arrived, with the question whether the peer has closed it; the age counts from then. The dispatcher refuses a request whose time is over, wherever it waited.

--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -11,7 +11,7 @@
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.front.exchange import Exchange
 from redwingbank.front.refusals import error_body
-from redwingbank.front.socket_queue import is_closed_by_peer, unacknowledged_bytes
+from redwingbank.front.socket_queue import Received, read_received, unacknowledged_bytes
 from redwingbank.front.wire import RequestReader, WireError
 from redwingbank.rules.arrival import FIRST_REQUEST_S, is_body_too_slow
 
@@ -223,7 +223,8 @@
     def _start_next(self) -> None:
         if self._exchange is not None or not self._pending or self._closing:
             return
-        if self._transport and is_closed_by_peer(self._transport.get_extra_info("socket")):
+        received = self._received()
+        if received.closed:
             # read late, with the end of the connection still to come
             self._router.count("callers_gone", "")
             self._disconnect()
@@ -236,12 +237,16 @@
             self,
             request.head,
             request.body,
-            request.arrived_s,
+            min(request.arrived_s, now_s() - received.age_s),
             forwarded=self._forwarded,
         )
         self._router.exchanges.add(self._exchange)
         self._router.guard(self._exchange.start, self._exchange.fail_internally)
 
+    def _received(self) -> Received:
+        sock = self._transport.get_extra_info("socket") if self._transport else None
+        return read_received(sock) if sock else Received(0.0, closed=False)
+
     def _finish_answer(self) -> None:
         self._exchange = None
         self.idle_since_s = now_s()
--- a/src/redwingbank/front/socket_queue.py
+++ b/src/redwingbank/front/socket_queue.py
@@ -7,11 +7,23 @@
 import socket
 import struct
 import termios
-from typing import Any
+from typing import Any, NamedTuple
 
 SIZE = struct.Struct("i")
-# the first byte of TCP_INFO
+# of struct tcp_info in linux/tcp.h: tcpi_state and tcpi_last_data_recv
+TCP_INFO = struct.Struct("=B51xI")
 TCP_ESTABLISHED = 1
+MS_PER_S = 1000
+
+
+class Received(NamedTuple):
+    """How long ago the last bytes of a connection arrived, and whether its peer has closed it.
+
+    Both tell what has arrived at the system, also while it is unread.
+    """
+
+    age_s: float
+    closed: bool
 
 
 def unacknowledged_bytes(sock: Any) -> int:
@@ -22,15 +34,13 @@
     return 0
 
 
-def is_closed_by_peer(sock: Any) -> bool:
-    """Whether the peer has closed its side of a TCP connection, or reset it.
-
-    This is known as soon as the system has received it, also while bytes before it are unread.
-    """
+def read_received(sock: Any) -> Received:
+    """Return what has arrived on a TCP connection; one without a socket counts as closed."""
     with contextlib.suppress(OSError):
-        state: bytes = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 1)
-        return state[0] != TCP_ESTABLISHED
-    return True
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size)
+        state, age_ms = TCP_INFO.unpack(info)
+        return Received(age_ms / MS_PER_S, state != TCP_ESTABLISHED)
+    return Received(0.0, closed=True)
 
 
-__all__ = ["is_closed_by_peer", "unacknowledged_bytes"]
+__all__ = ["Received", "read_received", "unacknowledged_bytes"]
--- a/tests/front/ending_helpers.feature
+++ b/tests/front/ending_helpers.feature
@@ -22,3 +22,17 @@
       | host   | single |
       | host   | read   |
       | host   | memo   |
+
+  Scenario Outline: a host that was frozen counts the time for which a request waited to be read
+    Given a front that keeps a connection to its server
+    When it is frozen for 0.6 s while a <sender> sends a <kind> request that may take <deadline> s
+    Then its answer has status <status>, and the server was given <server> s at most
+
+    Examples:
+      | sender | kind   | deadline | status | server |
+      | caller | single | 1.2      | 200    | 0.65   |
+      | host   | single | 1.2      | 200    | 0.65   |
+      | host   | read   | 1.2      | 200    | 0.65   |
+      | caller | single | 0.5      | 503    | 0      |
+      | host   | single | 0.5      | 503    | 0      |
+      | host   | read   | 0.5      | 503    | 0      |
--- a/tests/steps/front_ending_helpers.py
+++ b/tests/steps/front_ending_helpers.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import socket
+import time
 
 from behave import given, then, when
 
 from forward_fleet import POOL, Fleet, make_cut, make_rig
 from front_rig import request, route, run_scenario, table
+from redwingbank_standins.raw_response import parse_response
 
 WORK_S = 0.3
 LEAVING_S = 0.2
@@ -67,14 +69,18 @@
     context.rig = make_rig(1)
 
 
+def address(rig, sender):
+    """Return where a front takes the requests of callers, or of other hosts."""
+    settings = rig.front.router.settings
+    return settings.caller if sender == "caller" else settings.peer
+
+
 @when("it is frozen while a {sender} sends a {kind} request and leaves")
 def leaves_meanwhile(context, sender, kind):
     async def scenario(rig):
         await rig.ask("read", request_id="warm")
-        settings = rig.front.router.settings
-        address = settings.caller if sender == "caller" else settings.peer
         # nothing else runs in the event loop meanwhile
-        with socket.create_connection(address) as connection:
+        with socket.create_connection(address(rig, sender)) as connection:
             connection.sendall(request(kind))
         await asyncio.sleep(LEAVING_S)
         context.arrivals = [one.request_id for one in rig.backend_servers[0].arrivals]
@@ -85,3 +91,31 @@
 @then("no server gets the request")
 def not_sent(context):
     assert context.arrivals == ["warm"], context.arrivals
+
+
+@when(
+    "it is frozen for {frozen_s:g} s while a {sender} sends a {kind} request that may take"
+    " {deadline_s:g} s"
+)
+def frozen(context, frozen_s, sender, kind, deadline_s):
+    async def scenario(rig):
+        await rig.ask("read", request_id="warm")
+        reader, writer = await asyncio.open_connection(*address(rig, sender))
+        writer.write(request(kind, deadline_ms=round(deadline_s * 1000)))
+        # holds the event loop up, as a frozen process does
+        time.sleep(frozen_s)  # noqa: ASYNC251
+        context.answer = parse_response(await reader.read())
+        writer.close()
+        context.given_ms = [
+            int(one.headers_by_name["deadline-ms"])
+            for one in rig.backend_servers[0].arrivals
+            if one.request_id == "r-1"
+        ]
+
+    run_scenario(context.rig, scenario)
+
+
+@then("its answer has status {status:d}, and the server was given {most_s:g} s at most")
+def given_time(context, status, most_s):
+    assert context.answer.status == status, context.answer
+    assert sum(context.given_ms) <= most_s * 1000, context.given_ms
