Send a request whose body took longer than its deadline

Cause: the dispatcher refused every request whose time was over. The time in which a body comes counts in the age of a request, so that this held for more than the requests that had waited unread.

The dispatcher no longer refuses for this.

--- a/src/redwingbank/routing/dispatch.py
+++ b/src/redwingbank/routing/dispatch.py
@@ -91,11 +91,8 @@
     ) -> Send | Refuse:
         """Choose a server outside `avoid`, or refuse the request.
 
-        A stream whose answer has begun is refused only if there is no server below its limit, or
-        if its time is over.
+        A stream whose answer has begun is refused only if there is no server below its limit.
         """
-        if needs.left_s <= 0:
-            return Refuse(Code.WAIT_EXPIRED, 0.0)
         choice = self._chooser.choose(entries, pool, needs, avoid, now_s)
         if choice is None:
             return Refuse(Code.NO_BACKEND_SERVER, 0.0)
