Don't write a lifted block after a freeze

Callers saw: 503 (1232) from all hosts for every request with a sound prompt part, for as long as the soak looked (12 s after the faults had ended; a block has a term of ten minutes).

Cause: each host that blocks a trait writes the block to the store within a second, unless another host has. A host that was frozen meanwhile wrote it when it woke up, though the block had been written and lifted by others: news of that lay unread in its sockets. No other host lifts a block that it only read from the store.

Evidence: front/poison.feature, the scenario of a block that was lifted meanwhile, failed before.

A write that is late was held up, so it is scheduled once more, and the news is read first; a block that is no longer in force is not written.

--- a/src/redwingbank/front/block_list.py
+++ b/src/redwingbank/front/block_list.py
@@ -27,6 +27,8 @@
 # All hosts block a trait at about the same time; the first to write it spares the others the call.
 MAX_WRITE_DELAY_S = 1.0
 RETRY_S = 1.0
+# A write that is later than this was held up, and news of the block may still be unread.
+HELD_UP_S = 0.2
 # The watch only serves to learn of changes that the hosts' messages did not bring.
 WATCH_S = 25.0
 
@@ -113,7 +115,12 @@
             await self._call("DELETE", path, b"", tolerated=STATUS_NOT_FOUND)
             self._lifted.discard(trait)
         for trait, due_s in list(self._due_s_by_trait.items()):
-            if due_s <= now_s():
+            late_s = now_s() - due_s
+            if late_s > HELD_UP_S:
+                self._schedule_write(trait)
+            elif late_s >= 0 and not self._poison.find_blocked((trait,), now_s()):
+                self._due_s_by_trait.pop(trait, None)
+            elif late_s >= 0:
                 created = encode_object(trait, {})
                 await self._call("POST", list_path(KIND_BLOCKS), created, STATUS_CONFLICT)
                 self._due_s_by_trait.pop(trait, None)
--- a/tests/front/poison.feature
+++ b/tests/front/poison.feature
@@ -43,6 +43,16 @@
     And another host reports that a request like "f" crashed its server
     Then "f" is blocked
 
+  Scenario: a host that was frozen does not write a block that was lifted meanwhile
+    Given a host that has blocked a request and is about to write the block to the store
+    When it is frozen for 1.2 s, and hears after 0.05 s that the block was lifted
+    Then the store holds no block after 1.5 s
+
+  Scenario: a block of a host that was frozen is written
+    Given a host that has blocked a request and is about to write the block to the store
+    When it is frozen for 1.2 s
+    Then the store holds the block after 1.5 s
+
   Scenario: a host reports crashes to the others
     Given two hosts that track crashes
     When servers "i-1 i-2 i-3" crash one after the other with a request like "f"
--- a/tests/steps/front_poison.py
+++ b/tests/steps/front_poison.py
@@ -4,7 +4,9 @@
 
 import asyncio
 import json
+import time
 from random import Random
+from unittest import mock
 
 from behave import given, then, when
 from routing_choice import NullLog
@@ -12,6 +14,7 @@
 from front_rig import Rig, run_scenario
 from redwingbank.clock import now_s
 from redwingbank.front.backends import Backends
+from redwingbank.front.block_list import BlockList
 from redwingbank.front.digest import Message, encode_message
 from redwingbank.front.peers import Peers
 from redwingbank.front.poison import CrashNews, PoisonTracker
@@ -239,3 +242,55 @@
 @then("each sound request with the same key and first part has been answered since")
 def sound_answered(context):
     assert all(answer.status == 200 and answer.complete for answer in context.sound), context.sound
+
+
+class BlockStore:
+    """A store that only takes and deletes objects of blocks, by their paths."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def call(self, method, path, body, timeout_s):
+        self.calls.append(method)
+        return 201, b""
+
+
+@given("a host that has blocked a request and is about to write the block to the store")
+def block_to_write(context):
+    context.poison = PoisonTracker(lambda news: None, None)
+    context.store = BlockStore()
+
+
+async def freeze(context, frozen_s, lifted_after_s):
+    blocks = BlockList(context.store, context.poison, mock.Mock(), Random(1))
+    task = asyncio.create_task(blocks.run())
+    context.poison.causes.block("f", now_s())
+    context.poison.on_blocked("f")
+    await asyncio.sleep(0)
+    # holds the event loop up, as a frozen process does
+    time.sleep(frozen_s)  # noqa: ASYNC251
+    if lifted_after_s:
+        await asyncio.sleep(lifted_after_s)
+        context.poison.handle_crash_news(CrashNews("f", cleared=True), now_s())
+    await asyncio.sleep(1.5)
+    task.cancel()
+
+
+@when("it is frozen for {frozen_s:g} s, and hears after {after_s:g} s that the block was lifted")
+def lifted_meanwhile(context, frozen_s, after_s):
+    asyncio.run(freeze(context, frozen_s, after_s))
+
+
+@when("it is frozen for {frozen_s:g} s")
+def only_frozen(context, frozen_s):
+    asyncio.run(freeze(context, frozen_s, 0.0))
+
+
+@then("the store holds no block after 1.5 s")
+def not_written(context):
+    assert context.store.calls == [], context.store.calls
+
+
+@then("the store holds the block after 1.5 s")
+def written(context):
+    assert context.store.calls == ["POST"], context.store.calls
