--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -11,7 +11,7 @@
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.front.exchange import Exchange
 from redwingbank.front.refusals import refusal
-from redwingbank.front.socket_queue import unacknowledged_bytes
+from redwingbank.front.socket_queue import Received, read_received, unacknowledged_bytes
 from redwingbank.front.wire import RequestReader, WireError
 from redwingbank.rules.arrival import FIRST_REQUEST_S, is_body_too_slow
 
@@ -235,6 +235,12 @@
     def _start_next(self) -> None:
         if self._exchange is not None or not self._pending or self._closing:
             return
+        received = self._received()
+        if received.closed:
+            # read late, with the end of the connection still to come
+            self._router.count("callers_gone", "")
+            self._disconnect()
+            return
         request = self._pending.popleft()
         self._to_head = request.head.method == b"HEAD"
         self._keep_alive = request.head.keep_alive
@@ -243,12 +249,16 @@
             self,
             request.head,
             request.body,
-            request.arrived_s,
+            min(request.arrived_s, now_s() - received.age_s),
             forwarded=self._forwarded,
         )
         self._router.exchanges.add(self._exchange)
         self._router.guard(self._exchange.start, self._exchange.fail_internally)
 
+    def _received(self) -> Received:
+        sock = self._transport.get_extra_info("socket") if self._transport else None
+        return read_received(sock) if sock else Received(0.0, closed=False)
+
     def _finish_answer(self) -> None:
         self._exchange = None
         self._to_head = False
--- a/src/redwingbank/front/socket_queue.py
+++ b/src/redwingbank/front/socket_queue.py
@@ -1,14 +1,29 @@
-"""What the system still holds of the bytes that were written to a socket."""
+"""What the system knows of a socket before the event loop has read or written it."""
 
 from __future__ import annotations
 
 import contextlib
 import fcntl
+import socket
 import struct
 import termios
-from typing import Any
+from typing import Any, NamedTuple
 
 SIZE = struct.Struct("i")
+# of struct tcp_info in linux/tcp.h: tcpi_state and tcpi_last_data_recv
+TCP_INFO = struct.Struct("=B51xI")
+TCP_ESTABLISHED = 1
+MS_PER_S = 1000
+
+
+class Received(NamedTuple):
+    """How long ago the last bytes of a connection arrived, and whether its peer has closed it.
+
+    Both tell what has arrived at the system, also while it is unread.
+    """
+
+    age_s: float
+    closed: bool
 
 
 def unacknowledged_bytes(sock: Any) -> int:
@@ -19,4 +34,13 @@
     return 0
 
 
-__all__ = ["unacknowledged_bytes"]
+def read_received(sock: Any) -> Received:
+    """Return what has arrived on a TCP connection; one without a socket counts as closed."""
+    with contextlib.suppress(OSError):
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, TCP_INFO.size)
+        state, age_ms = TCP_INFO.unpack(info)
+        return Received(age_ms / MS_PER_S, state != TCP_ESTABLISHED)
+    return Received(0.0, closed=True)
+
+
+__all__ = ["Received", "read_received", "unacknowledged_bytes"]
--- /dev/null
+++ b/tests/front/ending_helpers.feature
@@ -0,0 +1,38 @@
+Feature: a helper ends or freezes while it sends requests for a host that is cut off
+
+  Scenario Outline: a forwarded <kind> request whose helper ends reaches no more servers than its class allows
+    Given 3 fronts, of which the first is cut off, and servers that take their time
+    When the helper that sends a <kind> request ends
+    Then the caller gets status <status>, and <servers> servers ran it
+
+    Examples:
+      | kind    | status | servers |
+      | single  | 502    | 1       |
+      | once    | 502    | 1       |
+      | read    | 200    | 2       |
+
+  Scenario Outline: a host that was frozen does not run a request whose <sender> has left meanwhile
+    Given a front that keeps a connection to its server
+    When it is frozen while a <sender> sends a <kind> request and leaves
+    Then no server gets the request
+
+    Examples:
+      | sender | kind   |
+      | caller | single |
+      | host   | single |
+      | host   | read   |
+      | host   | memo   |
+
+  Scenario Outline: a host that was frozen counts the time for which a request waited to be read
+    Given a front that keeps a connection to its server
+    When it is frozen for 0.6 s while a <sender> sends a <kind> request that may take <deadline> s
+    Then its answer has status <status>, and the server was given <server> s at most
+
+    Examples:
+      | sender | kind   | deadline | status | server |
+      | caller | single | 1.2      | 200    | 0.65   |
+      | host   | single | 1.2      | 200    | 0.65   |
+      | host   | read   | 1.2      | 200    | 0.65   |
+      | caller | single | 0.5      | 200    | 0.001  |
+      | host   | single | 0.5      | 200    | 0.001  |
+      | host   | read   | 0.5      | 200    | 0.001  |
