Leave a server alone for the time that it names with a refusal

Cause: Retry-After of a server was not read; only the breaker counted the refusal as an answer like others.

A refusal that did not run and names a time is one more statement of the server: the choice, retries and requests that are connecting leave this start of it out until then, spread at the end. If all servers rest, callers are told at once when to return.

--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -295,6 +295,9 @@
         if self.backend.is_leaving(self.entry):
             self._give_up_unsent(connection, "the server is leaving")
             return
+        if self.backend.rests(self.entry, now_s()):
+            self._give_up_unsent(connection, "the server wants no requests for a time")
+            return
         if self._check is not StartCheck.NONE:
             self.server_start = connection.server_start or UNKNOWN_START
         if self._check is StartCheck.MATCH and self.server_start != self.entry.started_ms:
--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -12,6 +12,7 @@
 from redwingbank.routing.room_book import RoomBook
 from redwingbank.routing.server_leaving import LeavingBook
 from redwingbank.routing.server_limit import LimitBook
+from redwingbank.routing.server_rest import RestBook
 from redwingbank.routing.targets import PauseEstimate
 from redwingbank.rules.breaker import Breaker
 
@@ -64,6 +65,10 @@
         """Whether the start of the server that an entry lists says that it is leaving."""
         return self._backends.leaving.contains(entry.name, entry.started_ms)
 
+    def rests(self, entry: ServerEntry, now_s: float) -> bool:
+        """Whether the start of the server that an entry lists wants no requests now."""
+        return self._backends.rests.left_s(entry.name, entry.started_ms, now_s) > 0.0
+
     def report_received(self, entry: ServerEntry, statements: tuple[Statement, ...]) -> None:
         """Pass on what a server said in an answer that is not to the request of a caller."""
         self._backends.on_report(entry, statements)
@@ -79,6 +84,7 @@
         self.evened_pools: set[str] = set()
         self.rooms = RoomBook()
         self.leaving = LeavingBook()
+        self.rests = RestBook(random)
         self.random = random
         # what servers say in answers that are not to requests of callers
         self.on_report: Callable[[ServerEntry, tuple[Statement, ...]], None] = _ignore_report
@@ -118,6 +124,7 @@
         return any(
             entry.name not in avoid
             and self.limits.wait_s(entry, now_s) <= 0.0
+            and self.rests.wait_s([entry], now_s) <= 0.0
             and self.rooms.admits(self.get_or_create(entry), now_s)
             for entry in entries
         )
@@ -135,6 +142,7 @@
 
     def expire(self, now_s: float) -> None:
         """Close expired idle connections; remove requests whose end was never reported."""
+        self.rests.expire(now_s)
         for backend in self.backends_by_name.values():
             backend.connections.expire()
             backend.load.expire(now_s)
--- a/src/redwingbank/front/server_statements.py
+++ b/src/redwingbank/front/server_statements.py
@@ -19,6 +19,7 @@
     StatedBrittleness,
     StatedLeaving,
     StatedLimit,
+    StatedRest,
     Statement,
     UnreadableStatement,
 )
@@ -56,6 +57,7 @@
     ) -> None:
         self.limits = backends.limits
         self.leaving = backends.leaving
+        self._rests = backends.rests
         backends.on_report = self.report_received
         self.rooms = RoomSharing(backends, peers, log, metrics, self._report)
         self._peers = peers
@@ -164,6 +166,21 @@
             state = LeavingState(entry.name, entry.started_ms)
             self._report(LeavingState, *state, lambda: state)
 
+    @_apply.register
+    def _apply_rest(
+        self, statement: StatedRest, entry: ServerEntry, sent_s: float, *, stamped: bool
+    ) -> None:
+        if not statement.rest_s:
+            return
+        if self._rests.begin(entry.name, entry.started_ms, statement.rest_s, now_s()):
+            self._metrics.count("server_rests_total")
+            self._log.essential(
+                "server-rests",
+                server=entry.name,
+                started_ms=entry.started_ms,
+                rest_s=statement.rest_s,
+            )
+
     @_apply.register
     def _apply_unreadable(
         self, statement: UnreadableStatement, entry: ServerEntry, sent_s: float, *, stamped: bool
--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -232,18 +232,25 @@
     leaving: bool
 
 
+class StatedRest(NamedTuple):
+    """For how long a server that turns a request away wants no others, 0.0 if it tells none."""
+
+    rest_s: float
+
+
 class UnreadableStatement(NamedTuple):
     """A statement of a server whose value can't be read; it changes nothing."""
 
     kind: str
 
 
-Statement = StatedLimit | StatedBrittleness | StatedLeaving | UnreadableStatement
+Statement = StatedLimit | StatedBrittleness | StatedLeaving | StatedRest | UnreadableStatement
 # what most answers state
 NOTHING_STATED: tuple[Statement, ...] = (
     StatedLimit(None),
     StatedBrittleness(None),
     StatedLeaving(leaving=False),
+    StatedRest(0.0),
 )
 
 
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -14,6 +14,7 @@
     StatedLeaving,
     StatedLimit,
     StatedLoad,
+    StatedRest,
     UnreadableStatement,
 )
 
@@ -43,7 +44,10 @@
 LOAD_FIGURES = re.compile(rb"(\d{1,6}),(\d{1,6}),(\d{1,6})(?:,(\d{1,6}))?")
 SERVER_BRITTLE = b"server-brittle"
 SERVER_LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
+# A server that asks for more than a day asks by mistake.
+MAX_REST_S = 86_400.0
 # No server turns away more requests in a second.
 COUNT = re.compile(rb"\d{1,6}")
 # more than any prompt or answer has
@@ -289,8 +293,11 @@
 
 
 def _read_statements(by_name: Mapping[bytes, bytes]) -> tuple[Statement, ...]:
-    if not by_name.keys() & _PARSER_BY_STATEMENT:
+    if not by_name.keys() & _PARSER_BY_STATEMENT.keys():
         return NOTHING_STATED
+    if NOT_EXECUTED not in by_name:
+        # only a server that turned a request away wants no others
+        by_name = {name: value for name, value in by_name.items() if name != RETRY_AFTER}
     return tuple(
         parse(by_name[name].strip()) if name in by_name else absent
         for (name, parse), absent in zip(_PARSER_BY_STATEMENT.items(), NOTHING_STATED, strict=True)
@@ -327,11 +334,19 @@
     return StatedLeaving(leaving=True) if value == b"1" else UnreadableStatement("leaving")
 
 
+def _parse_rest(value: bytes) -> Statement:
+    """Parse a time in seconds, also with fractions; a date is not read."""
+    if not DECIMAL_NUMBER.fullmatch(value) or float(value) > MAX_REST_S:
+        return UnreadableStatement("rest")
+    return StatedRest(float(value))
+
+
 # in the order of `NOTHING_STATED`
 _PARSER_BY_STATEMENT: dict[bytes, Callable[[bytes], Statement]] = {
     SERVER_LIMIT: _parse_limit,
     SERVER_BRITTLE: _parse_brittleness,
     SERVER_LEAVING: _parse_leaving,
+    RETRY_AFTER: _parse_rest,
 }
 
 __all__ = [
--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -153,6 +153,13 @@
         self, candidates: list[Backend], pool: Pool, needs: RequestNeeds, now_s: float
     ) -> list[Backend] | AtLimit:
         """Return the servers that take a request, by what servers have said of themselves."""
+        rests = self._backends.rests
+        if rests.ends_s_by_start:
+            awake = [one for one in candidates if not one.rests(one.entry, now_s)]
+            if not awake:
+                wait_s = rests.wait_s((one.entry for one in candidates), now_s)
+                return AtLimit(wait_s, sum(one.entry.slots for one in candidates))
+            candidates = awake
         if self._backends.limits.limits_by_start:
             below = self._below_limit(candidates, needs.tier, now_s)
             if isinstance(below, AtLimit):
@@ -171,7 +178,8 @@
     ) -> list[Backend]:
         """Return the servers whose breakers admit requests, or all if there are none."""
         book = self._backends
-        if compares_few and len(entries) > MAX_COMPARED and not book.limits.limits_by_start:
+        states_any = book.limits.limits_by_start or book.rests.ends_s_by_start
+        if compares_few and len(entries) > MAX_COMPARED and not states_any:
             drawn = map(book.get_or_create, self._random.sample(entries, MAX_COMPARED))
             candidates = [backend for backend in drawn if backend.breaker.admits(now_s)]
             if candidates:
--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -46,7 +46,7 @@
     is sent. Refusals bear no id. A server in mode stream crashes in the first event of each answer
     to a prompt with the shared part `crash_part`. While `named_limit` is not empty, the heads of
     all its responses name it as the requests a second that the server takes. So it is with
-    `leaving`, which reports tell too.
+    `leaving`, which reports tell too, and with `rest`, the seconds to come back after.
 
     Events name the server and, unless it is empty, the `version` of its software. A report tells
     the time of the server's start, `started_ms`. While `hides_start` is set, it tells none; while
@@ -66,7 +66,7 @@
         self.reports = 0
         self.crash_part = ""
         self.named_limit = ""
-        self.leaving = ""
+        self.leaving = self.rest = ""
         self.flood_bytes = 0
         self.crashed = False
         self.pause_s = 0.0
@@ -145,7 +145,11 @@
 
     def _statement_lines(self) -> bytes:
         """What the server says of itself in the head of each response."""
-        values = {b"Server-Limit": self.named_limit, b"Server-Leaving": self.leaving}
+        values = {
+            b"Server-Limit": self.named_limit,
+            b"Server-Leaving": self.leaving,
+            b"Retry-After": self.rest,
+        }
         return b"".join(
             b"%b: %b\r\n" % (name, value.encode()) for name, value in values.items() if value
         )
