Let a block in the store hold for its own term at other hosts

The host itself blocks for a minute where servers went down together.

Cause: the object of a block told nothing but its name, and the others blocked for a whole term from when they read it. Only its writer knew the short term, and deleted the object at its end, unless it had ended before.

The object tells the seconds that are left as it is written. Without them, from hosts of earlier releases, or with a value that can't be read, the whole term holds as before.

--- a/src/redwingbank/front/block_list.py
+++ b/src/redwingbank/front/block_list.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from contextlib import suppress
+from typing import TYPE_CHECKING, Any
 
 import anyio
 
 from redwingbank.clock import now_s
 from redwingbank.front.store import CALL_TIMEOUT_S, FIRST_STATUS_AFTER_SUCCESS, StoreError
+from redwingbank.platform.fields import read_number, read_object
 from redwingbank.platform.objects import (
     STATUS_CONFLICT,
     STATUS_NOT_FOUND,
@@ -15,6 +17,7 @@
     list_path,
     object_path,
 )
+from redwingbank.rules.crash_causes import BLOCK_S
 
 if TYPE_CHECKING:
     from random import Random
@@ -22,8 +25,10 @@
     from redwingbank.decisions import DecisionLog
     from redwingbank.front.poison import PoisonTracker
     from redwingbank.front.store import Listing, StoreClient, WatchedChanges
+    from redwingbank.platform.objects import StoredObject
 
 KIND_BLOCKS = "redwingbank-blocks"
+LEFT = "seconds_left"
 # All hosts block a trait at about the same time; the first to write it spares the others the call.
 MAX_WRITE_DELAY_S = 1.0
 RETRY_S = 1.0
@@ -37,8 +42,9 @@
     """Writes this host's blocks to the store, and applies those that it holds.
 
     The object of a block is named after the trait. Deleting it lifts the block on every host. An
-    object has no time of its own, since the hosts' clocks may differ: a host blocks the trait for
-    a full term from when it learns of it, and the first whose term ends deletes the object.
+    object tells no time of day, since the hosts' clocks may differ, but the seconds of the block
+    that were left as it was written. A host blocks the trait for so long from when it learns of
+    it, and the first whose term ends deletes the object.
     """
 
     def __init__(
@@ -69,8 +75,9 @@
                 self._schedule_write(trait)
             else:
                 self._lift(trait)
-        for trait in listed - self._stored:
-            self._apply(trait)
+        for stored in listing.objects:
+            if stored.name not in self._stored:
+                self._apply(stored)
 
     def handle_changes(self, watched: WatchedChanges) -> None:
         """Apply blocks that were written or deleted."""
@@ -78,7 +85,7 @@
             if change.deleted:
                 self._lift(change.stored.name)
             else:
-                self._apply(change.stored.name)
+                self._apply(change.stored)
 
     def handle_loss(self, reason: str) -> None:
         """Log that the store is unreachable."""
@@ -121,7 +128,8 @@
             elif late_s >= 0 and not self._poison.find_blocked((trait,), now_s()):
                 self._due_s_by_trait.pop(trait, None)
             elif late_s >= 0:
-                created = encode_object(trait, {})
+                left_s = self._poison.causes.seconds_left(trait, now_s())
+                created = encode_object(trait, {LEFT: round(left_s, 1)})
                 await self._call("POST", list_path(KIND_BLOCKS), created, STATUS_CONFLICT)
                 self._due_s_by_trait.pop(trait, None)
                 self._stored.add(trait)
@@ -143,8 +151,9 @@
             self._lifted.add(trait)
             self._changed.set()
 
-    def _apply(self, trait: str) -> None:
+    def _apply(self, stored: StoredObject) -> None:
         """Block a trait that the store lists, unless it is blocked already or being lifted."""
+        trait = stored.name
         self._due_s_by_trait.pop(trait, None)
         if trait in self._lifted:
             return
@@ -155,7 +164,7 @@
             self._schedule_deletion(trait)
             return
         if not self._poison.find_blocked((trait,), now_s()):
-            self._poison.causes.block(trait, now_s())
+            self._poison.causes.block(trait, now_s(), _read_left_s(stored.content))
             self._log.essential("poison-blocked", fingerprint=trait, reason="listed")
 
     def _lift(self, trait: str) -> None:
@@ -165,4 +174,11 @@
             self._log.essential("poison-unblocked", fingerprint=trait, reason="deleted")
 
 
+def _read_left_s(content: Any) -> float:
+    """Return for how long a block holds; a whole term if that is not told or can't be read."""
+    with suppress(ValueError):
+        return read_number(read_object(content).get(LEFT, BLOCK_S), most=BLOCK_S)
+    return BLOCK_S
+
+
 __all__ = ["KIND_BLOCKS", "BlockList"]
--- a/tests/front/poison.feature
+++ b/tests/front/poison.feature
@@ -48,6 +48,18 @@
     When it is frozen for 1.2 s, and hears after 0.05 s that the block was lifted
     Then the store holds no block after 1.5 s
 
+  Scenario Outline: a block outlasts the host that wrote <content> by its own term at most
+    When a front reads <content> as a block in the store
+    Then the trait is blocked there for <term> s
+
+    Examples:
+      | content               | term |
+      | {"seconds_left": 40}  | 40   |
+      | {}                    | 600  |
+      | {"seconds_left": -1}  | 600  |
+      | {"seconds_left": 1e9} | 600  |
+      | []                    | 600  |
+
   Scenario: a block of a host that was frozen is written
     Given a host that has blocked a request and is about to write the block to the store
     When it is frozen for 1.2 s
--- a/tests/steps/front_poison.py
+++ b/tests/steps/front_poison.py
@@ -55,6 +55,22 @@
     assert context.ends == ((end == "kept"),) * 2, context.ends
 
 
+@when("a front reads {content} as a block in the store")
+def block_read(context, content):
+    async def scenario(rig):
+        await rig.store.put(KIND_BLOCKS, "t", json.loads(content))
+        causes = rig.front.router.poison.causes
+        await rig.until(lambda: causes.find_blocked(("t",), now_s()))
+        context.left_s = causes.seconds_left("t", now_s())
+
+    run_scenario(Rig(), scenario)
+
+
+@then("the trait is blocked there for {term:d} s")
+def blocked_for(context, term):
+    assert term - 2 < context.left_s <= term, context.left_s
+
+
 @given("a front whose {count:d} servers crash with each request")
 def crashing(context, count):
     context.rig = Rig(modes=["lost"] * count)
