Count a server error without an id on a kept connection as a crash

An HTTP server whose application crashes answers 500 without an id, so crashes were no longer counted as crashes, and prompts that crash engines were quarantined too late: more engines were lost.

Such an answer is still not passed on, but its attempt is CRASHED, as a signed 500 of an engine is.

The new row of ports/engine.feature, "an error without an id", states the outcome.

--- a/src/redwingbank/ports/engine.py
+++ b/src/redwingbank/ports/engine.py
@@ -89,6 +89,16 @@
     return OUTCOME_BY_ERROR.get(type(error), Outcome.CRASHED)
 
 
+def _classify_rejected(answer_id: bytes | None, status: int) -> Outcome:
+    """Classify an answer that is not taken for the call's.
+
+    A server error without an id is what an HTTP server sends when its application crashes.
+    """
+    unnamed_error = answer_id is None and status >= HTTPStatus.INTERNAL_SERVER_ERROR
+    crashed = unnamed_error and status not in REFUSING_STATUSES
+    return Outcome.CRASHED if crashed else Outcome.GARBAGE
+
+
 class BackendClient:
     """HTTP client of backend servers with a pool of idle connections per server.
 
@@ -162,7 +172,7 @@
             reason = response.extensions.get("reason_phrase", b"")
             try:
                 if echo not in accepted_ids or is_joined(reason, response.headers):
-                    raise AttemptError(Outcome.GARBAGE)
+                    raise AttemptError(_classify_rejected(echo, response.status))
                 # a refused request may come back, and a copy of the refusal would bear its id
                 reusable = echo == sent_id and response.status not in REFUSING_STATUSES
                 yield response
--- a/tests/ports/engine.feature
+++ b/tests/ports/engine.feature
@@ -43,3 +43,4 @@
       | the head of a refusal        | none      |
       | the status line of a refusal | none      |
       | a refusal without an id      | none      |
+      | an error without an id       | a crash   |
--- a/tests/steps/ports_engine.py
+++ b/tests/steps/ports_engine.py
@@ -145,6 +145,7 @@
     "the head of a refusal": REFUSAL.partition(b"\r\nContent-Length")[0],
     "the status line of a refusal": REFUSAL.partition(b"\r\n")[0],
     "a refusal without an id": REFUSAL.replace(b"X-Request-Id: r-1\r\n", b""),
+    "an error without an id": b"HTTP/1.1 500 x\r\nContent-Length: 0\r\n\r\n",
 }
 
 
@@ -193,5 +194,5 @@
 
 @then("the second call got {second}")
 def second_got(context, second):
-    expected = (200, [b"ok"]) if second == "an answer" else Outcome.GARBAGE
-    assert context.ran == 2 and context.answers[1] == expected, context.answers
+    expected = {"an answer": (200, [b"ok"]), "none": Outcome.GARBAGE, "a crash": Outcome.CRASHED}
+    assert context.ran == 2 and context.answers[1] == expected[second], context.answers
