Bound the rest of a server, and tell refused callers when it ends

Where all servers asked for 0.3 s, 74 of 80 callers were told to return after 1 to 5 s.

Causes: the time was taken from any refusal and without a bound; the number of slots was taken for what servers take in a second, to order the returns.

Only a 503 begins a rest, of 60 s at most. Callers return after what is left of it and up to half of that more.

--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -173,7 +173,7 @@
 
     def head_received(self, head: AnswerHead) -> None:
         """Check the answer's head; the attempt fails if the answer is not to this request."""
-        facts = decode_answer(head.headers, bodiless=head.bodiless)
+        facts = decode_answer(head.headers, status=head.status, bodiless=head.bodiless)
         fault = self._find_fault(head, facts)
         if fault:
             self._heard(facts.statements)
--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -124,7 +124,7 @@
         return any(
             entry.name not in avoid
             and self.limits.wait_s(entry, now_s) <= 0.0
-            and self.rests.wait_s([entry], now_s) <= 0.0
+            and self.rests.left_s(entry.name, entry.started_ms, now_s) <= 0.0
             and self.rooms.admits(self.get_or_create(entry), now_s)
             for entry in entries
         )
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -48,6 +48,7 @@
 SERVER_LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
 DECIMAL_NUMBER = re.compile(rb"\d+(\.\d*)?|\.\d+")
+STATUS_UNAVAILABLE = 503
 # A server that asks for more than a day asks by mistake.
 MAX_REST_S = 86_400.0
 # No server turns away more requests in a second.
@@ -207,10 +208,13 @@
     return b"".join([*lines, b"\r\n", body])
 
 
-def decode_answer(headers: Iterable[Header], *, bodiless: bool = False) -> AnswerFacts:
+def decode_answer(
+    headers: Iterable[Header], *, status: int = 0, bodiless: bool = False
+) -> AnswerFacts:
     """Decode the headers of a backend server's answer.
 
-    The length of a body that does not follow the head (`bodiless`) is forwarded.
+    The length of a body that does not follow the head (`bodiless`) is forwarded. The `status`
+    tells whether a time to come back after speaks for the whole server.
     """
     dropped = CONNECTION_HEADERS - {CONTENT_LENGTH} if bodiless else CONNECTION_HEADERS
     by_name = {name.lower(): value for name, value in headers}
@@ -223,7 +227,7 @@
         not_run=NOT_EXECUTED in by_name,
         encoded=encoding.lower() != b"identity",
         idle_timeout_s=_keep_alive_timeout_s(by_name.get(b"keep-alive", b"")),
-        statements=_read_statements(by_name),
+        statements=_read_statements(by_name, status),
         forwarded_headers=b"".join(_forwarded_lines(headers, dropped)),
         load=load,
         load_unreadable=stated is not None and load is None,
@@ -293,11 +297,11 @@
     return None
 
 
-def _read_statements(by_name: Mapping[bytes, bytes]) -> tuple[Statement, ...]:
+def _read_statements(by_name: Mapping[bytes, bytes], status: int) -> tuple[Statement, ...]:
     if not by_name.keys() & _PARSER_BY_STATEMENT.keys():
         return NOTHING_STATED
-    if NOT_EXECUTED not in by_name:
-        # only a server that turned a request away wants no others
+    if NOT_EXECUTED not in by_name or status != STATUS_UNAVAILABLE:
+        # only a server that is full wants no requests at all
         by_name = {name: value for name, value in by_name.items() if name != RETRY_AFTER}
     return tuple(
         parse(by_name[name].strip()) if name in by_name else absent
--- a/src/redwingbank/routing/choice.py
+++ b/src/redwingbank/routing/choice.py
@@ -66,12 +66,14 @@
     """All servers that could take a request are at the limits that they name.
 
     The first may take one in `wait_s`; `per_s` is this host's part of what they take in a second.
-    `brittle` is true if they have no room for more requests in flight.
+    `brittle` is true if they have no room for more requests in flight. If they are `resting`, what
+    they take afterwards isn't known, and `wait_s` differs from request to request.
     """
 
     wait_s: float
     per_s: float
     brittle: bool = False
+    resting: bool = False
 
 
 class RequestNeeds(NamedTuple):
@@ -157,8 +159,8 @@
         if rests.ends_s_by_start:
             awake = [one for one in candidates if not one.rests(one.entry, now_s)]
             if not awake:
-                wait_s = rests.wait_s((one.entry for one in candidates), now_s)
-                return AtLimit(wait_s, sum(one.entry.slots for one in candidates))
+                return_s = rests.return_s((one.entry for one in candidates), now_s)
+                return AtLimit(return_s, 0.0, resting=True)
             candidates = awake
         if self._backends.limits.limits_by_start:
             below = self._below_limit(candidates, needs.tier, now_s)
--- a/src/redwingbank/routing/dispatch.py
+++ b/src/redwingbank/routing/dispatch.py
@@ -99,6 +99,8 @@
         if isinstance(choice, AtLimit):
             if choice.brittle:
                 return Refuse(Code.SERVERS_AT_LIMIT, choice.wait_s, choice)
+            if choice.resting:
+                return Refuse(Code.SERVERS_AT_LIMIT, min(choice.wait_s, MAX_RETURN_S))
             return Refuse(Code.SERVERS_AT_LIMIT, self._return_s(pool, choice, needs, now_s))
         code = None if needs.answer_begun else refusal_code(choice, needs, now_s)
         if code is None:
--- a/src/redwingbank/routing/server_rest.py
+++ b/src/redwingbank/routing/server_rest.py
@@ -15,8 +15,12 @@
     from redwingbank.front.values import ServerEntry
     from redwingbank.routing.server_limit import ServerStart
 
+# A server that is full for longer says so again; until then this bounds what a mistake costs.
+LONGEST_REST_S = 60.0
 # Hosts that were turned away together come back spread over this share of the time more.
 SPREAD_SHARE = 0.1
+# Callers that all servers of a pool turned away come back spread over this share of the time more.
+RETURN_SPREAD = 0.5
 
 
 class RestBook:
@@ -39,6 +43,7 @@
 
         An answer that comes late does not shorten a rest.
         """
+        rest_s = min(rest_s, LONGEST_REST_S)
         rests = self.left_s(server, started_ms, now_s) > 0.0
         ends_s = now_s + rest_s * (1 + SPREAD_SHARE * self._random.random())
         start = server, started_ms
@@ -49,9 +54,10 @@
         """Return how long a start of a server still rests, 0.0 if it doesn't."""
         return max(0.0, self.ends_s_by_start.get((server, started_ms), 0.0) - now_s)
 
-    def wait_s(self, entries: Iterable[ServerEntry], now_s: float) -> float:
-        """Return the time until the first of some servers takes requests."""
-        return min(self.left_s(entry.name, entry.started_ms, now_s) for entry in entries)
+    def return_s(self, entries: Iterable[ServerEntry], now_s: float) -> float:
+        """Return the time until a caller may return that none of some servers takes now."""
+        left_s = min(self.left_s(entry.name, entry.started_ms, now_s) for entry in entries)
+        return left_s * (1 + RETURN_SPREAD * self._random.random())
 
     def expire(self, now_s: float) -> None:
         """Forget the rests that are over."""
--- a/tests/front/server_rests.feature
+++ b/tests/front/server_rests.feature
@@ -32,6 +32,7 @@
       | value                         | mode  |
       | 2                             | ok    |
       | 2                             | error |
+      | 2                             | limited |
       | -1                            | shed  |
       | nan                           | shed  |
       | 1e3                           | shed  |
