--- a/src/redwingbank/front/shutdown.py
+++ b/src/redwingbank/front/shutdown.py
@@ -56,7 +56,8 @@
         ends in time may be sent. One whose answer likely does may be if it was read while the
         balancer still sends new connections.
         """
-        if not self.begun or self._elapsed_s(give_up_s) < self._end_s:
+        surely_ends = now_s < give_up_s and self._elapsed_s(give_up_s) < self._end_s
+        if not self.begun or surely_ends:
             return True
         if likely_s is None:
             likely_s = self._grace_s * UNMEASURED_SHARE
