Delete a block that is cleared while it is being written

What callers saw: 503 (1232) for sound requests at every host that read the block, for up to ten minutes.

Cause: that the store may hold a block was noted when the answer to its write came. A clearance in between, or after a write without an answer, found nothing to delete. One by a host that had not read the block yet deleted nothing, and the writer ignored the news of it. State of one thing in two places, each changed by one of the two.

A block counts as stored from before its write, and its writer deletes it when another host clears it. A block that falls due earlier than the one that is waited for is no longer taken for a late one.

--- a/src/redwingbank/front/block_list.py
+++ b/src/redwingbank/front/block_list.py
@@ -57,9 +57,12 @@
         self._stored: set[str] = set()
         self._due_s_by_trait: dict[str, float] = {}
         self._lifted: set[str] = set()
+        # what this host wrote; the host that clears a trait may not have read that yet
+        self._written: set[str] = set()
         self._changed = anyio.Event()
         poison.on_blocked = self._schedule_write
         poison.on_cleared = self._schedule_deletion
+        poison.on_cleared_elsewhere = self._delete_own
 
     def wait_s(self) -> float:
         """Return how long a watch may wait."""
@@ -109,7 +112,11 @@
                 await self._changed.wait()
             wait_s = min(self._due_s_by_trait.values(), default=0.0) - now_s()
             if not self._lifted and wait_s > 0:
-                await anyio.sleep(wait_s)
+                self._changed = anyio.Event()
+                with anyio.move_on_after(wait_s):
+                    # an earlier one may come meanwhile
+                    await self._changed.wait()
+                    continue
             try:
                 await self._write_due()
             except StoreError as error:
@@ -124,15 +131,17 @@
         for trait, due_s in list(self._due_s_by_trait.items()):
             late_s = now_s() - due_s
             if late_s > HELD_UP_S:
-                self._schedule_write(trait)
+                self._set_due(trait)
             elif late_s >= 0 and not self._poison.find_blocked((trait,), now_s()):
                 self._due_s_by_trait.pop(trait, None)
             elif late_s >= 0:
                 left_s = self._poison.causes.seconds_left(trait, now_s())
                 created = encode_object(trait, {LEFT: round(left_s, 1)})
+                # the store may hold it from now on, also without an answer
+                self._stored.add(trait)
+                self._written.add(trait)
                 await self._call("POST", list_path(KIND_BLOCKS), created, STATUS_CONFLICT)
                 self._due_s_by_trait.pop(trait, None)
-                self._stored.add(trait)
 
     async def _call(self, method: str, path: str, body: bytes, tolerated: int) -> None:
         status, _ = await self._client.call(method, path, body, CALL_TIMEOUT_S)
@@ -141,11 +150,21 @@
 
     def _schedule_write(self, trait: str) -> None:
         if trait not in self._stored:
-            self._due_s_by_trait[trait] = now_s() + MAX_WRITE_DELAY_S * self._random.random()
+            self._set_due(trait)
             self._changed.set()
 
+    def _set_due(self, trait: str) -> None:
+        self._due_s_by_trait[trait] = now_s() + MAX_WRITE_DELAY_S * self._random.random()
+
+    def _delete_own(self, trait: str) -> None:
+        """Delete a block that this host wrote, and that another one has cleared."""
+        self._due_s_by_trait.pop(trait, None)
+        if trait in self._written:
+            self._schedule_deletion(trait)
+
     def _schedule_deletion(self, trait: str) -> None:
         self._due_s_by_trait.pop(trait, None)
+        self._written.discard(trait)
         if trait in self._stored:
             self._stored.discard(trait)
             self._lifted.add(trait)
@@ -159,15 +178,15 @@
             return
         self._stored.add(trait)
         if self._poison.causes.refutes(trait, now_s()):
-            # written by a host whose rules or news are older
-            self._log.essential("poison-unblocked", fingerprint=trait, reason="common cause")
-            self._schedule_deletion(trait)
+            # its writer may know of more crashes, so it stays in the store
+            self._log.essential("block-left-out", fingerprint=trait, reason="common cause")
             return
         if not self._poison.find_blocked((trait,), now_s()):
             self._poison.causes.block(trait, now_s(), _read_left_s(stored.content))
             self._log.essential("poison-blocked", fingerprint=trait, reason="listed")
 
     def _lift(self, trait: str) -> None:
+        self._written.discard(trait)
         if trait in self._stored:
             self._stored.discard(trait)
             self._poison.causes.unblock(trait)
--- a/src/redwingbank/front/poison.py
+++ b/src/redwingbank/front/poison.py
@@ -45,7 +45,7 @@
     are blocked. A lost answer counts as a crash once its server is known to be down. A complete
     answer, or one that goes on for a while, clears the traits of its request. `broadcast` sends
     crashes and clearances to the other hosts; `on_blocked` and `on_cleared` receive the traits
-    that this host blocked or cleared.
+    that this host blocked or cleared, `on_cleared_elsewhere` those that another host cleared.
 
     >>> poison = PoisonTracker(lambda news: None, None)
     >>> for server, sent_s in (("i-1", 0.0), ("i-2", 1.0), ("i-3", 2.0)):
@@ -59,6 +59,7 @@
         self.causes = CrashCauses()
         self.on_blocked: Callable[[str], None] | None = None
         self.on_cleared: Callable[[str], None] | None = None
+        self.on_cleared_elsewhere: Callable[[str], None] | None = None
         self._broadcast = broadcast
         self._log = log
         self._lost_by_server: dict[str, list[LostRun]] = {}
@@ -108,6 +109,8 @@
         """Apply a crash or clearance reported by another host."""
         if news.cleared:
             self.causes.unblock(news.fingerprint)
+            if self.on_cleared_elsewhere:
+                self.on_cleared_elsewhere(news.fingerprint)
             return
         lost_s = now_s - news.ago_s
         traits = (news.fingerprint, *news.parts)
