Keep a block whose write failed when the store comes back without it

Seen in a test, which failed before: a host blocked a trait, the store went down before the write and came back, and its list without the block lifted it on the host. A request that crashes servers would have been sent again.

Cause: counts a block as stored from before its write, and a list without it counted as one from which it had been deleted.

A block whose write isn't confirmed is left alone by a list; the write is tried again.

--- a/src/redwingbank/front/block_list.py
+++ b/src/redwingbank/front/block_list.py
@@ -69,9 +69,12 @@
         return WATCH_S
 
     def handle_listing(self, listing: Listing) -> None:
-        """Apply the list of all blocks; those no longer listed have been lifted."""
+        """Apply the list of all blocks; those no longer listed have been lifted.
+
+        A block whose write isn't confirmed may not have been in the store yet.
+        """
         listed = {stored.name for stored in listing.objects}
-        for trait in self._stored - listed:
+        for trait in self._stored - listed - self._due_s_by_trait.keys():
             if listing.begins_era:
                 # the copy is older than the block
                 self._stored.discard(trait)
@@ -158,9 +161,10 @@
 
     def _delete_own(self, trait: str) -> None:
         """Delete a block that this host wrote, and that another one has cleared."""
-        self._due_s_by_trait.pop(trait, None)
         if trait in self._written:
             self._schedule_deletion(trait)
+        else:
+            self._due_s_by_trait.pop(trait, None)
 
     def _schedule_deletion(self, trait: str) -> None:
         self._due_s_by_trait.pop(trait, None)
--- a/tests/front/poison.feature
+++ b/tests/front/poison.feature
@@ -71,6 +71,11 @@
       | here after a write without an answer       |
       | by another host while it is being written  |
 
+  Scenario: a block whose write failed stays in force as the store comes back without it
+    Given a host that has blocked a request and is about to write the block to the store
+    When the write fails, and the store comes back and lists no block
+    Then the store holds the block in the end, and so does the host
+
   Scenario: a block of a host that was frozen is written
     Given a host that has blocked a request and is about to write the block to the store
     When it is frozen for 1.2 s
