Give up a request that begins as the last ones are given up, too

Cause: requests were given up once, before the two last looks at connections, in which more of them may begin. They are given up at each look now, so that they get an error answer; the process ends no later.

The new scenario failed before; shutdown.feature, 33 scenarios, passes.

--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -192,10 +192,10 @@
                 return
             if self.router.shutdown.closed(now_s()):
                 break
-        for exchange in list(self.router.exchanges):
-            self.router.guard(exchange.give_up, exchange.cancel)
         for _ in range(2):
-            # the second time those behind requests that were refused meanwhile
+            # the second time those that began meanwhile, also behind the ones given up
+            for exchange in list(self.router.exchanges):
+                self.router.guard(exchange.give_up, exchange.cancel)
             for connection in list(self.router.connections):
                 with self.router.barrier.confine("connections"):
                     connection.refuse_incomplete()
--- a/tests/front/shutdown.feature
+++ b/tests/front/shutdown.feature
@@ -19,6 +19,10 @@
     When a host with 2 s of grace, which began to shut down 0.5 s ago, gets a booking that its server never answers
     Then the booking is answered with 504 before the grace period ends
 
+  Scenario: a request that begins as the last ones are given up is not left without an answer
+    When a request waits in a host from just after the end of the grace period
+    Then it is given up, too, before the process ends
+
   Scenario: a running stream is completed
     When a host begins to shut down during a fixed request
     Then the front streams events 1 to 4 completely
--- a/tests/steps/front_shutdown.py
+++ b/tests/steps/front_shutdown.py
@@ -516,3 +516,38 @@
     assert context.answer.status == status, context.answer
     # the class's own timeout would come 1.5 s after the request
     assert context.took_s < 1.5, context.took_s
+
+
+class OpenRequest:
+    """A request that can only be given up, and after which another one may begin."""
+
+    def __init__(self, router, follower=None):
+        self.given_up = False
+        self._router, self._follower = router, follower
+
+    def give_up(self):
+        self.given_up = True
+        self._router.exchanges.discard(self)
+        if self._follower:
+            add = self._router.exchanges.add
+            asyncio.get_running_loop().call_later(0.005, add, self._follower)
+
+    def cancel(self):
+        pass
+
+
+@when("a request waits in a host from just after the end of the grace period")
+def waits_after_the_end(context):
+    async def scenario(rig):
+        router = rig.front.router
+        router.shutdown.closed = lambda now: True
+        context.late = OpenRequest(router)
+        router.exchanges.add(OpenRequest(router, context.late))
+        await rig.front._close()
+
+    run_scenario(Rig(), scenario)
+
+
+@then("it is given up, too, before the process ends")
+def late_given_up(context):
+    assert context.late.given_up
