End the answers before when a caller takes its stream up

Callers saw nothing; the users count it as run twice: while a caller's first connection hung, its stream ran on at the server before, beside the run that went on at another server, until the host before saw the connection end.

Cause: a host knew which software version began a stream, not that an answer of its own, or of another host, still brought it. A caller that comes back was taken for the end of its first connection, which is true only where that connection's end is seen.

The request that takes a stream up now ends all answers before: at its own host by the stream's key, at the host that served it last by a message, told again until that one confirms it. The new answer doesn't wait. News that come late, or once more, spare answers that began after the take-up, and answers to the same request at a host that forwards it. The key of an answer holds the organisation, so none can end another one's streams. A host counts as serving a stream from when it sends it, not from its first event.

--- a/src/redwingbank/codes.py
+++ b/src/redwingbank/codes.py
@@ -56,6 +56,7 @@
     BACKEND_CLOSED_EARLY = 1402
     BACKEND_TIMEOUT = 1403
     BACKEND_REFUSED = 1404
+    TAKEN_UP = 1405
     CALLER_GONE = 1499
     INTERNAL = 1500
 
@@ -174,6 +175,12 @@
     Code.BACKEND_REFUSED: _row(
         503, Ran.NO, "every backend server tried refused it", "come back", retry=True
     ),
+    Code.TAKEN_UP: _row(
+        502,
+        Ran.MAYBE,
+        "the caller takes the stream up in another answer",
+        "read the other answer",
+    ),
     Code.CALLER_GONE: _row(499, Ran.MAYBE, "the caller closed the connection", "nothing"),
     Code.INTERNAL: _row(500, Ran.MAYBE, "a fault of the router", "report it"),
 }
--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -98,7 +98,7 @@
 }
 
 struct Streams {            # streams that callers may take up at any host
-  purpose @0 :UInt8;        # 0 told, 1 asked, 2 answered, 3 ended
+  purpose @0 :UInt8;        # 0 told, 1 asked, 2 answered, 3 ended, 4 taken up, 5 released
   rows @1 :List(Stream);
 }
 
@@ -108,6 +108,8 @@
   version @2 :Text;         # software version that began it; empty if it is not known
   host @3 :Text;            # host that served it last
   leftMs @4 :UInt32;        # time for which its caller may take it up
+  takenUpBy @5 :Text;       # purpose 4: hash of the id of the request that takes it up
+  agoMs @6 :UInt32;         # purpose 4: time since then
 }
 
 # What a server says of itself, by `kind`: 0 the requests a second that it takes from all hosts
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -116,7 +116,7 @@
         left_s = self._request.give_up_s - now_s()
         loop = asyncio.get_running_loop()
         self._timer = loop.call_later(max(0.0, left_s) + TIMEOUT_GRACE_S, self.give_up)
-        self._binding = StreamBinding(self._router, admitted)
+        self._binding = StreamBinding(self._router, admitted, self)
         self._binding.find(self._origin_found)
 
     def _origin_found(self, code: Code | None) -> None:
@@ -147,6 +147,13 @@
         self._recorder.record_caller_gone(self._life)
         self._close()
 
+    def end_taken_up(self) -> None:
+        """End the answer: the caller takes the stream up in another one."""
+        if not self._closed:
+            assert self._binding
+            self._binding.hand_over()
+            self._fail(Code.TAKEN_UP)
+
     def give_up(self) -> None:
         """Answer with an error, at the end of the request's time or before the process ends."""
         if not self._closed:
@@ -371,6 +378,7 @@
         self._life.advance(Step.GRANT)
         self._life.advance(Step.SEND)
         self._watch.sent(now)
+        self._binding.sent()
         check, number = self._binding.start_check, self._life.attempt
         send = Send(request.request_id, request.organisation, choice, needs, check, number)
         self._holder.hold(send, now)
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -24,6 +24,7 @@
 from redwingbank.front.server_statements import ServerStatements
 from redwingbank.front.shutdown import Shutdown
 from redwingbank.front.stream_sharing import StreamSharing
+from redwingbank.front.stream_takeover import StreamTakeover
 from redwingbank.front.values import Kind, Limits, Pool
 from redwingbank.metrics import Metrics
 from redwingbank.routing.choice import Chooser, as_in_flight
@@ -79,6 +80,7 @@
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
         self.servers = ServerRegistry(self.freshness.store_contact.was_down, self.backends.leaving)
         self.streams = StreamSharing(settings.name, self.peers)
+        self.takeover = StreamTakeover(settings.name, self.peers, self.streams, self.guard)
         self.versions = VersionHistory()
         self.routes = RouteHistory()
         self.dispatcher = Dispatcher(
@@ -108,6 +110,7 @@
         gauge("hosts_heard", len(self.peers.alive(now)))
         gauge("requests_in_flight", len(self.exchanges))
         gauge("streams_remembered", len(self.streams.book))
+        gauge("streams_answered", len(self.takeover.answers))
         gauge("poison_blocked", len(self.poison.causes.blocked(now)))
         for name, backend in self.backends.backends_by_name.items():
             gauge("server_in_flight", len(backend.load), server=name)
--- a/src/redwingbank/front/stream_binding.py
+++ b/src/redwingbank/front/stream_binding.py
@@ -8,6 +8,7 @@
 from redwingbank.codes import Code
 from redwingbank.front.attempt import StartCheck
 from redwingbank.front.values import Kind
+from redwingbank.routing.stream_answers import TakeUp, answer_key
 from redwingbank.routing.stream_origin import StreamOrigin, serving_version, stream_key
 
 if TYPE_CHECKING:
@@ -16,6 +17,7 @@
     from redwingbank.front.admission import AdmittedRequest
     from redwingbank.front.attempt import Attempt
     from redwingbank.front.router import Router
+    from redwingbank.front.stream_takeover import AnswerOwner
     from redwingbank.front.values import ServerEntry
 
 # Within so many tries, each as long as its class's timeout, a stream is taken up that its caller
@@ -35,10 +37,11 @@
     names none, the stream goes on only where the pools of its route have had a single version.
     """
 
-    def __init__(self, router: Router, admitted: AdmittedRequest) -> None:
+    def __init__(self, router: Router, admitted: AdmittedRequest, owner: AnswerOwner) -> None:
         route, facts = admitted.route, admitted.facts
         self.origin: StreamOrigin | None = None
         self._router = router
+        self._owner = owner
         self._route = route
         self._pool = admitted.pool
         self._pools = {share.pool for share in route.shares}
@@ -46,7 +49,7 @@
         # the class may have been resumable when a stream began that is named
         named = route.kind is Kind.STREAM and bool(facts.resumes)
         self._taken_up = named or (self._resumable and facts.takes_up)
-        self._begun = self._bound = self._serves = False
+        self._begun = self._bound = self._serves = self._released = False
         self._stream = facts.resumes if self._taken_up else facts.request_id
         # empty for a stream that is taken up without its name
         bindable = self._resumable or self._taken_up
@@ -55,6 +58,10 @@
         self._request_id = facts.request_id
         self._started_s = now_s()
         self._ends_s = self._started_s + patience_s
+        organisation = admitted.organisation.name if admitted.organisation else ""
+        self._take_up = TakeUp(
+            answer_key(organisation, self._stream), stream_key(self._request_id), self._started_s
+        )
 
     @property
     def pool(self) -> str:
@@ -70,6 +77,8 @@
 
     def find(self, found: Callable[[Code | None], None]) -> None:
         """Find out what began a stream that is taken up; pass on a code if it can't go on."""
+        if self._key:
+            self._router.takeover.answers.begin(self._owner, self._take_up)
         if not self._taken_up:
             found(None)
         elif not self._stream:
@@ -110,6 +119,11 @@
         bound = self.origin is not None and code is Code.NO_BACKEND_SERVER
         return Code.VERSION_GONE if bound else code
 
+    def sent(self) -> None:
+        """Tell that this host serves a stream that is taken up, as it is sent to a server."""
+        if self._taken_up and self._key:
+            self._bind_here()
+
     def events_received(self, attempt: Attempt) -> None:
         """Bind the stream before its first event is forwarded, or once its version is known."""
         if self._bound or not (self._resumable or self.origin):
@@ -119,6 +133,11 @@
         if self.origin is None and version:
             host = self._router.settings.name
             self.origin = StreamOrigin(attempt.entry.pool, version, host)
+        self._bind_here()
+
+    def _bind_here(self) -> None:
+        if self._bound:
+            return
         self._bound = self.origin is not None
         if self.origin and self._key:
             self._serves = True
@@ -132,10 +151,18 @@
 
     def release(self) -> None:
         """Leave the stream to the host at which its caller takes it up."""
+        self._released = True
+        self._router.takeover.answers.end(self._owner, self._take_up.key)
         if self._serves:
             self._serves = False
             self._router.streams.release(self._key)
 
+    def hand_over(self) -> None:
+        """Leave the stream to the answer in which its caller has taken it up."""
+        if self._serves:
+            self._serves = False
+            self._router.streams.hand_over(self._key)
+
     def _bind(self, origin: StreamOrigin | None) -> Code | None:
         self._router.log.detail(
             "stream-origin",
@@ -149,7 +176,11 @@
         if origin is None:
             return Code.VERSION_UNKNOWN
         self.origin = origin
-        return None if origin.pool in self._pools else Code.VERSION_GONE
+        if origin.pool not in self._pools:
+            return Code.VERSION_GONE
+        if self._key and not self._released:
+            self._router.takeover.take_up(self._take_up, origin.host)
+        return None
 
     def _version_of(self, attempt: Attempt) -> str:
         """Return the version of the server that an attempt reached, empty if it is not known."""
--- a/src/redwingbank/front/stream_sharing.py
+++ b/src/redwingbank/front/stream_sharing.py
@@ -64,7 +64,7 @@
         self._repeated_s = float("-inf")
         self._search_by_key: dict[str, _Search] = {}
         self._unasked: list[str] = []
-        self._handler_by_purpose = {
+        self.handler_by_purpose: dict[Purpose, Callable[[Iterable[StreamNote], str], None]] = {
             Purpose.TOLD: self._handle_told,
             Purpose.ASKED: self._handle_question,
             Purpose.ANSWERED: self._handle_answer,
@@ -95,6 +95,13 @@
         if self._end_answer(key):
             self._tell(self._holders(key), Purpose.TOLD, [self._note(key, now_s())])
 
+    def hand_over(self, key: str) -> None:
+        """Record that an answer no longer serves a stream, which another host has taken over.
+
+        That host tells the others.
+        """
+        self._end_answer(key)
+
     def finish(self, key: str) -> None:
         """Forget a stream that is complete, here and at the hosts that hold it.
 
@@ -130,7 +137,7 @@
 
     def handle_report(self, report: StreamReport, host: str) -> None:
         """Handle what another host tells, asks or answers."""
-        self._handler_by_purpose[report.purpose](report.notes, host)
+        self.handler_by_purpose[report.purpose](report.notes, host)
 
     def update(self, now: float) -> None:
         """Follow the hosts that come and go, repeat what they hold, and forget what has ended."""
--- a/src/redwingbank_bench/requestcost.py
+++ b/src/redwingbank_bench/requestcost.py
@@ -200,10 +200,10 @@
     from redwingbank.front.admission import AdmittedRequest  # noqa: PLC0415
 
     admitted = AdmittedRequest._make(
-        needs.facts if name == "facts" else needs.route if name == "route" else POOL.name
+        {"facts": needs.facts, "route": needs.route, "organisation": None}.get(name, POOL.name)
         for name in AdmittedRequest._fields
     )
-    exchange._binding = StreamBinding(router, admitted)
+    exchange._binding = StreamBinding(router, admitted, exchange)
     exchange._stream.begin_attempt(streams=True, resume_after="")
     exchange._answer.begin_stream(200, b"OK", b"")
     exchange._holder._awaits_first_event = False
--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -36,9 +36,24 @@
     method: str = "POST"
 
 
+class RunSpan(NamedTuple):
+    """A run and when the server worked on it, on the machine's monotonic clock."""
+
+    request: ReceivedRequest
+    began_s: float
+    ended_s: float
+
+    @property
+    def stream(self) -> str:
+        """The id of the request that began the stream, or of a request that goes on with none."""
+        return self.request.headers_by_name.get("resumes") or self.request.request_id
+
+
 class BackendServer(StreamServer):
     """Responds to requests according to `mode`; `runs` holds the requests that it started.
 
+    `spans` holds the runs that have ended, also those whose connections closed.
+
     The response to a HEAD request is the head alone.
 
     Modes with a single response: ok, error, shed, lost, garbage, unsigned, foreign, extra, cut,
@@ -77,6 +92,7 @@
         self.pause_s = 0.0
         self.arrivals: list[ReceivedRequest] = []
         self.runs: list[ReceivedRequest] = []
+        self.spans: list[RunSpan] = []
         self.cancelled = 0
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -125,6 +141,15 @@
             writer.write(head + self._statement_lines() + b"\r\n")
             return True
         self.runs.append(request)
+        began_s = time.monotonic()
+        try:
+            return await self._run(request, writer, reader)
+        finally:
+            self.spans.append(RunSpan(request, began_s, time.monotonic()))
+
+    async def _run(
+        self, request: ReceivedRequest, writer: asyncio.StreamWriter, reader: asyncio.StreamReader
+    ) -> bool:
         if await _peer_closes(reader, self.pause_s):
             self.cancelled += 1
             return False
@@ -345,4 +370,4 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
-__all__ = ["BackendServer", "ReceivedRequest"]
+__all__ = ["BackendServer", "ReceivedRequest", "RunSpan"]
