End the answer before when the one that goes on is sent, not sooner

Callers that take a stream up at a host that has no server for it are refused and told to come back; on their first answer broke off all the same. The stream was taken over as its origin was found, before it was known that it can go on there.

It is taken over now as the request is sent to a server. Evidence: "a host that has no server for a stream refuses to take it up" failed before and passes; the other 10 rows of front/taken_up_streams.feature pass as before.

--- a/src/redwingbank/front/stream_binding.py
+++ b/src/redwingbank/front/stream_binding.py
@@ -49,7 +49,7 @@
         # the class may have been resumable when a stream began that is named
         named = route.kind is Kind.STREAM and bool(facts.resumes)
         self._taken_up = named or (self._resumable and facts.takes_up)
-        self._begun = self._bound = self._serves = self._released = False
+        self._begun = self._bound = self._serves = False
         self._stream = facts.resumes if self._taken_up else facts.request_id
         # empty for a stream that is taken up without its name
         bindable = self._resumable or self._taken_up
@@ -120,9 +120,12 @@
         return Code.VERSION_GONE if bound else code
 
     def sent(self) -> None:
-        """Tell that this host serves a stream that is taken up, as it is sent to a server."""
-        if self._taken_up and self._key:
-            self._bind_here()
+        """Take a stream over from the answer before, as it is sent to a server."""
+        if self._bound or not self._taken_up:
+            return
+        self._bind_here()
+        if self.origin and self._key:
+            self._router.takeover.take_up(self._take_up, self.origin.host)
 
     def events_received(self, attempt: Attempt) -> None:
         """Bind the stream before its first event is forwarded, or once its version is known."""
@@ -136,8 +139,6 @@
         self._bind_here()
 
     def _bind_here(self) -> None:
-        if self._bound:
-            return
         self._bound = self.origin is not None
         if self.origin and self._key:
             self._serves = True
@@ -151,7 +152,6 @@
 
     def release(self) -> None:
         """Leave the stream to the host at which its caller takes it up."""
-        self._released = True
         self._router.takeover.answers.end(self._owner, self._take_up.key)
         if self._serves:
             self._serves = False
@@ -176,11 +176,7 @@
         if origin is None:
             return Code.VERSION_UNKNOWN
         self.origin = origin
-        if origin.pool not in self._pools:
-            return Code.VERSION_GONE
-        if self._key and not self._released:
-            self._router.takeover.take_up(self._take_up, origin.host)
-        return None
+        return None if origin.pool in self._pools else Code.VERSION_GONE
 
     def _version_of(self, attempt: Attempt) -> str:
         """Return the version of the server that an attempt reached, empty if it is not known."""
--- a/tests/front/taken_up_streams.feature
+++ b/tests/front/taken_up_streams.feature
@@ -28,6 +28,11 @@
       | 1     |
       | 3     |
 
+  Scenario: a host that has no server for a stream refuses to take it up
+    Given 4 fronts and servers whose streams take 1.5 s
+    When a caller names the stream that it still reads at a host that has no server for it
+    Then the caller that reads it gets its whole stream
+
   Scenario: a caller of another organisation names the stream
     Given 4 fronts and servers whose streams take 1.5 s
     When a caller of another organisation names the stream of a caller that reads it
--- a/tests/steps/front_taken_up_streams.py
+++ b/tests/steps/front_taken_up_streams.py
@@ -17,6 +17,7 @@
 EVENT_PAUSE_S = 0.3
 DEADLINE_MS = 5000
 CODE_TAKEN_UP = 1405
+STATUS_UNAVAILABLE = 503
 
 
 class Caller:
@@ -161,6 +162,22 @@
     play(context, scenario)
 
 
+@when("a caller names the stream that it still reads at a host that has no server for it")
+def names_refused(context):
+    async def scenario(fleet):
+        first, second, *_ = fleet.fronts
+        second.router.servers.usable = lambda pool: []
+        reading = asyncio.create_task(context.caller.read(first, "r-1"))
+        await fleet.rig.until(lambda: context.caller.last_event >= 1)
+        answer = await fleet.rig.ask(
+            "memo", request_id="r-2", front=second, Resumes="r-1", Last_Event_Id=1
+        )
+        assert answer.status == STATUS_UNAVAILABLE, answer
+        await reading
+
+    play(context, scenario)
+
+
 @when(
     "a caller takes its stream up at another host and then at the first one, and the news of the"
     " other arrive once more"
