Run hosts of several releases beside each other in a soak

Callers saw nothing: what hosts of two releases do to once-only calls was played by hand on scratch copies, never by the soak.

`releases=SRC,...` names source folders; each start of a front, also after a kill or a stop, is of one of them at random by the seed, and the result counts the starts.

Evidence: system/soak.feature starts stubs of two releases; without the chosen environment its scenario fails (break seen), as no line of either release is in the logs.

--- a/src/redwingbank_bench/processes.py
+++ b/src/redwingbank_bench/processes.py
@@ -54,14 +54,17 @@
         self._environment = dict(environment or {})
         self._process: subprocess.Popen[bytes] | None = None
 
-    def start(self) -> None:
-        """Start the process, or start it again after it has exited."""
+    def start(self, environment: Mapping[str, str] | None = None) -> None:
+        """Start the process, or start it again after it has exited.
+
+        `environment` holds variables of this start only.
+        """
         with self.log.open("ab") as log:
             self._process = subprocess.Popen(  # noqa: S603
                 self._arguments,
                 stdout=log,
                 stderr=subprocess.STDOUT,
-                env={**os.environ, **self._environment},
+                env={**os.environ, **self._environment, **(environment or {})},
             )
 
     @property
--- a/src/redwingbank_bench/soak.py
+++ b/src/redwingbank_bench/soak.py
@@ -11,6 +11,7 @@
 from collections import Counter
 from pathlib import Path
 from random import Random
+from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from redwingbank_bench.soakcallers import (
@@ -35,9 +36,9 @@
 from redwingbank_bench.soakplan import (
     CUT_S,
     FORWARDING_FAULTS,
-    HOSTS,
     PAUSE_BETWEEN_FAULTS_S,
     Plan,
+    parse_plan,
 )
 from redwingbank_bench.soakproxy import Proxy
 from redwingbank_bench.soakservers import (
@@ -51,7 +52,7 @@
 from redwingbank_standins.raw_response import parse_response
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Coroutine
+    from collections.abc import Callable, Coroutine, Mapping
 
 CALLERS = 12
 # A stream is taken up so often, and this share of the callers of streams leave them midway.
@@ -76,7 +77,7 @@
     answers that came on a connection used before. `taken_up` counts the streams that callers took
     up and that went on, `not_taken_up` the others. `falls` counts how often brittle servers fell
     over; hosts that were killed or suspended may have caused them. `forwarded` counts the requests
-    that a host sent to another one.
+    that a host sent to another one, `releases` the starts of fronts by the release's folder.
     """
 
     seed: int
@@ -88,6 +89,7 @@
     not_taken_up: int = 0
     falls: int = 0
     forwarded: int = 0
+    releases: Mapping[str, int] = MappingProxyType({})
 
 
 class Soak:
@@ -102,7 +104,7 @@
         self._store = ObjectStore()
         self._store_proxies: list[Proxy] = []
         self._servers = ServerFleet(self._store, self._random)
-        self._fronts = FrontFleet(self._random, folder)
+        self._fronts = FrontFleet(self._random, folder, plan.releases)
         self._attempts_by_id: dict[str, Attempt] = {}
         self._revoked_s_by_key: dict[str, float] = {}
         self._keys = ["key-0"]
@@ -152,6 +154,7 @@
             self._taken_up[False],
             self._servers.falls,
             self._fronts.count_logged("request-forwarded"),
+            dict(self._fronts.release_starts),
         )
 
     async def _start(self) -> None:
@@ -380,8 +383,7 @@
 
 
 if __name__ == "__main__":
-    _first, _count, _seconds, *_more = sys.argv[1:]
-    _hosts = int(_more[0]) if _more else HOSTS
-    sys.exit(main(int(_count), Plan(int(_first), float(_seconds), _hosts, "forwards" in _more)))
+    _first, _count, *_more = sys.argv[1:]
+    sys.exit(main(int(_count), parse_plan([_first, *_more])))
 
 __all__ = ["Result", "soak"]
--- a/src/redwingbank_bench/soakfronts.py
+++ b/src/redwingbank_bench/soakfronts.py
@@ -6,6 +6,7 @@
 import json
 import signal
 import time
+from collections import Counter
 from typing import TYPE_CHECKING
 
 from redwingbank.settings import Address
@@ -17,6 +18,7 @@
 from redwingbank_bench.soakservers import sleep_during_fault
 
 if TYPE_CHECKING:
+    from collections.abc import Sequence
     from pathlib import Path
     from random import Random
 
@@ -28,16 +30,22 @@
 
 
 class FrontFleet:
-    """Front processes by number; `violations` names those that exited without a signal to."""
+    """Front processes by number; `violations` names those that exited without a signal to.
 
-    def __init__(self, random: Random, folder: Path) -> None:
+    `releases` are folders of source code; each start is of one of them. `release_starts` tells
+    how many.
+    """
+
+    def __init__(self, random: Random, folder: Path, releases: Sequence[Path] = ()) -> None:
         self.addresses: list[Address] = []
         self.sources: list[str] = []
         self.name_by_address: dict[Address, str] = {}
         self.interruptions: list[Interruption] = []
         self.violations: list[str] = []
+        self.release_starts: Counter[str] = Counter()
         self._random = random
         self._folder = folder
+        self._releases = releases
         self._fronts: list[ChildProcess] = []
         self._exit_requested: set[str] = set()
         self._killed_s_by_name: dict[str, float] = {}
@@ -109,7 +117,15 @@
 
     def _start(self, front: ChildProcess) -> None:
         with reload_signal_ignored():
-            front.start()
+            front.start(self._choose_release())
+
+    def _choose_release(self) -> dict[str, str]:
+        """Return the variables that make a front one of a random release."""
+        if not self._releases:
+            return {}
+        release = str(self._random.choice(self._releases))
+        self.release_starts[release] += 1
+        return {"PYTHONPATH": release}
 
     def _record_exit(self, front: ChildProcess) -> None:
         killed_s = self._killed_s_by_name.pop(front.name, None)
--- a/src/redwingbank_bench/soakplan.py
+++ b/src/redwingbank_bench/soakplan.py
@@ -2,10 +2,14 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+from pathlib import Path
+from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank_bench.soakproxy import CUT_MODES
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 HOSTS = 3
 # longer than hosts need to notice that they are cut off
 CUT_S = (2.0, 5.0)
@@ -18,7 +22,9 @@
     """A run with a seed and a number of fronts; 16 or more work as a large fleet.
 
     With `forwards` the first host is cut off from all servers most of the time, while all hosts
-    end, freeze, and lose their servers. `cut_modes` are the ways in which hosts are cut off.
+    end, freeze, and lose their servers. `cut_modes` are the ways in which hosts are cut off. Each
+    start of a front is of one of `releases`, folders of source code; of the code that runs the
+    soak if there are none.
     """
 
     seed: int
@@ -26,6 +32,39 @@
     hosts: int = HOSTS
     forwards: bool = False
     cut_modes: tuple[str, ...] = CUT_MODES
+    releases: tuple[Path, ...] = ()
+
+
+def parse_plan(arguments: Sequence[str]) -> Plan:
+    """Return the plan that a command line asks for.
+
+    >>> parse_plan(["7", "6", "4", "forwards"]).hosts
+    4
+
+    :raises ValueError: if an argument is none, or a folder holds no release
+    """
+    seed, seconds, *more = arguments
+    plan = Plan(int(seed), float(seconds))
+    for argument in more:
+        name, _, value = argument.partition("=")
+        if name == "forwards" and not value:
+            plan = plan._replace(forwards=True)
+        elif name == "releases":
+            plan = plan._replace(releases=tuple(map(_release, value.split(","))))
+        else:
+            plan = plan._replace(hosts=int(argument))
+    return plan
+
+
+def _release(path: str) -> Path:
+    """Return the folder of a release's source code.
+
+    :raises ValueError: if it holds none
+    """
+    folder = Path(path).resolve()
+    if not (folder / "redwingbank_bench" / "soakfront.py").is_file():
+        raise ValueError(f"no source code of a release: {path}")
+    return folder
 
 
-__all__ = ["CUT_S", "FORWARDING_FAULTS", "HOSTS", "PAUSE_BETWEEN_FAULTS_S", "Plan"]
+__all__ = ["CUT_S", "FORWARDING_FAULTS", "HOSTS", "PAUSE_BETWEEN_FAULTS_S", "Plan", "parse_plan"]
--- a/tests/steps/system_soak.py
+++ b/tests/steps/system_soak.py
@@ -2,6 +2,13 @@
 
 from __future__ import annotations
 
+import asyncio
+import contextlib
+import tempfile
+from collections import Counter
+from pathlib import Path
+from random import Random
+
 from behave import given, then, when
 
 from redwingbank_bench.soak import REVOKE_S, soak
@@ -13,8 +20,9 @@
     Observations,
     find_violations,
 )
-from redwingbank_bench.soakdocuments import DEADLINE_MS, ORGANISATION
-from redwingbank_bench.soakplan import Plan
+from redwingbank_bench.soakdocuments import ANY_PORT, DEADLINE_MS, ORGANISATION
+from redwingbank_bench.soakfronts import FrontFleet
+from redwingbank_bench.soakplan import Plan, parse_plan
 from redwingbank_standins.backend_server import ReceivedRequest
 
 EVENTS = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 5))
@@ -42,6 +50,43 @@
         assert context.result.ends.get(f"{name} 200"), context.result.ends
 
 
+@given("the source code of {count:d} releases")
+def releases(context, count):
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    context.folder = Path(directory.name)
+    context.releases = [str(context.folder / f"release-{number}") for number in range(count)]
+    for path in context.releases:
+        package = Path(path) / "redwingbank_bench"
+        package.mkdir(parents=True)
+        package.joinpath("__init__.py").touch()
+        package.joinpath("soakfront.py").write_text(f"print({path!r})\n")
+
+
+@when("{count:d} fronts of a soak start and exit for {seconds:d} s")
+def fronts_start(context, count, seconds):
+    plan = parse_plan(["5", "6", str(count), f"releases={','.join(context.releases)}"])
+
+    async def run():
+        context.fleet = FrontFleet(Random(plan.seed), context.folder, plan.releases)
+        for _ in range(plan.hosts):
+            context.fleet.add(ANY_PORT)
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(context.fleet.supervise(), seconds)
+
+    asyncio.run(run())
+    context.fleet.stop()
+
+
+@then("fronts of each release have started, and the fleet has counted them")
+def releases_started(context):
+    lines = [line for log in context.folder.glob("*.log") for line in log.read_text().splitlines()]
+    started, counted = Counter(lines), context.fleet.release_starts
+    assert set(started) == set(context.releases) == set(counted), (started, counted)
+    # the last start of each front may have been ended before its line
+    assert all(0 <= counted[path] - started[path] <= 3 for path in counted), (started, counted)
+
+
 def make_attempt(request_id, service_class, body, sent_s=1.0, status=200, key="key-1"):
     stamp = f"s.{request_id}"
     return Attempt(
--- a/tests/system/soak.feature
+++ b/tests/system/soak.feature
@@ -15,6 +15,11 @@
     Then the soak found no violation
     And the soak's callers were served in each class
 
+  Scenario: a soak of hosts of several releases starts fronts of each of them
+    Given the source code of 2 releases
+    When 3 fronts of a soak start and exit for 2 s
+    Then fronts of each release have started, and the fleet has counted them
+
   Scenario Outline: the soak's checks detect each violation
     Given the records of a soak without violations
     Then the soak's checks find nothing
