Tell a host of many streams that were taken up in one message

Callers saw nothing yet; a host whose 300 streams go on elsewhere at once was told of them in up to 1,500 datagrams within 0.25 s, which its socket's buffer has to hold while it is suspended, and answered each of them.

Cause: the take-over sent a datagram a stream, and told of each on a timer of its own.

Evidence: six rows of front/stream_sharing.feature in simulated time (7, 40 and 160 hosts; the host before sound, suspended or killed). Each stream has one answer, at the host that took it up, and no timer is left after a second.

--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -80,7 +80,7 @@
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
         self.servers = ServerRegistry(self.freshness.store_contact.was_down, self.backends.leaving)
         self.streams = StreamSharing(settings.name, self.peers)
-        self.takeover = StreamTakeover(settings.name, self.peers, self.streams, self.guard)
+        self.takeover = StreamTakeover(settings.name, self.streams, self.guard)
         self.versions = VersionHistory()
         self.routes = RouteHistory()
         self.dispatcher = Dispatcher(
--- a/src/redwingbank/front/stream_sharing.py
+++ b/src/redwingbank/front/stream_sharing.py
@@ -82,9 +82,9 @@
         self.book.record(key, origin._replace(host=self._host), ends_s, now)
         self._served[key] += 1
         holders = self._holders(key)
-        self._tell(holders, Purpose.TOLD, [self._note(key, now)])
+        self.tell(holders, Purpose.TOLD, [self._note(key, now)])
         if before not in {self._host, *holders}:
-            self._tell([before], Purpose.ENDED, [StreamNote(key)])
+            self.tell([before], Purpose.ENDED, [StreamNote(key)])
 
     def serves(self, key: str) -> bool:
         """Whether an answer of this host serves a stream."""
@@ -93,7 +93,7 @@
     def release(self, key: str) -> None:
         """Record that an answer no longer serves a stream, which its caller may take up."""
         if self._end_answer(key):
-            self._tell(self._holders(key), Purpose.TOLD, [self._note(key, now_s())])
+            self.tell(self._holders(key), Purpose.TOLD, [self._note(key, now_s())])
 
     def hand_over(self, key: str) -> None:
         """Record that an answer no longer serves a stream, which another host has taken over.
@@ -109,7 +109,7 @@
         """
         if self._end_answer(key):
             self.book.end(key)
-            self._tell(self._holders(key), Purpose.ENDED, [StreamNote(key)])
+            self.tell(self._holders(key), Purpose.ENDED, [StreamNote(key)])
 
     def _end_answer(self, key: str) -> bool:
         """Count the end of an answer; return whether it was the last one of its stream."""
@@ -158,7 +158,7 @@
                 for host in self._holders(key):
                     notes_by_host[host].append(self._note(key, now))
         for host, notes in notes_by_host.items():
-            self._tell([host], Purpose.TOLD, notes)
+            self.tell([host], Purpose.TOLD, notes)
 
     def _handle_told(self, notes: Iterable[StreamNote], host: str) -> None:
         now = now_s()
@@ -168,7 +168,7 @@
 
     def _handle_question(self, notes: Iterable[StreamNote], host: str) -> None:
         now = now_s()
-        self._tell([host], Purpose.ANSWERED, [self._note(note.key, now) for note in notes])
+        self.tell([host], Purpose.ANSWERED, [self._note(note.key, now) for note in notes])
 
     def _handle_answer(self, notes: Iterable[StreamNote], host: str) -> None:
         for note in notes:
@@ -205,7 +205,7 @@
             for host in search.silent if search else ():
                 notes_by_host[host].append(StreamNote(key))
         for host, notes in notes_by_host.items():
-            self._tell([host], Purpose.ASKED, notes)
+            self.tell([host], Purpose.ASKED, notes)
 
     def _conclude(self, key: str, origin: StreamOrigin | None) -> None:
         search = self._search_by_key.pop(key)
@@ -222,7 +222,8 @@
     def _note(self, key: str, now: float) -> StreamNote:
         return StreamNote(key, self.book.find(key, now), self.book.left_s(key, now))
 
-    def _tell(self, hosts: Iterable[str], purpose: Purpose, notes: list[StreamNote]) -> None:
+    def tell(self, hosts: Iterable[str], purpose: Purpose, notes: list[StreamNote]) -> None:
+        """Send notes of streams to some hosts, several in a message."""
         for at in range(0, len(notes), MAX_NOTES):
             self._peers.tell(hosts, StreamReport(purpose, tuple(notes[at : at + MAX_NOTES])))
 
--- a/src/redwingbank/front/stream_takeover.py
+++ b/src/redwingbank/front/stream_takeover.py
@@ -3,22 +3,25 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Protocol
+from collections import defaultdict
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from redwingbank.clock import now_s
-from redwingbank.front.stream_codec import Purpose, StreamNote, StreamReport
+from redwingbank.front.stream_codec import Purpose, StreamNote
 from redwingbank.routing.stream_answers import StreamAnswers, TakeUp
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
-    from redwingbank.front.peers import Peers
     from redwingbank.front.stream_sharing import StreamSharing
 
 # Datagrams are lost; a host that has not confirmed is told again. One that is gone or suspended
 # need not be waited for.
 TELL_AGAIN_S = 0.05
 MAX_TOLD = 5
+# After the end of a host many of its streams are taken up at the same moment; a message tells of
+# several.
+TELL_BATCH_S = 0.002
 
 
 class AnswerOwner(Protocol):
@@ -31,25 +34,35 @@
         """End the request after an unexpected error, unless it has ended."""
 
 
+class _News(NamedTuple):
+    """News that a stream was taken up, for the host that served it before."""
+
+    take_up: TakeUp
+    host: str
+    told: int = 0
+
+
 class StreamTakeover:
     """Keeps the answers of this host to one a stream, together with the other hosts.
 
     A caller whose connection hangs takes its stream up elsewhere long before the host that it was
     connected to notices. That host is told, and ends its run; the new answer doesn't wait for it.
+    What it has not confirmed is told again, of all streams at once.
     """
 
     def __init__(
         self,
         host: str,
-        peers: Peers,
         sharing: StreamSharing,
         guard: Callable[[Callable[[], None], Callable[[], None]], None],
     ) -> None:
         self.answers: StreamAnswers[AnswerOwner] = StreamAnswers()
         self._host = host
-        self._peers = peers
+        self._sharing = sharing
         self._guard = guard
-        self._timer_by_key: dict[str, asyncio.TimerHandle] = {}
+        self._news_by_key: dict[str, _News] = {}
+        self._untold: list[str] = []
+        self._tells_again = False
         sharing.handler_by_purpose[Purpose.TAKEN_UP] = self._handle_taken_up
         sharing.handler_by_purpose[Purpose.RELEASED] = self._handle_released
 
@@ -57,38 +70,55 @@
         """End the answers before the one that takes a stream up, here and at the host before."""
         self._end_answers(take_up)
         if served_by != self._host:
-            self._tell(take_up, served_by, 1)
-
-    def _tell(self, take_up: TakeUp, host: str, count: int) -> None:
-        if count > MAX_TOLD:
-            del self._timer_by_key[take_up.key]
-            return
-        age_s = now_s() - take_up.at_s
-        note = StreamNote(take_up.key, taken_up_by=take_up.request, age_s=age_s)
-        self._peers.tell([host], StreamReport(Purpose.TAKEN_UP, (note,)))
-        loop = asyncio.get_running_loop()
-        self._timer_by_key[take_up.key] = loop.call_later(
-            TELL_AGAIN_S, self._tell, take_up, host, count + 1
-        )
-
-    def _stop_telling(self, key: str) -> None:
-        timer = self._timer_by_key.pop(key, None)
-        if timer:
-            timer.cancel()
+            self._news_by_key[take_up.key] = _News(take_up, served_by)
+            if not self._untold:
+                asyncio.get_running_loop().call_later(TELL_BATCH_S, self._tell_new)
+            self._untold.append(take_up.key)
+
+    def _tell_new(self) -> None:
+        keys, self._untold = self._untold, []
+        self._tell(keys)
+        self._tell_later()
+
+    def _tell_again(self) -> None:
+        self._tells_again = False
+        self._tell(list(self._news_by_key))
+        self._tell_later()
+
+    def _tell_later(self) -> None:
+        """Tell once more what will not be confirmed by then."""
+        if self._news_by_key and not self._tells_again:
+            self._tells_again = True
+            asyncio.get_running_loop().call_later(TELL_AGAIN_S, self._tell_again)
+
+    def _tell(self, keys: Iterable[str]) -> None:
+        """Tell the hosts before of streams that were taken up, unless they need no longer know."""
+        now = now_s()
+        notes_by_host: defaultdict[str, list[StreamNote]] = defaultdict(list)
+        for key in keys:
+            news = self._news_by_key.pop(key, None)
+            if news and news.told < MAX_TOLD:
+                take_up = news.take_up
+                note = StreamNote(key, taken_up_by=take_up.request, age_s=now - take_up.at_s)
+                notes_by_host[news.host].append(note)
+                self._news_by_key[key] = news._replace(told=news.told + 1)
+        for host, notes in notes_by_host.items():
+            self._sharing.tell([host], Purpose.TAKEN_UP, notes)
 
     def _handle_taken_up(self, notes: Iterable[StreamNote], host: str) -> None:
-        now = now_s()
+        now, confirmed = now_s(), []
         for note in notes:
             self._end_answers(TakeUp(note.key, note.taken_up_by, now - note.age_s))
-            self._peers.tell([host], StreamReport(Purpose.RELEASED, (StreamNote(note.key),)))
+            confirmed.append(StreamNote(note.key))
+        self._sharing.tell([host], Purpose.RELEASED, confirmed)
 
     def _handle_released(self, notes: Iterable[StreamNote], host: str) -> None:
         for note in notes:
-            self._stop_telling(note.key)
+            self._news_by_key.pop(note.key, None)
 
     def _end_answers(self, take_up: TakeUp) -> None:
         # what this host tells of an earlier take-up is out of date
-        self._stop_telling(take_up.key)
+        self._news_by_key.pop(take_up.key, None)
         for owner in self.answers.superseded(take_up):
             self._guard(owner.end_taken_up, owner.fail_internally)
 
--- a/tests/front/stream_sharing.feature
+++ b/tests/front/stream_sharing.feature
@@ -27,6 +27,22 @@
       | 40    | 0       | 10     | 95    |
       | 40    | 20      | 1      | 97    |
 
+  Scenario Outline: all streams of a host are taken up elsewhere, and it hears of many with each message
+    Given a fleet of <hosts> hosts that lose <percent> of 100 messages
+    When a host serves <streams> streams, is <state>, and <takers> others take them up within <ms> ms
+    Then no host has sent more than <sent> messages to tell of it, nor got more than <got>
+    And each stream has one answer, at the host that took it up
+    And no host has a timer left
+
+    Examples:
+      | hosts | percent | streams | state     | takers | ms  | sent | got |
+      | 7     | 0       | 300     | sound     | 1      | 0   | 30   | 30  |
+      | 7     | 0       | 300     | suspended | 6      | 0   | 150  | 150 |
+      | 7     | 0       | 300     | killed    | 1      | 0   | 120  | 0   |
+      | 40    | 0       | 400     | suspended | 39     | 50  | 500  | 500 |
+      | 40    | 20      | 400     | sound     | 39     | 50  | 350  | 350 |
+      | 160   | 0       | 600     | killed    | 10     | 50  | 150  | 0   |
+
   Scenario: a host that is cut off can't know, and says so soon
     Given a fleet of 7 hosts
     When each host serves 5 streams for 1 s
--- a/tests/steps/front_stream_sharing.py
+++ b/tests/steps/front_stream_sharing.py
@@ -114,6 +114,55 @@
     context.found, _ = fleet.seek(host, others, held_up_s=seconds)
 
 
+@when(
+    "a host serves {count:d} streams, is {state}, and {takers:d} others take them up within"
+    " {milliseconds:d} ms"
+)
+def taken_up(context, count, state, takers, milliseconds):
+    fleet, (host, *others) = context.fleet, context.fleet.alive
+    streams = [f"r-{number}" for number in range(count)]
+    for stream in streams:
+        fleet.begin(host, stream, VERSIONS[0])
+    fleet.run(0.3)
+    {"sound": lambda _: None, "suspended": fleet.suspend, "killed": fleet.kill}[state](host)
+    for number, stream in enumerate(streams):
+        delay_s = fleet.random.uniform(0, milliseconds / 1000)
+        fleet.call_later(delay_s, fleet.take_up, others[number % takers], stream, f"{stream}-2")
+    fleet.run(1.0)
+    if state == "suspended":
+        fleet.resume(host)
+        fleet.run(0.3)
+    context.host = host
+
+
+@then("no host has sent more than {sent:d} messages to tell of it, nor got more than {got:d}")
+def told_of_it(context, sent, got):
+    fleet = context.fleet
+    purposes = ("TAKEN_UP", "RELEASED")
+    counts = [
+        {name: sum(by_purpose[name, purpose] for purpose in purposes) for name in fleet.alive}
+        for by_purpose in (fleet.sent_by_purpose, fleet.received_by_purpose)
+    ]
+    most = tuple(max(of_host.values()) for of_host in counts)
+    assert most[0] <= sent and most[1] <= got, most
+
+
+@then("each stream has one answer, at the host that took it up")
+def one_answer(context):
+    fleet = context.fleet
+    left = [one for one in fleet.answers if not one.ended]
+    if context.host not in fleet.alive:
+        left = [one for one in left if one.host is not fleet.hosts_by_name[context.host]]
+    assert sorted(one.stream for one in left) == sorted(fleet.origin_by_stream), len(left)
+    there = [one.stream for one in left if one.host is fleet.hosts_by_name[context.host]]
+    assert sorted(there) == sorted(fleet.refused), there
+
+
+@then("no host has a timer left")
+def no_timer(context):
+    assert not context.fleet.timers, len(context.fleet.timers)
+
+
 @when("a host is cut off from the others, and each stream is sought there")
 def cut_off(context):
     fleet = context.fleet
--- a/tests/stream_fleet.py
+++ b/tests/stream_fleet.py
@@ -2,14 +2,17 @@
 
 from __future__ import annotations
 
+import contextlib
 import heapq
 import itertools
 from collections import Counter
 from random import Random
 from unittest import mock
 
-from redwingbank.front import stream_sharing
+from redwingbank.front import stream_sharing, stream_takeover
 from redwingbank.front.stream_sharing import StreamSharing
+from redwingbank.front.stream_takeover import StreamTakeover
+from redwingbank.routing.stream_answers import TakeUp, answer_key
 from redwingbank.routing.stream_origin import StreamOrigin, stream_key
 
 DELAY_S = 0.004
@@ -49,6 +52,22 @@
             self._fleet.send(self._name, host, report)
 
 
+class Answer:
+    """An answer that brings a stream at a host."""
+
+    def __init__(self, host, stream, request, now_s):
+        self.host, self.stream, self.ended = host, stream, False
+        self.take_up = TakeUp(answer_key("bakery", stream), stream_key(request), now_s)
+        host.takeover.answers.begin(self, self.take_up)
+
+    def end_taken_up(self):
+        self.ended = True
+        self.host.takeover.answers.end(self, self.take_up.key)
+
+    def fail_internally(self):
+        raise AssertionError(self.stream)
+
+
 class StreamFleet:
     """`hosts` hosts; `loss` is the share of messages that are lost."""
 
@@ -57,6 +76,10 @@
         self.now_s = 100.0
         self.loss = loss
         self.sent = Counter()
+        # messages by sender or receiver, and purpose
+        self.sent_by_purpose, self.received_by_purpose = Counter(), Counter()
+        self.answers, self.refused = [], []
+        self._waiting_by_name = {}
         self.origin_by_stream = {}
         self.hosts_by_name = {}
         self.cut_off = set()
@@ -69,12 +92,22 @@
     def start(self, name):
         link = HostLink(self, name)
         self._gone_s_by_name.pop(name, None)
-        self.hosts_by_name[name] = StreamSharing(name, link)
-        self.hosts_by_name[name].link = link
+        host = self.hosts_by_name[name] = StreamSharing(name, link)
+        host.link = link
+        host.takeover = StreamTakeover(name, host, lambda call, _: call())
 
     def kill(self, name):
         self._gone_s_by_name[name] = self.now_s
 
+    def suspend(self, name):
+        """Let the messages to a host wait until it is resumed."""
+        self._waiting_by_name[name] = []
+
+    def resume(self, name):
+        with self._clock():
+            for sender, report in self._waiting_by_name.pop(name):
+                self._deliver(name, sender, report)
+
     @property
     def alive(self):
         return [name for name in self.hosts_by_name if name not in self._gone_s_by_name]
@@ -85,13 +118,17 @@
 
     def send(self, sender, host, report):
         self.sent[sender] += 1
+        self.sent_by_purpose[sender, report.purpose.name] += 1
         cut = {sender, host} & self.cut_off
         if cut or self.random.random() < self.loss or sender in self._gone_s_by_name:
             return
         self.call_later(DELAY_S * (1 + self.random.random()), self._deliver, host, sender, report)
 
     def _deliver(self, host, sender, report):
-        if host not in self._gone_s_by_name:
+        if host in self._waiting_by_name:
+            self._waiting_by_name[host].append((sender, report))
+        elif host not in self._gone_s_by_name:
+            self.received_by_purpose[host, report.purpose.name] += 1
             self.hosts_by_name[host].link.on_streams(report, sender)
 
     def call_later(self, delay_s, call, *arguments):
@@ -118,13 +155,41 @@
 
     def _clock(self):
         loop = mock.Mock(get_running_loop=lambda: self)
-        return mock.patch.multiple(stream_sharing, now_s=lambda: self.now_s, asyncio=loop)
+        clock = contextlib.ExitStack()
+        for module in (stream_sharing, stream_takeover):
+            patch = mock.patch.multiple(module, now_s=lambda: self.now_s, asyncio=loop)
+            clock.enter_context(patch)
+        return clock
+
+    @property
+    def timers(self):
+        """The calls that are still to come, without those of messages on the way."""
+        timers = [timer for _, _, timer in self._events if not timer.cancelled]
+        return [timer for timer in timers if timer.call != self._deliver]
 
     def begin(self, host, stream, version):
         origin = StreamOrigin("desk-model", version, host)
         self.origin_by_stream[stream] = origin
         with self._clock():
             self.hosts_by_name[host].begin(stream_key(stream), origin, self.now_s + LIFE_S)
+            self.answers.append(Answer(self.hosts_by_name[host], stream, stream, self.now_s))
+
+    def take_up(self, host, stream, request):
+        """Take a stream up at a host, as a front does."""
+        sharing = self.hosts_by_name[host]
+
+        def found(origin):
+            if origin is None:
+                self.refused.append(stream)
+                answer.end_taken_up()
+                return
+            sharing.takeover.take_up(answer.take_up, origin.host)
+            sharing.begin(stream_key(stream), origin, self.now_s + LIFE_S)
+
+        with self._clock():
+            answer = Answer(sharing, stream, request, self.now_s)
+            self.answers.append(answer)
+            sharing.find(stream_key(stream), found)
 
     def finish(self, stream):
         host = self.origin_by_stream[stream].host
