Go on elsewhere after an event whose id is no number

A server's event with an id that is no number (an empty one, bytes that aren't text, digits of another script, 5000 digits) was passed on, and its bytes went to the next server as Last-Event-Id, which then sent the whole stream once more or failed. Besides, where a repeated id came in one read with sound events before it, the stream went on after the last sound one, though none of that read had been passed on: it was missing. Streams with CR LF line ends never completed an event and broke off.

Cause: the splitter compared ids only where both were numbers, by str methods that take digits of any script, and moved its last id as it read, not as it returned events. By the users' protocol ids increase.

Ids are checked now before anything moves: one that is no number, or no larger than that before, is a broken answer, and the stream goes on after the last event that the caller has. Events without an id pass as before.

--- a/src/redwingbank/front/events.py
+++ b/src/redwingbank/front/events.py
@@ -2,7 +2,8 @@
 
 from __future__ import annotations
 
-EVENT_END = b"\n\n"
+# lines end with LF or CR LF
+EVENT_ENDS = (b"\n\n", b"\n\r\n")
 ID_FIELD = b"id:"
 ID_LINE = b"\nid:"
 MAX_EVENT_BYTES = 1024 * 1024
@@ -16,7 +17,9 @@
 class EventSplitter:
     r"""Splits a stream's bytes into complete events and tracks the last event id.
 
-    `has_events` tells whether the server that the stream comes from has sent a complete event.
+    Ids are numbers that increase; an event may have none. `last_id` is that of the last event
+    returned. `has_events` tells whether the server that the stream comes from has sent a complete
+    event.
 
     >>> splitter = EventSplitter("")
     >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
@@ -43,35 +46,44 @@
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the events that they complete.
 
-        :raises EventError: if an id does not increase, or an event is too long
+        None are returned of bytes with an event that is no valid continuation, so that another
+        server can go on after those returned before.
+
+        :raises EventError: if an id is no number or does not increase, or an event is too long
         """
         data = self._partial + data
-        end = data.rfind(EVENT_END) + len(EVENT_END)
-        if end < len(EVENT_END):
-            end = 0
+        end = max(data.rfind(mark) + len(mark) if mark in data else 0 for mark in EVENT_ENDS)
         self._partial = data[end:]
         if len(self._partial) > MAX_EVENT_BYTES:
             raise EventError("event is too long")
         complete = data[:end]
+        self.last_id = _check_ids(complete, self.last_id)
         self.has_events = self.has_events or bool(complete)
-        self._track_ids(complete)
         return complete
 
-    def _track_ids(self, events: bytes) -> None:
-        at = 0 if events.startswith(ID_FIELD) else events.find(ID_LINE) + 1 or -1
-        while at >= 0:
-            end = events.find(b"\n", at)
-            self._track_id(events[at + len(ID_FIELD) : end].strip().decode("latin-1"))
-            at = events.find(ID_LINE, end - 1) + 1 or -1
 
-    def _track_id(self, name: str) -> None:
-        if _is_number(self.last_id) and _is_number(name) and int(name) <= int(self.last_id):
-            raise EventError(f"event {name} after {self.last_id}")
-        self.last_id = name
+def _check_ids(events: bytes, last_id: str) -> str:
+    """Return the last id of complete events that follow `last_id`."""
+    at = 0 if events.startswith(ID_FIELD) else events.find(ID_LINE) + 1 or -1
+    while at >= 0:
+        end = events.find(b"\n", at)
+        value = events[at + len(ID_FIELD) : end].strip()
+        if not is_event_id(value):
+            raise EventError(f"event id {value[:MAX_ID_DIGITS]!r} after {last_id or 'none'}")
+        if last_id and int(value) <= int(last_id):
+            raise EventError(f"event {value.decode()} after {last_id}")
+        last_id = value.decode()
+        at = events.find(ID_LINE, end - 1) + 1 or -1
+    return last_id
+
 
+def is_event_id(value: bytes) -> bool:
+    """Whether a value is the number of an event.
 
-def _is_number(name: str) -> bool:
-    return name.isdecimal() and len(name) <= MAX_ID_DIGITS
+    >>> is_event_id(b"12"), is_event_id(b""), is_event_id("\u00b2".encode())
+    (True, False, False)
+    """
+    return value.isdigit() and len(value) <= MAX_ID_DIGITS
 
 
-__all__ = ["EventSplitter", "EventError"]
+__all__ = ["EventError", "EventSplitter", "is_event_id"]
--- a/src/redwingbank_standins/raw_response.py
+++ b/src/redwingbank_standins/raw_response.py
@@ -2,8 +2,13 @@
 
 from __future__ import annotations
 
-from typing import NamedTuple
+import re
+from typing import TYPE_CHECKING, NamedTuple
 
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+CHUNK_SIZE = re.compile(rb"0*([1-9A-Fa-f][0-9A-Fa-f]*)\r\n")
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -31,10 +36,23 @@
     headers = {name.lower(): value.strip() for name, _, value in pairs}
     if headers.get("transfer-encoding") == "chunked":
         complete = body.endswith(LAST_CHUNK)
-        body = b"".join(body.split(b"\r\n")[1::2])
+        body = b"".join(_read_chunks(body))
     else:
         complete = len(body) == int(headers.get("content-length", "-1"))
     return RawResponse(raw, int(words[1]), headers, body, complete)
 
 
+def _read_chunks(body: bytes) -> Iterator[bytes]:
+    r"""List the chunks of a body, the last one as far as it goes.
+
+    >>> list(_read_chunks(b"4\r\na\r\n\n\r\n2\r\nb"))
+    [b'a\r\n\n', b'b']
+    """
+    while size := CHUNK_SIZE.match(body):
+        start = size.end()
+        end = start + int(size[1], 16)
+        yield body[start:end]
+        body = body[end + len(b"\r\n") :]
+
+
 __all__ = ["RawResponse", "parse_response"]
