Reroute only requests that may reach another server

A repeatable request of a class with one attempt ran at two servers: when its host found that it was cut off, the request that a server may have had was given up and forwarded.

Cause: Handover.may_take looked at the allowance of repeats and at whether the request may run twice, not at the attempts of its class, as every other way to a second server does.

A request that was sent is moved only while fewer servers may have got it than its class allows. Lifecycle.accepted counts these, without those that surely did not get it; an attempt that wasn't sent moves as before.

Evidence: one_holder.feature, "a front finds that it is cut off as a server works on a request": the row of a class with one attempt failed before (two servers ran it) and passes; that of a read request, which may reach two, passed before and passes.

--- a/src/redwingbank/forwarding/handover.py
+++ b/src/redwingbank/forwarding/handover.py
@@ -93,18 +93,24 @@
         self._forward = Forward(self._forwarding, owner, call, life, answer, recorder)
         return None if self._forward.start() else entries
 
-    def may_take(self, attempt: Attempt, request: Request, sent_before_s: float) -> bool:
+    def may_take(
+        self, attempt: Attempt, request: Request, life: Lifecycle, sent_before_s: float
+    ) -> bool:
         """Whether to forward a request whose attempt began before a time and has no answer.
 
         One on a connection that lives on stays there. One that may have been sent is repeated
-        only if that is allowed.
+        only if that is allowed, and if its class lets another server get it.
         """
         if not self.possible or attempt.begun or attempt.started_s > sent_before_s:
             return False
         heard_s = attempt.backend.connections.contact.heard_s
         if attempt.proved and heard_s > sent_before_s - SILENCE_S:
             return False
-        if attempt.sent and not (request.repeatable and self._parties.owner.may_repeat()):
+        if attempt.sent and not (
+            request.repeatable
+            and life.accepted < request.max_attempts
+            and self._parties.owner.may_repeat()
+        ):
             return False
         self._reason = "rerouted"
         return True
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -175,7 +175,9 @@
         if attempt is None or request is None or self._answer.begun or request.pool != pool:
             return
         refuses = not self._handover.possible and not attempt.sent
-        if not refuses and not self._handover.may_take(attempt, request, sent_before_s):
+        if not refuses and not self._handover.may_take(
+            attempt, request, self._life, sent_before_s
+        ):
             return
         self._holder.cancel(request.request_id)
         if not attempt.sent:
--- a/tests/front/one_holder.feature
+++ b/tests/front/one_holder.feature
@@ -50,3 +50,14 @@
     Given 4 fronts, of which the first is cut off once a request has run, and the others have no server
     When its caller sends a read request to it
     Then the caller gets status 502, and is not told that the request did not run
+
+  Scenario Outline: a front finds that it is cut off as a server works on a request
+    Given 4 fronts, of which the first finds that it is cut off as a server works on a request
+    When its caller sends a <kind> request to it
+    Then the caller gets status 200, and <servers> servers ran it
+
+    Examples: a read request may reach two servers, one of the class once a single one
+      | kind    | servers |
+      | single  | 1       |
+      | /once/x | 1       |
+      | read    | 2       |
--- a/tests/steps/front_one_holder.py
+++ b/tests/steps/front_one_holder.py
@@ -10,12 +10,13 @@
 
 from failing import fail_once
 from forward_fleet import CONTACT_S, POOL, Fleet, forwarded, make_cut, make_rig
-from front_rig import Rig, run_scenario
+from front_rig import Rig, route, run_scenario, table
 from redwingbank.clock import now_s
 from redwingbank.routing.reachability import Others, Reach
 from redwingbank_standins.backend_server import BackendServer
 
 HANG_S = 0.3
+WORK_S = 0.3
 LONG_BYTES = 500_000
 
 
@@ -116,6 +117,21 @@
     context.rig, context.prepare = make_rig(), prepare
 
 
+@given("4 fronts, of which the first finds that it is cut off as a server works on a request")
+def finds_cut_at_work(context):
+    async def find(fleet):
+        await fleet.rig.until(lambda: any(run.request_id == "r-1" for run in fleet.rig.runs()))
+        complete_evidence(fleet.fronts[0])
+        fleet.fronts[0].router.forwarding.awaits_verdict(POOL)
+
+    async def prepare(fleet):
+        for server in fleet.rig.backend_servers:
+            server.pause_s = WORK_S
+        context.finding = asyncio.create_task(find(fleet))
+
+    context.rig, context.prepare = make_rig(), prepare
+
+
 @when("its caller sends a {kind} request to it")
 def sends(context, kind):
     async def scenario(rig):
@@ -128,7 +144,8 @@
         context.forwards = forwarded(front)
         await fleet.stop()
 
-    run_scenario(context.rig, scenario)
+    content = table(routes=[route("/once/", "idempotent")])
+    run_scenario(context.rig, scenario, content)
 
 
 @then("the caller gets status {status:d}")
