End an attempt that is given up at its server at once

Callers saw nothing; servers worked on for requests that had been given up, beside the run that went on at another server.

Cause: the event loop closes the socket of an aborted connection in its next turn. The next attempt is written before that, in the same turn, on a connection that is kept; a loop that is held up between the two leaves both runs at work for as long. And the end of a connection waits behind what its server has not read of the request: until it reads on, it isn't told.

Evidence: front/ended_attempts.feature, with servers in threads of their own, on the code as found: 10 of 10 rows fail. With a loop held up for 0.6 s the servers see the end after 0.6 s (an event spoiled, the time's end, the caller leaves or returns, a cut found); with a body of 400 kB that is not read, not within 0.2 s.

The connection is now shut down as it is aborted, and what its server has not acknowledged by then is discarded. Everything else ends by the usual end of the connection, which is sent again if it gets lost; a reset isn't.

After: 10 of 10 rows; without the discarding alone, the 3 rows with unread bodies fail. answers, late_copies, one_holder, ending_helpers, taken_up_streams, kept_connections, long_answers and stream_versions: 205 scenarios passed, 0 failed.

--- a/src/redwingbank/front/outbound.py
+++ b/src/redwingbank/front/outbound.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Protocol
 
 from redwingbank.clock import now_s
+from redwingbank.front.socket_queue import end_at_once
 from redwingbank.front.wire import DEFAULT_ANSWER_LIMITS, AnswerReader, WireError
 from redwingbank.routing.reachability import ServerContact
 from redwingbank.rules.answer_origin import AnswerOrigin
@@ -197,8 +198,11 @@
     def _close(self) -> None:
         self._reusable = False
         self._pool.discard(self)
-        if self._transport is not None:
-            self._transport.abort()
+        transport = self._transport
+        if transport is not None and not transport.is_closing():
+            transport.abort()
+            # the loop closes the socket later, if it is held up long after the next attempt began
+            end_at_once(transport.get_extra_info("socket"))
 
 
 class ConnectionPool:
--- a/src/redwingbank/front/socket_queue.py
+++ b/src/redwingbank/front/socket_queue.py
@@ -1,4 +1,4 @@
-"""What the system knows of a socket before the event loop has read or written it."""
+"""What the system knows and does of a socket before the event loop reads, writes or closes it."""
 
 from __future__ import annotations
 
@@ -14,6 +14,8 @@
 TCP_INFO = struct.Struct("=B51xI")
 TCP_ESTABLISHED = 1
 MS_PER_S = 1000
+# of struct linger in sys/socket.h: on, for 0 s
+DISCARD = struct.pack("ii", 1, 0)
 
 
 class Received(NamedTuple):
@@ -43,4 +45,16 @@
     return Received(0.0, closed=True)
 
 
-__all__ = ["Received", "read_received", "unacknowledged_bytes"]
+def end_at_once(sock: Any) -> None:
+    """Let the peer see the end of a connection now, whenever the event loop closes its socket.
+
+    What the peer has not acknowledged is discarded: the end would wait behind it, for as long as
+    the peer doesn't read.
+    """
+    with contextlib.suppress(OSError):
+        if unacknowledged_bytes(sock):
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DISCARD)
+        sock.shutdown(socket.SHUT_RDWR)
+
+
+__all__ = ["Received", "end_at_once", "read_received", "unacknowledged_bytes"]
