Don't leave out the events that come together with an invalid one

Callers of resumable streams missed events: their answer went on at another server after events that they had not got, and ended as complete.

Cause: the splitter took the ids of the events of a part one by one, and raised an error at the first invalid one. The part isn't passed on then, but the ids before the invalid one counted as delivered, and the next server was asked to go on after them.

Evidence: answers.feature, a server that sends its third event twice in one part: the caller got events 1, 2 and 4 on the code as found. The ids of a part count only if all of it is valid.

--- a/src/redwingbank/front/events.py
+++ b/src/redwingbank/front/events.py
@@ -54,20 +54,25 @@
             raise EventError("event is too long")
         complete = data[:end]
         self.has_events = self.has_events or bool(complete)
-        self._track_ids(complete)
+        # not that of an event that is dropped together with the invalid one
+        self.last_id = self._track_ids(complete)
         return complete
 
-    def _track_ids(self, events: bytes) -> None:
+    def _track_ids(self, events: bytes) -> str:
+        last_id = self.last_id
         at = 0 if events.startswith(ID_FIELD) else events.find(ID_LINE) + 1 or -1
         while at >= 0:
             end = events.find(b"\n", at)
-            self._track_id(events[at + len(ID_FIELD) : end].strip().decode("latin-1"))
+            last_id = _next_id(last_id, events[at + len(ID_FIELD) : end].strip())
             at = events.find(ID_LINE, end - 1) + 1 or -1
+        return last_id
 
-    def _track_id(self, name: str) -> None:
-        if _is_number(self.last_id) and _is_number(name) and int(name) <= int(self.last_id):
-            raise EventError(f"event {name} after {self.last_id}")
-        self.last_id = name
+
+def _next_id(last_id: str, field: bytes) -> str:
+    name = field.decode("latin-1")
+    if _is_number(last_id) and _is_number(name) and int(name) <= int(last_id):
+        raise EventError(f"event {name} after {last_id}")
+    return name
 
 
 def _is_number(name: str) -> bool:
--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -58,15 +58,15 @@
 
     Modes with a single response: ok, error, shed, lost, garbage, unsigned, foreign, extra, cut,
     unsized, unsized-reset, encoded. Modes with a stream: stream, broken (reset in the middle of
-    the third event), endless, and three without a length: unsized-stream, unsized-broken (closed
-    in the middle of the third event), unsized-empty (closed after the head). In modes endless-
-    line, endless-headers, endless-interim and endless-trailers the head or the trailers go on
-    until the peer closes, after 64 MB at most; `flood_bytes` counts them. In mode hang no response
-    is sent. Refusals (shed, limited) bear no id. A server in mode stream crashes in the first
-    event of each answer to a prompt with the shared part `crash_part`. While `named_limit` is not
-    empty, the heads of all its responses name it as the requests a second that the server takes.
-    So it is with `leaving`, which reports tell too, and with `rest`, the seconds to come back
-    after.
+    the third event), repeated (the third event comes twice at once), endless, and three without a
+    length: unsized-stream, unsized-broken (closed in the middle of the third event), unsized-empty
+    (closed after the head). In modes endless-line, endless-headers, endless-interim and endless-
+    trailers the head or the trailers go on until the peer closes, after 64 MB at most;
+    `flood_bytes` counts them. In mode hang no response is sent. Refusals (shed, limited) bear no
+    id. A server in mode stream crashes in the first event of each answer to a prompt with the
+    shared part `crash_part`. While `named_limit` is not empty, the heads of all its responses name
+    it as the requests a second that the server takes. So it is with `leaving`, which reports tell
+    too, and with `rest`, the seconds to come back after.
 
     Events name the server and, unless it is empty, the `version` of its software. A report tells
     the time of the server's start, `started_ms`. While `hides_start` is set, it tells none; while
@@ -250,6 +250,8 @@
                 await asyncio.sleep(0.05)
                 reset_connection(writer)
                 return False
+            if mode == "repeated" and number == 3:  # noqa: PLR2004 - after two events
+                event += event
             writer.write(_chunk(event))
             if await _peer_closes(reader, max(self.pause_s, 0.01)):
                 self.cancelled += 1
@@ -296,6 +298,7 @@
 _STREAM_MODES = (
     "stream",
     "broken",
+    "repeated",
     "endless",
     "unsized-stream",
     "unsized-broken",
--- a/tests/front/answers.feature
+++ b/tests/front/answers.feature
@@ -37,11 +37,16 @@
     When the front's server is in mode error for a read request
     Then the front answers 500 and the request ran 1 times
 
-  Scenario: a resumable stream goes on at another server where it broke off
-    When the front's servers are in modes broken and then stream for a memo request
+  Scenario Outline: a resumable stream goes on at another server where it was <mode>
+    When the front's servers are in modes <mode> and then stream for a memo request
     Then the front streams events 1 to 4 completely
     And the second server was asked to resume after event 2
 
+    Examples:
+      | mode     |
+      | broken   |
+      | repeated |
+
   Scenario: a stream that must not be resumed ends broken, not complete
     When the front's server is in mode broken for a fixed request
     Then the front's stream is aborted after complete events
