Refuse an event id that is no number only where a stream goes on after it

The value was checked as the headers are read, before the class is known; plain services get none of it.

The end of a connection is told also where the system refuses to discard what is unread.

--- a/src/redwingbank/front/admission.py
+++ b/src/redwingbank/front/admission.py
@@ -6,6 +6,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.codes import Code
+from redwingbank.front.events import is_event_id
+from redwingbank.front.values import Kind
 from redwingbank.model import Request
 from redwingbank.routing.choice import RequestNeeds
 
@@ -53,6 +55,8 @@
             organisation = table.organisations_by_key.get(facts.key)
             if organisation is None:
                 return self._deny(Code.WRONG_KEY, now_s)
+        if route.kind is Kind.STREAM and not _may_go_on(facts):
+            return Code.MALFORMED
         return self._admitted(facts, route, organisation, table)
 
     def _admitted(
@@ -73,6 +77,11 @@
         return code if self._tables.can_deny(now_s) else Code.TABLE_UNCONFIRMED
 
 
+def _may_go_on(facts: CallFacts) -> bool:
+    """Whether a request names no event to go on after, or one by its number."""
+    return not facts.resume_after or is_event_id(facts.resume_after.encode("latin-1"))
+
+
 def choose_pool(route: Route, request_id: str) -> str:
     """Choose a pool by the route's weights; the same request id always gets the same pool."""
     if len(route.shares) == 1:
--- a/src/redwingbank/front/socket_queue.py
+++ b/src/redwingbank/front/socket_queue.py
@@ -51,9 +51,10 @@
     What the peer has not acknowledged is discarded: the end would wait behind it, for as long as
     the peer doesn't read.
     """
-    with contextlib.suppress(OSError):
-        if unacknowledged_bytes(sock):
+    if unacknowledged_bytes(sock):
+        with contextlib.suppress(OSError):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DISCARD)
+    with contextlib.suppress(OSError):
         sock.shutdown(socket.SHUT_RDWR)
 
 
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -6,7 +6,6 @@
 import re
 from typing import TYPE_CHECKING, NamedTuple
 
-from redwingbank.front.events import is_event_id
 from redwingbank.front.values import (
     NOTHING_STATED,
     CallFacts,
@@ -156,7 +155,7 @@
         prompt_tokens=tokens[0] if tokens else 0,
         answer_tokens=tokens[1] if len(tokens) > 1 else 0,
         parts=tuple(_parse_parts(by_name.get(b"prompt-prefix", b"").decode("latin-1"))),
-        resume_after=_parse_event_id(by_name.get(LAST_EVENT_ID, b"")),
+        resume_after=by_name.get(LAST_EVENT_ID, b"").decode("latin-1"),
         forwarded_headers=b"".join(_forwarded_lines(headers, DROPPED_FROM_REQUEST)),
         resumes=by_name.get(RESUMES, b"").decode("latin-1"),
     )
@@ -269,12 +268,6 @@
     return deadline_s
 
 
-def _parse_event_id(value: bytes) -> str:
-    if value and not is_event_id(value):
-        raise ValueError(value)
-    return value.decode()
-
-
 def _parse_counts(value: bytes) -> list[int]:
     return [_parse_tokens(item) for item in value.split(b",")] if value else []
 
--- a/tests/front/answers.feature
+++ b/tests/front/answers.feature
@@ -189,6 +189,7 @@
     Examples:
       | value               | kind | status | runs |
       | 2                   | read | 200    | 1    |
+      | abc                 | read | 200    | 1    |
       | abc                 | memo | 400    | 0    |
       | -1                  | memo | 400    | 0    |
       | 1234567890123456789 | memo | 400    | 0    |
