--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -11,7 +11,8 @@
 from redwingbank.front.attempt import MAX_BUFFERED_BYTES, is_event_stream
 from redwingbank.front.outbound import Loss
 from redwingbank.front.refusals import decode_error_code
-from redwingbank.platform.headers import decode_answer, encode_forwarded_call
+from redwingbank.front.values import ServersLeft
+from redwingbank.platform.headers import ForwardEnvelope, decode_answer, encode_forwarded_call
 from redwingbank.rules.lifecycle import Step
 
 if TYPE_CHECKING:
@@ -31,6 +32,8 @@
 CONNECT_TIMEOUT_S = 0.5
 STATUS_UNAVAILABLE = 503
 FIRST_ERROR_STATUS = 400
+# A helper that may try no more servers passes these on; 504 comes at the end of the time.
+FAILED_STATUSES = frozenset({500, 502})
 # A helper that answers with these did not run the request, and another one may serve it.
 CODES_FOR_ANOTHER = frozenset(
     {Code.NO_BACKEND_SERVER, Code.NOT_READY, Code.TABLE_UNCONFIRMED, Code.LEAVING}
@@ -80,8 +83,10 @@
     """Forwards a request to one helper, or to a second one if nothing was answered.
 
     A request that may run at most once goes to the second one only if no byte of it was sent, or
-    if the first one states that it did not run. Any other request that the first one may have sent
-    counts as sent to one server. A broken stream is closed without its end.
+    if the first one states that it did not run. Of the servers that any other request may still
+    reach, the first helper leaves one to the second. A helper that is lost counts for all that it
+    may have tried; one of an earlier release tries as many as the class allows. A broken stream is
+    closed without its end.
     """
 
     def __init__(
@@ -99,6 +104,9 @@
         self._life = life
         self._answer = answer
         self._recorder = recorder
+        self._servers_left = max(1, call.max_attempts - life.accepted)
+        # the most servers that the helper may have sent the request to, and whether it is told
+        self._helper_tries, self._helper_counts = 0, False
         self._tried: list[str] = []
         self._helper = ""
         self._connecting: asyncio.Task[None] | None = None
@@ -184,6 +192,12 @@
             self._life.advance(Step.NOT_ACCEPTED)
             self._try_another(another)
             return
+        another = self._pick() if self._may_repeat_failed(head.status) else ""
+        if another and self._owner.may_repeat():
+            self._end("failed")
+            self._servers_left -= self._helper_tries
+            self._try_another(another)
+            return
         status = head.status
         self._end("refused" if status >= FIRST_ERROR_STATUS else "answered")
         if self._life.ran_before is not Ran.NO and self._claims_no_run():
@@ -218,6 +232,8 @@
     def _send_to(self, helper: str) -> None:
         self._helper = helper
         self._tried.append(helper)
+        self._helper_counts = self._forwarding.counts_servers(helper)
+        self._helper_tries = self._share() if self._helper_counts else self._call.max_attempts
         self._sent = self._ended = False
         self._head = self._facts = None
         self._body.clear()
@@ -255,12 +271,13 @@
             self._owner.run_forward(partial(self._send_on, connection))
 
     def _send_on(self, connection: Connection) -> None:
-        call = self._call
-        left_s = call.give_up_s - now_s()
-        head = call.head
-        data = encode_forwarded_call(
-            head.method, head.target, head.headers, call.body, left_s, self._forwarding.host
+        call, head = self._call, self._call.head
+        envelope = ForwardEnvelope(
+            call.give_up_s - now_s(),
+            self._forwarding.host,
+            ServersLeft(self._helper_tries, self._servers_left) if self._helper_counts else None,
         )
+        data = encode_forwarded_call(head.method, head.target, head.headers, call.body, envelope)
         self._connection, self._sent = connection, True
         connection.send(data, self, call.request_id)
 
@@ -273,12 +290,23 @@
         headers = self._facts.forwarded_headers
         self._answer.begin_stream(self._head.status, self._head.reason, headers)
 
+    def _share(self) -> int:
+        """Return to how many servers the helper may send the request before it answers."""
+        left = self._servers_left
+        others = self._call.repeatable and self._pick()
+        return left - 1 if left > 1 and others else left
+
     def _can_not_serve(self) -> bool:
         if self._head is None or self._facts is None or self._streaming:
             return False
         unavailable = self._head.status == STATUS_UNAVAILABLE and not self._facts.stamped
         return unavailable and decode_error_code(bytes(self._body)) in CODES_FOR_ANOTHER
 
+    def _may_repeat_failed(self, status: int) -> bool:
+        """Whether another helper may send on what the servers of this one failed to answer."""
+        left = self._servers_left > self._helper_tries
+        return status in FAILED_STATUSES and not self._streaming and self._call.repeatable and left
+
     def _claims_no_run(self) -> bool:
         if self._facts is None or self._streaming or self._facts.stamped:
             return False
@@ -304,6 +332,8 @@
             return
         if not self._sent:
             self._life.advance(Step.NOT_ACCEPTED)
+        else:
+            self._servers_left -= self._helper_tries
         another = self._pick() if not self._sent or self._may_go_to_another_server() else ""
         if another and (not self._sent or self._owner.may_repeat()):
             self._try_another(another)
@@ -313,7 +343,7 @@
             )
 
     def _may_go_to_another_server(self) -> bool:
-        return self._call.repeatable and self._life.accepted < self._call.max_attempts
+        return self._call.repeatable and self._servers_left > 0
 
     def _try_another(self, helper: str) -> None:
         self._life.advance(Step.RETRY)
--- a/src/redwingbank/forwarding/reach_codec.py
+++ b/src/redwingbank/forwarding/reach_codec.py
@@ -20,7 +20,8 @@
 
     `asked_s` of a question is the asker's time, if only a server's answer from now on counts. The
     reply repeats it with `proved_key`, the key of the pool, once a server has answered. `proves`
-    is true if the host answers such questions; earlier releases don't.
+    is true if the host answers such questions; earlier releases don't. `counts_servers` is true if
+    the host sends a forwarded request to no more servers than the request's head allows.
     """
 
     age_s_by_key: dict[int, float]
@@ -29,6 +30,7 @@
     asked_s: float = 0.0
     proved_key: int = 0
     proves: bool = False
+    counts_servers: bool = False
 
 
 def pool_key(pool: str) -> int:
@@ -48,6 +50,7 @@
     digest.reachAskedS = report.asked_s
     digest.reachProved = report.proved_key
     digest.provesReach = report.proves
+    digest.countsServers = report.counts_servers
 
 
 def decode_reach(digest: Any) -> ReachReport | None:
@@ -69,6 +72,7 @@
         schema.READ_REACH_ASKED(digest),
         schema.READ_REACH_PROVED(digest),
         schema.READ_PROVES_REACH(digest),
+        schema.READ_COUNTS_SERVERS(digest),
     )
 
 
--- a/src/redwingbank/forwarding/task.py
+++ b/src/redwingbank/forwarding/task.py
@@ -158,6 +158,10 @@
         chosen = choose_helper(helpers, self._data_centre, self._random)
         return chosen.host if chosen else ""
 
+    def counts_servers(self, host: str) -> bool:
+        """Whether a host reads to how many servers it may send a forwarded request."""
+        return self._told.counts_servers(host)
+
     def connections(self, host: str) -> ConnectionPool:
         """Return the connections to a host."""
         address = self._peers.peers_by_host[host].address
@@ -366,7 +370,7 @@
             heard_s = max((contact.heard_s for contact in contacts), default=NEVER_S)
             if heard_s > NEVER_S and not (reach and reach.state in STATES_NOT_TOLD):
                 ages[pool_key(pool)] = now - heard_s
-        return ReachReport(ages, self.takes_forwards, proves=True)
+        return ReachReport(ages, self.takes_forwards, proves=True, counts_servers=True)
 
     def _start(self, work: Coroutine[None, None, None]) -> None:
         task = asyncio.get_running_loop().create_task(work)
--- a/src/redwingbank/forwarding/told_reach.py
+++ b/src/redwingbank/forwarding/told_reach.py
@@ -24,6 +24,7 @@
     heard_s_by_key: dict[int, float]
     takes_forwards: bool
     proves: bool
+    counts_servers: bool
 
 
 class ToldReach:
@@ -37,7 +38,9 @@
     def record(self, report: ReachReport, host: str, now_s: float) -> None:
         """Record a report that has just arrived."""
         heard = {key: now_s - age_s for key, age_s in report.age_s_by_key.items()}
-        self._told_by_host[host] = _Told(heard, report.takes_forwards, report.proves)
+        self._told_by_host[host] = _Told(
+            heard, report.takes_forwards, report.proves, report.counts_servers
+        )
 
     def record_proof(self, key: int, asked_s: float, now_s: float) -> None:
         """Record that a host asked at a time has been answered by a server since."""
@@ -64,6 +67,11 @@
             max((heard_s for heard_s, proves in heard if not proves), default=NEVER_S),
         )
 
+    def counts_servers(self, host: str) -> bool:
+        """Whether a host reads to how many servers it may send a forwarded request."""
+        told = self._told_by_host.get(host)
+        return told is not None and told.counts_servers
+
     def helpers(self, key: int, now_s: float) -> Iterator[str]:
         """Yield the live hosts that take forwards and reach a pool."""
         for host in self.live_hosts(now_s):
--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -42,6 +42,7 @@
                             # answer repeats it once a server was asked after it and has answered
   reachProved @10 :UInt32;  # checksum of the name of that server's pool
   provesReach @11 :Bool;    # the host answers questions for a proof; earlier releases leave it out
+  countsServers @12 :Bool;  # forwarded requests go to as many servers as their head allows; as above
 }
 
 struct Bundle {             # digests of several hosts, forwarded by a relay
--- a/src/redwingbank/front/digest_schema.py
+++ b/src/redwingbank/front/digest_schema.py
@@ -24,6 +24,7 @@
     field_reader(SCHEMA.Digest, name)
     for name in ("takesForwards", "asksReach", "reachAskedS", "reachProved", "provesReach")
 )
+READ_COUNTS_SERVERS = field_reader(SCHEMA.Digest, "countsServers")
 READ_HOSTS, READ_INCARNATIONS, READ_COUNTS = (
     list_reader(SCHEMA.Bundle, name) for name in ("hosts", "incarnations", "counts")
 )
@@ -35,6 +36,7 @@
     "READ_BEGUN",
     "READ_BUNDLE",
     "READ_COUNTS",
+    "READ_COUNTS_SERVERS",
     "READ_DATA_CENTRE",
     "READ_DIGEST",
     "READ_ENDED",
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -78,6 +78,7 @@
         self._arrived_s = arrived_s
         self._admitted: AdmittedRequest | None = None
         self._binding: StreamBinding | None = None
+        self._forwarded = forwarded
         self._recorder = RequestRecorder(router, arrived_s)
         parties = Parties(self, self._answer, head, body, self._recorder, forwarded)
         self._handover = Handover(router.forwarding, parties)
@@ -100,6 +101,8 @@
             self._refuse(Code.MALFORMED)
             return
         self._life = Lifecycle(facts.request_id)
+        if self._forwarded:
+            self._tries.allowed = facts.servers_left
         admitted = self._router.admission.admit(facts, self._head.target, now_s())
         if isinstance(admitted, Code):
             self._refuse(admitted)
--- a/src/redwingbank/front/tries.py
+++ b/src/redwingbank/front/tries.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from redwingbank.front.admission import AdmittedRequest
     from redwingbank.front.router import Router
-    from redwingbank.front.values import ServerEntry
+    from redwingbank.front.values import Route, ServerEntry, ServersLeft
     from redwingbank.model import Outcome, Request
     from redwingbank.rules.retry import Decision
 
@@ -34,12 +34,14 @@
     """The tries of one request.
 
     `servers` lists them in order; `refusals` counts those that turned the request away, which
-    count only up to `MAX_REFUSALS` beyond the attempts of its class.
+    count only up to `MAX_REFUSALS` beyond the attempts of its class. `allowed` is what the host
+    says that forwards the request, None for a caller's own.
     """
 
     def __init__(self, router: Router) -> None:
         self.servers: list[str] = []
         self.refusals = 0
+        self.allowed: ServersLeft | None = None
         self._router = router
 
     @property
@@ -65,7 +67,8 @@
             budget=self._router.allowance,
             now_s=now_s,
             resumable=admitted.route.resumable and progress.has_events,
-            max_attempts=admitted.route.attempts + min(self.refusals, MAX_REFUSALS),
+            max_attempts=self._most(admitted.route, answer_begun=progress.answer_begun)
+            + min(self.refusals, MAX_REFUSALS),
         )
 
     def may_retry_answer(
@@ -81,8 +84,16 @@
         in_time = now_s < give_up_s and status != GATEWAY_TIMEOUT
         retries_left = self._router.allowance.remaining(admitted.pool, now_s) > 0
         runs = len(self.servers) - self.refusals
+        more = runs < self._most(route, answer_begun=False)
         others = self._router.backends.any_admits(usable, self.servers, now_s)
-        return in_time and retries_left and others and route.repeatable and runs < route.attempts
+        return in_time and retries_left and others and route.repeatable and more
+
+    def _most(self, route: Route, *, answer_begun: bool) -> int:
+        """Return how many servers may get the request."""
+        if self.allowed is None:
+            return route.attempts
+        allowed = self.allowed.in_all if answer_begun else self.allowed.unanswered
+        return min(route.attempts, allowed)
 
 
 __all__ = ["Progress", "Tries"]
--- a/src/redwingbank/front/values.py
+++ b/src/redwingbank/front/values.py
@@ -162,6 +162,16 @@
     tokens: int
 
 
+class ServersLeft(NamedTuple):
+    """To how many servers a forwarded request may go before its answer begins, and in all.
+
+    Once its answer has begun, the host that forwards it sends it to no other helper.
+    """
+
+    unanswered: int
+    in_all: int
+
+
 class CallFacts(NamedTuple):
     """The parsed headers of a request.
 
@@ -170,6 +180,7 @@
     of the last event that the caller received, empty for a new stream. `forwarded_headers` are
     the headers that go to the backend server unchanged. `resumes` is the id of the request that
     brought the first event of a stream that the caller takes up, empty if it names none.
+    `servers_left` is what the host that forwards the request says, None for a caller's own.
     """
 
     request_id: str
@@ -182,6 +193,7 @@
     resume_after: str
     forwarded_headers: bytes
     resumes: str = ""
+    servers_left: ServersLeft | None = None
 
     @property
     def takes_up(self) -> bool:
@@ -307,6 +319,7 @@
     "RouteTable",
     "Scaling",
     "ServerEntry",
+    "ServersLeft",
     "Share",
     "StatedBrittleness",
     "StatedLeaving",
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -10,6 +10,7 @@
     NOTHING_STATED,
     CallFacts,
     PromptPart,
+    ServersLeft,
     StatedBrittleness,
     StatedLeaving,
     StatedLimit,
@@ -41,6 +42,7 @@
 DEADLINE = b"deadline-ms"
 SERVER_LIMIT = b"server-limit"
 FORWARDED_BY = b"redwingbank-forwarded-by"
+SERVERS_LEFT = b"redwingbank-servers-left"
 SERVER_LOAD = b"server-load"
 # running, waiting, slots, and at some deployments the slowness in per cent
 LOAD_FIGURES = re.compile(rb"(\d{1,6}),(\d{1,6}),(\d{1,6})(?:,(\d{1,6}))?")
@@ -53,6 +55,7 @@
 MAX_REST_S = 86_400.0
 # No server turns away more requests in a second.
 COUNT = re.compile(rb"\d{1,6}")
+SERVER_COUNTS = re.compile(rb"(\d{1,6}),(\d{1,6})")
 # more than any prompt or answer has
 MAX_TOKENS = 2**31
 
@@ -69,6 +72,7 @@
         b"expect-instance",
         b"expect-version",
         FORWARDED_BY,
+        SERVERS_LEFT,
     }
 )
 # hop-by-hop headers (RFC 9110, section 7.6.1), or headers written anew
@@ -139,6 +143,14 @@
     copy_from: Address | None = None
 
 
+class ForwardEnvelope(NamedTuple):
+    """What a host adds to a request that it forwards; None of `servers_left` sets no limit."""
+
+    deadline_s: float
+    host: str
+    servers_left: ServersLeft | None
+
+
 def decode_call(headers: Iterable[Header]) -> CallFacts:
     """Decode a request's headers.
 
@@ -158,6 +170,7 @@
         resume_after=by_name.get(LAST_EVENT_ID, b"").decode("latin-1"),
         forwarded_headers=b"".join(_forwarded_lines(headers, DROPPED_FROM_REQUEST)),
         resumes=by_name.get(RESUMES, b"").decode("latin-1"),
+        servers_left=_parse_servers_left(by_name.get(SERVERS_LEFT, b"")),
     )
 
 
@@ -192,18 +205,17 @@
     target: bytes,
     headers: Iterable[Header],
     body: bytes,
-    deadline_s: float,
-    host: str,
+    envelope: ForwardEnvelope,
 ) -> bytes:
-    """Encode a caller's request for another host, as it came but with the time that is left.
-
-    `host` is the name of this host.
-    """
-    replaced = CONNECTION_HEADERS | {DEADLINE, FORWARDED_BY}
+    """Encode a caller's request for another host, as it came but with the time that is left."""
+    replaced = CONNECTION_HEADERS | {DEADLINE, FORWARDED_BY, SERVERS_LEFT}
     lines = [b"%b %b HTTP/1.1\r\n" % (method, target)]
     lines += _forwarded_lines(headers, replaced)
-    lines.append(_header_line("Deadline-Ms", str(max(1, int(deadline_s * MS_PER_S)))))
-    lines.append(_header_line("Redwingbank-Forwarded-By", host))
+    lines.append(_header_line("Deadline-Ms", str(max(1, int(envelope.deadline_s * MS_PER_S)))))
+    lines.append(_header_line("Redwingbank-Forwarded-By", envelope.host))
+    if envelope.servers_left is not None:
+        unanswered, in_all = envelope.servers_left
+        lines.append(_header_line("Redwingbank-Servers-Left", f"{unanswered},{in_all}"))
     lines.append(_header_line("Content-Length", str(len(body))))
     return b"".join([*lines, b"\r\n", body])
 
@@ -235,7 +247,7 @@
 
 
 def encode_own_answer(request_id: str, retry_after_s: float | None) -> bytes:
-    """Encode the headers of an answer that the router generates itself."""
+    """Encode the headers of the router's own answer."""
     lines = _header_line("Request-Id", request_id) if request_id else b""
     if retry_after_s is not None:
         lines += _header_line("Retry-After", f"{retry_after_s:.2f}")
@@ -268,6 +280,11 @@
     return deadline_s
 
 
+def _parse_servers_left(value: bytes) -> ServersLeft | None:
+    found = SERVER_COUNTS.fullmatch(value)
+    return ServersLeft(int(found[1]), int(found[2])) if found else None
+
+
 def _parse_counts(value: bytes) -> list[int]:
     return [_parse_tokens(item) for item in value.split(b",")] if value else []
 
@@ -360,6 +377,7 @@
     "REPORT_CALL",
     "AnswerFacts",
     "Envelope",
+    "ForwardEnvelope",
     "decode_answer",
     "decode_call",
     "encode_call",
--- a/tests/forward_fleet.py
+++ b/tests/forward_fleet.py
@@ -136,7 +136,16 @@
     peers.on_reach = lambda report, *rest: handle(
         report._replace(asked_s=0.0, proved_key=0, proves=False), *rest
     )
-    forwarding._build_report = lambda *args: build(*args)._replace(proves=False)
+    forwarding._build_report = lambda *args: build(*args)._replace(
+        proves=False, counts_servers=False
+    )
+
+
+def speak_without_counts(front):
+    """Let a front tell what hosts do that read no number of servers."""
+    forwarding = front.router.forwarding
+    build = forwarding._build_report
+    forwarding._build_report = lambda *args: build(*args)._replace(counts_servers=False)
 
 
 def events(rig, name):
--- a/tests/front/forwarding.feature
+++ b/tests/front/forwarding.feature
@@ -59,6 +59,7 @@
       | kind   | fault                              | status | runs |
       | single | breaks after the request was sent  | 502    | 0    |
       | read   | breaks after the request was sent  | 200    | 1    |
+      | read   | of the earlier release breaks      | 502    | 0    |
       | single | refuses the connection             | 200    | 1    |
       | single | reaches no servers either          | 200    | 1    |
       | memo   | breaks inside the stream           | cut    | 0    |
--- a/tests/steps/front_answer_heads.py
+++ b/tests/steps/front_answer_heads.py
@@ -11,7 +11,12 @@
 from redwingbank.codes import Code, Ran
 from redwingbank.front.refusals import error_body
 from redwingbank.front.wire import AnswerReader, WireError
-from redwingbank.platform.headers import decode_answer, decode_call, encode_forwarded_call
+from redwingbank.platform.headers import (
+    ForwardEnvelope,
+    decode_answer,
+    decode_call,
+    encode_forwarded_call,
+)
 from redwingbank_standins.backend_server import BackendServer
 from redwingbank_standins.raw_response import parse_response
 
@@ -181,7 +186,7 @@
     context.passed_on = [
         decode_answer(headers).forwarded_headers,
         decode_call(headers).forwarded_headers,
-        encode_forwarded_call(b"GET", b"/", headers, b"", 1.0, "edge-1"),
+        encode_forwarded_call(b"GET", b"/", headers, b"", ForwardEnvelope(1.0, "edge-1", None)),
     ]
 
 
--- a/tests/steps/front_forwarding.py
+++ b/tests/steps/front_forwarding.py
@@ -259,6 +259,9 @@
     if context.fault != "works":
         peers = cut.router.peers
         peers.peers_by_host["faulty"] = peers.peers_by_host["edge-2"]._replace(address=address)
+        if "of the earlier release" not in context.fault:
+            told = forwarding._told._told_by_host
+            told["faulty"] = told["edge-2"]
         pick = forwarding.pick
         forwarding.pick = lambda pool, tried: pick(pool, tried) if tried else "faulty"
     try:
