Tell hosts the code of an error to a forwarded HEAD request

Cause: a host reads another one's error from its body, which an answer to HEAD doesn't have.

No host passes it to a caller, a server's own neither.

--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -34,6 +34,8 @@
 FIRST_ERROR_STATUS = 400
 # A helper that may try no more servers passes these on; 504 comes at the end of the time.
 FAILED_STATUSES = frozenset({500, 502})
+# Callers read these as a promise that their request did not run.
+PROMISES_NO_RUN = frozenset({408, 421, 429, 503})
 # A helper that answers with these did not run the request, and another one may serve it.
 CODES_FOR_ANOTHER = frozenset(
     {Code.NO_BACKEND_SERVER, Code.NOT_READY, Code.TABLE_UNCONFIRMED, Code.LEAVING}
@@ -296,11 +298,18 @@
         others = self._call.repeatable and self._pick()
         return left - 1 if left > 1 and others else left
 
+    def _error_code(self) -> int:
+        """Return the code of the helper's own error, 0 for another answer.
+
+        An answer to HEAD has no body; hosts of earlier releases name no code in it.
+        """
+        if self._facts is None or self._streaming or self._facts.stamped:
+            return 0
+        return self._facts.error_code or decode_error_code(bytes(self._body))
+
     def _can_not_serve(self) -> bool:
-        if self._head is None or self._facts is None or self._streaming:
-            return False
-        unavailable = self._head.status == STATUS_UNAVAILABLE and not self._facts.stamped
-        return unavailable and decode_error_code(bytes(self._body)) in CODES_FOR_ANOTHER
+        unavailable = self._head is not None and self._head.status == STATUS_UNAVAILABLE
+        return unavailable and self._error_code() in CODES_FOR_ANOTHER
 
     def _may_repeat_failed(self, status: int) -> bool:
         """Whether another helper may send on what the servers of this one failed to answer."""
@@ -308,9 +317,10 @@
         return status in FAILED_STATUSES and not self._streaming and self._call.repeatable and left
 
     def _claims_no_run(self) -> bool:
-        if self._facts is None or self._streaming or self._facts.stamped:
+        if self._head is None or self._facts is None or self._streaming or self._facts.stamped:
             return False
-        return decode_error_code(bytes(self._body)) in CODES_WITHOUT_RUN
+        code = self._error_code()
+        return code in CODES_WITHOUT_RUN or (not code and self._head.status in PROMISES_NO_RUN)
 
     def _lose(self, loss: Loss, detail: str) -> None:
         connection, self._connection = self._connection, None
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -476,7 +476,11 @@
         if MEANING_BY_CODE[code].retry:
             retry_after_s = max(self._retry_after_s, self._router.retry_after_s(code))
         self._close()
-        answer = refusal(code, self._life.request_id, self._life.ran, retry_after_s)
+        # a host that counts servers reads the code among the headers
+        to_host = self._tries.allowed is not None
+        answer = refusal(
+            code, self._life.request_id, self._life.ran, retry_after_s, to_host=to_host
+        )
         self._answer.send_answer(*answer)
 
     def _close(self) -> None:
--- a/src/redwingbank/front/refusals.py
+++ b/src/redwingbank/front/refusals.py
@@ -35,10 +35,13 @@
 
 
 def refusal(
-    code: Code, request_id: str, ran: Ran, retry_after_s: float | None
+    code: Code, request_id: str, ran: Ran, retry_after_s: float | None, *, to_host: bool = False
 ) -> tuple[int, bytes, bytes, bytes]:
-    """Return the status, reason, headers and body of the router's own answer."""
-    headers = encode_own_answer(request_id, retry_after_s)
+    """Return the status, reason, headers and body of the router's own answer.
+
+    Its code is among the headers if it goes `to_host`, another one that reads it there.
+    """
+    headers = encode_own_answer(request_id, retry_after_s, int(code) if to_host else None)
     headers += b"Content-Type: application/json\r\n"
     return MEANING_BY_CODE[code].status, b"", headers, error_body(code, ran, retry_after_s)
 
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -43,6 +43,7 @@
 SERVER_LIMIT = b"server-limit"
 FORWARDED_BY = b"redwingbank-forwarded-by"
 SERVERS_LEFT = b"redwingbank-servers-left"
+ERROR_CODE = b"redwingbank-code"
 SERVER_LOAD = b"server-load"
 # running, waiting, slots, and at some deployments the slowness in per cent
 LOAD_FIGURES = re.compile(rb"(\d{1,6}),(\d{1,6}),(\d{1,6})(?:,(\d{1,6}))?")
@@ -114,7 +115,7 @@
     encoding, which backend servers don't use. `idle_timeout_s` is how long the server keeps an
     unused connection open. `statements` are what the server says of itself, one of each kind.
     `load` is None if the server states none or an unreadable one; the latter sets
-    `load_unreadable`.
+    `load_unreadable`. `error_code` is that of another host's own error, 0 if it names none.
     """
 
     request_id: str
@@ -126,6 +127,7 @@
     forwarded_headers: bytes
     load: StatedLoad | None = None
     load_unreadable: bool = False
+    error_code: int = 0
 
 
 class Envelope(NamedTuple):
@@ -228,9 +230,10 @@
     The length of a body that does not follow the head (`bodiless`) is forwarded. The `status`
     tells whether a time to come back after speaks for the whole server.
     """
-    dropped = CONNECTION_HEADERS - {CONTENT_LENGTH} if bodiless else CONNECTION_HEADERS
+    dropped = (CONNECTION_HEADERS | {ERROR_CODE}) - ({CONTENT_LENGTH} if bodiless else set())
     by_name = {name.lower(): value for name, value in headers}
     encoding = by_name.get(b"content-encoding", b"identity")
+    code = by_name.get(ERROR_CODE, b"")
     stated = by_name.get(SERVER_LOAD)
     load = None if stated is None else _parse_load(stated)
     return AnswerFacts(
@@ -243,14 +246,17 @@
         forwarded_headers=b"".join(_forwarded_lines(headers, dropped)),
         load=load,
         load_unreadable=stated is not None and load is None,
+        error_code=int(code) if COUNT.fullmatch(code) else 0,
     )
 
 
-def encode_own_answer(request_id: str, retry_after_s: float | None) -> bytes:
-    """Encode the headers of the router's own answer."""
+def encode_own_answer(request_id: str, retry_after_s: float | None, code: int | None) -> bytes:
+    """Encode the headers of the router's own answer, for other hosts with its `code`."""
     lines = _header_line("Request-Id", request_id) if request_id else b""
     if retry_after_s is not None:
         lines += _header_line("Retry-After", f"{retry_after_s:.2f}")
+    if code is not None:
+        lines += _header_line("Redwingbank-Code", str(code))
     return lines
 
 
--- a/tests/front/one_holder.feature
+++ b/tests/front/one_holder.feature
@@ -46,6 +46,22 @@
     When the front gets a single request
     Then its caller's answer breaks off within 1 s, and no request is left
 
+  Scenario: a helper that has no server tells it of a HEAD request, which goes to another one
+    Given 4 fronts, of which the first is cut off and the others find it as a connection to a server fails
+    When its caller asks it for the head of a read
+    Then the caller gets a head with status 503, and it was forwarded 2 times
+
+  Scenario Outline: a HEAD request that has run is forwarded to helpers of <release> that have no server
+    Given 4 fronts, of which the first is cut off once a request has run, and the others have no server
+    And the others are of <release>
+    When its caller asks it for the head of a read
+    Then the caller gets a head with status 502, and it was forwarded <forwards> times
+
+    Examples:
+      | release             | forwards |
+      | this release        | 2        |
+      | the earlier release | 1        |
+
   Scenario: a request that has run is forwarded to helpers that have no server
     Given 4 fronts, of which the first is cut off once a request has run, and the others have no server
     When its caller sends a read request to it
--- a/tests/steps/front_one_holder.py
+++ b/tests/steps/front_one_holder.py
@@ -9,7 +9,15 @@
 from behave import given, then, when
 
 from failing import fail_once
-from forward_fleet import CONTACT_S, POOL, Fleet, forwarded, make_cut, make_rig
+from forward_fleet import (
+    CONTACT_S,
+    POOL,
+    Fleet,
+    forwarded,
+    make_cut,
+    make_rig,
+    speak_without_counts,
+)
 from front_rig import Rig, route, run_scenario, table
 from redwingbank.clock import now_s
 from redwingbank.routing.reachability import Others, Reach
@@ -46,10 +54,16 @@
 async def start_fleet(context, rig):
     fleet = context.fleet = Fleet(rig, 4)
     await fleet.start()
+    if not getattr(context, "counts", True):
+        for front in fleet.fronts[1:]:
+            speak_without_counts(front)
     for front in fleet.fronts[1:]:
         await rig.ask("read", request_id="warm", front=front)
     first = fleet.fronts[0].router.forwarding
     await rig.until(lambda: first.pick(POOL, ("edge-2", "edge-3")))
+    counts = getattr(context, "counts", True)
+    hosts = [f"edge-{number}" for number in (2, 3, 4)]
+    await rig.until(lambda: all(first.counts_servers(host) == counts for host in hosts))
     return fleet
 
 
@@ -132,13 +146,18 @@
     context.rig, context.prepare = make_rig(), prepare
 
 
+@given("the others are of {release}")
+def others_of(context, release):
+    context.counts = release == "this release"
+
+
 @when("its caller sends a {kind} request to it")
-def sends(context, kind):
+def sends(context, kind, method="POST"):
     async def scenario(rig):
         fleet = await start_fleet(context, rig)
         await context.prepare(fleet)
         front = fleet.fronts[0]
-        context.answer = await rig.ask(kind, front=front)
+        context.answer = await rig.ask(kind, front=front, method=method)
         await rig.until(lambda: not any(each.router.exchanges for each in fleet.fronts))
         context.runs = sum(run.request_id == "r-1" for run in rig.runs())
         context.forwards = forwarded(front)
@@ -148,6 +167,18 @@
     run_scenario(context.rig, scenario, content)
 
 
+@when("its caller asks it for the head of a {kind}")
+def asks_for_head(context, kind):
+    sends(context, kind, "HEAD")
+
+
+@then("the caller gets a head with status {status:d}, and it was forwarded {forwards:d} times")
+def gets_head(context, status, forwards):
+    assert context.answer.status == status, context.answer
+    assert context.forwards == forwards, context.forwards
+    assert "redwingbank-code" not in context.answer.headers, context.answer
+
+
 @then("the caller gets status {status:d}")
 def gets_status(context, status):
     assert (context.answer.status, context.answer.complete) == (status, True), context.answer
