Date news of streams by when a suspended host went on, and tell what came later

What callers saw: one whose stream came back to a host that had been suspended meanwhile got 1405 in the middle of its answer, though no other answer went on with it. The answer elsewhere, whose connection hung, ran on at its server beside the new one.

Cause: the host reads news that waited in its socket as if they were just sent, so an answer that began after it went on looked older than the take-up before. And the host doesn't know then of the answer in between, which nobody ended.

That news of an earlier take-up no longer stop those of a later one was read; no test shows it.

Why it works: the first update after a gap dates the news that are read in the next 0.25 s, so they end answers before the gap only. What is told late is not confirmed but answered with the take-up that came later, and the answer in between ends.

--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -164,6 +164,7 @@
                 router.forwarding.update(now, router.servers.entries_by_name.values())
             with router.barrier.confine("streams"):
                 router.streams.update(now)
+                router.takeover.answers.update(now)
             with router.barrier.confine("heartbeat"):
                 router.peers.send_heartbeat()
             router.log.flush()
--- a/src/redwingbank/front/stream_takeover.py
+++ b/src/redwingbank/front/stream_takeover.py
@@ -70,7 +70,12 @@
         """End the answers before the one that takes a stream up, here and at the host before."""
         self._end_answers(take_up)
         if served_by != self._host:
-            self._news_by_key[take_up.key] = _News(take_up, served_by)
+            self._send_news(take_up, served_by)
+
+    def _send_news(self, take_up: TakeUp, host: str) -> None:
+        known = self._news_by_key.get(take_up.key)
+        if known is None or (known.take_up, known.host) != (take_up, host):
+            self._news_by_key[take_up.key] = _News(take_up, host)
             if not self._untold:
                 asyncio.get_running_loop().call_later(TELL_BATCH_S, self._tell_new)
             self._untold.append(take_up.key)
@@ -108,8 +113,15 @@
     def _handle_taken_up(self, notes: Iterable[StreamNote], host: str) -> None:
         now, confirmed = now_s(), []
         for note in notes:
-            self._end_answers(TakeUp(note.key, note.taken_up_by, now - note.age_s))
-            confirmed.append(StreamNote(note.key))
+            at_s = self.answers.taken_up_s(now, note.age_s)
+            take_up = TakeUp(note.key, note.taken_up_by, at_s)
+            self._end_answers(take_up)
+            later = self.answers.later(take_up)
+            if later:
+                # the other host may not know, if this one did not know of that host either
+                self._send_news(later, host)
+            else:
+                confirmed.append(StreamNote(note.key))
         self._sharing.tell([host], Purpose.RELEASED, confirmed)
 
     def _handle_released(self, notes: Iterable[StreamNote], host: str) -> None:
@@ -117,8 +129,10 @@
             self._news_by_key.pop(note.key, None)
 
     def _end_answers(self, take_up: TakeUp) -> None:
-        # what this host tells of an earlier take-up is out of date
-        self._news_by_key.pop(take_up.key, None)
+        news = self._news_by_key.get(take_up.key)
+        if news and news.take_up.at_s < take_up.at_s:
+            # what this host tells of an earlier take-up is out of date
+            del self._news_by_key[take_up.key]
         for owner in self.answers.superseded(take_up):
             self._guard(owner.end_taken_up, owner.fail_internally)
 
--- a/src/redwingbank/routing/stream_answers.py
+++ b/src/redwingbank/routing/stream_answers.py
@@ -11,6 +11,11 @@
 
 from redwingbank.routing.stream_origin import stream_key
 
+# A longer gap between updates means that the process was suspended and has news to read, which may
+# be as old as the gap; it has read them within this time.
+SUSPENDED_S = 0.4
+CATCH_UP_S = 0.25
+
 OwnerT = TypeVar("OwnerT")
 
 
@@ -49,12 +54,38 @@
 
     def __init__(self) -> None:
         self._answers_by_key: defaultdict[str, list[_Answer[OwnerT]]] = defaultdict(list)
+        self._updated_s = float("inf")
+        self._resumed_s = float("-inf")
 
     def __len__(self) -> int:
         return len(self._answers_by_key)
 
+    def update(self, now_s: float) -> None:
+        """Record that the process runs; to be called several times in `SUSPENDED_S`."""
+        if now_s - self._updated_s > SUSPENDED_S:
+            self._resumed_s = now_s
+        self._updated_s = now_s
+
+    def taken_up_s(self, now_s: float, age_s: float) -> float:
+        """Return when a stream was taken up, by news that told its age when they were sent.
+
+        News that waited while this host was suspended are older by an unknown time. They are of
+        the time before, so that the answers since then go on.
+
+        >>> answers = StreamAnswers[str]()
+        >>> answers.update(10.0)
+        >>> answers.taken_up_s(10.25, age_s=0.25)
+        10.0
+        >>> answers.taken_up_s(13.0, age_s=0.0), answers.taken_up_s(13.125, age_s=0.0)
+        (13.0, 13.0)
+        """
+        self.update(now_s)
+        at_s = now_s - age_s
+        return min(at_s, self._resumed_s) if now_s < self._resumed_s + CATCH_UP_S else at_s
+
     def begin(self, owner: OwnerT, take_up: TakeUp) -> None:
         """Record an answer that begins a stream, or goes on with it."""
+        self.update(take_up.at_s)
         answer = _Answer(owner, take_up.request, take_up.at_s)
         self._answers_by_key[take_up.key].append(answer)
 
@@ -76,6 +107,16 @@
             if one.request != take_up.request and one.began_s < take_up.at_s
         ]
 
+    def later(self, take_up: TakeUp) -> TakeUp | None:
+        """Return the last request that has taken a stream up since, if any has."""
+        answers = self._answers_by_key.get(take_up.key, ())
+        later = [
+            TakeUp(take_up.key, one.request, one.began_s)
+            for one in answers
+            if one.request != take_up.request and one.began_s >= take_up.at_s
+        ]
+        return max(later, key=lambda one: one.at_s, default=None)
+
 
 def answer_key(organisation: str, stream: str) -> str:
     """Return the key of a stream's answers; an organisation can only end its own streams."""
