--- a/src/redwingbank/routing/stream_answers.py
+++ b/src/redwingbank/routing/stream_answers.py
@@ -11,6 +11,11 @@
 
 from redwingbank.routing.stream_origin import stream_key
 
+# A longer gap between updates means that the process was suspended and has news to read, which may
+# be as old as the gap; it has read them within this time.
+SUSPENDED_S = 0.4
+CATCH_UP_S = 0.25
+
 OwnerT = TypeVar("OwnerT")
 
 
@@ -49,12 +54,39 @@
 
     def __init__(self) -> None:
         self._answers_by_key: defaultdict[str, list[_Answer[OwnerT]]] = defaultdict(list)
+        self._last_by_key: dict[str, TakeUp] = {}
+        self._updated_s = float("inf")
+        self._resumed_s = float("-inf")
 
     def __len__(self) -> int:
         return len(self._answers_by_key)
 
+    def update(self, now_s: float) -> None:
+        """Record that the process runs; to be called several times in `SUSPENDED_S`."""
+        if now_s - self._updated_s > SUSPENDED_S:
+            self._resumed_s = now_s
+        self._updated_s = now_s
+
+    def taken_up_s(self, now_s: float, age_s: float) -> float:
+        """Return when a stream was taken up, by news that told its age when they were sent.
+
+        News that waited while this host was suspended are older by an unknown time. They are of
+        the time before, so that the answers since then go on.
+
+        >>> answers = StreamAnswers[str]()
+        >>> answers.update(10.0)
+        >>> answers.taken_up_s(10.25, age_s=0.25)
+        10.0
+        >>> answers.taken_up_s(13.0, age_s=0.0), answers.taken_up_s(13.125, age_s=0.0)
+        (13.0, 13.0)
+        """
+        self.update(now_s)
+        at_s = now_s - age_s
+        return min(at_s, self._resumed_s) if now_s < self._resumed_s + CATCH_UP_S else at_s
+
     def begin(self, owner: OwnerT, take_up: TakeUp) -> None:
         """Record an answer that begins a stream, or goes on with it."""
+        self.update(take_up.at_s)
         answer = _Answer(owner, take_up.request, take_up.at_s)
         self._answers_by_key[take_up.key].append(answer)
 
@@ -63,6 +95,9 @@
         left = [one for one in self._answers_by_key.pop(key, ()) if one.owner is not owner]
         if left:
             self._answers_by_key[key] = left
+        last = self._last_by_key.get(key)
+        if last and last.request not in {one.request for one in left}:
+            del self._last_by_key[key]
 
     def superseded(self, take_up: TakeUp) -> list[OwnerT]:
         """List the answers that end because another request takes their stream up.
@@ -76,6 +111,17 @@
             if one.request != take_up.request and one.began_s < take_up.at_s
         ]
 
+    def take_over(self, take_up: TakeUp) -> None:
+        """Record that an answer takes its stream over from those before."""
+        self._last_by_key[take_up.key] = take_up
+
+    def later(self, take_up: TakeUp) -> TakeUp | None:
+        """Return the request that has taken a stream over here since another one took it up."""
+        last = self._last_by_key.get(take_up.key)
+        if last and last.request != take_up.request and last.at_s >= take_up.at_s:
+            return last
+        return None
+
 
 def answer_key(organisation: str, stream: str) -> str:
     """Return the key of a stream's answers; an organisation can only end its own streams."""
