Find runs of one stream that overlap in the soak

The soak counted ids of requests that may run once. A stream that its caller takes up has an id for each try, and its streams took 0.05 s, so that two runs of one stream at a time were never seen.

`soakruns` compares when servers ran each request, and each stream over all tries of its caller: no run goes on beside a later one for more than 0.4 s. What is excused is what the host that sent the earlier run, or the one that its caller asked, can't help: while it is killed, suspended or cut off from the servers, and 0.4 s after that. Faults of servers and their links excuse nothing.

Callers of their own read drafts, streams of 8 events and 1.2 s; they and those of the other streams leave some connections open and take the stream up at any host. Servers stall, slow down, name an earlier id or break off in the middle of drafts. The other callers, their classes and the checks are as before; what callers do moves to a module of its own.

Five rows change the records.

--- a/src/redwingbank_bench/soak.py
+++ b/src/redwingbank_bench/soak.py
@@ -14,14 +14,8 @@
 from types import MappingProxyType
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-from redwingbank_bench.soakcallers import (
-    MAX_CHUNKS,
-    PATH_BY_CLASS,
-    CallerConnection,
-    encode_request,
-)
+from redwingbank_bench.soakcallers import CallerConnection
 from redwingbank_bench.soakchecks import (
-    Attempt,
     LimitedArrivals,
     Observations,
     find_violations,
@@ -47,26 +41,20 @@
     disturb_link,
     sleep_during_fault,
 )
-from redwingbank_bench.soakstreams import parse_events
+from redwingbank_bench.soaktraffic import Traffic
 from redwingbank_standins.objectstore import ObjectStore
-from redwingbank_standins.raw_response import parse_response
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Mapping
 
-CALLERS = 12
-# A stream is taken up so often, and this share of the callers of streams leave them midway.
-MAX_TRIES = 4
-LEAVING_SHARE = 0.3
+    from redwingbank_bench.soakruns import HostRun, Interruption
+
 START_TIMEOUT_S = 15.0
 # the users require a host to serve again within 12 s
 RECOVERY_S = 12.0
 # longer than any fault or recovery takes, so that a run always ends
 RUN_MARGIN_S = 60.0
 REFUSING_SHARE = 0.5
-PAUSE_BETWEEN_REQUESTS_S = 0.03
-# Callers whose streams are refused come back after this.
-RETURN_S = 0.2
 STATUS_OK = 200
 
 
@@ -105,27 +93,24 @@
         self._store_proxies: list[Proxy] = []
         self._servers = ServerFleet(self._store, self._random)
         self._fronts = FrontFleet(self._random, folder, plan.releases)
-        self._attempts_by_id: dict[str, Attempt] = {}
         self._revoked_s_by_key: dict[str, float] = {}
         self._keys = ["key-0"]
         self._version = 1
-        self._finished = False
+        self._traffic = Traffic(plan.seed, self._fronts, self._keys)
         self._faults: Counter[str] = Counter()
         self._violations: list[str] = []
-        self._reused = 0
-        self._taken_up: Counter[bool] = Counter()
 
     async def run(self) -> Result:
         """Start the system, inject faults for some seconds, clear them, and check."""
         try:
             await self._start()
-            callers = [asyncio.create_task(self._run_caller(number)) for number in range(CALLERS)]
+            callers = asyncio.create_task(self._traffic.run_callers())
             supervisor = asyncio.create_task(self._fronts.supervise())
             await self._inject_faults(self._plan.seconds)
             self._clear_faults()
             await self._check_recovery()
-            self._finished = True
-            await asyncio.gather(*callers)
+            self._traffic.finished = True
+            await callers
             supervisor.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await supervisor
@@ -133,30 +118,38 @@
             self._stop()
         ends = Counter(
             f"{attempt.service_class} {attempt.status}"
-            for attempt in self._attempts_by_id.values()
+            for attempt in self._traffic.attempts_by_id.values()
         )
         observations = Observations(
-            self._attempts_by_id,
+            self._traffic.attempts_by_id,
             self._servers.runs,
             self._revoked_s_by_key,
             REVOKE_S,
             ORGANISATION,
             LimitedArrivals(LIMIT_PER_S, self._servers.limited_arrivals_s),
             tuple(self._fronts.interruptions),
+            *self._find_runs(),
         )
         return Result(
             self._seed,
             self._violations + self._fronts.violations + find_violations(observations),
             dict(sorted(ends.items())),
             dict(self._faults),
-            self._reused,
-            self._taken_up[True],
-            self._taken_up[False],
+            self._traffic.reused,
+            self._traffic.taken_up[True],
+            self._traffic.taken_up[False],
             self._servers.falls,
             self._fronts.count_logged("request-forwarded"),
             dict(self._fronts.release_starts),
         )
 
+    def _find_runs(self) -> tuple[tuple[Interruption, ...], tuple[HostRun, ...]]:
+        """Return the cuts and the runs with the names of their hosts."""
+        names = self._fronts.name_by_source
+        cuts = tuple(cut._replace(host=names[cut.host]) for cut in self._servers.cuts)
+        runs = tuple(run._replace(host=names[run.host]) for run in self._servers.host_runs)
+        return cuts, runs
+
     async def _start(self) -> None:
         store = await self._store.start(ANY_PORT)
         await self._write_table()
@@ -241,7 +234,7 @@
         """Wait until a host serves a request; false if it doesn't within the time."""
         deadline_s = time.monotonic() + within_s
         while time.monotonic() < deadline_s:
-            attempt = await self._send_request(
+            attempt = await self._traffic.send_request(
                 CallerConnection(self._fronts.addresses[number]),
                 "read",
                 f"probe-{number}-{time.time_ns()}",
@@ -252,86 +245,6 @@
             await asyncio.sleep(0.1)
         return False
 
-    async def _run_caller(self, number: int) -> None:
-        """Send requests until the end; every second caller keeps its connection while it lasts."""
-        random = Random(f"{self._seed}-{number}")
-        count = 0
-        connection = CallerConnection(random.choice(self._fronts.addresses))
-        while not self._finished:
-            count += 1
-            name = random.choice(list(PATH_BY_CLASS))
-            if not connection.is_open:
-                connection = CallerConnection(random.choice(self._fronts.addresses))
-            leaves = name == "memo" and random.random() < LEAVING_SHARE
-            attempt = await self._send_request(
-                connection,
-                name,
-                f"r-{number}-{count}",
-                keep=number % 2 == 1,
-                most_chunks=2 if leaves else MAX_CHUNKS,
-            )
-            if name == "memo":
-                await self._take_up(attempt, random)
-            await asyncio.sleep(PAUSE_BETWEEN_REQUESTS_S * random.random())
-        connection.close()
-
-    async def _take_up(self, attempt: Attempt, random: Random) -> None:
-        """Take up a stream that broke off, each time at any host, until it is whole."""
-        stream, last = attempt.request_id, 0
-        for number in range(1, MAX_TRIES):
-            events = parse_events(attempt.body) if attempt.status == STATUS_OK else []
-            last = events[-1].number if events else last
-            if attempt.whole and attempt.status == STATUS_OK or not last:
-                return
-            attempt = await self._send_request(
-                CallerConnection(random.choice(self._fronts.addresses)),
-                "memo",
-                f"{stream}-{number}",
-                keep=False,
-                resumes=stream,
-                resume_after=last,
-            )
-            self._taken_up[attempt.status == STATUS_OK] += 1
-            if attempt.status != STATUS_OK:
-                await asyncio.sleep(RETURN_S)
-
-    async def _send_request(
-        self,
-        connection: CallerConnection,
-        service_class: str,
-        request_id: str,
-        *,
-        keep: bool,
-        most_chunks: int = MAX_CHUNKS,
-        resumes: str = "",
-        resume_after: int = 0,
-    ) -> Attempt:
-        key, sent_s = self._keys[-1], time.monotonic()
-        self._attempts_by_id[request_id] = Attempt(
-            request_id, service_class, key, sent_s, 0, False, "", "", b"", resumes, resume_after
-        )
-        reused = connection.is_open
-        request = encode_request(
-            service_class, request_id, key, keep=keep, resumes=resumes, resume_after=resume_after
-        )
-        raw = await connection.send(request, most_chunks)
-        self._reused += reused and bool(raw)
-        answer = parse_response(raw)
-        attempt = self._attempts_by_id[request_id]._replace(
-            status=answer.status,
-            whole=answer.complete,
-            stamp=answer.headers.get("server-stamp", ""),
-            echo=answer.headers.get("request-id", ""),
-            body=answer.body,
-            host=self._fronts.name_by_address[connection.address]
-            if connection.was_reached
-            else "",
-            reused=reused,
-            ended_s=time.monotonic(),
-        )
-        self._attempts_by_id[request_id] = attempt
-        return attempt
-
     async def _write_table(self, without: str = "") -> None:
         self._version += 1
         keys = [key for key in self._keys[-2:] if key != without]
@@ -354,6 +267,7 @@
     "server": lambda soak: soak._servers.fail(),  # noqa: SLF001
     "key": Soak._rotate_key,  # noqa: SLF001
     "brittle": lambda soak: soak._servers.turn_brittle(),  # noqa: SLF001
+    "stream": lambda soak: soak._servers.spoil_streams(),  # noqa: SLF001
     "silent": lambda soak: soak._servers.fall_silent(),  # noqa: SLF001
     "drain": lambda soak: soak._servers.drain(),  # noqa: SLF001
     "restart": lambda soak: soak._servers.restart(),  # noqa: SLF001
--- a/src/redwingbank_bench/soakcallers.py
+++ b/src/redwingbank_bench/soakcallers.py
@@ -13,17 +13,27 @@
 
     from redwingbank.settings import Address
 
-PATH_BY_CLASS = {"book": "/book/x", "read": "/read/x", "fixed": "/fixed/x", "memo": "/memo/x"}
+PATH_BY_CLASS = {
+    "book": "/book/x",
+    "read": "/read/x",
+    "fixed": "/fixed/x",
+    "memo": "/memo/x",
+    "draft": "/draft/x",
+}
 ANSWER_TIMEOUT_S = DEADLINE_MS / 1000 + 1
 MAX_CHUNKS = 10_000
 
 
 class CallerConnection:
-    """Sends requests to a host one after the other, on one connection for as long as it lasts."""
+    """Sends requests to a host one after the other, on one connection for as long as it lasts.
 
-    def __init__(self, address: Address) -> None:
+    One that `hangs` stays open, whatever comes, until `close`.
+    """
+
+    def __init__(self, address: Address, *, hangs: bool = False) -> None:
         self.address = address
         self.was_reached = False
+        self._hangs = hangs
         self._streams: tuple[asyncio.StreamReader, asyncio.StreamWriter] | None = None
 
     async def send(self, request: bytes, most_chunks: int = MAX_CHUNKS) -> bytes:
@@ -41,7 +51,7 @@
                 reader, writer = self._streams
                 writer.write(request)
                 kept = await _read_answer(reader, received, most_chunks)
-        if not kept:
+        if not kept and not self._hangs:
             self.close()
         return bytes(received)
 
--- a/src/redwingbank_bench/soakchecks.py
+++ b/src/redwingbank_bench/soakchecks.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank_bench.soakdocuments import DEADLINE_MS, MAX_FAULT_S
+from redwingbank_bench.soakruns import HostRun, Interruption, find_overlaps
 from redwingbank_bench.soakstreams import STREAM_CLASSES, find_broken_streams
 
 if TYPE_CHECKING:
@@ -52,19 +53,6 @@
     ended_s: float = 0.0
 
 
-class Interruption(NamedTuple):
-    """The time for which a host was killed or paused."""
-
-    host: str
-    from_s: float
-    to_s: float
-
-    def affects(self, attempt: Attempt) -> bool:
-        """Whether a request was under way at the host meanwhile."""
-        overlaps = attempt.sent_s <= self.to_s and self.from_s <= attempt.ended_s
-        return attempt.host == self.host and overlaps
-
-
 class LimitedArrivals(NamedTuple):
     """When requests reached a server that names a limit all the time."""
 
@@ -82,6 +70,8 @@
     organisation: str
     limited: LimitedArrivals | None = None
     interruptions: tuple[Interruption, ...] = ()
+    cuts: tuple[Interruption, ...] = ()
+    host_runs: tuple[HostRun, ...] = ()
 
 
 def find_violations(seen: Observations) -> list[str]:
@@ -95,6 +85,7 @@
         *_find_late_runs(seen),
         *_find_limit_excess(seen.limited),
         *_find_lost_requests(seen),
+        *find_overlaps(seen),
     ]
 
 
@@ -200,7 +191,6 @@
     "LATE_S",
     "TOLD_S",
     "Attempt",
-    "Interruption",
     "LimitedArrivals",
     "Observations",
     "allowed_in_window",
--- a/src/redwingbank_bench/soakdocuments.py
+++ b/src/redwingbank_bench/soakdocuments.py
@@ -24,6 +24,7 @@
     ("read", "idempotent", False, 2),
     ("fixed", "stream", False, 1),
     ("memo", "stream", True, 2),
+    ("draft", "stream", True, 2),
 )
 
 
--- a/src/redwingbank_bench/soakfronts.py
+++ b/src/redwingbank_bench/soakfronts.py
@@ -11,10 +11,10 @@
 
 from redwingbank.settings import Address
 from redwingbank_bench.processes import ChildProcess, free_port, reload_signal_ignored
-from redwingbank_bench.soakchecks import Interruption
 from redwingbank_bench.soakdocuments import REVOKE_S, boot_document
 from redwingbank_bench.soakfront import SOURCE_VARIABLE
 from redwingbank_bench.soakproxy import LOOPBACK
+from redwingbank_bench.soakruns import Interruption
 from redwingbank_bench.soakservers import sleep_during_fault
 
 if TYPE_CHECKING:
@@ -40,6 +40,7 @@
         self.addresses: list[Address] = []
         self.sources: list[str] = []
         self.name_by_address: dict[Address, str] = {}
+        self.name_by_source: dict[str, str] = {}
         self.interruptions: list[Interruption] = []
         self.violations: list[str] = []
         self.release_starts: Counter[str] = Counter()
@@ -65,6 +66,7 @@
         self._fronts.append(front)
         self.addresses.append(caller)
         self.name_by_address[caller] = front.name
+        self.name_by_source[source] = front.name
 
     async def pause(self) -> None:
         """Stop a front for a while, sometimes for longer than anything it was told is valid."""
--- a/src/redwingbank_bench/soakproxy.py
+++ b/src/redwingbank_bench/soakproxy.py
@@ -41,6 +41,8 @@
         self._target = target
         self._closed: socket.socket | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # The last address from which a port of the proxy's own forwarded.
+        self.source_by_port: dict[int, str] = {}
 
     def set_mode(self, mode: str) -> None:
         """Change the mode; `reset` also resets open connections."""
@@ -106,6 +108,7 @@
             self._writers.discard(writer)
             reset_connection(writer)
             return
+        self.source_by_port[target_writer.get_extra_info("sockname")[1]] = source
         both = {writer, target_writer}
         self._writers |= both
         of_source = self._writers_by_source.setdefault(source, set())
--- a/src/redwingbank_bench/soakservers.py
+++ b/src/redwingbank_bench/soakservers.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import time
 from typing import TYPE_CHECKING
 
 from redwingbank_bench.soakdocuments import ANY_PORT, MAX_FAULT_S, entry_document
+from redwingbank_bench.soakpacing import STREAM_FAULTS, PacedServer, StreamFault
 from redwingbank_bench.soakproxy import MODES, Proxy
-from redwingbank_standins.brittle_server import BrittleServer
+from redwingbank_bench.soakruns import HostRun, Interruption
+from redwingbank_bench.soakstreams import STREAM_CLASSES
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -33,7 +36,7 @@
 ANSWER_MODES = ("ok", "error", "shed", "lost", "garbage", "foreign", "extra", "cut", "unsized")
 
 
-class Server(BrittleServer):
+class Server(PacedServer):
     """A backend server with separate fault modes for plain calls and streams."""
 
     def __init__(self, name: str, version: str) -> None:
@@ -43,7 +46,7 @@
 
     def mode_for(self, target: str) -> str:
         """Select the mode by the kind of request."""
-        if target.startswith(("/fixed/", "/memo/")) and self.mode != "shed":
+        if target.split("/")[1] in STREAM_CLASSES and self.mode != "shed":
             return "broken" if self.breaks_streams else "stream"
         return self.mode
 
@@ -60,12 +63,23 @@
         ]
         self._brittle = False
         self._servers[-1].named_limit = str(LIMIT_PER_S)
+        self._cut_s_by_source: dict[str, float] = {}
+        self.cuts: list[Interruption] = []
 
     @property
     def runs(self) -> tuple[ReceivedRequest, ...]:
         """All runs that the servers began."""
         return tuple(run for server in self._servers for run in server.runs)
 
+    @property
+    def host_runs(self) -> tuple[HostRun, ...]:
+        """All runs that have ended, with the address of the host that sent each."""
+        return tuple(
+            HostRun(span, server.name, proxy.source_by_port[span.client_port])
+            for server, proxy in zip(self._servers, self._proxies, strict=True)
+            for span in server.spans
+        )
+
     @property
     def limited_arrivals_s(self) -> tuple[float, ...]:
         """When requests reached the server that names a limit."""
@@ -97,6 +111,7 @@
             proxy.set_mode("pass")
         for server in self._servers:
             server.mode, server.breaks_streams = "ok", False
+            server.stream_fault = StreamFault()
 
     async def disturb_link(self) -> None:
         """Disturb the link to a server for some time."""
@@ -104,9 +119,14 @@
 
     def cut(self, sources: Iterable[str], mode: str) -> None:
         """Cut the hosts with some source addresses off from all servers; `pass` ends that."""
-        for proxy in self._proxies:
-            for source in sources:
+        for source in sources:
+            for proxy in self._proxies:
                 proxy.cut(source, mode)
+            from_s = self._cut_s_by_source.pop(source, None)
+            if from_s is not None:
+                self.cuts.append(Interruption(source, from_s, time.monotonic()))
+            if mode != "pass":
+                self._cut_s_by_source[source] = time.monotonic()
 
     async def refuse_connections(self, seconds: float) -> None:
         """Let half of the servers refuse new connections for some time."""
@@ -126,6 +146,13 @@
         await sleep_during_fault(self._random)
         server.mode, server.breaks_streams = "ok", False
 
+    async def spoil_streams(self) -> None:
+        """Let a server spoil its long streams in the middle for some time."""
+        server = self._random.choice(self._servers)
+        server.stream_fault = self._random.choice(STREAM_FAULTS)
+        await sleep_during_fault(self._random)
+        server.stream_fault = StreamFault()
+
     async def turn_brittle(self) -> None:
         """Let all servers say that they are brittle, and some time later turn requests away."""
         if self._brittle:
--- a/src/redwingbank_bench/soakstreams.py
+++ b/src/redwingbank_bench/soakstreams.py
@@ -5,6 +5,7 @@
 import re
 from typing import TYPE_CHECKING, NamedTuple
 
+from redwingbank_bench.soakpacing import DRAFT_EVENTS
 from redwingbank_standins.backend_server import EVENTS_PER_STREAM
 
 if TYPE_CHECKING:
@@ -13,7 +14,12 @@
     from redwingbank_bench.soakchecks import Attempt
 
 EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)[^\n]*\n\n")
-STREAM_CLASSES = frozenset({"fixed", "memo"})
+EVENTS_BY_CLASS = {
+    "fixed": EVENTS_PER_STREAM,
+    "memo": EVENTS_PER_STREAM,
+    "draft": DRAFT_EVENTS,
+}
+STREAM_CLASSES = frozenset(EVENTS_BY_CLASS)
 STATUS_OK = 200
 
 
@@ -47,7 +53,8 @@
         first = attempt.resume_after + 1
         if ids != list(range(first, first + len(ids))):
             yield f"order: {attempt.request_id} received events {ids}"
-        if attempt.whole and attempt.resume_after + len(ids) != EVENTS_PER_STREAM:
+        events = EVENTS_BY_CLASS[attempt.service_class]
+        if attempt.whole and attempt.resume_after + len(ids) != events:
             yield f"order: {attempt.request_id} ended as complete after {len(ids)} events"
         versions = versions_by_stream.setdefault(attempt.resumes or attempt.request_id, set())
         versions.update(event.version for event in parse_events(attempt.body))
--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -37,11 +37,15 @@
 
 
 class RunSpan(NamedTuple):
-    """A run and when the server worked on it, on the machine's monotonic clock."""
+    """A run and when the server worked on it, on the machine's monotonic clock.
+
+    `client_port` is the port from which the request came.
+    """
 
     request: ReceivedRequest
     began_s: float
     ended_s: float
+    client_port: int = 0
 
     @property
     def stream(self) -> str:
@@ -145,7 +149,8 @@
         try:
             return await self._run(request, writer, reader)
         finally:
-            self.spans.append(RunSpan(request, began_s, time.monotonic()))
+            _, port, *_ = writer.get_extra_info("peername")
+            self.spans.append(RunSpan(request, began_s, time.monotonic(), port))
 
     async def _run(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter, reader: asyncio.StreamReader
@@ -189,6 +194,22 @@
         """Return the mode for a request's target; subclasses may distinguish targets."""
         return self.mode
 
+    def events_in(self, target: str) -> int:  # noqa: ARG002 - for subclasses
+        """Return how many events a stream has."""
+        return EVENTS_PER_STREAM
+
+    def pause_after(self, target: str, number: int) -> float:  # noqa: ARG002
+        """Return the seconds between an event of a stream and the next one."""
+        return max(self.pause_s, 0.01)
+
+    def event_id(self, target: str, number: int) -> int:  # noqa: ARG002
+        """Return the id of an event of a stream."""
+        return number
+
+    def breaks_off(self, target: str, number: int) -> bool:  # noqa: ARG002
+        """Whether a stream breaks off in an event."""
+        return False
+
     async def _hang(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter, reader: asyncio.StreamReader
     ) -> bool:
@@ -237,14 +258,16 @@
         if request.method == "HEAD":
             return True
         number = first
-        while mode == "endless" or number <= EVENTS_PER_STREAM:
-            event = b"id: %d\ndata: %b %d\n\n" % (number, self.label, number)
+        while mode == "endless" or number <= self.events_in(request.target):
+            event_id = self.event_id(request.target, number)
+            event = b"id: %d\ndata: %b %d\n\n" % (event_id, self.label, number)
             if self.crash_part and self.crash_part in _shared_parts(request):
                 writer.write(_chunk(event[:8]))
                 await writer.drain()
                 self.crash()
                 return False
-            if mode == "broken" and number == 3:  # noqa: PLR2004 - after two events
+            broken = mode == "broken" and number == 3  # noqa: PLR2004 - after two events
+            if broken or self.breaks_off(request.target, number):
                 writer.write(_chunk(event[:8]))
                 await writer.drain()
                 await asyncio.sleep(0.05)
@@ -253,7 +276,7 @@
             if mode == "repeated" and number == 3:  # noqa: PLR2004 - after two events
                 event += event
             writer.write(_chunk(event))
-            if await _peer_closes(reader, max(self.pause_s, 0.01)):
+            if await _peer_closes(reader, self.pause_after(request.target, number)):
                 self.cancelled += 1
                 return False
             number += 1
--- a/tests/steps/system_soak.py
+++ b/tests/steps/system_soak.py
@@ -15,7 +15,6 @@
 from redwingbank_bench.soakchecks import (
     LATE_S,
     Attempt,
-    Interruption,
     LimitedArrivals,
     Observations,
     find_violations,
@@ -23,7 +22,8 @@
 from redwingbank_bench.soakdocuments import ANY_PORT, DEADLINE_MS, ORGANISATION
 from redwingbank_bench.soakfronts import FrontFleet
 from redwingbank_bench.soakplan import Plan, parse_plan
-from redwingbank_standins.backend_server import ReceivedRequest
+from redwingbank_bench.soakruns import HANDOVER_S, HostRun, Interruption
+from redwingbank_standins.backend_server import ReceivedRequest, RunSpan
 
 EVENTS = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 5))
 
@@ -46,7 +46,7 @@
 
 @then("the soak's callers were served in each class")
 def served(context):
-    for name in ("book", "read", "fixed", "memo"):
+    for name in ("book", "read", "fixed", "memo", "draft"):
         assert context.result.ends.get(f"{name} 200"), context.result.ends
 
 
@@ -115,6 +115,10 @@
     return ReceivedRequest(request_id, "/x", {"tenant": ORGANISATION, **headers}, b"body", 2.0)
 
 
+def make_host_run(request_id, host, began_s, ended_s, **headers):
+    return HostRun(RunSpan(make_run(request_id, **headers), began_s, ended_s), "i-1", host)
+
+
 @given("the records of a soak without violations")
 def given_clean_soak(context):
     context.attempts = {
@@ -133,6 +137,16 @@
         make_run("r-4"),
         make_run("r-4"),
     ]
+    # a stream is taken up; hosts that are back from an interruption end their runs in time
+    context.host_runs = [
+        make_host_run("r-2", "front-0", 2.0, 2.9 + HANDOVER_S),
+        make_host_run("r-5", "front-0", 3.0, 3.5, resumes="r-2"),
+        make_host_run("r-6", "front-1", 1.5, 2.9 + HANDOVER_S),
+        make_host_run("r-8", "front-0", 1.6, 3.5, resumes="r-6"),
+        make_host_run("r-4", "front-3", 1.0, 3.9 + HANDOVER_S),
+        make_host_run("r-4", "front-0", 2.0, 9.0),
+    ]
+    context.cuts = (Interruption("front-3", 2.2, 4.0),)
     context.revoked = {"key-0": 0.5}
     # 4 s bring at most 17 requests at 2 a second
     context.arrivals_s = (0.0, *(3.1 + number / 5 for number in range(17)))
@@ -145,7 +159,23 @@
     return apply
 
 
+def change_host_run(number, **values):
+    def apply(context):
+        run = context.host_runs[number]
+        context.host_runs[number] = run._replace(span=run.span._replace(**values))
+
+    return apply
+
+
 CHANGES = {
+    "a stream runs on at the server before": change_host_run(0, ended_s=3.1 + HANDOVER_S),
+    "a request runs at two servers": lambda context: setattr(context, "cuts", ()),
+    "a host goes on with a run after it was suspended": change_host_run(2, ended_s=3.45),
+    "a host was suspended before the stream was taken up": change_host_run(0, ended_s=3.45),
+    "a host that is in touch goes on with a run while others are suspended": lambda context: (
+        context.host_runs.__setitem__(2, context.host_runs[2]._replace(host="front-2")),
+        context.attempts.update({"r-6": context.attempts["r-6"]._replace(host="front-2")}),
+    ),
     "a caller received the response of another request": change_attempt("r-1", stamp="s.r-4"),
     "a caller received a partial response as complete": change_attempt("r-1", body=b"who"),
     "a stream ended as complete without its last event": change_attempt("r-2", body=EVENTS[:15]),
@@ -191,6 +221,8 @@
         ORGANISATION,
         LimitedArrivals(2.0, context.arrivals_s),
         context.interruptions,
+        tuple(context.cuts),
+        tuple(context.host_runs),
     )
     return find_violations(observations)
 
--- a/tests/system/soak.feature
+++ b/tests/system/soak.feature
@@ -43,3 +43,8 @@
       | a server got more than the limit that it names    | limit     |
       | a request got no answer from a host that ran all the while | lost |
       | a request that ran got no answer on a kept connection      | lost |
+      | a stream runs on at the server before                      | overlap |
+      | a request runs at two servers                              | overlap |
+      | a host goes on with a run after it was suspended           | overlap |
+      | a host was suspended before the stream was taken up        | overlap |
+      | a host that is in touch goes on with a run while others are suspended | overlap |
