Let callers of the soak take up streams whose servers stall

Callers waited out a server that stalls in the middle of a draft until the end of the request's time, so nothing went on elsewhere meanwhile. Those whose connections hang leave a stream that brings nothing for 0.6 s now.

--- a/src/redwingbank_bench/soak.py
+++ b/src/redwingbank_bench/soak.py
@@ -169,6 +169,7 @@
         names = FORWARDING_FAULTS if self._plan.forwards else tuple(_FAULTS)
         if self._plan.forwards:
             tasks.add(asyncio.create_task(self._cut_first(deadline_s)))
+            tasks.add(asyncio.create_task(self._spoil_streams(deadline_s)))
         while time.monotonic() < deadline_s:
             name = self._random.choice(names)
             self._faults[name] += 1
@@ -214,6 +215,12 @@
             self._servers.cut(first, "pass")
             await asyncio.sleep(self._random.uniform(*PAUSE_BETWEEN_FAULTS_S))
 
+    async def _spoil_streams(self, deadline_s: float) -> None:
+        """Let one server after the other spoil its long streams."""
+        random = Random(f"{self._seed}-streams")
+        while time.monotonic() < deadline_s:
+            await self._servers.spoil_streams(random)
+
     def _clear_faults(self) -> None:
         self._store.fault = ""
         for proxy in self._store_proxies:
@@ -267,7 +274,7 @@
     "server": lambda soak: soak._servers.fail(),  # noqa: SLF001
     "key": Soak._rotate_key,  # noqa: SLF001
     "brittle": lambda soak: soak._servers.turn_brittle(),  # noqa: SLF001
-    "stream": lambda soak: soak._servers.spoil_streams(),  # noqa: SLF001
+    "stream": lambda soak: soak._servers.spoil_streams(soak._random),  # noqa: SLF001
     "silent": lambda soak: soak._servers.fall_silent(),  # noqa: SLF001
     "drain": lambda soak: soak._servers.drain(),  # noqa: SLF001
     "restart": lambda soak: soak._servers.restart(),  # noqa: SLF001
--- a/src/redwingbank_bench/soakcallers.py
+++ b/src/redwingbank_bench/soakcallers.py
@@ -22,12 +22,15 @@
 }
 ANSWER_TIMEOUT_S = DEADLINE_MS / 1000 + 1
 MAX_CHUNKS = 10_000
+# shorter than servers stall, longer than slow ones take for an event
+STREAM_PATIENCE_S = 0.6
 
 
 class CallerConnection:
     """Sends requests to a host one after the other, on one connection for as long as it lasts.
 
-    One that `hangs` stays open, whatever comes, until `close`.
+    One that `hangs` stays open, whatever comes, until `close`. Its caller leaves a stream that
+    brings nothing for `STREAM_PATIENCE_S`, too.
     """
 
     def __init__(self, address: Address, *, hangs: bool = False) -> None:
@@ -50,7 +53,8 @@
                     self.was_reached = True
                 reader, writer = self._streams
                 writer.write(request)
-                kept = await _read_answer(reader, received, most_chunks)
+                patience_s = STREAM_PATIENCE_S if self._hangs else ANSWER_TIMEOUT_S
+                kept = await _read_answer(reader, received, most_chunks, patience_s)
         if not kept and not self._hangs:
             self.close()
         return bytes(received)
@@ -100,10 +104,11 @@
 
 
 async def _read_answer(
-    reader: asyncio.StreamReader, received: bytearray, most_chunks: int
+    reader: asyncio.StreamReader, received: bytearray, most_chunks: int, patience_s: float
 ) -> bool:
     """Append an answer's bytes to `received`; return whether the connection may be used again.
 
+    :raises TimeoutError: if the next chunk takes longer than `patience_s`
     :raises asyncio.IncompleteReadError: if the connection ends before the answer
     :raises ValueError: if the framing is invalid
     """
@@ -115,7 +120,8 @@
             if most_chunks == 0:
                 return False
             most_chunks -= 1
-            size = int(await _append(reader.readuntil(b"\r\n"), received), 16)
+            async with asyncio.timeout(patience_s):
+                size = int(await _append(reader.readuntil(b"\r\n"), received), 16)
             await _append(reader.readexactly(size + 2), received)
     else:
         await _append(reader.readexactly(int(headers[b"content-length"])), received)
--- a/src/redwingbank_bench/soakplan.py
+++ b/src/redwingbank_bench/soakplan.py
@@ -22,9 +22,9 @@
     """A run with a seed and a number of fronts; 16 or more work as a large fleet.
 
     With `forwards` the first host is cut off from all servers most of the time, while all hosts
-    end, freeze, and lose their servers. `cut_modes` are the ways in which hosts are cut off. Each
-    start of a front is of one of `releases`, folders of source code; of the code that runs the
-    soak if there are none.
+    end, freeze, and lose their servers, and servers spoil long streams. `cut_modes` are the ways
+    in which hosts are cut off. Each start of a front is of one of `releases`, folders of source
+    code; of the code that runs the soak if there are none.
     """
 
     seed: int
--- a/src/redwingbank_bench/soakservers.py
+++ b/src/redwingbank_bench/soakservers.py
@@ -146,11 +146,11 @@
         await sleep_during_fault(self._random)
         server.mode, server.breaks_streams = "ok", False
 
-    async def spoil_streams(self) -> None:
+    async def spoil_streams(self, random: Random) -> None:
         """Let a server spoil its long streams in the middle for some time."""
-        server = self._random.choice(self._servers)
-        server.stream_fault = self._random.choice(STREAM_FAULTS)
-        await sleep_during_fault(self._random)
+        server = random.choice(self._servers)
+        server.stream_fault = random.choice(STREAM_FAULTS)
+        await sleep_during_fault(random)
         server.stream_fault = StreamFault()
 
     async def turn_brittle(self) -> None:
