Pass on that a stream was taken up to the host that took it before

Callers saw nothing; a stream ran at two servers for 0.61 s.

Cause: a host learns who serves a stream from the hosts that it is listed by. One that had been suspended, or has just started, is left out of a move within the next half second, and takes the stream up from the host that it knows.

A host remembers for 10 s who took each stream up last, and of two that come one after the other tells the earlier one of the later one, in whichever order it hears of them. Each request is passed on once, so news don't go round. What a host tells two hosts of one stream no longer replaces each other.

Evidence: "a host that was not told that a stream moved takes it up" fails without the change to front/stream_takeover.py (0.75 s) and passes with it; the other 11 rows of front/taken_up_streams.feature pass before and after.

--- a/src/redwingbank/front/stream_takeover.py
+++ b/src/redwingbank/front/stream_takeover.py
@@ -9,6 +9,7 @@
 from redwingbank.clock import now_s
 from redwingbank.front.stream_codec import Purpose, StreamNote
 from redwingbank.routing.stream_answers import StreamAnswers, TakeUp
+from redwingbank.routing.stream_takers import StreamTakers, Taker
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -47,7 +48,8 @@
 
     A caller whose connection hangs takes its stream up elsewhere long before the host that it was
     connected to notices. That host is told, and ends its run; the new answer doesn't wait for it.
-    What it has not confirmed is told again, of all streams at once.
+    What it has not confirmed is told again, of all streams at once. Hosts may know an earlier host
+    of a stream, which passes on what it is told.
     """
 
     def __init__(
@@ -60,67 +62,77 @@
         self._host = host
         self._sharing = sharing
         self._guard = guard
-        self._news_by_key: dict[str, _News] = {}
-        self._untold: list[str] = []
+        self._takers = StreamTakers()
+        # by stream and host
+        self._news_by_receiver: dict[tuple[str, str], _News] = {}
+        self._untold: list[tuple[str, str]] = []
         self._tells_again = False
         sharing.handler_by_purpose[Purpose.TAKEN_UP] = self._handle_taken_up
         sharing.handler_by_purpose[Purpose.RELEASED] = self._handle_released
 
     def take_up(self, take_up: TakeUp, served_by: str) -> None:
         """End the answers before the one that takes a stream up, here and at the host before."""
-        self._end_answers(take_up)
-        if served_by != self._host:
-            self._news_by_key[take_up.key] = _News(take_up, served_by)
-            if not self._untold:
-                asyncio.get_running_loop().call_later(TELL_BATCH_S, self._tell_new)
-            self._untold.append(take_up.key)
+        self._end_answers(Taker(take_up, self._host))
+        self._announce(Taker(take_up, served_by))
+
+    def _announce(self, news: Taker) -> None:
+        """Tell a host that a stream was taken up."""
+        take_up, host = news
+        if host == self._host:
+            return
+        self._news_by_receiver[take_up.key, host] = _News(take_up, host)
+        if not self._untold:
+            asyncio.get_running_loop().call_later(TELL_BATCH_S, self._tell_new)
+        self._untold.append((take_up.key, host))
 
     def _tell_new(self) -> None:
-        keys, self._untold = self._untold, []
-        self._tell(keys)
+        receivers, self._untold = self._untold, []
+        self._tell(receivers)
         self._tell_later()
 
     def _tell_again(self) -> None:
         self._tells_again = False
-        self._tell(list(self._news_by_key))
+        self._tell(list(self._news_by_receiver))
         self._tell_later()
 
     def _tell_later(self) -> None:
         """Tell once more what will not be confirmed by then."""
-        if self._news_by_key and not self._tells_again:
+        if self._news_by_receiver and not self._tells_again:
             self._tells_again = True
             asyncio.get_running_loop().call_later(TELL_AGAIN_S, self._tell_again)
 
-    def _tell(self, keys: Iterable[str]) -> None:
+    def _tell(self, receivers: Iterable[tuple[str, str]]) -> None:
         """Tell the hosts before of streams that were taken up, unless they need no longer know."""
         now = now_s()
         notes_by_host: defaultdict[str, list[StreamNote]] = defaultdict(list)
-        for key in keys:
-            news = self._news_by_key.pop(key, None)
+        for receiver in receivers:
+            news = self._news_by_receiver.pop(receiver, None)
             if news and news.told < MAX_TOLD:
                 take_up = news.take_up
-                note = StreamNote(key, taken_up_by=take_up.request, age_s=now - take_up.at_s)
+                age_s = now - take_up.at_s
+                note = StreamNote(take_up.key, taken_up_by=take_up.request, age_s=age_s)
                 notes_by_host[news.host].append(note)
-                self._news_by_key[key] = news._replace(told=news.told + 1)
+                self._news_by_receiver[receiver] = news._replace(told=news.told + 1)
         for host, notes in notes_by_host.items():
             self._sharing.tell([host], Purpose.TAKEN_UP, notes)
 
     def _handle_taken_up(self, notes: Iterable[StreamNote], host: str) -> None:
         now, confirmed = now_s(), []
         for note in notes:
-            self._end_answers(TakeUp(note.key, note.taken_up_by, now - note.age_s))
+            self._end_answers(Taker(TakeUp(note.key, note.taken_up_by, now - note.age_s), host))
             confirmed.append(StreamNote(note.key))
         self._sharing.tell([host], Purpose.RELEASED, confirmed)
 
     def _handle_released(self, notes: Iterable[StreamNote], host: str) -> None:
         for note in notes:
-            self._news_by_key.pop(note.key, None)
+            self._news_by_receiver.pop((note.key, host), None)
 
-    def _end_answers(self, take_up: TakeUp) -> None:
-        # what this host tells of an earlier take-up is out of date
-        self._news_by_key.pop(take_up.key, None)
-        for owner in self.answers.superseded(take_up):
+    def _end_answers(self, taker: Taker) -> None:
+        for owner in self.answers.superseded(taker.take_up):
             self._guard(owner.end_taken_up, owner.fail_internally)
+        news = self._takers.record(taker, now_s())
+        if news:
+            self._announce(news)
 
 
 __all__ = ["StreamTakeover"]
--- a/tests/front/taken_up_streams.feature
+++ b/tests/front/taken_up_streams.feature
@@ -33,6 +33,13 @@
     When a caller names the stream that it still reads at a host that has no server for it
     Then the caller that reads it gets its whole stream
 
+  Scenario: a host that was not told that a stream moved takes it up
+    Given 4 fronts and servers whose streams take 1.5 s
+    And the third host is not told what the second one serves
+    When a caller reads two events at the first host, and takes its stream up at a host, and then another while its first connection hangs
+    Then the caller gets the rest of its stream
+    And no two runs of the stream overlap by more than 0.4 s
+
   Scenario: a caller of another organisation names the stream
     Given 4 fronts and servers whose streams take 1.5 s
     When a caller of another organisation names the stream of a caller that reads it
--- a/tests/steps/front_taken_up_streams.py
+++ b/tests/steps/front_taken_up_streams.py
@@ -65,6 +65,24 @@
         server.pause_s = EVENT_PAUSE_S
     context.caller = Caller()
     context.lost = 0
+    context.unheard = False
+
+
+@given("the third host is not told what the second one serves")
+def unheard(context):
+    context.unheard = True
+
+
+def silence(front, other):
+    """Lose what a front tells another one of the streams that it serves."""
+    tell = front.router.peers.tell
+
+    def tell_others(hosts, report):
+        told = isinstance(report, StreamReport) and report.purpose.name == "TOLD"
+        name = other.router.settings.name
+        tell([host for host in hosts if not (told and host == name)], report)
+
+    front.router.peers.tell = tell_others
 
 
 @given("the first {count:d} messages that tell of a stream taken up are lost")
@@ -129,6 +147,8 @@
                 await fleet.rig.until(lambda forwarding=forwarding: forwarding.pick(POOL, ()))
                 await make_cut(fleet, front)
         record_news(fleet.fronts[1], context.lost)
+        if context.unheard:
+            silence(*fleet.fronts[1:3])
         await context.caller.read(fleet.fronts[0], "r-1", until=2)
         *hanging, last = hosts_on_the_way(fleet, where)
         for number, front in enumerate(hanging):
