--- a/src/redwingbank/routing/stream_answers.py
+++ b/src/redwingbank/routing/stream_answers.py
@@ -54,7 +54,6 @@
 
     def __init__(self) -> None:
         self._answers_by_key: defaultdict[str, list[_Answer[OwnerT]]] = defaultdict(list)
-        self._last_by_key: dict[str, TakeUp] = {}
         self._updated_s = float("inf")
         self._resumed_s = float("-inf")
 
@@ -95,9 +94,6 @@
         left = [one for one in self._answers_by_key.pop(key, ()) if one.owner is not owner]
         if left:
             self._answers_by_key[key] = left
-        last = self._last_by_key.get(key)
-        if last and last.request not in {one.request for one in left}:
-            del self._last_by_key[key]
 
     def superseded(self, take_up: TakeUp) -> list[OwnerT]:
         """List the answers that end because another request takes their stream up.
@@ -111,17 +107,6 @@
             if one.request != take_up.request and one.began_s < take_up.at_s
         ]
 
-    def take_over(self, take_up: TakeUp) -> None:
-        """Record that an answer takes its stream over from those before."""
-        self._last_by_key[take_up.key] = take_up
-
-    def later(self, take_up: TakeUp) -> TakeUp | None:
-        """Return the request that has taken a stream over here since another one took it up."""
-        last = self._last_by_key.get(take_up.key)
-        if last and last.request != take_up.request and last.at_s >= take_up.at_s:
-            return last
-        return None
-
 
 def answer_key(organisation: str, stream: str) -> str:
     """Return the key of a stream's answers; an organisation can only end its own streams."""
