Ask about a cut without weighing the evidence or using a repeat

A question that a request asked could itself find that its pool is cut off (Forwarding.awaits_verdict), and could use up a repeat of the pool (Handover.may_take, may_repeat): who asked twice, or asked and then did something else, had acted.

weigh() weighs the evidence now, called by name before a request asks whether it may wait, at each look while it waits, and before a loss is blamed; it returns whether it found a cut. awaits_verdict only reads. may_take only tells; the exchange uses a repeat (use_repeat, which says so) and tells the handover that it reroutes once it moves the request.

--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -77,7 +77,7 @@
     def may_send(self) -> bool:
         """Whether an answer can end before this host does; one that has begun goes on."""
 
-    def may_repeat(self) -> bool:
+    def use_repeat(self) -> bool:
         """Use one repeat of the pool's allowance; false if there is none."""
 
 
@@ -195,7 +195,7 @@
             self._try_another(another)
             return
         another = self._pick() if self._may_repeat_failed(head.status) else ""
-        if another and self._owner.may_repeat():
+        if another and self._owner.use_repeat():
             self._end("failed")
             self._servers_left -= self._helper_tries
             self._try_another(another)
@@ -345,7 +345,7 @@
         else:
             self._servers_left -= self._helper_tries
         another = self._pick() if not self._sent or self._may_go_to_another_server() else ""
-        if another and (not self._sent or self._owner.may_repeat()):
+        if another and (not self._sent or self._owner.use_repeat()):
             self._try_another(another)
         else:
             self._owner.forward_failed(
--- a/src/redwingbank/forwarding/handover.py
+++ b/src/redwingbank/forwarding/handover.py
@@ -98,22 +98,20 @@
     ) -> bool:
         """Whether to forward a request whose attempt began before a time and has no answer.
 
-        One on a connection that lives on stays there. One that may have been sent is repeated
-        only if that is allowed, and if its class lets another server get it.
+        One on a connection that lives on stays there. One that may have been sent may go only
+        if it may run again and its class lets another server get it.
         """
         if not self.possible or attempt.begun or attempt.started_s > sent_before_s:
             return False
         heard_s = attempt.backend.connections.contact.heard_s
         if attempt.proved and heard_s > sent_before_s - SILENCE_S:
             return False
-        if attempt.sent and not (
-            request.repeatable
-            and life.accepted < request.max_attempts
-            and self._parties.owner.may_repeat()
-        ):
-            return False
+        may_go_again = request.repeatable and life.accepted < request.max_attempts
+        return may_go_again or not attempt.sent
+
+    def reroute(self) -> None:
+        """Take the request, which an attempt had, as one that is to be forwarded."""
         self._reason = "rerouted"
-        return True
 
     def cancel(self) -> None:
         """Cancel the forwarded request, if any."""
--- a/src/redwingbank/forwarding/task.py
+++ b/src/redwingbank/forwarding/task.py
@@ -121,13 +121,17 @@
         for connections in self._connections_by_host.values():
             connections.expire()
 
+    def weigh(self, pool: str) -> bool:
+        """Weigh the evidence on a pool, sooner than is due; return whether it shows a cut now."""
+        was_cut = self.is_cut(pool)
+        if self.enabled and pool in self._entries_by_pool:
+            self._check(pool, now_s(), VerdictSource.REQUEST)
+        return self.is_cut(pool) and not was_cut
+
     def awaits_verdict(self, pool: str) -> bool:
-        """Whether it is about to be decided if a pool is cut off."""
-        if not self.enabled or pool not in self._entries_by_pool:
-            return False
-        now = now_s()
-        self._check(pool, now, VerdictSource.REQUEST)
-        return self._reach_by_pool[pool].awaits_verdict(now) and any(self._told.live_hosts(now))
+        """Whether it is about to be decided if a pool is cut off, by what was weighed."""
+        reach, now = self._reach_by_pool.get(pool), now_s()
+        return reach is not None and reach.awaits_verdict(now) and any(self._told.live_hosts(now))
 
     def is_cut(self, pool: str) -> bool:
         """Whether this host reaches no server of a pool."""
--- a/src/redwingbank/front/crash_probe.py
+++ b/src/redwingbank/front/crash_probe.py
@@ -16,6 +16,9 @@
 class ReachVerdict(Protocol):
     """Tells whether this host reaches a pool."""
 
+    def weigh(self, pool: str) -> bool:
+        """Weigh the evidence on a pool; return whether it shows a cut now."""
+
     def awaits_verdict(self, pool: str) -> bool:
         """Whether it is about to be decided if the pool is cut off."""
 
@@ -44,11 +47,22 @@
             self._probe_by_server[server] = probe
             probe.add_done_callback(lambda _: self._probe_by_server.pop(server, None))
 
+    def weigh(self, backend: Backend) -> None:
+        """Weigh whether this host is cut off from the server's pool."""
+        self._reach.weigh(backend.entry.pool)
+
     def in_doubt(self, backend: Backend) -> bool:
         """Whether the loss of a connection may be due to a cut of this host."""
         pool = backend.entry.pool
         return self._reach.is_cut(pool) or self._reach.awaits_verdict(pool)
 
+    async def _verdict(self, pool: str) -> None:
+        """Wait while it is not decided whether the pool is cut off."""
+        self._reach.weigh(pool)
+        while self._reach.awaits_verdict(pool):
+            await asyncio.sleep(VERDICT_POLL_S)
+            self._reach.weigh(pool)
+
     async def _probe(self, backend: Backend) -> None:
         started_s = now_s()
         try:
@@ -56,8 +70,7 @@
         except OSError:
             backend.breaker.record_crash("", started_s, now_s())
             pool = backend.entry.pool
-            while self._reach.awaits_verdict(pool):  # noqa: ASYNC110 - there is no event to wait for
-                await asyncio.sleep(VERDICT_POLL_S)
+            await self._verdict(pool)
             if self._reach.is_cut(pool):
                 return
             self._poison.server_down(backend.entry.name, now_s())
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -182,6 +182,8 @@
             attempt, request, self._life, sent_before_s
         ):
             return
+        if attempt.sent and not self.use_repeat():
+            return
         self._holder.cancel(request.request_id)
         if not attempt.sent:
             self._life.advance(Step.NOT_ACCEPTED)
@@ -189,9 +191,10 @@
             # the host that forwarded it sends it to another one
             self._fail(Code.NO_BACKEND_SERVER)
         else:
+            self._handover.reroute()
             self._requeue()
 
-    def may_repeat(self) -> bool:
+    def use_repeat(self) -> bool:
         """Use one repeat of the pool's allowance; false if there is none."""
         assert self._admitted
         return self._router.allowance.try_spend(self._admitted.pool, now_s())
@@ -305,7 +308,14 @@
             self._retry_or_fail(failure.outcome, now)
         elif self._tries.may_be_refused_again and now < self._give_up_s():
             self._requeue()
-        elif self._may_await_verdict():
+        else:
+            self._await_verdict_or_fail()
+
+    def _await_verdict_or_fail(self) -> None:
+        """Wait if it is undecided whether the pool is cut off, or go on if that shows now."""
+        assert self._request
+        found = self._router.forwarding.weigh(self._request.pool)
+        if self._may_await_verdict(found=found):
             self._life.advance(Step.RETRY)
             self._await_verdict()
         else:
@@ -324,19 +334,17 @@
         self._life.advance(Step.RETRY)
         self._send()
 
-    def _may_await_verdict(self) -> bool:
-        """Whether it is about to be decided if the pool is cut off, or was decided just now."""
+    def _may_await_verdict(self, *, found: bool = False) -> bool:
+        """Whether it is about to be decided if the pool is cut off, or was `found` just now."""
         assert self._request
-        forwarding, pool = self._router.forwarding, self._request.pool
-        was_cut = forwarding.is_cut(pool)
-        undecided = forwarding.awaits_verdict(pool)
-        # the question may itself find the verdict
-        found = forwarding.is_cut(pool) and not was_cut
-        return (undecided or found) and self._handover.possible and not self._answer.begun
+        awaited = found or self._router.forwarding.awaits_verdict(self._request.pool)
+        return awaited and self._handover.possible and not self._answer.begun
 
     def _await_verdict(self) -> None:
         """Send the request when it is decided whether the pool is cut off."""
-        self._pending.for_verdict(self._may_await_verdict, self._send_after_verdict)
+        assert self._request
+        pool = self._request.pool
+        self._pending.for_verdict(pool, self._may_await_verdict, self._send_after_verdict)
 
     def _send_after_verdict(self) -> None:
         if self._life.ran is Ran.NO:
@@ -412,13 +420,11 @@
     def _wait_or_refuse(self, decision: Refuse, now: float) -> None:
         """Refuse a request at once; let a stream that has begun wait for a server's limit."""
         assert self._admitted and self._binding
-        if (
-            decision.code is Code.NO_BACKEND_SERVER
-            and self._tries.servers
-            and self._may_await_verdict()
-        ):
-            self._await_verdict()
-            return
+        if decision.code is Code.NO_BACKEND_SERVER and self._tries.servers:
+            found = self._router.forwarding.weigh(self._admitted.pool)
+            if self._may_await_verdict(found=found):
+                self._await_verdict()
+                return
         resumes_s = now + decision.retry_after_s
         patience_ends_s = self._stream.last_part_s + self._admitted.route.patience_s
         waits = self._answer.begun and decision.code is Code.SERVERS_AT_LIMIT
--- a/src/redwingbank/front/pending_send.py
+++ b/src/redwingbank/front/pending_send.py
@@ -50,10 +50,13 @@
 
         self._timer = asyncio.get_running_loop().call_later(wait_s, time_passed)
 
-    def for_verdict(self, undecided: Callable[[], bool], resume: Callable[[], None]) -> None:
-        """Wait while it is not decided whether the pool is cut off."""
+    def for_verdict(
+        self, pool: str, undecided: Callable[[], bool], resume: Callable[[], None]
+    ) -> None:
+        """Wait while it is not decided whether the pool is cut off; the evidence is weighed."""
+        self._router.forwarding.weigh(pool)
         if undecided():
-            self.after(VERDICT_POLL_S, lambda: self.for_verdict(undecided, resume))
+            self.after(VERDICT_POLL_S, lambda: self.for_verdict(pool, undecided, resume))
         else:
             resume()
 
--- a/src/redwingbank/front/run_watch.py
+++ b/src/redwingbank/front/run_watch.py
@@ -64,6 +64,7 @@
         """Record a failed attempt, which may show that the server has crashed."""
         server = backend.entry.name
         if not failure.sent and failure.outcome is Outcome.CRASHED:
+            self._probes.weigh(backend)
             if self._probes.in_doubt(backend):
                 self._probes.start(backend)
             else:
--- a/tests/front/one_holder.feature
+++ b/tests/front/one_holder.feature
@@ -67,6 +67,11 @@
     When its caller sends a read request to it
     Then the caller gets status 502, and is not told that the request did not run
 
+  Scenario: questions whether a request waits for a verdict, or may be forwarded, change nothing
+    Given 4 fronts, of which the first has evidence of a cut as a server works on a request
+    When it is asked ten times whether the read request waits for a verdict, or may be forwarded
+    Then it has found no cut and used no repeat
+
   Scenario Outline: a front finds that it is cut off as a server works on a request
     Given 4 fronts, of which the first finds that it is cut off as a server works on a request
     When its caller sends a <kind> request to it
--- a/tests/steps/front_one_holder.py
+++ b/tests/steps/front_one_holder.py
@@ -94,16 +94,16 @@
     async def prepare(fleet):
         front, server = fleet.fronts[0], fleet.rig.backend_servers[0]
         forwarding, server.mode = front.router.forwarding, "lost"
-        awaits_verdict = forwarding.awaits_verdict
+        weigh = forwarding.weigh
 
-        def ask(pool):
+        def find(pool):
             if server.mode == "lost":
                 server.mode = "ok"
                 complete_evidence(front)
                 fleet.links[0].set_mode("reset")
-            return awaits_verdict(pool)
+            return weigh(pool)
 
-        forwarding.awaits_verdict = ask
+        forwarding.weigh = find
 
     context.rig, context.prepare = make_rig(1), prepare
 
@@ -124,7 +124,7 @@
             failed(entry, failure)
             complete_evidence(front)
             fleet.links[0].set_mode("reset")
-            front.router.forwarding.awaits_verdict(POOL)
+            front.router.forwarding.weigh(POOL)
 
         front.router.statements.rooms.attempt_failed = fail
 
@@ -136,7 +136,7 @@
     async def find(fleet):
         await fleet.rig.until(lambda: any(run.request_id == "r-1" for run in fleet.rig.runs()))
         complete_evidence(fleet.fronts[0])
-        fleet.fronts[0].router.forwarding.awaits_verdict(POOL)
+        fleet.fronts[0].router.forwarding.weigh(POOL)
 
     async def prepare(fleet):
         for server in fleet.rig.backend_servers:
@@ -151,6 +151,41 @@
     context.counts = release == "this release"
 
 
+@given("4 fronts, of which the first has evidence of a cut as a server works on a request")
+def has_evidence(context):
+    async def ask(fleet):
+        router = fleet.fronts[0].router
+        await fleet.rig.until(lambda: any(run.request_id == "r-1" for run in fleet.rig.runs()))
+        (exchange,) = router.exchanges
+        complete_evidence(fleet.fronts[0])
+        before = router.allowance.remaining(POOL, now_s())
+        for _ in range(10):
+            assert router.forwarding.awaits_verdict(POOL)
+            assert exchange._handover.may_take(
+                exchange._holder.attempt, exchange._request, exchange._life, now_s()
+            )
+        used = before - router.allowance.remaining(POOL, now_s())
+        context.changes = router.forwarding._reach_by_pool[POOL].state, used
+
+    async def prepare(fleet):
+        for server in fleet.rig.backend_servers:
+            server.pause_s = WORK_S
+        context.finding = asyncio.create_task(ask(fleet))
+
+    context.rig, context.prepare = make_rig(), prepare
+
+
+@when("it is asked ten times whether the {kind} request waits for a verdict, or may be forwarded")
+def asks_questions(context, kind):
+    sends(context, kind)
+
+
+@then("it has found no cut and used no repeat")
+def changed_nothing(context):
+    assert context.finding.exception() is None, context.finding.exception()
+    assert context.changes == (Reach.DOUBTFUL, 0), context.changes
+
+
 @when("its caller sends a {kind} request to it")
 def sends(context, kind, method="POST"):
     async def scenario(rig):
