--- a/tests/front/ended_attempts.feature
+++ b/tests/front/ended_attempts.feature
@@ -25,3 +25,18 @@
       | an event is spoiled | spoiled |
       | the time ends       | silent  |
       | the caller leaves   | silent  |
+
+  Scenario Outline: <what> of a stream that never ends, at a host that is <reach>, and the caller <reads>
+    Given 3 fronts, of which the first is <reach>, and servers whose streams never end
+    When <what> of the first front, and the caller <reads>
+    Then the run has ended at its server within 0.4 s
+
+    Examples:
+      | what                  | reach    | reads         |
+      | the caller leaves     | in touch | reads nothing |
+      | the time ends         | in touch | reads nothing |
+      | the caller leaves     | cut off  | reads on      |
+      | the caller leaves     | cut off  | reads nothing |
+      | the time ends         | cut off  | reads nothing |
+      | the process is killed | cut off  | reads on      |
+      | the process is killed | cut off  | reads nothing |
--- a/tests/steps/front_ended_attempts.py
+++ b/tests/steps/front_ended_attempts.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import time
 from unittest import mock
 
 from behave import given, then, when
 
+from forward_fleet import Fleet, make_cut, make_rig
 from front_rig import Rig, request, run_scenario, table
 from redwingbank.clock import now_s
 from redwingbank.front.outbound import Connection
@@ -16,7 +18,9 @@
 POOL = "pool"
 CONTACT_S = 3.0
 DEADLINE_MS = 1000
+STREAM_MS = 2000
 SETTLE_S = 0.2
+EVENT_BYTES = 300_000
 
 
 @given("a front with two servers in mode {mode}, with a connection to each")
@@ -122,3 +126,74 @@
     assert context.ended_s, "it was not seen"
     took_s = min(context.ended_s) - context.given_up_s
     assert took_s < seconds, round(took_s, 2)
+
+
+@given("3 fronts, of which the first is {reach}, and servers whose streams never end")
+def endless(context, reach):
+    context.rig, context.cut = make_rig(), reach == "cut off"
+
+
+async def begin_stream(context, fleet, reads):
+    """Let the first front's caller begin to read a stream, or leave it unread."""
+    rig, front = fleet.rig, fleet.fronts[0]
+    for helper in fleet.fronts[1:]:
+        await rig.ask("read", request_id="w", front=helper)
+    if context.cut:
+        await rig.until(lambda: front.router.forwarding.pick(POOL, ()))
+        await make_cut(fleet, front)
+    for server in rig.backend_servers:
+        server.mode, server.version = "endless", "x" * EVENT_BYTES
+    reader, writer = await asyncio.open_connection(*front.router.settings.caller)
+    if reads == "reads nothing":
+        reader._transport.pause_reading()
+    writer.write(request("memo", deadline_ms=STREAM_MS, close=False))
+    reading = asyncio.create_task(read_all(reader)) if reads == "reads on" else None
+    await rig.until(lambda: any(run.request_id == "r-1" for run in rig.runs()))
+    await asyncio.sleep(3 * SETTLE_S)
+    unsent = [one._transport.get_write_buffer_size() for one in front.router.connections]
+    context.paused = any(unsent)
+    return writer, reading
+
+
+async def read_all(reader):
+    with contextlib.suppress(ConnectionError):
+        while await reader.read(EVENT_BYTES):
+            pass
+
+
+@when("{what} of the first front, and the caller {reads}")
+def ends_stream(context, what, reads):
+    async def scenario(rig):
+        fleet = Fleet(rig, 3)
+        await fleet.start()
+        writer, reading = await begin_stream(context, fleet, reads)
+        spans = [server.spans for server in rig.backend_servers]
+        ids = lambda: [one.request.request_id for each in spans for one in each]  # noqa: E731
+        assert context.paused == (reads == "reads nothing"), "the caller reads otherwise"
+        assert "r-1" not in ids(), "the run has ended before"
+        if what == "the caller leaves":
+            writer.transport.abort()
+        elif what == "the process is killed":
+            await rig.kill_first()
+        else:
+            await rig.until(lambda: not rig.front.router.exchanges)
+        ended_s = time.monotonic()
+        await rig.until(lambda: "r-1" in ids())
+        context.late_s = [
+            one.ended_s - ended_s
+            for each in spans
+            for one in each
+            if one.request.request_id == "r-1"
+        ]
+        writer.transport.abort()
+        if reading:
+            await reading
+        await fleet.stop()
+
+    run_scenario(context.rig, scenario, table(timeout_ms=STREAM_MS))
+
+
+@then("the run has ended at its server within {seconds:g} s")
+def run_ended(context, seconds):
+    assert len(context.late_s) == 1, context.late_s
+    assert context.late_s[0] < seconds, context.late_s
