End a request whose time ends also if that raises an error

Callers got no answer, and the run went on at its server, if an unexpected error occurred as the time of a request ended.

Cause: the timer called the request's end without the guard that logs an unexpected error and ends the request; each other step has it.

Evidence: one_holder.feature, a request whose server hangs, and an error as the end of its time is recorded: no answer within 5 s on the code as found, status 500 in time with the guard. one_holder and event_orders: 21 scenarios passed, 0 failed.

--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -116,9 +116,9 @@
         self._watch = RunWatch(self._router.poison, self._router.probes, traits)
         self._life.advance(Step.CHECK)
         self._life.advance(Step.QUEUE)
-        left_s = self._request.give_up_s - now_s()
-        loop = asyncio.get_running_loop()
-        self._timer = loop.call_later(max(0.0, left_s) + TIMEOUT_GRACE_S, self.give_up)
+        left_s = max(0.0, self._request.give_up_s - now_s()) + TIMEOUT_GRACE_S
+        loop, guard = asyncio.get_running_loop(), self._router.guard
+        self._timer = loop.call_later(left_s, guard, self.give_up, self.fail_internally)
         self._binding = StreamBinding(self._router, admitted, self)
         self._binding.find(self._origin_found)
 
--- a/tests/front/one_holder.feature
+++ b/tests/front/one_holder.feature
@@ -40,6 +40,7 @@
       | an attempt is answered    | ok     | single | 200    |
       | an attempt's stream ends  | stream | memo   | 200    |
       | a verdict ends an attempt | ok     | single | 500    |
+      | the time ends             | hang   | single | 500    |
 
   Scenario: a server breaks off a long refusal
     Given a front with one server, in mode long-refusal
--- a/tests/steps/front_one_holder.py
+++ b/tests/steps/front_one_holder.py
@@ -26,6 +26,7 @@
 HANG_S = 0.3
 WORK_S = 0.3
 LONG_BYTES = 500_000
+DEADLINE_MS = 700
 
 
 def complete_evidence(front):
@@ -235,9 +236,15 @@
     router.forward_pending(POOL, now_s())
 
 
+async def fail_at_the_end(rig):
+    """Let the first look at the servers fail after the request has been sent."""
+    await rig.until(rig.runs)
+    fail_once(rig.front.router.servers, "usable")
+
+
 async def ask_within(context, rig, kind):
     asked_s = time.monotonic()
-    context.answer = await rig.ask(kind)
+    context.answer = await rig.ask(kind, deadline_ms=DEADLINE_MS)
     context.took_s = time.monotonic() - asked_s
     context.left = len(rig.front.router.exchanges)
 
@@ -251,17 +258,18 @@
             "an attempt is given up": (router.statements.rooms, "end_batch_s"),
             "an attempt is answered": (router.durations, "record"),
             "an attempt's stream ends": (router.streams, "finish"),
-            "a verdict ends an attempt": (None, ""),
+            "a verdict ends an attempt": (None, end_by_verdict),
+            "the time ends": (None, fail_at_the_end),
         }[step]
-        verdict = None
+        later = None
         if owner:
             fail_once(owner, name)
         else:
-            verdict = asyncio.create_task(end_by_verdict(rig))
+            later = asyncio.create_task(name(rig))
             await asyncio.sleep(0)
         await ask_within(context, rig, kind)
-        if verdict:
-            await verdict
+        if later:
+            await later
 
     run_scenario(context.rig, scenario)
 
