Let soak servers rest, leave, name limits and crash by prompt parts

The soak played brittle servers, limits and cuts, but no part of a prompt that crashes servers, no rests and no servers that say that they leave, and no caller sent a refused request again under its id. So nothing showed whether calls that may run once hold where these overlap.

`newer` as the last argument plays them beside cuts, disturbed links, freezes, kills and planned stops, each kind in each round. Most calls may run once; half of the prompts have the part while it crashes servers. Callers send again what is refused, at any host, most of them as late as `Retry-After` asks, the others at once.

--- a/src/redwingbank_bench/soak.py
+++ b/src/redwingbank_bench/soak.py
@@ -16,6 +16,7 @@
 
 from redwingbank_bench.soakcallers import CallerConnection
 from redwingbank_bench.soakchecks import (
+    AT_MOST_ONCE_CLASSES,
     LimitedArrivals,
     Observations,
     find_violations,
@@ -29,12 +30,15 @@
 from redwingbank_bench.soakfronts import FrontFleet
 from redwingbank_bench.soakplan import (
     CUT_S,
-    FORWARDING_FAULTS,
+    LONG_FAULTS,
+    NEWER_FAULTS,
     PAUSE_BETWEEN_FAULTS_S,
     Plan,
     parse_plan,
 )
 from redwingbank_bench.soakproxy import Proxy
+from redwingbank_bench.soakresends import ResendingTraffic
+from redwingbank_bench.soakruns import Interruption
 from redwingbank_bench.soakservers import (
     LIMIT_PER_S,
     ServerFleet,
@@ -47,7 +51,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine, Mapping
 
-    from redwingbank_bench.soakruns import HostRun, Interruption
+    from redwingbank_bench.soakruns import HostRun
 
 START_TIMEOUT_S = 15.0
 # the users require a host to serve again within 12 s
@@ -55,6 +59,7 @@
 # longer than any fault or recovery takes, so that a run always ends
 RUN_MARGIN_S = 60.0
 REFUSING_SHARE = 0.5
+STALL_S = 0.1
 STATUS_OK = 200
 
 
@@ -66,6 +71,9 @@
     up and that went on, `not_taken_up` the others. `falls` counts how often brittle servers fell
     over; hosts that were killed or suspended may have caused them. `forwarded` counts the requests
     that a host sent to another one, `releases` the starts of fronts by the release's folder.
+    `said` counts what the newer faults came to: requests that crashed servers, those among them
+    that may run once, answers that told hosts that a server is leaving or rests, and requests that
+    callers sent again.
     """
 
     seed: int
@@ -78,6 +86,7 @@
     falls: int = 0
     forwarded: int = 0
     releases: Mapping[str, int] = MappingProxyType({})
+    said: Mapping[str, int] = MappingProxyType({})
 
 
 class Soak:
@@ -96,7 +105,10 @@
         self._revoked_s_by_key: dict[str, float] = {}
         self._keys = ["key-0"]
         self._version = 1
-        self._traffic = Traffic(plan.seed, self._fronts, self._keys)
+        traffic = (plan.seed, self._fronts, self._keys)
+        faults = self._servers.faults
+        self._traffic = ResendingTraffic(*traffic, faults) if plan.newer else Traffic(*traffic)
+        self._stalls: list[Interruption] = []
         self._faults: Counter[str] = Counter()
         self._violations: list[str] = []
 
@@ -106,11 +118,13 @@
             await self._start()
             callers = asyncio.create_task(self._traffic.run_callers())
             supervisor = asyncio.create_task(self._fronts.supervise())
+            watch = asyncio.create_task(self._watch_stalls())
             await self._inject_faults(self._plan.seconds)
             self._clear_faults()
             await self._check_recovery()
             self._traffic.finished = True
             await callers
+            watch.cancel()
             supervisor.cancel()
             with contextlib.suppress(asyncio.CancelledError):
                 await supervisor
@@ -129,6 +143,11 @@
             LimitedArrivals(LIMIT_PER_S, self._servers.limited_arrivals_s),
             tuple(self._fronts.interruptions),
             *self._find_runs(),
+            self._servers.statements._replace(
+                interruptions_by_source=self._fronts.interruptions_by_source,
+                started_s_by_source=self._fronts.started_s_by_source,
+                stalls=tuple(self._stalls),
+            ),
         )
         return Result(
             self._seed,
@@ -141,8 +160,32 @@
             self._servers.falls,
             self._fronts.count_logged("request-forwarded"),
             dict(self._fronts.release_starts),
+            self._count_said(observations),
         )
 
+    def _count_said(self, seen: Observations) -> dict[str, int]:
+        """Count what the newer faults came to."""
+        crashed = [
+            seen.attempts_by_id[request_id].service_class
+            for request_id in self._servers.crashed_ids
+        ]
+        return {
+            "crashed": len(crashed),
+            "crashed once only": sum(name in AT_MOST_ONCE_CLASSES for name in crashed),
+            "leaving": len(seen.statements.leaving),
+            "rest": len(seen.statements.rests),
+            "sent again": sum(len(one.refused) for one in seen.attempts_by_id.values()),
+        }
+
+    async def _watch_stalls(self) -> None:
+        """Record when this process, which runs the servers and the links, was late."""
+        while True:
+            began_s = time.monotonic()
+            await asyncio.sleep(STALL_S)
+            now_s = time.monotonic()
+            if now_s > began_s + 2 * STALL_S:
+                self._stalls.append(Interruption("", began_s, now_s))
+
     def _find_runs(self) -> tuple[tuple[Interruption, ...], tuple[HostRun, ...]]:
         """Return the cuts and the runs with the names of their hosts."""
         names = self._fronts.name_by_source
@@ -166,12 +209,20 @@
         """Start faults at random times, so that they occur in series and overlap."""
         deadline_s = time.monotonic() + seconds
         tasks: set[asyncio.Task[None]] = set()
-        names = FORWARDING_FAULTS if self._plan.forwards else tuple(_FAULTS)
+        usual = tuple(name for name in _FAULTS if name not in NEWER_FAULTS)
+        names = self._plan.faults(usual)
+        # each kind occurs in a run that is long enough
+        left: list[str] = []
         if self._plan.forwards:
             tasks.add(asyncio.create_task(self._cut_first(deadline_s)))
             tasks.add(asyncio.create_task(self._spoil_streams(deadline_s)))
         while time.monotonic() < deadline_s:
-            name = self._random.choice(names)
+            if self._plan.newer:
+                # the long ones first, so that they end with the others
+                left = left or sorted(
+                    self._random.sample(names, len(names)), key=LONG_FAULTS.__contains__
+                )
+            name = left.pop() if left else self._random.choice(names)
             self._faults[name] += 1
             tasks.add(asyncio.create_task(_FAULTS[name](self)))
             await asyncio.sleep(self._random.uniform(*PAUSE_BETWEEN_FAULTS_S))
@@ -278,6 +329,10 @@
     "silent": lambda soak: soak._servers.fall_silent(),  # noqa: SLF001
     "drain": lambda soak: soak._servers.drain(),  # noqa: SLF001
     "restart": lambda soak: soak._servers.restart(),  # noqa: SLF001
+    "crash part": lambda soak: soak._servers.faults.crash_by_part(),  # noqa: SLF001
+    "rest": lambda soak: soak._servers.faults.rest(),  # noqa: SLF001
+    "leaving": lambda soak: soak._servers.faults.leave(),  # noqa: SLF001
+    "limit": lambda soak: soak._servers.faults.name_limit(),  # noqa: SLF001
     "pause": lambda soak: soak._fronts.pause(),  # noqa: SLF001
     "kill": lambda soak: soak._fronts.kill(),  # noqa: SLF001
     "term": lambda soak: soak._fronts.terminate(),  # noqa: SLF001
--- a/src/redwingbank_bench/soakcallers.py
+++ b/src/redwingbank_bench/soakcallers.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from redwingbank_bench.soakdocuments import DEADLINE_MS, HOST_NAME
+from redwingbank_bench.soakserverfaults import SOUND_PREFIX
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable
@@ -79,11 +80,13 @@
     keep: bool,
     resumes: str = "",
     resume_after: int = 0,
+    prefix: str = SOUND_PREFIX,
 ) -> bytes:
     """Encode a request that keeps the connection open or closes it, or takes a stream up."""
     taken_up = (f"Resumes: {resumes}", f"Last-Event-Id: {resume_after}") if resumes else ()
     lines = (
         *_head_lines(service_class, request_id, key),
+        f"Prompt-Prefix: {prefix}",
         *taken_up,
         f"Connection: {'keep-alive' if keep else 'close'}",
     )
@@ -98,7 +101,6 @@
         f"Deadline-Ms: {DEADLINE_MS}",
         f"Authorization: Token {key}",
         "Token-Count: 900,16",
-        "Prompt-Prefix: a1:600,b2:300",
         "Content-Length: 4",
     )
 
--- a/src/redwingbank_bench/soakchecks.py
+++ b/src/redwingbank_bench/soakchecks.py
@@ -7,6 +7,7 @@
 
 from redwingbank_bench.soakdocuments import DEADLINE_MS, MAX_FAULT_S
 from redwingbank_bench.soakruns import HostRun, Interruption, find_overlaps
+from redwingbank_bench.soakstatements import Statements, find_ignored_statements
 from redwingbank_bench.soakstreams import STREAM_CLASSES, find_broken_streams
 
 if TYPE_CHECKING:
@@ -35,6 +36,7 @@
     `status` is 0 if no response arrived; `whole` is true if the response was complete. One that
     takes up a stream names the request that began it, and the last event received. `host` is
     empty if it could not be reached; `reused` tells that the connection had been used before.
+    `refused` holds the attempts before with the same id, which were answered as not run.
     """
 
     request_id: str
@@ -51,6 +53,13 @@
     host: str = ""
     reused: bool = False
     ended_s: float = 0.0
+    refused: tuple[Attempt, ...] = ()
+    retry_after_s: float = 0.0
+
+    @property
+    def first_sent_s(self) -> float:
+        """When the caller sent the request for the first time."""
+        return (*self.refused, self)[0].sent_s
 
 
 class LimitedArrivals(NamedTuple):
@@ -72,6 +81,7 @@
     interruptions: tuple[Interruption, ...] = ()
     cuts: tuple[Interruption, ...] = ()
     host_runs: tuple[HostRun, ...] = ()
+    statements: Statements = Statements()
 
 
 def find_violations(seen: Observations) -> list[str]:
@@ -80,12 +90,14 @@
         *_find_mixed_answers(seen.attempts_by_id.values()),
         *find_broken_streams(seen.attempts_by_id.values()),
         *_find_repeated_runs(seen),
+        *_find_runs_before_refusals(seen),
         *_find_unsent_runs(seen),
         *_find_runs_after_revocation(seen),
         *_find_late_runs(seen),
         *_find_limit_excess(seen.limited),
         *_find_lost_requests(seen),
         *find_overlaps(seen),
+        *find_ignored_statements(seen.statements, seen.attempts_by_id),
     ]
 
 
@@ -111,6 +123,17 @@
             yield f"refused: {request_id} was answered with {attempt.status} but ran"
 
 
+def _find_runs_before_refusals(seen: Observations) -> Iterator[str]:
+    """Describe the runs of requests that were then answered as not run, and sent again."""
+    for run in seen.runs:
+        attempt = seen.attempts_by_id.get(run.request_id)
+        if attempt is None or attempt.service_class not in AT_MOST_ONCE_CLASSES:
+            continue
+        promised = [item for item in attempt.refused if run.received_s < item.ended_s]
+        if promised:
+            yield f"refused: {run.request_id} ran, and was answered with {promised[-1].status}"
+
+
 def _find_unsent_runs(seen: Observations) -> Iterator[str]:
     for run in seen.runs:
         attempt = seen.attempts_by_id.get(run.request_id)
@@ -188,7 +211,9 @@
 
 
 __all__ = [
+    "AT_MOST_ONCE_CLASSES",
     "LATE_S",
+    "NOT_RUN_STATUSES",
     "TOLD_S",
     "Attempt",
     "LimitedArrivals",
--- a/src/redwingbank_bench/soakfronts.py
+++ b/src/redwingbank_bench/soakfronts.py
@@ -42,6 +42,7 @@
         self.name_by_address: dict[Address, str] = {}
         self.name_by_source: dict[str, str] = {}
         self.interruptions: list[Interruption] = []
+        self._started_s_by_name: dict[str, tuple[float, ...]] = {}
         self.violations: list[str] = []
         self.release_starts: Counter[str] = Counter()
         self._random = random
@@ -106,6 +107,21 @@
                     self._start(front)
             await asyncio.sleep(RESTART_POLL_S)
 
+    @property
+    def interruptions_by_source(self) -> dict[str, tuple[Interruption, ...]]:
+        """The interruptions by the address from which a host connects."""
+        return {
+            source: tuple(item for item in self.interruptions if item.host == name)
+            for source, name in self.name_by_source.items()
+        }
+
+    @property
+    def started_s_by_source(self) -> dict[str, tuple[float, ...]]:
+        """When hosts started, by the address from which they connect."""
+        return {
+            source: self._started_s_by_name[name] for source, name in self.name_by_source.items()
+        }
+
     def count_logged(self, event: str) -> int:
         """Count the records of an event in the logs of all fronts."""
         record = f'"event":"{event}"'
@@ -120,6 +136,8 @@
     def _start(self, front: ChildProcess) -> None:
         with reload_signal_ignored():
             front.start(self._choose_release())
+        before = self._started_s_by_name.get(front.name, ())
+        self._started_s_by_name[front.name] = (*before, time.monotonic())
 
     def _choose_release(self) -> dict[str, str]:
         """Return the variables that make a front one of a random release."""
--- a/src/redwingbank_bench/soakplan.py
+++ b/src/redwingbank_bench/soakplan.py
@@ -16,6 +16,12 @@
 PAUSE_BETWEEN_FAULTS_S = (0.05, 0.8)
 # without faults of servers, so that requests are forwarded most of the time
 FORWARDING_FAULTS = ("cut", "pause", "kill", "term")
+# what servers say of themselves, and prompts that crash them, beside faults of links and hosts
+NEWER_FAULTS = ("crash part", "rest", "leaving", "limit")
+# some more of them than of the others
+FREQUENT_FAULTS = ("rest", "leaving", "crash part")
+LONG_FAULTS = ("brittle", "leaving")
+BESIDE_FAULTS = ("brittle", "cut", "server link", "pause", "kill", "term", "silent")
 
 
 class Plan(NamedTuple):
@@ -24,7 +30,8 @@
     With `forwards` the first host is cut off from all servers most of the time, while all hosts
     end, freeze, and lose their servers, and servers spoil long streams. `cut_modes` are the ways
     in which hosts are cut off. Each start of a front is of one of `releases`, folders of source
-    code; of the code that runs the soak if there are none.
+    code; of the code that runs the soak if there are none. With `newer` servers rest, leave, name
+    limits and crash by parts of prompts, and callers send again what was refused.
     """
 
     seed: int
@@ -33,6 +40,12 @@
     forwards: bool = False
     cut_modes: tuple[str, ...] = CUT_MODES
     releases: tuple[Path, ...] = ()
+    newer: bool = False
+
+    def faults(self, usual: tuple[str, ...]) -> tuple[str, ...]:
+        """Return the names of the faults, of which the usual ones are given."""
+        chosen = FORWARDING_FAULTS if self.forwards else BESIDE_FAULTS if self.newer else usual
+        return chosen + (NEWER_FAULTS + FREQUENT_FAULTS if self.newer else ())
 
 
 def parse_plan(arguments: Sequence[str]) -> Plan:
@@ -49,6 +62,8 @@
         name, _, value = argument.partition("=")
         if name == "forwards" and not value:
             plan = plan._replace(forwards=True)
+        elif name == "newer" and not value:
+            plan = plan._replace(newer=True)
         elif name == "releases":
             plan = plan._replace(releases=tuple(map(_release, value.split(","))))
         else:
@@ -67,4 +82,12 @@
     return folder
 
 
-__all__ = ["CUT_S", "FORWARDING_FAULTS", "HOSTS", "PAUSE_BETWEEN_FAULTS_S", "Plan", "parse_plan"]
+__all__ = [
+    "CUT_S",
+    "HOSTS",
+    "LONG_FAULTS",
+    "NEWER_FAULTS",
+    "PAUSE_BETWEEN_FAULTS_S",
+    "Plan",
+    "parse_plan",
+]
--- a/src/redwingbank_bench/soakproxy.py
+++ b/src/redwingbank_bench/soakproxy.py
@@ -5,7 +5,8 @@
 import asyncio
 import contextlib
 import socket
-from typing import TYPE_CHECKING
+import time
+from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.settings import Address
 from redwingbank_standins.stream_server import StreamServer, reset_connection
@@ -25,6 +26,14 @@
 CUT_MODES = ("silent", "reset", "new-silent", "new-reset")
 
 
+class Disturbance(NamedTuple):
+    """A change of the mode of the links from a source, or of all links if it is empty."""
+
+    at_s: float
+    source: str
+    mode: str
+
+
 class Proxy(StreamServer):
     """Forwards connections to an address as `mode` says.
 
@@ -41,11 +50,14 @@
         self._target = target
         self._closed: socket.socket | None = None
         self._writers: set[asyncio.StreamWriter] = set()
+        # when links were disturbed; the source is empty if it was all of them
+        self.disturbances: list[Disturbance] = []
         # The last address from which a port of the proxy's own forwarded.
         self.source_by_port: dict[int, str] = {}
 
     def set_mode(self, mode: str) -> None:
         """Change the mode; `reset` also resets open connections."""
+        self.disturbances.append(Disturbance(time.monotonic(), "", mode))
         self.mode = mode
         if mode == "reset":
             for writer in list(self._writers):
@@ -56,6 +68,7 @@
 
         What is held back then is never delivered, as if its connections had timed out.
         """
+        self.disturbances.append(Disturbance(time.monotonic(), source, mode))
         ended = self._mode_by_source.pop(source, "")
         if mode != "pass":
             self._mode_by_source[source] = mode
@@ -100,8 +113,12 @@
             reset_connection(writer)
             return
         self._writers.add(writer)
-        while self._mode(source) == "new-silent":  # noqa: ASYNC110 - the mode changes without an event
-            await asyncio.sleep(BLOCKED_POLL_S)
+        if self._mode(source) == "new-silent":
+            while self._mode(source) == "new-silent":  # noqa: ASYNC110 - the mode changes without an event
+                await asyncio.sleep(BLOCKED_POLL_S)
+            self._writers.discard(writer)
+            reset_connection(writer)
+            return
         try:
             target_reader, target_writer = await asyncio.open_connection(*self._target)
         except OSError:
@@ -147,4 +164,4 @@
             writer.close()
 
 
-__all__ = ["CUT_MODES", "LOOPBACK", "MODES", "Proxy"]
+__all__ = ["CUT_MODES", "LOOPBACK", "MODES", "Disturbance", "Proxy"]
--- a/src/redwingbank_bench/soakservers.py
+++ b/src/redwingbank_bench/soakservers.py
@@ -7,9 +7,12 @@
 from typing import TYPE_CHECKING
 
 from redwingbank_bench.soakdocuments import ANY_PORT, MAX_FAULT_S, entry_document
-from redwingbank_bench.soakpacing import STREAM_FAULTS, PacedServer, StreamFault
+from redwingbank_bench.soakpacing import STREAM_FAULTS, StreamFault
 from redwingbank_bench.soakproxy import MODES, Proxy
 from redwingbank_bench.soakruns import HostRun, Interruption
+from redwingbank_bench.soakserverfaults import ServerFaults
+from redwingbank_bench.soakstatements import Statements
+from redwingbank_bench.soakstating import StatingServer
 from redwingbank_bench.soakstreams import STREAM_CLASSES
 
 if TYPE_CHECKING:
@@ -36,7 +39,7 @@
 ANSWER_MODES = ("ok", "error", "shed", "lost", "garbage", "foreign", "extra", "cut", "unsized")
 
 
-class Server(PacedServer):
+class Server(StatingServer):
     """A backend server with separate fault modes for plain calls and streams."""
 
     def __init__(self, name: str, version: str) -> None:
@@ -63,6 +66,8 @@
         ]
         self._brittle = False
         self._servers[-1].named_limit = str(LIMIT_PER_S)
+        # the limit's server keeps its start, so that hosts need not hear of the limit anew
+        self.faults = ServerFaults(self._servers[:-1], self._list, random)
         self._cut_s_by_source: dict[str, float] = {}
         self.cuts: list[Interruption] = []
 
@@ -85,6 +90,24 @@
         """When requests reached the server that names a limit."""
         return tuple(one.received_s for one in self._servers[-1].arrivals)
 
+    @property
+    def statements(self) -> Statements:
+        """What servers told hosts, and what reached them."""
+        return Statements(
+            tuple(one for server in self._servers for one in server.arrivals_by_host),
+            tuple(one for server in self._servers for one in server.told_leaving),
+            tuple(one for server in self._servers for one in server.told_rests),
+            disturbances_by_server={
+                server.name: tuple(proxy.disturbances)
+                for server, proxy in zip(self._servers, self._proxies, strict=True)
+            },
+        )
+
+    @property
+    def crashed_ids(self) -> tuple[str, ...]:
+        """The ids of the requests whose prompts crashed servers."""
+        return tuple(one for server in self._servers for one in server.crashed_ids)
+
     @property
     def falls(self) -> int:
         """How often servers fell over."""
@@ -96,6 +119,7 @@
             proxy = Proxy(await server.start(ANY_PORT))
             self._proxies.append(proxy)
             await proxy.start(ANY_PORT)
+            server.source_by_port = proxy.source_by_port
             await self._list(index)
 
     def stop(self) -> None:
--- a/src/redwingbank_bench/soaktraffic.py
+++ b/src/redwingbank_bench/soaktraffic.py
@@ -10,6 +10,7 @@
 
 from redwingbank_bench.soakcallers import MAX_CHUNKS, CallerConnection, encode_request
 from redwingbank_bench.soakchecks import Attempt
+from redwingbank_bench.soakserverfaults import SOUND_PREFIX
 from redwingbank_bench.soakstreams import parse_events
 from redwingbank_standins.raw_response import parse_response
 
@@ -50,12 +51,14 @@
         self._fronts = fronts
         self._keys = keys
         self._hanging: list[CallerConnection] = []
+        self.classes_by_caller: list[tuple[str, ...]] = [MIXED_CLASSES] * MIXED_CALLERS + [
+            DRAFT_CLASSES
+        ] * DRAFT_CALLERS
 
     async def run_callers(self) -> None:
         """Let all callers send requests until `finished`."""
-        classes_by_caller = [MIXED_CLASSES] * MIXED_CALLERS + [DRAFT_CLASSES] * DRAFT_CALLERS
         await asyncio.gather(
-            *(self._run_caller(*caller) for caller in enumerate(classes_by_caller))
+            *(self._run_caller(*caller) for caller in enumerate(self.classes_by_caller))
         )
         for hanging in self._hanging:
             hanging.close()
@@ -74,10 +77,11 @@
             if leaves and random.random() < HANGING_SHARE:
                 attempt = await self._hang(name, f"r-{number}-{count}", random)
             else:
-                attempt = await self.send_request(
+                attempt = await self.call(
                     connection,
                     name,
                     f"r-{number}-{count}",
+                    random,
                     keep=number % 2 == 1,
                     most_chunks=2 if leaves else MAX_CHUNKS,
                 )
@@ -86,6 +90,21 @@
             await asyncio.sleep(PAUSE_BETWEEN_REQUESTS_S * random.random())
         connection.close()
 
+    async def call(
+        self,
+        connection: CallerConnection,
+        service_class: str,
+        request_id: str,
+        random: Random,  # noqa: ARG002 - for subclasses
+        *,
+        keep: bool,
+        most_chunks: int,
+    ) -> Attempt:
+        """Send a request as the callers do."""
+        return await self.send_request(
+            connection, service_class, request_id, keep=keep, most_chunks=most_chunks
+        )
+
     async def _hang(
         self, name: str, request_id: str, random: Random, resumes: str = "", resume_after: int = 0
     ) -> Attempt:
@@ -136,15 +155,23 @@
         most_chunks: int = MAX_CHUNKS,
         resumes: str = "",
         resume_after: int = 0,
+        prefix: str = SOUND_PREFIX,
+        refused: tuple[Attempt, ...] = (),
     ) -> Attempt:
         """Send a request, and record it with its answer."""
         key, sent_s = self._keys[-1], time.monotonic()
         self.attempts_by_id[request_id] = Attempt(
             request_id, service_class, key, sent_s, 0, False, "", "", b"", resumes, resume_after
-        )
+        )._replace(refused=refused)
         reused = connection.is_open
         request = encode_request(
-            service_class, request_id, key, keep=keep, resumes=resumes, resume_after=resume_after
+            service_class,
+            request_id,
+            key,
+            keep=keep,
+            resumes=resumes,
+            resume_after=resume_after,
+            prefix=prefix,
         )
         raw = await connection.send(request, most_chunks)
         self.reused += reused and bool(raw)
@@ -160,9 +187,10 @@
             else "",
             reused=reused,
             ended_s=time.monotonic(),
+            retry_after_s=float(answer.headers.get("retry-after", "0")),
         )
         self.attempts_by_id[request_id] = attempt
         return attempt
 
 
-__all__ = ["Traffic"]
+__all__ = ["DRAFT_CLASSES", "MAX_TRIES", "MIXED_CALLERS", "Traffic"]
--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -261,7 +261,7 @@
         while mode == "endless" or number <= self.events_in(request.target):
             event_id = self.event_id(request.target, number)
             event = b"id: %d\ndata: %b %d\n\n" % (event_id, self.label, number)
-            if self.crash_part and self.crash_part in _shared_parts(request):
+            if self.crash_part and self.crash_part in shared_parts(request):
                 writer.write(_chunk(event[:8]))
                 await writer.drain()
                 self.crash()
@@ -361,7 +361,8 @@
     return ReceivedRequest(request_id, target, headers, body, time.monotonic(), method)
 
 
-def _shared_parts(request: ReceivedRequest) -> list[str]:
+def shared_parts(request: ReceivedRequest) -> list[str]:
+    """Return the parts of a request's prompt that other prompts may share: all but the last."""
     parts = request.headers_by_name.get("prompt-prefix", "").split(",")
     return [part.partition(":")[0].strip() for part in parts[:-1]]
 
@@ -396,4 +397,4 @@
     return b"%x\r\n%b\r\n" % (len(data), data)
 
 
-__all__ = ["BackendServer", "ReceivedRequest", "RunSpan"]
+__all__ = ["BackendServer", "ReceivedRequest", "RunSpan", "shared_parts"]
--- a/tests/steps/system_soak.py
+++ b/tests/steps/system_soak.py
@@ -22,7 +22,10 @@
 from redwingbank_bench.soakdocuments import ANY_PORT, DEADLINE_MS, ORGANISATION
 from redwingbank_bench.soakfronts import FrontFleet
 from redwingbank_bench.soakplan import Plan, parse_plan
+from redwingbank_bench.soakproxy import Disturbance
 from redwingbank_bench.soakruns import HANDOVER_S, HostRun, Interruption
+from redwingbank_bench.soakstatements import Statements
+from redwingbank_bench.soakstating import Arrival, Leaving, Rest, ServerStart
 from redwingbank_standins.backend_server import ReceivedRequest, RunSpan
 
 EVENTS = b"".join(b"id: %d\ndata: x\n\n" % number for number in range(1, 5))
@@ -39,6 +42,18 @@
     assert context.result.forwarded, context.result
 
 
+@when("a soak of the newer faults runs for {seconds:d} s with seed {seed:d}")
+def newer_soak_runs(context, seconds, seed):
+    context.result = soak(Plan(seed, seconds, newer=True))
+
+
+@then("each newer fault showed at the servers")
+def newer_faults_showed(context):
+    faults, said = context.result.faults, context.result.said
+    assert all(faults.get(name) for name in Plan(0, 0, newer=True).faults(())), faults
+    assert all(said.values()), said
+
+
 @then("the soak found no violation")
 def no_violations(context):
     assert not context.result.broken, context.result
@@ -149,9 +164,48 @@
     context.cuts = (Interruption("front-3", 2.2, 4.0),)
     context.revoked = {"key-0": 0.5}
     # 4 s bring at most 17 requests at 2 a second
+    context.statements = made_statements()
     context.arrivals_s = (0.0, *(3.1 + number / 5 for number in range(17)))
 
 
+SOURCE = "127.0.0.10"
+START = ServerStart("i-1", 1)
+
+
+def arrival(request_id, received_s, source=SOURCE):
+    return Arrival(START, source, request_id, received_s)
+
+
+def made_statements():
+    """Return statements that were heeded by all hosts that heard of them and have no excuse."""
+    return Statements(
+        arrivals=(
+            arrival("r-1", 1.1),
+            arrival("r-2", 3.4, source="127.0.0.11"),
+            arrival("r-6", 3.4, source="127.0.0.12"),
+            *(arrival("r-4", 20.6 + number / 10) for number in range(2)),
+            *(arrival("r-4", 21.1 + number / 10) for number in range(9)),
+            *(arrival("r-4", 20.6 + number / 10, "127.0.0.12") for number in range(4)),
+            *(arrival("r-4", 20.6 + number / 10, "127.0.0.13") for number in range(4)),
+        ),
+        leaving=(Leaving(arrival("r-1", 1.1)), Leaving(arrival("r-1", 1.1, "127.0.0.12"))),
+        rests=tuple(
+            Rest(arrival("r-3", 20.0, source), 20.0, 1.0)
+            for source in (SOURCE, "127.0.0.12", "127.0.0.13")
+        ),
+        started_s_by_source={"127.0.0.12": (2.0, 20.5)},
+        disturbances_by_server={"i-1": (Disturbance(19.0, "127.0.0.13", "silent"),)},
+    )
+
+
+def change_statements(*arrivals):
+    def apply(context):
+        kept = context.statements.arrivals
+        context.statements = context.statements._replace(arrivals=(*kept, *arrivals))
+
+    return apply
+
+
 def change_attempt(name, **values):
     def apply(context):
         context.attempts[name] = context.attempts[name]._replace(**values)
@@ -206,6 +260,13 @@
     "a request got no answer from a host that ran all the while": change_attempt(
         "r-6", sent_s=3.1, ended_s=3.2
     ),
+    "a booking that was sent again had run before its refusal": change_attempt(
+        "r-1", refused=(make_attempt("r-1", "book", b"", status=503)._replace(ended_s=2.1),)
+    ),
+    "a leaving server got a request sent long after its word": change_statements(
+        arrival("r-6", 3.4)
+    ),
+    "a server that rests got 3 requests from a host": change_statements(arrival("r-4", 20.9)),
     "a request that ran got no answer on a kept connection": lambda context: context.runs.append(
         make_run("r-7")
     ),
@@ -223,6 +284,7 @@
         context.interruptions,
         tuple(context.cuts),
         tuple(context.host_runs),
+        context.statements,
     )
     return find_violations(observations)
 
--- a/tests/system/soak.feature
+++ b/tests/system/soak.feature
@@ -20,6 +20,11 @@
     When 3 fronts of a soak start and exit for 2 s
     Then fronts of each release have started, and the fleet has counted them
 
+  Scenario: servers rest, leave, name limits and crash by parts of prompts beside cuts
+    When a soak of the newer faults runs for 6 s with seed 76
+    Then the soak found no violation
+    And each newer fault showed at the servers
+
   Scenario Outline: the soak's checks detect each violation
     Given the records of a soak without violations
     Then the soak's checks find nothing
@@ -43,6 +48,9 @@
       | a server got more than the limit that it names    | limit     |
       | a request got no answer from a host that ran all the while | lost |
       | a request that ran got no answer on a kept connection      | lost |
+      | a booking that was sent again had run before its refusal   | refused |
+      | a leaving server got a request sent long after its word    | leaving |
+      | a server that rests got 3 requests from a host             | rest |
       | a stream runs on at the server before                      | overlap |
       | a request runs at two servers                              | overlap |
       | a host goes on with a run after it was suspended           | overlap |
