Take long event ids, and discard only what a server leaves unread

Streams whose ids are times in nanoseconds (19 digits) were broken off: took more than 18 digits for no number, where they had passed before.

A cancel within a round trip of the send reset the connection, since something was unacknowledged. A reset that gets lost is not sent again, so on a lossy link the server could work on.

--- a/src/redwingbank/front/events.py
+++ b/src/redwingbank/front/events.py
@@ -7,7 +7,7 @@
 ID_FIELD = b"id:"
 ID_LINE = b"\nid:"
 MAX_EVENT_BYTES = 1024 * 1024
-MAX_ID_DIGITS = 18
+MAX_ID_DIGITS = 100
 
 
 class EventError(Exception):
--- a/src/redwingbank/front/socket_queue.py
+++ b/src/redwingbank/front/socket_queue.py
@@ -16,6 +16,8 @@
 MS_PER_S = 1000
 # of struct linger in sys/socket.h: on, for 0 s
 DISCARD = struct.pack("ii", 1, 0)
+# less may be under way, or lost and sent again
+MAX_UNDER_WAY_BYTES = 64 * 1024
 
 
 class Received(NamedTuple):
@@ -48,10 +50,11 @@
 def end_at_once(sock: Any) -> None:
     """Let the peer see the end of a connection now, whenever the event loop closes its socket.
 
-    What the peer has not acknowledged is discarded: the end would wait behind it, for as long as
-    the peer doesn't read.
+    A peer that doesn't read would not see the end behind what is sent to it. The close discards
+    that and resets the connection. A reset that gets lost is not sent again, as an end is, so
+    nothing is discarded that may be under way.
     """
-    if unacknowledged_bytes(sock):
+    if unacknowledged_bytes(sock) > MAX_UNDER_WAY_BYTES:
         with contextlib.suppress(OSError):
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, DISCARD)
     with contextlib.suppress(OSError):
