Name the answers of streams only for requests that are streams

Each request, plain calls too, computed two hashes as it was admitted, and took a key out of a dictionary as it ended, for take-ups that only streams know. They are computed where a stream may be taken up. News are announced by take-up and host, in place of a Taker that named the host to tell.

--- a/src/redwingbank/front/stream_binding.py
+++ b/src/redwingbank/front/stream_binding.py
@@ -58,10 +58,7 @@
         self._request_id = facts.request_id
         self._started_s = now_s()
         self._ends_s = self._started_s + patience_s
-        organisation = admitted.organisation.name if admitted.organisation else ""
-        self._take_up = TakeUp(
-            answer_key(organisation, self._stream), stream_key(self._request_id), self._started_s
-        )
+        self._take_up = self._name_take_up(admitted) if self._key else None
 
     @property
     def pool(self) -> str:
@@ -77,7 +74,7 @@
 
     def find(self, found: Callable[[Code | None], None]) -> None:
         """Find out what began a stream that is taken up; pass on a code if it can't go on."""
-        if self._key:
+        if self._take_up:
             self._router.takeover.answers.begin(self._owner, self._take_up)
         if not self._taken_up:
             found(None)
@@ -86,6 +83,11 @@
         else:
             self._router.streams.find(self._key, lambda origin: found(self._bind(origin)))
 
+    def _name_take_up(self, admitted: AdmittedRequest) -> TakeUp:
+        organisation = admitted.organisation.name if admitted.organisation else ""
+        key, request = answer_key(organisation, self._stream), stream_key(self._request_id)
+        return TakeUp(key, request, self._started_s)
+
     def _find_unnamed(self, found: Callable[[Code | None], None]) -> None:
         """Find the only version of the pools, once it is known that no other one has joined."""
 
@@ -124,7 +126,7 @@
         if self._bound or not self._taken_up:
             return
         self._bind_here()
-        if self.origin and self._key:
+        if self.origin and self._take_up:
             self._router.takeover.take_up(self._take_up, self.origin.host)
 
     def events_received(self, attempt: Attempt) -> None:
@@ -152,7 +154,8 @@
 
     def release(self) -> None:
         """Leave the stream to the host at which its caller takes it up."""
-        self._router.takeover.answers.end(self._owner, self._take_up.key)
+        if self._take_up:
+            self._router.takeover.answers.end(self._owner, self._take_up.key)
         if self._serves:
             self._serves = False
             self._router.streams.release(self._key)
--- a/src/redwingbank/front/stream_takeover.py
+++ b/src/redwingbank/front/stream_takeover.py
@@ -73,11 +73,10 @@
     def take_up(self, take_up: TakeUp, served_by: str) -> None:
         """End the answers before the one that takes a stream up, here and at the host before."""
         self._end_answers(Taker(take_up, self._host))
-        self._announce(Taker(take_up, served_by))
+        self._announce(take_up, served_by)
 
-    def _announce(self, news: Taker) -> None:
+    def _announce(self, take_up: TakeUp, host: str) -> None:
         """Tell a host that a stream was taken up."""
-        take_up, host = news
         if host == self._host:
             return
         self._news_by_receiver[take_up.key, host] = _News(take_up, host)
@@ -129,11 +128,12 @@
             self._news_by_receiver.pop((note.key, host), None)
 
     def _end_answers(self, taker: Taker) -> None:
+        """End this host's answers before a take-up; tell an earlier taker of a later one."""
         for owner in self.answers.superseded(taker.take_up):
             self._guard(owner.end_taken_up, owner.fail_internally)
         news = self._takers.record(taker, now_s())
         if news:
-            self._announce(news)
+            self._announce(news.take_up, news.host)
 
 
 __all__ = ["StreamTakeover"]
