Log and count each retry with what the host's allowance has left

Records told the attempts of a request, not what the allowance held when it allowed or denied one, so an extra that is taken again after a start could not be told from an extra divided by too few hosts. retry-allowed and retry-denied give what is left and the hosts by which the extra is divided; redwingbank_retries_total counts them.

--- a/src/redwingbank/ctl/explain.py
+++ b/src/redwingbank/ctl/explain.py
@@ -283,6 +283,14 @@
     return f"host {record.field('helper')} gave no answer: {record.field('detail')}, {sent}"
 
 
+def _format_retry(record: Record) -> str:
+    outcome = record.event.removeprefix("retry-")
+    return (
+        f"a retry at {record.field('pool')} was {outcome}; the host's allowance has"
+        f" {record.field('left')} left, for a fleet of {record.field('hosts')} hosts"
+    )
+
+
 def _format_reach(record: Record) -> str:
     field = record.field
     found = f"; found by {field('source')}" if field("source") else ""
@@ -309,6 +317,8 @@
     "request-forwarded": _format_forwarded,
     "forward-failed": _format_forward_failed,
     "pool-reach": _format_reach,
+    "retry-allowed": _format_retry,
+    "retry-denied": _format_retry,
     "request-refused": _format_refused,
     "request-done": _format_done,
     "caller-gone": _format_caller_gone,
--- a/src/redwingbank/front/allowance.py
+++ b/src/redwingbank/front/allowance.py
@@ -49,12 +49,20 @@
         """Record the first send of a request to the pool."""
         self._window(pool, now_s).first_sends.append(now_s)
 
+    @property
+    def hosts(self) -> int:
+        """The number of hosts that this one shares the extra with, itself included."""
+        return max(MIN_HOSTS, self._hosts())
+
     def remaining(self, pool: str, now_s: float) -> int:
         """Return how many retries are allowed now."""
+        return int(self.left(pool, now_s))
+
+    def left(self, pool: str, now_s: float) -> float:
+        """Return what is left for retries, of which each takes one."""
         window = self._window(pool, now_s)
         earned = self._bounds.repeat_ratio * len(window.first_sends)
-        extra = self._bounds.repeat_extra / max(MIN_HOSTS, self._hosts())
-        return int(earned + extra) - len(window.retries)
+        return earned + self._bounds.repeat_extra / self.hosts - len(window.retries)
 
     def try_spend(self, pool: str, now_s: float) -> bool:
         """Use one retry; return False if none is left."""
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -197,7 +197,7 @@
     def use_repeat(self) -> bool:
         """Use one repeat of the pool's allowance; false if there is none."""
         assert self._admitted
-        return self._router.allowance.try_spend(self._admitted.pool, now_s())
+        return self._tries.use_retry(self._life.request_id, self._admitted.pool, now_s())
 
     def may_send(self) -> bool:
         """Whether an answer can end before this host does; one that has begun goes on."""
--- a/src/redwingbank/front/tries.py
+++ b/src/redwingbank/front/tries.py
@@ -30,6 +30,17 @@
     has_events: bool
 
 
+class _Charge(NamedTuple):
+    """The retry budget as one request uses it."""
+
+    tries: Tries
+    request_id: str
+
+    def try_spend(self, pool: str, now_s: float) -> bool:
+        """Use one retry; return False if none is left."""
+        return self.tries.use_retry(self.request_id, pool, now_s)
+
+
 class Tries:
     """The tries of one request.
 
@@ -64,13 +75,28 @@
             first_byte_sent=progress.ran is not Ran.NO,
             answer_begun=progress.answer_begun,
             tried=self.servers,
-            budget=self._router.allowance,
+            budget=_Charge(self, request.request_id),
             now_s=now_s,
             resumable=admitted.route.resumable and progress.has_events,
             max_attempts=self._most(admitted.route, answer_begun=progress.answer_begun)
             + min(self.refusals, MAX_REFUSALS),
         )
 
+    def use_retry(self, request_id: str, pool: str, now_s: float) -> bool:
+        """Use one retry of the pool's allowance and log what is left; False if there is none."""
+        router = self._router
+        allowed = router.allowance.try_spend(pool, now_s)
+        outcome = "allowed" if allowed else "denied"
+        router.metrics.count("retries_total", pool=pool, outcome=outcome)
+        router.log.detail(
+            f"retry-{outcome}",
+            request=request_id,
+            pool=pool,
+            left=round(router.allowance.left(pool, now_s), 2),
+            hosts=router.allowance.hosts,
+        )
+        return allowed
+
     def may_retry_answer(
         self,
         status: int,
