Save up no more retries than the host's part of the extra

Cause: each host counted its requests and retries in a sliding window of its own, and the parts add up to the budget only while no host starts again and no caller moves. The class: parts of one bound, kept apart, whose sum is no bound.

Now a host saves up tokens, a fifth of one a request, never more than its part of the extra. All hosts together begin any window with no more than the extra, and each request earns once, so the sum holds whatever hosts do. The part is filled up by what was not used of it within a window, and a process has none before it has run for one, so a process before it can't have used it in the same window. A host that doesn't know the fleet yet saves up one retry.

The rig's fronts count as having run for a window, since a front that has just started has no retries any more; the checks are as they were.

--- a/src/redwingbank/front/allowance.py
+++ b/src/redwingbank/front/allowance.py
@@ -1,4 +1,8 @@
-"""Limits retries: this host's share of the fleet-wide budget for sends beyond the first."""
+"""Limits retries: this host's part of the fleet-wide budget for sends beyond the first.
+
+Answers failures of many servers at once while hosts start again, lose their callers to other hosts
+or are cut off, when a count that one host keeps says nothing of what the fleet has used.
+"""
 
 from __future__ import annotations
 
@@ -10,71 +14,98 @@
 
     from redwingbank.front.values import Bounds
 
-# Least number of hosts that share what a fleet may use: a host that has just started knows few
+# Least number of hosts that share what a fleet may use while a host has just started: it knows few
 # others and would take too large a share.
 MIN_HOSTS = 27
+# A retry takes a whole token, of which each request brings a part.
+ONE_RETRY = 1.0
+ROUNDING = 1e-9
 
 
-class _Window:
-    """Times of a pool's first sends and retries within the window."""
+class _Account:
+    """A pool's tokens, and when the last of them were used."""
 
     def __init__(self) -> None:
-        self.first_sends: deque[float] = deque()
-        self.retries: deque[float] = deque()
-
-    def expire(self, since_s: float) -> None:
-        """Drop times up to `since_s`."""
-        for times in (self.first_sends, self.retries):
-            while times and times[0] <= since_s:
-                times.popleft()
+        self.tokens = 0.0
+        self.used_s: deque[float] = deque()
 
 
 class RetryAllowance:
-    """Limits the retries of each pool within a sliding window.
+    """Limits the retries of each pool, so that all hosts together stay within the fleet's budget.
+
+    Each request adds `repeat_ratio` tokens and each retry takes one. A host holds no more tokens
+    than its part of the fleet's extra, so all hosts together begin any window with no more than
+    the extra, and a request that moves to another host earns nothing twice. The part is filled up
+    by what was not used of it within the last window. A host that has just started has none: its
+    process before may have used it.
 
-    `hosts` returns the number of hosts, including this one.
+    `hosts` returns the number of hosts, including this one, or None while it is not known; until
+    then the host saves up one retry. The same holds in fleets with less than one extra retry a
+    host. Times are in seconds on the host's clock, `started_s` among them.
 
     >>> from redwingbank.front.values import Bounds
-    >>> allowance = RetryAllowance(Bounds(repeat_ratio=0.2, repeat_extra=27.0), lambda: 7)
-    >>> allowance.try_spend("desk-model", 0.0), allowance.try_spend("desk-model", 0.0)
+    >>> bounds = Bounds(repeat_ratio=0.2, repeat_window_s=10.0, repeat_extra=7.0)
+    >>> allowance = RetryAllowance(bounds, lambda: 7, started_s=0.0)
+    >>> allowance.try_spend("desk-model", 9.0), allowance.try_spend("desk-model", 10.0)
+    (False, True)
+    >>> for _ in range(5): allowance.record_request("desk-model", 11.0)
+    >>> allowance.try_spend("desk-model", 11.0), allowance.try_spend("desk-model", 11.0)
     (True, False)
     """
 
-    def __init__(self, bounds: Bounds, hosts: Callable[[], int]) -> None:
+    def __init__(self, bounds: Bounds, hosts: Callable[[], int | None], started_s: float) -> None:
         self._bounds = bounds
         self._hosts = hosts
-        self._window_by_pool: dict[str, _Window] = {}
+        self._started_s = started_s
+        self._account_by_pool: dict[str, _Account] = {}
 
-    def record_request(self, pool: str, now_s: float) -> None:
-        """Record the first send of a request to the pool."""
-        self._window(pool, now_s).first_sends.append(now_s)
+    def hosts(self, now_s: float) -> int | None:
+        """Count the hosts that share the extra, with this one; None if that is not known."""
+        hosts = self._hosts()
+        return hosts if hosts is None or self._settled(now_s) else max(MIN_HOSTS, hosts)
 
-    @property
-    def hosts(self) -> int:
-        """The number of hosts that this one shares the extra with, itself included."""
-        return max(MIN_HOSTS, self._hosts())
+    def record_request(self, pool: str, now_s: float) -> None:
+        """Record a request of a caller to the pool, which adds to the tokens."""
+        account = self._fill_up(pool, now_s)
+        account.tokens = min(account.tokens + self._bounds.repeat_ratio, self._part(now_s))
 
     def remaining(self, pool: str, now_s: float) -> int:
         """Return how many retries are allowed now."""
-        return int(self.left(pool, now_s))
+        return int(self.left(pool, now_s) + ROUNDING)
 
     def left(self, pool: str, now_s: float) -> float:
-        """Return what is left for retries, of which each takes one."""
-        window = self._window(pool, now_s)
-        earned = self._bounds.repeat_ratio * len(window.first_sends)
-        return earned + self._bounds.repeat_extra / self.hosts - len(window.retries)
+        """Return the tokens that are left."""
+        return self._fill_up(pool, now_s).tokens
 
     def try_spend(self, pool: str, now_s: float) -> bool:
         """Use one retry; return False if none is left."""
-        if self.remaining(pool, now_s) < 1:
+        account = self._fill_up(pool, now_s)
+        if account.tokens + ROUNDING < ONE_RETRY:
             return False
-        self._window(pool, now_s).retries.append(now_s)
+        account.tokens = max(0.0, account.tokens - ONE_RETRY)
+        account.used_s.append(now_s)
         return True
 
-    def _window(self, pool: str, now_s: float) -> _Window:
-        window = self._window_by_pool.setdefault(pool, _Window())
-        window.expire(now_s - self._bounds.repeat_window_s)
-        return window
+    def _settled(self, now_s: float) -> bool:
+        """Whether nothing counts any more that this host's process before may have used."""
+        return now_s - self._started_s >= self._bounds.repeat_window_s
+
+    def _part(self, now_s: float) -> float:
+        """Return the most tokens that this host may hold."""
+        hosts = self.hosts(now_s)
+        return max(ONE_RETRY, self._bounds.repeat_extra / hosts) if hosts else ONE_RETRY
+
+    def _fill_up(self, pool: str, now_s: float) -> _Account:
+        """Limit the tokens to this host's part, and add what was not used of it lately."""
+        account = self._account_by_pool.setdefault(pool, _Account())
+        window_began_s = now_s - self._bounds.repeat_window_s
+        while account.used_s and account.used_s[0] <= window_began_s:
+            account.used_s.popleft()
+        part = self._part(now_s)
+        account.tokens = min(account.tokens, part)
+        if self._settled(now_s) and self._hosts():
+            account.tokens = max(account.tokens, part - len(account.used_s))
+        return account
 
 
 __all__ = ["MIN_HOSTS", "RetryAllowance"]
--- a/src/redwingbank/front/host_listing.py
+++ b/src/redwingbank/front/host_listing.py
@@ -34,6 +34,11 @@
         self._first_s = float("inf")
         self._first_s_by_host: dict[str, float] = {}
 
+    @property
+    def listed(self) -> bool:
+        """Whether the store has listed the hosts since this one started."""
+        return self._first_s < float("inf")
+
     def record(self, hosts: Iterable[str], now_s: float) -> None:
         """Record the hosts that the store lists."""
         self._first_s = min(self._first_s, now_s)
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -172,6 +172,10 @@
         heard_s_by_host = {host: peer.heard_s for host, peer in self.peers_by_host.items()}
         return self.listing.count_hosts(heard_s_by_host, now)
 
+    def known_hosts(self) -> int | None:
+        """Count the hosts known so far with this one; None before the store has listed them."""
+        return 1 + len(self.peers_by_host) if self.listing.listed else None
+
     def report_sent(
         self, server: str, in_flight: InFlightRequest, parts: tuple[PromptPart, ...]
     ) -> int:
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -86,7 +86,7 @@
         self.dispatcher = Dispatcher(
             Chooser(self.backends, random), lambda: 1 + len(self.peers.peers_by_host)
         )
-        self.allowance = RetryAllowance(settings.bounds, lambda: 1 + len(self.peers.peers_by_host))
+        self.allowance = RetryAllowance(settings.bounds, self.peers.known_hosts, now_s())
         self.admission = Admission(self.tables)
         self.shutdown = Shutdown(settings.bounds.grace_s)
         self.durations = AnswerDurations()
--- a/src/redwingbank/front/tries.py
+++ b/src/redwingbank/front/tries.py
@@ -93,7 +93,7 @@
             request=request_id,
             pool=pool,
             left=round(router.allowance.left(pool, now_s), 2),
-            hosts=router.allowance.hosts,
+            hosts=router.allowance.hosts(now_s),
         )
         return allowed
 
--- a/tests/front_rig.py
+++ b/tests/front_rig.py
@@ -9,6 +9,7 @@
 from pathlib import Path
 
 from redwingbank.clock import now_s
+from redwingbank.front.allowance import RetryAllowance
 from redwingbank.front.program import Front
 from redwingbank.platform.settings import read_host_settings
 from redwingbank.settings import Address
@@ -124,12 +125,20 @@
             listed = entry(address, version=server.version or "v1", started_ms=server.started_ms)
             await self.store.put("servers", server.name, listed)
         self.path.write_text(json.dumps(boot(store, free_ports(4), **self.bounds)))
-        self.front = Front(self.path, read_host_settings(self.path))
         self.lines = []
-        self.front.router.log._write = self._log
+        self.front = self._make_settled_front(self.path)
         self._task = asyncio.create_task(self.front.serve())
         await self.wait_until_ready(self.front, self._task)
 
+    def _make_settled_front(self, path):
+        """Make a front that has run for so long that it has its part of the retry budget."""
+        front = Front(path, read_host_settings(path))
+        front.router.log._write = self._log
+        bounds, peers = front.router.settings.bounds, front.router.peers
+        started_s = now_s() - bounds.repeat_window_s
+        front.router.allowance = RetryAllowance(bounds, peers.known_hosts, started_s)
+        return front
+
     def _log(self, data):
         self.lines += [json.loads(line) for line in data.splitlines()]
         return len(data)
@@ -202,8 +211,7 @@
         }
         path = self.path.with_name(f"{name}.json")
         path.write_text(json.dumps(document))
-        front = Front(path, read_host_settings(path))
-        front.router.log._write = self._log
+        front = self._make_settled_front(path)
         task = asyncio.create_task(front.serve())
         self._others += [(proxy, task)]
         await self.wait_until_ready(front, task)
--- a/tests/steps/front_allowance.py
+++ b/tests/steps/front_allowance.py
@@ -19,7 +19,10 @@
 @given("{hosts:d} hosts with a fleet-wide extra of {extra:d} retries and a ratio of {ratio:g}")
 def fleet(context, hosts, extra, ratio):
     context.bounds = Bounds(repeat_ratio=ratio, repeat_extra=extra)
-    context.allowances = [RetryAllowance(context.bounds, lambda: hosts) for _ in range(hosts)]
+    context.allowances = [
+        RetryAllowance(context.bounds, lambda: hosts, NOW_S - context.bounds.repeat_window_s)
+        for _ in range(hosts)
+    ]
 
 
 @when("each host gets {requests:d} requests and retries as often as allowed")
@@ -56,7 +59,7 @@
         self.requests, self.retries = [], []
 
     def start_host(self, now_s, *, knows_fleet=True):
-        return RetryAllowance(self.bounds, lambda: self.hosts if knows_fleet else 1)
+        return RetryAllowance(self.bounds, lambda: self.hosts if knows_fleet else None, now_s)
 
     def play(self, events, callers_of=lambda now_s, host: host, fails=lambda now_s: now_s >= 12):
         """Play `events`, (time, action) in order; `callers_of` moves callers between hosts."""
