Count the runs of a request by its own count, not as servers less refusals

Cause: one count kept as the difference of two that are reset apart. Tries took the runs for the servers tried less those that turned the request away, and the wait for a verdict cleared the former alone, so three refusals from before it stood for three runs that were free. The lifecycle counts the runs already (accepted); decisions on retries and on error answers use that now. Refusals only limit how often a request is turned away, and one more is allowed after a verdict, as before.

--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -323,8 +323,9 @@
 
     def _retry_or_fail(self, outcome: Outcome, now: float) -> None:
         assert self._request and self._admitted
-        progress = Progress(self._life.ran, self._answer.begun, self._stream.has_events)
-        decision = self._tries.decide(self._request, self._admitted, outcome, progress, now)
+        decision = self._tries.decide(
+            self._request, self._admitted, outcome, self._progress(), now
+        )
         if isinstance(decision, Retry):
             self._requeue()
         else:
@@ -348,7 +349,7 @@
 
     def _send_after_verdict(self) -> None:
         if self._life.ran is Ran.NO:
-            self._tries.servers.clear()
+            self._tries.begin_again()
         self._send()
 
     def _send(self) -> None:
@@ -464,7 +465,13 @@
     def _may_retry_answer(self, status: int) -> bool:
         assert self._admitted and self._binding
         usable, give_up_s = self._binding.usable(), self._give_up_s()
-        return self._tries.may_retry_answer(status, self._admitted, usable, give_up_s, now_s())
+        return self._tries.may_retry_answer(
+            status, self._admitted, self._progress(), usable, give_up_s, now_s()
+        )
+
+    def _progress(self) -> Progress:
+        life, begun = self._life, self._answer.begun
+        return Progress(life.ran, life.accepted, begun, self._stream.has_events)
 
     def _fail(self, code: Code) -> None:
         """End the request with an error answer, or by aborting a stream that has started."""
--- a/src/redwingbank/front/tries.py
+++ b/src/redwingbank/front/tries.py
@@ -22,10 +22,12 @@
 class Progress(NamedTuple):
     """How far a request has come over all of its tries: whether it ran, and is being answered.
 
-    `has_events` is true if the answer consists of events, which another server can go on with.
+    `runs` counts the servers that may have run it. `has_events` is true if the answer consists of
+    events, which another server can go on with.
     """
 
     ran: Ran
+    runs: int
     answer_begun: bool
     has_events: bool
 
@@ -44,9 +46,9 @@
 class Tries:
     """The tries of one request.
 
-    `servers` lists them in order; `refusals` counts those that turned the request away, which
-    count only up to `MAX_REFUSALS` beyond the attempts of its class. `allowed` is what the host
-    says that forwards the request, None for a caller's own.
+    `servers` lists them in order, without those that may be asked again; `refusals` counts those
+    that turned the request away, of which `MAX_REFUSALS` come on top of the attempts of its class.
+    `allowed` is what the host says that forwards the request, None for a caller's own.
     """
 
     def __init__(self, router: Router) -> None:
@@ -60,6 +62,11 @@
         """Whether the request may be sent to another server after a refusal."""
         return self.refusals <= MAX_REFUSALS
 
+    def begin_again(self) -> None:
+        """Let each server be asked again, and one more turn the request away."""
+        self.servers.clear()
+        self.refusals = min(self.refusals, MAX_REFUSALS)
+
     def decide(
         self,
         request: Request,
@@ -78,8 +85,7 @@
             budget=_Charge(self, request.request_id),
             now_s=now_s,
             resumable=admitted.route.resumable and progress.has_events,
-            max_attempts=self._most(admitted.route, answer_begun=progress.answer_begun)
-            + min(self.refusals, MAX_REFUSALS),
+            attempts_left=self._runs_left(admitted.route, progress),
         )
 
     def use_retry(self, request_id: str, pool: str, now_s: float) -> bool:
@@ -101,6 +107,7 @@
         self,
         status: int,
         admitted: AdmittedRequest,
+        progress: Progress,
         usable: list[ServerEntry],
         give_up_s: float,
         now_s: float,
@@ -109,11 +116,15 @@
         route = admitted.route
         in_time = now_s < give_up_s and status != GATEWAY_TIMEOUT
         retries_left = self._router.allowance.remaining(admitted.pool, now_s) > 0
-        runs = len(self.servers) - self.refusals
-        more = runs < self._most(route, answer_begun=False)
+        more = progress.runs < self._most(route, answer_begun=False)
         others = self._router.backends.any_admits(usable, self.servers, now_s)
         return in_time and retries_left and others and route.repeatable and more
 
+    def _runs_left(self, route: Route, progress: Progress) -> int:
+        """Return how many more servers may run the request."""
+        most = self._most(route, answer_begun=progress.answer_begun)
+        return most - progress.runs - max(0, self.refusals - MAX_REFUSALS)
+
     def _most(self, route: Route, *, answer_begun: bool) -> int:
         """Return how many servers may get the request."""
         if self.allowed is None:
--- a/src/redwingbank/rules/retry.py
+++ b/src/redwingbank/rules/retry.py
@@ -135,14 +135,15 @@
     budget: Budget,
     now_s: float,
     resumable: bool = True,
-    max_attempts: int = MAX_ATTEMPTS,
+    attempts_left: int | None = None,
 ) -> Decision:
     """Decide whether to retry a failed attempt.
 
     `first_byte_sent` and `answer_begun` cover all attempts so far: whether any byte was sent to
     a backend server, and whether any byte of the answer was sent to the caller. `tried` lists
-    the servers in order of the attempts, at most `max_attempts`. `resumable` is true for
-    engines, which can continue at an offset.
+    the servers in order of the attempts. `attempts_left` is how many more servers may run the
+    request, None for `MAX_ATTEMPTS` less those tried. `resumable` is true for engines, which can
+    continue at an offset.
 
     A call that may run at most once is retried only if none of its bytes was sent. A request
     whose answer has not begun is retried until its give-up time; an answer that has begun is
@@ -155,7 +156,8 @@
         and _is_repeatable(request, ran, resumable)
         and _has_time_left(request, ran, now_s)
     )
-    if permitted and len(tried) < max_attempts and budget.try_spend(request.pool, now_s):
+    left = MAX_ATTEMPTS - len(tried) if attempts_left is None else attempts_left
+    if permitted and left > 0 and budget.try_spend(request.pool, now_s):
         return Retry(frozenset(tried), answer_begun)
     return GiveUp(rule.code)
 
--- a/tests/front/one_holder.feature
+++ b/tests/front/one_holder.feature
@@ -83,3 +83,9 @@
       | single  | 1       |
       | /once/x | 1       |
       | read    | 2       |
+
+  # Guards against BUDGET of incident 3: a request that ran at more servers than its class allows
+  Scenario: a request that found no connection, and waited for a verdict, runs at as many servers as its class allows
+    Given a front with 6 servers that answer 500, the first 3 of which are not reached until a verdict is in
+    When a read request comes to it
+    Then 2 servers ran it, and its caller gets the error
--- a/tests/steps/front_one_holder.py
+++ b/tests/steps/front_one_holder.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import time
+from functools import partial
 
 from behave import given, then, when
 
@@ -20,6 +21,7 @@
 )
 from front_rig import Rig, route, run_scenario, table
 from redwingbank.clock import now_s
+from redwingbank.front.outbound import ConnectionPool
 from redwingbank.routing.reachability import Others, Reach
 from redwingbank_standins.backend_server import BackendServer
 
@@ -324,3 +326,42 @@
 def broken_off_in_time(context, seconds):
     assert not context.answer.complete, context.answer
     assert (context.took_s < seconds, context.left) == (True, 0), (context.took_s, context.left)
+
+
+@given(
+    "a front with {servers:d} servers that answer 500, the first {refusals:d} of which are not"
+    " reached until a verdict is in"
+)
+def unreached_until_verdict(context, servers, refusals):
+    context.rig, context.refusals = make_rig(), refusals
+    context.rig.backend_servers = [BackendServer(f"i-{n}", "error") for n in range(servers)]
+
+
+@when("a {kind} request comes to it")
+def comes(context, kind):
+    async def scenario(rig):
+        router, failed = rig.front.router, []
+        router.forwarding.awaits_verdict = lambda pool: len(failed) == context.refusals
+
+        async def connect(pool, *rest):
+            if len(failed) < context.refusals:
+                failed.append(pool)
+                asyncio.get_running_loop().call_later(HANG_S, failed.append, None)
+                raise ConnectionRefusedError
+            return await ConnectionPool.connect(pool, *rest)
+
+        for backend in router.backends.backends_by_name.values():
+            backend.connections.close()
+            backend.connections.connect = partial(connect, backend.connections)
+        context.answer = await rig.ask(kind)
+        context.unreached = len([pool for pool in failed if pool])
+        context.runs = sum(run.request_id == "r-1" for run in rig.runs())
+
+    run_scenario(context.rig, scenario)
+
+
+@then("{runs:d} servers ran it, and its caller gets the error")
+def ran_at(context, runs):
+    assert context.unreached == context.refusals, context.unreached
+    assert context.runs == runs, context.runs
+    gets_status(context, 500)
