--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -135,7 +135,8 @@
         pool = self._binding.pool
         self._request = self._request._replace(pool=pool)
         self._admitted = self._recorder.admitted = self._admitted._replace(pool=pool)
-        self._router.allowance.record_request(pool, now_s())
+        if not self._forwarded:
+            self._router.allowance.record_request(pool, now_s())
         self._send()
 
     def fail_internally(self) -> None:
--- a/tests/front/one_holder.feature
+++ b/tests/front/one_holder.feature
@@ -89,3 +89,8 @@
     Given a front with 6 servers that answer 500, the first 3 of which are not reached until a verdict is in
     When a read request comes to it
     Then 2 servers ran it, and its caller gets the error
+
+  Scenario: a request that is forwarded adds to the retry budget once
+    Given 4 fronts that have just started, of which the first is cut off
+    When its caller sends a read request to it
+    Then it was forwarded, and all fronts together may use a fifth of a retry
--- a/tests/steps/front_one_holder.py
+++ b/tests/steps/front_one_holder.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import math
 import time
 from functools import partial
 
@@ -21,6 +22,7 @@
 )
 from front_rig import Rig, route, run_scenario, table
 from redwingbank.clock import now_s
+from redwingbank.front.allowance import RetryAllowance
 from redwingbank.front.outbound import ConnectionPool
 from redwingbank.routing.reachability import Others, Reach
 from redwingbank_standins.backend_server import BackendServer
@@ -365,3 +367,24 @@
     assert context.unreached == context.refusals, context.unreached
     assert context.runs == runs, context.runs
     gets_status(context, 500)
+
+
+@given("4 fronts that have just started, of which the first is cut off")
+def just_started_and_cut(context):
+    async def prepare(fleet):
+        context.allowances = []
+        for front in fleet.fronts:
+            router = front.router
+            bounds, hosts = router.settings.bounds, router.peers.known_hosts
+            router.allowance = RetryAllowance(bounds, hosts, now_s())
+            context.allowances.append(router.allowance)
+        await make_cut(fleet, fleet.fronts[0])
+
+    context.rig, context.prepare = make_rig(), prepare
+
+
+@then("it was forwarded, and all fronts together may use a fifth of a retry")
+def earned_once(context):
+    assert context.forwards == 1, context.forwards
+    earned = sum(allowance.left(POOL, now_s()) for allowance in context.allowances)
+    assert math.isclose(earned, 0.2), earned
