Bound what all unfinished answers of a host keep together

Thirty callers of one host who get events without end made it keep 18 to 26 MB in a test (one event may have 1 MiB); the record tells of 80 MB for eighty, and of 2 s that a sound caller waited, on hosts of 200 MB.

Cause: the limits of events and buffered bodies hold for one answer, and nothing bounds their sum. The class: a bound for each of many, taken for a bound of the process.

An answer keeps up to 64 KiB whatever the others keep, and more while all together stay below answerLimits.bufferedBytes (16 MiB). A longer event then fails its attempt as one of over 1 MiB does; a longer body is passed on as it comes. That holds for attempts, forwards and streams. The end of an event is looked for in the new bytes only, not in all of the event again with each part.

The test, with 2 MB for answers and 30 callers: 18.6 and 26.6 MB kept before, at most 2 MB plus the parts of their own now, nothing once they have ended, and a sound caller gets its answer meanwhile.

--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -8,6 +8,7 @@
 
 from redwingbank.clock import now_s
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
+from redwingbank.front.answer_memory import KeptBytes
 from redwingbank.front.attempt import MAX_BUFFERED_BYTES, is_event_stream
 from redwingbank.front.outbound import Loss
 from redwingbank.front.refusals import decode_error_code
@@ -118,6 +119,7 @@
         self._head: AnswerHead | None = None
         self._facts: AnswerFacts | None = None
         self._body = bytearray()
+        self._kept = KeptBytes(forwarding.answer_memory)
 
     @property
     def active(self) -> bool:
@@ -175,7 +177,9 @@
             self._answer.send_part(data)
             return
         self._body += data
-        if len(self._body) > MAX_BUFFERED_BYTES:
+        size = len(self._body)
+        if size > MAX_BUFFERED_BYTES or not self._kept.resize(size):
+            self._kept.resize(0)
             buffered, self._body = bytes(self._body), bytearray()
             self._begin_stream()
             self._answer.send_part(buffered)
@@ -361,6 +365,7 @@
 
     def _end(self, outcome: str) -> None:
         self._ended = True
+        self._kept.resize(0)
         self._forwarding.forward_ended(self._helper, self._call.reason, outcome)
 
 
--- a/src/redwingbank/forwarding/task.py
+++ b/src/redwingbank/forwarding/task.py
@@ -85,6 +85,7 @@
         self.on_cut: Callable[[str, float], None] | None = None
         self.metrics = metrics
         self.log = log
+        self.answer_memory = backends.answer_memory
         self._data_centre = settings.data_centre
         self._backends = backends
         self._peers = peers
--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from redwingbank.clock import now_s
+from redwingbank.front.answer_memory import KeptBytes
 from redwingbank.front.failures import Failure
 from redwingbank.front.outbound import CONNECT_TIMEOUT_S, Loss
 from redwingbank.front.start_reader import LateStartCheck, StartReader
@@ -31,7 +32,8 @@
 EVENT_STREAM = b"text/event-stream"
 # no server starts then
 UNKNOWN_START = 0
-# Answers up to this size are buffered until complete, so that a truncated one can be retried.
+# Answers up to this size are buffered until complete, so that a truncated one can be retried,
+# unless all answers together keep too much.
 MAX_BUFFERED_BYTES = 256 * 1024
 
 OUTCOME_BY_LOSS = {
@@ -125,6 +127,7 @@
         self._head: AnswerHead | None = None
         self._facts: AnswerFacts | None = None
         self._body = bytearray()
+        self._kept = KeptBytes(backend.answer_memory)
         self._finished = False
 
     @property
@@ -197,7 +200,9 @@
             self._owner.attempt_body_received(self, data)
             return
         self._body += data
-        if len(self._body) > MAX_BUFFERED_BYTES:
+        size = len(self._body)
+        if size > MAX_BUFFERED_BYTES or not self._kept.resize(size):
+            self._kept.resize(0)
             self._mode = _Mode.STREAMED
             self._owner.attempt_streaming(self, self._head, self._facts)
             buffered, self._body = bytes(self._body), bytearray()
@@ -236,6 +241,7 @@
 
     def _finish(self) -> None:
         self._finished = True
+        self._kept.resize(0)
         if self._late_check:
             self._late_check.stop()
 
--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from redwingbank.front.answer_memory import AnswerMemory
 from redwingbank.front.outbound import ConnectionPool
 from redwingbank.front.wire import DEFAULT_ANSWER_LIMITS
 from redwingbank.model import Outcome
@@ -42,6 +43,7 @@
         self.entry = entry
         self.connections = ConnectionPool(entry.address, KEEP_IDLE_S, backends.answer_limits)
         self.breaker = Breaker(backends.random)
+        self.answer_memory = backends.answer_memory
         self._backends = backends
         self.load = ServerLoad(pauses, arrivals)
 
@@ -89,6 +91,7 @@
         # what servers say in answers that are not to requests of callers
         self.on_report: Callable[[ServerEntry, tuple[Statement, ...]], None] = _ignore_report
         self.answer_limits = limits
+        self.answer_memory = AnswerMemory(limits.buffered_bytes)
         self._pauses_by_pool: dict[str, PauseEstimate] = {}
         # set by the duty that takes the counts
         self.counts_arrivals = False
--- a/src/redwingbank/front/events.py
+++ b/src/redwingbank/front/events.py
@@ -2,8 +2,14 @@
 
 from __future__ import annotations
 
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 # lines end with LF or CR LF
 EVENT_ENDS = (b"\n\n", b"\n\r\n")
+LONGEST_END = max(map(len, EVENT_ENDS))
 ID_FIELD = b"id:"
 ID_LINE = b"\nid:"
 MAX_EVENT_BYTES = 1024 * 1024
@@ -19,7 +25,7 @@
 
     Ids are numbers that increase; an event may have none. `last_id` is that of the last event
     returned. `has_events` tells whether the server that the stream comes from has sent a complete
-    event.
+    event. `keep` is asked whether so many bytes of an incomplete event may be kept.
 
     >>> splitter = EventSplitter("")
     >>> splitter.feed(b"id: 1\ndata: a\n\nid: 2\nda")
@@ -28,10 +34,11 @@
     '1'
     """
 
-    def __init__(self, last_id: str) -> None:
+    def __init__(self, last_id: str, keep: Callable[[int], bool] = lambda size: True) -> None:
         self.last_id = last_id
         self.has_events = False
-        self._partial = b""
+        self._keep = keep
+        self._partial = bytearray()
 
     @property
     def complete(self) -> bool:
@@ -41,7 +48,8 @@
     def drop_partial(self) -> None:
         """Drop a partial event before another server resumes the stream."""
         self.has_events = False
-        self._partial = b""
+        self._partial.clear()
+        self._keep(0)
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the events that they complete.
@@ -51,17 +59,26 @@
 
         :raises EventError: if an id is no number or does not increase, or an event is too long
         """
-        data = self._partial + data
-        end = max(data.rfind(mark) + len(mark) if mark in data else 0 for mark in EVENT_ENDS)
-        self._partial = data[end:]
-        if len(self._partial) > MAX_EVENT_BYTES:
+        # the bytes before hold no end of an event, but maybe the beginning of one
+        search_at = max(0, len(self._partial) - LONGEST_END + 1)
+        self._partial += data
+        end = max(_end_of_last(mark, self._partial, search_at) for mark in EVENT_ENDS)
+        complete = bytes(self._partial[:end])
+        del self._partial[:end]
+        size = len(self._partial)
+        if size > MAX_EVENT_BYTES or not self._keep(size):
+            self.drop_partial()
             raise EventError("event is too long")
-        complete = data[:end]
         self.last_id = _check_ids(complete, self.last_id)
         self.has_events = self.has_events or bool(complete)
         return complete
 
 
+def _end_of_last(mark: bytes, data: bytearray, search_at: int) -> int:
+    at = data.rfind(mark, search_at)
+    return at + len(mark) if at >= 0 else 0
+
+
 def _check_ids(events: bytes, last_id: str) -> str:
     """Return the last id of complete events that follow `last_id`."""
     at = 0 if events.startswith(ID_FIELD) else events.find(ID_LINE) + 1 or -1
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -86,7 +86,7 @@
         self._timer: asyncio.TimerHandle | None = None
         self._pending = PendingSend(router, self)
         self._holder = RequestHolder(router, self, (self._handover, self._pending))
-        self._stream = StreamRelay(self._answer, self._recorder)
+        self._stream = StreamRelay(self._answer, self._recorder, router.backends.answer_memory)
         self._life = Lifecycle("")
         self._tries = Tries(router)
         self._closed = False
@@ -504,6 +504,7 @@
         self._pending.cancel()
         self._handover.cancel()
         self._holder.cancel(self._life.request_id)
+        self._stream.close()
         self._router.remove_exchange(self)
         if self._binding:
             self._binding.release()
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -110,6 +110,7 @@
         gauge("hosts_heard", len(self.peers.alive(now)))
         gauge("requests_in_flight", len(self.exchanges))
         gauge("streams_remembered", len(self.streams.book))
+        gauge("answer_bytes_kept", self.backends.answer_memory.kept_bytes)
         gauge("streams_answered", len(self.takeover.answers))
         gauge("poison_blocked", len(self.poison.causes.blocked(now)))
         for name, backend in self.backends.backends_by_name.items():
--- a/src/redwingbank/front/stream_relay.py
+++ b/src/redwingbank/front/stream_relay.py
@@ -4,11 +4,13 @@
 
 from typing import TYPE_CHECKING
 
+from redwingbank.front.answer_memory import KeptBytes
 from redwingbank.front.attempt import is_event_stream
 from redwingbank.front.events import EventSplitter
 from redwingbank.front.failures import CUT_SHORT, Failure, invalid_answer, is_cut_short
 
 if TYPE_CHECKING:
+    from redwingbank.front.answer_memory import AnswerMemory
     from redwingbank.front.caller_answer import CallerAnswer
     from redwingbank.front.request_recorder import RequestRecorder
     from redwingbank.front.wire import AnswerHead
@@ -21,10 +23,13 @@
     `last_part_s` is when the caller got the latest part, on the host's clock.
     """
 
-    def __init__(self, answer: CallerAnswer, recorder: RequestRecorder) -> None:
+    def __init__(
+        self, answer: CallerAnswer, recorder: RequestRecorder, memory: AnswerMemory
+    ) -> None:
         self.last_part_s = 0.0
         self._answer = answer
         self._recorder = recorder
+        self._kept = KeptBytes(memory)
         self._splitter: EventSplitter | None = None
 
     @property
@@ -42,7 +47,7 @@
         if self._splitter:
             self._splitter.drop_partial()
         elif streams:
-            self._splitter = EventSplitter(resume_after)
+            self._splitter = EventSplitter(resume_after, self._kept.resize)
 
     def begin(self, head: AnswerHead, facts: AnswerFacts, now_s: float) -> None:
         """Write the head, unless an earlier attempt has begun the answer.
@@ -71,6 +76,11 @@
         self._answer.send_part(events)
         return pause_s
 
+    def close(self) -> None:
+        """Drop what has arrived of an event."""
+        if self._splitter:
+            self._splitter.drop_partial()
+
     def find_fault(self, *, sized: bool) -> Failure | None:
         """Return why a body that has ended is not complete; `sized` if its end was marked."""
         if self._splitter is None:
--- a/src/redwingbank/front/wire.py
+++ b/src/redwingbank/front/wire.py
@@ -29,12 +29,14 @@
 
     They hold for a head, for the trailers of a body and for the framing of its chunks.
     `header_bytes` counts the bytes, `headers` the lines; at most `interim_answers` (1xx) may come
-    before an answer.
+    before an answer. All unfinished answers of a host together keep `buffered_bytes` at most, and
+    a small part each beyond that.
     """
 
     header_bytes: int = 65_536
     headers: int = 256
     interim_answers: int = 16
+    buffered_bytes: int = 16_777_216
 
 
 class RequestHead(NamedTuple):
--- a/src/redwingbank/platform/settings.py
+++ b/src/redwingbank/platform/settings.py
@@ -139,6 +139,7 @@
         ("headerBytes", "header_bytes"),
         ("headers", "headers"),
         ("interimAnswers", "interim_answers"),
+        ("bufferedBytes", "buffered_bytes"),
     )
     values = {
         name: int(reader.read(f"answerLimits.{key}", read_number, NUMBER, getattr(default, name)))
--- a/tests/front/answers.feature
+++ b/tests/front/answers.feature
@@ -90,6 +90,11 @@
       | interim answers | endless-interim  |
       | trailers        | endless-trailers |
 
+  Scenario: events without end, to many callers at once, take a bounded part of the host's memory
+    When 30 callers of a front that keeps 2 MB for answers get events that never end
+    Then the front keeps at most 4 MB of these at any time, and serves another caller meanwhile
+    And it keeps nothing of them once they have ended
+
   Scenario Outline: a caller whose <what> never ends is cut off
     When a caller floods the front with <what>
     Then the caller has sent at most 8 MB within 2 s
--- a/tests/steps/front_answers.py
+++ b/tests/steps/front_answers.py
@@ -16,13 +16,14 @@
 from redwingbank.clock import now_s
 from redwingbank.front import outgoing
 from redwingbank.front.admission import Admission
+from redwingbank.front.answer_memory import AnswerMemory
 from redwingbank.front.directory import TableState
 from redwingbank.front.events import EventSplitter
 from redwingbank.front.inbound import InboundConnection
 from redwingbank.front.values import Bounds, Limits
 from redwingbank.platform.directory import decode_table
 from redwingbank.platform.headers import decode_call
-from redwingbank_standins.backend_server import BackendServer
+from redwingbank_standins.backend_server import MAX_FLOOD_BYTES, BackendServer
 from redwingbank_standins.raw_response import parse_response
 
 LARGE_EVENT_BYTES = 300_000
@@ -591,3 +592,98 @@
     assert len(runs) == sends, runs
     assert context.answer.status == 200, context.answer.raw
     assert all(int(run.headers_by_name["deadline-ms"]) <= left_ms for run in runs), runs
+
+
+class EndlessServer(BackendServer):
+    """Never ends the events of memos, nor its report if `reports_endless`."""
+
+    reports_endless = False
+
+    async def _run(self, request, writer, reader):
+        if not request.target.startswith("/memo/") or self.reports_endless:
+            return await super()._run(request, writer, reader)
+        head = b"HTTP/1.1 200 x\r\nContent-Type: text/event-stream\r\nRequest-Id: %b\r\n"
+        name = request.request_id.encode()
+        writer.write(head % name + b"Server-Stamp: s.%b\r\n\r\ndata: " % name)
+        await self._write_without_end(writer)
+        return False
+
+    def _report(self, writer):
+        if not self.reports_endless:
+            super()._report(writer)
+            return
+        self.reports += 1
+        writer.write(b"HTTP/1.1 200 x\r\n\r\n")
+        self.reporting = asyncio.create_task(self._write_without_end(writer))
+
+    async def _write_without_end(self, writer):
+        with contextlib.suppress(ConnectionError):
+            while self.flood_bytes < MAX_FLOOD_BYTES:
+                writer.write(bytes(65_536))
+                await writer.drain()
+                self.flood_bytes += 65_536
+
+
+@when("the front's server never ends its report as it gets a {kind} request")
+def endless_report(context, kind):
+    context.rig = Rig(modes=())
+    server = EndlessServer("i-1", "stream")
+    server.reports_endless = True
+    context.rig.backend_servers = [server]
+
+    async def scenario(rig):
+        context.answer = await rig.ask(kind)
+
+    run_scenario(context.rig, scenario)
+
+
+@then("the server has sent at most {megabytes:d} MB of each report")
+def reports_bounded(context, megabytes):
+    (server,) = context.rig.backend_servers
+    assert 0 < server.flood_bytes < megabytes * 1e6 * server.reports, server.flood_bytes
+
+
+@when(
+    "{callers:d} callers of a front that keeps {megabytes:d} MB for answers get events that never"
+    " end"
+)
+def endless_events(context, callers, megabytes):
+    context.rig = Rig(modes=())
+    context.rig.backend_servers = [EndlessServer(f"i-{n}", "ok") for n in range(8)]
+    context.kept = []
+
+    async def scenario(rig):
+        router = rig.front.router
+        router.backends.answer_memory = AnswerMemory(megabytes * 1_000_000)
+        for backend in router.backends.backends_by_name.values():
+            backend.answer_memory = router.backends.answer_memory
+        asking = [rig.ask("memo", request_id=f"r-{n}") for n in range(callers)]
+        floods = asyncio.gather(*asking)
+        other = asyncio.create_task(rig.ask("read", request_id="other"))
+        while not floods.done():
+            context.kept.append(sum(map(kept_of_event, router.exchanges)))
+            await asyncio.sleep(0.001)
+        await floods
+        context.other = await other
+        context.left = router.backends.answer_memory.kept_bytes
+
+    run_scenario(context.rig, scenario)
+
+
+def kept_of_event(exchange):
+    splitter = exchange._stream._splitter
+    return len(splitter._partial) if splitter else 0
+
+
+@then(
+    "the front keeps at most {megabytes:d} MB of these at any time, and serves another caller"
+    " meanwhile"
+)
+def keeps_at_most(context, megabytes):
+    assert 0 < max(context.kept) <= megabytes * 1e6, max(context.kept)
+    assert context.other.status == 200, context.other
+
+
+@then("it keeps nothing of them once they have ended")
+def keeps_nothing(context):
+    assert context.left == 0, context.left
