Cut off a server's report that has no end

A front asks a server for its report on the connection that is to carry a stream. A report without end was read on and on: the server of the test sent all of the 64 MiB it had, and the connection of a probe would have been read for as long as the process runs. No memory was kept, but processor time and the link.

The reading of a report stops at 64 KiB now and its connection is closed: for a question on a stream's connection as if that had brought garbage, for a probe after the answer that it waited for. In the test the server gets rid of what the sockets hold, under 8 MB a report.

--- a/src/redwingbank/forwarding/probes.py
+++ b/src/redwingbank/forwarding/probes.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from redwingbank.front.outbound import Loss
+from redwingbank.front.start_reader import MAX_REPORT_BYTES
 from redwingbank.platform.headers import REPORT_CALL, decode_answer
 from redwingbank.routing.reachability import ProbeResult
 
@@ -24,6 +25,7 @@
     def __init__(self, heard: Heard | None) -> None:
         self._heard = heard
         self.connection: Connection | None = None
+        self._body_bytes = 0
         self.result: asyncio.Future[ProbeResult] = asyncio.get_running_loop().create_future()
 
     def head_received(self, head: AnswerHead) -> None:
@@ -37,7 +39,10 @@
         self._set(ProbeResult.ANSWERED)
 
     def body_received(self, data: bytes) -> None:
-        """Ignore the report."""
+        """Ignore the report, which may have no end if it is too long."""
+        self._body_bytes += len(data)
+        if self._body_bytes > MAX_REPORT_BYTES and self.connection:
+            self.connection.abort()
 
     def answer_completed(self) -> None:
         """Leave the connection to its pool."""
--- a/src/redwingbank/front/start_reader.py
+++ b/src/redwingbank/front/start_reader.py
@@ -60,9 +60,11 @@
         origin.answered(facts.request_id, head.status, not_run=facts.not_run)
 
     def body_received(self, data: bytes) -> None:
-        """Collect the report; one that is too long is not read."""
-        if len(self._body) <= MAX_REPORT_BYTES:
-            self._body += data
+        """Collect the report; one that is too long is none, and may have no end."""
+        self._body += data
+        if len(self._body) > MAX_REPORT_BYTES:
+            self._connection.abort()
+            self._told(Loss.GARBAGE)
 
     def answer_completed(self) -> None:
         """Decode the report."""
@@ -70,7 +72,7 @@
             self._told(Loss.GARBAGE)
             return
         try:
-            readable = self._status == STATUS_OK and len(self._body) <= MAX_REPORT_BYTES
+            readable = self._status == STATUS_OK
             start = decode_server_start(bytes(self._body)) if readable else 0
         except MalformedError:
             start = 0
@@ -118,4 +120,4 @@
             self._told(connection.server_start)
 
 
-__all__ = ["LateStartCheck", "StartReader"]
+__all__ = ["MAX_REPORT_BYTES", "LateStartCheck", "StartReader"]
--- a/tests/front/answers.feature
+++ b/tests/front/answers.feature
@@ -90,6 +90,10 @@
       | interim answers | endless-interim  |
       | trailers        | endless-trailers |
 
+  Scenario: a server whose report of its start never ends is cut off
+    When the front's server never ends its report as it gets a memo request
+    Then the server has sent at most 8 MB of each report
+
   Scenario: events without end, to many callers at once, take a bounded part of the host's memory
     When 30 callers of a front that keeps 2 MB for answers get events that never end
     Then the front keeps at most 4 MB of these at any time, and serves another caller meanwhile
