Give up a daemon's call to an engine whose answer has no end

The daemon read the answers to its calls (load, cache events, orders, blocks) into memory without a bound: a faulty engine that sent bytes without end made the process keep all of them, 128 MiB in the test before its server stopped, and its callers' requests would have ended with it. The timeouts are for each read, so they never came.

An answer of more than 16 MiB fails the call as garbage does, and the connection is closed.

--- a/src/redwingbank/ports/engine.py
+++ b/src/redwingbank/ports/engine.py
@@ -27,6 +27,7 @@
 CONNECT_TIMEOUT_S = 1.0
 SHORT_CALL_TIMEOUT_S = 1.0
 MAX_IDLE_CONNECTIONS = 1024
+MAX_CALL_BYTES = 16 * 1024 * 1024
 KEEPALIVE_S = 30.0
 REFUSING_STATUSES = {429, 503}
 OK_STATUS = 200
@@ -227,11 +228,24 @@
         )
         try:
             async with self._send(address, request) as response:
-                return response.status, await response.aread()
+                return response.status, await _read_bounded(response)
         except AttemptError:
             return None
 
 
+async def _read_bounded(response: httpcore.Response) -> bytes:
+    """Read a body.
+
+    :raises AttemptError: if it is longer than that of any call
+    """
+    body = bytearray()
+    async for chunk in response.aiter_stream():
+        body += chunk
+        if len(body) > MAX_CALL_BYTES:
+            raise AttemptError(Outcome.GARBAGE)
+    return bytes(body)
+
+
 def _build_headers(address: str, headers: dict[str, str], body: bytes) -> list[tuple[str, str]]:
     return [("Host", address), *headers.items(), ("Content-Length", str(len(body)))]
 
--- a/tests/ports/engine.feature
+++ b/tests/ports/engine.feature
@@ -44,3 +44,8 @@
       | the status line of a refusal | none      |
       | a refusal without an id      | none      |
       | an error without an id       | a crash   |
+
+  Scenario: a call whose answer never ends is given up
+    Given an engine that never ends the answer to a call
+    When the engine client reads its load
+    Then the engine client has no report, and the engine has sent at most 32 MB
--- a/tests/steps/ports_engine.py
+++ b/tests/steps/ports_engine.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import importlib.util
+import re
 
 import anyio
 from behave import given, then, when
@@ -17,6 +18,9 @@
 from redwingbank_standins.quickstart import host_settings
 from redwingbank_standins.serving import embedded
 
+MOST_SENT_BYTES = 128 * 1024 * 1024
+PART_BYTES = 256 * 1024
+
 
 @given("an engine client of a small deployment")
 def engine_client(context):
@@ -196,3 +200,40 @@
 def second_got(context, second):
     expected = {"an answer": (200, [b"ok"]), "none": Outcome.GARBAGE, "a crash": Outcome.CRASHED}
     assert context.ran == 2 and context.answers[1] == expected[second], context.answers
+
+
+@given("an engine that never ends the answer to a call")
+def endless_engine(context):
+    context.sent_bytes = 0
+
+    async def serve(reader, writer):
+        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+            head = await reader.readuntil(b"\r\n\r\n")
+            request_id = re.search(rb"(?i)x-request-id: *([^\r]*)", head)[1]
+            writer.write(b"HTTP/1.1 200 x\r\nX-Request-Id: %b\r\n\r\n" % request_id)
+            while context.sent_bytes < MOST_SENT_BYTES:
+                writer.write(bytes(PART_BYTES))
+                await writer.drain()
+                context.sent_bytes += PART_BYTES
+        writer.close()
+
+    context.serve = serve
+
+
+@when("the engine client reads its load")
+def read_endless(context):
+    async def read():
+        server = await asyncio.start_server(context.serve, "127.0.0.1", 0)
+        client = BackendClient(host_settings(1, Address("127.0.0.1", 1)))
+        port = server.sockets[0].getsockname()[1]
+        context.report = await EngineClient(client).read_load(f"127.0.0.1:{port}")
+        await client.close()
+        server.close()
+
+    asyncio.run(read())
+
+
+@then("the engine client has no report, and the engine has sent at most {megabytes:d} MB")
+def sent_bounded(context, megabytes):
+    assert isinstance(context.report, LoadFailure), context.report
+    assert 0 < context.sent_bytes <= megabytes * 1e6, context.sent_bytes
