--- a/src/redwingbank_bench/soakdocuments.py
+++ b/src/redwingbank_bench/soakdocuments.py
@@ -15,6 +15,8 @@
 LINK_MBPS = 1000
 REVOKE_S = 5.0
 GRACE_S = 4.0
+# short, so that a front that starts again has its part of the extra retries before the soak ends
+BUDGET_WINDOW_S = 2.0
 CONTACT_MS = 3000
 ORGANISATION = "bakery"
 DEADLINE_MS = 2500
@@ -80,7 +82,12 @@
         "portRange": [free_port(), free_port()],
         "beatMs": 1200,
         "limits": {"linkMbps": LINK_MBPS},
-        "bounds": {"revokeMs": int(REVOKE_S * 1000), "graceS": GRACE_S, "contactMs": CONTACT_MS},
+        "bounds": {
+            "revokeMs": int(REVOKE_S * 1000),
+            "graceS": GRACE_S,
+            "contactMs": CONTACT_MS,
+            "budgetWindowS": BUDGET_WINDOW_S,
+        },
         "platform": {"addr": str(store)},
     }
 
