Bound what a daemon keeps of answers without end

An engine that sent frames without end to a caller that gets its answer as one body was read on and on: the daemon kept all frames until the caller gave up (in the test no answer within its time; now 502 with code 1401 after 16 MiB, the engines have sent less than 64 MB over three attempts). Incomplete frames were bounded for each stream, at 1 MiB, not for the process.

What overflowed stays a failure, also if a later attempt ends well: its beginning is gone. answer_memory moves to rules, which both use.

--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -8,12 +8,12 @@
 
 from redwingbank.clock import now_s
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
-from redwingbank.front.answer_memory import KeptBytes
 from redwingbank.front.attempt import MAX_BUFFERED_BYTES, is_event_stream
 from redwingbank.front.outbound import Loss
 from redwingbank.front.refusals import decode_error_code
 from redwingbank.front.values import ServersLeft
 from redwingbank.platform.headers import ForwardEnvelope, decode_answer, encode_forwarded_call
+from redwingbank.rules.answer_memory import KeptBytes
 from redwingbank.rules.lifecycle import Step
 
 if TYPE_CHECKING:
--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -9,12 +9,12 @@
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from redwingbank.clock import now_s
-from redwingbank.front.answer_memory import KeptBytes
 from redwingbank.front.failures import Failure
 from redwingbank.front.outbound import CONNECT_TIMEOUT_S, Loss
 from redwingbank.front.start_reader import LateStartCheck, StartReader
 from redwingbank.model import Outcome
 from redwingbank.platform.headers import decode_answer
+from redwingbank.rules.answer_memory import KeptBytes
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -4,7 +4,6 @@
 
 from typing import TYPE_CHECKING
 
-from redwingbank.front.answer_memory import AnswerMemory
 from redwingbank.front.outbound import ConnectionPool
 from redwingbank.front.wire import DEFAULT_ANSWER_LIMITS
 from redwingbank.model import Outcome
@@ -15,6 +14,7 @@
 from redwingbank.routing.server_limit import LimitBook
 from redwingbank.routing.server_rest import RestBook
 from redwingbank.routing.targets import PauseEstimate
+from redwingbank.rules.answer_memory import AnswerMemory
 from redwingbank.rules.breaker import Breaker
 
 if TYPE_CHECKING:
--- a/src/redwingbank/front/stream_relay.py
+++ b/src/redwingbank/front/stream_relay.py
@@ -4,17 +4,17 @@
 
 from typing import TYPE_CHECKING
 
-from redwingbank.front.answer_memory import KeptBytes
 from redwingbank.front.attempt import is_event_stream
 from redwingbank.front.events import EventSplitter
 from redwingbank.front.failures import CUT_SHORT, Failure, invalid_answer, is_cut_short
+from redwingbank.rules.answer_memory import KeptBytes
 
 if TYPE_CHECKING:
-    from redwingbank.front.answer_memory import AnswerMemory
     from redwingbank.front.caller_answer import CallerAnswer
     from redwingbank.front.request_recorder import RequestRecorder
     from redwingbank.front.wire import AnswerHead
     from redwingbank.platform.headers import AnswerFacts
+    from redwingbank.rules.answer_memory import AnswerMemory
 
 
 class StreamRelay:
--- a/src/redwingbank/ports/completion.py
+++ b/src/redwingbank/ports/completion.py
@@ -19,6 +19,7 @@
     send_refusal,
     send_response,
 )
+from redwingbank.rules.answer_memory import AnswerMemory, KeptBytes
 from redwingbank.rules.frames import FrameParser, GarbageError, assemble
 from redwingbank.rules.lifecycle import State, Step
 from redwingbank.tasks.ticket import (
@@ -44,6 +45,10 @@
 # How long the end of the body may take after the end mark, for the connection to be used again.
 END_OF_BODY_S = 1.0
 MAX_ERROR_BODY_BYTES = 64 * 1024
+# of an answer that is sent as one body
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# of all answers together: incomplete frames, and bodies until they are whole
+MAX_KEPT_BYTES = 64 * 1024 * 1024
 
 
 class Targets(NamedTuple):
@@ -79,7 +84,7 @@
 class StreamSink:
     """Sends frames to the caller as they arrive."""
 
-    def __init__(self, send: Send, request_id: str) -> None:
+    def __init__(self, send: Send, request_id: str, kept: KeptBytes) -> None:  # noqa: ARG002
         self.started = False
         self._send = send
         self._request_id = request_id
@@ -114,18 +119,35 @@
 class BufferedSink:
     """Buffers frames and sends one complete response at the end."""
 
-    def __init__(self, send: Send, request_id: str) -> None:
+    def __init__(self, send: Send, request_id: str, kept: KeptBytes) -> None:
         self.started = False
         self._send = send
         self._request_id = request_id
+        self._kept = kept
+        self._size = 0
+        self._overflowed = False
         self._frames: list[bytes] = []
 
     async def write_frames(self, data: bytes) -> None:
-        """Buffer frames."""
+        """Buffer frames.
+
+        :raises GarbageError: if the answer is too long
+        """
+        self._size += len(data)
+        fits = self._size <= MAX_ANSWER_BYTES and self._kept.resize(self._size)
+        if self._overflowed or not fits:
+            self._overflowed = True
+            self._frames.clear()
+            raise GarbageError
         self._frames.append(data)
 
     async def end(self) -> None:
-        """Assemble the buffered frames into one completion and send it."""
+        """Assemble the buffered frames into one completion and send it.
+
+        :raises GarbageError: if they are no whole answer
+        """
+        if self._overflowed:
+            raise GarbageError
         body = assemble(b"".join(self._frames))
         headers = [(b"x-request-id", self._request_id.encode())]
         data = json.dumps(body, separators=(",", ":")).encode()
@@ -149,12 +171,14 @@
     `begun` is true if frames of the answer have gone to the sink, in any attempt.
     """
 
-    def __init__(self, ticket: Ticket, send: Send, sink: Sink, targets: Targets) -> None:
+    def __init__(
+        self, ticket: Ticket, send: Send, sink: Sink, targets: Targets, memory: AnswerMemory
+    ) -> None:
         self.ticket = ticket
         self.send = send
         self.sink = sink
         self.targets = targets
-        self.frames = FrameParser()
+        self.frames = FrameParser(KeptBytes(memory).resize)
         self.first_token_s = 0.0
         self.attempt_started_s = 0.0
         self.first_token_reported = False
@@ -178,6 +202,7 @@
         self._engines = engines
         self._metrics = metrics
         self._events = events
+        self._memory = AnswerMemory(MAX_KEPT_BYTES)
 
     async def serve(
         self, chat: Chat, request: Request, targets: Targets, receive: Receive, send: Send
@@ -186,13 +211,16 @@
         ticket = Ticket(request)
         ticket.life.advance(Step.CHECK)
         sink_type = StreamSink if chat.stream else BufferedSink
-        sink = sink_type(send, request.request_id)
-        progress = Progress(ticket, send, sink, targets)
+        kept = KeptBytes(self._memory)
+        sink = sink_type(send, request.request_id, kept)
+        progress = Progress(ticket, send, sink, targets, self._memory)
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch_disconnect, receive, group.cancel_scope)
             try:
                 await self._follow_decisions(chat, progress)
             finally:
+                kept.resize(0)
+                progress.frames.reset()
                 if not progress.done:
                     await self._handle_disconnect(progress)
             group.cancel_scope.cancel()
--- a/src/redwingbank/front/answer_memory.py
+++ b/src/redwingbank/rules/answer_memory.py
@@ -1,4 +1,4 @@
-"""Bounds the bytes of unfinished answers that a host keeps for all of its requests together.
+"""Bounds the bytes of unfinished answers that a process keeps for all of its requests together.
 
 Answers servers that send events or bodies without end, to many requests at once: a limit for each
 answer bounds an answer, not the process.
@@ -37,7 +37,7 @@
 
 
 class KeptBytes:
-    """What one unfinished answer keeps of a host's memory for answers."""
+    """What one unfinished answer keeps of its process's memory for answers."""
 
     def __init__(self, memory: AnswerMemory) -> None:
         self._memory = memory
--- a/src/redwingbank/rules/frames.py
+++ b/src/redwingbank/rules/frames.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import re
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 from redwingbank.bounded_json import decode_json
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 FRAME_END = b"\n\n"
 FRAME_START = b"data: "
 END_MARK = b"data: [DONE]\n\n"
@@ -25,7 +28,8 @@
 
     `tokens` counts the frames with text over all attempts fed so far; `finished` is set only
     by the engine's end mark, which must come after a finish reason: frames that report an error
-    are not part of an answer, and an end mark after them does not complete it.
+    are not part of an answer, and an end mark after them does not complete it. `keep` is asked
+    whether so many bytes of an incomplete frame may be kept.
 
     >>> frames = FrameParser()
     >>> frames.feed(b'data: {"choices":[{"delta":{"content":"a"}}]}\n\ndata: {"ch')
@@ -34,15 +38,17 @@
     1
     """
 
-    def __init__(self) -> None:
+    def __init__(self, keep: Callable[[int], bool] = lambda size: True) -> None:
         self.tokens = 0
         self.finished = False
+        self._keep = keep
         self._partial = b""
         self._has_reason = False
 
     def reset(self) -> None:
         """Drop an incomplete frame before the stream continues from another backend server."""
         self._partial = b""
+        self._keep(0)
 
     def feed(self, data: bytes) -> bytes:
         """Add bytes and return the frames completed, including the end mark.
@@ -63,7 +69,7 @@
     def _buffer(self, partial: bytes) -> None:
         if partial and not FRAME_START.startswith(partial[: len(FRAME_START)]):
             raise GarbageError
-        if len(partial) > MAX_FRAME_BYTES:
+        if len(partial) > MAX_FRAME_BYTES or not self._keep(len(partial)):
             raise GarbageError
         self._partial = partial
 
--- a/tests/ports/broken_answers.feature
+++ b/tests/ports/broken_answers.feature
@@ -60,3 +60,9 @@
       | streamed | a whole answer left open              |
       | streamed | a whole answer and a part of the next |
       | streamed | a whole answer and an error           |
+
+  Scenario: frames without end, to a caller that gets one body, end with an error
+    Given engines whose answers are, in turn: frames without end, frames without end, frames without end
+    When a caller asks them, whole
+    Then the caller gets code 1401 as an error of the answer that had begun
+    And the engines have sent at most 64 MB
--- a/tests/steps/front_answers.py
+++ b/tests/steps/front_answers.py
@@ -16,13 +16,13 @@
 from redwingbank.clock import now_s
 from redwingbank.front import outgoing
 from redwingbank.front.admission import Admission
-from redwingbank.front.answer_memory import AnswerMemory
 from redwingbank.front.directory import TableState
 from redwingbank.front.events import EventSplitter
 from redwingbank.front.inbound import InboundConnection
 from redwingbank.front.values import Bounds, Limits
 from redwingbank.platform.directory import decode_table
 from redwingbank.platform.headers import decode_call
+from redwingbank.rules.answer_memory import AnswerMemory
 from redwingbank_standins.backend_server import MAX_FLOOD_BYTES, BackendServer
 from redwingbank_standins.raw_response import parse_response
 
--- a/tests/steps/ports_broken_answers.py
+++ b/tests/steps/ports_broken_answers.py
@@ -16,6 +16,7 @@
 WHOLE = len(WORDS)
 BROKEN_AFTER = 3
 DONE = b"data: [DONE]\n\n"
+MOST_SENT_BYTES = 96 * 1024 * 1024
 LAST_CHUNK = b"0\r\n\r\n"
 STREAM = "200 OK\r\nContent-Type: text/event-stream"
 
@@ -81,7 +82,7 @@
 
 @given("engines whose answers are, in turn: {answers}")
 def engines_in_turn(context, answers):
-    turns = iter(answers.split(", "))
+    turns, context.sent_bytes = iter(answers.split(", ")), 0
 
     async def serve(reader, writer):
         with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
@@ -89,6 +90,9 @@
             if "completions" in line:
                 start = int(headers.get("x-resume-from", "0"))
                 turn = next(turns)
+                if turn == "frames without end":
+                    await write_without_end(context, writer, headers["x-request-id"])
+                    return
                 writer.write(ANSWERS[turn](headers["x-request-id"], start))
                 if turn.endswith("left open"):
                     await reader.read()
@@ -101,6 +105,16 @@
     context.add_cleanup(context.deployment.close)
 
 
+async def write_without_end(context, writer, number):
+    many = frame({"content": "word "}) * 1000
+    chunk = b"%x\r\n%b\r\n" % (len(many), many)
+    writer.write(head(STREAM, number) + b"Transfer-Encoding: chunked\r\n\r\n")
+    while context.sent_bytes < MOST_SENT_BYTES:
+        writer.write(chunk)
+        await writer.drain()
+        context.sent_bytes += len(chunk)
+
+
 @when("a caller asks them, {form}")
 def ask_engines(context, form):
     context.form = form
@@ -135,3 +149,8 @@
 def gets_engine_error(context, status):
     answer = context.answer
     assert answer.complete and answer.status == status and ERROR in answer.body, answer
+
+
+@then("the engines have sent at most {megabytes:d} MB")
+def sent_at_most(context, megabytes):
+    assert 0 < context.sent_bytes <= megabytes * 1e6, context.sent_bytes
