--- a/src/redwingbank/front/tries.py
+++ b/src/redwingbank/front/tries.py
@@ -90,17 +90,8 @@
 
     def use_retry(self, request_id: str, pool: str, now_s: float) -> bool:
         """Use one retry of the pool's allowance and log what is left; False if there is none."""
-        router = self._router
-        allowed = router.allowance.try_spend(pool, now_s)
-        outcome = "allowed" if allowed else "denied"
-        router.metrics.count("retries_total", pool=pool, outcome=outcome)
-        router.log.detail(
-            f"retry-{outcome}",
-            request=request_id,
-            pool=pool,
-            left=round(router.allowance.left(pool, now_s), 2),
-            hosts=router.allowance.hosts(now_s),
-        )
+        allowed = self._router.allowance.try_spend(pool, now_s)
+        self._record_retry("allowed" if allowed else "denied", request_id, pool, now_s)
         return allowed
 
     def may_retry_answer(
@@ -115,10 +106,25 @@
         """Whether to send a request elsewhere whose answer has an error status."""
         route = admitted.route
         in_time = now_s < give_up_s and status != GATEWAY_TIMEOUT
-        retries_left = self._router.allowance.remaining(admitted.pool, now_s) > 0
         more = progress.runs < self._most(route, answer_begun=False)
         others = self._router.backends.any_admits(usable, self.servers, now_s)
-        return in_time and retries_left and others and route.repeatable and more
+        if not (in_time and others and route.repeatable and more):
+            return False
+        if self._router.allowance.remaining(admitted.pool, now_s) > 0:
+            return True
+        self._record_retry("denied", admitted.facts.request_id, admitted.pool, now_s)
+        return False
+
+    def _record_retry(self, outcome: str, request_id: str, pool: str, now_s: float) -> None:
+        router = self._router
+        router.metrics.count("retries_total", pool=pool, outcome=outcome)
+        router.log.detail(
+            f"retry-{outcome}",
+            request=request_id,
+            pool=pool,
+            left=round(router.allowance.left(pool, now_s), 2),
+            hosts=router.allowance.hosts(now_s),
+        )
 
     def _runs_left(self, route: Route, progress: Progress) -> int:
         """Return how many more servers may run the request."""
