--- a/tests/front/explained.feature
+++ b/tests/front/explained.feature
@@ -28,6 +28,15 @@
     When 2000 detail lines and 5000 essential lines are written at once
     Then the backlog is bounded and the rest is counted
 
+  Scenario Outline: a host that has run for <time> tells of a retry that is <outcome>
+    When a server fails a read request at a front that has run for <time>
+    Then its log and metrics tell that one retry is <outcome>, and what is left
+
+    Examples:
+      | time      | outcome |
+      | a window  | allowed |
+      | no time   | denied  |
+
   Scenario: neither keys nor prompts are logged
     When a server drops the connection of a single request
     Then no line contains the key or the body
--- a/tests/steps/front_explained.py
+++ b/tests/steps/front_explained.py
@@ -9,10 +9,13 @@
 from behave import given, then, when
 
 from front_rig import KEY, Rig, run_scenario
+from redwingbank.clock import now_s
 from redwingbank.ctl.explain import as_text, find_decisions
 from redwingbank.ctl.records import parse_records
 from redwingbank.ctl.timeline_merge import merge
 from redwingbank.decisions import BACKLOG_BYTES, DecisionLog
+from redwingbank.front.allowance import RetryAllowance
+from redwingbank.metrics import series
 
 PAGE = Path(__file__).resolve().parents[2] / "docs" / "OPERATIONS.md"
 
@@ -44,6 +47,33 @@
     context.answer = run_scenario(context.rig, scenario)
 
 
+@when("a server fails a read request at a front that has run for {time}")
+def fails_read(context, time):
+    context.rig = Rig(modes=["error", "error"])
+
+    async def scenario(rig):
+        router = rig.front.router
+        if time == "no time":
+            hosts = router.peers.known_hosts
+            router.allowance = RetryAllowance(router.settings.bounds, hosts, now_s())
+        await rig.ask("read", request_id="r-retry")
+        context.counts = router.metrics.counts
+        router.log.flush()
+
+    run_scenario(context.rig, scenario)
+
+
+@then("its log and metrics tell that one retry is {outcome}, and what is left")
+def tells_of_retry(context, outcome):
+    (line,) = [line for line in context.rig.lines if line["event"].startswith("retry-")]
+    assert (line["event"], line["request"]) == (f"retry-{outcome}", "r-retry"), line
+    assert (line["left"] >= 1) == (outcome == "allowed"), line
+    assert context.counts[series("retries_total", pool="pool", outcome=outcome)] == 1
+    records = merge(parse_records(map(json.dumps, context.rig.lines)).records)
+    text = as_text("r-retry", find_decisions("r-retry", records))
+    assert f"was {outcome}" in text, text
+
+
 @then("its last line has the code, ran, the servers tried and the age of the table")
 def last_line(context):
     (line,) = [line for line in context.rig.lines if line["event"] == "request-refused"]
