Add to a host's retry tokens without looking at its part

A request only adds; what is over the part is dropped before any token is used, so the sum is the same.

--- a/src/redwingbank/front/allowance.py
+++ b/src/redwingbank/front/allowance.py
@@ -48,7 +48,7 @@
     >>> allowance = RetryAllowance(bounds, lambda: 7, started_s=0.0)
     >>> allowance.try_spend("desk-model", 9.0), allowance.try_spend("desk-model", 10.0)
     (False, True)
-    >>> for _ in range(5): allowance.record_request("desk-model", 11.0)
+    >>> for _ in range(5): allowance.record_request("desk-model")
     >>> allowance.try_spend("desk-model", 11.0), allowance.try_spend("desk-model", 11.0)
     (True, False)
     """
@@ -64,10 +64,10 @@
         hosts = self._hosts()
         return hosts if hosts is None or self._settled(now_s) else max(MIN_HOSTS, hosts)
 
-    def record_request(self, pool: str, now_s: float) -> None:
+    def record_request(self, pool: str) -> None:
         """Record a request of a caller to the pool, which adds to the tokens."""
-        account = self._fill_up(pool, now_s)
-        account.tokens = min(account.tokens + self._bounds.repeat_ratio, self._part(now_s))
+        # those over this host's part are dropped before any is used
+        self._account(pool).tokens += self._bounds.repeat_ratio
 
     def remaining(self, pool: str, now_s: float) -> int:
         """Return how many retries are allowed now."""
@@ -86,6 +86,9 @@
         account.used_s.append(now_s)
         return True
 
+    def _account(self, pool: str) -> _Account:
+        return self._account_by_pool.setdefault(pool, _Account())
+
     def _settled(self, now_s: float) -> bool:
         """Whether nothing counts any more that this host's process before may have used."""
         return now_s - self._started_s >= self._bounds.repeat_window_s
@@ -97,7 +100,7 @@
 
     def _fill_up(self, pool: str, now_s: float) -> _Account:
         """Limit the tokens to this host's part, and add what was not used of it lately."""
-        account = self._account_by_pool.setdefault(pool, _Account())
+        account = self._account(pool)
         window_began_s = now_s - self._bounds.repeat_window_s
         while account.used_s and account.used_s[0] <= window_began_s:
             account.used_s.popleft()
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -136,7 +136,7 @@
         self._request = self._request._replace(pool=pool)
         self._admitted = self._recorder.admitted = self._admitted._replace(pool=pool)
         if not self._forwarded:
-            self._router.allowance.record_request(pool, now_s())
+            self._router.allowance.record_request(pool)
         self._send()
 
     def fail_internally(self) -> None:
--- a/tests/steps/front_allowance.py
+++ b/tests/steps/front_allowance.py
@@ -30,7 +30,7 @@
     context.requests, context.repeats = requests * len(context.allowances), 0
     for allowance in context.allowances:
         for _ in range(requests):
-            allowance.record_request("pool", NOW_S)
+            allowance.record_request("pool")
         while allowance.try_spend("pool", NOW_S):
             context.repeats += 1
 
@@ -68,7 +68,7 @@
             while due and due[0][0] <= now_s:
                 due.pop(0)[1](now_s)
             allowance = self.allowances[callers_of(now_s, self.random.randrange(self.hosts))]
-            allowance.record_request("pool", now_s)
+            allowance.record_request("pool")
             self.requests.append(now_s)
             if fails(now_s) and allowance.try_spend("pool", now_s):
                 self.retries.append(now_s)
