--- a/src/redwingbank/ports/completion.py
+++ b/src/redwingbank/ports/completion.py
@@ -84,7 +84,7 @@
 class StreamSink:
     """Sends frames to the caller as they arrive."""
 
-    def __init__(self, send: Send, request_id: str, kept: KeptBytes) -> None:  # noqa: ARG002
+    def __init__(self, send: Send, request_id: str) -> None:
         self.started = False
         self._send = send
         self._request_id = request_id
@@ -210,9 +210,10 @@
         """Serve one completion until it ends or its caller disconnects."""
         ticket = Ticket(request)
         ticket.life.advance(Step.CHECK)
-        sink_type = StreamSink if chat.stream else BufferedSink
         kept = KeptBytes(self._memory)
-        sink = sink_type(send, request.request_id, kept)
+        sink: Sink = BufferedSink(send, request.request_id, kept)
+        if chat.stream:
+            sink = StreamSink(send, request.request_id)
         progress = Progress(ticket, send, sink, targets, self._memory)
         async with anyio.create_task_group() as group:
             group.start_soon(self._watch_disconnect, receive, group.cancel_scope)
