Review case 7: sound lookups are blocked after three crashes of runners

Cause: only answers up to 299 clear a request of suspicion, so lookups that are answered with 404 count as present at each crash in a row; a blocked request is not tried again for ten minutes, and the block stands in the store.

--- a/review/7/standins.py
+++ b/review/7/standins.py
@@ -19,12 +19,15 @@
 HOST = "desk.example"
 KEY = "key-1"
 BEGAN = time.monotonic()
-NEXT_PORT = [20000 + os.getpid() % 10000]
+# below the ports that the system gives to connections
+FIRST_PORT, LAST_PORT = 12000, 32000
+NEXT_PORT = [FIRST_PORT + os.getpid() * 100 % (LAST_PORT - FIRST_PORT)]
 
 
 def free_ports(count):
     """Return ports that are free for TCP and UDP, one after the other."""
-    for first in range(NEXT_PORT[0], 60000, count):
+    blocks = [*range(NEXT_PORT[0], LAST_PORT, count), *range(FIRST_PORT, NEXT_PORT[0], count)]
+    for first in blocks:
         socks = []
         try:
             for port in range(first, first + count):
@@ -277,9 +280,13 @@
 class Runner:
     """A runner: answers reports, checks Expect-Instance, and runs requests with `work`.
 
+    While the status is not `there`, lookups of it are answered with 404.
+
     `work` gets the headers of a request, its reader and its writer, and reads the body.
     """
 
+    there = True
+
     def __init__(self, name, record, work=None):
         self.name, self.record, self.work = name, record, work
         self.runs, self.writers = [], set()
@@ -310,8 +317,10 @@
                 self.runs.append(request_id)
                 self.record.write(
                     f"run      {request_id} at {self.name} tenant={headers.get('tenant')}")
+                found = self.there or not line.startswith("GET /look/status ")
+                status = "200 OK" if found else "404 Not Found"
                 writer.write(
-                    f"HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nServer-Stamp: s.{request_id}"
+                    f"HTTP/1.1 {status}\r\nRequest-Id: {request_id}\r\nServer-Stamp: s.{request_id}"
                     "\r\nContent-Length: 2\r\n\r\nok".encode())
                 await writer.drain()
         except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
