--- a/tests/run.py
+++ b/tests/run.py
@@ -30,6 +30,8 @@
     ["tests/system/failures.feature", "tests/system/path.feature"],
     ["tests/system/soak.feature"],
 ]
+# run one after the other when the other groups have ended: they measure a process's memory
+LONE_GROUPS = [["tests/crowds"]]
 
 
 class Outcomes(NamedTuple):
@@ -71,21 +73,21 @@
 
 
 def run_features(arguments: list[str], timeout_s: float = GROUP_TIMEOUT_S) -> Outcomes:
-    """Run behave on groups of features in parallel and read the JSON reports.
+    """Run behave on groups of features in parallel, then on the lone ones; read the JSON reports.
 
     A group that does not end in time is ended with the processes that it started. That counts as
     a failure, and so do a group without a report and one that fails without a failed scenario.
     """
     deadline_s = time.monotonic() + timeout_s
     outcomes = Outcomes([], [])
+    batches = [[arguments]] if arguments else [GROUPS, *([lone] for lone in LONE_GROUPS)]
     with tempfile.TemporaryDirectory() as name:
-        started = [
-            start_group(group, Path(name)) for group in ([arguments] if arguments else GROUPS)
-        ]
-        for group in started:
-            ended = wait_for(group.process, deadline_s)
-            print(group.log.read_text(errors="replace"))
-            collect(group, outcomes, ended=ended)
+        for batch in batches:
+            started = [start_group(group, Path(name)) for group in batch]
+            for group in started:
+                ended = wait_for(group.process, deadline_s)
+                print(group.log.read_text(errors="replace"))
+                collect(group, outcomes, ended=ended)
     return outcomes
 
 
