Keep bodies of requests in blocks, and write them as fast as servers read

Cause: a body was kept as one byte string, and sent by one write of a copy with its head. What a slow server had not read of it was copied once more to the buffer of the connection, so that a request cost up to twice its size beside what the system buffers.

Now a body grows in blocks of 64 KiB and is written block by block, under the connection's flow control; a request that has ended drops its blocks, also where something still refers to it. A small body goes with its head in one write, as before.

The crowds' stand-in server reads heads of the greatest legal size, which it refused; the crowds and their bounds are as they were.

--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -9,7 +9,7 @@
 from redwingbank.clock import now_s
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.front.attempt import MAX_BUFFERED_BYTES, is_event_stream
-from redwingbank.front.outbound import Loss
+from redwingbank.front.outbound import Loss, Message
 from redwingbank.front.refusals import decode_error_code
 from redwingbank.front.values import ServersLeft
 from redwingbank.platform.headers import ForwardEnvelope, decode_answer, encode_forwarded_call
@@ -24,6 +24,7 @@
     from redwingbank.front.outbound import Connection, ConnectionPool
     from redwingbank.front.request_recorder import RequestRecorder
     from redwingbank.front.wire import AnswerHead, RequestHead
+    from redwingbank.intake.body import RequestBody
     from redwingbank.platform.headers import AnswerFacts
     from redwingbank.rules.lifecycle import Lifecycle
 
@@ -54,7 +55,7 @@
     """
 
     head: RequestHead
-    body: bytes
+    body: RequestBody
     request_id: str
     pool: str
     give_up_s: float
@@ -283,9 +284,10 @@
             self._forwarding.host,
             ServersLeft(self._helper_tries, self._servers_left) if self._helper_counts else None,
         )
-        data = encode_forwarded_call(head.method, head.target, head.headers, call.body, envelope)
+        size = len(call.body)
+        encoded = encode_forwarded_call(head.method, head.target, head.headers, size, envelope)
         self._connection, self._sent = connection, True
-        connection.send(data, self, call.request_id)
+        connection.send(Message(encoded, call.body), self, call.request_id)
 
     def _begin_stream(self) -> None:
         assert self._head is not None
--- a/src/redwingbank/forwarding/handover.py
+++ b/src/redwingbank/forwarding/handover.py
@@ -17,6 +17,7 @@
     from redwingbank.front.request_recorder import RequestRecorder
     from redwingbank.front.values import ServerEntry
     from redwingbank.front.wire import RequestHead
+    from redwingbank.intake.body import RequestBody
     from redwingbank.model import Request
     from redwingbank.rules.lifecycle import Lifecycle
 
@@ -27,7 +28,7 @@
     owner: ForwardOwner
     answer: CallerAnswer
     head: RequestHead
-    body: bytes
+    body: RequestBody
     recorder: RequestRecorder
     forwarded: bool
 
--- a/src/redwingbank/forwarding/probes.py
+++ b/src/redwingbank/forwarding/probes.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING
 
-from redwingbank.front.outbound import Loss
+from redwingbank.front.outbound import Loss, Message
 from redwingbank.front.start_reader import MAX_REPORT_BYTES
 from redwingbank.platform.headers import REPORT_CALL, decode_answer
 from redwingbank.routing.reachability import ProbeResult
@@ -68,7 +68,7 @@
         async with asyncio.timeout(PROBE_TIMEOUT_S):
             connection = reply.connection = await connections.connect()
             host, port = connections.address
-            connection.send(REPORT_CALL % f"{host}:{port}".encode(), reply)
+            connection.send(Message(REPORT_CALL % f"{host}:{port}".encode()), reply)
             return await reply.result
     except TimeoutError:
         if connection is None:
--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -20,7 +20,7 @@
     from collections.abc import Callable, Iterator
 
     from redwingbank.front.backends import Backend
-    from redwingbank.front.outbound import Connection
+    from redwingbank.front.outbound import Connection, Message
     from redwingbank.front.values import Statement
     from redwingbank.front.wire import AnswerHead
     from redwingbank.platform.headers import AnswerFacts
@@ -145,7 +145,7 @@
         """Whether the server has sent anything on the connection in use."""
         return self._connection is not None and self._connection.proved
 
-    def start(self, encode: Callable[[float], bytes]) -> None:
+    def start(self, encode: Callable[[float], Message]) -> None:
         """Send the request on an idle connection, or on a new one.
 
         `encode` returns the request as it is when it is sent.
@@ -245,7 +245,7 @@
         if self._late_check:
             self._late_check.stop()
 
-    async def _connect(self, encode: Callable[[float], bytes]) -> None:
+    async def _connect(self, encode: Callable[[float], Message]) -> None:
         with self._errors_reported():
             await self._connect_and_send(encode)
 
@@ -258,7 +258,7 @@
             if not self._finished:
                 self._owner.attempt_broken(self, error)
 
-    async def _connect_and_send(self, encode: Callable[[float], bytes]) -> None:
+    async def _connect_and_send(self, encode: Callable[[float], Message]) -> None:
         try:
             connection = await self.backend.connections.connect()
         except OSError as error:
@@ -272,7 +272,7 @@
             return
         self._check_start(connection, encode)
 
-    def _check_start(self, connection: Connection, encode: Callable[[float], bytes]) -> None:
+    def _check_start(self, connection: Connection, encode: Callable[[float], Message]) -> None:
         """Ask the server for its start if it matters and is not known, then send."""
         self._connection = connection
         known = connection.server_start is not None
@@ -283,7 +283,7 @@
         StartReader(connection, told, self._heard).start()
 
     def _start_told(
-        self, connection: Connection, encode: Callable[[float], bytes], loss: Loss | None
+        self, connection: Connection, encode: Callable[[float], Message], loss: Loss | None
     ) -> None:
         if self._finished:
             return
@@ -295,7 +295,7 @@
                 self._checks_late = loss is None and self._check is StartCheck.ASK
                 self._reconnect(connection, encode, "closed before the request")
 
-    def _send_if_listed(self, connection: Connection, encode: Callable[[float], bytes]) -> None:
+    def _send_if_listed(self, connection: Connection, encode: Callable[[float], Message]) -> None:
         # the timeout does not count the time for which the process was suspended
         if now_s() - self.started_s > CONNECT_TIMEOUT_S:
             self._give_up_unsent(connection, "delayed while connecting")
@@ -327,7 +327,7 @@
             self.server_start = start
 
     def _reconnect(
-        self, connection: Connection, encode: Callable[[float], bytes], detail: str
+        self, connection: Connection, encode: Callable[[float], Message], detail: str
     ) -> None:
         """Try a new connection, once: an idle one may have lost its server meanwhile.
 
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -45,6 +45,7 @@
     from redwingbank.front.failures import Failure
     from redwingbank.front.router import Router
     from redwingbank.front.wire import AnswerHead, RequestHead
+    from redwingbank.intake.body import RequestBody
     from redwingbank.model import Outcome, Request
     from redwingbank.platform.headers import AnswerFacts
     from redwingbank.routing.choice import AtLimit, Choice, RequestNeeds
@@ -66,7 +67,7 @@
         router: Router,
         caller: Caller,
         head: RequestHead,
-        body: bytes,
+        body: RequestBody,
         arrived_s: float,
         *,
         forwarded: bool = False,
@@ -505,6 +506,7 @@
         self._handover.cancel()
         self._holder.cancel(self._life.request_id)
         self._stream.close()
+        self._body.clear()
         self._router.remove_exchange(self)
         if self._binding:
             self._binding.release()
--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -18,6 +18,7 @@
 if TYPE_CHECKING:
     from redwingbank.front.router import Router
     from redwingbank.front.wire import RequestHead
+    from redwingbank.intake.body import RequestBody
 
 WRITE_BUFFER_BYTES = 64 * 1024
 # A connection with more requests waiting for their turn is closed.
@@ -37,7 +38,7 @@
     """A completely read request, and when its first byte arrived."""
 
     head: RequestHead
-    body: bytes
+    body: RequestBody
     arrived_s: float
 
 
@@ -137,7 +138,7 @@
         if expects_continue and self._transport and not self.answering:
             self._transport.write(CONTINUE)
 
-    def request_completed(self, head: RequestHead, body: bytes) -> None:
+    def request_completed(self, head: RequestHead, body: RequestBody) -> None:
         """Start a request, or queue it behind those before it."""
         request = PendingRequest(head, body, self.request_started_s or now_s())
         self.request_started_s = None
--- a/src/redwingbank/front/outbound.py
+++ b/src/redwingbank/front/outbound.py
@@ -5,16 +5,20 @@
 import asyncio
 import socket
 from enum import StrEnum
-from typing import TYPE_CHECKING, Protocol
+from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from redwingbank.clock import now_s
 from redwingbank.front.socket_queue import end_at_once
 from redwingbank.front.wire import DEFAULT_ANSWER_LIMITS, AnswerReader, WireError
+from redwingbank.intake.body import BLOCK_BYTES
 from redwingbank.routing.reachability import ServerContact
 from redwingbank.rules.answer_origin import AnswerOrigin
 
 if TYPE_CHECKING:
+    from collections.abc import Iterator
+
     from redwingbank.front.wire import AnswerHead, AnswerLimits
+    from redwingbank.intake.body import RequestBody
     from redwingbank.settings import Address
 
 # A handshake takes 20 ms across the fleet; a lost packet of it is sent again after a second.
@@ -40,6 +44,13 @@
     GARBAGE = "not an answer"
 
 
+class Message(NamedTuple):
+    """The head of a request as it is sent, and its body, None if it has none."""
+
+    head: bytes
+    body: RequestBody | None = None
+
+
 class Reply(Protocol):
     """Receives the answer to one request."""
 
@@ -57,13 +68,20 @@
 
 
 class Connection(asyncio.Protocol):
-    """One connection; `send` may be called while no request is in progress."""
+    """One connection; `send` may be called while no request is in progress.
+
+    A long body is written block by block, as fast as the peer reads: its bytes are not copied to
+    the buffer of the connection as a whole.
+    """
 
     def __init__(self, pool: ConnectionPool) -> None:
         self._pool = pool
         self._reader = AnswerReader(self, pool.limits)
         self._transport: asyncio.Transport | None = None
         self._reply: Reply | None = None
+        # the blocks of a body that are not written yet
+        self._unwritten: Iterator[bytes] | None = None
+        self._may_write = True
         self._reusable = True
         self._answer_whole = False
         # whether the server has sent a byte on it
@@ -91,7 +109,7 @@
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
         _enable_keepalive(transport.get_extra_info("socket"))
 
-    def send(self, data: bytes, reply: Reply, request_id: str | None = None) -> None:
+    def send(self, message: Message, reply: Reply, request_id: str | None = None) -> None:
         """Send a caller's request, or a question of the router; its answer goes to `reply`.
 
         Questions have no `request_id`, that of a request may be empty. The reply to a request
@@ -103,10 +121,34 @@
         else:
             self.origin.request_sent(request_id)
         self._answer_whole = False
-        self._reader.expect_answer(bodiless=data.startswith(HEAD_METHOD))
+        self._reader.expect_answer(bodiless=message.head.startswith(HEAD_METHOD))
         self._reply = reply
         self._pool.contact.request_sent(now_s(), proved=self.proved)
-        self._transport.write(data)
+        body = message.body
+        if body is None or len(body) <= BLOCK_BYTES:
+            self._transport.write(b"".join([message.head, *(body.blocks() if body else ())]))
+        else:
+            self._transport.write(message.head)
+            self._unwritten = body.blocks()
+            self._write_blocks()
+
+    def pause_writing(self) -> None:
+        """Hold the rest of a body back while the peer is slow."""
+        self._may_write = False
+
+    def resume_writing(self) -> None:
+        """Write on."""
+        self._may_write = True
+        self._write_blocks()
+
+    def _write_blocks(self) -> None:
+        assert self._transport is not None
+        while self._unwritten and self._may_write and not self._transport.is_closing():
+            block = next(self._unwritten, None)
+            if block is None:
+                self._unwritten = None
+            else:
+                self._transport.write(block)
 
     def abort(self) -> None:
         """Close at once, without a call to the reply."""
@@ -172,7 +214,7 @@
         """Mark the answer as complete; bytes received with it are parsed before the reply ends."""
         assert self._transport is not None
         # if the answer came early, the rest of the request would be sent before the next one
-        written = self._transport.get_write_buffer_size() == 0
+        written = not self._unwritten and self._transport.get_write_buffer_size() == 0
         self._reusable = self._reusable and keep_alive and written
         self._answer_whole = True
 
@@ -197,6 +239,7 @@
 
     def _close(self) -> None:
         self._reusable = False
+        self._unwritten = None
         self._pool.discard(self)
         transport = self._transport
         if transport is not None and not transport.is_closing():
@@ -311,4 +354,4 @@
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, user_timeout_ms)
 
 
-__all__ = ["CONNECT_TIMEOUT_S", "Connection", "ConnectionPool", "Loss", "Reply"]
+__all__ = ["CONNECT_TIMEOUT_S", "Connection", "ConnectionPool", "Loss", "Message", "Reply"]
--- a/src/redwingbank/front/outgoing.py
+++ b/src/redwingbank/front/outgoing.py
@@ -4,11 +4,13 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from redwingbank.front.outbound import Message
 from redwingbank.platform.headers import Envelope, encode_call
 
 if TYPE_CHECKING:
     from redwingbank.front.admission import AdmittedRequest
     from redwingbank.front.wire import RequestHead
+    from redwingbank.intake.body import RequestBody
     from redwingbank.routing.choice import Choice
 
 
@@ -16,13 +18,13 @@
     """A request and the server chosen for it; `resume_after` is the last event forwarded."""
 
     head: RequestHead
-    body: bytes
+    body: RequestBody
     admitted: AdmittedRequest
     choice: Choice
     give_up_s: float
     resume_after: str
 
-    def encode(self, now_s: float) -> bytes:
+    def encode(self, now_s: float) -> Message:
         """Encode the request with the time that is left when it is sent."""
         choice, admitted = self.choice, self.admitted
         envelope = Envelope(
@@ -34,7 +36,9 @@
             copy_from=choice.copy.source.address if choice.copy else None,
         )
         head = self.head
-        return encode_call(head.method, head.target, admitted.facts, self.body, envelope)
+        size = len(self.body)
+        encoded = encode_call(head.method, head.target, admitted.facts, size, envelope)
+        return Message(encoded, self.body)
 
 
 __all__ = ["OutgoingRequest"]
--- a/src/redwingbank/front/poison.py
+++ b/src/redwingbank/front/poison.py
@@ -13,6 +13,7 @@
 
     from redwingbank.decisions import DecisionLog
     from redwingbank.front.values import PromptPart
+    from redwingbank.intake.body import RequestBody
 
 # Within this time a crashed server becomes unreachable or its entry is removed from the store.
 CRASH_DETECTION_S = 3.0
@@ -166,7 +167,7 @@
 
 
 def request_traits(
-    target: bytes, organisation: str, body: bytes, parts: Iterable[PromptPart]
+    target: bytes, organisation: str, body: RequestBody, parts: Iterable[PromptPart]
 ) -> tuple[str, ...]:
     """Return what may make a request crash servers, from the narrowest to the widest.
 
@@ -175,17 +176,21 @@
     return request_fingerprint(target, organisation, body), *part_fingerprints(parts)
 
 
-def request_fingerprint(target: bytes, organisation: str, body: bytes) -> str:
+def request_fingerprint(target: bytes, organisation: str, body: RequestBody) -> str:
     """Hash the target, the organisation and the body of a request.
 
-    >>> first = request_fingerprint(b"/memo/x", "bakery", b"")
-    >>> first == request_fingerprint(b"/memo/x", "bakery", b"a")
+    >>> from redwingbank.intake.body import RequestBody
+    >>> first = request_fingerprint(b"/memo/x", "bakery", RequestBody())
+    >>> first == request_fingerprint(b"/memo/x", "bakery", RequestBody.of(b"a"))
     False
     """
     digest = hashlib.blake2b(digest_size=FINGERPRINT_BYTES)
-    for part in (target, organisation.encode(), body):
+    for part in (target, organisation.encode()):
         digest.update(len(part).to_bytes(8, "big"))
         digest.update(part)
+    digest.update(len(body).to_bytes(8, "big"))
+    for block in body.blocks():
+        digest.update(block)
     return digest.hexdigest()
 
 
--- a/src/redwingbank/front/probe.py
+++ b/src/redwingbank/front/probe.py
@@ -11,6 +11,7 @@
     from collections.abc import Callable
 
     from redwingbank.front.wire import RequestHead
+    from redwingbank.intake.body import RequestBody
 
 HEADER_BYTES = 8192
 
@@ -50,7 +51,7 @@
     def request_head_received(self, head: RequestHead) -> None:
         """Ignore the head."""
 
-    def request_completed(self, head: RequestHead, body: bytes) -> None:
+    def request_completed(self, head: RequestHead, body: RequestBody) -> None:
         """Write the answer to a complete request."""
         answer = self._answer(head.target)
         assert self._transport is not None
--- a/src/redwingbank/front/request_holder.py
+++ b/src/redwingbank/front/request_holder.py
@@ -12,6 +12,7 @@
     from collections.abc import Callable
 
     from redwingbank.front.attempt import AttemptOwner, StartCheck
+    from redwingbank.front.outbound import Message
     from redwingbank.front.router import Router
     from redwingbank.routing.choice import Choice, RequestNeeds
 
@@ -71,7 +72,7 @@
         self.attempt = Attempt(self._owner, backend, send.request_id, send.number, send.check)
         return self.attempt
 
-    def start(self, encode: Callable[[float], bytes]) -> None:
+    def start(self, encode: Callable[[float], Message]) -> None:
         """Start the attempt; `encode` returns the request as it is when it is sent."""
         assert self.attempt
         self.attempt.start(encode)
--- a/src/redwingbank/front/start_reader.py
+++ b/src/redwingbank/front/start_reader.py
@@ -6,7 +6,7 @@
 import contextlib
 from typing import TYPE_CHECKING
 
-from redwingbank.front.outbound import Loss
+from redwingbank.front.outbound import Loss, Message
 from redwingbank.platform.headers import REPORT_CALL, decode_answer
 from redwingbank.platform.objects import MalformedError, decode_server_start
 
@@ -47,7 +47,7 @@
     def start(self) -> None:
         """Send the question."""
         host, port = self._connection.address
-        self._connection.send(REPORT_CALL % f"{host}:{port}".encode(), self)
+        self._connection.send(Message(REPORT_CALL % f"{host}:{port}".encode()), self)
 
     def head_received(self, head: AnswerHead) -> None:
         """Record the status; an answer with a request's id is a late copy of an earlier one."""
--- a/src/redwingbank/front/store.py
+++ b/src/redwingbank/front/store.py
@@ -9,7 +9,7 @@
 import anyio
 
 from redwingbank.clock import now_s
-from redwingbank.front.outbound import ConnectionPool, Loss
+from redwingbank.front.outbound import ConnectionPool, Loss, Message
 from redwingbank.front.wire import DEFAULT_ANSWER_LIMITS
 from redwingbank.platform.objects import (
     STATUS_HISTORY_GONE,
@@ -158,7 +158,7 @@
         try:
             with anyio.fail_after(timeout_s):
                 connection = self._pool.acquire() or await self._pool.connect()
-                connection.send(encode(self._pool.address), call)
+                connection.send(Message(encode(self._pool.address)), call)
                 answer = await call.done
         except (TimeoutError, OSError) as error:
             raise StoreError(str(error) or "timeout") from error
--- a/src/redwingbank/front/wire.py
+++ b/src/redwingbank/front/wire.py
@@ -6,6 +6,7 @@
 
 import httptools
 
+from redwingbank.intake.body import RequestBody
 from redwingbank.rules.answer_origin import is_joined
 
 Header = tuple[bytes, bytes]
@@ -82,7 +83,7 @@
     def request_head_received(self, head: RequestHead) -> None:
         """Handle a request's head."""
 
-    def request_completed(self, head: RequestHead, body: bytes) -> None:
+    def request_completed(self, head: RequestHead, body: RequestBody) -> None:
         """Handle a complete request."""
 
 
@@ -97,7 +98,7 @@
         self._target = bytearray()
         self._headers: list[Header] = []
         self._head: RequestHead | None = None
-        self._body = bytearray()
+        self._body = RequestBody()
         self._header_bytes = 0
         self._pending_bytes = 0
 
@@ -130,7 +131,7 @@
         self._target.clear()
         self._headers = []
         self._head = None
-        self._body = bytearray()
+        self._body = RequestBody()
         self._header_bytes = 0
         self._sink.request_started()
 
@@ -164,13 +165,13 @@
         self._pending_bytes = 0
         if len(self._body) + len(data) > self.body_limit > 0:
             raise WireError(413, "body exceeds the size limit")
-        self._body += data
+        self._body.append(data)
 
     def on_message_complete(self) -> None:
         """Pass the complete request to the sink."""
         self._pending_bytes = 0
         assert self._head is not None
-        body, self._body = bytes(self._body), bytearray()
+        body, self._body = self._body, RequestBody()
         self._sink.request_completed(self._head, body)
 
     def _count(self, size: int) -> None:
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -177,9 +177,9 @@
 
 
 def encode_call(
-    method: bytes, target: bytes, facts: CallFacts, body: bytes, envelope: Envelope
+    method: bytes, target: bytes, facts: CallFacts, size: int, envelope: Envelope
 ) -> bytes:
-    """Encode a request for one backend server."""
+    """Encode the head of a request for one backend server; its body has the given size."""
     lines = [
         b"%b %b HTTP/1.1\r\nHost: %b\r\n" % (method, target, facts.host.encode("latin-1")),
         facts.forwarded_headers,
@@ -197,19 +197,22 @@
         lines.append(_header_line("Kv-Fetch", f"{host}:{port}"))
     if envelope.resume_after:
         lines.append(_header_line("Last-Event-Id", envelope.resume_after))
-    if body or method not in {b"GET", b"HEAD", b"DELETE", b"OPTIONS"}:
-        lines.append(_header_line("Content-Length", str(len(body))))
-    return b"".join([*lines, b"\r\n", body])
+    if size or method not in {b"GET", b"HEAD", b"DELETE", b"OPTIONS"}:
+        lines.append(_header_line("Content-Length", str(size)))
+    return b"".join([*lines, b"\r\n"])
 
 
 def encode_forwarded_call(
     method: bytes,
     target: bytes,
     headers: Iterable[Header],
-    body: bytes,
+    size: int,
     envelope: ForwardEnvelope,
 ) -> bytes:
-    """Encode a caller's request for another host, as it came but with the time that is left."""
+    """Encode the head of a caller's request for another host, with the time that is left.
+
+    Its body has the given size.
+    """
     replaced = CONNECTION_HEADERS | {DEADLINE, FORWARDED_BY, SERVERS_LEFT}
     lines = [b"%b %b HTTP/1.1\r\n" % (method, target)]
     lines += _forwarded_lines(headers, replaced)
@@ -218,8 +221,8 @@
     if envelope.servers_left is not None:
         unanswered, in_all = envelope.servers_left
         lines.append(_header_line("Redwingbank-Servers-Left", f"{unanswered},{in_all}"))
-    lines.append(_header_line("Content-Length", str(len(body))))
-    return b"".join([*lines, b"\r\n", body])
+    lines.append(_header_line("Content-Length", str(size)))
+    return b"".join([*lines, b"\r\n"])
 
 
 def decode_answer(
--- a/src/redwingbank_bench/requestcost.py
+++ b/src/redwingbank_bench/requestcost.py
@@ -42,6 +42,7 @@
     Share,
 )
 from redwingbank.front.wire import RequestHead
+from redwingbank.intake.body import RequestBody
 from redwingbank.routing.choice import Chooser, RequestNeeds, as_in_flight
 from redwingbank.routing.load import InFlightRequest
 from redwingbank.settings import Address
@@ -192,7 +193,7 @@
         backend.load.request_sent(("x", number), sent, ())
     inbound = InboundConnection(router)
     inbound._transport = SilentTransport()  # type: ignore[assignment]
-    exchange = Exchange(router, inbound, RequestHead(b"POST", b"/", (), True), b"", now)
+    exchange = Exchange(router, inbound, RequestHead(b"POST", b"/", (), True), RequestBody(), now)
     return _forward(exchange, router, backend, needs)
 
 
--- a/tests/crowd_host.py
+++ b/tests/crowd_host.py
@@ -42,9 +42,14 @@
         self.name = name
         self._pause_s = pause_s
 
+    async def start(self, address):
+        self._server = await asyncio.start_server(self.serve, *address, limit=8 * HEADER_BYTES)
+        return self.address
+
     async def serve(self, reader, writer):
         """Answer the requests of a connection."""
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError):
+        ends = (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError)
+        with contextlib.suppress(*ends):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 fields = dict(line.partition(b": ")[::2] for line in head.split(b"\r\n"))
--- a/tests/exchange_orders.py
+++ b/tests/exchange_orders.py
@@ -15,6 +15,7 @@
 from redwingbank.front.outbound import Connection, ConnectionPool
 from redwingbank.front.refusals import error_body
 from redwingbank.front.wire import RequestHead
+from redwingbank.intake.body import RequestBody
 
 POOL = "pool"
 HELPERS = ("edge-2", "edge-3")
@@ -212,7 +213,7 @@
         head = RequestHead(b"POST", PATH_BY_KIND[self.kind].encode(), pairs, True)
         errors = self.router.barrier.errors
         self.exchange = Exchange(
-            self.router, self, head, b"body", now_s(), forwarded=self.forwarded
+            self.router, self, head, RequestBody.of(b"body"), now_s(), forwarded=self.forwarded
         )
         self.router.exchanges.add(self.exchange)
         self.router.guard(self.exchange.start, self.exchange.fail_internally)
--- a/tests/steps/front_answer_heads.py
+++ b/tests/steps/front_answer_heads.py
@@ -186,7 +186,7 @@
     context.passed_on = [
         decode_answer(headers).forwarded_headers,
         decode_call(headers).forwarded_headers,
-        encode_forwarded_call(b"GET", b"/", headers, b"", ForwardEnvelope(1.0, "edge-1", None)),
+        encode_forwarded_call(b"GET", b"/", headers, 0, ForwardEnvelope(1.0, "edge-1", None)),
     ]
 
 
--- a/tests/steps/platform_formats.py
+++ b/tests/steps/platform_formats.py
@@ -191,7 +191,7 @@
 def copy_source_sent(context):
     headers = ((b"Host", b"desk.example"), (b"Kv-Fetch", b"1.1.1.1:1"))
     envelope = Envelope("i-1", None, 1.5, "", 0, Address("10.0.0.9", 8080))
-    context.sent = encode_call(b"POST", b"/memo/x", decode_call(headers), b"", envelope)
+    context.sent = encode_call(b"POST", b"/memo/x", decode_call(headers), 0, envelope)
 
 
 @then("only the router's server to copy from is named")
