Bound the connections of callers by the descriptors of the machine

What callers saw: a crowd that only connects takes all descriptors of the process. Connections of others are not accepted then, and those to servers fail as if the servers were at fault.

Cause: nothing counts connections, and up to 512 of those that wait were accepted before the event loop could close any.

Beyond that an unused connection goes for each new one: first those that have shown no key, then the one that has waited longest, so that a caller that has just connected has time to send its request; connections that serve a request are kept. Sixteen connections are accepted at once.

--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -89,7 +89,10 @@
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
         transport.set_write_buffer_limits(high=WRITE_BUFFER_BYTES)
-        self._meter.open(now_s(), known=self._forwarded)
+        if not self._meter.open(now_s(), known=self._forwarded):
+            self._closing = True
+            transport.abort()
+            return
         self._router.connections.add(self)
 
     def data_received(self, data: bytes) -> None:
--- a/src/redwingbank/front/listener.py
+++ b/src/redwingbank/front/listener.py
@@ -3,16 +3,18 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 from contextlib import suppress
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    import socket
     from collections.abc import Callable, Iterator
 
     from redwingbank.settings import Address
 
 BACKLOG = 512
+# So many connections are accepted before the event loop can close any of them.
+ACCEPTED_AT_ONCE = 16
 
 
 class Listener:
@@ -29,9 +31,12 @@
         :raises OSError: if the address can't be listened on
         """
         loop = asyncio.get_running_loop()
+        listening = socket.create_server(self._address, backlog=BACKLOG)
         self._server = await loop.create_server(
-            self._create_protocol, *self._address, backlog=BACKLOG
+            self._create_protocol, sock=listening, backlog=ACCEPTED_AT_ONCE
         )
+        # the loop takes its backlog for the length of the system's queue, too
+        listening.listen(BACKLOG)
 
     def close(self) -> None:
         """Stop listening; the system resets connections that wait to be accepted."""
--- a/src/redwingbank/intake/account.py
+++ b/src/redwingbank/intake/account.py
@@ -189,6 +189,17 @@
         candidates = [one for one in self._ordered(now_s) if one.rank(now_s) < Rank.KEPT]
         return _take_until(candidates, surplus)[0]
 
+    def select_connections(self, now_s: float) -> list[Holding]:
+        """Return which connections to close for a new one; none if all serve a request.
+
+        Of those that are equal otherwise, callers that have shown no key go first, and then those
+        that have waited longest: a caller that has just connected has time to send its request.
+        """
+        surplus = max(1, len(self.holdings) + 1 - self.limits.connections)
+        candidates = [one for one in self.holdings if one.rank(now_s) < Rank.UNREAD]
+        candidates.sort(key=lambda one: (one.rank(now_s), one.known, one.since_s))
+        return candidates[:surplus]
+
     def assign_return_s(self, now_s: float) -> float:
         """Return after how long a refused caller may come back, later than the one before it."""
         earliest_s = now_s + LEAST_RETURN_S
--- a/src/redwingbank/intake/guard.py
+++ b/src/redwingbank/intake/guard.py
@@ -16,8 +16,8 @@
     from redwingbank.metrics import Metrics
 
 REPORT_S = 1.0
-# Large requests for which there was no room.
-NO_ROOM = "no-room"
+# Large requests for which there was no room, and connections for which there was none.
+NO_ROOM, NO_DESCRIPTOR = "no-room", "no-descriptor"
 
 
 class CallerConnection(Protocol):
@@ -51,9 +51,17 @@
         self._rejections: Counter[Rejection] = Counter()
         self._next_report_s = 0.0
 
-    def open(self, connection: CallerConnection, now_s: float) -> Holding:
-        """Count a new connection."""
-        holding = self.account.open(now_s)
+    def open(self, connection: CallerConnection, now_s: float) -> Holding | None:
+        """Count a new connection; return None if it has to be closed, as all others are in use."""
+        account = self.account
+        if len(account.holdings) >= account.limits.connections:
+            selected = account.select_connections(now_s)
+            if not selected:
+                self._record(NO_DESCRIPTOR, 0)
+                return None
+            for holding in selected:
+                self._shed(holding, NO_DESCRIPTOR)
+        holding = account.open(now_s)
         self._connections_by_holding[holding] = connection
         return holding
 
--- a/src/redwingbank/intake/meter.py
+++ b/src/redwingbank/intake/meter.py
@@ -45,10 +45,12 @@
         self._holding: Holding | None = None
         self._unread_bytes = 0
 
-    def open(self, now_s: float, *, known: bool) -> None:
-        """Begin."""
-        self._holding = self._guard.open(self._connection, now_s)
-        self._holding.known = known
+    def open(self, now_s: float, *, known: bool) -> bool:
+        """Begin; return False if there is no room for another connection."""
+        holding = self._holding = self._guard.open(self._connection, now_s)
+        if holding:
+            holding.known = known
+        return holding is not None
 
     def close(self) -> None:
         """Give all back."""
--- a/src/redwingbank/platform/settings.py
+++ b/src/redwingbank/platform/settings.py
@@ -152,9 +152,14 @@
 
 def _intake_limits(reader: _Reader) -> IntakeLimits:
     memory_mb = reader.read("limits.memoryMb", read_number, NUMBER, 0.0)
-    default = limits_of_machine(memory_mb)
-    given = reader.read("callerLimits.memoryBytes", _positive, NUMBER, default.memory_bytes)
-    return IntakeLimits(int(given))
+    descriptors = reader.read("limits.maxFds", read_number, NUMBER, 0.0)
+    default = limits_of_machine(memory_mb, int(descriptors))
+    fields = (("memoryBytes", "memory_bytes"), ("connections", "connections"))
+    values = {
+        name: int(reader.read(f"callerLimits.{key}", _positive, NUMBER, getattr(default, name)))
+        for key, name in fields
+    }
+    return IntakeLimits(**values)
 
 
 class _Reader:
--- a/tests/intake/account.feature
+++ b/tests/intake/account.feature
@@ -35,3 +35,16 @@
     When many callers come, upload, are refused, stall and leave in a drawn order, seed 7
     Then at no time is a small request refused for a large one
     And nothing is held or promised when all have left
+
+  Scenario Outline: where all connections are in use, <who> goes for a new one
+    Given callers whose process may hold 10000 kB
+    And a caller <first> that holds 9 kB and moved <ago> s ago
+    And a caller without a key, being read, that holds 9 kB and moved 0 s ago
+    Then <who> goes for a new connection
+
+    Examples:
+      | first                     | ago | who        |
+      | without a key, idle,      | 3   | the first  |
+      | with a key, idle,         | 3   | the first  |
+      | with a key, being read    | 0   | the second |
+      | with a key, being served  | 9   | the second |
--- a/tests/steps/intake_account.py
+++ b/tests/steps/intake_account.py
@@ -15,6 +15,7 @@
 
 NOW_S = 100.0
 STAGE_BY_WORDS = {
+    "idle": Stage.IDLE,
     "being read": Stage.READING,
     "being served": Stage.RUNNING,
     "not reading": Stage.UNREAD,
@@ -23,7 +24,7 @@
 
 @given("callers whose process may hold {size:d} kB")
 def account(context, size):
-    limits = IntakeLimits(memory_bytes=size * 1000)
+    limits = IntakeLimits(memory_bytes=size * 1000, connections=20)
     context.guard = IntakeGuard(limits, mock.Mock(), mock.Mock())
     context.holdings = []
 
@@ -48,6 +49,11 @@
     check(context, who, context.guard.account.select_for_relief(NOW_S)[:1])
 
 
+@then("{who} goes for a new connection")
+def for_connection(context, who):
+    check(context, who, context.guard.account.select_connections(NOW_S))
+
+
 def check(context, who, selected):
     positions = [("the first", "the second")[context.holdings.index(one)] for one in selected]
     assert positions == ([] if who == "nobody" else [who]), positions
@@ -58,7 +64,7 @@
 
     def __init__(self, guard, now_s):
         self.meter = ConnectionMeter(guard, self)
-        self.meter.open(now_s, known=True)
+        self.opened = self.meter.open(now_s, known=True)
 
     def shed(self):
         self.meter.end_upload()
