Begin no request of a caller that has not read the answers before it

What callers saw: nothing at first; the host held all answers of callers that send on and read none.

Cause: a slow caller paused the reading of the answer in progress, but a further request began all the same, and its answer went to the same buffer.

A request that waits behind an unread answer now begins when the connection takes bytes again; until then only eight are kept, as before.

--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -52,7 +52,7 @@
         self._meter = ConnectionMeter(router.intake, self)
         # what the request in progress holds, beside its answer
         self._running_bytes = 0
-        self._awaits_continue = False
+        self._writing_paused = self._awaits_continue = False
         self._linger = Linger()
         self._upload = Upload(self._meter, router.admission)
         self._keep_alive = True
@@ -154,13 +154,17 @@
 
     def pause_writing(self) -> None:
         """Stop reading the answer from the server while the caller is slow."""
+        self._writing_paused = True
         if self._exchange:
             self._exchange.pause()
 
     def resume_writing(self) -> None:
-        """Continue to read the answer from the server."""
+        """Continue to read the answer from the server, or begin the next one."""
+        self._writing_paused = False
         if self._exchange:
             self._exchange.resume()
+        else:
+            self._start_next()
 
     def request_started(self) -> None:
         """Record the arrival of a request's first byte."""
@@ -289,6 +293,9 @@
     def _start_next(self) -> None:
         if self._exchange is not None or not self._pending or self._closing:
             return
+        if self._writing_paused:
+            # begins when the caller has read the answers before it
+            return
         received = self._received()
         if received.closed:
             # read late, with the end of the connection still to come
