Take no answer as whole that ends before its request was sent

What callers saw: a server answered a long upload at once with a 200 without a length, sent a part of the body, ended its side and reset the connection while the upload was still being written. The caller got that part as a complete answer, with a length that fitted it. A status of 600 or 999 was passed on as an answer; 000 and 099 were garbage before already.

Cause: a body without a length is complete when the connection ends, whatever became of the request.

An end now completes such a body only if the system, and the server's, has taken all of the request; otherwise the attempt fails as a connection that closes does. A status over 599 is none (RFC 9110, section 15).

--- a/src/redwingbank/front/outbound.py
+++ b/src/redwingbank/front/outbound.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from redwingbank.clock import now_s
-from redwingbank.front.socket_queue import end_at_once
+from redwingbank.front.socket_queue import end_at_once, unacknowledged_bytes
 from redwingbank.front.wire import DEFAULT_ANSWER_LIMITS, AnswerReader, WireError
 from redwingbank.intake.body import BLOCK_BYTES
 from redwingbank.routing.reachability import ServerContact
@@ -182,8 +182,12 @@
             self._finish()
 
     def eof_received(self) -> bool:
-        """Complete an answer that ends with the connection; any other is truncated."""
-        if self._reply is not None and self._reader.ends_with_connection:
+        """Complete an answer that ends with the connection; any other is truncated.
+
+        So is one whose request is not sent to its end: the server has given up on both.
+        """
+        ends = self._reader.ends_with_connection and self._has_sent
+        if self._reply is not None and ends:
             self._reusable = False
             self._finish()
         else:
@@ -212,12 +216,23 @@
 
     def answer_completed(self, *, keep_alive: bool) -> None:
         """Mark the answer as complete; bytes received with it are parsed before the reply ends."""
-        assert self._transport is not None
         # if the answer came early, the rest of the request would be sent before the next one
-        written = not self._unwritten and self._transport.get_write_buffer_size() == 0
-        self._reusable = self._reusable and keep_alive and written
+        self._reusable = self._reusable and keep_alive and self._has_written
         self._answer_whole = True
 
+    @property
+    def _has_sent(self) -> bool:
+        """Whether the server's system has taken all of the request."""
+        if not self._has_written or self._transport is None:
+            return False
+        return not unacknowledged_bytes(self._transport.get_extra_info("socket"))
+
+    @property
+    def _has_written(self) -> bool:
+        """Whether the system has taken all of the request."""
+        unsent = self._transport.get_write_buffer_size() if self._transport else 0
+        return self._unwritten is None and not unsent
+
     def _finish(self) -> None:
         reply, self._reply = self._reply, None
         if self._reusable and self.origin.reusable:
--- a/src/redwingbank/front/wire.py
+++ b/src/redwingbank/front/wire.py
@@ -17,6 +17,7 @@
 FRAMING_NAME_LENGTHS = frozenset({len(CONTENT_LENGTH), len(TRANSFER_ENCODING)})
 FIRST_STATUS = 100
 FIRST_FINAL_STATUS = 200
+LAST_STATUS = 599
 # How the head of an interim answer begins.
 INTERIM_STARTS = (b"HTTP/1.1 1", b"HTTP/1.0 1")
 INTERIM_START_BYTES = 10
@@ -319,7 +320,7 @@
     def on_headers_complete(self) -> None:
         """Pass the head to the sink, unless it is interim."""
         status = self._parser.get_status_code()
-        if status < FIRST_STATUS:
+        if not FIRST_STATUS <= status <= LAST_STATUS:
             raise WireError(502, "invalid status")
         if is_joined(self._reason, self._headers):
             raise WireError(502, "an answer inside the head of another one")
