Bound the memory of a daemon's callers, too

What callers saw: the same as at a front; a daemon keeps each body until its request has ended, whoever sent it, and nothing adds them up.

The body of a caller that is not admitted is read and dropped. Uploads that stall are given up by the protocol of their connection, as before.

--- a/src/redwingbank/intake/settings.py
+++ b/src/redwingbank/intake/settings.py
@@ -47,4 +47,4 @@
     return limits
 
 
-__all__ = ["IntakeLimits", "limits_of_machine"]
+__all__ = ["DEFAULT_MEMORY_BYTES", "IntakeLimits", "limits_of_machine"]
--- a/src/redwingbank/ports/caller.py
+++ b/src/redwingbank/ports/caller.py
@@ -9,12 +9,15 @@
 from redwingbank.codes import Code
 from redwingbank.model import Request
 from redwingbank.ports.admission import Directory
+from redwingbank.ports.caller_memory import CallerMemory
 from redwingbank.ports.chat import build_request, compute_fingerprint, parse_chat
 from redwingbank.ports.completion import Targets
 from redwingbank.ports.http import (
+    HostFullError,
     Refusal,
     RequestHead,
     count_header_bytes,
+    drop_body,
     parse_head,
     read_body,
     send_json,
@@ -25,6 +28,7 @@
 if TYPE_CHECKING:
     from redwingbank.metrics import Metrics
     from redwingbank.ports.admission import Admitted
+    from redwingbank.ports.caller_memory import HeldRequest
     from redwingbank.ports.completion import Completions
     from redwingbank.ports.http import Message, Receive, Scope, Send
     from redwingbank.ports.operator import OperatorEndpoints
@@ -46,6 +50,7 @@
     request_id: str
     receive: Receive
     send: Send
+    held: HeldRequest
 
 
 class _ResponseTracker:
@@ -80,6 +85,7 @@
         self._services = services
         self._operators = operators
         self._metrics = metrics
+        self._memory = CallerMemory(settings.caller_memory_bytes)
         self._directory: Directory | None = None
 
     def set_table(self, table: Table) -> None:
@@ -91,10 +97,14 @@
         if scope["type"] != "http":
             return
         head = parse_head(scope)
-        exchange = Exchange(head, uuid.uuid4().hex, receive, send)
+        with self._memory.hold(scope) as held:
+            exchange = Exchange(head, uuid.uuid4().hex, receive, send, held)
+            await self._answer(exchange, scope)
+
+    async def _answer(self, exchange: Exchange, scope: Scope) -> None:
         if count_header_bytes(scope) > self._settings.header_limit_bytes:
             await self._refuse(exchange, Refusal(Code.HEADERS_TOO_LARGE))
-        elif await self._operators.handle(head, receive, send):
+        elif await self._operators.handle(exchange.head, exchange.receive, exchange.send):
             return
         else:
             await self._serve(exchange)
@@ -141,11 +151,11 @@
     ) -> Refusal | None:
         if exchange.head.method != "POST":
             return Refusal(Code.WRONG_METHOD)
+        if isinstance(admitted, Refusal):
+            return await self._drop_body(exchange) or admitted
         body = await self._read_body(exchange)
         if isinstance(body, Refusal):
             return body
-        if isinstance(admitted, Refusal):
-            return admitted
         chat = parse_chat(body)
         if isinstance(chat, Refusal):
             return chat
@@ -176,11 +186,11 @@
     async def _serve_service(
         self, exchange: Exchange, directory: Directory, admitted: Admitted | Refusal
     ) -> Refusal | None:
+        if isinstance(admitted, Refusal):
+            return await self._drop_body(exchange) or admitted
         body = await self._read_body(exchange)
         if isinstance(body, Refusal):
             return body
-        if isinstance(admitted, Refusal):
-            return admitted
         name, _, path = exchange.head.path.removeprefix(SERVICES_PREFIX).partition("/")
         pool = directory.table.pools_by_name.get(name)
         if pool is None or pool.kind != "service":
@@ -191,12 +201,24 @@
         return None
 
     async def _read_body(self, exchange: Exchange) -> bytes | Refusal:
+        limit_bytes = self._settings.body_limit_bytes
         try:
-            body = await read_body(exchange.receive, self._settings.body_limit_bytes)
+            body = await read_body(exchange.receive, limit_bytes, exchange.held.keep_body)
         except ConnectionError:
             return Refusal(Code.CALLER_GONE)
+        except HostFullError:
+            self._metrics.count("callers_shed_total", kind="no-room")
+            return_s = self._memory.account.assign_return_s(clock.now_s())
+            return Refusal(Code.HOST_FULL, retry_after_s=return_s)
         return Refusal(Code.BODY_TOO_LARGE) if body is None else body
 
+    async def _drop_body(self, exchange: Exchange) -> Refusal | None:
+        try:
+            fits = await drop_body(exchange.receive, self._settings.body_limit_bytes)
+        except ConnectionError:
+            return Refusal(Code.CALLER_GONE)
+        return None if fits else Refusal(Code.BODY_TOO_LARGE)
+
 
 def _build_service_request(
     call: ServiceCall, admitted: Admitted, pool: str, request_id: str
--- a/src/redwingbank/ports/http.py
+++ b/src/redwingbank/ports/http.py
@@ -74,10 +74,19 @@
     return sum(len(name) + len(value) for name, value in scope["headers"])
 
 
-async def read_body(receive: Receive, limit_bytes: int) -> bytes | None:
+class HostFullError(Exception):
+    """There is no memory left for the body of a request."""
+
+
+async def read_body(
+    receive: Receive, limit_bytes: int, keep: Callable[[int], bool] | None = None
+) -> bytes | None:
     """Read the whole body; None if it exceeds the limit.
 
+    `keep` is asked for room for each part, if given.
+
     :raises ConnectionError: if the caller disconnects before the end of the body
+    :raises HostFullError: if there is no room for it
     """
     parts: list[bytes] = []
     size = 0
@@ -89,10 +98,29 @@
         size += len(parts[-1])
         if size > limit_bytes:
             return None
+        if keep and not keep(len(parts[-1])):
+            raise HostFullError
         if not message.get("more_body", False):
             return b"".join(parts)
 
 
+async def drop_body(receive: Receive, limit_bytes: int) -> bool:
+    """Read a body that nobody needs; return False if it exceeds the limit.
+
+    :raises ConnectionError: if the caller disconnects before the end of the body
+    """
+    size = 0
+    while True:
+        message = await receive()
+        if message["type"] == "http.disconnect":
+            raise ConnectionError
+        size += len(message.get("body", b""))
+        if size > limit_bytes:
+            return False
+        if not message.get("more_body", False):
+            return True
+
+
 def error_body(refusal: Refusal, request_id: str) -> dict[str, Any]:
     """Build an OpenAI error object, extended by the result code, `ran` and the retry time."""
     meaning = MEANING_BY_CODE[refusal.code]
@@ -151,9 +179,11 @@
 __all__ = [
     "JSON_TYPE",
     "STREAM_TYPE",
+    "HostFullError",
     "Refusal",
     "RequestHead",
     "count_header_bytes",
+    "drop_body",
     "error_event",
     "parse_head",
     "read_body",
--- a/src/redwingbank/settings.py
+++ b/src/redwingbank/settings.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from redwingbank.errors import SettingError, SettingErrors
+from redwingbank.intake.settings import DEFAULT_MEMORY_BYTES
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -63,6 +64,7 @@
     events: str = ""
     body_limit_bytes: int = 4096 * KIBIBYTE
     header_limit_bytes: int = 32 * KIBIBYTE
+    caller_memory_bytes: int = DEFAULT_MEMORY_BYTES
     queue_limit: int = 2000
     heartbeat_s: float = 0.5
     suspect_s: float = 2.0
@@ -209,6 +211,7 @@
     ),
     Field("limits.body_bytes", "body_limit_bytes", _count, COUNT),
     Field("limits.header_bytes", "header_limit_bytes", _count, COUNT),
+    Field("limits.caller_memory_bytes", "caller_memory_bytes", _count, COUNT),
     Field("limits.queue", "queue_limit", _count, COUNT),
     Field("limits.retry_ratio", "retry_ratio", _positive, "a positive number"),
     Field("backends.load_interval_s", "load_interval_s", _positive, SECONDS),
