--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -12,8 +12,9 @@
 from redwingbank.front.exchange import Exchange
 from redwingbank.front.linger import Linger
 from redwingbank.front.pending_request import PendingRequest
-from redwingbank.front.refusals import refusal, status_line
-from redwingbank.front.socket_queue import Received, read_received, unacknowledged_bytes
+from redwingbank.front.refusals import CODE_BY_STATUS, refusal, status_line
+from redwingbank.front.socket_queue import received_on, unsent_bytes
+from redwingbank.front.unread_answer import UnreadAnswer
 from redwingbank.front.wire import RequestReader, WireError
 from redwingbank.intake.cost import PROMPT_PART_BYTES, REQUEST_BYTES
 from redwingbank.intake.meter import ConnectionMeter, Held
@@ -32,11 +33,6 @@
 FORWARDING_HEADER_BYTES = 512
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
-CODE_BY_STATUS = {
-    400: Code.MALFORMED,
-    413: Code.BODY_TOO_LARGE,
-    431: Code.HEADERS_TOO_LARGE,
-}
 
 
 class InboundConnection(asyncio.Protocol):
@@ -60,8 +56,8 @@
         # whether the request in progress is a HEAD request, whose answer has no body
         self._to_head = False
         self._closing = False
-        self._unsent_bytes = 0
-        self._progress_s = self._received_s = now_s()
+        self._received_s = now_s()
+        self._unread = UnreadAnswer(now_s())
         self.idle_since_s = now_s()
         self.request_started_s: float | None = None
         self.head_complete = False
@@ -75,7 +71,7 @@
         return (
             self._exchange is not None
             or self._has_next
-            or (self._transport is not None and self._transport.get_write_buffer_size() > 0)
+            or unsent_bytes(self._transport) > 0
             or (self._unused and now_s() - self.idle_since_s < FIRST_REQUEST_S)
         )
 
@@ -131,7 +127,7 @@
         """Give back what the connection holds: refuse what is read, or close it."""
         if self._exchange is None and (self._pending or self.request_started_s is not None):
             self._reject(Code.HOST_FULL, "no memory left for the request")
-        elif self._exchange is not None and not self._has_unsent():
+        elif self._exchange is not None and not unsent_bytes(self._transport):
             self._drop_requests()
             self._keep_alive = False
             self._closing = True
@@ -244,7 +240,7 @@
 
     def check_timeouts(self, now: float) -> None:
         """Close the connection if it is idle for too long; refuse a request that is too slow."""
-        if self._unsent_bytes or self._has_unsent():
+        if self._unread.unsent_bytes or unsent_bytes(self._transport):
             self._meter.update(self._held(), now)
         if self._linger.begun:
             self._check_linger()
@@ -257,12 +253,15 @@
 
     def _is_read_too_slowly(self, now: float) -> bool:
         """Whether an answer is unread; close the connection if the caller reads none of it."""
-        if not self._has_unread_answer(now):
+        transport = self._transport
+        if transport is None:
             return False
-        idle_timeout_s = self._router.limits().idle_timeout_s
-        if now - self._progress_s > idle_timeout_s and self._transport:
-            self._transport.abort()
-        return True
+        if self._unread.update(transport, now):
+            self.idle_since_s = now
+        unread = self._unread.unsent_bytes > 0
+        if unread and now - self._unread.moved_s > self._router.limits().idle_timeout_s:
+            transport.abort()
+        return unread
 
     def _check_reading(self, now: float) -> None:
         if self.request_started_s is None:
@@ -279,24 +278,13 @@
         silent_s, body_bytes = now - self._received_s, self._reader.body_bytes
         return is_body_too_slow(body_bytes, elapsed_s, silent_s, limits.idle_timeout_s)
 
-    def _has_unread_answer(self, now: float) -> bool:
-        """Whether a part of an answer still waits to be sent; a slow caller reads on."""
-        transport = self._transport
-        unsent = transport.get_write_buffer_size() if transport else 0
-        if transport and unsent:
-            unsent += unacknowledged_bytes(transport.get_extra_info("socket"))
-        if unsent != self._unsent_bytes:
-            self._unsent_bytes = unsent
-            self._progress_s = self.idle_since_s = now
-        return unsent > 0
-
     def _start_next(self) -> None:
         if self._exchange is not None or not self._pending or self._closing:
             return
         if self._writing_paused:
             # begins when the caller has read the answers before it
             return
-        received = self._received()
+        received = received_on(self._transport)
         if received.closed:
             # read late, with the end of the connection still to come
             self._router.count("callers_gone", "")
@@ -328,11 +316,8 @@
         reads = bool(self._pending) or self.request_started_s is not None
         read = self._reader.head_bytes + self._reader.body_bytes
         runs = self._exchange is not None
-        unsent = self._transport.get_write_buffer_size() if self._transport else 0
-        return Held(waiting + read, self._running_bytes if runs else 0, unsent, reads, runs)
-
-    def _has_unsent(self) -> bool:
-        return self._transport is not None and self._transport.get_write_buffer_size() > 0
+        running = self._running_bytes if runs else 0
+        return Held(waiting + read, running, unsent_bytes(self._transport), reads, runs)
 
     def _drop_requests(self) -> None:
         """Drop what was read of requests that have not begun; nothing more is read."""
@@ -341,10 +326,6 @@
         self.request_started_s = None
         self._meter.end_upload()
 
-    def _received(self) -> Received:
-        sock = self._transport.get_extra_info("socket") if self._transport else None
-        return read_received(sock) if sock else Received(0.0, closed=False)
-
     def _finish_answer(self) -> None:
         self._exchange = None
         self._to_head = False
@@ -411,7 +392,7 @@
     def _write(self, *parts: bytes) -> None:
         if self._transport and not self._transport.is_closing():
             self._transport.write(b"".join(parts))
-            if self._has_unsent():
+            if unsent_bytes(self._transport):
                 self._meter.update(self._held(), now_s())
 
 
--- a/src/redwingbank/front/refusals.py
+++ b/src/redwingbank/front/refusals.py
@@ -9,6 +9,13 @@
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.platform.headers import encode_own_answer
 
+# The codes of requests that can't be read, by the status for their callers.
+CODE_BY_STATUS = {
+    400: Code.MALFORMED,
+    413: Code.BODY_TOO_LARGE,
+    431: Code.HEADERS_TOO_LARGE,
+}
+
 
 def error_body(code: Code, ran: Ran, retry_after_s: float | None) -> bytes:
     """Encode the protocol's error object.
@@ -59,4 +66,4 @@
         return b""
 
 
-__all__ = ["decode_error_code", "error_body", "refusal", "status_line"]
+__all__ = ["CODE_BY_STATUS", "decode_error_code", "error_body", "refusal", "status_line"]
--- a/src/redwingbank/front/socket_queue.py
+++ b/src/redwingbank/front/socket_queue.py
@@ -7,7 +7,10 @@
 import socket
 import struct
 import termios
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+if TYPE_CHECKING:
+    import asyncio
 
 SIZE = struct.Struct("i")
 # of struct tcp_info in linux/tcp.h: tcpi_state and tcpi_last_data_recv
@@ -47,6 +50,17 @@
     return Received(0.0, closed=True)
 
 
+def received_on(transport: asyncio.Transport | None) -> Received:
+    """Return what has arrived on a connection; one without a socket is open and up to date."""
+    sock = transport.get_extra_info("socket") if transport else None
+    return read_received(sock) if sock else Received(0.0, closed=False)
+
+
+def unsent_bytes(transport: asyncio.Transport | None) -> int:
+    """Return how many bytes wait in a connection's buffer, which the system has not taken."""
+    return transport.get_write_buffer_size() if transport else 0
+
+
 def end_at_once(sock: Any) -> None:
     """Let the peer see the end of a connection now, whenever the event loop closes its socket.
 
@@ -61,4 +75,11 @@
         sock.shutdown(socket.SHUT_RDWR)
 
 
-__all__ = ["Received", "end_at_once", "read_received", "unacknowledged_bytes"]
+__all__ = [
+    "Received",
+    "end_at_once",
+    "read_received",
+    "received_on",
+    "unacknowledged_bytes",
+    "unsent_bytes",
+]
