Let clients that don't behave take part in the soak

With crowd, 40 clients come and go beside all faults and ordinary callers, at hosts whose machines have 80 MB: bodies of legal size that stop short of their end, with and without a valid key, heads and lines without end, empty lines, connections that send nothing; half of the connections are reset. None of their requests is ever complete, so the checks of what servers ran hold as before. A host that has had more memory than its machine is a violation.

--- a/src/redwingbank_bench/soak.py
+++ b/src/redwingbank_bench/soak.py
@@ -21,8 +21,10 @@
     Observations,
     find_violations,
 )
+from redwingbank_bench.soakcrowd import Crowd
 from redwingbank_bench.soakdocuments import (
     ANY_PORT,
+    MEMORY_MB,
     ORGANISATION,
     REVOKE_S,
     table_document,
@@ -73,7 +75,8 @@
     that a host sent to another one, `releases` the starts of fronts by the release's folder.
     `said` counts what the newer faults came to: requests that crashed servers, those among them
     that may run once, answers that told hosts that a server is leaving or rests, and requests that
-    callers sent again.
+    callers sent again. `crowd` counts the visits of clients that don't behave, `most_memory_mb`
+    is what the largest host has had.
     """
 
     seed: int
@@ -87,6 +90,8 @@
     forwarded: int = 0
     releases: Mapping[str, int] = MappingProxyType({})
     said: Mapping[str, int] = MappingProxyType({})
+    crowd: int = 0
+    most_memory_mb: int = 0
 
 
 class Soak:
@@ -101,11 +106,13 @@
         self._store = ObjectStore()
         self._store_proxies: list[Proxy] = []
         self._servers = ServerFleet(self._store, self._random)
-        self._fronts = FrontFleet(self._random, folder, plan.releases)
+        memory_mb = MEMORY_MB if plan.crowd else 0
+        self._fronts = FrontFleet(self._random, folder, plan.releases, memory_mb)
         self._revoked_s_by_key: dict[str, float] = {}
         self._keys = ["key-0"]
         self._version = 1
         traffic = (plan.seed, self._fronts, self._keys)
+        self._crowd = Crowd(*traffic)
         faults = self._servers.faults
         self._traffic = ResendingTraffic(*traffic, faults) if plan.newer else Traffic(*traffic)
         self._stalls: list[Interruption] = []
@@ -119,11 +126,14 @@
             callers = asyncio.create_task(self._traffic.run_callers())
             supervisor = asyncio.create_task(self._fronts.supervise())
             watch = asyncio.create_task(self._watch_stalls())
+            crowd = asyncio.create_task(self._crowd.run()) if self._plan.crowd else None
             await self._inject_faults(self._plan.seconds)
             self._clear_faults()
             await self._check_recovery()
             self._traffic.finished = True
             await callers
+            if crowd:
+                crowd.cancel()
             watch.cancel()
             supervisor.cancel()
             with contextlib.suppress(asyncio.CancelledError):
@@ -161,6 +171,8 @@
             self._fronts.count_logged("request-forwarded"),
             dict(self._fronts.release_starts),
             self._count_said(observations),
+            self._crowd.visits,
+            round(self._fronts.most_memory_mb),
         )
 
     def _count_said(self, seen: Observations) -> dict[str, int]:
--- a/src/redwingbank_bench/soakdocuments.py
+++ b/src/redwingbank_bench/soakdocuments.py
@@ -21,6 +21,9 @@
 ORGANISATION = "bakery"
 DEADLINE_MS = 2500
 MAX_FAULT_S = 2.5
+BODY_BYTES = 4_194_304
+# of the machines of hosts, if clients that don't behave take part
+MEMORY_MB = 80
 ROUTES = (
     ("book", "nonidempotent", False, 1),
     ("read", "idempotent", False, 2),
@@ -72,8 +75,10 @@
     }
 
 
-def boot_document(number: int, caller: Address, store: Address) -> dict[str, Any]:
-    """Build the settings of a front."""
+def boot_document(
+    number: int, caller: Address, store: Address, memory_mb: int = 0
+) -> dict[str, Any]:
+    """Build the settings of a front; its machine has so much memory, 0 if that is not told."""
     return {
         "nodeName": f"edge-{number}",
         "ip": LOOPBACK,
@@ -81,7 +86,7 @@
         "listen": {"front": str(caller), "ready": f"{LOOPBACK}:{free_port()}"},
         "portRange": [free_port(), free_port()],
         "beatMs": 1200,
-        "limits": {"linkMbps": LINK_MBPS},
+        "limits": {"linkMbps": LINK_MBPS, "memoryMb": memory_mb},
         "bounds": {
             "revokeMs": int(REVOKE_S * 1000),
             "graceS": GRACE_S,
@@ -94,9 +99,11 @@
 
 __all__ = [
     "ANY_PORT",
+    "BODY_BYTES",
     "DEADLINE_MS",
     "HOST_NAME",
     "MAX_FAULT_S",
+    "MEMORY_MB",
     "ORGANISATION",
     "REVOKE_S",
     "boot_document",
--- a/src/redwingbank_bench/soakfronts.py
+++ b/src/redwingbank_bench/soakfronts.py
@@ -11,6 +11,7 @@
 
 from redwingbank.settings import Address
 from redwingbank_bench.processes import ChildProcess, free_port, reload_signal_ignored
+from redwingbank_bench.soakcrowd import peak_memory_mb
 from redwingbank_bench.soakdocuments import REVOKE_S, boot_document
 from redwingbank_bench.soakfront import SOURCE_VARIABLE
 from redwingbank_bench.soakproxy import LOOPBACK
@@ -33,10 +34,12 @@
     """Front processes by number; `violations` names those that exited without a signal to.
 
     `releases` are folders of source code; each start is of one of them. `release_starts` tells
-    how many.
+    how many. No front may have more than `memory_mb`, unless that is 0.
     """
 
-    def __init__(self, random: Random, folder: Path, releases: Sequence[Path] = ()) -> None:
+    def __init__(
+        self, random: Random, folder: Path, releases: Sequence[Path] = (), memory_mb: int = 0
+    ) -> None:
         self.addresses: list[Address] = []
         self.sources: list[str] = []
         self.name_by_address: dict[Address, str] = {}
@@ -48,6 +51,8 @@
         self._random = random
         self._folder = folder
         self._releases = releases
+        self._memory_mb = memory_mb
+        self.most_memory_mb = 0.0
         self._fronts: list[ChildProcess] = []
         self._exit_requested: set[str] = set()
         self._killed_s_by_name: dict[str, float] = {}
@@ -57,7 +62,7 @@
         number = len(self._fronts)
         caller = Address(LOOPBACK, free_port())
         path = self._folder / f"boot-{number}.json"
-        path.write_text(json.dumps(boot_document(number, caller, store)))
+        path.write_text(json.dumps(boot_document(number, caller, store, self._memory_mb)))
         source = f"127.0.0.{FIRST_SOURCE + number}"
         environment = {"REDWINGBANK_NODE_FILE": str(path), SOURCE_VARIABLE: source}
         module = "redwingbank_bench.soakfront"
@@ -105,6 +110,7 @@
                 if not front.alive:
                     self._record_exit(front)
                     self._start(front)
+                self._watch_memory(front)
             await asyncio.sleep(RESTART_POLL_S)
 
     @property
@@ -133,6 +139,13 @@
             front.send_signal(signal.SIGCONT)
             front.stop()
 
+    def _watch_memory(self, front: ChildProcess) -> None:
+        """Record a front that has had more memory than its machine has."""
+        peak_mb = peak_memory_mb(front.process_id)
+        if peak_mb > max(self.most_memory_mb, self._memory_mb) and self._memory_mb:
+            self.violations.append(f"memory: {front.name} has had {peak_mb:.0f} MB")
+        self.most_memory_mb = max(self.most_memory_mb, peak_mb)
+
     def _start(self, front: ChildProcess) -> None:
         with reload_signal_ignored():
             front.start(self._choose_release())
--- a/src/redwingbank_bench/soakplan.py
+++ b/src/redwingbank_bench/soakplan.py
@@ -31,7 +31,8 @@
     end, freeze, and lose their servers, and servers spoil long streams. `cut_modes` are the ways
     in which hosts are cut off. Each start of a front is of one of `releases`, folders of source
     code; of the code that runs the soak if there are none. With `newer` servers rest, leave, name
-    limits and crash by parts of prompts, and callers send again what was refused.
+    limits and crash by parts of prompts, and callers send again what was refused. With `crowd`
+    clients that don't behave come and go, and hosts have little memory.
     """
 
     seed: int
@@ -41,6 +42,7 @@
     cut_modes: tuple[str, ...] = CUT_MODES
     releases: tuple[Path, ...] = ()
     newer: bool = False
+    crowd: bool = False
 
     def faults(self, usual: tuple[str, ...]) -> tuple[str, ...]:
         """Return the names of the faults, of which the usual ones are given."""
@@ -64,6 +66,8 @@
             plan = plan._replace(forwards=True)
         elif name == "newer" and not value:
             plan = plan._replace(newer=True)
+        elif name == "crowd" and not value:
+            plan = plan._replace(crowd=True)
         elif name == "releases":
             plan = plan._replace(releases=tuple(map(_release, value.split(","))))
         else:
--- a/tests/steps/system_soak.py
+++ b/tests/steps/system_soak.py
@@ -47,6 +47,16 @@
     context.result = soak(Plan(seed, seconds, newer=True))
 
 
+@when("a soak with a crowd runs for {seconds:d} s with seed {seed:d}")
+def crowd_soak_runs(context, seconds, seed):
+    context.result = soak(Plan(seed, seconds, crowd=True))
+
+
+@then("the crowd has come often")
+def crowd_came(context):
+    assert context.result.crowd > 100, context.result
+
+
 @then("each newer fault showed at the servers")
 def newer_faults_showed(context):
     faults, said = context.result.faults, context.result.said
--- a/tests/system/soak.feature
+++ b/tests/system/soak.feature
@@ -25,6 +25,12 @@
     Then the soak found no violation
     And each newer fault showed at the servers
 
+  Scenario: clients that don't behave come and go beside all other faults
+    When a soak with a crowd runs for 8 s with seed 58
+    Then the soak found no violation
+    And the soak's callers were served in each class
+    And the crowd has come often
+
   Scenario Outline: the soak's checks detect each violation
     Given the records of a soak without violations
     Then the soak's checks find nothing
