Look only at heavy holders for each large request, and pause after a vain search

A refused request ranked all connections, and so did each new connection where all were in use: a crowd that is refused again and again would take the event loop's time in place of its memory. Which ones go is unchanged.

--- a/src/redwingbank/intake/account.py
+++ b/src/redwingbank/intake/account.py
@@ -8,11 +8,14 @@
 from __future__ import annotations
 
 from enum import IntEnum
-from typing import TYPE_CHECKING
+from heapq import nsmallest
+from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.intake.cost import CONNECTION_BYTES
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from redwingbank.intake.settings import IntakeLimits
 
 # Requests that hold less are served on when those that hold more are refused.
@@ -26,6 +29,8 @@
 UNREAD_STALL_S = 5.0
 # An upload that takes longer than at this rate is as good as stalled.
 LEAST_BYTES_PER_S = 32 * 1024
+# The part of the connections that is closed when all are in use, so that not each new one asks.
+CLOSED_AT_ONCE_SHARE = 1 / 64
 # Callers that are refused come back one after the other, at this distance.
 RETURN_STEP_S = 0.02
 LEAST_RETURN_S, MAX_RETURN_S = 0.5, 3.0
@@ -172,33 +177,33 @@
 
     def select_for_large(self, size: int, now_s: float) -> list[Holding]:
         """Return who gives back for a large request; none if that would not suffice."""
-        missing = int(
-            self.held_bytes + self.promised_bytes + size - self.limits.memory_bytes * LARGE_SHARE
-        )
-        candidates = [
-            holding
-            for holding in self._ordered(now_s)
-            if holding.rank(now_s) in RANKS_FOR_LARGE and holding.held_bytes > CONNECTION_BYTES
-        ]
-        selected, freed = _take_until(candidates, missing)
+        used = self.held_bytes + self.promised_bytes + size
+        missing = int(used - self.limits.memory_bytes * LARGE_SHARE)
+        # the many that hold little are not looked at one by one for each refused request
+        heavy = [one for one in self.holdings if one.held_bytes + one.promised_bytes > SMALL_BYTES]
+        ranked = [one for one in _rank(heavy, now_s) if one.rank in RANKS_FOR_LARGE]
+        selected, freed = _take_until(ranked, missing)
         return selected if freed >= missing else []
 
     def select_for_relief(self, now_s: float) -> list[Holding]:
         """Return who gives back so that less is held than may be."""
         surplus = self.held_bytes - int(self.limits.memory_bytes * RELIEF_SHARE)
-        candidates = [one for one in self._ordered(now_s) if one.rank(now_s) < Rank.KEPT]
-        return _take_until(candidates, surplus)[0]
+        ranked = [one for one in _rank(self.holdings, now_s) if one.rank < Rank.KEPT]
+        return _take_until(ranked, surplus)[0]
 
     def select_connections(self, now_s: float) -> list[Holding]:
-        """Return which connections to close for a new one; none if all serve a request.
+        """Return which connections to close for new ones; none if all serve a request.
 
         Of those that are equal otherwise, callers that have shown no key go first, and then those
         that have waited longest: a caller that has just connected has time to send its request.
         """
-        surplus = max(1, len(self.holdings) + 1 - self.limits.connections)
-        candidates = [one for one in self.holdings if one.rank(now_s) < Rank.UNREAD]
-        candidates.sort(key=lambda one: (one.rank(now_s), one.known, one.since_s))
-        return candidates[:surplus]
+        candidates = [
+            (rank, holding.known, holding.since_s, number, holding)
+            for number, holding in enumerate(self.holdings)
+            if (rank := holding.rank(now_s)) < Rank.UNREAD
+        ]
+        count = max(1, int(self.limits.connections * CLOSED_AT_ONCE_SHARE))
+        return [holding for *_, holding in nsmallest(count, candidates)]
 
     def assign_return_s(self, now_s: float) -> float:
         """Return after how long a refused caller may come back, later than the one before it."""
@@ -207,14 +212,28 @@
         self._next_return_s = min(max(self._next_return_s + RETURN_STEP_S, earliest_s), latest_s)
         return self._next_return_s - now_s
 
-    def _ordered(self, now_s: float) -> list[Holding]:
-        return sorted(self.holdings, key=lambda one: (one.rank(now_s), -one.weight(now_s)))
+
+class _Ranked(NamedTuple):
+    """A holding in the order in which it gives back."""
+
+    rank: Rank
+    lightness: float
+    number: int
+    holding: Holding
+
+
+def _rank(holdings: Iterable[Holding], now_s: float) -> list[_Ranked]:
+    return sorted(
+        _Ranked(holding.rank(now_s), -holding.weight(now_s), number, holding)
+        for number, holding in enumerate(holdings)
+    )
 
 
-def _take_until(candidates: list[Holding], amount: int) -> tuple[list[Holding], int]:
+def _take_until(ranked: list[_Ranked], amount: int) -> tuple[list[Holding], int]:
     """Take holdings in order until they free an amount; return them, and what they free."""
-    taken, freed = [], 0
-    for holding in candidates:
+    taken: list[Holding] = []
+    freed = 0
+    for *_, holding in ranked:
         if freed >= amount:
             break
         taken.append(holding)
--- a/src/redwingbank/intake/guard.py
+++ b/src/redwingbank/intake/guard.py
@@ -16,6 +16,8 @@
     from redwingbank.metrics import Metrics
 
 REPORT_S = 1.0
+# If nobody can give back, nobody is asked again for so long.
+PAUSE_S = 0.05
 # Large requests for which there was no room, and connections for which there was none.
 NO_ROOM, NO_DESCRIPTOR = "no-room", "no-descriptor"
 
@@ -46,6 +48,7 @@
         self._metrics = metrics
         self._connections_by_holding: dict[Holding, CallerConnection] = {}
         self._relieving = False
+        self._next_relief_s = 0.0
         self._shed_by_kind: Counter[str] = Counter()
         self._freed_by_kind: Counter[str] = Counter()
         self._rejections: Counter[Rejection] = Counter()
@@ -78,7 +81,7 @@
 
     def relieve(self, now_s: float) -> None:
         """Let connections give memory back while more is held than may be."""
-        if self._relieving or not self.account.full:
+        if self._relieving or not self.account.full or now_s < self._next_relief_s:
             return
         self._relieving = True
         try:
@@ -86,6 +89,8 @@
                 self._shed(holding, holding.rank(now_s).name.lower())
         finally:
             self._relieving = False
+        if self.account.full:
+            self._next_relief_s = now_s + PAUSE_S
 
     def admit(self, holding: Holding, size: int, now_s: float) -> bool:
         """Whether a request that is being read may hold so many bytes more.
