Keep no further requests of a connection that closes, and apply reloaded limits

A chunk of bytes with more requests than a connection may have waiting closed it, but all others of the chunk were kept until its end: with an unread answer before them, that is the idle time-out. And limits of callers in a changed settings file held from the next start only.

--- a/src/redwingbank/front/inbound.py
+++ b/src/redwingbank/front/inbound.py
@@ -179,6 +179,9 @@
 
     def request_completed(self, head: RequestHead, body: RequestBody) -> None:
         """Start a request, or queue it behind those before it."""
+        if self._closing:
+            # further ones in the bytes that hold one too many
+            return
         arrived_s = self.request_started_s or now_s()
         request = PendingRequest(head, body, arrived_s, self._reader.head_bytes)
         self.request_started_s = None
@@ -293,15 +296,10 @@
         request = self._pending.popleft()
         self._to_head = request.head.method == b"HEAD"
         self._keep_alive = request.head.keep_alive
-        self._exchange = Exchange(
-            self._router,
-            self,
-            request.head,
-            request.body,
-            min(request.arrived_s, now_s() - received.age_s),
-            forwarded=self._forwarded,
+        arrived_s = min(request.arrived_s, now_s() - received.age_s)
+        self._exchange = exchange = Exchange(
+            self._router, self, request.head, request.body, arrived_s, forwarded=self._forwarded
         )
-        exchange = self._exchange
         self._running_bytes = REQUEST_BYTES + request.held_bytes
         self._router.exchanges.add(exchange)
         self._router.guard(exchange.start, exchange.fail_internally)
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -100,6 +100,7 @@
     def update_settings(self, settings: HostSettings) -> None:
         """Apply reloaded settings."""
         self.settings = settings
+        self.intake.account.limits = settings.intake
 
     def metrics_text(self) -> str:
         """Format all counters, histograms and gauges as Prometheus text."""
