Bound the connections of probes, and what their callers don't read

The same cause as at the callers' listener: whoever reaches the addresses of the readiness and of the metrics could open connections without a limit, and ask for the metrics without reading them.

--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -22,7 +22,7 @@
 from redwingbank.front.hosts import discover_hosts
 from redwingbank.front.inbound import InboundConnection
 from redwingbank.front.listener import Listener
-from redwingbank.front.probe import ProbeAnswer, ProbeConnection
+from redwingbank.front.probe import ProbeAnswer, ProbeConnection, ProbeConnections
 from redwingbank.front.router import Router
 from redwingbank.front.store import StoreClient, Watcher
 from redwingbank.front.store_handlers import ServerHandler, TableHandler
@@ -121,11 +121,11 @@
         return table, servers, blocks
 
     async def _listen(self) -> None:
-        settings = self._settings
+        settings, probes = self._settings, ProbeConnections()
         self._listeners = [
             Listener(settings.caller, lambda: InboundConnection(self.router)),
-            Listener(settings.readiness, lambda: ProbeConnection(self._answer_readiness)),
-            Listener(settings.metrics, lambda: ProbeConnection(self._answer_metrics)),
+            Listener(settings.readiness, lambda: ProbeConnection(self._answer_readiness, probes)),
+            Listener(settings.metrics, lambda: ProbeConnection(self._answer_metrics, probes)),
         ]
         for listener in self._listeners:
             await listener.start()
--- a/tests/steps/front_unread_answers.py
+++ b/tests/steps/front_unread_answers.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import asyncio
+from unittest import mock
 
 from behave import then, when
 
 from front_rig import Rig, request, run_scenario
+from redwingbank.front.probe import ProbeConnection
 from redwingbank_standins.backend_server import BackendServer
 
 STEP_S = 0.1
@@ -69,3 +71,53 @@
 def gets_all(context):
     assert context.sent > 2
     assert context.received >= context.sent * 200_000
+
+
+@when(
+    "a client opens {count:d} connections for probes, and asks for the metrics {requests:d} times"
+    " on one"
+)
+def many_probes(context, count, requests):
+    context.rig = Rig(modes=["ok"])
+    run_scenario(context.rig, lambda rig: flood_probes(context, rig, count, requests))
+
+
+async def flood_probes(context, rig, count, requests):
+    made = []
+    create = ProbeConnection.connection_made
+
+    def record(connection, transport):
+        made.append(transport)
+        create(connection, transport)
+
+    with mock.patch.object(ProbeConnection, "connection_made", record):
+        settings = rig.front.router.settings
+        writers = []
+        for _ in range(count):
+            _, writer = await asyncio.open_connection(*settings.readiness)
+            writers.append(writer)
+        _, flooding = await asyncio.open_connection(*settings.metrics, limit=1)
+        flooding.transport.pause_reading()
+        context.most_unread = 0
+        for _ in range(requests // 100):
+            flooding.write(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n" * 100)
+            await asyncio.sleep(0)
+            context.most_unread = max(
+                context.most_unread, *(one.get_write_buffer_size() for one in made)
+            )
+        await asyncio.sleep(STEP_S)
+        context.kept = sum(not one.is_closing() for one in made)
+        context.status = await rig.ready()
+    for writer in (*writers, flooding):
+        writer.close()
+
+
+@then("the host keeps at most {count:d} of them, and at most {size:d} kB for the one")
+def few_probes(context, count, size):
+    assert context.kept <= count, context.kept
+    assert context.most_unread <= size * 1000, context.most_unread
+
+
+@then("the host's readiness is still told")
+def readiness_told(context):
+    assert context.status == 200, context.status
