--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -98,6 +98,7 @@
             if self._duties:
                 self._duties.finish()
             group.cancel_scope.cancel()
+        router.intake.report(now_s(), final=True)
         router.log.essential("stopped", unanswered=len(router.exchanges))
         router.log.flush()
 
--- a/src/redwingbank/intake/guard.py
+++ b/src/redwingbank/intake/guard.py
@@ -113,9 +113,11 @@
         """Record a request that could not be read."""
         self._rejections[Rejection(code, detail)] += 1
 
-    def report(self, now_s: float) -> None:
-        """Write what happened since the last report, if that is a second ago."""
-        if now_s < self._next_report_s or not (self._shed_by_kind or self._rejections):
+    def report(self, now_s: float, *, final: bool = False) -> None:
+        """Write what happened since the last report, if a second ago; in any case if `final`."""
+        if now_s < self._next_report_s and not final:
+            return
+        if not (self._shed_by_kind or self._rejections):
             return
         self._next_report_s = now_s + REPORT_S
         for kind, count in self._shed_by_kind.items():
