--- a/src/redwingbank/ctl/explain.py
+++ b/src/redwingbank/ctl/explain.py
@@ -21,7 +21,14 @@
 OK = 0
 CONTEXT_S = 5.0
 SERVER_CONTEXT_EVENTS = frozenset(
-    {"server-state", "server-leaving", "notice", "notice-learned", "server-drain"}
+    {
+        "server-state",
+        "server-leaving",
+        "address-holder",
+        "notice",
+        "notice-learned",
+        "server-drain",
+    }
 )
 # A host's lost connections, stale data and limits of servers affect all of its requests.
 HOST_CONTEXT_EVENTS = frozenset(
@@ -120,7 +127,8 @@
     if record.event not in SERVER_CONTEXT_EVENTS:
         return False
     subject = record.field("subject")
-    return bool({record.field("server"), subject, subject.rpartition("@")[2]} & servers)
+    named = {record.field("server"), subject, subject.rpartition("@")[2], record.field("before")}
+    return bool((named | set(record.fields.get("rivals") or ())) & servers)
 
 
 def _build_decision(entry: TimelineEntry, start_s: float, *, around: bool) -> Decision:
@@ -256,6 +264,16 @@
     return f"{record.field('server')} went from {record.field('was')} to {record.field('state')}"
 
 
+def _format_holder(record: Record) -> str:
+    field = record.field
+    rivals = ", ".join(record.fields.get("rivals") or ())
+    stands = field("server") or "no server"
+    text = f"{stands} stands at {field('address')}: {field('reason')}"
+    if field("before"):
+        text += f"; {field('before')} stood there before"
+    return f"{text}; also listed there: {rivals}" if rivals else text
+
+
 def _format_leaving(record: Record) -> str:
     return f"{record.field('server')} says that it is leaving, by {record.field('source')}"
 
@@ -335,6 +353,7 @@
     "callers-shed": _format_shed,
     "server-state": _format_server_state,
     "server-leaving": _format_leaving,
+    "address-holder": _format_holder,
     "limit-named": _format_limit,
     "notice": _format_notice,
     "notice-learned": _format_notice,
--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -14,6 +14,7 @@
 from redwingbank.front.start_reader import LateStartCheck, StartReader
 from redwingbank.model import Outcome
 from redwingbank.platform.headers import decode_answer
+from redwingbank.routing.server_address import AnsweredAs, Misdirected, StartTold
 from redwingbank.rules.answer_memory import KeptBytes
 
 if TYPE_CHECKING:
@@ -24,6 +25,7 @@
     from redwingbank.front.values import Statement
     from redwingbank.front.wire import AnswerHead
     from redwingbank.platform.headers import AnswerFacts
+    from redwingbank.routing.server_address import Evidence
 
 STATUS_OK = 200
 STATUS_LAST_SUCCESS = 299
@@ -183,6 +185,7 @@
             self._fail(Outcome.GARBAGE, fault)
             return
         self._head, self._facts = head, facts
+        self._identify(head, facts)
         # a misdirected request was answered by another server
         if head.status != STATUS_MISDIRECTED:
             self._owner.attempt_head_received(self, facts)
@@ -221,7 +224,7 @@
         if self._mode is _Mode.STREAMED:
             self._owner.attempt_completed(self, None)
         elif self._not_run():
-            self._owner.attempt_failed(self, Failure(Outcome.REFUSED, False, "not run"))
+            self._owner.attempt_failed(self, self._refusal())
         else:
             answer = Answer(self._head, self._facts, bytes(self._body))
             self._owner.attempt_completed(self, answer)
@@ -234,7 +237,7 @@
         self._finish()
         # the head of a refusal suffices: the server did not run the request
         if self._not_run():
-            failure = Failure(Outcome.REFUSED, False, "not run")
+            failure = self._refusal()
         else:
             failure = Failure(OUTCOME_BY_LOSS[loss], self.sent, f"{loss}: {detail}", self.sent)
         self._owner.attempt_failed(self, failure)
@@ -288,6 +291,9 @@
         if self._finished:
             return
         with self._errors_reported():
+            if loss is None and connection.server_start:
+                address, start = self.entry.address, connection.server_start
+                self.backend.identified(StartTold(address, start, self.started_s))
             if loss is None and self.backend.connections.take(connection):
                 self._send_if_listed(connection, encode)
             else:
@@ -319,6 +325,16 @@
             connections = self.backend.connections
             self._late_check = LateStartCheck(connections, self._late_start_told, self._heard)
 
+    def _identify(self, head: AnswerHead, facts: AnswerFacts) -> None:
+        """Report what the answer tells of the server: each request names the one it is for."""
+        if head.status == STATUS_MISDIRECTED:
+            evidence: Evidence = Misdirected(self.entry, facts.server, self.started_s)
+        elif facts.stamped and not facts.not_run:
+            evidence = AnsweredAs(self.entry, self.started_s)
+        else:
+            return
+        self.backend.identified(evidence)
+
     def _heard(self, statements: tuple[Statement, ...]) -> None:
         self.backend.report_received(self.entry, statements)
 
@@ -362,6 +378,10 @@
             return False
         return self._facts.not_run or self._head.status == STATUS_MISDIRECTED
 
+    def _refusal(self) -> Failure:
+        misdirected = self._head is not None and self._head.status == STATUS_MISDIRECTED
+        return Failure(Outcome.REFUSED, False, "not run", misdirected=misdirected)
+
     def _find_fault(self, head: AnswerHead, facts: AnswerFacts) -> str:
         assert self._connection is not None
         origin = self._connection.origin
--- a/src/redwingbank/front/backends.py
+++ b/src/redwingbank/front/backends.py
@@ -24,6 +24,7 @@
     from redwingbank.front.failures import Failure
     from redwingbank.front.values import ServerEntry, StatedLoad, Statement
     from redwingbank.front.wire import AnswerLimits
+    from redwingbank.routing.server_address import Evidence
     from redwingbank.rules.answer_memory import SharedMemory
 
 # Shorter than the servers' idle timeouts of several seconds, after which they close connections
@@ -76,6 +77,10 @@
         """Pass on what a server said in an answer that is not to the request of a caller."""
         self._backends.on_report(entry, statements)
 
+    def identified(self, evidence: Evidence) -> None:
+        """Pass on what the server's answer tells of who it is."""
+        self._backends.on_identity(evidence)
+
 
 class Backends:
     """All backend servers in use, by name, and what they say of themselves."""
@@ -96,6 +101,8 @@
         self.random = random
         # what servers say in answers that are not to requests of callers
         self.on_report: Callable[[ServerEntry, tuple[Statement, ...]], None] = _ignore_report
+        # what the answers of servers tell of who they are
+        self.on_identity: Callable[[Evidence], None] = _ignore_identity
         self.answer_limits = limits
         self.answer_memory = AnswerMemory(limits.buffered_bytes, account)
         self._pauses_by_pool: dict[str, PauseEstimate] = {}
@@ -161,6 +168,10 @@
     pass
 
 
+def _ignore_identity(evidence: Evidence) -> None:
+    pass
+
+
 def update_breaker(
     backend: Backend, failure: Failure, request_id: str, sent_s: float, now: float
 ) -> None:
--- a/src/redwingbank/front/directory.py
+++ b/src/redwingbank/front/directory.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from redwingbank.routing.server_address import AddressBook
 from redwingbank.routing.server_leaving import LeavingBook
 from redwingbank.rules.store_order import HOLD_S_BY_DOUBT, SETTLE_S, Doubt, Start, find_doubt
 
@@ -11,6 +12,8 @@
     from collections.abc import Callable, Container, Iterable
 
     from redwingbank.front.values import Bounds, RouteTable, ServerEntry
+    from redwingbank.routing.server_address import Evidence, Reason, Verdict
+    from redwingbank.settings import Address
 
 # After an outage, the platform restores lapsed entries within this time.
 RESTORE_TIMEOUT_S = 2.0
@@ -85,12 +88,26 @@
 
 
 class Departure(NamedTuple):
-    """A backend server that was dropped from the list or began to drain."""
+    """A backend server that requests are no longer sent to, or that began to drain."""
 
     entry: ServerEntry
     reason: str
 
 
+class HolderChange(NamedTuple):
+    """Which entry stands at an address that several name, or whose server denies it.
+
+    `before` and `after` are the entries that stood there before and now, None if there is none;
+    `rivals` are the names of the others that are listed there.
+    """
+
+    address: Address
+    before: ServerEntry | None
+    after: ServerEntry | None
+    reason: Reason
+    rivals: list[str]
+
+
 class _Held(NamedTuple):
     """An entry that is not believed before `until_s`, unless the store changes it."""
 
@@ -101,6 +118,11 @@
 class ServerRegistry:
     """The backend servers that requests may be sent to.
 
+    `listed_by_name` holds all entries, `entries_by_name` those that stand at their addresses, as
+    `addresses` decides. An entry that gives way at its address stays listed, so that it stands
+    again when the other one goes. `on_holder_changed` is called where several entries name an
+    address, or a server denies one.
+
     An entry that disappears while the store is unreachable, or shortly after, may have lapsed in
     the outage. It stays in use until the platform has had time to restore it, unless `was_down`
     tells that the store went on serving other hosts. `leaving` knows the servers that say
@@ -117,7 +139,13 @@
     ) -> None:
         self._was_down = was_down
         self._leaving = leaving or LeavingBook()
+        self.addresses = AddressBook()
+        self.listed_by_name: dict[str, ServerEntry] = {}
         self.entries_by_name: dict[str, ServerEntry] = {}
+        self.on_holder_changed: Callable[[HolderChange], None] | None = None
+        self._holder_by_address: dict[Address, ServerEntry] = {}
+        # the others that are listed at an address, as was told last
+        self._rivals_by_address: dict[Address, list[str]] = {}
         self._missing: set[str] = set()
         self._held_by_name: dict[str, _Held] = {}
         self._departed_ms_by_name: dict[str, int] = {}
@@ -142,7 +170,7 @@
     def believe(self, entry: ServerEntry, now_s: float) -> ServerEntry | None:
         """Return the entry to use for one that the store tells, None if it is held back."""
         held = self._held_by_name.get(entry.name)
-        known = self.entries_by_name.get(entry.name)
+        known = self.listed_by_name.get(entry.name)
         if not (held and held.entry == entry and now_s < held.until_s):
             self._held_by_name.pop(entry.name, None)
             settles = self._settles(now_s)
@@ -160,7 +188,7 @@
         return [
             entry
             for entry in due
-            if self._find_doubt(entry, self.entries_by_name.get(entry.name))
+            if self._find_doubt(entry, self.listed_by_name.get(entry.name))
             in {Doubt.NONE, Doubt.DEPARTED}
         ]
 
@@ -171,38 +199,36 @@
         }
 
     def _find_doubt(self, entry: ServerEntry, known: ServerEntry | None) -> Doubt:
-        neighbours_ms = [
-            other.started_ms
-            for other in self.entries_by_name.values()
-            if other.address == entry.address and other.name != entry.name
-        ]
         return find_doubt(
             Start(entry.started_ms, entry.draining),
             Start(known.started_ms, known.draining) if known else None,
             self._departed_ms_by_name.get(entry.name),
-            max(neighbours_ms, default=None),
         )
 
     def replace(self, entries: Iterable[ServerEntry], now_s: float) -> list[Departure]:
-        """Replace all entries by a complete list."""
+        """Replace all entries by a complete list; the order of the list changes nothing."""
         listed = {entry.name: entry for entry in entries}
-        missing = [name for name in self.entries_by_name if name not in listed]
+        draining = {name for name, entry in self.entries_by_name.items() if entry.draining}
+        missing = [name for name in self.listed_by_name if name not in listed]
         departures = [departure for name in missing for departure in self._lose(name, now_s)]
+        addresses = [address for entry in listed.values() for address in self._list(entry, now_s)]
+        for address in dict.fromkeys(addresses):
+            departures += self._settle(address, now_s)
         return departures + [
-            departure for entry in listed.values() for departure in self.upsert(entry)
+            Departure(entry, "draining")
+            for entry in listed.values()
+            if entry.draining and entry.name in self.entries_by_name and entry.name not in draining
         ]
 
-    def upsert(self, entry: ServerEntry) -> list[Departure]:
+    def upsert(self, entry: ServerEntry, now_s: float) -> list[Departure]:
         """Add or update an entry."""
         before = self.entries_by_name.get(entry.name)
-        self.entries_by_name[entry.name] = entry
-        self._missing.discard(entry.name)
+        addresses = self._list(entry, now_s)
         departures = [
-            self._drop(name, "address taken over")
-            for name, other in list(self.entries_by_name.items())
-            if other.address == entry.address and name != entry.name
+            departure for address in addresses for departure in self._settle(address, now_s)
         ]
-        if entry.draining and not (before and before.draining):
+        stands = entry.name in self.entries_by_name
+        if stands and entry.draining and not (before and before.draining):
             departures.append(Departure(entry, "draining"))
         return departures
 
@@ -211,20 +237,36 @@
         self._held_by_name.pop(name, None)
         return self._lose(name, now_s, deleted=deleted)
 
+    def record_evidence(self, evidence: Evidence, now_s: float) -> list[Departure]:
+        """Record what a server says of who it is."""
+        if not self.addresses.concerns(evidence):
+            return []
+        self.addresses.record(evidence, now_s)
+        return self._settle(evidence.address, now_s)
+
     def _lose(self, name: str, now_s: float, *, deleted: bool = True) -> list[Departure]:
-        entry = self.entries_by_name.get(name)
+        entry = self.listed_by_name.get(name)
         if entry is None:
             return []
         if deleted and not entry.draining and self._may_be_restored(now_s):
             self._missing.add(name)
             return []
-        return [self._drop(name, "removed")]
+        return self._drop(name, "removed", now_s)
 
     def expire(self, now_s: float) -> list[Departure]:
-        """Drop lapsed entries that were not restored in time."""
+        """Drop lapsed entries that were not restored in time; use denied ones that are due."""
+        departures = [
+            departure
+            for address in self.addresses.denied_addresses()
+            for departure in self._settle(address, now_s)
+        ]
         if self._may_be_restored(now_s):
-            return []
-        return [self._drop(name, "lapsed") for name in list(self._missing)]
+            return departures
+        return departures + [
+            departure
+            for name in list(self._missing)
+            for departure in self._drop(name, "lapsed", now_s)
+        ]
 
     def usable(self, pool: str) -> list[ServerEntry]:
         """List the servers of a pool that accept new requests."""
@@ -242,14 +284,58 @@
         """Whether entries that the store lost may not have been written again yet."""
         return now_s < self._era_began_s + SETTLE_S
 
-    def _drop(self, name: str, reason: str) -> Departure:
+    def _list(self, entry: ServerEntry, now_s: float) -> list[Address]:
+        """List an entry; return the addresses at which another one may stand now."""
+        known = self.listed_by_name.get(entry.name)
+        self.listed_by_name[entry.name] = entry
+        self._missing.discard(entry.name)
+        self.addresses.put(entry, now_s)
+        # the new address first, so that a server that moves does not depart
+        return [entry.address] if known is None else [entry.address, known.address]
+
+    def _settle(self, address: Address, now_s: float, reason: str = "") -> list[Departure]:
+        """Use the entry that stands at an address; return what departs there."""
+        verdict = self.addresses.find_holder(address, now_s)
+        before, after = self._holder_by_address.get(address), verdict.entry
+        if after:
+            self._holder_by_address[address] = self.entries_by_name[after.name] = after
+        else:
+            self._holder_by_address.pop(address, None)
+        departures: list[Departure] = []
+        if before and not (after and after.name == before.name):
+            departures = self._retire(before, reason or _describe(verdict))
+        rivals = self.addresses.rivals(address, after.name if after else "")
+        told = self._rivals_by_address.pop(address, None)
+        if rivals:
+            self._rivals_by_address[address] = rivals
+        moved = before is not None and after is not None and before.name != after.name
+        if self.on_holder_changed and (moved or (rivals and rivals != told)):
+            self.on_holder_changed(HolderChange(address, before, after, verdict.reason, rivals))
+        return departures
+
+    def _retire(self, entry: ServerEntry, reason: str) -> list[Departure]:
+        """Stop using an entry at its address, unless its server stands at another one now."""
+        standing = self.entries_by_name.get(entry.name)
+        if standing is None or standing.address != entry.address:
+            return []
+        del self.entries_by_name[entry.name]
+        return [Departure(entry, reason)]
+
+    def _drop(self, name: str, reason: str, now_s: float) -> list[Departure]:
         self._missing.discard(name)
-        entry = self.entries_by_name.pop(name)
+        entry = self.listed_by_name.pop(name)
         self._departed_ms_by_name.pop(name, None)
         self._departed_ms_by_name[name] = entry.started_ms
         if len(self._departed_ms_by_name) > MAX_DEPARTED:
             del self._departed_ms_by_name[next(iter(self._departed_ms_by_name))]
-        return Departure(entry, reason)
+        self.addresses.remove(name)
+        return self._settle(entry.address, now_s, reason)
+
+
+def _describe(verdict: Verdict) -> str:
+    if verdict.entry is None:
+        return f"not used: {verdict.reason}"
+    return f"address taken over by {verdict.entry.name}: {verdict.reason}"
 
 
-__all__ = ["Departure", "ServerRegistry", "StoreContact", "TableState"]
+__all__ = ["Departure", "HolderChange", "ServerRegistry", "StoreContact", "TableState"]
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -310,7 +310,8 @@
         self._recorder.record_failure(self._life, attempt, failure)
         if not failure.sent:
             self._life.advance(Step.NOT_ACCEPTED)
-            self._tries.refusals += 1
+            # a server that was not asked refuses nothing; its entry is not used again at once
+            self._tries.refusals += not failure.misdirected
         if failure.reached:
             self._retry_or_fail(failure.outcome, now)
         elif self._tries.may_be_refused_again and now < self._give_up_s():
--- a/src/redwingbank/front/failures.py
+++ b/src/redwingbank/front/failures.py
@@ -13,13 +13,15 @@
 class Failure(NamedTuple):
     """Why an attempt has no answer; `sent` is true if the server may have run the request.
 
-    `reached` is false if no byte of the request was sent to the server.
+    `reached` is false if no byte of the request was sent to the server. `misdirected` is true if
+    another server than the one it was meant for turned it away.
     """
 
     outcome: Outcome
     sent: bool
     detail: str
     reached: bool = True
+    misdirected: bool = False
 
 
 CUT_SHORT = Failure(Outcome.CLOSED_EARLY, sent=True, detail="connection closed inside the stream")
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -148,7 +148,7 @@
             return False
         if not self.peers.listing.introduced(now_s()):
             return False
-        return bool(self.servers.entries_by_name) and self.tables.can_trust_keys(now_s())
+        return bool(self.servers.listed_by_name) and self.tables.can_trust_keys(now_s())
 
     @property
     def busy(self) -> bool:
--- a/src/redwingbank/front/store_handlers.py
+++ b/src/redwingbank/front/store_handlers.py
@@ -13,11 +13,12 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from redwingbank.front.directory import Departure
+    from redwingbank.front.directory import Departure, HolderChange
     from redwingbank.front.router import Router
     from redwingbank.front.store import Listing, WatchedChanges
     from redwingbank.front.values import ServerEntry
     from redwingbank.platform.objects import StoredObject
+    from redwingbank.routing.server_address import Evidence
 
 
 class TableHandler:
@@ -79,6 +80,8 @@
         self._router = router
         self._unreadable = UnreadableEntries(router.log, "server-unreadable", "server")
         router.freshness.on_server_news = self.handle_news
+        router.backends.on_identity = self.handle_identity
+        router.servers.on_holder_changed = self._log_holder
 
     def handle_listing(self, listing: Listing) -> None:
         """Replace the list of servers; entries that can't be decoded are left out."""
@@ -86,7 +89,7 @@
             self._router.servers.begin_era(now_s())
         gap_s = self._router.freshness.servers_age_s(listing.asked_s)
         self._router.versions.resume(gap_s, now_s())
-        known = self._router.servers.entries_by_name
+        known = self._router.servers.listed_by_name
         listed = {stored.name: self._decode(stored) for stored in listing.objects}
         self._unreadable.retain(listed)
         states = {name: entry for name, entry in listed.items() if entry != known.get(name)}
@@ -100,9 +103,11 @@
         self._router.servers.forget_held(listed)
         told = [self._believe(entry) for entry in listed.values() if entry]
         entries = [entry for entry in told if entry]
+        before = dict(self._router.servers.entries_by_name)
+        departures = self._router.servers.replace(entries, now_s())
         for entry in entries:
-            self._register(entry)
-        self._handle_departures(self._router.servers.replace(entries, now_s()))
+            self._register(entry, before.get(entry.name))
+        self._handle_departures(departures)
         self._router.freshness.confirm_servers(listing.asked_s)
 
     def handle_changes(self, watched: WatchedChanges) -> None:
@@ -130,7 +135,10 @@
     def handle_news(self, news: News) -> None:
         """Apply changes that a relay sent."""
         self._router.versions.note(news.written, now_s())
-        states: dict[str, ServerEntry | None] = {entry.name: entry for entry in news.written}
+        # hosts of earlier releases also tell of entries without a start
+        states: dict[str, ServerEntry | None] = {
+            entry.name: entry if entry.started_ms else None for entry in news.written
+        }
         for name in states:
             self._unreadable.forget(name)
         self._apply(states | dict.fromkeys(news.removed), news.until)
@@ -147,17 +155,24 @@
             entry = self._believe(told)
             if entry is None:
                 continue
-            if name not in servers.entries_by_name:
+            if name not in servers.listed_by_name:
                 self._router.log.essential(
                     "server-listed",
                     server=name,
                     pool=entry.pool,
                     address=str(entry.address),
                     version=entry.version,
+                    started_ms=entry.started_ms,
                     store_revision=revision,
                 )
-            self._register(entry)
-            self._handle_departures(servers.upsert(entry))
+            before = servers.entries_by_name.get(name)
+            departures = servers.upsert(entry, now_s())
+            self._register(entry, before)
+            self._handle_departures(departures)
+
+    def handle_identity(self, evidence: Evidence) -> None:
+        """Apply what a server's answer tells of who it is."""
+        self._handle_departures(self._router.servers.record_evidence(evidence, now_s()))
 
     def handle_loss(self, reason: str) -> None:
         """Record that the store is unreachable, so that missing entries may have lapsed."""
@@ -190,13 +205,31 @@
         deleted = name not in self._unreadable
         self._handle_departures(servers.remove(name, now_s(), deleted=deleted))
 
-    def _register(self, entry: ServerEntry) -> None:
-        """Register an entry; a new start time under its name means that the server was down."""
-        known = self._router.servers.entries_by_name.get(entry.name)
-        if known and known.started_ms != entry.started_ms:
+    def _register(self, entry: ServerEntry, before: ServerEntry | None) -> None:
+        """Register an entry that stands at its address, in place of the one before of its name.
+
+        Another start time means that the server was down.
+        """
+        if entry.name not in self._router.servers.entries_by_name:
+            return
+        if before and before.started_ms != entry.started_ms:
             self._router.poison.server_down(entry.name, now_s())
         self._router.backends.get_or_create(entry)
 
+    def _log_holder(self, change: HolderChange) -> None:
+        """Log which entry gave way to which at an address, and why."""
+        before, after = change.before, change.after
+        self._router.metrics.count("address_changes_total", reason=change.reason.name.lower())
+        self._router.log.essential(
+            "address-holder",
+            server=after.name if after else "",
+            started_ms=after.started_ms if after else 0,
+            address=str(change.address),
+            before=before.name if before else "",
+            reason=change.reason,
+            rivals=change.rivals,
+        )
+
     def _decode(self, stored: StoredObject) -> ServerEntry | None:
         try:
             entry = decode_server(stored.name, stored.content)
--- a/src/redwingbank/platform/directory.py
+++ b/src/redwingbank/platform/directory.py
@@ -84,7 +84,8 @@
             data_centre=read_text(content.get("zone", "")),
             slots=read_integer(content["slots"], 1, MAX_SLOTS),
             draining=DRAINING_BY_STATE[read_name(content["state"])],
-            started_ms=read_integer(content.get("born", 0)),
+            # tells which start stands at the address; servers never leave it out
+            started_ms=read_integer(content["born"], 1),
             version=_optional_text(content.get("version")),
             spot=content.get("spot") is True,
             leaves_s=_optional_seconds(content.get("leaves_ms")),
--- a/src/redwingbank/platform/headers.py
+++ b/src/redwingbank/platform/headers.py
@@ -33,6 +33,7 @@
 
 REQUEST_ID = b"request-id"
 SERVER_STAMP = b"server-stamp"
+INSTANCE_ID = b"instance-id"
 NOT_EXECUTED = b"not-executed"
 LAST_EVENT_ID = b"last-event-id"
 CONNECTION = b"connection"
@@ -116,6 +117,7 @@
     unused connection open. `statements` are what the server says of itself, one of each kind.
     `load` is None if the server states none or an unreadable one; the latter sets
     `load_unreadable`. `error_code` is that of another host's own error, 0 if it names none.
+    `server` is the name by which the server calls itself, empty if it names none.
     """
 
     request_id: str
@@ -128,6 +130,7 @@
     load: StatedLoad | None = None
     load_unreadable: bool = False
     error_code: int = 0
+    server: str = ""
 
 
 class Credentials(NamedTuple):
@@ -269,6 +272,7 @@
         load=load,
         load_unreadable=stated is not None and load is None,
         error_code=int(code) if COUNT.fullmatch(code) else 0,
+        server=by_name.get(INSTANCE_ID, b"").decode("latin-1"),
     )
 
 
--- a/src/redwingbank/rules/store_order.py
+++ b/src/redwingbank/rules/store_order.py
@@ -99,16 +99,14 @@
     DRAINED = auto()
     DEPARTED = auto()
     EARLIER_START = auto()
-    ADDRESS_TAKEN = auto()
 
 
-# A start that drains never takes requests again, nor one whose address a later one has. The others
-# are believed if they are listed still when the entry of a server that is gone would have lapsed.
+# A start that drains never takes requests again. The others are believed if they are listed still
+# when the entry of a server that is gone would have lapsed.
 HOLD_S_BY_DOUBT = {
     Doubt.DRAINED: float("inf"),
     Doubt.DEPARTED: LAPSE_S,
     Doubt.EARLIER_START: LAPSE_S,
-    Doubt.ADDRESS_TAKEN: float("inf"),
 }
 
 
@@ -116,15 +114,12 @@
     told: Start,
     known: Start | None = None,
     departed_ms: int | None = None,
-    neighbour_ms: int | None = None,
 ) -> Doubt:
     """Return what speaks against an entry in a list that may be a copy.
 
-    `known` is the start in use under its name, `departed_ms` the latest start that was dropped,
-    and `neighbour_ms` the start of another server that is known at its address.
+    `known` is the start that is listed under its name, and `departed_ms` the latest start that was
+    dropped.
     """
-    if neighbour_ms is not None and neighbour_ms > told.started_ms:
-        return Doubt.ADDRESS_TAKEN
     if known is None:
         departed = departed_ms is not None and told.started_ms <= departed_ms
         return Doubt.DEPARTED if departed else Doubt.NONE
--- a/tests/steps/front_directory.py
+++ b/tests/steps/front_directory.py
@@ -85,17 +85,17 @@
 
 @when('the store reports "{name}" draining')
 def draining(context, name):
-    context.servers.upsert(listed(name, draining=True))
+    context.servers.upsert(listed(name, draining=True), 9.0)
 
 
 @when('the store reports "{name}" written at the address of "{other}"')
 def written_over(context, name, other):
-    context.servers.upsert(listed(name, address=other))
+    context.servers.upsert(listed(name, address=other), 10.0)
 
 
 @when('the store reports "{name}" written')
 def written(context, name):
-    context.servers.upsert(listed(name))
+    context.servers.upsert(listed(name), 10.0)
 
 
 @then('the server list holds "{names}" at {at:g} s')
--- /dev/null
+++ b/tests/steps/front_server_addresses.py
@@ -0,0 +1,149 @@
+"""Steps of front/server_addresses.feature."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+
+from behave import then, when
+
+from front_rig import Rig, entry, run_scenario
+from redwingbank.ctl.explain import as_text, find_decisions
+from redwingbank.ctl.records import parse_records
+from redwingbank.ctl.timeline_merge import merge
+
+LIVE_MS, DEAD_MS, LATER_MS = 500, 200, 900
+REQUESTS = 12
+# so many hosts that some read the list from relays
+LARGE_FLEET = 16
+DENIALS_LOGGED = {"address-holder", "server-unreadable"}
+
+
+class AddressRig(Rig):
+    """A rig with three live servers, whose addresses other entries name, too."""
+
+    def __init__(self, modes=("ok", "ok", "ok")):
+        super().__init__(modes=modes)
+        for server in self.backend_servers:
+            server.started_ms = LIVE_MS
+
+    async def put_rivals(self, started_ms):
+        for name, address in self.addresses.items():
+            rival = entry(address, started_ms=started_ms)
+            if not started_ms:
+                del rival["born"], rival["version"]
+            await self.store.put("servers", f"z-{name}", rival)
+        await asyncio.sleep(0.3)
+
+    async def lapse(self):
+        for name in self.addresses:
+            await self.store.delete("servers", f"z-{name}")
+        await asyncio.sleep(0.3)
+
+
+TROUBLE = {
+    "the store lists dead starts that then lapse": (DEAD_MS, True),
+    "late writes of dead starts land and then lapse": (DEAD_MS, True),
+    "entries of another writer tell no start": (0, False),
+    "entries of another writer tell a later start": (LATER_MS, False),
+}
+
+
+async def starting_host(rig, spoil):
+    await spoil()
+    front, _ = await rig.add_host("edge-2")
+    return front
+
+
+async def running_host(rig, spoil):
+    await spoil()
+    return rig.front
+
+
+async def relayed_host(rig, spoil):
+    fronts = await rig.start_hosts(LARGE_FLEET)
+    await rig.until(
+        lambda: any(front.router.freshness.server_wait_s() is None for front in fronts)
+    )
+    await spoil()
+    return next(front for front in fronts if front.router.freshness.server_wait_s() is None)
+
+
+HOST = {
+    "a host that starts": starting_host,
+    "a host that runs": running_host,
+    "a host that reads from relays": relayed_host,
+}
+
+
+@when("{host} serves 12 requests while {trouble}")
+def serve(context, host, trouble):
+    started_ms, lapses = TROUBLE[trouble]
+    context.rig = rig = AddressRig()
+
+    async def scenario(rig):
+        front = await HOST[host](rig, lambda: rig.put_rivals(started_ms))
+        if lapses:
+            await rig.lapse()
+        return [
+            (await rig.ask("single", request_id=f"r-{number}", front=front)).status
+            for number in range(REQUESTS)
+        ]
+
+    context.statuses = run_scenario(rig, scenario)
+
+
+@then("each of them is answered with 200, and the log tells which entry stands")
+def all_served(context):
+    assert context.statuses == [200] * REQUESTS, context.statuses
+    assert DENIALS_LOGGED & {line["event"] for line in context.rig.lines}
+
+
+@when("an operator asks why a request reached a server whose address another entry names")
+def explain_request(context):
+    context.rig = rig = AddressRig(modes=["ok"])
+
+    async def scenario(rig):
+        await rig.put_rivals(LATER_MS)
+        await rig.ask("single", request_id="r-explained")
+        rig.front.router.log.flush()
+
+    run_scenario(rig, scenario)
+    lines = [json.dumps(line) for line in rig.lines]
+    timeline = merge(parse_records(lines).records)
+    context.explanation = as_text("r-explained", find_decisions("r-explained", timeline))
+
+
+@then('the explanation tells "{first}" and later "{second}"')
+def explanation_tells(context, first, second):
+    text = context.explanation
+    assert -1 < text.find(first) < text.find(second), text
+
+
+@when("another server starts at an address, and its entry comes 0.5 s later")
+def renamed(context):
+    context.rig = rig = AddressRig()
+
+    async def scenario(rig):
+        server = rig.backend_servers[0]
+        server.name = "i-9"
+        for number in range(20):
+            assert (await rig.ask("single", request_id=f"r-{number}")).status == 200
+            await asyncio.sleep(0.02)
+        context.denied = sum(
+            one.headers_by_name["expect-instance"] == "i-1" for one in server.arrivals
+        )
+        listed = entry(rig.addresses["i-1"], started_ms=LATER_MS)
+        await rig.store.put("servers", "i-9", listed)
+        await rig.until(lambda: "i-9" in rig.front.router.servers.entries_by_name)
+        for number in range(20, 40):
+            assert (await rig.ask("single", request_id=f"r-{number}")).status == 200
+        context.served = len(server.runs)
+
+    run_scenario(rig, scenario)
+
+
+@then("at most 1 request of 20 reaches it for its former name, and it serves when it is listed")
+def denied_once(context):
+    assert context.denied <= 1, context.denied
+    assert context.served > 0
--- a/tests/steps/front_store_eras.py
+++ b/tests/steps/front_store_eras.py
@@ -213,7 +213,7 @@
     context.servers = ServerRegistry()
     for one in HISTORY[known]:
         if one:
-            context.servers.upsert(one)
+            context.servers.upsert(one, 1.0)
         else:
             context.servers.remove("a", 5.0)
     context.servers.begin_era(10.0)
@@ -227,7 +227,7 @@
 
 def apply(context, at_s):
     if believed := context.servers.believe(context.told, at_s):
-        context.servers.upsert(believed)
+        context.servers.upsert(believed, at_s)
 
 
 @then('"a" may be sent to {later:g} s later: {used}')
@@ -236,7 +236,7 @@
     apply(context, at_s)
     servers.expire(at_s)
     for one in servers.pop_due(at_s):
-        servers.upsert(one)
+        servers.upsert(one, at_s)
     assert ("a" in {one.name for one in servers.usable("pool")}) == (used == "yes")
 
 
--- /dev/null
+++ b/tests/steps/routing_server_address.py
@@ -0,0 +1,90 @@
+"""Steps of routing/server_address.feature."""
+
+from __future__ import annotations
+
+import itertools
+
+from behave import then, when
+
+from redwingbank.front.directory import ServerRegistry
+from redwingbank.front.values import ServerEntry
+from redwingbank.routing.server_address import (
+    RETRY_S,
+    AddressBook,
+    AnsweredAs,
+    Misdirected,
+    StartTold,
+)
+from redwingbank.settings import Address
+
+PLACE = Address("10.0.0.9", 80)
+
+
+def listed(text):
+    name, _, started_ms = text.partition("@")
+    return ServerEntry(name, "pool", PLACE, "a", 4, False, int(started_ms))
+
+
+class History:
+    """Events at one address, one a millisecond."""
+
+    def __init__(self):
+        self.book, self.at_s, self.entry_by_name = AddressBook(), 0.0, {}
+
+    def play(self, event):
+        self.at_s += 0.001
+        verb, _, rest = event.partition(" ")
+        getattr(self, verb)(*rest.split())
+
+    def list(self, text):
+        entry = listed(text)
+        self.entry_by_name[entry.name] = entry
+        self.book.put(entry, self.at_s)
+
+    def remove(self, name):
+        self.book.remove(name)
+
+    def run(self, name):
+        self.book.record(AnsweredAs(self.entry_by_name[name], self.at_s), self.at_s)
+
+    def deny(self, name):
+        self.named("", "by", name)
+
+    def named(self, named, _, name):
+        self.book.record(Misdirected(self.entry_by_name[name], named, self.at_s), self.at_s)
+
+    def told(self, started_ms):
+        self.book.record(StartTold(PLACE, int(started_ms), self.at_s), self.at_s)
+
+    def wait(self):
+        self.at_s += RETRY_S
+
+
+@when("these events follow each other at one address: {events}")
+def play_events(context, events):
+    history = History()
+    for event in events.split(", "):
+        history.play(event)
+    context.verdict = history.book.find_holder(PLACE, history.at_s)
+
+
+@then('"{name}" stands there, since: {why}')
+@then('"" stands there, since: {why}')
+def stands(context, why, name=""):
+    entry, found = context.verdict
+    assert (entry.name if entry else "", found) == (name, why), context.verdict
+
+
+@when('a list of servers holds "{texts}" at one address, in each order')
+def list_in_each_order(context, texts):
+    context.used = []
+    for order in itertools.permutations(texts.split()):
+        servers = ServerRegistry()
+        servers.replace([listed(text) for text in order], 1.0)
+        context.used.append([entry.name for entry in servers.usable("pool")])
+        assert len(servers.listed_by_name) == len(order)
+
+
+@then('"{name}" is used each time')
+def used_each_time(context, name):
+    assert all(used == [name] for used in context.used), context.used
