--- a/src/redwingbank/front/directory.py
+++ b/src/redwingbank/front/directory.py
@@ -6,7 +6,14 @@
 
 from redwingbank.routing.server_address import AddressBook
 from redwingbank.routing.server_leaving import LeavingBook
-from redwingbank.rules.store_order import HOLD_S_BY_DOUBT, SETTLE_S, Doubt, Start, find_doubt
+from redwingbank.rules.store_order import (
+    DOUBTS_ALWAYS,
+    HOLD_S_BY_DOUBT,
+    SETTLE_S,
+    Doubt,
+    Start,
+    find_doubt,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Container, Iterable
@@ -168,17 +175,22 @@
         self._era_began_s = now_s
 
     def believe(self, entry: ServerEntry, now_s: float) -> ServerEntry | None:
-        """Return the entry to use for one that the store tells, None if it is held back."""
+        """Return the entry to use for one that the store tells, None if it is held back.
+
+        An earlier start than the one known under the name may come of a write that was held up.
+        """
         held = self._held_by_name.get(entry.name)
         known = self.listed_by_name.get(entry.name)
         if not (held and held.entry == entry and now_s < held.until_s):
             self._held_by_name.pop(entry.name, None)
-            settles = self._settles(now_s)
-            doubt = self._find_doubt(entry, known) if settles else Doubt.NONE
+            doubt = self._find_doubt(entry, known)
+            if doubt not in DOUBTS_ALWAYS and not self._settles(now_s):
+                doubt = Doubt.NONE
             if doubt is Doubt.NONE:
                 return entry
             self._held_by_name[entry.name] = _Held(entry, now_s + HOLD_S_BY_DOUBT[doubt])
-        return known if known and known.started_ms == entry.started_ms else None
+        stays = known and (known.started_ms == entry.started_ms or not self._settles(now_s))
+        return known if stays else None
 
     def pop_due(self, now_s: float) -> list[ServerEntry]:
         """Remove and return held entries that the store has listed for so long that they count."""
@@ -188,8 +200,7 @@
         return [
             entry
             for entry in due
-            if self._find_doubt(entry, self.listed_by_name.get(entry.name))
-            in {Doubt.NONE, Doubt.DEPARTED}
+            if self._find_doubt(entry, self.listed_by_name.get(entry.name)) is not Doubt.DRAINED
         ]
 
     def forget_held(self, listed: Container[str]) -> None:
--- a/src/redwingbank/rules/store_order.py
+++ b/src/redwingbank/rules/store_order.py
@@ -93,7 +93,7 @@
 
 
 class Doubt(Enum):
-    """Why an entry that the store tells early in an era is not believed yet."""
+    """Why an entry that the store tells is not believed yet, most often early in an era."""
 
     NONE = auto()
     DRAINED = auto()
@@ -108,6 +108,8 @@
     Doubt.DEPARTED: LAPSE_S,
     Doubt.EARLIER_START: LAPSE_S,
 }
+# A write that was held up tells of an earlier start at any time, not only early in an era.
+DOUBTS_ALWAYS = frozenset({Doubt.EARLIER_START})
 
 
 def find_doubt(
@@ -130,6 +132,7 @@
 
 
 __all__ = [
+    "DOUBTS_ALWAYS",
     "HOLD_S_BY_DOUBT",
     "SETTLE_S",
     "Doubt",
--- a/tests/routing/server_address.feature
+++ b/tests/routing/server_address.feature
@@ -49,3 +49,9 @@
       | z@5 b@9       | b      |
       | a@5 b@9 c@9   | c      |
       | z@0 a@5       | a      |
+
+  # the entry of a dead start replaced that of the live one, whose streams could not go on there
+  Scenario: a write that was held up does not bring an earlier start of the same name back
+    Given a server "a" that started at 9
+    When the store tells that "a" started at 5
+    Then "a" started at 9, and at 5 only if that is listed for 6 s more
--- a/tests/steps/routing_server_address.py
+++ b/tests/steps/routing_server_address.py
@@ -4,7 +4,7 @@
 
 import itertools
 
-from behave import then, when
+from behave import given, then, when
 
 from redwingbank.front.directory import ServerRegistry
 from redwingbank.front.values import ServerEntry
@@ -88,3 +88,27 @@
 @then('"{name}" is used each time')
 def used_each_time(context, name):
     assert all(used == [name] for used in context.used), context.used
+
+
+@given('a server "a" that started at {started_ms:d}')
+def known_start(context, started_ms):
+    context.servers = ServerRegistry()
+    context.servers.replace([listed(f"a@{started_ms}")], 0.0)
+
+
+@when('the store tells that "a" started at {started_ms:d}')
+def told_start(context, started_ms):
+    context.told = listed(f"a@{started_ms}")
+    context.believed = context.servers.believe(context.told, 1.0)
+
+
+@then(
+    '"a" started at {known_ms:d}, and at {told_ms:d} only if that is listed for {more_s:d} s more'
+)
+def start_in_use(context, known_ms, told_ms, more_s):
+    servers = context.servers
+    assert context.believed.started_ms == known_ms
+    assert servers.believe(context.told, 1.1).started_ms == known_ms
+    assert not servers.pop_due(2.0)
+    assert [entry.started_ms for entry in servers.usable("pool")] == [known_ms]
+    assert [entry.started_ms for entry in servers.pop_due(1.0 + more_s)] == [told_ms]
