--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -16,6 +16,7 @@
 from redwingbank.platform.headers import decode_answer
 from redwingbank.routing.server_address import AnsweredAs, Misdirected, StartTold
 from redwingbank.rules.answer_memory import KeptBytes
+from redwingbank.rules.answer_proof import AnswerKind, classify_answer
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -137,6 +138,14 @@
         """Whether the end of the answer is marked, not only by the end of the connection."""
         return self._head is None or self._head.sized
 
+    @property
+    def answer_kind(self) -> AnswerKind:
+        """What a whole answer tells of crashes, by its head."""
+        if self._head is None or self._facts is None:
+            return AnswerKind.BROKEN
+        facts = self._facts
+        return classify_answer(self._head.status, stamped=facts.stamped, not_run=facts.not_run)
+
     @property
     def begun(self) -> bool:
         """Whether anything of the answer has arrived."""
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -12,7 +12,6 @@
 from redwingbank.front.admission import build_needs, build_request, longest_wait_s
 from redwingbank.front.attempt import (
     FIRST_SERVER_ERROR,
-    STATUS_LAST_SUCCESS,
     STATUS_OK,
     is_event_stream,
 )
@@ -259,7 +258,7 @@
             assert self._binding
             self._binding.events_received(attempt)
             now = now_s()
-            self._watch.event_received(now)
+            self._watch.event_received(attempt.backend, now)
             pause_s = self._stream.send_events(complete, now)
             if pause_s is not None:
                 attempt.backend.load.event_received(pause_s, now)
@@ -281,7 +280,7 @@
             self._answer.end_stream()
             if self._binding:
                 self._binding.finish()
-            self._watch.answered()
+            self._watch.answered(attempt.backend, attempt.answer_kind, now_s())
             self._recorder.record_answer(self._life, STATUS_OK)
             self._close()
 
@@ -453,8 +452,7 @@
         self._life.advance(Step.ANSWER)
         self._life.advance(Step.FINISH)
         now = now_s()
-        if status <= STATUS_LAST_SUCCESS:
-            self._watch.answered()
+        self._watch.answered(attempt.backend, attempt.answer_kind, now)
         if status < FIRST_SERVER_ERROR:
             attempt.backend.breaker.record_success(self._life.request_id, self._holder.sent_s, now)
         else:
--- a/src/redwingbank/front/poison.py
+++ b/src/redwingbank/front/poison.py
@@ -5,6 +5,7 @@
 import hashlib
 from typing import TYPE_CHECKING, NamedTuple
 
+from redwingbank.rules.answer_proof import PROOF_BY_KIND, proved_traits
 from redwingbank.rules.common_cause import CrashGroups
 from redwingbank.rules.crash_causes import CrashCauses, LostRun
 
@@ -14,6 +15,7 @@
     from redwingbank.decisions import DecisionLog
     from redwingbank.front.values import PromptPart
     from redwingbank.intake.body import RequestBody
+    from redwingbank.rules.answer_proof import AnswerKind
 
 # Within this time a crashed server becomes unreachable or its entry is removed from the store.
 CRASH_DETECTION_S = 3.0
@@ -43,8 +45,8 @@
 
     The traits of a request are its fingerprint, which stands for its path, organisation and body,
     and the fingerprints of the shared parts of its prompt; `CrashCauses` decides which of them
-    are blocked. A lost answer counts as a crash once its server is known to be down. A complete
-    answer, or one that goes on for a while, clears the traits of its request. `broadcast` sends
+    are blocked. A lost answer counts as a crash once its server is known to be down. An answer
+    clears the traits that it proves harmless (`rules.answer_proof`). `broadcast` sends
     crashes and clearances to the other hosts; `on_blocked` and `on_cleared` receive the traits
     that this host blocked or cleared, `on_cleared_elsewhere` those that another host cleared.
 
@@ -99,17 +101,44 @@
                 )
                 self._broadcast(news)
 
-    def answered(self, traits: tuple[str, ...]) -> None:
-        """Clear the traits of a request whose answer shows that it crashes no server."""
-        for trait in self.causes.clear(traits):
+    def answered(
+        self, traits: tuple[str, ...], kind: AnswerKind, server: str, now_s: float
+    ) -> None:
+        """Clear the traits of a request that an answer proves to crash no server."""
+        proved = proved_traits(kind, traits)
+        for trait in traits[len(proved) :]:
+            if self.causes.knows(trait) and self._log:
+                self._log.detail(
+                    "crash-kept",
+                    fingerprint=trait,
+                    in_a_row=self.causes.count_in_a_row(trait),
+                    answer=kind.name.lower(),
+                    server=server,
+                    reason=PROOF_BY_KIND[kind].reason,
+                )
+        for trait in filter(self.causes.knows, proved):
+            self._clear(trait, now_s, answer=kind.name.lower(), server=server)
             self._broadcast(CrashNews(trait, cleared=True))
             if self.on_cleared:
                 self.on_cleared(trait)
 
+    def _clear(self, trait: str, now_s: float, **source: str) -> None:
+        """Clear a trait; log what was counted against it, and what shows that it is harmless."""
+        if self._log:
+            self._log.essential(
+                "crash-cleared",
+                fingerprint=trait,
+                in_a_row=self.causes.count_in_a_row(trait),
+                blocked=bool(self.find_blocked((trait,), now_s)),
+                **source,
+            )
+        self.causes.clear((trait,))
+
     def handle_crash_news(self, news: CrashNews, now_s: float) -> None:
         """Apply a crash or clearance reported by another host."""
         if news.cleared:
-            self.causes.unblock(news.fingerprint)
+            if self.causes.knows(news.fingerprint):
+                self._clear(news.fingerprint, now_s, answer="told by another host")
             if self.on_cleared_elsewhere:
                 self.on_cleared_elsewhere(news.fingerprint)
             return
--- a/src/redwingbank/front/run_watch.py
+++ b/src/redwingbank/front/run_watch.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from redwingbank.model import Outcome
+from redwingbank.rules.answer_proof import AnswerKind, classify_failure, proved_traits
 
 if TYPE_CHECKING:
     from redwingbank.front.backends import Backend
@@ -21,8 +22,8 @@
 class RunWatch:
     """Reports the runs of a request to the poison tracker: lost, or proved harmless.
 
-    A run proves that its request crashes no server by a complete answer, or by events over more
-    than `SURVIVAL_S`. The loss of such a run is not counted against the request.
+    `rules.answer_proof` tells what an answer proves harmless, as do events over more than
+    `SURVIVAL_S`. The loss of a run that proved itself harmless is not counted.
     """
 
     def __init__(
@@ -48,17 +49,18 @@
         """Record that the request was sent to a server."""
         self._sent_s, self._began_s, self._harmless = now_s, None, False
 
-    def event_received(self, now_s: float) -> None:
+    def event_received(self, backend: Backend, now_s: float) -> None:
         """Record complete events of a streamed answer."""
         if self._began_s is None:
             self._began_s = now_s
         elif not self._harmless and now_s - self._began_s > SURVIVAL_S:
-            self.answered()
+            self.answered(backend, AnswerKind.EVENTS, now_s)
 
-    def answered(self) -> None:
-        """Record that the run proved harmless."""
-        self._harmless = True
-        self._poison.answered(self._traits)
+    def answered(self, backend: Backend, kind: AnswerKind, now_s: float) -> None:
+        """Record a whole answer, or events that go on."""
+        proved = proved_traits(kind, self._traits)
+        self._harmless = self._harmless or len(proved) == len(self._traits)
+        self._poison.answered(self._traits, kind, backend.entry.name, now_s)
 
     def failed(self, backend: Backend, failure: Failure, now_s: float) -> None:
         """Record a failed attempt, which may show that the server has crashed."""
@@ -69,7 +71,10 @@
                 self._probes.start(backend)
             else:
                 self._poison.server_down(server, now_s)
-        elif failure.sent and failure.outcome in POSSIBLE_CRASHES and not self._harmless:
+            return
+        if failure.reached:
+            self._poison.answered(self._traits, classify_failure(failure.outcome), server, now_s)
+        if failure.sent and failure.outcome in POSSIBLE_CRASHES and not self._harmless:
             self._poison.answer_lost(server, self._traits, self._sent_s, now_s)
             self._probes.start(backend)
 
--- a/src/redwingbank/rules/crash_causes.py
+++ b/src/redwingbank/rules/crash_causes.py
@@ -97,6 +97,10 @@
             self._explain(counted.crash, known)
         return self._block_causes(run.traits, now_s)
 
+    def knows(self, trait: str) -> bool:
+        """Whether crashes are counted against a trait, or it is blocked."""
+        return trait in self._runs_by_trait or trait in self._blocked_until_s_by_trait
+
     def clear(self, traits: tuple[str, ...]) -> list[str]:
         """Clear the traits of a run that proved harmless; return those that had been counted."""
         return [trait for trait in traits if self._forget(trait)]
--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -22,6 +22,8 @@
 EVENTS_PER_STREAM = 4
 REPORT_TARGET = "/api/report"
 HANG_S = 60.0
+# more than a host buffers of an answer
+LARGE_BYTES = 300_000
 STATUS_BY_REFUSAL = {"shed": 503, "limited": 429}
 
 
@@ -60,17 +62,17 @@
 
     The response to a HEAD request is the head alone.
 
-    Modes with a single response: ok, error, shed, lost, garbage, unsigned, foreign, extra, cut,
-    unsized, unsized-reset, encoded. Modes with a stream: stream, broken (reset in the middle of
-    the third event), repeated (the third event comes twice at once), endless, and three without a
-    length: unsized-stream, unsized-broken (closed in the middle of the third event), unsized-empty
-    (closed after the head). In modes endless-line, endless-headers, endless-interim and endless-
-    trailers the head or the trailers go on until the peer closes, after 64 MB at most;
-    `flood_bytes` counts them. In mode hang no response is sent. Refusals (shed, limited) bear no
-    id. A server in mode stream crashes in the first event of each answer to a prompt with the
-    shared part `crash_part`. While `named_limit` is not empty, the heads of all its responses name
-    it as the requests a second that the server takes. So it is with `leaving`, which reports tell
-    too, and with `rest`, the seconds to come back after.
+    Modes with a single response: ok, error, large-error, missing, shed, lost, garbage, unsigned,
+    foreign, extra, cut, unsized, unsized-reset, encoded. Modes with a stream: stream, broken
+    (reset in the middle of the third event), repeated (the third event comes twice at once),
+    endless, and three without a length: unsized-stream, unsized-broken (closed in the middle of
+    the third event), unsized-empty (closed after the head). In modes endless-line,
+    endless-headers, endless- interim and endless-trailers the head or the trailers go on until the
+    peer closes, after 64 MB at most; `flood_bytes` counts them. In mode hang no response is sent.
+    Refusals (shed, limited) bear no id. A server in mode stream crashes in the first event of each
+    answer to a prompt with the shared part `crash_part`. While `named_limit` is not empty, the
+    heads of all its responses name it as the requests a second that the server takes. So it is
+    with `leaving`, which reports tell too, and with `rest`, the seconds to come back after.
 
     Events name the server and, unless it is empty, the `version` of its software. A report tells
     the time of the server's start, `started_ms`. While `hides_start` is set, it tells none; while
@@ -301,6 +303,12 @@
 _RESPONSE_BY_MODE = {
     "ok": _Response(_head(200, STAMP_HEADER, _CONTENT_LENGTH), b"whole", keep_alive=True),
     "error": _Response(_head(500, STAMP_HEADER, _CONTENT_LENGTH), b"fault", keep_alive=True),
+    "large-error": _Response(
+        _head(500, STAMP_HEADER, b"Content-Length: %d\r\n" % LARGE_BYTES),
+        b"x" * LARGE_BYTES,
+        keep_alive=True,
+    ),
+    "missing": _Response(_head(404, STAMP_HEADER, _CONTENT_LENGTH), b"no...", keep_alive=True),
     "lost": _Response(b"", b"", reset=True),
     "garbage": _Response(b"", b"no answer at all\r\n\r\n"),
     "unsigned": _Response(_head(200, _CONTENT_LENGTH), b"whole"),
--- a/tests/front/poison.feature
+++ b/tests/front/poison.feature
@@ -25,6 +25,20 @@
     And server "i-3" crashes with a request like "f"
     Then "f" is not blocked
 
+  # review/7: three crashes of single servers blocked a lookup that others answered with 404
+  Scenario Outline: <answers> between crashes of single servers leave a request <end>
+    Given a front whose servers crash in turn under a request, and else answer with "<answers>"
+    When each of 4 servers crashes once under that request, with answers in between
+    Then the request is <end> then, and the log tells of each answer what it proves
+
+    Examples:
+      | answers     | end     |
+      | ok          | served  |
+      | missing     | served  |
+      | error       | blocked |
+      | large-error | blocked |
+      | shed        | blocked |
+
   Scenario: an answer lost by a server that stays up is no crash
     Given a host that tracks crashes
     When servers "i-1 i-2 i-3 i-4" lose the answer to a request like "f" and stay up
--- a/tests/steps/front_poison.py
+++ b/tests/steps/front_poison.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import time
 from random import Random
@@ -20,6 +21,7 @@
 from redwingbank.front.poison import CrashNews, PoisonTracker
 from redwingbank.front.store import Listing, StoreError, WatchedChanges
 from redwingbank.platform.objects import Change, StoredObject
+from redwingbank.rules.answer_proof import AnswerKind
 
 START_S = 100.0
 GAP_S = 1.0
@@ -73,6 +75,46 @@
     assert term - 2 < context.left_s <= term, context.left_s
 
 
+@given('a front whose servers crash in turn under a request, and else answer with "{answers}"')
+def crash_in_between(context, answers):
+    context.rig = Rig(modes=[answers] * 6)
+
+
+@when("each of {count:d} servers crashes once under that request, with answers in between")
+def crash_with_answers_between(context, count):
+    async def scenario(rig):
+        numbers = itertools.count()
+
+        async def ask_for(server):
+            """Ask until a server has the request, thrice after that."""
+            before, left = len(server.runs), 3
+            known = rig.front.router.servers.entries_by_name
+            while left and not rig.front.router.poison.causes.blocked(now_s()):
+                await rig.ask("read", request_id=f"r-{next(numbers)}")
+                if len(server.runs) > before and server.mode == "lost":
+                    await rig.store.delete("servers", server.name)
+                    await rig.until(lambda: server.name not in known)
+                    server.mode = "gone"
+                left -= server.mode == "gone"
+
+        for server in rig.backend_servers[:count]:
+            server.mode = "lost"
+            await ask_for(server)
+        context.answer = await rig.ask("read", request_id="r-last")
+
+    run_scenario(context.rig, scenario)
+
+
+@then("the request is {end} then, and the log tells of each answer what it proves")
+def request_is(context, end):
+    refused = context.answer.status == 503 and b"1232" in context.answer.body
+    assert refused == (end == "blocked"), context.answer.raw
+    told = {"served": "crash-cleared", "blocked": "crash-kept"}[end]
+    lines = [line for line in context.rig.lines if line["event"] == told]
+    assert lines, {line["event"] for line in context.rig.lines}
+    assert all(line["answer"] and line["in_a_row"] > 0 for line in lines), lines
+
+
 @given("a front whose {count:d} servers crash with each request")
 def crashing(context, count):
     context.rig = Rig(modes=["lost"] * count)
@@ -168,7 +210,7 @@
 
 @when('a request like "{fingerprint}" is answered completely')
 def completed(context, fingerprint):
-    context.poison.answered((fingerprint,))
+    context.poison.answered((fingerprint,), AnswerKind.SUCCESS, "i-9", context.now_s)
 
 
 @when('another host reports that a request like "{fingerprint}" crashed its server')
