--- a/src/redwingbank/front/poison.py
+++ b/src/redwingbank/front/poison.py
@@ -21,15 +21,21 @@
 CRASH_DETECTION_S = 3.0
 # Old losses are dropped beyond this number of servers.
 MAX_LOST_SERVERS = 1000
+# A clearance is told again this often, and for so long.
+REPEAT_S = 1.0
+REPEAT_FOR_S = 10.0
+# News of a crash may take this much less time than those of a clearance that followed it.
+TRANSIT_S = 0.1
 FINGERPRINT_BYTES = 12
 PART_FINGERPRINT_BYTES = 8
 
 
 class CrashNews(NamedTuple):
-    """A request crashed a server after running for `ran_s`, `ago_s` ago, or is `cleared`.
+    """A request crashed a server after running for `ran_s`, or proved harmless, `ago_s` ago.
 
-    `parts` are the fingerprints of its shared prompt parts, from the last to the first. The
-    fingerprint of a clearance is that of a request or of a part.
+    It is `cleared` in the second case, of all crashes before, and its fingerprint is that of a
+    request or of a part. `parts` are the fingerprints of its shared prompt parts, from the last to
+    the first.
     """
 
     fingerprint: str
@@ -69,6 +75,9 @@
         self._own_losses = CrashGroups()
         self._own_loss_by_server: dict[str, tuple[int, float]] = {}
         self._own_count = 0
+        # when this host's answers proved traits harmless that others may still count crashes of
+        self._proved_s_by_trait: dict[str, float] = {}
+        self._repeated_s = float("-inf")
 
     def find_blocked(self, traits: tuple[str, ...], now_s: float) -> str:
         """Return the trait for which a request must not be sent, or an empty string."""
@@ -117,30 +126,45 @@
                     reason=PROOF_BY_KIND[kind].reason,
                 )
         for trait in filter(self.causes.knows, proved):
-            self._clear(trait, now_s, answer=kind.name.lower(), server=server)
+            self._clear(trait, now_s, now_s, answer=kind.name.lower(), server=server)
+            self._proved_s_by_trait[trait] = now_s
             self._broadcast(CrashNews(trait, cleared=True))
             if self.on_cleared:
                 self.on_cleared(trait)
 
-    def _clear(self, trait: str, now_s: float, **source: str) -> None:
+    def expire(self, now_s: float) -> None:
+        """Tell recent clearances again, since hosts may be cut off; call it every 0.1 s or so."""
+        if now_s - self._repeated_s < REPEAT_S:
+            return
+        self._repeated_s = now_s
+        self._proved_s_by_trait = {
+            trait: proved_s
+            for trait, proved_s in self._proved_s_by_trait.items()
+            if now_s - proved_s <= REPEAT_FOR_S
+        }
+        for trait, proved_s in self._proved_s_by_trait.items():
+            self._broadcast(CrashNews(trait, cleared=True, ago_s=now_s - proved_s))
+
+    def _clear(self, trait: str, proved_s: float, now_s: float, **source: str) -> None:
         """Clear a trait; log what was counted against it, and what shows that it is harmless."""
-        if self._log:
+        crashes, blocked = self.causes.count_in_a_row(trait), self.find_blocked((trait,), now_s)
+        if self.causes.clear((trait,), proved_s) and self._log:
             self._log.essential(
                 "crash-cleared",
                 fingerprint=trait,
-                in_a_row=self.causes.count_in_a_row(trait),
-                blocked=bool(self.find_blocked((trait,), now_s)),
+                in_a_row=crashes,
+                blocked=bool(blocked),
                 **source,
             )
-        self.causes.clear((trait,))
 
     def handle_crash_news(self, news: CrashNews, now_s: float) -> None:
         """Apply a crash or clearance reported by another host."""
         if news.cleared:
-            if self.causes.knows(news.fingerprint):
-                self._clear(news.fingerprint, now_s, answer="told by another host")
-            if self.on_cleared_elsewhere:
-                self.on_cleared_elsewhere(news.fingerprint)
+            trait, proved_s = news.fingerprint, now_s - news.ago_s + TRANSIT_S
+            if self.causes.knows(trait):
+                self._clear(trait, proved_s, now_s, answer="told by another host")
+            if self.on_cleared_elsewhere and not self.find_blocked((trait,), now_s):
+                self.on_cleared_elsewhere(trait)
             return
         lost_s = now_s - news.ago_s
         traits = (news.fingerprint, *news.parts)
--- a/src/redwingbank/front/program.py
+++ b/src/redwingbank/front/program.py
@@ -156,7 +156,8 @@
             now = now_s()
             with router.barrier.confine("connections"):
                 self._check_connections(now)
-            for owner in (self._servers, self._blocks, router.backends, router.peers):
+            owners = (self._servers, self._blocks, router.poison, router.backends, router.peers)
+            for owner in owners:
                 with router.barrier.confine("expiry"):
                     owner.expire(now)
             with router.barrier.confine("limits"):
--- a/src/redwingbank/rules/crash_causes.py
+++ b/src/redwingbank/rules/crash_causes.py
@@ -23,6 +23,7 @@
 MAX_RUNS_PER_TRAIT = 16
 MAX_CRASHES = 1000
 MAX_BLOCKED = 1000
+ALWAYS_S = float("inf")
 
 
 class LostRun(NamedTuple):
@@ -78,6 +79,7 @@
         # when the last crash of the refuted evidence was
         self._refuted_s_by_trait: OrderedDict[str, float] = OrderedDict()
         self._blocked_until_s_by_trait: OrderedDict[str, float] = OrderedDict()
+        self._blocked_s_by_trait: dict[str, float] = {}
 
     def record(self, run: LostRun, now_s: float) -> list[str]:
         """Count a crash against the traits of a run; return the traits that are now blocked."""
@@ -101,16 +103,22 @@
         """Whether crashes are counted against a trait, or it is blocked."""
         return trait in self._runs_by_trait or trait in self._blocked_until_s_by_trait
 
-    def clear(self, traits: tuple[str, ...]) -> list[str]:
-        """Clear the traits of a run that proved harmless; return those that had been counted."""
-        return [trait for trait in traits if self._forget(trait)]
+    def clear(self, traits: tuple[str, ...], proved_s: float = ALWAYS_S) -> list[str]:
+        """Clear the traits of a run that proved harmless; return those that had been counted.
+
+        The proof is of `proved_s`, on the host's clock: later crashes stay, and a block if they
+        suffice for it, or if it is known without its crashes and came later.
+        """
+        return [trait for trait in traits if self._forget(trait, proved_s)]
 
     def block(self, trait: str, now_s: float, block_s: float = BLOCK_S) -> None:
         """Block a trait; the crashes that it was present at no longer count for others."""
         self._blocked_until_s_by_trait[trait] = now_s + block_s
+        self._blocked_s_by_trait[trait] = now_s
         self._refuted_s_by_trait.pop(trait, None)
         while len(self._blocked_until_s_by_trait) > MAX_BLOCKED:
-            self._blocked_until_s_by_trait.popitem(last=False)
+            dropped, _ = self._blocked_until_s_by_trait.popitem(last=False)
+            del self._blocked_s_by_trait[dropped]
         for counted in self._runs_by_trait.get(trait, ()):
             self._explain(counted.crash, trait)
 
@@ -140,6 +148,7 @@
         ]
         for trait in expired:
             del self._blocked_until_s_by_trait[trait]
+            del self._blocked_s_by_trait[trait]
             self._evidence_by_trait.pop(trait, None)
         return expired
 
@@ -267,14 +276,29 @@
             self._last_crash_by_server.popitem(last=False)
         return self._crashes
 
-    def _forget(self, trait: str) -> bool:
-        runs = self._runs_by_trait.pop(trait, None)
+    def _forget(self, trait: str, until_s: float = ALWAYS_S) -> bool:
+        """Forget the crashes up to a moment, and a block that they brought."""
+        if self._outlasts(trait, until_s):
+            return False
+        runs = self._runs_by_trait.pop(trait, [])
+        later = [one for one in runs if one.run.lost_s > until_s]
+        if later:
+            self._runs_by_trait[trait] = later
         blocked = self._blocked_until_s_by_trait.pop(trait, None)
+        self._blocked_s_by_trait.pop(trait, None)
         self._evidence_by_trait.pop(trait, None)
         if blocked is not None:
             for crash in [one for one, cause in self._cause_by_crash.items() if cause == trait]:
                 del self._cause_by_crash[crash]
-        return runs is not None or blocked is not None
+        return len(later) < len(runs) or blocked is not None
+
+    def _outlasts(self, trait: str, until_s: float) -> bool:
+        """Whether a trait stays blocked without the crashes up to a moment."""
+        evidence = self._evidence_by_trait.get(trait)
+        if evidence is None:
+            return self._blocked_s_by_trait.get(trait, until_s) > until_s
+        later = [one for one in evidence if one.run.lost_s > until_s]
+        return _count_in_a_row(later) >= CRASHES_TO_BLOCK
 
 
 def _narrower(trait: str, runs: list[_CountedRun]) -> set[str]:
--- a/tests/front/poison.feature
+++ b/tests/front/poison.feature
@@ -102,6 +102,30 @@
     When a request like "f" is answered completely
     Then "f" is not blocked at the other host
 
+  # an old clearance lifted the block of a request that had crashed three servers since
+  Scenario: a clearance that is heard late lifts no block for crashes after it
+    Given a host that tracks crashes
+    When servers "i-1 i-2 i-3" crash one after the other with a request like "f"
+    And another host tells that a request like "f" proved harmless 5 s ago
+    Then "f" is blocked
+    When another host tells that a request like "f" proved harmless 0 s ago
+    Then "f" is not blocked
+
+  # a host that had missed a clearance counted the crashes before it, and blocked the request
+  Scenario: a host that is cut off as a request is cleared hears of it when it is back
+    Given two hosts that track crashes
+    When servers "i-1 i-2" crash one after the other with a request like "f"
+    And a request like "f" is answered completely while the other host is cut off for 3 s
+    And server "i-3" crashes with a request like "f"
+    Then "f" is not blocked at the other host
+
+  # the block of a host that had missed a clearance stayed in the store for ten minutes
+  Scenario: a block that rests on crashes before a clearance is lifted as that is heard
+    Given a host that tracks crashes
+    When servers "i-1 i-2 i-3" crash one after the other with a request like "f"
+    And another host tells that a request like "f" proved harmless 1.5 s ago
+    Then "f" is not blocked
+
   Scenario Outline: a block of "p" that a host of the earlier release writes, where <what>, is <end>
     Given a front that was told of runs lost as "<runs>"
     When a host of the earlier release writes a block of "p" to the store
--- a/tests/steps/front_poison.py
+++ b/tests/steps/front_poison.py
@@ -241,12 +241,37 @@
     context.other = PoisonTracker(lambda news: None, NullLog())
     peers.on_crash = lambda news, _: context.other.handle_crash_news(news, context.now_s)
 
+    context.cut_off = False
+
     def spread(news):
+        if context.cut_off:
+            return
         peers.datagram_received(encode_message(Message("host-1", 1, news)), ("10.0.0.1", 7200))
 
     context.poison = PoisonTracker(spread, NullLog())
 
 
+@when('another host tells that a request like "{fingerprint}" proved harmless {ago_s:g} s ago')
+def told_harmless(context, fingerprint, ago_s):
+    news = CrashNews(fingerprint, cleared=True, ago_s=ago_s)
+    context.poison.handle_crash_news(news, context.now_s + GAP_S)
+
+
+@when(
+    'a request like "{fingerprint}" is answered completely while the other host is cut off for '
+    "{cut_s:d} s"
+)
+def completed_in_cut(context, fingerprint, cut_s):
+    context.cut_off = True
+    completed(context, fingerprint)
+    for _ in range(cut_s):
+        context.now_s += 1.0
+        context.poison.expire(context.now_s)
+    context.cut_off = False
+    context.now_s += 1.0
+    context.poison.expire(context.now_s)
+
+
 @then('"{fingerprint}" is blocked at the other host')
 def blocked_there(context, fingerprint):
     assert context.other.find_blocked((fingerprint,), context.now_s)
