--- a/src/redwingbank/ports/completion.py
+++ b/src/redwingbank/ports/completion.py
@@ -20,6 +20,7 @@
     send_response,
 )
 from redwingbank.rules.answer_memory import AnswerMemory, KeptBytes
+from redwingbank.rules.answer_proof import classify_answer
 from redwingbank.rules.frames import FrameParser, GarbageError, assemble
 from redwingbank.rules.lifecycle import State, Step
 from redwingbank.tasks.ticket import (
@@ -316,8 +317,15 @@
             life.advance(Step.FINISH)
         progress.frames.reset()
         first_token_s = max(0.0, progress.first_token_s - started_s)
+        rejection = progress.rejection
+        status = rejection.status if rejection else OK_STATUS
         return AttemptEnded(
-            progress.ticket, outcome, response_started, progress.frames.tokens, first_token_s
+            progress.ticket,
+            outcome,
+            response_started,
+            progress.frames.tokens,
+            first_token_s,
+            classify_answer(status, stamped=True, not_run=False),
         )
 
     async def _read_answer(self, response: StreamedResponse, progress: Progress) -> Outcome:
--- a/src/redwingbank/ports/service.py
+++ b/src/redwingbank/ports/service.py
@@ -15,6 +15,7 @@
 from redwingbank.model import Outcome
 from redwingbank.ports.engine import REFUSING_STATUSES, AttemptError
 from redwingbank.ports.http import JSON_TYPE, Refusal, send_refusal, send_response
+from redwingbank.rules.answer_proof import classify_answer
 from redwingbank.rules.lifecycle import State, Step
 from redwingbank.tasks.records import Refuse, Replay, Run
 from redwingbank.tasks.ticket import (
@@ -199,7 +200,9 @@
             answer = await self._attempt(call, ticket, decision)
             if isinstance(answer, ServiceAnswer):
                 life.advance(Step.FINISH)
-                self._inbox.send_nowait(AttemptEnded(ticket, Outcome.DONE, begun=True))
+                kind = classify_answer(answer.status, stamped=True, not_run=False)
+                done = AttemptEnded(ticket, Outcome.DONE, begun=True, answer=kind)
+                self._inbox.send_nowait(done)
                 return answer
             self._inbox.send_nowait(AttemptEnded(ticket, answer, life.state is State.STREAMING))
         return Refusal(Code.INTERNAL, ran=life.ran)
--- a/src/redwingbank/rules/quarantine.py
+++ b/src/redwingbank/rules/quarantine.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.model import Outcome
+from redwingbank.rules.answer_proof import AnswerKind, proved_traits
 from redwingbank.rules.crash_causes import CrashCauses, LostRun
 from redwingbank.rules.quarantine_notices import (
     CRASH_VALUE,
@@ -139,9 +140,14 @@
             runs[request.request_id] = run._replace(answered_s=min(run.answered_s, now_s))
 
     def record_finish(
-        self, server: str, request: Request, outcome: Outcome, now_s: float
+        self,
+        server: str,
+        request: Request,
+        outcome: Outcome,
+        now_s: float,
+        answer: AnswerKind = AnswerKind.SUCCESS,
     ) -> list[Notice]:
-        """Record the end of a run: completion clears a suspect, a crash is recorded."""
+        """Record the end of a run: a crash, or an `answer`, which clears what it proves."""
         runs = self._run_by_id_by_server.get(server, {})
         run = runs.get(request.request_id)
         if run is None:
@@ -151,16 +157,17 @@
         del runs[request.request_id]
         if not runs:
             del self._run_by_id_by_server[server]
+        if outcome is not Outcome.DONE:
+            return notices
+        self._record_alive(server, now_s)
+        proved = proved_traits(answer, run.traits)
         suspicion = self._suspicion_by_fingerprint.get(request.fingerprint)
-        if outcome is Outcome.DONE and suspicion and suspicion.crashes:
+        if proved and suspicion and suspicion.crashes:
             suspicion.clear(now_s)
             notices.append(
                 self._notices.build(NoticeKind.CLEARED, request.fingerprint, CLEARED_TTL_S)
             )
-        if outcome is Outcome.DONE:
-            self._record_alive(server, now_s)
-            notices += self._clear_parts(run.traits, now_s)
-        return notices
+        return notices + self._clear_parts(proved, now_s)
 
     def record_crash(self, server: str, now_s: float) -> list[Notice]:
         """Make suspects of the runs in flight at a crashed server; each run counts once.
@@ -316,7 +323,7 @@
         """Clear the parts of a run that proved harmless, also those in quarantine."""
         notices: list[Notice] = []
         for part in self._causes.clear(traits):
-            if part != traits[0]:
+            if part not in traits[:1]:
                 self._release(part, now_s)
                 notices.append(self._notices.build(NoticeKind.RELEASED, part, self._ttl_s))
         return notices
--- a/src/redwingbank/tasks/dispatch.py
+++ b/src/redwingbank/tasks/dispatch.py
@@ -15,6 +15,7 @@
 from redwingbank.messages import Allocation, Notice, Received
 from redwingbank.model import Outcome
 from redwingbank.rules import retry
+from redwingbank.rules.answer_proof import AnswerKind
 from redwingbank.rules.estimate import LengthEstimator, WaitEstimator
 from redwingbank.rules.fleet import Fleet
 from redwingbank.rules.limits import Limits
@@ -282,7 +283,10 @@
             spent_s = now_s - ticket.sent_s - ended.first_token_s
             token_s = spent_s / (tokens - 1) if tokens > 1 else None
         self._fleet.record_finish(server, request, outcome, now_s, token_s)
-        self._notices.announce(self._quarantine.record_finish(server, request, outcome, now_s))
+        answer = ended.answer if ended else AnswerKind.BROKEN
+        self._notices.announce(
+            self._quarantine.record_finish(server, request, outcome, now_s, answer)
+        )
         self._queue.finish(request.request_id, now_s, tokens)
         self._changed_pools.add(request.pool)
         return server
--- a/src/redwingbank/tasks/ticket.py
+++ b/src/redwingbank/tasks/ticket.py
@@ -7,6 +7,7 @@
 
 import anyio
 
+from redwingbank.rules.answer_proof import AnswerKind
 from redwingbank.rules.lifecycle import Lifecycle, Step
 from redwingbank.tasks.mailbox import post
 
@@ -82,7 +83,8 @@
     """An attempt at a backend server has ended.
 
     `begun` is true if a byte of the answer arrived. `tokens` counts the tokens delivered in
-    all attempts. `first_token_s` is the time to the first token, 0 if none arrived.
+    all attempts. `first_token_s` is the time to the first token, 0 if none arrived. `answer` tells
+    what an answer that is done proves of the request.
     """
 
     ticket: Ticket
@@ -90,6 +92,7 @@
     begun: bool = False
     tokens: int = 0
     first_token_s: float = 0.0
+    answer: AnswerKind = AnswerKind.SUCCESS
 
 
 class CallerDisconnected(NamedTuple):
--- a/tests/steps/rules_quarantine.py
+++ b/tests/steps/rules_quarantine.py
@@ -7,9 +7,16 @@
 from behave import given, then, when
 
 from redwingbank.model import Outcome, Request
+from redwingbank.rules.answer_proof import AnswerKind
 from redwingbank.rules.quarantine import Allowed, Blocked, Quarantine, Suspect
 
-OUTCOME_BY_VERB = {"done": Outcome.DONE, "cancelled": Outcome.CANCELLED, "cut": Outcome.CRASHED}
+END_BY_VERB = {
+    "done": (Outcome.DONE, AnswerKind.SUCCESS),
+    "rejected": (Outcome.DONE, AnswerKind.REJECTED),
+    "failed": (Outcome.DONE, AnswerKind.FAILED),
+    "cancelled": (Outcome.CANCELLED, AnswerKind.BROKEN),
+    "cut": (Outcome.CRASHED, AnswerKind.BROKEN),
+}
 
 
 class WithoutSuspicion(Quarantine):
@@ -69,9 +76,10 @@
     def report(self, host, server, now_s):
         self.by_host[host].record_report(server, now_s)
 
-    def end(self, key, outcome, now_s):
-        entry = self.in_flight.pop(key)
-        self.publish(self.by_host[key[0]].record_finish(key[1], entry, outcome, now_s), now_s)
+    def end(self, key, outcome, now_s, answer=AnswerKind.SUCCESS):
+        entry, quarantine = self.in_flight.pop(key), self.by_host[key[0]]
+        notices = quarantine.record_finish(key[1], entry, outcome, now_s, answer)
+        self.publish(notices, now_s)
 
     def crash(self, server, now_s):
         for key in [key for key in self.in_flight if key[1] == server]:
@@ -102,8 +110,9 @@
             cluster.publish(cluster.by_host[rest[0]].renew_trials(now_s), now_s)
         elif verb == "release":
             cluster.publish(cluster.by_host[rest[0]].release(rest[1], now_s), now_s)
-        elif verb in OUTCOME_BY_VERB:
-            cluster.end(tuple(rest), OUTCOME_BY_VERB[verb], now_s)
+        elif verb in END_BY_VERB:
+            outcome, answer = END_BY_VERB[verb]
+            cluster.end(tuple(rest), outcome, now_s, answer)
         else:
             cluster.deliver(verb, now_s)
 
