--- a/src/redwingbank/front/directory.py
+++ b/src/redwingbank/front/directory.py
@@ -150,9 +150,9 @@
         self.listed_by_name: dict[str, ServerEntry] = {}
         self.entries_by_name: dict[str, ServerEntry] = {}
         self.on_holder_changed: Callable[[HolderChange], None] | None = None
-        self._holder_by_address: dict[Address, ServerEntry] = {}
-        # the others that are listed at an address, as was told last
-        self._rivals_by_address: dict[Address, list[str]] = {}
+        self._holders_by_address: dict[Address, dict[str, ServerEntry]] = {}
+        # the others that are listed at the address of a pool's server, as was told last
+        self._rivals_by_site: dict[tuple[Address, str], list[str]] = {}
         self._missing: set[str] = set()
         self._held_by_name: dict[str, _Held] = {}
         self._departed_ms_by_name: dict[str, int] = {}
@@ -305,29 +305,44 @@
         return [entry.address] if known is None else [entry.address, known.address]
 
     def _settle(self, address: Address, now_s: float, reason: str = "") -> list[Departure]:
-        """Use the entry that stands at an address; return what departs there."""
-        verdict = self.addresses.find_holder(address, now_s)
-        before, after = self._holder_by_address.get(address), verdict.entry
-        if after:
-            self._holder_by_address[address] = self.entries_by_name[after.name] = after
-        else:
-            self._holder_by_address.pop(address, None)
+        """Use the entries that stand at an address; return what departs there."""
+        holder_by_pool = self._holders_by_address.pop(address, {})
+        # pools that are listed first, so that a server that changes its pool doesn't depart
+        listed = self.addresses.pools(address)
+        verdict_by_pool = {
+            pool: self.addresses.find_holder(address, pool, now_s)
+            for pool in [*listed, *(holder_by_pool.keys() - listed)]
+        }
+        standing = {pool: one.entry for pool, one in verdict_by_pool.items() if one.entry}
+        self.entries_by_name |= {entry.name: entry for entry in standing.values()}
+        if standing:
+            self._holders_by_address[address] = standing
         departures: list[Departure] = []
-        if before and not (after and after.name == before.name):
-            departures = self._retire(before, reason or _describe(verdict))
+        for pool, verdict in verdict_by_pool.items():
+            before, after = holder_by_pool.get(pool), verdict.entry
+            if before and not (after and after.name == before.name):
+                departures += self._retire(before, reason or _describe(verdict))
+            self._tell_change(address, before, verdict)
+        return departures
+
+    def _tell_change(self, address: Address, before: ServerEntry | None, verdict: Verdict) -> None:
+        """Tell of another holder, or of other rivals."""
+        after = verdict.entry
+        holder = after or before
+        if holder is None:
+            return
         rivals = self.addresses.rivals(address, after.name if after else "")
-        told = self._rivals_by_address.pop(address, None)
+        told = self._rivals_by_site.pop((address, holder.pool), None)
         if rivals:
-            self._rivals_by_address[address] = rivals
+            self._rivals_by_site[address, holder.pool] = rivals
         moved = before is not None and after is not None and before.name != after.name
         if self.on_holder_changed and (moved or (rivals and rivals != told)):
             self.on_holder_changed(HolderChange(address, before, after, verdict.reason, rivals))
-        return departures
 
     def _retire(self, entry: ServerEntry, reason: str) -> list[Departure]:
-        """Stop using an entry at its address, unless its server stands at another one now."""
+        """Stop using an entry, unless its server stands at another address or pool now."""
         standing = self.entries_by_name.get(entry.name)
-        if standing is None or standing.address != entry.address:
+        if standing is None or (standing.address, standing.pool) != (entry.address, entry.pool):
             return []
         del self.entries_by_name[entry.name]
         return [Departure(entry, reason)]
--- a/src/redwingbank/routing/server_address.py
+++ b/src/redwingbank/routing/server_address.py
@@ -100,19 +100,21 @@
 class AddressBook:
     """All starts of servers that are listed, by address, and what the servers say of them.
 
-    The latest start stands, in whatever order entries became known, and an earlier one again when
-    the later one goes. What the process there says goes before any entry that was listed when it
-    said so: a start that it denies gives way, and the start by which it answers stays until a
-    later one is listed. An entry that tells no start gives way to those that do.
+    In each pool the latest start stands that doesn't drain, in whatever order entries became
+    known, and an earlier one again when that goes. Entries of other pools don't count: a server
+    turns a request away that is meant for another one. What the process there says goes before
+    any entry that was listed when it said so: a start that it denies gives way, and the start by
+    which it answers stays until a later one is listed.
 
     >>> address = Address("10.0.0.9", 80)
     >>> book = AddressBook()
     >>> for name, started_ms in (("i-2", 5), ("i-1", 9)):
     ...     book.put(ServerEntry(name, "pool", address, "a", 4, False, started_ms), 0.0)
-    >>> book.find_holder(address, 0.0).entry.name
+    >>> latest = book.find_holder(address, "pool", 0.0).entry
+    >>> latest.name
     'i-1'
-    >>> book.record(Misdirected(book.find_holder(address, 0.0).entry, "", sent_s=1.0), 1.1)
-    >>> book.find_holder(address, 1.1).entry.name
+    >>> book.record(Misdirected(latest, "", sent_s=1.0), 1.1)
+    >>> book.find_holder(address, "pool", 1.1).entry.name
     'i-2'
     """
 
@@ -148,15 +150,23 @@
         """Return the names of the other servers that are listed at an address."""
         return sorted(self._claims_by_address.get(address, {}).keys() - {name})
 
-    def find_holder(self, address: Address, now_s: float) -> Verdict:
-        """Return which entry stands at an address."""
-        claims = self._claims_by_address.get(address)
+    def pools(self, address: Address) -> set[str]:
+        """Return the pools whose servers are listed at an address."""
+        claims = self._claims_by_address.get(address, {})
+        return {claim.entry.pool for claim in claims.values()}
+
+    def find_holder(self, address: Address, pool: str, now_s: float) -> Verdict:
+        """Return which entry of a pool stands at an address."""
+        listed = self._claims_by_address.get(address, {}).values()
+        claims = [claim for claim in listed if claim.entry.pool == pool]
         if not claims:
             return Verdict(None, Reason.UNLISTED)
-        undenied = [claim for claim in claims.values() if claim.proof is not Proof.DENIED]
+        undenied = [claim for claim in claims if claim.proof is not Proof.DENIED]
         if undenied:
-            return _choose(undenied, max(claims.values(), key=_order))
-        due = [claim for claim in claims.values() if claim.retry_s <= now_s]
+            return _choose(undenied, max(claims, key=_order))
+        # no use while the server there answers to another name
+        confirmed_s = max(map(_confirmed_s, listed))
+        due = [one for one in claims if one.retry_s <= now_s and one.proved_s > confirmed_s]
         if not due:
             return Verdict(None, Reason.DENIED)
         return Verdict(min(due, key=_proved_first).entry, Reason.RETRIED)
@@ -244,13 +254,18 @@
     return Verdict(latest.entry, reason)
 
 
-def _order(claim: Claim) -> tuple[int, float, str]:
+def _order(claim: Claim) -> tuple[bool, int, float, str]:
     """Order starts; those of one moment by when they were listed, then by name."""
-    return claim.entry.started_ms, claim.listed_s, claim.entry.name
+    entry = claim.entry
+    return not entry.draining, entry.started_ms, claim.listed_s, entry.name
+
+
+def _confirmed_s(claim: Claim) -> float:
+    return claim.proved_s if claim.proof is Proof.CONFIRMED else NEVER_S
 
 
-def _confirmed_last(claim: Claim) -> tuple[float, tuple[int, float, str]]:
-    return (claim.proved_s if claim.proof is Proof.CONFIRMED else NEVER_S), _order(claim)
+def _confirmed_last(claim: Claim) -> tuple[float, tuple[bool, int, float, str]]:
+    return _confirmed_s(claim), _order(claim)
 
 
 def _proved_first(claim: Claim) -> float:
--- a/tests/front/server_addresses.feature
+++ b/tests/front/server_addresses.feature
@@ -12,8 +12,10 @@
       | a host that runs             | entries of another writer tell no start              |
       | a host that runs             | entries of another writer tell a later start         |
       | a host that starts           | entries of another writer tell a later start         |
-      | a host that reads from relays | late writes of dead starts land and then lapse      |
-      | a host that reads from relays | entries of another writer tell a later start        |
+      | a host that runs             | entries of another writer tell that they drain       |
+      | a host that runs             | entries of another writer tell a service of no route |
+      | a host that reads from relays | late writes of dead starts land and then lapse       |
+      | a host that reads from relays | entries of another writer tell a later start         |
 
   Scenario: an entry that its server denies is not sent to again at once
     When another server starts at an address, and its entry comes 0.5 s later
--- a/tests/routing/server_address.feature
+++ b/tests/routing/server_address.feature
@@ -30,6 +30,15 @@
       | list a@5, list b@9, run a, deny a              | b      | latest start                   |
       | list a@5, list b@9, deny b, run a, deny a      | b      | latest start                   |
 
+    Examples: an entry that gets none of its rival's requests doesn't keep it from them
+      | events                                        | stands | why                                |
+      | list a@5, list b@9/draining                   | a      | latest start                       |
+      | list a@5, list b@9/other                      | a      | latest start                       |
+      | list a@5, list b@9/draining, deny a           | b      | the server denies a later start    |
+      | list a@5, run a, list a@5/draining            | a      | latest start                       |
+      | list z@2, list a@5, run a, list a@5/draining  | a      | the server answers to its name     |
+      | list a@5, list b@9/other, deny a, run b, wait |        | the server answers to another name |
+
     Examples: a start that is denied, and has no rival, is asked again
       | events                                   | stands | why                                |
       | list a@5, deny a                         |        | the server answers to another name |
--- a/tests/steps/front_server_addresses.py
+++ b/tests/steps/front_server_addresses.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import json
+from functools import partial
+from typing import NamedTuple
 
 from behave import then, when
 
@@ -27,9 +29,9 @@
         for server in self.backend_servers:
             server.started_ms = LIVE_MS
 
-    async def put_rivals(self, started_ms):
+    async def put_rivals(self, started_ms, **more):
         for name, address in self.addresses.items():
-            rival = entry(address, started_ms=started_ms)
+            rival = {**entry(address, started_ms=started_ms), **more}
             if not started_ms:
                 del rival["born"], rival["version"]
             await self.store.put("servers", f"z-{name}", rival)
@@ -41,11 +43,25 @@
         await asyncio.sleep(0.3)
 
 
+class Trouble(NamedTuple):
+    """What rival entries tell, and whether they lapse."""
+
+    started_ms: int
+    lapses: bool = False
+    more: dict = {}
+
+
 TROUBLE = {
-    "the store lists dead starts that then lapse": (DEAD_MS, True),
-    "late writes of dead starts land and then lapse": (DEAD_MS, True),
-    "entries of another writer tell no start": (0, False),
-    "entries of another writer tell a later start": (LATER_MS, False),
+    "the store lists dead starts that then lapse": Trouble(DEAD_MS, lapses=True),
+    "late writes of dead starts land and then lapse": Trouble(DEAD_MS, lapses=True),
+    "entries of another writer tell no start": Trouble(0),
+    "entries of another writer tell a later start": Trouble(LATER_MS),
+    "entries of another writer tell that they drain": Trouble(
+        LATER_MS, more={"state": "draining"}
+    ),
+    "entries of another writer tell a service of no route": Trouble(
+        LATER_MS, more={"service": "unnamed"}
+    ),
 }
 
 
@@ -78,12 +94,13 @@
 
 @when("{host} serves 12 requests while {trouble}")
 def serve(context, host, trouble):
-    started_ms, lapses = TROUBLE[trouble]
+    rivals = TROUBLE[trouble]
     context.rig = rig = AddressRig()
 
     async def scenario(rig):
-        front = await HOST[host](rig, lambda: rig.put_rivals(started_ms))
-        if lapses:
+        spoil = partial(rig.put_rivals, rivals.started_ms, **rivals.more)
+        front = await HOST[host](rig, spoil)
+        if rivals.lapses:
             await rig.lapse()
         return [
             (await rig.ask("single", request_id=f"r-{number}", front=front)).status
--- a/tests/steps/routing_server_address.py
+++ b/tests/steps/routing_server_address.py
@@ -21,8 +21,12 @@
 
 
 def listed(text):
-    name, _, started_ms = text.partition("@")
-    return ServerEntry(name, "pool", PLACE, "a", 4, False, int(started_ms))
+    """Read NAME@START, with /draining or /POOL after it."""
+    name, _, rest = text.partition("@")
+    started_ms, _, more = rest.partition("/")
+    draining = more == "draining"
+    pool = "pool" if draining or not more else more
+    return ServerEntry(name, pool, PLACE, "a", 4, draining, int(started_ms))
 
 
 class History:
@@ -65,7 +69,7 @@
     history = History()
     for event in events.split(", "):
         history.play(event)
-    context.verdict = history.book.find_holder(PLACE, history.at_s)
+    context.verdict = history.book.find_holder(PLACE, "pool", history.at_s)
 
 
 @then('"{name}" stands there, since: {why}')
