--- a/src/redwingbank/front/digest.capnp
+++ b/src/redwingbank/front/digest.capnp
@@ -56,6 +56,7 @@
 struct Question {           # asks how fresh the receiver's table and server list are
   askedS @0 :Float64;       # time on the asker's clock, returned with the answer
   traced @1 :Bool;          # both hosts log the question, so that their clocks can be compared
+  tableRevision @2 :UInt64; # of the asker's table, 0 if it has none
 }
 
 struct Answer {
--- a/src/redwingbank/front/digest.py
+++ b/src/redwingbank/front/digest.py
@@ -98,11 +98,13 @@
 class Question(NamedTuple):
     """Asks how fresh a host's table and server list are.
 
-    `asked_s` is on the asker's clock; `traced` questions are logged at both hosts.
+    `asked_s` is on the asker's clock; `traced` questions are logged at both hosts. The asker tells
+    the revision of its own table, 0 if it has none.
     """
 
     asked_s: float
     traced: bool = False
+    table_revision: int = 0
 
 
 class Answer(NamedTuple):
@@ -233,6 +235,7 @@
 def _encode_question(content: Question, struct: Any) -> None:
     question = struct.init("question")
     question.askedS, question.traced = content.asked_s, content.traced
+    question.tableRevision = content.table_revision
 
 
 @_encode_content.register
@@ -317,7 +320,8 @@
 
 
 def _decode_question(struct: Any, now_s: float) -> Question:
-    return Question(struct.question.askedS, struct.question.traced)
+    question = struct.question
+    return Question(question.askedS, question.traced, question.tableRevision)
 
 
 def _decode_answer(struct: Any, now_s: float) -> Answer:
--- a/src/redwingbank/front/directory.py
+++ b/src/redwingbank/front/directory.py
@@ -38,13 +38,16 @@
     """The table in force on this host; it is never replaced by an older one.
 
     `confirmed_s` is when the last call that confirmed it was sent: every change that the store
-    accepted before then is known here.
+    accepted before then is known here. In a drill, though, the store may come back from a copy
+    and list an older table for a time; then only other hosts tell of the newer one.
     """
 
     def __init__(self, bounds: Bounds) -> None:
         self.table: RouteTable | None = None
         self.confirmed_s = float("-inf")
         self._bounds = bounds
+        self._told_revision = 0
+        self._told_s = float("-inf")
 
     def confirm(self, table: RouteTable | None, asked_s: float) -> bool:
         """Record a confirmation; replace the table by a newer one and return whether it was.
@@ -61,15 +64,30 @@
         """Time since the table was confirmed."""
         return now_s - self.confirmed_s
 
+    def record_told(self, revision: int, now_s: float) -> None:
+        """Record the revision of the table that is in force at another host."""
+        if revision >= self._told_revision or not self._told_lately(now_s):
+            self._told_revision, self._told_s = revision, now_s
+
+    def is_outdated(self, now_s: float) -> bool:
+        """Whether another host told lately that a newer table is in force there."""
+        known = self.table is None or self.table.revision >= self._told_revision
+        return not known and self._told_lately(now_s)
+
+    def _told_lately(self, now_s: float) -> bool:
+        return now_s - self._told_s < self._bounds.revoke_s
+
     def can_trust_keys(self, now_s: float) -> bool:
         """Whether keys may be accepted: an unseen revocation is within the permitted delay."""
         if not self._bounds.strict_revoke:
             return True
+        if self.is_outdated(now_s):
+            return False
         return self.age_s(now_s) < self._bounds.revoke_s - WATCH_DELAY_MARGIN_S
 
     def can_deny(self, now_s: float) -> bool:
         """Whether unknown keys and paths may be denied: a newer table need not be in force yet."""
-        return self.age_s(now_s) < self._bounds.table_s
+        return self.age_s(now_s) < self._bounds.table_s and not self.is_outdated(now_s)
 
 
 class StoreContact:
--- a/src/redwingbank/front/freshness.py
+++ b/src/redwingbank/front/freshness.py
@@ -116,6 +116,7 @@
 
     def answer(self, question: Question, asker: str) -> Answer:
         """Answer another host's question with the age of the table and of the server list."""
+        self._record_told(question.table_revision)
         table = self._tables.table
         if question.traced:
             self._log.essential("question-heard", asker=asker, asked_s=question.asked_s)
@@ -132,6 +133,7 @@
     def handle_answer(self, answer: Answer, relay: str) -> None:
         """Handle a relay's answer; newer data there means that a watch of this host is behind."""
         now, table = now_s(), self._tables.table
+        self._record_told(answer.table_revision)
         if answer.asked_s == self._traced_s:
             self._log.essential(
                 "answer-heard", asker=self._host, asked_s=answer.asked_s, relay=relay
@@ -162,6 +164,28 @@
                 answer,
             )
 
+    def ask_host(self, host: str) -> None:
+        """Ask a host that this one has just heard of, and tell it of the table here."""
+        self._peers.ask(host, self._question(now_s()))
+
+    def _question(self, now: float, *, traced: bool = False) -> Question:
+        table = self._tables.table
+        return Question(now, traced, table.revision if table else 0)
+
+    def _record_told(self, table_revision: int) -> None:
+        now = now_s()
+        if table_revision:
+            self._peers.listing.record_told()
+        was_outdated = self._tables.is_outdated(now)
+        self._tables.record_told(table_revision, now)
+        if self._tables.is_outdated(now) and not was_outdated:
+            table = self._tables.table
+            self._log.essential(
+                "table-outdated",
+                revision=table.revision if table else 0,
+                told=table_revision,
+            )
+
     def confirm_servers(self, asked_s: float) -> None:
         """Record that the list of servers, as it is known now, was current at `asked_s`."""
         self.store_contact.record(asked_s, now_s())
@@ -256,7 +280,7 @@
         if traced:
             self._traced_s = now
             self._log.essential("question-sent", asker=self._host, asked_s=now, relay=relay)
-        self._peers.ask(relay, Question(now, traced))
+        self._peers.ask(relay, self._question(now, traced=traced))
 
     def _suspend_relay(self, relay: str, now: float, reason: str) -> None:
         self._unanswered_since_s_by_relay.pop(relay, None)
--- a/src/redwingbank/front/host_listing.py
+++ b/src/redwingbank/front/host_listing.py
@@ -20,6 +20,8 @@
 # of them.
 INTRODUCTION_S = 0.05
 MAX_INTRODUCTION_S = 1.0
+# Time within which one of the listed hosts tells which table is in force there, if any runs.
+TOLD_TABLE_S = 0.3
 
 
 class HostListing:
@@ -33,6 +35,7 @@
         self._started_s = started_s
         self._first_s = float("inf")
         self._first_s_by_host: dict[str, float] = {}
+        self._told = False
 
     @property
     def listed(self) -> bool:
@@ -45,6 +48,10 @@
         for host in hosts:
             self._first_s_by_host.setdefault(host, now_s)
 
+    def record_told(self) -> None:
+        """Record that another host told which table is in force there."""
+        self._told = True
+
     def count_hosts(self, heard_s_by_host: Mapping[str, float], now_s: float) -> Fleet:
         """Count the hosts, including this one, by when the others were last heard."""
         expected = {host for host, at_s in heard_s_by_host.items() if now_s - at_s < FORGET_HOST_S}
@@ -66,7 +73,8 @@
         """Whether the other hosts have had time to tell this one what they know."""
         if now_s - self._started_s >= MAX_INTRODUCTION_S:
             return True
-        return now_s - self._first_s >= INTRODUCTION_S
+        introduced = self._told or len(self._first_s_by_host) <= 1
+        return now_s - self._first_s >= (INTRODUCTION_S if introduced else TOLD_TABLE_S)
 
 
 __all__ = ["HostListing"]
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -81,6 +81,7 @@
         self.statements = ServerStatements(self.backends, self.peers, self.log, self.metrics)
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
         self.servers = ServerRegistry(self.freshness.store_contact.was_down, self.backends.leaving)
+        self.peers.on_host_started = self._greet
         self.streams = StreamSharing(settings.name, self.peers)
         self.takeover = StreamTakeover(settings.name, self.streams, self.guard)
         self.versions = VersionHistory()
@@ -102,6 +103,11 @@
         self.settings = settings
         self.intake.account.limits = settings.intake
 
+    def _greet(self, host: str) -> None:
+        """Tell a host that has just started what it needs to know, and ask it."""
+        self.statements.tell_host(host)
+        self.freshness.ask_host(host)
+
     def metrics_text(self) -> str:
         """Format all counters, histograms and gauges as Prometheus text."""
         gauge = self.metrics.gauge
--- a/tests/front/store_eras.feature
+++ b/tests/front/store_eras.feature
@@ -13,6 +13,12 @@
       | 3     | 1      | 0       |
       | 3     | 2      | 4       |
 
+  # review/9: a host that started in a drill ran requests with a key that had been revoked
+  Scenario: a host that starts while the store is back from a copy accepts no revoked key
+    Given 2 hosts that know a table and three servers written since a copy was kept
+    When the key is taken away, and the first host starts again as the store is back from the copy
+    Then that host accepts it at no time, and another key once the table is written again
+
   Scenario: hosts of a large fleet that hear no news of their relay list the new era
     Given 16 hosts that know a table and three servers written since a copy was kept
     And the news of relays are lost from now on
--- a/tests/steps/front_store_eras.py
+++ b/tests/steps/front_store_eras.py
@@ -19,6 +19,8 @@
 JOINED = ("i-11", "i-12", "i-13")
 RELAY = "host-9"
 SOON_S = 0.8
+# time until the operator writes again what the copy lacks
+AWAY_S = 1.5
 
 
 class Drill:
@@ -131,6 +133,49 @@
     drill.steps.append(write)
 
 
+@when("the key is taken away, and the first host starts again as the store is back from the copy")
+def starts_in_drill(context):
+    drill = context.drill
+    context.statuses = []
+
+    async def ask_until_written_again(rig):
+        while rig.front.router.tables.table is None or rig.store.revoked:
+            await asyncio.sleep(0.02)
+            context.statuses.append((await rig.ask("read")).status)
+
+    async def start_again():
+        rig = drill.rig
+        rig.store.revoked = True
+        await rig.store.put("config", "main", table(3, keys=("key-2",)))
+        await drill.until(lambda front: front.router.tables.table.revision == 3)
+        await rig.kill_first()
+        await rig.store.come_back()
+        written = asyncio.get_running_loop().call_later(
+            AWAY_S, lambda: asyncio.ensure_future(write_again(rig.store))
+        )
+        start = asyncio.create_task(rig.restart_first())
+        await asyncio.sleep(0.05)
+        await ask_until_written_again(rig)
+        await start
+        await rig.until(lambda: rig.front.router.tables.table.revision == 3)
+        written.cancel()
+        context.other_key = (await rig.ask("read", key="key-2")).status
+
+    async def write_again(store):
+        await store.put("config", "main", table(3, keys=("key-2",)))
+        store.revoked = False
+
+    drill.steps.append(start_again)
+    drill.play()
+
+
+@then("that host accepts it at no time, and another key once the table is written again")
+def key_refused(context):
+    assert len(context.statuses) > 10, context.statuses
+    assert 200 not in context.statuses, context.statuses
+    assert context.other_key == 200
+
+
 @then("every host knows that table within {within:g} s")
 def table_known(context, within):
     drill = context.drill
