--- a/src/redwingbank/forwarding/task.py
+++ b/src/redwingbank/forwarding/task.py
@@ -138,6 +138,10 @@
         """Whether this host reaches no server of a pool."""
         return pool in self.cut_pools
 
+    def doubts_alone(self, pool: str) -> bool:
+        """Whether a pool may be cut off, and no other host is heard that could tell."""
+        return self.suspects(pool) and not any(self._told.live_hosts(now_s()))
+
     def suspects(self, pool: str) -> bool:
         """Whether a pool is cut off, or may be."""
         reach = self._reach_by_pool.get(pool)
--- a/src/redwingbank/front/poison.py
+++ b/src/redwingbank/front/poison.py
@@ -19,6 +19,8 @@
 
 # Within this time a crashed server becomes unreachable or its entry is removed from the store.
 CRASH_DETECTION_S = 3.0
+# Losses are kept for longer while a host in doubt of its own way waits for the servers to tell.
+SUSPENDED_S = 12.0
 # Old losses are dropped beyond this number of servers.
 MAX_LOST_SERVERS = 1000
 # A clearance is told again this often, and for so long.
@@ -72,6 +74,7 @@
         self._broadcast = broadcast
         self._log = log
         self._lost_by_server: dict[str, list[LostRun]] = {}
+        self._suspended: set[str] = set()
         self._own_losses = CrashGroups()
         self._own_loss_by_server: dict[str, tuple[int, float]] = {}
         self._own_count = 0
@@ -88,7 +91,7 @@
     ) -> None:
         """Record that a request lost its connection to a server."""
         lost = self._lost_by_server.setdefault(server, [])
-        lost[:] = [run for run in lost if now_s - run.lost_s < CRASH_DETECTION_S]
+        lost[:] = [run for run in lost if self._counts(run, now_s)]
         run = LostRun(traits, server, sent_s, now_s)
         lost.append(run)
         self._own_losses.add(self._number_own_loss(run), traits, sent_s, now_s)
@@ -97,8 +100,10 @@
 
     def server_down(self, server: str, now_s: float) -> None:
         """Count a server's crash against the requests that recently lost a connection to it."""
-        for run in self._lost_by_server.pop(server, ()):
-            if now_s - run.lost_s < CRASH_DETECTION_S and self._may_be_cause(run):
+        counted = [run for run in self._lost_by_server.pop(server, ()) if self._counts(run, now_s)]
+        self._suspended.discard(server)
+        for run in counted:
+            if self._may_be_cause(run):
                 self._record_crash(run, now_s)
                 fingerprint, *parts = run.traits
                 news = CrashNews(
@@ -110,6 +115,17 @@
                 )
                 self._broadcast(news)
 
+    def suspend_blame(self, server: str) -> None:
+        """Keep the losses at a server until it is known whether it crashed."""
+        self._suspended.add(server)
+
+    def drop_losses(self, server: str) -> None:
+        """Forget the losses at a server that has not crashed."""
+        self._suspended.discard(server)
+        for run in self._lost_by_server.pop(server, ()):
+            if self._log:
+                self._log.essential("crash-doubted", fingerprint=run.traits[0], server=server)
+
     def answered(
         self, traits: tuple[str, ...], kind: AnswerKind, server: str, now_s: float
     ) -> None:
@@ -170,6 +186,10 @@
         traits = (news.fingerprint, *news.parts)
         self._record_crash(LostRun(traits, news.server, lost_s - news.ran_s, lost_s), now_s)
 
+    def _counts(self, run: LostRun, now_s: float) -> bool:
+        within_s = SUSPENDED_S if run.server in self._suspended else CRASH_DETECTION_S
+        return now_s - run.lost_s < within_s
+
     def _number_own_loss(self, run: LostRun) -> int:
         known = self._own_loss_by_server.get(run.server)
         if known and run.lost_s - known[1] < CRASH_DETECTION_S:
@@ -193,7 +213,7 @@
         self._lost_by_server = {
             server: lost
             for server, lost in self._lost_by_server.items()
-            if now_s - lost[-1].lost_s < CRASH_DETECTION_S
+            if self._counts(lost[-1], now_s)
         }
 
     def _record_crash(self, run: LostRun, now_s: float) -> None:
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -40,7 +40,7 @@
     from redwingbank.duties.counter import RunCounter
     from redwingbank.front.backends import Backend
     from redwingbank.front.open_work import OpenConnection, OpenExchange
-    from redwingbank.front.values import HostSettings
+    from redwingbank.front.values import HostSettings, ServerEntry
     from redwingbank.model import Request
     from redwingbank.platform.headers import AnswerFacts
     from redwingbank.routing.choice import Choice, RequestNeeds
@@ -76,7 +76,7 @@
             settings, self.backends, self.peers, self.log, self.metrics, random
         )
         self.forwarding.on_cut = self.forward_pending
-        self.probes = CrashProbes(self.poison, self.forwarding)
+        self.probes = CrashProbes(self.poison, self.forwarding, self._stands)
         self.peers.on_crash = self.poison.handle_crash_news
         self.statements = ServerStatements(self.backends, self.peers, self.log, self.metrics)
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
@@ -103,6 +103,11 @@
         self.settings = settings
         self.intake.account.limits = settings.intake
 
+    def _stands(self, entry: ServerEntry) -> bool:
+        """Whether the start of a server that an entry lists stands at its address."""
+        listed = self.servers.entries_by_name.get(entry.name)
+        return listed is not None and listed.started_ms == entry.started_ms
+
     def _greet(self, host: str) -> None:
         """Tell a host that has just started what it needs to know, and ask it."""
         self.statements.tell_host(host)
--- a/tests/steps/front_poison.py
+++ b/tests/steps/front_poison.py
@@ -14,14 +14,18 @@
 
 from front_rig import Rig, run_scenario
 from redwingbank.clock import now_s
+from redwingbank.front import crash_probe
 from redwingbank.front.backends import Backends
 from redwingbank.front.block_list import KIND_BLOCKS, BlockList
+from redwingbank.front.crash_probe import CrashProbes
 from redwingbank.front.digest import Message, encode_message
 from redwingbank.front.peers import Peers
 from redwingbank.front.poison import CrashNews, PoisonTracker
 from redwingbank.front.store import Listing, StoreError, WatchedChanges
+from redwingbank.front.values import ServerEntry
 from redwingbank.platform.objects import Change, StoredObject
 from redwingbank.rules.answer_proof import AnswerKind
+from redwingbank.settings import Address
 
 START_S = 100.0
 GAP_S = 1.0
@@ -477,3 +481,62 @@
 @then("the store holds the block after 1.5 s")
 def written(context):
     assert context.store.calls == ["POST"], context.store.calls
+
+
+class LoneReach:
+    """The doubt of a host that hears no other one."""
+
+    def __init__(self):
+        self.doubtful = True
+
+    def weigh(self, pool):
+        return False
+
+    def awaits_verdict(self, pool):
+        return False
+
+    def is_cut(self, pool):
+        return False
+
+    def doubts_alone(self, pool):
+        return self.doubtful
+
+
+@given("a host that hears no other one and doubts its way to the servers")
+def lone_host(context):
+    context.spread = []
+    context.poison = PoisonTracker(context.spread.append, NullLog())
+    context.reach = LoneReach()
+
+
+async def lose_in_doubt(context, then):
+    entry = ServerEntry("i-1", "pool", Address("10.0.0.9", 1), "a", 4, False, 5)
+    refused = [True, "takes no" in then]
+
+    async def connect():
+        if refused.pop(0):
+            raise ConnectionRefusedError
+        return mock.Mock()
+
+    backend = mock.Mock(entry=entry)
+    backend.connections.connect = connect
+    probes = CrashProbes(context.poison, context.reach, lambda _: "has started again" not in then)
+    context.poison.answer_lost("i-1", ("f",), now_s() - 0.1, now_s())
+    probes.start(backend)
+    await asyncio.sleep(0.2)
+    assert not context.spread
+    context.reach.doubtful = False
+    await asyncio.sleep(0.4)
+    if "5 s later" in then:
+        context.poison.server_down("i-1", now_s() + 5.0)
+
+
+@when("it loses an answer there, and after that the server {then}")
+def loses_in_doubt(context, then):
+    with mock.patch.object(crash_probe, "LIST_DELAY_S", 0.1):
+        asyncio.run(lose_in_doubt(context, then))
+
+
+@then("the crash is {judged}")
+def crash_judged(context, judged):
+    assert bool(context.spread) == (judged == "counted"), context.spread
