--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -112,6 +112,7 @@
         """Tell a host that has just started what it needs to know, and ask it."""
         self.statements.tell_host(host)
         self.freshness.ask_host(host)
+        self.streams.host_started()
 
     def metrics_text(self) -> str:
         """Format all counters, histograms and gauges as Prometheus text."""
--- a/src/redwingbank/front/stream_sharing.py
+++ b/src/redwingbank/front/stream_sharing.py
@@ -61,6 +61,8 @@
         # the answers of each stream at this host, since a caller may take it up beside the first
         self._served: Counter[str] = Counter()
         self._followed_s = float("-inf")
+        # another host was heard for the first time since
+        self._ring_stale = False
         self._repeated_s = float("-inf")
         self._search_by_key: dict[str, _Search] = {}
         self._unasked: list[str] = []
@@ -122,8 +124,8 @@
     def find(self, key: str, found: Callable[[StreamOrigin | None], None]) -> None:
         """Pass on what began a stream, at once if it is known here; None if no host can tell."""
         now = now_s()
-        if len(self._ring.hosts) <= 1:
-            # this host has just started
+        # the first time, this host has just started
+        if len(self._ring.hosts) <= 1 or self._ring_stale:
             self._follow_hosts(now)
         hosts = {host for host in self._ring.successors(key, ASKED_HOSTS) if host != self._host}
         if self.book.remembers(key, now) or not hosts:
@@ -147,8 +149,12 @@
             self._repeated_s = now
             self._repeat(now)
 
+    def host_started(self) -> None:
+        """Follow a host that was just heard before the ring is used again."""
+        self._ring_stale = True
+
     def _follow_hosts(self, now: float) -> bool:
-        self._followed_s = now
+        self._followed_s, self._ring_stale = now, False
         return self._ring.update([self._host, *self._peers.expected(now)])
 
     def _repeat(self, now: float) -> None:
@@ -216,6 +222,8 @@
 
     def _holders(self, key: str) -> list[str]:
         """Return the other hosts that hold a stream."""
+        if self._ring_stale:
+            self._follow_hosts(now_s())
         hosts = self._ring.successors(key, HOLDERS + 1)
         return [host for host in hosts if host != self._host][:HOLDERS]
 
