--- a/src/redwingbank/front/directory.py
+++ b/src/redwingbank/front/directory.py
@@ -242,7 +242,7 @@
         departures = [departure for name in missing for departure in self._lose(name, now_s)]
         addresses = [address for entry in listed.values() for address in self._list(entry, now_s)]
         for address in dict.fromkeys(addresses):
-            departures += self._settle(address, now_s)
+            departures += self._settle(address)
         return departures + [
             Departure(entry, "draining")
             for entry in listed.values()
@@ -253,9 +253,7 @@
         """Add or update an entry."""
         before = self.entries_by_name.get(entry.name)
         addresses = self._list(entry, now_s)
-        departures = [
-            departure for address in addresses for departure in self._settle(address, now_s)
-        ]
+        departures = [departure for address in addresses for departure in self._settle(address)]
         stands = entry.name in self.entries_by_name
         if stands and entry.draining and not (before and before.draining):
             departures.append(Departure(entry, "draining"))
@@ -266,12 +264,12 @@
         self._held_by_name.pop(name, None)
         return self._lose(name, now_s, deleted=deleted)
 
-    def record_evidence(self, evidence: Evidence, now_s: float) -> list[Departure]:
+    def record_evidence(self, evidence: Evidence) -> list[Departure]:
         """Record what a server says of who it is."""
         if not self.addresses.concerns(evidence):
             return []
-        self.addresses.record(evidence, now_s)
-        return self._settle(evidence.address, now_s)
+        self.addresses.record(evidence)
+        return self._settle(evidence.address)
 
     def _lose(self, name: str, now_s: float, *, deleted: bool = True) -> list[Departure]:
         entry = self.listed_by_name.get(name)
@@ -280,21 +278,14 @@
         if deleted and not entry.draining and self._may_be_restored(now_s):
             self._missing.add(name)
             return []
-        return self._drop(name, "removed", now_s)
+        return self._drop(name, "removed")
 
     def expire(self, now_s: float) -> list[Departure]:
-        """Drop lapsed entries that were not restored in time; use denied ones that are due."""
-        departures = [
-            departure
-            for address in self.addresses.denied_addresses()
-            for departure in self._settle(address, now_s)
-        ]
+        """Drop lapsed entries that were not restored in time."""
         if self._may_be_restored(now_s):
-            return departures
-        return departures + [
-            departure
-            for name in list(self._missing)
-            for departure in self._drop(name, "lapsed", now_s)
+            return []
+        return [
+            departure for name in list(self._missing) for departure in self._drop(name, "lapsed")
         ]
 
     def usable(self, pool: str) -> list[ServerEntry]:
@@ -322,13 +313,13 @@
         # the new address first, so that a server that moves does not depart
         return [entry.address] if known is None else [entry.address, known.address]
 
-    def _settle(self, address: Address, now_s: float, reason: str = "") -> list[Departure]:
+    def _settle(self, address: Address, reason: str = "") -> list[Departure]:
         """Use the entries that stand at an address; return what departs there."""
         holder_by_pool = self._holders_by_address.pop(address, {})
         # pools that are listed first, so that a server that changes its pool doesn't depart
         listed = self.addresses.pools(address)
         verdict_by_pool = {
-            pool: self.addresses.find_holder(address, pool, now_s)
+            pool: self.addresses.find_holder(address, pool)
             for pool in [*listed, *(holder_by_pool.keys() - listed)]
         }
         standing = {pool: one.entry for pool, one in verdict_by_pool.items() if one.entry}
@@ -365,7 +356,7 @@
         del self.entries_by_name[entry.name]
         return [Departure(entry, reason)]
 
-    def _drop(self, name: str, reason: str, now_s: float) -> list[Departure]:
+    def _drop(self, name: str, reason: str) -> list[Departure]:
         self._missing.discard(name)
         entry = self.listed_by_name.pop(name)
         self._departed_ms_by_name.pop(name, None)
@@ -373,7 +364,7 @@
         if len(self._departed_ms_by_name) > MAX_DEPARTED:
             del self._departed_ms_by_name[next(iter(self._departed_ms_by_name))]
         self.addresses.remove(name)
-        return self._settle(entry.address, now_s, reason)
+        return self._settle(entry.address, reason)
 
 
 def _describe(verdict: Verdict) -> str:
--- a/src/redwingbank/front/store_handlers.py
+++ b/src/redwingbank/front/store_handlers.py
@@ -172,7 +172,7 @@
 
     def handle_identity(self, evidence: Evidence) -> None:
         """Apply what a server's answer tells of who it is."""
-        self._handle_departures(self._router.servers.record_evidence(evidence, now_s()))
+        self._handle_departures(self._router.servers.record_evidence(evidence))
 
     def handle_loss(self, reason: str) -> None:
         """Record that the store is unreachable, so that missing entries may have lapsed."""
--- a/src/redwingbank/routing/server_address.py
+++ b/src/redwingbank/routing/server_address.py
@@ -13,8 +13,6 @@
 from redwingbank.front.values import ServerEntry  # noqa: TC001 - a field's type
 from redwingbank.settings import Address  # noqa: TC001 - a field's type
 
-# A start that the server has denied is asked again after this time, if there is no other.
-RETRY_S = 1.0
 NEVER_S = float("-inf")
 
 
@@ -80,14 +78,13 @@
     """A start that an entry lists at an address.
 
     The start is listed here since `listed_s`. `proved_s` is when the request was sent whose answer
-    is the `proof`. A denied start is not used before `retry_s`.
+    is the `proof`.
     """
 
     entry: ServerEntry
     listed_s: float
     proof: Proof = Proof.NONE
     proved_s: float = NEVER_S
-    retry_s: float = NEVER_S
 
 
 class Verdict(NamedTuple):
@@ -103,18 +100,19 @@
     In each pool the latest start stands that doesn't drain, in whatever order entries became
     known, and an earlier one again when that goes. Entries of other pools don't count: a server
     turns a request away that is meant for another one. What the process there says goes before
-    any entry that was listed when it said so: a start that it denies gives way, and the start by
-    which it answers stays until a later one is listed.
+    any entry that was listed when it said so: a start that it denies gives way to another one, and
+    the start by which it answers stays until a later one is listed. Without another one, a denied
+    start stays in use, since a single answer may be misplaced.
 
     >>> address = Address("10.0.0.9", 80)
     >>> book = AddressBook()
     >>> for name, started_ms in (("i-2", 5), ("i-1", 9)):
     ...     book.put(ServerEntry(name, "pool", address, "a", 4, False, started_ms), 0.0)
-    >>> latest = book.find_holder(address, "pool", 0.0).entry
+    >>> latest = book.find_holder(address, "pool").entry
     >>> latest.name
     'i-1'
-    >>> book.record(Misdirected(latest, "", sent_s=1.0), 1.1)
-    >>> book.find_holder(address, "pool", 1.1).entry.name
+    >>> book.record(Misdirected(latest, "", sent_s=1.0))
+    >>> book.find_holder(address, "pool").entry.name
     'i-2'
     """
 
@@ -155,7 +153,7 @@
         claims = self._claims_by_address.get(address, {})
         return {claim.entry.pool for claim in claims.values()}
 
-    def find_holder(self, address: Address, pool: str, now_s: float) -> Verdict:
+    def find_holder(self, address: Address, pool: str) -> Verdict:
         """Return which entry of a pool stands at an address."""
         listed = self._claims_by_address.get(address, {}).values()
         claims = [claim for claim in listed if claim.entry.pool == pool]
@@ -164,12 +162,12 @@
         undenied = [claim for claim in claims if claim.proof is not Proof.DENIED]
         if undenied:
             return _choose(undenied, max(claims, key=_order))
-        # no use while the server there answers to another name
+        # no use while the server there answers to the name of another pool's
         confirmed_s = max(map(_confirmed_s, listed))
-        due = [one for one in claims if one.retry_s <= now_s and one.proved_s > confirmed_s]
-        if not due:
+        later = [claim for claim in claims if claim.proved_s > confirmed_s]
+        if not later:
             return Verdict(None, Reason.DENIED)
-        return Verdict(min(due, key=_proved_first).entry, Reason.RETRIED)
+        return Verdict(min(later, key=_proved_first).entry, Reason.RETRIED)
 
     def concerns(self, evidence: Evidence) -> bool:
         """Whether evidence can change which entry stands at its address."""
@@ -180,26 +178,18 @@
             or any(claim.proof is Proof.DENIED for claim in claims.values())
         )
 
-    def denied_addresses(self) -> list[Address]:
-        """List the addresses at which a start has been denied."""
-        return [
-            address
-            for address, claims in self._claims_by_address.items()
-            if any(claim.proof is Proof.DENIED for claim in claims.values())
-        ]
-
     @singledispatchmethod
-    def record(self, evidence: Any, now_s: float) -> None:
+    def record(self, evidence: Any) -> None:
         """Record what a server said of itself; it binds only the starts that are listed."""
         raise TypeError(type(evidence))
 
     @record.register
-    def _record_answered(self, evidence: AnsweredAs, now_s: float) -> None:
+    def _record_answered(self, evidence: AnsweredAs) -> None:
         entry = evidence.entry
         self._confirm(entry.address, entry.started_ms, evidence.sent_s, entry.name)
 
     @record.register
-    def _record_start(self, evidence: StartTold, now_s: float) -> None:
+    def _record_start(self, evidence: StartTold) -> None:
         claims = self._claims_by_address.get(evidence.address, {})
         names = [
             name for name, claim in claims.items() if claim.entry.started_ms == evidence.started_ms
@@ -209,7 +199,7 @@
             self._confirm(evidence.address, evidence.started_ms, evidence.sent_s, names[0])
 
     @record.register
-    def _record_misdirected(self, evidence: Misdirected, now_s: float) -> None:
+    def _record_misdirected(self, evidence: Misdirected) -> None:
         entry = evidence.entry
         claims = self._claims_by_address.get(entry.address, {})
         claim = claims.get(entry.name)
@@ -221,9 +211,7 @@
             # the process that denied the other starts is gone
             for name, other in claims.items():
                 claims[name] = Claim(other.entry, other.listed_s)
-        claims[entry.name] = claim._replace(
-            proof=Proof.DENIED, proved_s=evidence.sent_s, retry_s=now_s + RETRY_S
-        )
+        claims[entry.name] = claim._replace(proof=Proof.DENIED, proved_s=evidence.sent_s)
         named = claims.get(evidence.named)
         if named and evidence.named != entry.name:
             started_ms = named.entry.started_ms
@@ -233,7 +221,7 @@
         claims = self._claims_by_address.get(address, {})
         claim = claims.get(name)
         if claim and claim.entry.started_ms == started_ms and sent_s >= claim.proved_s:
-            claims[name] = claim._replace(proof=Proof.CONFIRMED, proved_s=sent_s, retry_s=NEVER_S)
+            claims[name] = claim._replace(proof=Proof.CONFIRMED, proved_s=sent_s)
 
     def _find(self, name: str) -> Claim | None:
         address = self._address_by_name.get(name)
--- a/tests/steps/front_server_limits.py
+++ b/tests/steps/front_server_limits.py
@@ -317,6 +317,8 @@
     async def scenario(rig):
         servers = rig.front.router.servers
         await rig.store.put("servers", "i-9", entry(rig.addresses["i-1"]))
+        # the server answers to this name, so that its entry would stand again
+        await rig.store.delete("servers", "i-1")
         await rig.until(lambda: list(servers.entries_by_name) == ["i-9"])
         answer = await rig.ask("single")
         assert (answer.status, rig.runs()) == (503, []), answer.raw
