--- a/src/redwingbank/front/freshness.py
+++ b/src/redwingbank/front/freshness.py
@@ -39,6 +39,8 @@
 TRACE_INTERVAL_S = 10.0
 # Hosts that are not relays use their watches only to learn of changes.
 LONG_WATCH_S = 25.0
+# A host that starts asks so many others; in a large fleet all would cost more than they tell.
+MAX_FIRST_HOSTS = 8
 # about 60 questions per second to each relay
 HOSTS_PER_RELAY = 32
 RELAY_KEY = "table relay"
@@ -89,6 +91,7 @@
         self._is_relay = True
         self._news_from_relay = False
         self._questions_sent = 0
+        self._first_hosts_asked = 0
         self._questions_by_relay: Counter[str] = Counter()
         self._unanswered_since_s_by_relay: dict[str, float] = {}
         self._suspended_until_s_by_host: dict[str, float] = {}
@@ -165,8 +168,10 @@
             )
 
     def ask_host(self, host: str) -> None:
-        """Ask a host that this one has just heard of, and tell it of the table here."""
-        self._peers.ask(host, self._question(now_s()))
+        """Ask a host that was just heard, one of the first, which table is in force there."""
+        if self._first_hosts_asked < MAX_FIRST_HOSTS:
+            self._first_hosts_asked += 1
+            self._peers.ask(host, self._question(now_s()))
 
     def _question(self, now: float, *, traced: bool = False) -> Question:
         table = self._tables.table
