--- a/src/redwingbank/front/poison.py
+++ b/src/redwingbank/front/poison.py
@@ -23,8 +23,8 @@
 SUSPENDED_S = 12.0
 # Old losses are dropped beyond this number of servers.
 MAX_LOST_SERVERS = 1000
-# A clearance is told again this often, and for so long.
-REPEAT_S = 1.0
+# A clearance is told again this often, and for so long: a few messages to each host.
+REPEAT_S = 3.0
 REPEAT_FOR_S = 10.0
 # News of a crash may take this much less time than those of a clearance that followed it.
 TRANSIT_S = 0.1
@@ -179,6 +179,9 @@
             trait, proved_s = news.fingerprint, now_s - news.ago_s + TRANSIT_S
             if self.causes.knows(trait):
                 self._clear(trait, proved_s, now_s, answer="told by another host")
+            if now_s - news.ago_s <= self._proved_s_by_trait.get(trait, now_s):
+                # the host that cleared it first repeats it
+                self._proved_s_by_trait.pop(trait, None)
             if self.on_cleared_elsewhere and not self.find_blocked((trait,), now_s):
                 self.on_cleared_elsewhere(trait)
             return
