--- a/src/redwingbank/front/freshness.py
+++ b/src/redwingbank/front/freshness.py
@@ -99,6 +99,7 @@
         self._restarted_s_by_watcher: dict[Watcher, float] = {}
         peers.answer_question = self.answer
         peers.on_answer = self.handle_answer
+        peers.on_host_started.append(self._ask_first_hosts)
         peers.on_news = self.handle_news
 
     def set_watchers(self, table: Watcher, servers: Watcher) -> None:
@@ -167,7 +168,7 @@
                 answer,
             )
 
-    def ask_host(self, host: str) -> None:
+    def _ask_first_hosts(self, host: str) -> None:
         """Ask a host that was just heard, one of the first, which table is in force there."""
         if self._first_hosts_asked < MAX_FIRST_HOSTS:
             self._first_hosts_asked += 1
--- a/src/redwingbank/front/peers.py
+++ b/src/redwingbank/front/peers.py
@@ -106,7 +106,7 @@
         self.on_crash: Callable[[CrashNews, float], None] | None = None
         self.on_statements: Callable[[StatementReport, HostKey], None] | None = None
         self.on_streams: Callable[[StreamReport, str], None] | None = None
-        self.on_host_started: Callable[[str], None] | None = None
+        self.on_host_started: list[Callable[[str], None]] = []
         self.on_duties: Callable[[Announcement | UsageCounts, str], None] | None = None
         self.reach_report: Callable[[float], ReachReport | None] | None = None
         self.on_reach: Callable[[ReachReport, str, float], None] | None = None
@@ -281,8 +281,8 @@
         self.peers_by_host[message.host] = Peer(address, message.incarnation, now, message.place)
         if before is None or message.incarnation > before.incarnation:
             self._log.essential("host-heard", peer=message.host, address=str(address))
-            if self.on_host_started:
-                self.on_host_started(message.host)
+            for host_started in self.on_host_started:
+                host_started(message.host)
         return True
 
     def _is_current(self, host: str, incarnation: int) -> bool:
--- a/src/redwingbank/front/router.py
+++ b/src/redwingbank/front/router.py
@@ -81,7 +81,6 @@
         self.statements = ServerStatements(self.backends, self.peers, self.log, self.metrics)
         self.freshness = Freshness(settings.name, self.tables, self.peers, self.log)
         self.servers = ServerRegistry(self.freshness.store_contact.was_down, self.backends.leaving)
-        self.peers.on_host_started = self._greet
         self.streams = StreamSharing(settings.name, self.peers)
         self.takeover = StreamTakeover(settings.name, self.streams, self.guard)
         self.versions = VersionHistory()
@@ -108,12 +107,6 @@
         listed = self.servers.entries_by_name.get(entry.name)
         return listed is not None and listed.started_ms == entry.started_ms
 
-    def _greet(self, host: str) -> None:
-        """Tell a host that has just started what it needs to know, and ask it."""
-        self.statements.tell_host(host)
-        self.freshness.ask_host(host)
-        self.streams.host_started()
-
     def metrics_text(self) -> str:
         """Format all counters, histograms and gauges as Prometheus text."""
         gauge = self.metrics.gauge
--- a/src/redwingbank/front/server_statements.py
+++ b/src/redwingbank/front/server_statements.py
@@ -67,7 +67,7 @@
         self._reported_s = float("-inf")
         self._unreported: dict[StateKey, Callable[[], State]] = {}
         peers.on_statements = self.handle_report
-        peers.on_host_started = self.tell_host
+        peers.on_host_started.append(self.tell_host)
 
     def answer_received(
         self,
--- a/src/redwingbank/front/stream_sharing.py
+++ b/src/redwingbank/front/stream_sharing.py
@@ -73,6 +73,7 @@
             Purpose.ENDED: self._handle_end,
         }
         peers.on_streams = self.handle_report
+        peers.on_host_started.append(self._mark_ring_stale)
 
     def begin(self, key: str, origin: StreamOrigin, ends_s: float) -> None:
         """Remember a stream that this host serves from now on, and tell the hosts that hold it.
@@ -149,7 +150,7 @@
             self._repeated_s = now
             self._repeat(now)
 
-    def host_started(self) -> None:
+    def _mark_ring_stale(self, host: str) -> None:  # noqa: ARG002 - of the callback
         """Follow a host that was just heard before the ring is used again."""
         self._ring_stale = True
 
--- a/tests/stream_fleet.py
+++ b/tests/stream_fleet.py
@@ -39,6 +39,7 @@
 
     def __init__(self, fleet, name):
         self.on_streams = None
+        self.on_host_started = []
         self._fleet = fleet
         self._name = name
 
