--- a/src/redwingbank/front/poison.py
+++ b/src/redwingbank/front/poison.py
@@ -23,7 +23,7 @@
 SUSPENDED_S = 12.0
 # Old losses are dropped beyond this number of servers.
 MAX_LOST_SERVERS = 1000
-# A clearance is told again this often, and for so long: a few messages to each host.
+# A clearance is told again this often, and for so long.
 REPEAT_S = 3.0
 REPEAT_FOR_S = 10.0
 # News of a crash may take this much less time than those of a clearance that followed it.
@@ -128,8 +128,8 @@
 
     def answered(
         self, traits: tuple[str, ...], kind: AnswerKind, server: str, now_s: float
-    ) -> None:
-        """Clear the traits of a request that an answer proves to crash no server."""
+    ) -> tuple[str, ...]:
+        """Clear the traits of a request that an answer proves to crash no server; return them."""
         proved = proved_traits(kind, traits)
         for trait in traits[len(proved) :]:
             if self.causes.knows(trait) and self._log:
@@ -147,6 +147,7 @@
             self._broadcast(CrashNews(trait, cleared=True))
             if self.on_cleared:
                 self.on_cleared(trait)
+        return proved
 
     def expire(self, now_s: float) -> None:
         """Tell recent clearances again, since hosts may be cut off; call it every 0.1 s or so."""
--- a/src/redwingbank/front/run_watch.py
+++ b/src/redwingbank/front/run_watch.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from redwingbank.model import Outcome
-from redwingbank.rules.answer_proof import AnswerKind, classify_failure, proved_traits
+from redwingbank.rules.answer_proof import AnswerKind, classify_failure
 
 if TYPE_CHECKING:
     from redwingbank.front.backends import Backend
@@ -58,9 +58,8 @@
 
     def answered(self, backend: Backend, kind: AnswerKind, now_s: float) -> None:
         """Record a whole answer, or events that go on."""
-        proved = proved_traits(kind, self._traits)
-        self._harmless = self._harmless or len(proved) == len(self._traits)
-        self._poison.answered(self._traits, kind, backend.entry.name, now_s)
+        proved = self._poison.answered(self._traits, kind, backend.entry.name, now_s)
+        self._harmless = self._harmless or proved == self._traits
 
     def failed(self, backend: Backend, failure: Failure, now_s: float) -> None:
         """Record a failed attempt, which may show that the server has crashed."""
--- a/src/redwingbank/rules/answer_proof.py
+++ b/src/redwingbank/rules/answer_proof.py
@@ -53,6 +53,12 @@
     AnswerKind.BROKEN: Proof(Proved.NOTHING, "the server may have crashed"),
 }
 
+# the request itself comes first among its traits
+_TRAITS_BY_PROVED = {
+    Proved.NOTHING: slice(0),
+    Proved.REQUEST: slice(1),
+    Proved.PROMPT: slice(None),
+}
 _KIND_BY_STATUS = {
     **dict.fromkeys((408, 421, 429, 503), AnswerKind.REFUSED),
     504: AnswerKind.TIMED_OUT,
@@ -96,8 +102,7 @@
     >>> proved_traits(AnswerKind.REJECTED, ("request", "part"))
     ('request',)
     """
-    count_by_proved = {Proved.NOTHING: 0, Proved.REQUEST: 1, Proved.PROMPT: len(traits)}
-    return traits[: count_by_proved[PROOF_BY_KIND[kind].proved]]
+    return traits[_TRAITS_BY_PROVED[PROOF_BY_KIND[kind].proved]]
 
 
 __all__ = [
--- a/src/redwingbank/rules/crash_causes.py
+++ b/src/redwingbank/rules/crash_causes.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
 
 from redwingbank.rules.common_cause import CrashGroups
 
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
 # The platform requires that a cause is blocked after it has crashed three servers.
 CRASHES_TO_BLOCK = 3
 # A cause that another one explains equally well is blocked after this many crashes.
@@ -47,6 +50,14 @@
     run: LostRun
 
 
+class _Block(NamedTuple):
+    """When a trait was blocked, and until when; `evidence` is empty if the store told of it."""
+
+    since_s: float
+    until_s: float
+    evidence: Sequence[_CountedRun] = ()
+
+
 class CrashCauses:
     """Counts crashes by trait and blocks the traits that cause them.
 
@@ -74,12 +85,10 @@
         self._last_crash_by_server: OrderedDict[str, tuple[int, float]] = OrderedDict()
         self._crashes = 0
         self._groups = CrashGroups()
-        self._evidence_by_trait: dict[str, list[_CountedRun]] = {}
         self._cause_by_crash: OrderedDict[int, str] = OrderedDict()
         # when the last crash of the refuted evidence was
         self._refuted_s_by_trait: OrderedDict[str, float] = OrderedDict()
-        self._blocked_until_s_by_trait: OrderedDict[str, float] = OrderedDict()
-        self._blocked_s_by_trait: dict[str, float] = {}
+        self._block_by_trait: OrderedDict[str, _Block] = OrderedDict()
 
     def record(self, run: LostRun, now_s: float) -> list[str]:
         """Count a crash against the traits of a run; return the traits that are now blocked."""
@@ -101,7 +110,7 @@
 
     def knows(self, trait: str) -> bool:
         """Whether crashes are counted against a trait, or it is blocked."""
-        return trait in self._runs_by_trait or trait in self._blocked_until_s_by_trait
+        return trait in self._runs_by_trait or trait in self._block_by_trait
 
     def clear(self, traits: tuple[str, ...], proved_s: float = ALWAYS_S) -> list[str]:
         """Clear the traits of a run that proved harmless; return those that had been counted.
@@ -113,12 +122,10 @@
 
     def block(self, trait: str, now_s: float, block_s: float = BLOCK_S) -> None:
         """Block a trait; the crashes that it was present at no longer count for others."""
-        self._blocked_until_s_by_trait[trait] = now_s + block_s
-        self._blocked_s_by_trait[trait] = now_s
+        self._block_by_trait[trait] = _Block(now_s, now_s + block_s)
         self._refuted_s_by_trait.pop(trait, None)
-        while len(self._blocked_until_s_by_trait) > MAX_BLOCKED:
-            dropped, _ = self._blocked_until_s_by_trait.popitem(last=False)
-            del self._blocked_s_by_trait[dropped]
+        while len(self._block_by_trait) > MAX_BLOCKED:
+            self._block_by_trait.popitem(last=False)
         for counted in self._runs_by_trait.get(trait, ()):
             self._explain(counted.crash, trait)
 
@@ -128,36 +135,33 @@
 
     def find_blocked(self, traits: tuple[str, ...], now_s: float) -> str:
         """Return the first of the traits that is blocked, or an empty string."""
-        blocked = self._blocked_until_s_by_trait
-        return next((trait for trait in traits if blocked.get(trait, now_s) > now_s), "")
+        return next((trait for trait in traits if self.seconds_left(trait, now_s)), "")
 
     def seconds_left(self, trait: str, now_s: float) -> float:
         """Return for how long a trait will be blocked, 0.0 if it is not."""
-        return max(0.0, self._blocked_until_s_by_trait.get(trait, now_s) - now_s)
+        block = self._block_by_trait.get(trait)
+        return max(0.0, block.until_s - now_s) if block else 0.0
 
     def blocked(self, now_s: float) -> list[str]:
         """List the blocked traits."""
-        return [
-            trait for trait, until_s in self._blocked_until_s_by_trait.items() if until_s > now_s
-        ]
+        return [trait for trait, block in self._block_by_trait.items() if block.until_s > now_s]
 
     def pop_expired(self, now_s: float) -> list[str]:
         """Lift the blocks that have run out; one more crash renews them."""
         expired = [
-            trait for trait, until_s in self._blocked_until_s_by_trait.items() if until_s <= now_s
+            trait for trait, block in self._block_by_trait.items() if block.until_s <= now_s
         ]
         for trait in expired:
-            del self._blocked_until_s_by_trait[trait]
-            del self._blocked_s_by_trait[trait]
-            self._evidence_by_trait.pop(trait, None)
+            del self._block_by_trait[trait]
         return expired
 
     def pop_refuted(self) -> list[str]:
         """Lift the blocks whose crashes turned out to have a cause in common with others."""
         refuted = {
-            trait: runs[-1].run.lost_s
-            for trait, runs in self._evidence_by_trait.items()
-            if _count_in_a_row(self._without_common(trait, runs)) < CRASHES_TO_BLOCK
+            trait: block.evidence[-1].run.lost_s
+            for trait, block in self._block_by_trait.items()
+            if block.evidence
+            and _count_in_a_row(self._without_common(trait, block.evidence)) < CRASHES_TO_BLOCK
         }
         for trait, lost_s in refuted.items():
             self._forget(trait)
@@ -212,16 +216,16 @@
         blocked = []
         for trait in traits:
             runs = self._without_common(trait, self._unexplained(trait))
-            if trait not in self._blocked_until_s_by_trait and self._is_cause(trait, runs):
+            if trait not in self._block_by_trait and self._is_cause(trait, runs):
                 self.block(trait, now_s, self._term_s(runs))
-                self._evidence_by_trait[trait] = runs
+                self._block_by_trait[trait] = self._block_by_trait[trait]._replace(evidence=runs)
                 blocked.append(trait)
         return blocked
 
     def _is_cause(self, trait: str, runs: list[_CountedRun]) -> bool:
         return _count_in_a_row(runs) >= CRASHES_TO_BLOCK and not self._is_contested(trait, runs)
 
-    def _without_common(self, trait: str, runs: list[_CountedRun]) -> list[_CountedRun]:
+    def _without_common(self, trait: str, runs: Sequence[_CountedRun]) -> list[_CountedRun]:
         """Leave out the crashes of servers that went down together, whatever they ran."""
         explained = self._cause_by_crash
         return [one for one in runs if not self._groups.is_common(one.crash, trait, explained)]
@@ -261,7 +265,7 @@
         return any(
             len(crashes & {counted.crash for counted in self._unexplained(rival)})
             >= len(crashes) - 1
-            for rival in rivals - self._blocked_until_s_by_trait.keys()
+            for rival in rivals - self._block_by_trait.keys()
         )
 
     def _number_crash(self, run: LostRun) -> int:
@@ -284,20 +288,20 @@
         later = [one for one in runs if one.run.lost_s > until_s]
         if later:
             self._runs_by_trait[trait] = later
-        blocked = self._blocked_until_s_by_trait.pop(trait, None)
-        self._blocked_s_by_trait.pop(trait, None)
-        self._evidence_by_trait.pop(trait, None)
-        if blocked is not None:
+        block = self._block_by_trait.pop(trait, None)
+        if block:
             for crash in [one for one, cause in self._cause_by_crash.items() if cause == trait]:
                 del self._cause_by_crash[crash]
-        return len(later) < len(runs) or blocked is not None
+        return len(later) < len(runs) or block is not None
 
     def _outlasts(self, trait: str, until_s: float) -> bool:
         """Whether a trait stays blocked without the crashes up to a moment."""
-        evidence = self._evidence_by_trait.get(trait)
-        if evidence is None:
-            return self._blocked_s_by_trait.get(trait, until_s) > until_s
-        later = [one for one in evidence if one.run.lost_s > until_s]
+        block = self._block_by_trait.get(trait)
+        if block is None:
+            return False
+        if not block.evidence:
+            return block.since_s > until_s
+        later = [one for one in block.evidence if one.run.lost_s > until_s]
         return _count_in_a_row(later) >= CRASHES_TO_BLOCK
 
 
