--- a/src/redwingbank/forwarding/client.py
+++ b/src/redwingbank/forwarding/client.py
@@ -8,7 +8,8 @@
 
 from redwingbank.clock import now_s
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
-from redwingbank.front.attempt import MAX_BUFFERED_BYTES, is_event_stream
+from redwingbank.front.answer_heads import is_event_stream
+from redwingbank.front.attempt import MAX_BUFFERED_BYTES
 from redwingbank.front.outbound import Loss, Message
 from redwingbank.front.refusals import decode_error_code
 from redwingbank.front.values import ServersLeft
--- a/src/redwingbank/front/attempt.py
+++ b/src/redwingbank/front/attempt.py
@@ -9,14 +9,22 @@
 from typing import TYPE_CHECKING, NamedTuple, Protocol
 
 from redwingbank.clock import now_s
-from redwingbank.front.failures import Failure
+from redwingbank.front.answer_heads import (
+    STATUS_OK,
+    classify_head,
+    find_fault,
+    is_event_stream,
+    is_misdirected,
+    read_identity,
+)
+from redwingbank.front.failures import Failure, lost_answer, not_run
 from redwingbank.front.outbound import CONNECT_TIMEOUT_S, Loss
 from redwingbank.front.start_reader import LateStartCheck, StartReader
 from redwingbank.model import Outcome
 from redwingbank.platform.headers import decode_answer
-from redwingbank.routing.server_address import AnsweredAs, Misdirected, StartTold
+from redwingbank.routing.server_address import StartTold
 from redwingbank.rules.answer_memory import KeptBytes
-from redwingbank.rules.answer_proof import AnswerKind, classify_answer
+from redwingbank.rules.answer_proof import AnswerKind
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -26,26 +34,13 @@
     from redwingbank.front.values import Statement
     from redwingbank.front.wire import AnswerHead
     from redwingbank.platform.headers import AnswerFacts
-    from redwingbank.routing.server_address import Evidence
 
-STATUS_OK = 200
-STATUS_LAST_SUCCESS = 299
-STATUS_MISDIRECTED = 421
-FIRST_SERVER_ERROR = 500
-EVENT_STREAM = b"text/event-stream"
 # no server starts then
 UNKNOWN_START = 0
 # Answers up to this size are buffered until complete, so that a truncated one can be retried,
 # unless all answers together keep too much.
 MAX_BUFFERED_BYTES = 256 * 1024
 
-OUTCOME_BY_LOSS = {
-    Loss.UNCONNECTED: Outcome.CRASHED,
-    Loss.CLOSED: Outcome.CLOSED_EARLY,
-    Loss.RESET: Outcome.CRASHED,
-    Loss.GARBAGE: Outcome.GARBAGE,
-}
-
 
 class Answer(NamedTuple):
     """A complete answer of a backend server."""
@@ -143,8 +138,7 @@
         """What a whole answer tells of crashes, by its head."""
         if self._head is None or self._facts is None:
             return AnswerKind.BROKEN
-        facts = self._facts
-        return classify_answer(self._head.status, stamped=facts.stamped, not_run=facts.not_run)
+        return classify_head(self._head, self._facts)
 
     @property
     def begun(self) -> bool:
@@ -194,9 +188,11 @@
             self._fail(Outcome.GARBAGE, fault)
             return
         self._head, self._facts = head, facts
-        self._identify(head, facts)
+        identity = read_identity(head, facts, self.entry, self.started_s)
+        if identity:
+            self.backend.identified(identity)
         # a misdirected request was answered by another server
-        if head.status != STATUS_MISDIRECTED:
+        if not is_misdirected(head):
             self._owner.attempt_head_received(self, facts)
         if facts.idle_timeout_s is not None:
             self.backend.connections.limit_idle_time(facts.idle_timeout_s)
@@ -233,7 +229,7 @@
         if self._mode is _Mode.STREAMED:
             self._owner.attempt_completed(self, None)
         elif self._not_run():
-            self._owner.attempt_failed(self, self._refusal())
+            self._owner.attempt_failed(self, not_run(misdirected=is_misdirected(self._head)))
         else:
             answer = Answer(self._head, self._facts, bytes(self._body))
             self._owner.attempt_completed(self, answer)
@@ -246,9 +242,9 @@
         self._finish()
         # the head of a refusal suffices: the server did not run the request
         if self._not_run():
-            failure = self._refusal()
+            failure = not_run(misdirected=is_misdirected(self._head))
         else:
-            failure = Failure(OUTCOME_BY_LOSS[loss], self.sent, f"{loss}: {detail}", self.sent)
+            failure = lost_answer(loss, detail, sent=self.sent)
         self._owner.attempt_failed(self, failure)
 
     def _finish(self) -> None:
@@ -301,8 +297,7 @@
             return
         with self._errors_reported():
             if loss is None and connection.server_start:
-                address, start = self.entry.address, connection.server_start
-                self.backend.identified(StartTold(address, start, self.started_s))
+                self._report_start(connection.server_start)
             if loss is None and self.backend.connections.take(connection):
                 self._send_if_listed(connection, encode)
             else:
@@ -334,20 +329,14 @@
             connections = self.backend.connections
             self._late_check = LateStartCheck(connections, self._late_start_told, self._heard)
 
-    def _identify(self, head: AnswerHead, facts: AnswerFacts) -> None:
-        """Report what the answer tells of the server: each request names the one it is for."""
-        if head.status == STATUS_MISDIRECTED:
-            evidence: Evidence = Misdirected(self.entry, facts.server, self.started_s)
-        elif facts.stamped and not facts.not_run:
-            evidence = AnsweredAs(self.entry, self.started_s)
-        else:
-            return
-        self.backend.identified(evidence)
-
     def _heard(self, statements: tuple[Statement, ...]) -> None:
         self.backend.report_received(self.entry, statements)
 
+    def _report_start(self, start: int) -> None:
+        self.backend.identified(StartTold(self.entry, start, self.started_s))
+
     def _late_start_told(self, start: int) -> None:
+        self._report_start(start)
         if start == self.entry.started_ms:
             self.server_start = start
 
@@ -385,11 +374,7 @@
     def _not_run(self) -> bool:
         if self._head is None or self._facts is None:
             return False
-        return self._facts.not_run or self._head.status == STATUS_MISDIRECTED
-
-    def _refusal(self) -> Failure:
-        misdirected = self._head is not None and self._head.status == STATUS_MISDIRECTED
-        return Failure(Outcome.REFUSED, False, "not run", misdirected=misdirected)
+        return self._facts.not_run or is_misdirected(self._head)
 
     def _find_fault(self, head: AnswerHead, facts: AnswerFacts) -> str:
         assert self._connection is not None
@@ -397,10 +382,7 @@
         if not origin.is_own(facts.request_id, head.status):
             return "another request's answer"
         origin.answered(facts.request_id, head.status, not_run=facts.not_run)
-        success = STATUS_OK <= head.status <= STATUS_LAST_SUCCESS
-        if success and not facts.stamped:
-            return "unsigned"
-        return "encoded" if success and facts.encoded else ""
+        return find_fault(head, facts)
 
     def _fail(self, outcome: Outcome, detail: str) -> None:
         if self._finished:
@@ -409,12 +391,4 @@
         self._owner.attempt_failed(self, Failure(outcome, self.sent, detail))
 
 
-def is_event_stream(head: AnswerHead) -> bool:
-    """Whether an answer is a success whose body is a stream of events."""
-    return head.status == STATUS_OK and any(
-        name.lower() == b"content-type" and value.lower().startswith(EVENT_STREAM)
-        for name, value in head.headers
-    )
-
-
-__all__ = ["Answer", "Attempt", "AttemptOwner", "StartCheck", "is_event_stream"]
+__all__ = ["Answer", "Attempt", "AttemptOwner", "StartCheck"]
--- a/src/redwingbank/front/directory.py
+++ b/src/redwingbank/front/directory.py
@@ -269,7 +269,7 @@
         if not self.addresses.concerns(evidence):
             return []
         self.addresses.record(evidence)
-        return self._settle(evidence.address)
+        return self._settle(evidence.entry.address)
 
     def _lose(self, name: str, now_s: float, *, deleted: bool = True) -> list[Departure]:
         entry = self.listed_by_name.get(name)
--- a/src/redwingbank/front/exchange.py
+++ b/src/redwingbank/front/exchange.py
@@ -10,11 +10,7 @@
 from redwingbank.codes import MEANING_BY_CODE, Code, Ran
 from redwingbank.forwarding.handover import Handover, Parties
 from redwingbank.front.admission import build_needs, build_request, longest_wait_s
-from redwingbank.front.attempt import (
-    FIRST_SERVER_ERROR,
-    STATUS_OK,
-    is_event_stream,
-)
+from redwingbank.front.answer_heads import FIRST_SERVER_ERROR, STATUS_OK, is_event_stream
 from redwingbank.front.backends import update_breaker
 from redwingbank.front.caller_answer import CallerAnswer
 from redwingbank.front.events import EventError
@@ -309,8 +305,9 @@
         self._recorder.record_failure(self._life, attempt, failure)
         if not failure.sent:
             self._life.advance(Step.NOT_ACCEPTED)
-            # a server that was not asked refuses nothing; its entry is not used again at once
-            self._tries.refusals += not failure.misdirected
+        if not failure.sent and not failure.misdirected:
+            # a server that was not asked has refused nothing
+            self._tries.refusals += 1
         if failure.reached:
             self._retry_or_fail(failure.outcome, now)
         elif self._tries.may_be_refused_again and now < self._give_up_s():
--- a/src/redwingbank/front/stream_relay.py
+++ b/src/redwingbank/front/stream_relay.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from redwingbank.front.attempt import is_event_stream
+from redwingbank.front.answer_heads import is_event_stream
 from redwingbank.front.events import EventSplitter
 from redwingbank.front.failures import CUT_SHORT, Failure, invalid_answer, is_cut_short
 from redwingbank.rules.answer_memory import KeptBytes
--- a/src/redwingbank/routing/server_address.py
+++ b/src/redwingbank/routing/server_address.py
@@ -30,7 +30,7 @@
     LATEST_START = "latest start"
     LATER_DENIED = "the server denies a later start"
     ANSWERED = "the server answers to its name"
-    RETRIED = "no other entry"
+    ONLY_ENTRY = "no other entry"
     DENIED = "the server answers to another name"
     UNLISTED = "no entry"
 
@@ -41,11 +41,6 @@
     entry: ServerEntry
     sent_s: float
 
-    @property
-    def address(self) -> Address:
-        """The address that it tells of."""
-        return self.entry.address
-
 
 class Misdirected(NamedTuple):
     """A server turned a request away that was sent at `sent_s`: it isn't the entry's.
@@ -57,16 +52,11 @@
     named: str
     sent_s: float
 
-    @property
-    def address(self) -> Address:
-        """The address that it tells of."""
-        return self.entry.address
-
 
 class StartTold(NamedTuple):
-    """The server at an address told when it started, asked at `sent_s`."""
+    """The server at an entry's address told when it started, asked at `sent_s`."""
 
-    address: Address
+    entry: ServerEntry
     started_ms: int
     sent_s: float
 
@@ -167,11 +157,11 @@
         later = [claim for claim in claims if claim.proved_s > confirmed_s]
         if not later:
             return Verdict(None, Reason.DENIED)
-        return Verdict(min(later, key=_proved_first).entry, Reason.RETRIED)
+        return Verdict(min(later, key=_proved_first).entry, Reason.ONLY_ENTRY)
 
     def concerns(self, evidence: Evidence) -> bool:
         """Whether evidence can change which entry stands at its address."""
-        claims = self._claims_by_address.get(evidence.address, {})
+        claims = self._claims_by_address.get(evidence.entry.address, {})
         return (
             isinstance(evidence, Misdirected)
             or len(claims) > 1
@@ -190,13 +180,13 @@
 
     @record.register
     def _record_start(self, evidence: StartTold) -> None:
-        claims = self._claims_by_address.get(evidence.address, {})
+        claims = self._claims_by_address.get(evidence.entry.address, {})
         names = [
             name for name, claim in claims.items() if claim.entry.started_ms == evidence.started_ms
         ]
         # starts of one moment can't be told apart by it
         if len(names) == 1:
-            self._confirm(evidence.address, evidence.started_ms, evidence.sent_s, names[0])
+            self._confirm(evidence.entry.address, evidence.started_ms, evidence.sent_s, names[0])
 
     @record.register
     def _record_misdirected(self, evidence: Misdirected) -> None:
--- a/tests/steps/routing_server_address.py
+++ b/tests/steps/routing_server_address.py
@@ -57,7 +57,7 @@
         self.book.record(Misdirected(self.entry_by_name[name], named, self.at_s))
 
     def told(self, started_ms):
-        self.book.record(StartTold(PLACE, int(started_ms), self.at_s))
+        self.book.record(StartTold(listed("any@0"), int(started_ms), self.at_s))
 
 
 @when("these events follow each other at one address: {events}")
