--- a/src/redwingbank_standins/backend_server.py
+++ b/src/redwingbank_standins/backend_server.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING, NamedTuple
 
+from redwingbank_standins.single_responses import RESPONSE_BY_MODE, STAMP_HEADER, build_head
 from redwingbank_standins.stream_server import StreamServer, reset_connection
 
 if TYPE_CHECKING:
@@ -17,13 +18,9 @@
         Awaitable[bool],
     ]
 
-# The stamp contains the id of the request that was run.
-STAMP_HEADER = b"Server-Stamp: s.%b\r\n"
 EVENTS_PER_STREAM = 4
 REPORT_TARGET = "/api/report"
 HANG_S = 60.0
-# more than a host buffers of an answer
-LARGE_BYTES = 300_000
 STATUS_BY_REFUSAL = {"shed": 503, "limited": 429}
 
 
@@ -67,7 +64,7 @@
     (reset in the middle of the third event), repeated (the third event comes twice at once),
     endless, and three without a length: unsized-stream, unsized-broken (closed in the middle of
     the third event), unsized-empty (closed after the head). In modes endless-line,
-    endless-headers, endless- interim and endless-trailers the head or the trailers go on until the
+    endless-headers, endless-interim and endless-trailers the head or the trailers go on until the
     peer closes, after 64 MB at most; `flood_bytes` counts them. In mode hang no response is sent.
     Refusals (shed, limited) bear no id. A server in mode stream crashes in the first event of each
     answer to a prompt with the shared part `crash_part`. While `named_limit` is not empty, the
@@ -232,7 +229,7 @@
     async def _send_response(
         self, request: ReceivedRequest, writer: asyncio.StreamWriter, reader: asyncio.StreamReader
     ) -> bool:
-        response = _RESPONSE_BY_MODE[self.mode_for(request.target)]
+        response = RESPONSE_BY_MODE[self.mode_for(request.target)]
         echo = "another" if self.mode == "foreign" else request.request_id
         head = response.head.replace(b"%b", echo.encode(), 1).replace(
             b"%b", request.request_id.encode()
@@ -286,46 +283,6 @@
         return True
 
 
-class _Response(NamedTuple):
-    """The bytes of a response, and whether the connection is kept alive or reset after it."""
-
-    head: bytes
-    body: bytes
-    keep_alive: bool = False
-    reset: bool = False
-
-
-def _head(status: int, *lines: bytes) -> bytes:
-    return b"HTTP/1.1 %d x\r\nRequest-Id: %%b\r\n" % status + b"".join(lines) + b"\r\n"
-
-
-_CONTENT_LENGTH = b"Content-Length: 5\r\n"
-_RESPONSE_BY_MODE = {
-    "ok": _Response(_head(200, STAMP_HEADER, _CONTENT_LENGTH), b"whole", keep_alive=True),
-    "error": _Response(_head(500, STAMP_HEADER, _CONTENT_LENGTH), b"fault", keep_alive=True),
-    "large-error": _Response(
-        _head(500, STAMP_HEADER, b"Content-Length: %d\r\n" % LARGE_BYTES),
-        b"x" * LARGE_BYTES,
-        keep_alive=True,
-    ),
-    "missing": _Response(_head(404, STAMP_HEADER, _CONTENT_LENGTH), b"no...", keep_alive=True),
-    "lost": _Response(b"", b"", reset=True),
-    "garbage": _Response(b"", b"no answer at all\r\n\r\n"),
-    "unsigned": _Response(_head(200, _CONTENT_LENGTH), b"whole"),
-    "foreign": _Response(_head(200, STAMP_HEADER, _CONTENT_LENGTH), b"whole"),
-    "extra": _Response(
-        _head(200, STAMP_HEADER, _CONTENT_LENGTH),
-        b"wholeHTTP/1.1 200 x\r\nContent-Length: 0\r\n\r\n",
-        keep_alive=True,
-    ),
-    "cut": _Response(_head(200, STAMP_HEADER, _CONTENT_LENGTH), b"who"),
-    "unsized": _Response(_head(200, STAMP_HEADER), b"whole"),
-    "unsized-reset": _Response(_head(200, STAMP_HEADER), b"who", reset=True),
-    "encoded": _Response(
-        _head(200, STAMP_HEADER, b"Content-Encoding: gzip\r\n", _CONTENT_LENGTH), b"whole"
-    ),
-}
-
 _STREAM_MODES = (
     "stream",
     "broken",
@@ -342,13 +299,13 @@
     "endless-headers": (b"HTTP/1.1 200 x\r\n", b"X-Pad: x\r\n" * 4096),
     "endless-interim": (b"", b"HTTP/1.1 103 x\r\nX-Pad: x\r\n\r\n" * 1024),
     "endless-trailers": (
-        _head(200, STAMP_HEADER, b"Transfer-Encoding: chunked\r\n") + b"5\r\nwhole\r\n0\r\n",
+        build_head(200, STAMP_HEADER, b"Transfer-Encoding: chunked\r\n") + b"5\r\nwhole\r\n0\r\n",
         b"X-Pad: x\r\n" * 4096,
     ),
 }
 
 _METHOD_BY_MODE: dict[str, _AnswerMethod] = {
-    **dict.fromkeys(_RESPONSE_BY_MODE, BackendServer._send_response),  # noqa: SLF001 - own methods
+    **dict.fromkeys(RESPONSE_BY_MODE, BackendServer._send_response),  # noqa: SLF001 - own methods
     **dict.fromkeys(_STREAM_MODES, BackendServer._send_stream),  # noqa: SLF001
     **dict.fromkeys(_FLOOD_BY_MODE, BackendServer._flood),  # noqa: SLF001
     "hang": BackendServer._hang,  # noqa: SLF001
